Lay out the workspace, shared types and checks

Cause: nothing existed. The parts need a shared vocabulary before they are built side by side. Weighed: one crate (slow rebuilds, no borders) against many small ones; identifiers that change with each configuration generation against names interned once a process. The second of each was taken.

--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission, queues, limits and retries.
--- /dev/null
+++ b/crates/entity/tests/maps.rs
@@ -0,0 +1,33 @@
+//! Tests of the dense map and the interner.
+
+use std::collections::BTreeMap;
+
+use quickcheck::quickcheck;
+
+use redwingrill_entity::EntityMap;
+use redwingrill_entity::EntityRef;
+use redwingrill_entity::Interner;
+use redwingrill_entity::UpstreamId;
+
+quickcheck! {
+    fn map_agrees_with_a_tree_map(steps: Vec<(u8, Option<u16>)>) -> bool {
+        let mut map = EntityMap::new();
+        let mut model = BTreeMap::new();
+        for (index, value) in steps {
+            let key = UpstreamId::from_index(index.into());
+            match value {
+                Some(value) => assert_eq!(map.insert(key, value), model.insert(key, value)),
+                None => assert_eq!(map.remove(key), model.remove(&key)),
+            }
+        }
+        map.len() == model.len() && map.iter().eq(model.iter().map(|(&key, value)| (key, value)))
+    }
+
+    fn interner_keeps_each_name(names: Vec<String>) -> bool {
+        let mut interner = Interner::<UpstreamId>::new();
+        let keys: Vec<_> = names.iter().map(|name| interner.intern(name)).collect();
+        keys.iter().zip(&names).all(|(&key, name)| {
+            interner.name(key) == name && interner.find(name) == Some(key)
+        })
+    }
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins, load and experiments.
--- /dev/null
+++ b/crates/ledger/src/lib.rs
@@ -0,0 +1,1 @@
+//! The ledger of calls that run at most once.
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership, failure suspicion, and the versioned digest exchanged by nodes.
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Calls between nodes: tarpc over QUIC with mutual TLS.
--- /dev/null
+++ b/crates/placement/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placement of prompts on engines.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Adapter of the platform's store and instance list.
--- /dev/null
+++ b/crates/redwingrill/src/bin/redwingrill.rs
@@ -0,0 +1,3 @@
+//! Placeholder entry point.
+
+fn main() {}
--- /dev/null
+++ b/crates/redwingrill/src/lib.rs
@@ -0,0 +1,1 @@
+//! The router: a library with thin daemons.
--- /dev/null
+++ b/crates/rollout/src/lib.rs
@@ -0,0 +1,1 @@
+//! Roll-out of model weights and roles to engines.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings of one daemon, read from an INI file.
--- /dev/null
+++ b/crates/stream/src/lib.rs
@@ -0,0 +1,1 @@
+//! Server-sent event streams: parsing, resuming, and completion checks.
