Name prompt prefixes by hash chains with nested levels

Cause: router and engine stand-in need one function that names prompt prefixes. Ruled out: hashing whole prefixes at each level (quadratic), and levels from learned sharing (a restarted node would cut elsewhere). Conclusion: entries of another account or older weights have other names.

--- /dev/null
+++ b/crates/placement/src/blocks/chain.rs
@@ -0,0 +1,48 @@
+//! The hash chain over the blocks of one prompt.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// The name of a prefix that ends at a block boundary.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Serialize, Deserialize)]
+pub struct BlockHash(pub u64);
+
+impl BlockHash {
+    /// Returns the name of this prefix with one more block.
+    pub fn then(self, block: &[u8]) -> Self {
+        Self(xxh3_64_with_seed(block, self.0))
+    }
+}
+
+impl fmt::Display for BlockHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// The start of a chain: what all blocks of a prompt are bound to.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Serialize, Deserialize)]
+pub struct ChainRoot(u64);
+
+impl ChainRoot {
+    /// Binds a cache salt (the client account), a model and its weights version.
+    pub fn new(cache_salt: &str, model: &str, weights_version: &str) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for part in [cache_salt, model, weights_version] {
+            // The length keeps ("ab", "c") apart from ("a", "bc").
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part.as_bytes());
+        }
+        let mut seed = [0; 8];
+        seed.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
+        Self(u64::from_le_bytes(seed))
+    }
+
+    /// Returns the name of the empty prefix.
+    pub fn empty_prefix(self) -> BlockHash {
+        BlockHash(self.0)
+    }
+}
--- /dev/null
+++ b/crates/placement/src/blocks/prompt.rs
@@ -0,0 +1,109 @@
+//! The block hashes and levels of one prompt, in memory that is used again for the next.
+
+use super::BlockHash;
+use super::ChainRoot;
+use super::Level;
+use super::levels;
+
+/// Tokens in a block.
+pub const BLOCK_TOKENS: u32 = 64;
+
+/// Bytes of prompt text that count as a token.
+pub const TOKEN_BYTES: usize = 4;
+
+/// Bytes of prompt text in a block.
+pub const BLOCK_BYTES: usize = BLOCK_TOKENS as usize * TOKEN_BYTES;
+
+/// A context that hashes prompts one after the other.
+///
+/// `begin`, then `push_message` for each message in order, then `finish`; the results stay readable
+/// until the next `begin`.
+#[derive(Clone, Debug, Default)]
+pub struct PromptBlocks {
+    last: Option<BlockHash>,
+    hashes: Vec<BlockHash>,
+    message_ends: Vec<u32>,
+    levels: Vec<Level>,
+    partial: Vec<u8>,
+    text_bytes: u64,
+}
+
+impl PromptBlocks {
+    /// Makes an empty context.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Starts a prompt and forgets the one before.
+    pub fn begin(&mut self, root: ChainRoot) {
+        self.last = Some(root.empty_prefix());
+        self.hashes.clear();
+        self.message_ends.clear();
+        self.levels.clear();
+        self.partial.clear();
+        self.text_bytes = 0;
+    }
+
+    /// Adds a message as an engine's chat template renders it: role and content, each on lines of
+    /// their own.
+    pub fn push_message(&mut self, role: &str, content: &str) {
+        self.push_text(role.as_bytes());
+        self.push_text(b"\n");
+        self.push_text(content.as_bytes());
+        self.push_text(b"\n");
+        self.message_ends.push(self.block_count());
+    }
+
+    /// Ends the prompt and cuts it into levels.
+    pub fn finish(&mut self) {
+        levels::cut(&self.hashes, &self.message_ends, &mut self.levels);
+    }
+
+    /// Returns the hashes of the whole blocks.
+    pub fn hashes(&self) -> &[BlockHash] {
+        &self.hashes
+    }
+
+    /// Returns the levels from the shortest to the longest.
+    pub fn levels(&self) -> &[Level] {
+        &self.levels
+    }
+
+    /// Returns the tokens of the whole prompt; the last may be partial.
+    pub fn tokens(&self) -> u64 {
+        self.text_bytes.div_ceil(TOKEN_BYTES as u64)
+    }
+
+    fn block_count(&self) -> u32 {
+        // A prompt of four billion blocks is above every body limit.
+        u32::try_from(self.hashes.len()).expect("block count fits 32 bits")
+    }
+
+    fn push_text(&mut self, mut text: &[u8]) {
+        self.text_bytes += text.len() as u64;
+        if !self.partial.is_empty() {
+            let taken = text.len().min(BLOCK_BYTES - self.partial.len());
+            self.partial.extend_from_slice(&text[..taken]);
+            text = &text[taken..];
+            if self.partial.len() < BLOCK_BYTES {
+                return;
+            }
+            let block = std::mem::take(&mut self.partial);
+            self.push_block(&block);
+            self.partial = block;
+            self.partial.clear();
+        }
+        let mut blocks = text.chunks_exact(BLOCK_BYTES);
+        for block in &mut blocks {
+            self.push_block(block);
+        }
+        self.partial.extend_from_slice(blocks.remainder());
+    }
+
+    fn push_block(&mut self, block: &[u8]) {
+        let last = self.last.expect("begin was called");
+        let hash = last.then(block);
+        self.hashes.push(hash);
+        self.last = Some(hash);
+    }
+}
