Place prompts by nested rendezvous sets and least cost

Cause: prompts share long prefixes, engines hold them for seconds, and a node learns too little of the fleet from its own traffic.

--- a/crates/placement/src/blocks/mod.rs
+++ b/crates/placement/src/blocks/mod.rs
@@ -12,6 +12,7 @@
 mod chain;
 mod levels;
 mod prompt;
+mod summary;
 
 pub use chain::BlockHash;
 pub use chain::ChainRoot;
@@ -21,3 +22,4 @@
 pub use prompt::BLOCK_TOKENS;
 pub use prompt::PromptBlocks;
 pub use prompt::TOKEN_BYTES;
+pub use summary::PromptSummary;
--- /dev/null
+++ b/crates/placement/src/blocks/summary.rs
@@ -0,0 +1,47 @@
+//! What placement keeps of a prompt while the request lives.
+
+use super::BLOCK_TOKENS;
+use super::Level;
+use super::MAX_LEVELS;
+use super::PromptBlocks;
+
+/// The levels and the length of one prompt.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub struct PromptSummary {
+    levels: [Option<Level>; MAX_LEVELS],
+    /// The tokens of the whole prompt.
+    pub tokens: u64,
+}
+
+impl PromptSummary {
+    /// Copies what placement needs out of a finished context.
+    pub fn of(blocks: &PromptBlocks) -> Self {
+        Self::from_levels(blocks.levels(), blocks.tokens())
+    }
+
+    /// Makes a summary of levels in ascending order; more than [`MAX_LEVELS`] are left out.
+    pub fn from_levels(levels: &[Level], tokens: u64) -> Self {
+        let mut kept = [None; MAX_LEVELS];
+        for (slot, &level) in kept.iter_mut().zip(levels) {
+            *slot = Some(level);
+        }
+        Self { levels: kept, tokens }
+    }
+
+    /// Visits the levels from the shortest to the longest.
+    pub fn levels(&self) -> impl DoubleEndedIterator<Item = &Level> {
+        self.levels.iter().flatten()
+    }
+
+    /// Returns the number of levels.
+    pub fn level_count(&self) -> usize {
+        self.levels().count()
+    }
+}
+
+impl Level {
+    /// Returns the length of the prefix in tokens.
+    pub fn tokens(&self) -> u64 {
+        u64::from(self.blocks) * u64::from(BLOCK_TOKENS)
+    }
+}
--- /dev/null
+++ b/crates/placement/src/fleet/load.rs
@@ -0,0 +1,205 @@
+//! The load of one engine: its last report, corrected by what this node sent since.
+//!
+//! A report describes the engine as it was a while ago. The tokens it reported waiting have been
+//! computed at some rate since, and this node has added its own. Both are followed as a fluid queue.
+
+use std::collections::VecDeque;
+
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Sends that are remembered for an engine; older ones are in every report by then.
+const MAX_SENDS: usize = 256;
+
+/// Sends older than this are forgotten although no report came.
+const SEND_MEMORY_MS: u64 = 5_000;
+
+/// The time in which an observed wait loses half of its weight.
+const WAIT_HALF_LIFE_MS: f64 = 500.0;
+
+/// Which start of an engine a fact belongs to.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Serialize, Deserialize)]
+pub struct Incarnation(pub u64);
+
+impl Incarnation {
+    /// Reads an incarnation as engines write it: a number, or any other text.
+    pub fn parse(text: &str) -> Self {
+        Self(text.parse().unwrap_or_else(|_| xxh3_64(text.as_bytes())))
+    }
+}
+
+/// The weights version of an engine, as a hash of its name.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Serialize, Deserialize)]
+pub struct WeightsTag(pub u64);
+
+impl WeightsTag {
+    /// Tags a weights version.
+    pub fn of(weights_version: &str) -> Self {
+        Self(xxh3_64(weights_version.as_bytes()))
+    }
+}
+
+/// One start of an engine and the weights it serves.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct EngineStart {
+    /// The start.
+    pub incarnation: Incarnation,
+    /// The weights.
+    pub weights: WeightsTag,
+}
+
+/// What an engine said of its load.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// The engine's start and weights.
+    pub start: EngineStart,
+    /// Requests being run.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// Prompt tokens of the waiting requests.
+    pub waiting_tokens: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Send {
+    at_ms: u64,
+    tokens: u64,
+}
+
+/// The load of one engine.
+#[derive(Clone, Debug, Default)]
+pub struct EngineLoad {
+    start: Option<EngineStart>,
+    start_seen_ms: u64,
+    report: Option<LoadReport>,
+    observed_ms: u64,
+    emptied_ms: Option<u64>,
+    sends: VecDeque<Send>,
+    in_flight: u32,
+    observed_wait_ms: f64,
+    wait_seen_ms: u64,
+}
+
+impl EngineLoad {
+    /// Takes a report in; an older one than the last is ignored. Returns whether the engine turned
+    /// out to have restarted.
+    pub fn observe(&mut self, report: LoadReport, observed_ms: u64) -> bool {
+        if self.report.is_some() && observed_ms < self.observed_ms {
+            return false;
+        }
+        let restarted = self.see_start(report.start, observed_ms);
+        self.report = Some(report);
+        self.observed_ms = observed_ms;
+        while self.sends.front().is_some_and(|send| send.at_ms <= observed_ms) {
+            self.sends.pop_front();
+        }
+        restarted
+    }
+
+    /// Notes the start that a reply named. Returns whether it is the engine's present start.
+    pub fn see_start_in_reply(&mut self, start: EngineStart, sent_ms: u64, now_ms: u64) -> bool {
+        let differs = self.start.is_some_and(|known| known.incarnation != start.incarnation);
+        // A reply to a request that was sent before the known start was seen may be older than it.
+        if differs && sent_ms < self.start_seen_ms {
+            return false;
+        }
+        self.see_start(start, now_ms);
+        true
+    }
+
+    /// Returns whether the engine restarted.
+    fn see_start(&mut self, start: EngineStart, now_ms: u64) -> bool {
+        let known = self.start.replace(start);
+        if known.is_some_and(|known| known.incarnation == start.incarnation) {
+            return false;
+        }
+        self.start_seen_ms = now_ms;
+        if known.is_none() {
+            return false;
+        }
+        self.report = None;
+        self.emptied_ms = Some(now_ms);
+        self.sends.clear();
+        self.observed_wait_ms = 0.0;
+        true
+    }
+
+    /// Notes a request sent to the engine.
+    pub fn send(&mut self, tokens: u64, now_ms: u64) {
+        self.in_flight += 1;
+        let oldest_ms = now_ms.saturating_sub(SEND_MEMORY_MS);
+        let stale = |send: &Send| send.at_ms < oldest_ms;
+        while self.sends.len() >= MAX_SENDS || self.sends.front().is_some_and(stale) {
+            self.sends.pop_front();
+        }
+        self.sends.push_back(Send { at_ms: now_ms, tokens });
+    }
+
+    /// Notes that a request sent to the engine ended.
+    pub fn finish(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    /// Notes how long a request waited at the engine before its prompt was computed.
+    pub fn observe_wait(&mut self, wait_ms: f64, now_ms: u64) {
+        let old_ms = self.recent_wait_ms(now_ms);
+        self.observed_wait_ms = old_ms.mul_add(0.5, wait_ms * 0.5);
+        self.wait_seen_ms = now_ms;
+    }
+
+    /// Returns the wait that a new request should expect.
+    pub fn wait_ms(&self, ms_per_token: f64, now_ms: u64) -> f64 {
+        let backlog_ms = self.backlog_tokens(ms_per_token, now_ms) * ms_per_token;
+        backlog_ms.max(self.recent_wait_ms(now_ms))
+    }
+
+    /// Returns the requests at the engine: those reported and those sent since.
+    pub fn requests(&self) -> u32 {
+        let reported = self.report.map_or(0, |report| report.running + report.waiting);
+        let since = self.sends.len() as u32;
+        self.in_flight.max(reported + since)
+    }
+
+    /// Returns the requests of this node at the engine.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Returns the engine's start and weights, if known.
+    pub fn start(&self) -> Option<EngineStart> {
+        self.start
+    }
+
+    /// Returns the last report.
+    pub fn report(&self) -> Option<&LoadReport> {
+        self.report.as_ref()
+    }
+
+    /// Returns whether the engine came back empty within the last `window_ms`.
+    pub fn emptied_within(&self, window_ms: u64, now_ms: u64) -> bool {
+        self.emptied_ms.is_some_and(|at_ms| now_ms < at_ms + window_ms)
+    }
+
+    fn backlog_tokens(&self, ms_per_token: f64, now_ms: u64) -> f64 {
+        let reported = self.report.map_or(0, |report| report.waiting_tokens);
+        let mut backlog = reported as f64;
+        let mut at_ms = self.observed_ms;
+        for send in &self.sends {
+            backlog = drained(backlog, send.at_ms.saturating_sub(at_ms), ms_per_token);
+            backlog += send.tokens as f64;
+            at_ms = at_ms.max(send.at_ms);
+        }
+        drained(backlog, now_ms.saturating_sub(at_ms), ms_per_token)
+    }
+
+    fn recent_wait_ms(&self, now_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.wait_seen_ms) as f64;
+        self.observed_wait_ms * (-age_ms / WAIT_HALF_LIFE_MS).exp2()
+    }
+}
+
+fn drained(tokens: f64, elapsed_ms: u64, ms_per_token: f64) -> f64 {
+    (tokens - elapsed_ms as f64 / ms_per_token).max(0.0)
+}
--- /dev/null
+++ b/crates/placement/src/knowledge/budget.rs
@@ -0,0 +1,32 @@
+//! A bound on the cache events that a node takes in.
+
+/// Events that may come at once after a quiet time, in seconds of the rate.
+const BURST_S: u64 = 2;
+
+/// A token bucket over cache events.
+#[derive(Clone, Copy, Debug)]
+pub struct EventBudget {
+    events_per_s: u64,
+    millievents: u64,
+    at_ms: u64,
+}
+
+impl EventBudget {
+    /// Allows this many events a second.
+    pub fn new(events_per_s: u64) -> Self {
+        Self { events_per_s, millievents: events_per_s * BURST_S * 1_000, at_ms: 0 }
+    }
+
+    /// Takes one event if the budget allows it.
+    pub fn take(&mut self, now_ms: u64) -> bool {
+        let gained = now_ms.saturating_sub(self.at_ms) * self.events_per_s;
+        let full = self.events_per_s * BURST_S * 1_000;
+        self.millievents = (self.millievents + gained).min(full);
+        self.at_ms = self.at_ms.max(now_ms);
+        if self.millievents < 1_000 {
+            return false;
+        }
+        self.millievents -= 1_000;
+        true
+    }
+}
--- /dev/null
+++ b/crates/placement/src/placer/cost.rs
@@ -0,0 +1,141 @@
+//! The cost of starting a prompt on one engine.
+
+use super::facts::PlaceRequest;
+use super::facts::Placement;
+use crate::candidates::Heat;
+use crate::fleet::EngineLoad;
+use crate::fleet::Incarnation;
+use crate::fleet::ModelRates;
+use crate::knowledge::CachedPrefixes;
+use redwingrill_entity::UpstreamId;
+
+/// Computing a prefix again also delays what waits behind it, so it counts more than a wait.
+const COMPUTE_WEIGHT: f64 = 2.0;
+
+/// The delay that each request at an engine adds to a new one.
+const REQUEST_MS: f64 = 0.5;
+
+/// The cost of an engine at twice its limit.
+const CROWDING_MS: f64 = 400.0;
+
+/// The share of a prefix that an engine is credited with because the prefix hashes to it.
+const HASHED_CREDIT: f64 = 0.95;
+
+/// The time after a restart in which an engine is credited only with what this node knows.
+const EMPTY_WINDOW_MS: u64 = 10_000;
+
+/// Fewer tokens are not worth an import.
+const MIN_IMPORT_TOKENS: u64 = 512;
+
+/// What one engine would hold of a prompt.
+#[derive(Clone, Copy, Debug, Default)]
+struct Credit {
+    known_tokens: u64,
+    known_age_ms: u64,
+    hashed_tokens: u64,
+}
+
+impl Credit {
+    fn tokens(self) -> f64 {
+        (self.known_tokens as f64).max(self.hashed_tokens as f64 * HASHED_CREDIT)
+    }
+}
+
+/// One candidate with its cost.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Priced {
+    pub(super) cost_ms: f64,
+    pub(super) placement: Placement,
+}
+
+/// What is the same for all candidates of one decision.
+pub(super) struct Pricing<'a> {
+    pub(super) request: &'a PlaceRequest<'a>,
+    pub(super) rates: ModelRates,
+    pub(super) heat: &'a Heat,
+    pub(super) knowledge: &'a CachedPrefixes,
+    /// Whether this node has seen too little to say which prefixes are in use.
+    pub(super) is_young: bool,
+    pub(super) has_cache_store: bool,
+    pub(super) now_ms: u64,
+}
+
+impl Pricing<'_> {
+    /// Prices an engine that is in the sets of the first `set_levels` levels.
+    pub(super) fn price(
+        &self,
+        upstream: UpstreamId,
+        load: Option<&EngineLoad>,
+        set_levels: usize,
+        crowding: f64,
+    ) -> Priced {
+        let credit = self.credit(upstream, load, set_levels);
+        let cached_tokens = credit.tokens().min(self.request.prompt.tokens as f64);
+        let missing_tokens = self.request.prompt.tokens as f64 - cached_tokens;
+        let (import_tokens, gain_ms) = self.import(cached_tokens as u64);
+        let compute_ms = (missing_tokens * self.rates.ms_per_token() - gain_ms).max(0.0);
+        let wait_ms = load.map_or(0.0, |load| load.wait_ms(self.rates.ms_per_token(), self.now_ms));
+        let requests_ms = f64::from(load.map_or(0, EngineLoad::requests)) * REQUEST_MS;
+        let placement = Placement {
+            upstream,
+            expected_cached_tokens: cached_tokens as u64,
+            known_tokens: credit.known_tokens,
+            known_age_ms: credit.known_age_ms,
+            import_tokens,
+            sent_ms: self.now_ms,
+        };
+        let cost_ms = compute_ms * COMPUTE_WEIGHT + wait_ms + requests_ms + crowding * CROWDING_MS;
+        Priced { cost_ms, placement }
+    }
+
+    fn credit(&self, upstream: UpstreamId, load: Option<&EngineLoad>, set_levels: usize) -> Credit {
+        let start = load.and_then(EngineLoad::start);
+        if start.is_some_and(|start| start.weights != self.request.weights) {
+            return Credit::default();
+        }
+        let mut credit =
+            start.map_or(Credit::default(), |start| self.known(upstream, start.incarnation));
+        if !load.is_some_and(|load| load.emptied_within(EMPTY_WINDOW_MS, self.now_ms)) {
+            credit.hashed_tokens = self.hashed_tokens(set_levels);
+        }
+        credit
+    }
+
+    /// Returns the longest prefix that this node learned the engine holds.
+    fn known(&self, upstream: UpstreamId, incarnation: Incarnation) -> Credit {
+        for level in self.request.prompt.levels().rev() {
+            let age = self.knowledge.age_ms(level.hash, upstream, incarnation, self.now_ms);
+            if let Some(known_age_ms) = age {
+                return Credit { known_tokens: level.tokens(), known_age_ms, hashed_tokens: 0 };
+            }
+        }
+        Credit::default()
+    }
+
+    /// Returns the longest prefix in use whose set holds the engine.
+    fn hashed_tokens(&self, set_levels: usize) -> u64 {
+        let last = self.request.prompt.level_count().saturating_sub(1);
+        let levels = self.request.prompt.levels().enumerate().take(set_levels);
+        let in_use = levels.filter(|&(index, level)| {
+            self.heat.is_warm(level.hash) || (self.is_young && index < last)
+        });
+        in_use.last().map_or(0, |(_, level)| level.tokens())
+    }
+
+    /// Returns the tokens worth importing and the time that saves.
+    fn import(&self, cached_tokens: u64) -> (u64, f64) {
+        if !self.has_cache_store {
+            return (0, 0.0);
+        }
+        let mut levels = self.request.prompt.levels().rev();
+        let Some(level) = levels.find(|level| self.heat.is_warm(level.hash)) else {
+            return (0, 0.0);
+        };
+        let missing_tokens = level.tokens().saturating_sub(cached_tokens);
+        let gain_ms = self.rates.import_gain_ms(missing_tokens);
+        if missing_tokens < MIN_IMPORT_TOKENS || gain_ms <= 0.0 {
+            return (0, 0.0);
+        }
+        (missing_tokens, gain_ms)
+    }
+}
--- /dev/null
+++ b/crates/placement/src/placer/policy.rs
@@ -0,0 +1,60 @@
+//! The ways to choose an engine.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+use snafu::Snafu;
+
+/// A way to choose an engine. All but the last are baselines for comparison.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Policy {
+    /// Any engine with room.
+    Random,
+    /// The engine with the fewest requests.
+    LeastLoaded,
+    /// The engine that the longest prefix before the last message hashes to.
+    Affinity,
+    /// The engine with the least cost of computing and waiting.
+    #[default]
+    Redwingrill,
+}
+
+impl Policy {
+    /// All policies.
+    pub const ALL: [Self; 4] = [Self::Random, Self::LeastLoaded, Self::Affinity, Self::Redwingrill];
+
+    /// Returns the name used in settings and reports.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Random => "random",
+            Self::LeastLoaded => "least_loaded",
+            Self::Affinity => "affinity",
+            Self::Redwingrill => "redwingrill",
+        }
+    }
+}
+
+impl fmt::Display for Policy {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// A name that is no policy.
+#[derive(Debug, Snafu)]
+#[snafu(display("{name:?} is not one of random, least_loaded, affinity, redwingrill"))]
+pub struct PolicyUnknown {
+    name: String,
+}
+
+impl FromStr for Policy {
+    type Err = PolicyUnknown;
+
+    fn from_str(name: &str) -> Result<Self, PolicyUnknown> {
+        let found = Self::ALL.into_iter().find(|policy| policy.as_str() == name);
+        found.ok_or_else(|| PolicyUnknown { name: name.to_owned() })
+    }
+}
--- /dev/null
+++ b/crates/placement/src/placer/table.rs
@@ -0,0 +1,412 @@
+//! The placer: all that placement knows, and the decision.
+
+use rand::Rng;
+
+use super::cost::Priced;
+use super::cost::Pricing;
+use super::facts::CacheEvent;
+use super::facts::Finished;
+use super::facts::FirstToken;
+use super::facts::Gate;
+use super::facts::PlaceRequest;
+use super::facts::Placement;
+use super::policy::Policy;
+use crate::blocks::Level;
+use crate::blocks::PromptSummary;
+use crate::candidates::CandidateOrder;
+use crate::candidates::Heat;
+use crate::fleet::Engine;
+use crate::fleet::EngineLoad;
+use crate::fleet::EngineSpec;
+use crate::fleet::EngineStart;
+use crate::fleet::Fleet;
+use crate::fleet::LoadReport;
+use crate::fleet::ModelRates;
+use crate::fleet::WeightsTag;
+use crate::knowledge::CachedPrefixes;
+use crate::knowledge::EventBudget;
+use crate::knowledge::TimeToLive;
+use redwingrill_entity::EntityMap;
+use redwingrill_entity::ModelId;
+use redwingrill_entity::UpstreamId;
+
+/// Fleets up to this size are priced whole.
+const SMALL_FLEET: usize = 24;
+
+/// Candidates of a prompt that are priced in a larger fleet.
+const PRICED_CANDIDATES: usize = 16;
+
+/// Engines outside the candidates that are priced in a larger fleet.
+const PRICED_STRANGERS: usize = 2;
+
+/// The width of the order beyond the sets, for work that spills over.
+const MIN_ORDER_WIDTH: usize = 4;
+
+/// The width of a set as a part of its share of the fleet, before it is rounded up to a power of two.
+/// Coarse widths let nodes with slightly different shares agree; work above it spills over by cost.
+const SET_WIDTH_PART: f64 = 0.5;
+
+/// A node with less evidence spreads first messages over a fixed part of the fleet.
+const YOUNG_EVIDENCE: f64 = 32.0;
+const YOUNG_FLEET_PART: usize = 9;
+const YOUNG_MAX_WIDTH: usize = 16;
+
+/// Cache events that are taken in a second.
+const EVENTS_PER_S: u64 = 500;
+
+/// All that placement knows.
+#[derive(Clone, Debug)]
+pub struct Placer {
+    policy: Policy,
+    fleet: Fleet,
+    has_cache_store: bool,
+    loads: EntityMap<UpstreamId, EngineLoad>,
+    rates: EntityMap<ModelId, ModelRates>,
+    heat: EntityMap<ModelId, Heat>,
+    knowledge: CachedPrefixes,
+    time_to_live: TimeToLive,
+    event_budget: EventBudget,
+    order: CandidateOrder,
+}
+
+impl Placer {
+    /// Makes a placer that knows no engine.
+    pub fn new(policy: Policy) -> Self {
+        Self {
+            policy,
+            fleet: Fleet::default(),
+            has_cache_store: false,
+            loads: EntityMap::new(),
+            rates: EntityMap::new(),
+            heat: EntityMap::new(),
+            knowledge: CachedPrefixes::default(),
+            time_to_live: TimeToLive::default(),
+            event_budget: EventBudget::new(EVENTS_PER_S),
+            order: CandidateOrder::default(),
+        }
+    }
+
+    /// Replaces the engines that may be chosen.
+    pub fn set_engines<'a>(&mut self, specs: impl IntoIterator<Item = EngineSpec<'a>>) {
+        self.fleet.set_engines(specs);
+    }
+
+    /// Says whether a KV cache store is there to import from.
+    pub fn set_cache_store(&mut self, present: bool) {
+        self.has_cache_store = present;
+    }
+
+    /// Takes in an engine's load report. Returns whether the engine turned out to have restarted.
+    pub fn observe_load(
+        &mut self,
+        upstream: UpstreamId,
+        report: LoadReport,
+        observed_ms: u64,
+    ) -> bool {
+        self.load_mut(upstream).observe(report, observed_ms)
+    }
+
+    /// Takes in a cache event, within the budget. Only prefixes in use are remembered.
+    pub fn observe_cache(
+        &mut self,
+        model: ModelId,
+        upstream: UpstreamId,
+        start: EngineStart,
+        event: CacheEvent,
+        now_ms: u64,
+    ) {
+        if !self.event_budget.take(now_ms) {
+            return;
+        }
+        match event {
+            CacheEvent::Removed(prefix) => self.knowledge.remove(prefix, upstream),
+            CacheEvent::Stored(prefix) => {
+                let in_use = self.heat.get(model).is_some_and(|heat| heat.is_warm(prefix));
+                if in_use {
+                    let lives_ms = self.time_to_live.ms();
+                    self.knowledge.insert(prefix, upstream, start.incarnation, now_ms, lives_ms);
+                }
+            }
+        }
+    }
+
+    /// Chooses an engine and counts the request as sent to it; `None` if no engine may take it.
+    pub fn place(
+        &mut self,
+        request: &PlaceRequest<'_>,
+        gate: &impl Gate,
+        now_ms: u64,
+        rng: &mut impl Rng,
+    ) -> Option<Placement> {
+        let mut placement = match self.policy {
+            Policy::Random => self.place_random(request, gate, rng),
+            Policy::LeastLoaded => self.place_least_loaded(request, gate, rng),
+            Policy::Affinity => self.place_by_affinity(request, gate),
+            Policy::Redwingrill => self.place_at_least_cost(request, gate, now_ms, rng),
+        }?;
+        placement.sent_ms = now_ms;
+        self.count(request, now_ms);
+        let uncached = request.prompt.tokens.saturating_sub(placement.expected_cached_tokens);
+        self.load_mut(placement.upstream).send(uncached, now_ms);
+        Some(placement)
+    }
+
+    /// Takes in a request's first token: the engine holds the whole prompt now.
+    pub fn first_token(&mut self, fact: &FirstToken<'_>, now_ms: u64) {
+        let rates = self.rates.get_or_insert_with(fact.model, ModelRates::default);
+        // How much was computed is known only at the end; the whole prompt is the most.
+        let most_computing_ms = fact.prompt.tokens as f64 * rates.ms_per_token();
+        let wait_ms = (fact.first_token_ms - most_computing_ms).max(0.0);
+        self.load_mut(fact.placement.upstream).observe_wait(wait_ms, now_ms);
+        self.remember(fact.placement, fact.start, fact.weights, fact.prompt, now_ms);
+    }
+
+    /// Takes in the end of a request.
+    pub fn finish(&mut self, fact: &Finished<'_>, now_ms: u64) {
+        let placement = fact.placement;
+        self.load_mut(placement.upstream).finish();
+        let Some(cached_tokens) = fact.cached_tokens else { return };
+        let rates = self.rates.get_or_insert_with(fact.model, ModelRates::default);
+        if let Some(first_token_ms) = fact.first_token_ms {
+            let computed_tokens = fact.prompt.tokens.saturating_sub(cached_tokens);
+            rates.observe_first_token(first_token_ms, computed_tokens);
+        }
+        if placement.import_tokens > 0 {
+            let gained = cached_tokens.saturating_sub(placement.expected_cached_tokens);
+            rates.observe_import(gained as f64 / placement.import_tokens as f64);
+        }
+        if placement.known_tokens > 0 {
+            let held = cached_tokens >= placement.known_tokens;
+            self.time_to_live.observe(placement.known_age_ms, held);
+        }
+        self.remember(placement, fact.start, fact.weights, fact.prompt, now_ms);
+    }
+
+    /// Returns what is known of an engine's load.
+    pub fn load(&self, upstream: UpstreamId) -> Option<&EngineLoad> {
+        self.loads.get(upstream)
+    }
+
+    /// Returns the learned speeds of a model.
+    pub fn rates(&self, model: ModelId) -> ModelRates {
+        self.rates.get(model).copied().unwrap_or_default()
+    }
+
+    /// Checks the invariants and names the first that is broken.
+    pub fn verify(&self) -> Result<(), String> {
+        self.fleet.verify()?;
+        self.order.verify()?;
+        self.knowledge.verify()
+    }
+
+    pub(super) fn policy(&self) -> Policy {
+        self.policy
+    }
+
+    pub(super) fn loads(&self) -> &EntityMap<UpstreamId, EngineLoad> {
+        &self.loads
+    }
+
+    pub(super) fn prefixes_known(&self) -> usize {
+        self.knowledge.len()
+    }
+
+    pub(super) fn prefixes_followed(&self) -> usize {
+        self.heat.values().map(Heat::len).sum()
+    }
+
+    pub(super) fn time_to_live_ms(&self) -> u64 {
+        self.time_to_live.ms()
+    }
+
+    fn load_mut(&mut self, upstream: UpstreamId) -> &mut EngineLoad {
+        self.loads.get_or_insert_with(upstream, EngineLoad::default)
+    }
+
+    fn count(&mut self, request: &PlaceRequest<'_>, now_ms: u64) {
+        let heat = self.heat.get_or_insert_with(request.model, Heat::default);
+        let work = 1.0 + request.output_tokens as f32 / 1_024.0;
+        heat.count_request(work, now_ms);
+        for level in request.prompt.levels() {
+            heat.count_prefix(level.hash, work, now_ms);
+        }
+    }
+
+    /// Notes the prefixes of a prompt that an engine has just computed.
+    fn remember(
+        &mut self,
+        placement: &Placement,
+        start: Option<EngineStart>,
+        weights: WeightsTag,
+        prompt: &PromptSummary,
+        now_ms: u64,
+    ) {
+        let Some(start) = start else { return };
+        let load = self.load_mut(placement.upstream);
+        let is_present = load.see_start_in_reply(start, placement.sent_ms, now_ms);
+        if !is_present || start.weights != weights {
+            return;
+        }
+        let lives_ms = self.time_to_live.ms();
+        for level in prompt.levels() {
+            let Placement { upstream, .. } = *placement;
+            self.knowledge.insert(level.hash, upstream, start.incarnation, now_ms, lives_ms);
+        }
+    }
+
+    fn place_random(
+        &self,
+        request: &PlaceRequest<'_>,
+        gate: &impl Gate,
+        rng: &mut impl Rng,
+    ) -> Option<Placement> {
+        let open: Vec<_> = self.open_engines(request, gate).collect();
+        let index = rng.random_range(0..open.len().max(1));
+        open.get(index).map(|engine| plain(engine.upstream))
+    }
+
+    fn place_least_loaded(
+        &self,
+        request: &PlaceRequest<'_>,
+        gate: &impl Gate,
+        rng: &mut impl Rng,
+    ) -> Option<Placement> {
+        let requests =
+            |engine: &&Engine| self.loads.get(engine.upstream).map_or(0, EngineLoad::requests);
+        let least = self.open_engines(request, gate).min_by_key(|engine| {
+            // The random part breaks ties so that nodes do not all pick the same engine.
+            (requests(engine), rng.random::<u32>())
+        });
+        least.map(|engine| plain(engine.upstream))
+    }
+
+    fn place_by_affinity(
+        &mut self,
+        request: &PlaceRequest<'_>,
+        gate: &impl Gate,
+    ) -> Option<Placement> {
+        let mut levels = request.prompt.levels().rev();
+        let last = levels.next();
+        let Some(level) = levels.next().or(last) else {
+            return self.open_engines(request, gate).next().map(|engine| plain(engine.upstream));
+        };
+        let engines = self.fleet.of_model(request.model);
+        self.order.widen(engines, level.hash, engines.len());
+        let open = |engine: &&Engine| is_open(engine, request, gate);
+        self.order.engines().find(open).map(|engine| plain(engine.upstream))
+    }
+
+    fn place_at_least_cost(
+        &mut self,
+        request: &PlaceRequest<'_>,
+        gate: &impl Gate,
+        now_ms: u64,
+        rng: &mut impl Rng,
+    ) -> Option<Placement> {
+        self.heat.get_or_insert_with(request.model, Heat::default);
+        let heat = self.heat.get(request.model).expect("the model's heat was just made");
+        let engines = self.fleet.of_model(request.model);
+        let is_young = heat.evidence(now_ms) < YOUNG_EVIDENCE;
+        order_candidates(&mut self.order, engines, request.prompt, heat, now_ms);
+        let pricing = Pricing {
+            request,
+            rates: self.rates.get(request.model).copied().unwrap_or_default(),
+            heat,
+            knowledge: &self.knowledge,
+            is_young,
+            has_cache_store: self.has_cache_store,
+            now_ms,
+        };
+        let mut choice = Choice { pricing, loads: &self.loads, gate, best: None };
+        for (place, engine) in self.order.engines().take(PRICED_CANDIDATES).enumerate() {
+            // The first width is the order itself, which credits nothing.
+            choice.consider(engine.upstream, self.order.levels_at(place) - 1);
+        }
+        if engines.len() <= SMALL_FLEET {
+            engines.iter().for_each(|engine| choice.consider(engine.upstream, 0));
+        } else {
+            for _ in 0..PRICED_STRANGERS {
+                let stranger = engines[rng.random_range(0..engines.len())];
+                choice.consider(stranger.upstream, 0);
+            }
+        }
+        if choice.best.is_none() {
+            engines.iter().for_each(|engine| choice.consider(engine.upstream, 0));
+        }
+        choice.best.map(|best| best.placement)
+    }
+
+    fn open_engines<'a>(
+        &'a self,
+        request: &'a PlaceRequest<'_>,
+        gate: &'a impl Gate,
+    ) -> impl Iterator<Item = &'a Engine> {
+        let engines = self.fleet.of_model(request.model).iter();
+        engines.filter(move |engine| is_open(engine, request, gate))
+    }
+}
+
+/// The cheapest candidate so far.
+struct Choice<'a, G> {
+    pricing: Pricing<'a>,
+    loads: &'a EntityMap<UpstreamId, EngineLoad>,
+    gate: &'a G,
+    best: Option<Priced>,
+}
+
+impl<G: Gate> Choice<'_, G> {
+    /// Prices an engine that is in the sets of the first `set_levels` levels.
+    fn consider(&mut self, upstream: UpstreamId, set_levels: usize) {
+        if self.pricing.request.avoid.contains(&upstream) {
+            return;
+        }
+        let Some(crowding) = self.gate.crowding(upstream) else { return };
+        let priced = self.pricing.price(upstream, self.loads.get(upstream), set_levels, crowding);
+        if self.best.is_none_or(|best| priced.cost_ms < best.cost_ms) {
+            self.best = Some(priced);
+        }
+    }
+}
+
+fn is_open(engine: &Engine, request: &PlaceRequest<'_>, gate: &impl Gate) -> bool {
+    !request.avoid.contains(&engine.upstream) && gate.crowding(engine.upstream).is_some()
+}
+
+fn plain(upstream: UpstreamId) -> Placement {
+    Placement {
+        upstream,
+        expected_cached_tokens: 0,
+        known_tokens: 0,
+        known_age_ms: 0,
+        import_tokens: 0,
+        sent_ms: 0,
+    }
+}
+
+fn order_candidates(
+    order: &mut CandidateOrder,
+    engines: &[Engine],
+    prompt: &PromptSummary,
+    heat: &Heat,
+    now_ms: u64,
+) {
+    let is_young = heat.evidence(now_ms) < YOUNG_EVIDENCE;
+    let width = |level: &Level| {
+        let share = heat.share(level.hash, now_ms);
+        let width = (share * engines.len() as f64 * SET_WIDTH_PART).ceil() as usize;
+        let width = width.next_power_of_two();
+        let young = is_young && level.in_first_message;
+        let least = engines.len().div_ceil(YOUNG_FLEET_PART).min(YOUNG_MAX_WIDTH);
+        if young { width.max(least) } else { width.max(1) }
+    };
+    let mut levels = prompt.levels();
+    let Some(first) = levels.next() else {
+        order.widen(&[], crate::blocks::BlockHash(0), 0);
+        return;
+    };
+    order.widen(engines, first.hash, width(first).max(MIN_ORDER_WIDTH));
+    order.keep(width(first));
+    for level in levels {
+        order.narrow(level.hash, width(level));
+    }
+}
--- /dev/null
+++ b/crates/placement/src/prehashed.rs
@@ -0,0 +1,30 @@
+//! A hasher for keys that are hashes already.
+
+use std::collections::HashMap;
+use std::hash::BuildHasherDefault;
+use std::hash::Hasher;
+
+use crate::blocks::BlockHash;
+
+/// A map keyed by block hash.
+pub(crate) type BlockMap<V> = HashMap<BlockHash, V, BuildHasherDefault<Prehashed>>;
+
+/// Passes a 64-bit hash through.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Prehashed(u64);
+
+impl Hasher for Prehashed {
+    fn finish(&self) -> u64 {
+        self.0
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        for &byte in bytes {
+            self.0 = self.0.rotate_left(8) ^ u64::from(byte);
+        }
+    }
+
+    fn write_u64(&mut self, value: u64) {
+        self.0 = value;
+    }
+}
--- /dev/null
+++ b/crates/placement/tests/candidates.rs
@@ -0,0 +1,197 @@
+//! Tests of the candidate order and of what a restarted node does.
+
+mod support;
+
+use std::collections::HashSet;
+
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use redwingrill_entity::DomainId;
+use redwingrill_entity::EntityRef;
+use redwingrill_entity::UpstreamId;
+use redwingrill_placement::blocks::BlockHash;
+use redwingrill_placement::blocks::Level;
+use redwingrill_placement::blocks::PromptSummary;
+use redwingrill_placement::candidates::CandidateOrder;
+use redwingrill_placement::candidates::score;
+use redwingrill_placement::fleet::Engine;
+use redwingrill_placement::fleet::LoadReport;
+use redwingrill_placement::fleet::WeightsTag;
+use redwingrill_placement::placer::Finished;
+use redwingrill_placement::placer::FirstToken;
+use redwingrill_placement::placer::Placer;
+use redwingrill_placement::placer::Policy;
+
+const SEED: u64 = 11;
+
+const REQUEST_INTERVAL_MS: u64 = 50;
+
+fn engines(keys: &[u64], domains: usize) -> Vec<Engine> {
+    let engine = |(index, &key): (usize, &u64)| Engine {
+        upstream: UpstreamId::from_index(index),
+        domain: DomainId::from_index(index % domains),
+        key,
+    };
+    keys.iter().enumerate().map(engine).collect()
+}
+
+#[test]
+fn order_agrees_with_a_full_sort() {
+    fn agrees(mut keys: Vec<u64>, outer: u64, inner: u64, width: usize, narrow: usize) -> bool {
+        keys.sort_unstable();
+        keys.dedup();
+        let engines = engines(&keys, 1);
+        let width = width % 20;
+        let mut order = CandidateOrder::default();
+        order.widen(&engines, BlockHash(outer), width);
+        order.narrow(BlockHash(inner), narrow % 20);
+        order.verify().expect("the invariants hold");
+        let mut expected = engines;
+        expected.sort_by_key(|engine| std::cmp::Reverse(score(BlockHash(outer), engine.key)));
+        expected.truncate(width);
+        if order.widths()[1] < order.widths()[0] {
+            expected.sort_by_key(|engine| std::cmp::Reverse(score(BlockHash(inner), engine.key)));
+        }
+        order.engines().eq(expected.iter())
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(40, SEED))
+        .tests(300)
+        .quickcheck(agrees as fn(Vec<u64>, u64, u64, usize, usize) -> bool);
+}
+
+#[test]
+fn a_wide_set_is_spread_over_failure_domains() {
+    let mut rng = SmallRng::seed_from_u64(SEED);
+    for _ in 0..100 {
+        let keys: Vec<u64> = (0..30).map(|_| rng.random()).collect();
+        let engines = engines(&keys, 3);
+        let mut order = CandidateOrder::default();
+        order.widen(&engines, BlockHash(rng.random()), 6);
+        let mut in_domain = [0; 3];
+        order.engines().for_each(|engine| in_domain[engine.domain.index()] += 1);
+        assert_eq!(in_domain, [2, 2, 2]);
+    }
+}
+
+#[test]
+fn losing_an_engine_moves_only_its_prefixes() {
+    let mut rng = SmallRng::seed_from_u64(SEED);
+    let keys: Vec<u64> = (0..18).map(|_| rng.random()).collect();
+    let all = engines(&keys, 3);
+    let lost = all[7];
+    let rest: Vec<Engine> = all.iter().copied().filter(|engine| *engine != lost).collect();
+    let mut order = CandidateOrder::default();
+    for _ in 0..1_000 {
+        let prefix = BlockHash(rng.random());
+        order.widen(&all, prefix, 1);
+        let before = *order.engines().next().expect("an engine");
+        order.widen(&rest, prefix, 1);
+        let after = *order.engines().next().expect("an engine");
+        assert!(before == after || before == lost);
+    }
+}
+
+/// Books with unequal heat, customers of each, and questions seen once.
+fn prompts(count: usize) -> Vec<PromptSummary> {
+    let mut rng = SmallRng::seed_from_u64(SEED);
+    let one = |number: usize| {
+        let book = rng.random_range(0..8_u32).min(rng.random_range(0..8));
+        let customer = rng.random_range(0..20_u32).min(rng.random_range(0..20));
+        let (book, question) = (format!("book{book}"), format!("question{number}"));
+        let customer = format!("{book}/{customer}");
+        support::prompt("krita", "v1", &[(&book, 60), (&customer, 12), (&question, 2)])
+    };
+    (0..count).map(one).collect()
+}
+
+#[test]
+fn a_restarted_node_places_as_a_long_running_one() {
+    const ENGINES: usize = 18;
+    const WARM_UP: usize = 1_000;
+    const COMPARED: usize = 400;
+    const MIN_SHARE_OF_LONG_RUNNING: f64 = 0.98;
+    let prompts = prompts(WARM_UP + COMPARED);
+    let mut old = Node::new(ENGINES);
+    for prompt in &prompts[..WARM_UP] {
+        old.serve(prompt);
+    }
+    // The engines keep what they hold; the node loses all it knew.
+    let mut fresh = Node { held: old.held.clone(), now_ms: old.now_ms, ..Node::new(ENGINES) };
+    (old.hit_tokens, old.shared_tokens) = (0, 0);
+    for prompt in &prompts[WARM_UP..] {
+        old.serve(prompt);
+        fresh.serve(prompt);
+    }
+    println!("hit share: long running {:.3}, restarted {:.3}", old.hit_share(), fresh.hit_share());
+    assert!(fresh.hit_share() >= MIN_SHARE_OF_LONG_RUNNING * old.hit_share());
+}
+
+/// A placer and what the engines hold because of it.
+struct Node {
+    placer: Placer,
+    engines: usize,
+    held: HashSet<(UpstreamId, BlockHash)>,
+    now_ms: u64,
+    hit_tokens: u64,
+    shared_tokens: u64,
+}
+
+impl Node {
+    fn new(engines: usize) -> Self {
+        let placer = support::placer(Policy::Redwingrill, engines);
+        Self { placer, engines, held: HashSet::new(), now_ms: 0, hit_tokens: 0, shared_tokens: 0 }
+    }
+
+    /// Places one prompt and counts what its engine held of the parts that prompts share.
+    fn serve(&mut self, prompt: &PromptSummary) {
+        self.now_ms += REQUEST_INTERVAL_MS;
+        self.report_idle();
+        let placement = support::place(&mut self.placer, prompt, "v1", self.now_ms);
+        let fact = FirstToken {
+            model: support::model(),
+            placement: &placement,
+            prompt,
+            weights: WeightsTag::of("v1"),
+            start: Some(support::start(1, "v1")),
+            first_token_ms: 20.0,
+        };
+        self.placer.first_token(&fact, self.now_ms);
+        finish(&mut self.placer, &fact, self.now_ms);
+        let shared = prompt.level_count() - 1;
+        let is_held = |level: &&Level| self.held.contains(&(placement.upstream, level.hash));
+        let hit = prompt.levels().take(shared).filter(is_held).last();
+        self.hit_tokens += hit.map_or(0, Level::tokens);
+        self.shared_tokens += prompt.levels().nth(shared - 1).map_or(0, Level::tokens);
+        self.held.extend(prompt.levels().map(|level| (placement.upstream, level.hash)));
+    }
+
+    fn report_idle(&mut self) {
+        let start = support::start(1, "v1");
+        let report = LoadReport { start, running: 0, waiting: 0, waiting_tokens: 0 };
+        for engine in 0..self.engines {
+            self.placer.observe_load(UpstreamId::from_index(engine), report, self.now_ms);
+        }
+    }
+
+    fn hit_share(&self) -> f64 {
+        self.hit_tokens as f64 / self.shared_tokens as f64
+    }
+}
+
+fn finish(placer: &mut redwingrill_placement::placer::Placer, fact: &FirstToken<'_>, now_ms: u64) {
+    let finished = Finished {
+        model: fact.model,
+        placement: fact.placement,
+        prompt: fact.prompt,
+        weights: fact.weights,
+        start: fact.start,
+        first_token_ms: None,
+        cached_tokens: None,
+    };
+    placer.finish(&finished, now_ms);
+}
--- /dev/null
+++ b/crates/placement/tests/support/mod.rs
@@ -0,0 +1,86 @@
+//! Prompts, engines and gates for the tests of placement.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use redwingrill_entity::DomainId;
+use redwingrill_entity::EntityRef;
+use redwingrill_entity::ModelId;
+use redwingrill_entity::UpstreamId;
+use redwingrill_placement::blocks::BLOCK_BYTES;
+use redwingrill_placement::blocks::ChainRoot;
+use redwingrill_placement::blocks::PromptBlocks;
+use redwingrill_placement::blocks::PromptSummary;
+use redwingrill_placement::fleet::EngineSpec;
+use redwingrill_placement::fleet::EngineStart;
+use redwingrill_placement::fleet::Incarnation;
+use redwingrill_placement::fleet::WeightsTag;
+use redwingrill_placement::placer::Gate;
+use redwingrill_placement::placer::PlaceRequest;
+use redwingrill_placement::placer::Placement;
+use redwingrill_placement::placer::Placer;
+use redwingrill_placement::placer::Policy;
+
+/// A gate that lets everything through.
+pub struct AllOpen;
+
+impl Gate for AllOpen {
+    fn crowding(&self, _: UpstreamId) -> Option<f64> {
+        Some(0.0)
+    }
+}
+
+pub fn model() -> ModelId {
+    ModelId::from_index(0)
+}
+
+pub fn rng() -> SmallRng {
+    SmallRng::seed_from_u64(4)
+}
+
+pub fn start(incarnation: u64, weights: &str) -> EngineStart {
+    EngineStart { incarnation: Incarnation(incarnation), weights: WeightsTag::of(weights) }
+}
+
+/// Builds a prompt whose messages are named parts with a length in blocks.
+pub fn prompt(account: &str, weights: &str, parts: &[(&str, usize)]) -> PromptSummary {
+    let mut blocks = PromptBlocks::new();
+    blocks.begin(ChainRoot::new(account, "letters", weights));
+    for (name, length) in parts {
+        let line = format!("{name:->64}");
+        blocks.push_message("user", &line.repeat(length * BLOCK_BYTES / line.len()));
+    }
+    blocks.finish();
+    PromptSummary::of(&blocks)
+}
+
+/// Makes a placer before engines named `e0`, `e1`, ... in three failure domains.
+pub fn placer(policy: Policy, engines: usize) -> Placer {
+    let names: Vec<String> = (0..engines).map(|index| format!("e{index}")).collect();
+    let mut placer = Placer::new(policy);
+    placer.set_engines(names.iter().enumerate().map(|(index, name)| EngineSpec {
+        upstream: UpstreamId::from_index(index),
+        name,
+        model: model(),
+        domain: DomainId::from_index(index % 3),
+    }));
+    placer
+}
+
+pub fn request<'a>(prompt: &'a PromptSummary, weights: &str) -> PlaceRequest<'a> {
+    PlaceRequest {
+        model: model(),
+        weights: WeightsTag::of(weights),
+        prompt,
+        output_tokens: 100,
+        avoid: &[],
+    }
+}
+
+pub fn place(placer: &mut Placer, prompt: &PromptSummary, weights: &str, now_ms: u64) -> Placement {
+    let placement = placer.place(&request(prompt, weights), &AllOpen, now_ms, &mut rng());
+    placer.verify().expect("the invariants hold");
+    placement.expect("an engine is open")
+}
