--- /dev/null
+++ b/crates/transport/src/lib.rs
@@ -0,0 +1,18 @@
+//! HTTP/1.1 client connections with a pool and bounded waits.
+//!
+//! The pool differs from a general client in three ways that the router's promises need. An error
+//! says whether the request may have been received. A reply that does not come in time condemns its
+//! connection and every idle connection to that address that is as old, because something between
+//! the two ends may have lost track of them all; a fresh connection then shows whether the upstream
+//! itself is at fault. And all tasks that drive connections are joined by [`Pool::close`].
+
+mod body;
+mod error;
+mod pool;
+
+pub use body::ReplyBody;
+pub use error::TransportError;
+pub use pool::Freshness;
+pub use pool::Pool;
+pub use pool::PoolState;
+pub use pool::Timeouts;
--- /dev/null
+++ b/crates/transport/src/pool.rs
@@ -0,0 +1,249 @@
+//! Connections by address.
+//!
+//! Invariant: an idle connection is in exactly one list, that of its address, and a connection that
+//! carries a request is in none.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use hyper::client::conn::http1::SendRequest;
+use hyper::client::conn::http1::handshake;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::ReplyBody;
+use crate::TransportError;
+
+/// Idle connections kept for each address.
+const IDLE_LIMIT: usize = 64;
+
+/// An idle connection older than this is closed rather than used.
+const IDLE_AGE_LIMIT: Duration = Duration::from_secs(30);
+
+/// How long each step of a request may take.
+#[derive(Clone, Copy, Debug)]
+pub struct Timeouts {
+    /// Opening a connection.
+    pub connect: Duration,
+    /// From sending the request to the head of the reply.
+    pub head: Duration,
+}
+
+/// Whether a request may use an idle connection.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Freshness {
+    /// An idle connection is used if there is one.
+    Any,
+    /// A new connection is opened.
+    New,
+}
+
+/// What a pool holds, for state dumps.
+#[derive(Clone, Debug)]
+pub struct PoolState {
+    /// The address.
+    pub address: SocketAddr,
+    /// Idle connections to it.
+    pub idle: usize,
+    /// Connections to it that were condemned as silent so far.
+    pub condemned: u64,
+}
+
+/// Connections to any number of addresses. Clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct Pool {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    by_address: Mutex<HashMap<SocketAddr, Connections>>,
+    drivers: TaskTracker,
+    closing: CancellationToken,
+}
+
+#[derive(Debug, Default)]
+struct Connections {
+    idle: Vec<Connection>,
+    condemned: u64,
+    // Connections opened before this moment are not used again.
+    trusted_since: Option<Instant>,
+}
+
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    opened_at: Instant,
+    idle_since: Instant,
+}
+
+/// A connection that carries a request.
+#[derive(Debug)]
+pub(crate) struct Lease {
+    shared: Arc<Shared>,
+    address: SocketAddr,
+    connection: Connection,
+}
+
+impl Pool {
+    /// Makes an empty pool.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Sends a request and waits for the head of the reply.
+    ///
+    /// A request that met a closed idle connection before it was sent is sent again on another.
+    ///
+    /// # Errors
+    ///
+    /// See [`TransportError`]; [`TransportError::may_have_been_received`] tells whether the request
+    /// may have an effect.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        freshness: Freshness,
+        timeouts: &Timeouts,
+    ) -> Result<Response<ReplyBody>, TransportError> {
+        let (parts, body) = request.into_parts();
+        let mut request = Request::from_parts(parts, Full::new(body));
+        loop {
+            let (mut lease, reused) = self.checkout(address, freshness, timeouts.connect).await?;
+            let reply = lease.connection.sender.try_send_request(request);
+            match timeout(timeouts.head, reply).await {
+                Err(_) => {
+                    lease.condemn();
+                    return Err(TransportError::Silent { waited: timeouts.head });
+                }
+                Ok(Ok(response)) => return Ok(response.map(|body| ReplyBody::new(body, lease))),
+                Ok(Err(mut failure)) => match failure.take_message() {
+                    Some(unsent) if reused => request = unsent,
+                    Some(_) => return Err(TransportError::NotSent),
+                    None => {
+                        return Err(TransportError::Broken { reason: failure.error().to_string() });
+                    }
+                },
+            }
+        }
+    }
+
+    /// Describes the pool.
+    pub fn state(&self) -> Vec<PoolState> {
+        let by_address = self.shared.lock();
+        let states = by_address.iter().map(|(&address, connections)| PoolState {
+            address,
+            idle: connections.idle.len(),
+            condemned: connections.condemned,
+        });
+        states.collect()
+    }
+
+    /// Closes all connections and joins their tasks.
+    pub async fn close(&self) {
+        self.shared.closing.cancel();
+        self.shared.lock().clear();
+        self.shared.drivers.close();
+        self.shared.drivers.wait().await;
+    }
+
+    async fn checkout(
+        &self,
+        address: SocketAddr,
+        freshness: Freshness,
+        connect: Duration,
+    ) -> Result<(Lease, bool), TransportError> {
+        if freshness == Freshness::Any
+            && let Some(connection) = self.shared.take_idle(address)
+        {
+            return Ok((self.lease(address, connection), true));
+        }
+        let connection = self.open(address, connect).await?;
+        Ok((self.lease(address, connection), false))
+    }
+
+    fn lease(&self, address: SocketAddr, connection: Connection) -> Lease {
+        Lease { shared: self.shared.clone(), address, connection }
+    }
+
+    async fn open(
+        &self,
+        address: SocketAddr,
+        wait: Duration,
+    ) -> Result<Connection, TransportError> {
+        let unreachable = |reason: String| TransportError::Unreachable { reason };
+        let stream = timeout(wait, TcpStream::connect(address))
+            .await
+            .map_err(|_| unreachable(format!("no connection within {} ms", wait.as_millis())))?
+            .map_err(|e| unreachable(e.to_string()))?;
+        stream.set_nodelay(true).map_err(|e| unreachable(e.to_string()))?;
+        let (sender, driver) =
+            handshake(TokioIo::new(stream)).await.map_err(|e| unreachable(e.to_string()))?;
+        let closing = self.shared.closing.clone();
+        self.shared.drivers.spawn(async move {
+            tokio::select! {
+                // A failure reaches the request through its sender.
+                _ = driver => {}
+                () = closing.cancelled() => {}
+            }
+        });
+        let now = Instant::now();
+        Ok(Connection { sender, opened_at: now, idle_since: now })
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Connections>> {
+        self.by_address.lock().expect("no holder panics")
+    }
+
+    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+        let mut by_address = self.lock();
+        let connections = by_address.get_mut(&address)?;
+        while let Some(connection) = connections.idle.pop() {
+            if connection.idle_since.elapsed() < IDLE_AGE_LIMIT && connection.sender.is_ready() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+}
+
+impl Lease {
+    /// Returns the connection to the idle list.
+    pub(crate) fn give_back(mut self) {
+        if self.shared.closing.is_cancelled() {
+            return;
+        }
+        let mut by_address = self.shared.lock();
+        let connections = by_address.entry(self.address).or_default();
+        let trusted =
+            connections.trusted_since.is_none_or(|since| self.connection.opened_at > since);
+        if trusted && connections.idle.len() < IDLE_LIMIT {
+            self.connection.idle_since = Instant::now();
+            connections.idle.push(self.connection);
+        }
+    }
+
+    /// Closes this connection and every idle one that is as old.
+    pub(crate) fn condemn(self) {
+        let opened_at = self.connection.opened_at;
+        let mut by_address = self.shared.lock();
+        let connections = by_address.entry(self.address).or_default();
+        connections.condemned += 1;
+        connections.trusted_since = connections.trusted_since.max(Some(opened_at));
+        connections.idle.retain(|idle| idle.opened_at > opened_at);
+    }
+}
