--- /dev/null
+++ b/crates/stream/src/sse.rs
@@ -0,0 +1,114 @@
+//! An incremental parser of server-sent events.
+//!
+//! Only the fields that completions use are kept: `id` and `data`. Lines may end in LF, CR LF, or
+//! CR as the published format allows; a CR is taken as a line end at once, and an LF that follows
+//! is skipped.
+
+use snafu::Snafu;
+
+/// One event.
+#[derive(Clone, PartialEq, Eq, Debug, Default)]
+pub struct SseEvent {
+    /// The `id` field as a number, if it is one.
+    pub id: Option<u64>,
+    /// The `data` lines, joined by line feeds.
+    pub data: String,
+}
+
+/// Why a stream is not a stream of events.
+#[derive(Clone, PartialEq, Eq, Debug, Snafu)]
+pub enum SseError {
+    /// An event is longer than the limit.
+    #[snafu(display("event longer than {limit_bytes} bytes"))]
+    TooLong {
+        /// The limit.
+        limit_bytes: usize,
+    },
+    /// A line is not UTF-8.
+    #[snafu(display("event is not UTF-8"))]
+    NotText,
+}
+
+/// Splits bytes into events.
+#[derive(Clone, Debug)]
+pub struct SseParser {
+    line: Vec<u8>,
+    event: SseEvent,
+    has_data: bool,
+    skip_line_feed: bool,
+    limit_bytes: usize,
+}
+
+impl SseParser {
+    /// Makes a parser that refuses events longer than `limit_bytes`.
+    pub fn new(limit_bytes: usize) -> Self {
+        Self {
+            line: Vec::new(),
+            event: SseEvent::default(),
+            has_data: false,
+            skip_line_feed: false,
+            limit_bytes,
+        }
+    }
+
+    /// Takes the next piece of the stream and appends the events that it completes to `events`.
+    ///
+    /// # Errors
+    ///
+    /// After an error the parser must not be used again.
+    pub fn push(&mut self, piece: &[u8], events: &mut Vec<SseEvent>) -> Result<(), SseError> {
+        for &byte in piece {
+            let skip = std::mem::take(&mut self.skip_line_feed);
+            match byte {
+                b'\n' if skip => {}
+                b'\n' => self.end_line(events)?,
+                b'\r' => {
+                    self.skip_line_feed = true;
+                    self.end_line(events)?;
+                }
+                _ => self.push_byte(byte)?,
+            }
+        }
+        Ok(())
+    }
+
+    /// Returns whether the bytes so far end inside an event.
+    pub fn is_inside_event(&self) -> bool {
+        !self.line.is_empty() || self.has_data
+    }
+
+    fn push_byte(&mut self, byte: u8) -> Result<(), SseError> {
+        if self.line.len() + self.event.data.len() >= self.limit_bytes {
+            return Err(SseError::TooLong { limit_bytes: self.limit_bytes });
+        }
+        self.line.push(byte);
+        Ok(())
+    }
+
+    fn end_line(&mut self, events: &mut Vec<SseEvent>) -> Result<(), SseError> {
+        if self.line.is_empty() {
+            let event = std::mem::take(&mut self.event);
+            if std::mem::take(&mut self.has_data) {
+                events.push(event);
+            }
+            return Ok(());
+        }
+        let line = std::str::from_utf8(&self.line).map_err(|_| SseError::NotText)?;
+        let (field, value) = line.split_once(':').unwrap_or((line, ""));
+        let value = value.strip_prefix(' ').unwrap_or(value);
+        match field {
+            "data" => {
+                if self.has_data {
+                    self.event.data.push('\n');
+                }
+                self.event.data.push_str(value);
+                self.has_data = true;
+            }
+            "id" => self.event.id = value.parse().ok(),
+            // Comments and other fields carry nothing for completions.
+            _ => {}
+        }
+        self.line.clear();
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/stream/src/transcript.rs
@@ -0,0 +1,216 @@
+//! What a caller has received of its stream, and the check of each further event.
+
+use snafu::Snafu;
+
+use crate::Chunk;
+use crate::SseEvent;
+use crate::Usage;
+
+const END_MARKER: &str = "[DONE]";
+
+/// What to do with an accepted event.
+#[derive(Clone, PartialEq, Debug)]
+pub enum Delivery {
+    /// Pass the chunk on.
+    Chunk(Chunk),
+    /// The event was delivered before, or is of no interest to the caller.
+    Nothing,
+    /// The stream is complete.
+    End,
+}
+
+/// Why an event cannot be accepted. The leg ends.
+#[derive(Clone, PartialEq, Eq, Debug, Snafu)]
+pub enum StreamError {
+    /// Events are missing before this one.
+    #[snafu(display("event {found} came where {expected} was due"))]
+    Gap {
+        /// The number due.
+        expected: u64,
+        /// The number that came.
+        found: u64,
+    },
+    /// The event belongs to another completion.
+    #[snafu(display("event of another completion"))]
+    Crossed,
+    /// The event is not a chunk.
+    #[snafu(display("event is not a chunk"))]
+    Garbage,
+    /// The end marker came before a finish reason.
+    #[snafu(display("end marker before a finish reason"))]
+    EarlyEnd,
+    /// The engine reported an error.
+    #[snafu(display("engine error: {message}"))]
+    Upstream {
+        /// What the engine said.
+        message: String,
+    },
+}
+
+/// The state of one caller's stream over all its legs.
+#[derive(Clone, Debug)]
+pub struct Transcript {
+    completion_id: String,
+    created_s: Option<u64>,
+    wants_usage: bool,
+    text: String,
+    // Chunks with text, which stand for tokens.
+    delivered_tokens: u64,
+    opened: bool,
+    plain_text: bool,
+    finished: bool,
+    complete: bool,
+    usage: Option<Usage>,
+    leg: Leg,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Leg {
+    id: Option<String>,
+    last_event: u64,
+    // Tokens that earlier legs delivered.
+    tokens_before: u64,
+}
+
+impl Transcript {
+    /// Makes the transcript of a stream that has not begun. `wants_usage` tells whether the caller
+    /// asked for token counts.
+    pub fn new(completion_id: &str, wants_usage: bool) -> Self {
+        Self {
+            completion_id: completion_id.to_owned(),
+            created_s: None,
+            wants_usage,
+            text: String::new(),
+            delivered_tokens: 0,
+            opened: false,
+            plain_text: true,
+            finished: false,
+            complete: false,
+            usage: None,
+            leg: Leg::default(),
+        }
+    }
+
+    /// Begins the next leg, on which the engine continues after the text delivered so far.
+    pub fn begin_leg(&mut self) {
+        self.leg = Leg { id: None, last_event: 0, tokens_before: self.delivered_tokens };
+    }
+
+    /// Checks an event of the current leg and says what to do with it.
+    ///
+    /// # Errors
+    ///
+    /// See [`StreamError`]. The transcript is unchanged and the leg must not be read further.
+    pub fn accept(&mut self, event: &SseEvent) -> Result<Delivery, StreamError> {
+        if event.data == END_MARKER {
+            return self.accept_end();
+        }
+        let number = event.id.unwrap_or(self.leg.last_event + 1);
+        if number <= self.leg.last_event {
+            return Ok(Delivery::Nothing);
+        }
+        if number != self.leg.last_event + 1 {
+            return Err(StreamError::Gap { expected: self.leg.last_event + 1, found: number });
+        }
+        let chunk = Chunk::parse(&event.data).ok_or(StreamError::Garbage)?;
+        if let Some(error) = chunk.error() {
+            let message = error.get("message").and_then(|m| m.as_str()).unwrap_or("unspecified");
+            return Err(StreamError::Upstream { message: message.to_owned() });
+        }
+        self.check_leg(&chunk)?;
+        self.leg.last_event = number;
+        Ok(self.take(chunk))
+    }
+
+    /// Returns whether the stream is complete.
+    pub fn is_complete(&self) -> bool {
+        self.complete
+    }
+
+    /// Returns whether any text was delivered.
+    pub fn has_text(&self) -> bool {
+        !self.text.is_empty()
+    }
+
+    /// Returns whether another engine can continue the stream from its text.
+    pub fn is_continuable(&self) -> bool {
+        self.plain_text && !self.finished
+    }
+
+    /// Returns the number of the last event accepted on the current leg; zero for none.
+    pub fn last_event(&self) -> u64 {
+        self.leg.last_event
+    }
+
+    /// Returns the text delivered so far.
+    pub fn text(&self) -> &str {
+        &self.text
+    }
+
+    /// Returns how many tokens were delivered so far.
+    pub fn delivered_tokens(&self) -> u64 {
+        self.delivered_tokens
+    }
+
+    /// Returns the token counts over all legs, once the engine gave them.
+    pub fn usage(&self) -> Option<Usage> {
+        self.usage
+    }
+
+    fn accept_end(&mut self) -> Result<Delivery, StreamError> {
+        if !self.finished {
+            return Err(StreamError::EarlyEnd);
+        }
+        self.complete = true;
+        Ok(Delivery::End)
+    }
+
+    fn check_leg(&mut self, chunk: &Chunk) -> Result<(), StreamError> {
+        let id = chunk.id().ok_or(StreamError::Garbage)?;
+        match &self.leg.id {
+            None => self.leg.id = Some(id.to_owned()),
+            Some(expected) if expected != id => return Err(StreamError::Crossed),
+            Some(_) => {}
+        }
+        Ok(())
+    }
+
+    fn take(&mut self, mut chunk: Chunk) -> Delivery {
+        self.plain_text &= chunk.is_plain_text();
+        chunk.set_id(&self.completion_id);
+        let created_s = *self.created_s.get_or_insert(chunk.created_s().unwrap_or(0));
+        chunk.set_created_s(created_s);
+        if let Some(usage) = chunk.usage() {
+            let usage = self.usage_over_legs(&usage);
+            self.usage = Some(usage);
+            chunk.set_usage(&usage);
+        }
+        if !self.wants_usage {
+            chunk.remove_usage();
+        }
+        if chunk.choices().is_empty() {
+            return if self.wants_usage { Delivery::Chunk(chunk) } else { Delivery::Nothing };
+        }
+        // Each leg opens the message again; the caller sees that once.
+        if chunk.is_opening() && std::mem::replace(&mut self.opened, true) {
+            return Delivery::Nothing;
+        }
+        if let Some(text) = chunk.content().filter(|text| !text.is_empty()) {
+            self.text.push_str(text);
+            self.delivered_tokens += 1;
+        }
+        self.finished |= chunk.finish_reason().is_some();
+        Delivery::Chunk(chunk)
+    }
+
+    /// A later leg counts what earlier legs delivered as part of its prompt.
+    fn usage_over_legs(&self, usage: &Usage) -> Usage {
+        let before = self.leg.tokens_before;
+        Usage {
+            prompt_tokens: usage.prompt_tokens.saturating_sub(before),
+            completion_tokens: usage.completion_tokens + before,
+            total_tokens: usage.total_tokens,
+            prompt_tokens_details: usage.prompt_tokens_details,
+        }
+    }
+}
