Add the request path: front end, completions relay, engine client, node life cycle

Cause: nothing carried a caller's request to an engine. Weighed: two code paths for streamed and whole answers, or one relay that always streams from the engine; the second, since whole answers then survive the same faults. One task and one bounded channel a stream; the reply body formats events itself, so no second task holds memory. Change: HTTP listener with limits and graceful stop, API keys to client accounts, the relay with resume and replacement, thin dispatch by least in flight, forwarding of repeatable service calls (others are refused, truly not run, until the ledger lands), administration calls, drain as typestate.

--- /dev/null
+++ b/crates/redwingrill/src/admin/mod.rs
@@ -0,0 +1,5 @@
+//! The administration address: health, readiness, status, state dump, and drain.
+
+mod routes;
+
+pub use routes::AdminRoutes;
--- /dev/null
+++ b/crates/redwingrill/src/admin/routes.rs
@@ -0,0 +1,60 @@
+//! Calls of the administration address.
+
+use std::sync::Arc;
+
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use hyper::body::Incoming;
+use serde_json::json;
+
+use crate::Refusal;
+use crate::http::Body;
+use crate::http::ConnectionOwner;
+use crate::http::Handler;
+use crate::http::RequestId;
+use crate::http::error_reply;
+use crate::http::json_reply;
+use crate::node::Inspector;
+use crate::node::Phase;
+use redwingrill_codes::ResultCode;
+
+/// Serves operators and the platform's balancer.
+#[derive(Clone, Debug)]
+pub struct AdminRoutes {
+    /// Reads and drives the node.
+    pub inspector: Inspector,
+}
+
+impl Handler for AdminRoutes {
+    async fn handle(
+        &self,
+        request: Request<Incoming>,
+        _owner: Arc<ConnectionOwner>,
+    ) -> Response<Body> {
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, "/health") => json_reply(StatusCode::OK, "{}"),
+            (&Method::GET, "/ready") => self.ready(),
+            (&Method::GET, "/status") => {
+                json_reply(StatusCode::OK, self.inspector.status().to_string())
+            }
+            (&Method::GET, "/dump") => {
+                json_reply(StatusCode::OK, self.inspector.dump().await.to_string())
+            }
+            (&Method::POST, "/drain") => {
+                self.inspector.drain();
+                json_reply(StatusCode::ACCEPTED, "{}")
+            }
+            _ => error_reply(&Refusal::new(ResultCode::RouteUnknown), RequestId::random()),
+        }
+    }
+}
+
+impl AdminRoutes {
+    fn ready(&self) -> Response<Body> {
+        let ready = self.inspector.phase() == Phase::Serving && self.inspector.is_configured();
+        let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        json_reply(status, json!({"ready": ready}).to_string())
+    }
+}
--- /dev/null
+++ b/crates/redwingrill/src/completions/handler.rs
@@ -0,0 +1,252 @@
+//! From a parsed HTTP request to the reply.
+
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header;
+use http_body::Frame;
+use http_body_util::BodyExt;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tokio_util::task::TaskTracker;
+
+use super::CompletionRequest;
+use super::relay::Event;
+use super::relay::Relay;
+use crate::Refusal;
+use crate::dispatch::Ask;
+use crate::dispatch::Dispatcher;
+use crate::http::Body;
+use crate::http::RequestId;
+use crate::http::json_reply;
+use crate::telemetry::Metrics;
+use crate::upstream::EngineClient;
+use redwingrill_codes::ErrorBody;
+use redwingrill_codes::ResultCode;
+use redwingrill_config::Account;
+use redwingrill_config::Snapshot;
+use redwingrill_entity::AccountId;
+use redwingrill_entity::PriorityId;
+use redwingrill_stream::WholeReply;
+
+const PRIORITY_HEADER: &str = "x-redwingrill-priority";
+
+/// Chunks buffered between an engine and a slow caller.
+const EVENTS_BUFFERED: usize = 16;
+
+const END_MARKER: &[u8] = b"data: [DONE]\n\n";
+
+/// Serves completion requests.
+#[derive(Clone, Debug)]
+pub struct Completions {
+    /// The way to admission and placement.
+    pub dispatcher: Dispatcher,
+    /// The way to engines.
+    pub engines: EngineClient,
+    /// Joins the relay tasks.
+    pub tasks: TaskTracker,
+    /// Where times are reported.
+    pub metrics: Metrics,
+}
+
+/// Who asks, and under which configuration.
+#[derive(Clone, Copy, Debug)]
+pub struct Caller<'a> {
+    /// The configuration in force when the request arrived.
+    pub snapshot: &'a Arc<Snapshot>,
+    /// The client account.
+    pub account: AccountId,
+    /// The identifier given to the request.
+    pub request_id: RequestId,
+}
+
+impl Completions {
+    /// Serves one request.
+    ///
+    /// # Errors
+    ///
+    /// The refusal, if the answer did not begin.
+    pub async fn serve(
+        &self,
+        caller: Caller<'_>,
+        headers: &HeaderMap,
+        body: &Bytes,
+    ) -> Result<Response<Body>, Refusal> {
+        let arrived = Instant::now();
+        let request = CompletionRequest::parse(body)?;
+        let snapshot = caller.snapshot;
+        let model = snapshot.model(request.model()).ok_or(ResultCode::ModelUnknown)?;
+        let account = snapshot.state.accounts.get(caller.account).ok_or(ResultCode::KeyUnknown)?;
+        let priority_id = priority_of(headers, snapshot, account)?;
+        let priority =
+            snapshot.state.priorities.get(priority_id).ok_or(ResultCode::PriorityUnknown)?;
+        let ask = Ask {
+            snapshot,
+            account: caller.account,
+            priority: priority_id,
+            model,
+            prompt: &request.prompt(),
+            max_tokens: request.max_tokens(),
+        };
+        let ticket = self.dispatcher.admit(&ask).await?;
+        let streamed = request.is_streamed();
+        let model_name = request.model().to_owned();
+        let (sender, events) = mpsc::channel(EVENTS_BUFFERED);
+        let relay = Relay {
+            request_id: caller.request_id,
+            wants_usage: !streamed || request.wants_usage(),
+            request: Arc::new(request),
+            engines: self.engines.clone(),
+            ticket,
+            events: sender,
+            priority: priority.level,
+            cache_salt: account.name.clone(),
+        };
+        self.tasks.spawn(relay.run());
+        let mut reply = Reply { events, request_id: caller.request_id };
+        let first = reply.next().await;
+        self.metrics.first_token(&priority.name, arrived.elapsed());
+        if streamed { Self::stream(first, reply) } else { reply.whole(first, &model_name).await }
+    }
+
+    fn stream(first: Event, reply: Reply) -> Result<Response<Body>, Refusal> {
+        let first = Some(begun(first)?);
+        let body = EventBody { first, reply, ended: false };
+        let mut response = Response::new(body.boxed());
+        let headers = response.headers_mut();
+        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+        headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+        Ok(response)
+    }
+}
+
+/// Passes an answer's first event on, or the refusal in its place.
+fn begun(first: Event) -> Result<Event, Refusal> {
+    match first {
+        Event::Failed(refusal) => Err(refusal),
+        Event::Rejected { status, message } => Err(rejection(status, &message)),
+        event => Ok(event),
+    }
+}
+
+fn rejection(status: StatusCode, message: &str) -> Refusal {
+    let detail = format!("the engine refused the request with status {status}: {message}");
+    Refusal::with_detail(ResultCode::BadRequest, detail)
+}
+
+/// The caller's end of a relay.
+struct Reply {
+    events: mpsc::Receiver<Event>,
+    request_id: RequestId,
+}
+
+impl Reply {
+    async fn next(&mut self) -> Event {
+        self.events.recv().await.unwrap_or_else(Self::lost)
+    }
+
+    /// Stands for the end of a relay that reported none.
+    fn lost() -> Event {
+        Event::Failed(ResultCode::Internal.into())
+    }
+
+    async fn whole(mut self, first: Event, model: &str) -> Result<Response<Body>, Refusal> {
+        let mut whole = WholeReply::default();
+        whole.set_model(model);
+        let mut event = begun(first)?;
+        loop {
+            match event {
+                Event::Chunk(chunk) => whole.push(&chunk),
+                Event::Complete(usage) => {
+                    return Ok(json_reply(StatusCode::OK, whole.to_json(usage.as_ref())));
+                }
+                Event::Failed(_) | Event::Rejected { .. } => {
+                    begun(event)?;
+                    return Err(ResultCode::Internal.into());
+                }
+            }
+            event = self.next().await;
+        }
+    }
+}
+
+/// An answer as a body of server-sent events. Dropping it tells the relay that the caller is gone.
+struct EventBody {
+    first: Option<Event>,
+    reply: Reply,
+    ended: bool,
+}
+
+impl EventBody {
+    fn piece_of(&mut self, event: Event) -> Bytes {
+        match event {
+            Event::Chunk(chunk) => data_event(&chunk.to_json()),
+            Event::Complete(_) => {
+                self.ended = true;
+                Bytes::from_static(END_MARKER)
+            }
+            Event::Failed(refusal) => self.error_event(&refusal),
+            Event::Rejected { status, message } => self.error_event(&rejection(status, &message)),
+        }
+    }
+
+    fn error_event(&mut self, refusal: &Refusal) -> Bytes {
+        self.ended = true;
+        let id = self.reply.request_id.to_string();
+        data_event(&ErrorBody::new(refusal.code, &refusal.detail, &id).to_json())
+    }
+
+    fn poll_event(&mut self, context: &mut Context<'_>) -> Poll<Event> {
+        if let Some(first) = self.first.take() {
+            return Poll::Ready(first);
+        }
+        let event = self.reply.events.poll_recv(context);
+        event.map(|event| event.unwrap_or_else(Reply::lost))
+    }
+}
+
+impl http_body::Body for EventBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        if self.ended {
+            return Poll::Ready(None);
+        }
+        let event = ready!(self.poll_event(context));
+        Poll::Ready(Some(Ok(Frame::data(self.piece_of(event)))))
+    }
+}
+
+fn data_event(data: &str) -> Bytes {
+    Bytes::from(format!("data: {data}\n\n"))
+}
+
+fn priority_of(
+    headers: &HeaderMap,
+    snapshot: &Snapshot,
+    account: &Account,
+) -> Result<PriorityId, Refusal> {
+    let Some(name) = headers.get(PRIORITY_HEADER) else {
+        return account
+            .priorities
+            .first()
+            .copied()
+            .ok_or_else(|| ResultCode::PriorityUnknown.into());
+    };
+    let named = name.to_str().ok().and_then(|name| snapshot.priority(name));
+    let allowed = named.filter(|id| account.priorities.contains(id));
+    allowed.ok_or_else(|| ResultCode::PriorityUnknown.into())
+}
--- /dev/null
+++ b/crates/redwingrill/src/completions/request.rs
@@ -0,0 +1,163 @@
+//! The body of a completion request.
+
+use bytes::Bytes;
+use serde_json::Map;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::Refusal;
+use redwingrill_codes::ResultCode;
+
+/// The generated tokens that a request without a limit is taken to need.
+const DEFAULT_MAX_TOKENS: u64 = 512;
+
+/// What the router adds to the request of a leg.
+#[derive(Clone, Copy, Debug)]
+pub struct LegFields<'a> {
+    /// The engine's priority number; lower is more urgent.
+    pub priority: u8,
+    /// What parts this account's prefix cache from others.
+    pub cache_salt: &'a str,
+    /// The KV cache store to import from.
+    pub import_from: Option<std::net::SocketAddr>,
+    /// The text delivered so far, which the engine goes on from.
+    pub delivered: Option<Delivered<'a>>,
+}
+
+/// What earlier legs delivered.
+#[derive(Clone, Copy, Debug)]
+pub struct Delivered<'a> {
+    /// The text.
+    pub text: &'a str,
+    /// The tokens of the text.
+    pub tokens: u64,
+}
+
+/// A request as the caller sent it.
+#[derive(Clone, Debug)]
+pub struct CompletionRequest {
+    fields: Map<String, Value>,
+}
+
+impl CompletionRequest {
+    /// Parses a body.
+    ///
+    /// # Errors
+    ///
+    /// [`ResultCode::BadJson`] with what is wrong.
+    pub fn parse(body: &Bytes) -> Result<Self, Refusal> {
+        let bad = |detail: String| Refusal::with_detail(ResultCode::BadJson, detail);
+        let fields: Map<String, Value> =
+            serde_json::from_slice(body).map_err(|e| bad(format!("the body is not JSON: {e}")))?;
+        let request = Self { fields };
+        if !request.fields.get("model").is_some_and(Value::is_string) {
+            return Err(bad("`model` must be a string".to_owned()));
+        }
+        let messages = request.fields.get("messages").and_then(Value::as_array);
+        let messages = messages.filter(|list| !list.is_empty() && list.iter().all(is_message));
+        if messages.is_none() {
+            return Err(bad("`messages` must be a list of messages with roles".to_owned()));
+        }
+        for (field, is_valid) in OPTIONAL_FIELDS {
+            let value = request.fields.get(*field).filter(|value| !value.is_null());
+            if value.is_some_and(|value| !is_valid(value)) {
+                return Err(bad(format!("`{field}` has the wrong type")));
+            }
+        }
+        Ok(request)
+    }
+
+    /// Returns the name of the model.
+    pub fn model(&self) -> &str {
+        self.fields.get("model").and_then(Value::as_str).unwrap_or_default()
+    }
+
+    /// Returns whether the caller wants a stream.
+    pub fn is_streamed(&self) -> bool {
+        self.fields.get("stream").and_then(Value::as_bool).unwrap_or(false)
+    }
+
+    /// Returns whether the caller of a stream wants token counts.
+    pub fn wants_usage(&self) -> bool {
+        let options = self.fields.get("stream_options");
+        options.and_then(|o| o.get("include_usage")).and_then(Value::as_bool).unwrap_or(false)
+    }
+
+    /// Returns the most tokens to generate.
+    pub fn max_tokens(&self) -> u64 {
+        self.limit().unwrap_or(DEFAULT_MAX_TOKENS)
+    }
+
+    /// Returns the texts of the messages, in order.
+    pub fn prompt(&self) -> Vec<&str> {
+        let messages = self.fields.get("messages").and_then(Value::as_array);
+        messages.into_iter().flatten().flat_map(message_texts).collect()
+    }
+
+    /// Returns the body for a leg.
+    pub fn leg_body(&self, leg: &LegFields<'_>) -> Bytes {
+        let mut fields = self.fields.clone();
+        let mut set = |name: &str, value: Value| fields.insert(name.to_owned(), value);
+        set("stream", json!(true));
+        set("stream_options", json!({"include_usage": true}));
+        set("priority", json!(leg.priority));
+        set("cache_salt", json!(leg.cache_salt));
+        if let Some(store) = leg.import_from {
+            set(
+                "kv_transfer_params",
+                json!({
+                    "do_remote_prefill": true,
+                    "remote_host": store.ip().to_string(),
+                    "remote_port": store.port(),
+                }),
+            );
+        }
+        if let Some(delivered) = leg.delivered {
+            self.continue_from(&mut fields, delivered);
+        }
+        let body = serde_json::to_vec(&fields).expect("JSON values serialise");
+        Bytes::from(body)
+    }
+
+    fn limit(&self) -> Option<u64> {
+        let fields = ["max_completion_tokens", "max_tokens"];
+        fields.iter().find_map(|field| self.fields.get(*field)?.as_u64())
+    }
+
+    fn continue_from(&self, fields: &mut Map<String, Value>, delivered: Delivered<'_>) {
+        if let Some(messages) = fields.get_mut("messages").and_then(Value::as_array_mut) {
+            messages.push(json!({"role": "assistant", "content": delivered.text}));
+        }
+        fields.insert("continue_final_message".to_owned(), json!(true));
+        fields.insert("add_generation_prompt".to_owned(), json!(false));
+        for field in ["max_completion_tokens", "max_tokens"] {
+            let Some(limit) = fields.get(field).and_then(Value::as_u64) else { continue };
+            let left = limit.saturating_sub(delivered.tokens).max(1);
+            fields.insert(field.to_owned(), json!(left));
+        }
+    }
+}
+
+type Check = fn(&Value) -> bool;
+
+const OPTIONAL_FIELDS: &[(&str, Check)] = &[
+    ("stream", Value::is_boolean),
+    ("stream_options", Value::is_object),
+    ("max_tokens", Value::is_u64),
+    ("max_completion_tokens", Value::is_u64),
+];
+
+fn is_message(value: &Value) -> bool {
+    value.get("role").is_some_and(Value::is_string)
+}
+
+/// Content is one text, or a list of parts of which some have text.
+fn message_texts(message: &Value) -> Vec<&str> {
+    match message.get("content") {
+        Some(Value::String(text)) => vec![text],
+        Some(Value::Array(parts)) => {
+            parts.iter().filter_map(|part| part.get("text")?.as_str()).collect()
+        }
+        _ => Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/redwingrill/src/http/listener.rs
@@ -0,0 +1,210 @@
+//! Accepting connections and serving requests on them.
+//!
+//! ```text
+//! accepting --stop_accepting--> closing --last connection ends--> closed
+//! ```
+//!
+//! In `closing`, requests under way end normally and idle connections are closed.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Request;
+use http::Response;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use log::debug;
+use log::warn;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::AccountConnections;
+use super::Body;
+use super::ConnectionOwner;
+
+/// The pause after a failed accept, such as for lack of file descriptors.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// The least buffer that the HTTP library accepts.
+const LEAST_BUFFER_BYTES: usize = 8 << 10;
+
+/// Serves requests of one listener.
+pub trait Handler: Clone + Send + Sync + 'static {
+    /// Serves one request on a connection of `owner`.
+    fn handle(
+        &self,
+        request: Request<Incoming>,
+        owner: Arc<ConnectionOwner>,
+    ) -> impl Future<Output = Response<Body>> + Send;
+}
+
+/// Limits of a listener.
+#[derive(Clone, Debug)]
+pub struct ListenerOptions {
+    /// Open connections.
+    pub connections_limit: usize,
+    /// The longest header section.
+    pub header_limit_bytes: usize,
+    /// The time to send the header section.
+    pub header_timeout: Duration,
+}
+
+/// An address that accepts connections.
+#[derive(Debug)]
+pub struct Listener {
+    address: SocketAddr,
+    tasks: TaskTracker,
+    accepting: CancellationToken,
+    aborting: CancellationToken,
+    places: Arc<Semaphore>,
+    connections_limit: usize,
+}
+
+impl Listener {
+    /// Binds an address and begins to accept.
+    ///
+    /// # Errors
+    ///
+    /// The cause if the address cannot be bound.
+    pub async fn start<H: Handler>(
+        address: SocketAddr,
+        options: ListenerOptions,
+        connections: AccountConnections,
+        handler: H,
+    ) -> io::Result<Self> {
+        let socket = TcpListener::bind(address).await?;
+        let listener = Self {
+            address: socket.local_addr()?,
+            tasks: TaskTracker::new(),
+            accepting: CancellationToken::new(),
+            aborting: CancellationToken::new(),
+            places: Arc::new(Semaphore::new(options.connections_limit)),
+            connections_limit: options.connections_limit,
+        };
+        let acceptor = Acceptor {
+            socket,
+            options,
+            connections,
+            handler,
+            tasks: listener.tasks.clone(),
+            accepting: listener.accepting.clone(),
+            aborting: listener.aborting.clone(),
+            places: listener.places.clone(),
+        };
+        listener.tasks.spawn(acceptor.run());
+        Ok(listener)
+    }
+
+    /// Returns the bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns how many connections are open.
+    pub fn open_connections(&self) -> usize {
+        self.connections_limit - self.places.available_permits()
+    }
+
+    /// Stops accepting and closes idle connections. Requests under way go on.
+    pub fn stop_accepting(&self) {
+        self.accepting.cancel();
+        self.tasks.close();
+    }
+
+    /// Ends all connections at once.
+    pub fn abort(&self) {
+        self.stop_accepting();
+        self.aborting.cancel();
+    }
+
+    /// Waits until every connection has ended. [`Listener::stop_accepting`] comes first.
+    pub async fn join(&self) {
+        self.tasks.wait().await;
+    }
+}
+
+struct Acceptor<H> {
+    socket: TcpListener,
+    options: ListenerOptions,
+    connections: AccountConnections,
+    handler: H,
+    tasks: TaskTracker,
+    accepting: CancellationToken,
+    aborting: CancellationToken,
+    places: Arc<Semaphore>,
+}
+
+impl<H: Handler> Acceptor<H> {
+    async fn run(self) {
+        loop {
+            let accepted = tokio::select! {
+                () = self.accepting.cancelled() => return,
+                accepted = self.socket.accept() => accepted,
+            };
+            match accepted {
+                Ok((stream, _)) => self.serve(stream),
+                Err(e) => {
+                    warn!("event=accept_failed reason={:?}", e.to_string());
+                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                }
+            }
+        }
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let Ok(place) = self.places.clone().try_acquire_owned() else {
+            // Dropping the stream tells the caller at once.
+            warn!("event=connection_refused reason=limit");
+            return;
+        };
+        if let Err(e) = stream.set_nodelay(true) {
+            debug!("event=nodelay_failed reason={:?}", e.to_string());
+        }
+        let owner = Arc::new(ConnectionOwner::new(self.connections.clone()));
+        let handler = self.handler.clone();
+        let service = service_fn(move |request| {
+            let handler = handler.clone();
+            let owner = owner.clone();
+            async move { Ok::<_, Infallible>(handler.handle(request, owner).await) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(self.options.header_timeout)
+            // The handler refuses headers over the limit with a code; the library's own limit
+            // only bounds memory.
+            .max_buf_size((4 * self.options.header_limit_bytes).max(LEAST_BUFFER_BYTES))
+            .serve_connection(TokioIo::new(stream), service);
+        let accepting = self.accepting.clone();
+        let aborting = self.aborting.clone();
+        self.tasks.spawn(async move {
+            let _place = place;
+            tokio::pin!(connection);
+            let mut closing = false;
+            loop {
+                tokio::select! {
+                    ended = connection.as_mut() => {
+                        if let Err(e) = ended {
+                            debug!("event=connection_ended reason={:?}", e.to_string());
+                        }
+                        return;
+                    }
+                    () = accepting.cancelled(), if !closing => {
+                        closing = true;
+                        connection.as_mut().graceful_shutdown();
+                    }
+                    () = aborting.cancelled() => return,
+                }
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/redwingrill/src/http/reply.rs
@@ -0,0 +1,43 @@
+//! Replies with a numbered code or a JSON document.
+
+use bytes::Bytes;
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+use http::header;
+
+use super::Body;
+use super::RequestId;
+use super::full_body;
+use crate::Refusal;
+use redwingrill_codes::ErrorBody;
+use redwingrill_codes::ResultCode;
+
+/// The header that names the request in each reply.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
+
+const JSON: HeaderValue = HeaderValue::from_static("application/json");
+
+/// Makes a reply with a JSON document.
+pub fn json_reply(status: StatusCode, json: impl Into<Bytes>) -> Response<Body> {
+    let mut response = Response::new(full_body(json));
+    *response.status_mut() = status;
+    response.headers_mut().insert(header::CONTENT_TYPE, JSON);
+    response
+}
+
+/// Makes the reply of a refused request.
+pub fn error_reply(refusal: &Refusal, request_id: RequestId) -> Response<Body> {
+    let status = refusal.code.info().http_status;
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let body = ErrorBody::new(refusal.code, &refusal.detail, &request_id.to_string());
+    let mut response = json_reply(status, body.to_json());
+    let headers = response.headers_mut();
+    if let Some(retry_after_ms) = refusal.retry_after_ms {
+        headers.insert(header::RETRY_AFTER, retry_after_ms.div_ceil(1_000).into());
+    }
+    if refusal.code == ResultCode::KeyMissing || refusal.code == ResultCode::KeyUnknown {
+        headers.insert(header::WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
+    }
+    response
+}
--- a/crates/redwingrill/src/lib.rs
+++ b/crates/redwingrill/src/lib.rs
@@ -1,1 +1,19 @@
 //! The router: a library with thin daemons.
+//!
+//! A [`node::Node`] joins the parts. A caller's request passes [`http`], then [`completions`] or
+//! [`services`]; [`dispatch`] admits it and names an engine; [`upstream`] speaks to that engine.
+//! [`configuration`] keeps the configuration in force, and [`cluster`] exchanges state with other
+//! nodes.
+
+pub mod admin;
+pub mod completions;
+pub mod dispatch;
+pub mod http;
+pub mod node;
+pub mod services;
+pub mod telemetry;
+pub mod upstream;
+
+mod refusal;
+
+pub use refusal::Refusal;
--- /dev/null
+++ b/crates/redwingrill/src/node/inspector.rs
@@ -0,0 +1,75 @@
+//! Reading the state of a node, and asking it to drain.
+
+use std::sync::Arc;
+
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use super::Phase;
+use crate::dispatch::Dispatcher;
+use crate::http::AccountConnections;
+use redwingrill_config::Snapshot;
+use redwingrill_transport::Pool;
+
+/// Reads the state of a node. Clones read the same node.
+#[derive(Clone, Debug)]
+pub struct Inspector {
+    pub(super) name: String,
+    pub(super) phase: watch::Receiver<Phase>,
+    pub(super) configuration: watch::Receiver<Arc<Snapshot>>,
+    pub(super) dispatcher: Dispatcher,
+    pub(super) connections: AccountConnections,
+    pub(super) pool: Pool,
+    pub(super) drain: CancellationToken,
+}
+
+impl Inspector {
+    /// Returns the phase of the node's life.
+    pub fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Returns whether a configuration is in force.
+    pub fn is_configured(&self) -> bool {
+        self.configuration.borrow().generation.0 > 0
+    }
+
+    /// Asks the node to begin a graceful shutdown.
+    pub fn drain(&self) {
+        self.drain.cancel();
+    }
+
+    /// Returns a short description.
+    pub fn status(&self) -> Value {
+        json!({
+            "name": self.name,
+            "phase": self.phase().name(),
+            "generation": self.configuration.borrow().generation.0,
+        })
+    }
+
+    /// Returns the whole state.
+    pub async fn dump(&self) -> Value {
+        let snapshot = self.configuration.borrow().clone();
+        let account_name = |id| snapshot.state.accounts.get(id).map(|a| a.name.clone());
+        let connections = self.connections.counts();
+        let connections = connections
+            .into_iter()
+            .map(|(id, open)| json!({"account": account_name(id), "open": open}));
+        let pool = self.pool.state().into_iter().map(|state| {
+            json!({
+                "address": state.address.to_string(),
+                "idle": state.idle,
+                "condemned": state.condemned,
+            })
+        });
+        json!({
+            "status": self.status(),
+            "dispatch": self.dispatcher.dump().await,
+            "account_connections": connections.collect::<Vec<_>>(),
+            "upstream_connections": pool.collect::<Vec<_>>(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/redwingrill/src/node/life.rs
@@ -0,0 +1,184 @@
+//! The life cycle of a node.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use log::info;
+use log::warn;
+use snafu::Snafu;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use super::Inspector;
+use super::parts::Parts;
+use redwingrill_config::Snapshot;
+use redwingrill_settings::Settings;
+
+/// The phase that requests and operators see.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Phase {
+    /// The node takes new work.
+    Serving,
+    /// The node is leaving and ends its open work.
+    Draining,
+}
+
+impl Phase {
+    /// Returns the name used in status and logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Serving => "serving",
+            Self::Draining => "draining",
+        }
+    }
+}
+
+/// Why a node did not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    /// An address could not be bound.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: io::Error,
+    },
+    /// Metrics could not be set up.
+    #[snafu(display("cannot send metrics: {source}"))]
+    Metrics {
+        /// The cause.
+        source: io::Error,
+    },
+}
+
+/// How a drained node ended.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Ending {
+    /// All open work ended normally.
+    Complete,
+    /// The deadline passed, or the operator insisted, while connections were open.
+    Cut {
+        /// The connections that were cut.
+        connections: usize,
+    },
+}
+
+/// The node is not listening yet.
+#[derive(Debug)]
+pub struct Starting {
+    configuration: watch::Receiver<Arc<Snapshot>>,
+}
+
+/// The node serves.
+#[derive(Debug)]
+pub struct Serving {
+    parts: Parts,
+}
+
+/// The node ends its open work.
+#[derive(Debug)]
+pub struct Draining {
+    parts: Parts,
+}
+
+/// A node in one state of its life.
+#[derive(Debug)]
+pub struct Node<S> {
+    settings: Arc<Settings>,
+    state: S,
+}
+
+impl Node<Starting> {
+    /// Prepares a node.
+    pub fn new(settings: Settings, configuration: watch::Receiver<Arc<Snapshot>>) -> Self {
+        Self { settings: Arc::new(settings), state: Starting { configuration } }
+    }
+
+    /// Binds the addresses and begins to serve.
+    ///
+    /// # Errors
+    ///
+    /// See [`StartError`].
+    pub async fn serve(self) -> Result<Node<Serving>, StartError> {
+        let parts = Parts::start(&self.settings, self.state.configuration).await?;
+        info!(
+            "event=serving node={} listen={} admin={}",
+            self.settings.node.name,
+            parts.callers.address(),
+            parts.admin.address(),
+        );
+        Ok(Node { settings: self.settings, state: Serving { parts } })
+    }
+}
+
+impl Node<Serving> {
+    /// Returns the address for callers.
+    pub fn address(&self) -> SocketAddr {
+        self.state.parts.callers.address()
+    }
+
+    /// Returns the address for administration.
+    pub fn admin_address(&self) -> SocketAddr {
+        self.state.parts.admin.address()
+    }
+
+    /// Returns a reader of the node's state.
+    pub fn inspector(&self) -> &Inspector {
+        &self.state.parts.inspector
+    }
+
+    /// Waits until an operator asks the node to drain.
+    pub async fn drain_requested(&self) {
+        self.state.parts.inspector.drain.cancelled().await;
+    }
+
+    /// Says that the node is not ready, and goes on to accept for as long as the balancer may take
+    /// to notice.
+    pub async fn drain(self) -> Node<Draining> {
+        info!("event=draining node={}", self.settings.node.name);
+        self.state.parts.phase.send_replace(Phase::Draining);
+        let notice = Duration::from_millis(self.settings.node.drain_notice_ms);
+        tokio::time::sleep(notice).await;
+        self.state.parts.callers.stop_accepting();
+        Node { settings: self.settings, state: Draining { parts: self.state.parts } }
+    }
+}
+
+impl Node<Draining> {
+    /// Waits for open work, up to the deadline or until `insist` ends, and joins every task.
+    pub async fn finish(self, insist: impl Future<Output = ()>) -> Ending {
+        let parts = self.state.parts;
+        let deadline = Duration::from_millis(self.settings.node.drain_deadline_ms);
+        let work_ends = timeout(deadline, parts.callers.join());
+        let ended = tokio::select! {
+            ended = work_ends => ended.is_ok(),
+            () = insist => false,
+        };
+        let connections = parts.callers.open_connections();
+        if !ended {
+            warn!("event=drain_cut node={} connections={connections}", self.settings.node.name);
+            parts.callers.abort();
+            parts.callers.join().await;
+        }
+        Self::join(parts).await;
+        info!("event=ended node={} complete={ended}", self.settings.node.name);
+        if ended { Ending::Complete } else { Ending::Cut { connections } }
+    }
+
+    async fn join(parts: Parts) {
+        parts.requests.close();
+        parts.requests.wait().await;
+        parts.admin.abort();
+        parts.admin.join().await;
+        let Parts { callers, admin, inspector, services, pool, .. } = parts;
+        // The dispatch task ends with the last way to it.
+        drop((callers, admin, inspector));
+        services.close();
+        services.wait().await;
+        pool.close().await;
+    }
+}
--- /dev/null
+++ b/crates/redwingrill/src/telemetry/metrics.rs
@@ -0,0 +1,78 @@
+//! Metrics in StatsD form over UDP.
+
+use std::io;
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cadence::BufferedUdpMetricSink;
+use cadence::Counted;
+use cadence::Gauged;
+use cadence::NopMetricSink;
+use cadence::QueuingMetricSink;
+use cadence::StatsdClient;
+use cadence::Timed;
+
+use redwingrill_codes::ResultCode;
+
+const PREFIX: &str = "redwingrill";
+
+/// Metrics waiting to be sent; more are dropped rather than waited for.
+const QUEUE_LIMIT: usize = 16 << 10;
+
+/// Sends metrics. Clones share one queue.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    client: Arc<StatsdClient>,
+}
+
+impl Metrics {
+    /// Makes metrics that are sent to `address`, or dropped without one.
+    ///
+    /// # Errors
+    ///
+    /// The cause if no socket could be opened.
+    pub fn new(address: Option<SocketAddr>, node: &str) -> io::Result<Self> {
+        let builder = match address {
+            None => StatsdClient::builder(PREFIX, NopMetricSink),
+            Some(address) => {
+                let socket = UdpSocket::bind(("0.0.0.0", 0))?;
+                socket.set_nonblocking(true)?;
+                let sink =
+                    BufferedUdpMetricSink::from(address, socket).map_err(io::Error::other)?;
+                StatsdClient::builder(PREFIX, QueuingMetricSink::with_capacity(sink, QUEUE_LIMIT))
+            }
+        };
+        Ok(Self { client: Arc::new(builder.with_tag("node", node).build()) })
+    }
+
+    /// Counts the end of a request.
+    pub fn request_ended(&self, call: &str, code: ResultCode, took: Duration) {
+        let code = code.info().name;
+        self.client
+            .count_with_tags("requests", 1)
+            .with_tag("call", call)
+            .with_tag("code", code)
+            .send();
+        self.client.time_with_tags("request_time_ms", took).with_tag("call", call).send();
+    }
+
+    /// Reports the time from a request's arrival to its first token.
+    pub fn first_token(&self, priority: &str, took: Duration) {
+        self.client
+            .time_with_tags("first_token_time_ms", took)
+            .with_tag("priority", priority)
+            .send();
+    }
+
+    /// Counts something that happened.
+    pub fn count(&self, name: &str, amount: i64) {
+        self.client.count_with_tags(name, amount).send();
+    }
+
+    /// Reports a level.
+    pub fn gauge(&self, name: &str, value: u64) {
+        self.client.gauge_with_tags(name, value).send();
+    }
+}
--- a/crates/settings/src/model.rs
+++ b/crates/settings/src/model.rs
@@ -43,6 +43,8 @@
     pub region: String,
     /// How long a graceful shutdown may take.
     pub drain_deadline_ms: u64,
+    /// How long the node goes on to accept after it says that it is not ready.
+    pub drain_notice_ms: u64,
 }
 
 /// Where the platform's service is.
--- a/crates/stream/src/transcript.rs
+++ b/crates/stream/src/transcript.rs
@@ -127,6 +127,16 @@
         self.complete
     }
 
+    /// Returns whether the engine said that the answer ended, which is all a caller needs.
+    pub fn is_answered(&self) -> bool {
+        self.finished
+    }
+
+    /// Returns whether anything that a caller can see was delivered.
+    pub fn has_output(&self) -> bool {
+        self.has_text() || self.finished || !self.plain_text
+    }
+
     /// Returns whether any text was delivered.
     pub fn has_text(&self) -> bool {
         !self.text.is_empty()
