Mend the dispatch task's constructor

Cause: the counters were added and the constructor, which the formatter had put on one line, was not changed with them. Change: set them. Measured: the library compiles; lints clean.

--- a/crates/redwingrill/src/dispatch/task.rs
+++ b/crates/redwingrill/src/dispatch/task.rs
@@ -59,8 +59,15 @@
     /// Makes the task and the way to it.
     pub fn new() -> (Dispatcher, Self) {
         let (sender, messages) = mpsc::unbounded_channel();
-        let task =
-            Self { messages, tickets: HashMap::new(), in_flight: EntityMap::new(), next_ticket: 0 };
+        let task = Self {
+            messages,
+            tickets: HashMap::new(),
+            in_flight: EntityMap::new(),
+            next_ticket: 0,
+            first_tokens: 0,
+            replaced: 0,
+            cached_tokens: 0,
+        };
         (Dispatcher::new(sender), task)
     }
 
