Read the desired state from INI files and name every fault

Cause: nothing read the operator's files yet. Ruled out: a parser of our own (the INI library reads each line by itself, so lines are known), and loading a whole file by the library (it keeps no line numbers and merges repeated keys). Change: one table of sections and keys drives the parser, the checks and the reference page; faults carry file, line, subject, reason and the way out; several files or a directory make one state. DesiredState gains engine_roles, for orders that change a role. Conclusion: parse, parse_str, read_files, render and reference are ready for use.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod model;
 mod snapshot;
+mod text;
 
 pub use model::Account;
 pub use model::CallPattern;
@@ -15,3 +16,12 @@
 pub use model::UpstreamKind;
 pub use snapshot::Generation;
 pub use snapshot::Snapshot;
+pub use text::Fault;
+pub use text::Faults;
+pub use text::KEY_HASH_PREFIX;
+pub use text::SourceFile;
+pub use text::parse;
+pub use text::parse_str;
+pub use text::read_files;
+pub use text::reference;
+pub use text::render;
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -37,6 +37,8 @@
     pub upstreams: EntityMap<UpstreamId, Upstream>,
     /// Plain services.
     pub services: EntityMap<ServiceId, Service>,
+    /// The roles that engines are ordered to take; an engine without an entry keeps its own.
+    pub engine_roles: EntityMap<UpstreamId, String>,
 }
 
 /// A priority class of requests.
--- /dev/null
+++ b/crates/config/src/text/sections.rs
@@ -0,0 +1,191 @@
+//! The check of each section against the table of keys.
+//!
+//! Invariant: a [`Section`] holds only keys of its kind, each at most once, with values that were
+//! read; keys with a default always have a value.
+
+use std::collections::HashMap;
+
+use super::Fault;
+use super::Faults;
+use super::SourceFile;
+use super::lines::Property;
+use super::lines::RawSection;
+use super::spec::KeySpec;
+use super::spec::Presence;
+use super::spec::SECTIONS;
+use super::spec::SectionKind;
+use super::suggest::nearest;
+use super::value;
+use super::value::Value;
+
+const NAME_LIMIT_BYTES: usize = 128;
+
+/// A value with the line it stands on.
+#[derive(Clone, PartialEq, Debug)]
+pub struct Located {
+    /// The value.
+    pub value: Value,
+    /// The line, from 1; that of the header for a default.
+    pub line: usize,
+}
+
+/// A section whose keys were checked.
+#[derive(Clone, Debug)]
+pub struct Section {
+    /// The kind.
+    pub kind: SectionKind,
+    /// The name in the header.
+    pub name: String,
+    /// The index of the file.
+    pub file: usize,
+    /// The line of the header.
+    pub line: usize,
+    values: Vec<Located>,
+    keys: Vec<&'static str>,
+}
+
+impl Section {
+    /// Returns the value of a key, if it has one.
+    pub fn get(&self, key: &str) -> Option<&Located> {
+        let at = self.keys.iter().position(|known| *known == key)?;
+        Some(&self.values[at])
+    }
+
+    /// Returns the header as the operator wrote it.
+    pub fn header(&self) -> String {
+        format!("[{} {}]", self.kind.spec().word, self.name)
+    }
+
+    fn set(&mut self, key: &'static str, value: Value, line: usize) {
+        self.keys.push(key);
+        self.values.push(Located { value, line });
+    }
+}
+
+/// Checks raw sections one after the other and collects their faults.
+pub struct SectionChecker<'a> {
+    sources: &'a [SourceFile],
+    seen: HashMap<(SectionKind, String), (usize, usize)>,
+    faults: &'a mut Faults,
+}
+
+impl<'a> SectionChecker<'a> {
+    /// Makes a checker that has seen no section.
+    pub fn new(sources: &'a [SourceFile], faults: &'a mut Faults) -> Self {
+        Self { sources, seen: HashMap::new(), faults }
+    }
+
+    /// Checks one section. Faults inside it leave out what is at fault and keep the rest.
+    pub fn check(&mut self, raw: &RawSection) -> Option<Section> {
+        let (kind, name) = self.check_header(raw)?;
+        let mut section = Section {
+            kind,
+            name,
+            file: raw.file,
+            line: raw.line,
+            values: Vec::new(),
+            keys: Vec::new(),
+        };
+        self.check_duplicate(&section);
+        for property in &raw.properties {
+            self.check_property(&mut section, raw, property);
+        }
+        for spec in kind.spec().keys {
+            self.check_presence(&mut section, raw, spec);
+        }
+        Some(section)
+    }
+
+    fn check_header(&mut self, raw: &RawSection) -> Option<(SectionKind, String)> {
+        let (word, name) = raw.header.split_once(char::is_whitespace).unwrap_or((&raw.header, ""));
+        let subject = format!("[{}]", raw.header);
+        let Some(kind) = SectionKind::from_word(word) else {
+            let words: Vec<&str> = SECTIONS.iter().map(|spec| spec.word).collect();
+            let reason = format!("no section is called `{word}`");
+            self.fault(raw.file, raw.line, subject, reason, nearest(word, &words));
+            return None;
+        };
+        let name = name.trim();
+        if let Some(reason) = name_fault(name) {
+            let way_out = format!("write [{word} NAME], the name of letters, digits, and . _ -");
+            self.fault(raw.file, raw.line, subject, reason.to_owned(), way_out);
+            return None;
+        }
+        Some((kind, name.to_owned()))
+    }
+
+    fn check_duplicate(&mut self, section: &Section) {
+        let place = (section.file, section.line);
+        let earlier = self.seen.insert((section.kind, section.name.clone()), place);
+        if let Some((file, line)) = earlier {
+            let reason =
+                format!("the section stands already at {}:{line}", self.sources[file].name);
+            let way_out = "remove one of the two, or rename it".to_owned();
+            self.fault(section.file, section.line, section.header(), reason, way_out);
+        }
+    }
+
+    fn check_property(&mut self, section: &mut Section, raw: &RawSection, property: &Property) {
+        let subject = format!("{} {}", section.header(), property.key);
+        let spec = section.kind.spec();
+        let Some(key) = spec.key(&property.key) else {
+            let known: Vec<&str> = spec.keys.iter().map(|key| key.key).collect();
+            let reason = "no key of this name here".to_owned();
+            let way_out = nearest(&property.key, &known);
+            return self.fault(raw.file, property.line, subject, reason, way_out);
+        };
+        if let Some(earlier) = section.get(key.key) {
+            let reason = format!("the key stands already at line {}", earlier.line);
+            let way_out = "remove one of the two".to_owned();
+            return self.fault(raw.file, property.line, subject, reason, way_out);
+        }
+        match value::read(key.kind, &property.value) {
+            Ok(value) => section.set(key.key, value, property.line),
+            Err(bad) => self.fault(raw.file, property.line, subject, bad.reason, bad.way_out),
+        }
+    }
+
+    fn check_presence(&mut self, section: &mut Section, raw: &RawSection, spec: &'static KeySpec) {
+        if raw.properties.iter().any(|property| property.key == spec.key) {
+            return;
+        }
+        match spec.presence {
+            Presence::Optional => {}
+            Presence::Default(text) => {
+                let value = value::read(spec.kind, text).expect("defaults in the table are valid");
+                section.set(spec.key, value, raw.line);
+            }
+            Presence::Required => {
+                let subject = format!("{} {}", section.header(), spec.key);
+                let way_out = format!("add a line `{} = ...` to the section", spec.key);
+                self.fault(raw.file, raw.line, subject, "the key is missing".to_owned(), way_out);
+            }
+        }
+    }
+
+    fn fault(
+        &mut self,
+        file: usize,
+        line: usize,
+        subject: String,
+        reason: String,
+        way_out: String,
+    ) {
+        let file = self.sources[file].name.clone();
+        self.faults.push(Fault { file, line, subject, reason, way_out });
+    }
+}
+
+fn name_fault(name: &str) -> Option<&'static str> {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-');
+    if name.is_empty() {
+        return Some("the section has no name");
+    }
+    if name.len() > NAME_LIMIT_BYTES {
+        return Some("the name is longer than 128 bytes");
+    }
+    if !name.chars().all(allowed) {
+        return Some("the name has a character that is not allowed");
+    }
+    None
+}
--- /dev/null
+++ b/crates/config/src/text/source.rs
@@ -0,0 +1,70 @@
+//! The operator's files as read from disk.
+//!
+//! A directory stands for all its `*.ini` files in the order of their names, so that a desired
+//! state may be split as its operators like.
+
+use std::fs;
+use std::io;
+use std::path::Path;
+use std::path::PathBuf;
+
+use super::Fault;
+use super::Faults;
+
+/// The largest file that is read.
+const FILE_LIMIT_BYTES: u64 = 64 << 20;
+
+/// One file with its text.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct SourceFile {
+    /// The name to show in faults.
+    pub name: String,
+    /// The text.
+    pub text: String,
+}
+
+/// Reads files and directories.
+pub fn read_files(paths: &[PathBuf]) -> Result<Vec<SourceFile>, Faults> {
+    let mut faults = Faults::default();
+    let mut sources = Vec::new();
+    for path in paths {
+        match read_path(path) {
+            Ok(found) => sources.extend(found),
+            Err(error) => faults.push(unreadable(path, &error)),
+        }
+    }
+    faults.into_result(sources)
+}
+
+fn read_path(path: &Path) -> io::Result<Vec<SourceFile>> {
+    if !path.is_dir() {
+        return Ok(vec![read_file(path)?]);
+    }
+    let entries: io::Result<Vec<PathBuf>> =
+        fs::read_dir(path)?.map(|entry| entry.map(|e| e.path())).collect();
+    let mut files = entries?;
+    files.retain(|file| file.extension().is_some_and(|extension| extension == "ini"));
+    files.sort();
+    if files.is_empty() {
+        return Err(io::Error::new(io::ErrorKind::NotFound, "no *.ini file in this directory"));
+    }
+    files.iter().map(|file| read_file(file)).collect()
+}
+
+fn read_file(path: &Path) -> io::Result<SourceFile> {
+    if fs::metadata(path)?.len() > FILE_LIMIT_BYTES {
+        return Err(io::Error::new(io::ErrorKind::FileTooLarge, "larger than 64 MiB"));
+    }
+    let text = fs::read_to_string(path)?;
+    Ok(SourceFile { name: path.display().to_string(), text })
+}
+
+fn unreadable(path: &Path, error: &io::Error) -> Fault {
+    Fault {
+        file: path.display().to_string(),
+        line: 0,
+        subject: String::new(),
+        reason: format!("cannot be read: {error}"),
+        way_out: "name a readable UTF-8 file, or a directory with *.ini files".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/config/tests/faults.rs
@@ -0,0 +1,38 @@
+//! Golden cases of what a check says about files.
+
+use redwingrill_config::SourceFile;
+use redwingrill_config::parse;
+use redwingrill_config::render;
+use redwingrill_entity::Names;
+
+const FILE_MARK: &str = "# file: ";
+
+fn sources(input: &str) -> Vec<SourceFile> {
+    let mut sources: Vec<SourceFile> = Vec::new();
+    for line in input.lines() {
+        match (line.strip_prefix(FILE_MARK), sources.last_mut()) {
+            (Some(name), _) => {
+                sources.push(SourceFile { name: name.to_owned(), text: String::new() });
+            }
+            (None, Some(source)) => source.text.push_str(&format!("{line}\n")),
+            (None, None) => {
+                sources.push(SourceFile { name: "site.ini".to_owned(), text: format!("{line}\n") });
+            }
+        }
+    }
+    sources
+}
+
+#[test]
+fn faults_name_file_line_reason_and_way_out() {
+    redwingrill_golden::run_dir("tests/cases/faults", |input| {
+        let mut names = Names::default();
+        match parse(&sources(input), &mut names) {
+            Ok(state) => render(&state, &names),
+            Err(faults) => {
+                assert!(names.accounts.is_empty(), "refused files leave no names behind");
+                faults.to_string()
+            }
+        }
+    });
+}
