Serve the stand-ins of platform, engine and service

Cause: the whole path needs outside systems to run against, as processes and inside tests. Ruled out: mocking at the ports alone, which leaves sockets, silence and cuts untried; keeping every event of a stream in memory, since tokens are a function of the request and a count is enough. Change: redwingrill-lab platform, engine and service over one small HTTP server whose sockets can be cut or go silent; the engine has continuous batching, a prefix cache, resuming, and faults by step. Conclusion: enough for the daemon's thin path; tests of the engine follow.

--- a/crates/lab/src/bin/redwingrill-lab.rs
+++ b/crates/lab/src/bin/redwingrill-lab.rs
@@ -1,3 +1,7 @@
-//! Placeholder entry point.
+//! Stand-ins, load and experiments; see `redwingrill-lab --help`.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    redwingrill_lab::cli::run()
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,1 +1,13 @@
 //! Stand-ins, load and experiments.
+//!
+//! Each stand-in speaks the published protocol of one outside system over real sockets, keeps its
+//! state in memory and has an administration address of its own on which faults are switched. The
+//! stand-ins run as processes of `redwingrill-lab` or inside a test by their `start` functions.
+
+pub mod answer;
+pub mod cli;
+pub mod engine;
+pub mod faults;
+pub mod net;
+pub mod platform;
+pub mod service;
