Admit by priorities with floors, fair shares, and fleet-wide limits

Cause: floods of one kind of work, and a few callers far larger than the rest. Ruled out: shares by request count (large prompts gain), dropping the newest arrival of a full queue (small callers pay for a large one's flood), and exchanging all accounts between nodes (19,000; only heavy ones matter). Change: deficit round robin over accounts inside priorities with floors, early shedding, token rate and concurrency limits scaled to the node's part of an account's demand, budgets, adaptive concurrency, ejection with slow return.

--- /dev/null
+++ b/crates/admission/src/engines/concurrency.rs
@@ -0,0 +1,99 @@
+//! The adaptive limit of requests that this node has at one engine.
+//!
+//! Requests beyond what an engine can start at once wait inside it, where neither floors nor shares
+//! hold. The limit therefore grows while the engine starts work at once and is fully used, and
+//! shrinks when requests wait there or first tokens come late.
+
+/// The first limit, and the least.
+const INITIAL: f64 = 8.0;
+const MIN: f64 = 1.0;
+
+/// The most requests of one node at one engine.
+const MAX: f64 = 512.0;
+
+/// The factors of one step.
+const GROW_FAST: f64 = 1.5;
+const GROW: f64 = 1.0;
+const SHRINK_WAITING: f64 = 0.9;
+const SHRINK_LATE: f64 = 0.85;
+
+/// The least time between two steps of the same kind; a step shows in reports only after a while.
+const SHRINK_INTERVAL_MS: u64 = 500;
+const GROW_INTERVAL_MS: u64 = 250;
+
+/// The share of the limit that must be used for it to grow.
+const FULL_SHARE: f64 = 0.8;
+
+/// What an engine shows of its pressure.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Pressure {
+    /// Requests start at once.
+    Free,
+    /// Requests wait inside the engine.
+    Waiting,
+    /// A first token came after its target.
+    Late,
+}
+
+/// The limit at one engine.
+#[derive(Clone, Copy, Debug)]
+pub struct ConcurrencyLimit {
+    limit: f64,
+    most_used: u32,
+    is_starting: bool,
+    shrunk_ms: u64,
+    grown_ms: u64,
+}
+
+impl Default for ConcurrencyLimit {
+    fn default() -> Self {
+        Self { limit: INITIAL, most_used: 0, is_starting: true, shrunk_ms: 0, grown_ms: 0 }
+    }
+}
+
+impl ConcurrencyLimit {
+    /// Returns the limit.
+    pub fn get(&self) -> u32 {
+        self.limit as u32
+    }
+
+    /// Notes how many requests are at the engine now.
+    pub fn used(&mut self, in_flight: u32) {
+        self.most_used = self.most_used.max(in_flight);
+    }
+
+    /// Takes in what the engine shows.
+    pub fn observe(&mut self, pressure: Pressure, now_ms: u64) {
+        match pressure {
+            Pressure::Free => self.grow(now_ms),
+            Pressure::Waiting => self.shrink(SHRINK_WAITING, now_ms),
+            Pressure::Late => self.shrink(SHRINK_LATE, now_ms),
+        }
+    }
+
+    /// Starts again from the least, for an engine that came back empty.
+    pub fn restart(&mut self, now_ms: u64) {
+        *self = Self { limit: MIN, grown_ms: now_ms, ..Self::default() };
+    }
+
+    fn grow(&mut self, now_ms: u64) {
+        let is_full = f64::from(self.most_used) >= self.limit * FULL_SHARE;
+        if !is_full || now_ms < self.grown_ms + GROW_INTERVAL_MS {
+            return;
+        }
+        self.limit = if self.is_starting { self.limit * GROW_FAST } else { self.limit + GROW };
+        self.limit = self.limit.min(MAX);
+        self.most_used = 0;
+        self.grown_ms = now_ms;
+    }
+
+    fn shrink(&mut self, factor: f64, now_ms: u64) {
+        self.is_starting = false;
+        if now_ms < self.shrunk_ms + SHRINK_INTERVAL_MS {
+            return;
+        }
+        self.limit = (self.limit * factor).max(MIN);
+        self.shrunk_ms = now_ms;
+        self.grown_ms = now_ms;
+    }
+}
--- /dev/null
+++ b/crates/admission/src/engines/health.rs
@@ -0,0 +1,97 @@
+//! Ejection of a failing engine and its slow return.
+
+use serde::Serialize;
+
+/// Failures in a row that eject.
+const FAILURES: u32 = 3;
+
+/// The first pause, and the longest.
+const PAUSE_MS: u64 = 1_000;
+const MAX_PAUSE_MS: u64 = 30_000;
+
+/// How long an engine takes to return to its whole limit.
+const RETURN_MS: u64 = 5_000;
+
+/// The share of its limit that a returning engine starts with.
+const RETURN_SHARE: f64 = 0.1;
+
+/// Where an engine stands.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum HealthState {
+    /// It gets its share.
+    #[default]
+    Healthy,
+    /// It gets nothing until the pause is over.
+    Ejected {
+        /// The end of the pause.
+        until_ms: u64,
+    },
+    /// It gets a growing share.
+    Returning {
+        /// When it began to return.
+        since_ms: u64,
+    },
+}
+
+/// The health of one engine as this node sees it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EngineHealth {
+    state: HealthState,
+    failures: u32,
+    ejections: u32,
+}
+
+impl EngineHealth {
+    /// Returns where the engine stands.
+    pub fn state(&self) -> HealthState {
+        self.state
+    }
+
+    /// Notes a request that the engine served.
+    pub fn succeeded(&mut self, now_ms: u64) {
+        self.failures = 0;
+        let HealthState::Returning { since_ms } = self.state else { return };
+        if now_ms >= since_ms + RETURN_MS {
+            *self = Self::default();
+        }
+    }
+
+    /// Notes a fault of the engine. Returns whether it is ejected by it.
+    pub fn failed(&mut self, now_ms: u64) -> bool {
+        self.failures += 1;
+        let is_returning = matches!(self.state, HealthState::Returning { .. });
+        let is_ejected = matches!(self.state, HealthState::Ejected { .. });
+        if is_ejected || (self.failures < FAILURES && !is_returning) {
+            return false;
+        }
+        let pause_ms = (PAUSE_MS << self.ejections.min(10)).min(MAX_PAUSE_MS);
+        self.state = HealthState::Ejected { until_ms: now_ms + pause_ms };
+        self.ejections += 1;
+        self.failures = 0;
+        true
+    }
+
+    /// Begins the slow return of an engine that came back empty.
+    pub fn restarted(&mut self, now_ms: u64) {
+        self.state = HealthState::Returning { since_ms: now_ms };
+        self.failures = 0;
+    }
+
+    /// Returns the share of its limit that the engine gets now.
+    pub fn share(&mut self, now_ms: u64) -> f64 {
+        if let HealthState::Ejected { until_ms } = self.state {
+            if now_ms < until_ms {
+                return 0.0;
+            }
+            self.state = HealthState::Returning { since_ms: until_ms };
+        }
+        match self.state {
+            HealthState::Returning { since_ms } => {
+                let age_ms = now_ms.saturating_sub(since_ms) as f64;
+                (RETURN_SHARE + age_ms / RETURN_MS as f64).min(1.0)
+            }
+            _ => 1.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/admission/src/limits/accounts.rs
@@ -0,0 +1,150 @@
+//! Token rate and requests in flight of client accounts.
+
+use serde::Serialize;
+
+use super::demand::AccountDemand;
+use super::demand::Demand;
+use redwingrill_entity::AccountId;
+use redwingrill_entity::EntityMap;
+
+/// Tokens that may be used at once after a quiet time, in seconds of the rate.
+const BURST_S: f64 = 2.0;
+
+/// The shortest and longest waits that a refused caller is told.
+const MIN_RETRY_AFTER_MS: f64 = 100.0;
+const MAX_RETRY_AFTER_MS: f64 = 60_000.0;
+
+/// What a caller over its requests in flight is told.
+const CONCURRENCY_RETRY_AFTER_MS: u64 = 1_000;
+
+/// What the configuration allows an account.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub struct LimitSpec {
+    /// Tokens a second over the fleet; zero for no limit.
+    pub tokens_per_s: u64,
+    /// Requests in flight over the fleet; zero for no limit.
+    pub requests: u32,
+}
+
+/// Why an account's request is refused. It was not run.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum LimitRefusal {
+    /// The account is over its token rate.
+    Rate {
+        /// When to try again.
+        retry_after_ms: u64,
+    },
+    /// The account has too many requests in flight.
+    Concurrency {
+        /// When to try again.
+        retry_after_ms: u64,
+    },
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Usage {
+    in_flight: u32,
+    // Tokens used ahead of the rate; negative for credit.
+    debt_tokens: f64,
+    at_ms: u64,
+}
+
+/// The limits and the usage of all accounts at this node.
+#[derive(Clone, Debug, Default)]
+pub struct AccountLimits {
+    usage: EntityMap<AccountId, Usage>,
+    demand: Demand,
+}
+
+/// One account's state for a dump.
+#[derive(Clone, Copy, PartialEq, Debug, Serialize)]
+pub struct AccountState {
+    /// The account.
+    pub account: AccountId,
+    /// Requests that were let in and have not ended.
+    pub in_flight: u32,
+    /// The part of its demand that comes to this node.
+    pub part: f64,
+}
+
+impl AccountLimits {
+    /// Counts a request's demand and lets it in if the account's limits allow it.
+    ///
+    /// # Errors
+    ///
+    /// The limit that the request would pass.
+    pub fn admit(
+        &mut self,
+        account: AccountId,
+        spec: LimitSpec,
+        tokens: u64,
+        now_ms: u64,
+    ) -> Result<(), LimitRefusal> {
+        self.demand.count(account, tokens, now_ms);
+        let part = self.demand.part(account, now_ms);
+        let usage = self.usage.get_or_insert_with(account, Usage::default);
+        if spec.requests > 0 {
+            let limit = (f64::from(spec.requests) * part).round().max(1.0);
+            if f64::from(usage.in_flight) >= limit {
+                let retry_after_ms = CONCURRENCY_RETRY_AFTER_MS;
+                return Err(LimitRefusal::Concurrency { retry_after_ms });
+            }
+        }
+        if spec.tokens_per_s > 0 {
+            let rate_per_ms = spec.tokens_per_s as f64 * part / 1_000.0;
+            usage.pay(rate_per_ms, now_ms);
+            if usage.debt_tokens > 0.0 {
+                let wait_ms = usage.debt_tokens / rate_per_ms;
+                let retry_after_ms = wait_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS) as u64;
+                return Err(LimitRefusal::Rate { retry_after_ms });
+            }
+            usage.debt_tokens += tokens as f64;
+        }
+        usage.in_flight += 1;
+        Ok(())
+    }
+
+    /// Notes the end of a request that was let in, and gives back what it did not use.
+    pub fn end(&mut self, account: AccountId, unused_tokens: u64) {
+        if let Some(usage) = self.usage.get_mut(account) {
+            usage.in_flight = usage.in_flight.saturating_sub(1);
+            usage.debt_tokens -= unused_tokens as f64;
+        }
+    }
+
+    /// Returns the weight of an account at this node: its weight over the fleet, times the part of
+    /// its demand that comes here, so that spreading over nodes gains nothing.
+    pub fn weight_here(&self, account: AccountId, weight: u32, now_ms: u64) -> f64 {
+        f64::from(weight.max(1)) * self.demand.part(account, now_ms)
+    }
+
+    /// Replaces what other nodes told of their top accounts, summed over them.
+    pub fn set_elsewhere(&mut self, demands: impl IntoIterator<Item = AccountDemand>) {
+        self.demand.set_elsewhere(demands);
+    }
+
+    /// Returns the accounts with the most demand here, for the other nodes.
+    pub fn top(&self, limit: usize, now_ms: u64) -> Vec<AccountDemand> {
+        self.demand.top(limit, now_ms)
+    }
+
+    /// Returns the state of the accounts that have requests in flight.
+    pub fn state(&self, now_ms: u64) -> Vec<AccountState> {
+        let busy = self.usage.iter().filter(|(_, usage)| usage.in_flight > 0);
+        let state = busy.map(|(account, usage)| AccountState {
+            account,
+            in_flight: usage.in_flight,
+            part: self.demand.part(account, now_ms),
+        });
+        state.collect()
+    }
+}
+
+impl Usage {
+    fn pay(&mut self, rate_per_ms: f64, now_ms: u64) {
+        let elapsed_ms = now_ms.saturating_sub(self.at_ms) as f64;
+        let burst = rate_per_ms * 1_000.0 * BURST_S;
+        self.debt_tokens = (self.debt_tokens - elapsed_ms * rate_per_ms).max(-burst);
+        self.at_ms = self.at_ms.max(now_ms);
+    }
+}
--- /dev/null
+++ b/crates/admission/src/limits/demand.rs
@@ -0,0 +1,90 @@
+//! The demand of client accounts, here and elsewhere.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use redwingrill_entity::AccountId;
+use redwingrill_entity::EntityMap;
+
+/// The time in which demand loses half of its weight.
+const HALF_LIFE_MS: f64 = 4_000.0;
+
+/// The smallest part of an account that a node takes to be its own.
+const MIN_PART: f64 = 0.02;
+
+/// Demand below this is not worth an exchange.
+const MIN_EXCHANGED_TOKENS_PER_S: f64 = 100.0;
+
+/// What an account asks for, as nodes tell each other.
+#[derive(Clone, Copy, PartialEq, Debug, Serialize, Deserialize)]
+pub struct AccountDemand {
+    /// The account.
+    pub account: AccountId,
+    /// The tokens it asks for, whether served or not.
+    pub tokens_per_s: f64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Decaying {
+    tokens: f64,
+    at_ms: u64,
+}
+
+impl Decaying {
+    fn at(self, now_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.at_ms) as f64;
+        self.tokens * (-age_ms / HALF_LIFE_MS).exp2()
+    }
+
+    fn rate_per_s(self, now_ms: u64) -> f64 {
+        // The integral of the decay over all time.
+        let memory_s = HALF_LIFE_MS / std::f64::consts::LN_2 / 1_000.0;
+        self.at(now_ms) / memory_s
+    }
+}
+
+/// The demand of all accounts at this node, and what other nodes told.
+#[derive(Clone, Debug, Default)]
+pub struct Demand {
+    here: EntityMap<AccountId, Decaying>,
+    elsewhere: EntityMap<AccountId, f64>,
+}
+
+impl Demand {
+    /// Counts what a request asks for.
+    pub fn count(&mut self, account: AccountId, tokens: u64, now_ms: u64) {
+        let demand = self.here.get_or_insert_with(account, Decaying::default);
+        *demand = Decaying { tokens: demand.at(now_ms) + tokens as f64, at_ms: now_ms };
+    }
+
+    /// Replaces what the other nodes told, summed over them.
+    pub fn set_elsewhere(&mut self, demands: impl IntoIterator<Item = AccountDemand>) {
+        self.elsewhere = EntityMap::new();
+        for demand in demands {
+            *self.elsewhere.get_or_insert_with(demand.account, || 0.0) += demand.tokens_per_s;
+        }
+    }
+
+    /// Returns the part of an account's demand that comes to this node.
+    pub fn part(&self, account: AccountId, now_ms: u64) -> f64 {
+        let elsewhere = self.elsewhere.get(account).copied().unwrap_or(0.0);
+        if elsewhere <= 0.0 {
+            return 1.0;
+        }
+        let here = self.here.get(account).map_or(0.0, |demand| demand.rate_per_s(now_ms));
+        (here / (here + elsewhere)).clamp(MIN_PART, 1.0)
+    }
+
+    /// Returns the accounts with the most demand here, at most `limit`, the largest first.
+    pub fn top(&self, limit: usize, now_ms: u64) -> Vec<AccountDemand> {
+        let demands = self.here.iter().map(|(account, demand)| AccountDemand {
+            account,
+            tokens_per_s: demand.rate_per_s(now_ms),
+        });
+        let large = demands.filter(|demand| demand.tokens_per_s >= MIN_EXCHANGED_TOKENS_PER_S);
+        let mut top: Vec<_> = large.collect();
+        top.sort_by(|a, b| b.tokens_per_s.total_cmp(&a.tokens_per_s));
+        top.truncate(limit);
+        top
+    }
+}
--- /dev/null
+++ b/crates/admission/src/queue/drain_rate.rs
@@ -0,0 +1,41 @@
+//! How fast a queue drains, for the wait that a new request must expect.
+
+/// The time in which an observation loses half of its weight.
+const HALF_LIFE_MS: f64 = 2_000.0;
+
+/// A decayed rate of started cost.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct DrainRate {
+    started_tokens: f64,
+    observed_ms: f64,
+    at_ms: u64,
+}
+
+impl DrainRate {
+    /// Counts cost that was started while others waited.
+    pub fn started(&mut self, cost_tokens: u64, now_ms: u64) {
+        self.advance(now_ms);
+        self.started_tokens += cost_tokens as f64;
+    }
+
+    /// Counts time in which something waited.
+    pub fn advance(&mut self, now_ms: u64) {
+        let elapsed_ms = now_ms.saturating_sub(self.at_ms) as f64;
+        let kept = (-elapsed_ms / HALF_LIFE_MS).exp2();
+        self.started_tokens *= kept;
+        self.observed_ms = self.observed_ms * kept + elapsed_ms;
+        self.at_ms = self.at_ms.max(now_ms);
+    }
+
+    /// Forgets the time since the last change, in which nothing waited.
+    pub fn skip(&mut self, now_ms: u64) {
+        self.at_ms = self.at_ms.max(now_ms);
+    }
+
+    /// Returns how long it takes to start this much; `None` while too little was observed.
+    pub fn time_for_ms(&self, cost_tokens: f64) -> Option<f64> {
+        let is_observed = self.observed_ms >= HALF_LIFE_MS / 4.0;
+        let rate = self.started_tokens / self.observed_ms;
+        (is_observed && rate > 0.0).then(|| cost_tokens / rate)
+    }
+}
--- /dev/null
+++ b/crates/admission/src/queue/mod.rs
@@ -0,0 +1,23 @@
+//! The requests that wait, and which goes next.
+//!
+//! ```text
+//!            ┌─ priority 0 ── account queues (deficit round robin) ─┐
+//!  push ─────┼─ priority 1 ── ...                                   ├──► pop
+//!            └─ priority 2 ── ...                                   ┘
+//! ```
+//!
+//! Invariants: an account is in the round of its priority exactly while it has waiting requests; the
+//! length and the cost of a queue are the sums over its accounts; a request waits in one place.
+
+mod drain_rate;
+mod fair_queue;
+mod scheduler;
+
+pub use drain_rate::DrainRate;
+pub use fair_queue::FairQueue;
+pub use fair_queue::Waiting;
+pub use fair_queue::WaitingId;
+pub use scheduler::PrioritySpec;
+pub use scheduler::QueueRefusal;
+pub use scheduler::Scheduler;
+pub use scheduler::SchedulerState;
--- /dev/null
+++ b/crates/admission/src/queue/scheduler.rs
@@ -0,0 +1,251 @@
+//! Priorities with floors.
+//!
+//! The most urgent work goes first. A floor is the share of the places that a priority can count on:
+//! work below its floor goes before more urgent work above its own, and less urgent work leaves the
+//! unused part of a more urgent floor free, so that urgent work finds a place at once.
+
+use serde::Serialize;
+
+use super::drain_rate::DrainRate;
+use super::fair_queue::FairQueue;
+use super::fair_queue::Waiting;
+use super::fair_queue::WaitingId;
+use redwingrill_entity::AccountId;
+use redwingrill_entity::EntityMap;
+use redwingrill_entity::PriorityId;
+
+/// Requests that may wait in one priority.
+const MAX_WAITING: usize = 1_024;
+
+/// The shortest wait that a shed caller is told.
+const MIN_RETRY_AFTER_MS: u64 = 1_000;
+
+/// The longest wait that a shed caller is told.
+const MAX_RETRY_AFTER_MS: u64 = 30_000;
+
+/// What the configuration says of a priority.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct PrioritySpec {
+    /// The priority.
+    pub priority: PriorityId,
+    /// Its place in the order of urgency; zero is the most urgent.
+    pub level: u8,
+    /// The share of the places it can count on.
+    pub floor_percent: u8,
+}
+
+/// Why a request may not wait. It was not run.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum QueueRefusal {
+    /// The queue is full, and the account has the most in it.
+    Full {
+        /// When to try again.
+        retry_after_ms: u64,
+    },
+    /// The wait would pass the deadline.
+    TooLong {
+        /// When to try again.
+        retry_after_ms: u64,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Class {
+    spec: PrioritySpec,
+    queue: FairQueue,
+    drain: DrainRate,
+    in_flight: u32,
+}
+
+impl Class {
+    fn floor(&self, places: u32) -> f64 {
+        f64::from(places) * f64::from(self.spec.floor_percent) / 100.0
+    }
+
+    fn is_below_floor(&self, places: u32) -> bool {
+        f64::from(self.in_flight) < self.floor(places)
+    }
+
+    fn unused_floor(&self, places: u32) -> f64 {
+        (self.floor(places) - f64::from(self.in_flight)).max(0.0)
+    }
+}
+
+/// The queues of one model.
+#[derive(Clone, Debug, Default)]
+pub struct Scheduler {
+    // In the order of urgency.
+    classes: Vec<Class>,
+}
+
+/// The scheduler's state for a dump.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize)]
+pub struct SchedulerState {
+    /// The priority.
+    pub priority: PriorityId,
+    /// Requests that wait.
+    pub waiting: usize,
+    /// Requests that were started and have not ended.
+    pub in_flight: u32,
+}
+
+impl Scheduler {
+    /// Takes over a configuration. Waiting and started requests stay.
+    pub fn configure(&mut self, specs: impl IntoIterator<Item = PrioritySpec>) {
+        for spec in specs {
+            match self.classes.iter_mut().find(|class| class.spec.priority == spec.priority) {
+                Some(class) => class.spec = spec,
+                None => self.classes.push(Class {
+                    spec,
+                    queue: FairQueue::default(),
+                    drain: DrainRate::default(),
+                    in_flight: 0,
+                }),
+            }
+        }
+        self.classes.sort_by_key(|class| (class.spec.level, class.spec.priority));
+    }
+
+    /// Lets a request wait. A full queue makes room by giving up the newest request of the account
+    /// that has the most in it, which is returned.
+    ///
+    /// # Errors
+    ///
+    /// The refusal, if the request may not wait.
+    pub fn push(
+        &mut self,
+        priority: PriorityId,
+        waiting: Waiting,
+        weight: f64,
+        now_ms: u64,
+    ) -> Result<Option<Waiting>, QueueRefusal> {
+        let Some(class) = self.class_mut(priority) else {
+            return Err(QueueRefusal::Full { retry_after_ms: MAX_RETRY_AFTER_MS });
+        };
+        match class.queue.is_empty() {
+            true => class.drain.skip(now_ms),
+            false => class.drain.advance(now_ms),
+        }
+        let cost = class.queue.cost_before(waiting.account, weight) + waiting.cost_tokens as f64;
+        let wait_ms = class.drain.time_for_ms(cost).unwrap_or(0.0);
+        let is_waiting = !class.queue.is_empty();
+        if is_waiting && now_ms + wait_ms as u64 > waiting.deadline_ms {
+            return Err(QueueRefusal::TooLong { retry_after_ms: retry_after(wait_ms) });
+        }
+        class.queue.push(waiting, weight);
+        if class.queue.len() <= MAX_WAITING {
+            return Ok(None);
+        }
+        match class.queue.pop_longest() {
+            Some(dropped) if dropped.id == waiting.id => {
+                Err(QueueRefusal::Full { retry_after_ms: retry_after(wait_ms) })
+            }
+            dropped => Ok(dropped),
+        }
+    }
+
+    /// Takes the request that goes next, if one of the `places` is free for it.
+    pub fn pop(&mut self, places: u32, now_ms: u64) -> Option<(PriorityId, Waiting)> {
+        let index = self.next_class(places)?;
+        let class = &mut self.classes[index];
+        let waiting = class.queue.pop()?;
+        class.drain.started(waiting.cost_tokens, now_ms);
+        class.in_flight += 1;
+        Some((class.spec.priority, waiting))
+    }
+
+    /// Notes that a started request ended.
+    pub fn end(&mut self, priority: PriorityId) {
+        if let Some(class) = self.class_mut(priority) {
+            class.in_flight = class.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Takes out a request whose caller is gone.
+    pub fn withdraw(
+        &mut self,
+        priority: PriorityId,
+        account: AccountId,
+        id: WaitingId,
+    ) -> Option<Waiting> {
+        self.class_mut(priority)?.queue.remove(account, id)
+    }
+
+    /// Takes out one request whose deadline has passed.
+    pub fn pop_expired(&mut self, now_ms: u64) -> Option<Waiting> {
+        self.classes.iter_mut().find_map(|class| class.queue.pop_expired(now_ms))
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn waiting(&self) -> usize {
+        self.classes.iter().map(|class| class.queue.len()).sum()
+    }
+
+    /// Returns the number of started requests.
+    pub fn in_flight(&self) -> u32 {
+        self.classes.iter().map(|class| class.in_flight).sum()
+    }
+
+    /// Returns the state for a dump.
+    pub fn state(&self) -> Vec<SchedulerState> {
+        let classes = self.classes.iter();
+        let state = classes.map(|class| SchedulerState {
+            priority: class.spec.priority,
+            waiting: class.queue.len(),
+            in_flight: class.in_flight,
+        });
+        state.collect()
+    }
+
+    /// Checks the invariants and names the first that is broken.
+    pub fn verify(&self) -> Result<(), String> {
+        if !self.classes.is_sorted_by_key(|class| class.spec.level) {
+            return Err("priorities are out of order".into());
+        }
+        let mut seen = EntityMap::<PriorityId, ()>::new();
+        for class in &self.classes {
+            if seen.insert(class.spec.priority, ()).is_some() {
+                return Err(format!("{} is there twice", class.spec.priority));
+            }
+            if class.queue.len() > MAX_WAITING {
+                return Err(format!("the queue of {} is too long", class.spec.priority));
+            }
+            class.queue.verify()?;
+        }
+        Ok(())
+    }
+
+    /// Returns the class to start from: the most urgent below its floor, else the most urgent that
+    /// leaves the floors of the others free.
+    fn next_class(&self, places: u32) -> Option<usize> {
+        let waiting = |class: &Class| !class.queue.is_empty();
+        // A floor holds although other work has taken all places.
+        let below =
+            self.classes.iter().position(|class| waiting(class) && class.is_below_floor(places));
+        if below.is_some() {
+            return below;
+        }
+        let free = f64::from(places) - f64::from(self.in_flight());
+        self.classes.iter().enumerate().find_map(|(index, class)| {
+            let fits = free - self.reserved(index, places) >= 1.0;
+            (waiting(class) && fits).then_some(index)
+        })
+    }
+
+    /// Returns the places that a class must leave free: unused floors of more urgent classes, and
+    /// those of less urgent classes that wait.
+    fn reserved(&self, index: usize, places: u32) -> f64 {
+        let others = self.classes.iter().enumerate();
+        let reserved = others
+            .filter(|&(other, class)| other < index || (other > index && !class.queue.is_empty()));
+        reserved.map(|(_, class)| class.unused_floor(places)).sum()
+    }
+
+    fn class_mut(&mut self, priority: PriorityId) -> Option<&mut Class> {
+        self.classes.iter_mut().find(|class| class.spec.priority == priority)
+    }
+}
+
+fn retry_after(wait_ms: f64) -> u64 {
+    (wait_ms as u64).clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS)
+}
--- /dev/null
+++ b/crates/admission/tests/engines.rs
@@ -0,0 +1,86 @@
+//! Tests of budgets, adaptive limits, ejection and slow return.
+
+use redwingrill_admission::engines::Budget;
+use redwingrill_admission::engines::ConcurrencyLimit;
+use redwingrill_admission::engines::EngineHealth;
+use redwingrill_admission::engines::HealthState;
+use redwingrill_admission::engines::Pressure;
+
+#[test]
+fn retries_stay_a_fraction_of_successes_when_a_third_of_the_engines_die() {
+    const PERCENT: u32 = 10;
+    const BURST: u32 = 10;
+    const REQUESTS: u64 = 9_000;
+    let mut budget = Budget::new(PERCENT, BURST);
+    let mut successes = 0;
+    for request in 0..REQUESTS {
+        let mut engine = request;
+        // Every third engine is dead; a retry goes to the next.
+        while engine % 3 == 0 && budget.spend() {
+            engine += 1;
+        }
+        if engine % 3 != 0 {
+            budget.succeeded();
+            successes += 1;
+        }
+    }
+    assert!(budget.spent() <= u64::from(BURST) + successes * u64::from(PERCENT) / 100);
+    assert!(budget.refused() > 0);
+}
+
+#[test]
+fn an_engine_is_ejected_longer_each_time_and_returns_slowly() {
+    let mut health = EngineHealth::default();
+    assert!(!health.failed(0));
+    assert!(!health.failed(0));
+    assert!(health.failed(0));
+    assert_eq!(health.share(999), 0.0);
+    let early = health.share(1_000);
+    assert!(early > 0.0 && early < 0.2);
+    assert!(health.share(2_000) > early);
+    // One failure is enough while it returns.
+    assert!(health.failed(2_000));
+    assert_eq!(health.state(), HealthState::Ejected { until_ms: 4_000 });
+    assert!(health.share(4_000) < 0.2);
+    health.succeeded(9_100);
+    assert_eq!(health.state(), HealthState::Healthy);
+    assert_eq!(health.share(9_100), 1.0);
+}
+
+#[test]
+fn an_engine_that_came_back_empty_is_not_flooded() {
+    let mut health = EngineHealth::default();
+    let mut limit = ConcurrencyLimit::default();
+    health.restarted(1_000);
+    limit.restart(1_000);
+    assert_eq!(limit.get(), 1);
+    assert!(health.share(1_000) < 0.2);
+    assert_eq!(health.share(6_000), 1.0);
+}
+
+#[test]
+fn the_limit_follows_pressure() {
+    struct Case {
+        name: &'static str,
+        pressure: Pressure,
+        is_used: bool,
+        grows: Option<bool>,
+    }
+    let cases = [
+        Case { name: "full and free", pressure: Pressure::Free, is_used: true, grows: Some(true) },
+        Case { name: "idle and free", pressure: Pressure::Free, is_used: false, grows: None },
+        Case { name: "waiting", pressure: Pressure::Waiting, is_used: true, grows: Some(false) },
+        Case { name: "late", pressure: Pressure::Late, is_used: true, grows: Some(false) },
+    ];
+    for case in cases {
+        let mut limit = ConcurrencyLimit::default();
+        let before = limit.get();
+        for now_ms in (1_000..5_000).step_by(100) {
+            limit.used(if case.is_used { limit.get() } else { 0 });
+            limit.observe(case.pressure, now_ms);
+        }
+        let grows = (limit.get() != before).then_some(limit.get() > before);
+        assert_eq!(grows, case.grows, "{}", case.name);
+        assert!(limit.get() >= 1);
+    }
+}
--- /dev/null
+++ b/crates/admission/tests/scheduler.rs
@@ -0,0 +1,199 @@
+//! Whole sessions of the scheduler as text, and its fair queue against a simple model.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+
+use redwingrill_admission::queue::FairQueue;
+use redwingrill_admission::queue::PrioritySpec;
+use redwingrill_admission::queue::Scheduler;
+use redwingrill_admission::queue::Waiting;
+use redwingrill_admission::queue::WaitingId;
+use redwingrill_entity::AccountId;
+use redwingrill_entity::EntityRef;
+use redwingrill_entity::Interner;
+use redwingrill_entity::PriorityId;
+
+const SEED: u64 = 7;
+
+const NEVER_MS: u64 = u64::MAX;
+
+#[test]
+fn sessions() {
+    redwingrill_golden::run_dir("tests/cases/scheduler", |input| {
+        let mut session = Session::default();
+        input.lines().for_each(|line| session.step(line));
+        session.output
+    });
+}
+
+#[derive(Default)]
+struct Session {
+    scheduler: Scheduler,
+    accounts: Interner<AccountId>,
+    priorities: Interner<PriorityId>,
+    specs: Vec<PrioritySpec>,
+    weights: BTreeMap<AccountId, f64>,
+    places: u32,
+    now_ms: u64,
+    next: u64,
+    output: String,
+}
+
+impl Session {
+    fn step(&mut self, line: &str) {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        match words.as_slice() {
+            [] | ["#", ..] => {}
+            ["priority", name, floor] => {
+                let spec = PrioritySpec {
+                    priority: self.priorities.intern(name),
+                    level: self.specs.len() as u8,
+                    floor_percent: number(floor) as u8,
+                };
+                self.specs.push(spec);
+                self.scheduler.configure(self.specs.iter().copied());
+            }
+            ["weight", account, weight] => {
+                self.weights.insert(self.accounts.intern(account), number(weight) as f64);
+            }
+            ["places", places] => self.places = number(places) as u32,
+            ["at", now_ms] => self.now_ms = number(now_ms),
+            ["push", priority, account, cost, count] => {
+                (0..number(count)).for_each(|_| self.push(priority, account, number(cost)));
+            }
+            ["pop", count] => self.pop(number(count)),
+            ["end", priority, count] => {
+                let priority = self.priorities.intern(priority);
+                (0..number(count)).for_each(|_| self.scheduler.end(priority));
+            }
+            ["expire"] => {
+                while let Some(expired) = self.scheduler.pop_expired(self.now_ms) {
+                    self.say(&format!("expired {}", self.name(expired)));
+                }
+            }
+            _ => panic!("no such step: {line}"),
+        }
+        self.scheduler.verify().expect("the invariants hold");
+    }
+
+    fn push(&mut self, priority: &str, account: &str, cost_tokens: u64) {
+        let account = self.accounts.intern(account);
+        let weight = self.weights.get(&account).copied().unwrap_or(1.0);
+        let id = WaitingId(self.next);
+        self.next += 1;
+        let deadline_ms = self.now_ms + 2_000;
+        let waiting = Waiting { id, account, cost_tokens, deadline_ms };
+        let priority = self.priorities.intern(priority);
+        match self.scheduler.push(priority, waiting, weight, self.now_ms) {
+            Ok(None) => {}
+            Ok(Some(dropped)) => self.say(&format!("dropped {}", self.name(dropped))),
+            Err(refusal) => self.say(&format!("refused {} {refusal:?}", self.name(waiting))),
+        }
+    }
+
+    /// Starts requests and says runs of the same account in one line.
+    fn pop(&mut self, count: u64) {
+        let mut runs: Vec<(String, u32)> = Vec::new();
+        for _ in 0..count {
+            let popped = self.scheduler.pop(self.places, self.now_ms);
+            let name = match popped {
+                None => "none".to_owned(),
+                Some((priority, waiting)) => {
+                    format!("{}/{}", self.priorities.name(priority), self.name(waiting))
+                }
+            };
+            match runs.last_mut() {
+                Some((last, count)) if *last == name => *count += 1,
+                _ => runs.push((name, 1)),
+            }
+        }
+        let runs: Vec<String> =
+            runs.iter().map(|(name, count)| format!("{name}*{count}")).collect();
+        self.say(&runs.join(" "));
+    }
+
+    fn name(&self, waiting: Waiting) -> String {
+        self.accounts.name(waiting.account).to_owned()
+    }
+
+    fn say(&mut self, text: &str) {
+        writeln!(self.output, "{}: {text}", self.now_ms).expect("strings grow");
+    }
+}
+
+fn number(text: &str) -> u64 {
+    text.parse().unwrap_or_else(|_| panic!("{text} is no number"))
+}
+
+fn waiting(id: u64, account: usize, cost_tokens: u64) -> Waiting {
+    let account = AccountId::from_index(account);
+    Waiting { id: WaitingId(id), account, cost_tokens, deadline_ms: NEVER_MS }
+}
+
+#[test]
+fn the_fair_queue_keeps_each_account_in_order_and_loses_nothing() {
+    fn holds(steps: Vec<(u8, u16)>) -> bool {
+        let mut queue = FairQueue::default();
+        let mut model: BTreeMap<AccountId, Vec<WaitingId>> = BTreeMap::new();
+        for (id, (kind, cost)) in steps.into_iter().enumerate() {
+            let entry = waiting(id as u64, usize::from(kind % 5), cost.into());
+            match kind % 7 {
+                0..=3 => {
+                    queue.push(entry, f64::from(kind % 3 + 1));
+                    model.entry(entry.account).or_default().push(entry.id);
+                }
+                4 => {
+                    let ids = model.entry(entry.account).or_default();
+                    let gone = ids.pop();
+                    let removed = gone.and_then(|id| queue.remove(entry.account, id));
+                    assert_eq!(removed.map(|removed| removed.id), gone);
+                }
+                _ => {
+                    if let Some(popped) = queue.pop() {
+                        assert_eq!(model.get_mut(&popped.account).unwrap().remove(0), popped.id);
+                    }
+                }
+            }
+            queue.verify().expect("the invariants hold");
+        }
+        queue.len() == model.values().map(Vec::len).sum::<usize>()
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(80, SEED))
+        .tests(300)
+        .quickcheck(holds as fn(Vec<(u8, u16)>) -> bool);
+}
+
+#[test]
+fn shares_follow_weights_whatever_the_sizes_of_requests() {
+    struct Case {
+        weights: [f64; 2],
+        costs: [u64; 2],
+    }
+    let cases = [
+        Case { weights: [1.0, 1.0], costs: [100, 100] },
+        Case { weights: [1.0, 1.0], costs: [100, 4_000] },
+        Case { weights: [3.0, 1.0], costs: [700, 900] },
+        Case { weights: [0.1, 0.4], costs: [5_000, 300] },
+    ];
+    const STARTED_TOKENS: u64 = 400_000;
+    for case in cases {
+        let mut queue = FairQueue::default();
+        for id in 0..20_000 {
+            let account = id % 2;
+            let entry = waiting(id as u64, account, case.costs[account]);
+            queue.push(entry, case.weights[account]);
+        }
+        let mut started = [0; 2];
+        while started.iter().sum::<u64>() < STARTED_TOKENS {
+            let popped = queue.pop().expect("both accounts wait");
+            started[popped.account.index()] += popped.cost_tokens;
+        }
+        let share = started[0] as f64 / started.iter().sum::<u64>() as f64;
+        let fair = case.weights[0] / case.weights.iter().sum::<f64>();
+        assert!((share - fair).abs() < 0.1 * fair, "share {share}, fair {fair}");
+    }
+}
