Read and check a daemon's settings

Cause: a daemon had no settings file. Weighed: a reader of its own or the readers of lines and values that the operator's configuration has; the latter, with a second table of sections. Change: sections declared once with summaries, faults with file, line, key, reason and way out, sizes and address lists as values.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -2,7 +2,7 @@
 
 mod model;
 mod snapshot;
-mod text;
+pub mod text;
 
 pub use model::Account;
 pub use model::CallPattern;
--- a/crates/config/src/text/mod.rs
+++ b/crates/config/src/text/mod.rs
@@ -6,14 +6,14 @@
 
 mod build;
 mod fault;
-mod lines;
-mod reference;
+pub mod lines;
+pub mod reference;
 mod render;
 mod sections;
 mod source;
-mod spec;
-mod suggest;
-mod value;
+pub mod spec;
+pub mod suggest;
+pub mod value;
 
 pub use fault::Fault;
 pub use fault::Faults;
--- a/crates/config/src/text/reference.rs
+++ b/crates/config/src/text/reference.rs
@@ -24,7 +24,8 @@
     text
 }
 
-fn absent_text(presence: Presence) -> String {
+/// Describes what a key that is left out stands for.
+pub fn absent_text(presence: Presence) -> String {
     match presence {
         Presence::Required => "a fault".to_owned(),
         Presence::Default(value) => format!("`{value}`"),
@@ -32,7 +33,8 @@
     }
 }
 
-fn value_text(kind: ValueKind) -> String {
+/// Describes the values of a kind.
+pub fn value_text(kind: ValueKind) -> String {
     match kind {
         ValueKind::Text => "text, up to 255 bytes".to_owned(),
         ValueKind::Count(least, most) => format!("{least} to {most}"),
@@ -42,6 +44,8 @@
         ValueKind::Flag => "`yes` or `no`".to_owned(),
         ValueKind::Choice(words) => format!("one of `{}`", words.join("`, `")),
         ValueKind::Address => "`IP:PORT`".to_owned(),
+        ValueKind::Addresses => "`IP:PORT`, parted by commas".to_owned(),
+        ValueKind::Size(least, most) => format!("size, {least} B to {most} B"),
         ValueKind::Reference(kind) => format!("name of a `[{} NAME]`", kind.spec().word),
         ValueKind::References(kind) => format!("names of `[{} NAME]`", kind.spec().word),
         ValueKind::KeyHashes => "`blake3:HEX`, parted by commas".to_owned(),
--- a/crates/config/src/text/spec.rs
+++ b/crates/config/src/text/spec.rs
@@ -37,6 +37,10 @@
     Choice(&'static [&'static str]),
     /// An IP address with a port.
     Address,
+    /// IP addresses with ports, parted by commas.
+    Addresses,
+    /// A number of bytes with its unit, between two bounds, both included.
+    Size(u64, u64),
     /// The name of a section of this kind.
     Reference(SectionKind),
     /// Names of sections of this kind, parted by commas.
@@ -88,7 +92,8 @@
 const HOUR_MS: u64 = 3_600 * SECOND_MS;
 const DAY_MS: u64 = 24 * HOUR_MS;
 
-const fn key(
+/// Makes one row of a table of keys.
+pub const fn key(
     key: &'static str,
     kind: ValueKind,
     presence: Presence,
--- a/crates/config/src/text/value.rs
+++ b/crates/config/src/text/value.rs
@@ -20,6 +20,9 @@
 const TIME_UNITS: &[(&str, u64)] =
     &[("ms", 1), ("s", 1_000), ("min", 60_000), ("h", 3_600_000), ("d", 86_400_000)];
 
+/// The units of size with their length.
+const SIZE_UNITS: &[(&str, u64)] = &[("B", 1), ("KiB", 1 << 10), ("MiB", 1 << 20)];
+
 const METHODS: &[&str] = &["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"];
 
 /// A value that has been read.
@@ -33,6 +36,8 @@
     Flag(bool),
     /// An address.
     Address(SocketAddr),
+    /// Addresses.
+    Addresses(Vec<SocketAddr>),
     /// Names of other sections.
     Names(Vec<String>),
     /// Hashes of keys.
@@ -70,6 +75,8 @@
         ValueKind::Flag => read_choice(text, &["yes", "no"]).map(|word| Value::Flag(word == "yes")),
         ValueKind::Choice(words) => read_choice(text, words).map(Value::Text),
         ValueKind::Address => read_address(text).map(Value::Address),
+        ValueKind::Addresses => read_list(text, read_address).map(Value::Addresses),
+        ValueKind::Size(least, most) => read_size(text, least, most).map(Value::Number),
         ValueKind::Reference(_) => read_text(text).map(Value::Text),
         ValueKind::References(_) => read_names(text).map(Value::Names),
         ValueKind::KeyHashes => read_list(text, read_key_hash).map(Value::KeyHashes),
@@ -139,6 +146,23 @@
     Ok(ms)
 }
 
+fn read_size(text: &str, least_bytes: u64, most_bytes: u64) -> Result<u64, BadValue> {
+    let unit_at = text.find(|c: char| !c.is_ascii_digit()).unwrap_or(text.len());
+    let (number, unit) = text.split_at(unit_at);
+    let Some(&(_, unit_bytes)) = SIZE_UNITS.iter().find(|(name, _)| *name == unit.trim()) else {
+        return bad(
+            "the unit of size is missing or unknown",
+            "write a size such as 16 KiB or 4 MiB",
+        );
+    };
+    let bytes = read_number(number)?.saturating_mul(unit_bytes);
+    if bytes < least_bytes || bytes > most_bytes {
+        let way_out = format!("write {least_bytes} B to {most_bytes} B");
+        return bad(format!("{text} is out of range"), way_out);
+    }
+    Ok(bytes)
+}
+
 /// Reads a number with at most three decimals, times `unit_ms`, without a remainder.
 fn read_decimal(text: &str, unit_ms: u64) -> Result<u64, BadValue> {
     let (whole, decimals) = text.split_once('.').unwrap_or((text, ""));
--- /dev/null
+++ b/crates/settings/src/check.rs
@@ -0,0 +1,130 @@
+//! The check of a settings file against the table of keys.
+//!
+//! Invariant: [`Values`] holds only keys of the table, with values that were read; a key with a
+//! default always has a value.
+
+use std::collections::HashMap;
+
+use crate::SECTIONS;
+use crate::SectionSpec;
+use redwingrill_config::Fault;
+use redwingrill_config::Faults;
+use redwingrill_config::SourceFile;
+use redwingrill_config::text::lines::Property;
+use redwingrill_config::text::lines::RawSection;
+use redwingrill_config::text::lines::split_sections;
+use redwingrill_config::text::spec::Presence;
+use redwingrill_config::text::suggest::nearest;
+use redwingrill_config::text::value;
+use redwingrill_config::text::value::Value;
+
+/// The values of all keys by section and key.
+#[derive(Debug, Default)]
+pub(crate) struct Values {
+    values: HashMap<(&'static str, &'static str), Value>,
+    present: HashMap<&'static str, usize>,
+}
+
+impl Values {
+    /// Returns the value of a key, if it has one.
+    pub fn get(&self, section: &'static str, key: &'static str) -> Option<&Value> {
+        self.values.get(&(section, key))
+    }
+
+    /// Returns whether the file has a section.
+    pub fn has_section(&self, section: &'static str) -> bool {
+        self.present.contains_key(section)
+    }
+}
+
+/// Reads a settings file and collects its faults.
+pub(crate) fn check(source: &SourceFile) -> (Values, Faults) {
+    let mut faults = Faults::default();
+    let raw = split_sections(0, source, &mut faults);
+    let mut checker = Checker { source, values: Values::default(), faults };
+    for section in &raw {
+        checker.section(section);
+    }
+    for spec in SECTIONS {
+        checker.presence(spec);
+    }
+    (checker.values, checker.faults)
+}
+
+struct Checker<'a> {
+    source: &'a SourceFile,
+    values: Values,
+    faults: Faults,
+}
+
+impl Checker<'_> {
+    fn section(&mut self, raw: &RawSection) {
+        let subject = format!("[{}]", raw.header);
+        let Some(spec) = SECTIONS.iter().find(|spec| spec.name == raw.header) else {
+            let known: Vec<&str> = SECTIONS.iter().map(|spec| spec.name).collect();
+            let reason = format!("no section is called `{}`", raw.header);
+            return self.fault(raw.line, subject, reason, nearest(&raw.header, &known));
+        };
+        if let Some(earlier) = self.values.present.insert(spec.name, raw.line) {
+            let reason = format!("the section stands already at line {earlier}");
+            return self.fault(raw.line, subject, reason, "join the two".to_owned());
+        }
+        for property in &raw.properties {
+            self.property(spec, property);
+        }
+    }
+
+    fn property(&mut self, section: &SectionSpec, property: &Property) {
+        let subject = format!("[{}] {}", section.name, property.key);
+        let Some(key) = section.keys.iter().find(|spec| spec.key == property.key) else {
+            let known: Vec<&str> = section.keys.iter().map(|spec| spec.key).collect();
+            let reason = "no key of this name here".to_owned();
+            return self.fault(property.line, subject, reason, nearest(&property.key, &known));
+        };
+        if self.values.get(section.name, key.key).is_some() {
+            let reason = "the key stands here already".to_owned();
+            return self.fault(property.line, subject, reason, "remove one of the two".to_owned());
+        }
+        match value::read(key.kind, &property.value) {
+            Ok(value) => {
+                self.values.values.insert((section.name, key.key), value);
+            }
+            Err(bad) => self.fault(property.line, subject, bad.reason, bad.way_out),
+        }
+    }
+
+    fn presence(&mut self, section: &'static SectionSpec) {
+        let line = self.values.present.get(section.name).copied();
+        if line.is_none() && section.optional && has_required(section) {
+            return;
+        }
+        for key in section.keys {
+            if self.values.get(section.name, key.key).is_some() {
+                continue;
+            }
+            match key.presence {
+                Presence::Optional => {}
+                Presence::Default(text) => {
+                    let value = value::read(key.kind, text);
+                    let value = value.expect("defaults in the table are valid");
+                    self.values.values.insert((section.name, key.key), value);
+                }
+                Presence::Required => {
+                    let subject = format!("[{}] {}", section.name, key.key);
+                    let reason = "the key is missing or at fault".to_owned();
+                    let way_out = format!("add a line `{} = ...` to the section", key.key);
+                    self.fault(line.unwrap_or(0), subject, reason, way_out);
+                }
+            }
+        }
+    }
+
+    fn fault(&mut self, line: usize, subject: String, reason: String, way_out: String) {
+        let file = self.source.name.clone();
+        self.faults.push(Fault { file, line, subject, reason, way_out });
+    }
+}
+
+fn has_required(section: &SectionSpec) -> bool {
+    section.keys.iter().any(|key| key.presence == Presence::Required)
+}
