--- a/crates/redwingrill/src/bin/redwingrilld.rs
+++ b/crates/redwingrill/src/bin/redwingrilld.rs
@@ -1,3 +1,7 @@
-//! Placeholder entry point.
+//! The daemon of an entry instance.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    redwingrill::daemon::main(std::env::args_os())
+}
--- /dev/null
+++ b/crates/redwingrill/src/daemon/args.rs
@@ -0,0 +1,55 @@
+//! The daemon's command line.
+
+use std::ffi::OsString;
+use std::path::PathBuf;
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::Command;
+use clap::value_parser;
+
+/// What the command line asks for.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Args {
+    /// The settings file.
+    pub settings: PathBuf,
+    /// Whether to check the settings only.
+    pub check: bool,
+}
+
+impl Args {
+    /// Parses a command line whose first item is the program's name.
+    ///
+    /// # Errors
+    ///
+    /// The library's error, which prints itself.
+    pub fn parse(
+        args: impl IntoIterator<Item = impl Into<OsString> + Clone>,
+    ) -> Result<Self, clap::Error> {
+        let matches = command().try_get_matches_from(args)?;
+        let settings = matches.get_one::<PathBuf>("settings").cloned();
+        Ok(Self {
+            settings: settings.expect("the argument is required"),
+            check: matches.get_flag("check"),
+        })
+    }
+}
+
+fn command() -> Command {
+    Command::new("redwingrilld")
+        .about("The router daemon of an entry instance")
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .value_name("FILE")
+                .help("The settings file")
+                .value_parser(value_parser!(PathBuf))
+                .required(true),
+        )
+        .arg(
+            Arg::new("check")
+                .long("check")
+                .help("Check the settings, print every fault, and exit")
+                .action(ArgAction::SetTrue),
+        )
+}
--- /dev/null
+++ b/crates/redwingrill/src/daemon/run.rs
@@ -0,0 +1,137 @@
+//! The run of a daemon.
+
+use std::ffi::OsString;
+use std::fs;
+use std::io;
+use std::path::Path;
+use std::process::ExitCode;
+
+use log::error;
+use log::info;
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::signal::unix::Signal;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use super::Args;
+use crate::node::Ending;
+use crate::node::Node;
+use crate::node::Serving;
+use crate::node::StartError;
+use crate::telemetry::init_logs;
+use redwingrill_codes::ResultCode;
+use redwingrill_config::Faults;
+use redwingrill_config::SourceFile;
+use redwingrill_settings::Settings;
+
+/// Why a daemon ended with an error.
+#[derive(Debug, Snafu)]
+enum DaemonError {
+    /// The settings file cannot be read.
+    #[snafu(display("{path}: {source}"))]
+    Read { path: String, source: io::Error },
+    /// The settings have faults.
+    #[snafu(display("{faults}"))]
+    Settings { faults: Faults },
+    /// The runtime did not start.
+    #[snafu(display("cannot start: {source}"))]
+    Runtime { source: io::Error },
+    /// The node did not start.
+    #[snafu(display("{source}"))]
+    Start { source: StartError },
+}
+
+impl DaemonError {
+    fn code(&self) -> ResultCode {
+        match self {
+            Self::Read { .. } | Self::Settings { .. } => ResultCode::SettingsInvalid,
+            Self::Runtime { .. } | Self::Start { .. } => ResultCode::Internal,
+        }
+    }
+}
+
+/// Runs the daemon with a command line and returns its exit status.
+pub fn main(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let args = match Args::parse(args) {
+        Ok(args) => args,
+        Err(e) => {
+            // Help that was asked for goes to standard output and is no error.
+            let printed = e.print();
+            let failed = e.use_stderr() || printed.is_err();
+            return if failed { exit(ResultCode::Usage) } else { ExitCode::SUCCESS };
+        }
+    };
+    match run(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("redwingrilld: {e}");
+            exit(e.code())
+        }
+    }
+}
+
+fn exit(code: ResultCode) -> ExitCode {
+    ExitCode::from(code.exit_status())
+}
+
+fn run(args: &Args) -> Result<(), DaemonError> {
+    let settings = read_settings(&args.settings)?;
+    if args.check {
+        println!("{}: no faults", args.settings.display());
+        return Ok(());
+    }
+    init_logs(settings.log.level);
+    let runtime = tokio::runtime::Runtime::new().context(RuntimeSnafu)?;
+    runtime.block_on(serve(settings))
+}
+
+fn read_settings(path: &Path) -> Result<Settings, DaemonError> {
+    let name = path.display().to_string();
+    let text = fs::read_to_string(path).context(ReadSnafu { path: name.clone() })?;
+    let source = SourceFile { name, text };
+    redwingrill_settings::parse(&source).map_err(|faults| DaemonError::Settings { faults })
+}
+
+async fn serve(settings: Settings) -> Result<(), DaemonError> {
+    // Signals are watched before the node serves, so that none is missed.
+    let mut signals = Signals::new().context(RuntimeSnafu)?;
+    let node = Node::new(settings).serve().await.context(StartSnafu)?;
+    announce(&node);
+    tokio::select! {
+        () = signals.stop() => {}
+        () = node.drain_requested() => {}
+    }
+    let draining = node.drain(signals.stop()).await;
+    if let Ending::Cut { connections } = draining.finish(signals.stop()).await {
+        error!("event=cut connections={connections}");
+    }
+    Ok(())
+}
+
+/// Prints the bound addresses, which a settings file may leave to the system with port 0.
+fn announce(node: &Node<Serving>) {
+    println!("listening={} admin={}", node.address(), node.admin_address());
+    info!("event=started pid={}", std::process::id());
+}
+
+/// The signals that ask for a stop.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    fn new() -> io::Result<Self> {
+        let terminate = signal(SignalKind::terminate())?;
+        let interrupt = signal(SignalKind::interrupt())?;
+        Ok(Self { terminate, interrupt })
+    }
+
+    async fn stop(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
--- a/crates/redwingrill/src/lib.rs
+++ b/crates/redwingrill/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admin;
 pub mod completions;
+pub mod daemon;
 pub mod dispatch;
 pub mod http;
 pub mod node;
--- a/crates/redwingrill/src/node/life.rs
+++ b/crates/redwingrill/src/node/life.rs
@@ -70,7 +70,8 @@
 /// The node is not listening yet.
 #[derive(Debug)]
 pub struct Starting {
-    configuration: watch::Receiver<Arc<Snapshot>>,
+    // A configuration given by hand, for tests and experiments without a platform.
+    configuration: Option<watch::Receiver<Arc<Snapshot>>>,
 }
 
 /// The node serves.
@@ -93,9 +94,18 @@
 }
 
 impl Node<Starting> {
-    /// Prepares a node.
-    pub fn new(settings: Settings, configuration: watch::Receiver<Arc<Snapshot>>) -> Self {
-        Self { settings: Arc::new(settings), state: Starting { configuration } }
+    /// Prepares a node that follows the configuration in the platform's store.
+    pub fn new(settings: Settings) -> Self {
+        Self { settings: Arc::new(settings), state: Starting { configuration: None } }
+    }
+
+    /// Prepares a node whose configuration is given by hand.
+    pub fn with_configuration(
+        settings: Settings,
+        configuration: watch::Receiver<Arc<Snapshot>>,
+    ) -> Self {
+        let state = Starting { configuration: Some(configuration) };
+        Self { settings: Arc::new(settings), state }
     }
 
     /// Binds the addresses and begins to serve.
@@ -137,12 +147,15 @@
     }
 
     /// Says that the node is not ready, and goes on to accept for as long as the balancer may take
-    /// to notice.
-    pub async fn drain(self) -> Node<Draining> {
+    /// to notice, or until `insist` ends.
+    pub async fn drain(self, insist: impl Future<Output = ()>) -> Node<Draining> {
         info!("event=draining node={}", self.settings.node.name);
         self.state.parts.phase.send_replace(Phase::Draining);
         let notice = Duration::from_millis(self.settings.node.drain_notice_ms);
-        tokio::time::sleep(notice).await;
+        tokio::select! {
+            () = tokio::time::sleep(notice) => {}
+            () = insist => {}
+        }
         self.state.parts.callers.stop_accepting();
         Node { settings: self.settings, state: Draining { parts: self.state.parts } }
     }
--- a/crates/redwingrill/src/node/parts.rs
+++ b/crates/redwingrill/src/node/parts.rs
@@ -46,7 +46,7 @@
     /// Binds the addresses and spawns the tasks.
     pub async fn start(
         settings: &Settings,
-        configuration: watch::Receiver<Arc<Snapshot>>,
+        configuration: Option<watch::Receiver<Arc<Snapshot>>>,
     ) -> Result<Self, StartError> {
         let metrics = Metrics::new(settings.metrics.statsd, &settings.node.name)
             .map_err(|source| StartError::Metrics { source })?;
@@ -57,6 +57,9 @@
         let (dispatcher, dispatch) = Dispatch::new();
         services.spawn(dispatch.run());
         let connections = AccountConnections::default();
+        // Without a configuration the node refuses all requests as not ready.
+        let configuration =
+            configuration.unwrap_or_else(|| watch::channel(Arc::new(Snapshot::default())).1);
         let inspector = Inspector {
             name: settings.node.name.clone(),
             phase: phase_reader.clone(),
