Test the stand-ins and add a caller that checks its answers

Cause: a stand-in that is wrong makes every later proof worthless. Ruled out: checking answers by length alone, which cannot tell a crossed answer from the caller's own. Change: tests of batch, cache, resume, continue, cancel, each fault at its step, fencing, the gateway through the project's own adapter; a watch from a compacted revision now opens before it ends, as the published protocol has it; a caller that times tokens and checks owner, order and length. Conclusion: the stand-ins can carry the process test next.

--- a/crates/lab/src/engine/chat.rs
+++ b/crates/lab/src/engine/chat.rs
@@ -1,13 +1,14 @@
 //! The chat completions request as the engine reads it.
 
 use serde::Deserialize;
+use serde::Serialize;
 
 use crate::answer::Owner;
 use crate::answer::count_tokens;
 use crate::engine::blocks::render;
 
 /// One part of a message's content.
-#[derive(Clone, PartialEq, Eq, Debug, Default, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Debug, Default, Serialize, Deserialize)]
 #[serde(default)]
 pub struct ContentPart {
     /// The text of a text part.
@@ -15,7 +16,7 @@
 }
 
 /// The content of a message: a string or a list of parts.
-#[derive(Clone, PartialEq, Eq, Debug, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 #[serde(untagged)]
 pub enum Content {
     /// Plain text.
@@ -35,7 +36,7 @@
 }
 
 /// One message of a conversation.
-#[derive(Clone, PartialEq, Eq, Debug, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct Message {
     /// Who speaks.
     pub role: String,
--- a/crates/lab/src/engine/mod.rs
+++ b/crates/lab/src/engine/mod.rs
@@ -41,6 +41,8 @@
 pub use blocks::BlockHash;
 pub use blocks::block_hashes;
 pub use blocks::prompt_tokens;
+pub use blocks::render;
+pub use cache::CacheChange;
 pub use cache::PrefixCache;
 pub use chat::ChatRequest;
 pub use chat::Message;
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,6 +5,7 @@
 //! stand-ins run as processes of `redwingrill-lab` or inside a test by their `start` functions.
 
 pub mod answer;
+pub mod caller;
 pub mod cli;
 pub mod engine;
 pub mod faults;
--- a/crates/lab/src/platform/watching.rs
+++ b/crates/lab/src/platform/watching.rs
@@ -32,13 +32,14 @@
     })
 }
 
-/// Returns the one message of a watch that asked for revisions no longer held.
-pub(super) fn compacted(revision: Revision) -> Bytes {
-    let mut reply = created(revision);
-    reply.created = false;
-    reply.canceled = true;
-    reply.compact_revision = revision_number(revision);
-    line(&reply)
+/// Returns the messages of a watch that asked for revisions no longer held: it opens and ends.
+pub(super) fn compacted(revision: Revision) -> Vec<u8> {
+    let opened = created(revision);
+    let mut ended = opened.clone();
+    ended.created = false;
+    ended.canceled = true;
+    ended.compact_revision = revision_number(revision);
+    [line(&opened), line(&ended)].concat()
 }
 
 fn created(revision: Revision) -> WatchReply {
--- a/crates/lab/src/service/mod.rs
+++ b/crates/lab/src/service/mod.rs
@@ -19,6 +19,7 @@
 use crate::net::Connections;
 use crate::net::Server;
 
+pub use runs::Arrival;
 pub use runs::KeyRuns;
 pub use runs::Runs;
 
