--- /dev/null
+++ b/crates/ledger/src/idempotency_key.rs
@@ -0,0 +1,106 @@
+//! The Idempotency-Key header field (IETF draft "The Idempotency-Key HTTP Header Field").
+//!
+//! The draft has a quoted string; a bare one is accepted too, as many callers send it. The key is
+//! opaque but for one case: a version 7 UUID (RFC 9562) carries the time it was made, which lets the
+//! ledger refuse an old key for ever without keeping it.
+
+use snafu::Snafu;
+
+/// The longest key.
+const KEY_LIMIT_BYTES: usize = 255;
+/// The length of a UUID in text.
+const UUID_LENGTH: usize = 36;
+/// How far a key's time may lie ahead of the node's clock.
+const AHEAD_LIMIT_MS: u64 = 5 * 60 * 1000;
+
+/// Why a header value is no Idempotency-Key.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Snafu)]
+pub enum KeyError {
+    /// The key is empty.
+    #[snafu(display("the key is empty"))]
+    Empty,
+    /// The key has more than 255 characters.
+    #[snafu(display("the key has more than 255 characters"))]
+    TooLong,
+    /// The key has a character that is not visible ASCII, or a quote in the wrong place.
+    #[snafu(display("the key has a character that is not allowed"))]
+    BadCharacter,
+}
+
+/// How a key's own time stands to the retained window.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum KeyTime {
+    /// The key carries no time.
+    Opaque,
+    /// The key was made within the window.
+    Within,
+    /// The key is older than the window.
+    Expired,
+    /// The key's time lies too far ahead of this node's clock.
+    Ahead,
+}
+
+/// A valid key, without quotes.
+#[derive(Clone, PartialEq, Eq, Hash, Debug)]
+pub struct IdempotencyKey(String);
+
+impl IdempotencyKey {
+    /// Parses a header value.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the value is no key of 1 to 255 visible ASCII characters.
+    pub fn parse(value: &[u8]) -> Result<Self, KeyError> {
+        let inner = unquote(value.trim_ascii())?;
+        if inner.is_empty() {
+            return Err(KeyError::Empty);
+        }
+        if inner.len() > KEY_LIMIT_BYTES {
+            return Err(KeyError::TooLong);
+        }
+        let allowed = |byte: &u8| byte.is_ascii_graphic() && !matches!(byte, b'"' | b'\\');
+        if !inner.iter().all(allowed) {
+            return Err(KeyError::BadCharacter);
+        }
+        let text = std::str::from_utf8(inner).map_err(|_| KeyError::BadCharacter)?;
+        Ok(Self(text.to_owned()))
+    }
+
+    /// Returns the key.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
+    /// Returns the time that a version 7 UUID carries.
+    pub fn made_at_ms(&self) -> Option<u64> {
+        let bytes = self.0.as_bytes();
+        if bytes.len() != UUID_LENGTH || bytes[14] != b'7' {
+            return None;
+        }
+        let dashes = [8, 13, 18, 23];
+        let well_formed = bytes.iter().enumerate().all(|(index, byte)| {
+            if dashes.contains(&index) { *byte == b'-' } else { byte.is_ascii_hexdigit() }
+        });
+        let high = u64::from_str_radix(self.0.get(0..8)?, 16).ok()?;
+        let low = u64::from_str_radix(self.0.get(9..13)?, 16).ok()?;
+        well_formed.then_some(high << 16 | low)
+    }
+
+    /// Compares the key's own time with the retained window.
+    pub fn time_within(&self, window_ms: u64, wall_ms: u64) -> KeyTime {
+        match self.made_at_ms() {
+            None => KeyTime::Opaque,
+            Some(made_at_ms) if made_at_ms > wall_ms + AHEAD_LIMIT_MS => KeyTime::Ahead,
+            Some(made_at_ms) if made_at_ms.saturating_add(window_ms) < wall_ms => KeyTime::Expired,
+            Some(_) => KeyTime::Within,
+        }
+    }
+}
+
+fn unquote(value: &[u8]) -> Result<&[u8], KeyError> {
+    match value {
+        [b'"', inner @ .., b'"'] => Ok(inner),
+        [b'"', ..] | [.., b'"'] => Err(KeyError::BadCharacter),
+        bare => Ok(bare),
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/layout/paged/mod.rs
@@ -0,0 +1,140 @@
+//! Pages: many records in one key of the store.
+//!
+//! A service's orders are spread over shards by the hash of their key. The records of a shard lie
+//! in pages, one after the other in time: `redwingrill/orders/paged/SERVICE/SHARD/SLICE`.
+//!
+//! Invariants:
+//!
+//! - A page changes only by compare-and-swap.
+//! - Page N+1 is created only after page N was seen sealed, so at most one page of a shard is open.
+//! - Keys are added only to the open page. The keys of a sealed page are final; only the state of
+//!   its records still changes. So a claim that found its key in no sealed page, and swapped the open
+//!   page, is the key's first.
+//! - The newest page of a shard is never deleted, so slice numbers never return.
+//!
+//! One rule leans on clocks. A node that was paused for longer than pages are kept could create a
+//! page anew that was deleted meanwhile. Therefore what a node knows of a shard is void after
+//! [`LayoutConfig::view_ttl_ms`] without a word from the store, and so is the answer to a swap that
+//! took longer. Pages are kept at least ten times as long after they were sealed.
+
+mod index;
+mod maintain;
+mod shard;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::Now;
+use crate::ShardId;
+use crate::layout::Done;
+use crate::layout::Lane;
+use crate::layout::Layout;
+use crate::layout::LayoutConfig;
+use crate::layout::LayoutState;
+use crate::layout::StoreAnswer;
+use crate::layout::StoreCall;
+use crate::layout::Submission;
+use crate::layout::Waiting;
+use crate::layout::paged::shard::Shard;
+
+/// The layout with pages.
+#[derive(Debug)]
+pub struct PagedLayout {
+    config: LayoutConfig,
+    lanes: BTreeMap<ShardId, Lane>,
+    shards: Vec<Shard>,
+    ready: BTreeSet<Lane>,
+    done: Vec<Done>,
+    flushing: bool,
+}
+
+impl PagedLayout {
+    /// Makes a layout that knows no pages.
+    pub fn new(config: LayoutConfig) -> Self {
+        Self {
+            config,
+            lanes: BTreeMap::new(),
+            shards: Vec::new(),
+            ready: BTreeSet::new(),
+            done: Vec::new(),
+            flushing: false,
+        }
+    }
+
+    fn lane_of(&mut self, id: ShardId) -> Lane {
+        if let Some(lane) = self.lanes.get(&id) {
+            return *lane;
+        }
+        let lane = Lane(self.shards.len() as u64);
+        self.shards.push(Shard::new(&id, self.config));
+        self.lanes.insert(id, lane);
+        lane
+    }
+
+    fn shard(&mut self, lane: Lane) -> &mut Shard {
+        // Lanes are indexes that `lane_of` gave out, and shards are never removed.
+        &mut self.shards[lane.0 as usize]
+    }
+}
+
+impl Layout for PagedLayout {
+    fn submit(&mut self, submission: Submission, now: Now) {
+        let lane = self.lane_of(submission.operation.key.shard(self.config.shards));
+        self.shard(lane).submit(Waiting::new(submission, now));
+        self.ready.insert(lane);
+    }
+
+    fn next_call(&mut self, now: Now) -> Option<(Lane, StoreCall)> {
+        while let Some(lane) = self.ready.pop_first() {
+            let flushing = self.flushing;
+            let shard = &mut self.shards[lane.0 as usize];
+            if let Some(call) = shard.turn(now, flushing, &mut self.done) {
+                return Some((lane, call));
+            }
+        }
+        None
+    }
+
+    fn answer(&mut self, lane: Lane, answer: StoreAnswer, now: Now) {
+        let shard = &mut self.shards[lane.0 as usize];
+        shard.answer(answer, now, &mut self.done);
+        self.ready.insert(lane);
+    }
+
+    fn take_done(&mut self) -> Vec<Done> {
+        std::mem::take(&mut self.done)
+    }
+
+    fn wake(&mut self, now: Now) -> Option<u64> {
+        let mut next: Option<u64> = None;
+        for (index, shard) in self.shards.iter().enumerate() {
+            let Some(at_ms) = shard.wake_at_ms(self.flushing) else { continue };
+            if at_ms <= now.monotonic_ms {
+                self.ready.insert(Lane(index as u64));
+            }
+            next = Some(next.map_or(at_ms, |next| next.min(at_ms)));
+        }
+        next
+    }
+
+    fn maintain(&mut self, shard: &ShardId, window_ms: u64, _now: Now) {
+        let lane = self.lane_of(shard.clone());
+        self.shard(lane).maintain(window_ms);
+        self.ready.insert(lane);
+    }
+
+    fn flush(&mut self) {
+        self.flushing = true;
+        self.ready.extend((0..self.shards.len() as u64).map(Lane));
+    }
+
+    fn state(&self) -> LayoutState {
+        LayoutState {
+            layout: "paged",
+            waiting: self.shards.iter().map(Shard::waiting).sum(),
+            calls_in_flight: self.shards.iter().filter(|shard| shard.is_calling()).count(),
+            documents: self.shards.iter().map(Shard::pages).sum(),
+            keys: self.shards.iter().map(Shard::keys).sum(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/layout/paged/shard/mod.rs
@@ -0,0 +1,214 @@
+//! One shard: its queue, what is known of its pages, and the call in flight.
+//!
+//! The queue is served in [`serve`], and answers of the store are taken in [`answers`].
+
+mod answers;
+mod serve;
+
+use std::collections::VecDeque;
+
+use crate::Now;
+use crate::ShardId;
+use crate::layout::Done;
+use crate::layout::LayoutConfig;
+use crate::layout::Page;
+use crate::layout::StoreCall;
+use crate::layout::Waiting;
+use crate::layout::paged::index::SealedIndex;
+use crate::layout::paged::maintain::Upkeep;
+use crate::layout::paged::maintain::next_upkeep;
+use crate::record::Verdict;
+use crate::wire::encode_page;
+use redwingrill_ports::Expected;
+use redwingrill_ports::Revision;
+
+/// A page as it was read or written last.
+#[derive(Clone, Debug)]
+struct PageView {
+    slice: u64,
+    revision: Option<Revision>,
+    page: Page,
+    /// When the call began that gave this view; none if it is only assumed.
+    read_at_ms: Option<u64>,
+}
+
+/// The call in flight.
+#[derive(Debug)]
+enum Call {
+    Load,
+    Read(u64),
+    Write(Write),
+    Retire(u64, Page),
+    Delete(u64),
+}
+
+/// A swap of a page with the operations that it settles.
+#[derive(Debug)]
+struct Write {
+    slice: u64,
+    expected: Expected,
+    page: Page,
+    batch: Vec<(Waiting, Verdict)>,
+}
+
+#[derive(Debug)]
+struct Flight {
+    started: Now,
+    call: Call,
+}
+
+/// One shard.
+#[derive(Debug)]
+pub(super) struct Shard {
+    config: LayoutConfig,
+    prefix: String,
+    /// When the store last confirmed what is known here; none before the first load.
+    confirmed: Option<Now>,
+    index: SealedIndex,
+    open_slice: u64,
+    open: Option<PageView>,
+    /// The sealed page that was read last.
+    side: Option<PageView>,
+    queue: VecDeque<Waiting>,
+    flight: Option<Flight>,
+    retry_at_ms: u64,
+    next_write_at_ms: u64,
+    upkeep_window_ms: Option<u64>,
+}
+
+impl Shard {
+    pub(super) fn new(id: &ShardId, config: LayoutConfig) -> Self {
+        Self {
+            config,
+            prefix: format!("redwingrill/orders/paged/{}/{}/", id.service, id.index),
+            confirmed: None,
+            index: SealedIndex::default(),
+            open_slice: 0,
+            open: None,
+            side: None,
+            queue: VecDeque::new(),
+            flight: None,
+            retry_at_ms: 0,
+            next_write_at_ms: 0,
+            upkeep_window_ms: None,
+        }
+    }
+
+    pub(super) fn submit(&mut self, waiting: Waiting) {
+        self.queue.push_back(waiting);
+    }
+
+    pub(super) fn maintain(&mut self, window_ms: u64) {
+        self.upkeep_window_ms = Some(window_ms);
+    }
+
+    pub(super) fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    pub(super) fn is_calling(&self) -> bool {
+        self.flight.is_some()
+    }
+
+    pub(super) fn pages(&self) -> usize {
+        self.index.len() + usize::from(self.open.is_some())
+    }
+
+    pub(super) fn keys(&self) -> usize {
+        self.index.keys()
+    }
+
+    /// Returns when [`Shard::turn`] has something to do.
+    pub(super) fn wake_at_ms(&self, flushing: bool) -> Option<u64> {
+        if self.flight.is_some() {
+            return None;
+        }
+        let due = self.queue.iter().map(|waiting| self.due_at_ms(waiting, flushing)).min();
+        let deadline = self.queue.iter().map(|waiting| waiting.submission.deadline_ms).min();
+        let upkeep = self.upkeep_window_ms.map(|_| self.retry_at_ms);
+        [due, deadline, upkeep].into_iter().flatten().min()
+    }
+
+    /// When an operation should be written at the latest.
+    fn due_at_ms(&self, waiting: &Waiting, flushing: bool) -> u64 {
+        let linger_ms = self.config.finish_linger_ms;
+        let linger_ms = if waiting.is_claim() || flushing { 0 } else { linger_ms };
+        let due_at_ms = waiting.submitted_at_ms + linger_ms;
+        due_at_ms.max(self.retry_at_ms).max(self.next_write_at_ms)
+    }
+
+    /// Works until a call is needed.
+    pub(super) fn turn(
+        &mut self,
+        now: Now,
+        flushing: bool,
+        done: &mut Vec<Done>,
+    ) -> Option<StoreCall> {
+        if self.flight.is_some() {
+            return None;
+        }
+        self.drop_late(now, done);
+        let is_due = |waiting| self.due_at_ms(waiting, flushing) <= now.monotonic_ms;
+        let due = self.queue.iter().any(is_due);
+        let upkeep = self.upkeep_window_ms.is_some() && self.retry_at_ms <= now.monotonic_ms;
+        if !due && !upkeep {
+            return None;
+        }
+        if self.confirmed.is_none_or(|at| now.since_ms(at) > self.config.view_ttl_ms) {
+            let prefix = self.prefix.clone();
+            return Some(self.start(now, Call::Load, StoreCall::List { prefix }));
+        }
+        if due && let Some(call) = self.turn_sealed(now, flushing, done) {
+            return Some(call);
+        }
+        if due && let Some(call) = self.turn_open(now, done) {
+            return Some(call);
+        }
+        self.turn_upkeep(now)
+    }
+
+    fn drop_late(&mut self, now: Now, done: &mut Vec<Done>) {
+        let (late, queue) =
+            self.queue.drain(..).partition(|waiting: &Waiting| waiting.is_late(now));
+        self.queue = queue;
+        let late: VecDeque<Waiting> = late;
+        done.extend(late.into_iter().map(Waiting::give_up));
+    }
+
+    fn start(&mut self, now: Now, call: Call, store_call: StoreCall) -> StoreCall {
+        self.flight = Some(Flight { started: now, call });
+        store_call
+    }
+
+    fn path(&self, slice: u64) -> String {
+        format!("{}{slice:012}", self.prefix)
+    }
+
+    fn read(&mut self, slice: u64, now: Now) -> StoreCall {
+        let key = self.path(slice);
+        self.start(now, Call::Read(slice), StoreCall::Get { key })
+    }
+
+    fn turn_upkeep(&mut self, now: Now) -> Option<StoreCall> {
+        let window_ms = self.upkeep_window_ms?;
+        let next = next_upkeep(&self.index, self.open_slice, window_ms, &self.config, now.wall_ms);
+        let Some(upkeep) = next else {
+            self.upkeep_window_ms = None;
+            return None;
+        };
+        let (Upkeep::Retire(slice) | Upkeep::Delete(slice)) = upkeep;
+        let view = self.side.take_if(|view| view.slice == slice);
+        let Some(PageView { revision: Some(revision), page, .. }) = view else {
+            return Some(self.read(slice, now));
+        };
+        let key = self.path(slice);
+        if upkeep == Upkeep::Delete(slice) {
+            let call = StoreCall::Delete { key, expected: revision };
+            return Some(self.start(now, Call::Delete(slice), call));
+        }
+        let page = page.retire();
+        let value = encode_page(&page);
+        let call = StoreCall::Swap { key, expected: Expected::At(revision), value };
+        Some(self.start(now, Call::Retire(slice, page), call))
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/layout/paged/shard/serve.rs
@@ -0,0 +1,198 @@
+//! Serving the queue of a shard.
+
+use std::collections::VecDeque;
+
+use crate::Now;
+use crate::layout::Done;
+use crate::layout::Page;
+use crate::layout::StoreCall;
+use crate::layout::Waiting;
+use crate::layout::paged::shard::Call;
+use crate::layout::paged::shard::PageView;
+use crate::layout::paged::shard::Shard;
+use crate::layout::paged::shard::Write;
+use crate::record::Verdict;
+use crate::record::apply;
+use crate::wire::encode_page;
+use redwingrill_ports::Expected;
+
+impl Shard {
+    /// Serves the operations on records of sealed pages, one page at a time.
+    pub(super) fn turn_sealed(
+        &mut self,
+        now: Now,
+        flushing: bool,
+        done: &mut Vec<Done>,
+    ) -> Option<StoreCall> {
+        loop {
+            let due = self.queue.iter().find_map(|waiting| {
+                let is_due = self.due_at_ms(waiting, flushing) <= now.monotonic_ms;
+                let (slice, page) = self.index.find(waiting.submission.operation.key.hash)?;
+                is_due.then_some((slice, page.retired, waiting.submitted_at_ms))
+            });
+            let (slice, retired, submitted_at_ms) = due?;
+            if retired {
+                self.refuse_retired(slice, done);
+                continue;
+            }
+            let view = self
+                .side
+                .take_if(|view| view.slice == slice && view.read_at_ms >= Some(submitted_at_ms));
+            let Some(view) = view else {
+                return Some(self.read(slice, now));
+            };
+            if let Some(call) = self.write_sealed(view, now, done) {
+                return Some(call);
+            }
+        }
+    }
+
+    /// Takes from the queue the operations on records of one sealed page.
+    fn take_sealed(&mut self, slice: u64) -> Vec<Waiting> {
+        let index = &self.index;
+        let holds = |waiting: &Waiting| {
+            let found = index.find(waiting.submission.operation.key.hash);
+            found.is_some_and(|(found, _)| found == slice)
+        };
+        let (taken, queue) = self.queue.drain(..).partition::<Vec<_>, _>(holds);
+        self.queue = queue.into();
+        taken
+    }
+
+    fn refuse_retired(&mut self, slice: u64, done: &mut Vec<Done>) {
+        for waiting in self.take_sealed(slice) {
+            let verdict = missing_verdict(&waiting);
+            done.push(waiting.settle(verdict));
+        }
+    }
+
+    fn write_sealed(
+        &mut self,
+        view: PageView,
+        now: Now,
+        done: &mut Vec<Done>,
+    ) -> Option<StoreCall> {
+        let mut page = view.page.clone();
+        let mut batch = Vec::new();
+        let mut changed = false;
+        for waiting in self.take_sealed(view.slice) {
+            let operation = &waiting.submission.operation;
+            let hash = operation.key.hash;
+            // The keys of a sealed page are final: what is not there is past its time.
+            let Some(record) = page.records.get(&hash) else {
+                let verdict = missing_verdict(&waiting);
+                batch.push((waiting, verdict));
+                continue;
+            };
+            let step = apply(Some(record), operation, now.wall_ms);
+            if let Some(record) = step.change {
+                page.records.insert(hash, record);
+                changed = true;
+            }
+            batch.push((waiting, step.verdict));
+        }
+        if changed {
+            return Some(self.swap(&view, page, batch, now));
+        }
+        self.settle_fresh(&view, batch, done);
+        self.side = Some(view);
+        None
+    }
+
+    /// Settles what was read after it was asked, and queues the rest again.
+    fn settle_fresh(
+        &mut self,
+        view: &PageView,
+        batch: Vec<(Waiting, Verdict)>,
+        done: &mut Vec<Done>,
+    ) {
+        for (waiting, verdict) in batch {
+            if view.read_at_ms >= Some(waiting.submitted_at_ms) {
+                done.push(waiting.settle(verdict));
+            } else {
+                self.queue.push_back(waiting);
+            }
+        }
+    }
+
+    /// Serves the operations on records of the open page, and on new ones.
+    pub(super) fn turn_open(&mut self, now: Now, done: &mut Vec<Done>) -> Option<StoreCall> {
+        let index = &self.index;
+        let is_open = |w: &Waiting| index.find(w.submission.operation.key.hash).is_none();
+        if !self.queue.iter().any(is_open) {
+            return None;
+        }
+        let Some(view) = self.open.take() else {
+            return Some(self.read(self.open_slice, now));
+        };
+        let mut page = view.page.clone();
+        let mut batch = Vec::new();
+        let mut rest = VecDeque::new();
+        let mut changed = false;
+        for waiting in std::mem::take(&mut self.queue) {
+            let operation = &waiting.submission.operation;
+            let hash = operation.key.hash;
+            let full = page.records.len() >= self.config.page_records_limit;
+            let fits = !full || page.records.contains_key(&hash);
+            if !fits || self.index.find(hash).is_some() {
+                rest.push_back(waiting);
+                continue;
+            }
+            let step = apply(page.records.get(&hash), operation, now.wall_ms);
+            if let Some(record) = step.change {
+                let added = page.records.insert(hash, record).is_none();
+                page.changed_at_ms = if added { now.wall_ms } else { page.changed_at_ms };
+                changed = true;
+            }
+            batch.push((waiting, step.verdict));
+        }
+        self.queue = rest;
+        // A full page that is still open holds up the queue until it is sealed.
+        if changed || view.page.records.len() >= self.config.page_records_limit {
+            return Some(self.swap_open(&view, page, batch, now));
+        }
+        let stale = batch.iter().any(|(w, _)| view.read_at_ms < Some(w.submitted_at_ms));
+        self.settle_fresh(&view, batch, done);
+        let slice = view.slice;
+        self.open = Some(view);
+        stale.then(|| self.read(slice, now))
+    }
+
+    fn swap_open(
+        &mut self,
+        view: &PageView,
+        mut page: Page,
+        batch: Vec<(Waiting, Verdict)>,
+        now: Now,
+    ) -> StoreCall {
+        if view.revision.is_none() {
+            page.opened_at_ms = now.wall_ms;
+        }
+        let full = page.records.len() >= self.config.page_records_limit;
+        let old = now.wall_ms.saturating_sub(page.opened_at_ms) >= self.config.page_span_ms;
+        // Sealing goes with the last write, so it costs no write of its own.
+        page.sealed = full || old;
+        self.next_write_at_ms = now.monotonic_ms + self.config.commit_interval_ms;
+        self.swap(view, page, batch, now)
+    }
+
+    fn swap(
+        &mut self,
+        view: &PageView,
+        page: Page,
+        batch: Vec<(Waiting, Verdict)>,
+        now: Now,
+    ) -> StoreCall {
+        debug_assert_eq!(page.verify(), Ok(()));
+        let expected = view.revision.map_or(Expected::Absent, Expected::At);
+        let value = encode_page(&page);
+        let key = self.path(view.slice);
+        let write = Write { slice: view.slice, expected, page, batch };
+        self.start(now, Call::Write(write), StoreCall::Swap { key, expected, value })
+    }
+}
+
+/// The verdict on an operation whose record is no longer there.
+fn missing_verdict(waiting: &Waiting) -> Verdict {
+    if waiting.is_claim() { Verdict::Expired } else { Verdict::Superseded }
+}
--- /dev/null
+++ b/crates/ledger/src/layout/single.rs
@@ -0,0 +1,333 @@
+//! One key an order.
+//!
+//! Each record is one key of the store, below `redwingrill/orders/single/SERVICE/SHARD/`. A claim
+//! is one swap that expects no key, and a finish is one more. A home removes records past their
+//! time with one list and a deletion for each.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+
+use crate::Now;
+use crate::OrderKey;
+use crate::ShardId;
+use crate::layout::Done;
+use crate::layout::Lane;
+use crate::layout::Layout;
+use crate::layout::LayoutConfig;
+use crate::layout::LayoutState;
+use crate::layout::StoreAnswer;
+use crate::layout::StoreCall;
+use crate::layout::Submission;
+use crate::layout::Waiting;
+use crate::layout::waiting::LostWrite;
+use crate::record::Record;
+use crate::record::RecordState;
+use crate::record::Verdict;
+use crate::record::apply;
+use crate::wire::decode_record;
+use crate::wire::encode_record;
+use redwingrill_ports::Entry;
+use redwingrill_ports::Expected;
+use redwingrill_ports::Revision;
+use redwingrill_ports::Swap;
+
+/// The lane of removals; records have all others.
+const SWEEP_LANE: Lane = Lane(0);
+/// The number of a cell's one document.
+const DOCUMENT: u64 = 0;
+
+/// What this node last knew of a record.
+#[derive(Clone, Debug, Default)]
+struct View {
+    revision: Option<Revision>,
+    record: Option<Record>,
+    /// When the call began that gave this view; none if it is only assumed.
+    read_at_ms: Option<u64>,
+}
+
+#[derive(Debug)]
+struct Flight {
+    started_at_ms: u64,
+    /// The record that a swap writes, with the operations it settles.
+    write: Option<Write>,
+}
+
+#[derive(Debug)]
+struct Write {
+    expected: Expected,
+    record: Record,
+    waiting: Waiting,
+    verdict: Verdict,
+}
+
+/// A record with the operations that wait for it.
+#[derive(Debug)]
+struct Cell {
+    lane: Lane,
+    view: View,
+    queue: VecDeque<Waiting>,
+    flight: Option<Flight>,
+    retry_at_ms: u64,
+}
+
+#[derive(Debug)]
+enum Sweep {
+    Listing { prefix: String, forget_before_ms: u64 },
+    Deleting,
+}
+
+/// The layout with one key an order.
+#[derive(Debug)]
+pub struct SingleLayout {
+    config: LayoutConfig,
+    cells: BTreeMap<OrderKey, Cell>,
+    by_lane: BTreeMap<Lane, OrderKey>,
+    ready: BTreeSet<OrderKey>,
+    next_lane: u64,
+    done: Vec<Done>,
+    sweeps: VecDeque<Sweep>,
+    sweep_flight: Option<Sweep>,
+    condemned: VecDeque<(String, Revision)>,
+}
+
+impl SingleLayout {
+    /// Makes a layout that knows no records.
+    pub fn new(config: LayoutConfig) -> Self {
+        Self {
+            config,
+            cells: BTreeMap::new(),
+            by_lane: BTreeMap::new(),
+            ready: BTreeSet::new(),
+            next_lane: SWEEP_LANE.0 + 1,
+            done: Vec::new(),
+            sweeps: VecDeque::new(),
+            sweep_flight: None,
+            condemned: VecDeque::new(),
+        }
+    }
+
+    fn prefix(shard: &ShardId) -> String {
+        format!("redwingrill/orders/single/{}/{}/", shard.service, shard.index)
+    }
+
+    fn path(&self, key: &OrderKey) -> String {
+        format!("{}{}", Self::prefix(&key.shard(self.config.shards)), key.hash)
+    }
+
+    fn next_sweep_call(&mut self) -> Option<(Lane, StoreCall)> {
+        if self.sweep_flight.is_some() {
+            return None;
+        }
+        if let Some((key, expected)) = self.condemned.pop_front() {
+            self.sweep_flight = Some(Sweep::Deleting);
+            return Some((SWEEP_LANE, StoreCall::Delete { key, expected }));
+        }
+        let sweep = self.sweeps.pop_front()?;
+        let Sweep::Listing { prefix, .. } = &sweep else { return None };
+        let call = StoreCall::List { prefix: prefix.clone() };
+        self.sweep_flight = Some(sweep);
+        Some((SWEEP_LANE, call))
+    }
+
+    fn answer_sweep(&mut self, answer: StoreAnswer) {
+        let flight = self.sweep_flight.take();
+        let (Some(Sweep::Listing { forget_before_ms, .. }), StoreAnswer::List(Ok(entries))) =
+            (flight, answer)
+        else {
+            // A deletion that failed is found again by the next sweep.
+            return;
+        };
+        let old = |entry: &Entry| {
+            decode_record(&entry.value).is_ok_and(|r| r.recorded_at_ms < forget_before_ms)
+        };
+        let old_entries = entries.into_iter().filter(old);
+        self.condemned.extend(old_entries.map(|entry| (entry.key, entry.revision)));
+    }
+
+    /// Drops a cell that nothing waits for, unless its finish is still to come.
+    fn tidy(&mut self, key: &OrderKey) {
+        let Some(cell) = self.cells.get(key) else { return };
+        let idle = cell.queue.is_empty() && cell.flight.is_none();
+        let record = cell.view.record.as_ref();
+        let unfinished = record.is_some_and(|record| record.state == RecordState::Recorded);
+        if idle && !unfinished {
+            let lane = cell.lane;
+            self.cells.remove(key);
+            self.by_lane.remove(&lane);
+        }
+    }
+}
+
+impl Cell {
+    fn new(lane: Lane) -> Self {
+        Self { lane, view: View::default(), queue: VecDeque::new(), flight: None, retry_at_ms: 0 }
+    }
+
+    /// Works through the queue until a call is needed.
+    fn turn(&mut self, path: &str, now: Now, done: &mut Vec<Done>) -> Option<StoreCall> {
+        if self.flight.is_some() {
+            return None;
+        }
+        while let Some(waiting) = self.queue.pop_front() {
+            if waiting.is_late(now) {
+                done.push(waiting.give_up());
+                continue;
+            }
+            if now.monotonic_ms < self.retry_at_ms {
+                self.queue.push_front(waiting);
+                return None;
+            }
+            let operation = &waiting.submission.operation;
+            let step = apply(self.view.record.as_ref(), operation, now.wall_ms);
+            if let Some(record) = step.change {
+                return Some(self.swap(path, record, step.verdict, waiting, now));
+            }
+            // An answer that changes nothing counts only if it was read after the question.
+            if self.view.read_at_ms < Some(waiting.submitted_at_ms) {
+                self.queue.push_front(waiting);
+                self.flight = Some(Flight { started_at_ms: now.monotonic_ms, write: None });
+                return Some(StoreCall::Get { key: path.to_owned() });
+            }
+            done.push(waiting.settle(step.verdict));
+        }
+        None
+    }
+
+    fn swap(
+        &mut self,
+        path: &str,
+        record: Record,
+        verdict: Verdict,
+        waiting: Waiting,
+        now: Now,
+    ) -> StoreCall {
+        let expected = self.view.revision.map_or(Expected::Absent, Expected::At);
+        let value = encode_record(&record);
+        let write = Write { expected, record, waiting, verdict };
+        self.flight = Some(Flight { started_at_ms: now.monotonic_ms, write: Some(write) });
+        StoreCall::Swap { key: path.to_owned(), expected, value }
+    }
+
+    fn answer(&mut self, answer: StoreAnswer, now: Now, pause_ms: u64, done: &mut Vec<Done>) {
+        let Some(flight) = self.flight.take() else { return };
+        let read_at_ms = Some(flight.started_at_ms);
+        match (flight.write, answer) {
+            (None, StoreAnswer::Get(Ok(entry))) => self.read(entry, read_at_ms, now, pause_ms),
+            (Some(write), StoreAnswer::Swap(Ok(Swap::Done(revision)))) => {
+                self.view =
+                    View { revision: Some(revision), record: Some(write.record), read_at_ms };
+                self.saw(Expected::At(revision));
+                done.push(write.waiting.settle(write.verdict));
+            }
+            (Some(write), StoreAnswer::Swap(Ok(Swap::Conflict(entry)))) => {
+                self.queue.push_front(write.waiting);
+                self.read(entry, read_at_ms, now, pause_ms);
+            }
+            (Some(mut write), StoreAnswer::Swap(Err(error))) => {
+                if error.may_have_taken_effect() {
+                    let lost = LostWrite { document: DOCUMENT, expected: write.expected };
+                    write.waiting.lost_write = Some(lost);
+                }
+                self.queue.push_front(write.waiting);
+                self.retry_at_ms = now.monotonic_ms + pause_ms;
+            }
+            _ => self.retry_at_ms = now.monotonic_ms + pause_ms,
+        }
+    }
+
+    /// Takes what the store holds.
+    fn read(&mut self, entry: Option<Entry>, read_at_ms: Option<u64>, now: Now, pause_ms: u64) {
+        let revision = entry.as_ref().map(|entry| entry.revision);
+        let decoded = entry.map(|entry| decode_record(&entry.value)).transpose();
+        let Ok(record) = decoded else {
+            // A value that cannot be read is never overwritten; its operations run out of time.
+            self.retry_at_ms = now.monotonic_ms + pause_ms;
+            return;
+        };
+        self.view = View { revision, record, read_at_ms };
+        self.saw(revision.map_or(Expected::Absent, Expected::At));
+    }
+
+    fn saw(&mut self, found: Expected) {
+        self.queue.iter_mut().for_each(|waiting| waiting.saw(DOCUMENT, found));
+    }
+}
+
+impl Layout for SingleLayout {
+    fn submit(&mut self, submission: Submission, now: Now) {
+        let key = submission.operation.key.clone();
+        let next_lane = &mut self.next_lane;
+        let by_lane = &mut self.by_lane;
+        let cell = self.cells.entry(key.clone()).or_insert_with(|| {
+            let lane = Lane(*next_lane);
+            *next_lane += 1;
+            by_lane.insert(lane, key.clone());
+            Cell::new(lane)
+        });
+        cell.queue.push_back(Waiting::new(submission, now));
+        self.ready.insert(key);
+    }
+
+    fn next_call(&mut self, now: Now) -> Option<(Lane, StoreCall)> {
+        while let Some(key) = self.ready.pop_first() {
+            let path = self.path(&key);
+            let Some(cell) = self.cells.get_mut(&key) else { continue };
+            let call = cell.turn(&path, now, &mut self.done);
+            let lane = cell.lane;
+            if let Some(call) = call {
+                return Some((lane, call));
+            }
+            self.tidy(&key);
+        }
+        self.next_sweep_call()
+    }
+
+    fn answer(&mut self, lane: Lane, answer: StoreAnswer, now: Now) {
+        if lane == SWEEP_LANE {
+            self.answer_sweep(answer);
+            return;
+        }
+        let Some(key) = self.by_lane.get(&lane).cloned() else { return };
+        if let Some(cell) = self.cells.get_mut(&key) {
+            cell.answer(answer, now, self.config.retry_pause_ms, &mut self.done);
+        }
+        self.ready.insert(key);
+    }
+
+    fn take_done(&mut self) -> Vec<Done> {
+        std::mem::take(&mut self.done)
+    }
+
+    fn wake(&mut self, now: Now) -> Option<u64> {
+        let waiting = self.cells.iter().filter(|(_, cell)| cell.flight.is_none());
+        let times = waiting.filter_map(|(key, cell)| {
+            let first = cell.queue.front()?;
+            Some((cell.retry_at_ms.min(first.submission.deadline_ms), key.clone()))
+        });
+        let (due, later): (Vec<_>, Vec<_>) =
+            times.partition(|(at_ms, _)| *at_ms <= now.monotonic_ms);
+        let next = later.into_iter().map(|(at_ms, _)| at_ms).min();
+        let now_ms = (!due.is_empty()).then_some(now.monotonic_ms);
+        self.ready.extend(due.into_iter().map(|(_, key)| key));
+        now_ms.or(next)
+    }
+
+    fn maintain(&mut self, shard: &ShardId, window_ms: u64, now: Now) {
+        let forget_before_ms = now.wall_ms.saturating_sub(self.config.forget_after_ms(window_ms));
+        let prefix = Self::prefix(shard);
+        self.sweeps.push_back(Sweep::Listing { prefix, forget_before_ms });
+    }
+
+    fn flush(&mut self) {}
+
+    fn state(&self) -> LayoutState {
+        LayoutState {
+            layout: "single",
+            waiting: self.cells.values().map(|cell| cell.queue.len()).sum(),
+            calls_in_flight: self.cells.values().filter(|cell| cell.flight.is_some()).count(),
+            documents: self.cells.len(),
+            keys: 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/order/held.rs
@@ -0,0 +1,59 @@
+//! The hold of a running order on its place in the ledger.
+
+use crate::AttemptId;
+use crate::Fingerprint;
+use crate::OrderKey;
+use crate::record::Action;
+use crate::record::Operation;
+use crate::task::Ledger;
+
+/// What happens when the hold is dropped.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(super) enum Leaving {
+    /// The attempt gives up: it has not sent, and it never will.
+    Withdraw,
+    /// The order is let go and its record stays as it is.
+    Release,
+    /// The order is let go elsewhere.
+    Nothing,
+}
+
+/// A place among the orders that run on this node, and maybe the record.
+#[derive(Debug)]
+pub(super) struct Held {
+    pub(super) ledger: Ledger,
+    pub(super) key: OrderKey,
+    pub(super) attempt: AttemptId,
+    pub(super) window_ms: u64,
+    pub(super) leaving: Leaving,
+    fingerprint: Fingerprint,
+}
+
+impl Held {
+    pub(super) fn new(
+        ledger: Ledger,
+        key: OrderKey,
+        attempt: AttemptId,
+        fingerprint: Fingerprint,
+        window_ms: u64,
+    ) -> Self {
+        Self { ledger, key, attempt, window_ms, leaving: Leaving::Release, fingerprint }
+    }
+
+    pub(super) fn operation(&self, action: Action) -> Operation {
+        Operation { key: self.key.clone(), attempt: self.attempt, action }
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        match self.leaving {
+            Leaving::Withdraw => {
+                let operation = self.operation(Action::Withdraw(self.fingerprint));
+                self.ledger.settle(operation, self.window_ms);
+            }
+            Leaving::Release => self.ledger.release(self.key.clone(), self.attempt),
+            Leaving::Nothing => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/order/mod.rs
@@ -0,0 +1,209 @@
+//! The life cycle of one order on one node, as typestate.
+//!
+//! ```text
+//!   Received --record--> Recorded --send--> Sent --finish--> (finished)
+//!      |                  |   ^              | | \--unknown--> (outcome unknown)
+//!      |                  |   +----unsent----+ |
+//!      v                  v                    v
+//!   refused, or        dropped:             dropped: outcome unknown
+//!   first outcome      withdrawn
+//! ```
+//!
+//! Only a [`Recorded`] order can be sent, and only by value, so an attempt sends once. An order that
+//! is dropped before it was sent is withdrawn, which lets a retry run; one dropped afterwards is
+//! left as it is, and a retry is told that the outcome is unknown.
+
+mod held;
+mod policy;
+
+use tokio::time::Instant;
+
+use crate::AttemptId;
+use crate::FencingNumber;
+use crate::Fingerprint;
+use crate::Now;
+use crate::OrderKey;
+use crate::Outcome;
+use crate::layout::Unsettled;
+use crate::order::held::Held;
+use crate::order::held::Leaving;
+use crate::record::Action;
+use crate::record::Claim;
+use crate::record::Operation;
+use crate::record::Verdict;
+use crate::task::Admission;
+use crate::task::AdmissionRequest;
+use crate::task::Ledger;
+use redwingrill_codes::ResultCode;
+
+pub use policy::OrderPolicy;
+
+/// The order has come from its caller.
+#[derive(Debug)]
+pub struct Received {
+    ledger: Ledger,
+    key: OrderKey,
+    fingerprint: Fingerprint,
+    policy: OrderPolicy,
+}
+
+/// The order is recorded, and this attempt alone may send it.
+#[derive(Debug)]
+pub struct Recorded {
+    held: Held,
+    fencing: FencingNumber,
+    submitted: Submitted,
+}
+
+/// The order is on its way to an upstream.
+#[derive(Debug)]
+pub struct Sent {
+    held: Held,
+    fencing: FencingNumber,
+    submitted: Submitted,
+}
+
+/// When the claim was submitted, by both clocks.
+#[derive(Clone, Copy, Debug)]
+struct Submitted {
+    at: Instant,
+    wall_ms: u64,
+}
+
+/// How an order ends without being sent.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum Settled {
+    /// The order was run before; this is the first outcome.
+    Replay(Outcome),
+    /// The order is refused.
+    Refused(ResultCode),
+}
+
+/// An order in one state of its life.
+#[derive(Debug)]
+pub struct Order<State> {
+    state: State,
+}
+
+impl Order<Received> {
+    /// Takes an order from its caller.
+    pub fn receive(
+        ledger: &Ledger,
+        key: OrderKey,
+        fingerprint: Fingerprint,
+        policy: OrderPolicy,
+    ) -> Self {
+        Self { state: Received { ledger: ledger.clone(), key, fingerprint, policy } }
+    }
+
+    /// Records the order in the store.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the first outcome, or with the reason why the order is refused. A refusal whose
+    /// code says "not run" is true for this call: it has not been sent and will not be.
+    pub async fn record(self, attempt: AttemptId) -> Result<Order<Recorded>, Settled> {
+        let Received { ledger, key, fingerprint, policy } = self.state;
+        let request = AdmissionRequest {
+            key: key.clone(),
+            account: policy.account.clone(),
+            attempt,
+            fingerprint,
+            in_flight_limit: policy.in_flight_limit,
+        };
+        // The hold comes first, so that a caller which leaves now leaves nothing behind.
+        let mut held = Held::new(ledger, key, attempt, fingerprint, policy.window_ms);
+        admit(&held.ledger, request).await?;
+        held.leaving = Leaving::Withdraw;
+        let submitted = Submitted { at: Instant::now(), wall_ms: held.ledger.clock().now_ms() };
+        let claim = Claim {
+            fingerprint,
+            window_ms: policy.window_ms,
+            take_over_after_ms: policy.take_over_after_ms,
+        };
+        let operation = Operation { key: held.key.clone(), attempt, action: Action::Claim(claim) };
+        let result = held.ledger.apply_for_request(operation).await;
+        let fencing = match result {
+            Ok(Verdict::Claimed(fencing)) => fencing,
+            Err(Unsettled::MaybeWritten) => {
+                return Err(Settled::Refused(ResultCode::LedgerOutcomeUnknown));
+            }
+            other => {
+                // The record is another attempt's, or there is none: nothing to withdraw.
+                held.leaving = Leaving::Release;
+                return Err(settled(other));
+            }
+        };
+        Ok(Order { state: Recorded { held, fencing, submitted } })
+    }
+}
+
+async fn admit(ledger: &Ledger, request: AdmissionRequest) -> Result<(), Settled> {
+    match ledger.admit(request).await {
+        Some(Admission::Admitted) => Ok(()),
+        Some(Admission::Finished(outcome)) => Err(Settled::Replay(outcome)),
+        Some(Admission::InFlight) => Err(Settled::Refused(ResultCode::OrderInFlight)),
+        Some(Admission::Reused) => Err(Settled::Refused(ResultCode::IdempotencyKeyReused)),
+        Some(Admission::WindowFull) => Err(Settled::Refused(ResultCode::WindowFull)),
+        None => Err(Settled::Refused(ResultCode::LedgerUnavailable)),
+    }
+}
+
+fn settled(result: Result<Verdict, Unsettled>) -> Settled {
+    match result {
+        Ok(Verdict::Finished(outcome)) => Settled::Replay(outcome),
+        Ok(Verdict::Expired) => Settled::Refused(ResultCode::KeyExpired),
+        Ok(Verdict::Reused) => Settled::Refused(ResultCode::IdempotencyKeyReused),
+        Ok(_) => Settled::Refused(ResultCode::OutcomeUnknown),
+        Err(Unsettled::NotWritten) => Settled::Refused(ResultCode::LedgerUnavailable),
+        Err(Unsettled::MaybeWritten) => Settled::Refused(ResultCode::LedgerOutcomeUnknown),
+    }
+}
+
+impl Order<Recorded> {
+    /// Begins to send the order.
+    ///
+    /// # Errors
+    ///
+    /// Fails if too much time has passed since the order was recorded, as after a pause of the
+    /// whole process. The order is withdrawn then.
+    pub fn send(self) -> Result<Order<Sent>, ResultCode> {
+        let Recorded { mut held, fencing, submitted } = self.state;
+        let limit_ms = held.ledger.config().send_limit_ms;
+        let then = Now { monotonic_ms: 0, wall_ms: submitted.wall_ms };
+        let monotonic_ms = submitted.at.elapsed().as_millis() as u64;
+        let now = Now { monotonic_ms, wall_ms: held.ledger.clock().now_ms() };
+        if now.since_ms(then) > limit_ms {
+            return Err(ResultCode::LedgerOutcomeUnknown);
+        }
+        held.leaving = Leaving::Release;
+        Ok(Order { state: Sent { held, fencing, submitted } })
+    }
+}
+
+impl Order<Sent> {
+    /// Returns the number to send to an upstream that checks fencing.
+    pub fn fencing(&self) -> FencingNumber {
+        self.state.fencing
+    }
+
+    /// Records what the upstream answered. The order stays in flight until that is in the store.
+    pub fn finish(self, outcome: Outcome) {
+        let mut held = self.state.held;
+        held.leaving = Leaving::Nothing;
+        let operation = held.operation(Action::Finish(outcome));
+        held.ledger.settle(operation, held.window_ms);
+    }
+
+    /// Takes the order back, when not one byte of it reached an upstream.
+    pub fn unsent(self) -> Order<Recorded> {
+        let Sent { mut held, fencing, submitted } = self.state;
+        held.leaving = Leaving::Withdraw;
+        Order { state: Recorded { held, fencing, submitted } }
+    }
+
+    /// Leaves the record as it is: nobody knows whether the order was run.
+    pub fn unknown(self) {
+        drop(self);
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/task/clock.rs
@@ -0,0 +1,36 @@
+//! The wall clock.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+/// Tells the time since the Unix epoch.
+#[derive(Clone)]
+pub struct WallClock(Arc<dyn Fn() -> u64 + Send + Sync>);
+
+impl WallClock {
+    /// Makes a clock that calls a function for the time in milliseconds.
+    pub fn new(now_ms: impl Fn() -> u64 + Send + Sync + 'static) -> Self {
+        Self(Arc::new(now_ms))
+    }
+
+    /// Makes a clock that reads the system's.
+    pub fn system() -> Self {
+        Self::new(|| {
+            let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+            since_epoch.as_millis() as u64
+        })
+    }
+
+    /// Returns the time in milliseconds.
+    pub fn now_ms(&self) -> u64 {
+        (self.0)()
+    }
+}
+
+impl fmt::Debug for WallClock {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "WallClock({})", self.now_ms())
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/task/homes.rs
@@ -0,0 +1,54 @@
+//! The port to the nodes that write for others.
+
+use std::future::Future;
+
+use snafu::Snafu;
+
+use crate::ShardId;
+use crate::layout::Unsettled;
+use crate::record::Operation;
+use crate::record::Verdict;
+
+/// Why a home gave no answer.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Snafu)]
+pub enum ForwardError {
+    /// The operation did not reach the home.
+    #[snafu(display("operation not sent to its home"))]
+    NotSent,
+    /// The home may still apply the operation.
+    #[snafu(display("answer of the home lost"))]
+    Lost,
+}
+
+/// Which node writes a shard, and the way to it.
+pub trait Homes: Clone + Send + Sync + 'static {
+    /// Returns the peer that is the home of a shard; none if it is this node.
+    fn home_of(&self, shard: &ShardId) -> Option<String>;
+
+    /// Asks a home to apply an operation within a time.
+    fn forward(
+        &self,
+        home: &str,
+        operation: Operation,
+        within_ms: u64,
+    ) -> impl Future<Output = Result<Result<Verdict, Unsettled>, ForwardError>> + Send;
+}
+
+/// Makes every node write for itself.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub struct NoHomes;
+
+impl Homes for NoHomes {
+    fn home_of(&self, _shard: &ShardId) -> Option<String> {
+        None
+    }
+
+    async fn forward(
+        &self,
+        _home: &str,
+        _operation: Operation,
+        _within_ms: u64,
+    ) -> Result<Result<Verdict, Unsettled>, ForwardError> {
+        Err(ForwardError::NotSent)
+    }
+}
--- /dev/null
+++ b/crates/ledger/src/task/runner.rs
@@ -0,0 +1,355 @@
+//! The loop of the ledger task.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::FutureExt;
+use futures::StreamExt;
+use futures::future::BoxFuture;
+use futures::stream::FuturesUnordered;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use crate::AttemptId;
+use crate::Now;
+use crate::ShardId;
+use crate::layout::Done;
+use crate::layout::Lane;
+use crate::layout::Layout;
+use crate::layout::StoreAnswer;
+use crate::layout::StoreCall;
+use crate::layout::Submission;
+use crate::layout::Ticket;
+use crate::layout::Unsettled;
+use crate::record::Action;
+use crate::record::Operation;
+use crate::record::Verdict;
+use crate::task::ForwardError;
+use crate::task::Homes;
+use crate::task::Ledger;
+use crate::task::LedgerConfig;
+use crate::task::LedgerCounters;
+use crate::task::LedgerState;
+use crate::task::WallClock;
+use crate::task::message::Message;
+use crate::task::message::Origin;
+use crate::task::running::Running;
+use redwingrill_ports::Store;
+use redwingrill_ports::StoreError;
+
+type Reply = oneshot::Sender<Result<Verdict, Unsettled>>;
+
+/// Who waits for an operation.
+#[derive(Debug)]
+enum Waiter {
+    Caller(Reply),
+    /// Nobody; the order of this attempt is let go.
+    Nobody(AttemptId),
+}
+
+/// An operation handed to a home.
+#[derive(Debug)]
+struct Forwarded {
+    ticket: Ticket,
+    operation: Operation,
+    deadline_ms: u64,
+}
+
+/// Something that ended outside the task.
+enum Event {
+    Store(Lane, StoreAnswer),
+    Home(Forwarded, Result<Result<Verdict, Unsettled>, ForwardError>),
+}
+
+/// The ledger task of one node.
+pub struct LedgerTask<S, L, H> {
+    store: S,
+    layout: L,
+    homes: H,
+    config: LedgerConfig,
+    clock: WallClock,
+    shards: u16,
+    started: Instant,
+    messages: mpsc::UnboundedReceiver<Message>,
+    jobs: FuturesUnordered<BoxFuture<'static, Event>>,
+    waiters: BTreeMap<Ticket, Waiter>,
+    next_ticket: u64,
+    running: Running,
+    windows: BTreeMap<Arc<str>, u64>,
+    maintain_at_ms: u64,
+    draining: Vec<oneshot::Sender<()>>,
+    is_draining: bool,
+    counters: LedgerCounters,
+}
+
+impl<S: Store, L: Layout, H: Homes> LedgerTask<S, L, H> {
+    /// Makes a task and its handle. `shards` is the layout's number of shards.
+    pub fn new(
+        store: S,
+        layout: L,
+        homes: H,
+        shards: u16,
+        config: LedgerConfig,
+        clock: WallClock,
+    ) -> (Ledger, Self) {
+        let (sender, messages) = mpsc::unbounded_channel();
+        let handle = Ledger { messages: sender, config, clock: clock.clone() };
+        let task = Self {
+            store,
+            layout,
+            homes,
+            config,
+            clock,
+            shards,
+            started: Instant::now(),
+            messages,
+            jobs: FuturesUnordered::new(),
+            waiters: BTreeMap::new(),
+            next_ticket: 0,
+            running: Running::default(),
+            windows: BTreeMap::new(),
+            maintain_at_ms: config.maintain_interval_ms,
+            draining: Vec::new(),
+            is_draining: false,
+            counters: LedgerCounters::default(),
+        };
+        (handle, task)
+    }
+
+    /// Serves until all handles are gone and nothing waits.
+    pub async fn run(mut self) {
+        let mut is_open = true;
+        while is_open || !self.waiters.is_empty() {
+            let wake_at_ms = self.work();
+            let wake_at = wake_at_ms.map(|at_ms| self.started + Duration::from_millis(at_ms));
+            let sleep = tokio::time::sleep_until(wake_at.unwrap_or_else(Instant::now));
+            tokio::select! {
+                biased;
+                message = self.messages.recv(), if is_open => match message {
+                    Some(message) => self.take_message(message),
+                    None => {
+                        is_open = false;
+                        self.layout.flush();
+                    }
+                },
+                Some(event) = self.jobs.next(), if !self.jobs.is_empty() => self.take_event(event),
+                () = sleep, if wake_at.is_some() => {}
+            }
+        }
+    }
+
+    fn now(&self) -> Now {
+        let monotonic_ms = self.started.elapsed().as_millis() as u64;
+        Now { monotonic_ms, wall_ms: self.clock.now_ms() }
+    }
+
+    /// Starts all calls that are due. Returns when to look again.
+    fn work(&mut self) -> Option<u64> {
+        let mut now = self.now();
+        self.maintain(now);
+        loop {
+            while let Some((lane, call)) = self.layout.next_call(now) {
+                self.start_call(lane, call);
+            }
+            self.report_done();
+            now = self.now();
+            let wake_at_ms = self.layout.wake(now);
+            if wake_at_ms.is_none_or(|at_ms| at_ms > now.monotonic_ms) {
+                self.report_drained();
+                let maintain = (!self.windows.is_empty()).then_some(self.maintain_at_ms);
+                return [wake_at_ms, maintain].into_iter().flatten().min();
+            }
+        }
+    }
+
+    fn maintain(&mut self, now: Now) {
+        if now.monotonic_ms < self.maintain_at_ms {
+            return;
+        }
+        self.maintain_at_ms = now.monotonic_ms + self.config.maintain_interval_ms;
+        for (service, window_ms) in &self.windows {
+            for index in 0..self.shards {
+                let shard = ShardId { service: service.clone(), index };
+                if self.homes.home_of(&shard).is_none() {
+                    self.layout.maintain(&shard, *window_ms, now);
+                }
+            }
+        }
+    }
+
+    fn take_message(&mut self, message: Message) {
+        match message {
+            Message::Admit { request, reply } => {
+                // A caller that is gone withdraws its order itself.
+                let _ = reply.send(self.running.admit(request));
+            }
+            Message::Apply { operation, within_ms, origin, reply } => {
+                self.note_window(&operation);
+                self.take_operation(operation, within_ms, origin, Waiter::Caller(reply));
+            }
+            Message::Settle { operation, window_ms } => {
+                self.windows.insert(operation.key.service.clone(), window_ms);
+                if let Action::Finish(outcome) = &operation.action {
+                    self.running.finish(&operation.key, operation.attempt, outcome);
+                }
+                let waiter = Waiter::Nobody(operation.attempt);
+                let within_ms = self.config.settle_deadline_ms;
+                self.take_operation(operation, within_ms, Origin::Request, waiter);
+            }
+            Message::Release { key, attempt } => self.running.release(&key, attempt),
+            Message::Dump { reply } => {
+                let _ = reply.send(self.state());
+            }
+            Message::Drain { reply } => {
+                self.is_draining = true;
+                self.layout.flush();
+                self.draining.push(reply);
+            }
+        }
+    }
+
+    fn note_window(&mut self, operation: &Operation) {
+        if let Action::Claim(claim) = &operation.action {
+            self.windows.insert(operation.key.service.clone(), claim.window_ms);
+        }
+    }
+
+    fn take_operation(
+        &mut self,
+        operation: Operation,
+        within_ms: u64,
+        origin: Origin,
+        waiter: Waiter,
+    ) {
+        let ticket = Ticket(self.next_ticket);
+        self.next_ticket += 1;
+        self.waiters.insert(ticket, waiter);
+        let now = self.now();
+        let deadline_ms = now.monotonic_ms + within_ms;
+        let home = match origin {
+            Origin::Request => self.homes.home_of(&operation.key.shard(self.shards)),
+            Origin::Peer => None,
+        };
+        match home {
+            Some(home) => self.forward(home, Forwarded { ticket, operation, deadline_ms }),
+            None => {
+                let submission = Submission { ticket, operation, deadline_ms, forwarded: false };
+                self.layout.submit(submission, now);
+            }
+        }
+    }
+
+    fn forward(&mut self, home: String, forwarded: Forwarded) {
+        let homes = self.homes.clone();
+        let timeout_ms = self.config.forward_timeout_ms;
+        let job = async move {
+            let call = homes.forward(&home, forwarded.operation.clone(), timeout_ms);
+            let answer = tokio::time::timeout(Duration::from_millis(timeout_ms), call).await;
+            Event::Home(forwarded, answer.unwrap_or(Err(ForwardError::Lost)))
+        };
+        self.jobs.push(job.boxed());
+    }
+
+    fn take_event(&mut self, event: Event) {
+        match event {
+            Event::Store(lane, answer) => {
+                let now = self.now();
+                self.layout.answer(lane, answer, now);
+            }
+            Event::Home(forwarded, Ok(Ok(verdict))) => {
+                self.counters.forwarded += 1;
+                let Forwarded { ticket, operation, .. } = forwarded;
+                self.end(Done { ticket, key: operation.key, result: Ok(verdict) });
+            }
+            Event::Home(forwarded, failed) => {
+                self.counters.forwards_failed += 1;
+                let nowhere = [Err(ForwardError::NotSent), Ok(Err(Unsettled::NotWritten))];
+                let may_be_applied = !nowhere.contains(&failed);
+                let Forwarded { ticket, operation, deadline_ms } = forwarded;
+                let submission =
+                    Submission { ticket, operation, deadline_ms, forwarded: may_be_applied };
+                let now = self.now();
+                self.layout.submit(submission, now);
+            }
+        }
+    }
+
+    fn start_call(&mut self, lane: Lane, call: StoreCall) {
+        let store = self.store.clone();
+        let timeout = Duration::from_millis(self.config.call_timeout_ms);
+        let job = async move { Event::Store(lane, run_call(&store, call, timeout).await) };
+        self.jobs.push(job.boxed());
+    }
+
+    fn report_done(&mut self) {
+        for done in self.layout.take_done() {
+            self.end(done);
+        }
+    }
+
+    fn end(&mut self, done: Done) {
+        match &done.result {
+            Ok(_) => self.counters.settled += 1,
+            Err(Unsettled::NotWritten) => self.counters.not_written += 1,
+            Err(Unsettled::MaybeWritten) => self.counters.maybe_written += 1,
+        }
+        match self.waiters.remove(&done.ticket) {
+            Some(Waiter::Caller(reply)) => {
+                // A caller that is gone withdraws its order itself.
+                let _ = reply.send(done.result);
+            }
+            Some(Waiter::Nobody(attempt)) => {
+                if done.result.is_err() {
+                    log::warn!(
+                        "event=order_not_settled service={} key={}",
+                        done.key.service,
+                        done.key.hash
+                    );
+                }
+                self.running.release(&done.key, attempt);
+            }
+            None => {}
+        }
+    }
+
+    fn report_drained(&mut self) {
+        if self.waiters.is_empty() {
+            for reply in self.draining.drain(..) {
+                let _ = reply.send(());
+            }
+        }
+    }
+
+    fn state(&self) -> LedgerState {
+        LedgerState {
+            layout: self.layout.state(),
+            running: self.running.len(),
+            finishing: self.running.finishing(),
+            draining: self.is_draining,
+            counters: self.counters,
+        }
+    }
+}
+
+async fn run_call<S: Store>(store: &S, call: StoreCall, timeout: Duration) -> StoreAnswer {
+    match call {
+        StoreCall::Get { key } => StoreAnswer::Get(within(timeout, store.get(&key)).await),
+        StoreCall::List { prefix } => StoreAnswer::List(within(timeout, store.list(&prefix)).await),
+        StoreCall::Swap { key, expected, value } => {
+            StoreAnswer::Swap(within(timeout, store.swap(&key, expected, value, None)).await)
+        }
+        StoreCall::Delete { key, expected } => {
+            StoreAnswer::Delete(within(timeout, store.delete(&key, expected)).await)
+        }
+    }
+}
+
+async fn within<T>(
+    timeout: Duration,
+    call: impl Future<Output = Result<T, StoreError>>,
+) -> Result<T, StoreError> {
+    let late = || StoreError::AnswerLost { reason: "timeout".to_owned() };
+    tokio::time::timeout(timeout, call).await.unwrap_or_else(|_| Err(late()))
+}
