Replace the guts of the dispatch task by admission and placement

Cause: the thin task chose the engine with the fewest requests and admitted everything. Ruled out: hard limits for each engine at the choice (under saturation the only engine with a free place would get the next request, whatever it holds); refusing retries beyond the budget at once (requests of dead engines would be lost). Change: limits, queues, cost placement, load polls, ejection, slow return; retries beyond the budget wait for it. Prompts are hashed on the caller's side with roles.

--- a/crates/admission/src/engines/budget.rs
+++ b/crates/admission/src/engines/budget.rs
@@ -38,6 +38,12 @@
         allowed
     }
 
+    /// Takes back a unit that was spent for nothing.
+    pub fn refund(&mut self) {
+        self.balance = (self.balance + 1.0).min(self.burst);
+        self.spent = self.spent.saturating_sub(1);
+    }
+
     /// Returns how many units were spent.
     pub fn spent(&self) -> u64 {
         self.spent
--- a/crates/admission/src/limits/accounts.rs
+++ b/crates/admission/src/limits/accounts.rs
@@ -104,11 +104,12 @@
         Ok(())
     }
 
-    /// Notes the end of a request that was let in, and gives back what it did not use.
-    pub fn end(&mut self, account: AccountId, unused_tokens: u64) {
+    /// Notes the end of a request that was let in, and charges what it used beyond the tokens that
+    /// it was let in with; negative for what it did not use.
+    pub fn end(&mut self, account: AccountId, excess_tokens: i64) {
         if let Some(usage) = self.usage.get_mut(account) {
             usage.in_flight = usage.in_flight.saturating_sub(1);
-            usage.debt_tokens -= unused_tokens as f64;
+            usage.debt_tokens += excess_tokens as f64;
         }
     }
 
--- a/crates/placement/src/blocks/prompt.rs
+++ b/crates/placement/src/blocks/prompt.rs
@@ -45,11 +45,11 @@
     }
 
     /// Adds a message as an engine's chat template renders it: role and content, each on lines of
-    /// their own.
-    pub fn push_message(&mut self, role: &str, content: &str) {
+    /// their own. The content may come in pieces.
+    pub fn push_message<'a>(&mut self, role: &str, content: impl IntoIterator<Item = &'a str>) {
         self.push_text(role.as_bytes());
         self.push_text(b"\n");
-        self.push_text(content.as_bytes());
+        content.into_iter().for_each(|piece| self.push_text(piece.as_bytes()));
         self.push_text(b"\n");
         self.message_ends.push(self.block_count());
     }
--- a/crates/placement/src/fleet/rates.rs
+++ b/crates/placement/src/fleet/rates.rs
@@ -56,9 +56,17 @@
         self.ms_per_token = next.clamp(MIN_MS_PER_TOKEN, MAX_MS_PER_TOKEN);
     }
 
-    /// Takes in the share of an ordered import that the engine then had cached.
-    pub fn observe_import(&mut self, share: f64) {
-        self.import_yield += YIELD_WEIGHT * (share.clamp(0.0, 1.0) - self.import_yield);
+    /// Takes in what became of an ordered import: the first-token time, the tokens that the engine
+    /// did not have cached, and the tokens that were to be imported.
+    ///
+    /// An engine may or may not count imported tokens as cached; a first token sooner than the
+    /// computing would have taken tells as well.
+    pub fn observe_import(&mut self, first_token_ms: f64, missing_tokens: u64, ordered: u64) {
+        let counted = ordered.saturating_sub(missing_tokens) as f64 / ordered as f64;
+        let compute_ms = missing_tokens as f64 * self.ms_per_token;
+        let timed = 1.0 - first_token_ms / compute_ms.max(1.0);
+        let share = counted.max(timed / (1.0 - IMPORT_SHARE)).clamp(0.0, 1.0);
+        self.import_yield += YIELD_WEIGHT * (share - self.import_yield);
     }
 
     /// Returns the time saved by importing tokens in place of computing them; negative for a loss.
--- a/crates/placement/src/placer/mod.rs
+++ b/crates/placement/src/placer/mod.rs
@@ -10,6 +10,7 @@
 //! comes between them at most once. Load reports and cache events come at any time, late, repeated
 //! or not at all.
 
+mod baselines;
 mod cost;
 mod facts;
 mod policy;
--- a/crates/placement/src/placer/state.rs
+++ b/crates/placement/src/placer/state.rs
@@ -38,7 +38,7 @@
 impl Placer {
     /// Returns the state for a dump.
     pub fn state(&self) -> PlacerState {
-        let engines = self.loads().iter();
+        let engines = self.loads.iter();
         PlacerState {
             policy: self.policy(),
             engines: engines.map(|(upstream, load)| engine_state(upstream, load)).collect(),
--- a/crates/placement/src/placer/table.rs
+++ b/crates/placement/src/placer/table.rs
@@ -58,15 +58,15 @@
 #[derive(Clone, Debug)]
 pub struct Placer {
     policy: Policy,
-    fleet: Fleet,
+    pub(super) fleet: Fleet,
     has_cache_store: bool,
-    loads: EntityMap<UpstreamId, EngineLoad>,
+    pub(super) loads: EntityMap<UpstreamId, EngineLoad>,
     rates: EntityMap<ModelId, ModelRates>,
     heat: EntityMap<ModelId, Heat>,
     knowledge: CachedPrefixes,
     time_to_live: TimeToLive,
     event_budget: EventBudget,
-    order: CandidateOrder,
+    pub(super) order: CandidateOrder,
 }
 
 impl Placer {
@@ -167,17 +167,13 @@
         self.load_mut(placement.upstream).finish();
         let Some(cached_tokens) = fact.cached_tokens else { return };
         let rates = self.rates.get_or_insert_with(fact.model, ModelRates::default);
-        if let Some(first_token_ms) = fact.first_token_ms {
-            let computed_tokens = fact.prompt.tokens.saturating_sub(cached_tokens);
-            rates.observe_first_token(first_token_ms, computed_tokens);
-        }
-        if placement.import_tokens > 0 {
-            let gained = cached_tokens.saturating_sub(placement.expected_cached_tokens);
-            rates.observe_import(gained as f64 / placement.import_tokens as f64);
-        }
-        if placement.known_tokens > 0 {
-            let held = cached_tokens >= placement.known_tokens;
-            self.time_to_live.observe(placement.known_age_ms, held);
+        let computed_tokens = fact.prompt.tokens.saturating_sub(cached_tokens);
+        match fact.first_token_ms {
+            Some(first_token_ms) if placement.import_tokens > 0 => {
+                rates.observe_import(first_token_ms, computed_tokens, placement.import_tokens);
+            }
+            Some(first_token_ms) => rates.observe_first_token(first_token_ms, computed_tokens),
+            None => {}
         }
         self.remember(placement, fact.start, fact.weights, fact.prompt, now_ms);
     }
@@ -203,10 +199,6 @@
         self.policy
     }
 
-    pub(super) fn loads(&self) -> &EntityMap<UpstreamId, EngineLoad> {
-        &self.loads
-    }
-
     pub(super) fn prefixes_known(&self) -> usize {
         self.knowledge.len()
     }
@@ -254,48 +246,6 @@
         }
     }
 
-    fn place_random(
-        &self,
-        request: &PlaceRequest<'_>,
-        gate: &impl Gate,
-        rng: &mut impl Rng,
-    ) -> Option<Placement> {
-        let open: Vec<_> = self.open_engines(request, gate).collect();
-        let index = rng.random_range(0..open.len().max(1));
-        open.get(index).map(|engine| plain(engine.upstream))
-    }
-
-    fn place_least_loaded(
-        &self,
-        request: &PlaceRequest<'_>,
-        gate: &impl Gate,
-        rng: &mut impl Rng,
-    ) -> Option<Placement> {
-        let requests =
-            |engine: &&Engine| self.loads.get(engine.upstream).map_or(0, EngineLoad::requests);
-        let least = self.open_engines(request, gate).min_by_key(|engine| {
-            // The random part breaks ties so that nodes do not all pick the same engine.
-            (requests(engine), rng.random::<u32>())
-        });
-        least.map(|engine| plain(engine.upstream))
-    }
-
-    fn place_by_affinity(
-        &mut self,
-        request: &PlaceRequest<'_>,
-        gate: &impl Gate,
-    ) -> Option<Placement> {
-        let mut levels = request.prompt.levels().rev();
-        let last = levels.next();
-        let Some(level) = levels.next().or(last) else {
-            return self.open_engines(request, gate).next().map(|engine| plain(engine.upstream));
-        };
-        let engines = self.fleet.of_model(request.model);
-        self.order.widen(engines, level.hash, engines.len());
-        let open = |engine: &&Engine| is_open(engine, request, gate);
-        self.order.engines().find(open).map(|engine| plain(engine.upstream))
-    }
-
     fn place_at_least_cost(
         &mut self,
         request: &PlaceRequest<'_>,
@@ -335,15 +285,6 @@
         }
         choice.best.map(|best| best.placement)
     }
-
-    fn open_engines<'a>(
-        &'a self,
-        request: &'a PlaceRequest<'_>,
-        gate: &'a impl Gate,
-    ) -> impl Iterator<Item = &'a Engine> {
-        let engines = self.fleet.of_model(request.model).iter();
-        engines.filter(move |engine| is_open(engine, request, gate))
-    }
 }
 
 /// The cheapest candidate so far.
@@ -368,21 +309,6 @@
     }
 }
 
-fn is_open(engine: &Engine, request: &PlaceRequest<'_>, gate: &impl Gate) -> bool {
-    !request.avoid.contains(&engine.upstream) && gate.crowding(engine.upstream).is_some()
-}
-
-fn plain(upstream: UpstreamId) -> Placement {
-    Placement {
-        upstream,
-        expected_cached_tokens: 0,
-        known_tokens: 0,
-        known_age_ms: 0,
-        import_tokens: 0,
-        sent_ms: 0,
-    }
-}
-
 fn order_candidates(
     order: &mut CandidateOrder,
     engines: &[Engine],
--- a/crates/placement/tests/support/mod.rs
+++ b/crates/placement/tests/support/mod.rs
@@ -50,7 +50,8 @@
     blocks.begin(ChainRoot::new(account, "letters", weights));
     for (name, length) in parts {
         let line = format!("{name:->64}");
-        blocks.push_message("user", &line.repeat(length * BLOCK_BYTES / line.len()));
+        let text = line.repeat(length * BLOCK_BYTES / line.len());
+        blocks.push_message("user", [text.as_str()]);
     }
     blocks.finish();
     PromptSummary::of(&blocks)
--- a/crates/redwingrill/src/completions/relay.rs
+++ b/crates/redwingrill/src/completions/relay.rs
@@ -149,7 +149,7 @@
             };
             let delivery = progress.transcript.accept(&event).map_err(|e| self.fault_of(&e))?;
             if !std::mem::replace(&mut progress.leg_began, true) {
-                self.ticket.first_token();
+                self.ticket.first_token(stream.incarnation(), stream.weights_version());
                 info!(
                     "event=first_token request_id={} engine={} wait_ms={}",
                     self.request_id,
--- a/crates/redwingrill/src/completions/request.rs
+++ b/crates/redwingrill/src/completions/request.rs
@@ -6,6 +6,7 @@
 use serde_json::json;
 
 use crate::Refusal;
+use crate::dispatch::PromptMessage;
 use redwingrill_codes::ResultCode;
 
 /// The generated tokens that a request without a limit is taken to need.
@@ -88,10 +89,10 @@
         self.limit().unwrap_or(DEFAULT_MAX_TOKENS)
     }
 
-    /// Returns the texts of the messages, in order.
-    pub fn prompt(&self) -> Vec<&str> {
+    /// Returns the messages, in order.
+    pub fn prompt(&self) -> Vec<PromptMessage<'_>> {
         let messages = self.fields.get("messages").and_then(Value::as_array);
-        messages.into_iter().flatten().flat_map(message_texts).collect()
+        messages.into_iter().flatten().map(prompt_message).collect()
     }
 
     /// Returns the body for a leg.
@@ -151,6 +152,11 @@
     value.get("role").is_some_and(Value::is_string)
 }
 
+fn prompt_message(message: &Value) -> PromptMessage<'_> {
+    let role = message.get("role").and_then(Value::as_str).unwrap_or_default();
+    PromptMessage { role, texts: message_texts(message) }
+}
+
 /// Content is one text, or a list of parts of which some have text.
 fn message_texts(message: &Value) -> Vec<&str> {
     match message.get("content") {
--- /dev/null
+++ b/crates/redwingrill/src/dispatch/engines.rs
@@ -0,0 +1,209 @@
+//! What this node allows each engine.
+
+use redwingrill_admission::engines::ConcurrencyLimit;
+use redwingrill_admission::engines::EngineHealth;
+use redwingrill_admission::engines::Pressure;
+use redwingrill_config::Snapshot;
+use redwingrill_config::Upstream;
+use redwingrill_config::UpstreamKind;
+use redwingrill_entity::EntityMap;
+use redwingrill_entity::ModelId;
+use redwingrill_entity::UpstreamId;
+use redwingrill_placement::placer::Gate;
+use redwingrill_stream::Fault;
+
+/// How far above its limit an engine may go for a prompt that it holds, as a share of the limit.
+const CROWDING_BOUND: f64 = 0.5;
+
+/// How long an engine that refused new work gets none.
+const REFUSED_PAUSE_MS: u64 = 500;
+
+/// Waiting requests, as a share of the running ones, that an engine may report without pressure.
+const WAITING_SHARE: f64 = 0.1;
+
+/// One engine as this node uses it.
+#[derive(Clone, Debug)]
+pub(super) struct EngineSlot {
+    pub(super) model: ModelId,
+    pub(super) limit: ConcurrencyLimit,
+    pub(super) health: EngineHealth,
+    pub(super) in_flight: u32,
+    pub(super) is_leaving: bool,
+    fixed_limit: u32,
+    refused_until_ms: u64,
+    // The limit in force until the next refresh; zero closes the engine.
+    open_limit: u32,
+}
+
+impl EngineSlot {
+    fn refresh(&mut self, now_ms: u64) {
+        let share = self.health.share(now_ms);
+        let is_closed = self.is_leaving || share <= 0.0 || now_ms < self.refused_until_ms;
+        let mut limit = (f64::from(self.limit.get()) * share).ceil().max(1.0) as u32;
+        if self.fixed_limit > 0 {
+            limit = limit.min(self.fixed_limit);
+        }
+        self.open_limit = if is_closed { 0 } else { limit };
+    }
+
+    /// Returns the limit in force; zero while the engine is closed.
+    pub(super) fn open_limit(&self) -> u32 {
+        self.open_limit
+    }
+
+    fn crowding(&self) -> Option<f64> {
+        if self.open_limit == 0 {
+            return None;
+        }
+        if self.in_flight < self.open_limit {
+            return Some(0.0);
+        }
+        let excess = f64::from(self.in_flight + 1) / f64::from(self.open_limit) - 1.0;
+        (excess <= CROWDING_BOUND).then_some(excess)
+    }
+}
+
+/// All engines that the configuration names.
+#[derive(Clone, Debug, Default)]
+pub(super) struct EngineSlots {
+    slots: EntityMap<UpstreamId, EngineSlot>,
+}
+
+impl EngineSlots {
+    /// Takes over a configuration. What is known of engines that stay is kept.
+    pub(super) fn configure(&mut self, snapshot: &Snapshot) {
+        let upstreams = &snapshot.state.upstreams;
+        self.slots.retain(|id, slot| slot.in_flight > 0 || upstreams.contains(id));
+        for (id, slot) in self.slots.iter_mut() {
+            slot.is_leaving |= !upstreams.get(id).is_some_and(is_usable);
+        }
+        for (id, upstream) in upstreams.iter().filter(|(_, upstream)| is_usable(upstream)) {
+            let Some(model) = upstream.model else { continue };
+            let slot = self.slots.get_or_insert_with(id, || EngineSlot::new(model));
+            slot.model = model;
+            slot.fixed_limit = upstream.requests_limit;
+        }
+    }
+
+    pub(super) fn get(&self, upstream: UpstreamId) -> Option<&EngineSlot> {
+        self.slots.get(upstream)
+    }
+
+    pub(super) fn get_mut(&mut self, upstream: UpstreamId) -> Option<&mut EngineSlot> {
+        self.slots.get_mut(upstream)
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = (UpstreamId, &EngineSlot)> {
+        self.slots.iter()
+    }
+
+    /// Brings the limits in force up to date.
+    pub(super) fn refresh(&mut self, now_ms: u64) {
+        self.slots.iter_mut().for_each(|(_, slot)| slot.refresh(now_ms));
+    }
+
+    /// Returns the requests that the engines of a model may have at once.
+    pub(super) fn places(&self, model: ModelId) -> u32 {
+        let slots = self.slots.values().filter(|slot| slot.model == model);
+        slots.map(EngineSlot::open_limit).sum()
+    }
+
+    /// Returns whether any engine of a model may take a request.
+    pub(super) fn any_open(&self, model: ModelId) -> bool {
+        let mut slots = self.slots.values().filter(|slot| slot.model == model);
+        slots.any(|slot| slot.crowding().is_some())
+    }
+
+    /// Returns whether a model has an engine at all.
+    pub(super) fn serves(&self, model: ModelId) -> bool {
+        self.slots.values().any(|slot| slot.model == model && !slot.is_leaving)
+    }
+
+    pub(super) fn sent(&mut self, upstream: UpstreamId) {
+        if let Some(slot) = self.slots.get_mut(upstream) {
+            slot.in_flight += 1;
+            slot.limit.used(slot.in_flight);
+        }
+    }
+
+    pub(super) fn ended(&mut self, upstream: UpstreamId) {
+        if let Some(slot) = self.slots.get_mut(upstream) {
+            slot.in_flight = slot.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Takes in a fault of a leg. Returns whether the engine is ejected by it.
+    pub(super) fn failed(&mut self, upstream: UpstreamId, fault: Fault, now_ms: u64) -> bool {
+        let Some(slot) = self.slots.get_mut(upstream) else { return false };
+        if fault == Fault::Refused {
+            // It is leaving or loads weights; that is no fault of its own.
+            slot.refused_until_ms = now_ms + REFUSED_PAUSE_MS;
+            slot.refresh(now_ms);
+            return false;
+        }
+        let ejected = slot.health.failed(now_ms);
+        slot.refresh(now_ms);
+        ejected
+    }
+
+    /// Takes in a load report.
+    pub(super) fn observe(
+        &mut self,
+        upstream: UpstreamId,
+        running: u32,
+        waiting: u32,
+        now_ms: u64,
+    ) {
+        let Some(slot) = self.slots.get_mut(upstream) else { return };
+        let allowed = (f64::from(running) * WAITING_SHARE).max(1.0);
+        let pressure =
+            if f64::from(waiting) > allowed { Pressure::Waiting } else { Pressure::Free };
+        slot.limit.observe(pressure, now_ms);
+        slot.refresh(now_ms);
+    }
+
+    /// Begins the slow return of an engine that came back empty.
+    pub(super) fn restarted(&mut self, upstream: UpstreamId, now_ms: u64) {
+        if let Some(slot) = self.slots.get_mut(upstream) {
+            slot.health.restarted(now_ms);
+            slot.limit.restart(now_ms);
+            slot.refresh(now_ms);
+        }
+    }
+}
+
+impl EngineSlot {
+    fn new(model: ModelId) -> Self {
+        let limit = ConcurrencyLimit::default();
+        Self {
+            model,
+            open_limit: limit.get(),
+            limit,
+            health: EngineHealth::default(),
+            in_flight: 0,
+            is_leaving: false,
+            fixed_limit: 0,
+            refused_until_ms: 0,
+        }
+    }
+}
+
+impl Gate for EngineSlots {
+    fn crowding(&self, upstream: UpstreamId) -> Option<f64> {
+        self.slots.get(upstream)?.crowding()
+    }
+}
+
+fn is_usable(upstream: &Upstream) -> bool {
+    upstream.kind == UpstreamKind::Engine && !upstream.drained
+}
+
+/// Lets a replaced request through wherever it is not closed, since it holds a place already.
+pub(super) struct OpenGate<'a>(pub(super) &'a EngineSlots);
+
+impl Gate for OpenGate<'_> {
+    fn crowding(&self, upstream: UpstreamId) -> Option<f64> {
+        let slot = self.0.slots.get(upstream)?;
+        (slot.open_limit > 0).then(|| f64::from(slot.in_flight) / f64::from(slot.open_limit))
+    }
+}
--- /dev/null
+++ b/crates/redwingrill/src/dispatch/load_poll.rs
@@ -0,0 +1,133 @@
+//! Asks engines for their load.
+//!
+//! A node asks each engine of a small fleet a few times a second. In a large fleet it asks a bounded
+//! number at a time, in turn; the rest comes from other nodes.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::future::join_all;
+use http::Request;
+use http::StatusCode;
+use http::header;
+use serde::Deserialize;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio::time::MissedTickBehavior;
+
+use super::messages::WeakDispatcher;
+use super::observations::EngineLoadReport;
+use redwingrill_config::Snapshot;
+use redwingrill_config::UpstreamKind;
+use redwingrill_entity::UpstreamId;
+use redwingrill_placement::fleet::EngineStart;
+use redwingrill_placement::fleet::Incarnation;
+use redwingrill_placement::fleet::LoadReport;
+use redwingrill_placement::fleet::WeightsTag;
+use redwingrill_transport::Freshness;
+use redwingrill_transport::Pool;
+use redwingrill_transport::Timeouts;
+
+const INTERVAL: Duration = Duration::from_millis(250);
+
+/// Engines that are asked at a time.
+const POLLS_AT_ONCE: usize = 32;
+
+const TIMEOUT: Duration = Duration::from_millis(400);
+
+const REPLY_LIMIT_BYTES: usize = 4 << 10;
+
+/// The reply of `GET /load`.
+#[derive(Clone, Debug, Deserialize)]
+struct LoadReply {
+    incarnation: String,
+    weights_version: String,
+    #[serde(default)]
+    running: u32,
+    #[serde(default)]
+    waiting: u32,
+    #[serde(default)]
+    waiting_tokens: u64,
+    #[serde(default)]
+    leaving: bool,
+}
+
+impl From<LoadReply> for LoadReport {
+    fn from(reply: LoadReply) -> Self {
+        Self {
+            start: EngineStart {
+                incarnation: Incarnation::parse(&reply.incarnation),
+                weights: WeightsTag::of(&reply.weights_version),
+            },
+            running: reply.running,
+            waiting: reply.waiting,
+            waiting_tokens: reply.waiting_tokens,
+        }
+    }
+}
+
+/// The task that asks engines for their load.
+#[derive(Debug)]
+pub struct LoadPoll {
+    pool: Pool,
+    configuration: watch::Receiver<Arc<Snapshot>>,
+    dispatcher: WeakDispatcher,
+    next: usize,
+}
+
+impl LoadPoll {
+    pub(super) fn new(
+        pool: Pool,
+        configuration: watch::Receiver<Arc<Snapshot>>,
+        dispatcher: WeakDispatcher,
+    ) -> Self {
+        Self { pool, configuration, dispatcher, next: 0 }
+    }
+
+    /// Runs until the dispatch task has no other way to it.
+    pub async fn run(mut self) {
+        let mut ticks = tokio::time::interval(INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        while self.dispatcher.is_open() {
+            ticks.tick().await;
+            let engines = self.next_engines();
+            join_all(engines.iter().map(|&(id, address)| self.poll(id, address))).await;
+        }
+    }
+
+    fn next_engines(&mut self) -> Vec<(UpstreamId, SocketAddr)> {
+        let snapshot = self.configuration.borrow().clone();
+        let upstreams = snapshot.state.upstreams.iter();
+        let engines = upstreams.filter(|(_, upstream)| upstream.kind == UpstreamKind::Engine);
+        let engines: Vec<_> = engines.map(|(id, upstream)| (id, upstream.address)).collect();
+        let count = engines.len().min(POLLS_AT_ONCE);
+        let start = self.next;
+        self.next += count;
+        (start..start + count).map(|index| engines[index % engines.len()]).collect()
+    }
+
+    async fn poll(&self, upstream: UpstreamId, address: SocketAddr) {
+        let observed = Instant::now();
+        // An engine that does not answer is judged by its requests.
+        let Some(reply) = self.load_of(address).await else { return };
+        let leaving = reply.leaving;
+        let report = EngineLoadReport { upstream, load: reply.into(), leaving, observed };
+        let _ended = self.dispatcher.observe_load(report);
+    }
+
+    async fn load_of(&self, address: SocketAddr) -> Option<LoadReply> {
+        let request = Request::get("/load")
+            .header(header::HOST, address.to_string())
+            .body(Bytes::new())
+            .expect("the request is valid");
+        let timeouts = Timeouts { connect: TIMEOUT, head: TIMEOUT };
+        let reply = self.pool.send(address, request, Freshness::Any, &timeouts).await.ok()?;
+        if reply.status() != StatusCode::OK {
+            return None;
+        }
+        let body = reply.into_body().read_all(REPLY_LIMIT_BYTES, TIMEOUT).await.ok()?;
+        serde_json::from_slice(&body).ok()
+    }
+}
--- a/crates/redwingrill/src/dispatch/messages.rs
+++ b/crates/redwingrill/src/dispatch/messages.rs
@@ -1,98 +1,74 @@
-//! What requests and the dispatch task say to each other.
+//! What requests and other parts say to the dispatch task.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
 use super::DispatchState;
+use super::ask::Ask;
+use super::ask::OwnedAsk;
+use super::observations::EngineLoadReport;
+use super::ticket::EngineTarget;
+use super::ticket::Ticket;
+use super::ticket::TicketId;
 use crate::Refusal;
+use redwingrill_admission::limits::AccountDemand;
 use redwingrill_codes::ResultCode;
-use redwingrill_config::Snapshot;
-use redwingrill_entity::AccountId;
-use redwingrill_entity::ModelId;
-use redwingrill_entity::PriorityId;
 use redwingrill_entity::UpstreamId;
+use redwingrill_placement::blocks::PromptBlocks;
+use redwingrill_placement::fleet::EngineStart;
 use redwingrill_stream::Fault;
 use redwingrill_stream::Usage;
 
-/// A request that asks to be admitted.
-#[derive(Clone, Debug)]
-pub struct Ask<'a> {
-    /// The configuration the request was received under.
-    pub snapshot: &'a Arc<Snapshot>,
-    /// The client account.
-    pub account: AccountId,
-    /// The priority.
-    pub priority: PriorityId,
-    /// The model.
-    pub model: ModelId,
-    /// The texts of the messages, in order.
-    pub prompt: &'a [&'a str],
-    /// The most tokens to generate, as far as known.
-    pub max_tokens: u64,
-}
+/// Contexts for hashing prompts that are kept for later requests.
+const SCRATCH_KEPT: usize = 16;
 
-/// The engine that a request goes to.
-#[derive(Clone, Debug)]
-pub struct EngineTarget {
-    /// The upstream.
-    pub upstream: UpstreamId,
-    /// Its name.
-    pub name: String,
-    /// Its address.
-    pub address: SocketAddr,
-    /// The KV cache store to import the prefix from, if that is cheaper than computing it.
-    pub import_from: Option<SocketAddr>,
-}
+/// The answer to a request that asks for an engine.
+pub(super) type EngineReply = oneshot::Sender<Result<EngineTarget, Refusal>>;
 
 /// A message to the dispatch task.
 #[derive(Debug)]
-pub(crate) enum Message {
+pub(super) enum Message {
     /// A request asks to be admitted.
-    Admit { ask: OwnedAsk, reply: oneshot::Sender<Result<Admitted, Refusal>> },
+    Admit { ticket: TicketId, ask: Box<OwnedAsk>, reply: EngineReply },
     /// A leg failed and the request asks for another engine.
-    Replace {
-        ticket: TicketId,
-        fault: Fault,
-        reply: oneshot::Sender<Result<EngineTarget, Refusal>>,
-    },
+    Replace { ticket: TicketId, fault: Fault, reply: EngineReply },
     /// The first token of a leg arrived.
-    FirstToken { ticket: TicketId },
-    /// The request ended; `usage` is absent if it did not end well.
+    FirstToken { ticket: TicketId, start: Option<EngineStart> },
+    /// The request ended or its caller is gone; `usage` is absent if it did not end well.
     Ended { ticket: TicketId, usage: Option<Usage> },
+    /// An engine's load was observed.
+    EngineLoad(EngineLoadReport),
+    /// The upstreams that are leaving, by the platform's instance list.
+    Leaving { upstreams: Vec<UpstreamId> },
+    /// What other nodes told of their top accounts.
+    DemandElsewhere { demands: Vec<AccountDemand> },
+    /// Name the accounts with the most demand here.
+    TopAccounts { limit: usize, reply: oneshot::Sender<Vec<AccountDemand>> },
     /// Describe the state.
     Dump { reply: oneshot::Sender<DispatchState> },
 }
 
-/// A number that names a ticket within this process.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
-pub(crate) struct TicketId(pub u64);
-
-/// An [`Ask`] as it crosses to the task.
-#[derive(Debug)]
-pub(crate) struct OwnedAsk {
-    pub snapshot: Arc<Snapshot>,
-    pub model: ModelId,
-}
-
-/// The task's answer to an admitted request.
-#[derive(Debug)]
-pub(crate) struct Admitted {
-    pub ticket: TicketId,
-    pub engine: EngineTarget,
-}
-
 /// The way of requests to the dispatch task.
 #[derive(Clone, Debug)]
 pub struct Dispatcher {
     messages: mpsc::UnboundedSender<Message>,
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    next_ticket: AtomicU64,
+    scratch: Mutex<Vec<PromptBlocks>>,
 }
 
 impl Dispatcher {
-    pub(crate) fn new(messages: mpsc::UnboundedSender<Message>) -> Self {
-        Self { messages }
+    pub(super) fn new(messages: mpsc::UnboundedSender<Message>) -> Self {
+        Self { messages, shared: Arc::default() }
     }
 
     /// Waits until the request is admitted and an engine is chosen. Dropping the wait withdraws the
@@ -102,16 +78,37 @@
     ///
     /// The refusal, which always says "not run".
     pub async fn admit(&self, ask: &Ask<'_>) -> Result<Ticket, Refusal> {
-        let owned = OwnedAsk { snapshot: ask.snapshot.clone(), model: ask.model };
+        let id = TicketId(self.shared.next_ticket.fetch_add(1, Ordering::Relaxed));
+        let (reply, answer) = oneshot::channel();
+        let ask = Box::new(self.hash(ask));
+        // From here on, dropping the ticket withdraws the request.
+        let mut ticket = Ticket::waiting(id, self.clone());
+        self.send(Message::Admit { ticket: id, ask, reply });
+        ticket.started(answer.await.map_err(|_| Refusal::new(ResultCode::Draining))??);
+        Ok(ticket)
+    }
+
+    /// Tells of an engine's load.
+    pub fn observe_load(&self, report: EngineLoadReport) {
+        self.send(Message::EngineLoad(report));
+    }
+
+    /// Replaces the upstreams that are leaving, by the platform's instance list. They get no new
+    /// requests.
+    pub fn set_leaving(&self, upstreams: Vec<UpstreamId>) {
+        self.send(Message::Leaving { upstreams });
+    }
+
+    /// Replaces what other nodes told of their top accounts.
+    pub fn set_demand_elsewhere(&self, demands: Vec<AccountDemand>) {
+        self.send(Message::DemandElsewhere { demands });
+    }
+
+    /// Returns the accounts with the most demand at this node, at most `limit`.
+    pub async fn top_accounts(&self, limit: usize) -> Vec<AccountDemand> {
         let (reply, answer) = oneshot::channel();
-        self.send(Message::Admit { ask: owned, reply });
-        let admitted = answer.await.map_err(|_| Refusal::new(ResultCode::Draining))??;
-        Ok(Ticket {
-            id: admitted.ticket,
-            engine: admitted.engine,
-            usage: None,
-            dispatcher: self.clone(),
-        })
+        self.send(Message::TopAccounts { limit, reply });
+        answer.await.unwrap_or_default()
     }
 
     /// Describes the state of the task; `None` once it has ended.
@@ -121,52 +118,42 @@
         answer.await.ok()
     }
 
-    fn send(&self, message: Message) {
+    pub(super) fn send(&self, message: Message) {
         // The task ends only after every request has; a late report has no reader and no use.
         let _ended = self.messages.send(message).is_err();
     }
-}
-
-/// The place of an admitted request. Dropping it frees the place.
-#[derive(Debug)]
-pub struct Ticket {
-    id: TicketId,
-    engine: EngineTarget,
-    usage: Option<Usage>,
-    dispatcher: Dispatcher,
-}
 
-impl Ticket {
-    /// Returns the engine chosen.
-    pub fn engine(&self) -> &EngineTarget {
-        &self.engine
+    fn hash(&self, ask: &Ask<'_>) -> OwnedAsk {
+        let mut blocks = self.scratch().pop().unwrap_or_default();
+        let owned = OwnedAsk::new(ask, &mut blocks);
+        let mut scratch = self.scratch();
+        if scratch.len() < SCRATCH_KEPT {
+            scratch.push(blocks);
+        }
+        owned
     }
 
-    /// Reports the first token of the present leg.
-    pub fn first_token(&self) {
-        self.dispatcher.send(Message::FirstToken { ticket: self.id });
+    fn scratch(&self) -> std::sync::MutexGuard<'_, Vec<PromptBlocks>> {
+        self.shared.scratch.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
+}
 
-    /// Asks for another engine after a fault of the present one.
-    ///
-    /// # Errors
-    ///
-    /// The refusal, if there is no other engine or the retry budget is spent.
-    pub async fn replace(&mut self, fault: Fault) -> Result<(), Refusal> {
-        let (reply, answer) = oneshot::channel();
-        self.dispatcher.send(Message::Replace { ticket: self.id, fault, reply });
-        self.engine = answer.await.map_err(|_| Refusal::new(ResultCode::Draining))??;
-        Ok(())
+/// A way to the dispatch task that does not keep it running.
+#[derive(Clone, Debug)]
+pub(super) struct WeakDispatcher(mpsc::WeakUnboundedSender<Message>);
+
+impl WeakDispatcher {
+    pub(super) fn new(messages: &mpsc::UnboundedSender<Message>) -> Self {
+        Self(messages.downgrade())
     }
 
-    /// Ends the request well.
-    pub fn finish(mut self, usage: Option<Usage>) {
-        self.usage = Some(usage.unwrap_or_default());
+    /// Tells of an engine's load. Returns false once nobody else can reach the task.
+    pub(super) fn observe_load(&self, report: EngineLoadReport) -> bool {
+        self.0.upgrade().is_some_and(|messages| messages.send(Message::EngineLoad(report)).is_ok())
     }
-}
 
-impl Drop for Ticket {
-    fn drop(&mut self) {
-        self.dispatcher.send(Message::Ended { ticket: self.id, usage: self.usage });
+    /// Returns whether anybody else can reach the task.
+    pub(super) fn is_open(&self) -> bool {
+        self.0.upgrade().is_some()
     }
 }
--- a/crates/redwingrill/src/dispatch/mod.rs
+++ b/crates/redwingrill/src/dispatch/mod.rs
@@ -2,13 +2,40 @@
 //!
 //! One task owns all state; requests reach it by messages through a [`Dispatcher`]. A request holds
 //! a [`Ticket`] while it is in the system; dropping the ticket frees its place.
+//!
+//! ```text
+//!  admit ──► waiting ──► started ──► first token ──► ended
+//!    │          │           │ ▲ replaced    │ ▲ replaced
+//!    ▼          ▼           ▼ │             ▼ │
+//!  refused   refused,      retrying ◄───────┘
+//!            withdrawn
+//! ```
+//!
+//! Invariants: each admitted request is in exactly one of these states and ends exactly once; a
+//! refusal before `started` says "not run".
 
+mod ask;
+mod core;
+mod engines;
+mod legs;
+mod load_poll;
 mod messages;
+mod model_queue;
+mod observations;
+mod retries;
+mod state;
 mod task;
+mod ticket;
 
-pub use messages::Ask;
+pub use ask::Ask;
+pub use ask::PromptMessage;
+pub use load_poll::LoadPoll;
 pub use messages::Dispatcher;
-pub use messages::EngineTarget;
-pub use messages::Ticket;
+pub use observations::EngineLoadReport;
+pub use state::DispatchState;
+pub use state::EngineSlotState;
+pub use state::ModelQueueState;
 pub use task::Dispatch;
-pub use task::DispatchState;
+pub use task::DispatchOptions;
+pub use ticket::EngineTarget;
+pub use ticket::Ticket;
--- /dev/null
+++ b/crates/redwingrill/src/dispatch/observations.rs
@@ -0,0 +1,19 @@
+//! What is observed of engines, from polls and from other nodes.
+
+use tokio::time::Instant;
+
+use redwingrill_entity::UpstreamId;
+use redwingrill_placement::fleet::LoadReport;
+
+/// The load of one engine.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct EngineLoadReport {
+    /// The engine.
+    pub upstream: UpstreamId,
+    /// What it said.
+    pub load: LoadReport,
+    /// Whether it said that it is leaving.
+    pub leaving: bool,
+    /// When it was asked.
+    pub observed: Instant,
+}
--- /dev/null
+++ b/crates/redwingrill/src/dispatch/ticket.rs
@@ -0,0 +1,97 @@
+//! The place of a request in the system.
+
+use std::net::SocketAddr;
+
+use tokio::sync::oneshot;
+
+use super::messages::Dispatcher;
+use super::messages::Message;
+use crate::Refusal;
+use redwingrill_codes::ResultCode;
+use redwingrill_entity::UpstreamId;
+use redwingrill_placement::fleet::EngineStart;
+use redwingrill_placement::fleet::Incarnation;
+use redwingrill_placement::fleet::WeightsTag;
+use redwingrill_stream::Fault;
+use redwingrill_stream::Usage;
+
+/// A number that names a ticket within this process.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+pub(super) struct TicketId(pub(super) u64);
+
+/// The engine that a request goes to.
+#[derive(Clone, Debug)]
+pub struct EngineTarget {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Its name.
+    pub name: String,
+    /// Its address.
+    pub address: SocketAddr,
+    /// The KV cache store to import the prefix from, if that is cheaper than computing it.
+    pub import_from: Option<SocketAddr>,
+}
+
+/// The place of an admitted request. Dropping it frees the place.
+#[derive(Debug)]
+pub struct Ticket {
+    id: TicketId,
+    engine: Option<EngineTarget>,
+    usage: Option<Usage>,
+    dispatcher: Dispatcher,
+}
+
+impl Ticket {
+    /// Makes the ticket of a request that is about to wait.
+    pub(super) fn waiting(id: TicketId, dispatcher: Dispatcher) -> Self {
+        Self { id, engine: None, usage: None, dispatcher }
+    }
+
+    pub(super) fn started(&mut self, engine: EngineTarget) {
+        self.engine = Some(engine);
+    }
+
+    /// Returns the engine chosen.
+    ///
+    /// # Panics
+    ///
+    /// Never for a ticket that [`Dispatcher::admit`] returned.
+    pub fn engine(&self) -> &EngineTarget {
+        self.engine.as_ref().expect("an admitted request has an engine")
+    }
+
+    /// Reports the first token of the present leg, with the start and the weights that the engine
+    /// named.
+    pub fn first_token(&self, incarnation: &str, weights_version: &str) {
+        let named = !incarnation.is_empty() && !weights_version.is_empty();
+        let start = named.then(|| EngineStart {
+            incarnation: Incarnation::parse(incarnation),
+            weights: WeightsTag::of(weights_version),
+        });
+        self.dispatcher.send(Message::FirstToken { ticket: self.id, start });
+    }
+
+    /// Asks for another engine after a fault of the present one.
+    ///
+    /// # Errors
+    ///
+    /// The refusal, if there is no other engine or the retry budget is spent.
+    pub async fn replace(&mut self, fault: Fault) -> Result<(), Refusal> {
+        let (reply, answer) = oneshot::channel();
+        self.dispatcher.send(Message::Replace { ticket: self.id, fault, reply });
+        let engine = answer.await.map_err(|_| Refusal::new(ResultCode::Draining))??;
+        self.engine = Some(engine);
+        Ok(())
+    }
+
+    /// Ends the request well.
+    pub fn finish(mut self, usage: Option<Usage>) {
+        self.usage = Some(usage.unwrap_or_default());
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.dispatcher.send(Message::Ended { ticket: self.id, usage: self.usage });
+    }
+}
--- a/crates/redwingrill/src/node/parts.rs
+++ b/crates/redwingrill/src/node/parts.rs
@@ -13,6 +13,7 @@
 use crate::admin::AdminRoutes;
 use crate::completions::Completions;
 use crate::dispatch::Dispatch;
+use crate::dispatch::DispatchOptions;
 use crate::http::AccountConnections;
 use crate::http::Listener;
 use crate::http::ListenerOptions;
@@ -22,6 +23,8 @@
 use crate::upstream::EngineClient;
 use crate::upstream::EngineTimeouts;
 use redwingrill_config::Snapshot;
+use redwingrill_placement::placer::Policy;
+use redwingrill_settings::PlacementPolicy;
 use redwingrill_settings::Settings;
 use redwingrill_transport::Pool;
 
@@ -54,12 +57,14 @@
         let services = TaskTracker::new();
         let requests = TaskTracker::new();
         let (phase, phase_reader) = watch::channel(Phase::Serving);
-        let (dispatcher, dispatch) = Dispatch::new();
-        services.spawn(dispatch.run());
         let connections = AccountConnections::default();
         // Without a configuration the node refuses all requests as not ready.
         let configuration =
             configuration.unwrap_or_else(|| watch::channel(Arc::new(Snapshot::default())).1);
+        let options = DispatchOptions { policy: policy(settings), seed: rand::random() };
+        let (dispatcher, dispatch) = Dispatch::new(options, configuration.clone());
+        services.spawn(dispatch.load_poll(pool.clone()).run());
+        services.spawn(dispatch.run());
         let inspector = Inspector {
             name: settings.node.name.clone(),
             phase: phase_reader.clone(),
@@ -102,6 +107,15 @@
     }
 }
 
+fn policy(settings: &Settings) -> Policy {
+    match settings.placement_policy {
+        PlacementPolicy::Random => Policy::Random,
+        PlacementPolicy::LeastLoaded => Policy::LeastLoaded,
+        PlacementPolicy::Affinity => Policy::Affinity,
+        PlacementPolicy::Redwingrill => Policy::Redwingrill,
+    }
+}
+
 fn listener_options(settings: &Settings) -> ListenerOptions {
     ListenerOptions {
         connections_limit: settings.limits.connections,
