--- a/crates/config/src/text/reference.rs
+++ b/crates/config/src/text/reference.rs
@@ -44,6 +44,7 @@
         ValueKind::Flag => "`yes` or `no`".to_owned(),
         ValueKind::Choice(words) => format!("one of `{}`", words.join("`, `")),
         ValueKind::Address => "`IP:PORT`".to_owned(),
+        ValueKind::ListenAddress => "`IP:PORT`, port 0 for any".to_owned(),
         ValueKind::Addresses => "`IP:PORT`, parted by commas".to_owned(),
         ValueKind::Size(least, most) => format!("size, {least} B to {most} B"),
         ValueKind::Reference(kind) => format!("name of a `[{} NAME]`", kind.spec().word),
--- a/crates/config/src/text/spec.rs
+++ b/crates/config/src/text/spec.rs
@@ -37,6 +37,8 @@
     Choice(&'static [&'static str]),
     /// An IP address with a port.
     Address,
+    /// An IP address with a port to listen on; port 0 lets the system choose.
+    ListenAddress,
     /// IP addresses with ports, parted by commas.
     Addresses,
     /// A number of bytes with its unit, between two bounds, both included.
--- a/crates/config/src/text/value.rs
+++ b/crates/config/src/text/value.rs
@@ -75,6 +75,7 @@
         ValueKind::Flag => read_choice(text, &["yes", "no"]).map(|word| Value::Flag(word == "yes")),
         ValueKind::Choice(words) => read_choice(text, words).map(Value::Text),
         ValueKind::Address => read_address(text).map(Value::Address),
+        ValueKind::ListenAddress => read_socket_address(text).map(Value::Address),
         ValueKind::Addresses => read_list(text, read_address).map(Value::Addresses),
         ValueKind::Size(least, most) => read_size(text, least, most).map(Value::Number),
         ValueKind::Reference(_) => read_text(text).map(Value::Text),
@@ -191,12 +192,16 @@
     bad(format!("`{text}` is not a choice here"), format!("write one of: {}", words.join(", ")))
 }
 
-fn read_address(text: &str) -> Result<SocketAddr, BadValue> {
-    let Ok(address) = text.parse::<SocketAddr>() else {
+fn read_socket_address(text: &str) -> Result<SocketAddr, BadValue> {
+    text.parse().or_else(|_| {
         let way_out =
             "write IP:PORT, such as 10.0.1.4:8000 or [fd00::4]:8000; host names are not resolved";
-        return bad(format!("`{text}` is not an IP address with a port"), way_out);
-    };
+        bad(format!("`{text}` is not an IP address with a port"), way_out)
+    })
+}
+
+fn read_address(text: &str) -> Result<SocketAddr, BadValue> {
+    let address = read_socket_address(text)?;
     if address.port() == 0 || address.ip().is_unspecified() || address.ip().is_multicast() {
         return bad(
             format!("nothing can be reached at {address}"),
--- a/crates/lab/src/engine/core.rs
+++ b/crates/lab/src/engine/core.rs
@@ -83,7 +83,7 @@
 #[derive(Debug)]
 pub struct Core {
     pub options: EngineOptions,
-    pub faults: FaultPlan,
+    pub faults: Arc<FaultPlan>,
     pub connections: Connections,
     pub work: Notify,
     state: Mutex<State>,
@@ -135,7 +135,7 @@
     pub fn new(options: EngineOptions, connections: Connections) -> Self {
         let mut state = State::new(&options);
         state.reported = state.load();
-        let faults = FaultPlan::default();
+        let faults = options.faults.clone();
         Self { options, faults, connections, work: Notify::new(), state: Mutex::new(state) }
     }
 
--- a/crates/lab/src/engine/options.rs
+++ b/crates/lab/src/engine/options.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use crate::engine::WeightLoader;
+use crate::faults::FaultPlan;
 
 /// Whether orders with an old fencing number are refused.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
@@ -75,6 +76,8 @@
     pub resume_window_ms: u64,
     /// Whether orders with an old fencing number are refused.
     pub fencing: FencingMode,
+    /// The faults that are to strike; engines that share it share the strikes.
+    pub faults: Arc<FaultPlan>,
     /// Where weights come from; engines that share it slow each other down.
     pub weight_loader: Arc<WeightLoader>,
 }
@@ -97,6 +100,7 @@
             events_gap_every: 50,
             resume_window_ms: 5_000,
             fencing: FencingMode::Checked,
+            faults: Arc::default(),
             weight_loader: Arc::default(),
         }
     }
--- a/crates/lab/src/engine/stream_log.rs
+++ b/crates/lab/src/engine/stream_log.rs
@@ -151,7 +151,13 @@
     }
 
     fn token_chunk(&self, event: u32, shown_id: &str) -> Value {
-        let content = self.head.owner.token(self.head.first_token + event - 1);
+        let owner = if shown_id == self.head.request_id {
+            self.head.owner
+        } else {
+            // A crossed reply carries the tokens of the request that it belongs to.
+            Owner::of("", shown_id)
+        };
+        let content = owner.token(self.head.first_token + event - 1);
         let delta = match event {
             1 => json!({"role": "assistant", "content": content}),
             _ => json!({"content": content}),
--- a/crates/redwingrill/src/completions/relay.rs
+++ b/crates/redwingrill/src/completions/relay.rs
@@ -106,7 +106,7 @@
     pub async fn run(mut self) {
         let completion_id = format!("chatcmpl-{}", self.request_id);
         let mut progress = Progress {
-            transcript: Transcript::new(&completion_id, self.wants_usage),
+            transcript: Transcript::new(&completion_id, &self.request_id.leg(0), self.wants_usage),
             recovery: Recovery::new(RecoveryLimits::default()),
             leg: 0,
             leg_began: false,
@@ -121,8 +121,7 @@
                     return self.end(Event::Rejected { status, message }).await;
                 }
                 Err(LegEnd::Fault(fault)) => {
-                    if progress.transcript.is_answered() {
-                        // Only the end marker is missing.
+                    if self.is_answered(&mut progress).await {
                         return self.complete(&progress).await;
                     }
                     if let Err(refusal) = self.recover(&mut progress, fault).await {
@@ -200,6 +199,23 @@
         Ok(())
     }
 
+    /// Returns whether the caller has its answer though the leg has failed: only the end marker is
+    /// missing, or the engine had no token left to add.
+    async fn is_answered(&self, progress: &mut Progress) -> bool {
+        let transcript = &mut progress.transcript;
+        if transcript.is_answered() {
+            return true;
+        }
+        let limit = self.request.token_limit();
+        if !transcript.is_continuable() || limit.is_none_or(|l| transcript.delivered_tokens() < l) {
+            return false;
+        }
+        let chunk = transcript.finish_by_length();
+        // A caller that is gone needs no end.
+        let _sent = self.send(Event::Chunk(chunk)).await.is_ok();
+        true
+    }
+
     async fn recover(&mut self, progress: &mut Progress, fault: Fault) -> Result<(), Refusal> {
         let transcript = &progress.transcript;
         let continuable = !transcript.has_output() || transcript.is_continuable();
@@ -236,7 +252,7 @@
         progress.leg += 1;
         progress.leg_began = false;
         progress.resuming = false;
-        progress.transcript.begin_leg();
+        progress.transcript.begin_leg(&self.request_id.leg(progress.leg));
         Ok(())
     }
 
--- a/crates/redwingrill/src/completions/request.rs
+++ b/crates/redwingrill/src/completions/request.rs
@@ -85,7 +85,13 @@
 
     /// Returns the most tokens to generate.
     pub fn max_tokens(&self) -> u64 {
-        self.limit().unwrap_or(DEFAULT_MAX_TOKENS)
+        self.token_limit().unwrap_or(DEFAULT_MAX_TOKENS)
+    }
+
+    /// Returns the caller's own limit of generated tokens.
+    pub fn token_limit(&self) -> Option<u64> {
+        let fields = ["max_completion_tokens", "max_tokens"];
+        fields.iter().find_map(|field| self.fields.get(*field)?.as_u64())
     }
 
     /// Returns the texts of the messages, in order.
@@ -119,11 +125,6 @@
         Bytes::from(body)
     }
 
-    fn limit(&self) -> Option<u64> {
-        let fields = ["max_completion_tokens", "max_tokens"];
-        fields.iter().find_map(|field| self.fields.get(*field)?.as_u64())
-    }
-
     fn continue_from(&self, fields: &mut Map<String, Value>, delivered: Delivered<'_>) {
         if let Some(messages) = fields.get_mut("messages").and_then(Value::as_array_mut) {
             messages.push(json!({"role": "assistant", "content": delivered.text}));
--- a/crates/settings/src/spec.rs
+++ b/crates/settings/src/spec.rs
@@ -39,9 +39,14 @@
         optional: false,
         keys: &[
             key("name", ValueKind::Text, Required, "The name, unique in the fleet."),
-            key("listen", ValueKind::Address, Required, "The address for callers (TCP)."),
-            key("admin_listen", ValueKind::Address, Required, "The address for operators (TCP)."),
-            key("peer_listen", ValueKind::Address, Required, "The address for peers (UDP)."),
+            key("listen", ValueKind::ListenAddress, Required, "The address for callers (TCP)."),
+            key(
+                "admin_listen",
+                ValueKind::ListenAddress,
+                Required,
+                "The address for operators (TCP).",
+            ),
+            key("peer_listen", ValueKind::ListenAddress, Required, "The address for peers (UDP)."),
             key("failure_domain", ValueKind::Text, Required, "The failure domain."),
             key("region", ValueKind::Text, Default("default"), "The region."),
             key(
--- a/crates/stream/src/chunk.rs
+++ b/crates/stream/src/chunk.rs
@@ -4,6 +4,7 @@
 use serde::Serialize;
 use serde_json::Map;
 use serde_json::Value;
+use serde_json::json;
 
 /// The token counts of a request.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Default, Serialize, Deserialize)]
@@ -49,6 +50,18 @@
         serde_json::from_str(data).ok().map(|fields| Self { fields })
     }
 
+    /// Makes the chunk that ends the first choice of a completion.
+    pub fn finish(id: &str, created_s: u64, reason: &str) -> Self {
+        let choice = json!({"index": 0, "delta": {}, "finish_reason": reason});
+        let mut fields = Map::new();
+        fields.insert("object".to_owned(), Value::from("chat.completion.chunk"));
+        fields.insert("choices".to_owned(), Value::from(vec![choice]));
+        let mut chunk = Self { fields };
+        chunk.set_id(id);
+        chunk.set_created_s(created_s);
+        chunk
+    }
+
     /// Returns the completion's identifier.
     pub fn id(&self) -> Option<&str> {
         self.fields.get("id")?.as_str()
--- a/crates/stream/src/transcript.rs
+++ b/crates/stream/src/transcript.rs
@@ -6,6 +6,9 @@
 use crate::SseEvent;
 use crate::Usage;
 
+/// What engines put before a request's identifier to name its completion.
+const COMPLETION_PREFIX: &str = "chatcmpl-";
+
 const END_MARKER: &str = "[DONE]";
 
 /// What to do with an accepted event.
@@ -64,18 +67,25 @@
     leg: Leg,
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 struct Leg {
-    id: Option<String>,
+    // The identifier that the engine gives each chunk of the leg.
+    id: String,
     last_event: u64,
     // Tokens that earlier legs delivered.
     tokens_before: u64,
 }
 
+impl Leg {
+    fn new(leg_id: &str, tokens_before: u64) -> Self {
+        Self { id: format!("{COMPLETION_PREFIX}{leg_id}"), last_event: 0, tokens_before }
+    }
+}
+
 impl Transcript {
-    /// Makes the transcript of a stream that has not begun. `wants_usage` tells whether the caller
-    /// asked for token counts.
-    pub fn new(completion_id: &str, wants_usage: bool) -> Self {
+    /// Makes the transcript of a stream whose first leg has the request identifier `leg_id`.
+    /// `wants_usage` tells whether the caller asked for token counts.
+    pub fn new(completion_id: &str, leg_id: &str, wants_usage: bool) -> Self {
         Self {
             completion_id: completion_id.to_owned(),
             created_s: None,
@@ -87,13 +97,20 @@
             finished: false,
             complete: false,
             usage: None,
-            leg: Leg::default(),
+            leg: Leg::new(leg_id, 0),
         }
     }
 
     /// Begins the next leg, on which the engine continues after the text delivered so far.
-    pub fn begin_leg(&mut self) {
-        self.leg = Leg { id: None, last_event: 0, tokens_before: self.delivered_tokens };
+    pub fn begin_leg(&mut self, leg_id: &str) {
+        self.leg = Leg::new(leg_id, self.delivered_tokens);
+    }
+
+    /// Ends the answer because the caller's limit of tokens is reached, and returns the chunk that
+    /// says so.
+    pub fn finish_by_length(&mut self) -> Chunk {
+        self.finished = true;
+        Chunk::finish(&self.completion_id, self.created_s.unwrap_or(0), "length")
     }
 
     /// Checks an event of the current leg and says what to do with it.
@@ -175,14 +192,9 @@
         Ok(Delivery::End)
     }
 
-    fn check_leg(&mut self, chunk: &Chunk) -> Result<(), StreamError> {
+    fn check_leg(&self, chunk: &Chunk) -> Result<(), StreamError> {
         let id = chunk.id().ok_or(StreamError::Garbage)?;
-        match &self.leg.id {
-            None => self.leg.id = Some(id.to_owned()),
-            Some(expected) if expected != id => return Err(StreamError::Crossed),
-            Some(_) => {}
-        }
-        Ok(())
+        if id == self.leg.id { Ok(()) } else { Err(StreamError::Crossed) }
     }
 
     fn take(&mut self, mut chunk: Chunk) -> Delivery {
@@ -209,6 +221,10 @@
             self.text.push_str(text);
             self.delivered_tokens += 1;
         }
+        if let Some(usage) = self.usage {
+            // Engines that count in each chunk know better than the count of chunks.
+            self.delivered_tokens = self.delivered_tokens.max(usage.completion_tokens);
+        }
         self.finished |= chunk.finish_reason().is_some();
         Delivery::Chunk(chunk)
     }
