--- a/crates/lab/tests/streams.rs
+++ b/crates/lab/tests/streams.rs
@@ -9,13 +9,13 @@
 use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 
+use crate::support::Site;
+use crate::support::call;
 use redwingrill_lab::caller::Caller;
 use redwingrill_lab::caller::Ending;
 use redwingrill_lab::faults::FaultKind;
 use redwingrill_lab::faults::FaultRule;
 use redwingrill_lab::faults::Step;
-use support::Site;
-use support::call;
 
 const ANSWER_TOKENS: u32 = 6;
 const SITES_AT_ONCE: usize = 24;
