Store configurations as chunks under one swapped manifest, and follow them

Cause: nothing kept or spread an accepted configuration. Ruled out: one value for all (19,000 accounts come to about a megabyte, the store's limit); cutting by fixed counts (one account more moves every later cut); removing old chunks under keys of hashes alone (a racing apply may store the same chunk again), so keys carry the generation that stored it. Change: chunks cut at hashes of names, manifest with apply id and history, apply with conflict report and settled lost answers; a follower that adopts from watch, polls and peers, within a budget of calls, and writes back what a restored old copy of the store lost.

--- /dev/null
+++ b/crates/config/src/follow/follower.rs
@@ -0,0 +1,346 @@
+//! The task that keeps one node's configuration the accepted one.
+//!
+//! It learns of a change from a watch, from polls that find what a silent watch missed, or from
+//! peers; fetches what it lacks; and publishes the whole as one snapshot. It runs until its future
+//! is dropped by [`Follower::run`] at cancellation.
+//!
+//! ```text
+//! seen (watch, poll, peer) -> pending -> fetching -> in force -> announced
+//!                               ^           | chunk gone or nobody answers
+//!                               +-----------+
+//! ```
+
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use super::ChunkSource;
+use super::ConfigCache;
+use super::FollowerStatus;
+use super::decision::Decision;
+use super::decision::Origin;
+use super::decision::decide;
+use super::fetch::Fetched;
+use super::fetch::Wanted;
+use super::fetch::fetch_chunks;
+use super::pacing::CallBudget;
+use super::pacing::Pacing;
+use super::repair::repair;
+use super::timers::Timers;
+use super::watcher::WatchEvent;
+use super::watcher::Watcher;
+use crate::Manifest;
+use crate::Snapshot;
+use crate::StoredManifest;
+use crate::storage::from_chunks;
+use crate::storage::read_manifest;
+use redwingrill_entity::Names;
+use redwingrill_ports::Revision;
+use redwingrill_ports::Store;
+
+/// How long peers may take to hand a manifest.
+const PEER_MANIFEST_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(1);
+
+/// What a follower publishes.
+#[derive(Clone, Debug)]
+pub struct Followed {
+    /// The configuration in force; generation zero until there is one.
+    pub snapshots: watch::Receiver<Arc<Snapshot>>,
+    /// What peers may be handed.
+    pub cache: ConfigCache,
+    /// What the follower does, for the dump.
+    pub status: watch::Receiver<FollowerStatus>,
+}
+
+/// The follower of one node.
+#[derive(Debug)]
+pub struct Follower<S, C> {
+    store: S,
+    source: C,
+    names: Arc<Mutex<Names>>,
+    cache: ConfigCache,
+    snapshots: watch::Sender<Arc<Snapshot>>,
+    status: watch::Sender<FollowerStatus>,
+    pacing: Pacing,
+    budget: CallBudget,
+    timers: Timers,
+    own: Option<Manifest>,
+    pending: Option<Manifest>,
+    store_revision: Revision,
+    watcher: Option<Watcher>,
+}
+
+impl<S: Store, C: ChunkSource> Follower<S, C> {
+    /// Makes a follower with nothing in force. Each node has a seed of its own.
+    pub fn new(store: S, source: C, names: Arc<Mutex<Names>>, seed: u64) -> (Self, Followed) {
+        let snapshots = watch::Sender::new(Arc::new(Snapshot::default()));
+        let status = watch::Sender::new(FollowerStatus::default());
+        let cache = ConfigCache::default();
+        let followed = Followed {
+            snapshots: snapshots.subscribe(),
+            cache: cache.clone(),
+            status: status.subscribe(),
+        };
+        let now = Instant::now();
+        let follower = Self {
+            store,
+            source,
+            names,
+            cache,
+            snapshots,
+            status,
+            pacing: Pacing::new(SmallRng::seed_from_u64(seed)),
+            budget: CallBudget::new(now),
+            timers: Timers::starting_at(now),
+            own: None,
+            pending: None,
+            store_revision: Revision::default(),
+            watcher: None,
+        };
+        (follower, followed)
+    }
+
+    /// Follows until cancelled, and ends the watch.
+    pub async fn run(mut self, cancel: CancellationToken) {
+        cancel.run_until_cancelled(self.follow()).await;
+        if let Some(watcher) = self.watcher.take() {
+            watcher.close().await;
+        }
+    }
+
+    async fn follow(&mut self) {
+        self.pacing.set_live_nodes(self.source.live_nodes());
+        tokio::time::sleep(self.pacing.fetch_pause()).await;
+        loop {
+            self.pacing.set_live_nodes(self.source.live_nodes());
+            self.act().await;
+            self.publish_status();
+            self.wait().await;
+        }
+    }
+
+    /// Does everything that is due.
+    async fn act(&mut self) {
+        if self.timers.peer.take_due() {
+            self.check_peers().await;
+            self.timers.peer.set(self.pacing.peer_pause());
+        }
+        if self.timers.poll.take_due() {
+            self.poll_store().await;
+        }
+        if self.timers.fetch.take_due() {
+            self.fetch().await;
+        }
+        if self.timers.repair.take_due() {
+            self.repair().await;
+        }
+    }
+
+    /// Waits until something is due or the watch reports.
+    async fn wait(&mut self) {
+        let due = self.timers.next();
+        let Some(watcher) = &mut self.watcher else {
+            return tokio::time::sleep_until(due).await;
+        };
+        let event = tokio::select! {
+            event = watcher.next() => event,
+            () = tokio::time::sleep_until(due) => return,
+        };
+        self.on_watch_event(event).await;
+    }
+
+    async fn on_watch_event(&mut self, event: WatchEvent) {
+        match event {
+            WatchEvent::Written(stored) => {
+                self.store_revision = stored.revision;
+                self.observe(Some(stored.manifest), Origin::Store);
+            }
+            WatchEvent::Unclear => self.timers.poll.bring_forward(self.pacing.retry_pause()),
+            WatchEvent::Ended(error) => {
+                log::info!(event = "config_watch_ended", reason:% = error; "");
+                self.close_watch().await;
+                self.timers.poll.bring_forward(self.pacing.poll_pause());
+            }
+        }
+    }
+
+    async fn check_peers(&mut self) {
+        let generation = self.source.newest_generation();
+        let known = self.pending.as_ref().or(self.own.as_ref()).map(|m| m.generation);
+        if generation <= known.unwrap_or_default() {
+            return;
+        }
+        let asked = tokio::time::timeout(PEER_MANIFEST_TIMEOUT, self.source.newest_manifest());
+        let Ok(Some(bytes)) = asked.await else { return };
+        match Manifest::decode(&bytes) {
+            Ok(manifest) => self.observe(Some(manifest), Origin::Peer),
+            Err(error) => log::warn!(event = "config_peer_manifest", reason:% = error; ""),
+        }
+    }
+
+    async fn poll_store(&mut self) {
+        // A node that learned all from peers still polls, but takes its turn.
+        let first = self.own.is_none() && self.pending.is_none();
+        if !first && !self.budget.take(Instant::now(), self.pacing.calls_per_s()) {
+            return self.timers.poll.set(self.pacing.retry_pause());
+        }
+        self.count_call();
+        let read = read_manifest(&self.store).await;
+        self.timers.poll.set(self.pacing.poll_pause());
+        match read {
+            Ok(stored) => self.on_read(stored).await,
+            Err(error) => {
+                log::info!(event = "config_poll_failed", reason:% = error; "");
+                self.status.send_modify(|status| status.failed_calls += 1);
+            }
+        }
+    }
+
+    async fn on_read(&mut self, stored: Option<StoredManifest>) {
+        let revision = stored.as_ref().map_or(Revision::default(), |stored| stored.revision);
+        if revision != self.store_revision {
+            // The watch missed a change, or the store went back; it is worth no more trust.
+            self.close_watch().await;
+            self.store_revision = revision;
+        }
+        self.observe(stored.map(|stored| stored.manifest), Origin::Store);
+        if self.watcher.is_none() {
+            self.count_call();
+            self.watcher = Some(Watcher::open(self.store.clone(), revision));
+        }
+    }
+
+    async fn close_watch(&mut self) {
+        if let Some(watcher) = self.watcher.take() {
+            watcher.close().await;
+        }
+    }
+
+    fn observe(&mut self, seen: Option<Manifest>, origin: Origin) {
+        match decide(self.own.as_ref(), seen.as_ref(), origin) {
+            Decision::Keep => {}
+            Decision::Adopt => self.await_fetch(seen, origin),
+            Decision::WriteBack | Decision::Lift => {
+                self.timers.repair.bring_forward(self.pacing.repair_pause());
+            }
+        }
+    }
+
+    fn await_fetch(&mut self, seen: Option<Manifest>, origin: Origin) {
+        let (Some(seen), pending) = (seen, self.pending.as_ref()) else { return };
+        let replaces = pending.is_none_or(|pending| match origin {
+            Origin::Store => seen != *pending,
+            Origin::Peer => seen.generation > pending.generation,
+        });
+        if replaces {
+            self.pending = Some(seen);
+            self.timers.fetch.set(self.pacing.fetch_pause());
+        }
+    }
+
+    async fn fetch(&mut self) {
+        let Some(pending) = self.pending.take() else { return };
+        let wanted = self.wanted(&pending);
+        let fetched = fetch_chunks(&self.store, &self.source, &wanted).await;
+        let gone = fetched.iter().any(|fetched| matches!(fetched, Fetched::Gone));
+        let complete = self.keep(fetched);
+        if complete {
+            return self.put_in_force(pending);
+        }
+        if gone {
+            self.timers.poll.bring_forward(self.pacing.retry_pause());
+        }
+        self.pending = Some(pending);
+        self.timers.fetch.set(self.pacing.retry_pause());
+    }
+
+    fn wanted(&mut self, manifest: &Manifest) -> Vec<Wanted> {
+        let missing = manifest.chunks.iter().filter(|c| self.cache.chunk(c.hash).is_none());
+        let mut missing: Vec<_> = missing.copied().collect();
+        // Nodes that start together begin at different chunks and find the rest at peers.
+        self.pacing.shuffle(&mut missing);
+        let (now, calls_per_s) = (Instant::now(), self.pacing.calls_per_s());
+        let wanted = missing
+            .into_iter()
+            .map(|chunk| Wanted { chunk, store_allowed: self.budget.take(now, calls_per_s) });
+        wanted.collect()
+    }
+
+    /// Keeps what was fetched. Returns whether nothing is missing any more.
+    fn keep(&mut self, fetched: Vec<Fetched>) -> bool {
+        let mut complete = true;
+        for fetched in fetched {
+            match fetched {
+                Fetched::FromPeer(hash, bytes) => {
+                    self.budget.give_back();
+                    self.status.send_modify(|status| status.chunks_from_peers += 1);
+                    self.cache.insert(hash, bytes);
+                }
+                Fetched::FromStore(hash, bytes) => {
+                    self.count_call();
+                    self.status.send_modify(|status| status.chunks_from_store += 1);
+                    self.cache.insert(hash, bytes);
+                }
+                Fetched::Gone | Fetched::Failed => {
+                    self.count_call();
+                    complete = false;
+                }
+                Fetched::Deferred => complete = false,
+            }
+        }
+        complete
+    }
+
+    fn put_in_force(&mut self, manifest: Manifest) {
+        // Another one may have come into force since this one was seen.
+        if decide(self.own.as_ref(), Some(&manifest), Origin::Peer) != Decision::Adopt {
+            return;
+        }
+        let chunks: Option<Vec<_>> =
+            manifest.chunks.iter().map(|chunk| self.cache.chunk(chunk.hash)).collect();
+        let Some(chunks) = chunks else { return };
+        let state = {
+            let mut names = self.names.lock().expect("no holder panics");
+            from_chunks(&chunks, &mut names)
+        };
+        let generation = manifest.generation;
+        match state {
+            Ok(state) => {
+                self.cache.adopt(&manifest);
+                self.own = Some(manifest);
+                self.snapshots.send_replace(Arc::new(Snapshot::new(generation, state)));
+                log::info!(event = "config_in_force", generation = generation.0; "");
+            }
+            Err(error) => {
+                log::error!(event = "config_malformed", generation = generation.0, reason:% = error; "");
+            }
+        }
+    }
+
+    async fn repair(&mut self) {
+        let Some(own) = &self.own else { return };
+        let calls = repair(&self.store, own, &self.cache).await;
+        self.status.send_modify(|status| status.store_calls += calls);
+        self.timers.poll.bring_forward(self.pacing.retry_pause());
+    }
+
+    fn count_call(&self) {
+        self.status.send_modify(|status| status.store_calls += 1);
+    }
+
+    fn publish_status(&self) {
+        let (chunks, chunk_bytes) = self.cache.size();
+        self.status.send_modify(|status| {
+            status.generation = self.cache.generation().0;
+            status.pending_generation = self.pending.as_ref().map(|pending| pending.generation.0);
+            status.watch_open = self.watcher.is_some();
+            status.chunks = chunks;
+            status.chunk_bytes = chunk_bytes;
+        });
+    }
+}
--- /dev/null
+++ b/crates/config/src/follow/pacing.rs
@@ -0,0 +1,150 @@
+//! When a node calls, so that a fleet of any size spares the platform.
+//!
+//! The store sees a rate of polls that the fleet as a whole keeps, whatever its size: each node
+//! polls less often the more nodes live, and learns from its peers what another one read. All
+//! periods have jitter, so that nodes that start together drift apart.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+use tokio::time::Instant;
+
+/// The polls of the manifest that a whole fleet makes.
+const FLEET_POLLS_PER_S: f64 = 2.5;
+
+/// The shortest period of polls at one node.
+const POLL_PERIOD_MIN: Duration = Duration::from_secs(3);
+
+/// The longest period of polls at one node.
+const POLL_PERIOD_MAX: Duration = Duration::from_secs(300);
+
+/// The period at which a node looks at what its peers have in force.
+const PEER_PERIOD: Duration = Duration::from_secs(1);
+
+/// The pause before a failed fetch is tried again.
+const FETCH_RETRY: Duration = Duration::from_millis(400);
+
+/// The part of the spread of fetches that each node adds.
+const FETCH_SPREAD_PER_NODE: Duration = Duration::from_millis(5);
+
+const FETCH_SPREAD_MAX: Duration = Duration::from_secs(2);
+
+/// Fleets up to this size fetch at once.
+const SMALL_FLEET: usize = 8;
+
+/// The part of the spread of repairs that each node adds.
+const REPAIR_SPREAD_PER_NODE: Duration = Duration::from_millis(100);
+
+const REPAIR_SPREAD_MAX: Duration = Duration::from_secs(4);
+
+/// The calls to the store that a whole fleet makes at most while it fetches chunks.
+const FLEET_CALLS_PER_S: f64 = 800.0;
+
+const NODE_CALLS_PER_S_MIN: f64 = 2.0;
+const NODE_CALLS_PER_S_MAX: f64 = 100.0;
+
+/// The calls that a node may make at once after a quiet time.
+const CALL_BURST: f64 = 40.0;
+
+/// Draws the pauses of one node.
+#[derive(Debug)]
+pub struct Pacing {
+    rng: SmallRng,
+    live_nodes: usize,
+}
+
+impl Pacing {
+    /// Makes the pacing of a node from its own randomness.
+    pub fn new(rng: SmallRng) -> Self {
+        Self { rng, live_nodes: 1 }
+    }
+
+    /// Notes how many nodes live.
+    pub fn set_live_nodes(&mut self, live_nodes: usize) {
+        self.live_nodes = live_nodes.max(1);
+    }
+
+    /// Returns the pause until the next poll of the store, or the next try to open a watch.
+    pub fn poll_pause(&mut self) -> Duration {
+        let period = Duration::from_secs_f64(self.live_nodes as f64 / FLEET_POLLS_PER_S);
+        self.jittered(period.clamp(POLL_PERIOD_MIN, POLL_PERIOD_MAX))
+    }
+
+    /// Returns the pause until the next look at peers.
+    pub fn peer_pause(&mut self) -> Duration {
+        self.jittered(PEER_PERIOD)
+    }
+
+    /// Returns the pause before a changed configuration is fetched.
+    pub fn fetch_pause(&mut self) -> Duration {
+        if self.live_nodes <= SMALL_FLEET {
+            return Duration::ZERO;
+        }
+        self.spread(FETCH_SPREAD_PER_NODE, FETCH_SPREAD_MAX)
+    }
+
+    /// Returns the pause before a failed fetch is tried again.
+    pub fn retry_pause(&mut self) -> Duration {
+        self.jittered(FETCH_RETRY)
+    }
+
+    /// Returns the pause before the store is repaired, long enough that mostly one node does it.
+    pub fn repair_pause(&mut self) -> Duration {
+        self.spread(REPAIR_SPREAD_PER_NODE, REPAIR_SPREAD_MAX)
+    }
+
+    /// Returns the rate of calls to the store that this node keeps.
+    pub fn calls_per_s(&self) -> f64 {
+        let share = FLEET_CALLS_PER_S / self.live_nodes as f64;
+        share.clamp(NODE_CALLS_PER_S_MIN, NODE_CALLS_PER_S_MAX)
+    }
+
+    /// Puts items into a random order.
+    pub fn shuffle<T>(&mut self, items: &mut [T]) {
+        for at in (1..items.len()).rev() {
+            items.swap(at, self.rng.random_range(0..=at));
+        }
+    }
+
+    fn jittered(&mut self, period: Duration) -> Duration {
+        period.mul_f64(self.rng.random_range(0.5..=1.0))
+    }
+
+    fn spread(&mut self, per_node: Duration, most: Duration) -> Duration {
+        let nodes = u32::try_from(self.live_nodes).unwrap_or(u32::MAX);
+        let spread = per_node.checked_mul(nodes).unwrap_or(most).min(most);
+        spread.mul_f64(self.rng.random_range(0.0..=1.0))
+    }
+}
+
+/// The calls that a node may make to the store.
+#[derive(Debug)]
+pub struct CallBudget {
+    tokens: f64,
+    filled_at: Instant,
+}
+
+impl CallBudget {
+    /// Makes a full budget.
+    pub fn new(now: Instant) -> Self {
+        Self { tokens: CALL_BURST, filled_at: now }
+    }
+
+    /// Takes one call if there is one.
+    pub fn take(&mut self, now: Instant, calls_per_s: f64) -> bool {
+        let gained = now.saturating_duration_since(self.filled_at).as_secs_f64() * calls_per_s;
+        self.tokens = (self.tokens + gained).min(CALL_BURST);
+        self.filled_at = now;
+        let enough = self.tokens >= 1.0;
+        if enough {
+            self.tokens -= 1.0;
+        }
+        enough
+    }
+
+    /// Gives back a call that was not needed.
+    pub fn give_back(&mut self) {
+        self.tokens = (self.tokens + 1.0).min(CALL_BURST);
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,9 +1,20 @@
 //! The operator's desired state: model, text format, checks, and storage layout.
 
+mod follow;
 mod model;
 mod snapshot;
+mod storage;
 mod text;
 
+pub use follow::ChunkSource;
+pub use follow::ConfigCache;
+pub use follow::Decision;
+pub use follow::Followed;
+pub use follow::Follower;
+pub use follow::FollowerStatus;
+pub use follow::NoPeers;
+pub use follow::Origin;
+pub use follow::decide;
 pub use model::Account;
 pub use model::CallPattern;
 pub use model::DesiredState;
@@ -16,6 +27,27 @@
 pub use model::UpstreamKind;
 pub use snapshot::Generation;
 pub use snapshot::Snapshot;
+pub use storage::Applied;
+pub use storage::ApplyError;
+pub use storage::ApplyId;
+pub use storage::ApplyRequest;
+pub use storage::CHUNK_PREFIX;
+pub use storage::Chunk;
+pub use storage::ChunkHash;
+pub use storage::ChunkRef;
+pub use storage::Difference;
+pub use storage::DifferenceKind;
+pub use storage::MANIFEST_KEY;
+pub use storage::Manifest;
+pub use storage::Standing;
+pub use storage::StorageError;
+pub use storage::StoredManifest;
+pub use storage::apply;
+pub use storage::from_chunks;
+pub use storage::read_chunk;
+pub use storage::read_manifest;
+pub use storage::read_state;
+pub use storage::to_chunks;
 pub use text::Fault;
 pub use text::Faults;
 pub use text::KEY_HASH_PREFIX;
--- /dev/null
+++ b/crates/config/src/storage/apply.rs
@@ -0,0 +1,226 @@
+//! Making a desired state the accepted configuration.
+
+use snafu::Snafu;
+
+use super::StorageError;
+use super::accept::Acceptance;
+use super::accept::COMMAND_TRIES;
+use super::accept::accept_manifest;
+use super::accept::remove_chunks;
+use super::accept::store_chunks;
+use super::assemble::to_chunks;
+use super::chunk;
+use super::chunk::Chunk;
+use super::difference::Difference;
+use super::difference::differences;
+use super::manifest::ApplyId;
+use super::manifest::ChunkRef;
+use super::manifest::Manifest;
+use super::read::StoredManifest;
+use super::read::read_chunk;
+use super::read::read_manifest;
+use super::record::Record;
+use crate::DesiredState;
+use crate::Generation;
+use redwingrill_codes::ResultCode;
+use redwingrill_entity::Names;
+use redwingrill_ports::Store;
+use redwingrill_ports::StoreError;
+
+/// The largest manifest; the store's own limit is a megabyte.
+const MANIFEST_LIMIT_BYTES: usize = 900_000;
+
+/// What to apply.
+#[derive(Clone, Copy, Debug)]
+pub struct ApplyRequest<'a> {
+    /// The desired state.
+    pub state: &'a DesiredState,
+    /// The names that its identifiers stand for.
+    pub names: &'a Names,
+    /// A random identifier of this run.
+    pub apply_id: ApplyId,
+    /// The generation that the operator's files were made for, if the operator says it.
+    pub expected: Option<Generation>,
+    /// The highest generation that a node is known to have in force.
+    pub in_force: Generation,
+}
+
+/// An accepted configuration.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Applied {
+    /// The generation that has it.
+    pub generation: Generation,
+    /// What it changed; empty if the same configuration was accepted already.
+    pub differences: Vec<Difference>,
+    /// The chunks that were written.
+    pub chunks_written: usize,
+}
+
+/// Why a configuration was not applied.
+#[derive(Clone, PartialEq, Eq, Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum ApplyError {
+    /// Another configuration was accepted first.
+    #[snafu(display("generation {} was accepted first", found.0))]
+    Conflict {
+        /// The generation that is accepted now.
+        found: Generation,
+        /// What it changed against the configuration that this apply began from.
+        differences: Vec<Difference>,
+    },
+    /// The store holds an older configuration than nodes have in force.
+    #[snafu(display(
+        "the store holds generation {}, and nodes have {} in force: an old copy was restored",
+        stored.0, in_force.0
+    ))]
+    OldCopy {
+        /// The generation in the store.
+        stored: Generation,
+        /// The generation in force.
+        in_force: Generation,
+    },
+    /// The manifest would be too large for the store.
+    #[snafu(display("the configuration needs a manifest of {size_bytes} bytes"))]
+    TooLarge {
+        /// The size.
+        size_bytes: usize,
+    },
+    /// The store did not say whether the configuration was accepted.
+    #[snafu(display("the store did not say whether the configuration was accepted: {source}"))]
+    OutcomeUnknown {
+        /// The last failure.
+        source: StoreError,
+    },
+    /// The store failed before anything was accepted.
+    #[snafu(display("{source}"))]
+    Storage {
+        /// The failure.
+        source: StorageError,
+    },
+}
+
+impl ApplyError {
+    /// Returns the result code.
+    pub fn code(&self) -> ResultCode {
+        match self {
+            Self::Conflict { .. } | Self::OldCopy { .. } => ResultCode::ConfigConflict,
+            Self::TooLarge { .. } => ResultCode::ConfigInvalid,
+            Self::OutcomeUnknown { .. } => ResultCode::ConfigOutcomeUnknown,
+            Self::Storage { .. } => ResultCode::StoreUnavailable,
+        }
+    }
+}
+
+impl<E: Into<StorageError>> From<E> for ApplyError {
+    fn from(error: E) -> Self {
+        Self::Storage { source: error.into() }
+    }
+}
+
+/// Applies a desired state as a whole.
+pub async fn apply<S: Store>(store: &S, request: ApplyRequest<'_>) -> Result<Applied, ApplyError> {
+    let current = read_manifest(store).await?;
+    let base = current.as_ref().map(|stored| &stored.manifest);
+    check_base(base, &request)?;
+    let chunks = to_chunks(request.state, request.names);
+    let next = Manifest::following(base, request.apply_id, &chunks);
+    if let Some(base) = base.filter(|base| base.chunks == next.chunks) {
+        let generation = base.generation;
+        return Ok(Applied { generation, differences: Vec::new(), chunks_written: 0 });
+    }
+    check_size(&next)?;
+    let new = new_chunks(&next, &chunks);
+    let differences = match compare(store, &next, &new).await {
+        // A damaged chunk must not keep the operator from replacing it.
+        Err(StorageError::ChunkMissing { .. } | StorageError::Malformed { .. }) => Vec::new(),
+        compared => compared?,
+    };
+    store_chunks(store, &new, COMMAND_TRIES).await?;
+    let expected = StoredManifest::expected(current.as_ref());
+    match accept_manifest(store, expected, &next, COMMAND_TRIES).await {
+        Acceptance::Accepted => {}
+        Acceptance::Refused(found) => return Err(conflict(store, base, found).await),
+        Acceptance::Unknown(source) => return Err(ApplyError::OutcomeUnknown { source }),
+        Acceptance::NotSent(error) => return Err(error.into()),
+    }
+    if let Some(base) = base {
+        // Nodes that still read the generation before need what it has; what that one retired
+        // is needed by none.
+        let needless = base.retired.iter().filter(|chunk| !next.chunks.contains(chunk));
+        remove_chunks(store, &needless.copied().collect::<Vec<_>>()).await;
+    }
+    Ok(Applied { generation: next.generation, differences, chunks_written: new.len() })
+}
+
+fn check_base(base: Option<&Manifest>, request: &ApplyRequest<'_>) -> Result<(), ApplyError> {
+    let stored = base.map_or(Generation::default(), |manifest| manifest.generation);
+    if stored < request.in_force {
+        return Err(ApplyError::OldCopy { stored, in_force: request.in_force });
+    }
+    match request.expected {
+        Some(expected) if expected != stored => {
+            Err(ApplyError::Conflict { found: stored, differences: Vec::new() })
+        }
+        _ => Ok(()),
+    }
+}
+
+fn check_size(manifest: &Manifest) -> Result<(), ApplyError> {
+    let size_bytes = manifest.encode().len();
+    if size_bytes > MANIFEST_LIMIT_BYTES {
+        return Err(ApplyError::TooLarge { size_bytes });
+    }
+    Ok(())
+}
+
+/// Returns the chunks that the manifest is the first to have.
+fn new_chunks(manifest: &Manifest, chunks: &[Chunk]) -> Vec<(ChunkRef, Chunk)> {
+    let pairs = manifest.chunks.iter().zip(chunks);
+    let new = pairs.filter(|(reference, _)| reference.since == manifest.generation);
+    new.map(|(reference, chunk)| (*reference, chunk.clone())).collect()
+}
+
+/// Compares the chunks that a manifest brings with those that it retires.
+async fn compare<S: Store>(
+    store: &S,
+    next: &Manifest,
+    new: &[(ChunkRef, Chunk)],
+) -> Result<Vec<Difference>, StorageError> {
+    let old = read_records(store, &next.retired).await?;
+    let mut fresh = Vec::new();
+    for (_, chunk) in new {
+        fresh.extend(chunk::decode(&chunk.bytes)?);
+    }
+    Ok(differences(&old, &fresh))
+}
+
+async fn read_records<S: Store>(
+    store: &S,
+    chunks: &[ChunkRef],
+) -> Result<Vec<Record>, StorageError> {
+    let mut records = Vec::new();
+    for reference in chunks {
+        records.extend(chunk::decode(&read_chunk(store, reference).await?)?);
+    }
+    Ok(records)
+}
+
+async fn conflict<S: Store>(
+    store: &S,
+    base: Option<&Manifest>,
+    found: Option<StoredManifest>,
+) -> ApplyError {
+    let found = found.map(|stored| stored.manifest).unwrap_or_default();
+    let base = base.cloned().unwrap_or_default();
+    let only_in = |a: &Manifest, b: &Manifest| -> Vec<ChunkRef> {
+        a.chunks.iter().filter(|chunk| !b.chunks.contains(chunk)).copied().collect()
+    };
+    // The report is an aid: without it the conflict is as clear.
+    let old = read_records(store, &only_in(&base, &found)).await;
+    let new = read_records(store, &only_in(&found, &base)).await;
+    let differences = match (old, new) {
+        (Ok(old), Ok(new)) => differences(&old, &new),
+        _ => Vec::new(),
+    };
+    ApplyError::Conflict { found: found.generation, differences }
+}
--- /dev/null
+++ b/crates/config/src/storage/difference.rs
@@ -0,0 +1,62 @@
+//! What changed between two sets of records.
+
+use std::collections::BTreeMap;
+use std::fmt;
+
+use serde::Serialize;
+
+use super::record::Record;
+
+/// How an entity changed.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DifferenceKind {
+    /// Only the new set has it.
+    Added,
+    /// Both have it, with other values.
+    Changed,
+    /// Only the old set has it.
+    Removed,
+}
+
+/// One entity that changed.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize)]
+pub struct Difference {
+    /// How.
+    pub kind: DifferenceKind,
+    /// The header of its section, without brackets.
+    pub section: String,
+}
+
+impl fmt::Display for Difference {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let sign = match self.kind {
+            DifferenceKind::Added => '+',
+            DifferenceKind::Changed => '~',
+            DifferenceKind::Removed => '-',
+        };
+        write!(f, "{sign} [{}]", self.section)
+    }
+}
+
+/// Compares two sets of records, in the order of sections.
+pub fn differences(old: &[Record], new: &[Record]) -> Vec<Difference> {
+    let old = by_section(old);
+    let new = by_section(new);
+    let mut found = BTreeMap::new();
+    for (section, record) in &new {
+        match old.get(section) {
+            None => found.insert(section, DifferenceKind::Added),
+            Some(before) if before != record => found.insert(section, DifferenceKind::Changed),
+            Some(_) => None,
+        };
+    }
+    for section in old.keys().filter(|section| !new.contains_key(*section)) {
+        found.insert(section, DifferenceKind::Removed);
+    }
+    found.into_iter().map(|(section, kind)| Difference { kind, section: section.clone() }).collect()
+}
+
+fn by_section(records: &[Record]) -> BTreeMap<String, &Record> {
+    records.iter().map(|record| (format!("{} {}", record.word(), record.name()), record)).collect()
+}
--- /dev/null
+++ b/crates/config/tests/storage.rs
@@ -0,0 +1,149 @@
+//! Applying to a store, with lost answers, races and sizes.
+
+mod support;
+
+use redwingrill_config::ApplyError;
+use redwingrill_config::Chunk;
+use redwingrill_config::Generation;
+use redwingrill_config::from_chunks;
+use redwingrill_config::parse_str;
+use redwingrill_config::read_state;
+use redwingrill_config::to_chunks;
+use redwingrill_entity::Names;
+use redwingrill_fakes::Faults;
+use redwingrill_fakes::MemoryStore;
+use redwingrill_fakes::WriteFault;
+use redwingrill_ports::Store;
+use support::apply_text;
+use support::site;
+
+const TARGET_ACCOUNTS: usize = 19_000;
+const VALUE_LIMIT_BYTES: usize = 1_000_000;
+
+fn chunks(text: &str) -> Vec<Chunk> {
+    let mut names = Names::default();
+    let state = parse_str("site.ini", text, &mut names).expect("the text is valid");
+    to_chunks(&state, &names)
+}
+
+#[test]
+fn a_change_of_one_account_changes_one_small_chunk() {
+    let before = chunks(&site(TARGET_ACCOUNTS, 1));
+    let changed = chunks(&site(TARGET_ACCOUNTS, 2));
+    let shorter = chunks(&site(TARGET_ACCOUNTS - 1, 1));
+    for (name, other) in [("changed", &changed), ("removed", &shorter)] {
+        let new: Vec<&Chunk> = other.iter().filter(|chunk| !before.contains(chunk)).collect();
+        assert!(new.len() <= 1, "{name}: {} new chunks", new.len());
+    }
+    let largest = before.iter().map(|chunk| chunk.bytes.len()).max().expect("there are chunks");
+    let total: usize = before.iter().map(|chunk| chunk.bytes.len()).sum();
+    println!(
+        "accounts={TARGET_ACCOUNTS} chunks={} largest_bytes={largest} total_bytes={total}",
+        before.len()
+    );
+    assert!(largest < VALUE_LIMIT_BYTES / 4);
+}
+
+#[test]
+fn chunks_read_to_the_state_that_they_were_cut_from() {
+    let mut names = Names::default();
+    let state = parse_str("site.ini", &site(300, 7), &mut names).expect("the text is valid");
+    let chunks = to_chunks(&state, &names);
+    let bytes: Vec<_> = chunks.into_iter().map(|chunk| chunk.bytes).collect();
+    assert_eq!(from_chunks(&bytes, &mut names), Ok(state));
+    assert!(from_chunks(&bytes[..1], &mut Names::default()).is_err(), "priorities are missing");
+}
+
+#[tokio::test(start_paused = true)]
+async fn every_value_is_small_and_retired_chunks_are_removed() {
+    let store = MemoryStore::new();
+    for mark in 1..=4 {
+        apply_text(&store, &site(TARGET_ACCOUNTS, mark), mark).await.expect("applied");
+    }
+    let entries = store.list("").await.expect("listed");
+    assert!(entries.iter().all(|entry| entry.value.len() < VALUE_LIMIT_BYTES / 4));
+    let (manifest, state) =
+        read_state(&store, &mut Names::default()).await.expect("read").expect("accepted");
+    assert_eq!(manifest.generation, Generation(4));
+    assert_eq!(state.accounts.len(), TARGET_ACCOUNTS);
+    // All chunks in force, the one retired last, and the manifest.
+    assert_eq!(entries.len(), manifest.chunks.len() + 2);
+}
+
+struct LostCase {
+    name: &'static str,
+    fault: WriteFault,
+    lasts_s: u64,
+    accepted: Option<bool>,
+}
+
+const LOST_CASES: &[LostCase] = &[
+    LostCase {
+        name: "answers lost for good",
+        fault: WriteFault::LoseAnswer,
+        lasts_s: 600,
+        accepted: None,
+    },
+    LostCase {
+        name: "calls lost for good",
+        fault: WriteFault::LoseCall,
+        lasts_s: 600,
+        accepted: Some(false),
+    },
+    LostCase {
+        name: "answers lost at first",
+        fault: WriteFault::LoseAnswer,
+        lasts_s: 1,
+        accepted: Some(true),
+    },
+    LostCase {
+        name: "calls lost at first",
+        fault: WriteFault::LoseCall,
+        lasts_s: 1,
+        accepted: Some(true),
+    },
+];
+
+#[tokio::test(start_paused = true)]
+async fn lost_answers_are_settled_by_reading_back() {
+    for case in LOST_CASES {
+        let store = MemoryStore::new();
+        apply_text(&store, &site(3, 1), 1).await.expect("applied");
+        let faulty = store.clone();
+        let healer = tokio::spawn(async move {
+            faulty.set_faults(Faults { write: case.fault, ..Faults::default() });
+            tokio::time::sleep(std::time::Duration::from_secs(case.lasts_s)).await;
+            faulty.set_faults(Faults::default());
+        });
+        tokio::task::yield_now().await;
+        let result = apply_text(&store, &site(3, 2), 2).await;
+        healer.abort();
+        store.set_faults(Faults::default());
+        let stored = redwingrill_config::read_manifest(&store).await.expect("read").expect("there");
+        let in_store = stored.manifest.generation == Generation(2);
+        match case.accepted {
+            Some(accepted) => {
+                assert_eq!(result.is_ok(), accepted, "{}: {result:?}", case.name);
+                assert_eq!(in_store, accepted, "{}", case.name);
+            }
+            // Chunk writes fail too, so that nothing is accepted; or the swap was read back.
+            None => assert_eq!(result.is_ok(), in_store, "{}: {result:?}", case.name),
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn of_racing_operators_one_wins_and_the_others_see_what_changed() {
+    let store = MemoryStore::new();
+    apply_text(&store, &site(3, 1), 1).await.expect("applied");
+    store.set_faults(Faults { delay: std::time::Duration::from_millis(5), ..Faults::default() });
+    let (a, b) = (site(3, 2), site(4, 1));
+    let outcome = tokio::join!(apply_text(&store, &a, 2), apply_text(&store, &b, 3));
+    let lost = match outcome {
+        (Ok(_), Err(lost)) | (Err(lost), Ok(_)) => lost,
+        both => panic!("one must win: {both:?}"),
+    };
+    let ApplyError::Conflict { found, differences } = &lost else { panic!("{lost:?}") };
+    assert_eq!(*found, Generation(2));
+    assert_eq!(differences.len(), 1, "{differences:?}");
+}
