--- a/crates/config/src/follow/follower.rs
+++ b/crates/config/src/follow/follower.rs
@@ -162,7 +162,7 @@
             }
             WatchEvent::Unclear => self.timers.poll.bring_forward(self.pacing.retry_pause()),
             WatchEvent::Ended(error) => {
-                log::info!(event = "config_watch_ended", reason:% = error; "");
+                log::info!("event=config_watch_ended reason=\"{error}\"");
                 self.close_watch().await;
                 self.timers.poll.bring_forward(self.pacing.poll_pause());
             }
@@ -179,7 +179,7 @@
         let Ok(Some(bytes)) = asked.await else { return };
         match Manifest::decode(&bytes) {
             Ok(manifest) => self.observe(Some(manifest), Origin::Peer),
-            Err(error) => log::warn!(event = "config_peer_manifest", reason:% = error; ""),
+            Err(error) => log::warn!("event=config_peer_manifest_refused reason=\"{error}\""),
         }
     }
 
@@ -195,7 +195,7 @@
         match read {
             Ok(stored) => self.on_read(stored).await,
             Err(error) => {
-                log::info!(event = "config_poll_failed", reason:% = error; "");
+                log::info!("event=config_poll_failed reason=\"{error}\"");
                 self.status.send_modify(|status| status.failed_calls += 1);
             }
         }
@@ -314,10 +314,13 @@
                 self.cache.adopt(&manifest);
                 self.own = Some(manifest);
                 self.snapshots.send_replace(Arc::new(Snapshot::new(generation, state)));
-                log::info!(event = "config_in_force", generation = generation.0; "");
+                log::info!("event=config_in_force generation={}", generation.0);
             }
             Err(error) => {
-                log::error!(event = "config_malformed", generation = generation.0, reason:% = error; "");
+                log::error!(
+                    "event=config_malformed generation={} reason=\"{error}\"",
+                    generation.0
+                );
             }
         }
     }
--- a/crates/config/src/follow/repair.rs
+++ b/crates/config/src/follow/repair.rs
@@ -40,11 +40,12 @@
     let lost = lost_chunks(own, found, cache);
     let calls = lost.len() as u64 + 1;
     if let Err(error) = store_chunks(store, &lost, TRIES).await {
-        log::info!(event = "config_repair_failed", reason:% = error; "");
+        log::info!("event=config_repair_failed reason=\"{error}\"");
         return calls;
     }
     let outcome = accept_manifest(store, StoredManifest::expected(found), own, TRIES).await;
-    log::warn!(event = "config_written_back", generation = own.generation.0, outcome:? = outcome; "");
+    let generation = own.generation.0;
+    log::warn!("event=config_written_back generation={generation} outcome={}", outcome.name());
     calls
 }
 
@@ -66,6 +67,7 @@
     let Some(stored) = found else { return 0 };
     let lifted = own.lift(&stored.manifest);
     let outcome = accept_manifest(store, StoredManifest::expected(found), &lifted, TRIES).await;
-    log::warn!(event = "config_lifted", generation = lifted.generation.0, outcome:? = outcome; "");
+    let generation = lifted.generation.0;
+    log::warn!("event=config_lifted generation={generation} outcome={}", outcome.name());
     1
 }
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -4,7 +4,7 @@
 mod model;
 mod snapshot;
 mod storage;
-mod text;
+pub mod text;
 
 pub use follow::ChunkSource;
 pub use follow::ConfigCache;
--- a/crates/config/src/storage/accept.rs
+++ b/crates/config/src/storage/accept.rs
@@ -45,6 +45,18 @@
     NotSent(StoreError),
 }
 
+impl Acceptance {
+    /// Returns the name used in logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Refused(_) => "refused",
+            Self::Unknown(_) => "unknown",
+            Self::NotSent(_) => "not_sent",
+        }
+    }
+}
+
 /// Stores chunks under their keys.
 pub async fn store_chunks<S: Store>(
     store: &S,
--- a/crates/config/tests/storage.rs
+++ b/crates/config/tests/storage.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use crate::support::apply_text;
+use crate::support::site;
 use redwingrill_config::ApplyError;
 use redwingrill_config::Chunk;
 use redwingrill_config::Generation;
@@ -14,8 +16,6 @@
 use redwingrill_fakes::MemoryStore;
 use redwingrill_fakes::WriteFault;
 use redwingrill_ports::Store;
-use support::apply_text;
-use support::site;
 
 const TARGET_ACCOUNTS: usize = 19_000;
 const VALUE_LIMIT_BYTES: usize = 1_000_000;
