--- a/crates/config/src/follow/fetch.rs
+++ b/crates/config/src/follow/fetch.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures::future::FutureExt;
 use futures::stream;
 use futures::stream::StreamExt;
 
@@ -53,7 +54,10 @@
 ) -> Vec<Fetched> {
     // One silent peer is enough to leave peers alone for the rest of this round.
     let peers_answer = AtomicBool::new(true);
-    let fetches = wanted.iter().map(|wanted| fetch(store, source, wanted, &peers_answer));
+    let mut fetches = Vec::with_capacity(wanted.len());
+    for wanted in wanted {
+        fetches.push(fetch(store, source, wanted, &peers_answer).boxed());
+    }
     stream::iter(fetches).buffer_unordered(FETCHES_AT_ONCE).collect().await
 }
 
--- a/crates/config/src/follow/follower.rs
+++ b/crates/config/src/follow/follower.rs
@@ -107,7 +107,10 @@
 
     /// Follows until cancelled, and ends the watch.
     pub async fn run(mut self, cancel: CancellationToken) {
-        cancel.run_until_cancelled(self.follow()).await;
+        tokio::select! {
+            () = cancel.cancelled() => {}
+            () = self.follow() => {}
+        }
         if let Some(watcher) = self.watcher.take() {
             watcher.close().await;
         }
--- a/crates/config/src/storage/accept.rs
+++ b/crates/config/src/storage/accept.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use futures::future::FutureExt;
 use futures::stream;
 use futures::stream::StreamExt;
 use futures::stream::TryStreamExt;
@@ -63,8 +64,10 @@
     chunks: &[(ChunkRef, Chunk)],
     tries_limit: u32,
 ) -> Result<(), StoreError> {
-    let writes =
-        chunks.iter().map(|(reference, chunk)| store_chunk(store, reference, chunk, tries_limit));
+    let mut writes = Vec::with_capacity(chunks.len());
+    for (reference, chunk) in chunks {
+        writes.push(store_chunk(store, reference, chunk, tries_limit).boxed());
+    }
     stream::iter(writes).buffer_unordered(WRITES_AT_ONCE).try_collect().await
 }
 
--- a/crates/redwingrill/src/bin/redwingrill.rs
+++ b/crates/redwingrill/src/bin/redwingrill.rs
@@ -1,3 +1,7 @@
-//! Placeholder entry point.
+//! The operator's command.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    redwingrill::operator::main(std::env::args_os())
+}
--- a/crates/redwingrill/src/lib.rs
+++ b/crates/redwingrill/src/lib.rs
@@ -7,10 +7,12 @@
 
 pub mod admin;
 pub mod completions;
+pub mod configuration;
 pub mod daemon;
 pub mod dispatch;
 pub mod http;
 pub mod node;
+pub mod operator;
 pub mod services;
 pub mod telemetry;
 pub mod upstream;
--- /dev/null
+++ b/crates/redwingrill/src/operator/admin.rs
@@ -0,0 +1,92 @@
+//! The port to the nodes' administration, and its adapter.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
+
+use redwingrill_transport::Freshness;
+use redwingrill_transport::Pool;
+use redwingrill_transport::Timeouts;
+use redwingrill_transport::TransportError;
+
+const TIMEOUTS: Timeouts =
+    Timeouts { connect: Duration::from_millis(500), head: Duration::from_secs(2) };
+
+/// How long a node may pause within a reply.
+const BODY_PAUSE: Duration = Duration::from_secs(2);
+
+/// The largest dump that is read.
+const DUMP_LIMIT_BYTES: usize = 256 << 20;
+
+/// What a node says of itself.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct NodeStatus {
+    /// The name.
+    pub name: String,
+    /// The phase of its life.
+    pub phase: String,
+    /// The generation in force; zero for none.
+    pub generation: u64,
+}
+
+/// The administration of nodes. Errors tell why, for people.
+pub trait NodeAdmin: Clone + Send + Sync + 'static {
+    /// Asks a node for its status.
+    fn status(&self, node: SocketAddr) -> impl Future<Output = Result<NodeStatus, String>> + Send;
+
+    /// Asks a node for its whole state.
+    fn dump(&self, node: SocketAddr) -> impl Future<Output = Result<Value, String>> + Send;
+
+    /// Asks a node to begin a graceful shutdown.
+    fn drain(&self, node: SocketAddr) -> impl Future<Output = Result<(), String>> + Send;
+}
+
+/// The administration over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpNodes {
+    pool: Pool,
+}
+
+impl HttpNodes {
+    /// Calls through `pool`.
+    pub fn new(pool: Pool) -> Self {
+        Self { pool }
+    }
+
+    async fn call(&self, method: Method, node: SocketAddr, path: &str) -> Result<Bytes, String> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(http::header::HOST, node.to_string())
+            .body(Bytes::new())
+            .expect("a constant path is valid");
+        let text = |error: TransportError| error.to_string();
+        let reply = self.pool.send(node, request, Freshness::Any, &TIMEOUTS).await.map_err(text)?;
+        let status = reply.status();
+        let body = reply.into_body().read_all(DUMP_LIMIT_BYTES, BODY_PAUSE).await.map_err(text)?;
+        if status.is_success() { Ok(body) } else { Err(format!("the node answered {status}")) }
+    }
+}
+
+impl NodeAdmin for HttpNodes {
+    async fn status(&self, node: SocketAddr) -> Result<NodeStatus, String> {
+        let body = self.call(Method::GET, node, "/status").await?;
+        serde_json::from_slice(&body).map_err(|error| format!("not a node's status: {error}"))
+    }
+
+    async fn dump(&self, node: SocketAddr) -> Result<Value, String> {
+        let body = self.call(Method::GET, node, "/dump").await?;
+        serde_json::from_slice(&body).map_err(|error| format!("not a node's dump: {error}"))
+    }
+
+    async fn drain(&self, node: SocketAddr) -> Result<(), String> {
+        self.call(Method::POST, node, "/drain").await.map(|_| ())
+    }
+}
--- /dev/null
+++ b/crates/redwingrill/src/operator/args.rs
@@ -0,0 +1,186 @@
+//! The command line.
+
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::ArgMatches;
+use clap::value_parser;
+use clap_complete::Shell;
+
+use super::command::ApplyArgs;
+use super::command::Command;
+use super::command::NodeSelection;
+use super::command::PlatformArgs;
+use redwingrill_config::Generation;
+
+const WAIT_DEFAULT_S: &str = "30";
+
+/// Parses a command line whose first item is the program's name, into the command and whether
+/// results are printed as JSON.
+///
+/// # Errors
+///
+/// The library's error, which prints itself; help that was asked for is one, too.
+pub fn parse(
+    args: impl IntoIterator<Item = impl Into<OsString> + Clone>,
+) -> Result<(Command, bool), clap::Error> {
+    let matches = cli().try_get_matches_from(args)?;
+    let json = matches.get_flag("json");
+    let (name, sub) = matches.subcommand().expect("a subcommand is required");
+    let command = match name {
+        "check" => Command::Check { files: many(sub, "files") },
+        "apply" => Command::Apply(apply_args(sub)),
+        "show" => Command::Show { platform: platform(sub) },
+        "status" => Command::Status { platform: platform(sub), nodes: nodes(sub) },
+        "dump" => Command::Dump { node: one(sub, "node") },
+        "drain" => Command::Drain { node: one(sub, "node") },
+        "hash-key" => Command::HashKey,
+        _ => Command::Completion { shell: one(sub, "shell") },
+    };
+    Ok((command, json))
+}
+
+/// Returns the description of the command line.
+pub fn cli() -> clap::Command {
+    clap::Command::new("redwingrill")
+        .about("Checks and applies configurations, and looks after router nodes")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .global(true)
+                .action(ArgAction::SetTrue)
+                .help("Print results and errors as JSON"),
+        )
+        .subcommand(sub("check", "Check configuration files").arg(files_arg()))
+        .subcommand(apply_command())
+        .subcommand(with_platform(sub("show", "Print the accepted configuration"), true))
+        .subcommand(with_nodes(with_platform(
+            sub("status", "Print what nodes have in force"),
+            false,
+        )))
+        .subcommand(sub("dump", "Print the whole state of a node as JSON").arg(node_arg()))
+        .subcommand(sub("drain", "Begin the graceful shutdown of a node").arg(node_arg()))
+        .subcommand(sub("hash-key", "Print the hash of the API key on standard input"))
+        .subcommand(
+            sub("completion", "Print a completion script")
+                .arg(Arg::new("shell").required(true).value_parser(value_parser!(Shell))),
+        )
+}
+
+fn apply_command() -> clap::Command {
+    let command = sub("apply", "Make configuration files the accepted configuration");
+    with_nodes(with_platform(command, true))
+        .arg(files_arg())
+        .arg(
+            Arg::new("expect")
+                .long("expect")
+                .value_name("GENERATION")
+                .value_parser(value_parser!(u64))
+                .help("Apply only if this is the accepted generation; 0 for none yet"),
+        )
+        .arg(
+            Arg::new("wait")
+                .long("wait")
+                .action(ArgAction::SetTrue)
+                .help("Wait until the nodes have it in force, and name those that do not"),
+        )
+        .arg(
+            Arg::new("wait-s")
+                .long("wait-s")
+                .value_name("SECONDS")
+                .value_parser(value_parser!(u64).range(1..=3600))
+                .default_value(WAIT_DEFAULT_S)
+                .help("The longest wait"),
+        )
+}
+
+fn sub(name: &'static str, about: &'static str) -> clap::Command {
+    clap::Command::new(name).about(about)
+}
+
+fn files_arg() -> Arg {
+    Arg::new("files")
+        .value_name("FILE")
+        .required(true)
+        .num_args(1..)
+        .value_parser(value_parser!(PathBuf))
+        .help(
+            "INI files, or directories with *.ini files; together they say the whole desired state",
+        )
+}
+
+fn node_arg() -> Arg {
+    Arg::new("node")
+        .long("node")
+        .value_name("IP:PORT")
+        .required(true)
+        .value_parser(value_parser!(SocketAddr))
+        .help("The administration address of the node")
+}
+
+fn addresses_arg(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("IP:PORT")
+        .value_delimiter(',')
+        .value_parser(value_parser!(SocketAddr))
+        .help(help)
+}
+
+fn with_platform(command: clap::Command, required: bool) -> clap::Command {
+    command
+        .arg(addresses_arg("platform", "The endpoints of the platform's store").required(required))
+        .arg(addresses_arg(
+            "instance-list",
+            "The endpoints of the platform's instance list, if they are others",
+        ))
+}
+
+fn with_nodes(command: clap::Command) -> clap::Command {
+    command.arg(addresses_arg("nodes", "The administration addresses of the nodes")).arg(
+        Arg::new("admin-port")
+            .long("admin-port")
+            .value_name("PORT")
+            .value_parser(value_parser!(u16).range(1..))
+            .help("Find the nodes in the instance list; they are administered at this port"),
+    )
+}
+
+fn apply_args(matches: &ArgMatches) -> ApplyArgs {
+    let wait_s = one::<u64>(matches, "wait-s");
+    ApplyArgs {
+        files: many(matches, "files"),
+        platform: platform(matches),
+        nodes: nodes(matches),
+        expected: matches.get_one::<u64>("expect").copied().map(Generation),
+        wait: matches.get_flag("wait").then(|| Duration::from_secs(wait_s)),
+    }
+}
+
+fn platform(matches: &ArgMatches) -> PlatformArgs {
+    PlatformArgs {
+        endpoints: many(matches, "platform"),
+        instance_list_endpoints: many(matches, "instance-list"),
+    }
+}
+
+fn nodes(matches: &ArgMatches) -> NodeSelection {
+    NodeSelection {
+        addresses: many(matches, "nodes"),
+        admin_port: matches.get_one::<u16>("admin-port").copied(),
+    }
+}
+
+fn one<T: Clone + Send + Sync + 'static>(matches: &ArgMatches, name: &str) -> T {
+    matches.get_one::<T>(name).cloned().expect("the argument is required or has a default")
+}
+
+fn many<T: Clone + Send + Sync + 'static>(matches: &ArgMatches, name: &str) -> Vec<T> {
+    matches.get_many::<T>(name).into_iter().flatten().cloned().collect()
+}
--- /dev/null
+++ b/crates/redwingrill/src/operator/mod.rs
@@ -0,0 +1,28 @@
+//! The operator's command.
+//!
+//! A command line becomes a typed [`Command`]; an [`Operator`] carries it out over the ports of the
+//! platform's store and of the nodes' administration, so that whole sessions run in tests on fakes.
+
+mod admin;
+mod apply;
+mod args;
+mod command;
+mod error;
+mod execute;
+mod local;
+mod main;
+mod nodes;
+
+pub use admin::HttpNodes;
+pub use admin::NodeAdmin;
+pub use admin::NodeStatus;
+pub use args::parse;
+pub use command::ApplyArgs;
+pub use command::Command;
+pub use command::NodeSelection;
+pub use command::PlatformArgs;
+pub use error::OperatorError;
+pub use execute::Operator;
+pub use execute::Output;
+pub use local::hash_key;
+pub use main::main;
