Declare sites in files and start whole ones in one process

Ruled out: sizes as constants in each tool, which drift apart; a home-made settings path, since routers shall read what operators write. Change: site files for both deployments and an example; stand-ins and routers started from them; the operator's configuration and the routers' settings written as INI text. Conclusion: one place for sizes.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod net;
 pub mod platform;
 pub mod service;
+pub mod site;
--- a/crates/lab/src/platform/mod.rs
+++ b/crates/lab/src/platform/mod.rs
@@ -19,6 +19,7 @@
 
 pub use instances::LaggingList;
 pub use instances::ListedInstance;
+pub use instances::ListedState;
 pub use wire::RangeRequest;
 pub use wire::TxnRequest;
 pub use wire::WatchRequest;
--- /dev/null
+++ b/crates/lab/src/site/mod.rs
@@ -0,0 +1,23 @@
+//! A whole site on one machine: platform, engines, services and routers in this process.
+//!
+//! A site file declares the sizes; [`StandIns`] starts what stands around the routers, and the
+//! routers are real nodes that read settings and follow the platform's configuration.
+
+mod files;
+mod model;
+mod reader;
+mod routers;
+mod stand_ins;
+
+pub use files::configuration_text;
+pub use files::settings_text;
+pub use model::AccountKind;
+pub use model::PrioritySite;
+pub use model::PromptSizes;
+pub use model::Site;
+pub use reader::IniError;
+pub use reader::Section;
+pub use reader::load_text;
+pub use routers::Routers;
+pub use routers::RoutersError;
+pub use stand_ins::StandIns;
--- /dev/null
+++ b/crates/lab/src/site/routers.rs
@@ -0,0 +1,96 @@
+//! The routers of a site, as nodes in this process.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use snafu::Snafu;
+use tokio::time::Instant;
+
+use super::Site;
+use super::files::settings_text;
+use redwingrill::node::Node;
+use redwingrill::node::Serving;
+use redwingrill::node::StartError;
+use redwingrill_config::Faults;
+use redwingrill_config::SourceFile;
+
+const READY_TIMEOUT: Duration = Duration::from_secs(10);
+const READY_POLL: Duration = Duration::from_millis(5);
+
+/// Why routers are not ready.
+#[derive(Debug, Snafu)]
+pub enum RoutersError {
+    /// The settings have faults.
+    #[snafu(display("settings: {faults}"))]
+    Settings {
+        /// The faults.
+        faults: Faults,
+    },
+    /// A node did not start.
+    #[snafu(display("{source}"))]
+    Start {
+        /// The cause.
+        source: StartError,
+    },
+    /// A node got no configuration in time.
+    #[snafu(display("a router has no configuration after {} s", READY_TIMEOUT.as_secs()))]
+    NotConfigured,
+}
+
+/// The running routers of a site.
+#[derive(Debug)]
+pub struct Routers {
+    nodes: Vec<Node<Serving>>,
+}
+
+impl Routers {
+    /// Starts all routers of a site. `extra` holds further sections of their settings.
+    pub async fn start(
+        site: &Site,
+        platform: SocketAddr,
+        extra: &str,
+    ) -> Result<Self, RoutersError> {
+        let mut nodes = Vec::with_capacity(site.nodes);
+        for n in 0..site.nodes {
+            let name = format!("router-{}", n + 1);
+            let text = settings_text(&name, site.domain_of(n), platform, extra);
+            let source = SourceFile { name, text };
+            let settings = redwingrill_settings::parse(&source)
+                .map_err(|faults| RoutersError::Settings { faults })?;
+            let node = Node::new(settings).serve().await;
+            nodes.push(node.map_err(|source| RoutersError::Start { source })?);
+        }
+        Ok(Self { nodes })
+    }
+
+    /// Waits until every router has a configuration in force.
+    pub async fn configured(&self) -> Result<(), RoutersError> {
+        let deadline = Instant::now() + READY_TIMEOUT;
+        while !self.nodes.iter().all(|node| node.inspector().is_configured()) {
+            if Instant::now() >= deadline {
+                return Err(RoutersError::NotConfigured);
+            }
+            tokio::time::sleep(READY_POLL).await;
+        }
+        Ok(())
+    }
+
+    /// Returns the addresses for callers.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.nodes.iter().map(Node::address).collect()
+    }
+
+    /// Returns the nodes.
+    pub fn nodes(&self) -> &[Node<Serving>] {
+        &self.nodes
+    }
+
+    /// Stops all routers gracefully, all at the same time.
+    pub async fn stop(self) {
+        let stops = self.nodes.into_iter().map(|node| async move {
+            let draining = node.drain(std::future::pending()).await;
+            draining.finish(std::future::pending()).await;
+        });
+        futures::future::join_all(stops).await;
+    }
+}
