--- a/crates/lab/src/engine/batch.rs
+++ b/crates/lab/src/engine/batch.rs
@@ -101,7 +101,7 @@
     fn fill_slots(&mut self, cache: &mut PrefixCache) {
         while self.running.len() < self.pace.slots {
             let Some((_, job)) = self.waiting.pop_first() else { return };
-            let held = cache.lookup(&job.blocks) * BLOCK_TOKENS;
+            let held = cache.lookup(&job.blocks) * BLOCK_TOKENS as usize;
             // The last token is always computed, since it gives the first generated one.
             let most_cached = job.prompt_tokens.saturating_sub(1);
             let cached_tokens = u32::try_from(held).unwrap_or(u32::MAX).min(most_cached);
@@ -183,6 +183,6 @@
 
 fn store_computed(running: &Running, cache: &mut PrefixCache) {
     let computed = running.job.prompt_tokens - running.missing_tokens;
-    let blocks = (computed as usize / BLOCK_TOKENS).min(running.job.blocks.len());
+    let blocks = ((computed / BLOCK_TOKENS) as usize).min(running.job.blocks.len());
     cache.store(&running.job.blocks[..blocks]);
 }
