Add the model test of the ledger and mend what it found

Change: the ledger task beats once a second and refuses orders as not run for five seconds after a gap of more than 30 s. Conclusion: the bound on how long a key is kept holds across pauses of the node too.

--- a/crates/ledger/src/task/config.rs
+++ b/crates/ledger/src/task/config.rs
@@ -15,6 +15,11 @@
     pub settle_deadline_ms: u64,
     /// The time between two rounds of removing old records.
     pub maintain_interval_ms: u64,
+    /// The longest time without a beat of the task before the process counts as paused.
+    pub pause_limit_ms: u64,
+    /// How long a process that was paused refuses orders: their requests may have waited in its
+    /// sockets for as long as the pause.
+    pub quarantine_ms: u64,
 }
 
 impl Default for LedgerConfig {
@@ -26,6 +31,8 @@
             send_limit_ms: 5_000,
             settle_deadline_ms: 60_000,
             maintain_interval_ms: 30_000,
+            pause_limit_ms: 30_000,
+            quarantine_ms: 5_000,
         }
     }
 }
--- a/crates/ledger/src/task/runner.rs
+++ b/crates/ledger/src/task/runner.rs
@@ -26,6 +26,7 @@
 use crate::record::Action;
 use crate::record::Operation;
 use crate::record::Verdict;
+use crate::task::Admission;
 use crate::task::ForwardError;
 use crate::task::Homes;
 use crate::task::Ledger;
@@ -39,6 +40,9 @@
 use redwingrill_ports::Store;
 use redwingrill_ports::StoreError;
 
+/// The longest time between two beats.
+const BEAT_MS: u64 = 1_000;
+
 type Reply = oneshot::Sender<Result<Verdict, Unsettled>>;
 
 /// Who waits for an operation.
@@ -79,6 +83,9 @@
     running: Running,
     windows: BTreeMap<Arc<str>, u64>,
     maintain_at_ms: u64,
+    /// When the task last ran.
+    beat: Now,
+    quarantine_until_ms: u64,
     draining: Vec<oneshot::Sender<()>>,
     is_draining: bool,
     counters: LedgerCounters,
@@ -96,6 +103,7 @@
     ) -> (Ledger, Self) {
         let (sender, messages) = mpsc::unbounded_channel();
         let handle = Ledger { messages: sender, config, clock: clock.clone() };
+        let beat = Now { monotonic_ms: 0, wall_ms: clock.now_ms() };
         let task = Self {
             store,
             layout,
@@ -111,6 +119,8 @@
             running: Running::default(),
             windows: BTreeMap::new(),
             maintain_at_ms: config.maintain_interval_ms,
+            beat,
+            quarantine_until_ms: 0,
             draining: Vec::new(),
             is_draining: false,
             counters: LedgerCounters::default(),
@@ -123,8 +133,9 @@
         let mut is_open = true;
         while is_open || !self.waiters.is_empty() {
             let wake_at_ms = self.work();
-            let wake_at = wake_at_ms.map(|at_ms| self.started + Duration::from_millis(at_ms));
-            let sleep = tokio::time::sleep_until(wake_at.unwrap_or_else(Instant::now));
+            let next_beat_ms = self.beat.monotonic_ms + BEAT_MS;
+            let wake_at_ms = wake_at_ms.map_or(next_beat_ms, |at_ms| at_ms.min(next_beat_ms));
+            let wake_at = self.started + Duration::from_millis(wake_at_ms);
             tokio::select! {
                 biased;
                 message = self.messages.recv(), if is_open => match message {
@@ -135,7 +146,7 @@
                     }
                 },
                 Some(event) = self.jobs.next(), if !self.jobs.is_empty() => self.take_event(event),
-                () = sleep, if wake_at.is_some() => {}
+                () = tokio::time::sleep_until(wake_at) => {}
             }
         }
     }
@@ -145,9 +156,21 @@
         Now { monotonic_ms, wall_ms: self.clock.now_ms() }
     }
 
+    /// Notes that the task runs, and whether it stood still before.
+    fn beat(&mut self) -> Now {
+        let now = self.now();
+        let gap_ms = now.since_ms(self.beat);
+        if gap_ms > self.config.pause_limit_ms {
+            log::warn!("event=ledger_was_paused gap_ms={gap_ms}");
+            self.quarantine_until_ms = now.monotonic_ms + self.config.quarantine_ms;
+        }
+        self.beat = now;
+        now
+    }
+
     /// Starts all calls that are due. Returns when to look again.
     fn work(&mut self) -> Option<u64> {
-        let mut now = self.now();
+        let mut now = self.beat();
         self.maintain(now);
         loop {
             while let Some((lane, call)) = self.layout.next_call(now) {
@@ -182,8 +205,14 @@
     fn take_message(&mut self, message: Message) {
         match message {
             Message::Admit { request, reply } => {
+                let now = self.beat();
+                let admission = if now.monotonic_ms < self.quarantine_until_ms {
+                    Admission::Paused
+                } else {
+                    self.running.admit(request)
+                };
                 // A caller that is gone withdraws its order itself.
-                let _ = reply.send(self.running.admit(request));
+                let _ = reply.send(admission);
             }
             Message::Apply { operation, within_ms, origin, reply } => {
                 self.note_window(&operation);
--- a/crates/ledger/src/task/running.rs
+++ b/crates/ledger/src/task/running.rs
@@ -39,6 +39,8 @@
     Finished(Outcome),
     /// The account has too many orders in flight.
     WindowFull,
+    /// The process was paused for long, and the order may be as old as the pause.
+    Paused,
 }
 
 #[derive(Debug)]
--- /dev/null
+++ b/crates/ledger/tests/model.rs
@@ -0,0 +1,263 @@
+//! Random schedules of callers, retries, nodes, crashes, pauses, outages and lost answers against
+//! a simple model.
+//!
+//! `REDWINGRILL_LEDGER_SEED=N` replays one schedule, `REDWINGRILL_LEDGER_SEEDS=N` runs N of them.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::time::Instant;
+
+use crate::support::Cluster;
+use crate::support::ClusterOptions;
+use crate::support::LayoutKind;
+use crate::support::Service;
+use crate::support::nodes::Call;
+use redwingrill_codes::Ran;
+use redwingrill_codes::ResultCode;
+use redwingrill_fakes::Faults;
+use redwingrill_fakes::WriteFault;
+use redwingrill_ledger::Outcome;
+use redwingrill_ledger::OutcomeBody;
+
+const SEEDS: u64 = 1_200;
+const STEPS: usize = 40;
+const KEYS: usize = 5;
+/// How long after its first call a key is retried: less than keys are kept.
+const RETRIES_END: Duration = Duration::from_secs(500);
+
+#[derive(Clone, Debug)]
+struct Answered {
+    call: u64,
+    key: usize,
+    body: u8,
+    result: Result<Outcome, ResultCode>,
+}
+
+struct World {
+    rng: SmallRng,
+    cluster: Cluster,
+    take_over_after_ms: Option<u64>,
+    answers: Arc<Mutex<Vec<Answered>>>,
+    bodies: BTreeMap<u64, (usize, u8)>,
+    first_calls: BTreeMap<usize, Instant>,
+    next_call: u64,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let checked = rng.random_bool(0.5);
+        let options = ClusterOptions {
+            layout: if rng.random_bool(0.7) { LayoutKind::Paged } else { LayoutKind::Single },
+            nodes: 3,
+            homes: rng.random_bool(0.5),
+            chaos: true,
+            seed,
+        };
+        let cluster = Cluster::start(options, Service::new(seed, checked, true));
+        Self {
+            rng,
+            cluster,
+            take_over_after_ms: checked.then_some(1_000),
+            answers: Arc::default(),
+            bodies: BTreeMap::new(),
+            first_calls: BTreeMap::new(),
+            next_call: 1,
+        }
+    }
+
+    async fn step(&mut self) {
+        let node = self.rng.random_range(0..3);
+        match self.rng.random_range(0..100) {
+            0..45 => self.call(node),
+            45..52 => self.cluster.restart(node),
+            52..57 => self.cluster.crash(node),
+            57..65 => self.cluster.set_paused(node, true),
+            65..73 => self.cluster.set_paused(node, false),
+            73..78 => self.cluster.hand_over(node),
+            78..88 => {
+                let faults = self.faults();
+                self.cluster.store.set_faults(faults);
+            }
+            88..94 => self.cluster.store.set_faults(Faults::default()),
+            94..99 => self.sleep(0..10_000).await,
+            _ => self.sleep(60_000..900_000).await,
+        }
+        self.sleep(0..400).await;
+    }
+
+    async fn sleep(&mut self, range_ms: std::ops::Range<u64>) {
+        let pause_ms = self.rng.random_range(range_ms);
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+    }
+
+    fn faults(&mut self) -> Faults {
+        let delay = Duration::from_millis(self.rng.random_range(0..800));
+        let none = Faults::default();
+        match self.rng.random_range(0..6) {
+            0 => Faults { down: true, ..none },
+            1 => Faults { frozen: true, ..none },
+            2 => Faults { delay, ..none },
+            3 => Faults { write: WriteFault::LoseAnswer, ..none },
+            4 => Faults { write: WriteFault::LoseCall, ..none },
+            _ => Faults { write: WriteFault::LoseAnswer, delay, ..none },
+        }
+    }
+
+    fn call(&mut self, node: usize) {
+        let key = self.rng.random_range(0..KEYS);
+        let first = *self.first_calls.entry(key).or_insert_with(Instant::now);
+        if first.elapsed() > RETRIES_END {
+            return;
+        }
+        let body = u8::from(self.rng.random_bool(0.1));
+        let id = self.next_call;
+        self.next_call += 1;
+        self.bodies.insert(id, (key, body));
+        let call = Call {
+            id,
+            key: support::order_key("writers", &format!("key-{key}")),
+            fingerprint: support::fingerprint(&format!("body {body}")),
+            policy: support::policy(self.take_over_after_ms),
+        };
+        let answers = self.answers.clone();
+        self.cluster.spawn_call(node, call, move |result| {
+            let answered = Answered { call: id, key, body, result };
+            answers.lock().expect("no holder panics").push(answered);
+        });
+    }
+
+    /// Ends all faults, and waits until everything that was sent has arrived.
+    async fn settle(&mut self) {
+        self.cluster.store.set_faults(Faults::default());
+        (0..3).for_each(|node| self.cluster.set_paused(node, false));
+        tokio::time::sleep(Duration::from_secs(90)).await;
+    }
+
+    fn check(&self) -> Result<(), String> {
+        let arrivals = self.cluster.service.arrivals();
+        for key in 0..KEYS {
+            let hash = support::order_key("writers", &format!("key-{key}")).hash;
+            let of_key: Vec<_> = arrivals.iter().filter(|arrival| arrival.key == hash).collect();
+            let runs = of_key.iter().filter(|arrival| arrival.ran).count();
+            if runs > 1 {
+                return Err(format!("key {key} ran {runs} times: {of_key:?}"));
+            }
+            for (index, arrival) in of_key.iter().enumerate() {
+                let twin = of_key[..index].iter().find(|other| other.fencing == arrival.fencing);
+                if let Some(twin) = twin {
+                    return Err(format!("two senders with one number: {twin:?} {arrival:?}"));
+                }
+            }
+        }
+        let answers = self.answers.lock().expect("no holder panics");
+        for answered in answers.iter() {
+            self.check_answer(answered)?;
+        }
+        Ok(())
+    }
+
+    fn check_answer(&self, answered: &Answered) -> Result<(), String> {
+        let arrivals = self.cluster.service.arrivals();
+        match &answered.result {
+            Err(code) if code.info().ran == Ran::No => {
+                let ran = arrivals.iter().find(|a| a.call == answered.call);
+                ran.map_or(Ok(()), |ran| Err(format!("said not run: {answered:?}, but {ran:?}")))
+            }
+            Err(_) => Ok(()),
+            Ok(outcome) => {
+                let OutcomeBody::Whole(body) = &outcome.body else {
+                    return Err(format!("no body: {answered:?}"));
+                };
+                let text = String::from_utf8_lossy(body);
+                let runner = text.strip_prefix("ran by call ").and_then(|id| id.parse().ok());
+                let origin = runner.and_then(|id: u64| self.bodies.get(&id));
+                if origin == Some(&(answered.key, answered.body)) {
+                    return Ok(());
+                }
+                Err(format!("answer of another request: {answered:?} from {origin:?}"))
+            }
+        }
+    }
+}
+
+/// What a schedule did, for the summary.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    calls: u64,
+    answers: u64,
+    outcomes: u64,
+    not_run: u64,
+    unknown: u64,
+}
+
+fn run_seed(seed: u64) -> Result<Tally, String> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime starts");
+    runtime.block_on(async {
+        let mut world = World::new(seed);
+        for _ in 0..STEPS {
+            world.step().await;
+        }
+        world.settle().await;
+        world.check().map_err(|fault| format!("seed {seed}: {fault}"))?;
+        let answers = world.answers.lock().expect("no holder panics");
+        let is_not_run = |code: &ResultCode| code.info().ran == Ran::No;
+        let errors = answers.iter().filter_map(|answered| answered.result.as_ref().err());
+        let not_run = errors.clone().filter(|code| is_not_run(code)).count() as u64;
+        Ok(Tally {
+            calls: world.next_call - 1,
+            answers: answers.len() as u64,
+            outcomes: answers.iter().filter(|answered| answered.result.is_ok()).count() as u64,
+            not_run,
+            unknown: errors.count() as u64 - not_run,
+        })
+    })
+}
+
+fn variable(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
+}
+
+#[test]
+fn no_schedule_runs_an_order_twice() {
+    if let Some(seed) = variable("REDWINGRILL_LEDGER_SEED") {
+        let tally = run_seed(seed).unwrap_or_else(|fault| panic!("{fault}"));
+        println!("seed {seed}: {tally:?}");
+        return;
+    }
+    let seeds = variable("REDWINGRILL_LEDGER_SEEDS").unwrap_or(SEEDS);
+    let mut sum = Tally::default();
+    let mut faults = Vec::new();
+    for seed in 0..seeds {
+        match run_seed(seed) {
+            Ok(tally) => {
+                sum.calls += tally.calls;
+                sum.answers += tally.answers;
+                sum.outcomes += tally.outcomes;
+                sum.not_run += tally.not_run;
+                sum.unknown += tally.unknown;
+            }
+            Err(fault) => faults.push(fault),
+        }
+    }
+    println!("{seeds} schedules: {sum:?}");
+    assert!(
+        faults.is_empty(),
+        "{} of {seeds} schedules failed; replay with REDWINGRILL_LEDGER_SEED=N:\n{}",
+        faults.len(),
+        faults[..faults.len().min(5)].join("\n")
+    );
+    assert!(sum.outcomes > sum.calls / 10, "too few orders were served: {sum:?}");
+}
--- /dev/null
+++ b/crates/ledger/tests/support/late_store.rs
@@ -0,0 +1,65 @@
+//! A store whose writes take effect even when the caller has stopped waiting.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use redwingrill_fakes::MemoryStore;
+use redwingrill_fakes::MemoryWatch;
+use redwingrill_ports::Entry;
+use redwingrill_ports::Expected;
+use redwingrill_ports::LeaseId;
+use redwingrill_ports::Revision;
+use redwingrill_ports::Store;
+use redwingrill_ports::StoreError;
+use redwingrill_ports::Swap;
+
+/// A [`MemoryStore`] reached over a network: a call that was sent goes on without its caller.
+#[derive(Clone, Debug)]
+pub struct LateStore(pub MemoryStore);
+
+async fn detached<T: Send + 'static>(
+    call: impl Future<Output = Result<T, StoreError>> + Send + 'static,
+) -> Result<T, StoreError> {
+    tokio::spawn(call).await.expect("a store call does not panic")
+}
+
+impl Store for LateStore {
+    type Watch = MemoryWatch;
+
+    async fn get(&self, key: &str) -> Result<Option<Entry>, StoreError> {
+        self.0.get(key).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<Entry>, StoreError> {
+        self.0.list(prefix).await
+    }
+
+    async fn swap(
+        &self,
+        key: &str,
+        expected: Expected,
+        value: Bytes,
+        lease: Option<LeaseId>,
+    ) -> Result<Swap, StoreError> {
+        let (store, key) = (self.0.clone(), key.to_owned());
+        detached(async move { store.swap(&key, expected, value, lease).await }).await
+    }
+
+    async fn delete(&self, key: &str, expected: Revision) -> Result<bool, StoreError> {
+        let (store, key) = (self.0.clone(), key.to_owned());
+        detached(async move { store.delete(&key, expected).await }).await
+    }
+
+    async fn watch(&self, prefix: &str, from: Revision) -> Result<MemoryWatch, StoreError> {
+        self.0.watch(prefix, from).await
+    }
+
+    async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
+        self.0.grant_lease(ttl).await
+    }
+
+    async fn renew_lease(&self, lease: LeaseId) -> Result<bool, StoreError> {
+        self.0.renew_lease(lease).await
+    }
+}
--- /dev/null
+++ b/crates/ledger/tests/support/mod.rs
@@ -0,0 +1,49 @@
+//! What the tests of the ledger share: nodes that crash and pause, a service, and a store whose
+//! writes land late.
+
+#![allow(dead_code, reason = "each test binary uses a part")]
+
+mod gate;
+mod late_store;
+pub mod nodes;
+mod service;
+
+pub use gate::Gate;
+pub use late_store::LateStore;
+pub use nodes::Cluster;
+pub use nodes::ClusterOptions;
+pub use nodes::LayoutKind;
+pub use service::Reply;
+pub use service::Service;
+
+use std::sync::Arc;
+
+use redwingrill_ledger::Fingerprint;
+use redwingrill_ledger::IdempotencyKey;
+use redwingrill_ledger::KeyHash;
+use redwingrill_ledger::OrderKey;
+use redwingrill_ledger::order::OrderPolicy;
+
+/// The wall clock when a test begins.
+pub const EPOCH_MS: u64 = 1_700_000_000_000;
+
+/// Makes the key of an order.
+pub fn order_key(account: &str, key: &str) -> OrderKey {
+    let parsed = IdempotencyKey::parse(key.as_bytes()).expect("a valid key");
+    OrderKey { service: "shop".into(), hash: KeyHash::of(account, &parsed) }
+}
+
+/// Makes the fingerprint of a request.
+pub fn fingerprint(body: &str) -> Fingerprint {
+    Fingerprint::of("POST", "/orders", "application/json", body.as_bytes())
+}
+
+/// Makes the policy of an account.
+pub fn policy(take_over_after_ms: Option<u64>) -> OrderPolicy {
+    OrderPolicy {
+        account: Arc::from("writers"),
+        window_ms: 60_000,
+        in_flight_limit: 8,
+        take_over_after_ms,
+    }
+}
--- /dev/null
+++ b/crates/ledger/tests/support/nodes.rs
@@ -0,0 +1,271 @@
+//! Nodes of the ledger that crash, restart, pause and hand over homes.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+use crate::support::EPOCH_MS;
+use crate::support::Gate;
+use crate::support::LateStore;
+use crate::support::Reply;
+use crate::support::Service;
+use redwingrill_codes::ResultCode;
+use redwingrill_fakes::MemoryStore;
+use redwingrill_ledger::AttemptId;
+use redwingrill_ledger::Fingerprint;
+use redwingrill_ledger::OrderKey;
+use redwingrill_ledger::Outcome;
+use redwingrill_ledger::ShardId;
+use redwingrill_ledger::layout::LayoutConfig;
+use redwingrill_ledger::layout::PagedLayout;
+use redwingrill_ledger::layout::SingleLayout;
+use redwingrill_ledger::layout::Unsettled;
+use redwingrill_ledger::order::Order;
+use redwingrill_ledger::order::OrderPolicy;
+use redwingrill_ledger::order::Settled;
+use redwingrill_ledger::record::Operation;
+use redwingrill_ledger::record::Verdict;
+use redwingrill_ledger::task::ForwardError;
+use redwingrill_ledger::task::Homes;
+use redwingrill_ledger::task::Ledger;
+use redwingrill_ledger::task::LedgerConfig;
+use redwingrill_ledger::task::LedgerTask;
+use redwingrill_ledger::task::WallClock;
+
+/// Where records lie.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum LayoutKind {
+    /// One key an order.
+    Single,
+    /// Pages.
+    Paged,
+}
+
+/// How the nodes are made.
+#[derive(Clone, Copy, Debug)]
+pub struct ClusterOptions {
+    pub layout: LayoutKind,
+    pub nodes: usize,
+    /// Whether nodes write for one another.
+    pub homes: bool,
+    /// Whether links between nodes lose messages.
+    pub chaos: bool,
+    pub seed: u64,
+}
+
+impl Default for ClusterOptions {
+    fn default() -> Self {
+        Self { layout: LayoutKind::Paged, nodes: 2, homes: false, chaos: false, seed: 1 }
+    }
+}
+
+#[derive(Debug)]
+struct Node {
+    ledger: Option<Ledger>,
+    gate: Gate,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+/// What the nodes share.
+#[derive(Debug)]
+struct Links {
+    nodes: Mutex<Vec<Option<Ledger>>>,
+    home: Mutex<usize>,
+    rng: Mutex<SmallRng>,
+    options: ClusterOptions,
+}
+
+/// All nodes of a test.
+pub struct Cluster {
+    pub store: MemoryStore,
+    pub service: Service,
+    options: ClusterOptions,
+    links: Arc<Links>,
+    nodes: Vec<Node>,
+    started: Instant,
+}
+
+#[derive(Clone)]
+struct LinkedHomes {
+    me: usize,
+    links: Arc<Links>,
+}
+
+impl Homes for LinkedHomes {
+    fn home_of(&self, shard: &ShardId) -> Option<String> {
+        if !self.links.options.homes {
+            return None;
+        }
+        let home = *self.links.home.lock().expect("no holder panics");
+        let home = (home + shard.index as usize) % self.links.options.nodes;
+        (home != self.me).then(|| home.to_string())
+    }
+
+    async fn forward(
+        &self,
+        home: &str,
+        operation: Operation,
+        within_ms: u64,
+    ) -> Result<Result<Verdict, Unsettled>, ForwardError> {
+        let index: usize = home.parse().expect("homes are numbers");
+        let peer = self.links.nodes.lock().expect("no holder panics")[index].clone();
+        let peer = peer.ok_or(ForwardError::NotSent)?;
+        let (delay_ms, call_lost, answer_lost) = {
+            let mut rng = self.links.rng.lock().expect("no holder panics");
+            let chaos = self.links.options.chaos;
+            let delay_ms = if chaos { rng.random_range(0..400) } else { 1 };
+            (delay_ms, chaos && rng.random_bool(0.1), chaos && rng.random_bool(0.2))
+        };
+        if call_lost {
+            return Err(ForwardError::Lost);
+        }
+        let sent = tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+            peer.apply_for_peer(operation, within_ms).await
+        });
+        let answer = sent.await.map_err(|_| ForwardError::Lost)?;
+        if answer_lost { Err(ForwardError::Lost) } else { Ok(answer) }
+    }
+}
+
+/// The layout settings of the tests: small pages, so that they seal often.
+pub fn layout_config() -> LayoutConfig {
+    LayoutConfig {
+        shards: 2,
+        page_records_limit: 4,
+        page_span_ms: 5_000,
+        ..LayoutConfig::default()
+    }
+}
+
+impl Cluster {
+    /// Starts the nodes.
+    pub fn start(options: ClusterOptions, service: Service) -> Self {
+        let links = Links {
+            nodes: Mutex::new(vec![None; options.nodes]),
+            home: Mutex::new(0),
+            rng: Mutex::new(SmallRng::seed_from_u64(options.seed ^ 0x5eed)),
+            options,
+        };
+        let store = MemoryStore::new();
+        let nodes = Vec::new();
+        let links = Arc::new(links);
+        let mut cluster = Self { store, service, options, links, nodes, started: Instant::now() };
+        for index in 0..options.nodes {
+            let gate = Gate::default();
+            cluster.nodes.push(Node { ledger: None, gate, tasks: Vec::new() });
+            cluster.restart(index);
+        }
+        cluster
+    }
+
+    /// Kills a node; what it has sent goes on.
+    pub fn crash(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        node.tasks.drain(..).for_each(|task| task.abort());
+        node.ledger = None;
+        node.gate.set_paused(false);
+        self.links.nodes.lock().expect("no holder panics")[index] = None;
+    }
+
+    /// Starts a node anew, with nothing kept.
+    pub fn restart(&mut self, index: usize) {
+        self.crash(index);
+        let gate = Gate::default();
+        let started = self.started;
+        // Clocks of different nodes differ by a second each.
+        let skew_ms = index as u64 * 1_000;
+        let clock =
+            WallClock::new(move || EPOCH_MS + skew_ms + started.elapsed().as_millis() as u64);
+        let store = LateStore(self.store.clone());
+        let homes = LinkedHomes { me: index, links: self.links.clone() };
+        let layout = layout_config();
+        let config = LedgerConfig::default();
+        let (ledger, task) = match self.options.layout {
+            LayoutKind::Single => {
+                let single = SingleLayout::new(layout);
+                let (ledger, task) =
+                    LedgerTask::new(store, single, homes, layout.shards, config, clock);
+                (ledger, tokio::spawn(gate.wrap(task.run())))
+            }
+            LayoutKind::Paged => {
+                let paged = PagedLayout::new(layout);
+                let (ledger, task) =
+                    LedgerTask::new(store, paged, homes, layout.shards, config, clock);
+                (ledger, tokio::spawn(gate.wrap(task.run())))
+            }
+        };
+        self.links.nodes.lock().expect("no holder panics")[index] = Some(ledger.clone());
+        self.nodes[index] = Node { ledger: Some(ledger), gate, tasks: vec![task] };
+    }
+
+    /// Stops or continues all of a node.
+    pub fn set_paused(&self, index: usize, paused: bool) {
+        self.nodes[index].gate.set_paused(paused);
+    }
+
+    /// Makes another node the home of the first shard.
+    pub fn hand_over(&self, home: usize) {
+        *self.links.home.lock().expect("no holder panics") = home;
+    }
+
+    /// Returns the handle of a node that runs.
+    pub fn ledger(&self, index: usize) -> Ledger {
+        self.nodes[index].ledger.clone().expect("the node runs")
+    }
+
+    /// Lets a node serve a call in the background, and hands the answer to `report`.
+    pub fn spawn_call(
+        &mut self,
+        index: usize,
+        call: Call,
+        report: impl FnOnce(Result<Outcome, ResultCode>) + Send + 'static,
+    ) {
+        let node = &mut self.nodes[index];
+        let Some(ledger) = node.ledger.clone() else { return };
+        let service = self.service.clone();
+        let work = async move { report(serve(&ledger, &service, call).await) };
+        node.tasks.push(tokio::spawn(node.gate.wrap(work)));
+    }
+}
+
+/// One call of a caller.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub id: u64,
+    pub key: OrderKey,
+    pub fingerprint: Fingerprint,
+    pub policy: OrderPolicy,
+}
+
+/// Serves a call as a node does: record, send, finish.
+pub async fn serve(ledger: &Ledger, service: &Service, call: Call) -> Result<Outcome, ResultCode> {
+    let hash = call.key.hash;
+    let order = Order::receive(ledger, call.key, call.fingerprint, call.policy);
+    let mut recorded = match order.record(AttemptId(u128::from(call.id))).await {
+        Ok(recorded) => recorded,
+        Err(Settled::Replay(outcome)) => return Ok(outcome),
+        Err(Settled::Refused(code)) => return Err(code),
+    };
+    for _ in 0..2 {
+        let sent = recorded.send()?;
+        match service.call(hash, call.id, sent.fencing()).await {
+            Reply::Outcome(outcome) => {
+                sent.finish(outcome.clone());
+                return Ok(outcome);
+            }
+            Reply::Unreachable => recorded = sent.unsent(),
+            Reply::Fenced | Reply::Lost => {
+                sent.unknown();
+                return Err(ResultCode::OutcomeUnknown);
+            }
+        }
+    }
+    Err(ResultCode::UpstreamUnreachable)
+}
--- /dev/null
+++ b/crates/ledger/tests/support/service.rs
@@ -0,0 +1,122 @@
+//! A service that counts its runs.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use redwingrill_ledger::FencingNumber;
+use redwingrill_ledger::KeyHash;
+use redwingrill_ledger::Outcome;
+
+/// One call that reached the service.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Arrival {
+    /// The order.
+    pub key: KeyHash,
+    /// The caller's request.
+    pub call: u64,
+    /// The number it carried.
+    pub fencing: FencingNumber,
+    /// Whether the service ran it.
+    pub ran: bool,
+}
+
+/// What the sender sees.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum Reply {
+    /// The outcome of the first run.
+    Outcome(Outcome),
+    /// The number is too low.
+    Fenced,
+    /// No connection: nothing was sent.
+    Unreachable,
+    /// No answer.
+    Lost,
+}
+
+#[derive(Debug)]
+struct State {
+    rng: SmallRng,
+    checked: bool,
+    chaos: bool,
+    highest: BTreeMap<KeyHash, FencingNumber>,
+    outcomes: BTreeMap<KeyHash, Outcome>,
+    arrivals: Vec<Arrival>,
+}
+
+/// A service that counts its runs. Clones share the counts.
+#[derive(Clone, Debug)]
+pub struct Service(Arc<Mutex<State>>);
+
+impl Service {
+    /// Makes a service that checks fencing numbers or ignores them; with `chaos`, its connections
+    /// are slow, refused and cut at random.
+    pub fn new(seed: u64, checked: bool, chaos: bool) -> Self {
+        let rng = SmallRng::seed_from_u64(seed);
+        let (highest, outcomes) = (BTreeMap::new(), BTreeMap::new());
+        let arrivals = Vec::new();
+        Self(Arc::new(Mutex::new(State { rng, checked, chaos, highest, outcomes, arrivals })))
+    }
+
+    /// Sends a call. It arrives even if the sender is gone.
+    pub async fn call(&self, key: KeyHash, call: u64, fencing: FencingNumber) -> Reply {
+        let (before, after, unreachable, lost) = self.draw();
+        if unreachable {
+            return Reply::Unreachable;
+        }
+        let service = self.clone();
+        let sent = tokio::spawn(async move {
+            tokio::time::sleep(before).await;
+            let reply = service.arrive(key, call, fencing);
+            tokio::time::sleep(after).await;
+            if lost { Reply::Lost } else { reply }
+        });
+        let answer = tokio::time::timeout(Duration::from_secs(3), sent).await;
+        answer.map_or(Reply::Lost, |joined| joined.expect("the service does not panic"))
+    }
+
+    /// Returns all calls that arrived.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.0.lock().expect("no holder panics").arrivals.clone()
+    }
+
+    /// Returns how often an order was run.
+    pub fn runs(&self, key: KeyHash) -> usize {
+        self.arrivals().iter().filter(|arrival| arrival.key == key && arrival.ran).count()
+    }
+
+    fn draw(&self) -> (Duration, Duration, bool, bool) {
+        let mut state = self.0.lock().expect("no holder panics");
+        if !state.chaos {
+            return (Duration::from_millis(1), Duration::from_millis(1), false, false);
+        }
+        let before = Duration::from_millis(state.rng.random_range(0..2_000));
+        let after = Duration::from_millis(state.rng.random_range(0..2_000));
+        (before, after, state.rng.random_bool(0.1), state.rng.random_bool(0.2))
+    }
+
+    fn arrive(&self, key: KeyHash, call: u64, fencing: FencingNumber) -> Reply {
+        let mut state = self.0.lock().expect("no holder panics");
+        let mut ran = true;
+        if state.checked {
+            let highest = state.highest.entry(key).or_insert(fencing);
+            if *highest > fencing {
+                state.arrivals.push(Arrival { key, call, fencing, ran: false });
+                return Reply::Fenced;
+            }
+            *highest = fencing;
+            ran = !state.outcomes.contains_key(&key);
+        }
+        state.arrivals.push(Arrival { key, call, fencing, ran });
+        let outcome = state.outcomes.entry(key).or_insert_with(|| {
+            Outcome::of(201, std::iter::empty(), Bytes::from(format!("ran by call {call}")))
+        });
+        Reply::Outcome(outcome.clone())
+    }
+}
