Keep the hashing call that the engine stand-in uses

Cause: the stand-in hashes messages with plain text, the router with pieces. Ruled out: changing the stand-in. Change: push_message takes text again, push_pieces takes pieces. Conclusion: both use the same chain.

--- a/crates/placement/src/blocks/prompt.rs
+++ b/crates/placement/src/blocks/prompt.rs
@@ -45,8 +45,13 @@
     }
 
     /// Adds a message as an engine's chat template renders it: role and content, each on lines of
-    /// their own. The content may come in pieces.
-    pub fn push_message<'a>(&mut self, role: &str, content: impl IntoIterator<Item = &'a str>) {
+    /// their own.
+    pub fn push_message(&mut self, role: &str, content: &str) {
+        self.push_pieces(role, [content]);
+    }
+
+    /// Adds a message whose content comes in pieces.
+    pub fn push_pieces<'a>(&mut self, role: &str, content: impl IntoIterator<Item = &'a str>) {
         self.push_text(role.as_bytes());
         self.push_text(b"\n");
         content.into_iter().for_each(|piece| self.push_text(piece.as_bytes()));
--- a/crates/placement/tests/blocks.rs
+++ b/crates/placement/tests/blocks.rs
@@ -18,7 +18,7 @@
     let mut blocks = PromptBlocks::new();
     blocks.begin(root);
     for (role, content) in messages {
-        blocks.push_message(role, [content.as_str()]);
+        blocks.push_message(role, content);
     }
     blocks.finish();
     blocks
@@ -107,7 +107,7 @@
     let mut blocks = blocks_of(root(), &[("system", text("long", 50))]);
     let fresh = blocks_of(root(), &[("user", text("short", 3))]);
     blocks.begin(root());
-    blocks.push_message("user", [text("short", 3).as_str()]);
+    blocks.push_message("user", &text("short", 3));
     blocks.finish();
     assert_eq!(blocks.hashes(), fresh.hashes());
     assert_eq!(blocks.levels(), fresh.levels());
--- a/crates/placement/tests/support/mod.rs
+++ b/crates/placement/tests/support/mod.rs
@@ -51,7 +51,7 @@
     for (name, length) in parts {
         let line = format!("{name:->64}");
         let text = line.repeat(length * BLOCK_BYTES / line.len());
-        blocks.push_message("user", [text.as_str()]);
+        blocks.push_message("user", &text);
     }
     blocks.finish();
     PromptSummary::of(&blocks)
--- a/crates/redwingrill/src/dispatch/ask.rs
+++ b/crates/redwingrill/src/dispatch/ask.rs
@@ -59,7 +59,7 @@
         let weights_version = model.map_or("", |model| &model.weights_version);
         blocks.begin(ChainRoot::new(salt, model_name, weights_version));
         for message in ask.prompt {
-            blocks.push_message(message.role, message.texts.iter().copied());
+            blocks.push_pieces(message.role, message.texts.iter().copied());
         }
         blocks.finish();
         Self {
