Keep the decision short for 850 engines

Cause: the decision example took 46.7 us at the median for 850 engines (p99 135.9 us on a busy machine): wide sets were sorted at every level, and every candidate looked up every level. Ruled out: a cache of first-level orders (more state, and it goes stale with the fleet). Change: sets are selected instead of sorted beyond the first 16, and each level is looked up once a decision.

--- a/crates/placement/src/candidates/mod.rs
+++ b/crates/placement/src/candidates/mod.rs
@@ -6,7 +6,7 @@
 //! engines, and a wider set holds every narrower one.
 //!
 //! Invariants: widths never grow from one level to the next; the engines of a level are the first
-//! of the order; the widest set is spread over failure domains as evenly as they allow.
+//! of the order; the first sixteen are in the order of their scores for the longest prefix; the widest set is spread over failure domains as evenly as they allow.
 
 mod heat;
 mod order;
@@ -14,4 +14,5 @@
 
 pub use heat::Heat;
 pub use order::CandidateOrder;
+pub(crate) use order::ORDERED;
 pub use rendezvous::score;
--- a/crates/placement/src/candidates/order.rs
+++ b/crates/placement/src/candidates/order.rs
@@ -6,8 +6,14 @@
 use crate::fleet::Engine;
 use redwingrill_entity::EntityRef;
 
-/// The widest set that is kept in order.
-pub(crate) const MAX_WIDTH: usize = 256;
+/// The widest set.
+const MAX_WIDTH: usize = 256;
+
+/// The engines at the beginning that are kept in order. Those behind them are a set only.
+pub(crate) const ORDERED: usize = 16;
+
+/// Sets up to this size are ordered whole.
+const SMALL_SET: usize = 32;
 
 #[derive(Clone, Copy, Debug)]
 struct Scored {
@@ -49,14 +55,37 @@
         let last = self.widths.last().copied().unwrap_or(0);
         let width = width.clamp(1.min(last), last);
         if width < last {
-            for scored in &mut self.order[..last] {
-                scored.score = score(prefix, scored.engine.key);
-            }
-            self.order[..last].sort_unstable_by_key(|scored| std::cmp::Reverse(scored.score));
+            self.reorder(prefix, last, width);
         }
         self.widths.push(width);
     }
 
+    /// Orders the beginning of a last set that is wider than what is kept in order.
+    pub fn settle(&mut self, prefix: BlockHash) {
+        let last = self.widths.last().copied().unwrap_or(0);
+        if last > ORDERED {
+            self.reorder(prefix, last, ORDERED);
+        }
+    }
+
+    /// Moves the best `width` of the first `last` engines to the front.
+    fn reorder(&mut self, prefix: BlockHash, last: usize, width: usize) {
+        let set = &mut self.order[..last];
+        for scored in set.iter_mut() {
+            scored.score = score(prefix, scored.engine.key);
+        }
+        if last <= SMALL_SET {
+            set.sort_unstable_by_key(descending);
+            return;
+        }
+        set.select_nth_unstable_by_key(width - 1, descending);
+        if width <= ORDERED {
+            // Places behind the set are for work that spills over.
+            set[width..].select_nth_unstable_by_key(ORDERED - width, descending);
+            set[..ORDERED].sort_unstable_by_key(descending);
+        }
+    }
+
     /// Returns the engines, those of the longest prefix first.
     pub fn engines(&self) -> impl Iterator<Item = &Engine> {
         self.order.iter().map(|scored| &scored.engine)
@@ -89,7 +118,7 @@
         Ok(())
     }
 
-    /// Keeps the best engines of each failure domain, the best first.
+    /// Parts the engines by failure domain and keeps the best of each.
     fn fill_domains(&mut self, engines: &[Engine], prefix: BlockHash, width: usize) {
         self.by_domain.iter_mut().for_each(Vec::clear);
         for &engine in engines {
@@ -98,32 +127,48 @@
                 self.by_domain.resize_with(index + 1, Vec::new);
             }
             let scored = Scored { engine, score: score(prefix, engine.key) };
-            insert_bounded(&mut self.by_domain[index], scored, width);
+            self.by_domain[index].push(scored);
+        }
+        for domain in &mut self.by_domain {
+            if domain.len() > width && width > 0 {
+                domain.select_nth_unstable_by_key(width - 1, descending);
+                domain.truncate(width);
+            }
         }
     }
 
     /// Takes the best of every domain, then the second of every domain, and so on.
     fn interleave_domains(&mut self, width: usize) {
-        let mut rank = 0;
-        while self.order.len() < width {
+        let mut left = width;
+        let mut taken = 0;
+        while left > 0 {
+            // As many whole ranks as fit; at least one, of which the best are kept.
+            let domains = self.by_domain.iter().filter(|domain| domain.len() > taken).count();
+            if domains == 0 {
+                return;
+            }
+            let ranks = (left / domains).max(1);
             let start = self.order.len();
-            let ranked = self.by_domain.iter().filter_map(|domain| domain.get(rank));
-            self.order.extend(ranked);
-            self.order[start..].sort_unstable_by_key(|scored| std::cmp::Reverse(scored.score));
-            rank += 1;
+            for domain in self.by_domain.iter_mut().filter(|domain| domain.len() > taken) {
+                let rest = &mut domain[taken..];
+                let ranks = ranks.min(rest.len());
+                if ranks < rest.len() {
+                    rest.select_nth_unstable_by_key(ranks - 1, descending);
+                }
+                self.order.extend_from_slice(&rest[..ranks]);
+            }
+            let added = &mut self.order[start..];
+            // A wide set that is taken whole needs no order.
+            if added.len() <= SMALL_SET || added.len() > left {
+                added.sort_unstable_by_key(descending);
+            }
+            self.order.truncate(width);
+            left = width - self.order.len();
+            taken += ranks;
         }
-        self.order.truncate(width);
     }
 }
 
-/// Inserts into a list kept in descending order and no longer than `bound`.
-fn insert_bounded(list: &mut Vec<Scored>, scored: Scored, bound: usize) {
-    if list.len() == bound && list.last().is_some_and(|last| last.score >= scored.score) {
-        return;
-    }
-    let place = list.partition_point(|other| other.score > scored.score);
-    if list.len() == bound {
-        list.pop();
-    }
-    list.insert(place, scored);
+fn descending(scored: &Scored) -> std::cmp::Reverse<u64> {
+    std::cmp::Reverse(scored.score)
 }
--- a/crates/placement/src/knowledge/mod.rs
+++ b/crates/placement/src/knowledge/mod.rs
@@ -13,4 +13,5 @@
 
 pub use budget::EventBudget;
 pub use prefixes::CachedPrefixes;
+pub(crate) use prefixes::Holder;
 pub use time_to_live::TimeToLive;
--- a/crates/placement/src/knowledge/prefixes.rs
+++ b/crates/placement/src/knowledge/prefixes.rs
@@ -11,14 +11,29 @@
 /// Engines that are remembered for a prefix.
 const MAX_HOLDERS: usize = 8;
 
+/// An engine that is believed to hold a prefix.
 #[derive(Clone, Copy, Debug)]
-struct Holder {
+pub(crate) struct Holder {
     upstream: UpstreamId,
     incarnation: Incarnation,
     learned_ms: u64,
     expires_ms: u64,
 }
 
+impl Holder {
+    /// Returns the age of the belief, if it is one about this start of this engine.
+    pub(crate) fn age_ms(
+        &self,
+        upstream: UpstreamId,
+        incarnation: Incarnation,
+        now_ms: u64,
+    ) -> Option<u64> {
+        let is_same = self.upstream == upstream && self.incarnation == incarnation;
+        let is_valid = is_same && now_ms < self.expires_ms;
+        is_valid.then(|| now_ms.saturating_sub(self.learned_ms))
+    }
+}
+
 /// Which engine holds which prefix.
 #[derive(Clone, Debug, Default)]
 pub struct CachedPrefixes {
@@ -59,24 +74,9 @@
         }
     }
 
-    /// Returns the age of the belief that this start of an engine holds a prefix.
-    pub fn age_ms(
-        &self,
-        prefix: BlockHash,
-        upstream: UpstreamId,
-        incarnation: Incarnation,
-        now_ms: u64,
-    ) -> Option<u64> {
-        let holders = self.holders.get(&prefix)?;
-        let holder = holders.iter().find(|holder| holder.upstream == upstream)?;
-        let valid = holder.incarnation == incarnation && now_ms < holder.expires_ms;
-        valid.then(|| now_ms.saturating_sub(holder.learned_ms))
-    }
-
-    /// Returns whether any engine is believed to hold a prefix.
-    pub fn is_held(&self, prefix: BlockHash, now_ms: u64) -> bool {
-        let holders = self.holders.get(&prefix);
-        holders.is_some_and(|holders| holders.iter().any(|holder| now_ms < holder.expires_ms))
+    /// Returns the engines that are believed to hold a prefix; some beliefs may have expired.
+    pub(crate) fn holders(&self, prefix: BlockHash) -> &[Holder] {
+        self.holders.get(&prefix).map_or(&[], Vec::as_slice)
     }
 
     /// Returns the number of prefixes remembered.
--- a/crates/placement/src/placer/cost.rs
+++ b/crates/placement/src/placer/cost.rs
@@ -2,11 +2,14 @@
 
 use super::facts::PlaceRequest;
 use super::facts::Placement;
+use crate::blocks::MAX_LEVELS;
+use crate::blocks::PromptSummary;
 use crate::candidates::Heat;
 use crate::fleet::EngineLoad;
 use crate::fleet::Incarnation;
 use crate::fleet::ModelRates;
 use crate::knowledge::CachedPrefixes;
+use crate::knowledge::Holder;
 use redwingrill_entity::UpstreamId;
 
 /// Computing a prefix again also delays what waits behind it, so it counts more than a wait.
@@ -48,14 +51,46 @@
     pub(super) placement: Placement,
 }
 
+/// What is known of one level, whatever the candidate.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LevelFacts<'a> {
+    tokens: u64,
+    /// Whether other prompts share the prefix.
+    is_warm: bool,
+    /// Whether engines are credited with the prefix because it hashes to them.
+    is_credited: bool,
+    holders: &'a [Holder],
+}
+
+impl<'a> LevelFacts<'a> {
+    /// Looks each level of a prompt up once. A young node has seen too little to say which prefixes
+    /// are in use, and takes all but the last to be.
+    pub(super) fn of(
+        prompt: &PromptSummary,
+        heat: &Heat,
+        knowledge: &'a CachedPrefixes,
+        is_young: bool,
+    ) -> [Option<Self>; MAX_LEVELS] {
+        let mut facts = [None; MAX_LEVELS];
+        let last = prompt.level_count().saturating_sub(1);
+        for (index, level) in prompt.levels().enumerate() {
+            let is_warm = heat.is_warm(level.hash);
+            facts[index] = Some(Self {
+                tokens: level.tokens(),
+                is_warm,
+                is_credited: is_warm || (is_young && index < last),
+                holders: knowledge.holders(level.hash),
+            });
+        }
+        facts
+    }
+}
+
 /// What is the same for all candidates of one decision.
 pub(super) struct Pricing<'a> {
     pub(super) request: &'a PlaceRequest<'a>,
     pub(super) rates: ModelRates,
-    pub(super) heat: &'a Heat,
-    pub(super) knowledge: &'a CachedPrefixes,
-    /// Whether this node has seen too little to say which prefixes are in use.
-    pub(super) is_young: bool,
+    pub(super) levels: [Option<LevelFacts<'a>>; MAX_LEVELS],
     pub(super) has_cache_store: bool,
     pub(super) now_ms: u64,
 }
@@ -103,10 +138,11 @@
 
     /// Returns the longest prefix that this node learned the engine holds.
     fn known(&self, upstream: UpstreamId, incarnation: Incarnation) -> Credit {
-        for level in self.request.prompt.levels().rev() {
-            let age = self.knowledge.age_ms(level.hash, upstream, incarnation, self.now_ms);
+        for level in self.levels.iter().rev().flatten() {
+            let mut holders = level.holders.iter();
+            let age = holders.find_map(|holder| holder.age_ms(upstream, incarnation, self.now_ms));
             if let Some(known_age_ms) = age {
-                return Credit { known_tokens: level.tokens(), known_age_ms, hashed_tokens: 0 };
+                return Credit { known_tokens: level.tokens, known_age_ms, hashed_tokens: 0 };
             }
         }
         Credit::default()
@@ -114,12 +150,8 @@
 
     /// Returns the longest prefix in use whose set holds the engine.
     fn hashed_tokens(&self, set_levels: usize) -> u64 {
-        let last = self.request.prompt.level_count().saturating_sub(1);
-        let levels = self.request.prompt.levels().enumerate().take(set_levels);
-        let in_use = levels.filter(|&(index, level)| {
-            self.heat.is_warm(level.hash) || (self.is_young && index < last)
-        });
-        in_use.last().map_or(0, |(_, level)| level.tokens())
+        let mut levels = self.levels[..set_levels.min(MAX_LEVELS)].iter().rev().flatten();
+        levels.find(|level| level.is_credited).map_or(0, |level| level.tokens)
     }
 
     /// Returns the tokens worth importing and the time that saves.
@@ -127,11 +159,9 @@
         if !self.has_cache_store {
             return (0, 0.0);
         }
-        let mut levels = self.request.prompt.levels().rev();
-        let Some(level) = levels.find(|level| self.heat.is_warm(level.hash)) else {
-            return (0, 0.0);
-        };
-        let missing_tokens = level.tokens().saturating_sub(cached_tokens);
+        let mut levels = self.levels.iter().rev().flatten();
+        let Some(level) = levels.find(|level| level.is_warm) else { return (0, 0.0) };
+        let missing_tokens = level.tokens.saturating_sub(cached_tokens);
         let gain_ms = self.rates.import_gain_ms(missing_tokens);
         if missing_tokens < MIN_IMPORT_TOKENS || gain_ms <= 0.0 {
             return (0, 0.0);
--- a/crates/placement/src/placer/table.rs
+++ b/crates/placement/src/placer/table.rs
@@ -2,6 +2,7 @@
 
 use rand::Rng;
 
+use super::cost::LevelFacts;
 use super::cost::Priced;
 use super::cost::Pricing;
 use super::facts::CacheEvent;
@@ -15,6 +16,7 @@
 use crate::blocks::PromptSummary;
 use crate::candidates::CandidateOrder;
 use crate::candidates::Heat;
+use crate::candidates::ORDERED;
 use crate::fleet::Engine;
 use crate::fleet::EngineLoad;
 use crate::fleet::EngineSpec;
@@ -33,9 +35,6 @@
 /// Fleets up to this size are priced whole.
 const SMALL_FLEET: usize = 24;
 
-/// Candidates of a prompt that are priced in a larger fleet.
-const PRICED_CANDIDATES: usize = 16;
-
 /// Engines outside the candidates that are priced in a larger fleet.
 const PRICED_STRANGERS: usize = 2;
 
@@ -258,17 +257,12 @@
         let engines = self.fleet.of_model(request.model);
         let is_young = heat.evidence(now_ms) < YOUNG_EVIDENCE;
         order_candidates(&mut self.order, engines, request.prompt, heat, now_ms);
-        let pricing = Pricing {
-            request,
-            rates: self.rates.get(request.model).copied().unwrap_or_default(),
-            heat,
-            knowledge: &self.knowledge,
-            is_young,
-            has_cache_store: self.has_cache_store,
-            now_ms,
-        };
+        let rates = self.rates.get(request.model).copied().unwrap_or_default();
+        let levels = LevelFacts::of(request.prompt, heat, &self.knowledge, is_young);
+        let has_cache_store = self.has_cache_store;
+        let pricing = Pricing { request, rates, levels, has_cache_store, now_ms };
         let mut choice = Choice { pricing, loads: &self.loads, gate, best: None };
-        for (place, engine) in self.order.engines().take(PRICED_CANDIDATES).enumerate() {
+        for (place, engine) in self.order.engines().take(ORDERED).enumerate() {
             // The first width is the order itself, which credits nothing.
             choice.consider(engine.upstream, self.order.levels_at(place) - 1);
         }
@@ -332,7 +326,10 @@
     };
     order.widen(engines, first.hash, width(first).max(MIN_ORDER_WIDTH));
     order.keep(width(first));
+    let mut longest = first.hash;
     for level in levels {
         order.narrow(level.hash, width(level));
+        longest = level.hash;
     }
+    order.settle(longest);
 }
