--- a/crates/redwingrill/src/node/inspector.rs
+++ b/crates/redwingrill/src/node/inspector.rs
@@ -8,6 +8,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::Phase;
+use crate::configuration::Configuration;
 use crate::dispatch::Dispatcher;
 use crate::http::AccountConnections;
 use redwingrill_config::Snapshot;
@@ -19,6 +20,8 @@
     pub(super) name: String,
     pub(super) phase: watch::Receiver<Phase>,
     pub(super) configuration: watch::Receiver<Arc<Snapshot>>,
+    // Absent if the configuration was given by hand.
+    pub(super) followed: Option<Configuration>,
     pub(super) dispatcher: Dispatcher,
     pub(super) connections: AccountConnections,
     pub(super) pool: Pool,
@@ -67,6 +70,7 @@
         });
         json!({
             "status": self.status(),
+            "configuration": self.followed.as_ref().map(Configuration::dump),
             "dispatch": self.dispatcher.dump().await,
             "account_connections": connections.collect::<Vec<_>>(),
             "upstream_connections": pool.collect::<Vec<_>>(),
--- a/crates/redwingrill/src/node/life.rs
+++ b/crates/redwingrill/src/node/life.rs
@@ -187,7 +187,8 @@
         parts.requests.wait().await;
         parts.admin.abort();
         parts.admin.join().await;
-        let Parts { callers, admin, inspector, services, pool, .. } = parts;
+        let Parts { callers, admin, inspector, services, stopping, pool, .. } = parts;
+        stopping.cancel();
         // The dispatch task ends with the last way to it.
         drop((callers, admin, inspector));
         services.close();
--- a/crates/redwingrill/src/node/parts.rs
+++ b/crates/redwingrill/src/node/parts.rs
@@ -12,6 +12,8 @@
 use super::StartError;
 use crate::admin::AdminRoutes;
 use crate::completions::Completions;
+use crate::configuration::Configuration;
+use crate::configuration::ConfigurationOptions;
 use crate::dispatch::Dispatch;
 use crate::http::AccountConnections;
 use crate::http::Listener;
@@ -21,7 +23,10 @@
 use crate::telemetry::Metrics;
 use crate::upstream::EngineClient;
 use crate::upstream::EngineTimeouts;
+use redwingrill_config::NoPeers;
 use redwingrill_config::Snapshot;
+use redwingrill_platform::EtcdStore;
+use redwingrill_platform::PlatformOptions;
 use redwingrill_settings::Settings;
 use redwingrill_transport::Pool;
 
@@ -39,6 +44,8 @@
     pub requests: TaskTracker,
     // Tasks that live as long as the node.
     pub services: TaskTracker,
+    // Ends the tasks that do not end by themselves.
+    pub stopping: CancellationToken,
     pub pool: Pool,
 }
 
@@ -54,16 +61,24 @@
         let services = TaskTracker::new();
         let requests = TaskTracker::new();
         let (phase, phase_reader) = watch::channel(Phase::Serving);
+        let stopping = CancellationToken::new();
+        let followed = match configuration {
+            Some(_) => None,
+            None => Some(follow(settings, &pool, &services, &stopping)),
+        };
+        let configuration = match (configuration, &followed) {
+            (Some(given), _) => given,
+            (None, Some(followed)) => followed.snapshots(),
+            (None, None) => watch::channel(Arc::default()).1,
+        };
         let (dispatcher, dispatch) = Dispatch::new();
         services.spawn(dispatch.run());
         let connections = AccountConnections::default();
-        // Without a configuration the node refuses all requests as not ready.
-        let configuration =
-            configuration.unwrap_or_else(|| watch::channel(Arc::new(Snapshot::default())).1);
         let inspector = Inspector {
             name: settings.node.name.clone(),
             phase: phase_reader.clone(),
             configuration: configuration.clone(),
+            followed,
             dispatcher: dispatcher.clone(),
             connections: connections.clone(),
             pool: pool.clone(),
@@ -98,10 +113,24 @@
         )
         .await
         .map_err(bind(node.admin_listen))?;
-        Ok(Self { callers, admin, phase, inspector, requests, services, pool })
+        Ok(Self { callers, admin, phase, inspector, requests, services, stopping, pool })
     }
 }
 
+/// Begins to follow the configuration in the platform's store.
+fn follow(
+    settings: &Settings,
+    pool: &Pool,
+    tasks: &TaskTracker,
+    stopping: &CancellationToken,
+) -> Configuration {
+    let mut options = PlatformOptions::new(settings.platform.endpoints.clone());
+    options.call_timeout = Duration::from_millis(settings.platform.call_timeout_ms);
+    let store = EtcdStore::new(options, pool.clone());
+    let options = ConfigurationOptions { names: Arc::default(), seed: rand::random() };
+    Configuration::start(store, NoPeers, options, tasks, stopping.clone())
+}
+
 fn listener_options(settings: &Settings) -> ListenerOptions {
     ListenerOptions {
         connections_limit: settings.limits.connections,
