Add quickstart, load and the first benches

Cause: the README's first command, the overhead figures and the policy comparison need tools. Ruled out: timing calls with and without a router in two runs, since whatever else the machine does would differ; measuring the router's processor time inside the bench's own process.

--- /dev/null
+++ b/crates/lab/src/bench/mod.rs
@@ -0,0 +1,4 @@
+//! Experiments: the real routers over real sockets against the stand-ins.
+
+pub mod overhead;
+pub mod scenario;
--- /dev/null
+++ b/crates/lab/src/bench/scenario/fleet.rs
@@ -0,0 +1,141 @@
+//! A site under one policy, through one run.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use super::Case;
+use super::EventKind;
+use crate::load;
+use crate::load::PlannedCall;
+use crate::load::PromptLibrary;
+use crate::load::Record;
+use crate::load::RunWindow;
+use crate::site::ApplyFailure;
+use crate::site::Routers;
+use crate::site::RoutersError;
+use crate::site::Site;
+use crate::site::StandIns;
+use crate::site::apply_site;
+
+/// How long calls may go on after the last was sent.
+const GRACE: Duration = Duration::from_millis(2_000);
+
+/// Why a site did not start.
+#[derive(Debug, Snafu)]
+pub enum FleetError {
+    /// A stand-in did not start.
+    #[snafu(display("stand-ins: {source}"))]
+    StandIn {
+        /// The cause.
+        source: io::Error,
+    },
+    /// The configuration was not accepted.
+    #[snafu(display("{source}"))]
+    Apply {
+        /// The cause.
+        source: ApplyFailure,
+    },
+    /// The routers are not ready.
+    #[snafu(display("{source}"))]
+    Router {
+        /// The cause.
+        source: RoutersError,
+    },
+}
+
+/// A site that runs.
+pub(super) struct Fleet {
+    stand_ins: StandIns,
+    routers: Routers,
+    settings: String,
+}
+
+impl Fleet {
+    /// Starts a site whose routers use a policy.
+    pub async fn start(site: &Site, policy: &str) -> Result<Self, FleetError> {
+        let stand_ins = StandIns::start(site).await.context(StandInSnafu)?;
+        apply_site(site, &stand_ins).await.context(ApplySnafu)?;
+        let settings = format!("[placement]\npolicy = {policy}\n");
+        let routers = start_routers(site, &stand_ins, &settings).await?;
+        Ok(Self { stand_ins, routers, settings })
+    }
+
+    /// Runs the calls and the events of a case, and stops the site.
+    pub async fn run(
+        self,
+        site: &Site,
+        case: &Case,
+        calls: &[PlannedCall],
+        library: &Arc<PromptLibrary>,
+    ) -> Result<Vec<Record>, FleetError> {
+        let started = Instant::now();
+        let ends = started + Duration::from_millis(case.duration_ms) + GRACE;
+        let (targets, addresses) = watch::channel(self.routers.addresses());
+        let window = RunWindow { started, ends };
+        let running = load::run(calls, library, &addresses, window);
+        let events = self.happen(site, case, started, targets);
+        let (records, fleet) = tokio::join!(running, events);
+        fleet?.stop().await;
+        Ok(records)
+    }
+
+    /// Lets the events of a case happen at their times.
+    async fn happen(
+        mut self,
+        site: &Site,
+        case: &Case,
+        started: Instant,
+        targets: watch::Sender<Vec<SocketAddr>>,
+    ) -> Result<Self, FleetError> {
+        for event in &case.events {
+            tokio::time::sleep_until(started + Duration::from_millis(event.at_ms)).await;
+            match event.kind {
+                EventKind::CrashEngines { percent, away_ms } => self.crash(percent, away_ms),
+                EventKind::ReplaceRouters => self.replace_routers(site, &targets).await?,
+            }
+        }
+        Ok(self)
+    }
+
+    fn crash(&self, percent: usize, away_ms: u64) {
+        let count = self.stand_ins.engines.len() * percent / 100;
+        for engine in &self.stand_ins.engines[..count] {
+            engine.crash(away_ms);
+        }
+    }
+
+    async fn replace_routers(
+        &mut self,
+        site: &Site,
+        targets: &watch::Sender<Vec<SocketAddr>>,
+    ) -> Result<(), FleetError> {
+        let routers = start_routers(site, &self.stand_ins, &self.settings).await?;
+        targets.send_replace(routers.addresses());
+        let replaced = std::mem::replace(&mut self.routers, routers);
+        replaced.stop().await;
+        Ok(())
+    }
+
+    async fn stop(self) {
+        self.routers.stop().await;
+        self.stand_ins.stop().await;
+    }
+}
+
+async fn start_routers(
+    site: &Site,
+    stand_ins: &StandIns,
+    settings: &str,
+) -> Result<Routers, FleetError> {
+    let platform = stand_ins.platform.address;
+    let routers = Routers::start(site, platform, settings).await.context(RouterSnafu)?;
+    routers.configured().await.context(RouterSnafu)?;
+    Ok(routers)
+}
--- a/crates/lab/src/caller/call.rs
+++ b/crates/lab/src/caller/call.rs
@@ -97,13 +97,13 @@
 }
 
 /// What was read of an answer so far.
-struct Reading {
+struct Reading<'a> {
     started: Instant,
     last_token_at: Instant,
     text: String,
     is_ended: bool,
     error: Option<Ending>,
-    outcome: Outcome,
+    outcome: &'a mut Outcome,
 }
 
 impl Caller {
@@ -114,7 +114,14 @@
 
     /// Makes a streamed call and reads its answer to the end.
     pub async fn complete(&self, address: SocketAddr, call: &Call) -> Outcome {
-        let mut reading = Reading::new();
+        let mut outcome = Outcome::unfinished();
+        self.complete_into(address, call, &mut outcome).await;
+        outcome
+    }
+
+    /// Like [`Caller::complete`]; `outcome` tells how far the call came if the wait is dropped.
+    pub async fn complete_into(&self, address: SocketAddr, call: &Call, outcome: &mut Outcome) {
+        let mut reading = Reading::new(outcome);
         let sent = self.pool.send(address, call.request(), Freshness::Any, &TIMEOUTS).await;
         let ending = match sent {
             Ok(reply) if reply.status().is_success() => reading.read(reply.into_body(), call).await,
@@ -123,7 +130,6 @@
         };
         reading.outcome.total_us = elapsed_us(reading.started);
         reading.outcome.ending = ending;
-        reading.outcome
     }
 
     /// Closes all connections and joins their tasks.
@@ -132,18 +138,9 @@
     }
 }
 
-impl Reading {
-    fn new() -> Self {
+impl<'a> Reading<'a> {
+    fn new(outcome: &'a mut Outcome) -> Self {
         let now = Instant::now();
-        let outcome = Outcome {
-            ending: Ending::Wrong { reason: String::new() },
-            first_token_us: None,
-            total_us: 0,
-            longest_gap_us: 0,
-            tokens: 0,
-            prompt_tokens: 0,
-            cached_tokens: 0,
-        };
         let text = String::new();
         Self { started: now, last_token_at: now, text, is_ended: false, error: None, outcome }
     }
--- a/crates/lab/src/caller/outcome.rs
+++ b/crates/lab/src/caller/outcome.rs
@@ -24,6 +24,8 @@
         /// What is wrong.
         reason: String,
     },
+    /// The call had not ended when its caller stopped to wait.
+    Unfinished,
 }
 
 /// A call as its caller saw it.
@@ -46,6 +48,19 @@
 }
 
 impl Outcome {
+    /// Makes the outcome of a call that has not begun.
+    pub fn unfinished() -> Self {
+        Self {
+            ending: Ending::Unfinished,
+            first_token_us: None,
+            total_us: 0,
+            longest_gap_us: 0,
+            tokens: 0,
+            prompt_tokens: 0,
+            cached_tokens: 0,
+        }
+    }
+
     /// Returns whether the whole answer came.
     pub fn is_complete(&self) -> bool {
         self.ending == Ending::Complete
--- /dev/null
+++ b/crates/lab/src/cli/bench.rs
@@ -0,0 +1,89 @@
+//! The subcommand that runs experiments.
+
+use std::error::Error;
+use std::path::PathBuf;
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::ArgMatches;
+use clap::Command;
+use clap::value_parser;
+
+use super::arguments::number;
+use super::arguments::number_of;
+use super::arguments::text;
+use super::arguments::text_of;
+use crate::bench::overhead;
+use crate::bench::overhead::OverheadOptions;
+use crate::bench::scenario;
+use crate::bench::scenario::Case;
+use crate::bench::scenario::ScenarioOptions;
+
+const OVERHEAD: &str = "overhead";
+
+pub(super) fn command() -> Command {
+    let names: Vec<&str> = Case::names().collect();
+    let scenarios = format!("One of overhead, {}; or a case file", names.join(", "));
+    Command::new("bench")
+        .about("Run an experiment and print its figures")
+        .arg(
+            Arg::new("scenario").long("scenario").value_name("NAME").required(true).help(scenarios),
+        )
+        .arg(text("site", "kritartafla", "One of kritartafla, napln, example; or a site file"))
+        .arg(number("seed", "1", "Seed of prompts and load"))
+        .arg(
+            Arg::new("policies")
+                .long("policies")
+                .value_name("NAMES")
+                .default_value("random,least_loaded,affinity,redwingrill")
+                .help("Placement policies to compare"),
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .help("Print one JSON object a line"),
+        )
+        .arg(
+            Arg::new("plot")
+                .long("plot")
+                .value_name("FILE")
+                .value_parser(value_parser!(PathBuf))
+                .help("Draw the run into an SVG file"),
+        )
+}
+
+pub(super) async fn run(matches: &ArgMatches) -> Result<(), Box<dyn Error>> {
+    let name = text_of(matches, "scenario");
+    let seed = number_of(matches, "seed");
+    let json = matches.get_flag("json");
+    if name == OVERHEAD {
+        let report = overhead::run(&OverheadOptions { seed, ..Default::default() }).await?;
+        print_object(&report, json)?;
+        return Ok(());
+    }
+    let policies = text_of(matches, "policies");
+    let options = ScenarioOptions {
+        case: name,
+        site: text_of(matches, "site"),
+        seed,
+        policies: policies.split(',').map(str::to_owned).collect(),
+    };
+    let results = scenario::run(&options).await?;
+    for report in results.reports() {
+        print_object(&report, json)?;
+    }
+    if let Some(file) = matches.get_one::<PathBuf>("plot") {
+        results.plot(file)?;
+    }
+    Ok(())
+}
+
+fn print_object(report: &impl serde::Serialize, json: bool) -> serde_json::Result<()> {
+    let text = match json {
+        true => serde_json::to_string(report)?,
+        false => serde_json::to_string_pretty(report)?,
+    };
+    println!("{text}");
+    Ok(())
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,11 +5,14 @@
 //! stand-ins run as processes of `redwingrill-lab` or inside a test by their `start` functions.
 
 pub mod answer;
+pub mod bench;
 pub mod caller;
 pub mod cli;
 pub mod engine;
 pub mod faults;
+pub mod load;
 pub mod net;
 pub mod platform;
+pub mod process;
 pub mod service;
 pub mod site;
--- a/crates/lab/src/site/reader.rs
+++ b/crates/lab/src/site/reader.rs
@@ -125,6 +125,16 @@
         value.parse().ok().context(BadValueSnafu { file, section, key, value })
     }
 
+    /// Makes the error for a key whose value is none of those known.
+    pub fn bad_value(&self, key: &str) -> IniError {
+        IniError::BadValue {
+            file: self.file.clone(),
+            section: self.name.clone(),
+            key: key.to_owned(),
+            value: self.properties.get(key).unwrap_or_default().to_owned(),
+        }
+    }
+
     /// Returns the items of a list.
     pub fn list(&self, key: &str) -> Result<Vec<String>, IniError> {
         let items = self.text(key)?.split(',');
