Serve orders: Idempotency-Key, life cycle, fencing, replay, drain

Cause: the services handler refused every call that may not be repeated. Ruled out: falling back to another upstream of a service whose orders may be taken over: the other one knows nothing of the first sender's number, so such a record is bound to one upstream. Conclusion: orders go through the ledger on every node.

--- a/crates/ledger/src/order/mod.rs
+++ b/crates/ledger/src/order/mod.rs
@@ -30,6 +30,7 @@
 use crate::record::Action;
 use crate::record::Claim;
 use crate::record::Operation;
+use crate::record::Permit;
 use crate::record::Verdict;
 use crate::task::Admission;
 use crate::task::AdmissionRequest;
@@ -51,7 +52,7 @@
 #[derive(Debug)]
 pub struct Recorded {
     held: Held,
-    fencing: FencingNumber,
+    permit: Permit,
     submitted: Submitted,
 }
 
@@ -59,7 +60,7 @@
 #[derive(Debug)]
 pub struct Sent {
     held: Held,
-    fencing: FencingNumber,
+    permit: Permit,
     submitted: Submitted,
 }
 
@@ -116,15 +117,11 @@
         admit(&held.ledger, request).await?;
         held.leaving = Leaving::Withdraw;
         let submitted = Submitted { at: Instant::now(), wall_ms: held.ledger.clock().now_ms() };
-        let claim = Claim {
-            fingerprint,
-            window_ms: policy.window_ms,
-            take_over_after_ms: policy.take_over_after_ms,
-        };
+        let claim = Claim { fingerprint, window_ms: policy.window_ms, take_over: policy.take_over };
         let operation = Operation { key: held.key.clone(), attempt, action: Action::Claim(claim) };
         let result = held.ledger.apply_for_request(operation).await;
-        let fencing = match result {
-            Ok(Verdict::Claimed(fencing)) => fencing,
+        let permit = match result {
+            Ok(Verdict::Claimed(permit)) => permit,
             Err(Unsettled::MaybeWritten) => {
                 return Err(Settled::Refused(ResultCode::LedgerOutcomeUnknown));
             }
@@ -134,7 +131,7 @@
                 return Err(settled(other));
             }
         };
-        Ok(Order { state: Recorded { held, fencing, submitted } })
+        Ok(Order { state: Recorded { held, permit, submitted } })
     }
 }
 
@@ -161,6 +158,11 @@
 }
 
 impl Order<Recorded> {
+    /// Returns the only upstream that the order may be sent to; none for any.
+    pub fn bound_to(&self) -> Option<&str> {
+        self.state.permit.bound_to.as_deref()
+    }
+
     /// Begins to send the order.
     ///
     /// # Errors
@@ -168,7 +170,7 @@
     /// Fails if too much time has passed since the order was recorded, as after a pause of the
     /// whole process. The order is withdrawn then.
     pub fn send(self) -> Result<Order<Sent>, ResultCode> {
-        let Recorded { mut held, fencing, submitted } = self.state;
+        let Recorded { mut held, permit, submitted } = self.state;
         let limit_ms = held.ledger.config().send_limit_ms;
         let then = Now { monotonic_ms: 0, wall_ms: submitted.wall_ms };
         let monotonic_ms = submitted.at.elapsed().as_millis() as u64;
@@ -177,14 +179,14 @@
             return Err(ResultCode::LedgerOutcomeUnknown);
         }
         held.leaving = Leaving::Release;
-        Ok(Order { state: Sent { held, fencing, submitted } })
+        Ok(Order { state: Sent { held, permit, submitted } })
     }
 }
 
 impl Order<Sent> {
     /// Returns the number to send to an upstream that checks fencing.
     pub fn fencing(&self) -> FencingNumber {
-        self.state.fencing
+        self.state.permit.fencing
     }
 
     /// Records what the upstream answered. The order stays in flight until that is in the store.
@@ -197,9 +199,9 @@
 
     /// Takes the order back, when not one byte of it reached an upstream.
     pub fn unsent(self) -> Order<Recorded> {
-        let Sent { mut held, fencing, submitted } = self.state;
+        let Sent { mut held, permit, submitted } = self.state;
         held.leaving = Leaving::Withdraw;
-        Order { state: Recorded { held, fencing, submitted } }
+        Order { state: Recorded { held, permit, submitted } }
     }
 
     /// Leaves the record as it is: nobody knows whether the order was run.
--- a/crates/ledger/src/order/policy.rs
+++ b/crates/ledger/src/order/policy.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use crate::record::TakeOver;
+
 /// The bounds of an order.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct OrderPolicy {
@@ -11,6 +13,6 @@
     pub window_ms: u64,
     /// The most orders of the account in flight at the service; zero for no limit.
     pub in_flight_limit: u32,
-    /// The age at which an unfinished order may be taken over; none if it may not.
-    pub take_over_after_ms: Option<u64>,
+    /// Whether and how an unfinished order may be taken over.
+    pub take_over: Option<TakeOver>,
 }
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -12,10 +12,15 @@
 //!
 //! - A record has one attempt at a time, and the fencing number grows with each change of attempt.
 //! - An attempt that was withdrawn never owns a record again.
+//! - A record is taken over only if its attempt was bound to one upstream, and the new attempt is
+//!   bound to the same: another one knows nothing of the first attempt's number.
+//! - A record that was taken over never becomes `Void`, since an earlier attempt may have sent.
 //! - `Finished` is final.
 //! - Applying an operation a second time changes nothing and gives the same verdict, so an
 //!   operation whose answer was lost is settled by applying it again.
 
+use std::sync::Arc;
+
 use crate::AttemptId;
 use crate::FencingNumber;
 use crate::Fingerprint;
@@ -44,6 +49,10 @@
     pub fencing: FencingNumber,
     /// When the attempt recorded itself, by its node's wall clock.
     pub recorded_at_ms: u64,
+    /// The only upstream that the attempt may send to; none if it may send to any.
+    pub bound_to: Option<Arc<str>>,
+    /// Whether an earlier attempt may have sent.
+    pub taken_over: bool,
     /// Where the order stands.
     pub state: RecordState,
 }
@@ -55,9 +64,17 @@
     pub fingerprint: Fingerprint,
     /// How long records of this service are retained.
     pub window_ms: u64,
-    /// The age at which an unfinished record may be taken over. Only for services all of whose
-    /// upstreams check fencing numbers.
-    pub take_over_after_ms: Option<u64>,
+    /// Whether and how an unfinished record may be taken over.
+    pub take_over: Option<TakeOver>,
+}
+
+/// Taking over unfinished orders. Only for services all of whose upstreams check fencing numbers.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct TakeOver {
+    /// The age at which an unfinished record may be taken over.
+    pub after_ms: u64,
+    /// The upstream that a new record is bound to.
+    pub bind_to: Arc<str>,
 }
 
 /// A change to one record.
@@ -82,11 +99,20 @@
     pub action: Action,
 }
 
+/// How an attempt may send.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Permit {
+    /// The number to send with.
+    pub fencing: FencingNumber,
+    /// The only upstream to send to; none for any.
+    pub bound_to: Option<Arc<str>>,
+}
+
 /// What became of an operation.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub enum Verdict {
-    /// The attempt is the only one that may send, with this number.
-    Claimed(FencingNumber),
+    /// The attempt is the only one that may send.
+    Claimed(Permit),
     /// The order was finished before.
     Finished(Outcome),
     /// Another attempt holds the record and has not finished.
@@ -129,7 +155,7 @@
 
 fn apply_claim(existing: Option<&Record>, attempt: AttemptId, claim: &Claim, wall_ms: u64) -> Step {
     let Some(record) = existing else {
-        return take(attempt, claim, FencingNumber::FIRST, wall_ms);
+        return take_new(attempt, claim, FencingNumber::FIRST, wall_ms);
     };
     if record.attempt == attempt {
         return Step::unchanged(own_verdict(record));
@@ -142,10 +168,14 @@
     }
     match &record.state {
         RecordState::Finished(outcome) => Step::unchanged(Verdict::Finished(outcome.clone())),
-        RecordState::Void => take(attempt, claim, record.fencing.next(), wall_ms),
-        RecordState::Recorded if may_take_over(record, claim, wall_ms) => {
-            take(attempt, claim, record.fencing.next(), wall_ms)
-        }
+        RecordState::Void => take_new(attempt, claim, record.fencing.next(), wall_ms),
+        RecordState::Recorded if may_take_over(record, claim, wall_ms) => take(Record {
+            attempt,
+            fencing: record.fencing.next(),
+            recorded_at_ms: wall_ms,
+            taken_over: true,
+            ..record.clone()
+        }),
         RecordState::Recorded => Step::unchanged(Verdict::Unfinished),
     }
 }
@@ -153,28 +183,39 @@
 /// The verdict on an attempt that finds itself in the record.
 fn own_verdict(record: &Record) -> Verdict {
     match &record.state {
-        RecordState::Recorded => Verdict::Claimed(record.fencing),
+        RecordState::Recorded => Verdict::Claimed(permit(record)),
         RecordState::Void => Verdict::Superseded,
         RecordState::Finished(outcome) => Verdict::Finished(outcome.clone()),
     }
 }
 
 fn may_take_over(record: &Record, claim: &Claim, wall_ms: u64) -> bool {
-    let Some(after_ms) = claim.take_over_after_ms else {
+    let Some(take_over) = &claim.take_over else {
         return false;
     };
-    record.recorded_at_ms.saturating_add(after_ms) <= wall_ms
+    let is_old = record.recorded_at_ms.saturating_add(take_over.after_ms) <= wall_ms;
+    is_old && record.bound_to.is_some()
+}
+
+fn permit(record: &Record) -> Permit {
+    Permit { fencing: record.fencing, bound_to: record.bound_to.clone() }
 }
 
-fn take(attempt: AttemptId, claim: &Claim, fencing: FencingNumber, wall_ms: u64) -> Step {
-    let record = Record {
+fn take_new(attempt: AttemptId, claim: &Claim, fencing: FencingNumber, wall_ms: u64) -> Step {
+    take(Record {
         fingerprint: claim.fingerprint,
         attempt,
         fencing,
         recorded_at_ms: wall_ms,
+        bound_to: claim.take_over.as_ref().map(|take_over| take_over.bind_to.clone()),
+        taken_over: false,
         state: RecordState::Recorded,
-    };
-    Step { change: Some(record), verdict: Verdict::Claimed(fencing) }
+    })
+}
+
+fn take(record: Record) -> Step {
+    let verdict = Verdict::Claimed(permit(&record));
+    Step { change: Some(record), verdict }
 }
 
 fn apply_finish(existing: Option<&Record>, attempt: AttemptId, outcome: &Outcome) -> Step {
@@ -205,6 +246,8 @@
             attempt,
             fencing: FencingNumber::FIRST,
             recorded_at_ms: wall_ms,
+            bound_to: None,
+            taken_over: false,
             state: RecordState::Void,
         };
         return Step { change: Some(change), verdict: Verdict::Settled };
@@ -213,6 +256,7 @@
         return Step::unchanged(Verdict::Superseded);
     }
     match record.state {
+        RecordState::Recorded if record.taken_over => Step::unchanged(Verdict::Settled),
         RecordState::Recorded => {
             let change = Record { state: RecordState::Void, ..record.clone() };
             Step { change: Some(change), verdict: Verdict::Settled }
--- a/crates/ledger/src/task/handle.rs
+++ b/crates/ledger/src/task/handle.rs
@@ -65,6 +65,14 @@
         tokio::time::timeout(limit, answer).await.is_ok()
     }
 
+    /// Drains the ledger within `limit`, and ends its task even if something is not settled then.
+    pub async fn close(&self, limit: Duration) -> bool {
+        let drained = self.drain(limit).await;
+        // A task that has ended needs no message.
+        let _ = self.messages.send(Message::Abandon);
+        drained
+    }
+
     /// Asks whether an order may run on this node.
     pub(crate) async fn admit(&self, request: AdmissionRequest) -> Option<Admission> {
         let (reply, answer) = oneshot::channel();
--- a/crates/ledger/src/task/message.rs
+++ b/crates/ledger/src/task/message.rs
@@ -31,6 +31,8 @@
     Dump { reply: oneshot::Sender<LedgerState> },
     /// Write at once whatever waits, and answer when nothing waits any more.
     Drain { reply: oneshot::Sender<()> },
+    /// End without settling what waits.
+    Abandon,
 }
 
 /// Where an operation comes from.
--- a/crates/ledger/src/task/runner.rs
+++ b/crates/ledger/src/task/runner.rs
@@ -231,6 +231,7 @@
             Message::Dump { reply } => {
                 let _ = reply.send(self.state());
             }
+            Message::Abandon => self.abandon(),
             Message::Drain { reply } => {
                 self.is_draining = true;
                 self.layout.flush();
@@ -239,6 +240,15 @@
         }
     }
 
+    /// Forgets all that waits, and takes no more messages.
+    fn abandon(&mut self) {
+        if !self.waiters.is_empty() {
+            log::warn!("event=ledger_abandoned unsettled={}", self.waiters.len());
+        }
+        self.waiters.clear();
+        self.messages.close();
+    }
+
     fn note_window(&mut self, operation: &Operation) {
         if let Action::Claim(claim) = &operation.action {
             self.windows.insert(operation.key.service.clone(), claim.window_ms);
--- a/crates/ledger/src/wire.rs
+++ b/crates/ledger/src/wire.rs
@@ -54,6 +54,8 @@
     attempt: AttemptId,
     fencing: FencingNumber,
     recorded_at_ms: u64,
+    bound_to: Option<String>,
+    taken_over: bool,
     state: StateWire,
 }
 
@@ -98,6 +100,8 @@
             attempt: record.attempt,
             fencing: record.fencing,
             recorded_at_ms: record.recorded_at_ms,
+            bound_to: record.bound_to.as_deref().map(str::to_owned),
+            taken_over: record.taken_over,
             state,
         }
     }
@@ -115,6 +119,8 @@
             attempt: wire.attempt,
             fencing: wire.fencing,
             recorded_at_ms: wire.recorded_at_ms,
+            bound_to: wire.bound_to.map(Into::into),
+            taken_over: wire.taken_over,
             state,
         }
     }
--- a/crates/ledger/tests/support/mod.rs
+++ b/crates/ledger/tests/support/mod.rs
@@ -23,6 +23,7 @@
 use redwingrill_ledger::KeyHash;
 use redwingrill_ledger::OrderKey;
 use redwingrill_ledger::order::OrderPolicy;
+use redwingrill_ledger::record::TakeOver;
 
 /// The wall clock when a test begins.
 pub const EPOCH_MS: u64 = 1_700_000_000_000;
@@ -40,10 +41,7 @@
 
 /// Makes the policy of an account.
 pub fn policy(take_over_after_ms: Option<u64>) -> OrderPolicy {
-    OrderPolicy {
-        account: Arc::from("writers"),
-        window_ms: 60_000,
-        in_flight_limit: 8,
-        take_over_after_ms,
-    }
+    let bind_to: Arc<str> = Arc::from("shop-1");
+    let take_over = take_over_after_ms.map(|after_ms| TakeOver { after_ms, bind_to });
+    OrderPolicy { account: Arc::from("writers"), window_ms: 60_000, in_flight_limit: 8, take_over }
 }
--- a/crates/redwingrill/src/node/inspector.rs
+++ b/crates/redwingrill/src/node/inspector.rs
@@ -11,6 +11,7 @@
 use crate::dispatch::Dispatcher;
 use crate::http::AccountConnections;
 use redwingrill_config::Snapshot;
+use redwingrill_ledger::task::Ledger;
 use redwingrill_transport::Pool;
 
 /// Reads the state of a node. Clones read the same node.
@@ -22,6 +23,7 @@
     pub(super) dispatcher: Dispatcher,
     pub(super) connections: AccountConnections,
     pub(super) pool: Pool,
+    pub(super) ledger: Ledger,
     pub(super) drain: CancellationToken,
 }
 
@@ -68,6 +70,7 @@
         json!({
             "status": self.status(),
             "dispatch": self.dispatcher.dump().await,
+            "orders": self.ledger.state().await,
             "account_connections": connections.collect::<Vec<_>>(),
             "upstream_connections": pool.collect::<Vec<_>>(),
         })
--- a/crates/redwingrill/src/node/life.rs
+++ b/crates/redwingrill/src/node/life.rs
@@ -17,6 +17,9 @@
 use redwingrill_config::Snapshot;
 use redwingrill_settings::Settings;
 
+/// How long a node that ends tries to record what its orders came to.
+const ORDERS_LIMIT: Duration = Duration::from_secs(5);
+
 /// The phase that requests and operators see.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Phase {
@@ -185,6 +188,7 @@
     async fn join(parts: Parts) {
         parts.requests.close();
         parts.requests.wait().await;
+        parts.inspector.ledger.close(ORDERS_LIMIT).await;
         parts.admin.abort();
         parts.admin.join().await;
         let Parts { callers, admin, inspector, services, pool, .. } = parts;
--- a/crates/redwingrill/src/node/parts.rs
+++ b/crates/redwingrill/src/node/parts.rs
@@ -22,6 +22,15 @@
 use crate::upstream::EngineClient;
 use crate::upstream::EngineTimeouts;
 use redwingrill_config::Snapshot;
+use redwingrill_ledger::layout::LayoutConfig;
+use redwingrill_ledger::layout::PagedLayout;
+use redwingrill_ledger::task::Ledger;
+use redwingrill_ledger::task::LedgerConfig;
+use redwingrill_ledger::task::LedgerTask;
+use redwingrill_ledger::task::NoHomes;
+use redwingrill_ledger::task::WallClock;
+use redwingrill_platform::EtcdStore;
+use redwingrill_platform::PlatformOptions;
 use redwingrill_settings::Settings;
 use redwingrill_transport::Pool;
 
@@ -56,6 +65,8 @@
         let (phase, phase_reader) = watch::channel(Phase::Serving);
         let (dispatcher, dispatch) = Dispatch::new();
         services.spawn(dispatch.run());
+        let (ledger, ledger_task) = ledger(settings, &pool);
+        services.spawn(ledger_task.run());
         let connections = AccountConnections::default();
         // Without a configuration the node refuses all requests as not ready.
         let configuration =
@@ -67,6 +78,7 @@
             dispatcher: dispatcher.clone(),
             connections: connections.clone(),
             pool: pool.clone(),
+            ledger: ledger.clone(),
             drain: CancellationToken::new(),
         };
         let routes = Routes {
@@ -79,7 +91,7 @@
                 tasks: requests.clone(),
                 metrics: metrics.clone(),
             },
-            services: Services::new(pool.clone()),
+            services: Services::new(pool.clone(), ledger, requests.clone()),
             metrics,
         };
         let bind = |address| move |source| StartError::Bind { address, source };
@@ -110,6 +122,22 @@
     }
 }
 
+/// Makes the task that records orders in the platform's store.
+fn ledger(
+    settings: &Settings,
+    pool: &Pool,
+) -> (Ledger, LedgerTask<EtcdStore, PagedLayout, NoHomes>) {
+    let config = LedgerConfig::default();
+    let options = PlatformOptions {
+        call_timeout: Duration::from_millis(config.call_timeout_ms),
+        ..PlatformOptions::new(settings.platform.endpoints.clone())
+    };
+    let store = EtcdStore::new(options, pool.clone());
+    let layout = LayoutConfig::default();
+    let pages = PagedLayout::new(layout);
+    LedgerTask::new(store, pages, NoHomes, layout.shards, config, WallClock::system())
+}
+
 fn engine_timeouts(settings: &Settings) -> EngineTimeouts {
     EngineTimeouts {
         connect: Duration::from_millis(settings.streams.connect_timeout_ms),
--- /dev/null
+++ b/crates/redwingrill/src/services/forward.rs
@@ -0,0 +1,140 @@
+//! One call to one upstream of a service.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Method;
+use http::Request;
+use http::StatusCode;
+use http::Uri;
+use http::header;
+use snafu::Snafu;
+
+use super::headers::CLIENT_ACCOUNT_HEADER;
+use super::headers::copy_headers;
+use super::headers::header_value;
+use crate::Refusal;
+use crate::http::REQUEST_ID_HEADER;
+use crate::http::RequestId;
+use redwingrill_codes::ResultCode;
+use redwingrill_config::Upstream;
+use redwingrill_transport::Freshness;
+use redwingrill_transport::Pool;
+use redwingrill_transport::Timeouts;
+use redwingrill_transport::TransportError;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The longest reply of a service.
+const REPLY_LIMIT_BYTES: usize = 4 << 20;
+
+/// A call as each upstream of the service gets it.
+#[derive(Clone, Debug)]
+pub(super) struct Outgoing {
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    body: Bytes,
+    request_id: String,
+    limit: Duration,
+}
+
+/// A whole reply of an upstream.
+#[derive(Clone, Debug)]
+pub(super) struct UpstreamReply {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+/// Why there is no reply.
+#[derive(Debug, Snafu)]
+pub(super) enum ForwardError {
+    /// The call failed.
+    #[snafu(display("{source}"), context(false))]
+    Transport { source: TransportError },
+    /// The reply names another request.
+    #[snafu(display("the reply belongs to another request"))]
+    Crossed,
+}
+
+impl ForwardError {
+    /// Returns whether the upstream may have run the call.
+    pub(super) fn may_have_run(&self) -> bool {
+        match self {
+            Self::Transport { source } => source.may_have_been_received(),
+            Self::Crossed => true,
+        }
+    }
+
+    /// Returns the code for the caller of a call that may be repeated.
+    pub(super) fn code(&self) -> ResultCode {
+        match self {
+            Self::Crossed => ResultCode::ReplyCrossed,
+            Self::Transport { source } => match source {
+                TransportError::Unreachable { .. } | TransportError::NotSent => {
+                    ResultCode::UpstreamUnreachable
+                }
+                TransportError::Broken { .. } => ResultCode::UpstreamFailed,
+                TransportError::Silent { .. } => ResultCode::UpstreamSilent,
+                TransportError::TooLarge { .. } => ResultCode::UpstreamGarbage,
+            },
+        }
+    }
+
+    /// Returns the refusal of a call that may be repeated.
+    pub(super) fn refusal(&self) -> Refusal {
+        Refusal::with_detail(self.code(), self.to_string())
+    }
+}
+
+impl Outgoing {
+    /// Makes the call that upstreams get from the call that came.
+    pub(super) fn new(
+        call: &super::ServiceCall<'_>,
+        account: &str,
+        request_id: RequestId,
+        limit: Duration,
+    ) -> Result<Self, Refusal> {
+        let uri = call.path.parse().map_err(|_| ResultCode::BadRequest)?;
+        let request_id = request_id.to_string();
+        let mut headers = HeaderMap::new();
+        copy_headers(call.headers, &mut headers);
+        headers.insert(REQUEST_ID_HEADER, header_value(&request_id)?);
+        headers.insert(CLIENT_ACCOUNT_HEADER, header_value(account)?);
+        let (method, body) = (call.method.clone(), call.body.clone());
+        Ok(Self { method, uri, headers, body, request_id, limit })
+    }
+
+    /// Sets a header.
+    pub(super) fn set(&mut self, name: &'static str, value: &str) -> Result<(), Refusal> {
+        self.headers.insert(name, header_value(value)?);
+        Ok(())
+    }
+
+    /// Sends the call to one upstream and reads the whole reply.
+    pub(super) async fn send(
+        &self,
+        pool: &Pool,
+        upstream: &Upstream,
+        freshness: Freshness,
+    ) -> Result<UpstreamReply, ForwardError> {
+        let mut request = Request::new(self.body.clone());
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.headers.clone();
+        if let Ok(host) = upstream.address.to_string().parse() {
+            request.headers_mut().insert(header::HOST, host);
+        }
+        let timeouts = Timeouts { connect: CONNECT_TIMEOUT, head: self.limit };
+        let reply = pool.send(upstream.address, request, freshness, &timeouts).await?;
+        let tied = reply.headers().get(REQUEST_ID_HEADER).map(|value| value.as_bytes());
+        if tied != Some(self.request_id.as_bytes()) {
+            return Err(ForwardError::Crossed);
+        }
+        let (parts, body) = reply.into_parts();
+        let body = body.read_all(REPLY_LIMIT_BYTES, self.limit).await?;
+        Ok(UpstreamReply { status: parts.status, headers: parts.headers, body })
+    }
+}
--- a/crates/redwingrill/src/services/mod.rs
+++ b/crates/redwingrill/src/services/mod.rs
@@ -1,6 +1,18 @@
 //! Plain services: forwarding of calls, and calls that run at most once.
+//!
+//! A call that may be repeated is forwarded to the first upstream that takes it ([`handler`]). A
+//! call that may not be repeated is an order: [`orders`] records it in the ledger before it is sent.
 
+mod forward;
 mod handler;
+mod headers;
+mod orders;
+mod replay;
 
 pub use handler::ServiceCall;
 pub use handler::Services;
+pub use headers::CLIENT_ACCOUNT_HEADER;
+pub use headers::FENCING_HEADER;
+pub use headers::IDEMPOTENCY_KEY_HEADER;
+pub use headers::REPLAYED_HEADER;
+pub use headers::WINDOW_HEADER;
--- /dev/null
+++ b/crates/redwingrill/src/services/orders.rs
@@ -0,0 +1,284 @@
+//! Calls that may not be repeated.
+//!
+//! An order passes the steps parse, look up, record, send, reply and finish, in the states of
+//! [`redwingrill_ledger::order`]. It runs in a task of its own, which goes on when its caller leaves:
+//! what was sent is finished and recorded either way.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::Response;
+use http::StatusCode;
+use log::info;
+use tokio_util::task::TaskTracker;
+
+use super::ServiceCall;
+use super::forward::ForwardError;
+use super::forward::Outgoing;
+use super::forward::UpstreamReply;
+use super::headers::FENCING_HEADER;
+use super::headers::IDEMPOTENCY_KEY_HEADER;
+use super::headers::WINDOW_HEADER;
+use super::headers::header_value;
+use super::replay::outcome_of;
+use super::replay::replay_of;
+use super::replay::response_of;
+use crate::Refusal;
+use crate::completions::Caller;
+use crate::http::Body;
+use redwingrill_codes::ResultCode;
+use redwingrill_config::Fencing;
+use redwingrill_config::Service;
+use redwingrill_config::Upstream;
+use redwingrill_ledger::AttemptId;
+use redwingrill_ledger::FencingNumber;
+use redwingrill_ledger::Fingerprint;
+use redwingrill_ledger::IdempotencyKey;
+use redwingrill_ledger::KeyHash;
+use redwingrill_ledger::KeyTime;
+use redwingrill_ledger::OrderKey;
+use redwingrill_ledger::order::Order;
+use redwingrill_ledger::order::OrderPolicy;
+use redwingrill_ledger::order::Received;
+use redwingrill_ledger::order::Recorded;
+use redwingrill_ledger::order::Settled;
+use redwingrill_ledger::record::TakeOver;
+use redwingrill_ledger::task::Ledger;
+use redwingrill_transport::Freshness;
+use redwingrill_transport::Pool;
+
+/// How long after a call's own timeout its order may be taken over.
+const TAKE_OVER_MARGIN_MS: u64 = 2_000;
+
+/// When a caller whose account has too many orders in flight may try again.
+const WINDOW_RETRY_MS: u64 = 1_000;
+
+/// Serves calls that may not be repeated.
+#[derive(Clone, Debug)]
+pub(super) struct Orders {
+    pub(super) pool: Pool,
+    pub(super) ledger: Ledger,
+    pub(super) tasks: TaskTracker,
+}
+
+/// An order with the upstreams that it may go to, in the order of trial.
+#[derive(Debug)]
+struct Job {
+    order: Order<Received>,
+    outgoing: Outgoing,
+    targets: Vec<Upstream>,
+    log: LogContext,
+}
+
+/// What log lines on an order name.
+#[derive(Debug)]
+struct LogContext {
+    request_id: String,
+    service: String,
+    key: KeyHash,
+}
+
+impl Orders {
+    /// Serves one call.
+    pub(super) async fn serve(
+        &self,
+        caller: &Caller<'_>,
+        service: &Service,
+        call: &ServiceCall<'_>,
+    ) -> Result<Response<Body>, Refusal> {
+        let job = self.prepare(caller, service, call)?;
+        let pool = self.pool.clone();
+        let served = self.tasks.spawn(async move { job.run(&pool).await });
+        // A task that ended without an answer may have sent the order.
+        let served = served.await.unwrap_or_else(|_| Err(ResultCode::Internal.into()));
+        let mut response = served.map_err(|refusal| explain(refusal, service))?;
+        response.headers_mut().insert(WINDOW_HEADER, header_value(&window_text(service))?);
+        Ok(response)
+    }
+
+    /// Makes the order from the call, without a word to the outside.
+    fn prepare(
+        &self,
+        caller: &Caller<'_>,
+        service: &Service,
+        call: &ServiceCall<'_>,
+    ) -> Result<Job, Refusal> {
+        let key = idempotency_key(call.headers)?;
+        let window_ms = u64::from(service.retained_window_s) * 1_000;
+        check_time(&key, window_ms, self.ledger.clock().now_ms())?;
+        let state = &caller.snapshot.state;
+        let account = state.accounts.get(caller.account).ok_or(ResultCode::KeyUnknown)?;
+        let hash = KeyHash::of(&account.name, &key);
+        let targets = targets_of(caller, service, hash);
+        let first = targets.first().ok_or(ResultCode::NoUpstream)?;
+        let policy = OrderPolicy {
+            account: Arc::from(account.name.as_str()),
+            window_ms,
+            in_flight_limit: service.in_flight_limit,
+            take_over: take_over_of(service, &targets, first),
+        };
+        let limit = Duration::from_millis(service.timeout_ms.into());
+        let mut outgoing = Outgoing::new(call, &account.name, caller.request_id, limit)?;
+        outgoing.set(IDEMPOTENCY_KEY_HEADER, key.as_str())?;
+        let fingerprint = fingerprint_of(call);
+        let order_key = OrderKey { service: Arc::from(service.name.as_str()), hash };
+        let order = Order::receive(&self.ledger, order_key, fingerprint, policy);
+        let request_id = caller.request_id.to_string();
+        let log = LogContext { request_id, service: service.name.clone(), key: hash };
+        Ok(Job { order, outgoing, targets, log })
+    }
+}
+
+impl Job {
+    async fn run(self, pool: &Pool) -> Result<Response<Body>, Refusal> {
+        let Self { order, mut outgoing, targets, log } = self;
+        let recorded = match order.record(AttemptId(rand::random())).await {
+            Ok(recorded) => recorded,
+            Err(Settled::Replay(outcome)) => {
+                log.event("order_replayed");
+                return replay_of(outcome);
+            }
+            Err(Settled::Refused(code)) => {
+                log.event("order_refused");
+                return Err(code.into());
+            }
+        };
+        send(recorded, &mut outgoing, &targets, pool, &log).await
+    }
+}
+
+/// Sends a recorded order to the first of its upstreams that can be reached.
+async fn send(
+    mut recorded: Order<Recorded>,
+    outgoing: &mut Outgoing,
+    targets: &[Upstream],
+    pool: &Pool,
+    log: &LogContext,
+) -> Result<Response<Body>, Refusal> {
+    let bound_to = recorded.bound_to().map(str::to_owned);
+    let allowed = |upstream: &&Upstream| bound_to.as_ref().is_none_or(|to| *to == upstream.name);
+    let mut last = Refusal::new(ResultCode::NoUpstream);
+    for upstream in targets.iter().filter(allowed) {
+        let sent = recorded.send()?;
+        let fencing = sent.fencing();
+        outgoing.set(FENCING_HEADER, &fencing.0.to_string())?;
+        // An order never goes over a connection that may have gone silent while it was idle.
+        match outgoing.send(pool, upstream, Freshness::New).await {
+            Ok(reply) if is_fenced(&reply, upstream, fencing) => {
+                log.event("order_fenced");
+                sent.unknown();
+                return Err(ResultCode::OutcomeUnknown.into());
+            }
+            Ok(reply) => {
+                sent.finish(outcome_of(&reply));
+                log.event("order_finished");
+                return Ok(response_of(reply));
+            }
+            Err(failure) if failure.may_have_run() => {
+                log.event("order_unknown");
+                sent.unknown();
+                return Err(unknown(&failure));
+            }
+            Err(failure) => {
+                last = failure.refusal();
+                recorded = sent.unsent();
+            }
+        }
+    }
+    log.event("order_not_sent");
+    // Dropping the order withdraws it, so that a retry may run.
+    drop(recorded);
+    Err(last)
+}
+
+impl LogContext {
+    fn event(&self, event: &str) {
+        let Self { request_id, service, key } = self;
+        info!("event={event} request_id={request_id} service={service} key={key}");
+    }
+}
+
+fn idempotency_key(headers: &HeaderMap) -> Result<IdempotencyKey, Refusal> {
+    let mut values = headers.get_all(IDEMPOTENCY_KEY_HEADER).iter();
+    let value = values.next().ok_or(ResultCode::IdempotencyKeyMissing)?;
+    if values.next().is_some() {
+        let detail = "the request has more than one Idempotency-Key";
+        return Err(Refusal::with_detail(ResultCode::IdempotencyKeyInvalid, detail));
+    }
+    IdempotencyKey::parse(value.as_bytes())
+        .map_err(|e| Refusal::with_detail(ResultCode::IdempotencyKeyInvalid, e.to_string()))
+}
+
+fn check_time(key: &IdempotencyKey, window_ms: u64, wall_ms: u64) -> Result<(), Refusal> {
+    match key.time_within(window_ms, wall_ms) {
+        KeyTime::Opaque | KeyTime::Within => Ok(()),
+        KeyTime::Expired => Err(ResultCode::KeyExpired.into()),
+        KeyTime::Ahead => {
+            let detail = "the time in the key lies ahead of this node's clock";
+            Err(Refusal::with_detail(ResultCode::IdempotencyKeyInvalid, detail))
+        }
+    }
+}
+
+fn fingerprint_of(call: &ServiceCall<'_>) -> Fingerprint {
+    let content_type = call.headers.get(http::header::CONTENT_TYPE);
+    let content_type = content_type.and_then(|value| value.to_str().ok()).unwrap_or_default();
+    Fingerprint::of(call.method.as_str(), call.path, content_type, call.body)
+}
+
+/// The upstreams that take new work. The key picks the first, so that retries agree on it.
+fn targets_of(caller: &Caller<'_>, service: &Service, key: KeyHash) -> Vec<Upstream> {
+    let upstreams = &caller.snapshot.state.upstreams;
+    let configured = service.upstreams.iter().filter_map(|&id| upstreams.get(id));
+    let mut targets: Vec<Upstream> =
+        configured.filter(|upstream| !upstream.drained).cloned().collect();
+    if !targets.is_empty() {
+        let first = (key.short() % targets.len() as u64) as usize;
+        targets.rotate_left(first);
+    }
+    targets
+}
+
+fn take_over_of(service: &Service, targets: &[Upstream], first: &Upstream) -> Option<TakeOver> {
+    let checked = targets.iter().all(|upstream| upstream.fencing == Fencing::Checked);
+    let after_ms = u64::from(service.timeout_ms) + TAKE_OVER_MARGIN_MS;
+    checked.then(|| TakeOver { after_ms, bind_to: Arc::from(first.name.as_str()) })
+}
+
+/// Whether an upstream that checks fencing refused our number, because another node took over.
+fn is_fenced(reply: &UpstreamReply, upstream: &Upstream, fencing: FencingNumber) -> bool {
+    let held = reply.headers.get(FENCING_HEADER).and_then(|value| value.to_str().ok());
+    let held = held.and_then(|value| value.parse().ok()).map(FencingNumber);
+    upstream.fencing == Fencing::Checked
+        && reply.status == StatusCode::CONFLICT
+        && held.is_some_and(|held| held > fencing)
+}
+
+fn unknown(failure: &ForwardError) -> Refusal {
+    let info = ResultCode::OutcomeUnknown.info();
+    Refusal::with_detail(ResultCode::OutcomeUnknown, format!("{} ({failure})", info.summary))
+}
+
+/// Tells the caller of the window where that is why the order is refused.
+fn explain(refusal: Refusal, service: &Service) -> Refusal {
+    let window = window_text(service);
+    match refusal.code {
+        ResultCode::WindowFull => {
+            let detail = format!("{} ({window})", refusal.code.info().summary);
+            Refusal::with_detail(refusal.code, detail).retry_after(WINDOW_RETRY_MS)
+        }
+        ResultCode::KeyExpired => {
+            let detail = format!("{} ({window})", refusal.code.info().summary);
+            Refusal::with_detail(refusal.code, detail)
+        }
+        ResultCode::LedgerUnavailable | ResultCode::LedgerOutcomeUnknown => {
+            refusal.retry_after(WINDOW_RETRY_MS)
+        }
+        _ => refusal,
+    }
+}
+
+fn window_text(service: &Service) -> String {
+    format!("retained={}, in-flight={}", service.retained_window_s, service.in_flight_limit)
+}
