--- a/crates/redwingrill/src/node/inspector.rs
+++ b/crates/redwingrill/src/node/inspector.rs
@@ -12,6 +12,7 @@
 use crate::dispatch::Dispatcher;
 use crate::http::AccountConnections;
 use redwingrill_config::Snapshot;
+use redwingrill_ledger::task::Ledger;
 use redwingrill_transport::Pool;
 
 /// Reads the state of a node. Clones read the same node.
@@ -25,6 +26,7 @@
     pub(super) dispatcher: Dispatcher,
     pub(super) connections: AccountConnections,
     pub(super) pool: Pool,
+    pub(super) ledger: Ledger,
     pub(super) drain: CancellationToken,
 }
 
@@ -72,6 +74,7 @@
             "status": self.status(),
             "configuration": self.followed.as_ref().map(Configuration::dump),
             "dispatch": self.dispatcher.dump().await,
+            "orders": self.ledger.state().await,
             "account_connections": connections.collect::<Vec<_>>(),
             "upstream_connections": pool.collect::<Vec<_>>(),
         })
--- a/crates/redwingrill/src/node/parts.rs
+++ b/crates/redwingrill/src/node/parts.rs
@@ -25,6 +25,13 @@
 use crate::upstream::EngineTimeouts;
 use redwingrill_config::NoPeers;
 use redwingrill_config::Snapshot;
+use redwingrill_ledger::layout::LayoutConfig;
+use redwingrill_ledger::layout::PagedLayout;
+use redwingrill_ledger::task::Ledger;
+use redwingrill_ledger::task::LedgerConfig;
+use redwingrill_ledger::task::LedgerTask;
+use redwingrill_ledger::task::NoHomes;
+use redwingrill_ledger::task::WallClock;
 use redwingrill_platform::EtcdStore;
 use redwingrill_platform::PlatformOptions;
 use redwingrill_settings::Settings;
@@ -73,6 +80,8 @@
         };
         let (dispatcher, dispatch) = Dispatch::new();
         services.spawn(dispatch.run());
+        let (ledger, ledger_task) = ledger(settings, &pool);
+        services.spawn(ledger_task.run());
         let connections = AccountConnections::default();
         let inspector = Inspector {
             name: settings.node.name.clone(),
@@ -82,6 +91,7 @@
             dispatcher: dispatcher.clone(),
             connections: connections.clone(),
             pool: pool.clone(),
+            ledger: ledger.clone(),
             drain: CancellationToken::new(),
         };
         let routes = Routes {
@@ -94,7 +104,7 @@
                 tasks: requests.clone(),
                 metrics: metrics.clone(),
             },
-            services: Services::new(pool.clone()),
+            services: Services::new(pool.clone(), ledger, requests.clone()),
             metrics,
         };
         let bind = |address| move |source| StartError::Bind { address, source };
@@ -139,6 +149,22 @@
     }
 }
 
+/// Makes the task that records orders in the platform's store.
+fn ledger(
+    settings: &Settings,
+    pool: &Pool,
+) -> (Ledger, LedgerTask<EtcdStore, PagedLayout, NoHomes>) {
+    let config = LedgerConfig::default();
+    let options = PlatformOptions {
+        call_timeout: Duration::from_millis(config.call_timeout_ms),
+        ..PlatformOptions::new(settings.platform.endpoints.clone())
+    };
+    let store = EtcdStore::new(options, pool.clone());
+    let layout = LayoutConfig::default();
+    let pages = PagedLayout::new(layout);
+    LedgerTask::new(store, pages, NoHomes, layout.shards, config, WallClock::system())
+}
+
 fn engine_timeouts(settings: &Settings) -> EngineTimeouts {
     EngineTimeouts {
         connect: Duration::from_millis(settings.streams.connect_timeout_ms),
