Add golden sessions and the fault matrix of orders

Cause: the promises on orders were only tested below the HTTP handler. Ruled out: paused time (the nodes use real sockets); each node has a runtime of its own instead, which a test pauses by blocking its one thread and kills by dropping it. Change: tests/orders: 10 golden sessions, and a matrix of 15 faults at 9 steps against upstreams that check fencing and that ignore it, each followed by retries on another node and on the first.

--- /dev/null
+++ b/crates/redwingrill/tests/orders/conductor.rs
@@ -0,0 +1,154 @@
+//! Lets one fault begin when an order reaches one step.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+
+use redwingrill_fakes::Faults;
+use redwingrill_fakes::MemoryStore;
+use redwingrill_fakes::WriteFault;
+
+/// The steps of an order.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Step {
+    Parse,
+    LookUp,
+    Record,
+    Settle,
+    Send,
+    Headers,
+    Body,
+    FinishRecord,
+    Reply,
+}
+
+impl Step {
+    pub const ALL: [Self; 9] = [
+        Self::Parse,
+        Self::LookUp,
+        Self::Record,
+        Self::Settle,
+        Self::Send,
+        Self::Headers,
+        Self::Body,
+        Self::FinishRecord,
+        Self::Reply,
+    ];
+}
+
+/// What goes wrong.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Fault {
+    PlatformDown,
+    PlatformSlow,
+    PlatformFrozen,
+    LostAnswer,
+    LostCall,
+    UpstreamRefuses,
+    UpstreamCuts,
+    UpstreamSilent,
+    UpstreamCrossed,
+    UpstreamLate,
+    UpstreamGarbage,
+    UpstreamFenced,
+    NodeCrash,
+    NodeRestart,
+    NodePause,
+}
+
+impl Fault {
+    pub const ALL: [Self; 15] = [
+        Self::PlatformDown,
+        Self::PlatformSlow,
+        Self::PlatformFrozen,
+        Self::LostAnswer,
+        Self::LostCall,
+        Self::UpstreamRefuses,
+        Self::UpstreamCuts,
+        Self::UpstreamSilent,
+        Self::UpstreamCrossed,
+        Self::UpstreamLate,
+        Self::UpstreamGarbage,
+        Self::UpstreamFenced,
+        Self::NodeCrash,
+        Self::NodeRestart,
+        Self::NodePause,
+    ];
+
+    fn platform(self) -> Option<Faults> {
+        let none = Faults::default();
+        match self {
+            Self::PlatformDown => Some(Faults { down: true, ..none }),
+            Self::PlatformSlow => Some(Faults { delay: Duration::from_millis(40), ..none }),
+            Self::PlatformFrozen => Some(Faults { frozen: true, ..none }),
+            Self::LostAnswer => Some(Faults { write: WriteFault::LoseAnswer, ..none }),
+            Self::LostCall => Some(Faults { write: WriteFault::LoseCall, ..none }),
+            _ => None,
+        }
+    }
+
+    pub fn is_node(self) -> bool {
+        matches!(self, Self::NodeCrash | Self::NodeRestart | Self::NodePause)
+    }
+}
+
+#[derive(Debug, Default)]
+struct State {
+    armed: Option<(Step, Fault)>,
+    active: Option<Fault>,
+    struck: bool,
+}
+
+/// Lets one fault begin when an order reaches one step. It lasts until it is healed.
+#[derive(Clone, Debug)]
+pub struct Conductor {
+    state: Arc<Mutex<State>>,
+    pub platform: MemoryStore,
+    pub node_struck: Arc<Notify>,
+}
+
+impl Conductor {
+    pub fn new(platform: MemoryStore) -> Self {
+        Self { state: Arc::default(), platform, node_struck: Arc::default() }
+    }
+
+    pub fn arm(&self, step: Step, fault: Fault) {
+        let mut state = self.state.lock().expect("no holder panics");
+        *state = State { armed: Some((step, fault)), active: None, struck: false };
+    }
+
+    pub fn heal(&self) {
+        let mut state = self.state.lock().expect("no holder panics");
+        (state.armed, state.active) = (None, None);
+        drop(state);
+        self.platform.set_faults(Faults::default());
+    }
+
+    /// Returns the fault that is in force.
+    pub fn active(&self) -> Option<Fault> {
+        self.state.lock().expect("no holder panics").active
+    }
+
+    /// Returns whether the fault has begun.
+    pub fn has_struck(&self) -> bool {
+        self.state.lock().expect("no holder panics").struck
+    }
+
+    /// Notes that the order has reached a step. Returns the fault if it begins here.
+    pub fn reach(&self, step: Step) -> Option<Fault> {
+        let mut state = self.state.lock().expect("no holder panics");
+        let (_, fault) = state.armed.take_if(|(armed, _)| *armed == step)?;
+        state.active = Some(fault);
+        state.struck = true;
+        drop(state);
+        if let Some(faults) = fault.platform() {
+            self.platform.set_faults(faults);
+        }
+        if fault.is_node() {
+            self.node_struck.notify_one();
+        }
+        Some(fault)
+    }
+}
--- /dev/null
+++ b/crates/redwingrill/tests/orders/sessions.rs
@@ -0,0 +1,146 @@
+//! Golden files of whole sessions.
+//!
+//! Each line of an input is a command, and the output repeats it with what came of it:
+//! `fencing checked|ignored` (first), `start NODE`, `crash NODE`, `call NODE ACCOUNT KEY BODY`,
+//! `begin` (the same without waiting), `fault STEP FAULT`, `strike FAULT`, `heal`, `wait MS`,
+//! `drain NODE`, and `runs`. A key of `-` sends none, and `A+B` sends two.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use crate::conductor::Conductor;
+use crate::conductor::Fault;
+use crate::conductor::Step;
+use crate::node::ACCOUNTS;
+use crate::node::Ask;
+use crate::node::Got;
+use crate::node::Node;
+use crate::node::snapshot;
+use crate::store::HookedStore;
+use crate::upstream::Upstream;
+use redwingrill_codes::ErrorBody;
+use redwingrill_config::Fencing;
+use redwingrill_fakes::MemoryStore;
+use redwingrill_golden::run_dir;
+
+struct Session {
+    conductor: Conductor,
+    store: HookedStore,
+    upstream: Upstream,
+    fencing: Fencing,
+    nodes: BTreeMap<String, Node>,
+}
+
+impl Session {
+    async fn start(fencing: Fencing) -> Self {
+        let memory = MemoryStore::new();
+        let conductor = Conductor::new(memory.clone());
+        let store = HookedStore::new(memory, conductor.clone());
+        let checks = fencing == Fencing::Checked;
+        let (upstream, _server) =
+            Upstream::start(conductor.clone(), checks, store.answered.clone()).await;
+        Self { conductor, store, upstream, fencing, nodes: BTreeMap::new() }
+    }
+
+    async fn command(&mut self, line: &str) -> String {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        match words.as_slice() {
+            ["start", name] => {
+                let snapshot = snapshot(&[(self.upstream.address, self.fencing)]);
+                let node = Node::start(self.store.clone(), snapshot);
+                self.nodes.insert((*name).to_owned(), node);
+            }
+            ["crash", name] => self.nodes.get_mut(*name).expect("a node").crash(),
+            ["drain", name] => return format!("settled={}", self.nodes[*name].drain().await),
+            ["call", node, account, keys, body @ ..] => {
+                let got = self.nodes[*node].call(ask(account, keys, body)).await;
+                return got.as_ref().map_or("no answer".to_owned(), describe);
+            }
+            ["begin", node, account, keys, body @ ..] => {
+                drop(self.nodes[*node].call(ask(account, keys, body)));
+                sleep(Duration::from_millis(30)).await;
+            }
+            ["fault", step, fault] => self.conductor.arm(step_of(step), fault_of(fault)),
+            ["strike", fault] => {
+                self.conductor.arm(Step::Parse, fault_of(fault));
+                self.conductor.reach(Step::Parse);
+            }
+            ["heal"] => self.conductor.heal(),
+            ["wait", ms] => sleep(Duration::from_millis(ms.parse().expect("a number"))).await,
+            ["runs"] => return self.runs(),
+            _ => panic!("unknown command: {line}"),
+        }
+        "ok".to_owned()
+    }
+
+    fn runs(&self) -> String {
+        let mut counts: BTreeMap<String, usize> = BTreeMap::new();
+        for run in self.upstream.runs() {
+            *counts.entry(format!("{}/{}", run.account, run.key)).or_default() += 1;
+        }
+        let counts = counts.iter().map(|(key, count)| format!("{key}={count}"));
+        counts.collect::<Vec<_>>().join(" ")
+    }
+}
+
+fn ask(account: &str, keys: &str, body: &[&str]) -> Ask {
+    let account = ACCOUNTS.iter().position(|name| *name == account).expect("an account");
+    let keys = keys.split('+').filter(|key| *key != "-").map(str::to_owned).collect();
+    Ask { account, keys, body: body.join(" ") }
+}
+
+fn describe(got: &Got) -> String {
+    let Ok(error) = serde_json::from_str::<ErrorBody>(&got.body) else {
+        let header = |name: &str| {
+            let value = got.headers.get(name).and_then(|value| value.to_str().ok());
+            value.map(|value| format!(" [{name}: {value}]")).unwrap_or_default()
+        };
+        let window = header("x-redwingrill-idempotency-window");
+        return format!("{} {}{}{window}", got.status, got.body, header("x-redwingrill-replayed"));
+    };
+    let error = error.error;
+    let code = error.code;
+    format!(
+        "{} {code} ({}) ran={}: {}",
+        got.status,
+        error.result_code,
+        error.ran.as_str(),
+        error.message
+    )
+}
+
+fn step_of(name: &str) -> Step {
+    let found = Step::ALL.into_iter().find(|step| format!("{step:?}") == name);
+    found.unwrap_or_else(|| panic!("unknown step: {name}"))
+}
+
+fn fault_of(name: &str) -> Fault {
+    let found = Fault::ALL.into_iter().find(|fault| format!("{fault:?}") == name);
+    found.unwrap_or_else(|| panic!("unknown fault: {name}"))
+}
+
+fn run_session(input: &str) -> String {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
+    runtime.block_on(async {
+        let mut lines = input.lines().filter(|line| !line.is_empty() && !line.starts_with('#'));
+        let fencing = match lines.next() {
+            Some("fencing checked") => Fencing::Checked,
+            Some("fencing ignored") => Fencing::Ignored,
+            other => panic!("a session begins with the kind of fencing, not {other:?}"),
+        };
+        let mut session = Session::start(fencing).await;
+        let mut output = String::new();
+        for line in lines {
+            let answer = session.command(line).await;
+            output.push_str(&format!("> {line}\n{answer}\n"));
+        }
+        output
+    })
+}
+
+#[test]
+fn sessions_are_as_recorded() {
+    run_dir(concat!(env!("CARGO_MANIFEST_DIR"), "/tests/orders/cases"), run_session);
+}
--- /dev/null
+++ b/crates/redwingrill/tests/orders/upstream.rs
@@ -0,0 +1,195 @@
+//! An upstream that counts its runs and fails on command.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+use crate::conductor::Conductor;
+use crate::conductor::Fault;
+use crate::conductor::Step;
+
+/// Longer than the service's timeout.
+const LATE: Duration = Duration::from_millis(400);
+
+/// One run.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Run {
+    pub key: String,
+    pub account: String,
+    pub request_id: String,
+    pub body: String,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    runs: Vec<Run>,
+    outcomes: BTreeMap<(String, String), String>,
+    highest: BTreeMap<(String, String), u64>,
+}
+
+/// The upstream. Clones share the counts.
+#[derive(Clone, Debug)]
+pub struct Upstream {
+    pub address: SocketAddr,
+    checks_fencing: bool,
+    conductor: Conductor,
+    state: Arc<Mutex<State>>,
+    /// Set when a reply is about to be written.
+    answered: Arc<AtomicBool>,
+}
+
+#[derive(Debug)]
+struct Request {
+    headers: BTreeMap<String, String>,
+    body: String,
+}
+
+impl Request {
+    fn header(&self, name: &str) -> String {
+        self.headers.get(name).cloned().unwrap_or_default()
+    }
+}
+
+impl Upstream {
+    pub async fn start(
+        conductor: Conductor,
+        checks_fencing: bool,
+        answered: Arc<AtomicBool>,
+    ) -> (Self, JoinHandle<()>) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("a bound address");
+        let state = Arc::default();
+        let upstream = Self { address, checks_fencing, conductor, state, answered };
+        let server = upstream.clone();
+        let task = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let server = server.clone();
+                tokio::spawn(async move { server.serve(stream).await });
+            }
+        });
+        (upstream, task)
+    }
+
+    pub fn runs(&self) -> Vec<Run> {
+        self.state.lock().expect("no holder panics").runs.clone()
+    }
+
+    async fn serve(self, mut stream: TcpStream) -> Option<()> {
+        self.conductor.reach(Step::Send);
+        if self.conductor.active() == Some(Fault::UpstreamRefuses) {
+            return None;
+        }
+        let request = read_request(&mut stream).await?;
+        let id = request.header("x-request-id");
+        let mut reply = match self.conductor.active() {
+            Some(Fault::UpstreamCuts) => return None,
+            Some(Fault::UpstreamSilent) => std::future::pending().await,
+            Some(Fault::UpstreamGarbage) => return garbage(&mut stream).await,
+            Some(Fault::UpstreamFenced) => fenced(9, &id),
+            Some(Fault::UpstreamLate) => {
+                tokio::time::sleep(LATE).await;
+                self.run(&request)
+            }
+            _ => self.run(&request),
+        };
+        self.conductor.reach(Step::Headers);
+        match self.conductor.active() {
+            Some(Fault::UpstreamRefuses | Fault::UpstreamCuts) => return None,
+            Some(Fault::UpstreamSilent) => std::future::pending().await,
+            Some(Fault::UpstreamGarbage) => return garbage(&mut stream).await,
+            Some(Fault::UpstreamLate) => tokio::time::sleep(LATE).await,
+            Some(Fault::UpstreamFenced) => reply = fenced(9, &id),
+            Some(Fault::UpstreamCrossed) => reply = reply.replace(&id, "req-another"),
+            _ => {}
+        }
+        self.answered.store(true, Ordering::SeqCst);
+        let (head, body) = reply.split_at(reply.len() - reply.len().min(5));
+        stream.write_all(head.as_bytes()).await.ok()?;
+        stream.flush().await.ok()?;
+        self.conductor.reach(Step::Body);
+        match self.conductor.active() {
+            Some(Fault::UpstreamRefuses | Fault::UpstreamCuts | Fault::UpstreamGarbage) => {
+                return None;
+            }
+            Some(Fault::UpstreamSilent) => std::future::pending().await,
+            Some(Fault::UpstreamLate) => tokio::time::sleep(LATE).await,
+            _ => {}
+        }
+        stream.write_all(body.as_bytes()).await.ok()
+    }
+
+    fn run(&self, request: &Request) -> String {
+        let mut state = self.state.lock().expect("no holder panics");
+        let account = request.header("x-client-account");
+        let key = request.header("idempotency-key");
+        let id = request.header("x-request-id");
+        let place = (account.clone(), key.clone());
+        if self.checks_fencing {
+            let number = request.header("x-fencing-number").parse().unwrap_or(0);
+            let highest = state.highest.entry(place.clone()).or_default();
+            if number < *highest {
+                return fenced(*highest, &id);
+            }
+            *highest = number;
+            if let Some(outcome) = state.outcomes.get(&place) {
+                return created(outcome, &id);
+            }
+        }
+        let body = request.body.clone();
+        let outcome = format!("done {key} for {account}: {body}");
+        state.runs.push(Run { key, account, request_id: id.clone(), body });
+        state.outcomes.insert(place, outcome.clone());
+        created(&outcome, &id)
+    }
+}
+
+fn created(body: &str, id: &str) -> String {
+    let length = body.len();
+    format!(
+        "HTTP/1.1 201 Created\r\ncontent-type: text/plain\r\nx-request-id: {id}\r\ncontent-length: {length}\r\n\r\n{body}"
+    )
+}
+
+fn fenced(number: u64, id: &str) -> String {
+    format!(
+        "HTTP/1.1 409 Conflict\r\nx-fencing-number: {number}\r\nx-request-id: {id}\r\ncontent-length: 6\r\n\r\nfenced"
+    )
+}
+
+async fn garbage(stream: &mut TcpStream) -> Option<()> {
+    stream.write_all(b"\x00\xff not http at all\r\n\r\n").await.ok()
+}
+
+async fn read_request(stream: &mut TcpStream) -> Option<Request> {
+    let mut data = Vec::new();
+    let mut piece = [0; 4096];
+    loop {
+        let count = stream.read(&mut piece).await.ok().filter(|count| *count > 0)?;
+        data.extend_from_slice(&piece[..count]);
+        if let Some(request) = parse_request(&data) {
+            return Some(request);
+        }
+    }
+}
+
+fn parse_request(data: &[u8]) -> Option<Request> {
+    let text = String::from_utf8_lossy(data);
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    let lines = head.lines().skip(1);
+    let headers: BTreeMap<String, String> = lines
+        .filter_map(|line| line.split_once(": "))
+        .map(|(name, value)| (name.to_ascii_lowercase(), value.to_owned()))
+        .collect();
+    let length = headers.get("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
+    (body.len() >= length).then(|| Request { body: body[..length].to_owned(), headers })
+}
