--- a/crates/redwingrill/src/node/mod.rs
+++ b/crates/redwingrill/src/node/mod.rs
@@ -11,6 +11,7 @@
 mod inspector;
 mod life;
 mod parts;
+mod wiring;
 
 pub use inspector::Inspector;
 pub use life::Draining;
