Spill over to the same few engines, and judge waits by slots

Change: work spills over along the prefix's own order, the same at every node; waits come from reported backlog and slots; compute time is the least of 32 samples; computing counts five times a wait; limits per engine are fractions and start at 4.

--- a/crates/admission/src/engines/concurrency.rs
+++ b/crates/admission/src/engines/concurrency.rs
@@ -5,16 +5,19 @@
 //! shrinks when requests wait there or first tokens come late.
 
 /// The first limit, and the least.
-const INITIAL: f64 = 8.0;
-const MIN: f64 = 1.0;
+const INITIAL: f64 = 4.0;
+const MIN: f64 = 0.5;
+
+/// The limit of an engine that came back empty.
+const RESTART: f64 = 1.0;
 
 /// The most requests of one node at one engine.
 const MAX: f64 = 512.0;
 
 /// The factors of one step.
 const GROW_FAST: f64 = 1.5;
-const GROW: f64 = 1.0;
-const SHRINK_WAITING: f64 = 0.9;
+const GROW: f64 = 0.5;
+const SHRINK_WAITING: f64 = 0.8;
 const SHRINK_LATE: f64 = 0.85;
 
 /// The least time between two steps of the same kind; a step shows in reports only after a while.
@@ -52,9 +55,9 @@
 }
 
 impl ConcurrencyLimit {
-    /// Returns the limit.
-    pub fn get(&self) -> u32 {
-        self.limit as u32
+    /// Returns the limit. Its fraction counts: many nodes may share few places of an engine.
+    pub fn get(&self) -> f64 {
+        self.limit
     }
 
     /// Notes how many requests are at the engine now.
@@ -73,7 +76,7 @@
 
     /// Starts again from the least, for an engine that came back empty.
     pub fn restart(&mut self, now_ms: u64) {
-        *self = Self { limit: MIN, grown_ms: now_ms, ..Self::default() };
+        *self = Self { limit: RESTART, grown_ms: now_ms, ..Self::default() };
     }
 
     fn grow(&mut self, now_ms: u64) {
--- a/crates/placement/src/candidates/heat.rs
+++ b/crates/placement/src/candidates/heat.rs
@@ -68,11 +68,6 @@
         self.prefixes.contains_key(&prefix)
     }
 
-    /// Returns the decayed number of requests that the shares rest on.
-    pub fn evidence(&self, now_ms: u64) -> f64 {
-        f64::from(self.requests.at(now_ms))
-    }
-
     /// Returns the number of prefixes followed.
     pub fn len(&self) -> usize {
         self.prefixes.len()
--- a/crates/placement/src/fleet/load.rs
+++ b/crates/placement/src/fleet/load.rs
@@ -9,15 +9,14 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::rates::ModelRates;
+
 /// Sends that are remembered for an engine; older ones are in every report by then.
 const MAX_SENDS: usize = 256;
 
 /// Sends older than this are forgotten although no report came.
 const SEND_MEMORY_MS: u64 = 5_000;
 
-/// The time in which an observed wait loses half of its weight.
-const WAIT_HALF_LIFE_MS: f64 = 500.0;
-
 /// Which start of an engine a fact belongs to.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Serialize, Deserialize)]
 pub struct Incarnation(pub u64);
@@ -78,8 +77,8 @@
     emptied_ms: Option<u64>,
     sends: VecDeque<Send>,
     in_flight: u32,
-    observed_wait_ms: f64,
-    wait_seen_ms: u64,
+    // The most that ran while others waited; zero until some waited.
+    slots: u32,
 }
 
 impl EngineLoad {
@@ -90,6 +89,9 @@
             return false;
         }
         let restarted = self.see_start(report.start, observed_ms);
+        if report.waiting > 0 {
+            self.slots = self.slots.max(report.running);
+        }
         self.report = Some(report);
         self.observed_ms = observed_ms;
         while self.sends.front().is_some_and(|send| send.at_ms <= observed_ms) {
@@ -122,7 +124,6 @@
         self.report = None;
         self.emptied_ms = Some(now_ms);
         self.sends.clear();
-        self.observed_wait_ms = 0.0;
         true
     }
 
@@ -138,21 +139,24 @@
     }
 
     /// Notes that a request sent to the engine ended.
-    pub fn finish(&mut self) {
+    pub fn finish(&mut self, sent_ms: u64) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        if let Some(place) = self.sends.iter().position(|send| send.at_ms == sent_ms) {
+            self.sends.remove(place);
+        }
     }
 
-    /// Notes how long a request waited at the engine before its prompt was computed.
-    pub fn observe_wait(&mut self, wait_ms: f64, now_ms: u64) {
-        let old_ms = self.recent_wait_ms(now_ms);
-        self.observed_wait_ms = old_ms.mul_add(0.5, wait_ms * 0.5);
-        self.wait_seen_ms = now_ms;
-    }
-
-    /// Returns the wait that a new request should expect.
-    pub fn wait_ms(&self, ms_per_token: f64, now_ms: u64) -> f64 {
-        let backlog_ms = self.backlog_tokens(ms_per_token, now_ms) * ms_per_token;
-        backlog_ms.max(self.recent_wait_ms(now_ms))
+    /// Returns the wait that a new request should expect: for a slot, and for the prompts that are
+    /// computed before its own.
+    pub fn wait_ms(&self, rates: &ModelRates, now_ms: u64) -> f64 {
+        let ms_per_token = rates.ms_per_token();
+        let backlog_ms = self.backlog_tokens(rates, now_ms) * ms_per_token;
+        let above = (self.requests() + 1).saturating_sub(self.slots);
+        let slot_ms = match self.slots {
+            0 => 0.0,
+            slots => f64::from(above) / f64::from(slots) * rates.request_ms(),
+        };
+        backlog_ms + slot_ms
     }
 
     /// Returns the requests at the engine: those reported and those sent since.
@@ -182,9 +186,11 @@
         self.emptied_ms.is_some_and(|at_ms| now_ms < at_ms + window_ms)
     }
 
-    fn backlog_tokens(&self, ms_per_token: f64, now_ms: u64) -> f64 {
+    fn backlog_tokens(&self, rates: &ModelRates, now_ms: u64) -> f64 {
+        let ms_per_token = rates.ms_per_token();
+        // Engines report whole prompts, of which they may have most cached.
         let reported = self.report.map_or(0, |report| report.waiting_tokens);
-        let mut backlog = reported as f64;
+        let mut backlog = reported as f64 * rates.missing_share();
         let mut at_ms = self.observed_ms;
         for send in &self.sends {
             backlog = drained(backlog, send.at_ms.saturating_sub(at_ms), ms_per_token);
@@ -193,11 +199,6 @@
         }
         drained(backlog, now_ms.saturating_sub(at_ms), ms_per_token)
     }
-
-    fn recent_wait_ms(&self, now_ms: u64) -> f64 {
-        let age_ms = now_ms.saturating_sub(self.wait_seen_ms) as f64;
-        self.observed_wait_ms * (-age_ms / WAIT_HALF_LIFE_MS).exp2()
-    }
 }
 
 fn drained(tokens: f64, elapsed_ms: u64, ms_per_token: f64) -> f64 {
--- a/crates/placement/src/fleet/rates.rs
+++ b/crates/placement/src/fleet/rates.rs
@@ -1,7 +1,7 @@
-//! How fast the engines of a model compute and import prompts, learned from first tokens.
+//! How fast the engines of a model work, learned from what requests met.
 //!
-//! A first token's time holds the wait besides the computing. The estimate therefore follows the
-//! fastest samples: it falls quickly and rises slowly.
+//! A first token's time holds the wait besides the computing, so the time to compute a token is the
+//! least that any of the last samples shows.
 
 /// The assumption before the first sample.
 const INITIAL_MS_PER_TOKEN: f64 = 0.05;
@@ -11,10 +11,16 @@
 const MAX_MS_PER_TOKEN: f64 = 10.0;
 
 /// Samples with fewer computed tokens say more of the network than of the engine.
-const MIN_SAMPLE_TOKENS: u64 = 256;
+const MIN_SAMPLE_TOKENS: u64 = 512;
 
-const FALL_WEIGHT: f64 = 0.3;
-const RISE_WEIGHT: f64 = 0.02;
+/// Samples that the least is taken of.
+const SAMPLES: usize = 32;
+
+/// The first guess of how long a request takes.
+const INITIAL_REQUEST_MS: f64 = 1_000.0;
+
+/// The weight of one request in the averages.
+const AVERAGE_WEIGHT: f64 = 0.05;
 
 /// The first guess of import time as a share of compute time.
 const IMPORT_SHARE: f64 = 0.25;
@@ -27,20 +33,39 @@
 /// Learned speeds of one model.
 #[derive(Clone, Copy, Debug)]
 pub struct ModelRates {
-    ms_per_token: f64,
+    samples: [f64; SAMPLES],
+    next_sample: usize,
+    request_ms: f64,
+    missing_share: f64,
     import_yield: f64,
 }
 
 impl Default for ModelRates {
     fn default() -> Self {
-        Self { ms_per_token: INITIAL_MS_PER_TOKEN, import_yield: 1.0 }
+        Self {
+            samples: [INITIAL_MS_PER_TOKEN; SAMPLES],
+            next_sample: 0,
+            request_ms: INITIAL_REQUEST_MS,
+            missing_share: 1.0,
+            import_yield: 1.0,
+        }
     }
 }
 
 impl ModelRates {
     /// Returns the time to compute one prompt token.
     pub fn ms_per_token(&self) -> f64 {
-        self.ms_per_token
+        self.samples.iter().copied().fold(MAX_MS_PER_TOKEN, f64::min)
+    }
+
+    /// Returns how long a request takes from sending to its end.
+    pub fn request_ms(&self) -> f64 {
+        self.request_ms
+    }
+
+    /// Returns the share of prompt tokens that engines do not have cached.
+    pub fn missing_share(&self) -> f64 {
+        self.missing_share
     }
 
     /// Takes in the first-token time of a request and the prompt tokens computed for it.
@@ -49,11 +74,14 @@
             return;
         }
         let sample = first_token_ms / computed_tokens as f64;
-        let weight = if sample < self.ms_per_token { FALL_WEIGHT } else { RISE_WEIGHT };
-        // A sample far above the estimate is a wait; it counts as twice the estimate at most.
-        let sample = sample.min(self.ms_per_token * 2.0);
-        let next = self.ms_per_token + weight * (sample - self.ms_per_token);
-        self.ms_per_token = next.clamp(MIN_MS_PER_TOKEN, MAX_MS_PER_TOKEN);
+        self.samples[self.next_sample] = sample.clamp(MIN_MS_PER_TOKEN, MAX_MS_PER_TOKEN);
+        self.next_sample = (self.next_sample + 1) % SAMPLES;
+    }
+
+    /// Takes in a whole request: how long it took, and how much of its prompt was missing.
+    pub fn observe_request(&mut self, request_ms: f64, missing_share: f64) {
+        self.request_ms += AVERAGE_WEIGHT * (request_ms - self.request_ms);
+        self.missing_share += AVERAGE_WEIGHT * (missing_share - self.missing_share);
     }
 
     /// Takes in what became of an ordered import: the first-token time, the tokens that the engine
@@ -63,7 +91,7 @@
     /// computing would have taken tells as well.
     pub fn observe_import(&mut self, first_token_ms: f64, missing_tokens: u64, ordered: u64) {
         let counted = ordered.saturating_sub(missing_tokens) as f64 / ordered as f64;
-        let compute_ms = missing_tokens as f64 * self.ms_per_token;
+        let compute_ms = missing_tokens as f64 * self.ms_per_token();
         let timed = 1.0 - first_token_ms / compute_ms.max(1.0);
         let share = counted.max(timed / (1.0 - IMPORT_SHARE)).clamp(0.0, 1.0);
         self.import_yield += YIELD_WEIGHT * (share - self.import_yield);
@@ -71,7 +99,7 @@
 
     /// Returns the time saved by importing tokens in place of computing them; negative for a loss.
     pub fn import_gain_ms(&self, tokens: u64) -> f64 {
-        let compute_ms = tokens as f64 * self.ms_per_token;
+        let compute_ms = tokens as f64 * self.ms_per_token();
         let import_ms = IMPORT_SETUP_MS + compute_ms * IMPORT_SHARE;
         compute_ms * self.import_yield - import_ms
     }
--- a/crates/placement/src/placer/cost.rs
+++ b/crates/placement/src/placer/cost.rs
@@ -13,7 +13,7 @@
 use redwingrill_entity::UpstreamId;
 
 /// Computing a prefix again also delays what waits behind it, so it counts more than a wait.
-const COMPUTE_WEIGHT: f64 = 2.0;
+const COMPUTE_WEIGHT: f64 = 5.0;
 
 /// The delay that each request at an engine adds to a new one.
 const REQUEST_MS: f64 = 0.5;
@@ -24,6 +24,9 @@
 /// The share of a prefix that an engine is credited with because the prefix hashes to it.
 const HASHED_CREDIT: f64 = 0.95;
 
+/// The same for an engine that work spills over to.
+const SPILL_CREDIT: f64 = 0.5;
+
 /// The time after a restart in which an engine is credited only with what this node knows.
 const EMPTY_WINDOW_MS: u64 = 10_000;
 
@@ -35,12 +38,12 @@
 struct Credit {
     known_tokens: u64,
     known_age_ms: u64,
-    hashed_tokens: u64,
+    hashed_tokens: f64,
 }
 
 impl Credit {
     fn tokens(self) -> f64 {
-        (self.known_tokens as f64).max(self.hashed_tokens as f64 * HASHED_CREDIT)
+        (self.known_tokens as f64).max(self.hashed_tokens)
     }
 }
 
@@ -55,6 +58,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct LevelFacts<'a> {
     tokens: u64,
+    in_first_message: bool,
     /// Whether other prompts share the prefix.
     is_warm: bool,
     /// Whether engines are credited with the prefix because it hashes to them.
@@ -63,13 +67,12 @@
 }
 
 impl<'a> LevelFacts<'a> {
-    /// Looks each level of a prompt up once. A young node has seen too little to say which prefixes
-    /// are in use, and takes all but the last to be.
+    /// Looks each level of a prompt up once. All levels but the last are taken to be in use at other
+    /// nodes, whether this node has seen them or not.
     pub(super) fn of(
         prompt: &PromptSummary,
         heat: &Heat,
         knowledge: &'a CachedPrefixes,
-        is_young: bool,
     ) -> [Option<Self>; MAX_LEVELS] {
         let mut facts = [None; MAX_LEVELS];
         let last = prompt.level_count().saturating_sub(1);
@@ -77,8 +80,9 @@
             let is_warm = heat.is_warm(level.hash);
             facts[index] = Some(Self {
                 tokens: level.tokens(),
+                in_first_message: level.in_first_message,
                 is_warm,
-                is_credited: is_warm || (is_young && index < last),
+                is_credited: is_warm || index < last,
                 holders: knowledge.holders(level.hash),
             });
         }
@@ -109,7 +113,7 @@
         let missing_tokens = self.request.prompt.tokens as f64 - cached_tokens;
         let (import_tokens, gain_ms) = self.import(cached_tokens as u64);
         let compute_ms = (missing_tokens * self.rates.ms_per_token() - gain_ms).max(0.0);
-        let wait_ms = load.map_or(0.0, |load| load.wait_ms(self.rates.ms_per_token(), self.now_ms));
+        let wait_ms = load.map_or(0.0, |load| load.wait_ms(&self.rates, self.now_ms));
         let requests_ms = f64::from(load.map_or(0, EngineLoad::requests)) * REQUEST_MS;
         let placement = Placement {
             upstream,
@@ -142,16 +146,23 @@
             let mut holders = level.holders.iter();
             let age = holders.find_map(|holder| holder.age_ms(upstream, incarnation, self.now_ms));
             if let Some(known_age_ms) = age {
-                return Credit { known_tokens: level.tokens, known_age_ms, hashed_tokens: 0 };
+                return Credit { known_tokens: level.tokens, known_age_ms, hashed_tokens: 0.0 };
             }
         }
         Credit::default()
     }
 
-    /// Returns the longest prefix in use whose set holds the engine.
-    fn hashed_tokens(&self, set_levels: usize) -> u64 {
-        let mut levels = self.levels[..set_levels.min(MAX_LEVELS)].iter().rev().flatten();
-        levels.find(|level| level.is_credited).map_or(0, |level| level.tokens)
+    /// Returns the longest prefix in use whose set holds the engine. An engine behind all sets is
+    /// the one that work spills over to, here and at other nodes.
+    fn hashed_tokens(&self, set_levels: usize) -> f64 {
+        let is_spill = set_levels == 0;
+        let levels = self.levels.iter().enumerate().rev();
+        let mut levels = levels.filter_map(|(index, level)| Some((index, level.as_ref()?)));
+        let credited = levels.find(|(index, level)| {
+            level.is_credited && (*index < set_levels || (is_spill && level.in_first_message))
+        });
+        let share = if is_spill { SPILL_CREDIT } else { HASHED_CREDIT };
+        credited.map_or(0.0, |(_, level)| level.tokens as f64 * share)
     }
 
     /// Returns the tokens worth importing and the time that saves.
--- a/crates/placement/src/placer/table.rs
+++ b/crates/placement/src/placer/table.rs
@@ -32,24 +32,17 @@
 use redwingrill_entity::ModelId;
 use redwingrill_entity::UpstreamId;
 
-/// Fleets up to this size are priced whole.
-const SMALL_FLEET: usize = 24;
-
-/// Engines outside the candidates that are priced in a larger fleet.
+/// Engines that are priced for a prompt that has no prefix.
 const PRICED_STRANGERS: usize = 2;
 
-/// The width of the order beyond the sets, for work that spills over.
+/// The order is so much wider than the widest set, for work that spills over.
+const SPILL_FACTOR: usize = 2;
 const MIN_ORDER_WIDTH: usize = 4;
 
 /// The width of a set as a part of its share of the fleet, before it is rounded up to a power of two.
 /// Coarse widths let nodes with slightly different shares agree; work above it spills over by cost.
 const SET_WIDTH_PART: f64 = 0.5;
 
-/// A node with less evidence spreads first messages over a fixed part of the fleet.
-const YOUNG_EVIDENCE: f64 = 32.0;
-const YOUNG_FLEET_PART: usize = 9;
-const YOUNG_MAX_WIDTH: usize = 16;
-
 /// Cache events that are taken in a second.
 const EVENTS_PER_S: u64 = 500;
 
@@ -152,21 +145,19 @@
 
     /// Takes in a request's first token: the engine holds the whole prompt now.
     pub fn first_token(&mut self, fact: &FirstToken<'_>, now_ms: u64) {
-        let rates = self.rates.get_or_insert_with(fact.model, ModelRates::default);
-        // How much was computed is known only at the end; the whole prompt is the most.
-        let most_computing_ms = fact.prompt.tokens as f64 * rates.ms_per_token();
-        let wait_ms = (fact.first_token_ms - most_computing_ms).max(0.0);
-        self.load_mut(fact.placement.upstream).observe_wait(wait_ms, now_ms);
         self.remember(fact.placement, fact.start, fact.weights, fact.prompt, now_ms);
     }
 
     /// Takes in the end of a request.
     pub fn finish(&mut self, fact: &Finished<'_>, now_ms: u64) {
         let placement = fact.placement;
-        self.load_mut(placement.upstream).finish();
+        self.load_mut(placement.upstream).finish(placement.sent_ms);
         let Some(cached_tokens) = fact.cached_tokens else { return };
         let rates = self.rates.get_or_insert_with(fact.model, ModelRates::default);
         let computed_tokens = fact.prompt.tokens.saturating_sub(cached_tokens);
+        let request_ms = now_ms.saturating_sub(placement.sent_ms) as f64;
+        let prompt_tokens = fact.prompt.tokens.max(1) as f64;
+        rates.observe_request(request_ms, computed_tokens as f64 / prompt_tokens);
         match fact.first_token_ms {
             Some(first_token_ms) if placement.import_tokens > 0 => {
                 rates.observe_import(first_token_ms, computed_tokens, placement.import_tokens);
@@ -255,10 +246,9 @@
         self.heat.get_or_insert_with(request.model, Heat::default);
         let heat = self.heat.get(request.model).expect("the model's heat was just made");
         let engines = self.fleet.of_model(request.model);
-        let is_young = heat.evidence(now_ms) < YOUNG_EVIDENCE;
         order_candidates(&mut self.order, engines, request.prompt, heat, now_ms);
         let rates = self.rates.get(request.model).copied().unwrap_or_default();
-        let levels = LevelFacts::of(request.prompt, heat, &self.knowledge, is_young);
+        let levels = LevelFacts::of(request.prompt, heat, &self.knowledge);
         let has_cache_store = self.has_cache_store;
         let pricing = Pricing { request, rates, levels, has_cache_store, now_ms };
         let mut choice = Choice { pricing, loads: &self.loads, gate, best: None };
@@ -266,10 +256,9 @@
             // The first width is the order itself, which credits nothing.
             choice.consider(engine.upstream, self.order.levels_at(place) - 1);
         }
-        if engines.len() <= SMALL_FLEET {
-            engines.iter().for_each(|engine| choice.consider(engine.upstream, 0));
-        } else {
-            for _ in 0..PRICED_STRANGERS {
+        if self.order.engines().next().is_none() {
+            // Nothing of the prompt can be cached, so the load alone decides.
+            for _ in 0..PRICED_STRANGERS.min(engines.len()) {
                 let stranger = engines[rng.random_range(0..engines.len())];
                 choice.consider(stranger.upstream, 0);
             }
@@ -310,21 +299,18 @@
     heat: &Heat,
     now_ms: u64,
 ) {
-    let is_young = heat.evidence(now_ms) < YOUNG_EVIDENCE;
     let width = |level: &Level| {
         let share = heat.share(level.hash, now_ms);
         let width = (share * engines.len() as f64 * SET_WIDTH_PART).ceil() as usize;
-        let width = width.next_power_of_two();
-        let young = is_young && level.in_first_message;
-        let least = engines.len().div_ceil(YOUNG_FLEET_PART).min(YOUNG_MAX_WIDTH);
-        if young { width.max(least) } else { width.max(1) }
+        width.next_power_of_two()
     };
     let mut levels = prompt.levels();
     let Some(first) = levels.next() else {
         order.widen(&[], crate::blocks::BlockHash(0), 0);
         return;
     };
-    order.widen(engines, first.hash, width(first).max(MIN_ORDER_WIDTH));
+    let whole = (width(first) * SPILL_FACTOR).max(MIN_ORDER_WIDTH);
+    order.widen(engines, first.hash, whole);
     order.keep(width(first));
     let mut longest = first.hash;
     for level in levels {
--- a/crates/redwingrill/src/dispatch/engines.rs
+++ b/crates/redwingrill/src/dispatch/engines.rs
@@ -32,34 +32,32 @@
     fixed_limit: u32,
     refused_until_ms: u64,
     // The limit in force until the next refresh; zero closes the engine.
-    open_limit: u32,
+    open_limit: f64,
 }
 
 impl EngineSlot {
     fn refresh(&mut self, now_ms: u64) {
         let share = self.health.share(now_ms);
         let is_closed = self.is_leaving || share <= 0.0 || now_ms < self.refused_until_ms;
-        let mut limit = (f64::from(self.limit.get()) * share).ceil().max(1.0) as u32;
+        let mut limit = self.limit.get() * share;
         if self.fixed_limit > 0 {
-            limit = limit.min(self.fixed_limit);
+            limit = limit.min(f64::from(self.fixed_limit));
         }
-        self.open_limit = if is_closed { 0 } else { limit };
+        self.open_limit = if is_closed { 0.0 } else { limit };
     }
 
     /// Returns the limit in force; zero while the engine is closed.
-    pub(super) fn open_limit(&self) -> u32 {
+    pub(super) fn open_limit(&self) -> f64 {
         self.open_limit
     }
 
     fn crowding(&self) -> Option<f64> {
-        if self.open_limit == 0 {
+        if self.open_limit <= 0.0 {
             return None;
         }
-        if self.in_flight < self.open_limit {
-            return Some(0.0);
-        }
-        let excess = f64::from(self.in_flight + 1) / f64::from(self.open_limit) - 1.0;
-        (excess <= CROWDING_BOUND).then_some(excess)
+        let excess = (f64::from(self.in_flight + 1) / self.open_limit - 1.0).max(0.0);
+        let is_open = excess <= CROWDING_BOUND || self.in_flight == 0;
+        is_open.then_some(excess)
     }
 }
 
@@ -105,7 +103,9 @@
     /// Returns the requests that the engines of a model may have at once.
     pub(super) fn places(&self, model: ModelId) -> u32 {
         let slots = self.slots.values().filter(|slot| slot.model == model);
-        slots.map(EngineSlot::open_limit).sum()
+        let limit: f64 = slots.map(EngineSlot::open_limit).sum();
+        // A fleet with any open engine starts something.
+        if limit > 0.0 { limit.max(1.0) as u32 } else { 0 }
     }
 
     /// Returns whether any engine of a model may take a request.
@@ -204,6 +204,6 @@
 impl Gate for OpenGate<'_> {
     fn crowding(&self, upstream: UpstreamId) -> Option<f64> {
         let slot = self.0.slots.get(upstream)?;
-        (slot.open_limit > 0).then(|| f64::from(slot.in_flight) / f64::from(slot.open_limit))
+        (slot.open_limit > 0.0).then(|| f64::from(slot.in_flight) / slot.open_limit)
     }
 }
--- a/crates/redwingrill/src/dispatch/state.rs
+++ b/crates/redwingrill/src/dispatch/state.rs
@@ -60,7 +60,7 @@
     /// This node's requests at it.
     pub in_flight: u32,
     /// The limit in force; zero while it gets nothing.
-    pub limit: u32,
+    pub limit: f64,
     /// Its health.
     pub health: HealthState,
     /// Whether it is leaving.
