Reply to an order once its outcome is recorded

Ruled out: the key's lookup (the record was there, unfinished). Change: recording an outcome can be awaited; a reply waits for it up to 500 ms and is logged when it goes out without. Tests of ledger and redwingrill pass.

--- a/crates/ledger/src/order/mod.rs
+++ b/crates/ledger/src/order/mod.rs
@@ -35,6 +35,7 @@
 use crate::task::Admission;
 use crate::task::AdmissionRequest;
 use crate::task::Ledger;
+use crate::task::Settlement;
 use redwingrill_codes::ResultCode;
 
 pub use policy::OrderPolicy;
@@ -190,11 +191,11 @@
     }
 
     /// Records what the upstream answered. The order stays in flight until that is in the store.
-    pub fn finish(self, outcome: Outcome) {
+    pub fn finish(self, outcome: Outcome) -> Settlement {
         let mut held = self.state.held;
         held.leaving = Leaving::Nothing;
         let operation = held.operation(Action::Finish(outcome));
-        held.ledger.settle(operation, held.window_ms);
+        held.ledger.settle(operation, held.window_ms)
     }
 
     /// Takes the order back, when not one byte of it reached an upstream.
--- a/crates/ledger/src/task/handle.rs
+++ b/crates/ledger/src/task/handle.rs
@@ -18,6 +18,20 @@
 use crate::task::message::Message;
 use crate::task::message::Origin;
 
+/// The recording of an outcome, which goes on whether or not it is waited for.
+#[derive(Debug)]
+pub struct Settlement {
+    answer: oneshot::Receiver<()>,
+}
+
+impl Settlement {
+    /// Waits until the outcome is in the store, so that a retry on any node finds it. Returns
+    /// whether it is there within `limit`.
+    pub async fn recorded_within(self, limit: Duration) -> bool {
+        matches!(tokio::time::timeout(limit, self.answer).await, Ok(Ok(())))
+    }
+}
+
 /// A handle on the ledger task. The task lives as long as one of its handles.
 ///
 /// The queue behind it has no bound of its own: requests are bounded by the orders in flight, and
@@ -104,9 +118,11 @@
     }
 
     /// Applies an operation in the background, then lets the order go.
-    pub(crate) fn settle(&self, operation: Operation, window_ms: u64) {
+    pub(crate) fn settle(&self, operation: Operation, window_ms: u64) -> Settlement {
+        let (recorded, answer) = oneshot::channel();
         // A task that has ended settles nothing: the record stays as it is.
-        let _ = self.messages.send(Message::Settle { operation, window_ms });
+        let _ = self.messages.send(Message::Settle { operation, window_ms, recorded });
+        Settlement { answer }
     }
 
     /// Lets an order go.
--- a/crates/ledger/src/task/message.rs
+++ b/crates/ledger/src/task/message.rs
@@ -23,8 +23,9 @@
         origin: Origin,
         reply: oneshot::Sender<Result<Verdict, Unsettled>>,
     },
-    /// Apply an operation that nobody waits for, then let the order go.
-    Settle { operation: Operation, window_ms: u64 },
+    /// Record an outcome, however long that takes, then let the order go. `recorded` is dropped if
+    /// that fails.
+    Settle { operation: Operation, window_ms: u64, recorded: oneshot::Sender<()> },
     /// Let an order go.
     Release { key: OrderKey, attempt: AttemptId },
     /// Report the state.
--- a/crates/ledger/src/task/mod.rs
+++ b/crates/ledger/src/task/mod.rs
@@ -20,6 +20,7 @@
 pub use clock::WallClock;
 pub use config::LedgerConfig;
 pub use handle::Ledger;
+pub use handle::Settlement;
 pub use homes::ForwardError;
 pub use homes::Homes;
 pub use homes::NoHomes;
--- a/crates/ledger/src/task/runner.rs
+++ b/crates/ledger/src/task/runner.rs
@@ -49,8 +49,11 @@
 #[derive(Debug)]
 enum Waiter {
     Caller(Reply),
-    /// Nobody; the order of this attempt is let go.
-    Nobody(AttemptId),
+    /// An order that has its outcome; it is let go once that is settled.
+    Outcome {
+        attempt: AttemptId,
+        recorded: oneshot::Sender<()>,
+    },
 }
 
 /// An operation handed to a home.
@@ -218,12 +221,12 @@
                 self.note_window(&operation);
                 self.take_operation(operation, within_ms, origin, Waiter::Caller(reply));
             }
-            Message::Settle { operation, window_ms } => {
+            Message::Settle { operation, window_ms, recorded } => {
                 self.windows.insert(operation.key.service.clone(), window_ms);
                 if let Action::Finish(outcome) = &operation.action {
                     self.running.finish(&operation.key, operation.attempt, outcome);
                 }
-                let waiter = Waiter::Nobody(operation.attempt);
+                let waiter = Waiter::Outcome { attempt: operation.attempt, recorded };
                 let within_ms = self.config.settle_deadline_ms;
                 self.take_operation(operation, within_ms, Origin::Request, waiter);
             }
@@ -339,8 +342,11 @@
                 // A caller that is gone withdraws its order itself.
                 let _ = reply.send(done.result);
             }
-            Some(Waiter::Nobody(attempt)) => {
-                if done.result.is_err() {
+            Some(Waiter::Outcome { attempt, recorded }) => {
+                if done.result.is_ok() {
+                    // The request may have stopped waiting.
+                    let _ = recorded.send(());
+                } else {
                     log::warn!(
                         "event=order_not_settled service={} key={}",
                         done.key.service,
--- a/crates/ledger/tests/support/nodes.rs
+++ b/crates/ledger/tests/support/nodes.rs
@@ -257,7 +257,8 @@
         let sent = recorded.send()?;
         match service.call(hash, call.id, sent.fencing()).await {
             Reply::Outcome(outcome) => {
-                sent.finish(outcome.clone());
+                // The outcome is recorded whether or not the caller waits for that.
+                drop(sent.finish(outcome.clone()));
                 return Ok(outcome);
             }
             Reply::Unreachable => recorded = sent.unsent(),
--- a/crates/redwingrill/src/services/orders.rs
+++ b/crates/redwingrill/src/services/orders.rs
@@ -51,6 +51,9 @@
 /// How long after a call's own timeout its order may be taken over.
 const TAKE_OVER_MARGIN_MS: u64 = 2_000;
 
+/// How long a reply waits for its record in the store, so that a retry finds the outcome.
+const OUTCOME_WAIT: Duration = Duration::from_millis(500);
+
 /// When a caller whose account has too many orders in flight may try again.
 const WINDOW_RETRY_MS: u64 = 1_000;
 
@@ -171,8 +174,11 @@
                 return Err(ResultCode::OutcomeUnknown.into());
             }
             Ok(reply) => {
-                sent.finish(outcome_of(&reply));
+                let settlement = sent.finish(outcome_of(&reply));
                 log.event("order_finished");
+                if !settlement.recorded_within(OUTCOME_WAIT).await {
+                    log.event("order_outcome_late");
+                }
                 return Ok(response_of(reply));
             }
             Err(failure) if failure.may_have_run() => {
