--- a/crates/redwingrill/src/node/inspector.rs
+++ b/crates/redwingrill/src/node/inspector.rs
@@ -8,9 +8,11 @@
 use tokio_util::sync::CancellationToken;
 
 use super::Phase;
+use crate::configuration::Configuration;
 use crate::dispatch::Dispatcher;
 use crate::http::AccountConnections;
 use redwingrill_config::Snapshot;
+use redwingrill_ledger::task::Ledger;
 use redwingrill_transport::Pool;
 
 /// Reads the state of a node. Clones read the same node.
@@ -19,9 +21,12 @@
     pub(super) name: String,
     pub(super) phase: watch::Receiver<Phase>,
     pub(super) configuration: watch::Receiver<Arc<Snapshot>>,
+    // Absent if the configuration was given by hand.
+    pub(super) followed: Option<Configuration>,
     pub(super) dispatcher: Dispatcher,
     pub(super) connections: AccountConnections,
     pub(super) pool: Pool,
+    pub(super) ledger: Ledger,
     pub(super) drain: CancellationToken,
 }
 
@@ -67,7 +72,9 @@
         });
         json!({
             "status": self.status(),
+            "configuration": self.followed.as_ref().map(Configuration::dump),
             "dispatch": self.dispatcher.dump().await,
+            "orders": self.ledger.state().await,
             "account_connections": connections.collect::<Vec<_>>(),
             "upstream_connections": pool.collect::<Vec<_>>(),
         })
--- a/crates/redwingrill/src/node/life.rs
+++ b/crates/redwingrill/src/node/life.rs
@@ -17,6 +17,9 @@
 use redwingrill_config::Snapshot;
 use redwingrill_settings::Settings;
 
+/// How long a node that ends tries to record what its orders came to.
+const ORDERS_LIMIT: Duration = Duration::from_secs(5);
+
 /// The phase that requests and operators see.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Phase {
@@ -185,9 +188,11 @@
     async fn join(parts: Parts) {
         parts.requests.close();
         parts.requests.wait().await;
+        parts.inspector.ledger.close(ORDERS_LIMIT).await;
         parts.admin.abort();
         parts.admin.join().await;
-        let Parts { callers, admin, inspector, services, pool, .. } = parts;
+        let Parts { callers, admin, inspector, services, stopping, pool, .. } = parts;
+        stopping.cancel();
         // The dispatch task ends with the last way to it.
         drop((callers, admin, inspector));
         services.close();
