--- a/crates/redwingrill/src/node/parts.rs
+++ b/crates/redwingrill/src/node/parts.rs
@@ -1,7 +1,6 @@
 //! The parts of a node and how they are joined.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -10,11 +9,15 @@
 use super::Inspector;
 use super::Phase;
 use super::StartError;
+use super::wiring::engine_timeouts;
+use super::wiring::follow;
+use super::wiring::ledger;
+use super::wiring::listener_options;
+use super::wiring::policy;
 use crate::admin::AdminRoutes;
 use crate::completions::Completions;
-use crate::configuration::Configuration;
-use crate::configuration::ConfigurationOptions;
 use crate::dispatch::Dispatch;
+use crate::dispatch::DispatchOptions;
 use crate::http::AccountConnections;
 use crate::http::Listener;
 use crate::http::ListenerOptions;
@@ -22,18 +25,7 @@
 use crate::services::Services;
 use crate::telemetry::Metrics;
 use crate::upstream::EngineClient;
-use crate::upstream::EngineTimeouts;
-use redwingrill_config::NoPeers;
 use redwingrill_config::Snapshot;
-use redwingrill_ledger::layout::LayoutConfig;
-use redwingrill_ledger::layout::PagedLayout;
-use redwingrill_ledger::task::Ledger;
-use redwingrill_ledger::task::LedgerConfig;
-use redwingrill_ledger::task::LedgerTask;
-use redwingrill_ledger::task::NoHomes;
-use redwingrill_ledger::task::WallClock;
-use redwingrill_platform::EtcdStore;
-use redwingrill_platform::PlatformOptions;
 use redwingrill_settings::Settings;
 use redwingrill_transport::Pool;
 
@@ -78,7 +70,9 @@
             (None, Some(followed)) => followed.snapshots(),
             (None, None) => watch::channel(Arc::default()).1,
         };
-        let (dispatcher, dispatch) = Dispatch::new();
+        let options = DispatchOptions { policy: policy(settings), seed: rand::random() };
+        let (dispatcher, dispatch) = Dispatch::new(options, configuration.clone());
+        services.spawn(dispatch.load_poll(pool.clone()).run());
         services.spawn(dispatch.run());
         let (ledger, ledger_task) = ledger(settings, &pool);
         services.spawn(ledger_task.run());
@@ -126,49 +120,3 @@
         Ok(Self { callers, admin, phase, inspector, requests, services, stopping, pool })
     }
 }
-
-/// Begins to follow the configuration in the platform's store.
-fn follow(
-    settings: &Settings,
-    pool: &Pool,
-    tasks: &TaskTracker,
-    stopping: &CancellationToken,
-) -> Configuration {
-    let mut options = PlatformOptions::new(settings.platform.endpoints.clone());
-    options.call_timeout = Duration::from_millis(settings.platform.call_timeout_ms);
-    let store = EtcdStore::new(options, pool.clone());
-    let options = ConfigurationOptions { names: Arc::default(), seed: rand::random() };
-    Configuration::start(store, NoPeers, options, tasks, stopping.clone())
-}
-
-fn listener_options(settings: &Settings) -> ListenerOptions {
-    ListenerOptions {
-        connections_limit: settings.limits.connections,
-        header_limit_bytes: settings.limits.header_bytes,
-        header_timeout: Duration::from_millis(settings.limits.request_timeout_ms),
-    }
-}
-
-/// Makes the task that records orders in the platform's store.
-fn ledger(
-    settings: &Settings,
-    pool: &Pool,
-) -> (Ledger, LedgerTask<EtcdStore, PagedLayout, NoHomes>) {
-    let config = LedgerConfig::default();
-    let options = PlatformOptions {
-        call_timeout: Duration::from_millis(config.call_timeout_ms),
-        ..PlatformOptions::new(settings.platform.endpoints.clone())
-    };
-    let store = EtcdStore::new(options, pool.clone());
-    let layout = LayoutConfig::default();
-    let pages = PagedLayout::new(layout);
-    LedgerTask::new(store, pages, NoHomes, layout.shards, config, WallClock::system())
-}
-
-fn engine_timeouts(settings: &Settings) -> EngineTimeouts {
-    EngineTimeouts {
-        connect: Duration::from_millis(settings.streams.connect_timeout_ms),
-        first_token: Duration::from_millis(settings.streams.first_token_timeout_ms),
-        token: Duration::from_millis(settings.streams.token_timeout_ms),
-    }
-}
