--- a/crates/config/src/follow/follower.rs
+++ b/crates/config/src/follow/follower.rs
@@ -12,6 +12,7 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::time::Duration;
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -36,7 +37,9 @@
 use super::watcher::Watcher;
 use crate::Manifest;
 use crate::Snapshot;
+use crate::Standing;
 use crate::StoredManifest;
+use crate::storage::CALL_TIMEOUT;
 use crate::storage::from_chunks;
 use crate::storage::read_manifest;
 use redwingrill_entity::Names;
@@ -44,7 +47,13 @@
 use redwingrill_ports::Store;
 
 /// How long peers may take to hand a manifest.
-const PEER_MANIFEST_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(1);
+const PEER_MANIFEST_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How long a starting node lets the store delay what peers have in force.
+const START_POLL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// After so many rounds without all chunks, a pending manifest is given up for what can be had.
+const FETCH_ROUNDS: u32 = 8;
 
 /// What a follower publishes.
 #[derive(Clone, Debug)]
@@ -71,6 +80,8 @@
     timers: Timers,
     own: Option<Manifest>,
     pending: Option<Manifest>,
+    pending_rounds: u32,
+    repair_rounds: u32,
     store_revision: Revision,
     watcher: Option<Watcher>,
 }
@@ -99,6 +110,8 @@
             timers: Timers::starting_at(now),
             own: None,
             pending: None,
+            pending_rounds: 0,
+            repair_rounds: 0,
             store_revision: Revision::default(),
             watcher: None,
         };
@@ -108,6 +121,7 @@
     /// Follows until cancelled, and ends the watch.
     pub async fn run(mut self, cancel: CancellationToken) {
         tokio::select! {
+            biased;
             () = cancel.cancelled() => {}
             () = self.follow() => {}
         }
@@ -151,6 +165,7 @@
             return tokio::time::sleep_until(due).await;
         };
         let event = tokio::select! {
+            biased;
             event = watcher.next() => event,
             () = tokio::time::sleep_until(due) => return,
         };
@@ -187,23 +202,28 @@
     }
 
     async fn poll_store(&mut self) {
-        // A node that learned all from peers still polls, but takes its turn.
-        let first = self.own.is_none() && self.pending.is_none();
-        if !first && !self.budget.take(Instant::now(), self.pacing.calls_per_s()) {
+        let nothing_known = self.own.is_none() && self.pending.is_none();
+        if !nothing_known && !self.budget.take(Instant::now(), self.pacing.calls_per_s()) {
             return self.timers.poll.set(self.pacing.retry_pause());
         }
         self.count_call();
-        let read = read_manifest(&self.store).await;
+        // A starting node reads the store as well, since peers may be behind what it had before.
+        let starting = self.own.is_none() && self.pending.is_some();
+        let wait = if starting { START_POLL_TIMEOUT } else { CALL_TIMEOUT };
+        let read = tokio::time::timeout(wait, read_manifest(&self.store)).await;
         self.timers.poll.set(self.pacing.poll_pause());
         match read {
-            Ok(stored) => self.on_read(stored).await,
-            Err(error) => {
-                log::info!("event=config_poll_failed reason=\"{error}\"");
-                self.status.send_modify(|status| status.failed_calls += 1);
-            }
+            Ok(Ok(stored)) => self.on_read(stored).await,
+            Ok(Err(error)) => self.on_poll_failed(&error.to_string()),
+            Err(_) => self.on_poll_failed("no answer in time"),
         }
     }
 
+    fn on_poll_failed(&self, reason: &str) {
+        log::info!("event=config_poll_failed reason=\"{reason}\"");
+        self.status.send_modify(|status| status.failed_calls += 1);
+    }
+
     async fn on_read(&mut self, stored: Option<StoredManifest>) {
         let revision = stored.as_ref().map_or(Revision::default(), |stored| stored.revision);
         if revision != self.store_revision {
@@ -226,22 +246,25 @@
 
     fn observe(&mut self, seen: Option<Manifest>, origin: Origin) {
         match decide(self.own.as_ref(), seen.as_ref(), origin) {
+            Decision::Keep if origin == Origin::Store => {
+                self.repair_rounds = 0;
+                self.timers.repair.clear();
+            }
             Decision::Keep => {}
-            Decision::Adopt => self.await_fetch(seen, origin),
+            Decision::Adopt => self.await_fetch(seen),
             Decision::WriteBack | Decision::Lift => {
-                self.timers.repair.bring_forward(self.pacing.repair_pause());
+                let pause = self.pacing.repair_pause(self.repair_rounds);
+                self.timers.repair.bring_forward(pause);
             }
         }
     }
 
-    fn await_fetch(&mut self, seen: Option<Manifest>, origin: Origin) {
-        let (Some(seen), pending) = (seen, self.pending.as_ref()) else { return };
-        let replaces = pending.is_none_or(|pending| match origin {
-            Origin::Store => seen != *pending,
-            Origin::Peer => seen.generation > pending.generation,
-        });
-        if replaces {
+    fn await_fetch(&mut self, seen: Option<Manifest>) {
+        let Some(seen) = seen else { return };
+        let pending = self.pending.as_ref();
+        if pending.is_none_or(|pending| pending.standing_of(&seen) == Standing::Newer) {
             self.pending = Some(seen);
+            self.pending_rounds = 0;
             self.timers.fetch.set(self.pacing.fetch_pause());
         }
     }
@@ -255,11 +278,15 @@
         if complete {
             return self.put_in_force(pending);
         }
-        if gone {
+        self.pending_rounds += 1;
+        if gone || self.pending_rounds == FETCH_ROUNDS {
             self.timers.poll.bring_forward(self.pacing.retry_pause());
         }
+        if self.pending_rounds == FETCH_ROUNDS {
+            return;
+        }
         self.pending = Some(pending);
-        self.timers.fetch.set(self.pacing.retry_pause());
+        self.timers.fetch.set(self.pacing.round_pause(self.pending_rounds));
     }
 
     fn wanted(&mut self, manifest: &Manifest) -> Vec<Wanted> {
@@ -332,7 +359,8 @@
         let Some(own) = &self.own else { return };
         let calls = repair(&self.store, own, &self.cache).await;
         self.status.send_modify(|status| status.store_calls += calls);
-        self.timers.poll.bring_forward(self.pacing.retry_pause());
+        self.repair_rounds += 1;
+        self.timers.poll.bring_forward(self.pacing.round_pause(self.repair_rounds));
     }
 
     fn count_call(&self) {
--- a/crates/config/src/follow/pacing.rs
+++ b/crates/config/src/follow/pacing.rs
@@ -22,8 +22,10 @@
 /// The period at which a node looks at what its peers have in force.
 const PEER_PERIOD: Duration = Duration::from_secs(1);
 
-/// The pause before a failed fetch is tried again.
-const FETCH_RETRY: Duration = Duration::from_millis(400);
+/// The first pause before failed work is tried again; it doubles up to the longest.
+const RETRY: Duration = Duration::from_millis(400);
+
+const RETRY_MAX: Duration = Duration::from_secs(3);
 
 /// The part of the spread of fetches that each node adds.
 const FETCH_SPREAD_PER_NODE: Duration = Duration::from_millis(5);
@@ -84,14 +86,22 @@
         self.spread(FETCH_SPREAD_PER_NODE, FETCH_SPREAD_MAX)
     }
 
-    /// Returns the pause before a failed fetch is tried again.
+    /// Returns the pause before a read is tried again soon.
     pub fn retry_pause(&mut self) -> Duration {
-        self.jittered(FETCH_RETRY)
+        self.jittered(RETRY)
+    }
+
+    /// Returns the pause after so many rounds of the same work that did not complete it.
+    pub fn round_pause(&mut self, rounds: u32) -> Duration {
+        let doubled = RETRY * (1 << rounds.saturating_sub(1).min(8));
+        self.jittered(doubled.min(RETRY_MAX))
     }
 
-    /// Returns the pause before the store is repaired, long enough that mostly one node does it.
-    pub fn repair_pause(&mut self) -> Duration {
-        self.spread(REPAIR_SPREAD_PER_NODE, REPAIR_SPREAD_MAX)
+    /// Returns the pause before the store is repaired, after so many rounds that did not; it is
+    /// long enough that mostly one node does it.
+    pub fn repair_pause(&mut self, rounds: u32) -> Duration {
+        let spread = self.spread(REPAIR_SPREAD_PER_NODE, REPAIR_SPREAD_MAX);
+        if rounds == 0 { spread } else { spread + self.round_pause(rounds) }
     }
 
     /// Returns the rate of calls to the store that this node keeps.
--- a/crates/config/src/follow/timers.rs
+++ b/crates/config/src/follow/timers.rs
@@ -22,6 +22,11 @@
         self.due = Some(self.due.map_or(due, |known| known.min(due)));
     }
 
+    /// Makes the duty not due at all.
+    pub fn clear(&mut self) {
+        self.due = None;
+    }
+
     /// Returns whether the duty is due now, and if so clears it.
     pub fn take_due(&mut self) -> bool {
         let due = self.due.is_some_and(|due| due <= Instant::now());
--- a/crates/config/src/follow/watcher.rs
+++ b/crates/config/src/follow/watcher.rs
@@ -50,10 +50,17 @@
     }
 
     /// Ends the task and waits for its end.
-    pub async fn close(self) {
+    pub async fn close(mut self) {
         self.task.abort();
         // A task that was aborted ends with an error that says so.
-        let _ = self.task.await;
+        let _ = (&mut self.task).await;
+    }
+}
+
+impl Drop for Watcher {
+    // A follower that is dropped rather than cancelled has no time to join.
+    fn drop(&mut self) {
+        self.task.abort();
     }
 }
 
--- a/crates/config/src/storage/apply.rs
+++ b/crates/config/src/storage/apply.rs
@@ -143,6 +143,7 @@
         Acceptance::Unknown(source) => return Err(ApplyError::OutcomeUnknown { source }),
         Acceptance::NotSent(error) => return Err(error.into()),
     }
+    confirm_chunks(store, &new).await?;
     if let Some(base) = base {
         // Nodes that still read the generation before need what it has; what that one retired
         // is needed by none.
@@ -173,6 +174,24 @@
     Ok(())
 }
 
+/// Sees that the chunks of an accepted manifest are there: the store may have gone back to an old
+/// copy between the writes of the chunks and the swap.
+async fn confirm_chunks<S: Store>(store: &S, new: &[(ChunkRef, Chunk)]) -> Result<(), ApplyError> {
+    for (reference, chunk) in new {
+        match read_chunk(store, reference).await {
+            Ok(_) => {}
+            Err(StorageError::ChunkMissing { .. }) => {
+                let lost = [(*reference, chunk.clone())];
+                let stored = store_chunks(store, &lost, COMMAND_TRIES).await;
+                stored.map_err(|source| ApplyError::OutcomeUnknown { source })?;
+            }
+            // The chunks were written; that they cannot be read now says nothing against them.
+            Err(_) => return Ok(()),
+        }
+    }
+    Ok(())
+}
+
 /// Returns the chunks that the manifest is the first to have.
 fn new_chunks(manifest: &Manifest, chunks: &[Chunk]) -> Vec<(ChunkRef, Chunk)> {
     let pairs = manifest.chunks.iter().zip(chunks);
--- a/crates/config/src/storage/manifest.rs
+++ b/crates/config/src/storage/manifest.rs
@@ -4,6 +4,8 @@
 //! names the applies accepted before, the latest first. By the history an old copy of the store
 //! is told from an apply that was accepted on top of an old copy.
 
+use std::collections::HashSet;
+
 use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
@@ -92,11 +94,10 @@
                     .unwrap_or(ChunkRef { hash: chunk.hash, since: generation })
             })
             .collect();
-        let retired = previous.chunks.iter().filter(|chunk| !chunks.contains(chunk));
         Self {
             generation,
             apply_id,
-            retired: retired.copied().collect(),
+            retired: previous.missing_from(&chunks),
             chunks,
             history: previous.history_with_self(),
         }
@@ -108,7 +109,7 @@
             generation: Generation(self.generation.0 + 1),
             apply_id: forked.apply_id,
             chunks: forked.chunks.clone(),
-            retired: Vec::new(),
+            retired: self.missing_from(&forked.chunks),
             history: self.history_with_self(),
         }
     }
@@ -147,6 +148,11 @@
         }
     }
 
+    fn missing_from(&self, chunks: &[ChunkRef]) -> Vec<ChunkRef> {
+        let kept: HashSet<&ChunkRef> = chunks.iter().collect();
+        self.chunks.iter().filter(|chunk| !kept.contains(chunk)).copied().collect()
+    }
+
     fn find(&self, hash: ChunkHash) -> Option<ChunkRef> {
         self.chunks.iter().find(|chunk| chunk.hash == hash).copied()
     }
--- a/crates/config/src/storage/mod.rs
+++ b/crates/config/src/storage/mod.rs
@@ -24,6 +24,7 @@
 pub use assemble::to_chunks;
 pub use chunk::Chunk;
 pub use chunk::ChunkHash;
+pub(crate) use deadline::CALL_TIMEOUT;
 pub(crate) use deadline::bounded;
 pub use difference::Difference;
 pub use difference::DifferenceKind;
--- /dev/null
+++ b/crates/config/tests/fault_matrix/faulty.rs
@@ -0,0 +1,227 @@
+//! Ports with faults of one node, and steps at which faults strike.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::task::Context;
+use std::task::Poll;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+use redwingrill_config::CHUNK_PREFIX;
+use redwingrill_config::MANIFEST_KEY;
+use redwingrill_fakes::MemoryStore;
+use redwingrill_fakes::MemoryWatch;
+use redwingrill_ports::Change;
+use redwingrill_ports::Entry;
+use redwingrill_ports::Expected;
+use redwingrill_ports::LeaseId;
+use redwingrill_ports::Revision;
+use redwingrill_ports::Store;
+use redwingrill_ports::StoreError;
+use redwingrill_ports::Swap;
+use redwingrill_ports::Watch;
+
+/// Steps of the way of a configuration.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Step {
+    Validate,
+    ChunkPut,
+    ManifestSwap,
+    Watch,
+    Fetch,
+    Adopt,
+    Announce,
+}
+
+pub const STEPS: &[Step] = &[
+    Step::Validate,
+    Step::ChunkPut,
+    Step::ManifestSwap,
+    Step::Watch,
+    Step::Fetch,
+    Step::Adopt,
+    Step::Announce,
+];
+
+/// Tells the driver when a step with an armed fault is reached, and waits until it has struck.
+#[derive(Clone, Debug)]
+pub struct Trip {
+    armed: Arc<Mutex<Vec<(Step, usize)>>>,
+    strike: mpsc::UnboundedSender<(usize, oneshot::Sender<()>)>,
+}
+
+impl Trip {
+    pub fn new() -> (Self, mpsc::UnboundedReceiver<(usize, oneshot::Sender<()>)>) {
+        let (strike, struck) = mpsc::unbounded_channel();
+        (Self { armed: Arc::default(), strike }, struck)
+    }
+
+    pub fn arm(&self, step: Step, fault: usize) {
+        self.armed.lock().expect("no holder panics").push((step, fault));
+    }
+
+    pub async fn hit(&self, step: Step) {
+        for fault in self.disarm(step) {
+            let (done, wait) = oneshot::channel();
+            // The driver is gone only at the end of a schedule.
+            let _ = self.strike.send((fault, done));
+            let _ = wait.await;
+        }
+    }
+
+    fn disarm(&self, step: Step) -> Vec<usize> {
+        let mut armed = self.armed.lock().expect("no holder panics");
+        let due = armed.iter().filter(|(s, _)| *s == step).map(|(_, fault)| *fault).collect();
+        armed.retain(|(s, _)| *s != step);
+        due
+    }
+}
+
+/// The faults of one node.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub struct NodeFaults {
+    pub cut: bool,
+    pub stale: bool,
+    pub paused: bool,
+}
+
+/// A node's view of the store.
+#[derive(Clone, Debug)]
+pub struct NodeStore {
+    pub inner: MemoryStore,
+    pub trip: Trip,
+    pub faults: Arc<watch::Sender<NodeFaults>>,
+    pub calls: Arc<Mutex<u64>>,
+    seen: Arc<Mutex<(u64, Option<Entry>)>>,
+}
+
+impl NodeStore {
+    pub fn new(inner: MemoryStore, trip: Trip) -> Self {
+        let faults = Arc::new(watch::Sender::new(NodeFaults::default()));
+        Self { inner, trip, faults, calls: Arc::default(), seen: Arc::default() }
+    }
+
+    async fn enter(&self) {
+        *self.calls.lock().expect("no holder panics") += 1;
+        self.uncut().await;
+    }
+
+    async fn uncut(&self) {
+        let mut faults = self.faults.subscribe();
+        faults.wait_for(|faults| !faults.cut).await.expect("the sender lives");
+    }
+
+    /// Hands out every other answer in place of the one before it.
+    fn reorder(&self, entry: Option<Entry>) -> Option<Entry> {
+        let mut seen = self.seen.lock().expect("no holder panics");
+        seen.0 += 1;
+        let late = std::mem::replace(&mut seen.1, entry.clone());
+        let swapped = self.faults.borrow().stale && seen.0.is_multiple_of(2);
+        if swapped { late } else { entry }
+    }
+}
+
+impl Store for NodeStore {
+    type Watch = NodeWatch;
+
+    async fn get(&self, key: &str) -> Result<Option<Entry>, StoreError> {
+        if key.starts_with(CHUNK_PREFIX) {
+            self.trip.hit(Step::Fetch).await;
+        }
+        self.enter().await;
+        let entry = self.inner.get(key).await?;
+        Ok(if key == MANIFEST_KEY { self.reorder(entry) } else { entry })
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<Entry>, StoreError> {
+        self.enter().await;
+        self.inner.list(prefix).await
+    }
+
+    async fn swap(
+        &self,
+        key: &str,
+        expected: Expected,
+        value: Bytes,
+        lease: Option<LeaseId>,
+    ) -> Result<Swap, StoreError> {
+        let step = if key == MANIFEST_KEY { Step::ManifestSwap } else { Step::ChunkPut };
+        self.trip.hit(step).await;
+        self.enter().await;
+        // A call that was sent takes effect even if its sender gives it up.
+        let (inner, key) = (self.inner.clone(), key.to_owned());
+        let sent = tokio::spawn(async move { inner.swap(&key, expected, value, lease).await });
+        sent.await.expect("the call does not panic")
+    }
+
+    async fn delete(&self, key: &str, expected: Revision) -> Result<bool, StoreError> {
+        self.enter().await;
+        self.inner.delete(key, expected).await
+    }
+
+    async fn watch(&self, prefix: &str, from: Revision) -> Result<NodeWatch, StoreError> {
+        self.enter().await;
+        let inner = self.inner.watch(prefix, from).await?;
+        Ok(NodeWatch { inner, store: self.clone() })
+    }
+
+    async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
+        self.inner.grant_lease(ttl).await
+    }
+
+    async fn renew_lease(&self, lease: LeaseId) -> Result<bool, StoreError> {
+        self.inner.renew_lease(lease).await
+    }
+}
+
+pub struct NodeWatch {
+    inner: MemoryWatch,
+    store: NodeStore,
+}
+
+impl Watch for NodeWatch {
+    async fn next(&mut self) -> Result<Change, StoreError> {
+        let change = self.inner.next().await?;
+        self.store.trip.hit(Step::Watch).await;
+        self.store.uncut().await;
+        Ok(change)
+    }
+}
+
+/// A task that makes no progress while its node is paused.
+pub struct Pausable<F> {
+    inner: Pin<Box<F>>,
+    resumed: Pin<Box<dyn Future<Output = ()> + Send>>,
+    faults: watch::Receiver<NodeFaults>,
+}
+
+impl<F: Future<Output = ()>> Pausable<F> {
+    pub fn new(inner: F, faults: watch::Receiver<NodeFaults>) -> Self {
+        Self { inner: Box::pin(inner), resumed: Box::pin(std::future::pending()), faults }
+    }
+}
+
+impl<F: Future<Output = ()>> Future for Pausable<F> {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        if !self.faults.borrow().paused {
+            return self.inner.as_mut().poll(cx);
+        }
+        let mut faults = self.faults.clone();
+        self.resumed = Box::pin(async move {
+            let _ = faults.wait_for(|faults| !faults.paused).await;
+        });
+        // Ready only if it was resumed just now; then the next poll goes on.
+        if self.resumed.as_mut().poll(cx).is_ready() {
+            cx.waker().wake_by_ref();
+        }
+        Poll::Pending
+    }
+}
--- /dev/null
+++ b/crates/config/tests/fault_matrix/fleet.rs
@@ -0,0 +1,192 @@
+//! A few followers over one store, as peers of one another.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use bytes::Bytes;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::faulty::NodeFaults;
+use crate::faulty::NodeStore;
+use crate::faulty::Pausable;
+use crate::faulty::Step;
+use crate::faulty::Trip;
+use redwingrill_config::ChunkHash;
+use redwingrill_config::ChunkSource;
+use redwingrill_config::ConfigCache;
+use redwingrill_config::DesiredState;
+use redwingrill_config::Followed;
+use redwingrill_config::Follower;
+use redwingrill_config::Generation;
+use redwingrill_fakes::MemoryStore;
+
+/// What peers can reach of a node.
+#[derive(Clone, Debug, Default)]
+struct PeerSlot {
+    cache: Option<ConfigCache>,
+    paused: bool,
+    alone: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct FleetSource {
+    me: usize,
+    slots: Arc<Mutex<Vec<PeerSlot>>>,
+    trip: Trip,
+}
+
+impl FleetSource {
+    fn reachable(&self) -> Vec<ConfigCache> {
+        let slots = self.slots.lock().expect("no holder panics");
+        if slots[self.me].alone {
+            return Vec::new();
+        }
+        let count = slots.len();
+        let others = (1..count).map(|step| &slots[(self.me + step) % count]);
+        let reachable = others.filter(|slot| !slot.paused && !slot.alone);
+        reachable.filter_map(|slot| slot.cache.clone()).collect()
+    }
+}
+
+impl ChunkSource for FleetSource {
+    fn newest_generation(&self) -> Generation {
+        self.reachable().iter().map(ConfigCache::generation).max().unwrap_or_default()
+    }
+
+    async fn newest_manifest(&self) -> Option<Bytes> {
+        self.trip.hit(Step::Announce).await;
+        self.reachable().iter().max_by_key(|cache| cache.generation())?.manifest()
+    }
+
+    async fn chunk(&self, hash: ChunkHash) -> Option<Bytes> {
+        self.trip.hit(Step::Fetch).await;
+        self.reachable().iter().find_map(|cache| cache.chunk(hash))
+    }
+
+    fn live_nodes(&self) -> usize {
+        self.reachable().len() + 1
+    }
+}
+
+struct Running {
+    task: JoinHandle<()>,
+    observer: JoinHandle<()>,
+    followed: Followed,
+}
+
+/// One node, running or not.
+pub struct Node {
+    store: NodeStore,
+    running: Option<Running>,
+    seed: u64,
+    /// When the node was last unable to learn of a configuration.
+    pub impaired_at: Instant,
+    /// The highest generation that any run of this node had in force.
+    pub highest: u64,
+}
+
+pub struct Fleet {
+    pub store: MemoryStore,
+    pub trip: Trip,
+    pub nodes: Vec<Node>,
+    slots: Arc<Mutex<Vec<PeerSlot>>>,
+}
+
+impl Fleet {
+    pub fn start(store: MemoryStore, trip: Trip, count: usize, seed: u64) -> Self {
+        let slots = Arc::new(Mutex::new(vec![PeerSlot::default(); count]));
+        let nodes = (0..count).map(|at| Node {
+            store: NodeStore::new(store.clone(), trip.clone()),
+            running: None,
+            seed: seed * 1_000 + at as u64,
+            impaired_at: Instant::now(),
+            highest: 0,
+        });
+        let mut fleet = Self { nodes: nodes.collect(), store, trip, slots };
+        (0..count).for_each(|at| fleet.start_node(at));
+        fleet
+    }
+
+    pub fn start_node(&mut self, at: usize) {
+        let node = &mut self.nodes[at];
+        node.seed += 100;
+        node.impaired_at = Instant::now();
+        let slots = self.slots.clone();
+        let source = FleetSource { me: at, slots, trip: self.trip.clone() };
+        let (follower, followed) =
+            Follower::new(node.store.clone(), source, Arc::default(), node.seed);
+        let run = follower.run(CancellationToken::new());
+        let task = tokio::spawn(Pausable::new(run, node.store.faults.subscribe()));
+        let observer = tokio::spawn(observe(followed.clone(), self.trip.clone()));
+        self.slots.lock().expect("no holder panics")[at].cache = Some(followed.cache.clone());
+        node.running = Some(Running { task, observer, followed });
+    }
+
+    pub fn kill_node(&mut self, at: usize) {
+        self.slots.lock().expect("no holder panics")[at].cache = None;
+        if let Some(running) = self.nodes[at].running.take() {
+            running.task.abort();
+            running.observer.abort();
+        }
+    }
+
+    pub fn set_node_faults(&self, at: usize, change: impl FnOnce(&mut NodeFaults)) {
+        let faults = &self.nodes[at].store.faults;
+        faults.send_modify(change);
+        self.slots.lock().expect("no holder panics")[at].paused = faults.borrow().paused;
+    }
+
+    pub fn set_alone(&self, at: usize, alone: bool) {
+        self.slots.lock().expect("no holder panics")[at].alone = alone;
+    }
+
+    /// Checks that no observer saw a generation go down.
+    pub fn check_observers(&self) {
+        let observers = self.nodes.iter().filter_map(|node| node.running.as_ref());
+        for running in observers {
+            assert!(!running.observer.is_finished(), "a generation went down at a node");
+            assert!(!running.task.is_finished(), "a follower ended");
+        }
+    }
+}
+
+impl Node {
+    pub fn is_running(&self) -> bool {
+        self.running.is_some()
+    }
+
+    pub fn faults(&self) -> NodeFaults {
+        *self.store.faults.borrow()
+    }
+
+    pub fn calls(&self) -> u64 {
+        *self.store.calls.lock().expect("no holder panics")
+    }
+
+    /// Returns the generation in force and its mark.
+    pub fn in_force(&self) -> Option<(u64, u64)> {
+        let snapshot = self.running.as_ref()?.followed.snapshots.borrow().clone();
+        Some((snapshot.generation.0, mark(&snapshot.state)))
+    }
+}
+
+/// Returns the mark of a site written by `support::site`; zero for none.
+pub fn mark(state: &DesiredState) -> u64 {
+    state.accounts.values().find(|a| a.name == "a00000").map_or(0, |a| u64::from(a.weight))
+}
+
+async fn observe(mut followed: Followed, trip: Trip) {
+    let mut last = 0;
+    while followed.snapshots.changed().await.is_ok() {
+        let generation = followed.snapshots.borrow_and_update().generation.0;
+        if generation <= last {
+            return;
+        }
+        last = generation;
+        trip.hit(Step::Adopt).await;
+    }
+    // The node was killed; the observer is then aborted.
+    std::future::pending().await
+}
