--- a/crates/redwingrill/src/completions/request.rs
+++ b/crates/redwingrill/src/completions/request.rs
@@ -6,6 +6,7 @@
 use serde_json::json;
 
 use crate::Refusal;
+use crate::dispatch::PromptMessage;
 use redwingrill_codes::ResultCode;
 
 /// The generated tokens that a request without a limit is taken to need.
@@ -85,13 +86,19 @@
 
     /// Returns the most tokens to generate.
     pub fn max_tokens(&self) -> u64 {
-        self.limit().unwrap_or(DEFAULT_MAX_TOKENS)
+        self.token_limit().unwrap_or(DEFAULT_MAX_TOKENS)
     }
 
-    /// Returns the texts of the messages, in order.
-    pub fn prompt(&self) -> Vec<&str> {
+    /// Returns the caller's own limit of generated tokens.
+    pub fn token_limit(&self) -> Option<u64> {
+        let fields = ["max_completion_tokens", "max_tokens"];
+        fields.iter().find_map(|field| self.fields.get(*field)?.as_u64())
+    }
+
+    /// Returns the messages, in order.
+    pub fn prompt(&self) -> Vec<PromptMessage<'_>> {
         let messages = self.fields.get("messages").and_then(Value::as_array);
-        messages.into_iter().flatten().flat_map(message_texts).collect()
+        messages.into_iter().flatten().map(prompt_message).collect()
     }
 
     /// Returns the body for a leg.
@@ -119,11 +126,6 @@
         Bytes::from(body)
     }
 
-    fn limit(&self) -> Option<u64> {
-        let fields = ["max_completion_tokens", "max_tokens"];
-        fields.iter().find_map(|field| self.fields.get(*field)?.as_u64())
-    }
-
     fn continue_from(&self, fields: &mut Map<String, Value>, delivered: Delivered<'_>) {
         if let Some(messages) = fields.get_mut("messages").and_then(Value::as_array_mut) {
             messages.push(json!({"role": "assistant", "content": delivered.text}));
@@ -151,6 +153,11 @@
     value.get("role").is_some_and(Value::is_string)
 }
 
+fn prompt_message(message: &Value) -> PromptMessage<'_> {
+    let role = message.get("role").and_then(Value::as_str).unwrap_or_default();
+    PromptMessage { role, texts: message_texts(message) }
+}
+
 /// Content is one text, or a list of parts of which some have text.
 fn message_texts(message: &Value) -> Vec<&str> {
     match message.get("content") {
--- a/crates/redwingrill/src/node/parts.rs
+++ b/crates/redwingrill/src/node/parts.rs
@@ -1,7 +1,6 @@
 //! The parts of a node and how they are joined.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -10,9 +9,15 @@
 use super::Inspector;
 use super::Phase;
 use super::StartError;
+use super::wiring::engine_timeouts;
+use super::wiring::follow;
+use super::wiring::ledger;
+use super::wiring::listener_options;
+use super::wiring::policy;
 use crate::admin::AdminRoutes;
 use crate::completions::Completions;
 use crate::dispatch::Dispatch;
+use crate::dispatch::DispatchOptions;
 use crate::http::AccountConnections;
 use crate::http::Listener;
 use crate::http::ListenerOptions;
@@ -20,7 +25,6 @@
 use crate::services::Services;
 use crate::telemetry::Metrics;
 use crate::upstream::EngineClient;
-use crate::upstream::EngineTimeouts;
 use redwingrill_config::Snapshot;
 use redwingrill_settings::Settings;
 use redwingrill_transport::Pool;
@@ -39,6 +43,8 @@
     pub requests: TaskTracker,
     // Tasks that live as long as the node.
     pub services: TaskTracker,
+    // Ends the tasks that do not end by themselves.
+    pub stopping: CancellationToken,
     pub pool: Pool,
 }
 
@@ -54,19 +60,32 @@
         let services = TaskTracker::new();
         let requests = TaskTracker::new();
         let (phase, phase_reader) = watch::channel(Phase::Serving);
-        let (dispatcher, dispatch) = Dispatch::new();
+        let stopping = CancellationToken::new();
+        let followed = match configuration {
+            Some(_) => None,
+            None => Some(follow(settings, &pool, &services, &stopping)),
+        };
+        let configuration = match (configuration, &followed) {
+            (Some(given), _) => given,
+            (None, Some(followed)) => followed.snapshots(),
+            (None, None) => watch::channel(Arc::default()).1,
+        };
+        let options = DispatchOptions { policy: policy(settings), seed: rand::random() };
+        let (dispatcher, dispatch) = Dispatch::new(options, configuration.clone());
+        services.spawn(dispatch.load_poll(pool.clone()).run());
         services.spawn(dispatch.run());
+        let (ledger, ledger_task) = ledger(settings, &pool);
+        services.spawn(ledger_task.run());
         let connections = AccountConnections::default();
-        // Without a configuration the node refuses all requests as not ready.
-        let configuration =
-            configuration.unwrap_or_else(|| watch::channel(Arc::new(Snapshot::default())).1);
         let inspector = Inspector {
             name: settings.node.name.clone(),
             phase: phase_reader.clone(),
             configuration: configuration.clone(),
+            followed,
             dispatcher: dispatcher.clone(),
             connections: connections.clone(),
             pool: pool.clone(),
+            ledger: ledger.clone(),
             drain: CancellationToken::new(),
         };
         let routes = Routes {
@@ -79,7 +98,7 @@
                 tasks: requests.clone(),
                 metrics: metrics.clone(),
             },
-            services: Services::new(pool.clone()),
+            services: Services::new(pool.clone(), ledger, requests.clone()),
             metrics,
         };
         let bind = |address| move |source| StartError::Bind { address, source };
@@ -98,22 +117,6 @@
         )
         .await
         .map_err(bind(node.admin_listen))?;
-        Ok(Self { callers, admin, phase, inspector, requests, services, pool })
-    }
-}
-
-fn listener_options(settings: &Settings) -> ListenerOptions {
-    ListenerOptions {
-        connections_limit: settings.limits.connections,
-        header_limit_bytes: settings.limits.header_bytes,
-        header_timeout: Duration::from_millis(settings.limits.request_timeout_ms),
-    }
-}
-
-fn engine_timeouts(settings: &Settings) -> EngineTimeouts {
-    EngineTimeouts {
-        connect: Duration::from_millis(settings.streams.connect_timeout_ms),
-        first_token: Duration::from_millis(settings.streams.first_token_timeout_ms),
-        token: Duration::from_millis(settings.streams.token_timeout_ms),
+        Ok(Self { callers, admin, phase, inspector, requests, services, stopping, pool })
     }
 }
