--- a/crates/lab/src/process/child.rs
+++ b/crates/lab/src/process/child.rs
@@ -83,6 +83,16 @@
         ProcessUsage::of(id)
     }
 
+    /// Returns whether the process still runs.
+    pub fn is_running(&mut self) -> io::Result<bool> {
+        Ok(self.child.try_wait()?.is_none())
+    }
+
+    /// Returns whether the process has ended, and ended well.
+    pub fn ended_well(&mut self) -> io::Result<bool> {
+        Ok(self.child.try_wait()?.is_some_and(|status| status.success()))
+    }
+
     /// Waits until the process ends by itself, and returns whether it ended well.
     pub async fn ended(mut self) -> Result<bool, ProcessError> {
         match timeout(STOP_TIMEOUT, self.child.wait()).await {
--- a/crates/lab/tests/support/mod.rs
+++ b/crates/lab/tests/support/mod.rs
@@ -3,6 +3,8 @@
 // Each test file uses a part of this.
 #![allow(dead_code)]
 
+pub mod fleet;
+
 use std::sync::Arc;
 
 use tokio::sync::watch;
