Add the examples of both deployments and golden sessions of the command

Cause: nothing showed the command's whole behaviour, and there was no example to start from. Ruled out: sessions over real sockets (slower and not the same each time); the ports carry fakes. Conclusion: check accepts both examples; each session names what changed and the way out.

--- a/crates/config/src/text/fault.rs
+++ b/crates/config/src/text/fault.rs
@@ -22,7 +22,10 @@
 
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}:{}: ", self.file, self.line)?;
+        match self.line {
+            0 => write!(f, "{}: ", self.file)?,
+            line => write!(f, "{}:{line}: ", self.file)?,
+        }
         if !self.subject.is_empty() {
             write!(f, "{}: ", self.subject)?;
         }
--- /dev/null
+++ b/crates/redwingrill/tests/operator/main.rs
@@ -0,0 +1,112 @@
+//! Golden sessions of the operator's command, and the example files.
+
+mod racing;
+mod session;
+
+use std::path::PathBuf;
+
+use redwingrill::operator::parse;
+use redwingrill_config::DesiredState;
+use redwingrill_config::Fencing;
+use redwingrill_config::UpstreamKind;
+use redwingrill_config::read_files;
+use redwingrill_entity::Names;
+
+use crate::session::Session;
+
+#[test]
+fn sessions() {
+    redwingrill_golden::run_dir("tests/cases/operator", |input| {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .expect("a runtime starts");
+        runtime.block_on(Session::new().run(input))
+    });
+}
+
+/// What an example must have.
+struct Example {
+    directory: &'static str,
+    engines: usize,
+    service_upstreams: usize,
+    accounts: usize,
+    domains: usize,
+    parallel_loads_limit: u32,
+    unrepeatable: &'static [(&'static str, &'static str)],
+    fencing: Fencing,
+}
+
+const EXAMPLES: &[Example] = &[
+    Example {
+        directory: "kritartafla",
+        engines: 18,
+        service_upstreams: 3,
+        accounts: 8,
+        domains: 3,
+        parallel_loads_limit: 3,
+        unrepeatable: &[("POST", "/orders")],
+        fencing: Fencing::Checked,
+    },
+    Example {
+        directory: "napln",
+        engines: 12,
+        service_upstreams: 3,
+        accounts: 8,
+        domains: 3,
+        parallel_loads_limit: 2,
+        unrepeatable: &[("POST", "/dispense"), ("POST", "/charges")],
+        fencing: Fencing::Ignored,
+    },
+];
+
+#[test]
+fn the_examples_have_the_sizes_of_both_deployments() {
+    for example in EXAMPLES {
+        let directory = PathBuf::from("../../examples").join(example.directory);
+        let sources = read_files(&[directory]).expect("the example is there");
+        let mut names = Names::default();
+        let state = redwingrill_config::parse(&sources, &mut names)
+            .unwrap_or_else(|faults| panic!("{}: {faults}", example.directory));
+        check_example(example, &state, &names);
+    }
+}
+
+fn check_example(example: &Example, state: &DesiredState, names: &Names) {
+    let name = example.directory;
+    let count = |kind| state.upstreams.values().filter(|u| u.kind == kind).count();
+    assert_eq!(count(UpstreamKind::Engine), example.engines, "{name}");
+    assert_eq!(count(UpstreamKind::CacheStore), 1, "{name}");
+    assert_eq!(count(UpstreamKind::Service), example.service_upstreams, "{name}");
+    assert_eq!(state.accounts.len(), example.accounts, "{name}");
+    assert_eq!(state.priorities.len(), 2, "{name}");
+    assert_eq!(names.domains.len(), example.domains, "{name}");
+    let limits: Vec<u32> = state.models.values().map(|m| m.parallel_loads_limit).collect();
+    assert_eq!(limits, [example.parallel_loads_limit], "{name}");
+    let service = state.services.values().next().expect("there is a service");
+    for (method, path) in example.unrepeatable {
+        assert!(service.unrepeatable.iter().any(|call| call.matches(method, path)), "{name}");
+    }
+    assert!(!service.unrepeatable.iter().any(|call| call.matches("GET", "/orders/1")), "{name}");
+    let services = state.upstreams.values().filter(|u| u.kind == UpstreamKind::Service);
+    assert!({ services }.all(|upstream| upstream.fencing == example.fencing), "{name}");
+}
+
+#[test]
+fn command_lines_that_are_wrong_are_refused() {
+    let wrong: &[&[&str]] = &[
+        &["redwingrill"],
+        &["redwingrill", "apply", "site.ini"],
+        &["redwingrill", "apply", "--platform", "store.example:1", "site.ini"],
+        &["redwingrill", "check"],
+        &["redwingrill", "dump"],
+        &["redwingrill", "status", "--admin-port", "0"],
+        &["redwingrill", "completion", "tcl"],
+        &["redwingrill", "reload"],
+    ];
+    for line in wrong {
+        let parsed = parse(line.iter().map(|word| (*word).to_owned()));
+        assert!(parsed.is_err_and(|error| error.use_stderr()), "{line:?}");
+    }
+}
--- /dev/null
+++ b/crates/redwingrill/tests/operator/session.rs
@@ -0,0 +1,171 @@
+//! Sessions as text: files, faults and command lines; the transcript is the output.
+//!
+//! ```text
+//! file NAME ... end      writes a file
+//! $ COMMAND LINE         runs the operator's command
+//! store FAULT            none, down, lose-answers or lose-calls
+//! node ADDRESS NAME G    a node with generation G in force, or `follows`, or `silent`
+//! instance NAME ADDRESS  an entry of the platform's instance list
+//! rival NAME             applies a file just before the next swap
+//! save | restore         keeps a copy of the store, and puts it back
+//! ```
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::racing::RacingStore;
+use redwingrill::operator::NodeAdmin;
+use redwingrill::operator::NodeStatus;
+use redwingrill::operator::Operator;
+use redwingrill::operator::parse;
+use redwingrill_config::read_manifest;
+use redwingrill_fakes::Faults;
+use redwingrill_fakes::MemoryInstances;
+use redwingrill_fakes::MemoryStore;
+use redwingrill_fakes::WriteFault;
+use redwingrill_ports::Instance;
+use redwingrill_ports::InstanceState;
+
+static SESSIONS: AtomicU32 = AtomicU32::new(0);
+
+#[derive(Clone, Debug)]
+enum Behaviour {
+    Fixed(u64),
+    Follows,
+    Silent,
+}
+
+/// Nodes that answer as a session says.
+#[derive(Clone, Debug, Default)]
+struct FakeNodes {
+    store: MemoryStore,
+    nodes: Arc<Mutex<BTreeMap<SocketAddr, (String, Behaviour)>>>,
+}
+
+impl NodeAdmin for FakeNodes {
+    async fn status(&self, node: SocketAddr) -> Result<NodeStatus, String> {
+        let found = self.nodes.lock().expect("no holder panics").get(&node).cloned();
+        let (name, behaviour) = found.ok_or("connection refused")?;
+        let generation = match behaviour {
+            Behaviour::Silent => return Err("no answer in time".to_owned()),
+            Behaviour::Fixed(generation) => generation,
+            Behaviour::Follows => {
+                let stored = read_manifest(&self.store).await.map_err(|e| e.to_string())?;
+                stored.map_or(0, |stored| stored.manifest.generation.0)
+            }
+        };
+        Ok(NodeStatus { name, phase: "serving".to_owned(), generation })
+    }
+
+    async fn dump(&self, node: SocketAddr) -> Result<Value, String> {
+        let status = self.status(node).await?;
+        Ok(json!({ "status": status }))
+    }
+
+    async fn drain(&self, node: SocketAddr) -> Result<(), String> {
+        self.status(node).await.map(|_| ())
+    }
+}
+
+pub struct Session {
+    directory: PathBuf,
+    operator: Operator<RacingStore, MemoryInstances, FakeNodes>,
+    instances: Vec<Instance>,
+    transcript: String,
+}
+
+impl Session {
+    pub fn new() -> Self {
+        let number = SESSIONS.fetch_add(1, Ordering::Relaxed);
+        let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
+            .join(format!("operator-{}-{number}", std::process::id()));
+        fs::create_dir_all(&directory).expect("a directory for files");
+        let store = RacingStore::default();
+        let nodes = FakeNodes { store: store.inner.clone(), ..FakeNodes::default() };
+        let operator = Operator { store, instances: MemoryInstances::default(), nodes };
+        Self { directory, operator, instances: Vec::new(), transcript: String::new() }
+    }
+
+    pub async fn run(mut self, input: &str) -> String {
+        let mut lines = input.lines();
+        while let Some(line) = lines.next() {
+            let words: Vec<&str> = line.split_whitespace().collect();
+            match words.as_slice() {
+                [] => {}
+                ["file", name] => {
+                    let body: Vec<&str> = lines.by_ref().take_while(|l| *l != "end").collect();
+                    fs::write(self.directory.join(name), body.join("\n")).expect("file written");
+                }
+                ["$", args @ ..] => self.command(args).await,
+                words => self.arrange(words),
+            }
+        }
+        fs::remove_dir_all(&self.directory).expect("directory removed");
+        self.transcript
+    }
+
+    fn arrange(&mut self, words: &[&str]) {
+        let store = &self.operator.store;
+        match words {
+            ["store", "none"] => store.inner.set_faults(Faults::default()),
+            ["store", "down"] => store.inner.set_faults(Faults { down: true, ..Faults::default() }),
+            ["store", "lose-answers"] => self.lose(WriteFault::LoseAnswer),
+            ["store", "lose-calls"] => self.lose(WriteFault::LoseCall),
+            ["save"] => store.inner.save(),
+            ["restore"] => store.inner.restore(),
+            ["rival", name] => {
+                let text = fs::read_to_string(self.directory.join(name)).expect("a file");
+                *store.rival.lock().expect("no holder panics") = Some(text);
+            }
+            ["node", address, name, behaviour] => {
+                let behaviour = match *behaviour {
+                    "follows" => Behaviour::Follows,
+                    "silent" => Behaviour::Silent,
+                    generation => Behaviour::Fixed(generation.parse().expect("a generation")),
+                };
+                let address = address.parse().expect("an address");
+                let mut nodes = self.operator.nodes.nodes.lock().expect("no holder panics");
+                nodes.insert(address, ((*name).to_owned(), behaviour));
+            }
+            ["instance", name, address] => {
+                self.instances.push(Instance {
+                    name: (*name).to_owned(),
+                    address: address.parse().expect("an address"),
+                    failure_domain: "one".to_owned(),
+                    state: InstanceState::Live,
+                });
+                self.operator.instances.set(self.instances.clone());
+            }
+            words => panic!("no such line in a session: {words:?}"),
+        }
+    }
+
+    fn lose(&self, write: WriteFault) {
+        self.operator.store.inner.set_faults(Faults { write, ..Faults::default() });
+    }
+
+    async fn command(&mut self, args: &[&str]) {
+        let located = args.iter().map(|arg| match arg.ends_with(".ini") {
+            true => self.directory.join(arg).display().to_string(),
+            false => (*arg).to_owned(),
+        });
+        let line = std::iter::once("redwingrill".to_owned()).chain(located);
+        let (command, json) = parse(line).unwrap_or_else(|e| panic!("{args:?}: {e}"));
+        let input = || Ok("example-key\n".to_owned());
+        let output = self.operator.execute(&command, json, input).await;
+        let text = format!("{}{}", output.stdout, output.stderr);
+        let place = format!("{}/", self.directory.display());
+        let status = output.code.exit_status();
+        self.transcript +=
+            &format!("$ {}\n{}exit {status}\n\n", args.join(" "), text.replace(&place, ""));
+    }
+}
