--- a/crates/redwingrill/tests/operator/main.rs
+++ b/crates/redwingrill/tests/operator/main.rs
@@ -5,6 +5,7 @@
 
 use std::path::PathBuf;
 
+use crate::session::Session;
 use redwingrill::operator::parse;
 use redwingrill_config::DesiredState;
 use redwingrill_config::Fencing;
@@ -12,8 +13,6 @@
 use redwingrill_config::read_files;
 use redwingrill_entity::Names;
 
-use crate::session::Session;
-
 #[test]
 fn sessions() {
     redwingrill_golden::run_dir("tests/cases/operator", |input| {
