Name each request that a drain cuts, and generate the operators' tables

Cause: a drain cut short logged a count of connections, not the requests. Change: open requests are listed from arrival to the last byte of the reply; a cut drain logs each; the dump counts them. The operators' page takes settings and codes from the code, held by a test.

--- a/crates/lab/tests/stops.rs
+++ b/crates/lab/tests/stops.rs
@@ -17,6 +17,7 @@
 use crate::support::fleet::start;
 use crate::support::fleet::stop;
 use crate::support::fleet::wait_ready;
+use redwingrill::node::Ending;
 use redwingrill_lab::caller::Call;
 use redwingrill_lab::caller::Caller;
 use redwingrill_lab::caller::Outcome;
@@ -129,3 +130,27 @@
     pool.close().await;
     stop(fleet, vec![daemon]).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drain_past_its_deadline_names_what_it_cuts() {
+    let site = support::Site::start_with(1, "", "").await;
+    let caller = Caller::new();
+    let call = support::call("a long answer?", 2_000);
+    let address = site.node.address();
+    let asking = caller.complete(address, &call);
+    let stopping = async {
+        while site.node.inspector().dump().await["open_requests"] == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let draining = site.node.drain(std::future::ready(())).await;
+        // The operator insists at once.
+        draining.finish(std::future::ready(())).await
+    };
+    let (outcome, ending) = tokio::join!(asking, stopping);
+    assert_eq!(ending, Ending::Cut { requests: 1 });
+    assert!(!outcome.is_complete(), "a cut stream does not look complete");
+    for engine in site.engines {
+        engine.stop().await;
+    }
+    caller.close().await;
+}
--- a/crates/redwingrill/src/daemon/run.rs
+++ b/crates/redwingrill/src/daemon/run.rs
@@ -103,8 +103,8 @@
         () = node.drain_requested() => {}
     }
     let draining = node.drain(signals.stop()).await;
-    if let Ending::Cut { connections } = draining.finish(signals.stop()).await {
-        error!("event=cut connections={connections}");
+    if let Ending::Cut { requests } = draining.finish(signals.stop()).await {
+        error!("event=stopped_early requests={requests}");
     }
     Ok(())
 }
--- a/crates/redwingrill/src/http/listener.rs
+++ b/crates/redwingrill/src/http/listener.rs
@@ -66,8 +66,6 @@
     tasks: TaskTracker,
     accepting: CancellationToken,
     aborting: CancellationToken,
-    places: Arc<Semaphore>,
-    connections_limit: usize,
 }
 
 impl Listener {
@@ -88,9 +86,8 @@
             tasks: TaskTracker::new(),
             accepting: CancellationToken::new(),
             aborting: CancellationToken::new(),
-            places: Arc::new(Semaphore::new(options.connections_limit)),
-            connections_limit: options.connections_limit,
         };
+        let places = Arc::new(Semaphore::new(options.connections_limit));
         let acceptor = Acceptor {
             socket,
             options,
@@ -99,7 +96,7 @@
             tasks: listener.tasks.clone(),
             accepting: listener.accepting.clone(),
             aborting: listener.aborting.clone(),
-            places: listener.places.clone(),
+            places,
         };
         listener.tasks.spawn(acceptor.run());
         Ok(listener)
@@ -110,11 +107,6 @@
         self.address
     }
 
-    /// Returns how many connections are open.
-    pub fn open_connections(&self) -> usize {
-        self.connections_limit - self.places.available_permits()
-    }
-
     /// Stops accepting and closes idle connections. Requests under way go on.
     pub fn stop_accepting(&self) {
         self.accepting.cancel();
--- a/crates/redwingrill/src/http/mod.rs
+++ b/crates/redwingrill/src/http/mod.rs
@@ -3,6 +3,7 @@
 mod body;
 mod connections;
 mod listener;
+mod open_requests;
 mod read;
 mod reply;
 mod request_id;
@@ -15,6 +16,8 @@
 pub use listener::Handler;
 pub use listener::Listener;
 pub use listener::ListenerOptions;
+pub use open_requests::OpenRequest;
+pub use open_requests::OpenRequests;
 pub use read::bearer_key;
 pub use read::read_body;
 pub use reply::REQUEST_ID_HEADER;
--- /dev/null
+++ b/crates/redwingrill/src/http/open_requests.rs
@@ -0,0 +1,93 @@
+//! The requests that a node has begun to serve and not yet answered to the end.
+//!
+//! Invariant: a request is listed from its arrival until the last byte of its reply is handed to
+//! the connection, or the connection is gone.
+
+use std::collections::HashMap;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use http_body::Frame;
+use http_body::SizeHint;
+use http_body_util::BodyExt;
+
+use super::Body;
+use super::RequestId;
+
+/// Lists open requests. Clones share the list.
+#[derive(Clone, Debug, Default)]
+pub struct OpenRequests {
+    requests: Arc<Mutex<HashMap<RequestId, &'static str>>>,
+}
+
+impl OpenRequests {
+    /// Adds a request of a call; it is removed when the guard is dropped.
+    pub fn begin(&self, id: RequestId, call: &'static str) -> OpenRequest {
+        self.lock().insert(id, call);
+        OpenRequest { list: self.clone(), id }
+    }
+
+    /// Returns how many requests are open.
+    pub fn count(&self) -> usize {
+        self.lock().len()
+    }
+
+    /// Returns the open requests with their calls.
+    pub fn list(&self) -> Vec<(RequestId, &'static str)> {
+        self.lock().iter().map(|(&id, &call)| (id, call)).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<RequestId, &'static str>> {
+        self.requests.lock().expect("no holder panics")
+    }
+}
+
+/// One open request.
+#[derive(Debug)]
+pub struct OpenRequest {
+    list: OpenRequests,
+    id: RequestId,
+}
+
+impl OpenRequest {
+    /// Ties the request to the body of its reply.
+    pub fn until_end_of(self, body: Body) -> Body {
+        GuardedBody { body, _open: self }.boxed()
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.list.lock().remove(&self.id);
+    }
+}
+
+struct GuardedBody {
+    body: Body,
+    _open: OpenRequest,
+}
+
+impl http_body::Body for GuardedBody {
+    type Data = Bytes;
+    type Error = std::convert::Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/redwingrill/src/http/routes.rs
+++ b/crates/redwingrill/src/http/routes.rs
@@ -20,6 +20,7 @@
 use super::Body;
 use super::ConnectionOwner;
 use super::Handler;
+use super::OpenRequests;
 use super::REQUEST_ID_HEADER;
 use super::RequestId;
 use super::bearer_key;
@@ -55,6 +56,8 @@
     pub completions: Completions,
     /// Serves services.
     pub services: Services,
+    /// The requests under way.
+    pub open: OpenRequests,
     /// Where counts and times go.
     pub metrics: Metrics,
 }
@@ -106,6 +109,7 @@
         let target =
             request.uri().path_and_query().map_or("/", |target| target.as_str()).to_owned();
         let call = Call::of(&target);
+        let open = self.open.begin(request_id, call.name());
         let served = self.serve(request, call, request_id, &owner).await;
         let code = served.as_ref().map_or_else(|refusal| refusal.code, |_| ResultCode::Ok);
         let mut response = served.unwrap_or_else(|refusal| error_reply(&refusal, request_id));
@@ -124,7 +128,7 @@
             // The caller's next request goes to another node.
             headers.insert(header::CONNECTION, http::HeaderValue::from_static("close"));
         }
-        response
+        response.map(|body| open.until_end_of(body))
     }
 }
 
--- a/crates/redwingrill/src/node/inspector.rs
+++ b/crates/redwingrill/src/node/inspector.rs
@@ -11,6 +11,7 @@
 use crate::configuration::Configuration;
 use crate::dispatch::Dispatcher;
 use crate::http::AccountConnections;
+use crate::http::OpenRequests;
 use redwingrill_config::Snapshot;
 use redwingrill_ledger::task::Ledger;
 use redwingrill_transport::Pool;
@@ -25,6 +26,7 @@
     pub(super) followed: Option<Configuration>,
     pub(super) dispatcher: Dispatcher,
     pub(super) connections: AccountConnections,
+    pub(super) open: OpenRequests,
     pub(super) pool: Pool,
     pub(super) ledger: Ledger,
     pub(super) drain: CancellationToken,
@@ -75,6 +77,7 @@
             "configuration": self.followed.as_ref().map(Configuration::dump),
             "dispatch": self.dispatcher.dump().await,
             "orders": self.ledger.state().await,
+            "open_requests": self.open.count(),
             "account_connections": connections.collect::<Vec<_>>(),
             "upstream_connections": pool.collect::<Vec<_>>(),
         })
--- a/crates/redwingrill/src/node/life.rs
+++ b/crates/redwingrill/src/node/life.rs
@@ -63,10 +63,10 @@
 pub enum Ending {
     /// All open work ended normally.
     Complete,
-    /// The deadline passed, or the operator insisted, while connections were open.
+    /// The deadline passed, or the operator insisted, while requests were under way.
     Cut {
-        /// The connections that were cut.
-        connections: usize,
+        /// The requests that were cut.
+        requests: usize,
     },
 }
 
@@ -174,15 +174,22 @@
             ended = work_ends => ended.is_ok(),
             () = insist => false,
         };
-        let connections = parts.callers.open_connections();
-        if !ended {
-            warn!("event=drain_cut node={} connections={connections}", self.settings.node.name);
-            parts.callers.abort();
-            parts.callers.join().await;
+        if ended {
+            Self::join(parts).await;
+            info!("event=ended node={} complete=true", self.settings.node.name);
+            return Ending::Complete;
         }
+        let cut = parts.inspector.open.list();
+        let (node, requests) = (&self.settings.node.name, cut.len());
+        warn!("event=drain_cut node={node} requests={requests}");
+        for (request_id, call) in cut {
+            warn!("event=request_cut request_id={request_id} call={call}");
+        }
+        parts.callers.abort();
+        parts.callers.join().await;
         Self::join(parts).await;
-        info!("event=ended node={} complete={ended}", self.settings.node.name);
-        if ended { Ending::Complete } else { Ending::Cut { connections } }
+        info!("event=ended node={node} complete=false");
+        Ending::Cut { requests }
     }
 
     async fn join(parts: Parts) {
--- a/crates/redwingrill/src/node/parts.rs
+++ b/crates/redwingrill/src/node/parts.rs
@@ -21,6 +21,7 @@
 use crate::http::AccountConnections;
 use crate::http::Listener;
 use crate::http::ListenerOptions;
+use crate::http::OpenRequests;
 use crate::http::Routes;
 use crate::services::Services;
 use crate::telemetry::Metrics;
@@ -77,6 +78,7 @@
         let (ledger, ledger_task) = ledger(settings, &pool);
         services.spawn(ledger_task.run());
         let connections = AccountConnections::default();
+        let open = OpenRequests::default();
         let inspector = Inspector {
             name: settings.node.name.clone(),
             phase: phase_reader.clone(),
@@ -84,6 +86,7 @@
             followed,
             dispatcher: dispatcher.clone(),
             connections: connections.clone(),
+            open: open.clone(),
             pool: pool.clone(),
             ledger: ledger.clone(),
             drain: CancellationToken::new(),
@@ -99,6 +102,7 @@
                 metrics: metrics.clone(),
             },
             services: Services::new(pool.clone(), ledger, requests.clone()),
+            open,
             metrics,
         };
         let bind = |address| move |source| StartError::Bind { address, source };
--- /dev/null
+++ b/crates/redwingrill/tests/docs.rs
@@ -0,0 +1,72 @@
+//! The generated parts of the operators' page are up to date.
+//!
+//! `REDWINGRILL_BLESS=1` rewrites them.
+
+use std::fmt::Write;
+use std::path::Path;
+
+use redwingrill_codes::ResultCode;
+
+const PAGE: &str = "../../docs/OPERATING.md";
+
+struct Part {
+    name: &'static str,
+    text: String,
+}
+
+fn code_table() -> String {
+    let mut table = String::from(
+        "| number | name | HTTP status | ran | meaning |\n| --- | --- | --- | --- | --- |\n",
+    );
+    for code in ResultCode::ALL {
+        let info = code.info();
+        let (number, name, status) = (info.number, info.name, info.http_status);
+        let (ran, summary) = (info.ran.as_str(), info.summary);
+        writeln!(table, "| {number} | `{name}` | {status} | {ran} | {summary} |")
+            .expect("writing to a string cannot fail");
+    }
+    table
+}
+
+fn with_part(page: &str, part: &Part) -> String {
+    let begin = format!("<!-- begin {} -->\n", part.name);
+    let end = format!("<!-- end {} -->", part.name);
+    let (before, rest) = page.split_once(&begin).expect("the page has the part's begin");
+    let (_, after) = rest.split_once(&end).expect("the page has the part's end");
+    format!("{before}{begin}{}{end}{after}", part.text)
+}
+
+#[test]
+fn the_operators_page_has_all_settings_and_codes() {
+    let parts = [
+        Part { name: "settings", text: redwingrill_settings::reference() },
+        Part { name: "codes", text: code_table() },
+    ];
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join(PAGE);
+    let page = std::fs::read_to_string(&path).expect("the page is readable");
+    let expected = parts.iter().fold(page.clone(), |page, part| with_part(&page, part));
+    if std::env::var(redwingrill_golden::BLESS_VARIABLE).is_ok_and(|value| value == "1") {
+        std::fs::write(&path, &expected).expect("the page is writable");
+        return;
+    }
+    assert!(
+        page == expected,
+        "run with {}=1 to rewrite the page",
+        redwingrill_golden::BLESS_VARIABLE
+    );
+}
+
+#[test]
+fn codes_have_numbers_and_names_of_their_own() {
+    let mut numbers: Vec<u16> = ResultCode::ALL.iter().map(|code| code.number()).collect();
+    let mut names: Vec<&str> = ResultCode::ALL.iter().map(|code| code.info().name).collect();
+    let count = ResultCode::ALL.len();
+    numbers.sort_unstable();
+    numbers.dedup();
+    names.sort_unstable();
+    names.dedup();
+    assert_eq!((numbers.len(), names.len()), (count, count));
+    assert!(
+        ResultCode::ALL.iter().all(|code| ResultCode::from_number(code.number()) == Some(*code))
+    );
+}
