--- a/crates/lab/src/bench/overhead/first_token.rs
+++ b/crates/lab/src/bench/overhead/first_token.rs
@@ -11,13 +11,14 @@
 use super::MachineSnafu;
 use super::OverheadError;
 use super::OverheadOptions;
-use super::router::RoutedEngine;
+use super::router::RoutedEngines;
 use crate::caller::Call;
 use crate::caller::Caller;
 use crate::caller::Outcome;
 use crate::engine::Pace;
 use crate::load::Latencies;
 
+const ENGINES: usize = 1;
 const ANSWER_TOKENS: u32 = 2;
 const WARM_UP_CALLS: u32 = 200;
 /// An engine that answers at once.
@@ -56,7 +57,7 @@
 }
 
 pub(super) async fn measure(options: &OverheadOptions) -> Result<FirstTokenFigures, OverheadError> {
-    let routed = RoutedEngine::start(INSTANT).await?;
+    let routed = RoutedEngines::start(ENGINES, INSTANT).await?;
     let (engine, router) = (routed.stand_ins.engines[0].address, routed.router.address);
     let caller = Caller::new();
     for n in 0..WARM_UP_CALLS {
@@ -83,7 +84,7 @@
     Ok(figures(&timed, elapsed_s, processor_s))
 }
 
-fn call(routed: &RoutedEngine, run: &str, n: u32) -> Call {
+fn call(routed: &RoutedEngines, run: &str, n: u32) -> Call {
     routed.call(&format!("{run}-{n}"), &format!("question {n}"), ANSWER_TOKENS)
 }
 
