--- /dev/null
+++ b/crates/membership/src/cluster/absorb.rs
@@ -0,0 +1,123 @@
+//! Taking in what peers tell.
+
+use super::state::Cluster;
+use crate::Digest;
+use crate::InForce;
+use crate::Item;
+use crate::Kind;
+use crate::MemberInfo;
+use crate::MemberRecord;
+use crate::MemberState;
+use crate::NodeKey;
+use crate::Payload;
+use crate::Received;
+
+impl Cluster {
+    pub(super) fn absorb(&mut self, now_ms: u64, received: Received) {
+        for record in received.members {
+            self.absorb_record(now_ms, record);
+        }
+        for (origin, kind, item) in received.items {
+            self.absorb_item(now_ms, origin, kind, item);
+        }
+    }
+
+    fn absorb_record(&mut self, now_ms: u64, record: MemberRecord) {
+        let key = record.info.key();
+        if key == self.key {
+            self.answer_record(now_ms, &record);
+            return;
+        }
+        let state = record.state;
+        let was = self.members.get(key).map(|held| held.state);
+        if !self.members.merge(now_ms, record) {
+            return;
+        }
+        let was_doubted = was.is_some_and(|was| was >= MemberState::Suspect);
+        if was_doubted && state < MemberState::Suspect {
+            self.refutations.entry(key).or_default().again(now_ms);
+        }
+        self.note_members_changed();
+    }
+
+    /// Answers a statement on this node that it did not make, by a higher incarnation.
+    fn answer_record(&mut self, now_ms: u64, record: &MemberRecord) {
+        if *record <= self.own {
+            return;
+        }
+        let Some(incarnation) = record.incarnation.checked_add(1) else { return };
+        self.restate(now_ms, incarnation, self.own.state);
+    }
+
+    pub(super) fn restate(&mut self, now_ms: u64, incarnation: u32, state: MemberState) {
+        self.own.incarnation = incarnation;
+        self.own.state = state;
+        self.members.merge(now_ms, self.own.clone());
+        self.note_members_changed();
+    }
+
+    fn absorb_item(&mut self, now_ms: u64, origin: NodeKey, kind: Kind, item: Item) {
+        if origin == self.key {
+            self.answer_item(now_ms, kind, &item);
+            return;
+        }
+        if !self.digest.merge(now_ms, origin, kind, item) {
+            return;
+        }
+        match kind {
+            Kind::InForce => self.note_in_force(origin),
+            Kind::WatchList | Kind::Levels => self.changes.engines = true,
+            Kind::HeavyHitters => self.changes.heavy_hitters = true,
+            Kind::HotPrefixes => self.changes.hot_prefixes = true,
+            Kind::LeavingUpstreams => {
+                self.changes.leaving = true;
+                self.mark_urgent();
+            }
+        }
+    }
+
+    /// Notes the configuration that an origin has in force.
+    pub(super) fn note_in_force(&mut self, origin: NodeKey) {
+        let Some(in_force) = in_force_of(&self.digest, origin) else { return };
+        if in_force.generation > self.newest.generation {
+            self.newest = in_force;
+            self.newest_origins.clear();
+            self.changes.generation = true;
+        }
+        if in_force.generation == self.newest.generation {
+            self.newest_origins.insert(origin);
+            self.mark_urgent();
+        }
+    }
+
+    pub(super) fn note_members_changed(&mut self) {
+        self.is_plan_stale = true;
+        self.changes.members = true;
+        self.mark_urgent();
+    }
+
+    /// Announces that this node is about to stop.
+    pub fn leave(&mut self, now_ms: u64) {
+        if self.own.state != MemberState::Leaving {
+            let incarnation = self.own.incarnation.saturating_add(1);
+            self.restate(now_ms, incarnation, MemberState::Leaving);
+        }
+    }
+
+    /// Adds addresses of entry instances that the platform lists, to be tried like seeds.
+    pub fn note_listed(&mut self, listed: &[MemberInfo]) {
+        let is_known = |info: &&MemberInfo| self.members.contains(info.key());
+        let unknown: Vec<_> = listed.iter().filter(|info| !is_known(info)).collect();
+        for info in unknown {
+            let address = info.address;
+            if address != self.own.info.address && !self.seeds.contains(&address) {
+                self.seeds.push(address);
+            }
+        }
+    }
+}
+
+fn in_force_of(digest: &Digest, origin: NodeKey) -> Option<InForce> {
+    let item = digest.get(origin, Kind::InForce)?;
+    InForce::decode(&item.payload).ok()
+}
--- /dev/null
+++ b/crates/membership/src/cluster/engines.rs
@@ -0,0 +1,236 @@
+//! Watching engines, and what the watchers of others tell.
+
+use std::collections::BTreeMap;
+
+use super::state::Cluster;
+use crate::EngineLevel;
+use crate::EngineWatch;
+use crate::Kind;
+use crate::Levels;
+use crate::MemberState;
+use crate::NodeKey;
+use crate::Payload;
+use crate::UpstreamKey;
+use crate::WatchList;
+use crate::overlay::WatchPlan;
+use crate::overlay::watchers_per_engine;
+
+/// How long a watcher goes on after the plan named another that does not tell of the engine.
+const HAND_OVER_MS: u64 = 10_000;
+
+/// Between checks whether others have taken over.
+const SETTLE_PERIOD_MS: u64 = 1_000;
+
+/// Loads are published again after this time though nothing changed, so that readers see the
+/// watcher is there.
+const REFRESH_MS: u64 = 15_000;
+
+/// Load periods, besides a refresh, after which a load no longer counts.
+const STALE_PERIODS: u64 = 4;
+
+/// Nodes that read the platform's list of instances for the fleet.
+const LIST_READERS: usize = 2;
+
+/// The load of one engine, as its watcher told it.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct EngineView {
+    /// The engine.
+    pub engine: UpstreamKey,
+    /// A hash of the engine's incarnation; zero while it does not answer its watcher.
+    pub incarnation_tag: u16,
+    /// The load.
+    pub level: EngineLevel,
+    /// When this node received it.
+    pub received_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Watched {
+    incarnation_tag: u16,
+    level: EngineLevel,
+    /// When the plan named another watcher.
+    replaced_ms: Option<u64>,
+}
+
+/// The engines of the configuration, and those that this node watches.
+#[derive(Clone, Debug, Default)]
+pub struct Watches {
+    engines: BTreeMap<UpstreamKey, String>,
+    watched: BTreeMap<UpstreamKey, Watched>,
+    published: Vec<EngineWatch>,
+    published_levels: Vec<EngineLevel>,
+    published_ms: u64,
+    settled_ms: u64,
+    tag: u8,
+    /// Whether this node is one of the readers of the list of instances.
+    pub reads_instance_list: bool,
+}
+
+impl Watches {
+    /// Returns how many engines are configured.
+    pub fn engine_count(&self) -> usize {
+        self.engines.len()
+    }
+}
+
+impl Cluster {
+    /// Sets the engines of the configuration in force, with their failure domains.
+    pub fn set_engines(&mut self, engines: impl IntoIterator<Item = (UpstreamKey, String)>) {
+        self.watches.engines = engines.into_iter().collect();
+        self.is_plan_stale = true;
+    }
+
+    /// Returns the engines that this node watches.
+    pub fn watched_engines(&self) -> impl Iterator<Item = UpstreamKey> {
+        self.watches.watched.keys().copied()
+    }
+
+    /// Notes what a watched engine answered.
+    pub fn note_load(&mut self, engine: UpstreamKey, incarnation: &str, level: EngineLevel) {
+        if let Some(watched) = self.watches.watched.get_mut(&engine) {
+            watched.incarnation_tag = tag_of(incarnation);
+            watched.level = level;
+        }
+    }
+
+    /// Notes that a watched engine did not answer.
+    pub fn note_silent(&mut self, engine: UpstreamKey) {
+        if let Some(watched) = self.watches.watched.get_mut(&engine) {
+            watched.incarnation_tag = 0;
+        }
+    }
+
+    pub(super) fn plan_watches(&mut self, now_ms: u64) {
+        let plan = WatchPlan::new(&self.members);
+        self.watches.reads_instance_list = plan.list_readers(LIST_READERS).contains(&self.key);
+        let count = watchers_per_engine(self.watches.engines.len());
+        let engines = &self.watches.engines;
+        let watched = &mut self.watches.watched;
+        watched.retain(|engine, _| engines.contains_key(engine));
+        let own_domain = &self.own.info.failure_domain;
+        for (&engine, domain) in engines {
+            let is_watcher = plan.can_watch(own_domain, domain, count)
+                && plan.watchers(engine, domain, count).contains(&self.key);
+            if is_watcher {
+                watched.entry(engine).or_default().replaced_ms = None;
+            } else if let Some(watched) = watched.get_mut(&engine) {
+                watched.replaced_ms.get_or_insert(now_ms);
+            }
+        }
+    }
+
+    /// Ends the watches that others have taken over.
+    pub(super) fn settle_watches(&mut self, now_ms: u64) {
+        let is_replaced = |watched: &Watched| watched.replaced_ms.is_some();
+        let is_due = now_ms.saturating_sub(self.watches.settled_ms) >= SETTLE_PERIOD_MS;
+        if !is_due || !self.watches.watched.values().any(is_replaced) {
+            return;
+        }
+        self.watches.settled_ms = now_ms;
+        let told: Vec<UpstreamKey> = self.told_by_others().collect();
+        self.watches.watched.retain(|engine, watched| {
+            let Some(replaced_ms) = watched.replaced_ms else { return true };
+            now_ms.saturating_sub(replaced_ms) < HAND_OVER_MS && !told.contains(engine)
+        });
+    }
+
+    fn told_by_others(&self) -> impl Iterator<Item = UpstreamKey> {
+        let others = self.watching_origins().filter(|&origin| origin != self.key);
+        let lists = others.filter_map(|origin| self.digest.read::<WatchList>(origin));
+        let engines = lists.flat_map(|list| list.engines);
+        engines.filter(|watch| watch.incarnation_tag != 0).map(|watch| watch.engine)
+    }
+
+    fn watching_origins(&self) -> impl Iterator<Item = NodeKey> {
+        let is_dead = |origin| {
+            self.members.get(origin).is_some_and(|record| record.state == MemberState::Dead)
+        };
+        self.digest.origins().filter(move |&origin| !is_dead(origin))
+    }
+
+    pub(super) fn publish_loads_due(&mut self, now_ms: u64) {
+        let watches = &mut self.watches;
+        let age_ms = now_ms.saturating_sub(watches.published_ms);
+        if age_ms < self.pacing.load_period_ms && watches.published_ms != 0 {
+            return;
+        }
+        let list: Vec<EngineWatch> = watches
+            .watched
+            .iter()
+            .map(|(&engine, watched)| EngineWatch {
+                engine,
+                incarnation_tag: watched.incarnation_tag,
+            })
+            .collect();
+        let levels: Vec<EngineLevel> =
+            watches.watched.values().map(|watched| watched.level).collect();
+        let is_list_new = list != watches.published;
+        let pairs = levels.iter().zip(&watches.published_levels);
+        let is_level_new = pairs.clone().any(|(level, published)| level.differs(*published));
+        let is_refresh_due = age_ms >= REFRESH_MS && !list.is_empty();
+        if !(is_list_new || is_level_new || is_refresh_due) {
+            return;
+        }
+        watches.published_ms = now_ms;
+        watches.published = list.clone();
+        watches.published_levels = levels.clone();
+        if is_list_new {
+            watches.tag = watches.tag.wrapping_add(1);
+        }
+        let tag = watches.tag;
+        if is_list_new {
+            self.publish(now_ms, Kind::WatchList, WatchList { tag, engines: list }.encode());
+        }
+        let bytes = levels.iter().map(|level| (level.running_level, level.waiting_tokens_level));
+        let levels = Levels { tag, levels: bytes.collect() };
+        self.publish(now_ms, Kind::Levels, levels.encode());
+        self.changes.engines = true;
+    }
+
+    /// Returns the newest known load of each engine, in the order of keys.
+    pub fn engine_views(&self, now_ms: u64) -> BTreeMap<UpstreamKey, EngineView> {
+        let limit_ms = REFRESH_MS + STALE_PERIODS * self.pacing.load_period_ms;
+        let mut views = BTreeMap::new();
+        for origin in self.watching_origins() {
+            let Some(received_ms) = self.digest.received_ms(origin, Kind::Levels) else { continue };
+            if now_ms.saturating_sub(received_ms) <= limit_ms {
+                self.add_views(origin, received_ms, &mut views);
+            }
+        }
+        views
+    }
+
+    fn add_views(
+        &self,
+        origin: NodeKey,
+        received_ms: u64,
+        views: &mut BTreeMap<UpstreamKey, EngineView>,
+    ) {
+        let Some(list) = self.digest.read::<WatchList>(origin) else { return };
+        let Some(levels) = self.digest.read::<Levels>(origin) else { return };
+        // Levels without their list, or the reverse, say nothing.
+        if list.tag != levels.tag || list.engines.len() != levels.levels.len() {
+            return;
+        }
+        for (watch, (running_level, waiting_tokens_level)) in list.engines.iter().zip(levels.levels)
+        {
+            let level = EngineLevel { running_level, waiting_tokens_level };
+            let EngineWatch { engine, incarnation_tag } = *watch;
+            let view = EngineView { engine, incarnation_tag, level, received_ms };
+            let held = views.entry(engine).or_insert(view);
+            if rank(&view) > rank(held) {
+                *held = view;
+            }
+        }
+    }
+}
+
+/// A watcher that has an answer goes before one that has none, then the newest.
+fn rank(view: &EngineView) -> (bool, u64) {
+    (view.incarnation_tag != 0, view.received_ms)
+}
+
+fn tag_of(incarnation: &str) -> u16 {
+    // Zero is kept for "no answer".
+    (UpstreamKey::of(incarnation).0 as u16).max(1)
+}
--- /dev/null
+++ b/crates/membership/src/cluster/publish.rs
@@ -0,0 +1,118 @@
+//! What this node itself publishes.
+
+use super::state::Cluster;
+use crate::HeavyHitters;
+use crate::HotPrefixes;
+use crate::InForce;
+use crate::Item;
+use crate::Kind;
+use crate::LeavingUpstreams;
+use crate::Payload;
+use crate::Version;
+
+#[derive(Clone, Debug, Default)]
+struct OwnItem {
+    payload: Vec<u8>,
+    sequence: u32,
+    published_ms: u64,
+    /// A newer payload that waits for the kind's period.
+    waiting: Option<Vec<u8>>,
+}
+
+/// The items whose origin is this node.
+#[derive(Clone, Debug, Default)]
+pub struct OwnItems {
+    epoch: u32,
+    items: [Option<OwnItem>; Kind::COUNT],
+}
+
+/// The kinds that wait for the period of rankings.
+const RANKINGS: [Kind; 2] = [Kind::HeavyHitters, Kind::HotPrefixes];
+
+impl OwnItems {
+    fn version(&self, kind: Kind) -> Version {
+        let sequence = self.items[kind.index()].as_ref().map_or(0, |item| item.sequence);
+        Version { epoch: self.epoch, sequence }
+    }
+}
+
+impl Cluster {
+    /// Publishes the configuration in force here. A lower generation is passed over.
+    pub fn publish_in_force(&mut self, now_ms: u64, in_force: InForce) {
+        let held: InForce = self.digest.read(self.key).unwrap_or_default();
+        if in_force.generation > held.generation {
+            self.publish(now_ms, Kind::InForce, in_force.encode());
+            self.note_in_force(self.key);
+        }
+    }
+
+    /// Publishes the upstreams that this node knows to be leaving.
+    pub fn publish_leaving(&mut self, now_ms: u64, mut leaving: LeavingUpstreams) {
+        leaving.upstreams.sort_unstable();
+        leaving.upstreams.dedup();
+        let held: LeavingUpstreams = self.digest.read(self.key).unwrap_or_default();
+        if leaving != held {
+            self.publish(now_ms, Kind::LeavingUpstreams, leaving.encode());
+            self.changes.leaving = true;
+            self.mark_urgent();
+        }
+    }
+
+    /// Offers this node's heavy hitters for the next publication.
+    pub fn offer_heavy_hitters(&mut self, heavy: &HeavyHitters) {
+        self.offer(Kind::HeavyHitters, heavy.encode());
+    }
+
+    /// Offers this node's hot prefixes for the next publication.
+    pub fn offer_hot_prefixes(&mut self, hot: &HotPrefixes) {
+        self.offer(Kind::HotPrefixes, hot.encode());
+    }
+
+    fn offer(&mut self, kind: Kind, payload: Vec<u8>) {
+        let item = self.own_items.items[kind.index()].get_or_insert_default();
+        item.waiting = (item.payload != payload).then_some(payload);
+    }
+
+    pub(super) fn publish_due(&mut self, now_ms: u64) {
+        self.publish_loads_due(now_ms);
+        for kind in RANKINGS {
+            let period_ms = self.pacing.ranking_period_ms;
+            let Some(item) = &mut self.own_items.items[kind.index()] else { continue };
+            let is_due = item.sequence == 0 || now_ms >= item.published_ms + period_ms;
+            if let Some(payload) = item.waiting.take_if(|_| is_due) {
+                self.publish(now_ms, kind, payload);
+            }
+        }
+    }
+
+    pub(super) fn publish(&mut self, now_ms: u64, kind: Kind, payload: Vec<u8>) {
+        let own = &mut self.own_items;
+        let item = own.items[kind.index()].get_or_insert_default();
+        item.sequence += 1;
+        item.published_ms = now_ms;
+        item.payload = payload;
+        let payload = item.payload.clone().into();
+        let item = Item { version: own.version(kind), payload };
+        self.digest.merge(now_ms, self.key, kind, item);
+    }
+
+    /// Answers an item under this node's name that this process did not publish: an earlier
+    /// process did. Everything is published again in a later epoch, so that it replaces the old.
+    pub(super) fn answer_item(&mut self, now_ms: u64, kind: Kind, item: &Item) {
+        let held = self.digest.get(self.key, kind);
+        if held.is_some_and(|held| held >= item) {
+            return;
+        }
+        let Some(epoch) = item.version.epoch.checked_add(1) else { return };
+        self.own_items.epoch = epoch;
+        // The old item's kind must be replaced even if this process has nothing to say.
+        self.own_items.items[kind.index()].get_or_insert_default();
+        for kind in Kind::ALL {
+            let Some(own) = &self.own_items.items[kind.index()] else { continue };
+            let payload = own.payload.clone();
+            self.publish(now_ms, kind, payload);
+        }
+        self.changes.leaving = true;
+        self.mark_urgent();
+    }
+}
--- /dev/null
+++ b/crates/membership/src/cluster/state.rs
@@ -0,0 +1,165 @@
+//! The state and how it is read.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::engines::Watches;
+use super::links::Contact;
+use super::links::Inbound;
+use super::links::Outbound;
+use super::links::Refutation;
+use super::options::Changes;
+use super::options::ClusterOptions;
+use super::publish::OwnItems;
+use crate::Digest;
+use crate::InForce;
+use crate::LinkId;
+use crate::MemberInfo;
+use crate::MemberRecord;
+use crate::MemberState;
+use crate::MemberTable;
+use crate::NodeKey;
+use crate::Pacing;
+use crate::link::Shared;
+
+/// One node's view of the fleet.
+#[derive(Debug)]
+pub struct Cluster {
+    pub(super) key: NodeKey,
+    pub(super) own: MemberRecord,
+    pub(super) seeds: Vec<SocketAddr>,
+    pub(super) members: MemberTable,
+    pub(super) digest: Digest,
+    pub(super) own_items: OwnItems,
+    pub(super) watches: Watches,
+    pub(super) outbound: BTreeMap<LinkId, Outbound>,
+    pub(super) inbound: BTreeMap<LinkId, Inbound>,
+    pub(super) contacts: BTreeMap<SocketAddr, Contact>,
+    pub(super) refutations: BTreeMap<NodeKey, Refutation>,
+    pub(super) peers: Vec<NodeKey>,
+    pub(super) pacing: Pacing,
+    /// Whether peers and watches must be computed again.
+    pub(super) is_plan_stale: bool,
+    pub(super) rotation: u32,
+    pub(super) next_rotation_ms: u64,
+    pub(super) next_heal_ms: u64,
+    pub(super) newest: InForce,
+    /// The origins that have the newest generation in force.
+    pub(super) newest_origins: BTreeSet<NodeKey>,
+    /// Counts changes that spread at once.
+    pub(super) urgency: u64,
+    pub(super) changes: Changes,
+    pub(super) rng: SmallRng,
+}
+
+impl Cluster {
+    /// Makes the state of a node that knows itself only.
+    pub fn new(now_ms: u64, options: ClusterOptions) -> Self {
+        let ClusterOptions { info, seeds, boot } = options;
+        let mut rng = SmallRng::seed_from_u64(boot);
+        let own =
+            MemberRecord { incarnation: 1, state: MemberState::Live, boot: rng.random(), info };
+        let mut members = MemberTable::new();
+        members.merge(now_ms, own.clone());
+        let own_address = own.info.address;
+        Self {
+            key: own.info.key(),
+            own,
+            seeds: seeds.into_iter().filter(|&seed| seed != own_address).collect(),
+            members,
+            digest: Digest::new(),
+            own_items: OwnItems::default(),
+            watches: Watches::default(),
+            outbound: BTreeMap::new(),
+            inbound: BTreeMap::new(),
+            contacts: BTreeMap::new(),
+            refutations: BTreeMap::new(),
+            peers: Vec::new(),
+            pacing: Pacing::for_fleet(1, 0),
+            is_plan_stale: true,
+            rotation: 0,
+            next_rotation_ms: now_ms,
+            next_heal_ms: now_ms,
+            newest: InForce::default(),
+            newest_origins: BTreeSet::new(),
+            urgency: 0,
+            changes: Changes::default(),
+            rng,
+        }
+    }
+
+    /// Returns the key of this node.
+    pub fn key(&self) -> NodeKey {
+        self.key
+    }
+
+    /// Returns the record of this node.
+    pub fn own(&self) -> &MemberRecord {
+        &self.own
+    }
+
+    /// Returns the members.
+    pub fn members(&self) -> &MemberTable {
+        &self.members
+    }
+
+    /// Returns the items.
+    pub fn digest(&self) -> &Digest {
+        &self.digest
+    }
+
+    /// Returns the periods in use.
+    pub fn pacing(&self) -> Pacing {
+        self.pacing
+    }
+
+    /// Returns the newest configuration that any node is known to have in force.
+    pub fn newest_in_force(&self) -> InForce {
+        self.newest
+    }
+
+    /// Returns the members that are not dead and not leaving, this one included.
+    pub fn usable_members(&self) -> impl Iterator<Item = (NodeKey, &MemberInfo)> {
+        let usable = self.members.iter().filter(|(_, record)| record.is_usable());
+        usable.map(|(key, record)| (key, &record.info))
+    }
+
+    /// Returns the addresses of the peers that this node has links with.
+    pub fn peer_addresses(&self) -> Vec<SocketAddr> {
+        let outbound = self.outbound.values().filter_map(|link| link.peer);
+        let inbound = self.inbound.values().map(|link| link.peer);
+        let keys: BTreeSet<NodeKey> = outbound.chain(inbound).collect();
+        let records = keys.into_iter().filter_map(|key| self.members.get(key));
+        records.map(|record| record.info.address).collect()
+    }
+
+    /// Returns what changed since the last call.
+    pub fn take_changes(&mut self) -> Changes {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Returns whether this node reads the platform's list of instances for the fleet.
+    pub fn reads_instance_list(&self) -> bool {
+        self.watches.reads_instance_list
+    }
+
+    pub(super) fn shared(&self) -> Shared<'_> {
+        Shared { own: self.key, members: &self.members, digest: &self.digest }
+    }
+
+    /// Returns a period shortened at random by up to a quarter.
+    pub(super) fn jittered_ms(&mut self, period_ms: u64) -> u64 {
+        let spread_ms = period_ms / 4;
+        period_ms - self.rng.random_range(0..=spread_ms)
+    }
+
+    /// Notes a change that must spread at once.
+    pub(super) fn mark_urgent(&mut self) {
+        self.urgency += 1;
+    }
+}
--- /dev/null
+++ b/crates/membership/src/cluster/summary.rs
@@ -0,0 +1,98 @@
+//! The state for a dump.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use super::state::Cluster;
+use crate::InForce;
+
+/// A member in a dump.
+#[derive(Clone, Debug, Serialize)]
+pub struct MemberSummary {
+    /// The name.
+    pub name: String,
+    /// The address for peers.
+    pub address: String,
+    /// The failure domain.
+    pub failure_domain: String,
+    /// The state.
+    pub state: String,
+    /// The incarnation.
+    pub incarnation: u32,
+    /// The generation that the member has in force; zero for none.
+    pub generation: u64,
+}
+
+/// What a node knows of the fleet, for its dump.
+#[derive(Clone, Debug, Serialize)]
+pub struct Summary {
+    /// This node.
+    pub name: String,
+    /// The members.
+    pub members: Vec<MemberSummary>,
+    /// The peers that this node chose.
+    pub chosen_peers: Vec<String>,
+    /// Links that this node opened.
+    pub outbound_links: usize,
+    /// Links that peers opened.
+    pub inbound_links: usize,
+    /// Items held.
+    pub items: usize,
+    /// Engines that this node watches.
+    pub watched_engines: usize,
+    /// Engines with a known load.
+    pub known_engines: usize,
+    /// Whether this node reads the platform's list of instances.
+    pub reads_instance_list: bool,
+    /// The newest generation known.
+    pub newest_generation: u64,
+    /// Between polls and publications of loads.
+    pub load_period_ms: u64,
+    /// Between exchanges on a link.
+    pub exchange_period_ms: u64,
+    /// Failures in a row, by address.
+    pub failures: BTreeMap<String, u32>,
+}
+
+impl Cluster {
+    /// Summarises the state.
+    pub fn summary(&self, now_ms: u64) -> Summary {
+        let contacts = self.contacts.iter();
+        let names = self.peers.iter().filter_map(|&peer| self.members.get(peer));
+        Summary {
+            name: self.own.info.name.clone(),
+            members: self.member_summaries(),
+            chosen_peers: names.map(|record| record.info.name.clone()).collect(),
+            outbound_links: self.outbound.len(),
+            inbound_links: self.inbound.len(),
+            items: self.digest.iter().count(),
+            watched_engines: self.watched_engines().count(),
+            known_engines: self.engine_views(now_ms).len(),
+            reads_instance_list: self.reads_instance_list(),
+            newest_generation: self.newest.generation,
+            load_period_ms: self.pacing.load_period_ms,
+            exchange_period_ms: self.pacing.exchange_period_ms,
+            failures: contacts
+                .map(|(address, contact)| (address.to_string(), contact.failures))
+                .collect(),
+        }
+    }
+
+    fn member_summaries(&self) -> Vec<MemberSummary> {
+        let members = self.members.iter();
+        members
+            .map(|(key, record)| MemberSummary {
+                name: record.info.name.clone(),
+                address: record.info.address.to_string(),
+                failure_domain: record.info.failure_domain.clone(),
+                state: format!("{:?}", record.state).to_lowercase(),
+                incarnation: record.incarnation,
+                generation: self
+                    .digest
+                    .read::<InForce>(key)
+                    .map_or(0, |in_force| in_force.generation),
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/membership/src/cluster/verify.rs
@@ -0,0 +1,91 @@
+//! Checks of the state machine's invariants.
+
+use std::collections::BTreeSet;
+
+use snafu::OptionExt;
+use snafu::Snafu;
+use snafu::ensure;
+
+use super::state::Cluster;
+use crate::Kind;
+use crate::Link;
+use crate::MemberState;
+use crate::NodeKey;
+use crate::Version;
+
+/// An invariant that does not hold.
+#[derive(Clone, PartialEq, Eq, Debug, Snafu)]
+pub enum Violation {
+    /// The node's record of itself is not the one in the table.
+    #[snafu(display("the table holds another record of this node"))]
+    OwnRecord,
+    /// The node holds itself for suspect or dead.
+    #[snafu(display("the node holds itself for {state:?}"))]
+    OwnState {
+        /// The state.
+        state: MemberState,
+    },
+    /// A peer is known to have more than there is.
+    #[snafu(display("a peer has {version:?} of {origin:?} {kind:?}, which is not held here"))]
+    PeerAhead {
+        /// The origin.
+        origin: NodeKey,
+        /// The kind.
+        kind: Kind,
+        /// The version.
+        version: Version,
+    },
+    /// Two links lead to one address.
+    #[snafu(display("two links to one address"))]
+    DoubleLink,
+    /// The newest generation is below one that the digest holds.
+    #[snafu(display("newest generation {newest} below {held}"))]
+    Generation {
+        /// The newest generation noted.
+        newest: u64,
+        /// The generation held.
+        held: u64,
+    },
+}
+
+impl Cluster {
+    /// Checks the invariants.
+    pub fn verify(&self) -> Result<(), Violation> {
+        self.verify_own()?;
+        let outbound = self.outbound.values().map(|link| &link.link);
+        let inbound = self.inbound.values().map(|link| &link.link);
+        for link in outbound.chain(inbound) {
+            self.verify_link(link)?;
+        }
+        let addresses: BTreeSet<_> = self.outbound.values().map(|link| link.address).collect();
+        ensure!(addresses.len() == self.outbound.len(), DoubleLinkSnafu);
+        self.verify_generation()
+    }
+
+    fn verify_own(&self) -> Result<(), Violation> {
+        let held = self.members.get(self.key).context(OwnRecordSnafu)?;
+        ensure!(*held == self.own, OwnRecordSnafu);
+        let state = self.own.state;
+        ensure!(state < MemberState::Suspect, OwnStateSnafu { state });
+        Ok(())
+    }
+
+    fn verify_link(&self, link: &Link) -> Result<(), Violation> {
+        for (origin, kind, version) in link.known_versions() {
+            let is_forgotten = !self.members.contains(origin);
+            let held = self.digest.get(origin, kind).map_or(Version::default(), |i| i.version);
+            ensure!(version <= held || is_forgotten, PeerAheadSnafu { origin, kind, version });
+        }
+        Ok(())
+    }
+
+    fn verify_generation(&self) -> Result<(), Violation> {
+        let newest = self.newest.generation;
+        for origin in self.digest.origins() {
+            let in_force: Option<crate::InForce> = self.digest.read(origin);
+            let held = in_force.map_or(0, |in_force| in_force.generation);
+            ensure!(held <= newest, GenerationSnafu { newest, held });
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/membership/src/digest/quantise.rs
@@ -0,0 +1,52 @@
+//! Quantities in one byte, on a logarithmic scale.
+
+/// Steps in each doubling.
+const STEPS_PER_OCTAVE: f64 = 8.0;
+
+/// The load of one engine in two bytes.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub struct EngineLevel {
+    /// Running requests.
+    pub running_level: u8,
+    /// Tokens of waiting prompts.
+    pub waiting_tokens_level: u8,
+}
+
+impl EngineLevel {
+    /// Quantises a load.
+    pub fn new(running: u64, waiting_tokens: u64) -> Self {
+        Self {
+            running_level: Self::level_of(running),
+            waiting_tokens_level: Self::level_of(waiting_tokens),
+        }
+    }
+
+    /// Returns the running requests, within a sixteenth of an octave.
+    pub fn running(self) -> u64 {
+        Self::quantity_of(self.running_level)
+    }
+
+    /// Returns the tokens of waiting prompts, within a sixteenth of an octave.
+    pub fn waiting_tokens(self) -> u64 {
+        Self::quantity_of(self.waiting_tokens_level)
+    }
+
+    /// Returns whether another load differs by more than the jitter of one reading.
+    pub fn differs(self, other: Self) -> bool {
+        /// An eighth of an octave each: a change of about a fifth is told.
+        const TOLERANCE_STEPS: u8 = 1;
+        self.running_level.abs_diff(other.running_level) > TOLERANCE_STEPS
+            || self.waiting_tokens_level.abs_diff(other.waiting_tokens_level) > TOLERANCE_STEPS
+    }
+
+    /// Quantises a quantity.
+    pub fn level_of(quantity: u64) -> u8 {
+        let level = ((quantity as f64 + 1.0).log2() * STEPS_PER_OCTAVE).round();
+        level.min(f64::from(u8::MAX)) as u8
+    }
+
+    /// Returns the quantity in the middle of a level.
+    pub fn quantity_of(level: u8) -> u64 {
+        ((f64::from(level) / STEPS_PER_OCTAVE).exp2() - 1.0).round() as u64
+    }
+}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,1 +1,58 @@
-//! Membership, failure suspicion, and the versioned digest exchanged by nodes.
+//! Which nodes there are and what they tell each other.
+//!
+//! All of it is soft state: a node that knows nothing serves, and what must last or be agreed goes
+//! through the platform's store instead. The crate does no I/O. Time (`now_ms`, monotonic) and
+//! randomness are passed in, and frames are handed to a driver that owns the connections.
+//!
+//! - [`MemberTable`]: the members, as a join-semilattice of records.
+//! - [`Digest`]: versioned items, one for each origin and kind; an older never replaces a newer.
+//! - [`Link`]: what one peer is known to have, so that only what it lacks is sent.
+//! - [`overlay`]: the few peers of each node, computed alike from the same members.
+//! - [`Cluster`]: the state machine that joins these.
+
+mod cluster;
+mod digest;
+mod keys;
+mod link;
+mod members;
+pub mod overlay;
+mod pacing;
+
+pub use cluster::Action;
+pub use cluster::Changes;
+pub use cluster::Cluster;
+pub use cluster::ClusterOptions;
+pub use cluster::EngineView;
+pub use cluster::Summary;
+pub use cluster::Violation;
+pub use digest::Digest;
+pub use digest::EngineLevel;
+pub use digest::EngineWatch;
+pub use digest::HeavyHitter;
+pub use digest::HeavyHitters;
+pub use digest::HotPrefix;
+pub use digest::HotPrefixes;
+pub use digest::InForce;
+pub use digest::Item;
+pub use digest::Kind;
+pub use digest::LeavingUpstreams;
+pub use digest::Levels;
+pub use digest::Payload;
+pub use digest::PayloadError;
+pub use digest::Version;
+pub use digest::WatchList;
+pub use keys::AccountKey;
+pub use keys::NodeKey;
+pub use keys::UpstreamKey;
+pub use link::Frame;
+pub use link::Link;
+pub use link::LinkError;
+pub use link::LinkId;
+pub use link::Received;
+pub use link::Reply;
+pub use link::Shared;
+pub use members::MemberInfo;
+pub use members::MemberRecord;
+pub use members::MemberState;
+pub use members::MemberTable;
+pub use pacing::Pacing;
--- /dev/null
+++ b/crates/membership/src/link/state.rs
@@ -0,0 +1,210 @@
+//! The state of one side of a link.
+
+use snafu::OptionExt;
+use snafu::Snafu;
+use snafu::ensure;
+
+use super::frame::AbsoluteItem;
+use super::frame::Place;
+use super::frame::SteppedItem;
+use super::tables::Incoming;
+use super::tables::Outgoing;
+use crate::Digest;
+use crate::Frame;
+use crate::Item;
+use crate::Kind;
+use crate::MemberRecord;
+use crate::MemberTable;
+use crate::NodeKey;
+use crate::Version;
+
+/// The bytes of payloads and records after which the rest waits for the next frame.
+const FRAME_TARGET_BYTES: usize = 48 * 1024;
+
+/// A rough size of a member record on the wire.
+const MEMBER_BYTES: usize = 48;
+
+/// A rough size of an item besides its payload.
+const ITEM_BYTES: usize = 8;
+
+/// Why a frame cannot be read.
+#[derive(Clone, PartialEq, Eq, Debug, Snafu)]
+pub enum LinkError {
+    /// A frame is missing, repeated or late.
+    #[snafu(display("frame {number} where {expected} was expected"))]
+    OutOfStep {
+        /// The number of the frame.
+        number: u32,
+        /// The number that was expected.
+        expected: u32,
+    },
+    /// A frame names an origin or kind that does not exist on this link.
+    #[snafu(display("unknown origin or kind"))]
+    UnknownPlace,
+    /// A step leads past the greatest sequence number.
+    #[snafu(display("sequence number overflows"))]
+    Overflow,
+}
+
+/// What a frame told.
+#[derive(Clone, PartialEq, Eq, Debug, Default)]
+pub struct Received {
+    /// The sender, if this was its first frame.
+    pub from: Option<NodeKey>,
+    /// Records of members.
+    pub members: Vec<MemberRecord>,
+    /// Items.
+    pub items: Vec<(NodeKey, Kind, Item)>,
+    /// Whether the sender has more.
+    pub more: bool,
+}
+
+/// What a side has to share.
+#[derive(Clone, Copy, Debug)]
+pub struct Shared<'a> {
+    /// The node itself.
+    pub own: NodeKey,
+    /// The members.
+    pub members: &'a MemberTable,
+    /// The items.
+    pub digest: &'a Digest,
+}
+
+/// One side of a link.
+#[derive(Clone, Debug, Default)]
+pub struct Link {
+    outgoing: Outgoing,
+    incoming: Incoming,
+    written: u32,
+    read: u32,
+}
+
+impl Link {
+    /// Makes a side that knows nothing of the other.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Writes the next frame: what the other side lacks, up to a limit.
+    ///
+    /// What is written counts as known to the other side, since a loss ends the link.
+    pub fn write(&mut self, now_ms: u64, shared: Shared<'_>) -> Frame {
+        let mut frame = Frame { number: self.written, ..Frame::default() };
+        frame.from = (self.written == 0).then_some(shared.own);
+        self.written = self.written.wrapping_add(1);
+        let mut room_bytes = FRAME_TARGET_BYTES;
+        for (key, record) in shared.members.shareable(now_ms) {
+            let known = self.outgoing.known(key);
+            if known.member >= Some(record.stamp()) {
+                continue;
+            }
+            if room_bytes < MEMBER_BYTES {
+                frame.more = true;
+                return frame;
+            }
+            room_bytes -= MEMBER_BYTES;
+            known.member = Some(record.stamp());
+            frame.members.push(record.clone());
+        }
+        for (origin, kind, item) in shared.digest.iter() {
+            if self.outgoing.known(origin).versions[kind.index()] >= item.version {
+                continue;
+            }
+            let size_bytes = ITEM_BYTES + item.payload.len();
+            if room_bytes < size_bytes {
+                frame.more = true;
+                return frame;
+            }
+            room_bytes -= size_bytes;
+            self.write_item(&mut frame, origin, kind, item);
+        }
+        frame
+    }
+
+    /// Returns whether the other side lacks anything of the kinds for which `counts` is true, or a
+    /// member record.
+    pub fn has_pending(
+        &mut self,
+        now_ms: u64,
+        shared: Shared<'_>,
+        counts: impl Fn(NodeKey, Kind) -> bool,
+    ) -> bool {
+        let mut members = shared.members.shareable(now_ms);
+        let outgoing = &mut self.outgoing;
+        if members.any(|(key, record)| outgoing.known(key).member < Some(record.stamp())) {
+            return true;
+        }
+        let mut items = shared.digest.iter().filter(|&(origin, kind, _)| counts(origin, kind));
+        items.any(|(origin, kind, item)| {
+            outgoing.known(origin).versions[kind.index()] < item.version
+        })
+    }
+
+    fn write_item(&mut self, frame: &mut Frame, origin: NodeKey, kind: Kind, item: &Item) {
+        let (number, is_new) = self.outgoing.number(origin);
+        if is_new {
+            frame.opened.push(origin);
+        }
+        let known = self.outgoing.known(origin);
+        let sent = std::mem::replace(&mut known.sent[kind.index()], item.version);
+        known.versions[kind.index()] = item.version;
+        let place = Place::new(number, kind);
+        let payload = item.payload.to_vec();
+        if sent.epoch == item.version.epoch && sent.sequence < item.version.sequence {
+            let step = item.version.sequence - sent.sequence;
+            frame.stepped.push(SteppedItem { place, step, payload });
+        } else {
+            frame.absolute.push(AbsoluteItem { place, version: item.version, payload });
+        }
+    }
+
+    /// Reads a frame of the other side. After an error the link must be dropped.
+    pub fn read(&mut self, frame: Frame) -> Result<Received, LinkError> {
+        let expected = self.read;
+        ensure!(frame.number == expected, OutOfStepSnafu { number: frame.number, expected });
+        self.read = self.read.wrapping_add(1);
+        for origin in frame.opened {
+            self.incoming.open(origin);
+        }
+        let mut items = Vec::with_capacity(frame.absolute.len() + frame.stepped.len());
+        for AbsoluteItem { place, version, payload } in frame.absolute {
+            let (origin, kind, last) = self.resolve(place)?;
+            *last = version;
+            items.push((origin, kind, Item { version, payload: payload.into() }));
+        }
+        for SteppedItem { place, step, payload } in frame.stepped {
+            let (origin, kind, last) = self.resolve(place)?;
+            last.sequence = last.sequence.checked_add(step).context(OverflowSnafu)?;
+            let version = *last;
+            items.push((origin, kind, Item { version, payload: payload.into() }));
+        }
+        self.learn(&frame.members, &items);
+        Ok(Received { from: frame.from, members: frame.members, items, more: frame.more })
+    }
+
+    fn resolve(&mut self, place: Place) -> Result<(NodeKey, Kind, &mut Version), LinkError> {
+        let kind = place.kind().context(UnknownPlaceSnafu)?;
+        let entry = self.incoming.entry(place.number(), kind);
+        let (origin, last) = entry.context(UnknownPlaceSnafu)?;
+        Ok((origin, kind, last))
+    }
+
+    fn learn(&mut self, members: &[MemberRecord], items: &[(NodeKey, Kind, Item)]) {
+        for record in members {
+            let known = self.outgoing.known(record.info.key());
+            known.member = known.member.max(Some(record.stamp()));
+        }
+        for (origin, kind, item) in items {
+            let version = &mut self.outgoing.known(*origin).versions[kind.index()];
+            *version = (*version).max(item.version);
+        }
+    }
+
+    /// Visits the versions that the other side is known to have.
+    pub fn known_versions(&self) -> impl Iterator<Item = (NodeKey, Kind, Version)> {
+        self.outgoing.iter().flat_map(|(origin, known)| {
+            let versions = Kind::ALL.iter().zip(known.versions);
+            versions.map(move |(&kind, version)| (origin, kind, version))
+        })
+    }
+}
--- /dev/null
+++ b/crates/membership/src/link/tables.rs
@@ -0,0 +1,71 @@
+//! What is known of the other side of a link.
+
+use std::collections::HashMap;
+
+use crate::Kind;
+use crate::NodeKey;
+use crate::Version;
+use crate::members::RecordStamp;
+
+/// What the other side has of one origin.
+#[derive(Clone, Debug, Default)]
+pub struct Known {
+    /// The number of the origin on the wire, once it was sent.
+    pub number: Option<u32>,
+    /// The greatest versions that the other side is known to have.
+    pub versions: [Version; Kind::COUNT],
+    /// The versions last sent, to which steps refer.
+    pub sent: [Version; Kind::COUNT],
+    /// The greatest member record that the other side is known to have.
+    pub member: Option<RecordStamp>,
+}
+
+/// The sending side of a link.
+#[derive(Clone, Debug, Default)]
+pub struct Outgoing {
+    known: HashMap<NodeKey, Known>,
+    numbers: u32,
+}
+
+impl Outgoing {
+    /// Returns what the other side has of an origin.
+    pub fn known(&mut self, origin: NodeKey) -> &mut Known {
+        self.known.entry(origin).or_default()
+    }
+
+    /// Visits what the other side has.
+    pub fn iter(&self) -> impl Iterator<Item = (NodeKey, &Known)> {
+        self.known.iter().map(|(&origin, known)| (origin, known))
+    }
+
+    /// Returns the number of an origin, and whether it was assigned just now.
+    pub fn number(&mut self, origin: NodeKey) -> (u32, bool) {
+        let next = self.numbers;
+        let known = self.known.entry(origin).or_default();
+        if let Some(number) = known.number {
+            return (number, false);
+        }
+        known.number = Some(next);
+        self.numbers += 1;
+        (next, true)
+    }
+}
+
+/// The receiving side of a link.
+#[derive(Clone, Debug, Default)]
+pub struct Incoming {
+    origins: Vec<(NodeKey, [Version; Kind::COUNT])>,
+}
+
+impl Incoming {
+    /// Gives an origin the next number.
+    pub fn open(&mut self, origin: NodeKey) {
+        self.origins.push((origin, Default::default()));
+    }
+
+    /// Returns the origin with a number, and the version last received of a kind.
+    pub fn entry(&mut self, number: usize, kind: Kind) -> Option<(NodeKey, &mut Version)> {
+        let (origin, versions) = self.origins.get_mut(number)?;
+        Some((*origin, &mut versions[kind.index()]))
+    }
+}
--- /dev/null
+++ b/crates/membership/src/overlay/rendezvous.rs
@@ -0,0 +1,24 @@
+//! Rendezvous hashing.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::NodeKey;
+
+/// Returns the weight of a node for a subject. Nodes with the greatest weights serve it.
+pub fn score(subject: u64, node: NodeKey) -> u64 {
+    xxh3_64_with_seed(&node.0.to_le_bytes(), subject)
+}
+
+/// Returns the nodes with the greatest weights for a subject, greatest first.
+pub fn best(subject: u64, nodes: impl Iterator<Item = NodeKey>, count: usize) -> Vec<NodeKey> {
+    let mut ranked: Vec<(u64, NodeKey)> = Vec::with_capacity(count + 1);
+    for node in nodes {
+        let entry = (score(subject, node), node);
+        let place = ranked.partition_point(|held| *held > entry);
+        if place < count {
+            ranked.insert(place, entry);
+            ranked.truncate(count);
+        }
+    }
+    ranked.into_iter().map(|(_, node)| node).collect()
+}
--- /dev/null
+++ b/crates/membership/src/overlay/watchers.rs
@@ -0,0 +1,66 @@
+//! Which nodes poll an engine's load.
+
+use std::collections::BTreeMap;
+
+use super::rendezvous::best;
+use crate::MemberRecord;
+use crate::MemberState;
+use crate::MemberTable;
+use crate::NodeKey;
+use crate::UpstreamKey;
+
+/// Fleets with at most this many engines watch each twice.
+const TWICE_WATCHED_ENGINES: usize = 64;
+
+/// Returns how many nodes watch each engine.
+pub fn watchers_per_engine(engines: usize) -> usize {
+    if engines <= TWICE_WATCHED_ENGINES { 2 } else { 1 }
+}
+
+/// The nodes that may watch, by failure domain.
+#[derive(Clone, Debug)]
+pub struct WatchPlan<'a> {
+    by_domain: BTreeMap<&'a str, Vec<NodeKey>>,
+    all: Vec<NodeKey>,
+}
+
+impl<'a> WatchPlan<'a> {
+    /// Collects the nodes that may watch. A suspect keeps its engines until it is dead.
+    pub fn new(members: &'a MemberTable) -> Self {
+        let mut plan = Self { by_domain: BTreeMap::new(), all: Vec::new() };
+        for (key, record) in members.iter().filter(|(_, record)| may_watch(record)) {
+            plan.by_domain.entry(&record.info.failure_domain).or_default().push(key);
+            plan.all.push(key);
+        }
+        plan
+    }
+
+    /// Returns the watchers of an engine, nodes of its failure domain before others.
+    pub fn watchers(&self, engine: UpstreamKey, domain: &str, count: usize) -> Vec<NodeKey> {
+        let near = self.by_domain.get(domain).map_or(&[][..], Vec::as_slice);
+        let mut watchers = best(u64::from(engine.0), near.iter().copied(), count);
+        if watchers.len() < count {
+            let far = self.all.iter().copied().filter(|key| !near.contains(key));
+            let missing = count - watchers.len();
+            watchers.extend(best(u64::from(engine.0), far, missing));
+        }
+        watchers
+    }
+
+    /// Returns whether a node of the domain `own_domain` can be a watcher of engines of `domain`.
+    pub fn can_watch(&self, own_domain: &str, domain: &str, count: usize) -> bool {
+        let near = self.by_domain.get(domain).map_or(0, Vec::len);
+        own_domain == domain || near < count
+    }
+
+    /// Returns the nodes that read the platform's list of instances for the fleet.
+    pub fn list_readers(&self, count: usize) -> Vec<NodeKey> {
+        /// An arbitrary subject, the same on every node.
+        const INSTANCE_LIST: u64 = 0x1157;
+        best(INSTANCE_LIST, self.all.iter().copied(), count)
+    }
+}
+
+fn may_watch(record: &MemberRecord) -> bool {
+    matches!(record.state, MemberState::Live | MemberState::Suspect)
+}
--- /dev/null
+++ b/crates/membership/src/pacing.rs
@@ -0,0 +1,67 @@
+//! How often things are polled, published and exchanged.
+//!
+//! The bytes a node spends are items times nodes over the period, so the periods grow with the
+//! fleet and the bytes do not: a site of seven nodes hears of loads each second, and one of 320
+//! nodes each few seconds. Changes that must spread at once (members, generations, leaving
+//! upstreams) do not wait for a period.
+
+/// Times each item crosses a node's links, sent and received together.
+///
+/// An item crosses each link once, and a node has four links on average.
+const CROSSINGS: u64 = 4;
+
+/// Bytes of an item besides its payload.
+const ITEM_OVERHEAD_BYTES: u64 = 6;
+
+/// Bytes of one engine in a load item.
+const ENGINE_LEVEL_BYTES: u64 = 2;
+
+/// Bytes of a full item of heavy hitters or hot prefixes.
+const RANKING_BYTES: u64 = 24;
+
+/// The share of a node's bytes for engine loads.
+const LOAD_BYTES_PER_S: u64 = 1_500;
+
+/// The share of a node's bytes for each ranking.
+const RANKING_BYTES_PER_S: u64 = 250;
+
+const LOAD_PERIOD_MIN_MS: u64 = 1_000;
+const LOAD_PERIOD_MAX_MS: u64 = 10_000;
+const RANKING_PERIOD_MIN_MS: u64 = 2_000;
+const RANKING_PERIOD_MAX_MS: u64 = 300_000;
+const EXCHANGE_PERIOD_MIN_MS: u64 = 1_000;
+const EXCHANGE_PERIOD_MAX_MS: u64 = 3_000;
+
+/// The periods of one node.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct Pacing {
+    /// Between polls of one engine's load, and between published load items.
+    pub load_period_ms: u64,
+    /// Between published items of heavy hitters, and of hot prefixes.
+    pub ranking_period_ms: u64,
+    /// Between exchanges on one link.
+    pub exchange_period_ms: u64,
+}
+
+impl Pacing {
+    /// Computes the periods for a fleet.
+    pub fn for_fleet(nodes: usize, engines: usize) -> Self {
+        let nodes = nodes as u64;
+        let load_bytes = nodes * ITEM_OVERHEAD_BYTES + engines as u64 * ENGINE_LEVEL_BYTES;
+        let ranking_bytes = nodes * (ITEM_OVERHEAD_BYTES + RANKING_BYTES);
+        let load_period_ms = period_ms(load_bytes, LOAD_BYTES_PER_S);
+        let load_period_ms = load_period_ms.clamp(LOAD_PERIOD_MIN_MS, LOAD_PERIOD_MAX_MS);
+        let ranking_period_ms = period_ms(ranking_bytes, RANKING_BYTES_PER_S);
+        Self {
+            load_period_ms,
+            ranking_period_ms: ranking_period_ms
+                .clamp(RANKING_PERIOD_MIN_MS, RANKING_PERIOD_MAX_MS),
+            exchange_period_ms: (load_period_ms / 2)
+                .clamp(EXCHANGE_PERIOD_MIN_MS, EXCHANGE_PERIOD_MAX_MS),
+        }
+    }
+}
+
+fn period_ms(round_bytes: u64, bytes_per_s: u64) -> u64 {
+    round_bytes * CROSSINGS * 1_000 / bytes_per_s
+}
--- /dev/null
+++ b/crates/membership/tests/bytes.rs
@@ -0,0 +1,113 @@
+//! The bytes and the time that spreading takes, over the encoded frames, up to the target size.
+
+mod common;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::common::Fleet;
+use redwingrill_membership::AccountKey;
+use redwingrill_membership::EngineLevel;
+use redwingrill_membership::HeavyHitter;
+use redwingrill_membership::HeavyHitters;
+use redwingrill_membership::HotPrefix;
+use redwingrill_membership::HotPrefixes;
+use redwingrill_membership::InForce;
+use redwingrill_membership::UpstreamKey;
+
+/// A node's share of the control bytes, sent and received together.
+const LIMIT_BYTES_PER_S: u64 = 6_000;
+
+/// The time for a configuration to be in force everywhere.
+const IN_FORCE_LIMIT_MS: u64 = 9_000;
+
+const WARM_UP_MS: u64 = 30_000;
+const MEASURED_MS: u64 = 60_000;
+
+struct Case {
+    nodes: usize,
+    engines: usize,
+    domains: usize,
+    /// Whether every load changes by more than a step between polls.
+    restless: bool,
+}
+
+#[test]
+fn bytes_and_convergence_stay_within_the_limits() {
+    let cases = [
+        Case { nodes: 7, engines: 18, domains: 3, restless: true },
+        Case { nodes: 80, engines: 850, domains: 6, restless: true },
+        Case { nodes: 320, engines: 850, domains: 6, restless: true },
+    ];
+    for case in cases {
+        measure(&case);
+    }
+}
+
+fn measure(case: &Case) {
+    let mut fleet = Fleet::new(case.nodes, case.domains, 7);
+    fleet.start_all();
+    for n in 0..case.nodes {
+        let engines = (0..case.engines).map(|e| {
+            let domain = format!("domain-{}", e % case.domains);
+            (UpstreamKey::of(&format!("engine-{e}")), domain)
+        });
+        fleet.cluster(n).set_engines(engines);
+    }
+    let mut rng = SmallRng::seed_from_u64(1);
+    run(&mut fleet, case, &mut rng, WARM_UP_MS);
+    for node in &mut fleet.nodes {
+        (node.sent_bytes, node.received_bytes) = (0, 0);
+    }
+    fleet.exchanges = 0;
+    run(&mut fleet, case, &mut rng, MEASURED_MS);
+
+    let seconds = MEASURED_MS / 1_000;
+    let sums = fleet.nodes.iter().map(|node| (node.sent_bytes + node.received_bytes) / seconds);
+    let (mean, worst) = (sums.clone().sum::<u64>() / case.nodes as u64, sums.max().unwrap());
+    let now_ms = fleet.now_ms;
+    let seen = fleet.running().map(|c| c.engine_views(now_ms).len()).min().unwrap();
+    let exchanges = fleet.exchanges;
+
+    let in_force = InForce { generation: 5, manifest: [1; 8] };
+    fleet.cluster(0).publish_in_force(now_ms, in_force);
+    let heard_ms = fleet.run_until(IN_FORCE_LIMIT_MS, |fleet| {
+        fleet.running().all(|cluster| cluster.newest_in_force().generation == 5)
+    });
+    println!(
+        "nodes={} engines={} restless={} bytes_per_s_mean={mean} bytes_per_s_worst={worst} \
+         exchanges_per_s_node={:.2} engines_seen_least={seen} heard_ms={heard_ms:?}",
+        case.nodes,
+        case.engines,
+        case.restless,
+        exchanges as f64 / seconds as f64 / case.nodes as f64,
+    );
+    assert!(mean <= LIMIT_BYTES_PER_S / 2, "own aim for the mean");
+    assert!(worst <= LIMIT_BYTES_PER_S, "limit for the busiest node");
+    assert_eq!(seen, case.engines, "engines with a known load");
+    assert!(heard_ms.is_some_and(|heard_ms| heard_ms <= IN_FORCE_LIMIT_MS / 2));
+}
+
+/// Runs with loads, heavy hitters and hot prefixes that change each second.
+fn run(fleet: &mut Fleet, case: &Case, rng: &mut SmallRng, duration_ms: u64) {
+    for _ in 0..duration_ms / 1_000 {
+        for n in 0..case.nodes {
+            let cluster = fleet.cluster(n);
+            let watched: Vec<UpstreamKey> = cluster.watched_engines().collect();
+            for engine in watched {
+                let running = if case.restless { rng.random_range(0..400) } else { 316 };
+                cluster.note_load(engine, "boot-1", EngineLevel::new(running, running * 50));
+            }
+            let hitters = (0..4).map(|a| HeavyHitter {
+                account: AccountKey::of(&format!("account-{a}")),
+                rate_level: rng.random_range(60..120),
+            });
+            cluster.offer_heavy_hitters(&HeavyHitters { accounts: hitters.collect() });
+            let prefixes =
+                (0..4).map(|p| HotPrefix { prefix: p << 20, rate_level: rng.random_range(9..40) });
+            cluster.offer_hot_prefixes(&HotPrefixes { prefixes: prefixes.collect() });
+        }
+        fleet.run(1_000);
+    }
+}
--- /dev/null
+++ b/crates/membership/tests/common/mod.rs
@@ -0,0 +1,271 @@
+//! A few state machines joined by queues, with faults. Time moves in steps of 100 ms.
+
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use redwingrill_membership::Action;
+use redwingrill_membership::Cluster;
+use redwingrill_membership::ClusterOptions;
+use redwingrill_membership::Frame;
+use redwingrill_membership::LinkId;
+use redwingrill_membership::MemberInfo;
+use redwingrill_membership::NodeKey;
+use redwingrill_membership::Reply;
+
+pub const STEP_MS: u64 = 100;
+const TIMEOUT_MS: u64 = 1_500;
+
+/// Bytes of an exchange besides its two frames: the headers of IP, UDP and QUIC of three packets,
+/// and those of the call.
+pub const EXCHANGE_OVERHEAD_BYTES: u64 = 260;
+
+/// What a message is.
+#[derive(Clone)]
+enum Message {
+    Request(Frame),
+    Reply(Reply),
+    Nudge,
+    Timeout,
+}
+
+#[derive(Clone)]
+struct Envelope {
+    from: usize,
+    to: usize,
+    link: LinkId,
+    message: Message,
+}
+
+/// One node of the fleet.
+pub struct Node {
+    pub info: MemberInfo,
+    /// None while the node is down.
+    pub cluster: Option<Cluster>,
+    pub is_paused: bool,
+    /// The part of the network that the node is in.
+    pub part: u32,
+    pub sent_bytes: u64,
+    pub received_bytes: u64,
+    boots: u64,
+    waiting: BTreeMap<LinkId, u64>,
+}
+
+/// The nodes and the network.
+pub struct Fleet {
+    pub now_ms: u64,
+    pub nodes: Vec<Node>,
+    /// In a thousand messages, how many are sent twice, and how many are delayed.
+    pub duplicates: u32,
+    pub delays: u32,
+    pub exchanges: u64,
+    by_address: BTreeMap<SocketAddr, usize>,
+    openers: BTreeMap<LinkId, usize>,
+    queue: BTreeMap<(u64, u64), Envelope>,
+    serial: u64,
+    rng: SmallRng,
+    seed: u64,
+}
+
+impl Fleet {
+    pub fn new(nodes: usize, domains: usize, seed: u64) -> Self {
+        let infos = (0..nodes).map(|n| MemberInfo {
+            name: format!("entry-{n}"),
+            address: SocketAddr::from(([10, 0, (n / 250) as u8, (n % 250) as u8], 7000)),
+            failure_domain: format!("domain-{}", n % domains),
+        });
+        let nodes: Vec<Node> = infos
+            .map(|info| Node {
+                info,
+                cluster: None,
+                is_paused: false,
+                part: 0,
+                sent_bytes: 0,
+                received_bytes: 0,
+                boots: 0,
+                waiting: BTreeMap::new(),
+            })
+            .collect();
+        let addresses = nodes.iter().enumerate().map(|(n, node)| (node.info.address, n));
+        Self {
+            now_ms: 1_000,
+            by_address: addresses.collect(),
+            nodes,
+            duplicates: 0,
+            delays: 0,
+            exchanges: 0,
+            openers: BTreeMap::new(),
+            queue: BTreeMap::new(),
+            serial: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            seed,
+        }
+    }
+
+    /// Starts a node, as a new process without memory of the last one.
+    pub fn start(&mut self, n: usize) {
+        let seeds: Vec<SocketAddr> = self.nodes.iter().take(3).map(|s| s.info.address).collect();
+        let node = &mut self.nodes[n];
+        node.boots += 1;
+        let boot = self.seed ^ (n as u64) << 32 ^ node.boots;
+        let options = ClusterOptions { info: node.info.clone(), seeds, boot };
+        node.cluster = Some(Cluster::new(self.now_ms, options));
+        node.is_paused = false;
+        node.waiting.clear();
+    }
+
+    pub fn start_all(&mut self) {
+        (0..self.nodes.len()).for_each(|n| self.start(n));
+    }
+
+    pub fn kill(&mut self, n: usize) {
+        self.nodes[n].cluster = None;
+    }
+
+    pub fn cluster(&mut self, n: usize) -> &mut Cluster {
+        self.nodes[n].cluster.as_mut().expect("the node runs")
+    }
+
+    pub fn running(&self) -> impl Iterator<Item = &Cluster> {
+        self.nodes.iter().filter_map(|node| node.cluster.as_ref())
+    }
+
+    pub fn run(&mut self, duration_ms: u64) {
+        let end_ms = self.now_ms + duration_ms;
+        while self.now_ms < end_ms {
+            self.step();
+        }
+    }
+
+    /// Runs until a condition holds. Returns how long it took, if it came to hold in time.
+    pub fn run_until(&mut self, limit_ms: u64, holds: impl Fn(&Self) -> bool) -> Option<u64> {
+        let start_ms = self.now_ms;
+        while self.now_ms - start_ms <= limit_ms {
+            if holds(self) {
+                return Some(self.now_ms - start_ms);
+            }
+            self.step();
+        }
+        None
+    }
+
+    pub fn step(&mut self) {
+        self.now_ms += STEP_MS;
+        self.deliver();
+        for n in 0..self.nodes.len() {
+            let node = &mut self.nodes[n];
+            if node.is_paused {
+                continue;
+            }
+            let Some(cluster) = &mut node.cluster else { continue };
+            let actions = cluster.tick(self.now_ms);
+            for action in actions {
+                self.act(n, action);
+            }
+        }
+    }
+
+    fn act(&mut self, from: usize, action: Action) {
+        match action {
+            Action::Exchange { link, address, frame } => {
+                self.exchanges += 1;
+                self.openers.insert(link, from);
+                self.nodes[from].waiting.insert(link, self.now_ms);
+                let timeout = Envelope { from, to: from, link, message: Message::Timeout };
+                self.push(self.now_ms + TIMEOUT_MS, timeout);
+                if let Some(&to) = self.by_address.get(&address) {
+                    self.send(Envelope { from, to, link, message: Message::Request(frame) });
+                }
+            }
+            Action::Nudge { link } => {
+                if let Some(&to) = self.openers.get(&link) {
+                    self.send(Envelope { from, to, link, message: Message::Nudge });
+                }
+            }
+            Action::Close { link } => {
+                self.openers.remove(&link);
+            }
+        }
+    }
+
+    fn send(&mut self, envelope: Envelope) {
+        let size_bytes = match &envelope.message {
+            Message::Request(frame) => encoded_bytes(frame) + EXCHANGE_OVERHEAD_BYTES / 2,
+            Message::Reply(reply) => encoded_bytes(reply) + EXCHANGE_OVERHEAD_BYTES / 2,
+            Message::Nudge | Message::Timeout => EXCHANGE_OVERHEAD_BYTES / 2,
+        };
+        self.nodes[envelope.from].sent_bytes += size_bytes;
+        self.nodes[envelope.to].received_bytes += size_bytes;
+        if self.chance(self.duplicates) {
+            let late_ms = self.now_ms + self.rng.random_range(0..2_000);
+            self.push(late_ms, envelope.clone());
+        }
+        let delay_ms = if self.chance(self.delays) { self.rng.random_range(0..3_000) } else { 0 };
+        self.push(self.now_ms + delay_ms, envelope);
+    }
+
+    fn chance(&mut self, per_mille: u32) -> bool {
+        per_mille > 0 && self.rng.random_ratio(per_mille, 1_000)
+    }
+
+    fn push(&mut self, due_ms: u64, envelope: Envelope) {
+        self.serial += 1;
+        self.queue.insert((due_ms, self.serial), envelope);
+    }
+
+    /// Delivers what is due. Replies to requests delivered now arrive in the same step.
+    fn deliver(&mut self) {
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > self.now_ms {
+                return;
+            }
+            let envelope = entry.remove();
+            let (from, to) = (&self.nodes[envelope.from], &self.nodes[envelope.to]);
+            let is_cut = from.part != to.part || to.cluster.is_none();
+            if to.is_paused {
+                self.push(self.now_ms + STEP_MS, envelope);
+            } else if !is_cut {
+                self.handle(envelope);
+            }
+        }
+    }
+
+    fn handle(&mut self, Envelope { from, to, link, message }: Envelope) {
+        let now_ms = self.now_ms;
+        let node = &mut self.nodes[to];
+        let cluster = node.cluster.as_mut().expect("the node runs");
+        match message {
+            Message::Request(frame) => {
+                let reply = cluster.on_exchange(now_ms, link, frame);
+                self.send(Envelope { from: to, to: from, link, message: Message::Reply(reply) });
+            }
+            Message::Reply(reply) => {
+                // A reply after the timeout is dropped, as the call is over.
+                if node.waiting.remove(&link).is_some() {
+                    cluster.on_reply(now_ms, link, reply);
+                }
+            }
+            Message::Nudge => cluster.on_nudge(now_ms, link),
+            Message::Timeout => {
+                let began_ms = node.waiting.get(&link);
+                if began_ms.is_some_and(|&began_ms| now_ms >= began_ms + TIMEOUT_MS) {
+                    node.waiting.remove(&link);
+                    cluster.on_failure(now_ms, link);
+                }
+            }
+        }
+    }
+}
+
+pub fn encoded_bytes<T: serde::Serialize>(value: &T) -> u64 {
+    postcard::to_allocvec(value).expect("frames are serialisable").len() as u64
+}
+
+pub fn key_of(n: usize) -> NodeKey {
+    NodeKey::of(&format!("entry-{n}"))
+}
--- /dev/null
+++ b/crates/membership/tests/faults.rs
@@ -0,0 +1,190 @@
+//! A fault matrix and seeded schedules of faults, in paused time.
+
+mod common;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use crate::common::Fleet;
+use crate::common::key_of;
+use redwingrill_membership::Cluster;
+use redwingrill_membership::InForce;
+use redwingrill_membership::MemberState;
+
+const NODES: usize = 7;
+const DOMAINS: usize = 3;
+const SCHEDULES: u64 = 1_000;
+
+/// How long the fleet has, after the last fault, to agree again.
+const SETTLE_LIMIT_MS: u64 = 90_000;
+
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    Kill,
+    KillAndRestart,
+    Pause,
+    PartNode,
+    PartDomain,
+    Duplicates,
+    Delays,
+    RestartHerd,
+    Leave,
+}
+
+const FAULTS: [Fault; 9] = [
+    Fault::Kill,
+    Fault::KillAndRestart,
+    Fault::Pause,
+    Fault::PartNode,
+    Fault::PartDomain,
+    Fault::Duplicates,
+    Fault::Delays,
+    Fault::RestartHerd,
+    Fault::Leave,
+];
+
+/// What the fleet does when the fault comes.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Start,
+    Joined,
+    Change,
+}
+
+const STEPS: [Step; 3] = [Step::Start, Step::Joined, Step::Change];
+
+#[test]
+fn each_fault_and_pair_of_faults_at_each_step_heals() {
+    let mut runs = 0;
+    for step in STEPS {
+        for first in FAULTS {
+            run_case(step, &[first]);
+            for second in FAULTS {
+                run_case(step, &[first, second]);
+                runs += 1;
+            }
+            runs += 1;
+        }
+    }
+    println!("faults={} steps={} runs={runs}", FAULTS.len(), STEPS.len());
+}
+
+fn run_case(step: Step, faults: &[Fault]) {
+    let mut fleet = Fleet::new(NODES, DOMAINS, 3);
+    fleet.start_all();
+    if !matches!(step, Step::Start) {
+        fleet.run(5_000);
+    }
+    if matches!(step, Step::Change) {
+        announce(&mut fleet, 0, 1);
+    }
+    for (number, &fault) in faults.iter().enumerate() {
+        inject(&mut fleet, fault, 1 + number * 2);
+        fleet.run(8_000);
+    }
+    settle(&mut fleet, &format!("{step:?} {faults:?}"));
+}
+
+#[test]
+fn seeded_schedules_of_faults_heal() {
+    for seed in 0..SCHEDULES {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut fleet = Fleet::new(NODES, DOMAINS, seed);
+        fleet.start_all();
+        let mut generation = 0;
+        for _ in 0..rng.random_range(2..6) {
+            let n = rng.random_range(0..NODES);
+            if rng.random_ratio(1, 3) && fleet.nodes[n].cluster.is_some() {
+                generation += 1;
+                announce(&mut fleet, n, generation);
+            }
+            let fault = FAULTS[rng.random_range(0..FAULTS.len())];
+            inject(&mut fleet, fault, rng.random_range(0..NODES));
+            run_checked(&mut fleet, rng.random_range(100..6_000), seed);
+        }
+        settle(&mut fleet, &format!("seed={seed}"));
+    }
+    println!("schedules={SCHEDULES}");
+}
+
+fn announce(fleet: &mut Fleet, n: usize, generation: u64) {
+    let now_ms = fleet.now_ms;
+    let in_force = InForce { generation, manifest: [generation as u8; 8] };
+    fleet.cluster(n).publish_in_force(now_ms, in_force);
+}
+
+fn inject(fleet: &mut Fleet, fault: Fault, n: usize) {
+    let now_ms = fleet.now_ms;
+    match fault {
+        Fault::Kill => fleet.kill(n),
+        Fault::KillAndRestart => fleet.start(n),
+        Fault::Pause => fleet.nodes[n].is_paused = true,
+        Fault::PartNode => fleet.nodes[n].part = 1,
+        Fault::PartDomain => {
+            let apart = fleet.nodes.iter_mut().skip(n % DOMAINS).step_by(DOMAINS);
+            apart.for_each(|node| node.part = 2);
+        }
+        Fault::Duplicates => fleet.duplicates = 200,
+        Fault::Delays => fleet.delays = 200,
+        Fault::RestartHerd => fleet.start_all(),
+        Fault::Leave => {
+            if let Some(cluster) = &mut fleet.nodes[n].cluster {
+                cluster.leave(now_ms);
+            }
+        }
+    }
+}
+
+/// Runs and checks the invariants on the way: generations never go down at a running node.
+fn run_checked(fleet: &mut Fleet, duration_ms: u64, seed: u64) {
+    let mut newest: Vec<u64> = generations(fleet);
+    for _ in 0..duration_ms / common::STEP_MS {
+        fleet.step();
+        let now = generations(fleet);
+        assert!(newest.iter().zip(&now).all(|(was, is)| was <= is), "seed={seed}");
+        newest = now;
+        for cluster in fleet.running() {
+            cluster.verify().unwrap_or_else(|violation| panic!("seed={seed}: {violation}"));
+        }
+    }
+}
+
+fn generations(fleet: &Fleet) -> Vec<u64> {
+    let newest = |cluster: &Cluster| cluster.newest_in_force().generation;
+    fleet.nodes.iter().map(|node| node.cluster.as_ref().map_or(0, newest)).collect()
+}
+
+/// Ends all faults but deaths, and demands that the running nodes come to agree.
+fn settle(fleet: &mut Fleet, label: &str) {
+    for node in &mut fleet.nodes {
+        node.part = 0;
+        node.is_paused = false;
+    }
+    (fleet.duplicates, fleet.delays) = (0, 0);
+    let took_ms = fleet.run_until(SETTLE_LIMIT_MS, agree);
+    for cluster in fleet.running() {
+        cluster.verify().unwrap_or_else(|violation| panic!("{label}: {violation}"));
+    }
+    let views: Vec<_> = fleet.running().map(|cluster| cluster.summary(fleet.now_ms)).collect();
+    assert!(took_ms.is_some(), "{label}: no agreement: {views:#?}");
+}
+
+/// Whether each running node holds all running nodes for what they say they are, all others for
+/// dead, and knows of the newest generation that a running node has in force.
+fn agree(fleet: &Fleet) -> bool {
+    let in_force = |cluster: &Cluster| cluster.digest().read::<InForce>(cluster.key());
+    let newest = fleet.running().filter_map(in_force).map(|held| held.generation).max();
+    fleet.running().all(|cluster| {
+        let is_newest = cluster.newest_in_force().generation >= newest.unwrap_or(0);
+        is_newest && (0..NODES).all(|n| holds_truth(fleet, cluster, n))
+    })
+}
+
+fn holds_truth(fleet: &Fleet, cluster: &Cluster, n: usize) -> bool {
+    let held = cluster.members().get(key_of(n)).map(|record| record.state);
+    match &fleet.nodes[n].cluster {
+        Some(running) => held == Some(running.own().state),
+        None => matches!(held, None | Some(MemberState::Dead)),
+    }
+}
--- /dev/null
+++ b/crates/membership/tests/merge.rs
@@ -0,0 +1,144 @@
+//! Merging keeps its laws, and no bytes from outside make the decoding panic.
+
+use std::net::SocketAddr;
+
+use quickcheck::Arbitrary;
+use quickcheck::Gen;
+use quickcheck::QuickCheck;
+use quickcheck::Testable;
+
+use redwingrill_membership::Digest;
+use redwingrill_membership::Frame;
+use redwingrill_membership::HeavyHitters;
+use redwingrill_membership::Item;
+use redwingrill_membership::Kind;
+use redwingrill_membership::Levels;
+use redwingrill_membership::Link;
+use redwingrill_membership::MemberInfo;
+use redwingrill_membership::MemberRecord;
+use redwingrill_membership::MemberState;
+use redwingrill_membership::MemberTable;
+use redwingrill_membership::NodeKey;
+use redwingrill_membership::Payload;
+use redwingrill_membership::Version;
+use redwingrill_membership::WatchList;
+
+#[derive(Clone, Debug)]
+struct AnyItem(NodeKey, Kind, Item);
+
+impl Arbitrary for AnyItem {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let kind = *g.choose(&Kind::ALL).expect("there are kinds");
+        let version = Version { epoch: u32::arbitrary(g) % 3, sequence: u32::arbitrary(g) % 4 };
+        let payload = vec![u8::arbitrary(g) % 3].into();
+        Self(NodeKey(u64::arbitrary(g) % 3), kind, Item { version, payload })
+    }
+}
+
+#[derive(Clone, Debug)]
+struct AnyRecord(MemberRecord);
+
+impl Arbitrary for AnyRecord {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let states =
+            [MemberState::Live, MemberState::Leaving, MemberState::Suspect, MemberState::Dead];
+        let port = u16::arbitrary(g) % 2;
+        Self(MemberRecord {
+            incarnation: u32::arbitrary(g) % 3,
+            state: *g.choose(&states).expect("there are states"),
+            boot: u32::arbitrary(g) % 2,
+            info: MemberInfo {
+                name: format!("entry-{}", u8::arbitrary(g) % 2),
+                address: SocketAddr::from(([127, 0, 0, 1], port)),
+                failure_domain: "domain-0".to_owned(),
+            },
+        })
+    }
+}
+
+fn digest_of<'a>(items: impl Iterator<Item = &'a AnyItem>) -> Vec<(NodeKey, Kind, Item)> {
+    let mut digest = Digest::new();
+    for AnyItem(origin, kind, item) in items {
+        digest.merge(0, *origin, *kind, item.clone());
+    }
+    digest.iter().map(|(origin, kind, item)| (origin, kind, item.clone())).collect()
+}
+
+fn table_of<'a>(records: impl Iterator<Item = &'a AnyRecord>) -> Vec<MemberRecord> {
+    let mut table = MemberTable::new();
+    for AnyRecord(record) in records {
+        table.merge(0, record.clone());
+    }
+    table.iter().map(|(_, record)| record.clone()).collect()
+}
+
+/// Runs a property with a fixed seed.
+fn check(property: impl Testable) {
+    const SIZE: usize = 60;
+    const SEED: u64 = 6;
+    QuickCheck::new().set_rng(Gen::from_size_and_seed(SIZE, SEED)).tests(300).quickcheck(property);
+}
+
+#[test]
+fn laws_hold() {
+    check(items_merge_alike_in_any_order_and_number as fn(Vec<AnyItem>, usize) -> bool);
+    check(records_merge_alike_in_any_order_and_number as fn(Vec<AnyRecord>, usize) -> bool);
+    check(an_older_item_never_replaces_a_newer as fn(Vec<AnyItem>) -> bool);
+    check(arbitrary_bytes_are_decoded_or_refused as fn(Vec<u8>) -> bool);
+    check(damaged_frames_are_read_or_refused as fn(Vec<AnyItem>, usize, u8) -> bool);
+}
+
+fn items_merge_alike_in_any_order_and_number(items: Vec<AnyItem>, cut: usize) -> bool {
+    let forward = digest_of(items.iter());
+    let backward = digest_of(items.iter().rev());
+    let cut = cut % (items.len() + 1);
+    let turned = digest_of(items[cut..].iter().chain(&items[..cut]));
+    let twice = digest_of(items.iter().chain(&items));
+    forward == backward && forward == turned && forward == twice
+}
+
+fn records_merge_alike_in_any_order_and_number(records: Vec<AnyRecord>, cut: usize) -> bool {
+    let forward = table_of(records.iter());
+    let backward = table_of(records.iter().rev());
+    let cut = cut % (records.len() + 1);
+    let turned = table_of(records[cut..].iter().chain(&records[..cut]));
+    let twice = table_of(records.iter().chain(&records));
+    forward == backward && forward == turned && forward == twice
+}
+
+fn an_older_item_never_replaces_a_newer(items: Vec<AnyItem>) -> bool {
+    let mut digest = Digest::new();
+    items.into_iter().all(|AnyItem(origin, kind, item)| {
+        let before = digest.get(origin, kind).map(|held| held.version);
+        digest.merge(0, origin, kind, item);
+        before <= digest.get(origin, kind).map(|held| held.version)
+    })
+}
+
+fn arbitrary_bytes_are_decoded_or_refused(bytes: Vec<u8>) -> bool {
+    let _ = WatchList::decode(&bytes);
+    let _ = Levels::decode(&bytes);
+    let _ = HeavyHitters::decode(&bytes);
+    if let Ok(frame) = postcard::from_bytes::<Frame>(&bytes) {
+        let _ = Link::new().read(frame);
+    }
+    true
+}
+
+fn damaged_frames_are_read_or_refused(items: Vec<AnyItem>, at: usize, to: u8) -> bool {
+    let mut digest = Digest::new();
+    for AnyItem(origin, kind, item) in items {
+        digest.merge(0, origin, kind, item);
+    }
+    let members = MemberTable::new();
+    let shared =
+        redwingrill_membership::Shared { own: NodeKey(9), members: &members, digest: &digest };
+    let frame = Link::new().write(0, shared);
+    let mut bytes = postcard::to_allocvec(&frame).expect("a frame is serialisable");
+    let at = at % bytes.len();
+    bytes[at] = to;
+    if let Ok(frame) = postcard::from_bytes::<Frame>(&bytes) {
+        let _ = Link::new().read(frame);
+    }
+    true
+}
