--- /dev/null
+++ b/crates/ledger/src/record.rs
@@ -0,0 +1,267 @@
+//! What is kept of an order, and the one function that changes it.
+//!
+//! ```text
+//!   (absent) --claim--> Recorded --finish--> Finished
+//!      |                 |  ^  |
+//!      |          withdraw  |  +--claim with take-over (higher number)--> Recorded
+//!      |                 v  |
+//!      +--withdraw-----> Void  (claim with a higher number leads back to Recorded)
+//! ```
+//!
+//! Invariants:
+//!
+//! - A record has one attempt at a time, and the fencing number grows with each change of attempt.
+//! - An attempt that was withdrawn never owns a record again.
+//! - A record is taken over only if its attempt was bound to one upstream, and the new attempt is
+//!   bound to the same: another one knows nothing of the first attempt's number.
+//! - A record that was taken over never becomes `Void`, since an earlier attempt may have sent.
+//! - `Finished` is final.
+//! - Applying an operation a second time changes nothing and gives the same verdict, so an
+//!   operation whose answer was lost is settled by applying it again.
+
+use std::sync::Arc;
+
+use crate::AttemptId;
+use crate::FencingNumber;
+use crate::Fingerprint;
+use crate::OrderKey;
+use crate::Outcome;
+
+/// Where an order stands.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum RecordState {
+    /// The attempt may have sent the order.
+    Recorded,
+    /// The attempt gave up before it sent; nobody ran the order.
+    Void,
+    /// The upstream answered.
+    Finished(Outcome),
+}
+
+/// What is kept of an order.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Record {
+    /// The request that the key stands for.
+    pub fingerprint: Fingerprint,
+    /// The only attempt that may send.
+    pub attempt: AttemptId,
+    /// The number that the attempt sends with.
+    pub fencing: FencingNumber,
+    /// When the attempt recorded itself, by its node's wall clock.
+    pub recorded_at_ms: u64,
+    /// The only upstream that the attempt may send to; none if it may send to any.
+    pub bound_to: Option<Arc<str>>,
+    /// Whether an earlier attempt may have sent.
+    pub taken_over: bool,
+    /// Where the order stands.
+    pub state: RecordState,
+}
+
+/// A request to become the sender of an order.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Claim {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// How long records of this service are retained.
+    pub window_ms: u64,
+    /// Whether and how an unfinished record may be taken over.
+    pub take_over: Option<TakeOver>,
+}
+
+/// Taking over unfinished orders. Only for services all of whose upstreams check fencing numbers.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct TakeOver {
+    /// The age at which an unfinished record may be taken over.
+    pub after_ms: u64,
+    /// The upstream that a new record is bound to.
+    pub bind_to: Arc<str>,
+}
+
+/// A change to one record.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum Action {
+    /// Become the sender.
+    Claim(Claim),
+    /// Record what the upstream answered.
+    Finish(Outcome),
+    /// Give up before sending.
+    Withdraw(Fingerprint),
+}
+
+/// A change to one record, by one attempt.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Operation {
+    /// The order.
+    pub key: OrderKey,
+    /// The attempt that asks.
+    pub attempt: AttemptId,
+    /// The change.
+    pub action: Action,
+}
+
+/// How an attempt may send.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Permit {
+    /// The number to send with.
+    pub fencing: FencingNumber,
+    /// The only upstream to send to; none for any.
+    pub bound_to: Option<Arc<str>>,
+}
+
+/// What became of an operation.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum Verdict {
+    /// The attempt is the only one that may send.
+    Claimed(Permit),
+    /// The order was finished before.
+    Finished(Outcome),
+    /// Another attempt holds the record and has not finished.
+    Unfinished,
+    /// The record is older than the retained window.
+    Expired,
+    /// The key stands for another request.
+    Reused,
+    /// The finish or withdrawal is recorded.
+    Settled,
+    /// The attempt does not own the record any more.
+    Superseded,
+}
+
+/// What an operation does to a record.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Step {
+    /// The record to write, or none if nothing changes.
+    pub change: Option<Record>,
+    /// The verdict, valid once the change is written.
+    pub verdict: Verdict,
+}
+
+impl Step {
+    fn unchanged(verdict: Verdict) -> Self {
+        Self { change: None, verdict }
+    }
+}
+
+/// Applies an operation to what is recorded of its order.
+pub fn apply(existing: Option<&Record>, operation: &Operation, wall_ms: u64) -> Step {
+    match &operation.action {
+        Action::Claim(claim) => apply_claim(existing, operation.attempt, claim, wall_ms),
+        Action::Finish(outcome) => apply_finish(existing, operation.attempt, outcome),
+        Action::Withdraw(fingerprint) => {
+            apply_withdraw(existing, operation.attempt, *fingerprint, wall_ms)
+        }
+    }
+}
+
+fn apply_claim(existing: Option<&Record>, attempt: AttemptId, claim: &Claim, wall_ms: u64) -> Step {
+    let Some(record) = existing else {
+        return take_new(attempt, claim, FencingNumber::FIRST, wall_ms);
+    };
+    if record.attempt == attempt {
+        return Step::unchanged(own_verdict(record));
+    }
+    if record.recorded_at_ms.saturating_add(claim.window_ms) < wall_ms {
+        return Step::unchanged(Verdict::Expired);
+    }
+    if record.fingerprint != claim.fingerprint {
+        return Step::unchanged(Verdict::Reused);
+    }
+    match &record.state {
+        RecordState::Finished(outcome) => Step::unchanged(Verdict::Finished(outcome.clone())),
+        RecordState::Void => take_new(attempt, claim, record.fencing.next(), wall_ms),
+        RecordState::Recorded if may_take_over(record, claim, wall_ms) => take(Record {
+            attempt,
+            fencing: record.fencing.next(),
+            recorded_at_ms: wall_ms,
+            taken_over: true,
+            ..record.clone()
+        }),
+        RecordState::Recorded => Step::unchanged(Verdict::Unfinished),
+    }
+}
+
+/// The verdict on an attempt that finds itself in the record.
+fn own_verdict(record: &Record) -> Verdict {
+    match &record.state {
+        RecordState::Recorded => Verdict::Claimed(permit(record)),
+        RecordState::Void => Verdict::Superseded,
+        RecordState::Finished(outcome) => Verdict::Finished(outcome.clone()),
+    }
+}
+
+fn may_take_over(record: &Record, claim: &Claim, wall_ms: u64) -> bool {
+    let Some(take_over) = &claim.take_over else {
+        return false;
+    };
+    let is_old = record.recorded_at_ms.saturating_add(take_over.after_ms) <= wall_ms;
+    is_old && record.bound_to.is_some()
+}
+
+fn permit(record: &Record) -> Permit {
+    Permit { fencing: record.fencing, bound_to: record.bound_to.clone() }
+}
+
+fn take_new(attempt: AttemptId, claim: &Claim, fencing: FencingNumber, wall_ms: u64) -> Step {
+    take(Record {
+        fingerprint: claim.fingerprint,
+        attempt,
+        fencing,
+        recorded_at_ms: wall_ms,
+        bound_to: claim.take_over.as_ref().map(|take_over| take_over.bind_to.clone()),
+        taken_over: false,
+        state: RecordState::Recorded,
+    })
+}
+
+fn take(record: Record) -> Step {
+    let verdict = Verdict::Claimed(permit(&record));
+    Step { change: Some(record), verdict }
+}
+
+fn apply_finish(existing: Option<&Record>, attempt: AttemptId, outcome: &Outcome) -> Step {
+    let Some(record) = existing.filter(|record| record.attempt == attempt) else {
+        return Step::unchanged(Verdict::Superseded);
+    };
+    match record.state {
+        RecordState::Recorded => {
+            let state = RecordState::Finished(outcome.clone());
+            let change = Record { state, ..record.clone() };
+            Step { change: Some(change), verdict: Verdict::Settled }
+        }
+        RecordState::Finished(_) => Step::unchanged(Verdict::Settled),
+        RecordState::Void => Step::unchanged(Verdict::Superseded),
+    }
+}
+
+fn apply_withdraw(
+    existing: Option<&Record>,
+    attempt: AttemptId,
+    fingerprint: Fingerprint,
+    wall_ms: u64,
+) -> Step {
+    let Some(record) = existing else {
+        // The claim may still land; a void record in its place keeps it out.
+        let change = Record {
+            fingerprint,
+            attempt,
+            fencing: FencingNumber::FIRST,
+            recorded_at_ms: wall_ms,
+            bound_to: None,
+            taken_over: false,
+            state: RecordState::Void,
+        };
+        return Step { change: Some(change), verdict: Verdict::Settled };
+    };
+    if record.attempt != attempt {
+        return Step::unchanged(Verdict::Superseded);
+    }
+    match record.state {
+        RecordState::Recorded if record.taken_over => Step::unchanged(Verdict::Settled),
+        RecordState::Recorded => {
+            let change = Record { state: RecordState::Void, ..record.clone() };
+            Step { change: Some(change), verdict: Verdict::Settled }
+        }
+        RecordState::Void => Step::unchanged(Verdict::Settled),
+        RecordState::Finished(_) => Step::unchanged(Verdict::Superseded),
+    }
+}
--- /dev/null
+++ b/crates/redwingrill/src/services/handler.rs
@@ -0,0 +1,83 @@
+//! Routing the calls of services.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Method;
+use http::Response;
+use tokio_util::task::TaskTracker;
+
+use super::forward::Outgoing;
+use super::orders::Orders;
+use super::replay::response_of;
+use crate::Refusal;
+use crate::completions::Caller;
+use crate::http::Body;
+use redwingrill_codes::Ran;
+use redwingrill_codes::ResultCode;
+use redwingrill_ledger::task::Ledger;
+use redwingrill_transport::Freshness;
+use redwingrill_transport::Pool;
+
+/// One call of a service.
+#[derive(Clone, Debug)]
+pub struct ServiceCall<'a> {
+    /// The service's name.
+    pub service: &'a str,
+    /// The method.
+    pub method: &'a Method,
+    /// The path below the service with its query, beginning with a slash.
+    pub path: &'a str,
+    /// The caller's headers.
+    pub headers: &'a HeaderMap,
+    /// The body.
+    pub body: &'a Bytes,
+}
+
+/// Serves calls of services.
+#[derive(Clone, Debug)]
+pub struct Services {
+    pool: Pool,
+    orders: Orders,
+}
+
+impl Services {
+    /// Makes the handler. `tasks` joins the orders that outlive their callers.
+    pub fn new(pool: Pool, ledger: Ledger, tasks: TaskTracker) -> Self {
+        let orders = Orders { pool: pool.clone(), ledger, tasks };
+        Self { pool, orders }
+    }
+
+    /// Serves one call.
+    ///
+    /// # Errors
+    ///
+    /// The refusal, if there is no reply of an upstream to pass on.
+    pub async fn serve(
+        &self,
+        caller: Caller<'_>,
+        call: ServiceCall<'_>,
+    ) -> Result<Response<Body>, Refusal> {
+        let state = &caller.snapshot.state;
+        let id = caller.snapshot.service(call.service).ok_or(ResultCode::ServiceUnknown)?;
+        let service = state.services.get(id).ok_or(ResultCode::ServiceUnknown)?;
+        if service.unrepeatable.iter().any(|set| set.matches(call.method.as_str(), call.path)) {
+            return self.orders.serve(&caller, service, &call).await;
+        }
+        let account = state.accounts.get(caller.account).ok_or(ResultCode::KeyUnknown)?;
+        let limit = Duration::from_millis(service.timeout_ms.into());
+        let outgoing = Outgoing::new(&call, &account.name, caller.request_id, limit)?;
+        let upstreams = service.upstreams.iter().filter_map(|&id| state.upstreams.get(id));
+        let mut worst = Refusal::new(ResultCode::NoUpstream);
+        for upstream in upstreams.filter(|upstream| !upstream.drained) {
+            match outgoing.send(&self.pool, upstream, Freshness::Any).await {
+                Ok(reply) => return Ok(response_of(reply)),
+                // One upstream that may have run the call outweighs those that did not.
+                Err(failure) if worst.ran() == Ran::No => worst = failure.refusal(),
+                Err(_) => {}
+            }
+        }
+        Err(worst)
+    }
+}
