--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -4,6 +4,7 @@
 //! default always has a value.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 
 use crate::SECTIONS;
 use crate::SectionSpec;
@@ -41,7 +42,8 @@
 pub(crate) fn check(source: &SourceFile) -> (Values, Faults) {
     let mut faults = Faults::default();
     let raw = split_sections(0, source, &mut faults);
-    let mut checker = Checker { source, values: Values::default(), faults };
+    let mut checker =
+        Checker { source, values: Values::default(), at_fault: HashSet::new(), faults };
     for section in &raw {
         checker.section(section);
     }
@@ -54,6 +56,8 @@
 struct Checker<'a> {
     source: &'a SourceFile,
     values: Values,
+    // Keys whose value is at fault, which are not missing as well.
+    at_fault: HashSet<(&'static str, &'static str)>,
     faults: Faults,
 }
 
@@ -74,7 +78,7 @@
         }
     }
 
-    fn property(&mut self, section: &SectionSpec, property: &Property) {
+    fn property(&mut self, section: &'static SectionSpec, property: &Property) {
         let subject = format!("[{}] {}", section.name, property.key);
         let Some(key) = section.keys.iter().find(|spec| spec.key == property.key) else {
             let known: Vec<&str> = section.keys.iter().map(|spec| spec.key).collect();
@@ -89,7 +93,10 @@
             Ok(value) => {
                 self.values.values.insert((section.name, key.key), value);
             }
-            Err(bad) => self.fault(property.line, subject, bad.reason, bad.way_out),
+            Err(bad) => {
+                self.at_fault.insert((section.name, key.key));
+                self.fault(property.line, subject, bad.reason, bad.way_out);
+            }
         }
     }
 
@@ -99,7 +106,8 @@
             return;
         }
         for key in section.keys {
-            if self.values.get(section.name, key.key).is_some() {
+            let name = (section.name, key.key);
+            if self.values.values.contains_key(&name) || self.at_fault.contains(&name) {
                 continue;
             }
             match key.presence {
@@ -111,7 +119,7 @@
                 }
                 Presence::Required => {
                     let subject = format!("[{}] {}", section.name, key.key);
-                    let reason = "the key is missing or at fault".to_owned();
+                    let reason = "the key is missing".to_owned();
                     let way_out = format!("add a line `{} = ...` to the section", key.key);
                     self.fault(line.unwrap_or(0), subject, reason, way_out);
                 }
