Roll weights and roles out under one record with fencing numbers

Cause: nothing ordered engines to load what the configuration desires. Ruled out: a lease for the owner (a paused holder acts after it lapsed, and some engines ignore fencing numbers); a record for each model (one engine compares one number over all orders); clearing a load when its engine starts anew or one try was not taken (an earlier owner's order may run). Conclusion: ready for the daemon; the reports of engines come as a watch of EngineFacts.

--- /dev/null
+++ b/crates/rollout/src/plan.rs
@@ -0,0 +1,203 @@
+//! Which loads have ended, which begin, and which roles to order.
+//!
+//! A pass over the desired state, the reports of engines and the record; it reaches nothing.
+
+use std::collections::HashMap;
+
+use crate::EngineFact;
+use crate::EngineFacts;
+use crate::LoadEntry;
+use crate::RoleEntry;
+use crate::RolloutRecord;
+use redwingrill_config::DesiredState;
+use redwingrill_config::Model;
+use redwingrill_config::Upstream;
+use redwingrill_config::UpstreamKind;
+use redwingrill_entity::DomainId;
+use redwingrill_entity::EntityMap;
+use redwingrill_entity::ModelId;
+use redwingrill_entity::UpstreamId;
+
+/// Until when engines get no new order, in milliseconds of the caller's clock.
+pub type Backoffs = EntityMap<UpstreamId, u64>;
+
+/// What a step of the roll-out changes in the record.
+#[derive(Clone, PartialEq, Eq, Debug, Default)]
+pub struct Plan {
+    /// The loads that go on or begin.
+    pub loads: Vec<LoadEntry>,
+    /// The roles that engines took or are to take.
+    pub roles: Vec<RoleEntry>,
+}
+
+/// One engine of the desired state with its report.
+#[derive(Clone, Copy, Debug)]
+struct Engine<'a> {
+    id: UpstreamId,
+    upstream: &'a Upstream,
+    fact: &'a EngineFact,
+    model_id: ModelId,
+    model: &'a Model,
+}
+
+impl Engine<'_> {
+    fn is_current(&self) -> bool {
+        self.fact.weights_version == self.model.weights_version
+    }
+
+    fn entry(&self) -> LoadEntry {
+        LoadEntry {
+            engine: self.upstream.name.clone(),
+            incarnation: self.fact.incarnation.clone(),
+            model: self.model.name.clone(),
+            weights_version: self.model.weights_version.clone(),
+        }
+    }
+}
+
+/// Plans the next step. Loads in `expired` are given up; engines in `backoffs` are left alone.
+pub fn plan(
+    state: &DesiredState,
+    facts: &EngineFacts,
+    record: &RolloutRecord,
+    expired: &[String],
+    backoffs: &Backoffs,
+    now_ms: u64,
+) -> Plan {
+    let engines = engines(state, facts);
+    let going_on = record.loads.iter().filter(|load| !expired.contains(&load.engine));
+    let mut loads: Vec<LoadEntry> = going_on.filter_map(|load| continued(load, &engines)).collect();
+    let free = |engine: &&Engine<'_>| backoffs.get(engine.id).is_none_or(|until| *until <= now_ms);
+    let mut candidates: Vec<&Engine<'_>> = engines
+        .iter()
+        .filter(free)
+        .filter(|engine| !engine.is_current() && !engine.fact.leaving)
+        .filter(|engine| !loads.iter().any(|load| load.engine == engine.upstream.name))
+        .collect();
+    // Drained engines serve nobody; then those with the least work are missed the least.
+    candidates.sort_by_key(|engine| (!engine.upstream.drained, engine.fact.running, engine.id));
+    let mut counts = Counts::new(&engines, &loads);
+    while let Some(at) = counts.choose(&candidates) {
+        let engine = candidates.remove(at);
+        counts.begin(engine);
+        loads.push(engine.entry());
+    }
+    Plan { loads, roles: roles(state, &engines, record) }
+}
+
+/// Returns whether nothing is left to do for the engines that report.
+pub fn is_complete(state: &DesiredState, facts: &EngineFacts, record: &RolloutRecord) -> bool {
+    let engines = engines(state, facts);
+    let current = engines.iter().all(|engine| engine.is_current() || engine.fact.leaving);
+    let taken = record.roles.iter().all(|role| role.taken);
+    current && taken && record.loads.is_empty() && roles(state, &engines, record) == record.roles
+}
+
+fn engines<'a>(state: &'a DesiredState, facts: &'a EngineFacts) -> Vec<Engine<'a>> {
+    let engines = state.upstreams.iter().filter(|(_, u)| u.kind == UpstreamKind::Engine);
+    let reporting = engines.filter_map(|(id, upstream)| {
+        let model_id = upstream.model?;
+        let (fact, model) = (facts.get(id)?, state.models.get(model_id)?);
+        Some(Engine { id, upstream, fact, model_id, model })
+    });
+    reporting.collect()
+}
+
+/// Returns a load as it goes on; none if its engine serves the weights.
+fn continued(load: &LoadEntry, engines: &[Engine<'_>]) -> Option<LoadEntry> {
+    let Some(engine) = engines.iter().find(|engine| engine.upstream.name == load.engine) else {
+        // An engine that does not report may still be loading; the load's expiry ends it.
+        return Some(load.clone());
+    };
+    if engine.fact.incarnation != load.incarnation {
+        // The order may have reached the new start, so the load keeps its place and is ordered
+        // again.
+        return (!engine.is_current()).then(|| engine.entry());
+    }
+    (engine.fact.weights_version != load.weights_version).then(|| load.clone())
+}
+
+/// Roles that engines of this start took, and those that are to be ordered.
+fn roles(state: &DesiredState, engines: &[Engine<'_>], record: &RolloutRecord) -> Vec<RoleEntry> {
+    let mut wanted: Vec<RoleEntry> = Vec::new();
+    for engine in engines {
+        let Some(role) = state.engine_roles.get(engine.id) else { continue };
+        if engine.fact.leaving {
+            continue;
+        }
+        let name = &engine.upstream.name;
+        let known = record.role_of(name);
+        let same = |e: &&RoleEntry| e.role == *role && e.incarnation == engine.fact.incarnation;
+        wanted.push(known.filter(same).cloned().unwrap_or_else(|| RoleEntry {
+            engine: name.clone(),
+            incarnation: engine.fact.incarnation.clone(),
+            role: role.clone(),
+            taken: false,
+        }));
+    }
+    // An engine that does not report just now keeps its entry.
+    let reports = |name: &str| engines.iter().any(|engine| engine.upstream.name == name);
+    wanted.extend(record.roles.iter().filter(|role| !reports(&role.engine)).cloned());
+    wanted.sort_by(|a, b| a.engine.cmp(&b.engine));
+    wanted
+}
+
+/// How many engines load, by model and by failure domain.
+struct Counts {
+    loading: HashMap<ModelId, usize>,
+    serving: HashMap<ModelId, usize>,
+    by_domain: HashMap<DomainId, usize>,
+}
+
+impl Counts {
+    fn new(engines: &[Engine<'_>], loads: &[LoadEntry]) -> Self {
+        let mut counts =
+            Self { loading: HashMap::new(), serving: HashMap::new(), by_domain: HashMap::new() };
+        for engine in engines {
+            let load = loads.iter().find(|load| load.engine == engine.upstream.name);
+            if load.is_some() {
+                *counts.loading.entry(engine.model_id).or_default() += 1;
+                *counts.by_domain.entry(engine.upstream.domain).or_default() += 1;
+            } else if !engine.fact.leaving && !engine.fact.weights_version.is_empty() {
+                *counts.serving.entry(engine.model_id).or_default() += 1;
+            }
+        }
+        // Loads of engines that do not report count against the limit as well.
+        for load in loads {
+            let silent = !engines.iter().any(|engine| engine.upstream.name == load.engine);
+            let model = engines.iter().find(|engine| engine.model.name == load.model);
+            if let Some(model) = model.filter(|_| silent) {
+                *counts.loading.entry(model.model_id).or_default() += 1;
+            }
+        }
+        counts
+    }
+
+    /// Returns the place of the engine to load next: first by the loads in its failure domain.
+    fn choose(&self, candidates: &[&Engine<'_>]) -> Option<usize> {
+        let allowed = candidates.iter().enumerate().filter(|(_, engine)| self.allows(engine));
+        let by_domain = |engine: &Engine<'_>| self.by_domain.get(&engine.upstream.domain).copied();
+        allowed.min_by_key(|(at, engine)| (by_domain(engine), *at)).map(|(at, _)| at)
+    }
+
+    fn allows(&self, engine: &Engine<'_>) -> bool {
+        let loading = self.loading.get(&engine.model_id).copied().unwrap_or(0);
+        if loading >= engine.model.parallel_loads_limit as usize {
+            return false;
+        }
+        // The last engine that serves a model is loaded only when no other is being loaded.
+        let serving = self.serving.get(&engine.model_id).copied().unwrap_or(0);
+        let serves = !engine.fact.weights_version.is_empty();
+        !serves || serving > 1 || loading == 0
+    }
+
+    fn begin(&mut self, engine: &Engine<'_>) {
+        *self.loading.entry(engine.model_id).or_default() += 1;
+        *self.by_domain.entry(engine.upstream.domain).or_default() += 1;
+        if !engine.fact.weights_version.is_empty()
+            && let Some(serving) = self.serving.get_mut(&engine.model_id)
+        {
+            *serving = serving.saturating_sub(1);
+        }
+    }
+}
