Join the roll-out to the node: engine orders over HTTP and gathered reports

Cause: the roll-out task had no adapter and no facts in the daemon. Ruled out: strings in reports (nodes exchange hashes of incarnations and versions); facts now carry the start of an engine as placement has it.

--- /dev/null
+++ b/crates/redwingrill/src/configuration/rollout.rs
@@ -0,0 +1,41 @@
+//! The roll-out as a part of a node.
+
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use super::HttpEngineOrders;
+use redwingrill_ports::Store;
+use redwingrill_rollout::RolloutInputs;
+use redwingrill_rollout::RolloutStatus;
+use redwingrill_rollout::RolloutTask;
+
+/// The roll-out of a node. Clones read the same task.
+#[derive(Clone, Debug)]
+pub struct Rollout {
+    status: watch::Receiver<RolloutStatus>,
+}
+
+impl Rollout {
+    /// Starts to roll out on `tasks` until `cancel`, as the node of this name.
+    pub fn start<S: Store>(
+        store: S,
+        orders: HttpEngineOrders,
+        inputs: RolloutInputs,
+        node: &str,
+        tasks: &TaskTracker,
+        cancel: CancellationToken,
+    ) -> Self {
+        let (task, status) = RolloutTask::new(store, orders, inputs);
+        let node = node.to_owned();
+        tasks.spawn(async move { task.run(&node, rand::random(), cancel).await });
+        Self { status }
+    }
+
+    /// Returns the state for the dump.
+    pub fn dump(&self) -> Value {
+        json!(*self.status.borrow())
+    }
+}
--- a/crates/rollout/src/plan.rs
+++ b/crates/rollout/src/plan.rs
@@ -42,13 +42,13 @@
 
 impl Engine<'_> {
     fn is_current(&self) -> bool {
-        self.fact.weights_version == self.model.weights_version
+        self.fact.serves(&self.model.weights_version)
     }
 
     fn entry(&self) -> LoadEntry {
         LoadEntry {
             engine: self.upstream.name.clone(),
-            incarnation: self.fact.incarnation.clone(),
+            incarnation: self.fact.start.incarnation.0,
             model: self.model.name.clone(),
             weights_version: self.model.weights_version.clone(),
         }
@@ -109,12 +109,12 @@
         // An engine that does not report may still be loading; the load's expiry ends it.
         return Some(load.clone());
     };
-    if engine.fact.incarnation != load.incarnation {
+    if engine.fact.start.incarnation.0 != load.incarnation {
         // The order may have reached the new start, so the load keeps its place and is ordered
         // again.
         return (!engine.is_current()).then(|| engine.entry());
     }
-    (engine.fact.weights_version != load.weights_version).then(|| load.clone())
+    (!engine.fact.serves(&load.weights_version)).then(|| load.clone())
 }
 
 /// Roles that engines of this start took, and those that are to be ordered.
@@ -127,10 +127,11 @@
         }
         let name = &engine.upstream.name;
         let known = record.role_of(name);
-        let same = |e: &&RoleEntry| e.role == *role && e.incarnation == engine.fact.incarnation;
+        let same =
+            |e: &&RoleEntry| e.role == *role && e.incarnation == engine.fact.start.incarnation.0;
         wanted.push(known.filter(same).cloned().unwrap_or_else(|| RoleEntry {
             engine: name.clone(),
-            incarnation: engine.fact.incarnation.clone(),
+            incarnation: engine.fact.start.incarnation.0,
             role: role.clone(),
             taken: false,
         }));
@@ -158,7 +159,7 @@
             if load.is_some() {
                 *counts.loading.entry(engine.model_id).or_default() += 1;
                 *counts.by_domain.entry(engine.upstream.domain).or_default() += 1;
-            } else if !engine.fact.leaving && !engine.fact.weights_version.is_empty() {
+            } else if !engine.fact.leaving && engine.fact.serves_any() {
                 *counts.serving.entry(engine.model_id).or_default() += 1;
             }
         }
@@ -187,14 +188,14 @@
         }
         // The last engine that serves a model is loaded only when no other is being loaded.
         let serving = self.serving.get(&engine.model_id).copied().unwrap_or(0);
-        let serves = !engine.fact.weights_version.is_empty();
+        let serves = engine.fact.serves_any();
         !serves || serving > 1 || loading == 0
     }
 
     fn begin(&mut self, engine: &Engine<'_>) {
         *self.loading.entry(engine.model_id).or_default() += 1;
         *self.by_domain.entry(engine.upstream.domain).or_default() += 1;
-        if !engine.fact.weights_version.is_empty()
+        if engine.fact.serves_any()
             && let Some(serving) = self.serving.get_mut(&engine.model_id)
         {
             *serving = serving.saturating_sub(1);
--- a/crates/rollout/src/record.rs
+++ b/crates/rollout/src/record.rs
@@ -19,7 +19,7 @@
     /// The engine.
     pub engine: String,
     /// The start of the engine that is to load.
-    pub incarnation: String,
+    pub incarnation: u64,
     /// The model.
     pub model: String,
     /// The version of the weights.
@@ -32,7 +32,7 @@
     /// The engine.
     pub engine: String,
     /// The start of the engine that is to take it.
-    pub incarnation: String,
+    pub incarnation: u64,
     /// The role.
     pub role: String,
     /// Whether the engine said that it took the order.
--- a/crates/rollout/src/task.rs
+++ b/crates/rollout/src/task.rs
@@ -145,7 +145,7 @@
         let mut hasher = DefaultHasher::new();
         self.inputs.configuration.borrow().generation.hash(&mut hasher);
         for (id, fact) in self.inputs.facts.borrow().iter() {
-            (id, &fact.incarnation, &fact.weights_version, fact.leaving).hash(&mut hasher);
+            (id, fact.start.incarnation, fact.start.weights, fact.leaving).hash(&mut hasher);
         }
         hasher.finish()
     }
--- a/crates/rollout/tests/rollout.rs
+++ b/crates/rollout/tests/rollout.rs
@@ -26,6 +26,9 @@
 use redwingrill_fakes::Faults;
 use redwingrill_fakes::MemoryStore;
 use redwingrill_fakes::WriteFault;
+use redwingrill_placement::fleet::EngineStart;
+use redwingrill_placement::fleet::Incarnation;
+use redwingrill_placement::fleet::WeightsTag;
 use redwingrill_ports::Store;
 use redwingrill_rollout::EngineFact;
 use redwingrill_rollout::EngineFacts;
@@ -118,8 +121,10 @@
     fn facts(&self, state: &DesiredState) -> EngineFacts {
         let all = self.all.lock().expect("no holder panics");
         let fact = |engine: &Engine| EngineFact {
-            incarnation: engine.incarnation.to_string(),
-            weights_version: engine.weights.clone(),
+            start: EngineStart {
+                incarnation: Incarnation(u64::from(engine.incarnation)),
+                weights: WeightsTag::of(&engine.weights),
+            },
             running: 0,
             leaving: false,
         };
