--- a/crates/lab/src/bench/overhead/open_streams.rs
+++ b/crates/lab/src/bench/overhead/open_streams.rs
@@ -79,8 +79,6 @@
     let tokens = generated_tokens(&routed) - tokens_before;
     let window_s = window.elapsed().as_secs_f64();
     let outcomes = running.join_all().await;
-        eprintln!("{:?}", o);
-    }
     caller.close().await;
     routed.stop().await?;
     let processor_s = (after.processor - before.processor).as_secs_f64();
