Add peer calls over QUIC with mutual TLS

Cause: nodes need bounded calls to each other that a stranger cannot make. Ruled out: a connection for each direction (a nudge would cost a handshake); names of nodes in certificates (they reach each other by address); packet-size probing (more bytes than it gains).

--- a/crates/membership/tests/merge.rs
+++ b/crates/membership/tests/merge.rs
@@ -76,7 +76,7 @@
 fn check(property: impl Testable) {
     const SIZE: usize = 60;
     const SEED: u64 = 6;
-    QuickCheck::new().set_rng(Gen::from_size_and_seed(SIZE, SEED)).tests(300).quickcheck(property);
+    QuickCheck::new().rng(Gen::from_size_and_seed(SIZE, SEED)).tests(300).quickcheck(property);
 }
 
 #[test]
--- /dev/null
+++ b/crates/peer/src/calls/service.rs
@@ -0,0 +1,57 @@
+//! The tarpc service.
+
+use tarpc::context::Context;
+
+use super::Handler;
+use crate::PeerConnection;
+use redwingrill_membership::Frame;
+use redwingrill_membership::LinkId;
+use redwingrill_membership::Reply;
+
+/// The calls of one node to another.
+#[tarpc::service]
+pub(crate) trait PeerCalls {
+    /// Exchanges what either side lacks.
+    async fn exchange(link: LinkId, frame: Frame) -> Reply;
+
+    /// Asks the opener of a link to exchange now.
+    async fn nudge(link: LinkId);
+
+    /// Fetches the manifest of the configuration in force.
+    async fn manifest() -> Option<Vec<u8>>;
+
+    /// Fetches a chunk of configuration.
+    async fn chunk(hash: [u8; 32]) -> Option<Vec<u8>>;
+
+    /// Hands a request of the ledger to the node that writes it.
+    async fn ledger(request: Vec<u8>) -> Option<Vec<u8>>;
+}
+
+/// Serves the calls that arrive on one connection.
+#[derive(Clone)]
+pub(crate) struct Server<H> {
+    pub handler: H,
+    pub connection: PeerConnection,
+}
+
+impl<H: Handler> PeerCalls for Server<H> {
+    async fn exchange(self, _: Context, link: LinkId, frame: Frame) -> Reply {
+        self.handler.exchange(&self.connection, link, frame).await
+    }
+
+    async fn nudge(self, _: Context, link: LinkId) {
+        self.handler.nudge(link).await;
+    }
+
+    async fn manifest(self, _: Context) -> Option<Vec<u8>> {
+        self.handler.manifest().await
+    }
+
+    async fn chunk(self, _: Context, hash: [u8; 32]) -> Option<Vec<u8>> {
+        self.handler.chunk(hash).await
+    }
+
+    async fn ledger(self, _: Context, request: Vec<u8>) -> Option<Vec<u8>> {
+        self.handler.ledger(request).await
+    }
+}
--- /dev/null
+++ b/crates/peer/src/connection/peer.rs
@@ -0,0 +1,158 @@
+//! One connection and the calls over it.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures::StreamExt;
+use quinn::Connection;
+use quinn::VarInt;
+use tarpc::client;
+use tarpc::client::RpcError;
+use tarpc::context;
+use tarpc::context::Context;
+use tarpc::server::BaseChannel;
+use tarpc::server::Channel;
+use tokio::sync::OnceCell;
+use tokio::time::timeout;
+use tokio_util::task::TaskTracker;
+
+use super::error::PeerError;
+use super::traffic::Meter;
+use crate::Handler;
+use crate::calls::PeerCalls;
+use crate::calls::PeerCallsClient;
+use crate::calls::Server;
+use crate::calls::transport;
+use redwingrill_membership::Frame;
+use redwingrill_membership::LinkId;
+use redwingrill_membership::Reply;
+
+/// The code with which a connection is closed on purpose.
+const CLOSED: VarInt = VarInt::from_u32(0);
+
+/// One connection to a peer. Clones share it.
+#[derive(Clone, Debug)]
+pub struct PeerConnection {
+    connection: Connection,
+    client: Arc<OnceCell<PeerCallsClient>>,
+    tasks: TaskTracker,
+}
+
+impl PeerConnection {
+    /// Begins to serve the peer's calls on a new connection.
+    pub(crate) fn start<H: Handler>(
+        connection: Connection,
+        handler: H,
+        meter: Meter,
+        tasks: &TaskTracker,
+    ) -> Self {
+        meter.opened(&connection);
+        let started = Self { connection, client: Arc::default(), tasks: tasks.clone() };
+        let served = started.clone();
+        tasks.spawn(async move {
+            served.serve(handler).await;
+            meter.closed(&served.connection);
+        });
+        started
+    }
+
+    /// Serves each stream that the peer opens, until the connection ends.
+    async fn serve<H: Handler>(&self, handler: H) {
+        while let Ok((send, receive)) = self.connection.accept_bi().await {
+            let server = Server { handler: handler.clone(), connection: self.clone() };
+            let channel = BaseChannel::with_defaults(transport(send, receive));
+            let calls = channel.execute(server.serve());
+            let tasks = self.tasks.clone();
+            self.tasks.spawn(calls.for_each(move |call| {
+                tasks.spawn(call);
+                std::future::ready(())
+            }));
+        }
+    }
+
+    async fn client(&self) -> Result<&PeerCallsClient, PeerError> {
+        let open = async {
+            let (send, receive) = self
+                .connection
+                .open_bi()
+                .await
+                .map_err(|error| PeerError::Unreachable { reason: error.to_string() })?;
+            let new = PeerCallsClient::new(client::Config::default(), transport(send, receive));
+            let dispatch = new.dispatch;
+            // The dispatch ends with the connection, and its error reaches the calls.
+            self.tasks.spawn(async move { drop(dispatch.await) });
+            Ok(new.client)
+        };
+        self.client.get_or_try_init(|| open).await
+    }
+
+    async fn call<T>(
+        &self,
+        within: Duration,
+        call: impl AsyncFnOnce(&PeerCallsClient, Context) -> Result<T, RpcError>,
+    ) -> Result<T, PeerError> {
+        let mut context = context::current();
+        context.deadline = Instant::now() + within;
+        let answered = timeout(within, async {
+            let client = self.client().await?;
+            call(client, context).await.map_err(|error| match error {
+                RpcError::DeadlineExceeded => PeerError::Silent,
+                error => PeerError::Lost { reason: error.to_string() },
+            })
+        });
+        answered.await.unwrap_or(Err(PeerError::Silent))
+    }
+
+    /// Exchanges what either side lacks.
+    ///
+    /// # Errors
+    ///
+    /// See [`PeerError`], here and below.
+    pub async fn exchange(
+        &self,
+        link: LinkId,
+        frame: Frame,
+        within: Duration,
+    ) -> Result<Reply, PeerError> {
+        self.call(within, async |client, context| client.exchange(context, link, frame).await).await
+    }
+
+    /// Asks the peer to begin the next exchange on a link now.
+    pub async fn nudge(&self, link: LinkId, within: Duration) -> Result<(), PeerError> {
+        self.call(within, async |client, context| client.nudge(context, link).await).await
+    }
+
+    /// Fetches the manifest that the peer has in force.
+    pub async fn manifest(&self, within: Duration) -> Result<Option<Vec<u8>>, PeerError> {
+        self.call(within, async |client, context| client.manifest(context).await).await
+    }
+
+    /// Fetches a chunk of configuration.
+    pub async fn chunk(
+        &self,
+        hash: [u8; 32],
+        within: Duration,
+    ) -> Result<Option<Vec<u8>>, PeerError> {
+        self.call(within, async |client, context| client.chunk(context, hash).await).await
+    }
+
+    /// Hands a request of the ledger to the peer.
+    pub async fn ledger(
+        &self,
+        request: Vec<u8>,
+        within: Duration,
+    ) -> Result<Option<Vec<u8>>, PeerError> {
+        self.call(within, async |client, context| client.ledger(context, request).await).await
+    }
+
+    /// Returns whether the connection has ended.
+    pub fn is_closed(&self) -> bool {
+        self.connection.close_reason().is_some()
+    }
+
+    /// Ends the connection.
+    pub fn close(&self) {
+        self.connection.close(CLOSED, &[]);
+    }
+}
--- /dev/null
+++ b/crates/peer/src/connection/traffic.rs
@@ -0,0 +1,79 @@
+//! Counting what connections carry.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+
+use quinn::Connection;
+use quinn::ConnectionStats;
+use serde::Serialize;
+
+/// Bytes of the IP and UDP headers of one datagram.
+const DATAGRAM_HEADER_BYTES: u64 = 28;
+
+/// What an endpoint has sent and received, headers of IP and UDP included.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default, Serialize)]
+pub struct Traffic {
+    /// Bytes sent.
+    pub sent_bytes: u64,
+    /// Bytes received.
+    pub received_bytes: u64,
+    /// Datagrams sent.
+    pub sent_datagrams: u64,
+    /// Datagrams received.
+    pub received_datagrams: u64,
+    /// Connections made.
+    pub connections: u64,
+    /// Connections open now.
+    pub open_connections: u64,
+}
+
+impl Traffic {
+    fn add(&mut self, stats: &ConnectionStats) {
+        let (sent, received) = (stats.udp_tx, stats.udp_rx);
+        self.sent_datagrams += sent.datagrams;
+        self.received_datagrams += received.datagrams;
+        self.sent_bytes += sent.bytes + sent.datagrams * DATAGRAM_HEADER_BYTES;
+        self.received_bytes += received.bytes + received.datagrams * DATAGRAM_HEADER_BYTES;
+    }
+}
+
+#[derive(Debug, Default)]
+struct Counted {
+    closed: Traffic,
+    open: HashMap<usize, Connection>,
+}
+
+/// Counts the connections of one endpoint. Clones share the counts.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Meter {
+    counted: Arc<Mutex<Counted>>,
+}
+
+impl Meter {
+    pub(crate) fn opened(&self, connection: &Connection) {
+        let mut counted = self.lock();
+        counted.closed.connections += 1;
+        counted.open.insert(connection.stable_id(), connection.clone());
+    }
+
+    pub(crate) fn closed(&self, connection: &Connection) {
+        let mut counted = self.lock();
+        if counted.open.remove(&connection.stable_id()).is_some() {
+            counted.closed.add(&connection.stats());
+        }
+    }
+
+    pub(crate) fn read(&self) -> Traffic {
+        let counted = self.lock();
+        let mut traffic = counted.closed;
+        counted.open.values().for_each(|connection| traffic.add(&connection.stats()));
+        traffic.open_connections = counted.open.len() as u64;
+        traffic
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Counted> {
+        self.counted.lock().expect("no holder panics")
+    }
+}
