--- a/crates/stream/src/transcript.rs
+++ b/crates/stream/src/transcript.rs
@@ -119,9 +119,6 @@
     ///
     /// See [`StreamError`]. The transcript is unchanged and the leg must not be read further.
     pub fn accept(&mut self, event: &SseEvent) -> Result<Delivery, StreamError> {
-        if event.data == END_MARKER {
-            return self.accept_end();
-        }
         let number = event.id.unwrap_or(self.leg.last_event + 1);
         if number <= self.leg.last_event {
             return Ok(Delivery::Nothing);
@@ -129,6 +126,9 @@
         if number != self.leg.last_event + 1 {
             return Err(StreamError::Gap { expected: self.leg.last_event + 1, found: number });
         }
+        if event.data == END_MARKER {
+            return self.accept_end();
+        }
         let chunk = Chunk::parse(&event.data).ok_or(StreamError::Garbage)?;
         if let Some(error) = chunk.error() {
             let message = error.get("message").and_then(|m| m.as_str()).unwrap_or("unspecified");
@@ -214,7 +214,8 @@
             return if self.wants_usage { Delivery::Chunk(chunk) } else { Delivery::Nothing };
         }
         // Each leg opens the message again; the caller sees that once.
-        if chunk.is_opening() && std::mem::replace(&mut self.opened, true) {
+        let opened = std::mem::replace(&mut self.opened, true);
+        if opened && chunk.is_opening() {
             return Delivery::Nothing;
         }
         if let Some(text) = chunk.content().filter(|text| !text.is_empty()) {
