--- a/crates/lab/src/cli/bench.rs
+++ b/crates/lab/src/cli/bench.rs
@@ -13,6 +13,7 @@
 use super::arguments::number_of;
 use super::arguments::text;
 use super::arguments::text_of;
+use crate::bench::orders;
 use crate::bench::overhead;
 use crate::bench::overhead::OverheadOptions;
 use crate::bench::scenario;
@@ -20,10 +21,11 @@
 use crate::bench::scenario::ScenarioOptions;
 
 const OVERHEAD: &str = "overhead";
+const ORDERS: &str = "orders";
 
 pub(super) fn command() -> Command {
     let names: Vec<&str> = Case::names().collect();
-    let scenarios = format!("One of overhead, {}; or a case file", names.join(", "));
+    let scenarios = format!("One of overhead, orders, {}; or a case file", names.join(", "));
     Command::new("bench")
         .about("Run an experiment and print its figures")
         .arg(
@@ -62,6 +64,15 @@
         print_object(&report, json)?;
         return Ok(());
     }
+    if name == ORDERS {
+        let mut printed = Ok(());
+        orders::run(seed, |report| {
+            if printed.is_ok() {
+                printed = print_object(&report, json);
+            }
+        });
+        return Ok(printed?);
+    }
     let policies = text_of(matches, "policies");
     let options = ScenarioOptions {
         case: name,
--- a/crates/redwingrill/src/node/parts.rs
+++ b/crates/redwingrill/src/node/parts.rs
@@ -26,7 +26,7 @@
 use redwingrill_config::NoPeers;
 use redwingrill_config::Snapshot;
 use redwingrill_ledger::layout::LayoutConfig;
-use redwingrill_ledger::layout::PagedLayout;
+use redwingrill_ledger::layout::SingleLayout;
 use redwingrill_ledger::task::Ledger;
 use redwingrill_ledger::task::LedgerConfig;
 use redwingrill_ledger::task::LedgerTask;
@@ -153,7 +153,7 @@
 fn ledger(
     settings: &Settings,
     pool: &Pool,
-) -> (Ledger, LedgerTask<EtcdStore, PagedLayout, NoHomes>) {
+) -> (Ledger, LedgerTask<EtcdStore, SingleLayout, NoHomes>) {
     let config = LedgerConfig::default();
     let options = PlatformOptions {
         call_timeout: Duration::from_millis(config.call_timeout_ms),
@@ -161,8 +161,8 @@
     };
     let store = EtcdStore::new(options, pool.clone());
     let layout = LayoutConfig::default();
-    let pages = PagedLayout::new(layout);
-    LedgerTask::new(store, pages, NoHomes, layout.shards, config, WallClock::system())
+    let records = SingleLayout::new(layout);
+    LedgerTask::new(store, records, NoHomes, layout.shards, config, WallClock::system())
 }
 
 fn engine_timeouts(settings: &Settings) -> EngineTimeouts {
--- a/crates/redwingrill/tests/orders/matrix.rs
+++ b/crates/redwingrill/tests/orders/matrix.rs
@@ -14,6 +14,7 @@
 use crate::conductor::Step;
 use crate::node::Ask;
 use crate::node::Got;
+use crate::node::LayoutKind;
 use crate::node::Node;
 use crate::node::snapshot;
 use crate::store::HookedStore;
@@ -23,13 +24,14 @@
 use redwingrill_config::Fencing;
 use redwingrill_fakes::MemoryStore;
 
-const PARALLEL_CASES: usize = 12;
+const PARALLEL_CASES: usize = 24;
 
 #[derive(Clone, Copy, Debug)]
 struct Case {
     fault: Fault,
     step: Step,
     fencing: Fencing,
+    layout: LayoutKind,
 }
 
 /// What became of a case.
@@ -45,22 +47,27 @@
     store: HookedStore,
     upstream: Upstream,
     fencing: Fencing,
+    layout: LayoutKind,
 }
 
 impl Bench {
-    async fn start(fencing: Fencing) -> Self {
+    async fn start(fencing: Fencing, layout: LayoutKind) -> Self {
         let memory = MemoryStore::new();
         let conductor = Conductor::new(memory.clone());
         let store = HookedStore::new(memory, conductor.clone());
         let checks = fencing == Fencing::Checked;
         let (upstream, _server) =
             Upstream::start(conductor.clone(), checks, store.answered.clone()).await;
-        Self { conductor, store, upstream, fencing }
+        Self { conductor, store, upstream, fencing, layout }
     }
 
     /// Starts a node that reports its steps.
     fn node(&self) -> Node {
-        Node::start(self.store.clone(), snapshot(&[(self.upstream.address, self.fencing)]))
+        Node::start(
+            self.store.clone(),
+            self.layout,
+            snapshot(&[(self.upstream.address, self.fencing)]),
+        )
     }
 
     /// Starts a node that does not.
@@ -68,7 +75,7 @@
         let quiet = Conductor::new(self.store.inner.clone());
         let mut store = HookedStore::new(self.store.inner.clone(), quiet);
         store.answered = Arc::new(AtomicBool::new(false));
-        Node::start(store, snapshot(&[(self.upstream.address, self.fencing)]))
+        Node::start(store, self.layout, snapshot(&[(self.upstream.address, self.fencing)]))
     }
 }
 
@@ -77,7 +84,7 @@
 }
 
 async fn run_case(case: Case) -> Outcome {
-    let bench = Bench::start(case.fencing).await;
+    let bench = Bench::start(case.fencing, case.layout).await;
     let mut node = bench.node();
     bench.store.lose_first.store(case.step == Step::Settle, Ordering::SeqCst);
     bench.conductor.arm(case.step, case.fault);
@@ -149,9 +156,11 @@
 
 fn cases() -> Vec<Case> {
     let mut cases = Vec::new();
-    for fencing in [Fencing::Ignored, Fencing::Checked] {
-        for fault in Fault::ALL {
-            cases.extend(Step::ALL.map(|step| Case { fault, step, fencing }));
+    for layout in [LayoutKind::Single, LayoutKind::Paged] {
+        for fencing in [Fencing::Ignored, Fencing::Checked] {
+            for fault in Fault::ALL {
+                cases.extend(Step::ALL.map(|step| Case { fault, step, fencing, layout }));
+            }
         }
     }
     cases
@@ -169,7 +178,7 @@
         .await;
     let missed: Vec<_> = outcomes.iter().filter(|outcome| !outcome.struck).collect();
     println!(
-        "orders: {} faults x {} steps x 2 kinds of upstream = {count} cases run",
+        "orders: {} faults x {} steps x 2 kinds of upstream x 2 layouts = {count} cases run",
         Fault::ALL.len(),
         Step::ALL.len()
     );
--- a/crates/redwingrill/tests/orders/node.rs
+++ b/crates/redwingrill/tests/orders/node.rs
@@ -38,6 +38,7 @@
 use redwingrill_entity::UpstreamId;
 use redwingrill_ledger::layout::LayoutConfig;
 use redwingrill_ledger::layout::PagedLayout;
+use redwingrill_ledger::layout::SingleLayout;
 use redwingrill_ledger::task::Ledger;
 use redwingrill_ledger::task::LedgerConfig;
 use redwingrill_ledger::task::LedgerTask;
@@ -50,6 +51,13 @@
 /// Where the wall clock begins, so that keys with times are the same in each run.
 pub const WALL_MS: u64 = 1_700_000_000_000;
 
+/// Where records lie.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum LayoutKind {
+    Single,
+    Paged,
+}
+
 /// What a caller sends.
 #[derive(Clone, Debug)]
 pub struct Ask {
@@ -78,7 +86,7 @@
 
 impl Node {
     /// Starts a node on a thread of its own.
-    pub fn start(store: HookedStore, snapshot: Arc<Snapshot>) -> Self {
+    pub fn start(store: HookedStore, kind: LayoutKind, snapshot: Arc<Snapshot>) -> Self {
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()
@@ -102,9 +110,20 @@
         static STARTED: LazyLock<Instant> = LazyLock::new(Instant::now);
         let started = *STARTED;
         let clock = WallClock::new(move || WALL_MS + started.elapsed().as_millis() as u64);
-        let pages = PagedLayout::new(layout);
-        let (ledger, task) = LedgerTask::new(store, pages, NoHomes, layout.shards, config, clock);
-        handle.spawn(task.run());
+        let ledger = match kind {
+            LayoutKind::Single => {
+                let single = SingleLayout::new(layout);
+                let (ledger, task) = LedgerTask::new(store, single, NoHomes, 1, config, clock);
+                handle.spawn(task.run());
+                ledger
+            }
+            LayoutKind::Paged => {
+                let paged = PagedLayout::new(layout);
+                let (ledger, task) = LedgerTask::new(store, paged, NoHomes, 1, config, clock);
+                handle.spawn(task.run());
+                ledger
+            }
+        };
         let services = Services::new(Pool::new(), ledger.clone(), TaskTracker::new());
         let (stop, stopped) = oneshot::channel();
         std::thread::spawn(move || {
--- a/crates/redwingrill/tests/orders/sessions.rs
+++ b/crates/redwingrill/tests/orders/sessions.rs
@@ -16,6 +16,7 @@
 use crate::node::ACCOUNTS;
 use crate::node::Ask;
 use crate::node::Got;
+use crate::node::LayoutKind;
 use crate::node::Node;
 use crate::node::snapshot;
 use crate::store::HookedStore;
@@ -30,18 +31,19 @@
     store: HookedStore,
     upstream: Upstream,
     fencing: Fencing,
+    layout: LayoutKind,
     nodes: BTreeMap<String, Node>,
 }
 
 impl Session {
-    async fn start(fencing: Fencing) -> Self {
+    async fn start(fencing: Fencing, layout: LayoutKind) -> Self {
         let memory = MemoryStore::new();
         let conductor = Conductor::new(memory.clone());
         let store = HookedStore::new(memory, conductor.clone());
         let checks = fencing == Fencing::Checked;
         let (upstream, _server) =
             Upstream::start(conductor.clone(), checks, store.answered.clone()).await;
-        Self { conductor, store, upstream, fencing, nodes: BTreeMap::new() }
+        Self { conductor, store, upstream, fencing, layout, nodes: BTreeMap::new() }
     }
 
     async fn command(&mut self, line: &str) -> String {
@@ -49,7 +51,7 @@
         match words.as_slice() {
             ["start", name] => {
                 let snapshot = snapshot(&[(self.upstream.address, self.fencing)]);
-                let node = Node::start(self.store.clone(), snapshot);
+                let node = Node::start(self.store.clone(), self.layout, snapshot);
                 self.nodes.insert((*name).to_owned(), node);
             }
             ["crash", name] => self.nodes.get_mut(*name).expect("a node").crash(),
@@ -121,7 +123,7 @@
     found.unwrap_or_else(|| panic!("unknown fault: {name}"))
 }
 
-fn run_session(input: &str) -> String {
+fn run_session(input: &str, layout: LayoutKind) -> String {
     let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
     runtime.block_on(async {
         let mut lines = input.lines().filter(|line| !line.is_empty() && !line.starts_with('#'));
@@ -130,7 +132,7 @@
             Some("fencing ignored") => Fencing::Ignored,
             other => panic!("a session begins with the kind of fencing, not {other:?}"),
         };
-        let mut session = Session::start(fencing).await;
+        let mut session = Session::start(fencing, layout).await;
         let mut output = String::new();
         for line in lines {
             let answer = session.command(line).await;
@@ -142,5 +144,9 @@
 
 #[test]
 fn sessions_are_as_recorded() {
-    run_dir(concat!(env!("CARGO_MANIFEST_DIR"), "/tests/orders/cases"), run_session);
+    let dir = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/orders/cases");
+    // Callers see the same in both layouts.
+    for layout in [LayoutKind::Single, LayoutKind::Paged] {
+        run_dir(dir, |input| run_session(input, layout));
+    }
 }
--- a/crates/redwingrill/tests/orders/store.rs
+++ b/crates/redwingrill/tests/orders/store.rs
@@ -42,6 +42,14 @@
         Self { inner, conductor, answered, lose_first, lost }
     }
 
+    /// Any call reads the record first; one after a lost answer settles what was lost.
+    async fn reach_call(&self) {
+        self.reach(Step::LookUp).await;
+        if self.lost.load(Ordering::SeqCst) {
+            self.reach(Step::Settle).await;
+        }
+    }
+
     async fn reach(&self, step: Step) {
         match self.conductor.reach(step) {
             // The node's runtime has one thread, so this stops all of it.
@@ -56,14 +64,12 @@
     type Watch = MemoryWatch;
 
     async fn get(&self, key: &str) -> Result<Option<Entry>, StoreError> {
-        if self.lost.load(Ordering::SeqCst) {
-            self.reach(Step::Settle).await;
-        }
+        self.reach_call().await;
         self.inner.get(key).await
     }
 
     async fn list(&self, prefix: &str) -> Result<Vec<Entry>, StoreError> {
-        self.reach(Step::LookUp).await;
+        self.reach_call().await;
         self.inner.list(prefix).await
     }
 
@@ -74,6 +80,7 @@
         value: Bytes,
         lease: Option<LeaseId>,
     ) -> Result<Swap, StoreError> {
+        self.reach_call().await;
         let answered = self.answered.load(Ordering::SeqCst);
         self.reach(if answered { Step::FinishRecord } else { Step::Record }).await;
         let swapped = self.inner.swap(key, expected, value, lease).await;
