--- a/crates/membership/src/cluster/engines.rs
+++ b/crates/membership/src/cluster/engines.rs
@@ -4,6 +4,7 @@
 
 use super::state::Cluster;
 use crate::EngineLevel;
+use crate::EngineStart;
 use crate::EngineWatch;
 use crate::Kind;
 use crate::Levels;
@@ -36,8 +37,8 @@
 pub struct EngineView {
     /// The engine.
     pub engine: UpstreamKey,
-    /// A hash of the engine's incarnation; zero while it does not answer its watcher.
-    pub incarnation_tag: u16,
+    /// What the engine said that it is; none while it does not answer its watcher.
+    pub start: Option<EngineStart>,
     /// The load.
     pub level: EngineLevel,
     /// When this node received it.
@@ -46,7 +47,7 @@
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Watched {
-    incarnation_tag: u16,
+    start: Option<EngineStart>,
     level: EngineLevel,
     /// When the plan named another watcher.
     replaced_ms: Option<u64>,
@@ -86,9 +87,9 @@
     }
 
     /// Notes what a watched engine answered.
-    pub fn note_load(&mut self, engine: UpstreamKey, incarnation: &str, level: EngineLevel) {
+    pub fn note_load(&mut self, engine: UpstreamKey, start: EngineStart, level: EngineLevel) {
         if let Some(watched) = self.watches.watched.get_mut(&engine) {
-            watched.incarnation_tag = tag_of(incarnation);
+            watched.start = Some(start);
             watched.level = level;
         }
     }
@@ -96,7 +97,7 @@
     /// Notes that a watched engine did not answer.
     pub fn note_silent(&mut self, engine: UpstreamKey) {
         if let Some(watched) = self.watches.watched.get_mut(&engine) {
-            watched.incarnation_tag = 0;
+            watched.start = None;
         }
     }
 
@@ -138,7 +139,7 @@
         let others = self.watching_origins().filter(|&origin| origin != self.key);
         let lists = others.filter_map(|origin| self.digest.read::<WatchList>(origin));
         let engines = lists.flat_map(|list| list.engines);
-        engines.filter(|watch| watch.incarnation_tag != 0).map(|watch| watch.engine)
+        engines.filter(|watch| watch.start.is_some()).map(|watch| watch.engine)
     }
 
     fn watching_origins(&self) -> impl Iterator<Item = NodeKey> {
@@ -157,10 +158,7 @@
         let list: Vec<EngineWatch> = watches
             .watched
             .iter()
-            .map(|(&engine, watched)| EngineWatch {
-                engine,
-                incarnation_tag: watched.incarnation_tag,
-            })
+            .map(|(&engine, watched)| EngineWatch { engine, start: watched.start })
             .collect();
         let levels: Vec<EngineLevel> =
             watches.watched.values().map(|watched| watched.level).collect();
@@ -173,7 +171,7 @@
         }
         watches.published_ms = now_ms;
         watches.published = list.clone();
-        watches.published_levels = levels.clone();
+        watches.published_levels.clone_from(&levels);
         if is_list_new {
             watches.tag = watches.tag.wrapping_add(1);
         }
@@ -181,8 +179,7 @@
         if is_list_new {
             self.publish(now_ms, Kind::WatchList, WatchList { tag, engines: list }.encode());
         }
-        let bytes = levels.iter().map(|level| (level.running_level, level.waiting_tokens_level));
-        let levels = Levels { tag, levels: bytes.collect() };
+        let levels = Levels { tag, levels };
         self.publish(now_ms, Kind::Levels, levels.encode());
         self.changes.engines = true;
     }
@@ -212,11 +209,9 @@
         if list.tag != levels.tag || list.engines.len() != levels.levels.len() {
             return;
         }
-        for (watch, (running_level, waiting_tokens_level)) in list.engines.iter().zip(levels.levels)
-        {
-            let level = EngineLevel { running_level, waiting_tokens_level };
-            let EngineWatch { engine, incarnation_tag } = *watch;
-            let view = EngineView { engine, incarnation_tag, level, received_ms };
+        for (watch, level) in list.engines.iter().zip(levels.levels) {
+            let EngineWatch { engine, start } = *watch;
+            let view = EngineView { engine, start, level, received_ms };
             let held = views.entry(engine).or_insert(view);
             if rank(&view) > rank(held) {
                 *held = view;
@@ -227,10 +222,5 @@
 
 /// A watcher that has an answer goes before one that has none, then the newest.
 fn rank(view: &EngineView) -> (bool, u64) {
-    (view.incarnation_tag != 0, view.received_ms)
-}
-
-fn tag_of(incarnation: &str) -> u16 {
-    // Zero is kept for "no answer".
-    (UpstreamKey::of(incarnation).0 as u16).max(1)
+    (view.start.is_some(), view.received_ms)
 }
--- a/crates/membership/src/digest/mod.rs
+++ b/crates/membership/src/digest/mod.rs
@@ -8,6 +8,7 @@
 pub use item::Item;
 pub use item::Kind;
 pub use item::Version;
+pub use payload::EngineStart;
 pub use payload::EngineWatch;
 pub use payload::HeavyHitter;
 pub use payload::HeavyHitters;
--- a/crates/membership/src/digest/payload.rs
+++ b/crates/membership/src/digest/payload.rs
@@ -6,6 +6,7 @@
 use snafu::Snafu;
 
 use crate::AccountKey;
+use crate::EngineLevel;
 use crate::Kind;
 use crate::UpstreamKey;
 
@@ -44,14 +45,23 @@
     pub manifest: [u8; 8],
 }
 
+/// One start of an engine and the weights it serves, as hashes.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct EngineStart {
+    /// The start.
+    pub incarnation: u64,
+    /// The weights version.
+    pub weights: u64,
+}
+
 /// One engine that a node watches.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct EngineWatch {
     /// The engine.
     pub engine: UpstreamKey,
-    /// A hash of the engine's incarnation; zero before the first answer and while it does not
+    /// What the engine last said that it is; none before the first answer and while it does not
     /// answer.
-    pub incarnation_tag: u16,
+    pub start: Option<EngineStart>,
 }
 
 /// The engines that a node watches.
@@ -68,8 +78,8 @@
 pub struct Levels {
     /// The tag of the watch list.
     pub tag: u8,
-    /// Two bytes an engine: running requests, waiting tokens.
-    pub levels: Vec<(u8, u8)>,
+    /// The loads.
+    pub levels: Vec<EngineLevel>,
 }
 
 /// The use of one client account at a node.
--- a/crates/membership/src/digest/quantise.rs
+++ b/crates/membership/src/digest/quantise.rs
@@ -1,22 +1,28 @@
 //! Quantities in one byte, on a logarithmic scale.
 
+use serde::Deserialize;
+use serde::Serialize;
+
 /// Steps in each doubling.
 const STEPS_PER_OCTAVE: f64 = 8.0;
 
-/// The load of one engine in two bytes.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+/// The load of one engine in three bytes.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default, Serialize, Deserialize)]
 pub struct EngineLevel {
     /// Running requests.
     pub running_level: u8,
+    /// Waiting requests.
+    pub waiting_level: u8,
     /// Tokens of waiting prompts.
     pub waiting_tokens_level: u8,
 }
 
 impl EngineLevel {
     /// Quantises a load.
-    pub fn new(running: u64, waiting_tokens: u64) -> Self {
+    pub fn new(running: u64, waiting: u64, waiting_tokens: u64) -> Self {
         Self {
             running_level: Self::level_of(running),
+            waiting_level: Self::level_of(waiting),
             waiting_tokens_level: Self::level_of(waiting_tokens),
         }
     }
@@ -26,6 +32,11 @@
         Self::quantity_of(self.running_level)
     }
 
+    /// Returns the waiting requests, within a sixteenth of an octave.
+    pub fn waiting(self) -> u64 {
+        Self::quantity_of(self.waiting_level)
+    }
+
     /// Returns the tokens of waiting prompts, within a sixteenth of an octave.
     pub fn waiting_tokens(self) -> u64 {
         Self::quantity_of(self.waiting_tokens_level)
@@ -36,6 +47,7 @@
         /// An eighth of an octave each: a change of about a fifth is told.
         const TOLERANCE_STEPS: u8 = 1;
         self.running_level.abs_diff(other.running_level) > TOLERANCE_STEPS
+            || self.waiting_level.abs_diff(other.waiting_level) > TOLERANCE_STEPS
             || self.waiting_tokens_level.abs_diff(other.waiting_tokens_level) > TOLERANCE_STEPS
     }
 
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -27,6 +27,7 @@
 pub use cluster::Violation;
 pub use digest::Digest;
 pub use digest::EngineLevel;
+pub use digest::EngineStart;
 pub use digest::EngineWatch;
 pub use digest::HeavyHitter;
 pub use digest::HeavyHitters;
--- a/crates/membership/src/pacing.rs
+++ b/crates/membership/src/pacing.rs
@@ -14,7 +14,7 @@
 const ITEM_OVERHEAD_BYTES: u64 = 6;
 
 /// Bytes of one engine in a load item.
-const ENGINE_LEVEL_BYTES: u64 = 2;
+const ENGINE_LEVEL_BYTES: u64 = 3;
 
 /// Bytes of a full item of heavy hitters or hot prefixes.
 const RANKING_BYTES: u64 = 24;
--- a/crates/membership/tests/bytes.rs
+++ b/crates/membership/tests/bytes.rs
@@ -9,6 +9,7 @@
 use crate::common::Fleet;
 use redwingrill_membership::AccountKey;
 use redwingrill_membership::EngineLevel;
+use redwingrill_membership::EngineStart;
 use redwingrill_membership::HeavyHitter;
 use redwingrill_membership::HeavyHitters;
 use redwingrill_membership::HotPrefix;
@@ -97,7 +98,9 @@
             let watched: Vec<UpstreamKey> = cluster.watched_engines().collect();
             for engine in watched {
                 let running = if case.restless { rng.random_range(0..400) } else { 316 };
-                cluster.note_load(engine, "boot-1", EngineLevel::new(running, running * 50));
+                let level = EngineLevel::new(running, running / 8, running * 50);
+                let start = EngineStart { incarnation: u64::MAX / 3, weights: u64::MAX / 5 };
+                cluster.note_load(engine, start, level);
             }
             let hitters = (0..4).map(|a| HeavyHitter {
                 account: AccountKey::of(&format!("account-{a}")),
--- /dev/null
+++ b/crates/redwingrill/src/cluster/actions.rs
@@ -0,0 +1,108 @@
+//! Carrying out what the state machine asks for, each in a short task of its own.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio_util::task::TaskTracker;
+
+use super::handler::PeerHandler;
+use super::messages::ClusterHandle;
+use super::messages::EngineAnswer;
+use super::messages::Message;
+use crate::dispatch::Dispatcher;
+use crate::dispatch::ask_load;
+use redwingrill_membership::Action;
+use redwingrill_membership::LinkId;
+use redwingrill_membership::UpstreamKey;
+use redwingrill_peer::PeerConnection;
+use redwingrill_peer::Peers;
+use redwingrill_ports::InstanceList;
+use redwingrill_transport::Pool;
+
+/// How long a peer may take for an exchange, handshake included in a second of its own.
+const EXCHANGE_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// How long reading the list of instances may take.
+const LIST_LIMIT: Duration = Duration::from_secs(2);
+
+/// The ways out of the task.
+#[derive(Debug)]
+pub(super) struct Actions<I> {
+    pub peers: Peers<PeerHandler>,
+    pub instances: I,
+    pub pool: Pool,
+    pub task: ClusterHandle,
+    pub spawned: TaskTracker,
+    /// Where the links that this node opened lead.
+    pub addresses: HashMap<LinkId, SocketAddr>,
+    /// The connections of the links that peers opened.
+    pub callers: HashMap<LinkId, PeerConnection>,
+}
+
+impl<I: InstanceList> Actions<I> {
+    pub fn carry_out(&mut self, action: Action) {
+        match action {
+            Action::Exchange { link, address, frame } => {
+                self.addresses.insert(link, address);
+                let (peers, task) = (self.peers.clone(), self.task.clone());
+                self.spawned.spawn(async move {
+                    let exchange =
+                        async |peer: &PeerConnection| peer.exchange(link, frame, EXCHANGE_LIMIT).await;
+                    let result = peers.call(address, exchange).await;
+                    task.send(Message::Exchanged { link, result }).await;
+                });
+            }
+            Action::Nudge { link } => self.nudge(link),
+            Action::Close { link } => {
+                if let Some(address) = self.addresses.remove(&link) {
+                    self.peers.hang_up(address);
+                }
+            }
+        }
+    }
+
+    fn nudge(&self, link: LinkId) {
+        let Some(caller) = self.callers.get(&link).cloned() else { return };
+        let task = self.task.clone();
+        self.spawned.spawn(async move {
+            if caller.nudge(link, EXCHANGE_LIMIT).await.is_err() {
+                task.send(Message::NudgeFailed { link }).await;
+            }
+        });
+    }
+
+    pub fn ask_engine(&self, engine: UpstreamKey, address: SocketAddr) {
+        let (pool, task) = (self.pool.clone(), self.task.clone());
+        self.spawned.spawn(async move {
+            let reply = ask_load(&pool, address).await;
+            let answer = reply.map(|reply| EngineAnswer {
+                leaving: reply.leaving,
+                load: reply.into(),
+            });
+            task.send(Message::EngineAsked { engine, answer }).await;
+        });
+    }
+
+    pub fn read_list(&self) {
+        let (instances, task) = (self.instances.clone(), self.task.clone());
+        self.spawned.spawn(async move {
+            let read = tokio::time::timeout(LIST_LIMIT, instances.list()).await;
+            let instances = read.ok().and_then(Result::ok);
+            task.send(Message::Listed { instances }).await;
+        });
+    }
+
+    pub fn ask_top_accounts(&self, dispatcher: &Dispatcher, limit: usize) {
+        let (dispatcher, task) = (dispatcher.clone(), self.task.clone());
+        self.spawned.spawn(async move {
+            let demands = dispatcher.top_accounts(limit).await;
+            task.send(Message::TopAccounts { demands }).await;
+        });
+    }
+
+    /// Forgets connections that have ended.
+    pub fn sweep(&mut self) {
+        self.callers.retain(|_, caller| !caller.is_closed());
+    }
+}
--- /dev/null
+++ b/crates/redwingrill/src/cluster/feed.rs
@@ -0,0 +1,144 @@
+//! What the task tells the dispatch task of other nodes and their engines.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use tokio::time::Duration;
+use tokio::time::Instant;
+
+use super::names::KeyNames;
+use crate::dispatch::Dispatcher;
+use crate::dispatch::EngineLoadReport;
+use redwingrill_admission::limits::AccountDemand;
+use redwingrill_membership::Cluster;
+use redwingrill_membership::EngineLevel;
+use redwingrill_membership::EngineStart;
+use redwingrill_membership::EngineView;
+use redwingrill_membership::HeavyHitter;
+use redwingrill_membership::HeavyHitters;
+use redwingrill_membership::Kind;
+use redwingrill_membership::LeavingUpstreams;
+use redwingrill_membership::MemberState;
+use redwingrill_membership::NodeKey;
+use redwingrill_membership::UpstreamKey;
+use redwingrill_placement::fleet;
+use redwingrill_placement::fleet::Incarnation;
+use redwingrill_placement::fleet::LoadReport;
+use redwingrill_placement::fleet::WeightsTag;
+
+/// Accounts that a node tells of.
+pub(super) const TOP_ACCOUNTS: usize = 4;
+
+/// Ranking periods after which what a node told of its accounts no longer counts.
+const DEMAND_PERIODS: u64 = 4;
+
+/// Converts what an engine said into the digest's terms.
+pub(super) fn start_of(load: &LoadReport) -> EngineStart {
+    EngineStart { incarnation: load.start.incarnation.0, weights: load.start.weights.0 }
+}
+
+/// Quantises a load.
+pub(super) fn level_of(load: &LoadReport) -> EngineLevel {
+    EngineLevel::new(load.running.into(), load.waiting.into(), load.waiting_tokens)
+}
+
+fn report_of(view: &EngineView) -> Option<LoadReport> {
+    let EngineStart { incarnation, weights } = view.start?;
+    let count = |quantity: u64| u32::try_from(quantity).unwrap_or(u32::MAX);
+    Some(LoadReport {
+        start: fleet::EngineStart {
+            incarnation: Incarnation(incarnation),
+            weights: WeightsTag(weights),
+        },
+        running: count(view.level.running()),
+        waiting: count(view.level.waiting()),
+        waiting_tokens: view.level.waiting_tokens(),
+    })
+}
+
+/// Feeds the dispatch task what is new.
+#[derive(Debug)]
+pub(super) struct Feed {
+    dispatcher: Dispatcher,
+    told_ms: BTreeMap<UpstreamKey, u64>,
+    leaving: BTreeSet<UpstreamKey>,
+}
+
+impl Feed {
+    pub fn new(dispatcher: Dispatcher) -> Self {
+        Self { dispatcher, told_ms: BTreeMap::new(), leaving: BTreeSet::new() }
+    }
+
+    pub fn dispatcher(&self) -> &Dispatcher {
+        &self.dispatcher
+    }
+
+    /// Tells of the load that an engine told this node itself.
+    pub fn own_load(&self, names: &KeyNames, engine: UpstreamKey, load: LoadReport, leaving: bool) {
+        let Some(upstream) = names.upstream(engine) else { return };
+        let observed = Instant::now();
+        self.dispatcher.observe_load(EngineLoadReport { upstream, load, leaving, observed });
+    }
+
+    /// Tells of the loads that other watchers told since the last call.
+    pub fn loads(&mut self, names: &KeyNames, cluster: &Cluster, now_ms: u64) {
+        let own: BTreeSet<UpstreamKey> = cluster.watched_engines().collect();
+        let views = cluster.engine_views(now_ms);
+        for view in views.values().filter(|view| !own.contains(&view.engine)) {
+            let told_ms = self.told_ms.insert(view.engine, view.received_ms);
+            if told_ms >= Some(view.received_ms) {
+                continue;
+            }
+            let Some(upstream) = names.upstream(view.engine) else { continue };
+            let Some(load) = report_of(view) else { continue };
+            let age = Duration::from_millis(now_ms.saturating_sub(view.received_ms));
+            let observed = Instant::now().checked_sub(age).unwrap_or_else(Instant::now);
+            let leaving = self.leaving.contains(&view.engine);
+            self.dispatcher.observe_load(EngineLoadReport { upstream, load, leaving, observed });
+        }
+    }
+
+    /// Tells of the upstreams that any node knows to be leaving.
+    pub fn leaving(&mut self, names: &KeyNames, cluster: &Cluster) {
+        let origins = live_origins(cluster);
+        let lists = origins.filter_map(|origin| cluster.digest().read::<LeavingUpstreams>(origin));
+        self.leaving = lists.flat_map(|list| list.upstreams).collect();
+        let upstreams = self.leaving.iter().filter_map(|&key| names.upstream(key));
+        self.dispatcher.set_leaving(upstreams.collect());
+    }
+
+    /// Tells of the demand at other nodes.
+    pub fn demand(&self, names: &KeyNames, cluster: &Cluster, now_ms: u64) {
+        let limit_ms = cluster.pacing().ranking_period_ms * DEMAND_PERIODS;
+        let is_fresh = |&origin: &NodeKey| {
+            let received_ms = cluster.digest().received_ms(origin, Kind::HeavyHitters);
+            received_ms.is_some_and(|received_ms| now_ms.saturating_sub(received_ms) <= limit_ms)
+        };
+        let others = live_origins(cluster).filter(|&origin| origin != cluster.key());
+        let lists = others
+            .filter(is_fresh)
+            .filter_map(|origin| cluster.digest().read::<HeavyHitters>(origin));
+        let hitters = lists.flat_map(|list| list.accounts);
+        let demands = hitters.filter_map(|HeavyHitter { account, rate_level }| {
+            let tokens_per_s = EngineLevel::quantity_of(rate_level) as f64;
+            Some(AccountDemand { account: names.account(account)?, tokens_per_s })
+        });
+        self.dispatcher.set_demand_elsewhere(demands.collect());
+    }
+
+    /// Converts this node's top accounts for the other nodes.
+    pub fn heavy_hitters(names: &KeyNames, demands: &[AccountDemand]) -> HeavyHitters {
+        let accounts = demands.iter().filter_map(|demand| {
+            let rate_level = EngineLevel::level_of(demand.tokens_per_s as u64);
+            Some(HeavyHitter { account: names.account_key(demand.account)?, rate_level })
+        });
+        HeavyHitters { accounts: accounts.collect() }
+    }
+}
+
+fn live_origins(cluster: &Cluster) -> impl Iterator<Item = NodeKey> {
+    let is_dead = |origin| {
+        cluster.members().get(origin).is_some_and(|record| record.state == MemberState::Dead)
+    };
+    cluster.digest().origins().filter(move |&origin| !is_dead(origin))
+}
--- /dev/null
+++ b/crates/redwingrill/src/cluster/polls.rs
@@ -0,0 +1,78 @@
+//! What this node reads for the fleet: loads of the engines it watches, and the list of instances.
+
+use std::collections::BTreeMap;
+
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+use redwingrill_membership::Cluster;
+use redwingrill_membership::UpstreamKey;
+
+/// Between reads of the list by one of its readers.
+const LIST_PERIOD_MS: u64 = 1_000;
+
+/// Between reads of the list by a node that found no peer yet.
+const ALONE_LIST_PERIOD_MS: u64 = 10_000;
+
+/// How long a node looks for its seeds before it reads the list.
+const ALONE_GRACE_MS: u64 = 3_000;
+
+/// When the next reads are due.
+#[derive(Debug)]
+pub(super) struct Polls {
+    engines: BTreeMap<UpstreamKey, u64>,
+    list_due_ms: u64,
+    is_listing: bool,
+    rng: SmallRng,
+}
+
+impl Polls {
+    pub fn new(now_ms: u64, mut rng: SmallRng) -> Self {
+        let list_due_ms = now_ms + ALONE_GRACE_MS + rng.random_range(0..ALONE_LIST_PERIOD_MS);
+        Self { engines: BTreeMap::new(), list_due_ms, is_listing: false, rng }
+    }
+
+    /// Returns the watched engines that are due, and counts them as asked.
+    pub fn engines_due(&mut self, now_ms: u64, cluster: &Cluster) -> Vec<UpstreamKey> {
+        let period_ms = cluster.pacing().load_period_ms;
+        let watched: Vec<UpstreamKey> = cluster.watched_engines().collect();
+        self.engines.retain(|engine, _| watched.binary_search(engine).is_ok());
+        let mut due = Vec::new();
+        for engine in watched {
+            // New watches are spread over a period.
+            let rng = &mut self.rng;
+            let due_ms =
+                self.engines.entry(engine).or_insert_with(|| now_ms + rng.random_range(0..period_ms / 4));
+            if now_ms >= *due_ms {
+                *due_ms = now_ms + period_ms;
+                due.push(engine);
+            }
+        }
+        due
+    }
+
+    /// Returns whether the list is due, and counts it as being read.
+    pub fn list_due(&mut self, now_ms: u64, cluster: &Cluster) -> bool {
+        let is_alone = cluster.usable_members().count() <= 1;
+        if !cluster.reads_instance_list() && !is_alone {
+            // A node that becomes a reader reads at once.
+            self.list_due_ms = now_ms;
+            return false;
+        }
+        if self.is_listing || now_ms < self.list_due_ms {
+            return false;
+        }
+        let period_ms = match is_alone {
+            true => ALONE_LIST_PERIOD_MS + self.rng.random_range(0..ALONE_LIST_PERIOD_MS),
+            false => LIST_PERIOD_MS,
+        };
+        self.list_due_ms = now_ms + period_ms;
+        self.is_listing = true;
+        true
+    }
+
+    /// Notes that the read ended.
+    pub fn listed(&mut self) {
+        self.is_listing = false;
+    }
+}
