--- a/crates/admission/src/engines/concurrency.rs
+++ b/crates/admission/src/engines/concurrency.rs
@@ -14,15 +14,21 @@
 /// The most requests of one node at one engine.
 const MAX: f64 = 512.0;
 
-/// The factors of one step.
+/// The growth in one step: by a factor until the first pressure, then by a little.
 const GROW_FAST: f64 = 1.5;
-const GROW: f64 = 0.5;
-const SHRINK_WAITING: f64 = 0.8;
-const SHRINK_LATE: f64 = 0.85;
+const GROW_SHARE: f64 = 0.02;
+const GROW_LEAST: f64 = 0.25;
+
+/// The factors of a step down: for a late first token, and the least for waiting requests.
+const SHRINK_LATE: f64 = 0.9;
+const SHRINK_MOST: f64 = 0.6;
+
+/// Requests that may wait inside an engine without pressure: a share of those that run, or one.
+const WAITING_SHARE: f64 = 0.125;
 
 /// The least time between two steps of the same kind; a step shows in reports only after a while.
 const SHRINK_INTERVAL_MS: u64 = 500;
-const GROW_INTERVAL_MS: u64 = 250;
+const GROW_INTERVAL_MS: u64 = 500;
 
 /// The share of the limit that must be used for it to grow.
 const FULL_SHARE: f64 = 0.8;
@@ -32,12 +38,32 @@
 pub enum Pressure {
     /// Requests start at once.
     Free,
-    /// Requests wait inside the engine.
-    Waiting,
-    /// A first token came after its target.
+    /// More requests wait inside the engine than should.
+    Waiting {
+        /// Requests that run.
+        running: u32,
+        /// Requests that wait.
+        waiting: u32,
+    },
+    /// A first token came after its target while requests waited.
     Late,
 }
 
+impl Pressure {
+    /// Reads the pressure of a load report.
+    pub fn of_report(running: u32, waiting: u32) -> Self {
+        if f64::from(waiting) > allowed_waiting(running) {
+            Self::Waiting { running, waiting }
+        } else {
+            Self::Free
+        }
+    }
+}
+
+fn allowed_waiting(running: u32) -> f64 {
+    (f64::from(running) * WAITING_SHARE).max(1.0)
+}
+
 /// The limit at one engine.
 #[derive(Clone, Copy, Debug)]
 pub struct ConcurrencyLimit {
@@ -69,7 +95,12 @@
     pub fn observe(&mut self, pressure: Pressure, now_ms: u64) {
         match pressure {
             Pressure::Free => self.grow(now_ms),
-            Pressure::Waiting => self.shrink(SHRINK_WAITING, now_ms),
+            Pressure::Waiting { running, waiting } => {
+                // All nodes see the same report, and together they take off what is too much.
+                let wanted = f64::from(running) + allowed_waiting(running);
+                let factor = wanted / f64::from(running + waiting);
+                self.shrink(factor.clamp(SHRINK_MOST, 1.0), now_ms);
+            }
             Pressure::Late => self.shrink(SHRINK_LATE, now_ms),
         }
     }
@@ -84,7 +115,8 @@
         if !is_full || now_ms < self.grown_ms + GROW_INTERVAL_MS {
             return;
         }
-        self.limit = if self.is_starting { self.limit * GROW_FAST } else { self.limit + GROW };
+        let growth = (self.limit * GROW_SHARE).max(GROW_LEAST);
+        self.limit = if self.is_starting { self.limit * GROW_FAST } else { self.limit + growth };
         self.limit = self.limit.min(MAX);
         self.most_used = 0;
         self.grown_ms = now_ms;
--- a/crates/admission/tests/engines.rs
+++ b/crates/admission/tests/engines.rs
@@ -69,7 +69,18 @@
     let cases = [
         Case { name: "full and free", pressure: Pressure::Free, is_used: true, grows: Some(true) },
         Case { name: "idle and free", pressure: Pressure::Free, is_used: false, grows: None },
-        Case { name: "waiting", pressure: Pressure::Waiting, is_used: true, grows: Some(false) },
+        Case {
+            name: "waiting",
+            pressure: Pressure::of_report(8, 4),
+            is_used: true,
+            grows: Some(false),
+        },
+        Case {
+            name: "few wait",
+            pressure: Pressure::of_report(8, 1),
+            is_used: true,
+            grows: Some(true),
+        },
         Case { name: "late", pressure: Pressure::Late, is_used: true, grows: Some(false) },
     ];
     for case in cases {
--- a/crates/redwingrill/src/dispatch/engines.rs
+++ b/crates/redwingrill/src/dispatch/engines.rs
@@ -18,9 +18,6 @@
 /// How long an engine that refused new work gets none.
 const REFUSED_PAUSE_MS: u64 = 500;
 
-/// Waiting requests, as a share of the running ones, that an engine may report without pressure.
-const WAITING_SHARE: f64 = 0.1;
-
 /// One engine as this node uses it.
 #[derive(Clone, Debug)]
 pub(super) struct EngineSlot {
@@ -29,6 +26,7 @@
     pub(super) health: EngineHealth,
     pub(super) in_flight: u32,
     pub(super) is_leaving: bool,
+    has_waiting: bool,
     fixed_limit: u32,
     refused_until_ms: u64,
     // The limit in force until the next refresh; zero closes the engine.
@@ -146,6 +144,16 @@
         ejected
     }
 
+    /// Takes in a first token.
+    pub(super) fn first_token(&mut self, upstream: UpstreamId, is_late: bool, now_ms: u64) {
+        let Some(slot) = self.slots.get_mut(upstream) else { return };
+        slot.health.succeeded(now_ms);
+        // A first token that is late though nothing waits is not mended by fewer requests.
+        if is_late && slot.has_waiting {
+            slot.limit.observe(Pressure::Late, now_ms);
+        }
+    }
+
     /// Takes in a load report.
     pub(super) fn observe(
         &mut self,
@@ -155,10 +163,8 @@
         now_ms: u64,
     ) {
         let Some(slot) = self.slots.get_mut(upstream) else { return };
-        let allowed = (f64::from(running) * WAITING_SHARE).max(1.0);
-        let pressure =
-            if f64::from(waiting) > allowed { Pressure::Waiting } else { Pressure::Free };
-        slot.limit.observe(pressure, now_ms);
+        slot.has_waiting = waiting > 0;
+        slot.limit.observe(Pressure::of_report(running, waiting), now_ms);
         slot.refresh(now_ms);
     }
 
@@ -182,6 +188,7 @@
             health: EngineHealth::default(),
             in_flight: 0,
             is_leaving: false,
+            has_waiting: false,
             fixed_limit: 0,
             refused_until_ms: 0,
         }
--- a/crates/redwingrill/src/dispatch/legs.rs
+++ b/crates/redwingrill/src/dispatch/legs.rs
@@ -13,7 +13,6 @@
 use super::messages::EngineReply;
 use super::ticket::EngineTarget;
 use super::ticket::TicketId;
-use redwingrill_admission::engines::Pressure;
 use redwingrill_codes::ResultCode;
 use redwingrill_config::UpstreamKind;
 use redwingrill_entity::UpstreamId;
@@ -149,12 +148,7 @@
         let priority = held.ask.snapshot.state.priorities.get(held.ask.priority);
         let target_ms = priority.map_or(u32::MAX, |priority| priority.first_token_target_ms);
         let is_late = first_token_ms > u64::from(target_ms);
-        if let Some(slot) = self.engines.get_mut(leg.placement.upstream) {
-            slot.health.succeeded(now_ms);
-            if is_late {
-                slot.limit.observe(Pressure::Late, now_ms);
-            }
-        }
+        self.engines.first_token(leg.placement.upstream, is_late, now_ms);
     }
 
     /// Ends a leg, well if `usage` is there.
