Hold shares before urgency, and let overloaded queues give way early

Ruled out: late first tokens alone as pressure; deadlines cut for everybody (a short burst may wait); limits of whole requests for each node and engine. Change: accounts within their fair share go first whatever the priority; requests whose patience is over give way while the queue sheds; waits also from places and residence; urgent work does not wait behind less urgent work above its floor; limits shrink by what a report shows to be too much.

--- a/crates/admission/src/engines/concurrency.rs
+++ b/crates/admission/src/engines/concurrency.rs
@@ -5,7 +5,7 @@
 //! shrinks when requests wait there or first tokens come late.
 
 /// The first limit, and the least.
-const INITIAL: f64 = 4.0;
+const INITIAL: f64 = 2.0;
 const MIN: f64 = 0.5;
 
 /// The limit of an engine that came back empty.
--- a/crates/admission/src/queue/fair_queue.rs
+++ b/crates/admission/src/queue/fair_queue.rs
@@ -29,6 +29,8 @@
     pub cost_tokens: u64,
     /// When it must have been started.
     pub deadline_ms: u64,
+    /// When it gives way to newer requests that could still be in time, if there are too many.
+    pub patience_ms: u64,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -76,20 +78,30 @@
         }
     }
 
-    /// Takes the request whose turn it is.
-    pub fn pop(&mut self) -> Option<Waiting> {
-        if self.is_empty() {
+    /// Returns whether an account that `allowed` names waits.
+    pub fn any(&self, mut allowed: impl FnMut(AccountId) -> bool) -> bool {
+        self.round.iter().any(|&account| allowed(account))
+    }
+
+    /// Takes the request whose turn it is among the accounts that `allowed` names. The others keep
+    /// their deficits.
+    pub fn pop(&mut self, allowed: impl Fn(AccountId) -> bool) -> Option<Waiting> {
+        if !self.any(&allowed) {
             return None;
         }
         loop {
             let account = *self.round.front()?;
+            if !allowed(account) {
+                self.round.rotate_left(1);
+                continue;
+            }
             let queue = self.accounts.get_mut(account).expect("accounts in the round wait");
             let cost = queue.waiting.front().map_or(0, |waiting| waiting.cost_tokens) as f64;
             if queue.deficit_tokens >= cost {
                 queue.deficit_tokens -= cost;
                 return self.take_front(account);
             }
-            self.skip_idle_rounds();
+            self.skip_idle_rounds(&allowed);
             self.grant_quantum();
         }
     }
@@ -105,9 +117,12 @@
         Some(removed)
     }
 
-    /// Takes out one request whose deadline has passed.
-    pub fn pop_expired(&mut self, now_ms: u64) -> Option<Waiting> {
-        let expired = |waiting: &&Waiting| waiting.deadline_ms <= now_ms;
+    /// Takes out one request whose deadline has passed, or whose patience has while the queue is
+    /// overloaded.
+    pub fn pop_expired(&mut self, is_overloaded: bool, now_ms: u64) -> Option<Waiting> {
+        let expired = |waiting: &&Waiting| {
+            waiting.deadline_ms <= now_ms || (is_overloaded && waiting.patience_ms <= now_ms)
+        };
         let queues = self.accounts.values();
         let found = queues.flat_map(|queue| queue.waiting.iter()).find(expired).copied()?;
         self.remove(found.account, found.id)
@@ -163,17 +178,18 @@
     }
 
     /// Gives every account the quanta of the rounds in which none could start.
-    fn skip_idle_rounds(&mut self) {
+    fn skip_idle_rounds(&mut self, allowed: impl Fn(AccountId) -> bool) {
         let rounds_left = |queue: &AccountQueue| {
             let cost = queue.waiting.front().map_or(0, |waiting| waiting.cost_tokens) as f64;
             ((cost - queue.deficit_tokens) / (queue.weight * QUANTUM_TOKENS)).max(0.0).ceil()
         };
-        let queues = self.round.iter().filter_map(|&account| self.accounts.get(account));
+        let turns = self.round.iter().filter(|&&account| allowed(account));
+        let queues = turns.filter_map(|&account| self.accounts.get(account));
         let idle = queues.map(rounds_left).fold(f64::INFINITY, f64::min) - 1.0;
         if !idle.is_finite() || idle < 1.0 {
             return;
         }
-        for &account in &self.round {
+        for &account in self.round.iter().filter(|&&account| allowed(account)) {
             let queue = self.accounts.get_mut(account).expect("accounts in the round wait");
             queue.deficit_tokens += idle * queue.weight * QUANTUM_TOKENS;
         }
--- a/crates/admission/src/queue/mod.rs
+++ b/crates/admission/src/queue/mod.rs
@@ -12,6 +12,7 @@
 mod drain_rate;
 mod fair_queue;
 mod scheduler;
+mod shares;
 
 pub use drain_rate::DrainRate;
 pub use fair_queue::FairQueue;
--- a/crates/admission/src/queue/scheduler.rs
+++ b/crates/admission/src/queue/scheduler.rs
@@ -2,7 +2,8 @@
 //!
 //! The most urgent work goes first. A floor is the share of the places that a priority can count on:
 //! work below its floor goes before more urgent work above its own, and less urgent work leaves the
-//! unused part of a more urgent floor free, so that urgent work finds a place at once.
+//! unused part of a more urgent floor free, so that urgent work finds a place at once. Work of accounts
+//! within their fair share, of any priority, goes before that of accounts beyond theirs.
 
 use serde::Serialize;
 
@@ -10,6 +11,7 @@
 use super::fair_queue::FairQueue;
 use super::fair_queue::Waiting;
 use super::fair_queue::WaitingId;
+use super::shares::Shares;
 use redwingrill_entity::AccountId;
 use redwingrill_entity::EntityMap;
 use redwingrill_entity::PriorityId;
@@ -17,6 +19,12 @@
 /// Requests that may wait in one priority.
 const MAX_WAITING: usize = 1_024;
 
+/// How long a queue counts as overloaded after a request was shed.
+const OVERLOAD_MS: u64 = 500;
+
+/// The weight of one request in the average of how long they take.
+const RESIDENCE_WEIGHT: f64 = 0.1;
+
 /// The shortest wait that a shed caller is told.
 const MIN_RETRY_AFTER_MS: u64 = 1_000;
 
@@ -55,9 +63,20 @@
     queue: FairQueue,
     drain: DrainRate,
     in_flight: u32,
+    // How long a started request takes to its end.
+    residence_ms: f64,
+    overloaded_until_ms: u64,
 }
 
 impl Class {
+    /// Returns how long it takes to start this much, for requests of this size.
+    fn wait_ms(&self, cost_tokens: f64, request_tokens: u64) -> f64 {
+        let requests = cost_tokens / request_tokens.max(1) as f64;
+        let by_places = requests * self.residence_ms / f64::from(self.in_flight.max(1));
+        let by_pace = self.drain.time_for_ms(cost_tokens).unwrap_or(0.0);
+        by_places.max(by_pace)
+    }
+
     fn floor(&self, places: u32) -> f64 {
         f64::from(places) * f64::from(self.spec.floor_percent) / 100.0
     }
@@ -76,6 +95,7 @@
 pub struct Scheduler {
     // In the order of urgency.
     classes: Vec<Class>,
+    shares: Shares,
 }
 
 /// The scheduler's state for a dump.
@@ -100,6 +120,8 @@
                     queue: FairQueue::default(),
                     drain: DrainRate::default(),
                     in_flight: 0,
+                    residence_ms: 0.0,
+                    overloaded_until_ms: 0,
                 }),
             }
         }
@@ -119,6 +141,7 @@
         weight: f64,
         now_ms: u64,
     ) -> Result<Option<Waiting>, QueueRefusal> {
+        self.shares.waits(waiting.account, weight, now_ms);
         let Some(class) = self.class_mut(priority) else {
             return Err(QueueRefusal::Full { retry_after_ms: MAX_RETRY_AFTER_MS });
         };
@@ -127,9 +150,12 @@
             false => class.drain.advance(now_ms),
         }
         let cost = class.queue.cost_before(waiting.account, weight) + waiting.cost_tokens as f64;
-        let wait_ms = class.drain.time_for_ms(cost).unwrap_or(0.0);
+        let wait_ms = class.wait_ms(cost, waiting.cost_tokens);
         let is_waiting = !class.queue.is_empty();
-        if is_waiting && now_ms + wait_ms as u64 > waiting.deadline_ms {
+        // A standing queue serves no more; it only makes all that are served late.
+        let longest_ms = waiting.patience_ms.saturating_sub(now_ms);
+        if is_waiting && wait_ms > longest_ms as f64 {
+            class.overloaded_until_ms = now_ms + OVERLOAD_MS;
             return Err(QueueRefusal::TooLong { retry_after_ms: retry_after(wait_ms) });
         }
         class.queue.push(waiting, weight);
@@ -146,19 +172,28 @@
 
     /// Takes the request that goes next, if one of the `places` is free for it.
     pub fn pop(&mut self, places: u32, now_ms: u64) -> Option<(PriorityId, Waiting)> {
-        let index = self.next_class(places)?;
+        // Within their fair shares first, then whatever waits.
+        let within = self.next_class(places, true).map(|index| (index, true));
+        let (index, only_within) =
+            within.or_else(|| self.next_class(places, false).map(|index| (index, false)))?;
+        let shares = &self.shares;
         let class = &mut self.classes[index];
-        let waiting = class.queue.pop()?;
+        let waiting = class.queue.pop(|account| !only_within || shares.is_within(account))?;
         class.drain.started(waiting.cost_tokens, now_ms);
         class.in_flight += 1;
-        Some((class.spec.priority, waiting))
+        let priority = class.spec.priority;
+        self.shares.started(waiting.account, waiting.cost_tokens, now_ms);
+        Some((priority, waiting))
     }
 
-    /// Notes that a started request ended.
-    pub fn end(&mut self, priority: PriorityId) {
-        if let Some(class) = self.class_mut(priority) {
-            class.in_flight = class.in_flight.saturating_sub(1);
-        }
+    /// Notes that a started request ended, and how long it took if it ended well.
+    pub fn end(&mut self, priority: PriorityId, took_ms: Option<u64>) {
+        let Some(class) = self.class_mut(priority) else { return };
+        class.in_flight = class.in_flight.saturating_sub(1);
+        let Some(took_ms) = took_ms else { return };
+        let is_first = class.residence_ms == 0.0;
+        let weight = if is_first { 1.0 } else { RESIDENCE_WEIGHT };
+        class.residence_ms += weight * (took_ms as f64 - class.residence_ms);
     }
 
     /// Takes out a request whose caller is gone.
@@ -171,9 +206,13 @@
         self.class_mut(priority)?.queue.remove(account, id)
     }
 
-    /// Takes out one request whose deadline has passed.
+    /// Takes out one request whose deadline has passed, or that has waited long in an overloaded
+    /// queue.
     pub fn pop_expired(&mut self, now_ms: u64) -> Option<Waiting> {
-        self.classes.iter_mut().find_map(|class| class.queue.pop_expired(now_ms))
+        self.classes.iter_mut().find_map(|class| {
+            let is_overloaded = now_ms < class.overloaded_until_ms;
+            class.queue.pop_expired(is_overloaded, now_ms)
+        })
     }
 
     /// Returns the number of waiting requests.
@@ -217,21 +256,33 @@
 
     /// Returns the class to start from: the most urgent below its floor, else the most urgent that
     /// leaves the floors of the others free.
-    fn next_class(&self, places: u32) -> Option<usize> {
-        let waiting = |class: &Class| !class.queue.is_empty();
+    fn next_class(&self, places: u32, only_within: bool) -> Option<usize> {
+        let waiting = |class: &Class| {
+            class.queue.any(|account| !only_within || self.shares.is_within(account))
+        };
         // A floor holds although other work has taken all places.
         let below =
             self.classes.iter().position(|class| waiting(class) && class.is_below_floor(places));
         if below.is_some() {
             return below;
         }
-        let free = f64::from(places) - f64::from(self.in_flight());
         self.classes.iter().enumerate().find_map(|(index, class)| {
+            let free = f64::from(places) - self.in_the_way(index, places);
             let fits = free - self.reserved(index, places) >= 1.0;
             (waiting(class) && fits).then_some(index)
         })
     }
 
+    /// Returns the places that count as taken for a class. Less urgent work above its floor does not
+    /// stand in the way: engines put the more urgent first.
+    fn in_the_way(&self, index: usize, places: u32) -> f64 {
+        let taken = self.classes.iter().enumerate().map(|(other, class)| {
+            let in_flight = f64::from(class.in_flight);
+            if other > index { in_flight.min(class.floor(places)) } else { in_flight }
+        });
+        taken.sum()
+    }
+
     /// Returns the places that a class must leave free: unused floors of more urgent classes, and
     /// those of less urgent classes that wait.
     fn reserved(&self, index: usize, places: u32) -> f64 {
--- a/crates/redwingrill/src/dispatch/core.rs
+++ b/crates/redwingrill/src/dispatch/core.rs
@@ -27,6 +27,7 @@
 use redwingrill_config::UpstreamKind;
 use redwingrill_entity::EntityMap;
 use redwingrill_entity::ModelId;
+use redwingrill_entity::PriorityId;
 use redwingrill_entity::UpstreamId;
 use redwingrill_placement::fleet::EngineSpec;
 use redwingrill_placement::fleet::EngineStart;
@@ -38,6 +39,9 @@
 /// What a caller is told whose request waited in vain.
 const RETRY_AFTER_MS: u64 = 1_000;
 
+/// The part of its queue deadline that a request waits in an overloaded queue.
+const PATIENCE_PERCENT: u64 = 30;
+
 /// Counts since the start of the node.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Counts {
@@ -72,6 +76,7 @@
     pub(super) cost_tokens: u64,
     pub(super) stage: Stage,
     pub(super) tried: Vec<UpstreamId>,
+    pub(super) started_ms: u64,
 }
 
 /// All state of the dispatch task.
@@ -172,7 +177,13 @@
         }
         let model = ask.model;
         let cost_tokens = self.cost_of(&ask);
-        let held = Held { ask, cost_tokens, stage: Stage::Waiting(reply), tried: Vec::new() };
+        let held = Held {
+            ask,
+            cost_tokens,
+            stage: Stage::Waiting(reply),
+            tried: Vec::new(),
+            started_ms: now_ms,
+        };
         self.tickets.insert(ticket, held);
         self.pump(model, now_ms);
     }
@@ -201,6 +212,7 @@
             account: ask.account,
             cost_tokens,
             deadline_ms: now_ms + u64::from(priority.queue_deadline_ms),
+            patience_ms: now_ms + u64::from(priority.queue_deadline_ms) * PATIENCE_PERCENT / 100,
         };
         let queue = self.queues.get_mut(ask.model).expect("the cost made the queue");
         match queue.scheduler.push(ask.priority, waiting, weight, now_ms) {
@@ -225,7 +237,7 @@
             let Some(queue) = self.queues.get_mut(model) else { return };
             let Some((priority, waiting)) = queue.scheduler.pop(places, now_ms) else { return };
             if !self.start(TicketId(waiting.id.0), now_ms) {
-                self.end_in_queue(model, priority);
+                self.end_in_queue(model, priority, None);
             }
         }
     }
@@ -243,7 +255,9 @@
     fn expire(&mut self, model: ModelId, now_ms: u64) {
         while let Some(queue) = self.queues.get_mut(model) {
             let Some(expired) = queue.scheduler.pop_expired(now_ms) else { return };
-            self.refuse_waiting(expired, ResultCode::QueueTimeout);
+            let is_late = expired.deadline_ms <= now_ms;
+            let code = if is_late { ResultCode::QueueTimeout } else { ResultCode::Shed };
+            self.refuse_waiting(expired, code);
         }
     }
 
@@ -271,7 +285,8 @@
             self.retries.succeeded();
             self.count_usage(model, usage);
         }
-        self.end_in_queue(model, priority);
+        let took_ms = usage.map(|_| now_ms.saturating_sub(held.started_ms));
+        self.end_in_queue(model, priority, took_ms);
         self.pump(model, now_ms);
     }
 
@@ -283,9 +298,9 @@
         }
     }
 
-    fn end_in_queue(&mut self, model: ModelId, priority: redwingrill_entity::PriorityId) {
+    fn end_in_queue(&mut self, model: ModelId, priority: PriorityId, took_ms: Option<u64>) {
         if let Some(queue) = self.queues.get_mut(model) {
-            queue.scheduler.end(priority);
+            queue.scheduler.end(priority, took_ms);
         }
     }
 
--- a/crates/redwingrill/src/dispatch/engines.rs
+++ b/crates/redwingrill/src/dispatch/engines.rs
@@ -13,7 +13,10 @@
 use redwingrill_stream::Fault;
 
 /// How far above its limit an engine may go for a prompt that it holds, as a share of the limit.
-const CROWDING_BOUND: f64 = 0.5;
+const CROWDING_BOUND: f64 = 1.0;
+
+/// Smaller limits do not make a single request above them weigh more.
+const SMALL_LIMIT: f64 = 1.0;
 
 /// How long an engine that refused new work gets none.
 const REFUSED_PAUSE_MS: u64 = 500;
@@ -53,9 +56,10 @@
         if self.open_limit <= 0.0 {
             return None;
         }
-        let excess = (f64::from(self.in_flight + 1) / self.open_limit - 1.0).max(0.0);
-        let is_open = excess <= CROWDING_BOUND || self.in_flight == 0;
-        is_open.then_some(excess)
+        let excess = f64::from(self.in_flight + 1) - self.open_limit;
+        let crowding = (excess / self.open_limit.max(SMALL_LIMIT)).max(0.0);
+        let is_open = crowding <= CROWDING_BOUND || self.in_flight == 0;
+        is_open.then_some(crowding)
     }
 }
 
@@ -148,9 +152,12 @@
     pub(super) fn first_token(&mut self, upstream: UpstreamId, is_late: bool, now_ms: u64) {
         let Some(slot) = self.slots.get_mut(upstream) else { return };
         slot.health.succeeded(now_ms);
-        // A first token that is late though nothing waits is not mended by fewer requests.
-        if is_late && slot.has_waiting {
-            slot.limit.observe(Pressure::Late, now_ms);
+        match (is_late, slot.has_waiting) {
+            (true, true) => slot.limit.observe(Pressure::Late, now_ms),
+            // Engines whose reports are missing are judged by their first tokens alone.
+            (false, false) => slot.limit.observe(Pressure::Free, now_ms),
+            // One that is late though nothing waits is not mended by fewer requests.
+            _ => {}
         }
     }
 
--- a/crates/redwingrill/src/dispatch/legs.rs
+++ b/crates/redwingrill/src/dispatch/legs.rs
@@ -38,6 +38,7 @@
             self.refuse(reply, ResultCode::NoUpstream.into());
             return false;
         };
+        held.started_ms = now_ms;
         let target = self.begin_leg(&mut held, placement);
         let answered = reply.send(Ok(target)).is_ok();
         // A caller that is gone drops its ticket too, which ends the request.
