--- a/crates/lab/src/cli/mod.rs
+++ b/crates/lab/src/cli/mod.rs
@@ -38,6 +38,7 @@
         Some(("platform", matches)) => Ok(serve::platform(matches).await?),
         Some(("engine", matches)) => Ok(serve::engine(matches).await?),
         Some(("service", matches)) => Ok(serve::service(matches).await?),
+        Some(("cache-store", matches)) => Ok(serve::cache_store(matches).await?),
         Some(("quickstart", matches)) => quickstart::run(matches).await,
         Some(("load", matches)) => load::run(matches).await,
         Some(("bench", matches)) => bench::run(matches).await,
@@ -61,6 +62,7 @@
         .subcommand(serve::platform_command())
         .subcommand(serve::engine_command())
         .subcommand(serve::service_command())
+        .subcommand(serve::cache_store_command())
         .subcommand(router_command())
         .subcommand(load::command())
         .subcommand(bench::command())
--- a/crates/lab/src/cli/serve.rs
+++ b/crates/lab/src/cli/serve.rs
@@ -3,7 +3,9 @@
 use std::io;
 use std::io::Write;
 use std::net::SocketAddr;
+use std::str::FromStr;
 
+use clap::Arg;
 use clap::ArgMatches;
 use clap::Command;
 use tokio::signal::unix::SignalKind;
@@ -18,6 +20,8 @@
 use super::arguments::small_number_of;
 use super::arguments::text;
 use super::arguments::text_of;
+use crate::cache_store::CacheStore;
+use crate::cache_store::CacheStoreOptions;
 use crate::engine::Engine;
 use crate::engine::EngineOptions;
 use crate::platform::Platform;
@@ -46,6 +50,13 @@
         .arg(number("decode-us", "20000", "Time of a step for one request"))
         .arg(number("cache-blocks", "4096", "Size of the prefix cache"))
         .arg(number("answer-tokens", "32", "Tokens of an answer without a limit"))
+        .arg(
+            Arg::new("export-to")
+                .long("export-to")
+                .value_name("ADDRESS")
+                .value_parser(SocketAddr::from_str)
+                .help("KV cache store that computed blocks are exported to"),
+        )
         .arg(number("load-lag-ms", "500", "How late the load is reported"))
         .arg(number("events-lag-ms", "300", "How late cache events are reported"))
         .arg(number("events-gap-every", "50", "One in so many cache events is lost"))
@@ -62,6 +73,13 @@
         .arg(fencing())
 }
 
+pub(super) fn cache_store_command() -> Command {
+    Command::new("cache-store")
+        .about("Serve a KV cache store")
+        .arg(address("listen", "Address that serves engines"))
+        .arg(number("blocks", "65536", "Blocks it holds at most"))
+}
+
 pub(super) async fn platform(matches: &ArgMatches) -> io::Result<()> {
     let options = PlatformOptions {
         listen: address_of(matches, "listen"),
@@ -86,6 +104,7 @@
     options.pace.decode_us = small_number_of(matches, "decode-us");
     options.cache_blocks_limit = small_number_of(matches, "cache-blocks") as usize;
     options.answer_tokens = small_number_of(matches, "answer-tokens");
+    options.export_to = matches.get_one("export-to").copied();
     options.load_lag_ms = number_of(matches, "load-lag-ms");
     options.events_lag_ms = number_of(matches, "events-lag-ms");
     options.events_gap_every = number_of(matches, "events-gap-every");
@@ -97,6 +116,17 @@
     Ok(())
 }
 
+pub(super) async fn cache_store(matches: &ArgMatches) -> io::Result<()> {
+    let blocks_limit = small_number_of(matches, "blocks") as usize;
+    let options = CacheStoreOptions { listen: address_of(matches, "listen"), blocks_limit };
+    let running = CacheStore::start(options).await?;
+    // It has no faults to switch, and so no administration address of its own.
+    announce(running.address, running.address)?;
+    interrupted().await?;
+    running.stop().await;
+    Ok(())
+}
+
 pub(super) async fn service(matches: &ArgMatches) -> io::Result<()> {
     let mut options = ServiceOptions::new(&text_of(matches, "name"));
     options.listen = address_of(matches, "listen");
--- a/crates/lab/src/engine/chat.rs
+++ b/crates/lab/src/engine/chat.rs
@@ -1,5 +1,7 @@
 //! The chat completions request as the engine reads it.
 
+use std::net::SocketAddr;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -57,6 +59,10 @@
 pub struct KvTransfer {
     /// Whether to import.
     pub do_remote_prefill: bool,
+    /// The IP number of the KV cache store.
+    pub remote_host: String,
+    /// The port of the KV cache store.
+    pub remote_port: u16,
 }
 
 /// A chat completions request.
@@ -111,9 +117,10 @@
         }
     }
 
-    /// Returns whether the prefix is to be imported.
-    pub fn is_imported(&self) -> bool {
-        self.kv_transfer_params.as_ref().is_some_and(|params| params.do_remote_prefill)
+    /// Returns the KV cache store to import the prefix from.
+    pub fn import_from(&self) -> Option<SocketAddr> {
+        let params = self.kv_transfer_params.as_ref().filter(|params| params.do_remote_prefill)?;
+        Some(SocketAddr::new(params.remote_host.parse().ok()?, params.remote_port))
     }
 
     fn is_continued(&self) -> bool {
--- a/crates/lab/src/engine/http.rs
+++ b/crates/lab/src/engine/http.rs
@@ -118,7 +118,7 @@
         if exchange.fault.is_some_and(|rule| rule.kind == FaultKind::Refuse) {
             return Ok(error_reply(StatusCode::SERVICE_UNAVAILABLE, "refused"));
         }
-        let log = match self.core.submit(&exchange.request_id, &request) {
+        let log = match self.core.submit(&exchange.request_id, &request).await {
             Ok(log) => log,
             Err(refusal) => return Ok(refusal_reply(refusal)),
         };
--- a/crates/lab/src/engine/job.rs
+++ b/crates/lab/src/engine/job.rs
@@ -19,8 +19,8 @@
     pub blocks: Vec<BlockHash>,
     /// The tokens to generate.
     pub generate_tokens: u32,
-    /// Whether what is not cached is imported instead of computed.
-    pub is_imported: bool,
+    /// The tokens at the start of the prompt that can be imported instead of computed.
+    pub importable_tokens: u32,
 }
 
 /// A job that has a slot.
@@ -28,14 +28,26 @@
 pub(super) struct Running {
     pub job: Job,
     pub cached_tokens: u32,
-    pub missing_tokens: u32,
+    pub to_import_tokens: u32,
+    pub to_compute_tokens: u32,
     pub generated_tokens: u32,
-    pub step_tokens: u32,
+    pub step: Step,
+}
+
+/// What the present step does for a job's prompt.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Step {
+    pub imported_tokens: u32,
+    pub computed_tokens: u32,
 }
 
 impl Running {
     pub(super) fn is_prefilled(&self) -> bool {
-        self.missing_tokens == 0
+        self.missing_tokens() == 0
+    }
+
+    pub(super) fn missing_tokens(&self) -> u32 {
+        self.to_import_tokens + self.to_compute_tokens
     }
 
     pub(super) fn is_finished(&self) -> bool {
--- a/crates/lab/src/engine/mod.rs
+++ b/crates/lab/src/engine/mod.rs
@@ -24,6 +24,7 @@
 mod orders;
 mod reply_stream;
 mod stream_log;
+mod transfer;
 mod weight_loader;
 
 use std::io;
@@ -79,15 +80,20 @@
         let name = options.name.clone();
         let (listen, admin) = (options.listen, options.admin);
         let connections = Connections::default();
-        let core = Arc::new(core::Core::new(options, connections.clone()));
+        let (transfer, exports) = transfer::Transfer::new();
+        let export_to = options.export_to;
+        let core = Arc::new(core::Core::new(options, connections.clone(), transfer.clone()));
         let handler = Arc::new(http::EngineHandler::new(core.clone()));
         let server = Server::start_with(listen, handler, connections).await?;
         let admin = Server::start(admin, Arc::new(admin::Admin::new(core.clone()))).await?;
         let stop = CancellationToken::new();
-        let tasks = vec![
+        let mut tasks = vec![
             tokio::spawn(driver::step_batch(core.clone(), stop.clone())),
             tokio::spawn(driver::report_load(core.clone(), stop.clone())),
         ];
+        if let Some(store) = export_to {
+            tasks.push(tokio::spawn(transfer.run_exports(store, exports, stop.clone())));
+        }
         Ok(RunningEngine {
             name,
             address: server.address(),
--- a/crates/lab/src/engine/options.rs
+++ b/crates/lab/src/engine/options.rs
@@ -66,6 +66,8 @@
     pub cache_blocks_limit: usize,
     /// The tokens of an answer that has no limit in its request.
     pub answer_tokens: u32,
+    /// The KV cache store that computed blocks are exported to.
+    pub export_to: Option<SocketAddr>,
     /// How late `/load` reports.
     pub load_lag_ms: u64,
     /// How late `/cache/events` reports.
@@ -95,6 +97,7 @@
             pace: Pace::default(),
             cache_blocks_limit: 4_096,
             answer_tokens: 32,
+            export_to: None,
             load_lag_ms: 500,
             events_lag_ms: 300,
             events_gap_every: 50,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod answer;
 pub mod bench;
+pub mod cache_store;
 pub mod caller;
 pub mod cli;
 pub mod engine;
--- a/crates/lab/src/site/files.rs
+++ b/crates/lab/src/site/files.rs
@@ -36,6 +36,10 @@
         writeln!(text, "failure_domain = {}\nmodel = {}", site.domain_of(n), site.model)?;
         writeln!(text, "fencing = checked\n")?;
     }
+    if let Some(store) = &stand_ins.cache_store {
+        writeln!(text, "[upstream cache-store-1]\nkind = cache_store")?;
+        writeln!(text, "address = {}\nfailure_domain = {}\n", store.address, site.domain_of(0))?;
+    }
     let fencing = match site.service_fencing {
         FencingMode::Checked => "checked",
         FencingMode::Ignored => "ignored",
--- a/crates/lab/src/site/model.rs
+++ b/crates/lab/src/site/model.rs
@@ -40,6 +40,8 @@
     pub pace: Pace,
     /// The prefix cache of an engine.
     pub cache_blocks: usize,
+    /// The blocks that the KV cache store holds; zero for no store.
+    pub cache_store_blocks: usize,
     /// The priorities, the most urgent first.
     pub priorities: Vec<PrioritySite>,
     /// The accounts, the large ones first.
@@ -144,6 +146,7 @@
                 full_batch_slowdown_percent: engine.value("full_batch_slowdown_percent")?,
             },
             cache_blocks: engine.value("cache_blocks")?,
+            cache_store_blocks: site.value("cache_store_blocks")?,
             priorities,
             accounts: (0..count).map(|n| account(n, n < large, large_weight)).collect(),
             prompts: PromptSizes {
--- a/crates/lab/src/site/stand_ins.rs
+++ b/crates/lab/src/site/stand_ins.rs
@@ -6,6 +6,9 @@
 use std::sync::Arc;
 
 use super::Site;
+use crate::cache_store::CacheStore;
+use crate::cache_store::CacheStoreOptions;
+use crate::cache_store::RunningCacheStore;
 use crate::engine::Engine;
 use crate::engine::EngineOptions;
 use crate::engine::RunningEngine;
@@ -26,6 +29,8 @@
 pub struct StandIns {
     /// The platform.
     pub platform: RunningPlatform,
+    /// The KV cache store, if the site has one.
+    pub cache_store: Option<RunningCacheStore>,
     /// The engines.
     pub engines: Vec<RunningEngine>,
     /// The instances of the service.
@@ -38,6 +43,7 @@
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let options = PlatformOptions { listen: any, admin: any, list_lag_ms: LIST_LAG_MS };
         let platform = Platform::start(options).await?;
+        let cache_store = start_cache_store(site).await?;
         let weight_loader = Arc::new(WeightLoader::new(site.parallel_loads_limit));
         let mut engines = Vec::with_capacity(site.engines);
         for n in 1..=site.engines {
@@ -46,6 +52,7 @@
             options.pace = site.pace;
             options.cache_blocks_limit = site.cache_blocks;
             options.weight_loader = weight_loader.clone();
+            options.export_to = cache_store.as_ref().map(|store| store.address);
             engines.push(Engine::start(options).await?);
         }
         let mut services = Vec::with_capacity(site.service_instances);
@@ -54,7 +61,7 @@
             options.fencing = site.service_fencing;
             services.push(Service::start(options).await?);
         }
-        let stand_ins = Self { platform, engines, services };
+        let stand_ins = Self { platform, cache_store, engines, services };
         stand_ins.platform.instances.set(stand_ins.list(site));
         Ok(stand_ins)
     }
@@ -80,6 +87,18 @@
         for service in self.services {
             service.stop().await;
         }
+        if let Some(store) = self.cache_store {
+            store.stop().await;
+        }
         self.platform.stop().await;
     }
 }
+
+async fn start_cache_store(site: &Site) -> io::Result<Option<RunningCacheStore>> {
+    if site.cache_store_blocks == 0 {
+        return Ok(None);
+    }
+    let listen = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let options = CacheStoreOptions { listen, blocks_limit: site.cache_store_blocks };
+    CacheStore::start(options).await.map(Some)
+}
--- a/crates/lab/tests/engine.rs
+++ b/crates/lab/tests/engine.rs
@@ -9,6 +9,8 @@
 use serde_json::json;
 
 use redwingrill_lab::answer::Owner;
+use redwingrill_lab::cache_store::CacheStore;
+use redwingrill_lab::cache_store::CacheStoreOptions;
 use redwingrill_lab::caller::Call;
 use redwingrill_lab::caller::Caller;
 use redwingrill_lab::caller::Ending;
@@ -162,6 +164,39 @@
     second.stop().await;
 }
 
+#[tokio::test]
+async fn prefixes_are_imported_from_the_store_that_they_were_exported_to() {
+    let listen = SocketAddr::from(([127, 0, 0, 1], 0));
+    let store = CacheStore::start(CacheStoreOptions { listen, blocks_limit: 100 });
+    let store = store.await.expect("a free port");
+    let exporting = EngineOptions { export_to: Some(store.address), ..options() };
+    let first = Engine::start(exporting).await.expect("a free port");
+    let second = engine().await;
+    let mut body = chat(1, true);
+    body["messages"][0]["content"] = json!("long ".repeat(200));
+    send(first.address, post("/v1/chat/completions", &body)).await.expect("a reply");
+    body["kv_transfer_params"] = json!({
+        "do_remote_prefill": true,
+        "remote_host": store.address.ip().to_string(),
+        "remote_port": store.address.port(),
+    });
+    let mut tries = 0;
+    // Exports follow the answer, so that the first tries may find nothing; each tries a new prompt
+    // only as far as the engine's own cache is concerned.
+    while second.totals().imported_tokens == 0 {
+        tries += 1;
+        assert!(tries < 100, "nothing was imported");
+        second.crash(0);
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        send(second.address, post("/v1/chat/completions", &body)).await;
+    }
+    // 1,006 bytes of prompt hold three whole blocks of 64 tokens.
+    assert_eq!(second.totals().imported_tokens, 3 * 64);
+    first.stop().await;
+    second.stop().await;
+    store.stop().await;
+}
+
 #[tokio::test]
 async fn cancelled_requests_are_forgotten() {
     let engine = engine().await;
