--- a/crates/redwingrill/src/node/wiring.rs
+++ b/crates/redwingrill/src/node/wiring.rs
@@ -12,7 +12,7 @@
 use crate::upstream::EngineTimeouts;
 use redwingrill_config::NoPeers;
 use redwingrill_ledger::layout::LayoutConfig;
-use redwingrill_ledger::layout::PagedLayout;
+use redwingrill_ledger::layout::SingleLayout;
 use redwingrill_ledger::task::Ledger;
 use redwingrill_ledger::task::LedgerConfig;
 use redwingrill_ledger::task::LedgerTask;
@@ -62,7 +62,7 @@
 pub(super) fn ledger(
     settings: &Settings,
     pool: &Pool,
-) -> (Ledger, LedgerTask<EtcdStore, PagedLayout, NoHomes>) {
+) -> (Ledger, LedgerTask<EtcdStore, SingleLayout, NoHomes>) {
     let config = LedgerConfig::default();
     let options = PlatformOptions {
         call_timeout: Duration::from_millis(config.call_timeout_ms),
@@ -70,8 +70,8 @@
     };
     let store = EtcdStore::new(options, pool.clone());
     let layout = LayoutConfig::default();
-    let pages = PagedLayout::new(layout);
-    LedgerTask::new(store, pages, NoHomes, layout.shards, config, WallClock::system())
+    let records = SingleLayout::new(layout);
+    LedgerTask::new(store, records, NoHomes, layout.shards, config, WallClock::system())
 }
 
 /// Returns how long engines may take.
