Measure a fleet of the target size at the platform and share its rate

Cause: bursts were for each node alone: 320 nodes that restart together could make 12,800 calls. Ruled out: a smaller burst for all (small sites would start slowly); a share of a burst of the whole fleet is taken instead, like the rate. Change: allowance of rate and burst by live nodes; a test of 320 followers in paused time. ChunkSource::live_nodes must count the nodes that a starting node was told of.

--- a/crates/config/src/follow/follower.rs
+++ b/crates/config/src/follow/follower.rs
@@ -203,7 +203,7 @@
 
     async fn poll_store(&mut self) {
         let nothing_known = self.own.is_none() && self.pending.is_none();
-        if !nothing_known && !self.budget.take(Instant::now(), self.pacing.calls_per_s()) {
+        if !nothing_known && !self.budget.take(Instant::now(), self.pacing.allowance()) {
             return self.timers.poll.set(self.pacing.retry_pause());
         }
         self.count_call();
@@ -274,11 +274,13 @@
         let wanted = self.wanted(&pending);
         let fetched = fetch_chunks(&self.store, &self.source, &wanted).await;
         let gone = fetched.iter().any(|fetched| matches!(fetched, Fetched::Gone));
+        let held_before = self.cache.size().0;
         let complete = self.keep(fetched);
         if complete {
             return self.put_in_force(pending);
         }
-        self.pending_rounds += 1;
+        let progressed = self.cache.size().0 > held_before;
+        self.pending_rounds = if progressed { 1 } else { self.pending_rounds + 1 };
         if gone || self.pending_rounds == FETCH_ROUNDS {
             self.timers.poll.bring_forward(self.pacing.retry_pause());
         }
@@ -294,10 +296,10 @@
         let mut missing: Vec<_> = missing.copied().collect();
         // Nodes that start together begin at different chunks and find the rest at peers.
         self.pacing.shuffle(&mut missing);
-        let (now, calls_per_s) = (Instant::now(), self.pacing.calls_per_s());
+        let (now, allowance) = (Instant::now(), self.pacing.allowance());
         let wanted = missing
             .into_iter()
-            .map(|chunk| Wanted { chunk, store_allowed: self.budget.take(now, calls_per_s) });
+            .map(|chunk| Wanted { chunk, store_allowed: self.budget.take(now, allowance) });
         wanted.collect()
     }
 
--- a/crates/config/src/follow/pacing.rs
+++ b/crates/config/src/follow/pacing.rs
@@ -46,8 +46,11 @@
 const NODE_CALLS_PER_S_MIN: f64 = 2.0;
 const NODE_CALLS_PER_S_MAX: f64 = 100.0;
 
-/// The calls that a node may make at once after a quiet time.
-const CALL_BURST: f64 = 40.0;
+/// The calls that a whole fleet may make at once after a quiet time.
+const FLEET_BURST: f64 = 1_000.0;
+
+const NODE_BURST_MIN: f64 = 3.0;
+const NODE_BURST_MAX: f64 = 40.0;
 
 /// Draws the pauses of one node.
 #[derive(Debug)]
@@ -104,10 +107,14 @@
         if rounds == 0 { spread } else { spread + self.round_pause(rounds) }
     }
 
-    /// Returns the rate of calls to the store that this node keeps.
-    pub fn calls_per_s(&self) -> f64 {
-        let share = FLEET_CALLS_PER_S / self.live_nodes as f64;
-        share.clamp(NODE_CALLS_PER_S_MIN, NODE_CALLS_PER_S_MAX)
+    /// Returns the calls to the store that this node may make.
+    pub fn allowance(&self) -> Allowance {
+        let nodes = self.live_nodes as f64;
+        Allowance {
+            calls_per_s: (FLEET_CALLS_PER_S / nodes)
+                .clamp(NODE_CALLS_PER_S_MIN, NODE_CALLS_PER_S_MAX),
+            burst: (FLEET_BURST / nodes).clamp(NODE_BURST_MIN, NODE_BURST_MAX),
+        }
     }
 
     /// Puts items into a random order.
@@ -128,33 +135,42 @@
     }
 }
 
-/// The calls that a node may make to the store.
+/// The share of the platform's rate that one node takes.
+#[derive(Clone, Copy, Debug)]
+pub struct Allowance {
+    /// The calls that go on for long.
+    pub calls_per_s: f64,
+    /// The calls at once after a quiet time.
+    pub burst: f64,
+}
+
+/// Keeps a node within its allowance of calls to the store.
 #[derive(Debug)]
 pub struct CallBudget {
-    tokens: f64,
-    filled_at: Instant,
+    used: f64,
+    updated_at: Instant,
 }
 
 impl CallBudget {
-    /// Makes a full budget.
+    /// Makes a budget of which nothing is used.
     pub fn new(now: Instant) -> Self {
-        Self { tokens: CALL_BURST, filled_at: now }
+        Self { used: 0.0, updated_at: now }
     }
 
     /// Takes one call if there is one.
-    pub fn take(&mut self, now: Instant, calls_per_s: f64) -> bool {
-        let gained = now.saturating_duration_since(self.filled_at).as_secs_f64() * calls_per_s;
-        self.tokens = (self.tokens + gained).min(CALL_BURST);
-        self.filled_at = now;
-        let enough = self.tokens >= 1.0;
+    pub fn take(&mut self, now: Instant, allowance: Allowance) -> bool {
+        let passed_s = now.saturating_duration_since(self.updated_at).as_secs_f64();
+        self.used = (self.used - passed_s * allowance.calls_per_s).max(0.0);
+        self.updated_at = now;
+        let enough = self.used + 1.0 <= allowance.burst;
         if enough {
-            self.tokens -= 1.0;
+            self.used += 1.0;
         }
         enough
     }
 
     /// Gives back a call that was not needed.
     pub fn give_back(&mut self) {
-        self.tokens = (self.tokens + 1.0).min(CALL_BURST);
+        self.used = (self.used - 1.0).max(0.0);
     }
 }
--- a/crates/config/src/follow/source.rs
+++ b/crates/config/src/follow/source.rs
@@ -21,7 +21,8 @@
     /// Asks peers for a chunk.
     fn chunk(&self, hash: ChunkHash) -> impl Future<Output = Option<Bytes>> + Send;
 
-    /// Returns how many nodes are believed to live, with this one.
+    /// Returns how many nodes are believed to live, with this one. A node that starts and has met
+    /// nobody yet counts those that it was told of, since all of them may be starting.
     fn live_nodes(&self) -> usize;
 }
 
--- a/crates/config/tests/fault_matrix/fleet.rs
+++ b/crates/config/tests/fault_matrix/fleet.rs
@@ -22,6 +22,9 @@
 use redwingrill_config::Generation;
 use redwingrill_fakes::MemoryStore;
 
+/// The peers that a node of a large fleet calls.
+const PEERS_CALLED: usize = 6;
+
 /// What peers can reach of a node.
 #[derive(Clone, Debug, Default)]
 struct PeerSlot {
@@ -38,35 +41,42 @@
 }
 
 impl FleetSource {
-    fn reachable(&self) -> Vec<ConfigCache> {
+    /// Returns the peers at which `stride` apart this node looks.
+    fn reachable(&self, stride: usize) -> Vec<ConfigCache> {
         let slots = self.slots.lock().expect("no holder panics");
         if slots[self.me].alone {
             return Vec::new();
         }
         let count = slots.len();
-        let others = (1..count).map(|step| &slots[(self.me + step) % count]);
+        let others = (1..count).step_by(stride).map(|step| &slots[(self.me + step) % count]);
         let reachable = others.filter(|slot| !slot.paused && !slot.alone);
         reachable.filter_map(|slot| slot.cache.clone()).collect()
     }
+
+    /// Returns the few peers that this node calls.
+    fn called(&self) -> Vec<ConfigCache> {
+        let count = self.slots.lock().expect("no holder panics").len();
+        self.reachable((count / PEERS_CALLED).max(1))
+    }
 }
 
 impl ChunkSource for FleetSource {
     fn newest_generation(&self) -> Generation {
-        self.reachable().iter().map(ConfigCache::generation).max().unwrap_or_default()
+        self.reachable(1).iter().map(ConfigCache::generation).max().unwrap_or_default()
     }
 
     async fn newest_manifest(&self) -> Option<Bytes> {
         self.trip.hit(Step::Announce).await;
-        self.reachable().iter().max_by_key(|cache| cache.generation())?.manifest()
+        self.called().iter().max_by_key(|cache| cache.generation())?.manifest()
     }
 
     async fn chunk(&self, hash: ChunkHash) -> Option<Bytes> {
         self.trip.hit(Step::Fetch).await;
-        self.reachable().iter().find_map(|cache| cache.chunk(hash))
+        self.called().iter().find_map(|cache| cache.chunk(hash))
     }
 
     fn live_nodes(&self) -> usize {
-        self.reachable().len() + 1
+        self.reachable(1).len() + 1
     }
 }
 
--- /dev/null
+++ b/crates/config/tests/fault_matrix/herd.rs
@@ -0,0 +1,108 @@
+//! The calls of a fleet of the target size at the platform: quiet, at a change, and in herds.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::faulty::NodeStore;
+use crate::faulty::Trip;
+use crate::fleet::Fleet;
+use crate::support::apply_text;
+use crate::support::site;
+use redwingrill_fakes::Faults;
+use redwingrill_fakes::MemoryStore;
+
+const NODES: usize = 320;
+
+/// Fewer than the target's 19,000, so that the test takes seconds; the cost is by chunk.
+const ACCOUNTS: usize = 2_000;
+
+/// What the platform takes.
+const PLATFORM_CALLS_PER_S: u64 = 2_000;
+
+/// An accepted configuration is in force everywhere within this time.
+const IN_FORCE: Duration = Duration::from_secs(9);
+
+/// What a stretch of time cost.
+#[derive(Clone, Copy, Debug, Default)]
+struct Cost {
+    calls: u64,
+    most_in_a_second: u64,
+    seconds: f64,
+}
+
+impl Fleet {
+    fn total_calls(&self) -> u64 {
+        self.nodes.iter().map(|node| node.calls()).sum()
+    }
+
+    /// Lets time pass until `done`, at most `longest`.
+    async fn measure(&self, longest: Duration, done: impl Fn(&Self) -> bool) -> Cost {
+        const TICK: Duration = Duration::from_millis(100);
+        let (started, before) = (Instant::now(), self.total_calls());
+        let mut totals = vec![before];
+        while !done(self) {
+            assert!(started.elapsed() < longest, "not done after {longest:?}");
+            tokio::time::sleep(TICK).await;
+            totals.push(self.total_calls());
+        }
+        let seconds = totals.windows(11).map(|window| window[10] - window[0]);
+        Cost {
+            calls: self.total_calls() - before,
+            most_in_a_second: seconds.max().unwrap_or(self.total_calls() - before),
+            seconds: started.elapsed().as_secs_f64(),
+        }
+    }
+
+    fn all_have(&self, mark: u64) -> bool {
+        self.nodes.iter().all(|node| node.in_force().is_some_and(|(_, found)| found == mark))
+    }
+
+    fn restart(&mut self, nodes: usize) {
+        (0..nodes).for_each(|at| self.kill_node(at));
+        (0..nodes).for_each(|at| self.start_node(at));
+    }
+}
+
+#[test]
+fn a_fleet_of_the_target_size_spares_the_platform() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime starts");
+    runtime.block_on(measure_fleet());
+}
+
+async fn measure_fleet() {
+    let store = MemoryStore::new();
+    let (trip, _struck) = Trip::new();
+    let operator = NodeStore::new(store.clone(), trip.clone());
+    apply_text(&operator, &site(ACCOUNTS, 1), 1).await.expect("accepted");
+    let mut fleet = Fleet::start(store.clone(), trip, NODES, 7);
+    let longest = Duration::from_secs(60);
+    let first = fleet.measure(longest, |fleet| fleet.all_have(1)).await;
+    let until = Instant::now() + Duration::from_secs(120);
+    let quiet = fleet.measure(longest * 3, |_| Instant::now() >= until).await;
+    apply_text(&operator, &site(ACCOUNTS, 2), 2).await.expect("accepted");
+    let change = fleet.measure(IN_FORCE, |fleet| fleet.all_have(2)).await;
+    fleet.restart(NODES / 6);
+    let domain = fleet.measure(IN_FORCE, |fleet| fleet.all_have(2)).await;
+    fleet.restart(NODES);
+    let all = fleet.measure(longest, |fleet| fleet.all_have(2)).await;
+    store.set_faults(Faults { frozen: true, ..Faults::default() });
+    fleet.restart(NODES / 2);
+    let frozen = fleet.measure(IN_FORCE, |fleet| fleet.all_have(2)).await;
+    for (name, cost) in [
+        ("first start", first),
+        ("quiet", quiet),
+        ("change", change),
+        ("herd of a domain", domain),
+        ("herd of all", all),
+        ("herd of half, store frozen", frozen),
+    ] {
+        println!("{name}: nodes={NODES} accounts={ACCOUNTS} {cost:?}");
+        assert!(cost.most_in_a_second < PLATFORM_CALLS_PER_S, "{name}: {cost:?}");
+        assert!(cost.seconds > 0.0 && cost.calls < PLATFORM_CALLS_PER_S * 10, "{name}: {cost:?}");
+    }
+}
--- a/crates/config/tests/fault_matrix/main.rs
+++ b/crates/config/tests/fault_matrix/main.rs
@@ -10,6 +10,7 @@
 
 mod faulty;
 mod fleet;
+mod herd;
 mod schedule;
 
 use rand::Rng;
