Add redwingrill keys

Cause: the peers' library can make a site's keys, and no command did. Ruled out: overwriting files that are there; the command refuses and names the file.

--- a/crates/redwingrill/src/operator/args.rs
+++ b/crates/redwingrill/src/operator/args.rs
@@ -13,6 +13,7 @@
 
 use super::command::ApplyArgs;
 use super::command::Command;
+use super::command::KeysArgs;
 use super::command::NodeSelection;
 use super::command::PlatformArgs;
 use redwingrill_config::Generation;
@@ -39,6 +40,11 @@
         "dump" => Command::Dump { node: one(sub, "node") },
         "drain" => Command::Drain { node: one(sub, "node") },
         "hash-key" => Command::HashKey,
+        "keys" => Command::Keys(KeysArgs {
+            site: one(sub, "site"),
+            directory: one(sub, "directory"),
+            nodes: many(sub, "names"),
+        }),
         _ => Command::Completion { shell: one(sub, "shell") },
     };
     Ok((command, json))
@@ -67,6 +73,7 @@
         .subcommand(sub("dump", "Print the whole state of a node as JSON").arg(node_arg()))
         .subcommand(sub("drain", "Begin the graceful shutdown of a node").arg(node_arg()))
         .subcommand(sub("hash-key", "Print the hash of the API key on standard input"))
+        .subcommand(keys_command())
         .subcommand(
             sub("completion", "Print a completion script")
                 .arg(Arg::new("shell").required(true).value_parser(value_parser!(Shell))),
@@ -100,6 +107,32 @@
         )
 }
 
+fn keys_command() -> clap::Command {
+    sub("keys", "Make keys and certificates for the connections between nodes")
+        .arg(
+            Arg::new("site")
+                .long("site")
+                .value_name("NAME")
+                .default_value("redwingrill")
+                .help("The name of the site, for the authority's certificate"),
+        )
+        .arg(
+            Arg::new("directory")
+                .long("directory")
+                .value_name("DIRECTORY")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("Where to write files; none of them may be there already"),
+        )
+        .arg(
+            Arg::new("names")
+                .value_name("NODE")
+                .required(true)
+                .num_args(1..)
+                .help("The names of the nodes"),
+        )
+}
+
 fn sub(name: &'static str, about: &'static str) -> clap::Command {
     clap::Command::new(name).about(about)
 }
--- a/crates/redwingrill/src/operator/command.rs
+++ b/crates/redwingrill/src/operator/command.rs
@@ -41,6 +41,17 @@
     pub wait: Option<Duration>,
 }
 
+/// The arguments of `keys`.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct KeysArgs {
+    /// The name of the site, for the authority's certificate.
+    pub site: String,
+    /// Where to write files.
+    pub directory: PathBuf,
+    /// The names of the nodes.
+    pub nodes: Vec<String>,
+}
+
 /// One command.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub enum Command {
@@ -75,6 +86,8 @@
     },
     /// Print the hash of an API key read from standard input.
     HashKey,
+    /// Make keys and certificates for the connections between nodes.
+    Keys(KeysArgs),
     /// Print a shell's completion script.
     Completion {
         /// The shell.
--- a/crates/redwingrill/src/operator/error.rs
+++ b/crates/redwingrill/src/operator/error.rs
@@ -1,6 +1,7 @@
 //! Why a command failed, and the way out.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use serde_json::Value;
 use serde_json::json;
@@ -67,6 +68,14 @@
         /// All nodes that were asked.
         reports: Vec<NodeReport>,
     },
+    /// A set of keys could not be made.
+    #[snafu(display("{}: {reason}", path.display()))]
+    Keys {
+        /// The file, directory or node at fault.
+        path: PathBuf,
+        /// Why.
+        reason: String,
+    },
     /// Standard input could not be read.
     #[snafu(display("standard input: {reason}"))]
     Input {
@@ -82,7 +91,7 @@
             Self::Invalid { .. } => ResultCode::ConfigInvalid,
             Self::Apply { source } => source.code(),
             Self::Read { .. } | Self::InstanceList { .. } => ResultCode::StoreUnavailable,
-            Self::NoNodes | Self::Input { .. } => ResultCode::Usage,
+            Self::NoNodes | Self::Input { .. } | Self::Keys { .. } => ResultCode::Usage,
             Self::Node { .. } | Self::Unreachable { .. } => ResultCode::NodeUnreachable,
             Self::NotInForce { .. } => ResultCode::ConfigNotInForce,
         }
@@ -108,6 +117,7 @@
             Self::NotInForce { .. } => {
                 "nodes take it as soon as they can; see `redwingrill status` and the logs of those behind"
             }
+            Self::Keys { .. } => "name an empty directory, and nodes by names of files",
             Self::Input { .. } => {
                 "pipe one key into the command, such as: printf %s KEY | redwingrill hash-key"
             }
--- a/crates/redwingrill/src/operator/execute.rs
+++ b/crates/redwingrill/src/operator/execute.rs
@@ -9,6 +9,7 @@
 use super::admin::NodeAdmin;
 use super::command::Command;
 use super::command::NodeSelection;
+use super::keys::keys;
 use super::local::completion;
 use super::local::hash_key;
 use super::local::load;
@@ -82,6 +83,7 @@
             }
             Command::Dump { node } => self.dump(*node).await,
             Command::Drain { node } => self.drain(*node).await,
+            Command::Keys(args) => keys(args),
             Command::HashKey => unreachable!("the caller reads its input"),
             Command::Completion { shell } => {
                 let text = completion(*shell);
--- a/crates/redwingrill/tests/operator/main.rs
+++ b/crates/redwingrill/tests/operator/main.rs
@@ -7,6 +7,7 @@
 
 use crate::session::Session;
 use redwingrill::operator::parse;
+use redwingrill_codes::ResultCode;
 use redwingrill_config::DesiredState;
 use redwingrill_config::Fencing;
 use redwingrill_config::UpstreamKind;
@@ -109,3 +110,27 @@
         assert!(parsed.is_err_and(|error| error.use_stderr()), "{line:?}");
     }
 }
+
+#[test]
+fn keys_are_written_once_and_private_keys_for_their_owner_only() {
+    use std::os::unix::fs::PermissionsExt;
+
+    let directory =
+        PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("keys-{}", std::process::id()));
+    let words = ["redwingrill", "keys", "--directory", directory.to_str().expect("UTF-8")];
+    let line = words.iter().chain(&["entry-1", "entry-2"]).map(|word| (*word).to_owned());
+    let (command, _) = parse(line).expect("the command line is right");
+    let runtime = tokio::runtime::Builder::new_current_thread().build().expect("a runtime starts");
+    let session = Session::new();
+    let first = runtime.block_on(session.execute(&command));
+    assert_eq!(first.code, ResultCode::Ok, "{first:?}");
+    let names = ["ca", "ca-key", "entry-1", "entry-1-key", "entry-2", "entry-2-key"];
+    for name in names {
+        let file = std::fs::metadata(directory.join(format!("{name}.pem"))).expect("written");
+        let mode = file.permissions().mode() & 0o777;
+        assert_eq!(mode & 0o077 == 0, name.ends_with("-key"), "{name}: {mode:o}");
+    }
+    let again = runtime.block_on(session.execute(&command));
+    assert_eq!(again.code, ResultCode::Usage, "{again:?}");
+    std::fs::remove_dir_all(&directory).expect("removed");
+}
--- a/crates/redwingrill/tests/operator/session.rs
+++ b/crates/redwingrill/tests/operator/session.rs
@@ -23,9 +23,11 @@
 use serde_json::json;
 
 use crate::racing::RacingStore;
+use redwingrill::operator::Command;
 use redwingrill::operator::NodeAdmin;
 use redwingrill::operator::NodeStatus;
 use redwingrill::operator::Operator;
+use redwingrill::operator::Output;
 use redwingrill::operator::parse;
 use redwingrill_config::read_manifest;
 use redwingrill_fakes::Faults;
@@ -83,6 +85,13 @@
     transcript: String,
 }
 
+impl Drop for Session {
+    fn drop(&mut self) {
+        // What is left behind lies in the build's directory for temporary files.
+        let _ = fs::remove_dir_all(&self.directory);
+    }
+}
+
 impl Session {
     pub fn new() -> Self {
         let number = SESSIONS.fetch_add(1, Ordering::Relaxed);
@@ -109,8 +118,11 @@
                 words => self.arrange(words),
             }
         }
-        fs::remove_dir_all(&self.directory).expect("directory removed");
-        self.transcript
+        std::mem::take(&mut self.transcript)
+    }
+
+    pub async fn execute(&self, command: &Command) -> Output {
+        self.operator.execute(command, false, || Ok(String::new())).await
     }
 
     fn arrange(&mut self, words: &[&str]) {
