Let a node just started take what comes

Cause: the rolling restart test failed since the limit at each engine began at 4 and grew by half every 250 ms: 100 callers at a fresh node waited in its queue and were shed (204) within 2 s although the engines were idle. Ruled out: the drain notice; the engines (idle); a larger first limit (no number fits both a fleet of 7 and of 320). Change: until the first pressure is seen, each first token that comes in time raises a full limit at once and the queue is pumped.

--- a/crates/admission/src/engines/concurrency.rs
+++ b/crates/admission/src/engines/concurrency.rs
@@ -74,6 +74,17 @@
         }
     }
 
+    /// Takes in a first token that came in time, with so many requests at the engine. While no
+    /// pressure was seen yet the limit grows at once, so that a node just started takes what comes.
+    /// Returns whether it grew.
+    pub fn answered(&mut self, in_flight: u32) -> bool {
+        if !self.is_starting || f64::from(in_flight) < self.limit * FULL_SHARE {
+            return false;
+        }
+        self.limit = (self.limit * GROW_FAST).min(MAX);
+        true
+    }
+
     /// Starts again from the least, for an engine that came back empty.
     pub fn restart(&mut self, now_ms: u64) {
         *self = Self { limit: RESTART, grown_ms: now_ms, ..Self::default() };
--- a/crates/redwingrill/src/dispatch/engines.rs
+++ b/crates/redwingrill/src/dispatch/engines.rs
@@ -36,7 +36,7 @@
 }
 
 impl EngineSlot {
-    fn refresh(&mut self, now_ms: u64) {
+    pub(super) fn refresh(&mut self, now_ms: u64) {
         let share = self.health.share(now_ms);
         let is_closed = self.is_leaving || share <= 0.0 || now_ms < self.refused_until_ms;
         let mut limit = self.limit.get() * share;
--- a/crates/redwingrill/src/dispatch/legs.rs
+++ b/crates/redwingrill/src/dispatch/legs.rs
@@ -153,6 +153,10 @@
             slot.health.succeeded(now_ms);
             if is_late {
                 slot.limit.observe(Pressure::Late, now_ms);
+            } else if slot.limit.answered(slot.in_flight) {
+                slot.refresh(now_ms);
+                let model = held.ask.model;
+                self.pump(model, now_ms);
             }
         }
     }
