Say what went wrong with calls that failed in a bench

Cause: engine_crash counted two failed calls of the shipped policy and did not say why. Ruled out: guessing from the counts. Change: the first twenty are printed to standard error.

--- a/crates/lab/src/bench/scenario/mod.rs
+++ b/crates/lab/src/bench/scenario/mod.rs
@@ -108,6 +108,20 @@
         self.runs.iter().map(report).collect()
     }
 
+    /// Returns what went wrong with each call that failed, by policy.
+    pub fn failures(&self) -> Vec<String> {
+        let of_run = |run: &PolicyRun| -> Vec<String> {
+            let records = run.records.iter();
+            let failed = records.filter(|record| class_of(&record.outcome) == Class::Failed);
+            let line = |record: &crate::load::Record| {
+                let at_ms = record.call.at_us / 1_000;
+                format!("policy={} at_ms={at_ms} {:?}", run.policy, record.outcome)
+            };
+            failed.map(line).collect()
+        };
+        self.runs.iter().flat_map(of_run).collect()
+    }
+
     /// Draws the run into an SVG file.
     pub fn plot(&self, file: &Path) -> Result<(), ScenarioError> {
         plot::draw(&self.site, &self.case, &self.runs, file)
--- a/crates/lab/src/cli/bench.rs
+++ b/crates/lab/src/cli/bench.rs
@@ -21,6 +21,7 @@
 use crate::bench::scenario::ScenarioOptions;
 
 const OVERHEAD: &str = "overhead";
+const FAILURES_SHOWN: usize = 20;
 const ORDERS: &str = "orders";
 
 pub(super) fn command() -> Command {
@@ -84,6 +85,9 @@
     for report in results.reports() {
         print_object(&report, json)?;
     }
+    for failure in results.failures().iter().take(FAILURES_SHOWN) {
+        eprintln!("{failure}");
+    }
     if let Some(file) = matches.get_one::<PathBuf>("plot") {
         results.plot(file)?;
     }
