Start small sites at once and large ones within the platform's rate

Cause: a node that starts has met nobody, so its share of the rate was that of a node alone: with peers met after a second, 320 nodes made 4,438 calls in one second. Ruled out: reckoning with 320 nodes in every pause (a small site would wait up to 3.2 s). Change: only the allowance reckons with 320 until there is a configuration; chunks are no longer cut between kinds, so that a small site is one or two; the watch opens after the first configuration.

--- a/crates/config/src/follow/follower.rs
+++ b/crates/config/src/follow/follower.rs
@@ -131,16 +131,22 @@
     }
 
     async fn follow(&mut self) {
-        self.pacing.set_live_nodes(self.source.live_nodes());
+        self.note_live_nodes();
         tokio::time::sleep(self.pacing.fetch_pause()).await;
         loop {
-            self.pacing.set_live_nodes(self.source.live_nodes());
+            self.note_live_nodes();
             self.act().await;
             self.publish_status();
             self.wait().await;
         }
     }
 
+    fn note_live_nodes(&mut self) {
+        self.pacing.set_live_nodes(self.source.live_nodes());
+        // A node that starts has met few peers yet, and all may be starting with it.
+        self.pacing.set_starting(self.own.is_none());
+    }
+
     /// Does everything that is due.
     async fn act(&mut self) {
         if self.timers.peer.take_due() {
@@ -232,9 +238,15 @@
             self.store_revision = revision;
         }
         self.observe(stored.map(|stored| stored.manifest), Origin::Store);
+        if self.pending.is_none() {
+            self.open_watch();
+        }
+    }
+
+    fn open_watch(&mut self) {
         if self.watcher.is_none() {
             self.count_call();
-            self.watcher = Some(Watcher::open(self.store.clone(), revision));
+            self.watcher = Some(Watcher::open(self.store.clone(), self.store_revision));
         }
     }
 
@@ -277,7 +289,11 @@
         let held_before = self.cache.size().0;
         let complete = self.keep(fetched);
         if complete {
-            return self.put_in_force(pending);
+            self.put_in_force(pending);
+            if self.store_revision != Revision::default() {
+                self.open_watch();
+            }
+            return;
         }
         let progressed = self.cache.size().0 > held_before;
         self.pending_rounds = if progressed { 1 } else { self.pending_rounds + 1 };
--- a/crates/config/src/follow/pacing.rs
+++ b/crates/config/src/follow/pacing.rs
@@ -49,6 +49,10 @@
 /// The calls that a whole fleet may make at once after a quiet time.
 const FLEET_BURST: f64 = 1_000.0;
 
+/// The fleet that shares the rate while a node starts, whatever it has met. The chunks of a small
+/// site are within the burst that this leaves.
+const START_NODES: usize = 320;
+
 const NODE_BURST_MIN: f64 = 3.0;
 const NODE_BURST_MAX: f64 = 40.0;
 
@@ -57,12 +61,13 @@
 pub struct Pacing {
     rng: SmallRng,
     live_nodes: usize,
+    starting: bool,
 }
 
 impl Pacing {
     /// Makes the pacing of a node from its own randomness.
     pub fn new(rng: SmallRng) -> Self {
-        Self { rng, live_nodes: 1 }
+        Self { rng, live_nodes: 1, starting: true }
     }
 
     /// Notes how many nodes live.
@@ -70,6 +75,11 @@
         self.live_nodes = live_nodes.max(1);
     }
 
+    /// Notes whether the node has no configuration yet.
+    pub fn set_starting(&mut self, starting: bool) {
+        self.starting = starting;
+    }
+
     /// Returns the pause until the next poll of the store, or the next try to open a watch.
     pub fn poll_pause(&mut self) -> Duration {
         let period = Duration::from_secs_f64(self.live_nodes as f64 / FLEET_POLLS_PER_S);
@@ -109,7 +119,8 @@
 
     /// Returns the calls to the store that this node may make.
     pub fn allowance(&self) -> Allowance {
-        let nodes = self.live_nodes as f64;
+        let least = if self.starting { START_NODES } else { 1 };
+        let nodes = self.live_nodes.max(least) as f64;
         Allowance {
             calls_per_s: (FLEET_CALLS_PER_S / nodes)
                 .clamp(NODE_CALLS_PER_S_MIN, NODE_CALLS_PER_S_MAX),
--- a/crates/config/src/storage/chunk.rs
+++ b/crates/config/src/storage/chunk.rs
@@ -2,8 +2,8 @@
 //!
 //! Records in order are cut where the hash of a name says so, not at fixed counts: adding or
 //! removing an account then moves no cut but its own, and one change touches one small chunk.
-//! Invariants: a chunk holds records of one kind; its hash is that of its bytes; no chunk comes
-//! near the store's limit on values.
+//! A small site is one chunk or two, which a starting node fetches at once. Invariants: a chunk's hash
+//! is that of its bytes; no chunk comes near the store's limit on values.
 
 use std::fmt;
 
@@ -64,9 +64,8 @@
     let mut current: Vec<Record> = Vec::new();
     let mut current_bytes = 0;
     for record in records {
-        let parted = current.last().is_some_and(|last| last.word() != record.word());
         let full = current_bytes >= CHUNK_LIMIT_BYTES;
-        if !current.is_empty() && (parted || full || begins_chunk(record.name())) {
+        if !current.is_empty() && (full || begins_chunk(record.name())) {
             chunks.push(encode(std::mem::take(&mut current)));
             current_bytes = 0;
         }
--- a/crates/config/tests/fault_matrix/fleet.rs
+++ b/crates/config/tests/fault_matrix/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::time::Duration;
 
 use bytes::Bytes;
 use tokio::task::JoinHandle;
@@ -25,6 +26,9 @@
 /// The peers that a node of a large fleet calls.
 const PEERS_CALLED: usize = 6;
 
+/// How long a node takes to meet its peers.
+const MEETING: Duration = Duration::from_secs(1);
+
 /// What peers can reach of a node.
 #[derive(Clone, Debug, Default)]
 struct PeerSlot {
@@ -38,6 +42,7 @@
     me: usize,
     slots: Arc<Mutex<Vec<PeerSlot>>>,
     trip: Trip,
+    started: Instant,
 }
 
 impl FleetSource {
@@ -76,7 +81,8 @@
     }
 
     fn live_nodes(&self) -> usize {
-        self.reachable(1).len() + 1
+        let met = self.started.elapsed() >= MEETING;
+        if met { self.reachable(1).len() + 1 } else { 1 }
     }
 }
 
@@ -124,7 +130,8 @@
         node.seed += 100;
         node.impaired_at = Instant::now();
         let slots = self.slots.clone();
-        let source = FleetSource { me: at, slots, trip: self.trip.clone() };
+        let started = Instant::now();
+        let source = FleetSource { me: at, slots, trip: self.trip.clone(), started };
         let (follower, followed) =
             Follower::new(node.store.clone(), source, Arc::default(), node.seed);
         let run = follower.run(CancellationToken::new());
--- a/crates/config/tests/fault_matrix/herd.rs
+++ b/crates/config/tests/fault_matrix/herd.rs
@@ -106,3 +106,27 @@
         assert!(cost.seconds > 0.0 && cost.calls < PLATFORM_CALLS_PER_S * 10, "{name}: {cost:?}");
     }
 }
+
+#[test]
+fn a_node_of_a_small_site_that_restarts_has_its_configuration_at_once() {
+    const SMALL_SITE: usize = 7;
+    const AT_ONCE: Duration = Duration::from_millis(300);
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime starts");
+    runtime.block_on(async {
+        let store = MemoryStore::new();
+        let (trip, _struck) = Trip::new();
+        let operator = NodeStore::new(store.clone(), trip.clone());
+        apply_text(&operator, &site(8, 1), 1).await.expect("accepted");
+        let mut fleet = Fleet::start(store, trip, SMALL_SITE, 3);
+        let cold = fleet.measure(AT_ONCE, |fleet| fleet.all_have(1)).await;
+        fleet.restart(1);
+        let one = fleet.measure(AT_ONCE, |fleet| fleet.all_have(1)).await;
+        fleet.restart(SMALL_SITE);
+        let all = fleet.measure(AT_ONCE, |fleet| fleet.all_have(1)).await;
+        println!("small site: cold={cold:?} one={one:?} all={all:?}");
+    });
+}
