Let leases remove the records of one key an order

Ruled out: one deletion an order (half as many writes again). Conclusion: an order costs two writes, and its removal none.

--- a/crates/lab/src/bench/orders/window.rs
+++ b/crates/lab/src/bench/orders/window.rs
@@ -23,6 +23,7 @@
 /// One setting.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct WindowCase {
+    layout: RecordLayout,
     in_flight: u32,
     store_delay_ms: u64,
 }
@@ -30,6 +31,8 @@
 /// The throughput in one setting.
 #[derive(Clone, Debug, Serialize)]
 pub struct WindowReport {
+    /// Where records lie.
+    pub layout: RecordLayout,
     /// The bound on orders in flight; as many callers send without a pause.
     pub in_flight: u32,
     /// How long a call to the platform takes.
@@ -55,33 +58,41 @@
 
 /// All settings.
 pub(super) fn cases() -> Vec<WindowCase> {
-    let cases = STORE_DELAYS_MS.iter().flat_map(|&store_delay_ms| {
-        IN_FLIGHT.map(|in_flight| WindowCase { in_flight, store_delay_ms })
-    });
-    cases.collect()
+    let mut cases = Vec::new();
+    for layout in [RecordLayout::Single, RecordLayout::Paged] {
+        for store_delay_ms in STORE_DELAYS_MS {
+            cases.extend(IN_FLIGHT.map(|in_flight| WindowCase {
+                layout,
+                in_flight,
+                store_delay_ms,
+            }));
+        }
+    }
+    cases
 }
 
-fn options(store_delay: Duration, in_flight_limit: u32) -> ClusterOptions {
+fn options(layout: RecordLayout, store_delay: Duration) -> ClusterOptions {
     ClusterOptions {
-        layout: RecordLayout::Paged,
+        layout,
         linking: Linking::None,
         nodes: 1,
         store_delay,
         window_ms: 3_600_000,
-        in_flight_limit,
+        in_flight_limit: 0,
     }
 }
 
 /// Measures one setting.
 pub(super) async fn run(case: WindowCase) -> WindowReport {
     let delay = Duration::from_millis(case.store_delay_ms);
-    let cluster = Cluster::start(options(delay, 0));
+    let cluster = Cluster::start(options(case.layout, delay));
     let began = Instant::now();
     let total = run_callers(&cluster, u64::from(case.in_flight), ORDERS).await;
     let orders_per_s = ORDERS as f64 / began.elapsed().as_secs_f64();
     cluster.stop().await;
     let order_ms = total.as_secs_f64() * 1_000.0 / ORDERS as f64;
     WindowReport {
+        layout: case.layout,
         in_flight: case.in_flight,
         store_delay_ms: case.store_delay_ms,
         orders_per_s,
@@ -108,7 +119,7 @@
 /// Measures what a number of retained orders costs.
 pub(super) async fn retain(orders: u64) -> MemoryReport {
     let delay = Duration::from_millis(3);
-    let cluster = Cluster::start(options(delay, 0));
+    let cluster = Cluster::start(options(RecordLayout::Paged, delay));
     run_callers(&cluster, CALLERS_RETAINING, orders).await;
     let ledger = cluster.ledger(0);
     ledger.drain(Duration::from_secs(60)).await;
--- /dev/null
+++ b/crates/ledger/src/layout/leases.rs
@@ -0,0 +1,96 @@
+//! Leases that remove records behind the retained window.
+//!
+//! All records that a node writes for a service in one span of time hang on one lease. It is never
+//! renewed, and lives for the span longer than records are kept, so a record lives long enough
+//! whenever in the span it was written. A lease decides only when a record is removed, never who may
+//! send.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::Now;
+use crate::layout::LayoutConfig;
+use crate::layout::StoreAnswer;
+use crate::layout::StoreCall;
+use redwingrill_ports::LeaseId;
+
+/// The part of the time for which records are kept that one lease takes records.
+const SPANS: u64 = 4;
+
+#[derive(Clone, Copy, Debug)]
+struct Granted {
+    id: LeaseId,
+    window_ms: u64,
+    at: Now,
+}
+
+#[derive(Clone, Debug)]
+struct Wanted {
+    service: Arc<str>,
+    window_ms: u64,
+}
+
+/// The leases of one node.
+#[derive(Debug)]
+pub(super) struct Leases {
+    config: LayoutConfig,
+    granted: BTreeMap<Arc<str>, Granted>,
+    wanted: BTreeMap<Arc<str>, u64>,
+    flight: Option<(Wanted, Now)>,
+    retry_at_ms: u64,
+}
+
+impl Leases {
+    pub(super) fn new(config: LayoutConfig) -> Self {
+        let (granted, wanted) = (BTreeMap::new(), BTreeMap::new());
+        Self { config, granted, wanted, flight: None, retry_at_ms: 0 }
+    }
+
+    /// Returns the lease for a service's records; without one, it will be asked for. A window of
+    /// zero stands for the service's last one.
+    pub(super) fn current(
+        &mut self,
+        service: &Arc<str>,
+        window_ms: u64,
+        now: Now,
+    ) -> Option<LeaseId> {
+        let span_ms = self.config.forget_after_ms(window_ms) / SPANS;
+        let usable = |granted: &&Granted| {
+            [granted.window_ms, 0].contains(&window_ms) && now.since_ms(granted.at) < span_ms
+        };
+        let id = self.granted.get(service).filter(usable).map(|granted| granted.id);
+        if id.is_none() {
+            self.wanted.insert(service.clone(), window_ms);
+        }
+        id
+    }
+
+    /// Returns the next grant to ask for.
+    pub(super) fn next_call(&mut self, now: Now) -> Option<StoreCall> {
+        if self.flight.is_some() || now.monotonic_ms < self.retry_at_ms {
+            return None;
+        }
+        let (service, window_ms) = self.wanted.pop_first()?;
+        let kept_ms = self.config.forget_after_ms(window_ms);
+        let ttl_ms = kept_ms + kept_ms / SPANS + self.config.view_ttl_ms;
+        self.flight = Some((Wanted { service, window_ms }, now));
+        Some(StoreCall::Grant { ttl_ms })
+    }
+
+    /// Takes the answer to a grant.
+    pub(super) fn answer(&mut self, answer: StoreAnswer, now: Now) {
+        let Some((Wanted { service, window_ms }, at)) = self.flight.take() else { return };
+        if let StoreAnswer::Grant(Ok(id)) = answer {
+            self.wanted.remove(&service);
+            self.granted.insert(service, Granted { id, window_ms, at });
+        } else {
+            // Whoever still needs it asks again.
+            self.retry_at_ms = now.monotonic_ms + self.config.retry_pause_ms;
+        }
+    }
+
+    /// Returns when the next grant may be asked for.
+    pub(super) fn wake_at_ms(&self) -> Option<u64> {
+        (self.flight.is_none() && !self.wanted.is_empty()).then_some(self.retry_at_ms)
+    }
+}
--- a/crates/ledger/src/layout/mod.rs
+++ b/crates/ledger/src/layout/mod.rs
@@ -12,6 +12,7 @@
 //! - At most one call is in flight for each [`Lane`].
 
 mod config;
+mod leases;
 mod page;
 mod single;
 mod waiting;
@@ -28,6 +29,7 @@
 use crate::record::Verdict;
 use redwingrill_ports::Entry;
 use redwingrill_ports::Expected;
+use redwingrill_ports::LeaseId;
 use redwingrill_ports::Revision;
 use redwingrill_ports::StoreError;
 use redwingrill_ports::Swap;
@@ -67,6 +69,13 @@
         expected: Expected,
         /// The new value.
         value: Bytes,
+        /// The lease that removes the key.
+        lease: Option<LeaseId>,
+    },
+    /// Grant a lease.
+    Grant {
+        /// How long it lives.
+        ttl_ms: u64,
     },
     /// Delete one key.
     Delete {
@@ -84,6 +93,8 @@
     Get(Result<Option<Entry>, StoreError>),
     /// To a read of a prefix.
     List(Result<Vec<Entry>, StoreError>),
+    /// To a grant.
+    Grant(Result<LeaseId, StoreError>),
     /// To a swap.
     Swap(Result<Swap, StoreError>),
     /// To a deletion.
--- a/crates/ledger/src/layout/paged/shard/mod.rs
+++ b/crates/ledger/src/layout/paged/shard/mod.rs
@@ -208,7 +208,7 @@
         }
         let page = page.retire();
         let value = encode_page(&page);
-        let call = StoreCall::Swap { key, expected: Expected::At(revision), value };
+        let call = StoreCall::Swap { key, expected: Expected::At(revision), value, lease: None };
         Some(self.start(now, Call::Retire(slice, page), call))
     }
 }
--- a/crates/ledger/src/layout/paged/shard/serve.rs
+++ b/crates/ledger/src/layout/paged/shard/serve.rs
@@ -188,7 +188,7 @@
         let value = encode_page(&page);
         let key = self.path(view.slice);
         let write = Write { slice: view.slice, expected, page, batch };
-        self.start(now, Call::Write(write), StoreCall::Swap { key, expected, value })
+        self.start(now, Call::Write(write), StoreCall::Swap { key, expected, value, lease: None })
     }
 }
 
--- a/crates/ledger/src/layout/single.rs
+++ b/crates/ledger/src/layout/single.rs
@@ -1,8 +1,8 @@
 //! One key an order.
 //!
 //! Each record is one key of the store, below `redwingrill/orders/single/SERVICE/SHARD/`. A claim
-//! is one swap that expects no key, and a finish is one more. A home removes records past their
-//! time with one list and a deletion for each.
+//! is one swap that expects no key, and a finish is one more. Records hang on leases that many of
+//! them share and nobody renews, so the platform removes them itself ([`leases`](super::leases)).
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -20,7 +20,9 @@
 use crate::layout::StoreCall;
 use crate::layout::Submission;
 use crate::layout::Waiting;
+use crate::layout::leases::Leases;
 use crate::layout::waiting::LostWrite;
+use crate::record::Action;
 use crate::record::Record;
 use crate::record::RecordState;
 use crate::record::Verdict;
@@ -29,11 +31,12 @@
 use crate::wire::encode_record;
 use redwingrill_ports::Entry;
 use redwingrill_ports::Expected;
+use redwingrill_ports::LeaseId;
 use redwingrill_ports::Revision;
 use redwingrill_ports::Swap;
 
-/// The lane of removals; records have all others.
-const SWEEP_LANE: Lane = Lane(0);
+/// The lane of lease grants; records have all others.
+const LEASE_LANE: Lane = Lane(0);
 /// The number of a cell's one document.
 const DOCUMENT: u64 = 0;
 
@@ -69,12 +72,10 @@
     queue: VecDeque<Waiting>,
     flight: Option<Flight>,
     retry_at_ms: u64,
-}
-
-#[derive(Debug)]
-enum Sweep {
-    Listing { prefix: String, forget_before_ms: u64 },
-    Deleting,
+    /// How long records are retained, as the last claim said.
+    window_ms: u64,
+    /// Whether the queue waits for a lease to write with.
+    needs_lease: bool,
 }
 
 /// The layout with one key an order.
@@ -86,9 +87,7 @@
     ready: BTreeSet<OrderKey>,
     next_lane: u64,
     done: Vec<Done>,
-    sweeps: VecDeque<Sweep>,
-    sweep_flight: Option<Sweep>,
-    condemned: VecDeque<(String, Revision)>,
+    leases: Leases,
 }
 
 impl SingleLayout {
@@ -99,11 +98,9 @@
             cells: BTreeMap::new(),
             by_lane: BTreeMap::new(),
             ready: BTreeSet::new(),
-            next_lane: SWEEP_LANE.0 + 1,
+            next_lane: LEASE_LANE.0 + 1,
             done: Vec::new(),
-            sweeps: VecDeque::new(),
-            sweep_flight: None,
-            condemned: VecDeque::new(),
+            leases: Leases::new(config),
         }
     }
 
@@ -115,36 +112,6 @@
         format!("{}{}", Self::prefix(&key.shard(self.config.shards)), key.hash)
     }
 
-    fn next_sweep_call(&mut self) -> Option<(Lane, StoreCall)> {
-        if self.sweep_flight.is_some() {
-            return None;
-        }
-        if let Some((key, expected)) = self.condemned.pop_front() {
-            self.sweep_flight = Some(Sweep::Deleting);
-            return Some((SWEEP_LANE, StoreCall::Delete { key, expected }));
-        }
-        let sweep = self.sweeps.pop_front()?;
-        let Sweep::Listing { prefix, .. } = &sweep else { return None };
-        let call = StoreCall::List { prefix: prefix.clone() };
-        self.sweep_flight = Some(sweep);
-        Some((SWEEP_LANE, call))
-    }
-
-    fn answer_sweep(&mut self, answer: StoreAnswer) {
-        let flight = self.sweep_flight.take();
-        let (Some(Sweep::Listing { forget_before_ms, .. }), StoreAnswer::List(Ok(entries))) =
-            (flight, answer)
-        else {
-            // A deletion that failed is found again by the next sweep.
-            return;
-        };
-        let old = |entry: &Entry| {
-            decode_record(&entry.value).is_ok_and(|r| r.recorded_at_ms < forget_before_ms)
-        };
-        let old_entries = entries.into_iter().filter(old);
-        self.condemned.extend(old_entries.map(|entry| (entry.key, entry.revision)));
-    }
-
     /// Drops a cell that nothing waits for, unless its finish is still to come.
     fn tidy(&mut self, key: &OrderKey) {
         let Some(cell) = self.cells.get(key) else { return };
@@ -161,14 +128,45 @@
 
 impl Cell {
     fn new(lane: Lane) -> Self {
-        Self { lane, view: View::default(), queue: VecDeque::new(), flight: None, retry_at_ms: 0 }
+        Self {
+            lane,
+            view: View::default(),
+            queue: VecDeque::new(),
+            flight: None,
+            retry_at_ms: 0,
+            window_ms: 0,
+            needs_lease: false,
+        }
+    }
+
+    /// Returns how long the record is retained; zero if no claim has said it here.
+    fn window_ms(&mut self) -> u64 {
+        let claims = self.queue.iter().filter_map(|w| match &w.submission.operation.action {
+            Action::Claim(claim) => Some(claim.window_ms),
+            _ => None,
+        });
+        self.window_ms = claims.last().unwrap_or(self.window_ms);
+        self.window_ms
+    }
+
+    fn wake_at_ms(&self) -> Option<u64> {
+        let deadline_ms = self.queue.front()?.submission.deadline_ms;
+        // The answer to a grant wakes the cells that wait for it.
+        Some(if self.needs_lease { deadline_ms } else { deadline_ms.min(self.retry_at_ms) })
     }
 
     /// Works through the queue until a call is needed.
-    fn turn(&mut self, path: &str, now: Now, done: &mut Vec<Done>) -> Option<StoreCall> {
+    fn turn(
+        &mut self,
+        path: &str,
+        lease: Option<LeaseId>,
+        now: Now,
+        done: &mut Vec<Done>,
+    ) -> Option<StoreCall> {
         if self.flight.is_some() {
             return None;
         }
+        self.needs_lease = false;
         while let Some(waiting) = self.queue.pop_front() {
             if waiting.is_late(now) {
                 done.push(waiting.give_up());
@@ -181,7 +179,13 @@
             let operation = &waiting.submission.operation;
             let step = apply(self.view.record.as_ref(), operation, now.wall_ms);
             if let Some(record) = step.change {
-                return Some(self.swap(path, record, step.verdict, waiting, now));
+                let Some(lease) = lease else {
+                    self.needs_lease = true;
+                    self.queue.push_front(waiting);
+                    return None;
+                };
+                let write = self.write(record, step.verdict, waiting);
+                return Some(self.swap(path, write, lease, now));
             }
             // An answer that changes nothing counts only if it was read after the question.
             if self.view.read_at_ms < Some(waiting.submitted_at_ms) {
@@ -194,19 +198,16 @@
         None
     }
 
-    fn swap(
-        &mut self,
-        path: &str,
-        record: Record,
-        verdict: Verdict,
-        waiting: Waiting,
-        now: Now,
-    ) -> StoreCall {
+    fn write(&self, record: Record, verdict: Verdict, waiting: Waiting) -> Write {
         let expected = self.view.revision.map_or(Expected::Absent, Expected::At);
-        let value = encode_record(&record);
-        let write = Write { expected, record, waiting, verdict };
+        Write { expected, record, waiting, verdict }
+    }
+
+    fn swap(&mut self, path: &str, write: Write, lease: LeaseId, now: Now) -> StoreCall {
+        let (key, expected) = (path.to_owned(), write.expected);
+        let value = encode_record(&write.record);
         self.flight = Some(Flight { started_at_ms: now.monotonic_ms, write: Some(write) });
-        StoreCall::Swap { key: path.to_owned(), expected, value }
+        StoreCall::Swap { key, expected, value, lease: Some(lease) }
     }
 
     fn answer(&mut self, answer: StoreAnswer, now: Now, pause_ms: u64, done: &mut Vec<Done>) {
@@ -273,19 +274,22 @@
         while let Some(key) = self.ready.pop_first() {
             let path = self.path(&key);
             let Some(cell) = self.cells.get_mut(&key) else { continue };
-            let call = cell.turn(&path, now, &mut self.done);
+            let lease = self.leases.current(&key.service, cell.window_ms(), now);
+            let call = cell.turn(&path, lease, now, &mut self.done);
             let lane = cell.lane;
             if let Some(call) = call {
                 return Some((lane, call));
             }
             self.tidy(&key);
         }
-        self.next_sweep_call()
+        self.leases.next_call(now).map(|call| (LEASE_LANE, call))
     }
 
     fn answer(&mut self, lane: Lane, answer: StoreAnswer, now: Now) {
-        if lane == SWEEP_LANE {
-            self.answer_sweep(answer);
+        if lane == LEASE_LANE {
+            self.leases.answer(answer, now);
+            let waiting = self.cells.iter().filter(|(_, cell)| cell.needs_lease);
+            self.ready.extend(waiting.map(|(key, _)| key.clone()));
             return;
         }
         let Some(key) = self.by_lane.get(&lane).cloned() else { return };
@@ -301,23 +305,17 @@
 
     fn wake(&mut self, now: Now) -> Option<u64> {
         let waiting = self.cells.iter().filter(|(_, cell)| cell.flight.is_none());
-        let times = waiting.filter_map(|(key, cell)| {
-            let first = cell.queue.front()?;
-            Some((cell.retry_at_ms.min(first.submission.deadline_ms), key.clone()))
-        });
+        let times = waiting.filter_map(|(key, cell)| Some((cell.wake_at_ms()?, key.clone())));
         let (due, later): (Vec<_>, Vec<_>) =
             times.partition(|(at_ms, _)| *at_ms <= now.monotonic_ms);
         let next = later.into_iter().map(|(at_ms, _)| at_ms).min();
         let now_ms = (!due.is_empty()).then_some(now.monotonic_ms);
         self.ready.extend(due.into_iter().map(|(_, key)| key));
-        now_ms.or(next)
+        [now_ms, next, self.leases.wake_at_ms()].into_iter().flatten().min()
     }
 
-    fn maintain(&mut self, shard: &ShardId, window_ms: u64, now: Now) {
-        let forget_before_ms = now.wall_ms.saturating_sub(self.config.forget_after_ms(window_ms));
-        let prefix = Self::prefix(shard);
-        self.sweeps.push_back(Sweep::Listing { prefix, forget_before_ms });
-    }
+    // The platform removes records when their lease lapses.
+    fn maintain(&mut self, _shard: &ShardId, _window_ms: u64, _now: Now) {}
 
     fn flush(&mut self) {}
 
--- a/crates/ledger/src/task/runner.rs
+++ b/crates/ledger/src/task/runner.rs
@@ -376,8 +376,12 @@
     match call {
         StoreCall::Get { key } => StoreAnswer::Get(within(timeout, store.get(&key)).await),
         StoreCall::List { prefix } => StoreAnswer::List(within(timeout, store.list(&prefix)).await),
-        StoreCall::Swap { key, expected, value } => {
-            StoreAnswer::Swap(within(timeout, store.swap(&key, expected, value, None)).await)
+        StoreCall::Swap { key, expected, value, lease } => {
+            StoreAnswer::Swap(within(timeout, store.swap(&key, expected, value, lease)).await)
+        }
+        StoreCall::Grant { ttl_ms } => {
+            let ttl = Duration::from_millis(ttl_ms);
+            StoreAnswer::Grant(within(timeout, store.grant_lease(ttl)).await)
         }
         StoreCall::Delete { key, expected } => {
             StoreAnswer::Delete(within(timeout, store.delete(&key, expected)).await)
--- a/crates/redwingrill/tests/orders/store.rs
+++ b/crates/redwingrill/tests/orders/store.rs
@@ -100,6 +100,7 @@
     }
 
     async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
+        self.reach_call().await;
         self.inner.grant_lease(ttl).await
     }
 
