--- a/crates/ledger/src/layout/single.rs
+++ b/crates/ledger/src/layout/single.rs
@@ -76,6 +76,8 @@
     window_ms: u64,
     /// Whether the queue waits for a lease to write with.
     needs_lease: bool,
+    /// Whether a write got no answer since the record was last read.
+    needs_read: bool,
 }
 
 /// The layout with one key an order.
@@ -136,6 +138,7 @@
             retry_at_ms: 0,
             window_ms: 0,
             needs_lease: false,
+            needs_read: false,
         }
     }
 
@@ -176,6 +179,10 @@
                 self.queue.push_front(waiting);
                 return None;
             }
+            if self.needs_read {
+                self.queue.push_front(waiting);
+                return Some(self.get(path, now));
+            }
             let operation = &waiting.submission.operation;
             let step = apply(self.view.record.as_ref(), operation, now.wall_ms);
             if let Some(record) = step.change {
@@ -190,14 +197,18 @@
             // An answer that changes nothing counts only if it was read after the question.
             if self.view.read_at_ms < Some(waiting.submitted_at_ms) {
                 self.queue.push_front(waiting);
-                self.flight = Some(Flight { started_at_ms: now.monotonic_ms, write: None });
-                return Some(StoreCall::Get { key: path.to_owned() });
+                return Some(self.get(path, now));
             }
             done.push(waiting.settle(step.verdict));
         }
         None
     }
 
+    fn get(&mut self, path: &str, now: Now) -> StoreCall {
+        self.flight = Some(Flight { started_at_ms: now.monotonic_ms, write: None });
+        StoreCall::Get { key: path.to_owned() }
+    }
+
     fn write(&self, record: Record, verdict: Verdict, waiting: Waiting) -> Write {
         let expected = self.view.revision.map_or(Expected::Absent, Expected::At);
         Write { expected, record, waiting, verdict }
@@ -229,6 +240,7 @@
                 if error.may_have_taken_effect() {
                     let lost = LostWrite { document: DOCUMENT, expected: write.expected };
                     write.waiting.lost_write = Some(lost);
+                    self.needs_read = true;
                 }
                 self.queue.push_front(write.waiting);
                 self.retry_at_ms = now.monotonic_ms + pause_ms;
@@ -247,6 +259,7 @@
             return;
         };
         self.view = View { revision, record, read_at_ms };
+        self.needs_read = false;
         self.saw(revision.map_or(Expected::Absent, Expected::At));
     }
 
--- a/crates/ledger/tests/model.rs
+++ b/crates/ledger/tests/model.rs
@@ -15,11 +15,11 @@
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
 
-use crate::support::Cluster;
-use crate::support::ClusterOptions;
-use crate::support::LayoutKind;
-use crate::support::Service;
 use crate::support::nodes::Call;
+use crate::support::nodes::Cluster;
+use crate::support::nodes::ClusterOptions;
+use crate::support::nodes::LayoutKind;
+use crate::support::service::Service;
 use redwingrill_codes::Ran;
 use redwingrill_codes::ResultCode;
 use redwingrill_fakes::Faults;
--- a/crates/ledger/tests/support/mod.rs
+++ b/crates/ledger/tests/support/mod.rs
@@ -3,18 +3,10 @@
 
 #![allow(dead_code, reason = "each test binary uses a part")]
 
-mod gate;
-mod late_store;
+pub mod gate;
+pub mod late_store;
 pub mod nodes;
-mod service;
-
-pub use gate::Gate;
-pub use late_store::LateStore;
-pub use nodes::Cluster;
-pub use nodes::ClusterOptions;
-pub use nodes::LayoutKind;
-pub use service::Reply;
-pub use service::Service;
+pub mod service;
 
 use std::sync::Arc;
 
--- a/crates/ledger/tests/support/nodes.rs
+++ b/crates/ledger/tests/support/nodes.rs
@@ -11,10 +11,10 @@
 use tokio::time::Instant;
 
 use crate::support::EPOCH_MS;
-use crate::support::Gate;
-use crate::support::LateStore;
-use crate::support::Reply;
-use crate::support::Service;
+use crate::support::gate::Gate;
+use crate::support::late_store::LateStore;
+use crate::support::service::Reply;
+use crate::support::service::Service;
 use redwingrill_codes::ResultCode;
 use redwingrill_fakes::MemoryStore;
 use redwingrill_ledger::AttemptId;
