Tell a young unfinished order from an unknown one

Cause: a retry on another node while the first call ran was told that the outcome is unknown for good. Ruled out: waiting on the second node for the first to finish: it holds a connection for the whole timeout and learns no more than a retry does. Change: an unfinished record younger than the service's timeout and 2 s is order_in_flight with Retry-After; older ones are outcome_unknown. The dump names the state 'ledger'. A home that comes back after pages were deleted has a test.

--- a/crates/lab/src/bench/orders/cluster.rs
+++ b/crates/lab/src/bench/orders/cluster.rs
@@ -158,6 +158,7 @@
             account: Arc::from("writers"),
             window_ms: self.options.window_ms,
             in_flight_limit: self.options.in_flight_limit,
+            running_limit_ms: 0,
             take_over: None,
         }
     }
--- a/crates/ledger/src/order/mod.rs
+++ b/crates/ledger/src/order/mod.rs
@@ -129,7 +129,7 @@
             other => {
                 // The record is another attempt's, or there is none: nothing to withdraw.
                 held.leaving = Leaving::Release;
-                return Err(settled(other));
+                return Err(settled(other, policy.running_limit_ms));
             }
         };
         Ok(Order { state: Recorded { held, permit, submitted } })
@@ -147,8 +147,11 @@
     }
 }
 
-fn settled(result: Result<Verdict, Unsettled>) -> Settled {
+fn settled(result: Result<Verdict, Unsettled>, running_limit_ms: u64) -> Settled {
     match result {
+        Ok(Verdict::Unfinished { age_ms }) if age_ms < running_limit_ms => {
+            Settled::Refused(ResultCode::OrderInFlight)
+        }
         Ok(Verdict::Finished(outcome)) => Settled::Replay(outcome),
         Ok(Verdict::Expired) => Settled::Refused(ResultCode::KeyExpired),
         Ok(Verdict::Reused) => Settled::Refused(ResultCode::IdempotencyKeyReused),
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -116,7 +116,10 @@
     /// The order was finished before.
     Finished(Outcome),
     /// Another attempt holds the record and has not finished.
-    Unfinished,
+    Unfinished {
+        /// How long ago it recorded itself.
+        age_ms: u64,
+    },
     /// The record is older than the retained window.
     Expired,
     /// The key stands for another request.
@@ -176,7 +179,10 @@
             taken_over: true,
             ..record.clone()
         }),
-        RecordState::Recorded => Step::unchanged(Verdict::Unfinished),
+        RecordState::Recorded => {
+            let age_ms = wall_ms.saturating_sub(record.recorded_at_ms);
+            Step::unchanged(Verdict::Unfinished { age_ms })
+        }
     }
 }
 
--- a/crates/ledger/tests/records.rs
+++ b/crates/ledger/tests/records.rs
@@ -118,13 +118,13 @@
             "unfinished",
             Some(record(Recorded)),
             (2, claim("pens", None)),
-            (Verdict::Unfinished, false),
+            (Verdict::Unfinished { age_ms: 5_000 }, false),
         ),
         case(
             "unfinished, too young to take over",
             Some(record(Recorded)),
             (2, claim("pens", Some(5_001))),
-            (Verdict::Unfinished, false),
+            (Verdict::Unfinished { age_ms: 5_000 }, false),
         ),
         case(
             "unfinished, taken over where it was bound",
@@ -136,7 +136,7 @@
             "unfinished, never bound",
             Some(unbound),
             (2, claim("pens", Some(5_000))),
-            (Verdict::Unfinished, false),
+            (Verdict::Unfinished { age_ms: 5_000 }, false),
         ),
     ]
 }
--- a/crates/ledger/tests/support/mod.rs
+++ b/crates/ledger/tests/support/mod.rs
@@ -35,5 +35,11 @@
 pub fn policy(take_over_after_ms: Option<u64>) -> OrderPolicy {
     let bind_to: Arc<str> = Arc::from("shop-1");
     let take_over = take_over_after_ms.map(|after_ms| TakeOver { after_ms, bind_to });
-    OrderPolicy { account: Arc::from("writers"), window_ms: 60_000, in_flight_limit: 8, take_over }
+    OrderPolicy {
+        account: Arc::from("writers"),
+        window_ms: 60_000,
+        in_flight_limit: 8,
+        running_limit_ms: 0,
+        take_over,
+    }
 }
--- a/crates/ledger/tests/tasks.rs
+++ b/crates/ledger/tests/tasks.rs
@@ -190,23 +190,33 @@
     }
 }
 
+/// Names of keys in the first of the two shards.
+fn keys_of_first_shard(prefix: &str, count: usize) -> Vec<String> {
+    let names = (0..).map(|number| format!("{prefix}-{number}"));
+    let first = names.filter(|name| support::order_key("writers", name).shard(2).index == 0);
+    first.take(count).collect()
+}
+
 #[tokio::test(start_paused = true)]
-async fn a_node_that_slept_through_the_deletion_of_pages_does_not_make_them_anew() {
-    let cluster = cluster(LayoutKind::Paged, false);
+async fn a_home_that_comes_back_does_not_make_deleted_pages_anew() {
+    let cluster = cluster(LayoutKind::Paged, true);
     // The first node fills a page, and takes the next one to be absent.
-    for id in 0..8 {
-        ask(&cluster, 0, id, &format!("early-{id}")).await.expect("no fault");
+    for (id, key) in keys_of_first_shard("early", 4).iter().enumerate() {
+        ask(&cluster, 0, id as u64, key).await.expect("no fault");
     }
-    // The other goes on for longer than pages are kept.
-    for id in 100..250 {
-        ask(&cluster, 1, id, &format!("later-{id}")).await.expect("no fault");
+    // The other is the home for longer than pages are kept.
+    cluster.hand_over(1);
+    let later = keys_of_first_shard("later", 200);
+    for (id, key) in later.iter().enumerate() {
+        ask(&cluster, 1, 100 + id as u64, key).await.expect("no fault");
         sleep(Duration::from_secs(6)).await;
     }
-    for id in 245..250 {
-        let retry = ask(&cluster, 0, id + 1_000, &format!("later-{id}")).await;
-        assert!(retry.is_ok(), "{id}: {retry:?}");
-        let hash = support::order_key("writers", &format!("later-{id}")).hash;
-        assert_eq!(cluster.service.runs(hash), 1, "{id}");
+    cluster.hand_over(0);
+    for (id, key) in later.iter().enumerate().skip(195) {
+        let retry = ask(&cluster, 0, 1_000 + id as u64, key).await;
+        assert!(retry.is_ok(), "{key}: {retry:?}");
+        let hash = support::order_key("writers", key).hash;
+        assert_eq!(cluster.service.runs(hash), 1, "{key}");
     }
 }
 
--- a/crates/redwingrill/src/node/inspector.rs
+++ b/crates/redwingrill/src/node/inspector.rs
@@ -76,7 +76,7 @@
             "status": self.status(),
             "configuration": self.followed.as_ref().map(Configuration::dump),
             "dispatch": self.dispatcher.dump().await,
-            "orders": self.ledger.state().await,
+            "ledger": self.ledger.state().await,
             "open_requests": self.open.count(),
             "account_connections": connections.collect::<Vec<_>>(),
             "upstream_connections": pool.collect::<Vec<_>>(),
--- a/crates/redwingrill/src/services/orders.rs
+++ b/crates/redwingrill/src/services/orders.rs
@@ -48,8 +48,9 @@
 use redwingrill_transport::Freshness;
 use redwingrill_transport::Pool;
 
-/// How long after a call's own timeout its order may be taken over.
-const TAKE_OVER_MARGIN_MS: u64 = 2_000;
+/// How long after a call's own timeout its order counts as not running any more, and may be taken
+/// over.
+const RUNNING_MARGIN_MS: u64 = 2_000;
 
 /// How long a reply waits for its record in the store, so that a retry finds the outcome.
 const OUTCOME_WAIT: Duration = Duration::from_millis(500);
@@ -119,6 +120,7 @@
             account: Arc::from(account.name.as_str()),
             window_ms,
             in_flight_limit: service.in_flight_limit,
+            running_limit_ms: running_limit_ms(service),
             take_over: take_over_of(service, &targets, first),
         };
         let limit = Duration::from_millis(service.timeout_ms.into());
@@ -248,10 +250,14 @@
 
 fn take_over_of(service: &Service, targets: &[Upstream], first: &Upstream) -> Option<TakeOver> {
     let checked = targets.iter().all(|upstream| upstream.fencing == Fencing::Checked);
-    let after_ms = u64::from(service.timeout_ms) + TAKE_OVER_MARGIN_MS;
+    let after_ms = running_limit_ms(service);
     checked.then(|| TakeOver { after_ms, bind_to: Arc::from(first.name.as_str()) })
 }
 
+fn running_limit_ms(service: &Service) -> u64 {
+    u64::from(service.timeout_ms) + RUNNING_MARGIN_MS
+}
+
 /// Whether an upstream that checks fencing refused our number, because another node took over.
 fn is_fenced(reply: &UpstreamReply, upstream: &Upstream, fencing: FencingNumber) -> bool {
     let held = reply.headers.get(FENCING_HEADER).and_then(|value| value.to_str().ok());
@@ -278,9 +284,9 @@
             let detail = format!("{} ({window})", refusal.code.info().summary);
             Refusal::with_detail(refusal.code, detail)
         }
-        ResultCode::LedgerUnavailable | ResultCode::LedgerOutcomeUnknown => {
-            refusal.retry_after(WINDOW_RETRY_MS)
-        }
+        ResultCode::LedgerUnavailable
+        | ResultCode::LedgerOutcomeUnknown
+        | ResultCode::OrderInFlight => refusal.retry_after(WINDOW_RETRY_MS),
         _ => refusal,
     }
 }
