--- a/crates/lab/src/bench/orders/writes.rs
+++ b/crates/lab/src/bench/orders/writes.rs
@@ -20,6 +20,7 @@
 const NODES: [usize; 4] = [1, 3, 5, 7];
 const SECONDS: u32 = 120;
 const ORDERS_MIN: u32 = 300;
+const ORDERS_MAX: u32 = 3_000;
 
 /// One setting.
 #[derive(Clone, Copy, Debug)]
@@ -85,7 +86,7 @@
         in_flight_limit: 0,
     });
     let store = cluster.store.clone();
-    let count = (orders_per_s * SECONDS).max(ORDERS_MIN);
+    let count = (orders_per_s * SECONDS).clamp(ORDERS_MIN, ORDERS_MAX);
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut orders = JoinSet::new();
     for number in 0..u64::from(count) {
--- a/crates/ledger/src/layout/single.rs
+++ b/crates/ledger/src/layout/single.rs
@@ -39,6 +39,8 @@
 const LEASE_LANE: Lane = Lane(0);
 /// The number of a cell's one document.
 const DOCUMENT: u64 = 0;
+/// The most cells kept for a finish that may still come.
+const KEPT_CELLS_LIMIT: usize = 1_024;
 
 /// What this node last knew of a record.
 #[derive(Clone, Debug, Default)]
@@ -89,6 +91,8 @@
     ready: BTreeSet<OrderKey>,
     next_lane: u64,
     done: Vec<Done>,
+    /// Cells that were idle when they were noted, the oldest first.
+    kept: VecDeque<OrderKey>,
     leases: Leases,
 }
 
@@ -102,6 +106,7 @@
             ready: BTreeSet::new(),
             next_lane: LEASE_LANE.0 + 1,
             done: Vec::new(),
+            kept: VecDeque::new(),
             leases: Leases::new(config),
         }
     }
@@ -114,16 +119,28 @@
         format!("{}{}", Self::prefix(&key.shard(self.config.shards)), key.hash)
     }
 
-    /// Drops a cell that nothing waits for, unless its finish is still to come.
+    /// Drops a cell that nothing waits for. One whose finish may still come is kept for a while,
+    /// which saves a read.
     fn tidy(&mut self, key: &OrderKey) {
-        let Some(cell) = self.cells.get(key) else { return };
-        let idle = cell.queue.is_empty() && cell.flight.is_none();
+        let Some(cell) = self.cells.get(key).filter(|cell| cell.is_idle()) else { return };
         let record = cell.view.record.as_ref();
-        let unfinished = record.is_some_and(|record| record.state == RecordState::Recorded);
-        if idle && !unfinished {
-            let lane = cell.lane;
-            self.cells.remove(key);
-            self.by_lane.remove(&lane);
+        if record.is_none_or(|record| record.state != RecordState::Recorded) {
+            self.remove(key);
+            return;
+        }
+        self.kept.push_back(key.clone());
+        if self.kept.len() <= KEPT_CELLS_LIMIT {
+            return;
+        }
+        let Some(oldest) = self.kept.pop_front() else { return };
+        if self.cells.get(&oldest).is_some_and(Cell::is_idle) {
+            self.remove(&oldest);
+        }
+    }
+
+    fn remove(&mut self, key: &OrderKey) {
+        if let Some(cell) = self.cells.remove(key) {
+            self.by_lane.remove(&cell.lane);
         }
     }
 }
@@ -142,6 +159,10 @@
         }
     }
 
+    fn is_idle(&self) -> bool {
+        self.queue.is_empty() && self.flight.is_none()
+    }
+
     /// Returns how long the record is retained; zero if no claim has said it here.
     fn window_ms(&mut self) -> u64 {
         let claims = self.queue.iter().filter_map(|w| match &w.submission.operation.action {
