--- a/crates/lab/src/bench/mod.rs
+++ b/crates/lab/src/bench/mod.rs
@@ -1,4 +1,5 @@
 //! Experiments: the real routers over real sockets against the stand-ins.
 
+pub mod control;
 pub mod overhead;
 pub mod scenario;
--- a/crates/lab/src/cli/bench.rs
+++ b/crates/lab/src/cli/bench.rs
@@ -13,17 +13,20 @@
 use super::arguments::number_of;
 use super::arguments::text;
 use super::arguments::text_of;
+use crate::bench::control;
+use crate::bench::control::ControlOptions;
 use crate::bench::overhead;
 use crate::bench::overhead::OverheadOptions;
 use crate::bench::scenario;
 use crate::bench::scenario::Case;
 use crate::bench::scenario::ScenarioOptions;
 
+const CONTROL: &str = "control";
 const OVERHEAD: &str = "overhead";
 
 pub(super) fn command() -> Command {
     let names: Vec<&str> = Case::names().collect();
-    let scenarios = format!("One of overhead, {}; or a case file", names.join(", "));
+    let scenarios = format!("One of control, overhead, {}; or a case file", names.join(", "));
     Command::new("bench")
         .about("Run an experiment and print its figures")
         .arg(
@@ -38,6 +41,7 @@
                 .default_value("random,least_loaded,affinity,redwingrill")
                 .help("Placement policies to compare"),
         )
+        .args(control_arguments())
         .arg(
             Arg::new("json")
                 .long("json")
@@ -53,10 +57,46 @@
         )
 }
 
+fn control_arguments() -> [Arg; 6] {
+    [
+        text("nodes", "3,7,20", "Control: sizes of the fleet, one run each"),
+        number("engines", "850", "Control: engines in the configuration"),
+        number("accounts", "19000", "Control: client accounts in the configuration"),
+        number("window", "30", "Control: the length of each window in seconds"),
+        number("changes", "3", "Control: changes of the configuration in the second window"),
+        Arg::new("restarts")
+            .long("restarts")
+            .action(ArgAction::SetTrue)
+            .help("Control: kill and restart a failure domain, then all nodes"),
+    ]
+}
+
+fn control_options(matches: &ArgMatches) -> ControlOptions {
+    /// The failure domains of the target size.
+    const DOMAINS: usize = 6;
+    let count = |name: &str| usize::try_from(number_of(matches, name)).unwrap_or(usize::MAX);
+    let nodes = text_of(matches, "nodes");
+    ControlOptions {
+        nodes: nodes.split(',').filter_map(|size| size.trim().parse().ok()).collect(),
+        engines: count("engines"),
+        accounts: count("accounts"),
+        domains: DOMAINS,
+        window_s: number_of(matches, "window").max(1),
+        changes: number_of(matches, "changes"),
+        restarts: matches.get_flag("restarts"),
+    }
+}
+
 pub(super) async fn run(matches: &ArgMatches) -> Result<(), Box<dyn Error>> {
     let name = text_of(matches, "scenario");
     let seed = number_of(matches, "seed");
     let json = matches.get_flag("json");
+    if name == CONTROL {
+        let options = control_options(matches);
+        // What cannot be serialised cannot be a report.
+        control::run(&options, |report| drop(print_object(report, json))).await?;
+        return Ok(());
+    }
     if name == OVERHEAD {
         let report = overhead::run(&OverheadOptions { seed, ..Default::default() }).await?;
         print_object(&report, json)?;
--- a/crates/lab/src/platform/instances.rs
+++ b/crates/lab/src/platform/instances.rs
@@ -38,6 +38,7 @@
     shown: Vec<ListedInstance>,
     pending: Vec<(Instant, Vec<ListedInstance>)>,
     down: bool,
+    reads: u64,
 }
 
 /// The list with its lag. Clones share it.
@@ -75,10 +76,16 @@
         versions.pending.push((due, list));
     }
 
+    /// Returns how often the list was read.
+    pub fn reads(&self) -> u64 {
+        self.versions.lock().expect("no holder panics").reads
+    }
+
     /// Returns the list as it shows now, or none while it is switched off.
     pub fn shown(&self) -> Option<Vec<ListedInstance>> {
         let now = Instant::now();
         let mut versions = self.versions.lock().expect("no holder panics");
+        versions.reads += 1;
         let due = versions.pending.iter().take_while(|(due, _)| *due <= now).count();
         let newest = versions.pending.drain(..due).next_back();
         if let Some((_, list)) = newest {
--- a/crates/membership/src/cluster/publish.rs
+++ b/crates/membership/src/cluster/publish.rs
@@ -1,5 +1,7 @@
 //! What this node itself publishes.
 
+use rand::Rng;
+
 use super::state::Cluster;
 use crate::HeavyHitters;
 use crate::HotPrefixes;
@@ -79,12 +81,24 @@
             let period_ms = self.pacing.ranking_period_ms;
             let Some(item) = &mut self.own_items.items[kind.index()] else { continue };
             let is_due = item.sequence == 0 || now_ms >= item.published_ms + period_ms;
-            if let Some(payload) = item.waiting.take_if(|_| is_due) {
-                self.publish(now_ms, kind, payload);
+            let is_first = item.sequence == 0;
+            let Some(payload) = item.waiting.take_if(|_| is_due) else { continue };
+            self.publish(now_ms, kind, payload);
+            if is_first {
+                self.stagger(now_ms, kind, period_ms);
             }
         }
     }
 
+    /// Moves the next publication to a random time within a period, so that nodes that started
+    /// together do not publish together.
+    fn stagger(&mut self, now_ms: u64, kind: Kind, period_ms: u64) {
+        let early_ms = self.rng.random_range(0..period_ms);
+        if let Some(item) = &mut self.own_items.items[kind.index()] {
+            item.published_ms = now_ms.saturating_sub(early_ms);
+        }
+    }
+
     pub(super) fn publish(&mut self, now_ms: u64, kind: Kind, payload: Vec<u8>) {
         let own = &mut self.own_items;
         let item = own.items[kind.index()].get_or_insert_default();
--- a/crates/redwingrill/src/cluster/actions.rs
+++ b/crates/redwingrill/src/cluster/actions.rs
@@ -47,8 +47,9 @@
                 self.addresses.insert(link, address);
                 let (peers, task) = (self.peers.clone(), self.task.clone());
                 self.spawned.spawn(async move {
-                    let exchange =
-                        async |peer: &PeerConnection| peer.exchange(link, frame, EXCHANGE_LIMIT).await;
+                    let exchange = async |peer: &PeerConnection| {
+                        peer.exchange(link, frame, EXCHANGE_LIMIT).await
+                    };
                     let result = peers.call(address, exchange).await;
                     task.send(Message::Exchanged { link, result }).await;
                 });
@@ -76,10 +77,8 @@
         let (pool, task) = (self.pool.clone(), self.task.clone());
         self.spawned.spawn(async move {
             let reply = ask_load(&pool, address).await;
-            let answer = reply.map(|reply| EngineAnswer {
-                leaving: reply.leaving,
-                load: reply.into(),
-            });
+            let answer =
+                reply.map(|reply| EngineAnswer { leaving: reply.leaving, load: reply.into() });
             task.send(Message::EngineAsked { engine, answer }).await;
         });
     }
--- a/crates/redwingrill/src/cluster/polls.rs
+++ b/crates/redwingrill/src/cluster/polls.rs
@@ -41,8 +41,10 @@
         for engine in watched {
             // New watches are spread over a period.
             let rng = &mut self.rng;
-            let due_ms =
-                self.engines.entry(engine).or_insert_with(|| now_ms + rng.random_range(0..period_ms / 4));
+            let due_ms = self
+                .engines
+                .entry(engine)
+                .or_insert_with(|| now_ms + rng.random_range(0..period_ms / 4));
             if now_ms >= *due_ms {
                 *due_ms = now_ms + period_ms;
                 due.push(engine);
--- a/crates/redwingrill/src/cluster/start.rs
+++ b/crates/redwingrill/src/cluster/start.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 
 use rand::Rng;
@@ -28,6 +29,7 @@
 use crate::dispatch::Dispatcher;
 use redwingrill_config::ConfigCache;
 use redwingrill_config::Snapshot;
+use redwingrill_entity::Names;
 use redwingrill_membership::Cluster;
 use redwingrill_membership::ClusterOptions;
 use redwingrill_membership::MemberInfo;
@@ -61,6 +63,8 @@
 pub struct ClusterParts<I> {
     /// The configuration in force.
     pub configuration: watch::Receiver<Arc<Snapshot>>,
+    /// The names that this process has interned.
+    pub names: Arc<Mutex<Names>>,
     /// What peers may be handed.
     pub cache: ConfigCache,
     /// The dispatch task.
@@ -139,6 +143,7 @@
             asks_all: parts.asks_all_engines,
             clock,
             names: KeyNames::default(),
+            interned: parts.names,
             listed: BTreeSet::new(),
             reported: BTreeSet::new(),
             fed_ms: 0,
--- a/crates/redwingrill/src/cluster/task.rs
+++ b/crates/redwingrill/src/cluster/task.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -29,6 +30,7 @@
 use redwingrill_config::ConfigCache;
 use redwingrill_config::Snapshot;
 use redwingrill_config::UpstreamKind;
+use redwingrill_entity::Names;
 use redwingrill_membership::Cluster;
 use redwingrill_membership::InForce;
 use redwingrill_membership::LeavingUpstreams;
@@ -68,6 +70,7 @@
     pub asks_all: Arc<AtomicBool>,
     pub clock: Clock,
     pub names: KeyNames,
+    pub interned: Arc<Mutex<Names>>,
     /// Upstreams that are leaving by the list, and by their own word.
     pub listed: BTreeSet<UpstreamKey>,
     pub reported: BTreeSet<UpstreamKey>,
@@ -127,9 +130,9 @@
         self.names = KeyNames::new(&snapshot);
         let upstreams = snapshot.state.upstreams.values();
         let engines = upstreams.filter(|upstream| upstream.kind == UpstreamKind::Engine);
-        let domain_names = &snapshot.domain_names();
+        let domains = self.interned.lock().expect("no holder panics").domains.clone();
         self.cluster.set_engines(engines.map(|upstream| {
-            let domain = domain_names.get(upstream.domain).cloned().unwrap_or_default();
+            let domain = domains.name(upstream.domain).to_owned();
             (UpstreamKey::of(&upstream.name), domain)
         }));
         let generation = snapshot.generation.0;
--- a/crates/redwingrill/src/dispatch/load_poll.rs
+++ b/crates/redwingrill/src/dispatch/load_poll.rs
@@ -1,10 +1,12 @@
 //! Asks engines for their load.
 //!
-//! A node asks each engine of a small fleet a few times a second. In a large fleet it asks a bounded
-//! number at a time, in turn; the rest comes from other nodes.
+//! A node asks each engine of a small fleet a few times a second. In a large fleet, a few watchers of
+//! each engine tell the other nodes, and this task rests.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -30,6 +32,21 @@
 use redwingrill_transport::Pool;
 use redwingrill_transport::Timeouts;
 
+/// Asks one engine for its load.
+pub(crate) async fn ask_load(pool: &Pool, address: SocketAddr) -> Option<LoadReply> {
+    let request = Request::get("/load")
+        .header(header::HOST, address.to_string())
+        .body(Bytes::new())
+        .expect("the request is valid");
+    let timeouts = Timeouts { connect: TIMEOUT, head: TIMEOUT };
+    let reply = pool.send(address, request, Freshness::Any, &timeouts).await.ok()?;
+    if reply.status() != StatusCode::OK {
+        return None;
+    }
+    let body = reply.into_body().read_all(REPLY_LIMIT_BYTES, TIMEOUT).await.ok()?;
+    serde_json::from_slice(&body).ok()
+}
+
 const INTERVAL: Duration = Duration::from_millis(250);
 
 /// Engines that are asked at a time.
@@ -41,7 +58,7 @@
 
 /// The reply of `GET /load`.
 #[derive(Clone, Debug, Deserialize)]
-struct LoadReply {
+pub(crate) struct LoadReply {
     incarnation: String,
     weights_version: String,
     #[serde(default)]
@@ -51,7 +68,7 @@
     #[serde(default)]
     waiting_tokens: u64,
     #[serde(default)]
-    leaving: bool,
+    pub(crate) leaving: bool,
 }
 
 impl From<LoadReply> for LoadReport {
@@ -74,6 +91,8 @@
     pool: Pool,
     configuration: watch::Receiver<Arc<Snapshot>>,
     dispatcher: WeakDispatcher,
+    // False while other nodes tell of the engines.
+    is_active: Arc<AtomicBool>,
     next: usize,
 }
 
@@ -82,8 +101,9 @@
         pool: Pool,
         configuration: watch::Receiver<Arc<Snapshot>>,
         dispatcher: WeakDispatcher,
+        is_active: Arc<AtomicBool>,
     ) -> Self {
-        Self { pool, configuration, dispatcher, next: 0 }
+        Self { pool, configuration, dispatcher, is_active, next: 0 }
     }
 
     /// Runs until the dispatch task has no other way to it.
@@ -92,6 +112,9 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         while self.dispatcher.is_open() {
             ticks.tick().await;
+            if !self.is_active.load(Ordering::Relaxed) {
+                continue;
+            }
             let engines = self.next_engines();
             join_all(engines.iter().map(|&(id, address)| self.poll(id, address))).await;
         }
@@ -111,23 +134,9 @@
     async fn poll(&self, upstream: UpstreamId, address: SocketAddr) {
         let observed = Instant::now();
         // An engine that does not answer is judged by its requests.
-        let Some(reply) = self.load_of(address).await else { return };
+        let Some(reply) = ask_load(&self.pool, address).await else { return };
         let leaving = reply.leaving;
         let report = EngineLoadReport { upstream, load: reply.into(), leaving, observed };
         let _ended = self.dispatcher.observe_load(report);
     }
-
-    async fn load_of(&self, address: SocketAddr) -> Option<LoadReply> {
-        let request = Request::get("/load")
-            .header(header::HOST, address.to_string())
-            .body(Bytes::new())
-            .expect("the request is valid");
-        let timeouts = Timeouts { connect: TIMEOUT, head: TIMEOUT };
-        let reply = self.pool.send(address, request, Freshness::Any, &timeouts).await.ok()?;
-        if reply.status() != StatusCode::OK {
-            return None;
-        }
-        let body = reply.into_body().read_all(REPLY_LIMIT_BYTES, TIMEOUT).await.ok()?;
-        serde_json::from_slice(&body).ok()
-    }
 }
--- a/crates/redwingrill/src/dispatch/mod.rs
+++ b/crates/redwingrill/src/dispatch/mod.rs
@@ -30,6 +30,7 @@
 pub use ask::Ask;
 pub use ask::PromptMessage;
 pub use load_poll::LoadPoll;
+pub(crate) use load_poll::ask_load;
 pub use messages::Dispatcher;
 pub use observations::EngineLoadReport;
 pub use state::DispatchState;
--- a/crates/redwingrill/src/dispatch/task.rs
+++ b/crates/redwingrill/src/dispatch/task.rs
@@ -1,6 +1,7 @@
 //! The task that owns the state of admission and placement.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use tokio::sync::mpsc;
@@ -53,8 +54,9 @@
     }
 
     /// Makes the task that asks engines for their load. It ends with the last [`Dispatcher`].
-    pub fn load_poll(&self, pool: Pool) -> LoadPoll {
-        LoadPoll::new(pool, self.configuration.clone(), self.weak.clone())
+    /// While `is_active` is false it rests.
+    pub fn load_poll(&self, pool: Pool, is_active: Arc<AtomicBool>) -> LoadPoll {
+        LoadPoll::new(pool, self.configuration.clone(), self.weak.clone(), is_active)
     }
 
     /// Runs until every [`Dispatcher`] and ticket is gone.
--- a/crates/redwingrill/src/lib.rs
+++ b/crates/redwingrill/src/lib.rs
@@ -6,6 +6,7 @@
 //! nodes.
 
 pub mod admin;
+pub mod cluster;
 pub mod completions;
 pub mod configuration;
 pub mod daemon;
--- a/crates/redwingrill/src/node/inspector.rs
+++ b/crates/redwingrill/src/node/inspector.rs
@@ -8,6 +8,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::Phase;
+use crate::cluster::ClusterHandle;
 use crate::configuration::Configuration;
 use crate::dispatch::Dispatcher;
 use crate::http::AccountConnections;
@@ -24,6 +25,8 @@
     pub(super) configuration: watch::Receiver<Arc<Snapshot>>,
     // Absent if the configuration was given by hand.
     pub(super) followed: Option<Configuration>,
+    // Absent in a node without peers.
+    pub(super) cluster: Option<ClusterHandle>,
     pub(super) dispatcher: Dispatcher,
     pub(super) connections: AccountConnections,
     pub(super) open: OpenRequests,
@@ -57,6 +60,17 @@
         })
     }
 
+    async fn dump_cluster(&self) -> Option<Value> {
+        self.cluster.as_ref()?.dump().await
+    }
+
+    /// Tells the peers that this node is about to stop.
+    pub(super) async fn leave(&self) {
+        if let Some(cluster) = &self.cluster {
+            cluster.leave().await;
+        }
+    }
+
     /// Returns the whole state.
     pub async fn dump(&self) -> Value {
         let snapshot = self.configuration.borrow().clone();
@@ -75,6 +89,7 @@
         json!({
             "status": self.status(),
             "configuration": self.followed.as_ref().map(Configuration::dump),
+            "cluster": self.dump_cluster().await,
             "dispatch": self.dispatcher.dump().await,
             "orders": self.ledger.state().await,
             "open_requests": self.open.count(),
--- a/crates/redwingrill/src/node/life.rs
+++ b/crates/redwingrill/src/node/life.rs
@@ -14,6 +14,7 @@
 
 use super::Inspector;
 use super::parts::Parts;
+use crate::cluster::BindError;
 use redwingrill_config::Snapshot;
 use redwingrill_settings::Settings;
 
@@ -50,6 +51,12 @@
         /// The cause.
         source: io::Error,
     },
+    /// The endpoint for peers did not start.
+    #[snafu(display("{source}"))]
+    Peers {
+        /// The cause.
+        source: BindError,
+    },
     /// Metrics could not be set up.
     #[snafu(display("cannot send metrics: {source}"))]
     Metrics {
@@ -154,6 +161,7 @@
     pub async fn drain(self, insist: impl Future<Output = ()>) -> Node<Draining> {
         info!("event=draining node={}", self.settings.node.name);
         self.state.parts.phase.send_replace(Phase::Draining);
+        self.state.parts.inspector.leave().await;
         let notice = Duration::from_millis(self.settings.node.drain_notice_ms);
         tokio::select! {
             () = tokio::time::sleep(notice) => {}
--- a/crates/redwingrill/src/node/parts.rs
+++ b/crates/redwingrill/src/node/parts.rs
@@ -1,6 +1,8 @@
 //! The parts of a node and how they are joined.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -11,10 +13,14 @@
 use super::StartError;
 use super::wiring::engine_timeouts;
 use super::wiring::follow;
+use super::wiring::instances;
 use super::wiring::ledger;
 use super::wiring::listener_options;
 use super::wiring::policy;
 use crate::admin::AdminRoutes;
+use crate::cluster::Bound;
+use crate::cluster::ClusterParts;
+use crate::cluster::PeerChunks;
 use crate::completions::Completions;
 use crate::dispatch::Dispatch;
 use crate::dispatch::DispatchOptions;
@@ -27,6 +33,7 @@
 use crate::telemetry::Metrics;
 use crate::upstream::EngineClient;
 use redwingrill_config::Snapshot;
+use redwingrill_entity::Names;
 use redwingrill_settings::Settings;
 use redwingrill_transport::Pool;
 
@@ -62,9 +69,17 @@
         let requests = TaskTracker::new();
         let (phase, phase_reader) = watch::channel(Phase::Serving);
         let stopping = CancellationToken::new();
+        let bound = match configuration {
+            Some(_) => None,
+            None => Bound::new(settings).map_err(|source| StartError::Peers { source })?,
+        };
+        let names: Arc<Mutex<Names>> = Arc::default();
         let followed = match configuration {
             Some(_) => None,
-            None => Some(follow(settings, &pool, &services, &stopping)),
+            None => {
+                let source = bound.as_ref().map_or_else(PeerChunks::none, Bound::chunks);
+                Some(follow(settings, &pool, source, names.clone(), &services, &stopping))
+            }
         };
         let configuration = match (configuration, &followed) {
             (Some(given), _) => given,
@@ -73,8 +88,21 @@
         };
         let options = DispatchOptions { policy: policy(settings), seed: rand::random() };
         let (dispatcher, dispatch) = Dispatch::new(options, configuration.clone());
-        services.spawn(dispatch.load_poll(pool.clone()).run());
+        let asks_all_engines = Arc::new(AtomicBool::new(true));
+        services.spawn(dispatch.load_poll(pool.clone(), asks_all_engines.clone()).run());
         services.spawn(dispatch.run());
+        let cluster = bound.zip(followed.as_ref()).map(|(bound, followed)| {
+            let parts = ClusterParts {
+                configuration: configuration.clone(),
+                names,
+                cache: followed.cache(),
+                dispatcher: dispatcher.clone(),
+                pool: pool.clone(),
+                instances: instances(settings, &pool),
+                asks_all_engines,
+            };
+            bound.run(parts, &services, stopping.clone())
+        });
         let (ledger, ledger_task) = ledger(settings, &pool);
         services.spawn(ledger_task.run());
         let connections = AccountConnections::default();
@@ -84,6 +112,7 @@
             phase: phase_reader.clone(),
             configuration: configuration.clone(),
             followed,
+            cluster,
             dispatcher: dispatcher.clone(),
             connections: connections.clone(),
             open: open.clone(),
--- a/crates/redwingrill/src/node/wiring.rs
+++ b/crates/redwingrill/src/node/wiring.rs
@@ -1,16 +1,18 @@
 //! How the settings become the options of each part.
 
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::cluster::PeerChunks;
 use crate::configuration::Configuration;
 use crate::configuration::ConfigurationOptions;
 use crate::http::ListenerOptions;
 use crate::upstream::EngineTimeouts;
-use redwingrill_config::NoPeers;
+use redwingrill_entity::Names;
 use redwingrill_ledger::layout::LayoutConfig;
 use redwingrill_ledger::layout::PagedLayout;
 use redwingrill_ledger::task::Ledger;
@@ -20,23 +22,36 @@
 use redwingrill_ledger::task::WallClock;
 use redwingrill_placement::placer::Policy;
 use redwingrill_platform::EtcdStore;
+use redwingrill_platform::HttpInstances;
 use redwingrill_platform::PlatformOptions;
 use redwingrill_settings::PlacementPolicy;
 use redwingrill_settings::Settings;
 use redwingrill_transport::Pool;
 
-/// Begins to follow the configuration in the platform's store.
+/// Begins to follow the configuration in the platform's store and at peers.
 pub(super) fn follow(
     settings: &Settings,
     pool: &Pool,
+    source: PeerChunks,
+    names: Arc<Mutex<Names>>,
     tasks: &TaskTracker,
     stopping: &CancellationToken,
 ) -> Configuration {
     let mut options = PlatformOptions::new(settings.platform.endpoints.clone());
     options.call_timeout = Duration::from_millis(settings.platform.call_timeout_ms);
     let store = EtcdStore::new(options, pool.clone());
-    let options = ConfigurationOptions { names: Arc::default(), seed: rand::random() };
-    Configuration::start(store, NoPeers, options, tasks, stopping.clone())
+    let options = ConfigurationOptions { names, seed: rand::random() };
+    Configuration::start(store, source, options, tasks, stopping.clone())
+}
+
+/// Makes the reader of the platform's list of instances.
+pub(super) fn instances(settings: &Settings, pool: &Pool) -> HttpInstances {
+    let platform = &settings.platform;
+    let endpoints = match platform.instance_list_endpoints.is_empty() {
+        true => platform.endpoints.clone(),
+        false => platform.instance_list_endpoints.clone(),
+    };
+    HttpInstances::new(PlatformOptions::new(endpoints), pool.clone())
 }
 
 /// Returns the placement policy.
