--- a/crates/lab/src/cli/bench.rs
+++ b/crates/lab/src/cli/bench.rs
@@ -15,6 +15,7 @@
 use super::arguments::text_of;
 use crate::bench::control;
 use crate::bench::control::ControlOptions;
+use crate::bench::orders;
 use crate::bench::overhead;
 use crate::bench::overhead::OverheadOptions;
 use crate::bench::scenario;
@@ -23,10 +24,12 @@
 
 const CONTROL: &str = "control";
 const OVERHEAD: &str = "overhead";
+const ORDERS: &str = "orders";
 
 pub(super) fn command() -> Command {
     let names: Vec<&str> = Case::names().collect();
-    let scenarios = format!("One of control, overhead, {}; or a case file", names.join(", "));
+    let scenarios =
+        format!("One of control, overhead, orders, {}; or a case file", names.join(", "));
     Command::new("bench")
         .about("Run an experiment and print its figures")
         .arg(
@@ -102,6 +105,15 @@
         print_object(&report, json)?;
         return Ok(());
     }
+    if name == ORDERS {
+        let mut printed = Ok(());
+        orders::run(seed, |report| {
+            if printed.is_ok() {
+                printed = print_object(&report, json);
+            }
+        });
+        return Ok(printed?);
+    }
     let policies = text_of(matches, "policies");
     let options = ScenarioOptions {
         case: name,
