--- a/crates/lab/src/bench/control/fleet.rs
+++ b/crates/lab/src/bench/control/fleet.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -44,10 +45,15 @@
 const POLL: Duration = Duration::from_millis(50);
 
 /// The routers and the stand-ins.
-pub(super) struct ControlFleet {
+#[derive(Debug)]
+pub struct ControlFleet {
+    /// The platform.
     pub platform: RunningPlatform,
+    /// The server for all engines.
     pub loads: LoadServer,
+    /// The routers, in the order of their numbers.
     pub routers: Vec<ChildProcess>,
+    program: PathBuf,
     domains: usize,
     directory: PathBuf,
     peer_port: u16,
@@ -55,8 +61,12 @@
 }
 
 impl ControlFleet {
-    /// Starts the stand-ins only.
-    pub async fn prepare(options: &ControlOptions) -> Result<Self, ControlError> {
+    /// Starts the stand-ins only. `program` is `redwingrill-lab`, which has a router in it.
+    ///
+    /// # Errors
+    ///
+    /// See [`ControlError`], here and below.
+    pub async fn prepare(options: &ControlOptions, program: &Path) -> Result<Self, ControlError> {
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let platform = PlatformOptions { listen: any, admin: any, list_lag_ms: LIST_LAG_MS };
         let platform = Platform::start(platform).await.context(MachineSnafu)?;
@@ -75,7 +85,8 @@
         }
         let (routers, peer_port) = (Vec::new(), free_udp_port()?);
         let (domains, pool) = (options.domains, Pool::new());
-        Ok(Self { platform, loads, routers, domains, directory, peer_port, pool })
+        let program = program.to_owned();
+        Ok(Self { platform, loads, routers, program, domains, directory, peer_port, pool })
     }
 
     /// Starts routers with these numbers, several at a time.
@@ -89,9 +100,9 @@
         let text = settings(number, self.domains, self.peer_port, platform, &self.directory);
         let file = self.directory.join(format!("node-{number}.ini"));
         fs::write(&file, text).context(MachineSnafu)?;
-        let program = std::env::current_exe().context(MachineSnafu)?;
         let path = file.to_string_lossy();
-        ChildProcess::start(&program, &["router", "--settings", &path]).await.context(ProcessSnafu)
+        let arguments = ["router", "--settings", &path];
+        ChildProcess::start(&self.program, &arguments).await.context(ProcessSnafu)
     }
 
     /// Kills routers at once and starts them again under the same numbers.
--- a/crates/lab/src/bench/control/loads.rs
+++ b/crates/lab/src/bench/control/loads.rs
@@ -48,12 +48,13 @@
 
 /// The running server.
 #[derive(Debug)]
-pub(super) struct LoadServer {
+pub struct LoadServer {
     loads: Arc<Loads>,
     server: Server,
 }
 
 impl LoadServer {
+    /// Starts the server on a free port of all loopback addresses.
     pub async fn start() -> io::Result<Self> {
         let loads = Arc::new(Loads::default());
         let any = SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0));
@@ -61,14 +62,17 @@
         Ok(Self { loads, server })
     }
 
+    /// Returns the port.
     pub fn port(&self) -> u16 {
         self.server.address().port()
     }
 
+    /// Returns how many loads were asked for.
     pub fn polls(&self) -> u64 {
         self.loads.polls.load(Ordering::Relaxed)
     }
 
+    /// Stops serving and joins all tasks.
     pub async fn stop(self) {
         self.server.stop().await;
     }
--- a/crates/lab/src/bench/control/measure.rs
+++ b/crates/lab/src/bench/control/measure.rs
@@ -38,7 +38,8 @@
     options: &ControlOptions,
     nodes: usize,
 ) -> Result<ControlReport, ControlError> {
-    let mut fleet = ControlFleet::prepare(options).await?;
+    let program = std::env::current_exe().context(MachineSnafu)?;
+    let mut fleet = ControlFleet::prepare(options, &program).await?;
     let outcome = run(options, nodes, &mut fleet).await;
     fleet.stop().await;
     outcome
--- a/crates/lab/src/bench/control/mod.rs
+++ b/crates/lab/src/bench/control/mod.rs
@@ -20,7 +20,10 @@
 use redwingrill_config::Faults;
 use redwingrill_peer::KeyError;
 
+pub use fleet::ControlFleet;
+pub use loads::LoadServer;
 pub use report::ControlReport;
+pub use site::accept;
 
 /// What to measure.
 #[derive(Clone, Debug)]
--- a/crates/lab/src/bench/control/site.rs
+++ b/crates/lab/src/bench/control/site.rs
@@ -81,7 +81,11 @@
 }
 
 /// Makes a further configuration the accepted one.
-pub(super) async fn accept(
+///
+/// # Errors
+///
+/// See [`ControlError`].
+pub async fn accept(
     options: &ControlOptions,
     platform: &RunningPlatform,
     load_port: u16,
--- a/crates/redwingrill/src/cluster/actions.rs
+++ b/crates/redwingrill/src/cluster/actions.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use log::debug;
 use tokio_util::task::TaskTracker;
 
 use super::handler::PeerHandler;
@@ -87,7 +88,14 @@
         let (instances, task) = (self.instances.clone(), self.task.clone());
         self.spawned.spawn(async move {
             let read = tokio::time::timeout(LIST_LIMIT, instances.list()).await;
-            let instances = read.ok().and_then(Result::ok);
+            let instances = match read {
+                Ok(Ok(instances)) => Some(instances),
+                Ok(Err(error)) => {
+                    debug!("event=list_unread error=\"{error}\"");
+                    None
+                }
+                Err(_) => None,
+            };
             task.send(Message::Listed { instances }).await;
         });
     }
--- a/crates/redwingrill/src/cluster/polls.rs
+++ b/crates/redwingrill/src/cluster/polls.rs
@@ -21,15 +21,17 @@
 #[derive(Debug)]
 pub(super) struct Polls {
     engines: BTreeMap<UpstreamKey, u64>,
-    list_due_ms: u64,
+    listed_ms: u64,
+    // When a node that finds no peer reads the list.
+    alone_due_ms: u64,
     is_listing: bool,
     rng: SmallRng,
 }
 
 impl Polls {
     pub fn new(now_ms: u64, mut rng: SmallRng) -> Self {
-        let list_due_ms = now_ms + ALONE_GRACE_MS + rng.random_range(0..ALONE_LIST_PERIOD_MS);
-        Self { engines: BTreeMap::new(), list_due_ms, is_listing: false, rng }
+        let alone_due_ms = now_ms + ALONE_GRACE_MS + rng.random_range(0..ALONE_LIST_PERIOD_MS);
+        Self { engines: BTreeMap::new(), listed_ms: 0, alone_due_ms, is_listing: false, rng }
     }
 
     /// Returns the watched engines that are due, and counts them as asked.
@@ -56,19 +58,16 @@
     /// Returns whether the list is due, and counts it as being read.
     pub fn list_due(&mut self, now_ms: u64, cluster: &Cluster) -> bool {
         let is_alone = cluster.usable_members().count() <= 1;
-        if !cluster.reads_instance_list() && !is_alone {
-            // A node that becomes a reader reads at once.
-            self.list_due_ms = now_ms;
-            return false;
-        }
-        if self.is_listing || now_ms < self.list_due_ms {
+        let is_due = match is_alone {
+            true => now_ms >= self.alone_due_ms,
+            false => cluster.reads_instance_list() && now_ms >= self.listed_ms + LIST_PERIOD_MS,
+        };
+        if self.is_listing || !is_due {
             return false;
         }
-        let period_ms = match is_alone {
-            true => ALONE_LIST_PERIOD_MS + self.rng.random_range(0..ALONE_LIST_PERIOD_MS),
-            false => LIST_PERIOD_MS,
-        };
-        self.list_due_ms = now_ms + period_ms;
+        let jitter_ms = self.rng.random_range(0..ALONE_LIST_PERIOD_MS);
+        self.alone_due_ms = now_ms + ALONE_LIST_PERIOD_MS + jitter_ms;
+        self.listed_ms = now_ms;
         self.is_listing = true;
         true
     }
--- a/crates/redwingrill/src/cluster/task.rs
+++ b/crates/redwingrill/src/cluster/task.rs
@@ -143,6 +143,7 @@
             self.cluster.publish_in_force(self.clock.now_ms(), in_force);
         }
         self.feed.leaving(&self.names, &self.cluster);
+        self.share_asking();
     }
 
     fn handle(&mut self, message: Message) {
@@ -268,16 +269,21 @@
             self.feed.leaving(&self.names, &self.cluster);
         }
         if changes.members {
-            let nodes = self.cluster.usable_members().count();
-            let asks_all = nodes * self.names.engine_count() <= DIRECT_PAIRS;
-            self.asks_all.store(asks_all, Ordering::Relaxed);
-            info!("event=members_changed usable={nodes} asks_all_engines={asks_all}");
+            self.share_asking();
+            info!("event=members_changed usable={}", self.cluster.usable_members().count());
         }
         if changes.members || changes.generation {
             self.view.send_replace(self.view_now());
         }
     }
 
+    /// Decides whether this node asks all engines itself.
+    fn share_asking(&self) {
+        let nodes = self.cluster.usable_members().count();
+        let asks_all = nodes * self.names.engine_count() <= DIRECT_PAIRS;
+        self.asks_all.store(asks_all, Ordering::Relaxed);
+    }
+
     fn view_now(&self) -> View {
         let newest = self.cluster.newest_in_force().generation;
         let own = self.cluster.key();
