Answer outcome_unknown also while another node may still run the order

Change: the code stays outcome_unknown; the message and Retry-After tell that the order may still run.

--- a/crates/ledger/src/order/mod.rs
+++ b/crates/ledger/src/order/mod.rs
@@ -77,6 +77,8 @@
 pub enum Settled {
     /// The order was run before; this is the first outcome.
     Replay(Outcome),
+    /// Another attempt holds the order, and is young enough to be running still.
+    MayBeRunning,
     /// The order is refused.
     Refused(ResultCode),
 }
@@ -149,9 +151,7 @@
 
 fn settled(result: Result<Verdict, Unsettled>, running_limit_ms: u64) -> Settled {
     match result {
-        Ok(Verdict::Unfinished { age_ms }) if age_ms < running_limit_ms => {
-            Settled::Refused(ResultCode::OrderInFlight)
-        }
+        Ok(Verdict::Unfinished { age_ms }) if age_ms < running_limit_ms => Settled::MayBeRunning,
         Ok(Verdict::Finished(outcome)) => Settled::Replay(outcome),
         Ok(Verdict::Expired) => Settled::Refused(ResultCode::KeyExpired),
         Ok(Verdict::Reused) => Settled::Refused(ResultCode::IdempotencyKeyReused),
--- a/crates/ledger/tests/support/nodes.rs
+++ b/crates/ledger/tests/support/nodes.rs
@@ -251,6 +251,7 @@
     let mut recorded = match order.record(AttemptId(u128::from(call.id))).await {
         Ok(recorded) => recorded,
         Err(Settled::Replay(outcome)) => return Ok(outcome),
+        Err(Settled::MayBeRunning) => return Err(ResultCode::OutcomeUnknown),
         Err(Settled::Refused(code)) => return Err(code),
     };
     for _ in 0..2 {
--- a/crates/redwingrill/src/services/orders.rs
+++ b/crates/redwingrill/src/services/orders.rs
@@ -144,6 +144,10 @@
                 log.event("order_replayed");
                 return replay_of(outcome);
             }
+            Err(Settled::MayBeRunning) => {
+                log.event("order_refused");
+                return Err(may_be_running());
+            }
             Err(Settled::Refused(code)) => {
                 log.event("order_refused");
                 return Err(code.into());
@@ -267,6 +271,11 @@
         && held.is_some_and(|held| held > fencing)
 }
 
+fn may_be_running() -> Refusal {
+    let detail = "the call was recorded and may still be running; ask again with the same key";
+    Refusal::with_detail(ResultCode::OutcomeUnknown, detail).retry_after(WINDOW_RETRY_MS)
+}
+
 fn unknown(failure: &ForwardError) -> Refusal {
     let info = ResultCode::OutcomeUnknown.info();
     Refusal::with_detail(ResultCode::OutcomeUnknown, format!("{} ({failure})", info.summary))
