Give forwarded finishes the time to linger, and make pages smaller

Cause: a forwarded finish timed out at its home after 250 ms, just as long as it lingers there, and was written by both nodes; pages of 128 records cost 10 to 20 KB written an order. Ruled out: no linger at the home (one write more for each order).

--- a/crates/ledger/src/layout/config.rs
+++ b/crates/ledger/src/layout/config.rs
@@ -31,7 +31,7 @@
             finish_linger_ms: 250,
             retry_pause_ms: 50,
             page_span_ms: 60_000,
-            page_records_limit: 128,
+            page_records_limit: 32,
             view_ttl_ms: 60_000,
             forget_after_min_ms: 600_000,
             forget_after_windows: 8,
--- a/crates/ledger/src/task/config.rs
+++ b/crates/ledger/src/task/config.rs
@@ -5,8 +5,10 @@
 pub struct LedgerConfig {
     /// How long one call to the store may take before its answer counts as lost.
     pub call_timeout_ms: u64,
-    /// How long a peer may take for a forwarded operation.
+    /// How long a peer may take for a forwarded claim.
     pub forward_timeout_ms: u64,
+    /// How long a peer may take for a forwarded finish or withdrawal, which it lets linger.
+    pub forward_settle_timeout_ms: u64,
     /// How long a caller waits for its order to be recorded.
     pub record_deadline_ms: u64,
     /// The longest time from a claim's submission to the sending of its order.
@@ -27,6 +29,7 @@
         Self {
             call_timeout_ms: 500,
             forward_timeout_ms: 250,
+            forward_settle_timeout_ms: 2_000,
             record_deadline_ms: 2_000,
             send_limit_ms: 5_000,
             settle_deadline_ms: 60_000,
--- a/crates/ledger/src/task/mod.rs
+++ b/crates/ledger/src/task/mod.rs
@@ -16,6 +16,7 @@
 mod runner;
 mod running;
 mod state;
+mod store_calls;
 
 pub use clock::WallClock;
 pub use config::LedgerConfig;
--- a/crates/ledger/src/task/runner.rs
+++ b/crates/ledger/src/task/runner.rs
@@ -37,8 +37,8 @@
 use crate::task::message::Message;
 use crate::task::message::Origin;
 use crate::task::running::Running;
+use crate::task::store_calls::run_call;
 use redwingrill_ports::Store;
-use redwingrill_ports::StoreError;
 
 /// The longest time between two beats.
 const BEAT_MS: u64 = 1_000;
@@ -285,7 +285,10 @@
 
     fn forward(&mut self, home: String, forwarded: Forwarded) {
         let homes = self.homes.clone();
-        let timeout_ms = self.config.forward_timeout_ms;
+        let timeout_ms = match forwarded.operation.action {
+            Action::Claim(_) => self.config.forward_timeout_ms,
+            Action::Finish(_) | Action::Withdraw(_) => self.config.forward_settle_timeout_ms,
+        };
         let job = async move {
             let call = homes.forward(&home, forwarded.operation.clone(), timeout_ms);
             let answer = tokio::time::timeout(Duration::from_millis(timeout_ms), call).await;
@@ -377,28 +380,3 @@
         }
     }
 }
-
-async fn run_call<S: Store>(store: &S, call: StoreCall, timeout: Duration) -> StoreAnswer {
-    match call {
-        StoreCall::Get { key } => StoreAnswer::Get(within(timeout, store.get(&key)).await),
-        StoreCall::List { prefix } => StoreAnswer::List(within(timeout, store.list(&prefix)).await),
-        StoreCall::Swap { key, expected, value, lease } => {
-            StoreAnswer::Swap(within(timeout, store.swap(&key, expected, value, lease)).await)
-        }
-        StoreCall::Grant { ttl_ms } => {
-            let ttl = Duration::from_millis(ttl_ms);
-            StoreAnswer::Grant(within(timeout, store.grant_lease(ttl)).await)
-        }
-        StoreCall::Delete { key, expected } => {
-            StoreAnswer::Delete(within(timeout, store.delete(&key, expected)).await)
-        }
-    }
-}
-
-async fn within<T>(
-    timeout: Duration,
-    call: impl Future<Output = Result<T, StoreError>>,
-) -> Result<T, StoreError> {
-    let late = || StoreError::AnswerLost { reason: "timeout".to_owned() };
-    tokio::time::timeout(timeout, call).await.unwrap_or_else(|_| Err(late()))
-}
--- /dev/null
+++ b/crates/ledger/src/task/store_calls.rs
@@ -0,0 +1,38 @@
+//! Calls to the store, each within a time.
+
+use std::time::Duration;
+
+use crate::layout::StoreAnswer;
+use crate::layout::StoreCall;
+use redwingrill_ports::Store;
+use redwingrill_ports::StoreError;
+
+/// Makes a call. One that takes longer than `timeout` counts as one whose answer is lost.
+pub(super) async fn run_call<S: Store>(
+    store: &S,
+    call: StoreCall,
+    timeout: Duration,
+) -> StoreAnswer {
+    match call {
+        StoreCall::Get { key } => StoreAnswer::Get(within(timeout, store.get(&key)).await),
+        StoreCall::List { prefix } => StoreAnswer::List(within(timeout, store.list(&prefix)).await),
+        StoreCall::Swap { key, expected, value, lease } => {
+            StoreAnswer::Swap(within(timeout, store.swap(&key, expected, value, lease)).await)
+        }
+        StoreCall::Grant { ttl_ms } => {
+            let ttl = Duration::from_millis(ttl_ms);
+            StoreAnswer::Grant(within(timeout, store.grant_lease(ttl)).await)
+        }
+        StoreCall::Delete { key, expected } => {
+            StoreAnswer::Delete(within(timeout, store.delete(&key, expected)).await)
+        }
+    }
+}
+
+async fn within<T>(
+    timeout: Duration,
+    call: impl Future<Output = Result<T, StoreError>>,
+) -> Result<T, StoreError> {
+    let late = || StoreError::AnswerLost { reason: "timeout".to_owned() };
+    tokio::time::timeout(timeout, call).await.unwrap_or_else(|_| Err(late()))
+}
