--- a/crates/lab/tests/front_end.rs
+++ b/crates/lab/tests/front_end.rs
@@ -160,6 +160,20 @@
     assert!(head.contains(&format!("x-request-id: {id}")), "{}: {head}", case.name);
 }
 
+/// Waits until the node's state is as it should be: places are freed soon after a reply, not in step
+/// with it.
+async fn wait_for(site: &Site, holds: impl Fn(&Value) -> bool) {
+    let deadline = tokio::time::Instant::now() + REPLY_LIMIT;
+    loop {
+        let dump = site.node.inspector().dump().await;
+        if holds(&dump) {
+            return;
+        }
+        assert!(tokio::time::Instant::now() < deadline, "{dump}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn wrong_requests_get_their_code_and_harm_nobody() {
     let site = Site::start_with(2, STREAMS, "[limits]\nrequest_timeout = 400 ms\n").await;
@@ -173,8 +187,7 @@
         assert!(other.is_complete(), "{}: {:?}", case.name, other.ending);
     }
     caller.close().await;
-    let dump = site.node.inspector().dump().await;
-    assert_eq!(dump["dispatch"]["tickets"], 0, "{dump}");
+    wait_for(&site, |dump| dump["dispatch"]["tickets"] == 0 && dump["open_requests"] == 0).await;
     println!("{} cases", cases.len());
     site.stop().await;
 }
@@ -218,13 +231,7 @@
     let over = case(ResultCode::TooManyConnections);
     check(&over, &exchange(&site, &over).await);
     drop(held);
-    // The node notices a closed connection by itself; the wait for that is bounded.
-    for _ in 0..100 {
-        if site.node.inspector().dump().await["account_connections"] == serde_json::json!([]) {
-            break;
-        }
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    wait_for(&site, |dump| dump["account_connections"] == serde_json::json!([])).await;
     let served = exchange(&site, &case(ResultCode::Ok)).await;
     assert!(served.starts_with("HTTP/1.1 200"), "{served}");
     site.stop().await;
