--- a/crates/redwingrill/src/cluster/messages.rs
+++ b/crates/redwingrill/src/cluster/messages.rs
@@ -1,5 +1,6 @@
 //! Messages to the task, and the way to it.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde_json::Value;
@@ -90,8 +91,10 @@
 pub(super) struct View {
     /// The highest generation that a live peer is known to have in force.
     pub newest_generation: u64,
-    /// The addresses of usable peers with that generation, peers with links first.
-    pub holders: Arc<[std::net::SocketAddr]>,
+    /// The addresses of usable peers with that generation.
+    pub holders: Arc<[SocketAddr]>,
+    /// The addresses of all usable peers.
+    pub usable: Arc<[SocketAddr]>,
     /// Usable nodes, this one included.
     pub live_nodes: usize,
 }
--- a/crates/redwingrill/src/cluster/task.rs
+++ b/crates/redwingrill/src/cluster/task.rs
@@ -292,13 +292,13 @@
             in_force.map_or(0, |in_force| in_force.generation)
         };
         let others = self.cluster.usable_members().filter(|&(key, _)| key != own);
-        let holders: Vec<SocketAddr> = others
-            .filter(|&(key, _)| generation_of(key) == newest)
-            .map(|(_, info)| info.address)
-            .collect();
+        let others: Vec<(NodeKey, SocketAddr)> =
+            others.map(|(key, info)| (key, info.address)).collect();
+        let holders = others.iter().filter(|&&(key, _)| generation_of(key) == newest);
         View {
             newest_generation: newest,
-            holders: holders.into(),
+            holders: holders.map(|&(_, address)| address).collect(),
+            usable: others.iter().map(|&(_, address)| address).collect(),
             live_nodes: self.cluster.usable_members().count(),
         }
     }
