--- a/crates/ledger/tests/support/mod.rs
+++ b/crates/ledger/tests/support/mod.rs
@@ -3,18 +3,10 @@
 
 #![allow(dead_code, reason = "each test binary uses a part")]
 
-mod gate;
-mod late_store;
+pub mod gate;
+pub mod late_store;
 pub mod nodes;
-mod service;
-
-pub use gate::Gate;
-pub use late_store::LateStore;
-pub use nodes::Cluster;
-pub use nodes::ClusterOptions;
-pub use nodes::LayoutKind;
-pub use service::Reply;
-pub use service::Service;
+pub mod service;
 
 use std::sync::Arc;
 
@@ -43,5 +35,11 @@
 pub fn policy(take_over_after_ms: Option<u64>) -> OrderPolicy {
     let bind_to: Arc<str> = Arc::from("shop-1");
     let take_over = take_over_after_ms.map(|after_ms| TakeOver { after_ms, bind_to });
-    OrderPolicy { account: Arc::from("writers"), window_ms: 60_000, in_flight_limit: 8, take_over }
+    OrderPolicy {
+        account: Arc::from("writers"),
+        window_ms: 60_000,
+        in_flight_limit: 8,
+        running_limit_ms: 0,
+        take_over,
+    }
 }
--- a/crates/ledger/tests/support/nodes.rs
+++ b/crates/ledger/tests/support/nodes.rs
@@ -11,10 +11,10 @@
 use tokio::time::Instant;
 
 use crate::support::EPOCH_MS;
-use crate::support::Gate;
-use crate::support::LateStore;
-use crate::support::Reply;
-use crate::support::Service;
+use crate::support::gate::Gate;
+use crate::support::late_store::LateStore;
+use crate::support::service::Reply;
+use crate::support::service::Service;
 use redwingrill_codes::ResultCode;
 use redwingrill_fakes::MemoryStore;
 use redwingrill_ledger::AttemptId;
@@ -251,6 +251,7 @@
     let mut recorded = match order.record(AttemptId(u128::from(call.id))).await {
         Ok(recorded) => recorded,
         Err(Settled::Replay(outcome)) => return Ok(outcome),
+        Err(Settled::MayBeRunning) => return Err(ResultCode::OutcomeUnknown),
         Err(Settled::Refused(code)) => return Err(code),
     };
     for _ in 0..2 {
--- a/crates/redwingrill/src/node/inspector.rs
+++ b/crates/redwingrill/src/node/inspector.rs
@@ -91,7 +91,7 @@
             "configuration": self.followed.as_ref().map(Configuration::dump),
             "cluster": self.dump_cluster().await,
             "dispatch": self.dispatcher.dump().await,
-            "orders": self.ledger.state().await,
+            "ledger": self.ledger.state().await,
             "open_requests": self.open.count(),
             "account_connections": connections.collect::<Vec<_>>(),
             "upstream_connections": pool.collect::<Vec<_>>(),
