--- a/crates/lab/src/load/prompts.rs
+++ b/crates/lab/src/load/prompts.rs
@@ -69,7 +69,8 @@
         Call {
             api_key: self.api_keys[planned.account].clone(),
             priority: priority.clone(),
-            request_id: String::new(),
+            // Routers give requests identifiers of their own; engines need one.
+            request_id: format!("call-{}", planned.question),
             model: self.model.clone(),
             messages: self.messages(planned),
             max_tokens: *answer_tokens,
