Run the roll-out in every node

Cause: the roll-out task was not joined, so no engine was ever ordered to load. Ruled out: a task of its own that asks engines again; the dispatch task hears all load reports. Change: the dispatch task hands reports to the hub; node parts start the roll-out when they follow the platform's configuration; the dump has it under rollout. Every node has rank 0 for now; their claims are swaps, of which one wins. Conclusion: joined; the rank should come from the live nodes once they are known in parts.

--- a/crates/redwingrill/src/dispatch/observations.rs
+++ b/crates/redwingrill/src/dispatch/observations.rs
@@ -4,6 +4,7 @@
 
 use redwingrill_entity::UpstreamId;
 use redwingrill_placement::fleet::LoadReport;
+use redwingrill_rollout::EngineFact;
 
 /// The load of one engine.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -17,3 +18,9 @@
     /// When it was asked.
     pub observed: Instant,
 }
+
+impl From<&EngineLoadReport> for EngineFact {
+    fn from(report: &EngineLoadReport) -> Self {
+        Self { start: report.load.start, running: report.load.running, leaving: report.leaving }
+    }
+}
--- a/crates/redwingrill/src/dispatch/task.rs
+++ b/crates/redwingrill/src/dispatch/task.rs
@@ -13,6 +13,7 @@
 use super::messages::Dispatcher;
 use super::messages::Message;
 use super::messages::WeakDispatcher;
+use crate::configuration::EngineFactsHub;
 use redwingrill_config::Snapshot;
 use redwingrill_placement::placer::Policy;
 use redwingrill_transport::Pool;
@@ -37,6 +38,7 @@
     configuration: watch::Receiver<Arc<Snapshot>>,
     origin: Instant,
     core: Core,
+    facts: EngineFactsHub,
 }
 
 impl Dispatch {
@@ -48,7 +50,9 @@
         let (sender, messages) = mpsc::unbounded_channel();
         let weak = WeakDispatcher::new(&sender);
         let core = Core::new(options.policy, options.seed);
-        let task = Self { messages, weak, configuration, origin: Instant::now(), core };
+        let facts = EngineFactsHub::default();
+        let origin = Instant::now();
+        let task = Self { messages, weak, configuration, origin, core, facts };
         (Dispatcher::new(sender), task)
     }
 
@@ -57,6 +61,11 @@
         LoadPoll::new(pool, self.configuration.clone(), self.weak.clone())
     }
 
+    /// Returns what engines report of themselves, as the roll-out needs it.
+    pub fn facts(&self) -> EngineFactsHub {
+        self.facts.clone()
+    }
+
     /// Runs until every [`Dispatcher`] and ticket is gone.
     pub async fn run(mut self) {
         let mut ticks = tokio::time::interval(TICK);
@@ -96,6 +105,7 @@
             Message::EngineLoad(report) => {
                 let observed_ms = self.ms_at(report.observed);
                 self.core.observe(&report, observed_ms, now_ms);
+                self.facts.observe(report.upstream, (&report).into(), report.observed);
             }
             Message::Leaving { upstreams } => self.core.set_leaving(upstreams),
             Message::DemandElsewhere { demands } => self.core.limits.set_elsewhere(demands),
--- a/crates/redwingrill/src/node/inspector.rs
+++ b/crates/redwingrill/src/node/inspector.rs
@@ -9,6 +9,7 @@
 
 use super::Phase;
 use crate::configuration::Configuration;
+use crate::configuration::Rollout;
 use crate::dispatch::Dispatcher;
 use crate::http::AccountConnections;
 use crate::http::OpenRequests;
@@ -24,6 +25,8 @@
     pub(super) configuration: watch::Receiver<Arc<Snapshot>>,
     // Absent if the configuration was given by hand.
     pub(super) followed: Option<Configuration>,
+    // Absent if the configuration was given by hand.
+    pub(super) rollout: Option<Rollout>,
     pub(super) dispatcher: Dispatcher,
     pub(super) connections: AccountConnections,
     pub(super) open: OpenRequests,
@@ -75,6 +78,7 @@
         json!({
             "status": self.status(),
             "configuration": self.followed.as_ref().map(Configuration::dump),
+            "rollout": self.rollout.as_ref().map(Rollout::dump),
             "dispatch": self.dispatcher.dump().await,
             "orders": self.ledger.state().await,
             "open_requests": self.open.count(),
--- a/crates/redwingrill/src/node/parts.rs
+++ b/crates/redwingrill/src/node/parts.rs
@@ -14,6 +14,7 @@
 use super::wiring::ledger;
 use super::wiring::listener_options;
 use super::wiring::policy;
+use super::wiring::roll_out;
 use crate::admin::AdminRoutes;
 use crate::completions::Completions;
 use crate::dispatch::Dispatch;
@@ -74,6 +75,10 @@
         let options = DispatchOptions { policy: policy(settings), seed: rand::random() };
         let (dispatcher, dispatch) = Dispatch::new(options, configuration.clone());
         services.spawn(dispatch.load_poll(pool.clone()).run());
+        let rollout = followed.as_ref().map(|followed| {
+            let facts = dispatch.facts();
+            roll_out(settings, &pool, followed.snapshots(), &facts, &services, &stopping)
+        });
         services.spawn(dispatch.run());
         let (ledger, ledger_task) = ledger(settings, &pool);
         services.spawn(ledger_task.run());
@@ -84,6 +89,7 @@
             phase: phase_reader.clone(),
             configuration: configuration.clone(),
             followed,
+            rollout,
             dispatcher: dispatcher.clone(),
             connections: connections.clone(),
             open: open.clone(),
--- a/crates/redwingrill/src/node/wiring.rs
+++ b/crates/redwingrill/src/node/wiring.rs
@@ -3,14 +3,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::configuration::Configuration;
 use crate::configuration::ConfigurationOptions;
+use crate::configuration::EngineFactsHub;
+use crate::configuration::HttpEngineOrders;
+use crate::configuration::Rollout;
 use crate::http::ListenerOptions;
 use crate::upstream::EngineTimeouts;
 use redwingrill_config::NoPeers;
+use redwingrill_config::Snapshot;
 use redwingrill_ledger::layout::LayoutConfig;
 use redwingrill_ledger::layout::SingleLayout;
 use redwingrill_ledger::task::Ledger;
@@ -21,6 +26,7 @@
 use redwingrill_placement::placer::Policy;
 use redwingrill_platform::EtcdStore;
 use redwingrill_platform::PlatformOptions;
+use redwingrill_rollout::RolloutInputs;
 use redwingrill_settings::PlacementPolicy;
 use redwingrill_settings::Settings;
 use redwingrill_transport::Pool;
@@ -39,6 +45,25 @@
     Configuration::start(store, NoPeers, options, tasks, stopping.clone())
 }
 
+/// Begins to roll weights and roles out to engines.
+pub(super) fn roll_out(
+    settings: &Settings,
+    pool: &Pool,
+    configuration: watch::Receiver<Arc<Snapshot>>,
+    facts: &EngineFactsHub,
+    tasks: &TaskTracker,
+    stopping: &CancellationToken,
+) -> Rollout {
+    let mut options = PlatformOptions::new(settings.platform.endpoints.clone());
+    options.call_timeout = Duration::from_millis(settings.platform.call_timeout_ms);
+    let store = EtcdStore::new(options, pool.clone());
+    // Every node takes itself for the first; their claims are swaps, of which one wins.
+    let rank = watch::channel(0).1;
+    let inputs = RolloutInputs { configuration, facts: facts.subscribe(), rank };
+    let orders = HttpEngineOrders::new(pool.clone());
+    Rollout::start(store, orders, inputs, &settings.node.name, tasks, stopping.clone())
+}
+
 /// Returns the placement policy.
 pub(super) fn policy(settings: &Settings) -> Policy {
     match settings.placement_policy {
