--- a/crates/config/src/follow/follower.rs
+++ b/crates/config/src/follow/follower.rs
@@ -131,16 +131,22 @@
     }
 
     async fn follow(&mut self) {
-        self.pacing.set_live_nodes(self.source.live_nodes());
+        self.note_live_nodes();
         tokio::time::sleep(self.pacing.fetch_pause()).await;
         loop {
-            self.pacing.set_live_nodes(self.source.live_nodes());
+            self.note_live_nodes();
             self.act().await;
             self.publish_status();
             self.wait().await;
         }
     }
 
+    fn note_live_nodes(&mut self) {
+        self.pacing.set_live_nodes(self.source.live_nodes());
+        // A node that starts has met few peers yet, and all may be starting with it.
+        self.pacing.set_starting(self.own.is_none());
+    }
+
     /// Does everything that is due.
     async fn act(&mut self) {
         if self.timers.peer.take_due() {
@@ -203,7 +209,7 @@
 
     async fn poll_store(&mut self) {
         let nothing_known = self.own.is_none() && self.pending.is_none();
-        if !nothing_known && !self.budget.take(Instant::now(), self.pacing.calls_per_s()) {
+        if !nothing_known && !self.budget.take(Instant::now(), self.pacing.allowance()) {
             return self.timers.poll.set(self.pacing.retry_pause());
         }
         self.count_call();
@@ -232,9 +238,15 @@
             self.store_revision = revision;
         }
         self.observe(stored.map(|stored| stored.manifest), Origin::Store);
+        if self.pending.is_none() {
+            self.open_watch();
+        }
+    }
+
+    fn open_watch(&mut self) {
         if self.watcher.is_none() {
             self.count_call();
-            self.watcher = Some(Watcher::open(self.store.clone(), revision));
+            self.watcher = Some(Watcher::open(self.store.clone(), self.store_revision));
         }
     }
 
@@ -274,11 +286,17 @@
         let wanted = self.wanted(&pending);
         let fetched = fetch_chunks(&self.store, &self.source, &wanted).await;
         let gone = fetched.iter().any(|fetched| matches!(fetched, Fetched::Gone));
+        let held_before = self.cache.size().0;
         let complete = self.keep(fetched);
         if complete {
-            return self.put_in_force(pending);
+            self.put_in_force(pending);
+            if self.store_revision != Revision::default() {
+                self.open_watch();
+            }
+            return;
         }
-        self.pending_rounds += 1;
+        let progressed = self.cache.size().0 > held_before;
+        self.pending_rounds = if progressed { 1 } else { self.pending_rounds + 1 };
         if gone || self.pending_rounds == FETCH_ROUNDS {
             self.timers.poll.bring_forward(self.pacing.retry_pause());
         }
@@ -294,10 +312,10 @@
         let mut missing: Vec<_> = missing.copied().collect();
         // Nodes that start together begin at different chunks and find the rest at peers.
         self.pacing.shuffle(&mut missing);
-        let (now, calls_per_s) = (Instant::now(), self.pacing.calls_per_s());
+        let (now, allowance) = (Instant::now(), self.pacing.allowance());
         let wanted = missing
             .into_iter()
-            .map(|chunk| Wanted { chunk, store_allowed: self.budget.take(now, calls_per_s) });
+            .map(|chunk| Wanted { chunk, store_allowed: self.budget.take(now, allowance) });
         wanted.collect()
     }
 
--- a/crates/redwingrill/src/cluster/actions.rs
+++ b/crates/redwingrill/src/cluster/actions.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use log::debug;
 use tokio_util::task::TaskTracker;
 
 use super::handler::PeerHandler;
@@ -47,8 +48,9 @@
                 self.addresses.insert(link, address);
                 let (peers, task) = (self.peers.clone(), self.task.clone());
                 self.spawned.spawn(async move {
-                    let exchange =
-                        async |peer: &PeerConnection| peer.exchange(link, frame, EXCHANGE_LIMIT).await;
+                    let exchange = async |peer: &PeerConnection| {
+                        peer.exchange(link, frame, EXCHANGE_LIMIT).await
+                    };
                     let result = peers.call(address, exchange).await;
                     task.send(Message::Exchanged { link, result }).await;
                 });
@@ -76,10 +78,8 @@
         let (pool, task) = (self.pool.clone(), self.task.clone());
         self.spawned.spawn(async move {
             let reply = ask_load(&pool, address).await;
-            let answer = reply.map(|reply| EngineAnswer {
-                leaving: reply.leaving,
-                load: reply.into(),
-            });
+            let answer =
+                reply.map(|reply| EngineAnswer { leaving: reply.leaving, load: reply.into() });
             task.send(Message::EngineAsked { engine, answer }).await;
         });
     }
@@ -88,7 +88,14 @@
         let (instances, task) = (self.instances.clone(), self.task.clone());
         self.spawned.spawn(async move {
             let read = tokio::time::timeout(LIST_LIMIT, instances.list()).await;
-            let instances = read.ok().and_then(Result::ok);
+            let instances = match read {
+                Ok(Ok(instances)) => Some(instances),
+                Ok(Err(error)) => {
+                    debug!("event=list_unread error=\"{error}\"");
+                    None
+                }
+                Err(_) => None,
+            };
             task.send(Message::Listed { instances }).await;
         });
     }
--- a/crates/redwingrill/src/dispatch/engines.rs
+++ b/crates/redwingrill/src/dispatch/engines.rs
@@ -148,9 +148,9 @@
         ejected
     }
 
-    /// Takes in a first token.
-    pub(super) fn first_token(&mut self, upstream: UpstreamId, is_late: bool, now_ms: u64) {
-        let Some(slot) = self.slots.get_mut(upstream) else { return };
+    /// Takes in a first token. Returns whether the engine's limit grew by it.
+    pub(super) fn first_token(&mut self, upstream: UpstreamId, is_late: bool, now_ms: u64) -> bool {
+        let Some(slot) = self.slots.get_mut(upstream) else { return false };
         slot.health.succeeded(now_ms);
         match (is_late, slot.has_waiting) {
             (true, true) => slot.limit.observe(Pressure::Late, now_ms),
@@ -159,6 +159,11 @@
             // One that is late though nothing waits is not mended by fewer requests.
             _ => {}
         }
+        if is_late || !slot.limit.answered(slot.in_flight) {
+            return false;
+        }
+        slot.refresh(now_ms);
+        true
     }
 
     /// Takes in a load report.
--- a/crates/redwingrill/src/dispatch/legs.rs
+++ b/crates/redwingrill/src/dispatch/legs.rs
@@ -149,7 +149,10 @@
         let priority = held.ask.snapshot.state.priorities.get(held.ask.priority);
         let target_ms = priority.map_or(u32::MAX, |priority| priority.first_token_target_ms);
         let is_late = first_token_ms > u64::from(target_ms);
-        self.engines.first_token(leg.placement.upstream, is_late, now_ms);
+        let model = held.ask.model;
+        if self.engines.first_token(leg.placement.upstream, is_late, now_ms) {
+            self.pump(model, now_ms);
+        }
     }
 
     /// Ends a leg, well if `usage` is there.
--- a/crates/redwingrill/src/dispatch/task.rs
+++ b/crates/redwingrill/src/dispatch/task.rs
@@ -1,6 +1,7 @@
 //! The task that owns the state of admission and placement.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use tokio::sync::mpsc;
@@ -13,6 +14,7 @@
 use super::messages::Dispatcher;
 use super::messages::Message;
 use super::messages::WeakDispatcher;
+use crate::configuration::EngineFactsHub;
 use redwingrill_config::Snapshot;
 use redwingrill_placement::placer::Policy;
 use redwingrill_transport::Pool;
@@ -37,6 +39,7 @@
     configuration: watch::Receiver<Arc<Snapshot>>,
     origin: Instant,
     core: Core,
+    facts: EngineFactsHub,
 }
 
 impl Dispatch {
@@ -48,13 +51,21 @@
         let (sender, messages) = mpsc::unbounded_channel();
         let weak = WeakDispatcher::new(&sender);
         let core = Core::new(options.policy, options.seed);
-        let task = Self { messages, weak, configuration, origin: Instant::now(), core };
+        let facts = EngineFactsHub::default();
+        let origin = Instant::now();
+        let task = Self { messages, weak, configuration, origin, core, facts };
         (Dispatcher::new(sender), task)
     }
 
     /// Makes the task that asks engines for their load. It ends with the last [`Dispatcher`].
-    pub fn load_poll(&self, pool: Pool) -> LoadPoll {
-        LoadPoll::new(pool, self.configuration.clone(), self.weak.clone())
+    /// While `is_active` is false it rests.
+    pub fn load_poll(&self, pool: Pool, is_active: Arc<AtomicBool>) -> LoadPoll {
+        LoadPoll::new(pool, self.configuration.clone(), self.weak.clone(), is_active)
+    }
+
+    /// Returns what engines report of themselves, as the roll-out needs it.
+    pub fn facts(&self) -> EngineFactsHub {
+        self.facts.clone()
     }
 
     /// Runs until every [`Dispatcher`] and ticket is gone.
@@ -96,6 +107,7 @@
             Message::EngineLoad(report) => {
                 let observed_ms = self.ms_at(report.observed);
                 self.core.observe(&report, observed_ms, now_ms);
+                self.facts.observe(report.upstream, (&report).into(), report.observed);
             }
             Message::Leaving { upstreams } => self.core.set_leaving(upstreams),
             Message::DemandElsewhere { demands } => self.core.limits.set_elsewhere(demands),
