Go on after the store lost its leases

Cause: with one key an order, a lease that a restored store does not know would have made every write fail until the lease's span ended; the store in memory took such writes and dropped them at once. Ruled out: a lease for each write. Change: a write that the store refuses for another reason than a lost answer makes the node ask for a new lease; the store in memory refuses a write under a lease that is gone, as etcd does. Conclusion: a restore costs one refused write a node, besides the records that are gone.

--- a/crates/fakes/src/memory_store.rs
+++ b/crates/fakes/src/memory_store.rs
@@ -306,6 +306,10 @@
         lease: Option<LeaseId>,
     ) -> Result<Swap, StoreError> {
         self.enter(CallKind::Write).await?;
+        // As in etcd, a write under a lease that is gone is refused.
+        if lease.is_some_and(|lease| !self.lock().data.leases.contains_key(&lease.0)) {
+            return Err(StoreError::Unavailable { reason: "lease not found".to_owned() });
+        }
         self.write(|data| {
             let found = data.entry(key);
             let matches = match expected {
--- a/crates/ledger/src/layout/leases.rs
+++ b/crates/ledger/src/layout/leases.rs
@@ -89,6 +89,11 @@
         }
     }
 
+    /// Forgets a lease that the store may not know any more, as after a restore.
+    pub(super) fn forget(&mut self, service: &str) {
+        self.granted.remove(service);
+    }
+
     /// Returns when the next grant may be asked for.
     pub(super) fn wake_at_ms(&self) -> Option<u64> {
         (self.flight.is_none() && !self.wanted.is_empty()).then_some(self.retry_at_ms)
--- a/crates/ledger/src/layout/single.rs
+++ b/crates/ledger/src/layout/single.rs
@@ -33,6 +33,7 @@
 use redwingrill_ports::Expected;
 use redwingrill_ports::LeaseId;
 use redwingrill_ports::Revision;
+use redwingrill_ports::StoreError;
 use redwingrill_ports::Swap;
 
 /// The lane of lease grants; records have all others.
@@ -327,6 +328,11 @@
             return;
         }
         let Some(key) = self.by_lane.get(&lane).cloned() else { return };
+        if let StoreAnswer::Swap(Err(error)) = &answer
+            && !matches!(error, StoreError::AnswerLost { .. })
+        {
+            self.leases.forget(&key.service);
+        }
         if let Some(cell) = self.cells.get_mut(&key) {
             cell.answer(answer, now, self.config.retry_pause_ms, &mut self.done);
         }
--- a/crates/ledger/tests/tasks.rs
+++ b/crates/ledger/tests/tasks.rs
@@ -220,6 +220,25 @@
     }
 }
 
+#[tokio::test(start_paused = true)]
+async fn orders_go_on_after_the_store_was_restored() {
+    for layout in LAYOUTS {
+        let cluster = cluster(layout, false);
+        cluster.store.save();
+        ask(&cluster, 0, 1, "before").await.expect("no fault");
+        sleep(Duration::from_secs(1)).await;
+        // Leases and pages are gone with the rest.
+        cluster.store.restore();
+        for id in 2..5 {
+            let after = ask(&cluster, 0, id, &format!("after-{id}")).await;
+            assert!(after.is_ok(), "{layout:?}: {after:?}");
+            let retry = ask(&cluster, 1, id + 10, &format!("after-{id}")).await;
+            assert!(retry.is_ok() || retry == Err(ResultCode::OutcomeUnknown), "{layout:?}");
+        }
+        assert_eq!(cluster.service.arrivals().len(), 4, "{layout:?}");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn homes_serve_and_their_loss_is_made_up() {
     for layout in LAYOUTS {
