--- a/crates/redwingrill/src/node/inspector.rs
+++ b/crates/redwingrill/src/node/inspector.rs
@@ -8,6 +8,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::Phase;
+use crate::cluster::ClusterHandle;
 use crate::configuration::Configuration;
 use crate::configuration::Rollout;
 use crate::dispatch::Dispatcher;
@@ -27,6 +28,8 @@
     pub(super) followed: Option<Configuration>,
     // Absent if the configuration was given by hand.
     pub(super) rollout: Option<Rollout>,
+    // Absent in a node without peers.
+    pub(super) cluster: Option<ClusterHandle>,
     pub(super) dispatcher: Dispatcher,
     pub(super) connections: AccountConnections,
     pub(super) open: OpenRequests,
@@ -60,6 +63,17 @@
         })
     }
 
+    async fn dump_cluster(&self) -> Option<Value> {
+        self.cluster.as_ref()?.dump().await
+    }
+
+    /// Tells the peers that this node is about to stop.
+    pub(super) async fn leave(&self) {
+        if let Some(cluster) = &self.cluster {
+            cluster.leave().await;
+        }
+    }
+
     /// Returns the whole state.
     pub async fn dump(&self) -> Value {
         let snapshot = self.configuration.borrow().clone();
@@ -79,8 +93,9 @@
             "status": self.status(),
             "configuration": self.followed.as_ref().map(Configuration::dump),
             "rollout": self.rollout.as_ref().map(Rollout::dump),
+            "cluster": self.dump_cluster().await,
             "dispatch": self.dispatcher.dump().await,
-            "orders": self.ledger.state().await,
+            "ledger": self.ledger.state().await,
             "open_requests": self.open.count(),
             "account_connections": connections.collect::<Vec<_>>(),
             "upstream_connections": pool.collect::<Vec<_>>(),
