--- a/crates/redwingrill/src/node/inspector.rs
+++ b/crates/redwingrill/src/node/inspector.rs
@@ -26,10 +26,10 @@
     pub(super) configuration: watch::Receiver<Arc<Snapshot>>,
     // Absent if the configuration was given by hand.
     pub(super) followed: Option<Configuration>,
-    // Absent if the configuration was given by hand.
-    pub(super) rollout: Option<Rollout>,
     // Absent in a node without peers.
     pub(super) cluster: Option<ClusterHandle>,
+    // Absent if the configuration was given by hand.
+    pub(super) rollout: Option<Rollout>,
     pub(super) dispatcher: Dispatcher,
     pub(super) connections: AccountConnections,
     pub(super) open: OpenRequests,
@@ -92,8 +92,8 @@
         json!({
             "status": self.status(),
             "configuration": self.followed.as_ref().map(Configuration::dump),
-            "rollout": self.rollout.as_ref().map(Rollout::dump),
             "cluster": self.dump_cluster().await,
+            "rollout": self.rollout.as_ref().map(Rollout::dump),
             "dispatch": self.dispatcher.dump().await,
             "ledger": self.ledger.state().await,
             "open_requests": self.open.count(),
--- a/crates/redwingrill/src/node/parts.rs
+++ b/crates/redwingrill/src/node/parts.rs
@@ -89,12 +89,12 @@
         };
         let options = DispatchOptions { policy: policy(settings), seed: rand::random() };
         let (dispatcher, dispatch) = Dispatch::new(options, configuration.clone());
+        let asks_all_engines = Arc::new(AtomicBool::new(true));
+        services.spawn(dispatch.load_poll(pool.clone(), asks_all_engines.clone()).run());
         let rollout = followed.as_ref().map(|followed| {
             let facts = dispatch.facts();
             roll_out(settings, &pool, followed.snapshots(), &facts, &services, &stopping)
         });
-        let asks_all_engines = Arc::new(AtomicBool::new(true));
-        services.spawn(dispatch.load_poll(pool.clone(), asks_all_engines.clone()).run());
         services.spawn(dispatch.run());
         let cluster = bound.zip(followed.as_ref()).map(|(bound, followed)| {
             let parts = ClusterParts {
@@ -117,8 +117,8 @@
             phase: phase_reader.clone(),
             configuration: configuration.clone(),
             followed,
-            rollout,
             cluster,
+            rollout,
             dispatcher: dispatcher.clone(),
             connections: connections.clone(),
             open: open.clone(),
