Bound a round of fetching, and let commands wait out the store's rate

Cause: a round over a silent store could hold a node for as many timeouts as it had chunks to fetch one after another, and show failed when the store refused one of 323 reads (seen in the new test). Ruled out: a deadline over the round (it would throw away what had come). Change: what does not answer once is left alone for the round; commands read eight chunks at a time and try again when the rate limit refuses. Conclusion: commands work at the target size within the platform's rate.

--- a/crates/config/src/follow/fetch.rs
+++ b/crates/config/src/follow/fetch.rs
@@ -52,37 +52,53 @@
     source: &C,
     wanted: &[Wanted],
 ) -> Vec<Fetched> {
-    // One silent peer is enough to leave peers alone for the rest of this round.
-    let peers_answer = AtomicBool::new(true);
+    let sources =
+        Sources { store, source, peers: AtomicBool::new(true), reads: AtomicBool::new(true) };
     let mut fetches = Vec::with_capacity(wanted.len());
     for wanted in wanted {
-        fetches.push(fetch(store, source, wanted, &peers_answer).boxed());
+        fetches.push(sources.fetch(wanted).boxed());
     }
     stream::iter(fetches).buffer_unordered(FETCHES_AT_ONCE).collect().await
 }
 
-async fn fetch<S: Store, C: ChunkSource>(
-    store: &S,
-    source: &C,
-    wanted: &Wanted,
-    peers_answer: &AtomicBool,
-) -> Fetched {
-    let hash = wanted.chunk.hash;
-    if peers_answer.load(Ordering::Relaxed) {
-        match tokio::time::timeout(PEER_TIMEOUT, source.chunk(hash)).await {
-            Ok(Some(bytes)) if ChunkHash::of(&bytes) == hash => {
-                return Fetched::FromPeer(hash, bytes);
+/// Where chunks come from, and whether it answered so far in this round. What did not answer once is
+/// left alone for the rest of the round, so that no round takes long.
+struct Sources<'a, S, C> {
+    store: &'a S,
+    source: &'a C,
+    peers: AtomicBool,
+    reads: AtomicBool,
+}
+
+impl<S: Store, C: ChunkSource> Sources<'_, S, C> {
+    async fn fetch(&self, wanted: &Wanted) -> Fetched {
+        let hash = wanted.chunk.hash;
+        if let Some(bytes) = self.from_peers(hash).await {
+            return Fetched::FromPeer(hash, bytes);
+        }
+        if !wanted.store_allowed || !self.reads.load(Ordering::Relaxed) {
+            return Fetched::Deferred;
+        }
+        match read_chunk(self.store, &wanted.chunk).await {
+            Ok(bytes) => Fetched::FromStore(hash, bytes),
+            Err(StorageError::ChunkMissing { .. }) => Fetched::Gone,
+            Err(_) => {
+                self.reads.store(false, Ordering::Relaxed);
+                Fetched::Failed
             }
-            Ok(_) => {}
-            Err(_) => peers_answer.store(false, Ordering::Relaxed),
         }
     }
-    if !wanted.store_allowed {
-        return Fetched::Deferred;
-    }
-    match read_chunk(store, &wanted.chunk).await {
-        Ok(bytes) => Fetched::FromStore(hash, bytes),
-        Err(StorageError::ChunkMissing { .. }) => Fetched::Gone,
-        Err(_) => Fetched::Failed,
+
+    async fn from_peers(&self, hash: ChunkHash) -> Option<Bytes> {
+        if !self.peers.load(Ordering::Relaxed) {
+            return None;
+        }
+        match tokio::time::timeout(PEER_TIMEOUT, self.source.chunk(hash)).await {
+            Ok(answer) => answer.filter(|bytes| ChunkHash::of(bytes) == hash),
+            Err(_) => {
+                self.peers.store(false, Ordering::Relaxed);
+                None
+            }
+        }
     }
 }
--- a/crates/config/src/storage/accept.rs
+++ b/crates/config/src/storage/accept.rs
@@ -145,7 +145,8 @@
     }
 }
 
-async fn pause(tries: u32) {
+/// Waits before the next try of a call that failed so often.
+pub async fn pause(tries: u32) {
     tokio::time::sleep(FIRST_PAUSE * (1 << tries.min(8))).await;
 }
 
--- a/crates/config/src/storage/apply.rs
+++ b/crates/config/src/storage/apply.rs
@@ -17,8 +17,9 @@
 use super::manifest::ChunkRef;
 use super::manifest::Manifest;
 use super::read::StoredManifest;
-use super::read::read_chunk;
-use super::read::read_manifest;
+use super::read::read_chunks;
+use super::read::read_manifest_patiently;
+use super::read::read_patiently;
 use super::record::Record;
 use crate::DesiredState;
 use crate::Generation;
@@ -119,7 +120,7 @@
 
 /// Applies a desired state as a whole.
 pub async fn apply<S: Store>(store: &S, request: ApplyRequest<'_>) -> Result<Applied, ApplyError> {
-    let current = read_manifest(store).await?;
+    let current = read_manifest_patiently(store).await?;
     let base = current.as_ref().map(|stored| &stored.manifest);
     check_base(base, &request)?;
     let chunks = to_chunks(request.state, request.names);
@@ -178,7 +179,7 @@
 /// copy between the writes of the chunks and the swap.
 async fn confirm_chunks<S: Store>(store: &S, new: &[(ChunkRef, Chunk)]) -> Result<(), ApplyError> {
     for (reference, chunk) in new {
-        match read_chunk(store, reference).await {
+        match read_patiently(store, reference).await {
             Ok(_) => {}
             Err(StorageError::ChunkMissing { .. }) => {
                 let lost = [(*reference, chunk.clone())];
@@ -218,8 +219,8 @@
     chunks: &[ChunkRef],
 ) -> Result<Vec<Record>, StorageError> {
     let mut records = Vec::new();
-    for reference in chunks {
-        records.extend(chunk::decode(&read_chunk(store, reference).await?)?);
+    for bytes in read_chunks(store, chunks).await? {
+        records.extend(chunk::decode(&bytes)?);
     }
     Ok(records)
 }
--- a/crates/config/src/storage/read.rs
+++ b/crates/config/src/storage/read.rs
@@ -1,8 +1,14 @@
 //! Reading from the platform's store.
 
 use bytes::Bytes;
+use futures::future::FutureExt;
+use futures::stream;
+use futures::stream::StreamExt;
+use futures::stream::TryStreamExt;
 
 use super::StorageError;
+use super::accept::COMMAND_TRIES;
+use super::accept::pause;
 use super::assemble::from_chunks;
 use super::chunk::ChunkHash;
 use super::deadline::bounded;
@@ -15,6 +21,10 @@
 use redwingrill_ports::Expected;
 use redwingrill_ports::Revision;
 use redwingrill_ports::Store;
+use redwingrill_ports::StoreError;
+
+/// How many chunks a command reads at the same time.
+const READS_AT_ONCE: usize = 8;
 
 /// A manifest as the store holds it.
 #[derive(Clone, PartialEq, Eq, Debug)]
@@ -55,16 +65,56 @@
         .ok_or(StorageError::ChunkMissing { hash: chunk.hash })
 }
 
+/// Reads chunks in their order, as a command does: some at the same time, and again if the store
+/// refuses for a moment.
+pub async fn read_chunks<S: Store>(
+    store: &S,
+    chunks: &[ChunkRef],
+) -> Result<Vec<Bytes>, StorageError> {
+    let mut reads = Vec::with_capacity(chunks.len());
+    for chunk in chunks {
+        reads.push(read_patiently(store, chunk).boxed());
+    }
+    stream::iter(reads).buffered(READS_AT_ONCE).try_collect().await
+}
+
+/// Reads a chunk as [`read_chunk`] does, and again if the store refuses for a moment.
+pub async fn read_patiently<S: Store>(store: &S, chunk: &ChunkRef) -> Result<Bytes, StorageError> {
+    let mut tries = 0;
+    loop {
+        tries += 1;
+        match read_chunk(store, chunk).await {
+            Err(StorageError::Store { .. }) if tries < COMMAND_TRIES => pause(tries).await,
+            answer => return answer,
+        }
+    }
+}
+
+/// Reads the manifest as [`read_manifest`] does, and again if the store refuses for a moment.
+pub async fn read_manifest_patiently<S: Store>(
+    store: &S,
+) -> Result<Option<StoredManifest>, StorageError> {
+    let mut tries = 0;
+    loop {
+        tries += 1;
+        match read_manifest(store).await {
+            Err(StorageError::Store { source: StoreError::RateLimited })
+                if tries < COMMAND_TRIES =>
+            {
+                pause(tries).await;
+            }
+            answer => return answer,
+        }
+    }
+}
+
 /// Reads the whole accepted configuration, if there is one.
 pub async fn read_state<S: Store>(
     store: &S,
     names: &mut Names,
 ) -> Result<Option<(Manifest, DesiredState)>, StorageError> {
-    let Some(stored) = read_manifest(store).await? else { return Ok(None) };
-    let mut chunks = Vec::with_capacity(stored.manifest.chunks.len());
-    for chunk in &stored.manifest.chunks {
-        chunks.push(read_chunk(store, chunk).await?);
-    }
+    let Some(stored) = read_manifest_patiently(store).await? else { return Ok(None) };
+    let chunks = read_chunks(store, &stored.manifest.chunks).await?;
     let state = from_chunks(&chunks, names)?;
     Ok(Some((stored.manifest, state)))
 }
--- a/crates/config/tests/storage.rs
+++ b/crates/config/tests/storage.rs
@@ -70,6 +70,20 @@
     assert_eq!(entries.len(), manifest.chunks.len() + 2);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_large_site_is_applied_and_read_within_the_rate_of_the_store() {
+    const CALLS_PER_S: u32 = 300;
+    let store = MemoryStore::new();
+    store.set_faults(Faults {
+        calls_per_s_limit: CALLS_PER_S,
+        delay: std::time::Duration::from_millis(1),
+        ..Faults::default()
+    });
+    apply_text(&store, &site(TARGET_ACCOUNTS, 1), 1).await.expect("applied");
+    let read = read_state(&store, &mut Names::default()).await.expect("read");
+    assert!(read.is_some_and(|(_, state)| state.accounts.len() == TARGET_ACCOUNTS));
+}
+
 struct LostCase {
     name: &'static str,
     fault: WriteFault,
