--- a/crates/config/src/follow/fetch.rs
+++ b/crates/config/src/follow/fetch.rs
@@ -73,7 +73,7 @@
 impl<S: Store, C: ChunkSource> Sources<'_, S, C> {
     async fn fetch(&self, wanted: &Wanted) -> Fetched {
         let hash = wanted.chunk.hash;
-        if let Some(bytes) = self.from_peers(hash).await {
+        if let Some(bytes) = self.ask_peers(hash).await {
             return Fetched::FromPeer(hash, bytes);
         }
         if !wanted.store_allowed || !self.reads.load(Ordering::Relaxed) {
@@ -89,7 +89,7 @@
         }
     }
 
-    async fn from_peers(&self, hash: ChunkHash) -> Option<Bytes> {
+    async fn ask_peers(&self, hash: ChunkHash) -> Option<Bytes> {
         if !self.peers.load(Ordering::Relaxed) {
             return None;
         }
