Send services' calls to upstreams that stay, spread them, and try failed ones last

Cause: calls of services went to the first configured upstream, also while the instance list had it as leaving, and waited a whole timeout at a silent one each time. Ruled out: leaving it to the configuration (drained), which an operator must set. Change: one choice of targets for repeatable calls and orders: drained and leaving upstreams get none; repeatable calls start at any, those that failed within 2 s last; orders start at the one their key picks.

--- a/crates/redwingrill/src/dispatch/messages.rs
+++ b/crates/redwingrill/src/dispatch/messages.rs
@@ -16,6 +16,7 @@
 use super::ticket::Ticket;
 use super::ticket::TicketId;
 use crate::Refusal;
+use crate::upstream::LeavingUpstreams;
 use redwingrill_admission::limits::AccountDemand;
 use redwingrill_codes::ResultCode;
 use redwingrill_entity::UpstreamId;
@@ -63,6 +64,7 @@
 #[derive(Debug, Default)]
 struct Shared {
     next_ticket: AtomicU64,
+    leaving: LeavingUpstreams,
     scratch: Mutex<Vec<PromptBlocks>>,
 }
 
@@ -96,9 +98,15 @@
     /// Replaces the upstreams that are leaving, by the platform's instance list. They get no new
     /// requests.
     pub fn set_leaving(&self, upstreams: Vec<UpstreamId>) {
+        self.shared.leaving.set(upstreams.iter().copied());
         self.send(Message::Leaving { upstreams });
     }
 
+    /// Returns the upstreams that are leaving, by the platform's instance list.
+    pub fn leaving(&self) -> LeavingUpstreams {
+        self.shared.leaving.clone()
+    }
+
     /// Replaces what other nodes told of their top accounts.
     pub fn set_demand_elsewhere(&self, demands: Vec<AccountDemand>) {
         self.send(Message::DemandElsewhere { demands });
--- a/crates/redwingrill/src/node/parts.rs
+++ b/crates/redwingrill/src/node/parts.rs
@@ -126,6 +126,7 @@
             ledger: ledger.clone(),
             drain: CancellationToken::new(),
         };
+        let leaving = dispatcher.leaving();
         let routes = Routes {
             configuration,
             phase: phase_reader,
@@ -136,7 +137,7 @@
                 tasks: requests.clone(),
                 metrics: metrics.clone(),
             },
-            services: Services::new(pool.clone(), ledger, requests.clone()),
+            services: Services::new(pool.clone(), leaving, ledger, requests.clone()),
             open,
             metrics,
         };
--- a/crates/redwingrill/src/services/handler.rs
+++ b/crates/redwingrill/src/services/handler.rs
@@ -11,9 +11,11 @@
 use super::forward::Outgoing;
 use super::orders::Orders;
 use super::replay::response_of;
+use super::targets::Targets;
 use crate::Refusal;
 use crate::completions::Caller;
 use crate::http::Body;
+use crate::upstream::LeavingUpstreams;
 use redwingrill_codes::Ran;
 use redwingrill_codes::ResultCode;
 use redwingrill_ledger::task::Ledger;
@@ -39,14 +41,16 @@
 #[derive(Clone, Debug)]
 pub struct Services {
     pool: Pool,
+    targets: Targets,
     orders: Orders,
 }
 
 impl Services {
     /// Makes the handler. `tasks` joins the orders that outlive their callers.
-    pub fn new(pool: Pool, ledger: Ledger, tasks: TaskTracker) -> Self {
-        let orders = Orders { pool: pool.clone(), ledger, tasks };
-        Self { pool, orders }
+    pub fn new(pool: Pool, leaving: LeavingUpstreams, ledger: Ledger, tasks: TaskTracker) -> Self {
+        let targets = Targets::new(leaving);
+        let orders = Orders { pool: pool.clone(), targets: targets.clone(), ledger, tasks };
+        Self { pool, targets, orders }
     }
 
     /// Serves one call.
@@ -68,14 +72,19 @@
         let account = state.accounts.get(caller.account).ok_or(ResultCode::KeyUnknown)?;
         let limit = Duration::from_millis(service.timeout_ms.into());
         let outgoing = Outgoing::new(&call, &account.name, caller.request_id, limit)?;
-        let upstreams = service.upstreams.iter().filter_map(|&id| state.upstreams.get(id));
+        let mut targets = self.targets.of(caller.snapshot, service, rand::random());
+        self.targets.healthy_first(&mut targets);
         let mut worst = Refusal::new(ResultCode::NoUpstream);
-        for upstream in upstreams.filter(|upstream| !upstream.drained) {
-            match outgoing.send(&self.pool, upstream, Freshness::Any).await {
+        for target in &targets {
+            match outgoing.send(&self.pool, &target.upstream, Freshness::Any).await {
                 Ok(reply) => return Ok(response_of(reply)),
-                // One upstream that may have run the call outweighs those that did not.
-                Err(failure) if worst.ran() == Ran::No => worst = failure.refusal(),
-                Err(_) => {}
+                Err(failure) => {
+                    self.targets.failed(target.id);
+                    // One upstream that may have run the call outweighs those that did not.
+                    if worst.ran() == Ran::No {
+                        worst = failure.refusal();
+                    }
+                }
             }
         }
         Err(worst)
--- a/crates/redwingrill/src/services/mod.rs
+++ b/crates/redwingrill/src/services/mod.rs
@@ -8,6 +8,7 @@
 mod headers;
 mod orders;
 mod replay;
+mod targets;
 
 pub use handler::ServiceCall;
 pub use handler::Services;
--- a/crates/redwingrill/src/services/orders.rs
+++ b/crates/redwingrill/src/services/orders.rs
@@ -24,6 +24,7 @@
 use super::replay::outcome_of;
 use super::replay::replay_of;
 use super::replay::response_of;
+use super::targets::Targets;
 use crate::Refusal;
 use crate::completions::Caller;
 use crate::http::Body;
@@ -62,6 +63,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Orders {
     pub(super) pool: Pool,
+    pub(super) targets: Targets,
     pub(super) ledger: Ledger,
     pub(super) tasks: TaskTracker,
 }
@@ -114,7 +116,9 @@
         let state = &caller.snapshot.state;
         let account = state.accounts.get(caller.account).ok_or(ResultCode::KeyUnknown)?;
         let hash = KeyHash::of(&account.name, &key);
-        let targets = targets_of(caller, service, hash);
+        // The key picks the first upstream, so that retries agree on it.
+        let targets = self.targets.of(caller.snapshot, service, hash.short());
+        let targets: Vec<Upstream> = targets.into_iter().map(|target| target.upstream).collect();
         let first = targets.first().ok_or(ResultCode::NoUpstream)?;
         let policy = OrderPolicy {
             account: Arc::from(account.name.as_str()),
@@ -239,19 +243,6 @@
     Fingerprint::of(call.method.as_str(), call.path, content_type, call.body)
 }
 
-/// The upstreams that take new work. The key picks the first, so that retries agree on it.
-fn targets_of(caller: &Caller<'_>, service: &Service, key: KeyHash) -> Vec<Upstream> {
-    let upstreams = &caller.snapshot.state.upstreams;
-    let configured = service.upstreams.iter().filter_map(|&id| upstreams.get(id));
-    let mut targets: Vec<Upstream> =
-        configured.filter(|upstream| !upstream.drained).cloned().collect();
-    if !targets.is_empty() {
-        let first = (key.short() % targets.len() as u64) as usize;
-        targets.rotate_left(first);
-    }
-    targets
-}
-
 fn take_over_of(service: &Service, targets: &[Upstream], first: &Upstream) -> Option<TakeOver> {
     let checked = targets.iter().all(|upstream| upstream.fencing == Fencing::Checked);
     let after_ms = running_limit_ms(service);
--- a/crates/redwingrill/tests/orders/node.rs
+++ b/crates/redwingrill/tests/orders/node.rs
@@ -21,6 +21,7 @@
 use redwingrill::http::error_reply;
 use redwingrill::services::ServiceCall;
 use redwingrill::services::Services;
+use redwingrill::upstream::LeavingUpstreams;
 use redwingrill_config::Account;
 use redwingrill_config::CallPattern;
 use redwingrill_config::DesiredState;
@@ -124,7 +125,12 @@
                 ledger
             }
         };
-        let services = Services::new(Pool::new(), ledger.clone(), TaskTracker::new());
+        let services = Services::new(
+            Pool::new(),
+            LeavingUpstreams::default(),
+            ledger.clone(),
+            TaskTracker::new(),
+        );
         let (stop, stopped) = oneshot::channel();
         std::thread::spawn(move || {
             // A dropped sender stops the node as well.
