Keep each source of 'leaving' apart, and prove it with traffic at real daemons

A load report without the word 'leaving' took back what the configuration had said, since one flag stood for three sources. Ruled out: the spread of the configuration (in force at all daemons) and the list. Change: configured, listed and reported are flags of their own; any closes the engine. The processes of these tests now have peers with mutual TLS.

--- a/crates/lab/tests/support/fleet.rs
+++ b/crates/lab/tests/support/fleet.rs
@@ -1,6 +1,7 @@
 //! Daemons as processes of their own before stand-ins in the test's process.
 
 use std::net::SocketAddr;
+use std::net::UdpSocket;
 use std::path::Path;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -14,6 +15,7 @@
 use redwingrill_lab::site::Site;
 use redwingrill_lab::site::StandIns;
 use redwingrill_lab::site::apply_site;
+use redwingrill_peer::make_site_keys;
 use redwingrill_transport::Freshness;
 use redwingrill_transport::Pool;
 use redwingrill_transport::Timeouts;
@@ -33,6 +35,8 @@
     pub site: Site,
     pub stand_ins: StandIns,
     folder: PathBuf,
+    // The port that each daemon's peers reach it on, at a loopback address of its own.
+    peer_port: u16,
 }
 
 impl Fleet {
@@ -46,17 +50,32 @@
         apply_site(&site, &stand_ins).await.expect("the example is accepted");
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::create_dir_all(&folder).expect("the folder is made");
-        Self { site, stand_ins, folder }
+        write_keys(&folder);
+        let free = UdpSocket::bind("127.0.0.1:0").expect("a free port is bound");
+        let peer_port = free.local_addr().expect("the port is known").port();
+        Self { site, stand_ins, folder, peer_port }
+    }
+
+    fn peer_address(&self, n: usize) -> SocketAddr {
+        let last = u8::try_from(n + 1).expect("daemons are few");
+        SocketAddr::from(([127, 0, 0, last], self.peer_port))
     }
 
     /// Writes the settings of a daemon; ports may be zero.
     fn settings(&self, n: usize, listen: SocketAddr, admin: SocketAddr) -> PathBuf {
         let text = format!(
             "[node]\nname = router-{n}\nlisten = {listen}\nadmin_listen = {admin}\n\
-             peer_listen = 127.0.0.1:0\nfailure_domain = {}\ndrain_notice = 300 ms\n\
-             drain_deadline = 30 s\n[platform]\nendpoints = {}\n[log]\nlevel = warn\n",
+             peer_listen = {}\nfailure_domain = {}\ndrain_notice = 300 ms\n\
+             drain_deadline = 30 s\n[platform]\nendpoints = {}\n\
+             [peers]\nseeds = {}, {}\n[tls]\nca_file = {folder}/ca.pem\n\
+             certificate_file = {folder}/node.pem\nkey_file = {folder}/key.pem\n\
+             [log]\nlevel = warn\n",
+            self.peer_address(n),
             self.site.domain_of(n),
             self.stand_ins.platform.address,
+            self.peer_address(0),
+            self.peer_address(1),
+            folder = self.folder.display(),
         );
         let path = self.folder.join(format!("router-{n}.ini"));
         std::fs::write(&path, text).expect("the settings are written");
@@ -82,6 +101,18 @@
     PathBuf::from(env!("CARGO_BIN_EXE_redwingrill-lab")).with_file_name("redwingrilld")
 }
 
+fn write_keys(folder: &Path) {
+    let keys = make_site_keys("test", &["router"]).expect("keys are made");
+    let files = [
+        ("ca.pem", &keys.authority_certificate_pem),
+        ("node.pem", &keys.nodes[0].certificate_pem),
+        ("key.pem", &keys.nodes[0].key_pem),
+    ];
+    for (name, text) in files {
+        std::fs::write(folder.join(name), text).expect("the key is written");
+    }
+}
+
 /// Starts a daemon and waits until it says where it listens.
 pub async fn start(settings: &Path) -> ChildProcess {
     let settings = settings.to_str().expect("the path is text");
--- a/crates/redwingrill/src/dispatch/core.rs
+++ b/crates/redwingrill/src/dispatch/core.rs
@@ -124,11 +124,9 @@
 
     /// Replaces the upstreams that are leaving.
     pub(super) fn set_leaving(&mut self, leaving: Vec<UpstreamId>) {
+        self.engines.list_leaving(&leaving);
+        // Kept for engines that a later configuration brings.
         self.leaving = leaving;
-        for (id, upstream) in self.snapshot.state.upstreams.iter() {
-            let Some(slot) = self.engines.get_mut(id) else { continue };
-            slot.is_leaving = upstream.drained || self.leaving.contains(&id);
-        }
         self.set_placer_engines();
     }
 
@@ -136,7 +134,7 @@
         let engines = &self.engines;
         let upstreams = self.snapshot.state.upstreams.iter();
         let open =
-            upstreams.filter(|(id, _)| engines.get(*id).is_some_and(|slot| !slot.is_leaving));
+            upstreams.filter(|(id, _)| engines.get(*id).is_some_and(|slot| !slot.leaving.any()));
         self.placer.set_engines(open.filter_map(|(id, upstream)| {
             Some(EngineSpec {
                 upstream: id,
@@ -155,10 +153,9 @@
             self.engines.restarted(upstream, now_ms);
         }
         self.engines.observe(upstream, load.running, load.waiting, now_ms);
-        let listed = self.leaving.contains(&upstream);
-        if let Some(slot) = self.engines.get_mut(upstream).filter(|slot| slot.is_leaving != leaving)
-        {
-            slot.is_leaving = leaving || listed;
+        let Some(slot) = self.engines.get_mut(upstream) else { return };
+        if slot.leaving.reported != leaving {
+            slot.leaving.reported = leaving;
             self.set_placer_engines();
         }
     }
--- a/crates/redwingrill/src/dispatch/engines.rs
+++ b/crates/redwingrill/src/dispatch/engines.rs
@@ -21,6 +21,25 @@
 /// How long an engine that refused new work gets none.
 const REFUSED_PAUSE_MS: u64 = 500;
 
+/// Who says that an engine is leaving. Each source speaks for itself only: a report without the
+/// word takes nothing back that the operator or the list said.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub(super) struct Leaving {
+    /// The operator drains it, or the configuration no longer has it.
+    pub(super) configured: bool,
+    /// The platform's instance list.
+    pub(super) listed: bool,
+    /// The engine itself.
+    pub(super) reported: bool,
+}
+
+impl Leaving {
+    /// Returns whether any source says so.
+    pub(super) fn any(self) -> bool {
+        self.configured || self.listed || self.reported
+    }
+}
+
 /// One engine as this node uses it.
 #[derive(Clone, Debug)]
 pub(super) struct EngineSlot {
@@ -28,7 +47,7 @@
     pub(super) limit: ConcurrencyLimit,
     pub(super) health: EngineHealth,
     pub(super) in_flight: u32,
-    pub(super) is_leaving: bool,
+    pub(super) leaving: Leaving,
     has_waiting: bool,
     fixed_limit: u32,
     refused_until_ms: u64,
@@ -39,7 +58,7 @@
 impl EngineSlot {
     fn refresh(&mut self, now_ms: u64) {
         let share = self.health.share(now_ms);
-        let is_closed = self.is_leaving || share <= 0.0 || now_ms < self.refused_until_ms;
+        let is_closed = self.leaving.any() || share <= 0.0 || now_ms < self.refused_until_ms;
         let mut limit = self.limit.get() * share;
         if self.fixed_limit > 0 {
             limit = limit.min(f64::from(self.fixed_limit));
@@ -75,7 +94,7 @@
         let upstreams = &snapshot.state.upstreams;
         self.slots.retain(|id, slot| slot.in_flight > 0 || upstreams.contains(id));
         for (id, slot) in self.slots.iter_mut() {
-            slot.is_leaving |= !upstreams.get(id).is_some_and(is_usable);
+            slot.leaving.configured = !upstreams.get(id).is_some_and(is_usable);
         }
         for (id, upstream) in upstreams.iter().filter(|(_, upstream)| is_usable(upstream)) {
             let Some(model) = upstream.model else { continue };
@@ -85,6 +104,13 @@
         }
     }
 
+    /// Takes over the upstreams that the platform lists as leaving.
+    pub(super) fn list_leaving(&mut self, listed: &[UpstreamId]) {
+        for (id, slot) in self.slots.iter_mut() {
+            slot.leaving.listed = listed.contains(&id);
+        }
+    }
+
     pub(super) fn get(&self, upstream: UpstreamId) -> Option<&EngineSlot> {
         self.slots.get(upstream)
     }
@@ -118,7 +144,7 @@
 
     /// Returns whether a model has an engine at all.
     pub(super) fn serves(&self, model: ModelId) -> bool {
-        self.slots.values().any(|slot| slot.model == model && !slot.is_leaving)
+        self.slots.values().any(|slot| slot.model == model && !slot.leaving.any())
     }
 
     pub(super) fn sent(&mut self, upstream: UpstreamId) {
@@ -199,7 +225,7 @@
             limit,
             health: EngineHealth::default(),
             in_flight: 0,
-            is_leaving: false,
+            leaving: Leaving::default(),
             has_waiting: false,
             fixed_limit: 0,
             refused_until_ms: 0,
--- a/crates/redwingrill/src/dispatch/state.rs
+++ b/crates/redwingrill/src/dispatch/state.rs
@@ -81,7 +81,7 @@
             in_flight: slot.in_flight,
             limit: slot.open_limit(),
             health: slot.health.state(),
-            leaving: slot.is_leaving,
+            leaving: slot.leaving.any(),
         });
         DispatchState {
             tickets: self.tickets.len(),
