--- a/crates/redwingrill/src/dispatch/engines.rs
+++ b/crates/redwingrill/src/dispatch/engines.rs
@@ -30,6 +30,8 @@
     pub(super) in_flight: u32,
     pub(super) is_leaving: bool,
     has_waiting: bool,
+    // Requests of all nodes, by the last report.
+    reported: u32,
     fixed_limit: u32,
     refused_until_ms: u64,
     // The limit in force until the next refresh; zero closes the engine.
@@ -39,7 +41,9 @@
 impl EngineSlot {
     fn refresh(&mut self, now_ms: u64) {
         let share = self.health.share(now_ms);
-        let is_closed = self.is_leaving || share <= 0.0 || now_ms < self.refused_until_ms;
+        let is_full = self.fixed_limit > 0 && self.reported >= self.fixed_limit;
+        let is_paused = now_ms < self.refused_until_ms;
+        let is_closed = self.is_leaving || share <= 0.0 || is_paused || is_full;
         let mut limit = self.limit.get() * share;
         if self.fixed_limit > 0 {
             limit = limit.min(f64::from(self.fixed_limit));
@@ -176,6 +180,7 @@
     ) {
         let Some(slot) = self.slots.get_mut(upstream) else { return };
         slot.has_waiting = waiting > 0;
+        slot.reported = running + waiting;
         slot.limit.observe(Pressure::of_report(running, waiting), now_ms);
         slot.refresh(now_ms);
     }
@@ -201,6 +206,7 @@
             in_flight: 0,
             is_leaving: false,
             has_waiting: false,
+            reported: 0,
             fixed_limit: 0,
             refused_until_ms: 0,
         }
