Let the bench's routers find each other

Cause: routers of the scenario bench and of quickstart had no keys, so none had peers, and what nodes do together (loads, heavy hitters, members) was not measured. Ruled out: one router alone, which no site runs. Change: keys and peer addresses for the routers of a site; the bench waits until they know each other.

--- a/crates/lab/src/bench/scenario/fleet.rs
+++ b/crates/lab/src/bench/scenario/fleet.rs
@@ -18,6 +18,8 @@
 use crate::load::Record;
 use crate::load::RunWindow;
 use crate::site::ApplyFailure;
+use crate::site::PeerNetwork;
+use crate::site::PeerSetupError;
 use crate::site::Routers;
 use crate::site::RoutersError;
 use crate::site::Site;
@@ -42,6 +44,12 @@
         /// The cause.
         source: ApplyFailure,
     },
+    /// The routers would not reach each other.
+    #[snafu(display("{source}"))]
+    Peers {
+        /// The cause.
+        source: PeerSetupError,
+    },
     /// The routers are not ready.
     #[snafu(display("{source}"))]
     Router {
@@ -54,6 +62,7 @@
 pub(super) struct Fleet {
     stand_ins: StandIns,
     routers: Routers,
+    peers: PeerNetwork,
     settings: String,
 }
 
@@ -63,8 +72,10 @@
         let stand_ins = StandIns::start(site).await.context(StandInSnafu)?;
         apply_site(site, &stand_ins).await.context(ApplySnafu)?;
         let settings = format!("[placement]\npolicy = {policy}\n");
-        let routers = start_routers(site, &stand_ins, &settings).await?;
-        Ok(Self { stand_ins, routers, settings })
+        let peers = PeerNetwork::new().context(PeersSnafu)?;
+        let routers = start_routers(site, &stand_ins, &peers, 0, &settings).await?;
+        routers.formed().await.context(RouterSnafu)?;
+        Ok(Self { stand_ins, routers, peers, settings })
     }
 
     /// Runs the calls and the events of a case, and stops the site.
@@ -116,7 +127,9 @@
         site: &Site,
         targets: &watch::Sender<Vec<SocketAddr>>,
     ) -> Result<(), FleetError> {
-        let routers = start_routers(site, &self.stand_ins, &self.settings).await?;
+        let first = site.nodes;
+        let routers =
+            start_routers(site, &self.stand_ins, &self.peers, first, &self.settings).await?;
         targets.send_replace(routers.addresses());
         let replaced = std::mem::replace(&mut self.routers, routers);
         replaced.stop().await;
@@ -132,10 +145,13 @@
 async fn start_routers(
     site: &Site,
     stand_ins: &StandIns,
+    peers: &PeerNetwork,
+    first: usize,
     settings: &str,
 ) -> Result<Routers, FleetError> {
     let platform = stand_ins.platform.address;
-    let routers = Routers::start(site, platform, settings).await.context(RouterSnafu)?;
+    let routers =
+        Routers::start(site, platform, peers, first, settings).await.context(RouterSnafu)?;
     routers.configured().await.context(RouterSnafu)?;
     Ok(routers)
 }
--- a/crates/lab/src/cli/quickstart.rs
+++ b/crates/lab/src/cli/quickstart.rs
@@ -16,6 +16,7 @@
 use super::serve::interrupted;
 use crate::caller::Call;
 use crate::caller::Caller;
+use crate::site::PeerNetwork;
 use crate::site::Routers;
 use crate::site::Site;
 use crate::site::StandIns;
@@ -48,7 +49,8 @@
     let site = Site::load(&text_of(matches, "site"))?;
     let stand_ins = StandIns::start(&site).await?;
     let generation = apply_site(&site, &stand_ins).await?;
-    let routers = Routers::start(&site, stand_ins.platform.address, "").await?;
+    let peers = PeerNetwork::new()?;
+    let routers = Routers::start(&site, stand_ins.platform.address, &peers, 0, "").await?;
     routers.configured().await?;
     println!("configuration generation {} in force", generation.0);
     print_addresses(&stand_ins, &routers);
--- a/crates/lab/src/site/files.rs
+++ b/crates/lab/src/site/files.rs
@@ -1,6 +1,7 @@
 //! The operator's files of a site.
 
 use std::fmt::Write;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 
 use super::Site;
@@ -64,10 +65,22 @@
     failure_domain: &str,
     platform: SocketAddr,
     extra: &str,
+) -> String {
+    let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    peer_settings_text(name, failure_domain, platform, any, extra)
+}
+
+/// Like [`settings_text`] with an address for peers.
+pub fn peer_settings_text(
+    name: &str,
+    failure_domain: &str,
+    platform: SocketAddr,
+    peer_listen: SocketAddr,
+    extra: &str,
 ) -> String {
     format!(
         "[node]\nname = {name}\nlisten = 127.0.0.1:0\nadmin_listen = 127.0.0.1:0\n\
-         peer_listen = 127.0.0.1:0\nfailure_domain = {failure_domain}\ndrain_notice = 0 ms\n\
+         peer_listen = {peer_listen}\nfailure_domain = {failure_domain}\ndrain_notice = 0 ms\n\
          drain_deadline = 5 s\n\n[platform]\nendpoints = {platform}\n\n{extra}"
     )
 }
--- a/crates/lab/src/site/mod.rs
+++ b/crates/lab/src/site/mod.rs
@@ -6,6 +6,7 @@
 mod apply;
 mod files;
 mod model;
+mod peers;
 mod reader;
 mod routers;
 mod stand_ins;
@@ -18,6 +19,8 @@
 pub use model::PrioritySite;
 pub use model::PromptSizes;
 pub use model::Site;
+pub use peers::PeerNetwork;
+pub use peers::PeerSetupError;
 pub use reader::IniError;
 pub use reader::Section;
 pub use reader::load_text;
--- a/crates/lab/src/site/routers.rs
+++ b/crates/lab/src/site/routers.rs
@@ -6,8 +6,9 @@
 use snafu::Snafu;
 use tokio::time::Instant;
 
+use super::PeerNetwork;
 use super::Site;
-use super::files::settings_text;
+use super::files::peer_settings_text;
 use redwingrill::node::Node;
 use redwingrill::node::Serving;
 use redwingrill::node::StartError;
@@ -15,7 +16,10 @@
 use redwingrill_config::SourceFile;
 
 const READY_TIMEOUT: Duration = Duration::from_secs(10);
+const FORMED_POLL: Duration = Duration::from_millis(50);
 const READY_POLL: Duration = Duration::from_millis(5);
+/// Routers that all others take for seeds.
+const SEEDS: usize = 3;
 
 /// Why routers are not ready.
 #[derive(Debug, Snafu)]
@@ -35,6 +39,9 @@
     /// A node got no configuration in time.
     #[snafu(display("a router has no configuration after {} s", READY_TIMEOUT.as_secs()))]
     NotConfigured,
+    /// The routers did not find each other in time.
+    #[snafu(display("the routers did not find each other in {} s", READY_TIMEOUT.as_secs()))]
+    NotFormed,
 }
 
 /// The running routers of a site.
@@ -44,16 +51,21 @@
 }
 
 impl Routers {
-    /// Starts all routers of a site. `extra` holds further sections of their settings.
+    /// Starts all routers of a site, with numbers from `first` on. `extra` holds further sections
+    /// of their settings.
     pub async fn start(
         site: &Site,
         platform: SocketAddr,
+        peers: &PeerNetwork,
+        first: usize,
         extra: &str,
     ) -> Result<Self, RoutersError> {
         let mut nodes = Vec::with_capacity(site.nodes);
-        for n in 0..site.nodes {
-            let name = format!("router-{}", n + 1);
-            let text = settings_text(&name, site.domain_of(n), platform, extra);
+        let sections = peers.sections(first..first + SEEDS.min(site.nodes)) + extra;
+        for number in first..first + site.nodes {
+            let name = format!("router-{}", number + 1);
+            let (domain, listen) = (site.domain_of(number), peers.address(number));
+            let text = peer_settings_text(&name, domain, platform, listen, &sections);
             let source = SourceFile { name, text };
             let settings = redwingrill_settings::parse(&source)
                 .map_err(|faults| RoutersError::Settings { faults })?;
@@ -75,6 +87,32 @@
         Ok(())
     }
 
+    /// Waits until every router holds all of them for live.
+    pub async fn formed(&self) -> Result<(), RoutersError> {
+        let deadline = Instant::now() + READY_TIMEOUT;
+        while !self.is_formed().await {
+            if Instant::now() >= deadline {
+                return Err(RoutersError::NotFormed);
+            }
+            tokio::time::sleep(FORMED_POLL).await;
+        }
+        Ok(())
+    }
+
+    async fn is_formed(&self) -> bool {
+        for node in &self.nodes {
+            let dump = node.inspector().dump().await;
+            let Some(members) = dump["cluster"]["cluster"]["members"].as_array() else {
+                return false;
+            };
+            let live = members.iter().filter(|member| member["state"] == "live").count();
+            if live < self.nodes.len() {
+                return false;
+            }
+        }
+        true
+    }
+
     /// Returns the addresses for callers.
     pub fn addresses(&self) -> Vec<SocketAddr> {
         self.nodes.iter().map(Node::address).collect()
