Refuse a retry as not run while its withdrawn attempt waits for the store

Cause: during an outage, a retry on the node whose first attempt had given up was told order_in_flight, ran unknown, though neither attempt was sent. Ruled out: letting the retry in beside the withdrawal: one attempt a key on a node keeps the bound. Change: such a retry is ledger_unavailable, not run. Conclusion: while the store is away every refusal of an order says truly that it was not run.

--- a/crates/ledger/src/order/mod.rs
+++ b/crates/ledger/src/order/mod.rs
@@ -145,7 +145,9 @@
         Some(Admission::InFlight) => Err(Settled::Refused(ResultCode::OrderInFlight)),
         Some(Admission::Reused) => Err(Settled::Refused(ResultCode::IdempotencyKeyReused)),
         Some(Admission::WindowFull) => Err(Settled::Refused(ResultCode::WindowFull)),
-        Some(Admission::Paused) | None => Err(Settled::Refused(ResultCode::LedgerUnavailable)),
+        Some(Admission::Withdrawing | Admission::Paused) | None => {
+            Err(Settled::Refused(ResultCode::LedgerUnavailable))
+        }
     }
 }
 
--- a/crates/ledger/src/task/runner.rs
+++ b/crates/ledger/src/task/runner.rs
@@ -223,8 +223,11 @@
             }
             Message::Settle { operation, window_ms, recorded } => {
                 self.windows.insert(operation.key.service.clone(), window_ms);
-                if let Action::Finish(outcome) = &operation.action {
-                    self.running.finish(&operation.key, operation.attempt, outcome);
+                let Operation { key, attempt, action } = &operation;
+                match action {
+                    Action::Finish(outcome) => self.running.finish(key, *attempt, outcome),
+                    Action::Withdraw(_) => self.running.withdraw(key, *attempt),
+                    Action::Claim(_) => {}
                 }
                 let waiter = Waiter::Outcome { attempt: operation.attempt, recorded };
                 let within_ms = self.config.settle_deadline_ms;
--- a/crates/ledger/src/task/running.rs
+++ b/crates/ledger/src/task/running.rs
@@ -39,6 +39,8 @@
     Finished(Outcome),
     /// The account has too many orders in flight.
     WindowFull,
+    /// An earlier attempt here was not sent, and its withdrawal is on the way to the store.
+    Withdrawing,
     /// The process was paused for long, and the order may be as old as the pause.
     Paused,
 }
@@ -49,6 +51,7 @@
     attempt: AttemptId,
     fingerprint: Fingerprint,
     outcome: Option<Outcome>,
+    withdrawing: bool,
 }
 
 /// The orders that run on this node.
@@ -71,7 +74,9 @@
         }
         self.counts.insert(count_key, count + 1);
         let AdmissionRequest { key, account, attempt, fingerprint, .. } = request;
-        self.entries.insert(key, Entry { account, attempt, fingerprint, outcome: None });
+        let (outcome, withdrawing) = (None, false);
+        let entry = Entry { account, attempt, fingerprint, outcome, withdrawing };
+        self.entries.insert(key, entry);
         Admission::Admitted
     }
 
@@ -82,6 +87,13 @@
         }
     }
 
+    /// Notes that an attempt will never send.
+    pub(super) fn withdraw(&mut self, key: &OrderKey, attempt: AttemptId) {
+        if let Some(entry) = self.entries.get_mut(key).filter(|entry| entry.attempt == attempt) {
+            entry.withdrawing = true;
+        }
+    }
+
     /// Lets an order go.
     pub(super) fn release(&mut self, key: &OrderKey, attempt: AttemptId) {
         if self.entries.get(key).is_none_or(|entry| entry.attempt != attempt) {
@@ -120,6 +132,7 @@
         match &self.outcome {
             _ if self.fingerprint != fingerprint => Admission::Reused,
             Some(outcome) => Admission::Finished(outcome.clone()),
+            None if self.withdrawing => Admission::Withdrawing,
             None => Admission::InFlight,
         }
     }
