--- a/crates/redwingrill/src/node/inspector.rs
+++ b/crates/redwingrill/src/node/inspector.rs
@@ -10,6 +10,7 @@
 use super::Phase;
 use crate::cluster::ClusterHandle;
 use crate::configuration::Configuration;
+use crate::configuration::Rollout;
 use crate::dispatch::Dispatcher;
 use crate::http::AccountConnections;
 use crate::http::OpenRequests;
@@ -27,6 +28,8 @@
     pub(super) followed: Option<Configuration>,
     // Absent in a node without peers.
     pub(super) cluster: Option<ClusterHandle>,
+    // Absent if the configuration was given by hand.
+    pub(super) rollout: Option<Rollout>,
     pub(super) dispatcher: Dispatcher,
     pub(super) connections: AccountConnections,
     pub(super) open: OpenRequests,
@@ -90,6 +93,7 @@
             "status": self.status(),
             "configuration": self.followed.as_ref().map(Configuration::dump),
             "cluster": self.dump_cluster().await,
+            "rollout": self.rollout.as_ref().map(Rollout::dump),
             "dispatch": self.dispatcher.dump().await,
             "ledger": self.ledger.state().await,
             "open_requests": self.open.count(),
--- a/crates/redwingrill/src/node/parts.rs
+++ b/crates/redwingrill/src/node/parts.rs
@@ -17,6 +17,7 @@
 use super::wiring::ledger;
 use super::wiring::listener_options;
 use super::wiring::policy;
+use super::wiring::roll_out;
 use crate::admin::AdminRoutes;
 use crate::cluster::Bound;
 use crate::cluster::ClusterParts;
@@ -90,6 +91,10 @@
         let (dispatcher, dispatch) = Dispatch::new(options, configuration.clone());
         let asks_all_engines = Arc::new(AtomicBool::new(true));
         services.spawn(dispatch.load_poll(pool.clone(), asks_all_engines.clone()).run());
+        let rollout = followed.as_ref().map(|followed| {
+            let facts = dispatch.facts();
+            roll_out(settings, &pool, followed.snapshots(), &facts, &services, &stopping)
+        });
         services.spawn(dispatch.run());
         let cluster = bound.zip(followed.as_ref()).map(|(bound, followed)| {
             let parts = ClusterParts {
@@ -113,6 +118,7 @@
             configuration: configuration.clone(),
             followed,
             cluster,
+            rollout,
             dispatcher: dispatcher.clone(),
             connections: connections.clone(),
             open: open.clone(),
@@ -120,6 +126,7 @@
             ledger: ledger.clone(),
             drain: CancellationToken::new(),
         };
+        let leaving = dispatcher.leaving();
         let routes = Routes {
             configuration,
             phase: phase_reader,
@@ -130,7 +137,7 @@
                 tasks: requests.clone(),
                 metrics: metrics.clone(),
             },
-            services: Services::new(pool.clone(), ledger, requests.clone()),
+            services: Services::new(pool.clone(), leaving, ledger, requests.clone()),
             open,
             metrics,
         };
