Keep slots free for urgent work while its first tokens are late

Ruled out: a fixed reserve (wastes places without urgent work). Change: less urgent work uses a share of places and limits that falls with each late urgent first token and grows back; without urgent work all is usable after a few seconds. Accounts within their share are shed only by their own line. Limits grow from half use on.

--- a/crates/admission/src/queue/fair_queue.rs
+++ b/crates/admission/src/queue/fair_queue.rs
@@ -138,10 +138,15 @@
         self.remove(account, id)
     }
 
+    /// Returns the cost that waits in an account's own line.
+    pub fn cost_of(&self, account: AccountId) -> f64 {
+        self.accounts.get(account).map_or(0, |queue| queue.cost_tokens) as f64
+    }
+
     /// Returns the cost that goes before a new request of an account, with the shares of today.
     pub fn cost_before(&self, account: AccountId, weight: f64) -> f64 {
         let weight = weight.max(MIN_WEIGHT);
-        let own = self.accounts.get(account).map_or(0, |queue| queue.cost_tokens) as f64;
+        let own = self.cost_of(account);
         let rounds = own / weight;
         let others = self.accounts.iter().filter(|(other, _)| *other != account);
         let before = others.map(|(_, queue)| (queue.cost_tokens as f64).min(rounds * queue.weight));
--- a/crates/admission/src/queue/mod.rs
+++ b/crates/admission/src/queue/mod.rs
@@ -11,6 +11,7 @@
 
 mod drain_rate;
 mod fair_queue;
+mod headroom;
 mod scheduler;
 mod shares;
 
--- a/crates/admission/src/queue/scheduler.rs
+++ b/crates/admission/src/queue/scheduler.rs
@@ -11,6 +11,7 @@
 use super::fair_queue::FairQueue;
 use super::fair_queue::Waiting;
 use super::fair_queue::WaitingId;
+use super::headroom::Headroom;
 use super::shares::Shares;
 use redwingrill_entity::AccountId;
 use redwingrill_entity::EntityMap;
@@ -96,6 +97,7 @@
     // In the order of urgency.
     classes: Vec<Class>,
     shares: Shares,
+    headroom: Headroom,
 }
 
 /// The scheduler's state for a dump.
@@ -142,6 +144,7 @@
         now_ms: u64,
     ) -> Result<Option<Waiting>, QueueRefusal> {
         self.shares.waits(waiting.account, weight, now_ms);
+        let is_within = self.shares.is_within(waiting.account);
         let Some(class) = self.class_mut(priority) else {
             return Err(QueueRefusal::Full { retry_after_ms: MAX_RETRY_AFTER_MS });
         };
@@ -149,7 +152,12 @@
             true => class.drain.skip(now_ms),
             false => class.drain.advance(now_ms),
         }
-        let cost = class.queue.cost_before(waiting.account, weight) + waiting.cost_tokens as f64;
+        // Only its own line stands before an account within its fair share.
+        let before = match is_within {
+            true => class.queue.cost_of(waiting.account),
+            false => class.queue.cost_before(waiting.account, weight),
+        };
+        let cost = before + waiting.cost_tokens as f64;
         let wait_ms = class.wait_ms(cost, waiting.cost_tokens);
         let is_waiting = !class.queue.is_empty();
         // A standing queue serves no more; it only makes all that are served late.
@@ -173,9 +181,9 @@
     /// Takes the request that goes next, if one of the `places` is free for it.
     pub fn pop(&mut self, places: u32, now_ms: u64) -> Option<(PriorityId, Waiting)> {
         // Within their fair shares first, then whatever waits.
-        let within = self.next_class(places, true).map(|index| (index, true));
-        let (index, only_within) =
-            within.or_else(|| self.next_class(places, false).map(|index| (index, false)))?;
+        let within = self.next_class(places, true, now_ms).map(|index| (index, true));
+        let (index, only_within) = within
+            .or_else(|| self.next_class(places, false, now_ms).map(|index| (index, false)))?;
         let shares = &self.shares;
         let class = &mut self.classes[index];
         let waiting = class.queue.pop(|account| !only_within || shares.is_within(account))?;
@@ -196,6 +204,19 @@
         class.residence_ms += weight * (took_ms as f64 - class.residence_ms);
     }
 
+    /// Notes a first token, and whether it came after its target.
+    pub fn first_token(&mut self, priority: PriorityId, is_late: bool, now_ms: u64) {
+        if self.classes.first().is_some_and(|class| class.spec.priority == priority) {
+            self.headroom.first_token(is_late, now_ms);
+        }
+    }
+
+    /// Returns the share of places and limits that a priority may use above its floor.
+    pub fn usable_share(&self, priority: PriorityId, now_ms: u64) -> f64 {
+        let is_first = self.classes.first().is_some_and(|class| class.spec.priority == priority);
+        if is_first { 1.0 } else { self.headroom.usable_share(now_ms) }
+    }
+
     /// Takes out a request whose caller is gone.
     pub fn withdraw(
         &mut self,
@@ -256,7 +277,7 @@
 
     /// Returns the class to start from: the most urgent below its floor, else the most urgent that
     /// leaves the floors of the others free.
-    fn next_class(&self, places: u32, only_within: bool) -> Option<usize> {
+    fn next_class(&self, places: u32, only_within: bool, now_ms: u64) -> Option<usize> {
         let waiting = |class: &Class| {
             class.queue.any(|account| !only_within || self.shares.is_within(account))
         };
@@ -267,7 +288,8 @@
             return below;
         }
         self.classes.iter().enumerate().find_map(|(index, class)| {
-            let free = f64::from(places) - self.in_the_way(index, places);
+            let usable = f64::from(places) * self.usable_share(class.spec.priority, now_ms);
+            let free = usable - self.in_the_way(index, places);
             let fits = free - self.reserved(index, places) >= 1.0;
             (waiting(class) && fits).then_some(index)
         })
--- a/crates/admission/tests/scheduler.rs
+++ b/crates/admission/tests/scheduler.rs
@@ -69,6 +69,13 @@
                 let priority = self.priorities.intern(priority);
                 (0..number(count)).for_each(|_| self.scheduler.end(priority, None));
             }
+            ["first", priority, count, lateness] => {
+                let priority = self.priorities.intern(priority);
+                let is_late = *lateness == "late";
+                for _ in 0..number(count) {
+                    self.scheduler.first_token(priority, is_late, self.now_ms);
+                }
+            }
             ["expire"] => {
                 while let Some(expired) = self.scheduler.pop_expired(self.now_ms) {
                     self.say(&format!("expired {}", self.name(expired)));
--- a/crates/redwingrill/src/dispatch/engines.rs
+++ b/crates/redwingrill/src/dispatch/engines.rs
@@ -56,12 +56,13 @@
         self.open_limit
     }
 
-    fn crowding(&self) -> Option<f64> {
-        if self.open_limit <= 0.0 {
+    fn crowding(&self, usable_share: f64) -> Option<f64> {
+        let limit = self.open_limit * usable_share;
+        if limit <= 0.0 {
             return None;
         }
-        let excess = f64::from(self.in_flight + 1) - self.open_limit;
-        let crowding = (excess / self.open_limit.max(SMALL_LIMIT)).max(0.0);
+        let excess = f64::from(self.in_flight + 1) - limit;
+        let crowding = (excess / limit.max(SMALL_LIMIT)).max(0.0);
         let is_open = crowding <= CROWDING_BOUND || self.in_flight == 0;
         is_open.then_some(crowding)
     }
@@ -117,7 +118,7 @@
     /// Returns whether any engine of a model may take a request.
     pub(super) fn any_open(&self, model: ModelId) -> bool {
         let mut slots = self.slots.values().filter(|slot| slot.model == model);
-        slots.any(|slot| slot.crowding().is_some())
+        slots.any(|slot| slot.crowding(1.0).is_some())
     }
 
     /// Returns whether a model has an engine at all.
@@ -213,9 +214,16 @@
     }
 }
 
-impl Gate for EngineSlots {
+/// Lets a request through to engines with room for its priority.
+pub(super) struct ShareGate<'a> {
+    pub(super) engines: &'a EngineSlots,
+    /// The share of each engine's limit that the priority may use.
+    pub(super) usable_share: f64,
+}
+
+impl Gate for ShareGate<'_> {
     fn crowding(&self, upstream: UpstreamId) -> Option<f64> {
-        self.slots.get(upstream)?.crowding()
+        self.engines.slots.get(upstream)?.crowding(self.usable_share)
     }
 }
 
--- a/crates/redwingrill/src/dispatch/legs.rs
+++ b/crates/redwingrill/src/dispatch/legs.rs
@@ -10,6 +10,7 @@
 use super::core::Leg;
 use super::core::Stage;
 use super::engines::OpenGate;
+use super::engines::ShareGate;
 use super::messages::EngineReply;
 use super::ticket::EngineTarget;
 use super::ticket::TicketId;
@@ -32,7 +33,14 @@
             return false;
         };
         let request = place_request(&held.ask, &held.tried);
-        let placed = self.placer.place(&request, &self.engines, now_ms, &mut self.rng);
+        let queue = self.queues.get(held.ask.model);
+        let usable = queue.map(|queue| queue.scheduler.usable_share(held.ask.priority, now_ms));
+        let gate = ShareGate { engines: &self.engines, usable_share: usable.unwrap_or(1.0) };
+        let mut placed = self.placer.place(&request, &gate, now_ms, &mut self.rng);
+        if placed.is_none() {
+            let gate = OpenGate(&self.engines);
+            placed = self.placer.place(&request, &gate, now_ms, &mut self.rng);
+        }
         let Some(placement) = placed else {
             self.limits.end(held.ask.account, -(held.cost_tokens as i64));
             self.refuse(reply, ResultCode::NoUpstream.into());
