Strike whole replies too, and add the small accounts alone

Cause: faults after the headers passed whole replies by; the target of greedy compares with the small accounts alone, for which there was no case. Ruled out: streaming inside to one reply, which the engine does not need. Change: one place lets faults strike; a case small_alone.

--- a/crates/lab/src/bench/scenario/case.rs
+++ b/crates/lab/src/bench/scenario/case.rs
@@ -16,6 +16,7 @@
     ("flood_low", include_str!("../../../scenarios/cases/flood_low.ini")),
     ("flood_high", include_str!("../../../scenarios/cases/flood_high.ini")),
     ("greedy", include_str!("../../../scenarios/cases/greedy.ini")),
+    ("small_alone", include_str!("../../../scenarios/cases/small_alone.ini")),
     ("engine_crash", include_str!("../../../scenarios/cases/engine_crash.ini")),
     ("herd", include_str!("../../../scenarios/cases/herd.ini")),
 ];
--- a/crates/lab/src/engine/http.rs
+++ b/crates/lab/src/engine/http.rs
@@ -161,6 +161,10 @@
         if !is_done || !log.is_finished() {
             return Err(Cut);
         }
+        if let Some(rule) = exchange.fault.filter(|rule| rule.step != Step::Headers) {
+            // A whole reply has one step after its headers.
+            self.strike(rule, &exchange.connection).await?;
+        }
         let mut reply = json_reply(StatusCode::OK, &log.whole());
         self.identify(&mut reply, &log, exchange.fault);
         Ok(reply)
@@ -171,6 +175,14 @@
         let Some(rule) = exchange.fault.filter(|rule| rule.step == Step::Headers) else {
             return Ok(None);
         };
+        self.strike(rule, &exchange.connection).await?;
+        let is_garbage = rule.kind == FaultKind::Garbage;
+        Ok(is_garbage.then(|| Response::new(full_body("<html>not an answer"))))
+    }
+
+    /// Lets a fault strike between two parts of a reply. Those that change what the reply says are
+    /// left to the caller.
+    async fn strike(&self, rule: FaultRule, connection: &Connection) -> Result<(), Cut> {
         match rule.kind {
             FaultKind::Die => {
                 self.core.crash(rule.delay_ms);
@@ -178,16 +190,14 @@
             }
             FaultKind::Cut => Err(Cut),
             FaultKind::Silence => {
-                exchange.connection.silence();
+                connection.silence();
                 std::future::pending().await
             }
             FaultKind::Slow => {
                 tokio::time::sleep(Duration::from_millis(rule.delay_ms)).await;
-                Ok(None)
+                Ok(())
             }
-            FaultKind::Garbage => Ok(Some(Response::new(full_body("<html>not an answer")))),
-            // Headers of a crossed reply are written with the rest of them.
-            FaultKind::Crossed | FaultKind::Refuse => Ok(None),
+            FaultKind::Garbage | FaultKind::Crossed | FaultKind::Refuse => Ok(()),
         }
     }
 
--- a/crates/lab/tests/engine.rs
+++ b/crates/lab/tests/engine.rs
@@ -129,6 +129,17 @@
     engine.stop().await;
 }
 
+#[tokio::test]
+async fn whole_replies_are_cut_after_their_headers_too() {
+    let engine = engine().await;
+    let step = Step::Token(2);
+    engine.set_faults(vec![FaultRule { kind: FaultKind::Cut, step, count: 1, delay_ms: 0 }]);
+    let request = || post("/v1/chat/completions", &chat(3, false));
+    assert!(send(engine.address, request()).await.is_none());
+    assert_eq!(send(engine.address, request()).await.expect("a reply").status, 200);
+    engine.stop().await;
+}
+
 #[tokio::test]
 async fn streams_resume_after_any_event() {
     let engine = engine().await;
