Refuse site files that would start nothing, and test the lab's parsers by properties

Cause: a site file with no node, engine, account or priority ended in a panic. Ruled out: leaving it, since sites are files that anyone may write. Change: such files are refused with file, section and key; properties over random case files and block names.

--- a/crates/lab/src/site/model.rs
+++ b/crates/lab/src/site/model.rs
@@ -120,17 +120,21 @@
                 answer_tokens: priority.value("answer_tokens")?,
             });
         }
+        if priorities.is_empty() {
+            let section = "priority NAME".to_owned();
+            return Err(IniError::NoSection { file: file.to_owned(), section });
+        }
         let service_fencing = match site.text("service_fencing")? {
             "ignored" => FencingMode::Ignored,
             _ => FencingMode::Checked,
         };
-        let (large, count) = (accounts.value("large")?, accounts.value("count")?);
+        let (large, count) = (accounts.value("large")?, accounts.at_least_one("count")?);
         let large_weight = accounts.value("large_weight")?;
         Ok(Self {
             name: site.text("name")?.to_owned(),
             failure_domains: site.list("failure_domains")?,
-            nodes: site.value("nodes")?,
-            engines: site.value("engines")?,
+            nodes: site.at_least_one("nodes")?,
+            engines: site.at_least_one("engines")?,
             service: site.text("service")?.to_owned(),
             service_instances: site.value("service_instances")?,
             service_fencing,
@@ -138,7 +142,7 @@
             weights_version: site.text("weights_version")?.to_owned(),
             parallel_loads_limit: site.value("parallel_loads_limit")?,
             pace: Pace {
-                slots: engine.value("slots")?,
+                slots: engine.at_least_one("slots")?,
                 prefill_tokens_per_s: engine.value("prefill_tokens_per_s")?,
                 prefill_step_tokens: engine.value("prefill_step_tokens")?,
                 import_tokens_per_s: engine.value("import_tokens_per_s")?,
@@ -150,9 +154,9 @@
             priorities,
             accounts: (0..count).map(|n| account(n, n < large, large_weight)).collect(),
             prompts: PromptSizes {
-                books: prompts.value("books")?,
+                books: prompts.at_least_one("books")?,
                 book_tokens: prompts.value("book_tokens")?,
-                customers: prompts.value("customers")?,
+                customers: prompts.at_least_one("customers")?,
                 customer_tokens: prompts.value("customer_tokens")?,
                 question_tokens: prompts.value("question_tokens")?,
             },
--- a/crates/lab/src/site/reader.rs
+++ b/crates/lab/src/site/reader.rs
@@ -125,6 +125,14 @@
         value.parse().ok().context(BadValueSnafu { file, section, key, value })
     }
 
+    /// Returns a number of which there is at least one.
+    pub fn at_least_one(&self, key: &str) -> Result<usize, IniError> {
+        match self.value(key)? {
+            0 => Err(self.bad_value(key)),
+            number => Ok(number),
+        }
+    }
+
     /// Makes the error for a key whose value is none of those known.
     pub fn bad_value(&self, key: &str) -> IniError {
         IniError::BadValue {
--- a/crates/lab/tests/scenario.rs
+++ b/crates/lab/tests/scenario.rs
@@ -5,8 +5,10 @@
 use redwingrill_lab::bench::scenario::EventKind;
 use redwingrill_lab::bench::scenario::class_of;
 use redwingrill_lab::bench::scenario::oracle_hits;
+use redwingrill_lab::cache_store::BlockList;
 use redwingrill_lab::caller::Ending;
 use redwingrill_lab::caller::Outcome;
+use redwingrill_lab::engine::BlockHash;
 use redwingrill_lab::engine::PrefixCache;
 use redwingrill_lab::load::PlannedCall;
 use redwingrill_lab::load::PromptLibrary;
@@ -83,6 +85,22 @@
     assert_eq!(case.events[0].kind, EventKind::CrashEngines { percent: 33, away_ms: 2 });
 }
 
+#[test]
+fn sites_that_lack_something_are_refused() {
+    let example = include_str!("../scenarios/sites/example.ini");
+    assert!(Site::parse("site", example).is_ok());
+    let zeroes =
+        ["nodes = 2", "engines = 3", "slots = 16", "count = 2", "books = 2", "customers = 4"];
+    for line in zeroes {
+        let key = line.split(' ').next().expect("a key");
+        let without = example.replace(line, &format!("{key} = 0"));
+        assert_ne!(without, example, "{line}");
+        assert!(Site::parse("site", &without).is_err(), "{line}");
+    }
+    let without = example.replace("[priority ", "[other ");
+    assert!(Site::parse("site", &without).is_err());
+}
+
 fn record(question: u32, account: usize) -> Record {
     let (at_us, node, priority, book, customer) = (0, 0, 0, 0, 0);
     let call = PlannedCall { at_us, node, account, priority, book, customer, question };
@@ -122,3 +140,35 @@
         assert_eq!(class_of(&outcome), class, "{outcome:?}");
     }
 }
+
+#[test]
+fn random_files_never_panic() {
+    fn property(text: String) -> bool {
+        let site = Site::load("example").expect("a sound site");
+        let framed = format!("[scenario]\nduration_ms = 1\nmeasure_from_ms = 0\n{text}");
+        let _either = Case::parse("case", &framed, &site).is_ok();
+        Site::parse("site", &text).is_err() && Case::parse("case", &text, &site).is_err()
+    }
+    let generator = quickcheck::Gen::from_size_and_seed(120, SEED);
+    quickcheck::QuickCheck::new()
+        .rng(generator)
+        .tests(300)
+        .quickcheck(property as fn(String) -> bool);
+}
+
+#[test]
+fn names_of_blocks_survive_the_way_to_the_store() {
+    fn property(hashes: Vec<u64>, garbage: String) -> bool {
+        let blocks: Vec<BlockHash> = hashes.into_iter().map(BlockHash).collect();
+        let list = BlockList::from(blocks.as_slice());
+        let back: Result<Vec<BlockHash>, _> = list.try_into();
+        let is_number = u64::from_str_radix(&garbage, 16).is_ok();
+        let read: Result<Vec<BlockHash>, _> = BlockList { blocks: vec![garbage] }.try_into();
+        back.is_ok_and(|back| back == blocks) && read.is_ok() == is_number
+    }
+    let generator = quickcheck::Gen::from_size_and_seed(60, SEED);
+    quickcheck::QuickCheck::new()
+        .rng(generator)
+        .tests(300)
+        .quickcheck(property as fn(Vec<u64>, String) -> bool);
+}
