Make the answer and the connection typestate

Cause: the relay held its state in flags (resuming, began), and an idle and a busy connection were one type. Ruled out: a state enum checked at run time; a wrong step should not compile. Change: an answer is Opening, Streaming or Faulted; a connection is Idle or Busy. Behaviour is unchanged.

--- a/crates/redwingrill/src/completions/handler.rs
+++ b/crates/redwingrill/src/completions/handler.rs
@@ -20,8 +20,10 @@
 use tokio_util::task::TaskTracker;
 
 use super::CompletionRequest;
+use super::relay::Answer;
+use super::relay::AnswerParts;
 use super::relay::Event;
-use super::relay::Relay;
+use super::relay::run;
 use crate::Refusal;
 use crate::dispatch::Ask;
 use crate::dispatch::Dispatcher;
@@ -101,17 +103,17 @@
         let streamed = request.is_streamed();
         let model_name = request.model().to_owned();
         let (sender, events) = mpsc::channel(EVENTS_BUFFERED);
-        let relay = Relay {
+        let answer = Answer::new(AnswerParts {
             request_id: caller.request_id,
             wants_usage: !streamed || request.wants_usage(),
-            request: Arc::new(request),
+            request,
             engines: self.engines.clone(),
             ticket,
             events: sender,
             priority: priority.level,
             cache_salt: account.name.clone(),
-        };
-        self.tasks.spawn(relay.run());
+        });
+        self.tasks.spawn(run(answer));
         let mut reply = Reply { events, request_id: caller.request_id };
         let first = reply.next().await;
         self.metrics.first_token(&priority.name, arrived.elapsed());
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -1,7 +1,13 @@
 //! Connections by address.
 //!
-//! Invariant: an idle connection is in exactly one list, that of its address, and a connection that
-//! carries a request is in none.
+//! ```text
+//! opened -> Connection<Busy> --end of reply--> Connection<Idle> --request--> Connection<Busy>
+//!                 |                                  |
+//!                 +---- fault, or dropped early -----+---- too old, or condemned --> closed
+//! ```
+//!
+//! Invariant: an idle connection is in exactly one list, that of its address, and a busy one is in
+//! none.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -76,25 +82,52 @@
 
 #[derive(Debug, Default)]
 struct Connections {
-    idle: Vec<Connection>,
+    idle: Vec<Connection<Idle>>,
     condemned: u64,
     // Connections opened before this moment are not used again.
     trusted_since: Option<Instant>,
 }
 
+/// A connection that waits for a request.
+#[derive(Debug)]
+struct Idle {
+    since: Instant,
+}
+
+/// A connection that carries a request.
+#[derive(Debug)]
+struct Busy;
+
 #[derive(Debug)]
-struct Connection {
+struct Connection<S> {
     sender: SendRequest<Full<Bytes>>,
     opened_at: Instant,
-    idle_since: Instant,
+    state: S,
 }
 
-/// A connection that carries a request.
+impl Connection<Idle> {
+    fn is_usable(&self) -> bool {
+        self.state.since.elapsed() < IDLE_AGE_LIMIT && self.sender.is_ready()
+    }
+
+    fn begin(self) -> Connection<Busy> {
+        Connection { sender: self.sender, opened_at: self.opened_at, state: Busy }
+    }
+}
+
+impl Connection<Busy> {
+    fn rest(self) -> Connection<Idle> {
+        let state = Idle { since: Instant::now() };
+        Connection { sender: self.sender, opened_at: self.opened_at, state }
+    }
+}
+
+/// The use of a busy connection. Dropping it closes the connection.
 #[derive(Debug)]
 pub(crate) struct Lease {
     shared: Arc<Shared>,
     address: SocketAddr,
-    connection: Connection,
+    connection: Connection<Busy>,
 }
 
 impl Pool {
@@ -174,7 +207,7 @@
         Ok((self.lease(address, connection), false))
     }
 
-    fn lease(&self, address: SocketAddr, connection: Connection) -> Lease {
+    fn lease(&self, address: SocketAddr, connection: Connection<Busy>) -> Lease {
         Lease { shared: self.shared.clone(), address, connection }
     }
 
@@ -182,7 +215,7 @@
         &self,
         address: SocketAddr,
         wait: Duration,
-    ) -> Result<Connection, TransportError> {
+    ) -> Result<Connection<Busy>, TransportError> {
         let unreachable = |reason: String| TransportError::Unreachable { reason };
         let stream = timeout(wait, TcpStream::connect(address))
             .await
@@ -199,8 +232,7 @@
                 () = closing.cancelled() => {}
             }
         });
-        let now = Instant::now();
-        Ok(Connection { sender, opened_at: now, idle_since: now })
+        Ok(Connection { sender, opened_at: Instant::now(), state: Busy })
     }
 }
 
@@ -209,12 +241,12 @@
         self.by_address.lock().expect("no holder panics")
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+    fn take_idle(&self, address: SocketAddr) -> Option<Connection<Busy>> {
         let mut by_address = self.lock();
         let connections = by_address.get_mut(&address)?;
         while let Some(connection) = connections.idle.pop() {
-            if connection.idle_since.elapsed() < IDLE_AGE_LIMIT && connection.sender.is_ready() {
-                return Some(connection);
+            if connection.is_usable() {
+                return Some(connection.begin());
             }
         }
         None
@@ -223,7 +255,7 @@
 
 impl Lease {
     /// Returns the connection to the idle list.
-    pub(crate) fn give_back(mut self) {
+    pub(crate) fn give_back(self) {
         if self.shared.closing.is_cancelled() {
             return;
         }
@@ -232,8 +264,7 @@
         let trusted =
             connections.trusted_since.is_none_or(|since| self.connection.opened_at > since);
         if trusted && connections.idle.len() < IDLE_LIMIT {
-            self.connection.idle_since = Instant::now();
-            connections.idle.push(self.connection);
+            connections.idle.push(self.connection.rest());
         }
     }
 
