--- a/crates/admission/src/queue/mod.rs
+++ b/crates/admission/src/queue/mod.rs
@@ -11,7 +11,9 @@
 
 mod drain_rate;
 mod fair_queue;
+mod headroom;
 mod scheduler;
+mod shares;
 
 pub use drain_rate::DrainRate;
 pub use fair_queue::FairQueue;
--- a/crates/redwingrill/src/dispatch/engines.rs
+++ b/crates/redwingrill/src/dispatch/engines.rs
@@ -13,11 +13,33 @@
 use redwingrill_stream::Fault;
 
 /// How far above its limit an engine may go for a prompt that it holds, as a share of the limit.
-const CROWDING_BOUND: f64 = 0.5;
+const CROWDING_BOUND: f64 = 1.0;
+
+/// Smaller limits do not make a single request above them weigh more.
+const SMALL_LIMIT: f64 = 1.0;
 
 /// How long an engine that refused new work gets none.
 const REFUSED_PAUSE_MS: u64 = 500;
 
+/// Who says that an engine is leaving. Each source speaks for itself only: a report without the
+/// word takes nothing back that the operator or the list said.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub(super) struct Leaving {
+    /// The operator drains it, or the configuration no longer has it.
+    pub(super) configured: bool,
+    /// The platform's instance list.
+    pub(super) listed: bool,
+    /// The engine itself.
+    pub(super) reported: bool,
+}
+
+impl Leaving {
+    /// Returns whether any source says so.
+    pub(super) fn any(self) -> bool {
+        self.configured || self.listed || self.reported
+    }
+}
+
 /// One engine as this node uses it.
 #[derive(Clone, Debug)]
 pub(super) struct EngineSlot {
@@ -25,8 +47,10 @@
     pub(super) limit: ConcurrencyLimit,
     pub(super) health: EngineHealth,
     pub(super) in_flight: u32,
-    pub(super) is_leaving: bool,
+    pub(super) leaving: Leaving,
     has_waiting: bool,
+    // Requests of all nodes, by the last report.
+    reported: u32,
     fixed_limit: u32,
     refused_until_ms: u64,
     // The limit in force until the next refresh; zero closes the engine.
@@ -36,7 +60,9 @@
 impl EngineSlot {
     fn refresh(&mut self, now_ms: u64) {
         let share = self.health.share(now_ms);
-        let is_closed = self.is_leaving || share <= 0.0 || now_ms < self.refused_until_ms;
+        let is_full = self.fixed_limit > 0 && self.reported >= self.fixed_limit;
+        let is_paused = now_ms < self.refused_until_ms;
+        let is_closed = self.leaving.any() || share <= 0.0 || is_paused || is_full;
         let mut limit = self.limit.get() * share;
         if self.fixed_limit > 0 {
             limit = limit.min(f64::from(self.fixed_limit));
@@ -49,13 +75,15 @@
         self.open_limit
     }
 
-    fn crowding(&self) -> Option<f64> {
-        if self.open_limit <= 0.0 {
+    fn crowding(&self, usable_share: f64) -> Option<f64> {
+        let limit = self.open_limit * usable_share;
+        if limit <= 0.0 {
             return None;
         }
-        let excess = (f64::from(self.in_flight + 1) / self.open_limit - 1.0).max(0.0);
-        let is_open = excess <= CROWDING_BOUND || self.in_flight == 0;
-        is_open.then_some(excess)
+        let excess = f64::from(self.in_flight + 1) - limit;
+        let crowding = (excess / limit.max(SMALL_LIMIT)).max(0.0);
+        let is_open = crowding <= CROWDING_BOUND || self.in_flight == 0;
+        is_open.then_some(crowding)
     }
 }
 
@@ -71,7 +99,7 @@
         let upstreams = &snapshot.state.upstreams;
         self.slots.retain(|id, slot| slot.in_flight > 0 || upstreams.contains(id));
         for (id, slot) in self.slots.iter_mut() {
-            slot.is_leaving |= !upstreams.get(id).is_some_and(is_usable);
+            slot.leaving.configured = !upstreams.get(id).is_some_and(is_usable);
         }
         for (id, upstream) in upstreams.iter().filter(|(_, upstream)| is_usable(upstream)) {
             let Some(model) = upstream.model else { continue };
@@ -81,6 +109,13 @@
         }
     }
 
+    /// Takes over the upstreams that the platform lists as leaving.
+    pub(super) fn list_leaving(&mut self, listed: &[UpstreamId]) {
+        for (id, slot) in self.slots.iter_mut() {
+            slot.leaving.listed = listed.contains(&id);
+        }
+    }
+
     pub(super) fn get(&self, upstream: UpstreamId) -> Option<&EngineSlot> {
         self.slots.get(upstream)
     }
@@ -109,12 +144,12 @@
     /// Returns whether any engine of a model may take a request.
     pub(super) fn any_open(&self, model: ModelId) -> bool {
         let mut slots = self.slots.values().filter(|slot| slot.model == model);
-        slots.any(|slot| slot.crowding().is_some())
+        slots.any(|slot| slot.crowding(1.0).is_some())
     }
 
     /// Returns whether a model has an engine at all.
     pub(super) fn serves(&self, model: ModelId) -> bool {
-        self.slots.values().any(|slot| slot.model == model && !slot.is_leaving)
+        self.slots.values().any(|slot| slot.model == model && !slot.leaving.any())
     }
 
     pub(super) fn sent(&mut self, upstream: UpstreamId) {
@@ -148,9 +183,12 @@
     pub(super) fn first_token(&mut self, upstream: UpstreamId, is_late: bool, now_ms: u64) -> bool {
         let Some(slot) = self.slots.get_mut(upstream) else { return false };
         slot.health.succeeded(now_ms);
-        // A first token that is late though nothing waits is not mended by fewer requests.
-        if is_late && slot.has_waiting {
-            slot.limit.observe(Pressure::Late, now_ms);
+        match (is_late, slot.has_waiting) {
+            (true, true) => slot.limit.observe(Pressure::Late, now_ms),
+            // Engines whose reports are missing are judged by their first tokens alone.
+            (false, false) => slot.limit.observe(Pressure::Free, now_ms),
+            // One that is late though nothing waits is not mended by fewer requests.
+            _ => {}
         }
         if is_late || !slot.limit.answered(slot.in_flight) {
             return false;
@@ -169,6 +207,7 @@
     ) {
         let Some(slot) = self.slots.get_mut(upstream) else { return };
         slot.has_waiting = waiting > 0;
+        slot.reported = running + waiting;
         slot.limit.observe(Pressure::of_report(running, waiting), now_ms);
         slot.refresh(now_ms);
     }
@@ -192,17 +231,25 @@
             limit,
             health: EngineHealth::default(),
             in_flight: 0,
-            is_leaving: false,
+            leaving: Leaving::default(),
             has_waiting: false,
+            reported: 0,
             fixed_limit: 0,
             refused_until_ms: 0,
         }
     }
 }
 
-impl Gate for EngineSlots {
+/// Lets a request through to engines with room for its priority.
+pub(super) struct ShareGate<'a> {
+    pub(super) engines: &'a EngineSlots,
+    /// The share of each engine's limit that the priority may use.
+    pub(super) usable_share: f64,
+}
+
+impl Gate for ShareGate<'_> {
     fn crowding(&self, upstream: UpstreamId) -> Option<f64> {
-        self.slots.get(upstream)?.crowding()
+        self.engines.slots.get(upstream)?.crowding(self.usable_share)
     }
 }
 
