--- a/crates/config/src/follow/follower.rs
+++ b/crates/config/src/follow/follower.rs
@@ -39,7 +39,6 @@
 use crate::Snapshot;
 use crate::Standing;
 use crate::StoredManifest;
-use crate::storage::CALL_TIMEOUT;
 use crate::storage::from_chunks;
 use crate::storage::read_manifest;
 use redwingrill_entity::Names;
@@ -49,9 +48,6 @@
 /// How long peers may take to hand a manifest.
 const PEER_MANIFEST_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// How long a starting node lets the store delay what peers have in force.
-const START_POLL_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// After so many rounds without all chunks, a pending manifest is given up for what can be had.
 const FETCH_ROUNDS: u32 = 8;
 
@@ -214,8 +210,7 @@
         }
         self.count_call();
         // A starting node reads the store as well, since peers may be behind what it had before.
-        let starting = self.own.is_none() && self.pending.is_some();
-        let wait = if starting { START_POLL_TIMEOUT } else { CALL_TIMEOUT };
+        let wait = self.pacing.poll_wait();
         let read = tokio::time::timeout(wait, read_manifest(&self.store)).await;
         self.timers.poll.set(self.pacing.poll_pause());
         match read {
@@ -225,7 +220,8 @@
         }
     }
 
-    fn on_poll_failed(&self, reason: &str) {
+    fn on_poll_failed(&mut self, reason: &str) {
+        self.timers.poll.set(self.pacing.failed_poll_pause());
         log::info!("event=config_poll_failed reason=\"{reason}\"");
         self.status.send_modify(|status| status.failed_calls += 1);
     }
--- a/crates/config/src/follow/pacing.rs
+++ b/crates/config/src/follow/pacing.rs
@@ -10,6 +10,8 @@
 use rand::rngs::SmallRng;
 use tokio::time::Instant;
 
+use crate::storage::CALL_TIMEOUT;
+
 /// The polls of the manifest that a whole fleet makes.
 const FLEET_POLLS_PER_S: f64 = 2.5;
 
@@ -22,6 +24,12 @@
 /// The period at which a node looks at what its peers have in force.
 const PEER_PERIOD: Duration = Duration::from_secs(1);
 
+/// The same while the node starts; the look itself makes no call.
+const START_PEER_PERIOD: Duration = Duration::from_millis(200);
+
+/// How long the first poll of a starting node may take; it doubles with each further one.
+const START_POLL_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// The first pause before failed work is tried again; it doubles up to the longest.
 const RETRY: Duration = Duration::from_millis(400);
 
@@ -62,12 +70,13 @@
     rng: SmallRng,
     live_nodes: usize,
     starting: bool,
+    start_polls: u32,
 }
 
 impl Pacing {
     /// Makes the pacing of a node from its own randomness.
     pub fn new(rng: SmallRng) -> Self {
-        Self { rng, live_nodes: 1, starting: true }
+        Self { rng, live_nodes: 1, starting: true, start_polls: 0 }
     }
 
     /// Notes how many nodes live.
@@ -86,9 +95,25 @@
         self.jittered(period.clamp(POLL_PERIOD_MIN, POLL_PERIOD_MAX))
     }
 
+    /// Returns how long a poll may take. While a node starts it is short at first, so that a silent
+    /// store does not keep it from what peers have, and then longer, for a slow one.
+    pub fn poll_wait(&mut self) -> Duration {
+        if !self.starting {
+            return CALL_TIMEOUT;
+        }
+        let wait = START_POLL_TIMEOUT * (1 << self.start_polls.min(8));
+        self.start_polls += 1;
+        wait.min(CALL_TIMEOUT)
+    }
+
+    /// Returns the pause after a poll that failed.
+    pub fn failed_poll_pause(&mut self) -> Duration {
+        if self.starting { self.round_pause(self.start_polls) } else { self.poll_pause() }
+    }
+
     /// Returns the pause until the next look at peers.
     pub fn peer_pause(&mut self) -> Duration {
-        self.jittered(PEER_PERIOD)
+        self.jittered(if self.starting { START_PEER_PERIOD } else { PEER_PERIOD })
     }
 
     /// Returns the pause before a changed configuration is fetched.
