Write the tables of keys by one function

Cause: settings and configuration printed their references by the same lines twice. Change: one function for a section. Ruled out: joining the platform's messages of router and stand-in, which read the published interface apart on purpose.

--- a/crates/config/src/text/reference.rs
+++ b/crates/config/src/text/reference.rs
@@ -1,31 +1,32 @@
 //! The reference of all sections and keys, as Markdown.
 
-use std::fmt::Write;
-
+use super::spec::KeySpec;
 use super::spec::Presence;
 use super::spec::SECTIONS;
 use super::spec::ValueKind;
 
 /// Writes a table of keys for each section.
 pub fn reference() -> String {
-    let mut text = String::new();
-    for section in SECTIONS {
-        // Writing to a string cannot fail.
-        let _ = writeln!(text, "### `[{} NAME]`\n\n{}\n", section.word, section.summary);
-        let _ = writeln!(text, "| key | value | without it | meaning |\n| --- | --- | --- | --- |");
-        for key in section.keys {
-            let (value, absent) = (value_text(key.kind), absent_text(key.presence));
-            let _ = writeln!(text, "| `{}` | {value} | {absent} | {} |", key.key, key.summary);
-        }
-        text.push('\n');
+    let sections = SECTIONS.iter();
+    let parts = sections.map(|section| {
+        section_reference(&format!("[{} NAME]", section.word), section.summary, section.keys)
+    });
+    parts.collect::<Vec<_>>().join("\n")
+}
+
+/// Writes the heading of a section, its summary, and a table of its keys.
+pub fn section_reference(header: &str, summary: &str, keys: &[KeySpec]) -> String {
+    let mut text = format!("### `{header}`\n\n{summary}\n\n");
+    text.push_str("| key | value | without it | meaning |\n| --- | --- | --- | --- |\n");
+    for key in keys {
+        let (value, absent) = (value_text(key.kind), absent_text(key.presence));
+        text.push_str(&format!("| `{}` | {value} | {absent} | {} |\n", key.key, key.summary));
     }
-    text.truncate(text.trim_end().len());
-    text.push('\n');
     text
 }
 
 /// Describes what a key that is left out stands for.
-pub fn absent_text(presence: Presence) -> String {
+fn absent_text(presence: Presence) -> String {
     match presence {
         Presence::Required => "a fault".to_owned(),
         Presence::Default(value) => format!("`{value}`"),
@@ -34,7 +35,7 @@
 }
 
 /// Describes the values of a kind.
-pub fn value_text(kind: ValueKind) -> String {
+fn value_text(kind: ValueKind) -> String {
     match kind {
         ValueKind::Text => "text, up to 255 bytes".to_owned(),
         ValueKind::Count(least, most) => format!("{least} to {most}"),
--- a/crates/settings/src/spec.rs
+++ b/crates/settings/src/spec.rs
@@ -1,9 +1,6 @@
 //! The table of all sections and keys of the settings file.
 
-use std::fmt::Write;
-
-use redwingrill_config::text::reference::absent_text;
-use redwingrill_config::text::reference::value_text;
+use redwingrill_config::text::reference::section_reference;
 use redwingrill_config::text::spec::KeySpec;
 use redwingrill_config::text::spec::Presence::Default;
 use redwingrill_config::text::spec::Presence::Optional;
@@ -197,18 +194,9 @@
 
 /// Writes a table of keys for each section, as Markdown.
 pub fn reference() -> String {
-    let mut text = String::new();
-    for section in SECTIONS {
-        // Writing to a string cannot fail.
-        let _ = writeln!(text, "### `[{}]`\n\n{}\n", section.name, section.summary);
-        let _ = writeln!(text, "| key | value | without it | meaning |\n| --- | --- | --- | --- |");
-        for key in section.keys {
-            let (value, absent) = (value_text(key.kind), absent_text(key.presence));
-            let _ = writeln!(text, "| `{}` | {value} | {absent} | {} |", key.key, key.summary);
-        }
-        text.push('\n');
-    }
-    text.truncate(text.trim_end().len());
-    text.push('\n');
-    text
+    let sections = SECTIONS.iter();
+    let parts = sections.map(|section| {
+        section_reference(&format!("[{}]", section.name), section.summary, section.keys)
+    });
+    parts.collect::<Vec<_>>().join("\n")
 }
