Eject an engine at once when no connection can be opened

Ruled out: a larger burst (it would hide the waste). Change: a refused connection ejects at once; the slow return is the same.

--- a/crates/admission/src/engines/health.rs
+++ b/crates/admission/src/engines/health.rs
@@ -57,6 +57,14 @@
         }
     }
 
+    /// Notes that no connection to the engine can be opened. Returns whether it is ejected by it.
+    ///
+    /// Every further request would cost a retry to learn the same.
+    pub fn unreachable(&mut self, now_ms: u64) -> bool {
+        self.failures = FAILURES;
+        self.failed(now_ms)
+    }
+
     /// Notes a fault of the engine. Returns whether it is ejected by it.
     pub fn failed(&mut self, now_ms: u64) -> bool {
         self.failures += 1;
--- a/crates/admission/tests/engines.rs
+++ b/crates/admission/tests/engines.rs
@@ -47,6 +47,15 @@
     assert_eq!(health.share(9_100), 1.0);
 }
 
+#[test]
+fn an_engine_that_cannot_be_reached_is_ejected_at_once() {
+    let mut health = EngineHealth::default();
+    assert!(health.unreachable(0));
+    assert_eq!(health.share(999), 0.0);
+    assert!(!health.unreachable(500));
+    assert!(health.share(1_000) < 0.2);
+}
+
 #[test]
 fn an_engine_that_came_back_empty_is_not_flooded() {
     let mut health = EngineHealth::default();
--- a/crates/redwingrill/src/dispatch/engines.rs
+++ b/crates/redwingrill/src/dispatch/engines.rs
@@ -174,7 +174,10 @@
             slot.refresh(now_ms);
             return false;
         }
-        let ejected = slot.health.failed(now_ms);
+        let ejected = match fault {
+            Fault::Unreachable => slot.health.unreachable(now_ms),
+            _ => slot.health.failed(now_ms),
+        };
         slot.refresh(now_ms);
         ejected
     }
