Spread the publications of rankings over their period

Cause: the wait was drawn from the period of the small fleet that a starting node knows, so 320 nodes would have published their heavy hitters together at 150 s, and the bytes test measured none of them. Change: the wait is a part of the period, drawn at each publication and applied to the period in force.

--- a/crates/membership/src/cluster/publish.rs
+++ b/crates/membership/src/cluster/publish.rs
@@ -17,6 +17,8 @@
     payload: Vec<u8>,
     sequence: u32,
     published_ms: u64,
+    /// The part of a period, in thousandths, after which the next publication is due.
+    wait_permille: u64,
     /// A newer payload that waits for the kind's period.
     waiting: Option<Vec<u8>>,
 }
@@ -28,6 +30,9 @@
     items: [Option<OwnItem>; Kind::COUNT],
 }
 
+/// A whole period in thousandths.
+const WHOLE: u64 = 1_000;
+
 /// The kinds that wait for the period of rankings.
 const RANKINGS: [Kind; 2] = [Kind::HeavyHitters, Kind::HotPrefixes];
 
@@ -80,22 +85,15 @@
         for kind in RANKINGS {
             let period_ms = self.pacing.ranking_period_ms;
             let Some(item) = &mut self.own_items.items[kind.index()] else { continue };
-            let is_due = item.sequence == 0 || now_ms >= item.published_ms + period_ms;
             let is_first = item.sequence == 0;
-            let Some(payload) = item.waiting.take_if(|_| is_due) else { continue };
+            let due_ms = item.published_ms + period_ms * item.wait_permille / WHOLE;
+            let Some(payload) = item.waiting.take_if(|_| is_first || now_ms >= due_ms) else {
+                continue;
+            };
+            // Nodes that start together must not publish together.
+            let least = if is_first { 0 } else { WHOLE * 3 / 4 };
+            item.wait_permille = self.rng.random_range(least..=WHOLE);
             self.publish(now_ms, kind, payload);
-            if is_first {
-                self.stagger(now_ms, kind, period_ms);
-            }
-        }
-    }
-
-    /// Moves the next publication to a random time within a period, so that nodes that started
-    /// together do not publish together.
-    fn stagger(&mut self, now_ms: u64, kind: Kind, period_ms: u64) {
-        let early_ms = self.rng.random_range(0..period_ms);
-        if let Some(item) = &mut self.own_items.items[kind.index()] {
-            item.published_ms = now_ms.saturating_sub(early_ms);
         }
     }
 
