Share the accounts that a change leaves alone

Ruled out: asking operators for MALLOC_ARENA_MAX; another allocator, which would hide the work. Change: accounts are shared behind Arc, and the follower keeps those of each chunk by its hash; only changed chunks are read. Two tests build their account behind Arc, nothing else.

--- a/crates/config/src/follow/follower.rs
+++ b/crates/config/src/follow/follower.rs
@@ -39,7 +39,7 @@
 use crate::Snapshot;
 use crate::Standing;
 use crate::StoredManifest;
-use crate::storage::from_chunks;
+use crate::storage::Assembler;
 use crate::storage::read_manifest;
 use redwingrill_entity::Names;
 use redwingrill_ports::Revision;
@@ -69,6 +69,7 @@
     source: C,
     names: Arc<Mutex<Names>>,
     cache: ConfigCache,
+    assembler: Assembler,
     snapshots: watch::Sender<Arc<Snapshot>>,
     status: watch::Sender<FollowerStatus>,
     pacing: Pacing,
@@ -99,6 +100,7 @@
             source,
             names,
             cache,
+            assembler: Assembler::default(),
             snapshots,
             status,
             pacing: Pacing::new(SmallRng::seed_from_u64(seed)),
@@ -345,12 +347,12 @@
         if decide(self.own.as_ref(), Some(&manifest), Origin::Peer) != Decision::Adopt {
             return;
         }
-        let chunks: Option<Vec<_>> =
-            manifest.chunks.iter().map(|chunk| self.cache.chunk(chunk.hash)).collect();
+        let held = |hash| Some((hash, self.cache.chunk(hash)?));
+        let chunks: Option<Vec<_>> = manifest.chunks.iter().map(|chunk| held(chunk.hash)).collect();
         let Some(chunks) = chunks else { return };
         let state = {
             let mut names = self.names.lock().expect("no holder panics");
-            from_chunks(&chunks, &mut names)
+            self.assembler.assemble(&chunks, &mut names)
         };
         let generation = manifest.generation;
         match state {
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -1,6 +1,7 @@
 //! The desired state as typed data.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -31,8 +32,8 @@
     pub priorities: EntityMap<PriorityId, Priority>,
     /// Models.
     pub models: EntityMap<ModelId, Model>,
-    /// Client accounts.
-    pub accounts: EntityMap<AccountId, Account>,
+    /// Client accounts. Those that a change leaves alone are shared with the state before it.
+    pub accounts: EntityMap<AccountId, Arc<Account>>,
     /// Upstreams of every kind.
     pub upstreams: EntityMap<UpstreamId, Upstream>,
     /// Plain services.
--- a/crates/config/src/storage/assemble.rs
+++ b/crates/config/src/storage/assemble.rs
@@ -1,7 +1,11 @@
 //! The desired state to chunks, and back.
 
+use std::collections::HashMap;
+use std::sync::Arc;
+
 use bytes::Bytes;
 
+use super::ChunkHash;
 use super::StorageError;
 use super::chunk;
 use super::chunk::Chunk;
@@ -9,7 +13,9 @@
 use super::record::Record;
 use super::record::ServiceRecord;
 use super::record::UpstreamRecord;
+use crate::Account;
 use crate::DesiredState;
+use redwingrill_entity::AccountId;
 use redwingrill_entity::Names;
 
 /// Writes a desired state as chunks. The same state gives the same chunks in every process.
@@ -35,6 +41,67 @@
     Ok(state)
 }
 
+/// Reads one desired state after the other, and shares the accounts of chunks that stay.
+///
+/// Without sharing, each change would allocate all accounts anew and free them on whatever thread
+/// drops the last reader of the old state, which leaves memory behind that the allocator keeps.
+#[derive(Debug, Default)]
+pub struct Assembler {
+    // Chunks that hold nothing but accounts, by hash.
+    accounts: HashMap<ChunkHash, Vec<(AccountId, Arc<Account>)>>,
+}
+
+impl Assembler {
+    /// Reads a desired state from all its chunks, whose hashes the caller has verified.
+    ///
+    /// # Errors
+    ///
+    /// As for [`from_chunks`].
+    pub fn assemble(
+        &mut self,
+        chunks: &[(ChunkHash, Bytes)],
+        names: &mut Names,
+    ) -> Result<DesiredState, StorageError> {
+        let mut state = DesiredState::default();
+        let mut kept = HashMap::with_capacity(self.accounts.len());
+        for (hash, bytes) in chunks {
+            let accounts = match self.accounts.get(hash) {
+                Some(known) => known.clone(),
+                None => read_chunk(&mut state, bytes, names)?,
+            };
+            for (id, account) in &accounts {
+                state.accounts.insert(*id, account.clone());
+            }
+            if !accounts.is_empty() {
+                kept.insert(*hash, accounts);
+            }
+        }
+        verify(&state)?;
+        self.accounts = kept;
+        Ok(state)
+    }
+}
+
+/// Reads a chunk into a state. Returns its accounts if it holds nothing else.
+fn read_chunk(
+    state: &mut DesiredState,
+    bytes: &Bytes,
+    names: &mut Names,
+) -> Result<Vec<(AccountId, Arc<Account>)>, StorageError> {
+    let records = chunk::decode(bytes)?;
+    let only_accounts = records.iter().all(|record| matches!(record, Record::Account(_)));
+    let ids: Vec<AccountId> = if only_accounts {
+        records.iter().map(|record| names.accounts.intern(record.name())).collect()
+    } else {
+        Vec::new()
+    };
+    for record in records {
+        insert(state, record, names);
+    }
+    let shared = ids.into_iter().filter_map(|id| Some((id, state.accounts.get(id)?.clone())));
+    Ok(shared.collect())
+}
+
 /// Checks that every identifier in a state refers to an entity of the state.
 pub fn verify(state: &DesiredState) -> Result<(), StorageError> {
     let accounts = state.accounts.values().flat_map(|account| &account.priorities);
@@ -79,7 +146,7 @@
         Record::Account(record) => {
             let account = record.into_account(names);
             let id = names.accounts.intern(&account.name);
-            state.accounts.insert(id, account);
+            state.accounts.insert(id, Arc::new(account));
         }
         Record::Upstream(mut record) => {
             let role = record.role.take();
--- a/crates/config/src/storage/mod.rs
+++ b/crates/config/src/storage/mod.rs
@@ -20,6 +20,7 @@
 pub use apply::ApplyError;
 pub use apply::ApplyRequest;
 pub use apply::apply;
+pub use assemble::Assembler;
 pub use assemble::from_chunks;
 pub use assemble::to_chunks;
 pub use chunk::Chunk;
--- a/crates/config/src/text/build.rs
+++ b/crates/config/src/text/build.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use super::Fault;
 use super::Faults;
@@ -136,7 +137,7 @@
             connections_limit: number(section, "connections_limit")? as u32,
         };
         let id = self.names.accounts.intern(&section.name);
-        self.state.accounts.insert(id, account);
+        self.state.accounts.insert(id, Arc::new(account));
         Some(())
     }
 
--- a/crates/redwingrill/tests/dispatch.rs
+++ b/crates/redwingrill/tests/dispatch.rs
@@ -104,7 +104,7 @@
     );
     state.accounts.insert(
         AccountId::from_index(0),
-        Account {
+        Arc::new(Account {
             name: "krita".into(),
             key_hashes: Vec::new(),
             priorities: vec![PriorityId::from_index(0)],
@@ -112,7 +112,7 @@
             tokens_per_s_limit: 0,
             requests_limit: 0,
             connections_limit: 0,
-        },
+        }),
     );
     for index in 0..engines {
         state.upstreams.insert(UpstreamId::from_index(index), engine(index, requests_limit));
--- a/crates/redwingrill/tests/orders/node.rs
+++ b/crates/redwingrill/tests/orders/node.rs
@@ -238,7 +238,7 @@
             requests_limit: 0,
             connections_limit: 0,
         };
-        state.accounts.insert(AccountId::from_index(index), account);
+        state.accounts.insert(AccountId::from_index(index), account.into());
     }
     for (index, (address, fencing)) in upstreams.iter().enumerate() {
         let upstream = Upstream {
