--- a/crates/admission/src/engines/concurrency.rs
+++ b/crates/admission/src/engines/concurrency.rs
@@ -31,7 +31,7 @@
 const GROW_INTERVAL_MS: u64 = 500;
 
 /// The share of the limit that must be used for it to grow.
-const FULL_SHARE: f64 = 0.5;
+const FULL_SHARE: f64 = 0.8;
 
 /// What an engine shows of its pressure.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
--- a/crates/admission/src/queue/headroom.rs
+++ b/crates/admission/src/queue/headroom.rs
@@ -4,9 +4,7 @@
 //! work holds is freed only when that work ends. Less urgent work therefore uses a smaller share of
 //! the places while first tokens of the most urgent work come late, until about one in twenty does.
 
-/// The share to begin with, and the smallest. A flood that comes before anything was learned finds
-/// the rest free.
-const INITIAL_SHARE: f64 = 0.6;
+/// The smallest share.
 const MIN_SHARE: f64 = 0.4;
 
 /// The change after a late first token, and after one in time. They balance at one late in twenty.
@@ -26,7 +24,7 @@
 
 impl Default for Headroom {
     fn default() -> Self {
-        Self { usable_share: INITIAL_SHARE, seen_ms: 0 }
+        Self { usable_share: 1.0, seen_ms: 0 }
     }
 }
 
