Bind before spawning, split a node's start, and send each metric at once

Cause: read as a newcomer, the start of a node was one function of 100 lines, and an address that could not be bound left spawned tasks behind. A new test of what operators see failed: metrics sat in a buffer of 512 bytes that only more metrics flushed, so a quiet node sent none for minutes. Ruled out: a flush timer beside the queue the sink has already. Change: both listeners are bound before the first task; the deciding parts are started in control.rs with shared wiring; metrics leave one by one from the queue's thread.

--- a/crates/lab/src/process/child.rs
+++ b/crates/lab/src/process/child.rs
@@ -59,10 +59,19 @@
 impl ChildProcess {
     /// Starts a program and waits until it says where it listens.
     pub async fn start(program: &Path, arguments: &[&str]) -> Result<Self, ProcessError> {
+        Self::start_logging(program, arguments, Stdio::null()).await
+    }
+
+    /// Starts a program whose log goes to `log`, and waits until it says where it listens.
+    pub async fn start_logging(
+        program: &Path,
+        arguments: &[&str],
+        log: Stdio,
+    ) -> Result<Self, ProcessError> {
         let name = program.display().to_string();
         let mut command = Command::new(program);
         command.args(arguments).stdin(Stdio::null()).stdout(Stdio::piped());
-        command.stderr(Stdio::null()).kill_on_drop(true);
+        command.stderr(log).kill_on_drop(true);
         let mut child = command.spawn().context(SpawnSnafu { program: name.clone() })?;
         let silent = SilentSnafu { program: name };
         let output = child.stdout.take().context(silent.clone())?;
--- a/crates/lab/tests/support/fleet.rs
+++ b/crates/lab/tests/support/fleet.rs
@@ -1,5 +1,6 @@
 //! Daemons as processes of their own before stand-ins in the test's process.
 
+use std::fs::File;
 use std::net::SocketAddr;
 use std::net::UdpSocket;
 use std::path::Path;
@@ -22,6 +23,7 @@
 
 /// How long any single step may take.
 pub const WAIT: Duration = Duration::from_secs(10);
+const DUMP_BYTES: usize = 16 << 20;
 const TIMEOUTS: Timeouts = Timeouts { connect: WAIT, head: WAIT };
 
 /// A daemon as a process, with the settings that start it again at the same addresses.
@@ -37,6 +39,9 @@
     folder: PathBuf,
     // The port that each daemon's peers reach it on, at a loopback address of its own.
     peer_port: u16,
+    // More sections of the daemons' settings, and what they log.
+    sections: String,
+    log_level: &'static str,
 }
 
 impl Fleet {
@@ -53,7 +58,18 @@
         write_keys(&folder);
         let free = UdpSocket::bind("127.0.0.1:0").expect("a free port is bound");
         let peer_port = free.local_addr().expect("the port is known").port();
-        Self { site, stand_ins, folder, peer_port }
+        let (sections, log_level) = (String::new(), "warn");
+        Self { site, stand_ins, folder, peer_port, sections, log_level }
+    }
+
+    /// Adds sections to the daemons' settings and sets what they log.
+    pub fn with_sections(self, sections: &str, log_level: &'static str) -> Self {
+        Self { sections: sections.to_owned(), log_level, ..self }
+    }
+
+    /// Returns the folder of this test's files.
+    pub fn folder(&self) -> &Path {
+        &self.folder
     }
 
     fn peer_address(&self, n: usize) -> SocketAddr {
@@ -69,12 +85,14 @@
              drain_deadline = 30 s\n[platform]\nendpoints = {}\n\
              [peers]\nseeds = {}, {}\n[tls]\nca_file = {folder}/ca.pem\n\
              certificate_file = {folder}/node.pem\nkey_file = {folder}/key.pem\n\
-             [log]\nlevel = warn\n",
+             [log]\nlevel = {}\n{}",
             self.peer_address(n),
             self.site.domain_of(n),
             self.stand_ins.platform.address,
             self.peer_address(0),
             self.peer_address(1),
+            self.log_level,
+            self.sections,
             folder = self.folder.display(),
         );
         let path = self.folder.join(format!("router-{n}.ini"));
@@ -90,6 +108,27 @@
         Daemon { process, settings }
     }
 
+    /// Starts a daemon on free ports that logs to a file.
+    pub async fn daemon_with_log(&self, n: usize, log: &Path) -> Daemon {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let settings = self.settings(n, any, any);
+        let path = settings.to_str().expect("the path is text");
+        let log = File::create(log).expect("the log is made");
+        let process =
+            ChildProcess::start_logging(&program(), &["--settings", path], log.into()).await;
+        Daemon { process: process.expect("the daemon starts"), settings }
+    }
+
+    /// Reads the state of a daemon.
+    pub async fn dump(&self, pool: &Pool, daemon: &Daemon) -> serde_json::Value {
+        let request = Request::get("/dump").header("host", "router").body(Bytes::new());
+        let request = request.expect("the request is valid");
+        let address = daemon.process.admin_address;
+        let reply = pool.send(address, request, Freshness::New, &TIMEOUTS).await;
+        let body = reply.expect("the daemon answers").into_body().read_all(DUMP_BYTES, WAIT).await;
+        serde_json::from_slice(&body.expect("the dump is whole")).expect("the dump is JSON")
+    }
+
     /// Returns a call of the first client account.
     pub fn call(&self, question: &str, tokens: u32) -> Call {
         let api_key = self.site.accounts[0].api_key.clone();
@@ -97,7 +136,8 @@
     }
 }
 
-fn program() -> PathBuf {
+/// Returns the daemon's program.
+pub fn program() -> PathBuf {
     PathBuf::from(env!("CARGO_BIN_EXE_redwingrill-lab")).with_file_name("redwingrilld")
 }
 
--- a/crates/redwingrill/src/http/listener.rs
+++ b/crates/redwingrill/src/http/listener.rs
@@ -1,7 +1,7 @@
 //! Accepting connections and serving requests on them.
 //!
 //! ```text
-//! accepting --stop_accepting--> closing --last connection ends--> closed
+//! bound --accept--> accepting --stop_accepting--> closing --last connection ends--> closed
 //! ```
 //!
 //! In `closing`, requests under way end normally and idle connections are closed.
@@ -68,28 +68,41 @@
     aborting: CancellationToken,
 }
 
-impl Listener {
-    /// Binds an address and begins to accept.
+/// An address that is bound and accepts nothing yet.
+#[derive(Debug)]
+pub struct BoundListener {
+    socket: TcpListener,
+    address: SocketAddr,
+}
+
+impl BoundListener {
+    /// Binds an address.
     ///
     /// # Errors
     ///
     /// The cause if the address cannot be bound.
-    pub async fn start<H: Handler>(
-        address: SocketAddr,
+    pub async fn bind(address: SocketAddr) -> io::Result<Self> {
+        let socket = TcpListener::bind(address).await?;
+        let address = socket.local_addr()?;
+        Ok(Self { socket, address })
+    }
+
+    /// Begins to accept.
+    pub fn accept<H: Handler>(
+        self,
         options: ListenerOptions,
         connections: AccountConnections,
         handler: H,
-    ) -> io::Result<Self> {
-        let socket = TcpListener::bind(address).await?;
-        let listener = Self {
-            address: socket.local_addr()?,
+    ) -> Listener {
+        let listener = Listener {
+            address: self.address,
             tasks: TaskTracker::new(),
             accepting: CancellationToken::new(),
             aborting: CancellationToken::new(),
         };
         let places = Arc::new(Semaphore::new(options.connections_limit));
         let acceptor = Acceptor {
-            socket,
+            socket: self.socket,
             options,
             connections,
             handler,
@@ -99,9 +112,11 @@
             places,
         };
         listener.tasks.spawn(acceptor.run());
-        Ok(listener)
+        listener
     }
+}
 
+impl Listener {
     /// Returns the bound address.
     pub fn address(&self) -> SocketAddr {
         self.address
--- a/crates/redwingrill/src/http/mod.rs
+++ b/crates/redwingrill/src/http/mod.rs
@@ -13,6 +13,7 @@
 pub use body::full_body;
 pub use connections::AccountConnections;
 pub use connections::ConnectionOwner;
+pub use listener::BoundListener;
 pub use listener::Handler;
 pub use listener::Listener;
 pub use listener::ListenerOptions;
--- a/crates/redwingrill/src/node/mod.rs
+++ b/crates/redwingrill/src/node/mod.rs
@@ -8,6 +8,7 @@
 //! balancer turns away from it; then it stops accepting, and open work ends. Every task that the
 //! node has spawned is joined before [`Node::finish`] returns.
 
+mod control;
 mod inspector;
 mod life;
 mod parts;
--- a/crates/redwingrill/src/node/parts.rs
+++ b/crates/redwingrill/src/node/parts.rs
@@ -1,8 +1,10 @@
 //! The parts of a node and how they are joined.
+//!
+//! All addresses are bound before the first task is spawned, so a node that cannot start leaves no
+//! task behind.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::atomic::AtomicBool;
 
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -11,30 +13,19 @@
 use super::Inspector;
 use super::Phase;
 use super::StartError;
-use super::wiring::engine_timeouts;
-use super::wiring::follow;
-use super::wiring::instances;
-use super::wiring::ledger;
-use super::wiring::listener_options;
-use super::wiring::policy;
-use super::wiring::roll_out;
+use super::control::Control;
+use super::wiring::Wiring;
 use crate::admin::AdminRoutes;
 use crate::cluster::Bound;
-use crate::cluster::ClusterParts;
-use crate::cluster::PeerChunks;
 use crate::completions::Completions;
-use crate::dispatch::Dispatch;
-use crate::dispatch::DispatchOptions;
 use crate::http::AccountConnections;
+use crate::http::BoundListener;
 use crate::http::Listener;
-use crate::http::ListenerOptions;
 use crate::http::OpenRequests;
 use crate::http::Routes;
 use crate::services::Services;
 use crate::telemetry::Metrics;
-use crate::upstream::EngineClient;
 use redwingrill_config::Snapshot;
-use redwingrill_entity::Names;
 use redwingrill_settings::Settings;
 use redwingrill_transport::Pool;
 
@@ -61,102 +52,67 @@
     /// Binds the addresses and spawns the tasks.
     pub async fn start(
         settings: &Settings,
-        configuration: Option<watch::Receiver<Arc<Snapshot>>>,
+        given: Option<watch::Receiver<Arc<Snapshot>>>,
     ) -> Result<Self, StartError> {
         let metrics = Metrics::new(settings.metrics.statsd, &settings.node.name)
             .map_err(|source| StartError::Metrics { source })?;
-        let pool = Pool::new();
-        let services = TaskTracker::new();
-        let requests = TaskTracker::new();
-        let (phase, phase_reader) = watch::channel(Phase::Serving);
-        let stopping = CancellationToken::new();
-        let bound = match configuration {
+        let callers = bind(settings.node.listen).await?;
+        let admin = bind(settings.node.admin_listen).await?;
+        let peers = match given {
             Some(_) => None,
             None => Bound::new(settings).map_err(|source| StartError::Peers { source })?,
         };
-        let names: Arc<Mutex<Names>> = Arc::default();
-        let followed = match configuration {
-            Some(_) => None,
-            None => {
-                let source = bound.as_ref().map_or_else(PeerChunks::none, Bound::chunks);
-                Some(follow(settings, &pool, source, names.clone(), &services, &stopping))
-            }
-        };
-        let configuration = match (configuration, &followed) {
-            (Some(given), _) => given,
-            (None, Some(followed)) => followed.snapshots(),
-            (None, None) => watch::channel(Arc::default()).1,
-        };
-        let options = DispatchOptions { policy: policy(settings), seed: rand::random() };
-        let (dispatcher, dispatch) = Dispatch::new(options, configuration.clone());
-        let asks_all_engines = Arc::new(AtomicBool::new(true));
-        services.spawn(dispatch.load_poll(pool.clone(), asks_all_engines.clone()).run());
-        let rollout = followed.as_ref().map(|followed| {
-            let facts = dispatch.facts();
-            roll_out(settings, &pool, followed.snapshots(), &facts, &services, &stopping)
-        });
-        services.spawn(dispatch.run());
-        let cluster = bound.zip(followed.as_ref()).map(|(bound, followed)| {
-            let parts = ClusterParts {
-                configuration: configuration.clone(),
-                names,
-                cache: followed.cache(),
-                dispatcher: dispatcher.clone(),
-                pool: pool.clone(),
-                instances: instances(settings, &pool),
-                asks_all_engines,
-            };
-            bound.run(parts, &services, stopping.clone())
-        });
-        let (ledger, ledger_task) = ledger(settings, &pool);
-        services.spawn(ledger_task.run());
+        let wiring = Wiring::new(settings);
+        let control = Control::start(&wiring, given, peers);
+        let ledger = wiring.ledger();
+        let requests = TaskTracker::new();
         let connections = AccountConnections::default();
         let open = OpenRequests::default();
-        let inspector = Inspector {
-            name: settings.node.name.clone(),
-            phase: phase_reader.clone(),
-            configuration: configuration.clone(),
-            followed,
-            cluster,
-            rollout,
-            dispatcher: dispatcher.clone(),
-            connections: connections.clone(),
-            open: open.clone(),
-            pool: pool.clone(),
-            ledger: ledger.clone(),
-            drain: CancellationToken::new(),
-        };
-        let leaving = dispatcher.leaving();
+        let (phase, phase_reader) = watch::channel(Phase::Serving);
         let routes = Routes {
-            configuration,
-            phase: phase_reader,
+            configuration: control.configuration.clone(),
+            phase: phase_reader.clone(),
             limits: Arc::new(settings.limits.clone()),
             completions: Completions {
-                dispatcher,
-                engines: EngineClient::new(pool.clone(), engine_timeouts(settings)),
+                dispatcher: control.dispatcher.clone(),
+                engines: wiring.engines(),
                 tasks: requests.clone(),
                 metrics: metrics.clone(),
             },
-            services: Services::new(pool.clone(), leaving, ledger, requests.clone()),
-            open,
+            services: Services::new(
+                wiring.pool.clone(),
+                control.dispatcher.leaving(),
+                ledger.clone(),
+                requests.clone(),
+            ),
+            open: open.clone(),
             metrics,
         };
-        let bind = |address| move |source| StartError::Bind { address, source };
-        let node = &settings.node;
-        let options = listener_options(settings);
-        let callers = Listener::start(node.listen, options.clone(), connections, routes)
-            .await
-            .map_err(bind(node.listen))?;
-        let options = ListenerOptions { connections_limit: ADMIN_CONNECTIONS_LIMIT, ..options };
+        let inspector = Inspector {
+            name: settings.node.name.clone(),
+            phase: phase_reader,
+            configuration: control.configuration,
+            followed: control.followed,
+            cluster: control.cluster,
+            rollout: control.rollout,
+            dispatcher: control.dispatcher,
+            connections: connections.clone(),
+            open,
+            pool: wiring.pool.clone(),
+            ledger,
+            drain: CancellationToken::new(),
+        };
+        let options = wiring.listener_options(settings.limits.connections);
+        let callers = callers.accept(options, connections, routes);
+        let options = wiring.listener_options(ADMIN_CONNECTIONS_LIMIT);
         let admin_routes = AdminRoutes { inspector: inspector.clone() };
-        let admin = Listener::start(
-            node.admin_listen,
-            options,
-            AccountConnections::default(),
-            admin_routes,
-        )
-        .await
-        .map_err(bind(node.admin_listen))?;
+        let admin = admin.accept(options, AccountConnections::default(), admin_routes);
+        let Wiring { pool, tasks: services, stopping, .. } = wiring;
         Ok(Self { callers, admin, phase, inspector, requests, services, stopping, pool })
     }
 }
+
+async fn bind(address: SocketAddr) -> Result<BoundListener, StartError> {
+    let bound = BoundListener::bind(address).await;
+    bound.map_err(|source| StartError::Bind { address, source })
+}
--- a/crates/redwingrill/src/node/wiring.rs
+++ b/crates/redwingrill/src/node/wiring.rs
@@ -15,6 +15,7 @@
 use crate::configuration::HttpEngineOrders;
 use crate::configuration::Rollout;
 use crate::http::ListenerOptions;
+use crate::upstream::EngineClient;
 use crate::upstream::EngineTimeouts;
 use redwingrill_config::Snapshot;
 use redwingrill_entity::Names;
@@ -34,91 +35,108 @@
 use redwingrill_settings::Settings;
 use redwingrill_transport::Pool;
 
-/// Begins to follow the configuration in the platform's store and at peers.
-pub(super) fn follow(
-    settings: &Settings,
-    pool: &Pool,
-    source: PeerChunks,
-    names: Arc<Mutex<Names>>,
-    tasks: &TaskTracker,
-    stopping: &CancellationToken,
-) -> Configuration {
-    let mut options = PlatformOptions::new(settings.platform.endpoints.clone());
-    options.call_timeout = Duration::from_millis(settings.platform.call_timeout_ms);
-    let store = EtcdStore::new(options, pool.clone());
-    let options = ConfigurationOptions { names, seed: rand::random() };
-    Configuration::start(store, source, options, tasks, stopping.clone())
+/// What the parts of a node are made with.
+#[derive(Debug)]
+pub(super) struct Wiring<'a> {
+    pub settings: &'a Settings,
+    pub pool: Pool,
+    // Tasks that live as long as the node.
+    pub tasks: TaskTracker,
+    // Ends the tasks that do not end by themselves.
+    pub stopping: CancellationToken,
 }
 
-/// Makes the reader of the platform's list of instances.
-pub(super) fn instances(settings: &Settings, pool: &Pool) -> HttpInstances {
-    let platform = &settings.platform;
-    let endpoints = match platform.instance_list_endpoints.is_empty() {
-        true => platform.endpoints.clone(),
-        false => platform.instance_list_endpoints.clone(),
-    };
-    HttpInstances::new(PlatformOptions::new(endpoints), pool.clone())
-}
+impl<'a> Wiring<'a> {
+    pub fn new(settings: &'a Settings) -> Self {
+        Self {
+            settings,
+            pool: Pool::new(),
+            tasks: TaskTracker::new(),
+            stopping: CancellationToken::new(),
+        }
+    }
 
-/// Begins to roll weights and roles out to engines.
-pub(super) fn roll_out(
-    settings: &Settings,
-    pool: &Pool,
-    configuration: watch::Receiver<Arc<Snapshot>>,
-    facts: &EngineFactsHub,
-    tasks: &TaskTracker,
-    stopping: &CancellationToken,
-) -> Rollout {
-    let mut options = PlatformOptions::new(settings.platform.endpoints.clone());
-    options.call_timeout = Duration::from_millis(settings.platform.call_timeout_ms);
-    let store = EtcdStore::new(options, pool.clone());
-    // Every node takes itself for the first; their claims are swaps, of which one wins.
-    let rank = watch::channel(0).1;
-    let inputs = RolloutInputs { configuration, facts: facts.subscribe(), rank };
-    let orders = HttpEngineOrders::new(pool.clone());
-    Rollout::start(store, orders, inputs, &settings.node.name, tasks, stopping.clone())
-}
+    /// Begins to follow the configuration in the platform's store.
+    pub fn follow(&self, source: PeerChunks, names: Arc<Mutex<Names>>) -> Configuration {
+        let options = ConfigurationOptions { names, seed: rand::random() };
+        Configuration::start(self.store(), source, options, &self.tasks, self.stopping.clone())
+    }
 
-/// Returns the placement policy.
-pub(super) fn policy(settings: &Settings) -> Policy {
-    match settings.placement_policy {
-        PlacementPolicy::Random => Policy::Random,
-        PlacementPolicy::LeastLoaded => Policy::LeastLoaded,
-        PlacementPolicy::Affinity => Policy::Affinity,
-        PlacementPolicy::Redwingrill => Policy::Redwingrill,
+    /// Begins to roll weights and roles out to engines.
+    pub fn roll_out(
+        &self,
+        configuration: watch::Receiver<Arc<Snapshot>>,
+        facts: &EngineFactsHub,
+    ) -> Rollout {
+        // Every node takes itself for the first; their claims are swaps, of which one wins.
+        let rank = watch::channel(0).1;
+        let inputs = RolloutInputs { configuration, facts: facts.subscribe(), rank };
+        let orders = HttpEngineOrders::new(self.pool.clone());
+        let name = &self.settings.node.name;
+        Rollout::start(self.store(), orders, inputs, name, &self.tasks, self.stopping.clone())
     }
-}
 
-/// Returns the limits of the callers' listener.
-pub(super) fn listener_options(settings: &Settings) -> ListenerOptions {
-    ListenerOptions {
-        connections_limit: settings.limits.connections,
-        header_limit_bytes: settings.limits.header_bytes,
-        header_timeout: Duration::from_millis(settings.limits.request_timeout_ms),
+    /// Makes the reader of the platform's list of instances.
+    pub fn instances(&self) -> HttpInstances {
+        let platform = &self.settings.platform;
+        let endpoints = match platform.instance_list_endpoints.is_empty() {
+            true => platform.endpoints.clone(),
+            false => platform.instance_list_endpoints.clone(),
+        };
+        HttpInstances::new(PlatformOptions::new(endpoints), self.pool.clone())
     }
-}
 
-/// Makes the task that records orders in the platform's store.
-pub(super) fn ledger(
-    settings: &Settings,
-    pool: &Pool,
-) -> (Ledger, LedgerTask<EtcdStore, SingleLayout, NoHomes>) {
-    let config = LedgerConfig::default();
-    let options = PlatformOptions {
-        call_timeout: Duration::from_millis(config.call_timeout_ms),
-        ..PlatformOptions::new(settings.platform.endpoints.clone())
-    };
-    let store = EtcdStore::new(options, pool.clone());
-    let layout = LayoutConfig::default();
-    let records = SingleLayout::new(layout);
-    LedgerTask::new(store, records, NoHomes, layout.shards, config, WallClock::system())
-}
+    /// Begins to record orders in the platform's store.
+    pub fn ledger(&self) -> Ledger {
+        let config = LedgerConfig::default();
+        let options = PlatformOptions {
+            call_timeout: Duration::from_millis(config.call_timeout_ms),
+            ..PlatformOptions::new(self.settings.platform.endpoints.clone())
+        };
+        let store = EtcdStore::new(options, self.pool.clone());
+        let layout = LayoutConfig::default();
+        let records = SingleLayout::new(layout);
+        let clock = WallClock::system();
+        let (ledger, task) = LedgerTask::new(store, records, NoHomes, layout.shards, config, clock);
+        self.tasks.spawn(task.run());
+        ledger
+    }
+
+    /// Makes the client of engines.
+    pub fn engines(&self) -> EngineClient {
+        let streams = &self.settings.streams;
+        let timeouts = EngineTimeouts {
+            connect: Duration::from_millis(streams.connect_timeout_ms),
+            first_token: Duration::from_millis(streams.first_token_timeout_ms),
+            token: Duration::from_millis(streams.token_timeout_ms),
+        };
+        EngineClient::new(self.pool.clone(), timeouts)
+    }
+
+    /// Returns the placement policy.
+    pub fn policy(&self) -> Policy {
+        match self.settings.placement_policy {
+            PlacementPolicy::Random => Policy::Random,
+            PlacementPolicy::LeastLoaded => Policy::LeastLoaded,
+            PlacementPolicy::Affinity => Policy::Affinity,
+            PlacementPolicy::Redwingrill => Policy::Redwingrill,
+        }
+    }
+
+    /// Returns the limits of a listener with this many connections.
+    pub fn listener_options(&self, connections_limit: usize) -> ListenerOptions {
+        let limits = &self.settings.limits;
+        ListenerOptions {
+            connections_limit,
+            header_limit_bytes: limits.header_bytes,
+            header_timeout: Duration::from_millis(limits.request_timeout_ms),
+        }
+    }
 
-/// Returns how long engines may take.
-pub(super) fn engine_timeouts(settings: &Settings) -> EngineTimeouts {
-    EngineTimeouts {
-        connect: Duration::from_millis(settings.streams.connect_timeout_ms),
-        first_token: Duration::from_millis(settings.streams.first_token_timeout_ms),
-        token: Duration::from_millis(settings.streams.token_timeout_ms),
+    fn store(&self) -> EtcdStore {
+        let platform = &self.settings.platform;
+        let mut options = PlatformOptions::new(platform.endpoints.clone());
+        options.call_timeout = Duration::from_millis(platform.call_timeout_ms);
+        EtcdStore::new(options, self.pool.clone())
     }
 }
--- a/crates/redwingrill/src/telemetry/metrics.rs
+++ b/crates/redwingrill/src/telemetry/metrics.rs
@@ -6,13 +6,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cadence::BufferedUdpMetricSink;
 use cadence::Counted;
 use cadence::Gauged;
 use cadence::NopMetricSink;
 use cadence::QueuingMetricSink;
 use cadence::StatsdClient;
 use cadence::Timed;
+use cadence::UdpMetricSink;
 
 use redwingrill_codes::ResultCode;
 
@@ -39,8 +39,7 @@
             Some(address) => {
                 let socket = UdpSocket::bind(("0.0.0.0", 0))?;
                 socket.set_nonblocking(true)?;
-                let sink =
-                    BufferedUdpMetricSink::from(address, socket).map_err(io::Error::other)?;
+                let sink = UdpMetricSink::from(address, socket).map_err(io::Error::other)?;
                 StatsdClient::builder(PREFIX, QueuingMetricSink::with_capacity(sink, QUEUE_LIMIT))
             }
         };
