--- a/crates/lab/src/bench/control/fleet.rs
+++ b/crates/lab/src/bench/control/fleet.rs
@@ -30,7 +30,7 @@
 use crate::platform::PlatformOptions;
 use crate::platform::RunningPlatform;
 use crate::process::ChildProcess;
-use redwingrill_peer::make_site_keys;
+use crate::site::write_keys;
 use redwingrill_transport::Freshness;
 use redwingrill_transport::Pool;
 use redwingrill_transport::Timeouts;
@@ -74,15 +74,7 @@
         let name = format!("redwingrill-control-{}-{}", std::process::id(), loads.port());
         let directory = std::env::temp_dir().join(name);
         fs::create_dir_all(&directory).context(MachineSnafu)?;
-        let keys = make_site_keys("bench", &["node"]).context(KeysSnafu)?;
-        let files = [
-            ("ca.pem", &keys.authority_certificate_pem),
-            ("node.pem", &keys.nodes[0].certificate_pem),
-            ("key.pem", &keys.nodes[0].key_pem),
-        ];
-        for (name, text) in files {
-            fs::write(directory.join(name), text).context(MachineSnafu)?;
-        }
+        write_keys(&directory).context(KeysSnafu)?;
         let (routers, peer_port) = (Vec::new(), free_udp_port()?);
         let (domains, pool) = (options.domains, Pool::new());
         let program = program.to_owned();
--- a/crates/lab/src/bench/control/mod.rs
+++ b/crates/lab/src/bench/control/mod.rs
@@ -16,9 +16,9 @@
 use snafu::Snafu;
 
 use crate::process::ProcessError;
+use crate::site::PeerSetupError;
 use redwingrill_config::ApplyError;
 use redwingrill_config::Faults;
-use redwingrill_peer::KeyError;
 
 pub use fleet::ControlFleet;
 pub use loads::LoadServer;
@@ -58,7 +58,7 @@
     #[snafu(display("{source}"))]
     Keys {
         /// The cause.
-        source: KeyError,
+        source: PeerSetupError,
     },
     /// The configuration has faults.
     #[snafu(display("{faults}"))]
--- a/crates/lab/src/bench/control/site.rs
+++ b/crates/lab/src/bench/control/site.rs
@@ -13,6 +13,7 @@
 use super::ControlOptions;
 use super::MachineSnafu;
 use crate::platform::RunningPlatform;
+use crate::site::tls_section;
 use redwingrill_config::ApplyId;
 use redwingrill_config::ApplyRequest;
 use redwingrill_config::Generation;
@@ -116,13 +117,11 @@
     let seeds: Vec<String> = (0..SEEDS).map(|n| peer_address(n, peer_port).to_string()).collect();
     let peer_listen = peer_address(number, peer_port);
     let domain = number % domains;
-    let directory = directory.display();
     format!(
         "[node]\nname = node-{number}\nlisten = 127.0.0.1:0\nadmin_listen = 127.0.0.1:0\n\
          peer_listen = {peer_listen}\nfailure_domain = domain-{domain}\n\
-         [platform]\nendpoints = {platform}\n[peers]\nseeds = {}\n\
-         [tls]\nca_file = {directory}/ca.pem\ncertificate_file = {directory}/node.pem\n\
-         key_file = {directory}/key.pem\n[log]\nlevel = error\n",
-        seeds.join(", ")
+         [platform]\nendpoints = {platform}\n[peers]\nseeds = {}\n{}[log]\nlevel = error\n",
+        seeds.join(", "),
+        tls_section(directory),
     )
 }
--- a/crates/lab/src/site/mod.rs
+++ b/crates/lab/src/site/mod.rs
@@ -21,6 +21,8 @@
 pub use model::Site;
 pub use peers::PeerNetwork;
 pub use peers::PeerSetupError;
+pub use peers::tls_section;
+pub use peers::write_keys;
 pub use reader::IniError;
 pub use reader::Section;
 pub use reader::load_text;
--- a/crates/lab/src/site/peers.rs
+++ b/crates/lab/src/site/peers.rs
@@ -5,6 +5,7 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::UdpSocket;
+use std::path::Path;
 use std::path::PathBuf;
 
 use snafu::ResultExt;
@@ -50,15 +51,7 @@
         let name = format!("redwingrill-site-{}-{port}", std::process::id());
         let network = Self { directory: std::env::temp_dir().join(name), port };
         fs::create_dir_all(&network.directory).context(MachineSnafu)?;
-        let keys = make_site_keys("site", &["router"]).context(KeysSnafu)?;
-        let files = [
-            ("ca.pem", &keys.authority_certificate_pem),
-            ("router.pem", &keys.nodes[0].certificate_pem),
-            ("key.pem", &keys.nodes[0].key_pem),
-        ];
-        for (name, text) in files {
-            fs::write(network.directory.join(name), text).context(MachineSnafu)?;
-        }
+        write_keys(&network.directory)?;
         Ok(network)
     }
 
@@ -71,15 +64,33 @@
     /// Returns the sections that let a router reach those with the numbers of `seeds`.
     pub fn sections(&self, seeds: std::ops::Range<usize>) -> String {
         let seeds: Vec<String> = seeds.map(|number| self.address(number).to_string()).collect();
-        let directory = self.directory.display();
-        format!(
-            "[tls]\nca_file = {directory}/ca.pem\ncertificate_file = {directory}/router.pem\n\
-             key_file = {directory}/key.pem\n\n[peers]\nseeds = {}\n\n",
-            seeds.join(", ")
-        )
+        format!("{}[peers]\nseeds = {}\n\n", tls_section(&self.directory), seeds.join(", "))
     }
 }
 
+/// Writes a site's authority, and one key and certificate that all its routers use.
+pub fn write_keys(directory: &Path) -> Result<(), PeerSetupError> {
+    let keys = make_site_keys("site", &["router"]).context(KeysSnafu)?;
+    let files = [
+        ("ca.pem", &keys.authority_certificate_pem),
+        ("router.pem", &keys.nodes[0].certificate_pem),
+        ("key.pem", &keys.nodes[0].key_pem),
+    ];
+    for (name, text) in files {
+        fs::write(directory.join(name), text).context(MachineSnafu)?;
+    }
+    Ok(())
+}
+
+/// Returns the section of settings that names the files of [`write_keys`].
+pub fn tls_section(directory: &Path) -> String {
+    let directory = directory.display();
+    format!(
+        "[tls]\nca_file = {directory}/ca.pem\ncertificate_file = {directory}/router.pem\n\
+         key_file = {directory}/key.pem\n\n"
+    )
+}
+
 impl Drop for PeerNetwork {
     fn drop(&mut self) {
         // The files lie in the directory for temporary files; left ones harm nothing.
--- a/crates/lab/tests/support/fleet.rs
+++ b/crates/lab/tests/support/fleet.rs
@@ -2,7 +2,6 @@
 
 use std::fs::File;
 use std::net::SocketAddr;
-use std::net::UdpSocket;
 use std::path::Path;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -13,16 +12,17 @@
 
 use redwingrill_lab::caller::Call;
 use redwingrill_lab::process::ChildProcess;
+use redwingrill_lab::site::PeerNetwork;
 use redwingrill_lab::site::Site;
 use redwingrill_lab::site::StandIns;
 use redwingrill_lab::site::apply_site;
-use redwingrill_peer::make_site_keys;
 use redwingrill_transport::Freshness;
 use redwingrill_transport::Pool;
 use redwingrill_transport::Timeouts;
 
 /// How long any single step may take.
 pub const WAIT: Duration = Duration::from_secs(10);
+const SEEDS: usize = 2;
 const DUMP_BYTES: usize = 16 << 20;
 const TIMEOUTS: Timeouts = Timeouts { connect: WAIT, head: WAIT };
 
@@ -37,8 +37,7 @@
     pub site: Site,
     pub stand_ins: StandIns,
     folder: PathBuf,
-    // The port that each daemon's peers reach it on, at a loopback address of its own.
-    peer_port: u16,
+    peers: PeerNetwork,
     // More sections of the daemons' settings, and what they log.
     sections: String,
     log_level: &'static str,
@@ -55,11 +54,9 @@
         apply_site(&site, &stand_ins).await.expect("the example is accepted");
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::create_dir_all(&folder).expect("the folder is made");
-        write_keys(&folder);
-        let free = UdpSocket::bind("127.0.0.1:0").expect("a free port is bound");
-        let peer_port = free.local_addr().expect("the port is known").port();
+        let peers = PeerNetwork::new().expect("keys are made");
         let (sections, log_level) = (String::new(), "warn");
-        Self { site, stand_ins, folder, peer_port, sections, log_level }
+        Self { site, stand_ins, folder, peers, sections, log_level }
     }
 
     /// Adds sections to the daemons' settings and sets what they log.
@@ -72,28 +69,19 @@
         &self.folder
     }
 
-    fn peer_address(&self, n: usize) -> SocketAddr {
-        let last = u8::try_from(n + 1).expect("daemons are few");
-        SocketAddr::from(([127, 0, 0, last], self.peer_port))
-    }
-
     /// Writes the settings of a daemon; ports may be zero.
     fn settings(&self, n: usize, listen: SocketAddr, admin: SocketAddr) -> PathBuf {
         let text = format!(
             "[node]\nname = router-{n}\nlisten = {listen}\nadmin_listen = {admin}\n\
              peer_listen = {}\nfailure_domain = {}\ndrain_notice = 300 ms\n\
              drain_deadline = 30 s\n[platform]\nendpoints = {}\n\
-             [peers]\nseeds = {}, {}\n[tls]\nca_file = {folder}/ca.pem\n\
-             certificate_file = {folder}/node.pem\nkey_file = {folder}/key.pem\n\
-             [log]\nlevel = {}\n{}",
-            self.peer_address(n),
+             {}[log]\nlevel = {}\n{}",
+            self.peers.address(n),
             self.site.domain_of(n),
             self.stand_ins.platform.address,
-            self.peer_address(0),
-            self.peer_address(1),
+            self.peers.sections(0..SEEDS),
             self.log_level,
             self.sections,
-            folder = self.folder.display(),
         );
         let path = self.folder.join(format!("router-{n}.ini"));
         std::fs::write(&path, text).expect("the settings are written");
@@ -141,18 +129,6 @@
     PathBuf::from(env!("CARGO_BIN_EXE_redwingrill-lab")).with_file_name("redwingrilld")
 }
 
-fn write_keys(folder: &Path) {
-    let keys = make_site_keys("test", &["router"]).expect("keys are made");
-    let files = [
-        ("ca.pem", &keys.authority_certificate_pem),
-        ("node.pem", &keys.nodes[0].certificate_pem),
-        ("key.pem", &keys.nodes[0].key_pem),
-    ];
-    for (name, text) in files {
-        std::fs::write(folder.join(name), text).expect("the key is written");
-    }
-}
-
 /// Starts a daemon and waits until it says where it listens.
 pub async fn start(settings: &Path) -> ChildProcess {
     let settings = settings.to_str().expect("the path is text");
