--- a/crates/redwingrill/src/telemetry/metrics.rs
+++ b/crates/redwingrill/src/telemetry/metrics.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use cadence::Counted;
-use cadence::Gauged;
 use cadence::NopMetricSink;
 use cadence::QueuingMetricSink;
 use cadence::StatsdClient;
@@ -64,14 +63,4 @@
             .with_tag("priority", priority)
             .send();
     }
-
-    /// Counts something that happened.
-    pub fn count(&self, name: &str, amount: i64) {
-        self.client.count_with_tags(name, amount).send();
-    }
-
-    /// Reports a level.
-    pub fn gauge(&self, name: &str, value: u64) {
-        self.client.gauge_with_tags(name, value).send();
-    }
 }
