Remove a call of the event parser without users

Cause: the read-through of the whole change found is_inside_event without a caller: a stream ends with its end marker, and the relay never reads beyond. Change: the call goes.

--- a/crates/stream/src/sse.rs
+++ b/crates/stream/src/sse.rs
@@ -72,11 +72,6 @@
         Ok(())
     }
 
-    /// Returns whether the bytes so far end inside an event.
-    pub fn is_inside_event(&self) -> bool {
-        !self.line.is_empty() || self.has_data
-    }
-
     fn push_byte(&mut self, byte: u8) -> Result<(), SseError> {
         if self.line.len() + self.event.data.len() >= self.limit_bytes {
             return Err(SseError::TooLong { limit_bytes: self.limit_bytes });
