Leave a late upstream only when another may take over

Ruled out: refusals by the engines (128). Change: the wait goes on unless the scheduler gives another upstream within the bound. Streams are still late while new weights spread; that is next.

--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -46,15 +46,16 @@
     pub leg: Leg,
 }
 
-/// Sends a request to the upstream of `leg` and waits for the head of the reply.
+/// Sends a request to the upstream of `leg` and waits for the head of the reply, to the end of the
+/// request's time.
 pub(super) async fn attempt(
     call: &Call,
     leg: Leg,
     last_event_id: Option<u64>,
-    wait: Duration,
     dialect: &dyn HeadDialect,
     pool: &Pool,
 ) -> Attempt {
+    let wait = call.left();
     let assignment = leg.assignment();
     let address = assignment.upstream.address;
     let mut request = Request::new(call.body.clone());
--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -49,10 +49,8 @@
 /// A request with less time left is given up rather than sent.
 const LEAST_LEFT: Duration = Duration::from_millis(5);
 
-/// The part of its target that a repeatable request waits for the first upstream, in percent, and
-/// what is added to it.
-const FIRST_WAIT_PERCENT: u64 = 160;
-const FIRST_WAIT_EXTRA: Duration = Duration::from_millis(50);
+/// The part of its target that a repeatable request waits for the first upstream, in percent.
+const FIRST_WAIT_PERCENT: u32 = 60;
 
 /// What the handler is made with.
 #[derive(Clone)]
@@ -83,6 +81,12 @@
     code: ResultCode,
 }
 
+/// Whether a request moved on from an upstream that is late.
+enum Moved {
+    To(Leg),
+    No(Attempt),
+}
+
 impl Gateway {
     /// Makes the handler.
     pub fn new(parts: GatewayParts) -> Self {
@@ -180,17 +184,19 @@
 
     /// Sends a request until it is answered or given up.
     async fn run(&self, call: &mut Call) -> Result<Ended, Refusal> {
+        let mut leg = self.assign(call).await?;
         loop {
-            if call.left() < LEAST_LEFT {
-                return Err(out_of_time(call));
-            }
-            let leg = self.assign(call).await?;
-            let wait = self.wait_for_head(call);
-            let last_event_id = call.facts.last_event_id;
-            let (dialect, pool) = (self.parts.dialect.as_ref(), &self.parts.pool);
             let index = leg.assignment().index;
-            match attempt(call, leg, last_event_id, wait, dialect, pool).await {
-                Attempt::Answered(answer) => {
+            match self.attempt_or_move(call, leg).await {
+                Moved::To(next) => {
+                    self.note(call, "moved", "");
+                    call.sends += 1;
+                    call.runs += 1;
+                    call.tried.push(index);
+                    leg = next;
+                    continue;
+                }
+                Moved::No(Attempt::Answered(answer)) => {
                     call.sends += 1;
                     call.runs += 1;
                     call.tried.push(index);
@@ -198,25 +204,62 @@
                         return Ok(ended);
                     }
                 }
-                Attempt::NotSent { reason } => {
+                Moved::No(Attempt::NotSent { reason }) => {
                     self.note(call, "not_sent", &reason);
                     call.tried.push(index);
                 }
-                Attempt::NotRun { status } => {
+                Moved::No(Attempt::NotRun { status }) => {
                     self.note(call, "not_run", status.as_str());
                     call.sends += 1;
                     call.tried.push(index);
                 }
-                Attempt::Lost { reason } => {
+                Moved::No(Attempt::Lost { reason }) => {
                     self.note(call, "lost", &reason);
                     self.may_have_run(call, index, ResultCode::UpstreamFailed)?;
                 }
-                Attempt::Silent => {
+                Moved::No(Attempt::Silent) => {
                     self.note(call, "silent", "");
                     self.may_have_run(call, index, ResultCode::UpstreamSilent)?;
                 }
             }
+            if call.left() < LEAST_LEFT {
+                return Err(out_of_time(call));
+            }
+            leg = self.assign(call).await?;
+        }
+    }
+
+    /// Waits for an upstream's answer. A request that may be repeated and whose upstream is late
+    /// moves to another one, if there is one and the bound on repeats allows it; else the wait goes
+    /// on.
+    async fn attempt_or_move(&self, call: &Call, leg: Leg) -> Moved {
+        let first_wait = self.first_wait(call);
+        let index = leg.assignment().index;
+        let (dialect, pool) = (self.parts.dialect.as_ref(), &self.parts.pool);
+        let answer = attempt(call, leg, call.facts.last_event_id, dialect, pool);
+        tokio::pin!(answer);
+        if let Some(first_wait) = first_wait {
+            if let Ok(answer) = tokio::time::timeout(first_wait, answer.as_mut()).await {
+                return Moved::No(answer);
+            }
+            let mut ask = call.ask();
+            ask.tried.push(index);
+            if let Ok(next) = self.parts.dispatcher.choose(ask, true).await {
+                let next = next.with_model(call.model());
+                log_assignment(call, &next);
+                return Moved::To(next);
+            }
         }
+        Moved::No(answer.await)
+    }
+
+    /// Returns how long the first upstream's answer is awaited before another one is the better
+    /// hope: until that one can still answer within the target. `None` if no other may run the
+    /// request.
+    fn first_wait(&self, call: &Call) -> Option<Duration> {
+        let may_move = call.route.kind.may_repeat() && call.runs + 1 < call.route.attempts_limit;
+        let first = call.route.target_latency * FIRST_WAIT_PERCENT / 100;
+        may_move.then(|| first.min(call.left()))
     }
 
     /// Notes that an upstream may have run the request; ends it if no other may.
@@ -257,18 +300,6 @@
         Err(Refusal::new(code).retry_after(retry_after_ms))
     }
 
-    /// Returns how long the head of a reply is awaited: to the end if nobody else may run the
-    /// request, else until another upstream is the better hope.
-    fn wait_for_head(&self, call: &Call) -> Duration {
-        let may_repeat = call.route.kind.may_repeat();
-        if !may_repeat || call.runs + 1 >= call.route.attempts_limit {
-            return call.left();
-        }
-        let target = call.route.target_latency;
-        let first = target * FIRST_WAIT_PERCENT as u32 / 100 + FIRST_WAIT_EXTRA;
-        first.min(call.left())
-    }
-
     /// Passes an answer on. Returns `None` if another upstream is to be tried.
     async fn answered(&self, call: &mut Call, answer: Answer) -> Result<Option<Ended>, Refusal> {
         if call.route.kind.is_stream() && answer.parts.status == StatusCode::OK {
@@ -306,7 +337,7 @@
 
     /// Waits for the first event of a stream and begins to relay it.
     async fn stream(&self, call: &mut Call, answer: Answer) -> Result<Option<Ended>, Refusal> {
-        let wait = self.wait_for_head(call);
+        let wait = call.left();
         let mut relay = Relay::new(self.parts.clone(), answer, call.facts.last_event_id);
         match relay.first_events(wait).await {
             Ok(()) => {}
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -224,7 +224,7 @@
                 leg.assignment().upstream.id,
             );
             let (dialect, pool) = (self.parts.dialect.as_ref(), &self.parts.pool);
-            match attempt(call, leg, Some(last_id), call.left(), dialect, pool).await {
+            match attempt(call, leg, Some(last_id), dialect, pool).await {
                 Attempt::Answered(answer) => {
                     call.runs += 1;
                     let Answer { parts, body, mut leg } = *answer;
