Follow the cache store by its events, and fetch from it what it holds

Ruled out: more homes for a prefix (they would not fit the engines' memory). Change: each node listens to the cache store's events, within its limit of listeners; a prefix that it lacks is saved once, and one that it holds is fetched from it.

--- a/crates/gateway/src/dispatch/dispatcher.rs
+++ b/crates/gateway/src/dispatch/dispatcher.rs
@@ -1,5 +1,6 @@
 //! The way of requests to the dispatch task.
 
+use redwingrill_routing::CacheChange;
 use redwingrill_routing::ReportedLoad;
 use redwingrill_routing::WeightsVersion;
 use redwingrill_scheduling::fleet::UpstreamIndex;
@@ -34,6 +35,10 @@
     Read { assignment: Box<Assignment> },
     /// A send ended.
     Ended { index: UpstreamIndex, unread_tokens: u64, outcome: LegOutcome },
+    /// The cache store changed.
+    StoreChanged { changes: Vec<CacheChange> },
+    /// The cache store is empty, or does not answer.
+    StoreEmptied { is_heard: bool },
     /// Describe the state.
     Dump { reply: oneshot::Sender<serde_json::Value> },
     /// Tell the load of each upstream.
@@ -72,6 +77,16 @@
         }
     }
 
+    /// Tells what changed in the cache store.
+    pub fn cache_store_changed(&self, changes: Vec<CacheChange>) {
+        self.send(Message::StoreChanged { changes });
+    }
+
+    /// Tells that the cache store is empty, or does not answer.
+    pub fn cache_store_emptied(&self, is_heard: bool) {
+        self.send(Message::StoreEmptied { is_heard });
+    }
+
     /// Describes the state of the task; `None` once it has ended.
     pub async fn dump(&self) -> Option<serde_json::Value> {
         let (reply, answer) = oneshot::channel();
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -115,6 +115,8 @@
                     );
                 }
             }
+            Message::StoreChanged { changes } => self.scheduler.cache_store_changed(changes),
+            Message::StoreEmptied { is_heard } => self.scheduler.cache_store_emptied(is_heard),
             Message::Dump { reply } => {
                 let _gone = reply.send(self.dump(now_ms)).is_err();
             }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,10 +2,12 @@
 //!
 //! A request passes [`front`] and [`forward`], which asks [`dispatch`] for an upstream. What the
 //! node believes of the world comes from [`news`] (the platform's store, and [`peers`] while the
-//! store does not answer) and is typed by [`beliefs`]. [`rollout`] brings engines to new weights.
+//! store does not answer) and is typed by [`beliefs`]. [`cache_watch`] follows the store of cached
+//! prompt parts. [`rollout`] brings engines to new weights.
 //! [`node`] joins the parts.
 
 pub mod beliefs;
+pub mod cache_watch;
 pub mod clock;
 pub mod dispatch;
 pub mod forward;
--- a/crates/gateway/src/node/life.rs
+++ b/crates/gateway/src/node/life.rs
@@ -25,6 +25,7 @@
 use super::membership::keep_membership;
 use crate::beliefs::MEMBER_PREFIX;
 use crate::beliefs::Member;
+use crate::cache_watch::CacheWatch;
 use crate::dispatch::DispatchTask;
 use crate::dispatch::Dispatcher;
 use crate::forward::Gateway;
@@ -135,6 +136,9 @@
             let membership = keep_membership(ports.store.clone(), key, member, stopping.clone());
             services.spawn(membership);
         }
+        let (node, control) = (options.name.clone(), ports.control.clone());
+        let caches = CacheWatch::new(node, control, beliefs.clone(), dispatcher.clone());
+        services.spawn(caches.run(stopping.clone()));
         let rollout = RolloutTask::new(
             RolloutOptions { node: options.name.clone(), lease: options.rollout_lease },
             ports.store,
--- a/crates/routing/src/control.rs
+++ b/crates/routing/src/control.rs
@@ -1,9 +1,11 @@
 //! The port through which engines are given orders and asked what they hold.
 
 use std::future::Future;
+use std::net::SocketAddr;
 
 use snafu::Snafu;
 
+use crate::PartId;
 use crate::Upstream;
 use crate::WeightsVersion;
 
@@ -55,6 +57,30 @@
     },
 }
 
+/// What changed in a cache of prompt parts.
+#[derive(Clone, PartialEq, Eq, Debug, Default)]
+pub struct CacheChanges {
+    /// Changes when the cache starts anew, empty.
+    pub epoch: u64,
+    /// Where the next question goes on.
+    pub next: u64,
+    /// Whether changes before these were lost.
+    pub has_gap: bool,
+    /// The changes in their order.
+    pub changes: Vec<CacheChange>,
+}
+
+/// One change in a cache.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct CacheChange {
+    /// The scope under which the part is found.
+    pub scope: String,
+    /// The part.
+    pub part: PartId,
+    /// The tokens of it that are held now; zero if it was dropped.
+    pub tokens: u32,
+}
+
 /// The control interface of engines.
 pub trait UpstreamControl: Clone + Send + Sync + 'static {
     /// Returns how many orders an engine has accepted since its start.
@@ -63,6 +89,13 @@
         upstream: &Upstream,
     ) -> impl Future<Output = Result<u64, ControlError>> + Send;
 
+    /// Waits for changes in the cache at an address, up to about a second.
+    fn cache_changes(
+        &self,
+        address: SocketAddr,
+        since: u64,
+    ) -> impl Future<Output = Result<CacheChanges, ControlError>> + Send;
+
     /// Gives an order to an engine.
     fn order_weights(
         &self,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -26,6 +26,8 @@
 pub use configuration::Configuration;
 pub use configuration::ConfigurationParts;
 pub use configuration::InvalidConfiguration;
+pub use control::CacheChange;
+pub use control::CacheChanges;
 pub use control::ControlError;
 pub use control::UpstreamControl;
 pub use control::WeightsOrder;
--- a/crates/scheduling/src/placement/knowledge.rs
+++ b/crates/scheduling/src/placement/knowledge.rs
@@ -2,6 +2,10 @@
 
 use std::collections::HashMap;
 
+use redwingrill_routing::CacheChange;
+use redwingrill_routing::PartId;
+use redwingrill_routing::PromptPart;
+
 use super::AffinityKey;
 use super::Scope;
 use crate::fleet::UpstreamIndex;
@@ -9,8 +13,8 @@
 /// How long a prefix is taken to stay in an engine after its last use there.
 const HELD_MS: u64 = 8_000;
 
-/// How long a prefix is taken to stay in the cache store after it was sent there.
-const SAVED_MS: u64 = 60_000;
+/// How long a prefix that was sent to the cache store is taken to be on its way there.
+const SAVING_MS: u64 = 2_500;
 
 /// The most entries; the oldest go first.
 const ENTRIES_LIMIT: usize = 8_192;
@@ -21,8 +25,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct PartKnowledge {
     engines: HashMap<Held, Vec<(UpstreamIndex, u64)>>,
-    saved_ms: HashMap<Held, u64>,
-    uses: HashMap<AffinityKey, (u32, u64)>,
+    // Parts in the cache store by their scope; absent while it is not heard.
+    stored: Option<HashMap<String, HashMap<PartId, u32>>>,
+    saving_ms: HashMap<Held, u64>,
 }
 
 impl PartKnowledge {
@@ -59,36 +64,57 @@
         self.engines.retain(|_, holders| !holders.is_empty());
     }
 
-    /// Counts a use of a prefix; returns how often it was used of late.
-    pub fn used(&mut self, key: AffinityKey, now_ms: u64) -> u32 {
-        if self.uses.len() >= ENTRIES_LIMIT {
-            self.uses.retain(|_, (_, at_ms)| now_ms.saturating_sub(*at_ms) < SAVED_MS);
-        }
-        let (count, at_ms) = self.uses.entry(key).or_insert((0, now_ms));
-        if now_ms.saturating_sub(*at_ms) >= SAVED_MS {
-            *count = 0;
+    /// Notes that a prefix is sent to the cache store.
+    pub fn saving(&mut self, key: AffinityKey, scope: Scope, now_ms: u64) {
+        if self.saving_ms.len() >= ENTRIES_LIMIT {
+            self.saving_ms.retain(|_, at_ms| now_ms.saturating_sub(*at_ms) < SAVING_MS);
         }
-        *at_ms = now_ms;
-        *count += 1;
-        *count
+        self.saving_ms.insert((key, scope), now_ms);
+    }
+
+    /// Returns whether a prefix is on its way to the cache store.
+    pub fn is_saving(&self, key: AffinityKey, scope: &Scope, now_ms: u64) -> bool {
+        let sent = self.saving_ms.get(&(key, scope.clone()));
+        sent.is_some_and(|at_ms| now_ms.saturating_sub(*at_ms) < SAVING_MS)
     }
 
-    /// Notes that a prefix was sent to the cache store.
-    pub fn saved(&mut self, key: AffinityKey, scope: Scope, now_ms: u64) {
-        if self.saved_ms.len() >= ENTRIES_LIMIT {
-            self.saved_ms.retain(|_, at_ms| now_ms.saturating_sub(*at_ms) < SAVED_MS);
+    /// Takes in what changed in the cache store.
+    pub fn store_changed(&mut self, changes: Vec<CacheChange>) {
+        let stored = self.stored.get_or_insert_default();
+        for change in changes {
+            let parts = stored.entry(change.scope).or_default();
+            match change.tokens {
+                0 => parts.remove(&change.part),
+                tokens => parts.insert(change.part, tokens),
+            };
         }
-        self.saved_ms.insert((key, scope), now_ms);
+        stored.retain(|_, parts| !parts.is_empty());
     }
 
-    /// Returns whether the cache store holds a prefix, as far as this node knows.
-    pub fn is_saved(&self, key: AffinityKey, scope: &Scope, now_ms: u64) -> bool {
-        let saved = self.saved_ms.get(&(key, scope.clone()));
-        saved.is_some_and(|at_ms| now_ms.saturating_sub(*at_ms) < SAVED_MS)
+    /// Forgets what the cache store held; `is_heard` tells whether it answers.
+    pub fn store_emptied(&mut self, is_heard: bool) {
+        self.stored = is_heard.then(HashMap::new);
+        self.saving_ms.clear();
     }
 
-    /// Forgets what the cache store held.
-    pub fn store_emptied(&mut self) {
-        self.saved_ms.clear();
+    /// Returns whether the cache store answers.
+    pub fn hears_store(&self) -> bool {
+        self.stored.is_some()
+    }
+
+    /// Returns how many of the leading tokens of a prompt the cache store holds.
+    pub fn stored_tokens(&self, scope: &Scope, parts: &[PromptPart]) -> u32 {
+        let Some(held) = self.stored.as_ref().and_then(|stored| stored.get(&scope.0)) else {
+            return 0;
+        };
+        let mut tokens = 0;
+        for part in parts {
+            let held = held.get(&part.id).copied().unwrap_or(0).min(part.tokens);
+            tokens += held;
+            if held < part.tokens {
+                break;
+            }
+        }
+        tokens
     }
 }
--- a/crates/scheduling/src/placement/roles.rs
+++ b/crates/scheduling/src/placement/roles.rs
@@ -31,9 +31,7 @@
 impl Roles {
     /// Chooses among the engines of a service: each with its identity and whether it holds the
     /// newest weights.
-    pub fn choose<'a>(
-        engines: impl Iterator<Item = (UpstreamIndex, &'a str, bool)>,
-    ) -> Self {
+    pub fn choose<'a>(engines: impl Iterator<Item = (UpstreamIndex, &'a str, bool)>) -> Self {
         let mut ranked: Vec<_> = engines
             .map(|(index, id, is_newest)| (!is_newest, xxh3_64(id.as_bytes()), index))
             .collect();
--- a/crates/scheduling/src/scheduler/choose.rs
+++ b/crates/scheduling/src/scheduler/choose.rs
@@ -49,9 +49,6 @@
 /// The spread of random cost, so that nodes with equal knowledge choose differently.
 const NOISE_MS: f64 = 6.0;
 
-/// Uses of a prefix at this node from which it is worth keeping in the cache store.
-const USES_WORTH_SAVING: u32 = 2;
-
 /// The time before the end of the allowed span from which older weights are not used.
 const OLD_WEIGHTS_MARGIN_MS: u64 = 2_500;
 
@@ -257,11 +254,16 @@
         now_ms: u64,
     ) {
         let Some(scope) = assignment.scope.clone() else { return };
-        let uses = self.parts.used(key, now_ms);
-        let shared = u64::from(prompt.shared_tokens());
+        let shared = prompt.shared_tokens();
+        let stored = self.parts.stored_tokens(&scope, prompt.shared_parts());
+        let is_stored = stored >= shared;
+        if !is_stored && self.parts.hears_store() && !self.parts.is_saving(key, &scope, now_ms) {
+            assignment.save_to = self.cache_store;
+            self.parts.saving(key, scope.clone(), now_ms);
+        }
         let holders: Vec<_> = self.parts.holders(key, &scope, now_ms).collect();
         if holders.contains(&assignment.index) {
-            assignment.unread_tokens = assignment.unread_tokens.saturating_sub(shared);
+            assignment.unread_tokens = assignment.unread_tokens.saturating_sub(u64::from(shared));
             return;
         }
         // The home may hold what other nodes made it read; another engine fetches from a holder.
@@ -274,12 +276,10 @@
             !entry.health.is_resting(now_ms)
                 && entry.version_of(&prompt.model) == assignment.version
         });
-        assignment.fetch_from = holder.map(|entry| entry.upstream.address).or(self.cache_store);
-        if assignment.fetch_from.is_some() {
-            assignment.unread_tokens = assignment.unread_tokens.saturating_sub(shared);
-        }
-        if uses >= USES_WORTH_SAVING && !self.parts.is_saved(key, &scope, now_ms) {
-            assignment.save_to = self.cache_store;
-        }
+        let holder = holder.map(|entry| entry.upstream.address);
+        let store = self.cache_store.filter(|_| is_stored);
+        assignment.fetch_from = store.or(holder);
+        let found = if assignment.fetch_from.is_some() { shared } else { stored };
+        assignment.unread_tokens = assignment.unread_tokens.saturating_sub(u64::from(found));
     }
 }
--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -7,6 +7,7 @@
 
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use redwingrill_routing::CacheChange;
 use redwingrill_routing::ReportedLoad;
 use redwingrill_routing::Upstream;
 use redwingrill_routing::WeightsVersion;
@@ -106,11 +107,21 @@
     /// Sets where cached parts are kept beside the engines.
     pub fn set_cache_store(&mut self, address: Option<SocketAddr>) {
         if self.cache_store != address {
-            self.parts.store_emptied();
+            self.parts.store_emptied(false);
         }
         self.cache_store = address;
     }
 
+    /// Takes in what changed in the cache store.
+    pub fn cache_store_changed(&mut self, changes: Vec<CacheChange>) {
+        self.parts.store_changed(changes);
+    }
+
+    /// Notes that the cache store is empty, or does not answer.
+    pub fn cache_store_emptied(&mut self, is_heard: bool) {
+        self.parts.store_emptied(is_heard);
+    }
+
     /// Sets the number of nodes that share the bound on repeats.
     pub fn set_members(&mut self, members: usize) {
         self.members = if members == 0 { MEMBERS_UNKNOWN } else { members };
@@ -180,9 +191,6 @@
         }
         if let (Some(key), Some(scope)) = (assignment.affinity, &assignment.scope) {
             self.parts.read(key, scope.clone(), assignment.index, now_ms);
-            if assignment.save_to.is_some() {
-                self.parts.saved(key, scope.clone(), now_ms);
-            }
         }
     }
 
