Give resting engines no role, and nothing while others are healthy

Cause: three crashed engines stayed among those kept for short prompts and were tried whenever the healthy ones had no room; requests met two or three refused connections and then waited. Change: roles and homes are chosen among engines that do not rest; a resting engine is tried only if no healthy one is left. Short prompts may go to the other engines at the same backlog.

--- a/crates/scheduling/src/scheduler/choose.rs
+++ b/crates/scheduling/src/scheduler/choose.rs
@@ -68,7 +68,7 @@
 /// prompt, or a short one: a third of the targets of these kinds.
 const LONG_UNREAD_LIMIT_MS: f64 = 500.0;
 const SHORT_UNREAD_LIMIT_MS: f64 = 160.0;
-const SHORT_AMONG_LONG_UNREAD_LIMIT_MS: f64 = 90.0;
+const SHORT_AMONG_LONG_UNREAD_LIMIT_MS: f64 = 160.0;
 
 struct Candidate {
     index: UpstreamIndex,
@@ -138,7 +138,8 @@
         let engines = engines.filter_map(|(index, entry)| {
             let version = entry.version_of(&prompt.model)?;
             let is_newest = version >= self.newest(&prompt.model);
-            entry.is_open(now_ms).then_some((index, entry.upstream.id.as_str(), is_newest))
+            let serves = entry.is_open(now_ms) && !entry.health.is_resting(now_ms);
+            serves.then_some((index, entry.upstream.id.as_str(), is_newest))
         });
         let engines: Vec<_> = engines.collect();
         let roles = Roles::choose(engines.iter().copied(), short_per_s);
@@ -164,11 +165,13 @@
         let mut rng = self.rng.clone();
         let mut best: Option<Candidate> = None;
         for strict in [true, false] {
+            let mut is_any_healthy = false;
             for (index, entry) in self.fleet.of_service(&ask.service) {
-                if ask.tried.contains(&index)
-                    || !self.may_get(entry, ask, strict, now_ms)
-                    || !self.has_room(ask, frame, index, entry, now_ms)
-                {
+                if ask.tried.contains(&index) || !self.may_get(entry, ask, strict, now_ms) {
+                    continue;
+                }
+                is_any_healthy = true;
+                if !self.has_room(ask, frame, index, entry, now_ms) {
                     continue;
                 }
                 let noise_ms = rng.random_range(0.0..NOISE_MS);
@@ -177,7 +180,8 @@
                     best = Some(Candidate { index, cost_ms });
                 }
             }
-            if best.is_some() {
+            // A resting upstream is better than none, but not better than a short wait.
+            if is_any_healthy {
                 break;
             }
         }
