Lend idle short-prompt engines, and call late what can no longer be served in time

Change: an engine for short prompts that is idle takes a long one whose prefix it can fetch; a request is late from when its target can no longer be met if it is sent now.

--- a/crates/gateway/src/beliefs/build.rs
+++ b/crates/gateway/src/beliefs/build.rs
@@ -8,13 +8,6 @@
 
 use log::info;
 use log::warn;
-use redwingrill_routing::Configuration;
-use redwingrill_routing::ItemDialect;
-use redwingrill_routing::ItemKind;
-use redwingrill_routing::Revision;
-use redwingrill_routing::Upstream;
-use redwingrill_routing::UpstreamState;
-use redwingrill_routing::WeightsVersion;
 use serde::de::DeserializeOwned;
 
 use super::Beliefs;
@@ -23,6 +16,13 @@
 use super::ROLLOUT_KEY;
 use super::RolloutHolder;
 use crate::news::Board;
+use redwingrill_routing::Configuration;
+use redwingrill_routing::ItemDialect;
+use redwingrill_routing::ItemKind;
+use redwingrill_routing::Revision;
+use redwingrill_routing::Upstream;
+use redwingrill_routing::UpstreamState;
+use redwingrill_routing::WeightsVersion;
 
 /// Builds beliefs, and keeps what was decoded before.
 #[derive(Debug)]
--- a/crates/gateway/src/cache_watch/task.rs
+++ b/crates/gateway/src/cache_watch/task.rs
@@ -6,12 +6,12 @@
 
 use log::info;
 use log::warn;
-use redwingrill_routing::UpstreamControl;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 use crate::beliefs::Beliefs;
 use crate::dispatch::Dispatcher;
+use redwingrill_routing::UpstreamControl;
 
 /// The pause after an answer with changes, so that a series of them costs few calls.
 const BATCH_PAUSE: Duration = Duration::from_millis(150);
--- a/crates/gateway/src/dispatch/dispatcher.rs
+++ b/crates/gateway/src/dispatch/dispatcher.rs
@@ -2,6 +2,10 @@
 
 use std::sync::Arc;
 
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use super::Leg;
 use redwingrill_routing::CacheChange;
 use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::ReportedLoad;
@@ -13,10 +17,6 @@
 use redwingrill_scheduling::scheduler::Choice;
 use redwingrill_scheduling::scheduler::LegOutcome;
 use redwingrill_scheduling::scheduler::RefusalCause;
-use tokio::sync::mpsc;
-use tokio::sync::oneshot;
-
-use super::Leg;
 
 /// The pause that a caller is told while the node stops.
 const STOPPING_PAUSE_MS: u64 = 300;
--- a/crates/gateway/src/dispatch/leg.rs
+++ b/crates/gateway/src/dispatch/leg.rs
@@ -1,13 +1,12 @@
 //! One send of a request to an upstream.
 
+use super::Dispatcher;
+use super::dispatcher::Message;
 use redwingrill_routing::ReplyFacts;
 use redwingrill_scheduling::fleet::Verdict;
 use redwingrill_scheduling::scheduler::Assignment;
 use redwingrill_scheduling::scheduler::LegOutcome;
 
-use super::Dispatcher;
-use super::dispatcher::Message;
-
 /// One send of a request to an upstream.
 #[derive(Debug)]
 pub struct Leg {
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -4,13 +4,6 @@
 use std::time::Duration;
 
 use log::info;
-use redwingrill_routing::Configuration;
-use redwingrill_scheduling::scheduler::Ask;
-use redwingrill_scheduling::scheduler::Choice;
-use redwingrill_scheduling::scheduler::RefusalCause;
-use redwingrill_scheduling::scheduler::Scheduler;
-use redwingrill_scheduling::scheduler::SchedulerOptions;
-use redwingrill_scheduling::scheduler::WaitingRoom;
 use serde_json::json;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -23,6 +16,13 @@
 use crate::beliefs::Beliefs;
 use crate::clock::now_ms;
 use crate::telemetry::Metrics;
+use redwingrill_routing::Configuration;
+use redwingrill_scheduling::scheduler::Ask;
+use redwingrill_scheduling::scheduler::Choice;
+use redwingrill_scheduling::scheduler::RefusalCause;
+use redwingrill_scheduling::scheduler::Scheduler;
+use redwingrill_scheduling::scheduler::SchedulerOptions;
+use redwingrill_scheduling::scheduler::WaitingRoom;
 
 /// The pause that a caller is told whose request may not be sent again.
 const BUDGET_PAUSE_MS: u64 = 500;
--- a/crates/gateway/src/forward/attempt.rs
+++ b/crates/gateway/src/forward/attempt.rs
@@ -6,6 +6,9 @@
 use http::StatusCode;
 use http::response::Parts;
 use log::debug;
+
+use super::call::Call;
+use crate::dispatch::Leg;
 use redwingrill_routing::HeadDialect;
 use redwingrill_scheduling::fleet::Verdict;
 use redwingrill_transport::Freshness;
@@ -14,9 +17,6 @@
 use redwingrill_transport::Timeouts;
 use redwingrill_transport::TransportError;
 
-use super::call::Call;
-use crate::dispatch::Leg;
-
 /// How long opening a connection may take: many times the round trip within a region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -1,11 +1,14 @@
 //! One request on its way.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::HeaderMap;
 use http::Method;
 use http::Uri;
+
+use crate::clock::now_ms;
 use redwingrill_routing::ClientAccount;
 use redwingrill_routing::LegOrders;
 use redwingrill_routing::RequestFacts;
@@ -13,9 +16,6 @@
 use redwingrill_scheduling::fleet::UpstreamIndex;
 use redwingrill_scheduling::scheduler::Ask;
 use redwingrill_scheduling::scheduler::Assignment;
-use std::time::Duration;
-
-use crate::clock::now_ms;
 
 /// The lowest urgency at upstreams.
 const URGENCY_LIMIT: u8 = 9;
--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -13,15 +13,6 @@
 use hyper::body::Incoming;
 use log::info;
 use rand::Rng;
-use redwingrill_codes::ResultCode;
-use redwingrill_routing::CallerLimits;
-use redwingrill_routing::Configuration;
-use redwingrill_routing::HeadDialect;
-use redwingrill_routing::RequestFacts;
-use redwingrill_routing::Route;
-use redwingrill_scheduling::fleet::Verdict;
-use redwingrill_scheduling::scheduler::RefusalCause;
-use redwingrill_transport::Pool;
 use tokio::sync::watch;
 use tokio_util::task::TaskTracker;
 
@@ -40,6 +31,15 @@
 use crate::dispatch::Leg;
 use crate::dispatch::Purpose;
 use crate::telemetry::Metrics;
+use redwingrill_codes::ResultCode;
+use redwingrill_routing::CallerLimits;
+use redwingrill_routing::Configuration;
+use redwingrill_routing::HeadDialect;
+use redwingrill_routing::RequestFacts;
+use redwingrill_routing::Route;
+use redwingrill_scheduling::fleet::Verdict;
+use redwingrill_scheduling::scheduler::RefusalCause;
+use redwingrill_transport::Pool;
 
 /// The time that a caller waits if it does not say.
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -16,8 +16,6 @@
 use http_body_util::BodyExt;
 use http_body_util::StreamBody;
 use log::info;
-use redwingrill_scheduling::fleet::Verdict;
-use redwingrill_transport::ReplyBody;
 use tokio::sync::mpsc;
 use tokio_util::task::TaskTracker;
 
@@ -31,6 +29,8 @@
 use super::reply::StreamAborted;
 use crate::dispatch::Leg;
 use crate::dispatch::Purpose;
+use redwingrill_scheduling::fleet::Verdict;
+use redwingrill_transport::ReplyBody;
 
 /// Pieces that wait for a slow caller; beyond them the upstream is not read.
 const PIECES_WAITING: usize = 8;
--- a/crates/gateway/src/forward/reply.rs
+++ b/crates/gateway/src/forward/reply.rs
@@ -8,9 +8,10 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::combinators::BoxBody;
+use snafu::Snafu;
+
 use redwingrill_codes::ErrorBody;
 use redwingrill_codes::ResultCode;
-use snafu::Snafu;
 
 /// A stream that ends before its end; the connection is closed so that the caller sees it.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Snafu)]
--- a/crates/gateway/src/front/listener.rs
+++ b/crates/gateway/src/front/listener.rs
@@ -21,7 +21,6 @@
 use hyper_util::rt::TokioTimer;
 use log::debug;
 use log::warn;
-use redwingrill_transport::watch_silence;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
@@ -29,6 +28,7 @@
 
 use crate::forward::Gateway;
 use crate::telemetry::Metrics;
+use redwingrill_transport::watch_silence;
 
 /// The pause after a failed accept, such as for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
--- a/crates/gateway/src/news/board.rs
+++ b/crates/gateway/src/news/board.rs
@@ -3,12 +3,13 @@
 use std::collections::HashMap;
 
 use bytes::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
+
 use redwingrill_routing::Change;
 use redwingrill_routing::Item;
 use redwingrill_routing::Listing;
 use redwingrill_routing::Revision;
-use serde::Deserialize;
-use serde::Serialize;
 
 /// The most removed keys that are remembered for peers; the oldest are forgotten first.
 const REMOVED_LIMIT: usize = 2_048;
--- a/crates/gateway/src/news/task.rs
+++ b/crates/gateway/src/news/task.rs
@@ -6,10 +6,6 @@
 use log::info;
 use log::warn;
 use rand::Rng;
-use redwingrill_routing::ItemDialect;
-use redwingrill_routing::Revision;
-use redwingrill_routing::SharedStore;
-use redwingrill_routing::StoreFault;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
@@ -23,6 +19,10 @@
 use crate::clock::now_ms;
 use crate::peers::ask_peer;
 use crate::telemetry::Metrics;
+use redwingrill_routing::ItemDialect;
+use redwingrill_routing::Revision;
+use redwingrill_routing::SharedStore;
+use redwingrill_routing::StoreFault;
 
 /// How long the store keeps a call without changes waiting; bounds how late silence is noticed.
 const WATCH_WAIT: Duration = Duration::from_millis(2_000);
--- a/crates/gateway/src/node/life.rs
+++ b/crates/gateway/src/node/life.rs
@@ -7,11 +7,6 @@
 use http::StatusCode;
 use log::info;
 use log::warn;
-use redwingrill_routing::ItemDialect;
-use redwingrill_routing::SharedStore;
-use redwingrill_routing::UpstreamControl;
-use redwingrill_scheduling::scheduler::SchedulerOptions;
-use redwingrill_transport::Pool;
 use snafu::ResultExt;
 use snafu::Snafu;
 use tokio::net::TcpListener;
@@ -40,6 +35,11 @@
 use crate::rollout::RolloutOptions;
 use crate::rollout::RolloutTask;
 use crate::telemetry::Metrics;
+use redwingrill_routing::ItemDialect;
+use redwingrill_routing::SharedStore;
+use redwingrill_routing::UpstreamControl;
+use redwingrill_scheduling::scheduler::SchedulerOptions;
+use redwingrill_transport::Pool;
 
 /// How long a node that stops goes on to accept: the balancer asks each second and takes a node out
 /// after two misses.
--- a/crates/gateway/src/node/membership.rs
+++ b/crates/gateway/src/node/membership.rs
@@ -5,14 +5,14 @@
 use bytes::Bytes;
 use log::info;
 use log::warn;
+use tokio_util::sync::CancellationToken;
+
+use crate::beliefs::Member;
 use redwingrill_routing::LeaseId;
 use redwingrill_routing::SharedStore;
 use redwingrill_routing::StoreFault;
 use redwingrill_routing::Write;
 use redwingrill_routing::WriteOutcome;
-use tokio_util::sync::CancellationToken;
-
-use crate::beliefs::Member;
 
 /// How long the entry outlives its node: long enough to ride over short outages of the store.
 const LEASE: Duration = Duration::from_secs(20);
--- a/crates/gateway/src/peers/ask.rs
+++ b/crates/gateway/src/peers/ask.rs
@@ -4,8 +4,6 @@
 use std::time::Duration;
 
 use log::debug;
-use redwingrill_routing::Revision;
-use redwingrill_transport::Postcard;
 use tarpc::client::Config;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -14,6 +12,8 @@
 use super::service::PeerNewsClient;
 use super::service::frames;
 use crate::news::BoardUpdate;
+use redwingrill_routing::Revision;
+use redwingrill_transport::Postcard;
 
 /// How long one question may take, connecting included.
 const ASK_LIMIT: Duration = Duration::from_millis(700);
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -5,9 +5,6 @@
 use futures::StreamExt;
 use log::debug;
 use log::warn;
-use redwingrill_routing::Revision;
-use redwingrill_transport::Postcard;
-use redwingrill_transport::watch_silence;
 use tarpc::context::Context;
 use tarpc::server::BaseChannel;
 use tarpc::server::Channel;
@@ -21,6 +18,9 @@
 use super::service::frames;
 use crate::news::BoardUpdate;
 use crate::news::NewsReader;
+use redwingrill_routing::Revision;
+use redwingrill_transport::Postcard;
+use redwingrill_transport::watch_silence;
 
 /// The pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
--- a/crates/gateway/src/rollout/holder.rs
+++ b/crates/gateway/src/rollout/holder.rs
@@ -4,6 +4,8 @@
 
 use bytes::Bytes;
 use log::info;
+
+use crate::beliefs::RolloutHolder;
 use redwingrill_routing::Condition;
 use redwingrill_routing::LeaseId;
 use redwingrill_routing::Revision;
@@ -12,8 +14,6 @@
 use redwingrill_routing::Write;
 use redwingrill_routing::WriteOutcome;
 
-use crate::beliefs::RolloutHolder;
-
 /// The key, held under a lease.
 #[derive(Clone, Debug)]
 pub(super) struct HeldKey {
--- a/crates/gateway/src/rollout/task.rs
+++ b/crates/gateway/src/rollout/task.rs
@@ -7,6 +7,16 @@
 use futures::future::join_all;
 use log::info;
 use log::warn;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use super::holder::HeldKey;
+use super::holder::claim;
+use crate::beliefs::Beliefs;
+use crate::beliefs::ROLLOUT_KEY;
+use crate::beliefs::RolloutHolder;
+use crate::clock::now_ms;
+use crate::dispatch::Dispatcher;
 use redwingrill_routing::ControlError;
 use redwingrill_routing::ItemDialect;
 use redwingrill_routing::SharedStore;
@@ -21,16 +31,6 @@
 use redwingrill_scheduling::rollout::LoadPlan;
 use redwingrill_scheduling::rollout::OrderResult;
 use redwingrill_scheduling::rollout::Tenure;
-use tokio::sync::watch;
-use tokio_util::sync::CancellationToken;
-
-use super::holder::HeldKey;
-use super::holder::claim;
-use crate::beliefs::Beliefs;
-use crate::beliefs::ROLLOUT_KEY;
-use crate::beliefs::RolloutHolder;
-use crate::clock::now_ms;
-use crate::dispatch::Dispatcher;
 
 /// How often work is looked at while there is some.
 const STEP: Duration = Duration::from_millis(150);
--- a/crates/scheduling/src/fleet/table.rs
+++ b/crates/scheduling/src/fleet/table.rs
@@ -8,15 +8,14 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 
-use redwingrill_routing::ReportedLoad;
-use redwingrill_routing::Upstream;
-use redwingrill_routing::UpstreamState;
-use redwingrill_routing::WeightsVersion;
-
 use super::Health;
 use super::NodeLoad;
 use super::PeerLoads;
 use super::UpstreamTag;
+use redwingrill_routing::ReportedLoad;
+use redwingrill_routing::Upstream;
+use redwingrill_routing::UpstreamState;
+use redwingrill_routing::WeightsVersion;
 
 /// How long an upstream that proved to be another, or to hold other weights, is passed over.
 const MISDIRECTED_PAUSE_MS: u64 = 400;
--- a/crates/scheduling/src/placement/affinity.rs
+++ b/crates/scheduling/src/placement/affinity.rs
@@ -5,9 +5,10 @@
 //! read by one engine and found there by the requests of the other nodes. The loss of an engine
 //! moves only its own parts.
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::WeightsVersion;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// A shared prefix shorter than this is cheaper to read again than to look for.
 const SHARED_TOKENS_FLOOR: u32 = 1_024;
--- a/crates/scheduling/src/placement/knowledge.rs
+++ b/crates/scheduling/src/placement/knowledge.rs
@@ -2,13 +2,12 @@
 
 use std::collections::HashMap;
 
-use redwingrill_routing::CacheChange;
-use redwingrill_routing::PartId;
-use redwingrill_routing::PromptPart;
-
 use super::AffinityKey;
 use super::Scope;
 use crate::fleet::UpstreamIndex;
+use redwingrill_routing::CacheChange;
+use redwingrill_routing::PartId;
+use redwingrill_routing::PromptPart;
 
 /// How long a prefix is taken to stay in an engine after its last use there.
 const HELD_MS: u64 = 8_000;
--- a/crates/scheduling/src/scheduler/ask.rs
+++ b/crates/scheduling/src/scheduler/ask.rs
@@ -3,13 +3,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use redwingrill_routing::DeclaredPrompt;
-use redwingrill_routing::Upstream;
-use redwingrill_routing::WeightsVersion;
-
 use crate::fleet::UpstreamIndex;
 use crate::placement::AffinityKey;
 use crate::placement::Scope;
+use redwingrill_routing::DeclaredPrompt;
+use redwingrill_routing::Upstream;
+use redwingrill_routing::WeightsVersion;
 
 /// What a request asks for.
 #[derive(Clone, Debug)]
--- a/crates/scheduling/src/scheduler/choose.rs
+++ b/crates/scheduling/src/scheduler/choose.rs
@@ -6,8 +6,6 @@
 //! (load decides, then the failure domain).
 
 use rand::Rng;
-use redwingrill_routing::DeclaredPrompt;
-use redwingrill_routing::WeightsVersion;
 
 use super::Ask;
 use super::Assignment;
@@ -22,6 +20,8 @@
 use crate::placement::Scope;
 use crate::placement::is_long;
 use crate::placement::rendezvous_score;
+use redwingrill_routing::DeclaredPrompt;
+use redwingrill_routing::WeightsVersion;
 
 /// Prompt tokens that an engine reads in a millisecond, from the engines' data sheet.
 const READ_TOKENS_PER_MS: f64 = 50.0;
@@ -57,6 +57,12 @@
 /// The pause that callers are told while no upstream is there.
 const NO_UPSTREAM_PAUSE_MS: u64 = 700;
 
+/// The part of its slots up to which an engine for short prompts takes a long one, as a divisor.
+const LENT_SLOTS_PART: u32 = 3;
+
+/// What an engine of the other role costs a long prompt, in milliseconds of waiting.
+const LONG_AMONG_SHORT_COST_MS: f64 = 600.0;
+
 /// What an engine for long prompts costs a short one, in milliseconds of waiting: a long prompt
 /// slows down the short ones that it meets.
 const SHORT_AMONG_LONG_COST_MS: f64 = 80.0;
@@ -213,8 +219,13 @@
         let unread_ms = entry.unread_everywhere() as f64 / READ_TOKENS_PER_MS;
         let is_short_engine = frame.roles.is_short(index);
         let limit_ms = match (frame.is_long, is_short_engine) {
-            // Kept free as long as there is another engine.
-            (true, true) if frame.roles.has_long() => return false,
+            // Lent while it has little to do, for a prompt of which it need not read much.
+            (true, true) if frame.roles.has_long() => {
+                return entry.unread_everywhere() == 0
+                    && load < slots / LENT_SLOTS_PART
+                    && !frame.is_late
+                    && self.is_found(ask, entry);
+            }
             (true, _) => LONG_UNREAD_LIMIT_MS,
             (false, true) => SHORT_UNREAD_LIMIT_MS,
             (false, false) => SHORT_AMONG_LONG_UNREAD_LIMIT_MS,
@@ -251,6 +262,14 @@
         overtaken_ms.is_none_or(|at_ms| now_ms.saturating_sub(at_ms) < limit_ms)
     }
 
+    /// Returns whether an engine would fetch the shared prefix of a prompt rather than read it.
+    fn is_found(&self, ask: &Ask, entry: &FleetEntry) -> bool {
+        let Some(prompt) = &ask.prompt else { return false };
+        let Some(version) = entry.version_of(&prompt.model) else { return false };
+        let scope = Scope::new(version, ask.isolated_account.as_deref());
+        self.parts.stored_tokens(&scope, prompt.shared_parts()) >= prompt.shared_tokens()
+    }
+
     fn cost_ms(
         &self,
         ask: &Ask,
@@ -268,9 +287,11 @@
             cost_ms += WARM_UP_COST_MS;
         }
         let Some(prompt) = &ask.prompt else { return cost_ms };
-        if !frame.is_long && !frame.roles.is_short(index) {
-            cost_ms += SHORT_AMONG_LONG_COST_MS;
-        }
+        cost_ms += match (frame.is_long, frame.roles.is_short(index)) {
+            (true, true) => LONG_AMONG_SHORT_COST_MS,
+            (false, false) => SHORT_AMONG_LONG_COST_MS,
+            _ => 0.0,
+        };
         let version = entry.version_of(&prompt.model).unwrap_or_default();
         if version < self.newest(&prompt.model) {
             cost_ms += OLD_WEIGHTS_COST_MS;
--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -8,11 +8,6 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use redwingrill_routing::CacheChange;
-use redwingrill_routing::DeclaredPrompt;
-use redwingrill_routing::ReportedLoad;
-use redwingrill_routing::Upstream;
-use redwingrill_routing::WeightsVersion;
 
 use super::Assignment;
 use super::LegOutcome;
@@ -27,6 +22,11 @@
 use crate::fleet::Verdict;
 use crate::placement::PartKnowledge;
 use crate::placement::is_long;
+use redwingrill_routing::CacheChange;
+use redwingrill_routing::DeclaredPrompt;
+use redwingrill_routing::ReportedLoad;
+use redwingrill_routing::Upstream;
+use redwingrill_routing::WeightsVersion;
 
 /// The members that are assumed before any is known.
 const MEMBERS_UNKNOWN: usize = 8;
--- a/crates/scheduling/src/scheduler/outcome.rs
+++ b/crates/scheduling/src/scheduler/outcome.rs
@@ -1,10 +1,9 @@
 //! What became of one send of a request.
 
+use crate::fleet::Verdict;
 use redwingrill_routing::ReportedLoad;
 use redwingrill_routing::WeightsVersion;
 
-use crate::fleet::Verdict;
-
 /// What became of one send of a request.
 #[derive(Clone, Debug)]
 pub struct LegOutcome {
--- a/crates/scheduling/src/scheduler/waiting.rs
+++ b/crates/scheduling/src/scheduler/waiting.rs
@@ -18,6 +18,11 @@
 /// The part of its time that a request waits, in percent.
 const PATIENCE_PERCENT: u64 = 30;
 
+/// What a long prompt takes from its sending to its first event with the reading before it, and
+/// what a short one takes, from the engines' data sheet.
+const LONG_SERVING_MS: u64 = 700;
+const SHORT_SERVING_MS: u64 = 250;
+
 /// The most requests of a class that wait at a node.
 const WAITING_LIMIT: usize = 96;
 
@@ -37,8 +42,13 @@
         class_of(&self.ask)
     }
 
+    /// Returns whether the request can no longer meet its target, even if it is sent now.
     fn is_late(&self, now_ms: u64) -> bool {
-        now_ms >= self.ask.arrived_ms + self.ask.target_ms
+        let is_long = self.class().1;
+        let serving_ms = if is_long { LONG_SERVING_MS } else { SHORT_SERVING_MS };
+        // Whoever has a tighter target than that is on time while half of it is left.
+        let needed_ms = serving_ms.min(self.ask.target_ms / 2);
+        now_ms + needed_ms >= self.ask.arrived_ms + self.ask.target_ms
     }
 
     fn patience_ends_ms(&self) -> u64 {
--- /dev/null
+++ b/crates/scheduling/tests/support/mod.rs
@@ -0,0 +1,93 @@
+//! Fixtures of the scheduler's tests.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use redwingrill_routing::DeclaredPrompt;
+use redwingrill_routing::PartId;
+use redwingrill_routing::PromptPart;
+use redwingrill_routing::Upstream;
+use redwingrill_routing::UpstreamState;
+use redwingrill_routing::WeightsVersion;
+use redwingrill_scheduling::budget::BudgetSpec;
+use redwingrill_scheduling::scheduler::Ask;
+use redwingrill_scheduling::scheduler::Assignment;
+use redwingrill_scheduling::scheduler::Choice;
+use redwingrill_scheduling::scheduler::Scheduler;
+use redwingrill_scheduling::scheduler::SchedulerOptions;
+
+pub const MODEL: &str = "m";
+pub const SERVICE: &str = "llm";
+pub const SLOTS: u32 = 32;
+pub const VERSION_LIMIT_MS: u64 = 20_000;
+
+pub fn scheduler(seed: u64) -> Scheduler {
+    Scheduler::new(SchedulerOptions {
+        failure_domain: "a".to_owned(),
+        budget: BudgetSpec { ratio: 0.2, allowance: 54.0, window_ms: 10_000 },
+        version_limit_ms: VERSION_LIMIT_MS,
+        seed,
+    })
+}
+
+pub fn engine(id: &str, version: u64) -> Arc<Upstream> {
+    let last = id.bytes().fold(1u8, |sum, byte| sum.wrapping_mul(31).wrapping_add(byte));
+    Arc::new(Upstream {
+        id: id.to_owned(),
+        service: SERVICE.to_owned(),
+        address: std::net::SocketAddr::from(([10, 0, 0, last], 80)),
+        failure_domain: "a".to_owned(),
+        slots: SLOTS,
+        state: UpstreamState::Ready,
+        warm_up_left: Duration::ZERO,
+        models: vec![(MODEL.to_owned(), WeightsVersion(version))],
+        started_unix_ms: None,
+    })
+}
+
+pub fn engines(count: usize, version: u64) -> Vec<Arc<Upstream>> {
+    (0..count).map(|index| engine(&format!("engine-{index}"), version)).collect()
+}
+
+/// A short prompt, worth reading again rather than looking for.
+pub fn short_prompt(own: u64) -> DeclaredPrompt {
+    prompt(&[(1, 90), (1_000_000 + own, 290)])
+}
+
+/// A long prompt whose first part is the book of this number.
+pub fn long_prompt(book: u64, own: u64) -> DeclaredPrompt {
+    prompt(&[(book, 13_300), (2_000_000 + own, 3_720)])
+}
+
+fn prompt(parts: &[(u64, u32)]) -> DeclaredPrompt {
+    let parts = parts.iter().map(|&(id, tokens)| PromptPart { id: PartId(id), tokens });
+    let parts: Vec<PromptPart> = parts.collect();
+    DeclaredPrompt {
+        model: MODEL.to_owned(),
+        prompt_tokens: parts.iter().map(|part| part.tokens).sum(),
+        answer_tokens_limit: 40,
+        parts,
+    }
+}
+
+pub fn ask(prompt: Option<DeclaredPrompt>, arrived_ms: u64) -> Ask {
+    let is_long = prompt.as_ref().is_some_and(|prompt| prompt.prompt_tokens > 2_048);
+    Ask {
+        service: SERVICE.to_owned(),
+        prompt: prompt.map(Arc::new),
+        isolated_account: None,
+        urgency: if is_long { 2 } else { 0 },
+        arrived_ms,
+        deadline_ms: arrived_ms + if is_long { 12_000 } else { 5_000 },
+        target_ms: if is_long { 1_500 } else { 500 },
+        tried: Vec::new(),
+    }
+}
+
+pub fn sent(choice: Choice) -> Assignment {
+    match choice {
+        Choice::Send(assignment) => *assignment,
+        other => panic!("not sent: {other:?}"),
+    }
+}
--- a/crates/scheduling/tests/versions.rs
+++ b/crates/scheduling/tests/versions.rs
@@ -1,61 +1,23 @@
-//! Versions of weights: which engines may answer while newer ones are named.
+//! Versions of weights: which engines may answer while newer ones are named, and who orders them.
 
-use std::collections::HashMap;
-use std::sync::Arc;
-use std::time::Duration;
+mod support;
+
+use quickcheck::quickcheck;
 
-use redwingrill_routing::DeclaredPrompt;
-use redwingrill_routing::Upstream;
-use redwingrill_routing::UpstreamState;
 use redwingrill_routing::WeightsVersion;
-use redwingrill_scheduling::budget::BudgetSpec;
+use redwingrill_scheduling::rollout::Claim;
 use redwingrill_scheduling::rollout::EngineWeights;
 use redwingrill_scheduling::rollout::LoadPlan;
-use redwingrill_scheduling::scheduler::Ask;
+use redwingrill_scheduling::rollout::OrderResult;
+use redwingrill_scheduling::rollout::Tenure;
 use redwingrill_scheduling::scheduler::Choice;
-use redwingrill_scheduling::scheduler::Scheduler;
-use redwingrill_scheduling::scheduler::SchedulerOptions;
-
-const VERSION_LIMIT_MS: u64 = 20_000;
-
-fn scheduler() -> Scheduler {
-    Scheduler::new(SchedulerOptions {
-        failure_domain: "a".to_owned(),
-        budget: BudgetSpec { ratio: 0.2, allowance: 54.0, window_ms: 10_000 },
-        version_limit_ms: VERSION_LIMIT_MS,
-        seed: 1,
-    })
-}
-
-fn engine(id: &str, version: u64) -> Arc<Upstream> {
-    Arc::new(Upstream {
-        id: id.to_owned(),
-        service: "llm".to_owned(),
-        address: "10.0.0.1:80".parse().expect("an address"),
-        failure_domain: "a".to_owned(),
-        slots: 32,
-        state: UpstreamState::Ready,
-        warm_up_left: Duration::ZERO,
-        models: vec![("m".to_owned(), WeightsVersion(version))],
-        started_unix_ms: None,
-    })
-}
-
-fn ask() -> Ask {
-    let prompt = DeclaredPrompt { model: "m".to_owned(), ..DeclaredPrompt::default() };
-    Ask {
-        service: "llm".to_owned(),
-        prompt: Some(Arc::new(prompt)),
-        isolated_account: None,
-        urgency: 0,
-        arrived_ms: 0,
-        deadline_ms: u64::MAX,
-        target_ms: 500,
-        tried: Vec::new(),
-    }
-}
+use support::MODEL;
+use support::ask;
+use support::engine;
+use support::scheduler;
+use support::short_prompt;
 
-struct Case {
+struct NamingCase {
     name: &'static str,
     /// Version and time of each naming, after the start.
     named: &'static [(u64, u64)],
@@ -66,10 +28,10 @@
 #[test]
 fn the_first_newer_version_ends_an_older_one() {
     let cases = [
-        Case { name: "nothing newer", named: &[(1, 5_000)], at_ms: 90_000, is_sent: true },
-        Case { name: "just overtaken", named: &[(2, 5_000)], at_ms: 6_000, is_sent: true },
-        Case { name: "long overtaken", named: &[(2, 5_000)], at_ms: 24_900, is_sent: false },
-        Case {
+        NamingCase { name: "nothing newer", named: &[(1, 5_000)], at_ms: 90_000, is_sent: true },
+        NamingCase { name: "just overtaken", named: &[(2, 5_000)], at_ms: 6_000, is_sent: true },
+        NamingCase { name: "long overtaken", named: &[(2, 5_000)], at_ms: 24_900, is_sent: false },
+        NamingCase {
             name: "overtaken again does not begin anew",
             named: &[(2, 5_000), (3, 15_000), (4, 24_000)],
             at_ms: 24_900,
@@ -77,27 +39,121 @@
         },
     ];
     for case in cases {
-        let mut scheduler = scheduler();
+        let mut scheduler = scheduler(1);
         scheduler.set_upstreams(vec![engine("e", 1)], 0);
-        scheduler.name_version("m", WeightsVersion(1), 0);
+        scheduler.name_version(MODEL, WeightsVersion(1), 0);
         for (version, at_ms) in case.named {
-            scheduler.name_version("m", WeightsVersion(*version), *at_ms);
+            scheduler.name_version(MODEL, WeightsVersion(*version), *at_ms);
         }
-        let choice = scheduler.choose(&ask(), case.at_ms);
+        let choice = scheduler.choose(&ask(Some(short_prompt(1)), case.at_ms), case.at_ms);
         assert_eq!(matches!(choice, Choice::Send(_)), case.is_sent, "{}", case.name);
     }
 }
 
+fn weights(id: &str, holds: u64, load: u32) -> EngineWeights {
+    EngineWeights { upstream_id: id.to_owned(), holds: WeightsVersion(holds), load }
+}
+
 #[test]
 fn engines_with_the_oldest_weights_load_first() {
-    let versions = HashMap::from([("a", 2), ("b", 1), ("c", 2), ("d", 2)]);
-    let engines = versions.iter().map(|(id, version)| EngineWeights {
-        upstream_id: (*id).to_owned(),
-        holds: WeightsVersion(*version),
-        load: if *id == "b" { 20 } else { 0 },
-    });
-    let engines: Vec<_> = engines.collect();
+    let engines = [weights("a", 2, 0), weights("b", 1, 20), weights("c", 2, 0)];
     let (next, under_way) = LoadPlan::default().next(&engines, WeightsVersion(3), 0);
     assert_eq!(next, ["b"]);
     assert!(under_way.is_empty());
 }
+
+#[test]
+fn a_part_of_the_engines_loads_at_a_time_and_none_twice() {
+    let engines: Vec<_> = (0..18).map(|n| weights(&format!("e{n}"), 1, 0)).collect();
+    let mut plan = LoadPlan::default();
+    let (first, _) = plan.next(&engines, WeightsVersion(2), 0);
+    assert_eq!(first.len(), 4);
+    for id in &first {
+        plan.ordered(id, WeightsVersion(2), OrderResult::UnderWay, 0);
+    }
+    let (second, under_way) = plan.next(&engines, WeightsVersion(2), 1_000);
+    assert!(second.is_empty(), "{second:?}");
+    assert_eq!(under_way.len(), 4);
+}
+
+#[test]
+fn a_lost_order_is_given_again() {
+    let engines = [weights("a", 1, 0)];
+    let mut plan = LoadPlan::default();
+    plan.ordered("a", WeightsVersion(2), OrderResult::UnderWay, 0);
+    assert!(plan.next(&engines, WeightsVersion(2), 8_000).0.is_empty());
+    assert_eq!(plan.next(&engines, WeightsVersion(2), 9_000).0, ["a"]);
+}
+
+#[test]
+fn an_engine_is_not_ordered_to_a_version_that_was_overtaken() {
+    let mut plan = LoadPlan::default();
+    plan.ordered("a", WeightsVersion(2), OrderResult::UnderWay, 0);
+    // It loads version 2 until it lists it; then version 3 is ordered at once.
+    let (next, under_way) = plan.next(&[weights("a", 1, 0)], WeightsVersion(3), 100);
+    assert_eq!((next.len(), under_way.len()), (0, 1));
+    assert_eq!(plan.next(&[weights("a", 2, 0)], WeightsVersion(3), 3_000).0, ["a"]);
+    plan.ordered("a", WeightsVersion(3), OrderResult::Holds, 3_100);
+    assert!(!plan.has_work(&[weights("a", 2, 0)], WeightsVersion(3)));
+}
+
+const LEASE_MS: u64 = 3_000;
+
+#[test]
+fn a_node_waits_out_a_holder_that_it_may_follow() {
+    let mut tenure = Tenure::new(LEASE_MS, 10_000);
+    assert_eq!(tenure.claim(true, false, 0, 10_100), Claim::Now);
+    tenure.won(7, 10_100);
+    assert_eq!(tenure.may_order(10_200), None);
+    assert_eq!(tenure.may_order(12_000), None);
+    tenure.renewed(12_900);
+    assert_eq!(tenure.may_order(13_000), Some(7));
+}
+
+#[test]
+fn a_holder_stops_before_its_lease_ends() {
+    let mut tenure = Tenure::new(LEASE_MS, 0);
+    tenure.won(7, 10_000);
+    assert_eq!(tenure.may_order(12_000), Some(7));
+    assert_eq!(tenure.may_order(12_100), None);
+    tenure.renewed(12_200);
+    assert_eq!(tenure.may_order(14_000), Some(7));
+    tenure.saw_other(14_100);
+    assert_eq!(tenure.may_order(14_100), None);
+}
+
+#[test]
+fn nodes_claim_one_after_the_other() {
+    let mut tenure = Tenure::new(LEASE_MS, 0);
+    assert_eq!(tenure.claim(true, false, 2, 5_000), Claim::NotYet);
+    assert_eq!(tenure.claim(true, false, 2, 5_700), Claim::NotYet);
+    assert_eq!(tenure.claim(true, false, 2, 5_800), Claim::Now);
+    assert_eq!(tenure.claim(true, true, 2, 5_900), Claim::NotYet);
+    assert_eq!(tenure.claim(true, false, 2, 6_000), Claim::NotYet);
+}
+
+quickcheck! {
+    /// Two nodes, the second of which wins the key when the lease of the first has run out at the
+    /// store, never order within one lease of each other.
+    fn holders_never_order_within_a_lease(renewed_ms: u16, seen_late_ms: u16) -> bool {
+        let renewed_ms = 10_000 + u64::from(renewed_ms);
+        let mut first = Tenure::new(LEASE_MS, 0);
+        first.won(1, 10_000);
+        first.renewed(renewed_ms);
+        let last_order_ms = (10_000..renewed_ms + 2 * LEASE_MS)
+            .rev()
+            .find(|&at_ms| first.may_order(at_ms).is_some())
+            .expect("it ordered");
+        // The store counts the lease from a later moment than the holder.
+        let lapsed_ms = renewed_ms + LEASE_MS;
+        let won_ms = lapsed_ms + u64::from(seen_late_ms % 1_000);
+        let mut second = Tenure::new(LEASE_MS, 0);
+        second.saw_other(lapsed_ms);
+        second.won(2, won_ms);
+        second.renewed(won_ms + LEASE_MS);
+        let first_order_ms = (won_ms..won_ms + 3 * LEASE_MS)
+            .find(|&at_ms| second.may_order(at_ms).is_some())
+            .expect("it orders");
+        first_order_ms >= last_order_ms + LEASE_MS
+    }
+}
