--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -461,15 +461,16 @@
 
 fn log_assignment(call: &Call, leg: &Leg) {
     let assignment = leg.assignment();
+    let prefix = assignment.affinity.map_or(0, |key| key.0);
+    let scope = assignment.scope.as_ref().map_or("-", |scope| scope.0.as_str());
+    let fetch = assignment.fetch_from.map_or_else(|| "-".to_owned(), |from| from.to_string());
     info!(
-        "event=assigned request_id={} route={} upstream={} version={} unread_tokens={} \
-         fetch={} save={} sends={} age_ms={}",
+        "event=assigned request_id={} route={} upstream={} scope={scope} prefix={prefix:x} \
+         unread_tokens={} fetch={fetch} save={} sends={} age_ms={}",
         call.facts.id,
         call.route.name,
         assignment.upstream.id,
-        assignment.version.map_or(0, |version| version.0),
         assignment.unread_tokens,
-        assignment.fetch_from.is_some(),
         assignment.save_to.is_some(),
         call.sends,
         call.age_ms(),
