Let nodes tell each other which long prefixes they sent where

Ruled out: failing saves (99 later uses were fetched from the store). Change: the datagrams name the prefixes sent in the last 1.5 s with their engines; a prefix that is being read is followed there, and its reading is not counted twice. Test: crates/scheduling/tests/prefixes.rs, the first fails without the change.

--- a/crates/scheduling/src/fleet/digest.rs
+++ b/crates/scheduling/src/fleet/digest.rs
@@ -10,6 +10,8 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::placement::PrefixTag;
+
 /// How long the word of a node counts.
 const DIGEST_AGE_LIMIT_MS: u64 = 1_000;
 
@@ -46,6 +48,8 @@
     pub long_per_s: u32,
     /// Its requests, where it has any.
     pub upstreams: Vec<(UpstreamTag, NodeLoad)>,
+    /// The long prefixes that it sent of late, with their engines.
+    pub prefixes: Vec<(PrefixTag, UpstreamTag)>,
 }
 
 /// The digests of the other nodes.
--- a/crates/scheduling/src/fleet/table.rs
+++ b/crates/scheduling/src/fleet/table.rs
@@ -237,6 +237,11 @@
         self.entries.get_mut(&index)
     }
 
+    /// Returns the upstream of a tag.
+    pub fn by_tag(&self, tag: UpstreamTag) -> Option<UpstreamIndex> {
+        self.entries.iter().find(|(_, entry)| entry.tag == tag).map(|(index, _)| *index)
+    }
+
     /// Takes in the other nodes' requests.
     pub fn set_elsewhere(&mut self, peers: &PeerLoads) {
         for entry in self.entries.values_mut() {
--- a/crates/scheduling/src/placement/knowledge.rs
+++ b/crates/scheduling/src/placement/knowledge.rs
@@ -1,6 +1,7 @@
 //! Which caches hold which shared prefixes, as this node has seen.
 
 use std::collections::HashMap;
+use std::collections::VecDeque;
 
 use super::AffinityKey;
 use super::Scope;
@@ -8,6 +9,9 @@
 use redwingrill_routing::CacheChange;
 use redwingrill_routing::PartId;
 use redwingrill_routing::PromptPart;
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// How long a prefix is taken to stay in an engine after its last use there.
 const HELD_MS: u64 = 8_000;
@@ -18,62 +22,138 @@
 /// The most entries; the oldest go first.
 const ENTRIES_LIMIT: usize = 8_192;
 
-type Held = (AffinityKey, Scope);
+/// How long after its sending to an engine a prefix is taken to be read there.
+const READING_MS: u64 = 700;
+
+/// How long other nodes are told of a prefix that was sent to an engine: until the event of the
+/// cache store reaches them.
+const TOLD_MS: u64 = 1_500;
+
+/// A shared prefix within its scope.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Serialize, Deserialize)]
+pub struct PrefixTag(u64);
+
+impl PrefixTag {
+    /// Returns the tag of a prefix.
+    pub fn new(key: AffinityKey, scope: &Scope) -> Self {
+        Self(xxh3_64_with_seed(scope.0.as_bytes(), key.0))
+    }
+}
+
+/// Where a prefix is.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Whereabouts {
+    /// No engine is known to hold it.
+    Unknown,
+    /// It is being read; whoever fetches it now finds nothing.
+    Reading,
+    /// An engine holds it.
+    Held,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Holder {
+    engine: UpstreamIndex,
+    sent_ms: u64,
+    used_ms: u64,
+}
 
 /// What this node knows of cached prefixes.
 #[derive(Clone, Debug, Default)]
 pub struct PartKnowledge {
-    engines: HashMap<Held, Vec<(UpstreamIndex, u64)>>,
+    engines: HashMap<PrefixTag, Vec<Holder>>,
+    // What this node sent of late.
+    sent: VecDeque<(PrefixTag, UpstreamIndex, u64)>,
     // Parts in the cache store by their scope; absent while it is not heard.
     stored: Option<HashMap<String, HashMap<PartId, u32>>>,
-    saving_ms: HashMap<Held, u64>,
+    saving_ms: HashMap<PrefixTag, u64>,
 }
 
 impl PartKnowledge {
-    /// Notes that an engine has read a prefix.
-    pub fn read(&mut self, key: AffinityKey, scope: Scope, engine: UpstreamIndex, now_ms: u64) {
+    /// Notes that this node sent a prefix to an engine.
+    pub fn sent(&mut self, tag: PrefixTag, engine: UpstreamIndex, now_ms: u64) {
+        self.sent.push_back((tag, engine, now_ms));
+        while self.sent.front().is_some_and(|(_, _, at)| now_ms.saturating_sub(*at) > TOLD_MS) {
+            self.sent.pop_front();
+        }
+        self.used(tag, engine, now_ms);
+    }
+
+    /// Returns what this node sent of late.
+    pub fn sent_lately(&self, now_ms: u64) -> impl Iterator<Item = (PrefixTag, UpstreamIndex)> {
+        let lately =
+            self.sent.iter().filter(move |(_, _, at)| now_ms.saturating_sub(*at) <= TOLD_MS);
+        lately.map(|(tag, engine, _)| (*tag, *engine))
+    }
+
+    /// Notes that a prefix is used at an engine.
+    pub fn used(&mut self, tag: PrefixTag, engine: UpstreamIndex, now_ms: u64) {
         if self.engines.len() >= ENTRIES_LIMIT {
-            self.engines.retain(|_, holders| {
-                holders.iter().any(|(_, at_ms)| now_ms.saturating_sub(*at_ms) < HELD_MS)
-            });
+            self.engines.retain(|_, holders| holders.iter().any(|holder| holder.is_live(now_ms)));
+        }
+        let holders = self.engines.entry(tag).or_default();
+        holders.retain(|holder| holder.is_live(now_ms));
+        match holders.iter_mut().find(|holder| holder.engine == engine) {
+            Some(holder) => holder.used_ms = now_ms,
+            None => holders.push(Holder { engine, sent_ms: now_ms, used_ms: now_ms }),
         }
-        let holders = self.engines.entry((key, scope)).or_default();
-        holders
-            .retain(|(holder, at_ms)| *holder != engine && now_ms.saturating_sub(*at_ms) < HELD_MS);
-        holders.push((engine, now_ms));
     }
 
-    /// Returns the engines that hold a prefix, the latest use last.
-    pub fn holders(
-        &self,
-        key: AffinityKey,
-        scope: &Scope,
-        now_ms: u64,
-    ) -> impl Iterator<Item = UpstreamIndex> {
-        let holders = self.engines.get(&(key, scope.clone())).map_or(&[][..], Vec::as_slice);
-        let live = holders.iter().filter(move |(_, at_ms)| now_ms.saturating_sub(*at_ms) < HELD_MS);
-        live.map(|(engine, _)| *engine)
+    /// Notes that an engine has read a prefix.
+    pub fn read(&mut self, tag: PrefixTag, engine: UpstreamIndex, now_ms: u64) {
+        self.used(tag, engine, now_ms);
+        let holders = self.engines.entry(tag).or_default();
+        if let Some(holder) = holders.iter_mut().find(|holder| holder.engine == engine) {
+            holder.sent_ms = holder.sent_ms.min(now_ms.saturating_sub(READING_MS));
+        }
+    }
+
+    /// Returns whether an engine holds a prefix or reads it.
+    pub fn has(&self, tag: PrefixTag, engine: UpstreamIndex, now_ms: u64) -> bool {
+        self.live(tag, now_ms).any(|holder| holder.engine == engine)
+    }
+
+    /// Returns the engines that hold a prefix and have read it.
+    pub fn holders(&self, tag: PrefixTag, now_ms: u64) -> impl Iterator<Item = UpstreamIndex> {
+        let read = self.live(tag, now_ms).filter(move |holder| holder.has_read(now_ms));
+        read.map(|holder| holder.engine)
+    }
+
+    /// Returns where a prefix is.
+    pub fn whereabouts(&self, tag: PrefixTag, now_ms: u64) -> Whereabouts {
+        if self.holders(tag, now_ms).next().is_some() {
+            return Whereabouts::Held;
+        }
+        match self.live(tag, now_ms).next() {
+            Some(_) => Whereabouts::Reading,
+            None => Whereabouts::Unknown,
+        }
+    }
+
+    fn live(&self, tag: PrefixTag, now_ms: u64) -> impl Iterator<Item = &Holder> {
+        let holders = self.engines.get(&tag).map_or(&[][..], Vec::as_slice);
+        holders.iter().filter(move |holder| holder.is_live(now_ms))
     }
 
     /// Forgets what an engine held.
     pub fn forget(&mut self, engine: UpstreamIndex) {
         for holders in self.engines.values_mut() {
-            holders.retain(|(holder, _)| *holder != engine);
+            holders.retain(|holder| holder.engine != engine);
         }
         self.engines.retain(|_, holders| !holders.is_empty());
     }
 
     /// Notes that a prefix is sent to the cache store.
-    pub fn saving(&mut self, key: AffinityKey, scope: Scope, now_ms: u64) {
+    pub fn saving(&mut self, tag: PrefixTag, now_ms: u64) {
         if self.saving_ms.len() >= ENTRIES_LIMIT {
             self.saving_ms.retain(|_, at_ms| now_ms.saturating_sub(*at_ms) < SAVING_MS);
         }
-        self.saving_ms.insert((key, scope), now_ms);
+        self.saving_ms.insert(tag, now_ms);
     }
 
     /// Returns whether a prefix is on its way to the cache store.
-    pub fn is_saving(&self, key: AffinityKey, scope: &Scope, now_ms: u64) -> bool {
-        let sent = self.saving_ms.get(&(key, scope.clone()));
+    pub fn is_saving(&self, tag: PrefixTag, now_ms: u64) -> bool {
+        let sent = self.saving_ms.get(&tag);
         sent.is_some_and(|at_ms| now_ms.saturating_sub(*at_ms) < SAVING_MS)
     }
 
@@ -117,3 +197,13 @@
         tokens
     }
 }
+
+impl Holder {
+    fn is_live(&self, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.used_ms) < HELD_MS
+    }
+
+    fn has_read(&self, now_ms: u64) -> bool {
+        now_ms.saturating_sub(self.sent_ms) >= READING_MS
+    }
+}
--- a/crates/scheduling/src/placement/mod.rs
+++ b/crates/scheduling/src/placement/mod.rs
@@ -8,5 +8,7 @@
 pub use affinity::Scope;
 pub use affinity::rendezvous_score;
 pub use knowledge::PartKnowledge;
+pub use knowledge::PrefixTag;
+pub use knowledge::Whereabouts;
 pub use roles::Roles;
 pub use roles::is_long;
--- a/crates/scheduling/src/scheduler/choose.rs
+++ b/crates/scheduling/src/scheduler/choose.rs
@@ -16,8 +16,10 @@
 use crate::fleet::FleetEntry;
 use crate::fleet::UpstreamIndex;
 use crate::placement::AffinityKey;
+use crate::placement::PrefixTag;
 use crate::placement::Roles;
 use crate::placement::Scope;
+use crate::placement::Whereabouts;
 use crate::placement::is_long;
 use crate::placement::rendezvous_score;
 use redwingrill_routing::DeclaredPrompt;
@@ -296,16 +298,40 @@
         if version < self.newest(&prompt.model) {
             cost_ms += OLD_WEIGHTS_COST_MS;
         }
-        if let Some(key) = frame.affinity
-            && !frame.is_home(index)
-        {
+        if let Some(key) = frame.affinity {
             let scope = Scope::new(version, ask.isolated_account.as_deref());
-            let holds = self.parts.holders(key, &scope, now_ms).any(|holder| holder == index);
-            cost_ms += if holds { FETCH_COST_MS / 3.0 } else { FETCH_COST_MS };
+            cost_ms +=
+                self.prefix_cost_ms(prompt, key, &scope, frame.is_home(index), index, now_ms);
         }
         cost_ms
     }
 
+    /// Returns what it costs that an engine may lack the shared prefix.
+    fn prefix_cost_ms(
+        &self,
+        prompt: &DeclaredPrompt,
+        key: AffinityKey,
+        scope: &Scope,
+        is_home: bool,
+        index: UpstreamIndex,
+        now_ms: u64,
+    ) -> f64 {
+        let tag = PrefixTag::new(key, scope);
+        if self.parts.has(tag, index, now_ms) {
+            return 0.0;
+        }
+        if self.parts.stored_tokens(scope, prompt.shared_parts()) >= prompt.shared_tokens() {
+            return FETCH_COST_MS;
+        }
+        match self.parts.whereabouts(tag, now_ms) {
+            Whereabouts::Held => FETCH_COST_MS,
+            // Read twice at the same time, it costs both engines.
+            Whereabouts::Reading => 2.0 * f64::from(prompt.shared_tokens()) / READ_TOKENS_PER_MS,
+            Whereabouts::Unknown if is_home => 0.0,
+            Whereabouts::Unknown => FETCH_COST_MS,
+        }
+    }
+
     /// Estimates how long a new request waits at an upstream.
     fn wait_ms(&self, entry: &FleetEntry, now_ms: u64) -> f64 {
         let (load, slots) = (entry.load(now_ms), entry.slots());
@@ -358,12 +384,15 @@
         let shared = prompt.shared_tokens();
         let stored = self.parts.stored_tokens(&scope, prompt.shared_parts());
         let is_stored = stored >= shared;
-        if !is_stored && self.parts.hears_store() && !self.parts.is_saving(key, &scope, now_ms) {
+        let tag = PrefixTag::new(key, &scope);
+        if !is_stored && self.parts.hears_store() && !self.parts.is_saving(tag, now_ms) {
             assignment.save_to = self.cache_store;
-            self.parts.saving(key, scope.clone(), now_ms);
+            self.parts.saving(tag, now_ms);
         }
-        let holders: Vec<_> = self.parts.holders(key, &scope, now_ms).collect();
-        if holders.contains(&assignment.index) {
+        let has_it = self.parts.has(tag, assignment.index, now_ms);
+        let holder = self.parts.holders(tag, now_ms).last();
+        self.parts.sent(tag, assignment.index, now_ms);
+        if has_it {
             assignment.unread_tokens = assignment.unread_tokens.saturating_sub(u64::from(shared));
             return;
         }
@@ -371,16 +400,16 @@
         let is_newest = assignment.version.unwrap_or_default() >= self.newest(&prompt.model);
         let home = frame.homes[usize::from(!is_newest)];
         let other_home = home.filter(|home| *home != assignment.index);
-        let holder = holders.last().copied().or(other_home);
-        let holder = holder.and_then(|index| self.fleet.get(index));
-        let holder = holder.filter(|entry| {
+        let source = holder.or(other_home).and_then(|index| self.fleet.get(index));
+        let source = source.filter(|entry| {
             !entry.health.is_resting(now_ms)
                 && entry.version_of(&prompt.model) == assignment.version
         });
-        let holder = holder.map(|entry| entry.upstream.address);
+        let source = source.map(|entry| entry.upstream.address);
         let store = self.cache_store.filter(|_| is_stored);
-        assignment.fetch_from = store.or(holder);
-        let found = if assignment.fetch_from.is_some() { shared } else { stored };
+        assignment.fetch_from = store.or(source);
+        let is_sure = is_stored || holder.is_some();
+        let found = if is_sure { shared } else { stored };
         assignment.unread_tokens = assignment.unread_tokens.saturating_sub(u64::from(found));
     }
 }
--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -21,6 +21,7 @@
 use crate::fleet::UpstreamIndex;
 use crate::fleet::Verdict;
 use crate::placement::PartKnowledge;
+use crate::placement::PrefixTag;
 use crate::placement::is_long;
 use redwingrill_routing::CacheChange;
 use redwingrill_routing::DeclaredPrompt;
@@ -139,6 +140,13 @@
 
     /// Takes in what another node told of its requests.
     pub fn observe_peer(&mut self, digest: LoadDigest, now_ms: u64) {
+        for (prefix, engine) in &digest.prefixes {
+            if let Some(index) = self.fleet.by_tag(*engine)
+                && !self.parts.has(*prefix, index, now_ms)
+            {
+                self.parts.used(*prefix, index, now_ms);
+            }
+        }
         self.peers.observe(digest, now_ms);
         self.fleet.set_elsewhere(&self.peers);
     }
@@ -154,7 +162,12 @@
             let unread_tokens = u32::try_from(entry.unread_tokens).unwrap_or(u32::MAX);
             (entry.tag, NodeLoad { unread_tokens, in_flight: entry.in_flight })
         });
+        let prefixes = self
+            .parts
+            .sent_lately(now_ms)
+            .filter_map(|(prefix, engine)| Some((prefix, self.fleet.get(engine)?.tag)));
         LoadDigest {
+            prefixes: prefixes.collect(),
             node,
             sequence: self.sequence,
             upstreams: upstreams.collect(),
@@ -281,7 +294,7 @@
             entry.read(assignment.unread_tokens);
         }
         if let (Some(key), Some(scope)) = (assignment.affinity, &assignment.scope) {
-            self.parts.read(key, scope.clone(), assignment.index, now_ms);
+            self.parts.read(PrefixTag::new(key, scope), assignment.index, now_ms);
         }
     }
 
--- a/crates/scheduling/tests/fleet.rs
+++ b/crates/scheduling/tests/fleet.rs
@@ -94,7 +94,8 @@
 fn digest(node: u64, sequence: u64, in_flight: u32) -> LoadDigest {
     let load = NodeLoad { unread_tokens: 10 * in_flight, in_flight };
     let upstreams = vec![(UpstreamTag::of("e"), load)];
-    LoadDigest { node, sequence, short_per_s: 3, long_per_s: 1, upstreams }
+    let prefixes = Vec::new();
+    LoadDigest { node, sequence, short_per_s: 3, long_per_s: 1, upstreams, prefixes }
 }
 
 #[test]
--- /dev/null
+++ b/crates/scheduling/tests/prefixes.rs
@@ -0,0 +1,78 @@
+//! Where long prefixes go, by what the node and its peers sent before.
+
+mod support;
+
+use redwingrill_routing::CacheChange;
+use redwingrill_routing::PartId;
+use redwingrill_scheduling::scheduler::Scheduler;
+use support::ask;
+use support::engines;
+use support::long_prompt;
+use support::scheduler;
+use support::sent;
+
+const STORE: ([u8; 4], u16) = ([10, 1, 0, 1], 80);
+
+fn node(seed: u64) -> Scheduler {
+    let mut scheduler = scheduler(seed);
+    scheduler.set_upstreams(engines(18, 1), 0);
+    scheduler.set_cache_store(Some(STORE.into()));
+    scheduler.cache_store_emptied(true);
+    scheduler
+}
+
+#[test]
+fn a_prefix_that_another_node_just_sent_goes_to_the_same_engine() {
+    for book in 0..20 {
+        let (mut first, mut second) = (node(1), node(2));
+        let home = sent(first.choose(&ask(Some(long_prompt(book, 0)), 0), 0)).upstream;
+        second.observe_peer(first.digest(1, 10), 10);
+        let other = sent(second.choose(&ask(Some(long_prompt(book, 9)), 20), 20));
+        assert_eq!(other.upstream.id, home.id, "book {book}");
+        assert!(other.unread_tokens < 4_000, "it waits for the reading and finds the prefix");
+        assert_eq!(other.fetch_from, None);
+    }
+}
+
+#[test]
+fn a_prefix_in_the_cache_store_is_fetched_and_not_saved_again() {
+    let mut node = node(1);
+    let change = CacheChange { scope: "w1".to_owned(), part: PartId(5), tokens: 13_300 };
+    node.cache_store_changed(vec![change]);
+    let assignment = sent(node.choose(&ask(Some(long_prompt(5, 0)), 0), 0));
+    assert_eq!(assignment.fetch_from, Some(STORE.into()));
+    assert_eq!(assignment.save_to, None);
+    assert!(assignment.unread_tokens < 4_000);
+}
+
+#[test]
+fn a_prefix_is_saved_once() {
+    let mut node = node(1);
+    let first = sent(node.choose(&ask(Some(long_prompt(5, 0)), 0), 0));
+    let second = sent(node.choose(&ask(Some(long_prompt(5, 1)), 10), 10));
+    assert_eq!(first.save_to, Some(STORE.into()));
+    assert_eq!(second.save_to, None);
+    // The event of the store never came.
+    let third = sent(node.choose(&ask(Some(long_prompt(5, 2)), 9_000), 9_000));
+    assert_eq!(third.save_to, Some(STORE.into()));
+}
+
+#[test]
+fn a_silent_cache_store_is_neither_asked_nor_filled() {
+    let mut node = node(1);
+    node.cache_store_emptied(false);
+    let assignment = sent(node.choose(&ask(Some(long_prompt(5, 0)), 0), 0));
+    assert_eq!((assignment.fetch_from, assignment.save_to), (None, None));
+}
+
+#[test]
+fn an_isolated_account_shares_no_prefix() {
+    let mut node = node(1);
+    let change = CacheChange { scope: "w1".to_owned(), part: PartId(5), tokens: 13_300 };
+    node.cache_store_changed(vec![change]);
+    let mut ask = ask(Some(long_prompt(5, 0)), 0);
+    ask.isolated_account = Some("account".to_owned());
+    let assignment = sent(node.choose(&ask, 0));
+    assert_ne!(assignment.scope.map(|scope| scope.0), Some("w1".to_owned()));
+    assert_eq!(assignment.fetch_from, None);
+}
