Give an engine long prompts only as far as they fit beside its prefixes

Change: nodes tell each other the tokens that their requests hold at each engine; long prompts take at most 60 in 100 of its memory. Test: prefixes.rs, an_engine_keeps_room_for_prefixes (fails without the change: 20 are sent).

--- a/crates/gateway/src/dispatch/dispatcher.rs
+++ b/crates/gateway/src/dispatch/dispatcher.rs
@@ -49,7 +49,7 @@
     /// The upstream has read the prompt.
     Read { assignment: Box<Assignment> },
     /// A send ended.
-    Ended { index: UpstreamIndex, unread_tokens: u64, outcome: LegOutcome },
+    Ended { index: UpstreamIndex, unread_tokens: u64, held_tokens: u64, outcome: LegOutcome },
     /// Another node told of its requests.
     Peer { digest: LoadDigest },
     /// Tell of this node's requests.
--- a/crates/gateway/src/dispatch/leg.rs
+++ b/crates/gateway/src/dispatch/leg.rs
@@ -73,6 +73,7 @@
         self.dispatcher.send(Message::Ended {
             index: self.assignment.index,
             unread_tokens,
+            held_tokens: self.assignment.held_tokens,
             outcome: self.outcome.take().unwrap_or(unknown),
         });
     }
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -101,6 +101,7 @@
         if let Some(configuration) = &beliefs.configuration {
             self.scheduler.set_cache_store(cache_store(configuration));
             self.scheduler.set_connection_limits(connection_limits(configuration));
+            self.scheduler.set_cache_tokens(cache_tokens(configuration));
         }
     }
 
@@ -119,8 +120,8 @@
                 self.scheduler.observe_head(&assignment, model, load, version, now_ms);
             }
             Message::Read { assignment } => self.scheduler.prompt_read(&assignment, now_ms),
-            Message::Ended { index, unread_tokens, outcome } => {
-                if self.scheduler.ended(index, unread_tokens, &outcome, now_ms)
+            Message::Ended { index, unread_tokens, held_tokens, outcome } => {
+                if self.scheduler.ended(index, unread_tokens, held_tokens, &outcome, now_ms)
                     && let Some(entry) = self.scheduler.fleet().get(index)
                 {
                     info!(
@@ -225,3 +226,10 @@
     let services = configuration.services();
     services.map(|service| (service.name.clone(), service.connections_limit)).collect()
 }
+
+fn cache_tokens(configuration: &Configuration) -> Vec<(String, u64)> {
+    let services = configuration.services();
+    let engines =
+        services.filter_map(|service| Some((service.name.clone(), service.engine.as_ref()?)));
+    engines.map(|(name, engine)| (name, engine.cache_tokens)).collect()
+}
--- a/crates/scheduling/src/fleet/digest.rs
+++ b/crates/scheduling/src/fleet/digest.rs
@@ -33,6 +33,8 @@
     pub unread_tokens: u32,
     /// Requests that have not ended.
     pub in_flight: u32,
+    /// Tokens that they hold in the upstream's memory.
+    pub held_tokens: u32,
 }
 
 /// One node's requests.
@@ -95,6 +97,7 @@
                 let sum = self.by_upstream.entry(*tag).or_default();
                 sum.unread_tokens = sum.unread_tokens.saturating_add(load.unread_tokens);
                 sum.in_flight = sum.in_flight.saturating_add(load.in_flight);
+                sum.held_tokens = sum.held_tokens.saturating_add(load.held_tokens);
             }
         }
     }
--- a/crates/scheduling/src/fleet/table.rs
+++ b/crates/scheduling/src/fleet/table.rs
@@ -40,6 +40,8 @@
     pub in_flight: u32,
     /// Prompt tokens of this node's requests that it has not answered yet.
     pub unread_tokens: u64,
+    /// Tokens that this node's requests hold in its memory.
+    pub held_tokens: u64,
     /// How it fares.
     pub health: Health,
     /// Whether it takes new weights now.
@@ -61,6 +63,7 @@
             upstream,
             in_flight: 0,
             unread_tokens: 0,
+            held_tokens: 0,
             health: Health::default(),
             is_loading: false,
             reported: None,
@@ -116,11 +119,17 @@
         self.upstream.slots.max(reported).max(1)
     }
 
+    /// Returns the tokens that all nodes' requests hold in the upstream's memory.
+    pub fn held_everywhere(&self) -> u64 {
+        self.held_tokens + u64::from(self.elsewhere.held_tokens)
+    }
+
     /// Notes a request that is sent.
-    pub fn sent(&mut self, unread_tokens: u64) {
+    pub fn sent(&mut self, unread_tokens: u64, held_tokens: u64) {
         self.in_flight += 1;
         self.sent_since_report += 1;
         self.unread_tokens += unread_tokens;
+        self.held_tokens += held_tokens;
     }
 
     /// Notes that the upstream has read a prompt, or will not.
@@ -129,8 +138,9 @@
     }
 
     /// Notes the end of a request.
-    pub fn ended(&mut self) {
+    pub fn ended(&mut self, held_tokens: u64) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        self.held_tokens = self.held_tokens.saturating_sub(held_tokens);
     }
 
     /// Takes in a load report.
--- a/crates/scheduling/src/scheduler/ask.rs
+++ b/crates/scheduling/src/scheduler/ask.rs
@@ -46,6 +46,8 @@
     pub affinity: Option<AffinityKey>,
     /// Prompt tokens that the upstream is expected to read.
     pub unread_tokens: u64,
+    /// Tokens that the request holds in the upstream's memory until it ends.
+    pub held_tokens: u64,
     /// Where the upstream fetches parts that it lacks.
     pub fetch_from: Option<SocketAddr>,
     /// Where the upstream sends the parts that it reads.
--- a/crates/scheduling/src/scheduler/choose.rs
+++ b/crates/scheduling/src/scheduler/choose.rs
@@ -59,6 +59,10 @@
 /// The pause that callers are told while no upstream is there.
 const NO_UPSTREAM_PAUSE_MS: u64 = 700;
 
+/// The part of its memory up to which an engine gets long prompts, in percent; the rest keeps the
+/// prefixes that are used again.
+const RUNNING_PERCENT: u64 = 60;
+
 /// The part of its slots up to which an engine for short prompts takes a long one, as a divisor.
 const LENT_SLOTS_PART: u32 = 3;
 
@@ -236,7 +240,10 @@
             true => (limit_ms / 2.0, slots / 2),
             false => (limit_ms, slots),
         };
-        unread_ms < limit_ms && load < slots
+        let fits = self
+            .cache_tokens(&ask.service)
+            .is_none_or(|tokens| entry.held_everywhere() < tokens * RUNNING_PERCENT / 100);
+        unread_ms < limit_ms && load < slots && (fits || !frame.is_long)
     }
 
     /// Returns whether an upstream may get a request. Health counts only while `strict`: a resting
@@ -360,6 +367,9 @@
             scope,
             affinity: frame.affinity,
             unread_tokens: prompt.map_or(0, |prompt| u64::from(prompt.prompt_tokens)),
+            held_tokens: prompt.map_or(0, |prompt| {
+                u64::from(prompt.prompt_tokens) + u64::from(prompt.answer_tokens_limit)
+            }),
             fetch_from: None,
             save_to: None,
         };
@@ -367,7 +377,7 @@
             self.plan_parts(&mut assignment, prompt, key, frame, now_ms);
         }
         let entry = self.fleet.get_mut(index).expect("the choice is in the table");
-        entry.sent(assignment.unread_tokens);
+        entry.sent(assignment.unread_tokens, assignment.held_tokens);
         assignment
     }
 
--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -100,6 +100,7 @@
     sequence: u64,
     budgets: HashMap<String, RepeatBudget>,
     connection_limits: HashMap<String, u32>,
+    cache_tokens: HashMap<String, u64>,
     members: usize,
 }
 
@@ -121,6 +122,7 @@
             started_ms: now_ms,
             budgets: HashMap::new(),
             connection_limits: HashMap::new(),
+            cache_tokens: HashMap::new(),
             members: MEMBERS_UNKNOWN,
         }
     }
@@ -160,7 +162,9 @@
         let busy = self.fleet.iter().filter(|(_, entry)| entry.in_flight > 0);
         let upstreams = busy.map(|(_, entry)| {
             let unread_tokens = u32::try_from(entry.unread_tokens).unwrap_or(u32::MAX);
-            (entry.tag, NodeLoad { unread_tokens, in_flight: entry.in_flight })
+            let held_tokens = u32::try_from(entry.held_tokens).unwrap_or(u32::MAX);
+            let in_flight = entry.in_flight;
+            (entry.tag, NodeLoad { unread_tokens, in_flight, held_tokens })
         });
         let prefixes = self
             .parts
@@ -236,6 +240,16 @@
         self.connection_limits = limits.into_iter().collect();
     }
 
+    /// Sets the tokens that the memory of one engine of a service holds.
+    pub fn set_cache_tokens(&mut self, tokens: Vec<(String, u64)>) {
+        self.cache_tokens = tokens.into_iter().collect();
+    }
+
+    /// Returns the tokens that the memory of one engine of a service holds, if it is told.
+    pub(super) fn cache_tokens(&self, service: &str) -> Option<u64> {
+        self.cache_tokens.get(service).copied().filter(|tokens| *tokens > 0)
+    }
+
     /// Returns this node's part of the connections to one upstream of a service.
     pub(super) fn connections_here(&self, service: &str) -> u32 {
         let limit = self.connection_limits.get(service).copied().unwrap_or(u32::MAX);
@@ -247,7 +261,7 @@
     pub fn withdraw(&mut self, assignment: &Assignment) {
         if let Some(entry) = self.fleet.get_mut(assignment.index) {
             entry.read(assignment.unread_tokens);
-            entry.ended();
+            entry.ended(assignment.held_tokens);
         }
     }
 
@@ -298,17 +312,18 @@
         }
     }
 
-    /// Notes the end of one send. `was_read` tells whether [`Scheduler::prompt_read`] came before.
+    /// Notes the end of one send; `unread_tokens` is zero if [`Scheduler::prompt_read`] came before.
     /// Returns whether the upstream begins to rest.
     pub fn ended(
         &mut self,
         index: UpstreamIndex,
         unread_tokens: u64,
+        held_tokens: u64,
         outcome: &LegOutcome,
         now_ms: u64,
     ) -> bool {
         let Some(entry) = self.fleet.get_mut(index) else { return false };
-        entry.ended();
+        entry.ended(held_tokens);
         entry.read(unread_tokens);
         if let Some(load) = outcome.load {
             entry.report(load, now_ms);
--- a/crates/scheduling/tests/fleet.rs
+++ b/crates/scheduling/tests/fleet.rs
@@ -21,7 +21,7 @@
     let mut fleet = Fleet::default();
     fleet.set_upstreams(engines(3, 1), 0);
     let (index, _) = fleet.of_service(support::SERVICE).next().expect("an engine");
-    fleet.get_mut(index).expect("listed").sent(100);
+    fleet.get_mut(index).expect("listed").sent(100, 200);
     fleet.set_upstreams(engines(3, 2), 10);
     assert_eq!(fleet.get(index).map(|entry| entry.in_flight), Some(1));
     fleet.verify().expect("the table holds together");
@@ -34,7 +34,7 @@
     let second = Upstream { started_unix_ms: Some(2), ..first.clone() };
     fleet.set_upstreams(vec![Arc::new(first)], 0);
     let (before, _) = fleet.of_service(support::SERVICE).next().expect("an engine");
-    fleet.get_mut(before).expect("listed").sent(100);
+    fleet.get_mut(before).expect("listed").sent(100, 200);
     let gone = fleet.set_upstreams(vec![Arc::new(second)], 10);
     assert_eq!(gone, [before]);
     let (after, entry) = fleet.of_service(support::SERVICE).next().expect("an engine");
@@ -92,7 +92,7 @@
 }
 
 fn digest(node: u64, sequence: u64, in_flight: u32) -> LoadDigest {
-    let load = NodeLoad { unread_tokens: 10 * in_flight, in_flight };
+    let load = NodeLoad { unread_tokens: 10 * in_flight, in_flight, held_tokens: 0 };
     let upstreams = vec![(UpstreamTag::of("e"), load)];
     let prefixes = Vec::new();
     LoadDigest { node, sequence, short_per_s: 3, long_per_s: 1, upstreams, prefixes }
@@ -123,7 +123,7 @@
     let (index, _) = fleet.of_service(support::SERVICE).next().expect("an engine");
     let entry = fleet.get_mut(index).expect("listed");
     entry.report(ReportedLoad { running: 7, waiting: 2, slots: 32 }, 100);
-    entry.sent(10);
+    entry.sent(10, 20);
     assert_eq!(entry.load(200), 10);
     assert_eq!(entry.load(5_000), 1);
 }
--- a/crates/scheduling/tests/prefixes.rs
+++ b/crates/scheduling/tests/prefixes.rs
@@ -4,6 +4,7 @@
 
 use redwingrill_routing::CacheChange;
 use redwingrill_routing::PartId;
+use redwingrill_scheduling::scheduler::Choice;
 use redwingrill_scheduling::scheduler::Scheduler;
 use support::ask;
 use support::engines;
@@ -76,3 +77,20 @@
     assert_ne!(assignment.scope.map(|scope| scope.0), Some("w1".to_owned()));
     assert_eq!(assignment.fetch_from, None);
 }
+
+#[test]
+fn an_engine_keeps_room_for_prefixes_beside_its_running_prompts() {
+    let mut node = scheduler(1);
+    node.set_upstreams(engines(2, 1), 0);
+    node.set_cache_tokens(vec![(support::SERVICE.to_owned(), 172_000)]);
+    // Each prompt holds 17 thousand tokens until its answer has ended, long after it was read.
+    let mut sent_now = 0;
+    for own in 0..20 {
+        let Choice::Send(assignment) = node.choose(&ask(Some(long_prompt(5, own)), 0), 0) else {
+            break;
+        };
+        node.prompt_read(&assignment, 0);
+        sent_now += 1;
+    }
+    assert_eq!(sent_now, 7, "60 in 100 of the memory of the one engine that long prompts have");
+}
--- a/crates/scheduling/tests/replays.rs
+++ b/crates/scheduling/tests/replays.rs
@@ -209,7 +209,8 @@
                         load: None,
                         version: None,
                     };
-                    scheduler.ended(assignment.index, 0, &outcome, now_ms);
+                    let held_tokens = assignment.held_tokens;
+                    scheduler.ended(assignment.index, 0, held_tokens, &outcome, now_ms);
                 }
             }
         }
