Prove the path on the platform against stand-ins of our own

Stand-ins of the metadata store and of the upstreams speak the settled protocol (crates/lab). 21 tests in crates/lab/tests/on_platform run nodes with the adapter against them: each kind of request, 33 failures of upstreams by kind, news by the store, by a peer and with the store away, lapsed upstreams, roll-out by one holder with hand-over, planned stops.

--- /dev/null
+++ b/crates/lab/src/metadata_store/state.rs
@@ -0,0 +1,138 @@
+//! The items of the store, its revisions and leases.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+/// How the store fails its callers.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub enum StoreFault {
+    /// It answers.
+    #[default]
+    None,
+    /// It answers 503 and does nothing.
+    Busy,
+    /// It never answers.
+    Silent,
+    /// It does what is asked and does not answer.
+    LosesAnswers,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Stored {
+    pub value: Vec<u8>,
+    pub rev: u64,
+    pub created: u64,
+    pub lease: u64,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Event {
+    pub key: String,
+    pub rev: u64,
+    pub stored: Option<Stored>,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Inner {
+    pub items: BTreeMap<String, Stored>,
+    pub history: Vec<Event>,
+    pub history_from: u64,
+    pub rev: u64,
+    pub leases: BTreeMap<u64, (Duration, Instant)>,
+    pub fault: StoreFault,
+    pub calls: u64,
+}
+
+/// The state of the store. Clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct StoreState {
+    inner: Arc<Mutex<Inner>>,
+    pub(super) changed: Arc<Notify>,
+}
+
+impl StoreState {
+    /// Writes a key as the operator or an engine does. Returns the revision.
+    pub fn put(&self, key: &str, value: impl Into<Vec<u8>>) -> u64 {
+        let rev = self.lock().put(key, value.into(), 0);
+        self.changed.notify_waiters();
+        rev
+    }
+
+    /// Removes a key.
+    pub fn remove(&self, key: &str) {
+        self.lock().remove(key);
+        self.changed.notify_waiters();
+    }
+
+    /// Returns the value of a key.
+    pub fn get(&self, key: &str) -> Option<Vec<u8>> {
+        self.lock().items.get(key).map(|stored| stored.value.clone())
+    }
+
+    /// Drops the history, so that watches must list anew.
+    pub fn drop_history(&self) {
+        let mut inner = self.lock();
+        inner.history.clear();
+        inner.history_from = inner.rev;
+        drop(inner);
+        self.changed.notify_waiters();
+    }
+
+    /// Switches how the store fails.
+    pub fn set_fault(&self, fault: StoreFault) {
+        self.lock().fault = fault;
+        self.changed.notify_waiters();
+    }
+
+    /// Returns the calls so far.
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    pub(super) fn lock(&self) -> MutexGuard<'_, Inner> {
+        let mut inner = self.inner.lock().expect("no holder panics");
+        inner.expire();
+        inner
+    }
+}
+
+impl Inner {
+    pub fn put(&mut self, key: &str, value: Vec<u8>, lease: u64) -> u64 {
+        self.rev += 1;
+        let created = self.items.get(key).map_or(self.rev, |stored| stored.created);
+        let stored = Stored { value, rev: self.rev, created, lease };
+        self.items.insert(key.to_owned(), stored.clone());
+        let event = Event { key: key.to_owned(), rev: self.rev, stored: Some(stored) };
+        self.history.push(event);
+        self.rev
+    }
+
+    pub fn remove(&mut self, key: &str) {
+        if self.items.remove(key).is_some() {
+            self.rev += 1;
+            self.history.push(Event { key: key.to_owned(), rev: self.rev, stored: None });
+        }
+    }
+
+    pub fn end_lease(&mut self, lease: u64) -> bool {
+        let held = self.items.iter().filter(|(_, stored)| stored.lease == lease);
+        let keys: Vec<String> = held.map(|(key, _)| key.clone()).collect();
+        keys.iter().for_each(|key| self.remove(key));
+        self.leases.remove(&lease).is_some()
+    }
+
+    fn expire(&mut self) {
+        let now = Instant::now();
+        let ended = self.leases.iter().filter(|(_, (_, end))| *end <= now);
+        let ended: Vec<u64> = ended.map(|(lease, _)| *lease).collect();
+        for lease in ended {
+            self.end_lease(lease);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/site_upstream/http.rs
@@ -0,0 +1,300 @@
+//! The answers of the stand-in.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use http::HeaderValue;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde_json::json;
+
+use super::Behaviour;
+use super::SeenRequest;
+use crate::metadata_store::StoreState;
+use crate::net::Body;
+use crate::net::Cut;
+use crate::net::Handler;
+use crate::net::Server;
+use crate::net::full_body;
+use crate::net::json_reply;
+use crate::net::stream_body;
+
+/// The events of each whole stream.
+pub const EVENTS: u64 = 6;
+
+/// The pause between events, and the long one of a slow stand-in.
+const EVENT_PAUSE: Duration = Duration::from_millis(10);
+const LONG_PAUSE: Duration = Duration::from_secs(5);
+
+/// How long new weights take.
+const LOAD: Duration = Duration::from_millis(300);
+
+/// A running stand-in.
+#[derive(Debug)]
+pub struct SiteUpstream {
+    shared: Arc<Shared>,
+    server: Server,
+}
+
+#[derive(Debug)]
+struct Shared {
+    id: String,
+    service: String,
+    store: StoreState,
+    behaviour: Mutex<Behaviour>,
+    seen: Mutex<Vec<SeenRequest>>,
+    orders: Mutex<Vec<serde_json::Value>>,
+    version: Mutex<u64>,
+    open_streams: Arc<AtomicUsize>,
+}
+
+impl SiteUpstream {
+    /// Starts an upstream of a service and lists it in a store.
+    ///
+    /// # Errors
+    ///
+    /// The cause if no port can be bound.
+    pub async fn start(id: &str, service: &str, store: &StoreState) -> io::Result<Self> {
+        let shared = Arc::new(Shared {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            store: store.clone(),
+            behaviour: Mutex::default(),
+            seen: Mutex::default(),
+            orders: Mutex::default(),
+            version: Mutex::new(1),
+            open_streams: Arc::default(),
+        });
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = Server::start(address, shared.clone()).await?;
+        let upstream = Self { shared, server };
+        upstream.list("ready");
+        Ok(upstream)
+    }
+
+    /// Writes its entry with a state.
+    pub fn list(&self, state: &str) {
+        self.shared.list(self.server.address(), state);
+    }
+
+    /// Removes its entry.
+    pub fn unlist(&self) {
+        self.shared.store.remove(&format!("servers/{}", self.shared.id));
+    }
+
+    /// Switches how it answers.
+    pub fn set(&self, behaviour: Behaviour) {
+        *self.shared.behaviour.lock().expect("no holder panics") = behaviour;
+    }
+
+    /// Returns the requests that arrived.
+    pub fn seen(&self) -> Vec<SeenRequest> {
+        self.shared.seen.lock().expect("no holder panics").clone()
+    }
+
+    /// Returns how many requests it ran.
+    pub fn runs(&self) -> usize {
+        self.seen().iter().filter(|seen| seen.has_run).count()
+    }
+
+    /// Returns the orders that it accepted.
+    pub fn orders(&self) -> Vec<serde_json::Value> {
+        self.shared.orders.lock().expect("no holder panics").clone()
+    }
+
+    /// Returns the version of its weights.
+    pub fn version(&self) -> u64 {
+        *self.shared.version.lock().expect("no holder panics")
+    }
+
+    /// Returns how many streams it is working on.
+    pub fn open_streams(&self) -> usize {
+        self.shared.open_streams.load(Ordering::SeqCst)
+    }
+
+    /// Returns its address.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Stops it.
+    pub async fn stop(self) {
+        self.server.stop().await;
+    }
+}
+
+/// Counts a stream while it is worked on.
+struct OpenStream(Arc<AtomicUsize>);
+
+impl OpenStream {
+    fn new(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::SeqCst);
+        Self(count.clone())
+    }
+}
+
+impl Drop for OpenStream {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+impl Handler for Shared {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
+        let path = request.uri().path().to_owned();
+        if path == "/-/report" {
+            let orders = self.orders.lock().expect("no holder panics").len();
+            let report = json!({"stage": "colocated", "busy": false, "sequence": orders});
+            return Ok(json_reply(StatusCode::OK, &report));
+        }
+        if path == "/-/order" {
+            return Ok(self.order(request).await);
+        }
+        self.answer(request).await
+    }
+}
+
+impl Shared {
+    fn list(&self, address: SocketAddr, state: &str) {
+        let version = *self.version.lock().expect("no holder panics");
+        let entry = json!({
+            "service": self.service, "address": address.to_string(), "zone": "a",
+            "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0,
+            "models": [{"name": "m", "version": version, "adapters": []}], "sequence": 1,
+        });
+        self.store.put(&format!("servers/{}", self.id), entry.to_string());
+    }
+
+    async fn order(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let body = request.into_body().collect().await.map(|body| body.to_bytes());
+        let order: serde_json::Value =
+            body.ok().and_then(|body| serde_json::from_slice(&body).ok()).unwrap_or_default();
+        let accepted = {
+            let mut orders = self.orders.lock().expect("no holder panics");
+            let expected = order["expect"].as_u64();
+            let holds = expected.is_none_or(|expected| expected == orders.len() as u64);
+            if holds {
+                orders.push(order.clone());
+            }
+            holds
+        };
+        if !accepted {
+            return json_reply(StatusCode::CONFLICT, &json!({}));
+        }
+        let version = order["version"].as_u64().unwrap_or(0);
+        let listed = self.store.get(&format!("servers/{}", self.id)).unwrap_or_default();
+        let listed: serde_json::Value = serde_json::from_slice(&listed).unwrap_or_default();
+        let address = listed["address"].as_str().and_then(|address| address.parse().ok());
+        tokio::spawn(async move {
+            tokio::time::sleep(LOAD).await;
+            *self.version.lock().expect("no holder panics") = version;
+            if let Some(address) = address {
+                self.list(address, "ready");
+            }
+        });
+        json_reply(StatusCode::ACCEPTED, &json!({}))
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
+        let behaviour = *self.behaviour.lock().expect("no holder panics");
+        let (parts, body) = request.into_parts();
+        let body = body.collect().await.map_err(|_| Cut)?.to_bytes();
+        let is_meant = parts.headers.get("x-expect-instance").is_none_or(|id| id == &self.id);
+        let has_run = is_meant && !matches!(behaviour, Behaviour::Sheds | Behaviour::IsAnother);
+        let seen = SeenRequest {
+            method: parts.method,
+            target: parts.uri.to_string(),
+            headers: parts.headers,
+            body,
+            has_run,
+        };
+        self.seen.lock().expect("no holder panics").push(seen.clone());
+        if !is_meant || behaviour == Behaviour::IsAnother {
+            return Ok(self.reply(StatusCode::MISDIRECTED_REQUEST, &seen, full_body("")));
+        }
+        match behaviour {
+            Behaviour::DropsAnswer => return Err(Cut),
+            Behaviour::IsMute => std::future::pending::<()>().await,
+            Behaviour::Sheds => {
+                let mut reply = self.reply(StatusCode::SERVICE_UNAVAILABLE, &seen, full_body(""));
+                reply.headers_mut().insert("x-not-executed", HeaderValue::from_static("1"));
+                return Ok(reply);
+            }
+            Behaviour::Fails => {
+                let body = full_body("failed");
+                return Ok(self.signed(StatusCode::INTERNAL_SERVER_ERROR, &seen, body));
+            }
+            Behaviour::FailsBusy => {
+                return Ok(self.signed(StatusCode::SERVICE_UNAVAILABLE, &seen, full_body("busy")));
+            }
+            _ => {}
+        }
+        let body = match seen.header("x-model") {
+            Some(_) => self.events(&seen, behaviour),
+            None if behaviour == Behaviour::BreaksOff => {
+                stream_body(futures::stream::iter([Ok(Bytes::from("half")), Err(Cut)]))
+            }
+            None => full_body(format!("answer of {}", self.id)),
+        };
+        let mut reply = match behaviour {
+            Behaviour::DoesNotSign => self.reply(StatusCode::OK, &seen, body),
+            _ => self.signed(StatusCode::OK, &seen, body),
+        };
+        if behaviour == Behaviour::CrossesAnswers {
+            reply.headers_mut().insert("x-request-id", HeaderValue::from_static("another"));
+        }
+        if behaviour == Behaviour::Recodes {
+            reply.headers_mut().insert("content-encoding", HeaderValue::from_static("gzip"));
+        }
+        Ok(reply)
+    }
+
+    fn events(&self, seen: &SeenRequest, behaviour: Behaviour) -> Body {
+        let last = seen.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+        let ids = futures::stream::iter(last + 1..=EVENTS);
+        let pieces = ids.then(move |id| async move {
+            let is_second = id == last + 2;
+            let pauses = is_second && behaviour == Behaviour::IsSlow;
+            tokio::time::sleep(if pauses { LONG_PAUSE } else { EVENT_PAUSE }).await;
+            match is_second && behaviour == Behaviour::BreaksOff {
+                true => vec![Ok(Bytes::from(format!("id: {id}\nda"))), Err(Cut)],
+                false => vec![Ok(Bytes::from(format!("id: {id}\ndata: token{id}\n\n")))],
+            }
+        });
+        // The counter lives as long as the stream.
+        let guard = OpenStream::new(&self.open_streams);
+        let counted = pieces.flat_map(futures::stream::iter).map(move |piece| {
+            let _guard = &guard;
+            piece
+        });
+        stream_body(counted)
+    }
+
+    fn signed(&self, status: StatusCode, seen: &SeenRequest, body: Body) -> Response<Body> {
+        let mut reply = self.reply(status, seen, body);
+        let stamp = HeaderValue::from_str(&format!("stamp-{}", self.id)).expect("plain text");
+        reply.headers_mut().insert("x-server-stamp", stamp);
+        reply
+    }
+
+    fn reply(&self, status: StatusCode, seen: &SeenRequest, body: Body) -> Response<Body> {
+        let mut reply = Response::new(body);
+        *reply.status_mut() = status;
+        let headers = reply.headers_mut();
+        if let Some(id) = seen.headers.get("x-request-id") {
+            headers.insert("x-request-id", id.clone());
+        }
+        headers.insert("x-server-load", HeaderValue::from_static("1,0,8"));
+        reply
+    }
+}
--- /dev/null
+++ b/crates/lab/src/site_upstream/mod.rs
@@ -0,0 +1,8 @@
+//! A stand-in of the users' engines and plain services, as they answer on the platform.
+
+mod behaviour;
+mod http;
+
+pub use behaviour::Behaviour;
+pub use behaviour::SeenRequest;
+pub use http::SiteUpstream;
--- /dev/null
+++ b/crates/lab/tests/on_platform/main.rs
@@ -0,0 +1,8 @@
+//! Nodes on the platform's adapter against stand-ins that speak the platform's protocol.
+
+mod failures;
+mod news;
+mod requests;
+mod rollout;
+mod site;
+mod stops;
--- /dev/null
+++ b/crates/lab/tests/on_platform/rollout.rs
@@ -0,0 +1,103 @@
+//! New weights: each engine is ordered once at a time, by one node, and all get there.
+
+use std::time::Duration;
+
+use serde_json::json;
+use tokio::time::Instant;
+
+use redwingrill_lab::metadata_store::StoreFault;
+use redwingrill_lab::site_upstream::Behaviour;
+
+use crate::site::Call;
+use crate::site::Site;
+
+const ALL_IN_TIME: Duration = Duration::from_secs(20);
+
+fn name_version(site: &Site, version: u64) {
+    let named = json!({"model": "m", "version": version});
+    site.store.state.put("op/version/m", named.to_string());
+}
+
+async fn wait_for_version(site: &Site, version: u64) {
+    let ends = Instant::now() + ALL_IN_TIME;
+    while site.engines.iter().any(|engine| engine.version() < version) {
+        assert!(Instant::now() < ends, "engines lack version {version}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+#[tokio::test]
+async fn engines_take_the_version_by_one_holder() {
+    let site = Site::start(4, 0).await;
+    let nodes = [site.node("n1").await, site.node("n2").await];
+    name_version(&site, 2);
+    wait_for_version(&site, 2).await;
+    for engine in &site.engines {
+        let orders = engine.orders();
+        assert_eq!(orders.len(), 1);
+        assert_eq!(orders[0]["strategy"], "wait");
+        assert_eq!(orders[0]["expect"], 0);
+    }
+    let holders: std::collections::HashSet<String> = site
+        .engines
+        .iter()
+        .flat_map(|engine| engine.orders())
+        .map(|order| format!("{} {}", order["holder"], order["fence"]))
+        .collect();
+    assert_eq!(holders.len(), 1, "{holders:?}");
+    let answer = site.ask(&nodes[0], &Call::new("check", "r1")).await;
+    assert!(answer.is_signed());
+    let seen = site.engines.iter().flat_map(|engine| engine.seen()).next_back();
+    let seen = seen.expect("a request");
+    assert_eq!(seen.header("x-cache-salt"), Some("w2/cafe"));
+    assert_eq!(seen.header("x-expect-version"), Some("2"));
+    site.stop(nodes.into()).await;
+}
+
+#[tokio::test]
+async fn a_version_that_was_overtaken_is_skipped() {
+    let site = Site::start(4, 0).await;
+    let node = site.node("n1").await;
+    name_version(&site, 2);
+    name_version(&site, 3);
+    wait_for_version(&site, 3).await;
+    let orders = site.engines.iter().flat_map(|engine| engine.orders());
+    assert!(orders.into_iter().all(|order| order["version"] == 3));
+    site.stop(vec![node]).await;
+}
+
+#[tokio::test]
+async fn another_node_goes_on_when_the_holder_ends() {
+    let site = Site::start(6, 0).await;
+    let first = site.node("n1").await;
+    let second = site.node("n2").await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    name_version(&site, 2);
+    let ends = Instant::now() + ALL_IN_TIME;
+    while site.engines.iter().all(|engine| engine.orders().is_empty()) {
+        assert!(Instant::now() < ends, "no order");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    first.node.drain().await.finish().await;
+    wait_for_version(&site, 2).await;
+    let fences = site.engines.iter().flat_map(|engine| engine.orders());
+    let fences: Vec<u64> = fences.filter_map(|order| order["fence"].as_u64()).collect();
+    assert!(fences.iter().all(|fence| *fence > 0));
+    site.stop(vec![second]).await;
+}
+
+#[tokio::test]
+async fn a_store_outage_delays_the_roll_out_and_no_more() {
+    let site = Site::start(3, 0).await;
+    let node = site.node("n1").await;
+    name_version(&site, 2);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    site.store.state.set_fault(StoreFault::Busy);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    site.store.state.set_fault(StoreFault::None);
+    wait_for_version(&site, 2).await;
+    site.engines.iter().for_each(|engine| engine.set(Behaviour::Serves));
+    let answer = site.ask(&node, &Call::new("draft", "r1")).await;
+    assert_eq!(answer.events().len(), 6);
+    site.stop(vec![node]).await;
+}
--- /dev/null
+++ b/crates/lab/tests/on_platform/site.rs
@@ -0,0 +1,250 @@
+//! Nodes on the platform's adapter, with stand-ins of the store and the upstreams.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Request;
+use http::StatusCode;
+use tokio::time::Instant;
+
+use redwingrill_gateway::node::Node;
+use redwingrill_gateway::node::NodeOptions;
+use redwingrill_gateway::node::NodePorts;
+use redwingrill_gateway::node::Serving;
+use redwingrill_lab::metadata_store::MetadataStore;
+use redwingrill_lab::metadata_store::StoreState;
+use redwingrill_lab::site_upstream::SiteUpstream;
+use redwingrill_platform::PlatformControl;
+use redwingrill_platform::PlatformHeads;
+use redwingrill_platform::PlatformItems;
+use redwingrill_platform::PlatformStore;
+use redwingrill_scheduling::budget::BudgetSpec;
+use redwingrill_transport::Freshness;
+use redwingrill_transport::Pool;
+use redwingrill_transport::ReplyBody;
+use redwingrill_transport::Timeouts;
+
+pub const KEY: &str = "key-of-cafe";
+pub const HOST: &str = "site.example";
+/// How long a change may take to be in force.
+pub const IN_FORCE: Duration = Duration::from_secs(2);
+const CALL_LIMIT: Duration = Duration::from_secs(6);
+
+/// Routes of each kind. The account `cafe` is isolated; `extra` is more routes.
+pub fn configuration(version: u64, keys: &[&str], extra: &[serde_json::Value]) -> String {
+    let route = |name: &str, kind: &str, service: &str, attempts: u32, resumable: bool| {
+        serde_json::json!({
+            "name": name, "host": HOST, "prefix": format!("/{name}/"), "kind": kind,
+            "timeout_ms": 1_500, "target_latency_ms": 400, "priority": 1, "service": service,
+            "max_attempts": attempts, "anonymous": false, "sticky": service == "llm",
+            "resumable": resumable, "gap_target_ms": 400,
+        })
+    };
+    let mut routes = vec![
+        route("look", "safe", "shop", 2, false),
+        route("order", "unsafe", "shop", 1, false),
+        route("draft", "stream", "llm", 1, false),
+        route("check", "stream", "llm", 2, true),
+    ];
+    routes.extend(extra.iter().cloned());
+    serde_json::json!({
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": "llm", "health_path": "/health", "max_connections": 100, "protocol": "h1",
+             "tls": false, "engine": {"slots": 8, "kv_capacity_tokens": 100_000,
+             "max_concurrent": 12, "models": [{"name": "m"}]}},
+            {"name": "shop", "health_path": "/health", "max_connections": 100, "protocol": "h1",
+             "tls": false},
+        ],
+        "limits": {"max_header_bytes": 16_384, "max_body_bytes": 100_000,
+                   "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000},
+        "tenants": [{"name": "cafe", "api_keys": keys, "isolated": true}],
+    })
+    .to_string()
+}
+
+/// A node with its addresses.
+pub struct SiteNode {
+    pub node: Node<Serving>,
+    pub callers: SocketAddr,
+    pub readiness: SocketAddr,
+    pub peers: SocketAddr,
+}
+
+/// A store, upstreams of both services, and what reaches a node.
+pub struct Site {
+    pub store: MetadataStore,
+    pub engines: Vec<SiteUpstream>,
+    pub shops: Vec<SiteUpstream>,
+    pub pool: Pool,
+}
+
+impl Site {
+    pub async fn start(engines: usize, shops: usize) -> Self {
+        let state = StoreState::default();
+        let store = MetadataStore::start(state.clone()).await.expect("a free port");
+        state.put("op/config", configuration(1, &[KEY], &[]));
+        let mut site = Self { store, engines: Vec::new(), shops: Vec::new(), pool: Pool::new() };
+        for n in 0..engines {
+            let engine = SiteUpstream::start(&format!("e{n}"), "llm", &state).await;
+            site.engines.push(engine.expect("a free port"));
+        }
+        for n in 0..shops {
+            let shop = SiteUpstream::start(&format!("s{n}"), "shop", &state).await;
+            site.shops.push(shop.expect("a free port"));
+        }
+        site
+    }
+
+    /// Starts a node and waits until it is ready.
+    pub async fn node(&self, name: &str) -> SiteNode {
+        let node = self.start_node(name, self.store.address(), Vec::new()).await;
+        self.wait("the node is ready", async || self.is_ready(&node).await).await;
+        node
+    }
+
+    /// Starts a node that reaches the store at an address of its own.
+    pub async fn start_node(
+        &self,
+        name: &str,
+        store: SocketAddr,
+        seeds: Vec<SocketAddr>,
+    ) -> SiteNode {
+        let (callers, readiness) = (free_address(), free_address());
+        let (peers, gossip) = (free_address(), free_address());
+        let options = NodeOptions {
+            name: name.to_owned(),
+            failure_domain: "a".to_owned(),
+            callers,
+            readiness,
+            peers: Some(peers),
+            gossip: Some(gossip),
+            metrics: None,
+            seeds,
+            budget: BudgetSpec { ratio: 0.2, allowance: 54.0, window_ms: 10_000 },
+            version_limit: Duration::from_secs(20),
+            rollout_lease: Duration::from_secs(1),
+            stop_limit: Duration::from_secs(4),
+        };
+        let pool = Pool::new();
+        let ports = NodePorts {
+            store: PlatformStore::new(store, pool.clone()),
+            control: PlatformControl::new(pool.clone()),
+            items: Arc::new(PlatformItems),
+            heads: Arc::new(PlatformHeads),
+        };
+        let node = Node::new(options).serve(ports, pool).await;
+        let node = node.expect("free ports");
+        SiteNode { node, callers, readiness, peers }
+    }
+
+    pub async fn is_ready(&self, node: &SiteNode) -> bool {
+        let mut request = Request::new(Bytes::new());
+        *request.uri_mut() = "/-/ready".parse().expect("a path");
+        let timeouts = Timeouts { connect: CALL_LIMIT, head: CALL_LIMIT };
+        let reply = self.pool.send(node.readiness, request, Freshness::New, &timeouts).await;
+        reply.is_ok_and(|reply| reply.status() == StatusCode::OK)
+    }
+
+    /// Waits for a condition, and fails if it does not come about in time.
+    pub async fn wait(&self, what: &str, mut condition: impl AsyncFnMut() -> bool) {
+        let ends = Instant::now() + IN_FORCE;
+        while !condition().await {
+            assert!(Instant::now() < ends, "not in time: {what}");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Sends a request and returns the head of the answer.
+    pub async fn send(&self, node: &SiteNode, call: &Call) -> http::Response<ReplyBody> {
+        let timeouts = Timeouts { connect: CALL_LIMIT, head: CALL_LIMIT };
+        let reply = self.pool.send(node.callers, call.request(), Freshness::New, &timeouts).await;
+        reply.expect("the node answers")
+    }
+
+    /// Sends a request and returns the whole answer; the body is `None` if it was broken off.
+    pub async fn ask(&self, node: &SiteNode, call: &Call) -> Answer {
+        let (parts, body) = self.send(node, call).await.into_parts();
+        let body = body.read_all(1 << 20, CALL_LIMIT).await;
+        let body = body.ok().map(|body| String::from_utf8_lossy(&body).into_owned());
+        Answer { status: parts.status, headers: parts.headers, body }
+    }
+
+    pub async fn stop(self, nodes: Vec<SiteNode>) {
+        for node in nodes {
+            node.node.drain().await.finish().await;
+        }
+        for upstream in self.engines.into_iter().chain(self.shops) {
+            upstream.stop().await;
+        }
+        self.store.stop().await;
+    }
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Option<String>,
+}
+
+impl Answer {
+    pub fn is_signed(&self) -> bool {
+        self.headers.contains_key("x-server-stamp")
+    }
+
+    /// Returns the numbers of the events.
+    pub fn events(&self) -> Vec<u64> {
+        let lines = self.body.as_deref().unwrap_or_default().lines();
+        lines.filter_map(|line| line.strip_prefix("id: ")?.parse().ok()).collect()
+    }
+}
+
+/// A caller's request.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub id: String,
+    pub route: &'static str,
+    pub key: Option<&'static str>,
+    pub headers: Vec<(&'static str, &'static str)>,
+    pub body: Bytes,
+}
+
+impl Call {
+    pub fn new(route: &'static str, id: &str) -> Self {
+        let (headers, body) = (Vec::new(), Bytes::from_static(b"body"));
+        Self { id: id.to_owned(), route, key: Some(KEY), headers, body }
+    }
+
+    fn request(&self) -> Request<Bytes> {
+        let mut request = Request::builder()
+            .method("POST")
+            .uri(format!("/{}/2f?q=1", self.route))
+            .header("host", HOST)
+            .header("x-request-id", &self.id)
+            .header("x-deadline-ms", "1500");
+        if let Some(key) = self.key {
+            request = request.header("authorization", format!("Token {key}"));
+        }
+        if matches!(self.route, "draft" | "check") {
+            request = request
+                .header("x-model", "m")
+                .header("x-token-count", "1460,80")
+                .header("x-prompt-prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+        }
+        for (name, value) in &self.headers {
+            request = request.header(*name, *value);
+        }
+        request.body(self.body.clone()).expect("a request")
+    }
+}
+
+pub fn free_address() -> SocketAddr {
+    let socket = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    socket.local_addr().expect("a bound socket")
+}
--- /dev/null
+++ b/crates/lab/tests/on_platform/stops.rs
@@ -0,0 +1,55 @@
+//! Planned stops cut no request.
+
+use std::time::Duration;
+
+use http::StatusCode;
+
+use redwingrill_lab::site_upstream::Behaviour;
+
+use crate::site::Call;
+use crate::site::Site;
+
+#[tokio::test]
+async fn a_stop_ends_open_requests_and_says_not_ready_first() {
+    let site = Site::start(1, 1).await;
+    let node = site.node("n1").await;
+    let (callers, readiness, peers) = (node.callers, node.readiness, node.peers);
+    let open = site.send(&node, &Call::new("draft", "r1")).await;
+    let draining = tokio::spawn(async move { node.node.drain().await.finish().await });
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    // It goes on to answer until the balancer has noticed, and asks callers to close.
+    let pool = redwingrill_transport::Pool::new();
+    let timeouts = redwingrill_transport::Timeouts {
+        connect: Duration::from_secs(1),
+        head: Duration::from_secs(1),
+    };
+    let ask = async |address| {
+        let mut request = http::Request::new(bytes::Bytes::new());
+        *request.uri_mut() = "/-/ready".parse().expect("a path");
+        let fresh = redwingrill_transport::Freshness::New;
+        pool.send(address, request, fresh, &timeouts).await
+    };
+    let ready = ask(readiness).await.expect("it still answers");
+    assert_eq!(ready.status(), StatusCode::SERVICE_UNAVAILABLE);
+    let refused = ask(callers).await.expect("it still accepts");
+    assert_eq!(refused.headers().get("connection").map(|v| v.as_bytes()), Some(&b"close"[..]));
+    let body = open.into_body().read_all(1 << 20, Duration::from_secs(3)).await;
+    assert!(body.is_ok_and(|body| body.ends_with(b"data: token6\n\n")));
+    assert!(draining.await.expect("the drain ends"), "no work was cut");
+    assert!(ask(callers).await.is_err(), "it has ended");
+    assert!(tokio::net::TcpStream::connect(peers).await.is_err());
+    site.stop(Vec::new()).await;
+}
+
+#[tokio::test]
+async fn a_stop_does_not_wait_beyond_its_limit() {
+    let site = Site::start(0, 1).await;
+    let node = site.node("n1").await;
+    site.shops[0].set(Behaviour::IsMute);
+    let asked = tokio::time::Instant::now();
+    let answer = site.ask(&node, &Call::new("order", "r1")).await;
+    assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT);
+    node.node.drain().await.finish().await;
+    assert!(asked.elapsed() < Duration::from_secs(7));
+    site.stop(Vec::new()).await;
+}
--- a/crates/scheduling/src/placement/knowledge.rs
+++ b/crates/scheduling/src/placement/knowledge.rs
@@ -3,15 +3,16 @@
 use std::collections::HashMap;
 use std::collections::VecDeque;
 
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use super::AffinityKey;
 use super::Scope;
 use crate::fleet::UpstreamIndex;
 use redwingrill_routing::CacheChange;
 use redwingrill_routing::PartId;
 use redwingrill_routing::PromptPart;
-use serde::Deserialize;
-use serde::Serialize;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// How long a prefix is taken to stay in an engine after its last use there.
 const HELD_MS: u64 = 8_000;
--- a/crates/scheduling/tests/fleet.rs
+++ b/crates/scheduling/tests/fleet.rs
@@ -4,6 +4,9 @@
 
 use std::sync::Arc;
 
+use support::engine;
+use support::engines;
+
 use redwingrill_routing::ReportedLoad;
 use redwingrill_routing::Upstream;
 use redwingrill_scheduling::fleet::Fleet;
@@ -13,8 +16,6 @@
 use redwingrill_scheduling::fleet::PeerLoads;
 use redwingrill_scheduling::fleet::UpstreamTag;
 use redwingrill_scheduling::fleet::Verdict;
-use support::engine;
-use support::engines;
 
 #[test]
 fn a_listing_keeps_what_the_node_counted() {
--- a/crates/scheduling/tests/prefixes.rs
+++ b/crates/scheduling/tests/prefixes.rs
@@ -2,16 +2,17 @@
 
 mod support;
 
-use redwingrill_routing::CacheChange;
-use redwingrill_routing::PartId;
-use redwingrill_scheduling::scheduler::Choice;
-use redwingrill_scheduling::scheduler::Scheduler;
 use support::ask;
 use support::engines;
 use support::long_prompt;
 use support::scheduler;
 use support::sent;
 
+use redwingrill_routing::CacheChange;
+use redwingrill_routing::PartId;
+use redwingrill_scheduling::scheduler::Choice;
+use redwingrill_scheduling::scheduler::Scheduler;
+
 const STORE: ([u8; 4], u16) = ([10, 1, 0, 1], 80);
 
 fn node(seed: u64) -> Scheduler {
--- a/crates/scheduling/tests/replays.rs
+++ b/crates/scheduling/tests/replays.rs
@@ -11,6 +11,12 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use support::MODEL;
+use support::ask;
+use support::engines;
+use support::long_prompt;
+use support::scheduler;
+use support::short_prompt;
 
 use redwingrill_routing::CacheChange;
 use redwingrill_routing::PartId;
@@ -21,12 +27,6 @@
 use redwingrill_scheduling::scheduler::LegOutcome;
 use redwingrill_scheduling::scheduler::Scheduler;
 use redwingrill_scheduling::scheduler::WaitingRoom;
-use support::MODEL;
-use support::ask;
-use support::engines;
-use support::long_prompt;
-use support::scheduler;
-use support::short_prompt;
 
 const NODES: usize = 7;
 const BOOKS: u64 = 132;
--- a/crates/scheduling/tests/versions.rs
+++ b/crates/scheduling/tests/versions.rs
@@ -3,6 +3,11 @@
 mod support;
 
 use quickcheck::quickcheck;
+use support::MODEL;
+use support::ask;
+use support::engine;
+use support::scheduler_at;
+use support::short_prompt;
 
 use redwingrill_routing::WeightsVersion;
 use redwingrill_scheduling::rollout::Claim;
@@ -11,11 +16,6 @@
 use redwingrill_scheduling::rollout::OrderResult;
 use redwingrill_scheduling::rollout::Tenure;
 use redwingrill_scheduling::scheduler::Choice;
-use support::MODEL;
-use support::ask;
-use support::engine;
-use support::scheduler_at;
-use support::short_prompt;
 
 /// The clock at the start of the node.
 const START_MS: u64 = 100_000;
