--- /dev/null
+++ b/crates/gateway/tests/board.rs
@@ -0,0 +1,112 @@
+//! The board of items: whatever way news come, nothing goes back.
+
+use std::collections::HashMap;
+
+use bytes::Bytes;
+use quickcheck::quickcheck;
+
+use redwingrill_gateway::news::Board;
+use redwingrill_routing::Change;
+use redwingrill_routing::Item;
+use redwingrill_routing::Listing;
+use redwingrill_routing::Revision;
+
+fn put(key: &str, revision: u64) -> Change {
+    let value = Bytes::from(format!("{key}@{revision}"));
+    Change::Put(Item { key: key.to_owned(), value, revision: Revision(revision) })
+}
+
+fn removed(key: &str, revision: u64) -> Change {
+    Change::Removed { key: key.to_owned(), revision: Revision(revision) }
+}
+
+fn keys(board: &Board) -> Vec<(String, u64)> {
+    let mut keys: Vec<_> =
+        board.items().map(|(key, revision, _)| (key.to_owned(), revision.0)).collect();
+    keys.sort();
+    keys
+}
+
+#[test]
+fn an_older_change_is_no_news() {
+    let mut board = Board::default();
+    assert!(board.apply(put("a", 5)));
+    assert!(!board.apply(put("a", 4)));
+    assert!(!board.apply(removed("a", 5)));
+    assert!(board.apply(removed("a", 6)));
+    assert!(!board.apply(put("a", 5)));
+    assert_eq!(keys(&board), []);
+    assert!(board.apply(put("a", 9)));
+    assert_eq!(keys(&board), [("a".to_owned(), 9)]);
+    board.verify().expect("it holds together");
+}
+
+#[test]
+fn a_listing_removes_what_it_lacks_unless_that_is_newer() {
+    let mut board = Board::default();
+    board.apply_batch(vec![put("a", 1), put("b", 2), put("c", 9)], Revision(9));
+    let item = Item { key: "a".to_owned(), value: Bytes::from("x"), revision: Revision(1) };
+    assert!(board.apply_listing(Listing { items: vec![item], complete_to: Revision(5) }));
+    assert_eq!(keys(&board), [("a".to_owned(), 1), ("c".to_owned(), 9)]);
+    assert_eq!(board.complete_to(), Revision(9));
+}
+
+#[test]
+fn a_peer_is_told_removals_too() {
+    let (mut first, mut second) = (Board::default(), Board::default());
+    first.apply_batch(vec![put("a", 1), put("b", 2)], Revision(2));
+    assert!(second.apply_update(first.update_after(Revision(0))));
+    first.apply_batch(vec![removed("a", 3), put("c", 4)], Revision(4));
+    let update = first.update_after(second.complete_to());
+    assert_eq!(update.entries.len(), 2);
+    assert!(second.apply_update(update));
+    assert_eq!(keys(&second), keys(&first));
+    assert_eq!(second.complete_to(), Revision(4));
+}
+
+/// Changes of four keys at rising revisions.
+fn history(steps: &[u8]) -> Vec<Change> {
+    let steps = steps.iter().zip(1..);
+    let changes = steps.map(|(step, revision)| {
+        let key = format!("k{}", step % 4);
+        if step % 3 == 0 { removed(&key, revision) } else { put(&key, revision) }
+    });
+    changes.collect()
+}
+
+fn truth(changes: &[Change]) -> Vec<(String, u64)> {
+    let mut items = HashMap::new();
+    for change in changes {
+        match change {
+            Change::Put(item) => items.insert(item.key.clone(), item.revision.0),
+            Change::Removed { key, .. } => items.remove(key),
+        };
+    }
+    let mut items: Vec<_> = items.into_iter().collect();
+    items.sort();
+    items
+}
+
+quickcheck! {
+    /// A board that hears the history twice, in any order of its parts, by changes and by a peer,
+    /// ends where the store is; revisions never fall on the way.
+    fn boards_come_to_the_same_end(steps: Vec<u8>, cut: usize, again: Vec<usize>) -> bool {
+        let changes = history(&steps);
+        let cut = cut % (changes.len() + 1);
+        let mut peer = Board::default();
+        let (early, late) = changes.split_at(cut);
+        peer.apply_batch(early.to_vec(), Revision(cut as u64));
+        let mut board = Board::default();
+        board.apply_update(peer.update_after(Revision(0)));
+        board.apply_batch(late.to_vec(), Revision(changes.len() as u64));
+        for index in again {
+            if let Some(change) = changes.get(index % changes.len().max(1)) {
+                board.apply(change.clone());
+            }
+        }
+        // What a late peer says changes nothing.
+        let before = board.complete_to();
+        board.apply_update(peer.update_after(Revision(0)));
+        keys(&board) == truth(&changes) && board.complete_to() == before && board.verify().is_ok()
+    }
+}
