--- a/crates/lab/tests/on_platform/failures.rs
+++ b/crates/lab/tests/on_platform/failures.rs
@@ -5,11 +5,10 @@
 use http::StatusCode;
 use tokio::time::Instant;
 
-use redwingrill_lab::site_upstream::Behaviour;
-
 use crate::site::Answer;
 use crate::site::Call;
 use crate::site::Site;
+use redwingrill_lab::site_upstream::Behaviour;
 
 /// What the caller gets.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
--- a/crates/lab/tests/on_platform/news.rs
+++ b/crates/lab/tests/on_platform/news.rs
@@ -5,15 +5,14 @@
 use http::StatusCode;
 use serde_json::json;
 
-use redwingrill_lab::metadata_store::MetadataStore;
-use redwingrill_lab::metadata_store::StoreFault;
-use redwingrill_lab::metadata_store::StoreState;
-
 use crate::site::Call;
 use crate::site::HOST;
 use crate::site::KEY;
 use crate::site::Site;
 use crate::site::configuration;
+use redwingrill_lab::metadata_store::MetadataStore;
+use redwingrill_lab::metadata_store::StoreFault;
+use redwingrill_lab::metadata_store::StoreState;
 
 fn added_route() -> serde_json::Value {
     json!({"name": "added", "host": HOST, "prefix": "/added/", "kind": "safe",
--- a/crates/lab/tests/on_platform/rollout.rs
+++ b/crates/lab/tests/on_platform/rollout.rs
@@ -5,11 +5,10 @@
 use serde_json::json;
 use tokio::time::Instant;
 
-use redwingrill_lab::metadata_store::StoreFault;
-use redwingrill_lab::site_upstream::Behaviour;
-
 use crate::site::Call;
 use crate::site::Site;
+use redwingrill_lab::metadata_store::StoreFault;
+use redwingrill_lab::site_upstream::Behaviour;
 
 const ALL_IN_TIME: Duration = Duration::from_secs(20);
 
--- a/crates/lab/tests/on_platform/stops.rs
+++ b/crates/lab/tests/on_platform/stops.rs
@@ -4,10 +4,9 @@
 
 use http::StatusCode;
 
-use redwingrill_lab::site_upstream::Behaviour;
-
 use crate::site::Call;
 use crate::site::Site;
+use redwingrill_lab::site_upstream::Behaviour;
 
 #[tokio::test]
 async fn a_stop_ends_open_requests_and_says_not_ready_first() {
