--- a/crates/scheduling/tests/replays.rs
+++ b/crates/scheduling/tests/replays.rs
@@ -224,10 +224,10 @@
             }
             false
         });
-        if now_ms % DIGEST_MS == 0 {
+        if now_ms.is_multiple_of(DIGEST_MS) {
             self.tell(now_ms);
         }
-        if now_ms % 20 == 0 {
+        if now_ms.is_multiple_of(20) {
             for node in 0..NODES {
                 let (scheduler, waiting) = &mut self.nodes[node];
                 let answers = waiting.pump(scheduler, now_ms, |_| false);
