Let a few nodes of each failure domain watch the store in a large fleet

Ruled out: longer pauses alone (the pause that keeps the bounds is some 0.5 s, still 170 calls a second). Change: above 12 nodes, the two with the fastest links in each failure domain watch; the others wait at one of these for news, at the other one if it fails, at the store if both do. Answers say how the store stands, so that lapsed upstreams are kept by those who hear second-hand, too. tarpc's own lines are off. Test: crates/gateway/tests/sources.rs.

--- a/crates/gateway/src/beliefs/own_items.rs
+++ b/crates/gateway/src/beliefs/own_items.rs
@@ -20,6 +20,10 @@
     pub address: SocketAddr,
     /// Its address for peers' datagrams.
     pub gossip: SocketAddr,
+    /// Its failure domain.
+    pub failure_domain: String,
+    /// The rate of its network link in megabits a second.
+    pub link_mbps: u64,
 }
 
 /// The node that holds the roll-out.
--- /dev/null
+++ b/crates/gateway/src/news/source.rs
@@ -0,0 +1,74 @@
+//! From whom a node hears the news.
+//!
+//! Answers this load: releases and roll-outs that change an item several times a second, before some
+//! hundred nodes. Were all of them to watch the store, each change would cost as many calls as there
+//! are nodes. A few nodes of each failure domain watch; the others hear of one of these, of another
+//! one if it fails, and of the store itself if both fail.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use crate::beliefs::Member;
+
+/// Up to this many nodes, each watches the store itself.
+const ALL_WATCH_LIMIT: usize = 12;
+
+/// The nodes of a failure domain that watch the store.
+const WATCHERS: usize = 2;
+
+/// How long a watcher that failed is passed over.
+const FAILED_MS: u64 = 3_000;
+
+/// From whom to hear.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Source {
+    /// The store itself.
+    Store,
+    /// A node that watches the store.
+    Watcher(SocketAddr),
+}
+
+/// Chooses the source of a node.
+#[derive(Clone, Debug)]
+pub struct Sources {
+    node: String,
+    failure_domain: String,
+    failed_ms: HashMap<SocketAddr, u64>,
+}
+
+impl Sources {
+    /// Makes the choice of a node.
+    pub fn new(node: String, failure_domain: String) -> Self {
+        Self { node, failure_domain, failed_ms: HashMap::new() }
+    }
+
+    /// Chooses by the members that are known.
+    pub fn choose(&self, members: &[Member], now_ms: u64) -> Source {
+        if members.len() <= ALL_WATCH_LIMIT {
+            return Source::Store;
+        }
+        let mut near: Vec<&Member> =
+            members.iter().filter(|m| m.failure_domain == self.failure_domain).collect();
+        // Fast links first: a watcher passes each configuration on to many.
+        near.sort_by(|a, b| b.link_mbps.cmp(&a.link_mbps).then_with(|| a.name.cmp(&b.name)));
+        let watchers = &near[..near.len().min(WATCHERS)];
+        if watchers.iter().any(|watcher| watcher.name == self.node) {
+            return Source::Store;
+        }
+        // Half of the nodes begin with each of the two.
+        let turn = self.node.bytes().map(usize::from).sum::<usize>();
+        let turns = (0..watchers.len()).map(|step| watchers[(turn + step) % watchers.len()]);
+        let mut sound = turns.filter(|watcher| {
+            self.failed_ms
+                .get(&watcher.address)
+                .is_none_or(|at_ms| now_ms.saturating_sub(*at_ms) >= FAILED_MS)
+        });
+        sound.next().map_or(Source::Store, |watcher| Source::Watcher(watcher.address))
+    }
+
+    /// Notes that a watcher did not answer, or does not hear the store.
+    pub fn failed(&mut self, watcher: SocketAddr, now_ms: u64) {
+        self.failed_ms.retain(|_, at_ms| now_ms.saturating_sub(*at_ms) < FAILED_MS);
+        self.failed_ms.insert(watcher, now_ms);
+    }
+}
--- a/crates/gateway/src/news/task.rs
+++ b/crates/gateway/src/news/task.rs
@@ -1,5 +1,6 @@
 //! The task that follows the store, and peers while the store does not answer.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,14 +10,21 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 use tokio_util::sync::CancellationToken;
 
 use super::Board;
 use super::BoardUpdate;
+use super::Source;
+use super::Sources;
 use crate::beliefs::BeliefBuilder;
 use crate::beliefs::Beliefs;
 use crate::clock::now_ms;
+use crate::peers::NewsAnswer;
+use crate::peers::PeerLink;
+use crate::peers::StoreView;
 use crate::peers::ask_peer;
 use crate::telemetry::Metrics;
 use redwingrill_routing::ItemDialect;
@@ -43,10 +51,14 @@
 /// What the task is made with.
 #[derive(Clone, Debug)]
 pub struct NewsOptions {
+    /// The name of the node.
+    pub node: String,
+    /// Its failure domain.
+    pub failure_domain: String,
     /// Addresses of nodes to ask before any member is known.
-    pub seeds: Vec<std::net::SocketAddr>,
+    pub seeds: Vec<SocketAddr>,
     /// The address for peers of this node, which is not asked.
-    pub own_address: Option<std::net::SocketAddr>,
+    pub own_address: Option<SocketAddr>,
 }
 
 /// The way of others to the news.
@@ -58,14 +70,18 @@
 #[derive(Debug)]
 struct Question {
     after: Revision,
-    reply: oneshot::Sender<BoardUpdate>,
+    // It is answered then, news or not.
+    answer_by: Instant,
+    reply: oneshot::Sender<NewsAnswer>,
 }
 
 impl NewsReader {
-    /// Returns what changed after a revision; `None` once the task has ended.
-    pub async fn update_after(&self, after: Revision) -> Option<BoardUpdate> {
+    /// Returns what changed after a revision, and waits for something up to `wait`; `None` once the
+    /// task has ended.
+    pub async fn update_after(&self, after: Revision, wait: Duration) -> Option<NewsAnswer> {
         let (reply, answer) = oneshot::channel();
-        self.questions.send(Question { after, reply }).await.ok()?;
+        let answer_by = Instant::now() + wait;
+        self.questions.send(Question { after, answer_by, reply }).await.ok()?;
         answer.await.ok()
     }
 }
@@ -78,6 +94,12 @@
     builder: BeliefBuilder<D>,
     beliefs: watch::Sender<Arc<Beliefs>>,
     questions: mpsc::Receiver<Question>,
+    // Questions of peers that wait for news.
+    waiting: Vec<Question>,
+    sources: Sources,
+    // The connection to the watcher that was asked last.
+    link: Option<PeerLink>,
+    returning_until_ms: u64,
     metrics: Metrics,
     contact: Contact,
 }
@@ -102,11 +124,15 @@
         let (beliefs, reader) = watch::channel(Arc::default());
         let task = Self {
             store,
-            options,
             board: Board::default(),
             builder: BeliefBuilder::new(dialect),
             beliefs,
             questions,
+            waiting: Vec::new(),
+            sources: Sources::new(options.node.clone(), options.failure_domain.clone()),
+            options,
+            link: None,
+            returning_until_ms: 0,
             metrics,
             contact: Contact::Never,
         };
@@ -117,6 +143,15 @@
     pub async fn run(mut self, stopping: CancellationToken) {
         let mut must_list = true;
         while !stopping.is_cancelled() {
+            let source = match must_list {
+                true => Source::Store,
+                false => self.sources.choose(&self.beliefs.borrow().members, now_ms()),
+            };
+            if let Source::Watcher(watcher) = source {
+                self.follow(watcher, &stopping).await;
+                continue;
+            }
+            self.link = None;
             let store = self.store.clone();
             let after = self.board.complete_to();
             let hearing = async {
@@ -155,6 +190,37 @@
         }
     }
 
+    /// Hears of a node that watches the store. One that fails, or does not hear the store itself, is
+    /// passed over for a while.
+    async fn follow(&mut self, watcher: SocketAddr, stopping: &CancellationToken) {
+        let after = self.board.complete_to();
+        let link = self.link.take().filter(|link| link.address() == watcher);
+        let asking = async move {
+            let link = match link {
+                Some(link) => link,
+                None => PeerLink::connect(watcher).await?,
+            };
+            let answer = link.ask(after, WATCH_WAIT).await?;
+            Some((link, answer))
+        };
+        let Some(heard) = self.while_waiting(asking, stopping).await else { return };
+        let heard = heard.filter(|(_, answer)| answer.store != StoreView::Away);
+        let Some((link, answer)) = heard else {
+            info!("event=watcher_failed watcher={watcher}");
+            self.sources.failed(watcher, now_ms());
+            return;
+        };
+        self.link = Some(link);
+        self.regained();
+        if let StoreView::Returning { left_ms } = answer.store {
+            self.returns(now_ms() + left_ms);
+        }
+        if self.board.apply_update(answer.update) {
+            self.publish();
+            self.while_waiting(sleep(BATCH_PAUSE), stopping).await;
+        }
+    }
+
     /// Waits for something, and meanwhile answers questions, ends holds, and asks peers while the
     /// store does not answer. Returns `None` when the node stops.
     async fn while_waiting<T>(
@@ -167,26 +233,72 @@
             let hold_ends = self.builder.next_hold_end_ms();
             let hold = hold_ends.map(|end_ms| end_ms.saturating_sub(now_ms()).max(1));
             let peer = self.peer_to_ask();
+            let answer_by = self.waiting.iter().map(|question| question.answer_by).min();
             tokio::select! {
                 biased;
                 done = &mut waited => return Some(done),
                 () = stopping.cancelled() => return None,
-                Some(Question { after, reply }) = self.questions.recv() => {
-                    let _gone = reply.send(self.board.update_after(after)).is_err();
+                Some(question) = self.questions.recv() => self.question(question),
+                () = sleep_until(answer_by.unwrap_or_else(Instant::now)), if answer_by.is_some() => {
+                    self.answer_due();
                 }
                 () = sleep(Duration::from_millis(hold.unwrap_or(0))), if hold.is_some() => {
                     self.publish();
                 }
                 update = ask_after_pause(peer, self.board.complete_to()), if peer.is_some() => {
-                    if let Some(update) = update {
-                        self.heard_of_peer(update);
+                    if let Some(answer) = update {
+                        self.heard_of_peer(answer.update);
                     }
                 }
             }
         }
     }
 
-    fn peer_to_ask(&self) -> Option<std::net::SocketAddr> {
+    fn question(&mut self, question: Question) {
+        let has_news = self.board.complete_to() > question.after;
+        match has_news || question.answer_by <= Instant::now() {
+            true => self.answer(question),
+            false => self.waiting.push(question),
+        }
+    }
+
+    fn answer(&self, question: Question) {
+        let update = self.board.update_after(question.after);
+        let answer = NewsAnswer { store: self.store_view(), update };
+        let _gone = question.reply.send(answer).is_err();
+    }
+
+    /// Answers the questions whose time has come.
+    fn answer_due(&mut self) {
+        let now = Instant::now();
+        let (due, waiting): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.waiting).into_iter().partition(|q| q.answer_by <= now);
+        self.waiting = waiting;
+        due.into_iter().for_each(|question| self.answer(question));
+    }
+
+    /// Answers all questions that wait.
+    fn answer_all(&mut self) {
+        let waiting = std::mem::take(&mut self.waiting);
+        waiting.into_iter().for_each(|question| self.answer(question));
+    }
+
+    fn store_view(&self) -> StoreView {
+        let left_ms = self.returning_until_ms.saturating_sub(now_ms());
+        match self.contact {
+            Contact::Held if left_ms > 0 => StoreView::Returning { left_ms },
+            Contact::Held => StoreView::Heard,
+            Contact::Never | Contact::Lost { .. } => StoreView::Away,
+        }
+    }
+
+    /// Notes that the store answers again; live upstreams are listed again by `until_ms`.
+    fn returns(&mut self, until_ms: u64) {
+        self.returning_until_ms = until_ms;
+        self.builder.store_returned(until_ms);
+    }
+
+    fn peer_to_ask(&self) -> Option<SocketAddr> {
         if self.contact == Contact::Held {
             return None;
         }
@@ -218,7 +330,7 @@
             Contact::Lost { since_ms } => {
                 let lost_ms = now_ms().saturating_sub(since_ms);
                 info!("event=store_contact state=regained lost_ms={lost_ms}");
-                self.builder.store_returned(now_ms() + LAPSE_HOLD_MS);
+                self.returns(now_ms() + LAPSE_HOLD_MS);
             }
         }
         self.contact = Contact::Held;
@@ -231,6 +343,8 @@
         warn!("event=store_contact state=lost reason={:?}", fault.to_string());
         if self.contact == Contact::Held {
             self.contact = Contact::Lost { since_ms: now_ms() };
+            // Those that hear of this node hear of another one now.
+            self.answer_all();
             self.builder.store_away(LAPSE_HOLD_MS);
         }
     }
@@ -239,6 +353,7 @@
         let beliefs = Arc::new(self.builder.build(&self.board, now_ms()));
         self.metrics.beliefs(beliefs.complete_to.0);
         self.beliefs.send_replace(beliefs);
+        self.answer_all();
     }
 }
 
@@ -247,10 +362,7 @@
     Batch(redwingrill_routing::ChangeBatch),
 }
 
-async fn ask_after_pause(
-    peer: Option<std::net::SocketAddr>,
-    after: Revision,
-) -> Option<BoardUpdate> {
+async fn ask_after_pause(peer: Option<SocketAddr>, after: Revision) -> Option<NewsAnswer> {
     sleep(PEER_PAUSE).await;
     ask_peer(peer?, after).await
 }
--- a/crates/gateway/src/node/life.rs
+++ b/crates/gateway/src/node/life.rs
@@ -122,7 +122,12 @@
         let metrics = Metrics::new();
         let services = TaskTracker::new();
         let stopping = CancellationToken::new();
-        let news_options = NewsOptions { seeds: options.seeds.clone(), own_address: options.peers };
+        let news_options = NewsOptions {
+            node: options.name.clone(),
+            failure_domain: options.failure_domain.clone(),
+            seeds: options.seeds.clone(),
+            own_address: options.peers,
+        };
         let (news, reader, beliefs) =
             News::new(ports.store.clone(), ports.items.clone(), news_options, metrics.clone());
         services.spawn(news.run(stopping.clone()));
@@ -138,7 +143,13 @@
             let task = Gossip::new(name, socket, beliefs.clone(), dispatcher);
             services.spawn(task.run(stopping.clone()));
             let key = ports.items.own_key(&format!("{MEMBER_PREFIX}{}", options.name));
-            let member = Member { name: options.name.clone(), address, gossip };
+            let member = Member {
+                name: options.name.clone(),
+                address,
+                gossip,
+                failure_domain: options.failure_domain.clone(),
+                link_mbps: options.link_mbps,
+            };
             let membership = keep_membership(ports.store.clone(), key, member, stopping.clone());
             services.spawn(membership);
         }
--- a/crates/gateway/src/node/options.rs
+++ b/crates/gateway/src/node/options.rs
@@ -14,6 +14,8 @@
     pub name: String,
     /// The failure domain.
     pub failure_domain: String,
+    /// The rate of its network link in megabits a second.
+    pub link_mbps: u64,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where the balancer asks whether the node is ready.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -6,6 +6,9 @@
 mod serve;
 mod service;
 
+pub use ask::PeerLink;
 pub use ask::ask_peer;
 pub use gossip::Gossip;
 pub use serve::PeerServer;
+pub use service::NewsAnswer;
+pub use service::StoreView;
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -14,9 +14,9 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use super::NewsAnswer;
 use super::service::PeerNews;
 use super::service::frames;
-use crate::news::BoardUpdate;
 use crate::news::NewsReader;
 use redwingrill_routing::Revision;
 use redwingrill_transport::Postcard;
@@ -25,8 +25,8 @@
 /// The pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// How long a connection of a peer may last.
-const CONNECTION_LIMIT: Duration = Duration::from_secs(3);
+/// The longest wait that a peer may ask for.
+const WAIT_LIMIT: Duration = Duration::from_secs(5);
 
 /// Answers peers on one listener.
 #[derive(Debug)]
@@ -42,8 +42,9 @@
 }
 
 impl PeerNews for Answers {
-    async fn update_after(self, _: Context, revision: u64) -> Option<BoardUpdate> {
-        self.news.update_after(Revision(revision)).await
+    async fn update_after(self, _: Context, revision: u64, wait_ms: u64) -> Option<NewsAnswer> {
+        let wait = Duration::from_millis(wait_ms).min(WAIT_LIMIT);
+        self.news.update_after(Revision(revision), wait).await
     }
 }
 
@@ -83,7 +84,6 @@
         self.tasks.spawn(async move {
             tokio::select! {
                 () = requests.for_each(|answer| answer) => {}
-                () = tokio::time::sleep(CONNECTION_LIMIT) => {}
                 () = stopping.cancelled() => {}
             }
         });
--- a/crates/gateway/src/telemetry/logs.rs
+++ b/crates/gateway/src/telemetry/logs.rs
@@ -18,6 +18,7 @@
 use log4rs::Config;
 use log4rs::append::Append;
 use log4rs::config::Appender;
+use log4rs::config::Logger;
 use log4rs::config::Root;
 
 const APPENDER: &str = "stdout";
@@ -104,6 +105,8 @@
     let appender = BoundedAppender { shared: shared.clone() };
     let config = Config::builder()
         .appender(Appender::builder().build(APPENDER, Box::new(appender)))
+        // Its line for each call says nothing that the lines of this crate do not.
+        .logger(Logger::builder().build("tarpc", level.min(LevelFilter::Warn)))
         .build(Root::builder().appender(APPENDER).build(level))
         .expect("the appender of the root is configured");
     // Fails only if logging began before, as when several nodes share a process.
--- /dev/null
+++ b/crates/gateway/tests/sources.rs
@@ -0,0 +1,54 @@
+//! From whom a node hears the news.
+
+use redwingrill_gateway::beliefs::Member;
+use redwingrill_gateway::news::Source;
+use redwingrill_gateway::news::Sources;
+
+fn members(count: u8) -> Vec<Member> {
+    let members = (0..count).map(|n| Member {
+        name: format!("n{n:02}"),
+        address: ([10, 0, 0, n], 1).into(),
+        gossip: ([10, 0, 0, n], 2).into(),
+        failure_domain: if n % 2 == 0 { "a".to_owned() } else { "b".to_owned() },
+        // The fast ones come last by name.
+        link_mbps: if n >= count - 4 { 200 } else { 10 },
+    });
+    members.collect()
+}
+
+fn source(node: &str, members: &[Member]) -> Source {
+    let own = members.iter().find(|member| member.name == node).expect("a member");
+    Sources::new(node.to_owned(), own.failure_domain.clone()).choose(members, 0)
+}
+
+#[test]
+fn in_a_small_fleet_each_node_watches_the_store() {
+    let members = members(12);
+    assert!(members.iter().all(|member| source(&member.name, &members) == Source::Store));
+}
+
+#[test]
+fn in_a_large_fleet_two_fast_nodes_of_each_domain_watch_the_store() {
+    let members = members(40);
+    let watch = |member: &&Member| source(&member.name, &members) == Source::Store;
+    let watching: Vec<&str> = members.iter().filter(watch).map(|m| m.name.as_str()).collect();
+    assert_eq!(watching, ["n36", "n37", "n38", "n39"]);
+    for member in &members {
+        let Source::Watcher(address) = source(&member.name, &members) else { continue };
+        let watcher = members.iter().find(|other| other.address == address).expect("a member");
+        assert_eq!(watcher.failure_domain, member.failure_domain);
+    }
+}
+
+#[test]
+fn a_node_passes_over_watchers_that_failed_and_then_asks_the_store() {
+    let members = members(40);
+    let mut sources = Sources::new("n00".to_owned(), "a".to_owned());
+    let Source::Watcher(first) = sources.choose(&members, 0) else { panic!("a watcher") };
+    sources.failed(first, 100);
+    let Source::Watcher(second) = sources.choose(&members, 100) else { panic!("a watcher") };
+    assert_ne!(first, second);
+    sources.failed(second, 200);
+    assert_eq!(sources.choose(&members, 300), Source::Store);
+    assert_eq!(sources.choose(&members, 3_150), Source::Watcher(first));
+}
--- a/crates/lab/tests/on_platform/site.rs
+++ b/crates/lab/tests/on_platform/site.rs
@@ -119,6 +119,7 @@
         let options = NodeOptions {
             name: name.to_owned(),
             failure_domain: "a".to_owned(),
+            link_mbps: 1_000,
             callers,
             readiness,
             peers: Some(peers),
