Refuse what waits at a node that stops, and tell stored parts between nodes

Two changes in one commit, since they meet in the same files. 1. Change: once a stopping node closes its connections, what waits is refused as not run, with a pause of at most 0.2 s; a stop uses 7.5 of its 8 s. Test: on_platform, what_waits_at_a_node_that_stops_is_told_to_come_back (failed before, passes). 2. Change: those that hear it tell the parts stored in the last 1.5 s.

--- a/crates/gateway/src/cache_watch/task.rs
+++ b/crates/gateway/src/cache_watch/task.rs
@@ -10,6 +10,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::beliefs::Beliefs;
+use crate::beliefs::Member;
 use crate::dispatch::Dispatcher;
 use redwingrill_routing::UpstreamControl;
 
@@ -62,6 +63,9 @@
         loop {
             let address = self.address();
             if position.map(|position| position.address) != address {
+                if address.is_none() {
+                    self.dispatcher.cache_store_heard(None);
+                }
                 position = address.map(|address| Position { address, epoch: None, next: 0 });
             }
             let Some(current) = &mut position else {
@@ -82,7 +86,11 @@
         let mut stores =
             configuration.services().filter_map(|service| service.cache_store.as_ref());
         let store = stores.next()?;
-        let rank = beliefs.members.iter().filter(|member| member.name < self.node).count();
+        // Fast links first: those that listen tell all others.
+        let own = beliefs.members.iter().find(|member| member.name == self.node)?;
+        let is_before =
+            |member: &&Member| (own.link_mbps, &member.name) < (member.link_mbps, &own.name);
+        let rank = beliefs.members.iter().filter(is_before).count();
         let listeners = store.event_listeners as usize;
         (rank < listeners.saturating_sub(LISTENERS_SPARE)).then_some(store.address)
     }
@@ -94,14 +102,14 @@
             Err(e) => {
                 if position.epoch.take().is_some() {
                     warn!("event=cache_store_lost reason={:?}", e.to_string());
-                    self.dispatcher.cache_store_emptied(false);
+                    self.dispatcher.cache_store_heard(None);
                 }
                 return RETRY_PAUSE;
             }
         };
         if position.epoch != Some(answer.epoch) {
             info!("event=cache_store_followed epoch={} next={}", answer.epoch, answer.next);
-            self.dispatcher.cache_store_emptied(true);
+            self.dispatcher.cache_store_heard(Some(answer.epoch));
             let was_known = position.epoch.replace(answer.epoch).is_some();
             // The numbers of another start say nothing; what it holds is asked from the beginning.
             if was_known || position.next > answer.next {
--- a/crates/gateway/src/dispatch/dispatcher.rs
+++ b/crates/gateway/src/dispatch/dispatcher.rs
@@ -56,8 +56,10 @@
     Digest { reply: oneshot::Sender<LoadDigest> },
     /// The cache store changed.
     StoreChanged { changes: Vec<CacheChange> },
-    /// The cache store is empty, or does not answer.
-    StoreEmptied { is_heard: bool },
+    /// The cache store starts anew, or is not heard.
+    StoreHeard { epoch: Option<u64> },
+    /// Refuse what waits.
+    RefuseWaiting,
     /// Describe the state.
     Dump { reply: oneshot::Sender<serde_json::Value> },
     /// Tell the load of each upstream.
@@ -121,9 +123,14 @@
         self.send(Message::StoreChanged { changes });
     }
 
-    /// Tells that the cache store is empty, or does not answer.
-    pub fn cache_store_emptied(&self, is_heard: bool) {
-        self.send(Message::StoreEmptied { is_heard });
+    /// Tells that the cache store is heard and starts anew, or is not heard.
+    pub fn cache_store_heard(&self, epoch: Option<u64>) {
+        self.send(Message::StoreHeard { epoch });
+    }
+
+    /// Refuses the requests that wait: the node stops, and others have room.
+    pub fn refuse_waiting(&self) {
+        self.send(Message::RefuseWaiting);
     }
 
     /// Describes the state of the task; `None` once it has ended.
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -135,8 +135,15 @@
             Message::Digest { reply } => {
                 let _gone = reply.send(self.scheduler.digest(self.node, now_ms)).is_err();
             }
-            Message::StoreChanged { changes } => self.scheduler.cache_store_changed(changes),
-            Message::StoreEmptied { is_heard } => self.scheduler.cache_store_emptied(is_heard),
+            Message::StoreChanged { changes } => {
+                self.scheduler.cache_store_changed(changes, now_ms);
+            }
+            Message::StoreHeard { epoch } => self.scheduler.cache_store_heard(epoch),
+            Message::RefuseWaiting => {
+                let refused = self.waiting.refuse_all(&mut self.scheduler);
+                info!("event=waiting_refused count={}", refused.len());
+                self.give(refused);
+            }
             Message::Dump { reply } => {
                 let _gone = reply.send(self.dump(now_ms)).is_err();
             }
--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -299,6 +299,7 @@
             RefusalCause::NoUpstream => ResultCode::NoUpstream,
             RefusalCause::Overloaded => ResultCode::Shed,
             RefusalCause::RepeatBudget => ResultCode::RetryBudgetSpent,
+            RefusalCause::Stopping => ResultCode::Draining,
         };
         Err(Refusal::new(code).retry_after(retry_after_ms))
     }
--- a/crates/gateway/src/node/life.rs
+++ b/crates/gateway/src/node/life.rs
@@ -46,10 +46,10 @@
 const DRAIN_NOTICE: Duration = Duration::from_millis(2_600);
 
 /// What is left of the stop limit for the end of the process.
-const STOP_MARGIN: Duration = Duration::from_millis(900);
+const STOP_MARGIN: Duration = Duration::from_millis(500);
 
 /// How long the parts of a node may take to end after its work.
-const JOIN_LIMIT: Duration = Duration::from_millis(500);
+const JOIN_LIMIT: Duration = Duration::from_millis(300);
 
 /// Why a node did not start.
 #[derive(Debug, Snafu)]
@@ -81,6 +81,7 @@
 
 struct Parts {
     listener: CallerListener,
+    dispatcher: Dispatcher,
     relays: TaskTracker,
     services: TaskTracker,
     stopping: CancellationToken,
@@ -184,11 +185,11 @@
         };
         serve_readiness(readiness, &listener, &services, &stopping);
         if let Some(socket) = metrics_socket {
-            serve_metrics(socket, metrics, dispatcher, &services, &stopping);
+            serve_metrics(socket, metrics, dispatcher.clone(), &services, &stopping);
         }
         listener.tasks.spawn(listener.clone().run(callers));
         info!("event=serving node={} callers={}", options.name, options.callers);
-        let parts = Parts { listener, relays, services, stopping, pool };
+        let parts = Parts { listener, dispatcher, relays, services, stopping, pool };
         Ok(Node { options, state: Serving { parts } })
     }
 }
@@ -203,6 +204,7 @@
         tokio::time::sleep(DRAIN_NOTICE.min(self.options.stop_limit / 3)).await;
         parts.listener.closing.cancel();
         parts.listener.tasks.close();
+        parts.dispatcher.refuse_waiting();
         Node { options: self.options, state: Draining { parts, deadline } }
     }
 }
--- a/crates/lab/tests/on_platform/site.rs
+++ b/crates/lab/tests/on_platform/site.rs
@@ -49,6 +49,10 @@
         route("draft", "stream", "llm", 1, false),
         route("check", "stream", "llm", 2, true),
     ];
+    let mut slow = route("slow", "stream", "llm", 1, false);
+    slow["timeout_ms"] = serde_json::json!(15_000);
+    slow["target_latency_ms"] = serde_json::json!(5_000);
+    routes.push(slow);
     routes.extend(extra.iter().cloned());
     serde_json::json!({
         "version": version,
@@ -169,10 +173,17 @@
 
     /// Sends a request and returns the whole answer; the body is `None` if it was broken off.
     pub async fn ask(&self, node: &SiteNode, call: &Call) -> Answer {
-        let (parts, body) = self.send(node, call).await.into_parts();
+        Self::ask_at(&self.pool, node.callers, call).await.expect("the node answers")
+    }
+
+    /// Like [`Site::ask`], at an address; `None` if there was no answer.
+    pub async fn ask_at(pool: &Pool, callers: SocketAddr, call: &Call) -> Option<Answer> {
+        let timeouts = Timeouts { connect: CALL_LIMIT, head: CALL_LIMIT };
+        let reply = pool.send(callers, call.request(), Freshness::New, &timeouts).await;
+        let (parts, body) = reply.ok()?.into_parts();
         let body = body.read_all(1 << 20, CALL_LIMIT).await;
         let body = body.ok().map(|body| String::from_utf8_lossy(&body).into_owned());
-        Answer { status: parts.status, headers: parts.headers, body }
+        Some(Answer { status: parts.status, headers: parts.headers, body })
     }
 
     pub async fn stop(self, nodes: Vec<SiteNode>) {
@@ -228,11 +239,11 @@
             .uri(format!("/{}/2f?q=1", self.route))
             .header("host", HOST)
             .header("x-request-id", &self.id)
-            .header("x-deadline-ms", "1500");
+            .header("x-deadline-ms", if self.route == "slow" { "15000" } else { "1500" });
         if let Some(key) = self.key {
             request = request.header("authorization", format!("Token {key}"));
         }
-        if matches!(self.route, "draft" | "check") {
+        if matches!(self.route, "draft" | "check" | "slow") {
             request = request
                 .header("x-model", "m")
                 .header("x-token-count", "1460,80")
--- a/crates/lab/tests/on_platform/stops.rs
+++ b/crates/lab/tests/on_platform/stops.rs
@@ -52,3 +52,35 @@
     assert!(asked.elapsed() < Duration::from_secs(7));
     site.stop(Vec::new()).await;
 }
+
+/// A long prompt that waits for room when its node stops is refused, truly not run, so that another
+/// node can serve it; it is not kept until the node ends.
+#[tokio::test]
+async fn what_waits_at_a_node_that_stops_is_told_to_come_back() {
+    let site = Site::start(1, 0).await;
+    let node = site.node("n1").await;
+    site.engines[0].set(Behaviour::IsMute);
+    // The engine has eight slots; the ninth request waits.
+    let mut calls = tokio::task::JoinSet::new();
+    let (callers, pool) = (node.callers, site.pool.clone());
+    for n in 0..9 {
+        let pool = pool.clone();
+        calls.spawn(async move {
+            Site::ask_at(&pool, callers, &Call::new("slow", &format!("r{n}"))).await
+        });
+    }
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(site.engines[0].seen().len(), 8, "one waits");
+    let stopping = tokio::spawn(async move { node.node.drain().await.finish().await });
+    let mut refused = Vec::new();
+    while let Some(answer) = calls.join_next().await {
+        // The engine never answers, so the requests at it are cut at the end of the stop.
+        let answer = answer.expect("the call ends");
+        refused.extend(answer.filter(|answer| answer.status == StatusCode::SERVICE_UNAVAILABLE));
+    }
+    stopping.await.expect("the stop ends");
+    assert_eq!(refused.len(), 1);
+    assert!(refused[0].headers.contains_key("retry-after"));
+    assert_eq!(site.engines[0].seen().len(), 8, "it was not run");
+    site.stop(Vec::new()).await;
+}
--- a/crates/scheduling/src/fleet/digest.rs
+++ b/crates/scheduling/src/fleet/digest.rs
@@ -11,6 +11,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::placement::PrefixTag;
+use crate::placement::StoredNews;
 
 /// How long the word of a node counts.
 const DIGEST_AGE_LIMIT_MS: u64 = 1_000;
@@ -52,6 +53,8 @@
     pub upstreams: Vec<(UpstreamTag, NodeLoad)>,
     /// The long prefixes that it sent of late, with their engines.
     pub prefixes: Vec<(PrefixTag, UpstreamTag)>,
+    /// What it hears of the cache store, if it hears it.
+    pub stored: Option<StoredNews>,
 }
 
 /// The digests of the other nodes.
--- a/crates/scheduling/src/placement/knowledge.rs
+++ b/crates/scheduling/src/placement/knowledge.rs
@@ -9,10 +9,8 @@
 
 use super::AffinityKey;
 use super::Scope;
+use super::StoredParts;
 use crate::fleet::UpstreamIndex;
-use redwingrill_routing::CacheChange;
-use redwingrill_routing::PartId;
-use redwingrill_routing::PromptPart;
 
 /// How long a prefix is taken to stay in an engine after its last use there.
 const HELD_MS: u64 = 8_000;
@@ -65,8 +63,7 @@
     engines: HashMap<PrefixTag, Vec<Holder>>,
     // What this node sent of late.
     sent: VecDeque<(PrefixTag, UpstreamIndex, u64)>,
-    // Parts in the cache store by their scope; absent while it is not heard.
-    stored: Option<HashMap<String, HashMap<PartId, u32>>>,
+    stored: StoredParts,
     saving_ms: HashMap<PrefixTag, u64>,
 }
 
@@ -158,44 +155,14 @@
         sent.is_some_and(|at_ms| now_ms.saturating_sub(*at_ms) < SAVING_MS)
     }
 
-    /// Takes in what changed in the cache store.
-    pub fn store_changed(&mut self, changes: Vec<CacheChange>) {
-        let stored = self.stored.get_or_insert_default();
-        for change in changes {
-            let parts = stored.entry(change.scope).or_default();
-            match change.tokens {
-                0 => parts.remove(&change.part),
-                tokens => parts.insert(change.part, tokens),
-            };
-        }
-        stored.retain(|_, parts| !parts.is_empty());
-    }
-
-    /// Forgets what the cache store held; `is_heard` tells whether it answers.
-    pub fn store_emptied(&mut self, is_heard: bool) {
-        self.stored = is_heard.then(HashMap::new);
-        self.saving_ms.clear();
+    /// Returns what is known of the cache store.
+    pub fn stored(&self) -> &StoredParts {
+        &self.stored
     }
 
-    /// Returns whether the cache store answers.
-    pub fn hears_store(&self) -> bool {
-        self.stored.is_some()
-    }
-
-    /// Returns how many of the leading tokens of a prompt the cache store holds.
-    pub fn stored_tokens(&self, scope: &Scope, parts: &[PromptPart]) -> u32 {
-        let Some(held) = self.stored.as_ref().and_then(|stored| stored.get(&scope.0)) else {
-            return 0;
-        };
-        let mut tokens = 0;
-        for part in parts {
-            let held = held.get(&part.id).copied().unwrap_or(0).min(part.tokens);
-            tokens += held;
-            if held < part.tokens {
-                break;
-            }
-        }
-        tokens
+    /// Returns what is known of the cache store, for changes.
+    pub fn stored_mut(&mut self) -> &mut StoredParts {
+        &mut self.stored
     }
 }
 
--- a/crates/scheduling/src/placement/mod.rs
+++ b/crates/scheduling/src/placement/mod.rs
@@ -3,6 +3,7 @@
 mod affinity;
 mod knowledge;
 mod roles;
+mod stored;
 
 pub use affinity::AffinityKey;
 pub use affinity::Scope;
@@ -12,3 +13,6 @@
 pub use knowledge::Whereabouts;
 pub use roles::Roles;
 pub use roles::is_long;
+pub use stored::StoredNews;
+pub use stored::StoredParts;
+pub use stored::StoredTag;
--- /dev/null
+++ b/crates/scheduling/src/placement/stored.rs
@@ -0,0 +1,156 @@
+//! What the store of cached prompt parts holds.
+//!
+//! Some nodes hear the store's own events, as far as it has listeners; they tell the others what
+//! was stored of late. What is only told is forgotten after a while, since removals are not told.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::Scope;
+use redwingrill_routing::CacheChange;
+use redwingrill_routing::PartId;
+use redwingrill_routing::PromptPart;
+
+/// How long a part that was only told is taken to be stored.
+const TOLD_PART_MS: u64 = 20_000;
+
+/// How long other nodes are told of a part: until each has heard it once in a large fleet.
+const TELL_MS: u64 = 1_500;
+
+/// The most parts in one digest.
+const TELL_LIMIT: usize = 128;
+
+/// How long the word of a node that hears the store counts.
+const HEARD_MS: u64 = 3_000;
+
+/// The most parts that are remembered.
+const PARTS_LIMIT: usize = 65_536;
+
+/// A part within its scope.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Serialize, Deserialize)]
+pub struct StoredTag(u64);
+
+impl StoredTag {
+    /// Returns the tag of a part.
+    pub fn new(scope: &str, part: PartId) -> Self {
+        Self(xxh3_64_with_seed(scope.as_bytes(), part.0))
+    }
+}
+
+/// What a node that hears the store tells of it.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct StoredNews {
+    /// Changes when the store starts anew, empty.
+    pub epoch: u64,
+    /// Parts that were stored of late, with their tokens.
+    pub parts: Vec<(StoredTag, u32)>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Part {
+    tokens: u32,
+    until_ms: u64,
+}
+
+/// What the store of cached prompt parts holds.
+#[derive(Clone, Debug, Default)]
+pub struct StoredParts {
+    parts: HashMap<StoredTag, Part>,
+    // The epoch, if this node hears the store itself.
+    heard_epoch: Option<u64>,
+    // The epoch that others told, and when.
+    told: Option<(u64, u64)>,
+    lately: VecDeque<(StoredTag, u32, u64)>,
+}
+
+impl StoredParts {
+    /// Notes that this node hears the store, which is empty as far as known.
+    pub fn heard_anew(&mut self, epoch: u64) {
+        self.forget_all();
+        self.heard_epoch = Some(epoch);
+    }
+
+    /// Notes that this node does not hear the store, or no longer.
+    pub fn unheard(&mut self) {
+        if self.heard_epoch.take().is_some() {
+            self.forget_all();
+        }
+    }
+
+    /// Forgets everything, as when the store is another.
+    pub fn forget_all(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Takes in what the store's own events say.
+    pub fn changed(&mut self, changes: Vec<CacheChange>, now_ms: u64) {
+        for change in changes {
+            let tag = StoredTag::new(&change.scope, change.part);
+            if change.tokens == 0 {
+                self.parts.remove(&tag);
+                continue;
+            }
+            self.parts.insert(tag, Part { tokens: change.tokens, until_ms: u64::MAX });
+            self.lately.push_back((tag, change.tokens, now_ms));
+        }
+        let is_old = |at_ms: u64| now_ms.saturating_sub(at_ms) > TELL_MS;
+        while self.lately.front().is_some_and(|(_, _, at_ms)| is_old(*at_ms)) {
+            self.lately.pop_front();
+        }
+    }
+
+    /// Returns what other nodes are told; `None` if this node does not hear the store.
+    pub fn news(&self, now_ms: u64) -> Option<StoredNews> {
+        let epoch = self.heard_epoch?;
+        let lately = self.lately.iter().rev().take(TELL_LIMIT);
+        let fresh = lately.filter(|(_, _, at_ms)| now_ms.saturating_sub(*at_ms) <= TELL_MS);
+        let parts = fresh.map(|(tag, tokens, _)| (*tag, *tokens)).collect();
+        Some(StoredNews { epoch, parts })
+    }
+
+    /// Takes in what a node that hears the store told.
+    pub fn told(&mut self, news: StoredNews, now_ms: u64) {
+        if self.heard_epoch.is_some() {
+            return;
+        }
+        if self.told.is_some_and(|(epoch, _)| epoch != news.epoch) {
+            self.parts.clear();
+        }
+        self.told = Some((news.epoch, now_ms));
+        if self.parts.len() > PARTS_LIMIT {
+            self.parts.retain(|_, part| part.until_ms > now_ms);
+        }
+        let until_ms = now_ms + TOLD_PART_MS;
+        for (tag, tokens) in news.parts {
+            self.parts.insert(tag, Part { tokens, until_ms });
+        }
+    }
+
+    /// Returns whether the store answers, as far as known.
+    pub fn is_heard(&self, now_ms: u64) -> bool {
+        let told = self.told.is_some_and(|(_, at_ms)| now_ms.saturating_sub(at_ms) < HEARD_MS);
+        self.heard_epoch.is_some() || told
+    }
+
+    /// Returns how many of the leading tokens of a prompt the store holds.
+    pub fn leading_tokens(&self, scope: &Scope, parts: &[PromptPart], now_ms: u64) -> u32 {
+        if !self.is_heard(now_ms) {
+            return 0;
+        }
+        let mut tokens = 0;
+        for part in parts {
+            let stored = self.parts.get(&StoredTag::new(&scope.0, part.id));
+            let live = stored.filter(|stored| stored.until_ms > now_ms);
+            let held = live.map_or(0, |stored| stored.tokens).min(part.tokens);
+            tokens += held;
+            if held < part.tokens {
+                break;
+            }
+        }
+        tokens
+    }
+}
--- a/crates/scheduling/src/scheduler/ask.rs
+++ b/crates/scheduling/src/scheduler/ask.rs
@@ -63,6 +63,8 @@
     Overloaded,
     /// The request may not be sent again within the bound on repeats.
     RepeatBudget,
+    /// The node stops.
+    Stopping,
 }
 
 /// What becomes of a request.
--- a/crates/scheduling/src/scheduler/choose.rs
+++ b/crates/scheduling/src/scheduler/choose.rs
@@ -230,7 +230,7 @@
                 return entry.unread_everywhere() == 0
                     && load < slots / LENT_SLOTS_PART
                     && !frame.is_late
-                    && self.is_found(ask, entry);
+                    && self.is_found(ask, entry, now_ms);
             }
             (true, _) => LONG_UNREAD_LIMIT_MS,
             (false, true) => SHORT_UNREAD_LIMIT_MS,
@@ -271,12 +271,17 @@
         overtaken_ms.is_none_or(|at_ms| now_ms.saturating_sub(at_ms) < limit_ms)
     }
 
+    /// Returns how many of the shared tokens of a prompt the cache store holds.
+    fn stored_tokens(&self, scope: &Scope, prompt: &DeclaredPrompt, now_ms: u64) -> u32 {
+        self.parts.stored().leading_tokens(scope, prompt.shared_parts(), now_ms)
+    }
+
     /// Returns whether an engine would fetch the shared prefix of a prompt rather than read it.
-    fn is_found(&self, ask: &Ask, entry: &FleetEntry) -> bool {
+    fn is_found(&self, ask: &Ask, entry: &FleetEntry, now_ms: u64) -> bool {
         let Some(prompt) = &ask.prompt else { return false };
         let Some(version) = entry.version_of(&prompt.model) else { return false };
         let scope = Scope::new(version, ask.isolated_account.as_deref());
-        self.parts.stored_tokens(&scope, prompt.shared_parts()) >= prompt.shared_tokens()
+        self.stored_tokens(&scope, prompt, now_ms) >= prompt.shared_tokens()
     }
 
     fn cost_ms(
@@ -327,7 +332,7 @@
         if self.parts.has(tag, index, now_ms) {
             return 0.0;
         }
-        if self.parts.stored_tokens(scope, prompt.shared_parts()) >= prompt.shared_tokens() {
+        if self.stored_tokens(scope, prompt, now_ms) >= prompt.shared_tokens() {
             return FETCH_COST_MS;
         }
         match self.parts.whereabouts(tag, now_ms) {
@@ -392,10 +397,11 @@
     ) {
         let Some(scope) = assignment.scope.clone() else { return };
         let shared = prompt.shared_tokens();
-        let stored = self.parts.stored_tokens(&scope, prompt.shared_parts());
+        let stored = self.stored_tokens(&scope, prompt, now_ms);
         let is_stored = stored >= shared;
         let tag = PrefixTag::new(key, &scope);
-        if !is_stored && self.parts.hears_store() && !self.parts.is_saving(tag, now_ms) {
+        if !is_stored && self.parts.stored().is_heard(now_ms) && !self.parts.is_saving(tag, now_ms)
+        {
             assignment.save_to = self.cache_store;
             self.parts.saving(tag, now_ms);
         }
--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -141,7 +141,10 @@
     }
 
     /// Takes in what another node told of its requests.
-    pub fn observe_peer(&mut self, digest: LoadDigest, now_ms: u64) {
+    pub fn observe_peer(&mut self, mut digest: LoadDigest, now_ms: u64) {
+        if let Some(stored) = digest.stored.take() {
+            self.parts.stored_mut().told(stored, now_ms);
+        }
         for (prefix, engine) in &digest.prefixes {
             if let Some(index) = self.fleet.by_tag(*engine)
                 && !self.parts.has(*prefix, index, now_ms)
@@ -172,6 +175,7 @@
             .filter_map(|(prefix, engine)| Some((prefix, self.fleet.get(engine)?.tag)));
         LoadDigest {
             prefixes: prefixes.collect(),
+            stored: self.parts.stored().news(now_ms),
             node,
             sequence: self.sequence,
             upstreams: upstreams.collect(),
@@ -215,19 +219,22 @@
     /// Sets where cached parts are kept beside the engines.
     pub fn set_cache_store(&mut self, address: Option<SocketAddr>) {
         if self.cache_store != address {
-            self.parts.store_emptied(false);
+            self.parts.stored_mut().forget_all();
         }
         self.cache_store = address;
     }
 
     /// Takes in what changed in the cache store.
-    pub fn cache_store_changed(&mut self, changes: Vec<CacheChange>) {
-        self.parts.store_changed(changes);
+    pub fn cache_store_changed(&mut self, changes: Vec<CacheChange>, now_ms: u64) {
+        self.parts.stored_mut().changed(changes, now_ms);
     }
 
-    /// Notes that the cache store is empty, or does not answer.
-    pub fn cache_store_emptied(&mut self, is_heard: bool) {
-        self.parts.store_emptied(is_heard);
+    /// Notes that this node hears the cache store, which starts anew, or does not hear it.
+    pub fn cache_store_heard(&mut self, epoch: Option<u64>) {
+        match epoch {
+            Some(epoch) => self.parts.stored_mut().heard_anew(epoch),
+            None => self.parts.stored_mut().unheard(),
+        }
     }
 
     /// Sets the number of nodes that share the bound on repeats.
--- a/crates/scheduling/src/scheduler/waiting.rs
+++ b/crates/scheduling/src/scheduler/waiting.rs
@@ -29,6 +29,9 @@
 /// The longest pause that a caller is told.
 const PAUSE_LIMIT_MS: u64 = 2_500;
 
+/// The longest pause that a caller is told by a node that stops: others have room already.
+const STOP_PAUSE_MS: u64 = 200;
+
 /// One request that waits, with what is needed to answer it.
 #[derive(Debug)]
 struct Waiting<T> {
@@ -138,6 +141,17 @@
         answers
     }
 
+    /// Refuses all that wait, as when the node stops.
+    pub fn refuse_all(&mut self, scheduler: &mut Scheduler) -> Vec<(T, Choice)> {
+        let waiting = std::mem::take(&mut self.waiting).into_iter();
+        let refused = waiting.map(|entry| {
+            let retry_after_ms = scheduler.draw(0, STOP_PAUSE_MS);
+            let choice = Choice::Refuse { cause: RefusalCause::Stopping, retry_after_ms };
+            (entry.answer, choice)
+        });
+        refused.collect()
+    }
+
     fn turn(
         &mut self,
         scheduler: &mut Scheduler,
--- a/crates/scheduling/tests/fleet.rs
+++ b/crates/scheduling/tests/fleet.rs
@@ -96,7 +96,8 @@
     let load = NodeLoad { unread_tokens: 10 * in_flight, in_flight, held_tokens: 0 };
     let upstreams = vec![(UpstreamTag::of("e"), load)];
     let prefixes = Vec::new();
-    LoadDigest { node, sequence, short_per_s: 3, long_per_s: 1, upstreams, prefixes }
+    let (short_per_s, long_per_s, stored) = (3, 1, None);
+    LoadDigest { node, sequence, short_per_s, long_per_s, upstreams, prefixes, stored }
 }
 
 #[test]
--- a/crates/scheduling/tests/replays.rs
+++ b/crates/scheduling/tests/replays.rs
@@ -100,7 +100,7 @@
             scheduler.name_version(MODEL, WeightsVersion(1), 0);
             scheduler.set_members(NODES);
             scheduler.set_cache_store(Some(std::net::SocketAddr::from(([10, 1, 0, 1], 80))));
-            scheduler.cache_store_emptied(true);
+            scheduler.cache_store_heard(Some(1));
             (scheduler, WaitingRoom::default())
         });
         let engines = listed.iter().map(|engine| (engine.id.clone(), Engine::default()));
@@ -220,7 +220,7 @@
             }
             let change = CacheChange { scope: "w1".to_owned(), part: PartId(book), tokens: 13_300 };
             for (scheduler, _) in &mut self.nodes {
-                scheduler.cache_store_changed(vec![change.clone()]);
+                scheduler.cache_store_changed(vec![change.clone()], now_ms);
             }
             false
         });
