Let the spread of random cost grow with the nodes

Ruled out: too few engines for short prompts (7 of 16 slots taken in the mean, by arithmetic). Change: 0.9 ms of spread for each node, at most 80.

--- a/crates/scheduling/src/scheduler/choose.rs
+++ b/crates/scheduling/src/scheduler/choose.rs
@@ -49,8 +49,11 @@
 /// What an upstream costs that is still slow after its start.
 const WARM_UP_COST_MS: f64 = 100.0;
 
-/// The spread of random cost, so that nodes with equal knowledge choose differently.
-const NOISE_MS: f64 = 6.0;
+/// The spread of random cost for each node, so that nodes with equal knowledge choose differently. It
+/// grows with the nodes: the more they are, the older is what each knows of the others, and the more
+/// would follow one another to the engine that looked idle.
+const NOISE_MS_PER_NODE: f64 = 0.9;
+const NOISE_LIMIT_MS: f64 = 80.0;
 
 /// The time before the end of the allowed span from which older weights are not used: a request may
 /// wait that long at an engine before it begins.
@@ -175,6 +178,7 @@
 
     fn cheapest(&mut self, ask: &Ask, frame: &Frame, now_ms: u64) -> Result<UpstreamIndex, NoRoom> {
         let mut rng = self.rng.clone();
+        let spread_ms = (self.members() as f64 * NOISE_MS_PER_NODE).min(NOISE_LIMIT_MS);
         let mut best: Option<Candidate> = None;
         for strict in [true, false] {
             let mut is_any_healthy = false;
@@ -186,7 +190,7 @@
                 if !self.has_room(ask, frame, index, entry, now_ms) {
                     continue;
                 }
-                let noise_ms = rng.random_range(0.0..NOISE_MS);
+                let noise_ms = rng.random_range(0.0..spread_ms);
                 let cost_ms = self.cost_ms(ask, frame, index, entry, now_ms) + noise_ms;
                 if best.as_ref().is_none_or(|best| cost_ms < best.cost_ms) {
                     best = Some(Candidate { index, cost_ms });
--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -272,6 +272,11 @@
         }
     }
 
+    /// Returns the number of nodes.
+    pub(super) fn members(&self) -> usize {
+        self.members.max(1)
+    }
+
     /// Counts a request of a service.
     pub fn count_request(&mut self, service: &str, now_ms: u64) {
         let spec = self.options.budget;
