--- a/crates/gateway/src/dispatch/leg.rs
+++ b/crates/gateway/src/dispatch/leg.rs
@@ -57,18 +57,13 @@
 
     /// Ends the send.
     pub fn end(mut self, verdict: Verdict, is_misdirected: bool) {
-        self.outcome = Some(LegOutcome { verdict, is_misdirected, load: None, version: None });
+        self.outcome = Some(LegOutcome { verdict, is_misdirected });
     }
 }
 
 impl Drop for Leg {
     fn drop(&mut self) {
-        let unknown = LegOutcome {
-            verdict: Verdict::Unknown,
-            is_misdirected: false,
-            load: None,
-            version: None,
-        };
+        let unknown = LegOutcome { verdict: Verdict::Unknown, is_misdirected: false };
         let unread_tokens = if self.is_unread { self.assignment.unread_tokens } else { 0 };
         self.dispatcher.send(Message::Ended {
             index: self.assignment.index,
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -114,8 +114,7 @@
         self.parts.dialect.clean_reply(&mut head.headers);
         head.headers.remove(header::CONTENT_LENGTH);
         let call = take(call);
-        let relay = self;
-        tasks.spawn(async move { relay.run(call, sender).await });
+        tasks.spawn(self.run(call, sender));
         let pieces = futures::stream::unfold(receiver, |mut receiver| async move {
             receiver.recv().await.map(|piece| (piece, receiver))
         });
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -45,7 +45,6 @@
 pub use prompt::PartId;
 pub use prompt::PromptPart;
 pub use routes::Route;
-pub use routes::RouteIndex;
 pub use routes::RouteKind;
 pub use routes::ServiceShare;
 pub use services::CacheStore;
--- a/crates/routing/src/routes.rs
+++ b/crates/routing/src/routes.rs
@@ -2,10 +2,6 @@
 
 use std::time::Duration;
 
-/// The position of a route in its configuration.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
-pub struct RouteIndex(pub usize);
-
 /// What may be repeated of a request.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum RouteKind {
--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -337,9 +337,6 @@
         let Some(entry) = self.fleet.get_mut(index) else { return false };
         entry.ended(held_tokens);
         entry.read(unread_tokens);
-        if let Some(load) = outcome.load {
-            entry.report(load, now_ms);
-        }
         if outcome.is_misdirected {
             entry.misdirected(now_ms);
         } else if outcome.verdict == Verdict::Refused {
--- a/crates/scheduling/tests/replays.rs
+++ b/crates/scheduling/tests/replays.rs
@@ -203,12 +203,7 @@
                     self.events.push((now_ms + ANSWER_MS, node, Step::Ended(assignment)));
                 }
                 Step::Ended(assignment) => {
-                    let outcome = LegOutcome {
-                        verdict: Verdict::Served,
-                        is_misdirected: false,
-                        load: None,
-                        version: None,
-                    };
+                    let outcome = LegOutcome { verdict: Verdict::Served, is_misdirected: false };
                     let held_tokens = assignment.held_tokens;
                     scheduler.ended(assignment.index, 0, held_tokens, &outcome, now_ms);
                 }
