Do not end the start of a concurrency limit at one burst

Cause: a node that restarts in a running fleet allows each engine two requests and grows by half with each timely first token until the first pressure. Its part of the callers comes at once, and a load report taken in that moment shows them waiting for their first step (none runs, more than one waits). That counted as pressure, ended the start, and left a limit of two that grows by 0.25 in 500 ms; the callers waited past their queue deadline of 2 s (code 203).

Ruled out: the restarted daemon's listener and its configuration (it was ready and admitted, the refusals are its queue's); lack of places at the engines (400 each).

Change: one report with pressure shrinks the limit, a second in a row, 500 ms later, ends the start.

--- a/crates/admission/src/engines/concurrency.rs
+++ b/crates/admission/src/engines/concurrency.rs
@@ -14,7 +14,7 @@
 /// The most requests of one node at one engine.
 const MAX: f64 = 512.0;
 
-/// The growth in one step: by a factor until the first pressure, then by a little.
+/// The growth in one step: by a factor until the first standing queue, then by a little.
 const GROW_FAST: f64 = 1.5;
 const GROW_SHARE: f64 = 0.02;
 const GROW_LEAST: f64 = 0.25;
@@ -70,13 +70,23 @@
     limit: f64,
     most_used: u32,
     is_starting: bool,
+    // The last report showed pressure. One such report may show a burst that has just arrived;
+    // only a second in a row shows a standing queue, which ends the start.
+    was_pressed: bool,
     shrunk_ms: u64,
     grown_ms: u64,
 }
 
 impl Default for ConcurrencyLimit {
     fn default() -> Self {
-        Self { limit: INITIAL, most_used: 0, is_starting: true, shrunk_ms: 0, grown_ms: 0 }
+        Self {
+            limit: INITIAL,
+            most_used: 0,
+            is_starting: true,
+            was_pressed: false,
+            shrunk_ms: 0,
+            grown_ms: 0,
+        }
     }
 }
 
@@ -94,7 +104,10 @@
     /// Takes in what the engine shows.
     pub fn observe(&mut self, pressure: Pressure, now_ms: u64) {
         match pressure {
-            Pressure::Free => self.grow(now_ms),
+            Pressure::Free => {
+                self.was_pressed = false;
+                self.grow(now_ms);
+            }
             Pressure::Waiting { running, waiting } => {
                 // All nodes see the same report, and together they take off what is too much.
                 let wanted = f64::from(running) + allowed_waiting(running);
@@ -106,7 +119,7 @@
     }
 
     /// Takes in a first token that came in time, with so many requests at the engine. While no
-    /// pressure was seen yet the limit grows at once, so that a node just started takes what comes.
+    /// standing queue was seen yet the limit grows at once, so that a node just started takes what comes.
     /// Returns whether it grew.
     pub fn answered(&mut self, in_flight: u32) -> bool {
         if !self.is_starting || f64::from(in_flight) < self.limit * FULL_SHARE {
@@ -134,10 +147,11 @@
     }
 
     fn shrink(&mut self, factor: f64, now_ms: u64) {
-        self.is_starting = false;
         if now_ms < self.shrunk_ms + SHRINK_INTERVAL_MS {
             return;
         }
+        self.is_starting &= !self.was_pressed;
+        self.was_pressed = true;
         self.limit = (self.limit * factor).max(MIN);
         self.shrunk_ms = now_ms;
         self.grown_ms = now_ms;
--- a/crates/admission/tests/engines.rs
+++ b/crates/admission/tests/engines.rs
@@ -104,3 +104,38 @@
         assert!(limit.get() > 0.0);
     }
 }
+
+#[test]
+fn a_burst_that_waits_for_its_first_step_does_not_end_the_start() {
+    struct Case {
+        name: &'static str,
+        // What the reports show, one each 500 ms.
+        reports: &'static [(u32, u32)],
+        is_starting: bool,
+    }
+    let cases = [
+        Case { name: "burst", reports: &[(0, 4), (4, 0)], is_starting: true },
+        Case {
+            name: "bursts apart",
+            reports: &[(0, 4), (4, 0), (0, 4), (4, 0)],
+            is_starting: true,
+        },
+        Case { name: "standing queue", reports: &[(8, 4), (8, 4)], is_starting: false },
+        Case {
+            name: "queue after a burst",
+            reports: &[(0, 4), (4, 0), (8, 4), (8, 4)],
+            is_starting: false,
+        },
+    ];
+    for case in cases {
+        let mut limit = ConcurrencyLimit::default();
+        let mut now_ms = 1_000;
+        for &(running, waiting) in case.reports {
+            limit.observe(Pressure::of_report(running, waiting), now_ms);
+            now_ms += 500;
+        }
+        let before = limit.get();
+        let grew = limit.answered(before.ceil() as u32);
+        assert_eq!(grew, case.is_starting, "{}", case.name);
+    }
+}
--- a/crates/redwingrill/tests/dispatch.rs
+++ b/crates/redwingrill/tests/dispatch.rs
@@ -75,11 +75,16 @@
     }
 
     fn report(&self, engine: usize, incarnation: u64, leaving: bool) {
+        self.report_load(engine, incarnation, leaving, (0, 0));
+    }
+
+    fn report_load(&self, engine: usize, incarnation: u64, leaving: bool, load: (u32, u32)) {
         let start =
             EngineStart { incarnation: Incarnation(incarnation), weights: WeightsTag::of("v1") };
+        let (running, waiting) = load;
         self.dispatcher.observe_load(EngineLoadReport {
             upstream: UpstreamId::from_index(engine),
-            load: LoadReport { start, running: 0, waiting: 0, waiting_tokens: 0 },
+            load: LoadReport { start, running, waiting, waiting_tokens: 0 },
             leaving,
             observed: Instant::now(),
         });
@@ -254,3 +259,37 @@
     let at_restarted = tickets.iter().filter(|ticket| ticket.engine().name == "engine-0").count();
     assert!(at_restarted <= 1, "{at_restarted} at once");
 }
+
+/// A node that restarts in a running fleet gets its part of the callers at once. Their first
+/// prompts may be seen waiting in a report; that must not hold the node back for seconds.
+#[tokio::test(start_paused = true)]
+async fn a_burst_seen_waiting_at_the_start_holds_no_caller_past_its_queue_deadline() {
+    const CALLERS: usize = 150;
+    const FIRST_TOKEN: Duration = Duration::from_millis(40);
+    const STREAM: Duration = Duration::from_millis(1_200);
+    let site = Arc::new(Site::start(3, 0));
+    (0..3).for_each(|engine| site.report(engine, 1, false));
+    let mut tasks = tokio::task::JoinSet::new();
+    for question in 0..CALLERS {
+        let site = site.clone();
+        tasks.spawn(async move {
+            let ticket = site.admit(&question.to_string()).await?;
+            tokio::time::sleep(FIRST_TOKEN).await;
+            ticket.first_token("1", "v1");
+            tokio::time::sleep(STREAM).await;
+            ticket.finish(usage());
+            Ok::<(), Refusal>(())
+        });
+    }
+    tokio::time::sleep(FIRST_TOKEN / 2).await;
+    (0..3).for_each(|engine| site.report_load(engine, 1, false, (0, 4)));
+    for _ in 0..8 {
+        tokio::time::sleep(Duration::from_millis(250)).await;
+        (0..3).for_each(|engine| site.report_load(engine, 1, false, (8, 0)));
+    }
+    let mut refused = Vec::new();
+    while let Some(ended) = tasks.join_next().await {
+        refused.extend(ended.expect("no caller panics").err());
+    }
+    assert!(refused.is_empty(), "{} of {CALLERS}, first {:?}", refused.len(), refused[0]);
+}
