Pace what a node gives out of room that all nodes see

Nodes told each other in the same order from the same start, so that twelve nodes at a time saw the room together and anew.

Change: where the words of other nodes are old (over 150 ms on average), a node spends its part, by arrivals, of the engine time that the engines with room offer: it grows by the millisecond and up to what they take at once; if that is less than a request, a random threshold decides which nodes send. Apart for each standing of the engines. Nodes begin their turns of telling anywhere. Small sites hear of each other in time and are not paced.

--- a/crates/gateway/src/peers/gossip.rs
+++ b/crates/gateway/src/peers/gossip.rs
@@ -32,7 +32,8 @@
     socket: UdpSocket,
     beliefs: watch::Receiver<Arc<Beliefs>>,
     dispatcher: Dispatcher,
-    // Which nodes are told next, where they are many.
+    // Which nodes are told next, where they are many. It begins anywhere: if all nodes told the same
+    // ones at the same time, these would see new room together and fill it together.
     turn: usize,
 }
 
@@ -44,7 +45,8 @@
         beliefs: watch::Receiver<Arc<Beliefs>>,
         dispatcher: Dispatcher,
     ) -> Self {
-        Self { node, socket, beliefs, dispatcher, turn: 0 }
+        let turn = usize::from(rand::random::<u16>());
+        Self { node, socket, beliefs, dispatcher, turn }
     }
 
     /// Runs until `stopping`.
--- a/crates/scheduling/src/placement/roles.rs
+++ b/crates/scheduling/src/placement/roles.rs
@@ -20,7 +20,11 @@
 
 /// What a short prompt costs an engine among others of its kind, from the engines' data sheet:
 /// its part of the decode steps and the reading of its tokens.
-const SHORT_COST_MS: f64 = 14.0;
+pub const SHORT_COST_MS: f64 = 14.0;
+
+/// What a long prompt costs an engine at least: its part of the memory while it runs, which is more
+/// than the reading of what is not kept.
+pub const LONG_COST_MS: f64 = 100.0;
 
 /// What a long prompt costs an engine with new weights, from the engines' data sheet: the reading
 /// of all its 17,000 tokens, since nothing is kept for these weights yet.
--- a/crates/scheduling/src/scheduler/choose.rs
+++ b/crates/scheduling/src/scheduler/choose.rs
@@ -15,12 +15,17 @@
 use super::RefusalCause;
 use super::Scheduler;
 use super::core::Named;
+use super::pace::Lane;
+use super::pace::Pace;
+use super::pace::Part;
 use super::sample::Draw;
 use crate::fleet::FleetEntry;
 use crate::fleet::UpstreamIndex;
 use crate::placement::AffinityKey;
+use crate::placement::LONG_COST_MS;
 use crate::placement::PrefixTag;
 use crate::placement::Roles;
+use crate::placement::SHORT_COST_MS;
 use crate::placement::Scope;
 use crate::placement::Whereabouts;
 use crate::placement::is_long;
@@ -92,12 +97,19 @@
 pub(super) struct Candidate {
     index: UpstreamIndex,
     slots: u32,
-    // What follows from what it is and holds, the same for each node, rounded.
+    // What follows from its role and its weights, the same for each node.
     standing_ms: u32,
     // The whole cost.
     cost_ms: f64,
 }
 
+/// The candidate that was chosen.
+#[derive(Clone, Copy, Debug)]
+struct Best {
+    index: UpstreamIndex,
+    standing_ms: u32,
+}
+
 /// What is the same for all candidates of a request.
 struct Frame {
     affinity: Option<AffinityKey>,
@@ -111,6 +123,8 @@
     // Whether the request can no longer meet its target.
     is_late: bool,
     draw: Option<Draw>,
+    // The node's part of the room, where what it hears of the others is old.
+    part: Option<Part>,
 }
 
 /// Why no upstream was chosen.
@@ -156,10 +170,16 @@
     fn frame(&mut self, ask: &Ask, is_late: bool, now_ms: u64) -> Frame {
         let rates = self.arrival_rates(now_ms);
         let Some(prompt) = ask.prompt.as_deref() else {
-            let roles = Roles::default();
-            let (affinity, homes) = (None, [None; 2]);
-            let (is_long, prefers_newest, draw) = (false, false, None);
-            return Frame { affinity, homes, roles, is_long, prefers_newest, is_late, draw };
+            return Frame {
+                affinity: None,
+                homes: [None; 2],
+                roles: Roles::default(),
+                is_long: false,
+                prefers_newest: false,
+                is_late,
+                draw: None,
+                part: None,
+            };
         };
         let engines = self.fleet.of_service(&ask.service);
         let engines = engines.filter_map(|(index, entry)| {
@@ -186,14 +206,25 @@
         // Long prompts go where their prefix is.
         let age_ms = self.peers.mean_age_ms(now_ms);
         let draw = (!is_long).then(|| Draw::new(rates.short_per_s, age_ms));
-        Frame { affinity, homes, roles, is_long, prefers_newest, is_late, draw }
+        let part = Pace::is_needed(age_ms).then(|| self.part(is_long, now_ms));
+        Frame { affinity, homes, roles, is_long, prefers_newest, is_late, draw, part }
+    }
+
+    /// Returns what the node may take of the engines' room, with the least cost of a prompt.
+    fn part(&mut self, is_long: bool, now_ms: u64) -> Part {
+        let share = self.share_here(is_long, now_ms);
+        let (burst_ms, cost_ms) = match is_long {
+            true => (LONG_UNREAD_LIMIT_MS, LONG_COST_MS),
+            false => (SHORT_UNREAD_LIMIT_MS, SHORT_COST_MS),
+        };
+        Part { share, burst_ms, cost_ms }
     }
 
     fn newest(&self, model: &str) -> WeightsVersion {
         self.named.get(model).map(Named::newest).unwrap_or_default()
     }
 
-    fn cheapest(&mut self, ask: &Ask, frame: &Frame, now_ms: u64) -> Result<UpstreamIndex, NoRoom> {
+    fn cheapest(&mut self, ask: &Ask, frame: &Frame, now_ms: u64) -> Result<Best, NoRoom> {
         let mut rng = self.rng.clone();
         let mut candidates = std::mem::take(&mut self.candidates);
         candidates.clear();
@@ -204,6 +235,9 @@
                 break;
             }
         }
+        if let Some(part) = frame.part {
+            self.keep_afforded(&mut candidates, frame.is_long, part, now_ms, &mut rng);
+        }
         if let Some(draw) = frame.draw {
             keep_drawn(&mut candidates, draw, &mut rng);
         }
@@ -212,7 +246,7 @@
             candidate.cost_ms += rng.random_range(0.0..spread_ms);
         }
         let best = candidates.iter().min_by(|one, other| one.cost_ms.total_cmp(&other.cost_ms));
-        let best = best.map(|best| best.index);
+        let best = best.map(|best| Best { index: best.index, standing_ms: best.standing_ms });
         self.candidates = candidates;
         self.rng = rng;
         best.ok_or_else(|| {
@@ -224,6 +258,25 @@
         })
     }
 
+    /// Drops the candidates whose room the node has no more part of.
+    fn keep_afforded(
+        &mut self,
+        candidates: &mut Vec<Candidate>,
+        is_long: bool,
+        part: Part,
+        now_ms: u64,
+        rng: &mut SmallRng,
+    ) {
+        let mut standings: Vec<u32> = candidates.iter().map(|c| c.standing_ms).collect();
+        standings.sort_unstable();
+        for equal in standings.chunk_by(|one, other| one == other) {
+            let lane = Lane { is_long, standing_ms: equal[0] };
+            if !self.pace.affords(lane, equal.len(), part, now_ms, rng) {
+                candidates.retain(|candidate| candidate.standing_ms != equal[0]);
+            }
+        }
+    }
+
     /// Collects the upstreams that have room for a request. Returns whether any may get it.
     fn collect(
         &self,
@@ -241,11 +294,12 @@
             is_any = true;
             if self.has_room(ask, frame, index, entry, now_ms) {
                 let standing_ms = self.standing_ms(ask, frame, index, entry, now_ms);
+                let prefix_ms = self.prefix_ms(ask, frame, index, entry, now_ms);
                 candidates.push(Candidate {
                     index,
                     slots: entry.slots(),
                     standing_ms: standing_ms as u32,
-                    cost_ms: standing_ms + self.load_ms(entry, now_ms),
+                    cost_ms: standing_ms + prefix_ms + self.load_ms(entry, now_ms),
                 });
             }
         }
@@ -329,7 +383,7 @@
         self.stored_tokens(&scope, prompt, now_ms) >= prompt.shared_tokens()
     }
 
-    /// Returns what an upstream costs for what it is and holds.
+    /// Returns what an upstream costs for its role and its weights.
     fn standing_ms(
         &self,
         ask: &Ask,
@@ -352,14 +406,24 @@
         if frame.prefers_newest && version < self.newest(&prompt.model) {
             cost_ms += OLD_WEIGHTS_COST_MS;
         }
-        if let Some(key) = frame.affinity {
-            let scope = Scope::new(version, ask.isolated_account.as_deref());
-            cost_ms +=
-                self.prefix_cost_ms(prompt, key, &scope, frame.is_home(index), index, now_ms);
-        }
         cost_ms
     }
 
+    /// Returns what it costs that an upstream may lack the shared prefix of a request.
+    fn prefix_ms(
+        &self,
+        ask: &Ask,
+        frame: &Frame,
+        index: UpstreamIndex,
+        entry: &FleetEntry,
+        now_ms: u64,
+    ) -> f64 {
+        let (Some(prompt), Some(key)) = (&ask.prompt, frame.affinity) else { return 0.0 };
+        let version = entry.version_of(&prompt.model).unwrap_or_default();
+        let scope = Scope::new(version, ask.isolated_account.as_deref());
+        self.prefix_cost_ms(prompt, key, &scope, frame.is_home(index), index, now_ms)
+    }
+
     /// Returns what an upstream costs for its load, its place and how it fares.
     fn load_ms(&self, entry: &FleetEntry, now_ms: u64) -> f64 {
         let mut cost_ms = self.wait_ms(entry, now_ms);
@@ -404,13 +468,8 @@
         reading_ms + queued * QUEUE_COST_MS + busy * BUSY_COST_MS
     }
 
-    fn assign(
-        &mut self,
-        ask: &Ask,
-        frame: &Frame,
-        index: UpstreamIndex,
-        now_ms: u64,
-    ) -> Assignment {
+    fn assign(&mut self, ask: &Ask, frame: &Frame, best: Best, now_ms: u64) -> Assignment {
+        let index = best.index;
         let entry = self.fleet.get_mut(index).expect("the choice is in the table");
         let upstream = entry.upstream.clone();
         let prompt = ask.prompt.as_deref();
@@ -432,6 +491,12 @@
         if let (Some(prompt), Some(key)) = (prompt, frame.affinity) {
             self.plan_parts(&mut assignment, prompt, key, frame, now_ms);
         }
+        if let Some(part) = frame.part {
+            let lane = Lane { is_long: frame.is_long, standing_ms: best.standing_ms };
+            let read_ms = assignment.unread_tokens as f64 / READ_TOKENS_PER_MS;
+            let cost_ms = part.cost_ms.max(read_ms);
+            self.pace.spend(lane, cost_ms, now_ms, &mut self.rng);
+        }
         let entry = self.fleet.get_mut(index).expect("the choice is in the table");
         entry.sent(assignment.unread_tokens, assignment.held_tokens);
         assignment
--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -12,6 +12,8 @@
 use super::Assignment;
 use super::LegOutcome;
 use super::choose::Candidate;
+use super::pace::Pace;
+use super::pace::Part;
 use crate::budget::BudgetSpec;
 use crate::budget::RepeatBudget;
 use crate::fleet::Arrivals;
@@ -95,6 +97,7 @@
     pub(super) named: HashMap<String, Named>,
     pub(super) cache_store: Option<SocketAddr>,
     pub(super) rng: SmallRng,
+    pub(super) pace: Pace,
     // Scratch memory of a choice.
     pub(super) candidates: Vec<Candidate>,
     started_ms: u64,
@@ -119,6 +122,7 @@
             named: HashMap::new(),
             cache_store: None,
             rng,
+            pace: Pace::default(),
             candidates: Vec::new(),
             peers: PeerLoads::default(),
             short_arrivals: Arrivals::default(),
@@ -220,6 +224,16 @@
         self.named.entry(model.to_owned()).or_default().add(version, at_ms);
     }
 
+    /// Returns this node's part of the prompts that arrive at all nodes, from zero to one.
+    pub(super) fn share_here(&mut self, is_long: bool, now_ms: u64) -> f64 {
+        let all = self.arrival_rates(now_ms);
+        let (own_per_s, all_per_s) = match is_long {
+            true => (self.long_arrivals.per_s(now_ms), all.long_per_s),
+            false => (self.short_arrivals.per_s(now_ms), all.short_per_s),
+        };
+        Part::share_of(own_per_s, all_per_s, self.members())
+    }
+
     /// Replaces the identities of the engines that take new weights now.
     pub fn set_loading(&mut self, loading: HashSet<String>) {
         self.fleet.set_loading(loading);
--- a/crates/scheduling/src/scheduler/mod.rs
+++ b/crates/scheduling/src/scheduler/mod.rs
@@ -4,6 +4,7 @@
 mod choose;
 mod core;
 mod outcome;
+mod pace;
 mod sample;
 mod waiting;
 
--- a/crates/scheduling/tests/herds.rs
+++ b/crates/scheduling/tests/herds.rs
@@ -25,11 +25,13 @@
 use redwingrill_scheduling::scheduler::Choice;
 use redwingrill_scheduling::scheduler::LegOutcome;
 use redwingrill_scheduling::scheduler::Scheduler;
+use redwingrill_scheduling::scheduler::WaitingRoom;
 
 const NODES: usize = 88;
 const ENGINES: usize = 89;
 const TOLD_AT_ONCE: usize = 12;
 const DIGEST_MS: u64 = 100;
+const PUMP_MS: u64 = 20;
 const SHORT_PER_S: f64 = 790.0;
 const LONG_PER_S: f64 = 123.0;
 const BOOKS: u64 = 500;
@@ -51,6 +53,11 @@
     listed.collect()
 }
 
+#[derive(Clone, Copy)]
+struct Job {
+    is_long: bool,
+}
+
 struct Sent {
     at_ms: u64,
     node: usize,
@@ -61,6 +68,7 @@
 
 struct Replay {
     nodes: Vec<Scheduler>,
+    rooms: Vec<WaitingRoom<Job>>,
     under_way: Vec<Sent>,
     // The times of the sends to each engine, of short and of long prompts.
     sends_ms: HashMap<(String, bool), Vec<u64>>,
@@ -75,7 +83,12 @@
             scheduler.set_members(NODES);
             scheduler
         });
-        Self { nodes: nodes.collect(), under_way: Vec::new(), sends_ms: HashMap::new() }
+        Self {
+            nodes: nodes.collect(),
+            rooms: (0..NODES).map(|_| WaitingRoom::default()).collect(),
+            under_way: Vec::new(),
+            sends_ms: HashMap::new(),
+        }
     }
 
     /// Plays the load; `change` may alter what the nodes know at any millisecond.
@@ -94,6 +107,9 @@
             if now_ms.is_multiple_of(DIGEST_MS) {
                 self.tell(now_ms);
             }
+            if now_ms.is_multiple_of(PUMP_MS) {
+                self.pump(now_ms);
+            }
         }
         self
     }
@@ -102,8 +118,21 @@
         let prompt = if is_long { long_prompt(book, now_ms) } else { short_prompt(now_ms) };
         let scheduler = &mut self.nodes[node];
         scheduler.count_prompt(&prompt, now_ms);
-        // One that would wait is not counted: it is not at an engine.
-        if let Choice::Send(assignment) = scheduler.choose(&ask(Some(prompt), now_ms), now_ms) {
+        let job = Job { is_long };
+        let answers = self.rooms[node].enter(scheduler, ask(Some(prompt), now_ms), job, now_ms);
+        self.give(node, answers, now_ms);
+    }
+
+    fn pump(&mut self, now_ms: u64) {
+        for node in 0..NODES {
+            let answers = self.rooms[node].pump(&mut self.nodes[node], now_ms, |_| false);
+            self.give(node, answers, now_ms);
+        }
+    }
+
+    fn give(&mut self, node: usize, answers: Vec<(Job, Choice)>, now_ms: u64) {
+        for (Job { is_long }, choice) in answers {
+            let Choice::Send(assignment) = choice else { continue };
             let id = assignment.upstream.id.clone();
             self.sends_ms.entry((id, is_long)).or_default().push(now_ms);
             let assignment = *assignment;
@@ -199,3 +228,27 @@
     let most = replay.most_at_once(false);
     assert!(most <= 32, "{most} short prompts to one engine within {SPAN_MS} ms");
 }
+
+#[test]
+fn prompts_that_wait_at_all_nodes_do_not_fill_the_first_engine_with_room() {
+    // Too few engines for the load for two seconds; then one more each half second.
+    let replay = Replay::new().run(|nodes, now_ms| {
+        const GONE_MS: u64 = 500;
+        const LEFT: u64 = 12;
+        const BACK_MS: u64 = 2_500;
+        const EACH_MS: u64 = 500;
+        let listed = match now_ms {
+            GONE_MS => LEFT,
+            _ if now_ms >= BACK_MS => LEFT + 1 + (now_ms - BACK_MS) / EACH_MS,
+            _ => return,
+        };
+        if now_ms == GONE_MS || (now_ms - BACK_MS).is_multiple_of(EACH_MS) {
+            nodes.iter_mut().for_each(|node| node.set_upstreams(fleet(listed as usize, 0), now_ms));
+        }
+    });
+    let (long, short) = (replay.most_at_once(true), replay.most_at_once(false));
+    // As many long ones as fit its memory of 162,000 tokens. At 14 ms of the engine for each, the
+    // last of 48 short ones is still in time: 500 ms after its arrival, 120 ms of them its own.
+    assert!(long <= 9, "{long} long prompts to one engine within {SPAN_MS} ms");
+    assert!(short <= 48, "{short} short prompts to one engine within {SPAN_MS} ms");
+}
