Round the engines that load weights at once down

Cause: the sheets say that new weights take longer while over 3 of 18, 2 of 12 or 17 of 89 engines load; the plan took a fifth rounded up: 4, 3 and 18.

Change: rounded down. The test held the count rounded up for 18 engines; it now holds the sheets' counts for four sizes.

--- a/crates/scheduling/src/rollout/plan.rs
+++ b/crates/scheduling/src/rollout/plan.rs
@@ -11,8 +11,9 @@
 
 use redwingrill_routing::WeightsVersion;
 
-/// The part of the engines that loads at the same time: one in this many. More would share the
-/// rate of the weights' store, and be away longer.
+/// The part of the engines that loads at the same time: one in this many, rounded down. More would
+/// share the rate of the weights' store, and be away longer; from the sites' sheets (3 of 18, 2 of
+/// 12, 17 of 89).
 const ENGINES_PER_LOAD: usize = 5;
 
 /// How long after an order the engine is taken to have missed it.
@@ -90,7 +91,7 @@
                 _ => waiting.push(engine),
             }
         }
-        let limit = engines.len().div_ceil(ENGINES_PER_LOAD).max(1);
+        let limit = (engines.len() / ENGINES_PER_LOAD).max(1);
         let room = limit.saturating_sub(under_way.len());
         // The oldest weights are the first that may no longer answer.
         waiting.sort_by_key(|engine| (engine.holds, engine.load));
--- a/crates/scheduling/tests/versions.rs
+++ b/crates/scheduling/tests/versions.rs
@@ -79,16 +79,29 @@
 
 #[test]
 fn a_part_of_the_engines_loads_at_a_time_and_none_twice() {
-    let engines: Vec<_> = (0..18).map(|n| weights(&format!("e{n}"), 1, 0)).collect();
-    let mut plan = LoadPlan::default();
-    let (first, _) = plan.next(&engines, WeightsVersion(2), 0);
-    assert_eq!(first.len(), 4);
-    for id in &first {
-        plan.ordered(id, WeightsVersion(2), OrderResult::UnderWay, 0);
+    struct Case {
+        engines: usize,
+        at_once: usize,
+    }
+    // How many load at once before each takes longer, as the sites' sheets say.
+    let cases = [
+        Case { engines: 1, at_once: 1 },
+        Case { engines: 12, at_once: 2 },
+        Case { engines: 18, at_once: 3 },
+        Case { engines: 89, at_once: 17 },
+    ];
+    for Case { engines, at_once } in cases {
+        let listed: Vec<_> = (0..engines).map(|n| weights(&format!("e{n}"), 1, 0)).collect();
+        let mut plan = LoadPlan::default();
+        let (first, _) = plan.next(&listed, WeightsVersion(2), 0);
+        assert_eq!(first.len(), at_once, "{engines} engines");
+        for id in &first {
+            plan.ordered(id, WeightsVersion(2), OrderResult::UnderWay, 0);
+        }
+        let (second, under_way) = plan.next(&listed, WeightsVersion(2), 1_000);
+        assert!(second.is_empty(), "{engines} engines: {second:?}");
+        assert_eq!(under_way.len(), at_once, "{engines} engines");
     }
-    let (second, under_way) = plan.next(&engines, WeightsVersion(2), 1_000);
-    assert!(second.is_empty(), "{second:?}");
-    assert_eq!(under_way.len(), 4);
 }
 
 #[test]
