--- a/crates/scheduling/src/scheduler/choose.rs
+++ b/crates/scheduling/src/scheduler/choose.rs
@@ -15,6 +15,7 @@
 use super::RefusalCause;
 use super::Scheduler;
 use super::core::Named;
+use super::cost::READ_TOKENS_PER_MS;
 use super::pace::Lane;
 use super::pace::Pace;
 use super::pace::Part;
@@ -27,36 +28,11 @@
 use crate::placement::Roles;
 use crate::placement::SHORT_COST_MS;
 use crate::placement::Scope;
-use crate::placement::Whereabouts;
 use crate::placement::is_long;
 use crate::placement::rendezvous_score;
 use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::WeightsVersion;
 
-/// Prompt tokens that an engine reads in a millisecond, from the engines' data sheet.
-const READ_TOKENS_PER_MS: f64 = 50.0;
-
-/// What fetching a shared prefix costs against finding it, in milliseconds of waiting.
-const FETCH_COST_MS: f64 = 60.0;
-
-/// What another failure domain costs, in milliseconds of waiting.
-const DOMAIN_COST_MS: f64 = 12.0;
-
-/// What older weights cost, in milliseconds of waiting.
-const OLD_WEIGHTS_COST_MS: f64 = 400.0;
-
-/// What a full upstream costs for each request over its slots, in milliseconds of waiting.
-const QUEUE_COST_MS: f64 = 15.0;
-
-/// What an upstream costs whose slots are all but taken, in milliseconds of waiting.
-const BUSY_COST_MS: f64 = 40.0;
-
-/// What a share of failures costs, in milliseconds of waiting for all requests failing.
-const FAILURE_COST_MS: f64 = 400.0;
-
-/// What an upstream costs that is still slow after its start.
-const WARM_UP_COST_MS: f64 = 100.0;
-
 /// The spread of random cost for each node, so that nodes with equal knowledge choose differently. It
 /// grows with the nodes: the more they are, the older is what each knows of the others, and the more
 /// would follow one another to the engine that looked idle.
@@ -77,13 +53,6 @@
 /// The part of its slots up to which an engine for short prompts takes a long one, as a divisor.
 const LENT_SLOTS_PART: u32 = 3;
 
-/// What an engine of the other role costs a long prompt, in milliseconds of waiting.
-const LONG_AMONG_SHORT_COST_MS: f64 = 600.0;
-
-/// What an engine for long prompts costs a short one, in milliseconds of waiting: a long prompt
-/// slows down the short ones that it meets.
-const SHORT_AMONG_LONG_COST_MS: f64 = 80.0;
-
 /// Requests for each slot of a plain service that it may have before others wait at the node.
 const SERVICE_QUEUE_FACTOR: u32 = 2;
 
@@ -111,15 +80,15 @@
 }
 
 /// What is the same for all candidates of a request.
-struct Frame {
-    affinity: Option<AffinityKey>,
+pub(super) struct Frame {
+    pub(super) affinity: Option<AffinityKey>,
     // The engines that all nodes prefer for the prefix: of those with the newest weights, and of
     // the others.
     homes: [Option<UpstreamIndex>; 2],
-    roles: Roles,
-    is_long: bool,
+    pub(super) roles: Roles,
+    pub(super) is_long: bool,
     // Whether the request is among those that the engines with the newest weights can take.
-    prefers_newest: bool,
+    pub(super) prefers_newest: bool,
     // Whether the request can no longer meet its target.
     is_late: bool,
     draw: Option<Draw>,
@@ -136,7 +105,7 @@
 }
 
 impl Frame {
-    fn is_home(&self, index: UpstreamIndex) -> bool {
+    pub(super) fn is_home(&self, index: UpstreamIndex) -> bool {
         self.homes.contains(&Some(index))
     }
 }
@@ -220,7 +189,7 @@
         Part { share, burst_ms, cost_ms }
     }
 
-    fn newest(&self, model: &str) -> WeightsVersion {
+    pub(super) fn newest(&self, model: &str) -> WeightsVersion {
         self.named.get(model).map(Named::newest).unwrap_or_default()
     }
 
@@ -371,7 +340,7 @@
     }
 
     /// Returns how many of the shared tokens of a prompt the cache store holds.
-    fn stored_tokens(&self, scope: &Scope, prompt: &DeclaredPrompt, now_ms: u64) -> u32 {
+    pub(super) fn stored_tokens(&self, scope: &Scope, prompt: &DeclaredPrompt, now_ms: u64) -> u32 {
         self.parts.stored().leading_tokens(scope, prompt.shared_parts(), now_ms)
     }
 
@@ -383,91 +352,6 @@
         self.stored_tokens(&scope, prompt, now_ms) >= prompt.shared_tokens()
     }
 
-    /// Returns what an upstream costs for its role and its weights.
-    fn standing_ms(
-        &self,
-        ask: &Ask,
-        frame: &Frame,
-        index: UpstreamIndex,
-        entry: &FleetEntry,
-        now_ms: u64,
-    ) -> f64 {
-        let mut cost_ms = 0.0;
-        if entry.is_warming_up(now_ms) {
-            cost_ms += WARM_UP_COST_MS;
-        }
-        let Some(prompt) = &ask.prompt else { return cost_ms };
-        cost_ms += match (frame.is_long, frame.roles.is_short(index)) {
-            (true, true) => LONG_AMONG_SHORT_COST_MS,
-            (false, false) => SHORT_AMONG_LONG_COST_MS,
-            _ => 0.0,
-        };
-        let version = entry.version_of(&prompt.model).unwrap_or_default();
-        if frame.prefers_newest && version < self.newest(&prompt.model) {
-            cost_ms += OLD_WEIGHTS_COST_MS;
-        }
-        cost_ms
-    }
-
-    /// Returns what it costs that an upstream may lack the shared prefix of a request.
-    fn prefix_ms(
-        &self,
-        ask: &Ask,
-        frame: &Frame,
-        index: UpstreamIndex,
-        entry: &FleetEntry,
-        now_ms: u64,
-    ) -> f64 {
-        let (Some(prompt), Some(key)) = (&ask.prompt, frame.affinity) else { return 0.0 };
-        let version = entry.version_of(&prompt.model).unwrap_or_default();
-        let scope = Scope::new(version, ask.isolated_account.as_deref());
-        self.prefix_cost_ms(prompt, key, &scope, frame.is_home(index), index, now_ms)
-    }
-
-    /// Returns what an upstream costs for its load, its place and how it fares.
-    fn load_ms(&self, entry: &FleetEntry, now_ms: u64) -> f64 {
-        let mut cost_ms = self.wait_ms(entry, now_ms);
-        if entry.upstream.failure_domain != self.options.failure_domain {
-            cost_ms += DOMAIN_COST_MS;
-        }
-        cost_ms + entry.health.failure_share() * FAILURE_COST_MS
-    }
-
-    /// Returns what it costs that an engine may lack the shared prefix.
-    fn prefix_cost_ms(
-        &self,
-        prompt: &DeclaredPrompt,
-        key: AffinityKey,
-        scope: &Scope,
-        is_home: bool,
-        index: UpstreamIndex,
-        now_ms: u64,
-    ) -> f64 {
-        let tag = PrefixTag::new(key, scope);
-        if self.parts.has(tag, index, now_ms) {
-            return 0.0;
-        }
-        if self.stored_tokens(scope, prompt, now_ms) >= prompt.shared_tokens() {
-            return FETCH_COST_MS;
-        }
-        match self.parts.whereabouts(tag, now_ms) {
-            Whereabouts::Held => FETCH_COST_MS,
-            // Read twice at the same time, it costs both engines.
-            Whereabouts::Reading => 2.0 * f64::from(prompt.shared_tokens()) / READ_TOKENS_PER_MS,
-            Whereabouts::Unknown if is_home => 0.0,
-            Whereabouts::Unknown => FETCH_COST_MS,
-        }
-    }
-
-    /// Estimates how long a new request waits at an upstream.
-    fn wait_ms(&self, entry: &FleetEntry, now_ms: u64) -> f64 {
-        let (load, slots) = (entry.load(now_ms), entry.slots());
-        let reading_ms = entry.unread_everywhere() as f64 / READ_TOKENS_PER_MS;
-        let queued = f64::from(load.saturating_sub(slots));
-        let busy = f64::from(load) / f64::from(slots);
-        reading_ms + queued * QUEUE_COST_MS + busy * BUSY_COST_MS
-    }
-
     fn assign(&mut self, ask: &Ask, frame: &Frame, best: Best, now_ms: u64) -> Assignment {
         let index = best.index;
         let entry = self.fleet.get_mut(index).expect("the choice is in the table");
--- a/crates/scheduling/src/scheduler/mod.rs
+++ b/crates/scheduling/src/scheduler/mod.rs
@@ -3,6 +3,7 @@
 mod ask;
 mod choose;
 mod core;
+mod cost;
 mod outcome;
 mod pace;
 mod sample;
