Add a soak of real daemons by seed

What was missing: faults in series and overlapping, from outside, against daemons as processes on the platform's protocol; the tests struck one fault at a time in the test's process.

--- a/crates/lab/src/cli/mod.rs
+++ b/crates/lab/src/cli/mod.rs
@@ -5,6 +5,7 @@
 mod load;
 mod quickstart;
 mod serve;
+mod soak;
 
 use std::error::Error;
 use std::ffi::OsString;
@@ -42,6 +43,7 @@
         Some(("quickstart", matches)) => quickstart::run(matches).await,
         Some(("load", matches)) => load::run(matches).await,
         Some(("bench", matches)) => bench::run(matches).await,
+        Some(("soak", matches)) => soak::run(matches).await,
         // The command line requires one of its subcommands.
         _ => Ok(()),
     }
@@ -66,6 +68,7 @@
         .subcommand(router_command())
         .subcommand(load::command())
         .subcommand(bench::command())
+        .subcommand(soak::command())
 }
 
 fn router_command() -> Command {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -19,3 +19,4 @@
 pub mod service;
 pub mod site;
 pub mod site_upstream;
+pub mod soak;
--- a/crates/lab/src/site_upstream/mod.rs
+++ b/crates/lab/src/site_upstream/mod.rs
@@ -5,4 +5,5 @@
 
 pub use behaviour::Behaviour;
 pub use behaviour::SeenRequest;
+pub use http::EVENTS;
 pub use http::SiteUpstream;
--- /dev/null
+++ b/crates/lab/src/soak/mod.rs
@@ -0,0 +1,29 @@
+//! Randomized faults against real daemons on the platform's protocol.
+//!
+//! A seed decides what strikes when: processes are stopped, paused and killed by signals, the links
+//! to the store are cut, delayed and silenced by a loopback proxy, the store fails in its ways, and
+//! upstreams misbehave. Callers go on all the while over open connections. At the end all faults
+//! are healed, and what callers and upstreams saw is checked against what the pages promise.
+
+mod callers;
+mod check;
+mod link;
+mod node;
+mod plan;
+mod run;
+mod site;
+
+pub use callers::Answer;
+pub use callers::Asked;
+pub use callers::body;
+pub use callers::target;
+pub use check::Finding;
+pub use check::check;
+pub use link::LinkState;
+pub use plan::Fault;
+pub use plan::Plan;
+pub use run::SoakError;
+pub use run::SoakOptions;
+pub use run::SoakReport;
+pub use run::run;
+pub use site::Kind;
--- /dev/null
+++ b/crates/lab/src/soak/plan.rs
@@ -0,0 +1,103 @@
+//! What strikes when, from a seed.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+
+use super::link::LinkState;
+use crate::metadata_store::StoreFault;
+use crate::site_upstream::Behaviour;
+
+/// The span in which faults strike, and the longest of them.
+const SPAN_MS: std::ops::Range<u64> = 1_000..9_000;
+const LASTS_MS: std::ops::Range<u64> = 200..3_000;
+
+/// The fewest and the most faults of a run.
+const FAULTS: std::ops::Range<usize> = 3..10;
+
+/// One fault: the place of the node or upstream that it strikes, and how long it lasts.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub enum Fault {
+    /// A process is killed; it is started again at once.
+    Kill(usize),
+    /// A process is asked to stop, and started again when it has.
+    Stop(usize),
+    /// A process stands still.
+    Pause(usize, Duration),
+    /// The link of a node to the store fails.
+    Link(usize, LinkState, Duration),
+    /// The store fails for all.
+    Store(StoreFault, Duration),
+    /// The store forgets its history.
+    Forgets,
+    /// An upstream misbehaves.
+    Upstream(usize, Behaviour, Duration),
+    /// An upstream is emptied and taken off the list, and comes back.
+    Leaves(usize, Duration),
+    /// The operator writes a new configuration.
+    Configure,
+    /// The operator names new weights.
+    NewWeights,
+}
+
+/// The faults of a run, by the time since its start.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct Plan {
+    /// What strikes when.
+    pub faults: Vec<(Duration, Fault)>,
+}
+
+impl Plan {
+    /// Draws the faults of a seed for so many nodes and upstreams.
+    pub fn draw(seed: u64, nodes: usize, upstreams: usize) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let count = rng.random_range(FAULTS);
+        let faults = (0..count).map(|_| {
+            let at = Duration::from_millis(rng.random_range(SPAN_MS));
+            (at, draw_fault(&mut rng, nodes, upstreams))
+        });
+        let mut faults: Vec<_> = faults.collect();
+        faults.sort_by_key(|(at, _)| *at);
+        Self { faults }
+    }
+}
+
+fn draw_fault(rng: &mut SmallRng, nodes: usize, upstreams: usize) -> Fault {
+    const LINKS: [LinkState; 4] =
+        [LinkState::Slow, LinkState::Silent, LinkState::SilentBack, LinkState::Resets];
+    const STORE: [StoreFault; 3] = [StoreFault::Busy, StoreFault::Silent, StoreFault::LosesAnswers];
+    const BEHAVIOURS: [Behaviour; 11] = [
+        Behaviour::Sheds,
+        Behaviour::IsAnother,
+        Behaviour::Fails,
+        Behaviour::FailsBusy,
+        Behaviour::DropsAnswer,
+        Behaviour::IsMute,
+        Behaviour::CrossesAnswers,
+        Behaviour::DoesNotSign,
+        Behaviour::Recodes,
+        Behaviour::BreaksOff,
+        Behaviour::IsSlow,
+    ];
+    let lasts = Duration::from_millis(rng.random_range(LASTS_MS));
+    let node = rng.random_range(0..nodes);
+    let upstream = rng.random_range(0..upstreams);
+    let link = *LINKS.choose(rng).expect("links can fail");
+    let fault = *STORE.choose(rng).expect("the store can fail");
+    let behaviour = *BEHAVIOURS.choose(rng).expect("upstreams can misbehave");
+    match rng.random_range(0..10) {
+        0 => Fault::Kill(node),
+        1 => Fault::Stop(node),
+        2 => Fault::Pause(node, lasts),
+        3 => Fault::Link(node, link, lasts),
+        4 => Fault::Store(fault, lasts),
+        5 => Fault::Forgets,
+        6 => Fault::Leaves(upstream, lasts),
+        7 => Fault::Configure,
+        8 => Fault::NewWeights,
+        _ => Fault::Upstream(upstream, behaviour, lasts),
+    }
+}
--- /dev/null
+++ b/crates/lab/src/soak/run.rs
@@ -0,0 +1,331 @@
+//! One run: stand-ins, daemons, callers, faults, healing, verdict.
+
+use std::io;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use rand::RngCore;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use snafu::ResultExt;
+use snafu::Snafu;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::sleep_until;
+use tokio_util::sync::CancellationToken;
+
+use super::Fault;
+use super::Finding;
+use super::Plan;
+use super::callers::Asked;
+use super::callers::ask;
+use super::callers::keep_asking;
+use super::check::check;
+use super::link::LinkState;
+use super::node::SoakNode;
+use super::site::Kind;
+use super::site::configuration;
+use crate::metadata_store::MetadataStore;
+use crate::metadata_store::StoreFault;
+use crate::metadata_store::StoreState;
+use crate::site_upstream::Behaviour;
+use crate::site_upstream::SeenRequest;
+use crate::site_upstream::SiteUpstream;
+use redwingrill_transport::Freshness;
+use redwingrill_transport::Pool;
+use redwingrill_transport::Timeouts;
+
+/// How long nodes may take until they are ready at the start.
+const START_LIMIT: Duration = Duration::from_secs(10);
+
+/// How long faults strike; the last ones begin a second before.
+const SPAN: Duration = Duration::from_secs(10);
+
+/// How long after the healing all must be served; the platform's `recover_s` is twelve.
+const RECOVERY: Duration = Duration::from_secs(12);
+
+/// The requests of each kind that each node must serve after the recovery, one after the other.
+const LAST_REQUESTS: usize = 3;
+
+/// How often processes that ended are looked for.
+const WATCH: Duration = Duration::from_millis(50);
+
+/// What a run is made with.
+#[derive(Clone, Debug)]
+pub struct SoakOptions {
+    /// Decides what strikes when.
+    pub seed: u64,
+    /// The daemon's program.
+    pub program: PathBuf,
+    /// Where settings and logs are written.
+    pub folder: PathBuf,
+    /// Daemons.
+    pub nodes: usize,
+    /// Engines and plain upstreams, so many of each.
+    pub upstreams: usize,
+    /// Callers.
+    pub callers: usize,
+}
+
+/// What became of a run.
+#[derive(Clone, Debug)]
+pub struct SoakReport {
+    /// What struck.
+    pub plan: Plan,
+    /// Requests that callers sent.
+    pub asked: usize,
+    /// Those that were answered with a success.
+    pub served: usize,
+    /// Promises that did not hold.
+    pub findings: Vec<Finding>,
+}
+
+/// Why a run told nothing.
+#[derive(Debug, Snafu)]
+#[snafu(display("soak: {source}"))]
+pub struct SoakError {
+    source: io::Error,
+}
+
+struct Soak {
+    store: MetadataStore,
+    nodes: Vec<SoakNode>,
+    upstreams: Vec<SiteUpstream>,
+    pool: Pool,
+    version: u64,
+    findings: Vec<Finding>,
+    // What is healed when.
+    healing: Vec<(Instant, Fault)>,
+}
+
+/// Plays the faults of a seed.
+///
+/// # Errors
+///
+/// The cause if the processes or stand-ins could not be started.
+pub async fn run(options: &SoakOptions) -> Result<SoakReport, SoakError> {
+    let plan = Plan::draw(options.seed, options.nodes, 2 * options.upstreams);
+    let mut soak = Soak::start(options).await.context(SoakSnafu)?;
+    let stopping = CancellationToken::new();
+    let addresses = Arc::new(soak.nodes.iter().map(|node| node.callers).collect::<Vec<_>>());
+    let mut callers = JoinSet::new();
+    let mut rng = SmallRng::seed_from_u64(options.seed);
+    for name in 0..options.callers {
+        let (nodes, pool) = (addresses.clone(), Pool::new());
+        callers.spawn(keep_asking(name, rng.next_u64(), nodes, pool, stopping.clone()));
+    }
+    soak.play(&plan).await.context(SoakSnafu)?;
+    stopping.cancel();
+    let mut asked: Vec<Asked> = callers.join_all().await.into_iter().flatten().collect();
+    asked.extend(soak.recover(&addresses).await);
+    let is_served = |one: &&Asked| one.answer.as_ref().is_some_and(|answer| answer.status == 200);
+    let served = asked.iter().filter(is_served).count();
+    let findings = soak.finish(&asked).await;
+    Ok(SoakReport { plan, asked: asked.len(), served, findings })
+}
+
+impl Soak {
+    async fn start(options: &SoakOptions) -> io::Result<Self> {
+        std::fs::create_dir_all(&options.folder)?;
+        let state = StoreState::default();
+        let store = MetadataStore::start(state.clone()).await?;
+        state.put("op/config", configuration(1));
+        state.put("op/version/m", r#"{"model":"m","version":1}"#);
+        let mut upstreams = Vec::new();
+        for (name, service) in [("e", "llm"), ("s", "shop")] {
+            for n in 0..options.upstreams {
+                upstreams.push(SiteUpstream::start(&format!("{name}{n}"), service, &state).await?);
+            }
+        }
+        // Loopback addresses of this run's own, so that several may run side by side.
+        let process = std::process::id();
+        let ip = |n: usize| {
+            Ipv4Addr::new(127, 1 + (process % 250) as u8, options.seed as u8, 1 + n as u8)
+        };
+        let mut nodes = Vec::new();
+        for n in 0..options.nodes {
+            let (program, folder, name) = (&options.program, &options.folder, format!("n{n}"));
+            let node = SoakNode::start(program, folder, ip(n), &name, store.address(), ip(0));
+            nodes.push(node.await?);
+        }
+        let soak = Self {
+            store,
+            nodes,
+            upstreams,
+            pool: Pool::new(),
+            version: 1,
+            findings: Vec::new(),
+            healing: Vec::new(),
+        };
+        soak.wait_ready().await?;
+        Ok(soak)
+    }
+
+    async fn wait_ready(&self) -> io::Result<()> {
+        let ends = Instant::now() + START_LIMIT;
+        for node in &self.nodes {
+            while !self.is_ready(node.readiness).await {
+                if Instant::now() > ends {
+                    return Err(io::Error::other(format!("{} is not ready", node.readiness)));
+                }
+                sleep(WATCH).await;
+            }
+        }
+        Ok(())
+    }
+
+    async fn is_ready(&self, address: SocketAddr) -> bool {
+        let mut request = Request::new(Bytes::new());
+        *request.uri_mut() = http::Uri::from_static("/-/ready");
+        let timeouts = Timeouts { connect: START_LIMIT, head: START_LIMIT };
+        let reply = self.pool.send(address, request, Freshness::New, &timeouts).await;
+        reply.is_ok_and(|reply| reply.status() == http::StatusCode::OK)
+    }
+
+    async fn play(&mut self, plan: &Plan) -> io::Result<()> {
+        let began = Instant::now();
+        for (at, fault) in &plan.faults {
+            self.watch_until(began + *at).await?;
+            self.strike(fault).await?;
+        }
+        self.watch_until(began + SPAN).await?;
+        // All that is still broken is healed.
+        for (_, fault) in std::mem::take(&mut self.healing) {
+            self.heal(&fault)?;
+        }
+        Ok(())
+    }
+
+    /// Heals what is due and starts processes that ended, until `end`.
+    async fn watch_until(&mut self, end: Instant) -> io::Result<()> {
+        while Instant::now() < end {
+            let now = Instant::now();
+            let (due, later) = self.healing.drain(..).partition(|(at, _)| *at <= now);
+            self.healing = later;
+            for (_, fault) in due {
+                self.heal(&fault)?;
+            }
+            for node in &mut self.nodes {
+                node.revive()?;
+            }
+            sleep_until(end.min(now + WATCH)).await;
+        }
+        Ok(())
+    }
+
+    async fn strike(&mut self, fault: &Fault) -> io::Result<()> {
+        let lasts = match fault {
+            Fault::Kill(node) => {
+                self.nodes[*node].kill().await?;
+                None
+            }
+            Fault::Stop(node) => {
+                self.stop(*node).await?;
+                None
+            }
+            Fault::Pause(node, lasts) => {
+                self.nodes[*node].pause(true)?;
+                Some(*lasts)
+            }
+            Fault::Link(node, state, lasts) => {
+                self.nodes[*node].link.set(*state);
+                Some(*lasts)
+            }
+            Fault::Store(fault, lasts) => {
+                self.store.state.set_fault(*fault);
+                Some(*lasts)
+            }
+            Fault::Forgets => {
+                self.store.state.drop_history();
+                None
+            }
+            Fault::Upstream(upstream, behaviour, lasts) => {
+                self.upstreams[*upstream].set(*behaviour);
+                Some(*lasts)
+            }
+            Fault::Leaves(upstream, lasts) => {
+                self.upstreams[*upstream].list("draining");
+                Some(*lasts)
+            }
+            Fault::Configure => {
+                self.version += 1;
+                self.store.state.put("op/config", configuration(self.version));
+                None
+            }
+            Fault::NewWeights => {
+                self.version += 1;
+                let named = format!(r#"{{"model":"m","version":{}}}"#, self.version);
+                self.store.state.put("op/version/m", named);
+                None
+            }
+        };
+        if let Some(lasts) = lasts {
+            self.healing.push((Instant::now() + lasts, fault.clone()));
+        }
+        Ok(())
+    }
+
+    /// Stops a process; one that stands still goes on first, as the platform's signal would wait.
+    async fn stop(&mut self, node: usize) -> io::Result<()> {
+        self.nodes[node].pause(false)?;
+        if !self.nodes[node].stop().await? {
+            let seen = format!("n{node} did not end well within its time");
+            self.findings.push(Finding { rule: "stop", seen });
+        }
+        self.nodes[node].start_again()
+    }
+
+    fn heal(&mut self, fault: &Fault) -> io::Result<()> {
+        match fault {
+            Fault::Pause(node, _) => self.nodes[*node].pause(false)?,
+            Fault::Link(node, ..) => self.nodes[*node].link.set(LinkState::Open),
+            Fault::Store(..) => self.store.state.set_fault(StoreFault::None),
+            Fault::Upstream(upstream, ..) => self.upstreams[*upstream].set(Behaviour::Serves),
+            Fault::Leaves(upstream, _) => self.upstreams[*upstream].list("ready"),
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// Waits as long as a recovery may take, and asks each node for each kind.
+    async fn recover(&mut self, nodes: &[SocketAddr]) -> Vec<Asked> {
+        sleep(RECOVERY).await;
+        let mut asked = Vec::new();
+        for (n, node) in nodes.iter().enumerate() {
+            for kind in Kind::ALL {
+                for turn in 0..LAST_REQUESTS {
+                    let id = format!("last-{n}-{}-{turn}", kind.route());
+                    let answer = ask(&self.pool, *node, kind, &id, Freshness::New).await;
+                    if answer.as_ref().is_none_or(|answer| answer.status != 200) {
+                        let seen = format!("{} {id}: {answer:?}", kind.route());
+                        self.findings.push(Finding { rule: "recovery", seen });
+                    }
+                    asked.push(Asked { id, kind, answer });
+                }
+            }
+        }
+        asked
+    }
+
+    async fn finish(mut self, asked: &[Asked]) -> Vec<Finding> {
+        let seen: Vec<SeenRequest> = self.upstreams.iter().flat_map(SiteUpstream::seen).collect();
+        self.findings.extend(check(asked, &seen));
+        for (n, node) in self.nodes.iter().enumerate().filter(|(_, node)| node.own_ends > 0) {
+            let seen = format!("n{n} ended by itself {} times", node.own_ends);
+            self.findings.push(Finding { rule: "own end", seen });
+        }
+        // Their processes end with them.
+        drop(self.nodes);
+        for upstream in self.upstreams {
+            upstream.stop().await;
+        }
+        self.store.stop().await;
+        self.findings
+    }
+}
