Compute what a choice of an upstream needs once

Found on reading the change again, behaviour as before: - arrivals at all nodes (a sum over the digests of all nodes) were summed for plain requests, which do not use them, and twice for each prompt; - the random generator was copied for each choice and written back, which nothing needs since the candidates are taken out of the scheduler; - the scope of a request's cached parts was put together in three places: Ask::scope; - prefix_ms only handed six arguments on to prefix_cost_ms: one function; - Tenure::fence had no caller.

The draws come in the same order as before.

--- a/crates/scheduling/src/rollout/tenure.rs
+++ b/crates/scheduling/src/rollout/tenure.rs
@@ -81,11 +81,6 @@
         self.held = None;
     }
 
-    /// Returns the fencing number while the node holds the key, however sure its lease is.
-    pub fn fence(&self) -> Option<u64> {
-        self.held.map(|held| held.fence)
-    }
-
     /// Returns the fencing number if the node may order now.
     pub fn may_order(&self, now_ms: u64) -> Option<u64> {
         let held = self.held?;
--- a/crates/scheduling/src/scheduler/ask.rs
+++ b/crates/scheduling/src/scheduler/ask.rs
@@ -31,6 +31,13 @@
     pub tried: Vec<UpstreamIndex>,
 }
 
+impl Ask {
+    /// Returns the scope of the request's cached parts under a version of the weights.
+    pub fn scope(&self, version: WeightsVersion) -> Scope {
+        Scope::new(version, self.isolated_account.as_deref())
+    }
+}
+
 /// An upstream for a request.
 #[derive(Clone, Debug)]
 pub struct Assignment {
--- a/crates/scheduling/src/scheduler/choose.rs
+++ b/crates/scheduling/src/scheduler/choose.rs
@@ -23,6 +23,7 @@
 use crate::fleet::FleetEntry;
 use crate::fleet::UpstreamIndex;
 use crate::placement::AffinityKey;
+use crate::placement::ArrivalRates;
 use crate::placement::LONG_COST_MS;
 use crate::placement::PrefixTag;
 use crate::placement::Roles;
@@ -137,7 +138,6 @@
     }
 
     fn frame(&mut self, ask: &Ask, is_late: bool, now_ms: u64) -> Frame {
-        let rates = self.arrival_rates(now_ms);
         let Some(prompt) = ask.prompt.as_deref() else {
             return Frame {
                 affinity: None,
@@ -150,6 +150,7 @@
                 part: None,
             };
         };
+        let rates = self.arrival_rates(now_ms);
         let engines = self.fleet.of_service(&ask.service);
         let engines = engines.filter_map(|(index, entry)| {
             let version = entry.version_of(&prompt.model)?;
@@ -175,13 +176,13 @@
         // Long prompts go where their prefix is.
         let age_ms = self.peers.median_age_ms(now_ms);
         let draw = (!is_long).then(|| Draw::new(rates.short_per_s, age_ms));
-        let part = Pace::is_needed(age_ms).then(|| self.part(is_long, now_ms));
+        let part = Pace::is_needed(age_ms).then(|| self.part(is_long, rates, now_ms));
         Frame { affinity, homes, roles, is_long, prefers_newest, is_late, draw, part }
     }
 
     /// Returns what the node may take of the engines' room, with the least cost of a prompt.
-    fn part(&mut self, is_long: bool, now_ms: u64) -> Part {
-        let share = self.share_here(is_long, now_ms);
+    fn part(&mut self, is_long: bool, rates: ArrivalRates, now_ms: u64) -> Part {
+        let share = self.share_here(is_long, rates, now_ms);
         let (burst_ms, cost_ms) = match is_long {
             true => (LONG_UNREAD_LIMIT_MS, LONG_COST_MS),
             false => (SHORT_UNREAD_LIMIT_MS, SHORT_COST_MS),
@@ -194,7 +195,6 @@
     }
 
     fn cheapest(&mut self, ask: &Ask, frame: &Frame, now_ms: u64) -> Result<Best, NoRoom> {
-        let mut rng = self.rng.clone();
         let mut candidates = std::mem::take(&mut self.candidates);
         candidates.clear();
         for strict in [true, false] {
@@ -205,19 +205,18 @@
             }
         }
         if let Some(part) = frame.part {
-            self.keep_afforded(&mut candidates, frame.is_long, part, now_ms, &mut rng);
+            self.keep_afforded(&mut candidates, frame.is_long, part, now_ms);
         }
         if let Some(draw) = frame.draw {
-            keep_drawn(&mut candidates, draw, &mut rng);
+            keep_drawn(&mut candidates, draw, &mut self.rng);
         }
         let spread_ms = (self.members() as f64 * NOISE_MS_PER_NODE).min(NOISE_LIMIT_MS);
         for candidate in &mut candidates {
-            candidate.cost_ms += rng.random_range(0.0..spread_ms);
+            candidate.cost_ms += self.rng.random_range(0.0..spread_ms);
         }
         let best = candidates.iter().min_by(|one, other| one.cost_ms.total_cmp(&other.cost_ms));
         let best = best.map(|best| Best { index: best.index, standing_ms: best.standing_ms });
         self.candidates = candidates;
-        self.rng = rng;
         best.ok_or_else(|| {
             let mut untried = self.fleet.of_service(&ask.service);
             match untried.any(|(index, _)| !ask.tried.contains(&index)) {
@@ -234,13 +233,12 @@
         is_long: bool,
         part: Part,
         now_ms: u64,
-        rng: &mut SmallRng,
     ) {
         let mut standings: Vec<u32> = candidates.iter().map(|c| c.standing_ms).collect();
         standings.sort_unstable();
         for equal in standings.chunk_by(|one, other| one == other) {
             let lane = Lane { is_long, standing_ms: equal[0] };
-            if !self.pace.affords(lane, equal.len(), part, now_ms, rng) {
+            if !self.pace.affords(lane, equal.len(), part, now_ms, &mut self.rng) {
                 candidates.retain(|candidate| candidate.standing_ms != equal[0]);
             }
         }
@@ -348,8 +346,7 @@
     fn is_found(&self, ask: &Ask, entry: &FleetEntry, now_ms: u64) -> bool {
         let Some(prompt) = &ask.prompt else { return false };
         let Some(version) = entry.version_of(&prompt.model) else { return false };
-        let scope = Scope::new(version, ask.isolated_account.as_deref());
-        self.stored_tokens(&scope, prompt, now_ms) >= prompt.shared_tokens()
+        self.stored_tokens(&ask.scope(version), prompt, now_ms) >= prompt.shared_tokens()
     }
 
     fn assign(&mut self, ask: &Ask, frame: &Frame, best: Best, now_ms: u64) -> Assignment {
@@ -358,7 +355,7 @@
         let upstream = entry.upstream.clone();
         let prompt = ask.prompt.as_deref();
         let version = prompt.and_then(|prompt| entry.version_of(&prompt.model));
-        let scope = version.map(|v: WeightsVersion| Scope::new(v, ask.isolated_account.as_deref()));
+        let scope = version.map(|version| ask.scope(version));
         let mut assignment = Assignment {
             index,
             upstream,
--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -225,8 +225,7 @@
     }
 
     /// Returns this node's part of the prompts that arrive at all nodes, from zero to one.
-    pub(super) fn share_here(&mut self, is_long: bool, now_ms: u64) -> f64 {
-        let all = self.arrival_rates(now_ms);
+    pub(super) fn share_here(&mut self, is_long: bool, all: ArrivalRates, now_ms: u64) -> f64 {
         let (own_per_s, all_per_s) = match is_long {
             true => (self.long_arrivals.per_s(now_ms), all.long_per_s),
             false => (self.short_arrivals.per_s(now_ms), all.short_per_s),
--- a/crates/scheduling/src/scheduler/cost.rs
+++ b/crates/scheduling/src/scheduler/cost.rs
@@ -8,11 +8,8 @@
 use super::choose::Frame;
 use crate::fleet::FleetEntry;
 use crate::fleet::UpstreamIndex;
-use crate::placement::AffinityKey;
 use crate::placement::PrefixTag;
-use crate::placement::Scope;
 use crate::placement::Whereabouts;
-use redwingrill_routing::DeclaredPrompt;
 
 /// Prompt tokens that an engine reads in a millisecond, from the engines' data sheet.
 pub(super) const READ_TOKENS_PER_MS: f64 = 50.0;
@@ -82,46 +79,32 @@
         now_ms: u64,
     ) -> f64 {
         let (Some(prompt), Some(key)) = (&ask.prompt, frame.affinity) else { return 0.0 };
-        let version = entry.version_of(&prompt.model).unwrap_or_default();
-        let scope = Scope::new(version, ask.isolated_account.as_deref());
-        self.prefix_cost_ms(prompt, key, &scope, frame.is_home(index), index, now_ms)
-    }
-
-    /// Returns what an upstream costs for its load, its place and how it fares.
-    pub(super) fn load_ms(&self, entry: &FleetEntry, now_ms: u64) -> f64 {
-        let mut cost_ms = self.wait_ms(entry, now_ms);
-        if entry.upstream.failure_domain != self.options.failure_domain {
-            cost_ms += DOMAIN_COST_MS;
-        }
-        cost_ms + entry.health.failure_share() * FAILURE_COST_MS
-    }
-
-    /// Returns what it costs that an engine may lack the shared prefix.
-    fn prefix_cost_ms(
-        &self,
-        prompt: &DeclaredPrompt,
-        key: AffinityKey,
-        scope: &Scope,
-        is_home: bool,
-        index: UpstreamIndex,
-        now_ms: u64,
-    ) -> f64 {
-        let tag = PrefixTag::new(key, scope);
+        let scope = ask.scope(entry.version_of(&prompt.model).unwrap_or_default());
+        let tag = PrefixTag::new(key, &scope);
         if self.parts.has(tag, index, now_ms) {
             return 0.0;
         }
-        if self.stored_tokens(scope, prompt, now_ms) >= prompt.shared_tokens() {
+        if self.stored_tokens(&scope, prompt, now_ms) >= prompt.shared_tokens() {
             return FETCH_COST_MS;
         }
         match self.parts.whereabouts(tag, now_ms) {
             Whereabouts::Held => FETCH_COST_MS,
             // Read twice at the same time, it costs both engines.
             Whereabouts::Reading => 2.0 * f64::from(prompt.shared_tokens()) / READ_TOKENS_PER_MS,
-            Whereabouts::Unknown if is_home => 0.0,
+            Whereabouts::Unknown if frame.is_home(index) => 0.0,
             Whereabouts::Unknown => FETCH_COST_MS,
         }
     }
 
+    /// Returns what an upstream costs for its load, its place and how it fares.
+    pub(super) fn load_ms(&self, entry: &FleetEntry, now_ms: u64) -> f64 {
+        let mut cost_ms = self.wait_ms(entry, now_ms);
+        if entry.upstream.failure_domain != self.options.failure_domain {
+            cost_ms += DOMAIN_COST_MS;
+        }
+        cost_ms + entry.health.failure_share() * FAILURE_COST_MS
+    }
+
     /// Estimates how long a new request waits at an upstream.
     fn wait_ms(&self, entry: &FleetEntry, now_ms: u64) -> f64 {
         let (load, slots) = (entry.load(now_ms), entry.slots());
