--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod budget;
 pub mod fleet;
 pub mod placement;
+mod recent;
 pub mod rollout;
 pub mod scheduler;
--- a/crates/scheduling/src/placement/knowledge.rs
+++ b/crates/scheduling/src/placement/knowledge.rs
@@ -1,7 +1,6 @@
 //! Which caches hold which shared prefixes, as this node has seen.
 
 use std::collections::HashMap;
-use std::collections::VecDeque;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -11,6 +10,7 @@
 use super::Scope;
 use super::StoredParts;
 use crate::fleet::UpstreamIndex;
+use crate::recent::Recent;
 
 /// How long a prefix is taken to stay in an engine after its last use there.
 const HELD_MS: u64 = 8_000;
@@ -62,7 +62,7 @@
 pub struct PartKnowledge {
     engines: HashMap<PrefixTag, Vec<Holder>>,
     // What this node sent of late.
-    sent: VecDeque<(PrefixTag, UpstreamIndex, u64)>,
+    sent: Recent<(PrefixTag, UpstreamIndex), TOLD_MS>,
     stored: StoredParts,
     saving_ms: HashMap<PrefixTag, u64>,
 }
@@ -70,18 +70,13 @@
 impl PartKnowledge {
     /// Notes that this node sent a prefix to an engine.
     pub fn sent(&mut self, tag: PrefixTag, engine: UpstreamIndex, now_ms: u64) {
-        self.sent.push_back((tag, engine, now_ms));
-        while self.sent.front().is_some_and(|(_, _, at)| now_ms.saturating_sub(*at) > TOLD_MS) {
-            self.sent.pop_front();
-        }
+        self.sent.push((tag, engine), now_ms);
         self.used(tag, engine, now_ms);
     }
 
     /// Returns what this node sent of late.
     pub fn sent_lately(&self, now_ms: u64) -> impl Iterator<Item = (PrefixTag, UpstreamIndex)> {
-        let lately =
-            self.sent.iter().filter(move |(_, _, at)| now_ms.saturating_sub(*at) <= TOLD_MS);
-        lately.map(|(tag, engine, _)| (*tag, *engine))
+        self.sent.iter(now_ms).copied()
     }
 
     /// Notes that a prefix is used at an engine.
--- a/crates/scheduling/src/placement/stored.rs
+++ b/crates/scheduling/src/placement/stored.rs
@@ -4,13 +4,13 @@
 //! was stored of late. What is only told is forgotten after a while, since removals are not told.
 
 use std::collections::HashMap;
-use std::collections::VecDeque;
 
 use serde::Deserialize;
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::Scope;
+use crate::recent::Recent;
 use redwingrill_routing::CacheChange;
 use redwingrill_routing::PartId;
 use redwingrill_routing::PromptPart;
@@ -64,7 +64,7 @@
     heard_epoch: Option<u64>,
     // The epoch that others told, and when.
     told: Option<(u64, u64)>,
-    lately: VecDeque<(StoredTag, u32, u64)>,
+    lately: Recent<(StoredTag, u32), TELL_MS>,
 }
 
 impl StoredParts {
@@ -95,20 +95,14 @@
                 continue;
             }
             self.parts.insert(tag, Part { tokens: change.tokens, until_ms: u64::MAX });
-            self.lately.push_back((tag, change.tokens, now_ms));
-        }
-        let is_old = |at_ms: u64| now_ms.saturating_sub(at_ms) > TELL_MS;
-        while self.lately.front().is_some_and(|(_, _, at_ms)| is_old(*at_ms)) {
-            self.lately.pop_front();
+            self.lately.push((tag, change.tokens), now_ms);
         }
     }
 
     /// Returns what other nodes are told; `None` if this node does not hear the store.
     pub fn news(&self, now_ms: u64) -> Option<StoredNews> {
         let epoch = self.heard_epoch?;
-        let lately = self.lately.iter().rev().take(TELL_LIMIT);
-        let fresh = lately.filter(|(_, _, at_ms)| now_ms.saturating_sub(*at_ms) <= TELL_MS);
-        let parts = fresh.map(|(tag, tokens, _)| (*tag, *tokens)).collect();
+        let parts = self.lately.iter(now_ms).rev().take(TELL_LIMIT).copied().collect();
         Some(StoredNews { epoch, parts })
     }
 
