Share the refusal, and copy less of a request on its way

Behaviour as before: - Refusal stood twice, in redwingrill and in gateway: it stands in codes, beside ErrorBody, and both use it; - the declared prompt was copied for each ask of an upstream and once at the arrival: it is shared from the arrival on; - a leg is told its model where it is made, not by three callers after; - the head of a reply sent a copy of the whole assignment to the scheduler, which reads its index only; - the count of a send that may have run stood in four places (Call::may_have_run_at), the end of a request that may not go on in three (may_go_on), the search for the cache store in two (Configuration::cache_store); - relay's take copied a call field by field: what is not moved is cloned.

--- a/crates/codes/src/lib.rs
+++ b/crates/codes/src/lib.rs
@@ -5,9 +5,11 @@
 
 mod code;
 mod error_body;
+mod refusal;
 
 pub use code::CodeInfo;
 pub use code::Ran;
 pub use code::ResultCode;
 pub use error_body::ErrorBody;
 pub use error_body::ErrorDetail;
+pub use refusal::Refusal;
--- a/crates/redwingrill/src/refusal.rs
+++ b/crates/codes/src/refusal.rs
@@ -2,8 +2,8 @@
 
 use std::fmt;
 
-use redwingrill_codes::Ran;
-use redwingrill_codes::ResultCode;
+use crate::Ran;
+use crate::ResultCode;
 
 /// Why a request ends with an error, and what the caller is told.
 #[derive(Clone, PartialEq, Eq, Debug)]
--- a/crates/gateway/src/cache_watch/task.rs
+++ b/crates/gateway/src/cache_watch/task.rs
@@ -82,10 +82,7 @@
     /// Returns the address of the store, if this node is among those that may listen.
     fn address(&mut self) -> Option<SocketAddr> {
         let beliefs = self.beliefs.borrow_and_update();
-        let configuration = beliefs.configuration.as_ref()?;
-        let mut stores =
-            configuration.services().filter_map(|service| service.cache_store.as_ref());
-        let store = stores.next()?;
+        let store = beliefs.configuration.as_ref()?.cache_store()?;
         // Fast links first: those that listen tell all others.
         let own = beliefs.members.iter().find(|member| member.name == self.node)?;
         let is_before =
--- a/crates/gateway/src/dispatch/dispatcher.rs
+++ b/crates/gateway/src/dispatch/dispatcher.rs
@@ -41,7 +41,7 @@
     Choose { ask: Box<Ask>, purpose: Purpose, reply: oneshot::Sender<Choice> },
     /// The head of a reply came.
     Head {
-        assignment: Box<Assignment>,
+        index: UpstreamIndex,
         model: Option<String>,
         load: Option<ReportedLoad>,
         version: Option<WeightsVersion>,
@@ -97,9 +97,10 @@
     /// The cause of a refusal and when the request is best sent again, in milliseconds.
     pub async fn choose(&self, ask: Ask, purpose: Purpose) -> Result<Leg, (RefusalCause, u64)> {
         let (reply, answer) = oneshot::channel();
+        let model = ask.prompt.as_ref().map(|prompt| prompt.model.clone());
         self.send(Message::Choose { ask: Box::new(ask), purpose, reply });
         match answer.await {
-            Ok(Choice::Send(assignment)) => Ok(Leg::new(self.clone(), *assignment)),
+            Ok(Choice::Send(assignment)) => Ok(Leg::new(self.clone(), *assignment, model)),
             Ok(Choice::Refuse { cause, retry_after_ms }) => Err((cause, retry_after_ms)),
             // A wait is never an answer; the task has ended.
             Ok(Choice::Wait) | Err(_) => Err((RefusalCause::NoUpstream, STOPPING_PAUSE_MS)),
--- a/crates/gateway/src/dispatch/leg.rs
+++ b/crates/gateway/src/dispatch/leg.rs
@@ -18,8 +18,13 @@
 }
 
 impl Leg {
-    pub(super) fn new(dispatcher: Dispatcher, assignment: Assignment) -> Self {
-        Self { dispatcher, assignment, model: None, is_unread: true, outcome: None }
+    /// Makes a send; `model` is what the request asks for.
+    pub(super) fn new(
+        dispatcher: Dispatcher,
+        assignment: Assignment,
+        model: Option<String>,
+    ) -> Self {
+        Self { dispatcher, assignment, model, is_unread: true, outcome: None }
     }
 
     /// Returns where the request goes.
@@ -27,19 +32,13 @@
         &self.assignment
     }
 
-    /// Sets the model that the request asks for.
-    pub fn with_model(mut self, model: Option<&str>) -> Self {
-        self.model = model.map(str::to_owned);
-        self
-    }
-
     /// Takes in the head of the reply.
     pub fn head(&self, facts: &ReplyFacts) {
         if facts.load.is_none() && facts.weights_version.is_none() {
             return;
         }
         self.dispatcher.send(Message::Head {
-            assignment: Box::new(self.assignment.clone()),
+            index: self.assignment.index,
             model: self.model.clone(),
             load: facts.load,
             version: facts.weights_version,
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -99,7 +99,8 @@
             self.scheduler.name_version(model, *version, now_ms);
         }
         if let Some(configuration) = &beliefs.configuration {
-            self.scheduler.set_cache_store(cache_store(configuration));
+            let cache_store = configuration.cache_store().map(|store| store.address);
+            self.scheduler.set_cache_store(cache_store);
             self.scheduler.set_connection_limits(connection_limits(configuration));
             self.scheduler.set_cache_tokens(cache_tokens(configuration));
         }
@@ -115,9 +116,8 @@
                 }
             }
             Message::Choose { ask, purpose, reply } => self.choose(*ask, purpose, reply, now_ms),
-            Message::Head { assignment, model, load, version } => {
-                let model = model.as_deref();
-                self.scheduler.observe_head(&assignment, model, load, version, now_ms);
+            Message::Head { index, model, load, version } => {
+                self.scheduler.observe_head(index, model.as_deref(), load, version, now_ms);
             }
             Message::Read { assignment } => self.scheduler.prompt_read(&assignment, now_ms),
             Message::Ended { index, unread_tokens, held_tokens, outcome } => {
@@ -224,11 +224,6 @@
     Choice::Refuse { cause, retry_after_ms: BUDGET_PAUSE_MS }
 }
 
-fn cache_store(configuration: &Configuration) -> Option<std::net::SocketAddr> {
-    let mut stores = configuration.services().filter_map(|service| service.cache_store.as_ref());
-    stores.next().map(|store| store.address)
-}
-
 fn connection_limits(configuration: &Configuration) -> Vec<(String, u32)> {
     let services = configuration.services();
     services.map(|service| (service.name.clone(), service.connections_limit)).collect()
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -10,6 +10,7 @@
 
 use crate::clock::now_ms;
 use redwingrill_routing::ClientAccount;
+use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::LegOrders;
 use redwingrill_routing::RequestFacts;
 use redwingrill_routing::Route;
@@ -21,9 +22,11 @@
 const URGENCY_LIMIT: u8 = 9;
 
 /// One request on its way.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Call {
+    // Without the prompt, which stands beside.
     pub facts: RequestFacts,
+    pub prompt: Option<Arc<DeclaredPrompt>>,
     pub route: Arc<Route>,
     pub service: String,
     pub account: Option<ClientAccount>,
@@ -53,9 +56,11 @@
         now_ms().saturating_sub(self.arrived_ms)
     }
 
-    /// Returns the model that the request asks for.
-    pub fn model(&self) -> Option<&str> {
-        self.facts.prompt.as_ref().map(|prompt| prompt.model.as_str())
+    /// Notes a send that an upstream may have run.
+    pub fn may_have_run_at(&mut self, index: UpstreamIndex) {
+        self.sends += 1;
+        self.runs += 1;
+        self.tried.push(index);
     }
 
     /// Returns whether another upstream may run the request now.
@@ -69,7 +74,7 @@
         let isolated = self.account.as_ref().filter(|account| account.is_isolated);
         Ask {
             service: self.service.clone(),
-            prompt: self.facts.prompt.clone().map(Arc::new),
+            prompt: self.prompt.clone(),
             isolated_account: isolated.map(|account| account.name.clone()),
             urgency: self.urgency(),
             arrived_ms: self.arrived_ms,
@@ -82,7 +87,7 @@
     /// Returns what an upstream is told.
     pub fn orders(&self, assignment: &Assignment, last_event_id: Option<u64>) -> LegOrders {
         let account = self.account.as_ref();
-        let is_engine = self.facts.prompt.is_some();
+        let is_engine = self.prompt.is_some();
         LegOrders {
             deadline: self.left(),
             account: account.map(|account| account.name.clone()),
--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -23,14 +23,15 @@
 use super::call::Call;
 use super::relay::Relay;
 use super::reply::Body;
-use super::reply::Refusal;
 use super::reply::full_body;
+use super::reply::refusal_reply;
 use crate::beliefs::Beliefs;
 use crate::clock::now_ms;
 use crate::dispatch::Dispatcher;
 use crate::dispatch::Leg;
 use crate::dispatch::Purpose;
 use crate::telemetry::Metrics;
+use redwingrill_codes::Refusal;
 use redwingrill_codes::ResultCode;
 use redwingrill_routing::CallerLimits;
 use redwingrill_routing::Configuration;
@@ -112,7 +113,8 @@
             Ok(facts) => facts,
             Err(e) => {
                 info!("event=request_ended request_id=- code=100 reason={e:?}");
-                return Refusal::new(ResultCode::BadRequest).detail(e.to_string()).reply("");
+                let refusal = Refusal::with_detail(ResultCode::BadRequest, e.to_string());
+                return refusal_reply(&refusal, "");
             }
         };
         let beliefs = self.parts.beliefs.borrow().clone();
@@ -141,7 +143,7 @@
     async fn admit(
         &self,
         request: Request<Incoming>,
-        facts: RequestFacts,
+        mut facts: RequestFacts,
         beliefs: &Beliefs,
         arrived_ms: u64,
     ) -> Result<Call, Refusal> {
@@ -154,7 +156,8 @@
         let path = head.uri.path();
         let route = configuration.route(host, path).cloned();
         let route = route.ok_or_else(|| {
-            Refusal::new(ResultCode::RouteUnknown).detail(format!("no route for {host}{path}"))
+            let detail = format!("no route for {host}{path}");
+            Refusal::with_detail(ResultCode::RouteUnknown, detail)
         })?;
         let account = account_of(configuration, &route, &facts)?;
         let waits_ms = facts.deadline.map_or(DEFAULT_DEADLINE_MS, |wait| wait.as_millis() as u64);
@@ -164,11 +167,12 @@
         self.parts.dialect.clean_request(&mut head.headers);
         head.headers.remove(header::CONTENT_LENGTH);
         let service = route.choose_service(rand::rng().random()).to_owned();
-        let prompt = facts.prompt.clone().map(Arc::new);
-        self.parts.dispatcher.count_request(&service, prompt);
+        let prompt = facts.prompt.take().map(Arc::new);
+        self.parts.dispatcher.count_request(&service, prompt.clone());
         let uri = origin_form(&head.uri);
         Ok(Call {
             facts,
+            prompt,
             route,
             service,
             account,
@@ -192,16 +196,12 @@
             match self.attempt_or_move(call, leg).await {
                 Moved::To(next) => {
                     self.note(call, "moved", "");
-                    call.sends += 1;
-                    call.runs += 1;
-                    call.tried.push(index);
+                    call.may_have_run_at(index);
                     leg = next;
                     continue;
                 }
                 Moved::No(Attempt::Answered(answer)) => {
-                    call.sends += 1;
-                    call.runs += 1;
-                    call.tried.push(index);
+                    call.may_have_run_at(index);
                     if let Some(ended) = self.answered(call, *answer).await? {
                         return Ok(ended);
                     }
@@ -217,11 +217,13 @@
                 }
                 Moved::No(Attempt::Lost { reason }) => {
                     self.note(call, "lost", &reason);
-                    self.may_have_run(call, index, ResultCode::UpstreamFailed)?;
+                    call.may_have_run_at(index);
+                    may_go_on(call, ResultCode::UpstreamFailed, "")?;
                 }
                 Moved::No(Attempt::Silent) => {
                     self.note(call, "silent", "");
-                    self.may_have_run(call, index, ResultCode::UpstreamSilent)?;
+                    call.may_have_run_at(index);
+                    may_go_on(call, ResultCode::UpstreamSilent, "")?;
                 }
             }
             if call.left() < LEAST_LEFT {
@@ -247,7 +249,6 @@
             let mut ask = call.ask();
             ask.tried.push(index);
             if let Ok(next) = self.parts.dispatcher.choose(ask, Purpose::Move).await {
-                let next = next.with_model(call.model());
                 log_assignment(call, &next);
                 return Moved::To(next);
             }
@@ -264,28 +265,11 @@
         may_move.then(|| first.min(call.left()))
     }
 
-    /// Notes that an upstream may have run the request; ends it if no other may.
-    fn may_have_run(
-        &self,
-        call: &mut Call,
-        index: redwingrill_scheduling::fleet::UpstreamIndex,
-        code: ResultCode,
-    ) -> Result<(), Refusal> {
-        call.sends += 1;
-        call.runs += 1;
-        call.tried.push(index);
-        match call.may_run_again() {
-            true => Ok(()),
-            false => Err(Refusal::new(code)),
-        }
-    }
-
     async fn assign(&self, call: &Call) -> Result<Leg, Refusal> {
         let purpose = if call.sends > 0 { Purpose::Again } else { Purpose::First };
         let chosen = self.parts.dispatcher.choose(call.ask(), purpose).await;
         let (cause, retry_after_ms) = match chosen {
             Ok(leg) => {
-                let leg = leg.with_model(call.model());
                 log_assignment(call, &leg);
                 return Ok(leg);
             }
@@ -293,7 +277,8 @@
         };
         if call.runs > 0 {
             // The first upstream may have run it, so this is no refusal.
-            return Err(Refusal::new(ResultCode::UpstreamFailed).detail(format!("{cause:?}")));
+            let detail = format!("{cause:?}");
+            return Err(Refusal::with_detail(ResultCode::UpstreamFailed, detail));
         }
         let code = match cause {
             RefusalCause::NoUpstream => ResultCode::NoUpstream,
@@ -315,10 +300,8 @@
             Err(e) => {
                 self.note(call, "lost", &e.to_string());
                 leg.end(Verdict::Failed, false);
-                return match call.may_run_again() {
-                    true => Ok(None),
-                    false => Err(Refusal::new(ResultCode::UpstreamFailed).detail(e.to_string())),
-                };
+                may_go_on(call, ResultCode::UpstreamFailed, e.to_string())?;
+                return Ok(None);
             }
         };
         leg.prompt_read();
@@ -330,7 +313,8 @@
         }
         if is_promise(parts.status) {
             // Only a stated "not run" may be passed on with such a status.
-            return Err(Refusal::new(ResultCode::UpstreamFailed).detail(parts.status.as_str()));
+            let status = parts.status.as_str();
+            return Err(Refusal::with_detail(ResultCode::UpstreamFailed, status));
         }
         self.parts.dialect.clean_reply(&mut parts.headers);
         parts.headers.remove(header::CONTENT_LENGTH);
@@ -348,10 +332,8 @@
             Err(reason) => {
                 self.note(call, "lost", &reason);
                 relay.failed();
-                return match call.may_run_again() {
-                    true => Ok(None),
-                    false => Err(Refusal::new(ResultCode::UpstreamFailed).detail(reason)),
-                };
+                may_go_on(call, ResultCode::UpstreamFailed, reason)?;
+                return Ok(None);
             }
         }
         let took = Duration::from_millis(call.age_ms());
@@ -388,7 +370,15 @@
 }
 
 fn refused(refusal: &Refusal, id: &str) -> Ended {
-    Ended { response: refusal.reply(id), code: refusal.code }
+    Ended { response: refusal_reply(refusal, id), code: refusal.code }
+}
+
+/// Ends a request with an error unless another upstream may run it.
+fn may_go_on(call: &Call, code: ResultCode, detail: impl Into<String>) -> Result<(), Refusal> {
+    match call.may_run_again() {
+        true => Ok(()),
+        false => Err(Refusal::with_detail(code, detail)),
+    }
 }
 
 fn out_of_time(call: &Call) -> Refusal {
@@ -440,7 +430,7 @@
     let reading = async {
         let mut whole = BytesMut::with_capacity(known_bytes);
         while let Some(frame) = body.frame().await {
-            let early = |_| Refusal::new(ResultCode::BadRequest).detail("the body ended early");
+            let early = |_| Refusal::with_detail(ResultCode::BadRequest, "the body ended early");
             let Ok(data) = frame.map_err(early)?.into_data() else { continue };
             if whole.len() + data.len() > limits.body_bytes {
                 return Err(Refusal::new(ResultCode::BodyTooLarge));
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -209,7 +209,7 @@
         while call.may_run_again() && !call.left().is_zero() {
             let chosen = self.parts.dispatcher.choose(call.ask(), Purpose::Again).await;
             let leg = match chosen {
-                Ok(leg) => leg.with_model(call.model()),
+                Ok(leg) => leg,
                 Err((cause, _)) => {
                     info!("event=resume_refused request_id={} cause={cause:?}", call.facts.id);
                     return false;
@@ -266,18 +266,9 @@
 /// Takes a call over for the relay; what the handler logs afterwards stays.
 fn take(call: &mut Call) -> Call {
     Call {
-        facts: call.facts.clone(),
-        route: call.route.clone(),
-        service: call.service.clone(),
-        account: call.account.clone(),
-        method: call.method.clone(),
-        uri: call.uri.clone(),
         headers: std::mem::take(&mut call.headers),
         body: std::mem::take(&mut call.body),
-        arrived_ms: call.arrived_ms,
-        deadline_ms: call.deadline_ms,
         tried: std::mem::take(&mut call.tried),
-        runs: call.runs,
-        sends: call.sends,
+        ..call.clone()
     }
 }
--- a/crates/gateway/src/forward/reply.rs
+++ b/crates/gateway/src/forward/reply.rs
@@ -11,7 +11,7 @@
 use snafu::Snafu;
 
 use redwingrill_codes::ErrorBody;
-use redwingrill_codes::ResultCode;
+use redwingrill_codes::Refusal;
 
 /// A stream that ends before its end; the connection is closed so that the caller sees it.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Snafu)]
@@ -26,41 +26,17 @@
     Full::new(data.into()).map_err(|never| match never {}).boxed()
 }
 
-/// How a request ends without an upstream's answer.
-#[derive(Clone, PartialEq, Eq, Debug)]
-pub(super) struct Refusal {
-    pub code: ResultCode,
-    pub detail: String,
-    pub retry_after_ms: Option<u64>,
-}
-
-impl Refusal {
-    pub fn new(code: ResultCode) -> Self {
-        Self { code, detail: String::new(), retry_after_ms: None }
-    }
-
-    pub fn detail(mut self, detail: impl Into<String>) -> Self {
-        self.detail = detail.into();
-        self
-    }
-
-    pub fn retry_after(mut self, retry_after_ms: u64) -> Self {
-        self.retry_after_ms = Some(retry_after_ms);
-        self
-    }
-
-    /// Makes the reply.
-    pub fn reply(&self, request_id: &str) -> Response<Body> {
-        let body = ErrorBody::new(self.code, &self.detail, request_id);
-        let mut response = Response::new(full_body(body.to_json()));
-        let status = StatusCode::from_u16(self.code.info().http_status);
-        *response.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-        let headers = response.headers_mut();
-        headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        if let Some(retry_after_ms) = self.retry_after_ms {
-            let seconds = format!("{}.{:03}", retry_after_ms / 1_000, retry_after_ms % 1_000);
-            headers.insert(header::RETRY_AFTER, HeaderValue::from_str(&seconds).expect("digits"));
-        }
-        response
+/// Makes the reply of a refusal.
+pub(super) fn refusal_reply(refusal: &Refusal, request_id: &str) -> Response<Body> {
+    let body = ErrorBody::new(refusal.code, &refusal.detail, request_id);
+    let mut response = Response::new(full_body(body.to_json()));
+    let status = StatusCode::from_u16(refusal.code.info().http_status);
+    *response.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Some(retry_after_ms) = refusal.retry_after_ms {
+        let seconds = format!("{}.{:03}", retry_after_ms / 1_000, retry_after_ms % 1_000);
+        headers.insert(header::RETRY_AFTER, HeaderValue::from_str(&seconds).expect("digits"));
     }
+    response
 }
--- a/crates/redwingrill/src/lib.rs
+++ b/crates/redwingrill/src/lib.rs
@@ -18,6 +18,4 @@
 pub mod telemetry;
 pub mod upstream;
 
-mod refusal;
-
-pub use refusal::Refusal;
+pub use redwingrill_codes::Refusal;
--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -6,6 +6,7 @@
 use snafu::Snafu;
 
 use crate::AccountIndex;
+use crate::CacheStore;
 use crate::CallerLimits;
 use crate::ClientAccount;
 use crate::Route;
@@ -146,6 +147,11 @@
         self.services.values()
     }
 
+    /// Returns the store of cached prompt parts, if there is one.
+    pub fn cache_store(&self) -> Option<&CacheStore> {
+        self.services().find_map(|service| service.cache_store.as_ref())
+    }
+
     /// Returns whether requests need a key, but for anonymous routes.
     pub fn needs_key(&self) -> bool {
         self.needs_key
--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -321,13 +321,13 @@
     /// Notes the head of a reply: the load and the weights that it tells.
     pub fn observe_head(
         &mut self,
-        assignment: &Assignment,
+        index: UpstreamIndex,
         model: Option<&str>,
         load: Option<ReportedLoad>,
         version: Option<WeightsVersion>,
         now_ms: u64,
     ) {
-        let Some(entry) = self.fleet.get_mut(assignment.index) else { return };
+        let Some(entry) = self.fleet.get_mut(index) else { return };
         if let Some(load) = load {
             entry.report(load, now_ms);
         }
