Accept connections in one place

The listeners of callers, of readiness and metrics, and of peers each had the loop that accepts, logs a failure and pauses. The events' names stay.

--- a/crates/gateway/src/front/listener.rs
+++ b/crates/gateway/src/front/listener.rs
@@ -9,7 +9,6 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::time::Duration;
 
 use http::HeaderValue;
 use http::Request;
@@ -20,19 +19,16 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use log::debug;
-use log::warn;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::accept::accept;
 use crate::forward::Gateway;
 use crate::telemetry::Metrics;
 use redwingrill_transport::watch_silence;
 
-/// The pause after a failed accept, such as for lack of file descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// The least buffer that the HTTP library accepts.
 const LEAST_BUFFER_BYTES: usize = 8 << 10;
 
@@ -56,18 +52,8 @@
 impl CallerListener {
     /// Accepts until `closing`.
     pub async fn run(self, socket: TcpListener) {
-        loop {
-            let accepted = tokio::select! {
-                () = self.closing.cancelled() => return,
-                accepted = socket.accept() => accepted,
-            };
-            match accepted {
-                Ok((stream, _)) => self.serve(stream),
-                Err(e) => {
-                    warn!("event=accept_failed reason={:?}", e.to_string());
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                }
-            }
+        while let Some(stream) = accept(&socket, &self.closing, "accept_failed").await {
+            self.serve(stream);
         }
     }
 
--- a/crates/gateway/src/front/side.rs
+++ b/crates/gateway/src/front/side.rs
@@ -15,14 +15,12 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use log::debug;
-use log::warn;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-/// The pause after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+use crate::accept::accept;
 
 /// How long a connection may rest between questions.
 const IDLE_LIMIT: Duration = Duration::from_secs(10);
@@ -46,18 +44,8 @@
         A: Fn(String) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = (StatusCode, Vec<u8>)> + Send + 'static,
     {
-        loop {
-            let accepted = tokio::select! {
-                () = stopping.cancelled() => break,
-                accepted = self.socket.accept() => accepted,
-            };
-            match accepted {
-                Ok((stream, _)) => self.serve(stream, answer.clone(), stopping.clone()),
-                Err(e) => {
-                    warn!("event=side_accept_failed reason={:?}", e.to_string());
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                }
-            }
+        while let Some(stream) = accept(&self.socket, &stopping, "side_accept_failed").await {
+            self.serve(stream, answer.clone(), stopping.clone());
         }
         self.tasks.close();
         self.tasks.wait().await;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! prompt parts. [`rollout`] brings engines to new weights.
 //! [`node`] joins the parts.
 
+mod accept;
 pub mod beliefs;
 pub mod cache_watch;
 pub mod clock;
--- a/crates/gateway/src/peers/serve.rs
+++ b/crates/gateway/src/peers/serve.rs
@@ -4,7 +4,6 @@
 
 use futures::StreamExt;
 use log::debug;
-use log::warn;
 use tarpc::context::Context;
 use tarpc::server::BaseChannel;
 use tarpc::server::Channel;
@@ -17,14 +16,12 @@
 use super::NewsAnswer;
 use super::service::PeerNews;
 use super::service::frames;
+use crate::accept::accept;
 use crate::news::NewsReader;
 use redwingrill_routing::Revision;
 use redwingrill_transport::Postcard;
 use redwingrill_transport::watch_silence;
 
-/// The pause after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
 /// The longest wait that a peer may ask for.
 const WAIT_LIMIT: Duration = Duration::from_secs(5);
 
@@ -56,18 +53,8 @@
 
     /// Runs until `stopping`, and joins the connections.
     pub async fn run(self, stopping: CancellationToken) {
-        loop {
-            let accepted = tokio::select! {
-                () = stopping.cancelled() => break,
-                accepted = self.listener.accept() => accepted,
-            };
-            match accepted {
-                Ok((stream, _)) => self.serve(stream, stopping.clone()),
-                Err(e) => {
-                    warn!("event=peer_accept_failed reason={:?}", e.to_string());
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                }
-            }
+        while let Some(stream) = accept(&self.listener, &stopping, "peer_accept_failed").await {
+            self.serve(stream, stopping.clone());
         }
         self.tasks.close();
         self.tasks.wait().await;
