Make calls to the platform in one place

The client of the store and that of the engines built the same request; the answers with an unexpected status, the reading of a good answer and the items of changes were spelled out three to five times. Behaviour as before, but that a configuration's mark for routes which declare a prompt is no longer read: nothing used it (prompts are recognized by their heads), and a mark of another type no longer makes a configuration unreadable.

--- a/crates/routing/src/routes.rs
+++ b/crates/routing/src/routes.rs
@@ -59,8 +59,6 @@
     pub priority: u8,
     /// Whether requests need no key.
     pub is_anonymous: bool,
-    /// Whether requests declare a prompt whose parts upstreams cache.
-    pub declares_prompt: bool,
     /// The services that answer. Never empty.
     pub shares: Vec<ServiceShare>,
 }
--- a/crates/routing/src/store.rs
+++ b/crates/routing/src/store.rs
@@ -42,6 +42,16 @@
     },
 }
 
+impl Change {
+    /// Returns the item; `None` if the key was removed.
+    pub fn into_item(self) -> Option<Item> {
+        match self {
+            Self::Put(item) => Some(item),
+            Self::Removed { .. } => None,
+        }
+    }
+}
+
 /// All items of the store, not as one snapshot.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct Listing {
