Share what the soak and the tests write as operator and callers

The configuration, the head of a request and the balancer's question stood in the soak and in the tests of the adapter; both use lab's on_platform. The stand-in of the own interface's store reads base64 by the client's type, which was the same text twice. Assertions and literal expectations of the tests are unchanged.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod load;
 pub mod metadata_store;
 pub mod net;
+pub mod on_platform;
 pub mod platform;
 pub mod process;
 pub mod service;
--- /dev/null
+++ b/crates/lab/src/on_platform/mod.rs
@@ -0,0 +1,11 @@
+//! What operators and callers of a site on the platform write, for tests and the soak.
+
+mod configuration;
+mod requests;
+
+pub use configuration::HOST;
+pub use configuration::KEY;
+pub use configuration::RouteEntry;
+pub use configuration::configuration;
+pub use requests::is_ready;
+pub use requests::request;
--- a/crates/lab/src/platform/translate.rs
+++ b/crates/lab/src/platform/translate.rs
@@ -5,12 +5,12 @@
 use bytes::Bytes;
 use snafu::Snafu;
 
-use super::wire::Base64Bytes;
 use super::wire::Compare;
 use super::wire::Comparison;
 use super::wire::KeyValue;
 use super::wire::Target;
 use super::wire::TxnRequest;
+use redwingrill_etcd::wire::Base64Bytes;
 use redwingrill_ports::Entry;
 use redwingrill_ports::Expected;
 use redwingrill_ports::LeaseId;
--- a/crates/lab/src/platform/watching.rs
+++ b/crates/lab/src/platform/watching.rs
@@ -5,7 +5,6 @@
 use serde::Serialize;
 
 use super::translate::revision_number;
-use super::wire::Base64Bytes;
 use super::wire::Event;
 use super::wire::EventKind;
 use super::wire::Header;
@@ -13,6 +12,7 @@
 use super::wire::Streamed;
 use super::wire::WatchReply;
 use crate::net::Cut;
+use redwingrill_etcd::wire::Base64Bytes;
 use redwingrill_fakes::MemoryWatch;
 use redwingrill_ports::Change;
 use redwingrill_ports::Revision;
--- a/crates/lab/src/platform/wire.rs
+++ b/crates/lab/src/platform/wire.rs
@@ -1,31 +1,10 @@
 //! Messages of the etcd v3 JSON gateway, as far as a router needs them.
 
-use base64::Engine;
-use base64::engine::general_purpose::STANDARD;
 use serde::Deserialize;
-use serde::Deserializer;
 use serde::Serialize;
-use serde::Serializer;
-use serde::de::Error;
 
 use super::number;
-
-/// Bytes that travel in base64.
-#[derive(Clone, PartialEq, Eq, Debug, Default)]
-pub struct Base64Bytes(pub Vec<u8>);
-
-impl Serialize for Base64Bytes {
-    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        serializer.serialize_str(&STANDARD.encode(&self.0))
-    }
-}
-
-impl<'de> Deserialize<'de> for Base64Bytes {
-    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        let text = String::deserialize(deserializer)?;
-        STANDARD.decode(text).map(Self).map_err(D::Error::custom)
-    }
-}
+use redwingrill_etcd::wire::Base64Bytes;
 
 /// The header of each reply.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize)]
--- a/crates/lab/src/soak/callers.rs
+++ b/crates/lab/src/soak/callers.rs
@@ -5,16 +5,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::Request;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use tokio_util::sync::CancellationToken;
 
-use super::site::HOST;
-use super::site::KEY;
 use super::site::Kind;
+use crate::on_platform::KEY;
+use crate::on_platform::request;
 use redwingrill_transport::Freshness;
 use redwingrill_transport::Pool;
 use redwingrill_transport::Timeouts;
@@ -83,7 +82,9 @@
     freshness: Freshness,
 ) -> Option<Answer> {
     let timeouts = Timeouts { connect: CONNECT, head: DEADLINE };
-    let reply = pool.send(node, request(kind, id), freshness, &timeouts).await.ok()?;
+    let request = request(kind.route(), id, DEADLINE, Some(KEY), kind.is_stream());
+    let request = request.body(body(id)).expect("a request");
+    let reply = pool.send(node, request, freshness, &timeouts).await.ok()?;
     let (parts, body) = reply.into_parts();
     let text = |name: &str| {
         parts.headers.get(name).and_then(|value| value.to_str().ok()).map(ToOwned::to_owned)
@@ -106,20 +107,3 @@
 pub fn body(id: &str) -> Bytes {
     Bytes::from(format!("body of {id}"))
 }
-
-fn request(kind: Kind, id: &str) -> Request<Bytes> {
-    let mut request = Request::builder()
-        .method("POST")
-        .uri(target(kind))
-        .header("host", HOST)
-        .header("x-request-id", id)
-        .header("x-deadline-ms", DEADLINE.as_millis().to_string())
-        .header("authorization", format!("Token {KEY}"));
-    if kind.is_stream() {
-        request = request
-            .header("x-model", "m")
-            .header("x-token-count", "1460,80")
-            .header("x-prompt-prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
-    }
-    request.body(body(id)).expect("a request")
-}
--- a/crates/lab/src/soak/run.rs
+++ b/crates/lab/src/soak/run.rs
@@ -7,8 +7,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::Request;
 use rand::RngCore;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -30,16 +28,16 @@
 use super::link::LinkState;
 use super::node::SoakNode;
 use super::site::Kind;
-use super::site::configuration;
+use super::site::configuration_of;
 use crate::metadata_store::MetadataStore;
 use crate::metadata_store::StoreFault;
 use crate::metadata_store::StoreState;
+use crate::on_platform::is_ready;
 use crate::site_upstream::Behaviour;
 use crate::site_upstream::SeenRequest;
 use crate::site_upstream::SiteUpstream;
 use redwingrill_transport::Freshness;
 use redwingrill_transport::Pool;
-use redwingrill_transport::Timeouts;
 
 /// How long nodes may take until they are ready at the start.
 const START_LIMIT: Duration = Duration::from_secs(10);
@@ -135,7 +133,7 @@
         std::fs::create_dir_all(&options.folder)?;
         let state = StoreState::default();
         let store = MetadataStore::start(state.clone()).await?;
-        state.put("op/config", configuration(1));
+        state.put("op/config", configuration_of(1));
         state.put("op/version/m", r#"{"model":"m","version":1}"#);
         let mut upstreams = Vec::new();
         for (name, service) in [("e", "llm"), ("s", "shop")] {
@@ -170,7 +168,7 @@
     async fn wait_ready(&self) -> io::Result<()> {
         let ends = Instant::now() + START_LIMIT;
         for node in &self.nodes {
-            while !self.is_ready(node.readiness).await {
+            while !is_ready(&self.pool, node.readiness, START_LIMIT).await {
                 if Instant::now() > ends {
                     return Err(io::Error::other(format!("{} is not ready", node.readiness)));
                 }
@@ -180,14 +178,6 @@
         Ok(())
     }
 
-    async fn is_ready(&self, address: SocketAddr) -> bool {
-        let mut request = Request::new(Bytes::new());
-        *request.uri_mut() = http::Uri::from_static("/-/ready");
-        let timeouts = Timeouts { connect: START_LIMIT, head: START_LIMIT };
-        let reply = self.pool.send(address, request, Freshness::New, &timeouts).await;
-        reply.is_ok_and(|reply| reply.status() == http::StatusCode::OK)
-    }
-
     async fn play(&mut self, plan: &Plan) -> io::Result<()> {
         let began = Instant::now();
         for (at, fault) in &plan.faults {
@@ -255,7 +245,7 @@
             }
             Fault::Configure => {
                 self.version += 1;
-                self.store.state.put("op/config", configuration(self.version));
+                self.store.state.put("op/config", configuration_of(self.version));
                 None
             }
             Fault::NewWeights => {
--- a/crates/lab/src/soak/site.rs
+++ b/crates/lab/src/soak/site.rs
@@ -1,11 +1,16 @@
 //! What the operator of the soak's site writes.
 
 use serde_json::Value;
-use serde_json::json;
 
-/// The key of the only account, and the host of all routes.
-pub(super) const KEY: &str = "key-of-cafe";
-pub(super) const HOST: &str = "site.example";
+use crate::on_platform::KEY;
+use crate::on_platform::RouteEntry;
+use crate::on_platform::configuration;
+
+/// The timeout of all routes in milliseconds, which is also the callers' deadline.
+const TIMEOUT_MS: u64 = 3_000;
+
+/// Connections that an upstream accepts from all nodes: many more than there are callers.
+const CONNECTIONS_LIMIT: u32 = 200;
 
 /// A kind of request.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
@@ -50,32 +55,20 @@
             Self::Unsafe => "unsafe",
             Self::Stream | Self::Resumable => "stream",
         };
-        json!({
-            "name": self.route(), "host": HOST, "prefix": format!("/{}/", self.route()),
-            "kind": kind, "timeout_ms": 3_000, "target_latency_ms": 500, "priority": 1,
-            "service": if self.is_stream() { "llm" } else { "shop" },
-            "max_attempts": if self.runs_once() { 1 } else { 2 }, "anonymous": false,
-            "sticky": self.is_stream(), "resumable": self == Self::Resumable, "gap_target_ms": 400,
-        })
+        let route = RouteEntry {
+            name: self.route(),
+            kind,
+            timeout_ms: TIMEOUT_MS,
+            target_latency_ms: 500,
+            attempts_limit: if self.runs_once() { 1 } else { 2 },
+            is_resumable: self == Self::Resumable,
+        };
+        route.into()
     }
 }
 
 /// Returns the configuration of a version.
-pub(super) fn configuration(version: u64) -> String {
-    let routes: Vec<Value> = Kind::ALL.iter().map(|kind| kind.entry()).collect();
-    json!({
-        "version": version,
-        "routes": routes,
-        "services": [
-            {"name": "llm", "health_path": "/health", "max_connections": 200, "protocol": "h1",
-             "tls": false, "engine": {"slots": 8, "kv_capacity_tokens": 100_000,
-             "max_concurrent": 12, "models": [{"name": "m"}]}},
-            {"name": "shop", "health_path": "/health", "max_connections": 200, "protocol": "h1",
-             "tls": false},
-        ],
-        "limits": {"max_header_bytes": 16_384, "max_body_bytes": 100_000,
-                   "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000},
-        "tenants": [{"name": "cafe", "api_keys": [KEY], "isolated": true}],
-    })
-    .to_string()
+pub(super) fn configuration_of(version: u64) -> String {
+    let routes = Kind::ALL.map(Kind::entry);
+    configuration(version, &routes, &[KEY], CONNECTIONS_LIMIT)
 }
--- a/crates/lab/tests/on_platform/site.rs
+++ b/crates/lab/tests/on_platform/site.rs
@@ -16,6 +16,10 @@
 use redwingrill_gateway::node::Serving;
 use redwingrill_lab::metadata_store::MetadataStore;
 use redwingrill_lab::metadata_store::StoreState;
+use redwingrill_lab::on_platform;
+pub use redwingrill_lab::on_platform::HOST;
+pub use redwingrill_lab::on_platform::KEY;
+use redwingrill_lab::on_platform::RouteEntry;
 use redwingrill_lab::site_upstream::SiteUpstream;
 use redwingrill_platform::PlatformControl;
 use redwingrill_platform::PlatformHeads;
@@ -27,48 +31,30 @@
 use redwingrill_transport::ReplyBody;
 use redwingrill_transport::Timeouts;
 
-pub const KEY: &str = "key-of-cafe";
-pub const HOST: &str = "site.example";
 /// How long a change may take to be in force.
 pub const IN_FORCE: Duration = Duration::from_secs(2);
 const CALL_LIMIT: Duration = Duration::from_secs(6);
 
 /// Routes of each kind. The account `cafe` is isolated; `extra` is more routes.
 pub fn configuration(version: u64, keys: &[&str], extra: &[serde_json::Value]) -> String {
-    let route = |name: &str, kind: &str, service: &str, attempts: u32, resumable: bool| {
-        serde_json::json!({
-            "name": name, "host": HOST, "prefix": format!("/{name}/"), "kind": kind,
-            "timeout_ms": 1_500, "target_latency_ms": 400, "priority": 1, "service": service,
-            "max_attempts": attempts, "anonymous": false, "sticky": service == "llm",
-            "resumable": resumable, "gap_target_ms": 400,
-        })
+    let route = |name, kind, attempts_limit, is_resumable| RouteEntry {
+        name,
+        kind,
+        timeout_ms: 1_500,
+        target_latency_ms: 400,
+        attempts_limit,
+        is_resumable,
     };
-    let mut routes = vec![
-        route("look", "safe", "shop", 2, false),
-        route("order", "unsafe", "shop", 1, false),
-        route("draft", "stream", "llm", 1, false),
-        route("check", "stream", "llm", 2, true),
+    let slow = route("slow", "stream", 1, false);
+    let routes = [
+        route("look", "safe", 2, false),
+        route("order", "unsafe", 1, false),
+        route("draft", "stream", 1, false),
+        route("check", "stream", 2, true),
+        RouteEntry { timeout_ms: 15_000, target_latency_ms: 5_000, ..slow },
     ];
-    let mut slow = route("slow", "stream", "llm", 1, false);
-    slow["timeout_ms"] = serde_json::json!(15_000);
-    slow["target_latency_ms"] = serde_json::json!(5_000);
-    routes.push(slow);
-    routes.extend(extra.iter().cloned());
-    serde_json::json!({
-        "version": version,
-        "routes": routes,
-        "services": [
-            {"name": "llm", "health_path": "/health", "max_connections": 100, "protocol": "h1",
-             "tls": false, "engine": {"slots": 8, "kv_capacity_tokens": 100_000,
-             "max_concurrent": 12, "models": [{"name": "m"}]}},
-            {"name": "shop", "health_path": "/health", "max_connections": 100, "protocol": "h1",
-             "tls": false},
-        ],
-        "limits": {"max_header_bytes": 16_384, "max_body_bytes": 100_000,
-                   "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000},
-        "tenants": [{"name": "cafe", "api_keys": keys, "isolated": true}],
-    })
-    .to_string()
+    let routes = routes.map(serde_json::Value::from).into_iter().chain(extra.iter().cloned());
+    on_platform::configuration(version, &routes.collect::<Vec<_>>(), keys, 100)
 }
 
 /// A node with its addresses.
@@ -148,11 +134,7 @@
     }
 
     pub async fn is_ready(&self, node: &SiteNode) -> bool {
-        let mut request = Request::new(Bytes::new());
-        *request.uri_mut() = "/-/ready".parse().expect("a path");
-        let timeouts = Timeouts { connect: CALL_LIMIT, head: CALL_LIMIT };
-        let reply = self.pool.send(node.readiness, request, Freshness::New, &timeouts).await;
-        reply.is_ok_and(|reply| reply.status() == StatusCode::OK)
+        on_platform::is_ready(&self.pool, node.readiness, CALL_LIMIT).await
     }
 
     /// Waits for a condition, and fails if it does not come about in time.
@@ -234,21 +216,9 @@
     }
 
     fn request(&self) -> Request<Bytes> {
-        let mut request = Request::builder()
-            .method("POST")
-            .uri(format!("/{}/2f?q=1", self.route))
-            .header("host", HOST)
-            .header("x-request-id", &self.id)
-            .header("x-deadline-ms", if self.route == "slow" { "15000" } else { "1500" });
-        if let Some(key) = self.key {
-            request = request.header("authorization", format!("Token {key}"));
-        }
-        if matches!(self.route, "draft" | "check" | "slow") {
-            request = request
-                .header("x-model", "m")
-                .header("x-token-count", "1460,80")
-                .header("x-prompt-prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
-        }
+        let deadline = Duration::from_millis(if self.route == "slow" { 15_000 } else { 1_500 });
+        let is_stream = matches!(self.route, "draft" | "check" | "slow");
+        let mut request = on_platform::request(self.route, &self.id, deadline, self.key, is_stream);
         for (name, value) in &self.headers {
             request = request.header(*name, *value);
         }
