--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -47,13 +47,19 @@
 
     /// Reports that the upstream has prefilled the prompt.
     pub fn report_prefilled(&mut self) {
-        if self.assignment.pending_prefill_tokens > 0 && self.is_prefill_pending {
+        if self.is_prefill_pending {
             self.is_prefill_pending = false;
             let assignment = Box::new(self.assignment.clone());
             self.dispatcher.send(Message::Prefilled { assignment });
         }
     }
 
+    /// Reports the longest pause between the events of a stream that ended well.
+    pub fn report_longest_pause(&self, longest_pause_ms: u64) {
+        let service = self.assignment.upstream.service.clone();
+        self.dispatcher.send(Message::StreamEnded { service, longest_pause_ms });
+    }
+
     /// Ends the attempt.
     pub fn end(mut self, verdict: Verdict, is_misdirected: bool) {
         self.outcome = Some(AttemptOutcome { verdict, is_misdirected });
--- a/crates/gateway/src/dispatch/dispatcher.rs
+++ b/crates/gateway/src/dispatch/dispatcher.rs
@@ -1,6 +1,7 @@
 //! The handle through which requests reach the dispatch task.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -36,7 +37,7 @@
 #[derive(Debug)]
 pub(super) enum Message {
     /// A request for a service arrived.
-    CountRequest { service: String, prompt: Option<Arc<DeclaredPrompt>> },
+    CountRequest { service: String, prompt: Option<Arc<DeclaredPrompt>>, target_ms: u64 },
     /// A request needs an upstream.
     Choose { request: Box<ScheduleRequest>, purpose: Purpose, responder: oneshot::Sender<Choice> },
     /// A response head arrived.
@@ -48,6 +49,8 @@
     },
     /// The upstream has prefilled the prompt.
     Prefilled { assignment: Box<Assignment> },
+    /// A stream of the service ended well.
+    StreamEnded { service: String, longest_pause_ms: u64 },
     /// An attempt ended.
     AttemptEnded {
         index: UpstreamIndex,
@@ -89,9 +92,15 @@
         Self { messages }
     }
 
-    /// Counts a request for a service, and its prompt.
-    pub fn count_request(&self, service: &str, prompt: Option<Arc<DeclaredPrompt>>) {
-        self.send(Message::CountRequest { service: service.to_owned(), prompt });
+    /// Counts a request for a service with a latency target, and its prompt.
+    pub fn count_request(
+        &self,
+        service: &str,
+        prompt: Option<Arc<DeclaredPrompt>>,
+        target: Duration,
+    ) {
+        let target_ms = target.as_millis() as u64;
+        self.send(Message::CountRequest { service: service.to_owned(), prompt, target_ms });
     }
 
     /// Chooses an upstream, and waits for capacity if the purpose allows it. Every attempt but the
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -110,10 +110,10 @@
     fn handle(&mut self, message: Message) {
         let now_ms = now_ms();
         match message {
-            Message::CountRequest { service, prompt } => {
+            Message::CountRequest { service, prompt, target_ms } => {
                 self.scheduler.count_request(&service, now_ms);
                 if let Some(prompt) = prompt {
-                    self.scheduler.count_prompt(&prompt, now_ms);
+                    self.scheduler.count_prompt(&service, &prompt, target_ms, now_ms);
                 }
             }
             Message::Choose { request, purpose, responder } => {
@@ -128,6 +128,9 @@
                     now_ms,
                 );
             }
+            Message::StreamEnded { service, longest_pause_ms } => {
+                self.scheduler.observe_pause(&service, longest_pause_ms)
+            }
             Message::Prefilled { assignment } => {
                 self.scheduler.record_prefill_done(&assignment, now_ms)
             }
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -80,6 +80,7 @@
             arrived_ms: self.arrived_ms,
             deadline_ms: self.deadline_ms,
             target_ms: self.route.target_latency.as_millis() as u64,
+            pause_target_ms: self.route.pause_target.map(|pause| pause.as_millis() as u64),
             tried: self.tried.clone(),
         }
     }
--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -172,7 +172,7 @@
         head.headers.remove(header::CONTENT_LENGTH);
         let service = route.choose_service(rand::rng().random()).to_owned();
         let prompt = metadata.prompt.take().map(Arc::new);
-        self.context.dispatcher.count_request(&service, prompt.clone());
+        self.context.dispatcher.count_request(&service, prompt.clone(), route.target_latency);
         let uri = origin_form(&head.uri);
         Ok(Call {
             metadata,
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -19,6 +19,7 @@
 use http_body_util::StreamBody;
 use log::info;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 use tokio_util::task::TaskTracker;
 
 use super::GatewayContext;
@@ -37,9 +38,6 @@
 /// The pieces queued for a slow caller; while the queue is full, the upstream is not read.
 const RELAY_QUEUE_LEN: usize = 8;
 
-/// A resumable stream without data for this long is resumed at another upstream.
-const STALL_TIMEOUT: Duration = Duration::from_millis(1_200);
-
 type StreamItem = Result<Frame<Bytes>, StreamAborted>;
 
 /// A stream that is relayed to its caller.
@@ -51,6 +49,9 @@
     splitter: EventSplitter,
     first_events: Bytes,
     is_ended: bool,
+    // A resumable stream without an event for this long is resumed at another upstream.
+    stall_timeout: Duration,
+    longest_pause: Duration,
 }
 
 /// How the segment of a stream from one upstream ended.
@@ -68,6 +69,7 @@
         last_event_id: Option<u64>,
     ) -> Self {
         let UpstreamResponse { parts: head, body, attempt } = response;
+        let stall_timeout = Duration::from_millis(attempt.assignment().stall_timeout_ms);
         Self {
             context,
             head,
@@ -76,6 +78,8 @@
             splitter: EventSplitter::after(last_event_id),
             first_events: Bytes::new(),
             is_ended: false,
+            stall_timeout,
+            longest_pause: Duration::ZERO,
         }
     }
 
@@ -136,6 +140,9 @@
         loop {
             match self.forward_events(&call, &sender).await {
                 SegmentEnd::Complete => {
+                    if let Some(attempt) = &self.attempt {
+                        attempt.report_longest_pause(self.longest_pause.as_millis() as u64);
+                    }
                     self.end_attempt(Verdict::Served);
                     self.log_end(&call, "complete");
                     return;
@@ -174,13 +181,16 @@
         if self.is_ended {
             return SegmentEnd::Complete;
         }
+        let mut last_event = Instant::now();
         loop {
             let remaining = call.remaining();
             if remaining.is_zero() {
                 return SegmentEnd::DeadlineExceeded;
             }
+            // Bytes that complete no event do not end a pause.
             let may_resume = call.may_retry() && self.splitter.last_id().is_some();
-            let wait = if may_resume { STALL_TIMEOUT.min(remaining) } else { remaining };
+            let until_stalled = self.stall_timeout.saturating_sub(last_event.elapsed());
+            let wait = if may_resume { until_stalled.min(remaining) } else { remaining };
             let piece = tokio::select! {
                 biased;
                 () = sender.closed() => return SegmentEnd::CallerDisconnected,
@@ -206,12 +216,14 @@
             if events.is_empty() {
                 continue;
             }
+            self.longest_pause = self.longest_pause.max(last_event.elapsed());
             let sent = tokio::time::timeout(remaining, sender.send(Ok(Frame::data(events)))).await;
             match sent {
                 Ok(Ok(())) => {}
                 Ok(Err(_)) => return SegmentEnd::CallerDisconnected,
                 Err(_) => return SegmentEnd::DeadlineExceeded,
             }
+            last_event = Instant::now();
         }
     }
 
@@ -247,6 +259,8 @@
                         continue;
                     }
                     attempt.report_prefilled();
+                    self.stall_timeout =
+                        Duration::from_millis(attempt.assignment().stall_timeout_ms);
                     self.body = body;
                     self.attempt = Some(attempt);
                     self.splitter = EventSplitter::after(Some(last_id));
@@ -268,11 +282,13 @@
     fn log_end(&self, call: &Call, outcome: &str) {
         self.context.metrics.attempt_ended(&call.service, outcome);
         info!(
-            "event=stream_ended request_id={} outcome={outcome} age_ms={} last_event={:?} runs={}",
+            "event=stream_ended request_id={} outcome={outcome} age_ms={} last_event={:?} runs={} \
+             longest_pause_ms={}",
             call.metadata.id,
             call.age_ms(),
             self.splitter.last_id(),
             call.possible_runs,
+            self.longest_pause.as_millis(),
         );
     }
 }
--- a/crates/routing/src/metadata.rs
+++ b/crates/routing/src/metadata.rs
@@ -30,6 +30,8 @@
     pub waiting: u32,
     /// Requests that the upstream can run at once.
     pub slots: u32,
+    /// How long work takes on the upstream's machine at this moment, in percent of the usual time.
+    pub slowdown_percent: Option<u32>,
 }
 
 /// Metadata from the head of an upstream's response.
--- a/crates/routing/src/routes.rs
+++ b/crates/routing/src/routes.rs
@@ -53,6 +53,8 @@
     pub timeout: Duration,
     /// The latency target of the response; for streams, of the first event.
     pub target_latency: Duration,
+    /// The longest pause between the events of a stream for which the response is on time.
+    pub pause_target: Option<Duration>,
     /// The maximum number of upstreams that may run one request.
     pub attempts_limit: u32,
     /// The priority; zero is the most urgent.
--- /dev/null
+++ b/crates/scheduling/src/engine_model/service.rs
@@ -0,0 +1,198 @@
+//! The model of one service.
+
+use super::CurveFit;
+use super::EngineSpeed;
+use super::PauseEstimate;
+use super::PrefillCurve;
+use super::PromptWork;
+
+/// The weight of one request in the averages.
+const SAMPLE_WEIGHT: f64 = 0.02;
+
+/// A response teaches the curve only if the queue before it was shorter than its own prefill
+/// divided by this.
+const QUEUE_DIVISOR: f64 = 4.0;
+
+/// The time to fetch a thousand tokens before any fetch was observed, as a share of the time to
+/// prefill them.
+const PRIOR_FETCH_SHARE: f64 = 0.25;
+
+/// A share of the decode steps, relative to the time to the first event without prefill.
+const DECODE_SHARE: f64 = 0.08;
+
+/// The share of an urgent request's target that the prefill of another prompt may take; a prompt
+/// above it is long.
+const LONG_TARGET_SHARE: f64 = 0.125;
+
+/// The target of urgent requests before any was seen, in milliseconds.
+const PRIOR_TARGET_MS: f64 = 500.0;
+
+/// How fast the tightest target is forgotten, per request.
+const TARGET_DRIFT: f64 = 0.000_5;
+
+/// The first event of a response.
+#[derive(Clone, Copy, Debug)]
+pub struct FirstEventSample {
+    /// The prefill of its prompt.
+    pub work: PromptWork,
+    /// Tokens that the engine fetched.
+    pub fetched_tokens: u64,
+    /// Tokens of other prompts that the engine had to prefill before.
+    pub queued_tokens: u64,
+    /// The time from sending the request to its first event, in milliseconds.
+    pub observed_ms: f64,
+}
+
+/// The usual prompts of one class.
+#[derive(Clone, Copy, Debug, Default)]
+struct UsualPrompt {
+    prompt_tokens: f64,
+    own_tokens: f64,
+    is_known: bool,
+}
+
+impl UsualPrompt {
+    fn observe(&mut self, prompt_tokens: f64, own_tokens: f64) {
+        if !self.is_known {
+            *self = Self { prompt_tokens, own_tokens, is_known: true };
+        }
+        self.prompt_tokens += SAMPLE_WEIGHT * (prompt_tokens - self.prompt_tokens);
+        self.own_tokens += SAMPLE_WEIGHT * (own_tokens - self.own_tokens);
+    }
+}
+
+/// The times of a service that one decision uses.
+#[derive(Clone, Copy, Debug)]
+pub struct ServiceTimes {
+    /// The curve of the service.
+    pub curve: PrefillCurve,
+    /// The target of the most urgent requests, in milliseconds; the unit of preferences that are
+    /// no times.
+    pub urgent_target_ms: f64,
+    fetch_share: f64,
+}
+
+impl ServiceTimes {
+    /// Returns the time to fetch tokens instead of prefilling them, in milliseconds.
+    pub fn fetch_ms(&self, tokens: u64) -> f64 {
+        self.curve.queue_ms(tokens) * self.fetch_share
+    }
+}
+
+/// What is known of the upstreams and requests of one service.
+#[derive(Clone, Debug)]
+pub struct ServiceModel {
+    fit: CurveFit,
+    fetch_share: f64,
+    tightest_target_ms: f64,
+    short_prompt: UsualPrompt,
+    long_prompt: UsualPrompt,
+    pauses: PauseEstimate,
+}
+
+impl Default for ServiceModel {
+    fn default() -> Self {
+        Self {
+            fit: CurveFit::default(),
+            fetch_share: PRIOR_FETCH_SHARE,
+            tightest_target_ms: PRIOR_TARGET_MS,
+            short_prompt: UsualPrompt::default(),
+            long_prompt: UsualPrompt::default(),
+            pauses: PauseEstimate::default(),
+        }
+    }
+}
+
+impl ServiceModel {
+    /// Returns the curve of the service.
+    pub fn curve(&self) -> &PrefillCurve {
+        self.fit.curve()
+    }
+
+    /// Returns the fit of the curve.
+    pub fn fit(&self) -> &CurveFit {
+        &self.fit
+    }
+
+    /// Returns the fit of the curve for modification.
+    pub fn fit_mut(&mut self) -> &mut CurveFit {
+        &mut self.fit
+    }
+
+    /// Returns the estimate of pauses in streams.
+    pub fn pauses(&self) -> &PauseEstimate {
+        &self.pauses
+    }
+
+    /// Records the longest pause of a stream that ended well.
+    pub fn observe_pause(&mut self, longest_pause_ms: u64) {
+        self.pauses.observe(longest_pause_ms);
+    }
+
+    /// Records the arrival of a prompt with `own_tokens` that no other request shares.
+    pub fn observe_prompt(&mut self, prompt_tokens: u64, own_tokens: u64, target_ms: u64) {
+        let target_ms = (target_ms as f64).max(1.0);
+        let drift_ms = TARGET_DRIFT * (target_ms - self.tightest_target_ms);
+        self.tightest_target_ms = (self.tightest_target_ms + drift_ms).min(target_ms);
+        let usual = match self.is_long(prompt_tokens) {
+            true => &mut self.long_prompt,
+            false => &mut self.short_prompt,
+        };
+        usual.observe(prompt_tokens as f64, own_tokens as f64);
+    }
+
+    /// Records the first event of a response.
+    pub fn observe_first_event(&mut self, sample: &FirstEventSample, speed: &mut EngineSpeed) {
+        let own_ms = self.curve().first_event_ms(sample.work);
+        if self.curve().queue_ms(sample.queued_tokens) * QUEUE_DIVISOR > own_ms {
+            return;
+        }
+        // The time at a machine of the service's usual speed without other work.
+        let usual_ms = sample.observed_ms / speed.latest_slowdown();
+        if sample.fetched_tokens > 0 {
+            self.observe_fetch(sample.fetched_tokens, usual_ms / speed.factor() - own_ms);
+            return;
+        }
+        speed.observe_ratio(usual_ms / own_ms);
+        self.fit.observe(sample.work, usual_ms);
+    }
+
+    fn observe_fetch(&mut self, fetched_tokens: u64, fetch_ms: f64) {
+        let prefill_ms = self.curve().queue_ms(fetched_tokens).max(1e-3);
+        let share = (fetch_ms / prefill_ms).clamp(0.0, 2.0);
+        self.fetch_share += SAMPLE_WEIGHT * (share - self.fetch_share);
+    }
+
+    /// Returns the times that a decision uses.
+    pub fn times(&self) -> ServiceTimes {
+        ServiceTimes {
+            curve: *self.curve(),
+            urgent_target_ms: self.tightest_target_ms,
+            fetch_share: self.fetch_share,
+        }
+    }
+
+    /// Returns whether the prefill of a prompt delays urgent requests noticeably.
+    pub fn is_long(&self, prompt_tokens: u64) -> bool {
+        let work = PromptWork { unread_tokens: prompt_tokens, prompt_tokens };
+        self.curve().prefill_ms(work) > self.tightest_target_ms * LONG_TARGET_SHARE
+    }
+
+    /// Returns the engine time of a usual short prompt: its prefill and its share of the decode
+    /// steps.
+    pub fn short_cost_ms(&self) -> f64 {
+        self.curve().queue_ms(self.short_prompt.prompt_tokens as u64)
+            + self.curve().base_ms * DECODE_SHARE
+    }
+
+    /// Returns the engine time of a usual long prompt whose shared prefix is cached.
+    pub fn long_cost_ms(&self) -> f64 {
+        self.curve().queue_ms(self.long_prompt.own_tokens as u64)
+            + self.curve().base_ms * DECODE_SHARE
+    }
+
+    /// Returns the engine time of a usual long prompt of which nothing is cached.
+    pub fn cold_long_cost_ms(&self) -> f64 {
+        self.curve().queue_ms(self.long_prompt.prompt_tokens as u64)
+    }
+}
--- /dev/null
+++ b/crates/scheduling/src/engine_model/speed.rs
@@ -0,0 +1,89 @@
+//! The speed of one engine relative to its service.
+
+/// The weight of one response in the moving averages.
+const SAMPLE_WEIGHT: f64 = 0.08;
+
+/// The largest step of one response, as a natural logarithm.
+const STEP_LIMIT: f64 = 0.4;
+
+/// The range of the factor; it bounds what an engine that misreports its load can gain.
+const FACTOR_RANGE: f64 = 4.0;
+
+/// The range of a reported slowdown.
+const SLOWDOWN_RANGE: f64 = 10.0;
+
+/// The number of own responses after which the factor of other nodes counts as little as one.
+const OWN_SAMPLES_LIMIT: f64 = 50.0;
+
+/// The time factor of one start of an engine: above one if it is slower than its service.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct EngineSpeed {
+    log_factor: f64,
+    // The moving average of the reported slowdown, one without other work on the machine.
+    slowdown: f64,
+    latest_slowdown: f64,
+    samples: f64,
+}
+
+impl Default for EngineSpeed {
+    fn default() -> Self {
+        Self { log_factor: 0.0, slowdown: 1.0, latest_slowdown: 1.0, samples: 0.0 }
+    }
+}
+
+impl EngineSpeed {
+    /// Returns the factor by which the engine's times exceed those of its service.
+    pub fn factor(&self) -> f64 {
+        self.log_factor.exp()
+    }
+
+    /// Returns the factor including the average slowdown by other work on the machine.
+    pub fn time_factor(&self) -> f64 {
+        self.factor() * self.slowdown
+    }
+
+    /// Returns the number of own responses, at most a limit.
+    pub fn samples(&self) -> f64 {
+        self.samples
+    }
+
+    /// Returns the slowdown at the last response.
+    pub fn latest_slowdown(&self) -> f64 {
+        self.latest_slowdown
+    }
+
+    /// Records the slowdown that the engine reported: one without other work on its machine.
+    pub fn observe_slowdown(&mut self, slowdown: f64) {
+        if slowdown.is_finite() && slowdown > 0.0 {
+            self.latest_slowdown = slowdown.clamp(1.0 / SLOWDOWN_RANGE, SLOWDOWN_RANGE);
+            self.slowdown += SAMPLE_WEIGHT * (self.latest_slowdown - self.slowdown);
+        }
+    }
+
+    /// Records the observed time relative to the time that the service's curve predicts.
+    pub fn observe_ratio(&mut self, ratio: f64) {
+        if !ratio.is_finite() || ratio <= 0.0 {
+            return;
+        }
+        let step = (ratio.ln() - self.log_factor).clamp(-STEP_LIMIT, STEP_LIMIT);
+        self.log_factor += SAMPLE_WEIGHT.max(1.0 / (self.samples + 4.0)) * step;
+        self.limit();
+        self.samples = (self.samples + 1.0).min(OWN_SAMPLES_LIMIT);
+    }
+
+    /// Merges the factor that another node learned from `samples` responses.
+    pub fn merge(&mut self, factor: f64, samples: f64) {
+        if !factor.is_finite() || factor <= 0.0 || !samples.is_finite() || samples <= 0.0 {
+            return;
+        }
+        let samples = samples.min(OWN_SAMPLES_LIMIT);
+        let weight = samples / (samples + self.samples + 1.0) / 4.0;
+        self.log_factor += weight * (factor.ln() - self.log_factor);
+        self.limit();
+    }
+
+    fn limit(&mut self) {
+        let range = FACTOR_RANGE.ln();
+        self.log_factor = self.log_factor.clamp(-range, range);
+    }
+}
--- a/crates/scheduling/src/fleet/digest.rs
+++ b/crates/scheduling/src/fleet/digest.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::engine_model::ModelDigest;
 use crate::placement::CacheStoreDigest;
 use crate::placement::PrefixTag;
 
@@ -39,7 +40,7 @@
 }
 
 /// The load of one node's requests.
-#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
 pub struct LoadDigest {
     /// The identifier of the node.
     pub node: u64,
@@ -55,6 +56,8 @@
     pub prefixes: Vec<(PrefixTag, UpstreamTag)>,
     /// Recently stored parts, if the node is subscribed to the cache store.
     pub cache_store: Option<CacheStoreDigest>,
+    /// What the node learned about the upstreams.
+    pub model: ModelDigest,
 }
 
 /// The latest digests of the other nodes.
--- a/crates/scheduling/src/fleet/table.rs
+++ b/crates/scheduling/src/fleet/table.rs
@@ -12,6 +12,7 @@
 use super::NodeLoad;
 use super::PeerLoads;
 use super::UpstreamTag;
+use crate::engine_model::EngineSpeed;
 use redwingrill_routing::ReportedLoad;
 use redwingrill_routing::Upstream;
 use redwingrill_routing::UpstreamState;
@@ -46,6 +47,8 @@
     pub health: Health,
     /// Whether the upstream is loading new weights.
     pub is_loading: bool,
+    /// The speed relative to the service.
+    pub speed: EngineSpeed,
     reported: Option<(ReportedLoad, u64)>,
     sent_since_report: u32,
     // Versions reported in responses, which may be newer than the listed ones.
@@ -66,6 +69,7 @@
             reserved_tokens: 0,
             health: Health::default(),
             is_loading: false,
+            speed: EngineSpeed::default(),
             reported: None,
             sent_since_report: 0,
             reported_versions: HashMap::new(),
@@ -146,6 +150,9 @@
 
     /// Records a load report.
     pub fn record_load_report(&mut self, load: ReportedLoad, now_ms: u64) {
+        if let Some(percent) = load.slowdown_percent {
+            self.speed.observe_slowdown(f64::from(percent) / 100.0);
+        }
         self.reported = Some((load, now_ms));
         self.sent_since_report = 0;
     }
--- a/crates/scheduling/src/placement/mod.rs
+++ b/crates/scheduling/src/placement/mod.rs
@@ -16,6 +16,4 @@
 pub use cache_store::PartTag;
 pub use roles::ArrivalRates;
 pub use roles::EngineRoles;
-pub use roles::LONG_COST_MS;
-pub use roles::SHORT_COST_MS;
-pub use roles::is_long;
+pub use roles::PromptCosts;
--- a/crates/scheduling/src/placement/roles.rs
+++ b/crates/scheduling/src/placement/roles.rs
@@ -16,21 +16,6 @@
 
 use crate::fleet::UpstreamIndex;
 
-/// A prompt with more tokens than this is long: its prefill takes several decode steps.
-const LONG_PROMPT_TOKENS: u32 = 2_048;
-
-/// The cost of a short prompt at an engine for short prompts, from the engines' data sheet: its
-/// share of the decode steps and its prefill.
-pub const SHORT_COST_MS: f64 = 14.0;
-
-/// The minimum cost of a long prompt at an engine: its share of the memory while it runs, which
-/// exceeds the prefill of its uncached tokens.
-pub const LONG_COST_MS: f64 = 100.0;
-
-/// The cost of a long prompt at an engine with new weights, from the engines' data sheet: the
-/// prefill of all its 17,000 tokens, because nothing is cached for these weights yet.
-const COLD_LONG_COST_MS: f64 = 300.0;
-
 /// Capacity relative to the mean load, for variations of the arrivals within a second.
 const HEADROOM: f64 = 1.5;
 
@@ -38,11 +23,6 @@
 const MIN_SHORT_PERCENT: usize = 25;
 const MAX_SHORT_PERCENT: usize = 60;
 
-/// Returns whether a prompt is long.
-pub fn is_long(prompt_tokens: u32) -> bool {
-    prompt_tokens > LONG_PROMPT_TOKENS
-}
-
 /// Arrivals of prompts at all nodes, per second.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
 pub struct ArrivalRates {
@@ -52,6 +32,15 @@
     pub long_per_s: u32,
 }
 
+/// The engine time of usual prompts, in milliseconds.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct PromptCosts {
+    /// A short prompt: its prefill and its share of the decode steps.
+    pub short_ms: f64,
+    /// A long prompt at an engine with new weights, where nothing is cached yet.
+    pub cold_long_ms: f64,
+}
+
 /// The engines that are reserved for short prompts.
 #[derive(Clone, Debug, Default)]
 pub struct EngineRoles {
@@ -66,6 +55,7 @@
     pub fn choose<'a>(
         engines: impl Iterator<Item = (UpstreamIndex, &'a str, bool)>,
         rates: ArrivalRates,
+        costs: PromptCosts,
     ) -> Self {
         let mut ranked: Vec<_> = engines
             .map(|(index, id, is_newest)| (!is_newest, xxh3_64(id.as_bytes()), index))
@@ -74,7 +64,7 @@
         let count = match ranked.len() {
             0 | 1 => 0,
             len => {
-                let needed = f64::from(rates.short_per_s) * SHORT_COST_MS / 1_000.0 * HEADROOM;
+                let needed = f64::from(rates.short_per_s) * costs.short_ms / 1_000.0 * HEADROOM;
                 let min_count = (len * MIN_SHORT_PERCENT).div_ceil(100);
                 let max_count = (len * MAX_SHORT_PERCENT / 100).max(1);
                 (needed.ceil() as usize).clamp(min_count.min(max_count), max_count)
@@ -83,8 +73,8 @@
         let has_long = ranked.len() > count;
         let newest = ranked.iter().filter(|(is_old, _, _)| !is_old).count();
         let newest_share = [
-            capacity_share(newest.min(count.max(1)), rates.short_per_s, SHORT_COST_MS),
-            capacity_share(newest.saturating_sub(count), rates.long_per_s, COLD_LONG_COST_MS),
+            capacity_share(newest.min(count.max(1)), rates.short_per_s, costs.short_ms),
+            capacity_share(newest.saturating_sub(count), rates.long_per_s, costs.cold_long_ms),
         ];
         let short = ranked.into_iter().take(count).map(|(_, _, index)| index).collect();
         Self { short, has_long, newest_share }
--- a/crates/scheduling/src/scheduler/choose.rs
+++ b/crates/scheduling/src/scheduler/choose.rs
@@ -15,21 +15,21 @@
 use super::ScheduleRequest;
 use super::Scheduler;
 use super::core::VersionHistory;
-use super::cost::PREFILL_TOKENS_PER_MS;
+use super::cost::pending_prefill_ms;
 use super::pacing::NodeShare;
 use super::pacing::Pacer;
 use super::pacing::RequestClass;
 use super::sampling::SampleBound;
+use crate::engine_model::PrefillCurve;
+use crate::engine_model::PromptWork;
+use crate::engine_model::ServiceTimes;
 use crate::fleet::FleetEntry;
 use crate::fleet::UpstreamIndex;
 use crate::placement::AffinityKey;
-use crate::placement::ArrivalRates;
 use crate::placement::EngineRoles;
-use crate::placement::LONG_COST_MS;
 use crate::placement::PrefixTag;
-use crate::placement::SHORT_COST_MS;
+use crate::placement::PromptCosts;
 use crate::placement::Scope;
-use crate::placement::is_long;
 use crate::placement::rendezvous_score;
 use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::WeightsVersion;
@@ -58,11 +58,9 @@
 /// Requests per slot that an upstream of a plain service may have before others wait at the node.
 const SERVICE_QUEUE_FACTOR: u32 = 2;
 
-/// The pending prefill, in milliseconds, below which an engine gets another long or short prompt: a
-/// third of the latency targets of these classes.
-const LONG_PENDING_PREFILL_LIMIT_MS: f64 = 500.0;
-const SHORT_PENDING_PREFILL_LIMIT_MS: f64 = 160.0;
-const SHORT_AMONG_LONG_PENDING_PREFILL_LIMIT_MS: f64 = 160.0;
+/// The pending prefill below which an engine gets another prompt, as a share of the prompt's
+/// latency target.
+const PENDING_PREFILL_SHARE: f64 = 1.0 / 3.0;
 
 #[derive(Clone, Debug)]
 pub(super) struct Candidate {
@@ -83,6 +81,7 @@
 
 /// Properties of a request that are the same for all candidates.
 pub(super) struct RequestContext {
+    pub(super) times: ServiceTimes,
     pub(super) affinity: Option<AffinityKey>,
     // The engine that all nodes prefer for the prefix: among those with the newest weights, and
     // among the others.
@@ -144,8 +143,11 @@
     }
 
     fn context(&mut self, request: &ScheduleRequest, is_late: bool, now_ms: u64) -> RequestContext {
+        let model = self.model_mut(&request.service);
+        let times = model.times();
         let Some(prompt) = request.prompt.as_deref() else {
             return RequestContext {
+                times,
                 affinity: None,
                 preferred: [None; 2],
                 roles: EngineRoles::default(),
@@ -156,6 +158,12 @@
                 node_share: None,
             };
         };
+        let is_long = model.is_long(u64::from(prompt.prompt_tokens));
+        let usual_cost_ms = if is_long { model.long_cost_ms() } else { model.short_cost_ms() };
+        let costs = PromptCosts {
+            short_ms: model.short_cost_ms(),
+            cold_long_ms: model.cold_long_cost_ms(),
+        };
         let rates = self.arrival_rates(now_ms);
         let engines = self.fleet.of_service(&request.service);
         let engines = engines.filter_map(|(index, entry)| {
@@ -165,7 +173,7 @@
             is_eligible.then_some((index, entry.upstream.id.as_str(), is_newest))
         });
         let engines: Vec<_> = engines.collect();
-        let roles = EngineRoles::choose(engines.iter().copied(), rates);
+        let roles = EngineRoles::choose(engines.iter().copied(), rates, costs);
         let affinity = AffinityKey::of(prompt);
         let preferred_of = |wants_newest: bool| {
             let key = affinity?;
@@ -176,14 +184,18 @@
             scored.max().map(|(_, index)| index)
         };
         let preferred = [preferred_of(true), preferred_of(false)];
-        let is_long = is_long(prompt.prompt_tokens);
         let newest_share = roles.newest_share(is_long);
         let prefers_newest = newest_share >= 1.0 || self.rng.random_bool(newest_share);
         // Only short prompts are sampled; long prompts go where their prefix is cached.
         let age_ms = self.peers.median_age_ms(now_ms);
         let sample_bound = (!is_long).then(|| SampleBound::new(rates.short_per_s, age_ms));
-        let node_share = Pacer::is_needed(age_ms).then(|| self.node_share(is_long, rates, now_ms));
+        let node_share = Pacer::is_needed(age_ms).then(|| NodeShare {
+            fraction: self.own_arrival_share(is_long, rates, now_ms),
+            burst_ms: pending_limit_ms(request, &times.curve),
+            cost_ms: usual_cost_ms,
+        });
         RequestContext {
+            times,
             affinity,
             preferred,
             roles,
@@ -195,17 +207,6 @@
         }
     }
 
-    /// Returns the share of the engines' capacity that this node may use, with the minimum cost of
-    /// a prompt.
-    fn node_share(&mut self, is_long: bool, rates: ArrivalRates, now_ms: u64) -> NodeShare {
-        let fraction = self.own_arrival_share(is_long, rates, now_ms);
-        let (burst_ms, cost_ms) = match is_long {
-            true => (LONG_PENDING_PREFILL_LIMIT_MS, LONG_COST_MS),
-            false => (SHORT_PENDING_PREFILL_LIMIT_MS, SHORT_COST_MS),
-        };
-        NodeShare { fraction, burst_ms, cost_ms }
-    }
-
     pub(super) fn newest(&self, model: &str) -> WeightsVersion {
         self.target_versions.get(model).map(VersionHistory::newest).unwrap_or_default()
     }
@@ -284,12 +285,13 @@
             any_eligible = true;
             if self.has_capacity(request, context, index, entry, now_ms) {
                 let base_cost_ms = self.base_cost_ms(request, context, index, entry, now_ms);
-                let prefix_cost_ms = self.prefix_cost_ms(request, context, index, entry, now_ms);
+                let prompt_cost_ms = self.prompt_cost_ms(request, context, index, entry, now_ms);
+                let load_cost_ms = self.load_cost_ms(context, entry, now_ms);
                 candidates.push(Candidate {
                     index,
                     slots: entry.slots(),
                     base_cost_ms: base_cost_ms as u32,
-                    cost_ms: base_cost_ms + prefix_cost_ms + self.load_cost_ms(entry, now_ms),
+                    cost_ms: base_cost_ms + prompt_cost_ms + load_cost_ms,
                 });
             }
         }
@@ -311,22 +313,15 @@
             let limit = if context.is_late { slots } else { slots * SERVICE_QUEUE_FACTOR };
             return load < limit;
         }
-        let pending_prefill_ms =
-            entry.total_pending_prefill_tokens() as f64 / PREFILL_TOKENS_PER_MS;
-        let is_short_engine = context.roles.is_short(index);
-        let limit_ms = match (context.is_long, is_short_engine) {
-            // An engine for short prompts takes a long one only if it is nearly idle and can fetch
-            // the prefix.
-            (true, true) if context.roles.has_long() => {
-                return entry.total_pending_prefill_tokens() == 0
-                    && load < slots / BORROWED_SLOTS_DIVISOR
-                    && !context.is_late
-                    && self.can_fetch_prefix(request, entry, now_ms);
-            }
-            (true, _) => LONG_PENDING_PREFILL_LIMIT_MS,
-            (false, true) => SHORT_PENDING_PREFILL_LIMIT_MS,
-            (false, false) => SHORT_AMONG_LONG_PENDING_PREFILL_LIMIT_MS,
-        };
+        // An engine for short prompts takes a long one only if it is nearly idle and can fetch the
+        // prefix.
+        if context.is_long && context.roles.is_short(index) && context.roles.has_long() {
+            return entry.total_pending_prefill_tokens() == 0
+                && load < slots / BORROWED_SLOTS_DIVISOR
+                && !context.is_late
+                && self.can_fetch_prefix(request, entry, now_ms);
+        }
+        let limit_ms = pending_limit_ms(request, &context.times.curve);
         let (limit_ms, slots) = match context.is_late {
             true => (limit_ms / 2.0, slots / 2),
             false => (limit_ms, slots),
@@ -334,7 +329,7 @@
         let fits = self.cache_tokens(&request.service).is_none_or(|tokens| {
             entry.total_reserved_tokens() < tokens * RUNNING_MEMORY_PERCENT / 100
         });
-        pending_prefill_ms < limit_ms && load < slots && (fits || !context.is_long)
+        pending_prefill_ms(context, entry) < limit_ms && load < slots && (fits || !context.is_long)
     }
 
     /// Returns whether an upstream is eligible for a request. Health counts only if `strict`: an
@@ -398,6 +393,7 @@
         let index = best.index;
         let entry = self.fleet.get_mut(index).expect("selected upstream is in the table");
         let upstream = entry.upstream.clone();
+        let queued_tokens = entry.total_pending_prefill_tokens();
         let prompt = request.prompt.as_deref();
         let version = prompt.and_then(|prompt| entry.version_of(&prompt.model));
         let scope = version.map(|version| request.scope(version));
@@ -411,15 +407,25 @@
             reserved_tokens: prompt.map_or(0, |prompt| {
                 u64::from(prompt.prompt_tokens) + u64::from(prompt.output_tokens_limit)
             }),
+            prompt_tokens: prompt.map_or(0, |prompt| u64::from(prompt.prompt_tokens)),
+            fetched_tokens: 0,
+            queued_tokens,
+            sent_ms: now_ms,
+            stall_timeout_ms: 0,
             fetch_from: None,
             save_to: None,
         };
+        let pauses = self.model_mut(&request.service).pauses();
+        assignment.stall_timeout_ms = pauses.stall_timeout_ms(request.pause_target_ms);
         if let (Some(prompt), Some(key)) = (prompt, context.affinity) {
             self.plan_cache_transfer(&mut assignment, prompt, key, context, now_ms);
         }
         if let Some(node_share) = context.node_share {
             let class = RequestClass { is_long: context.is_long, base_cost_ms: best.base_cost_ms };
-            let prefill_ms = assignment.pending_prefill_tokens as f64 / PREFILL_TOKENS_PER_MS;
+            let prefill_ms = context.times.curve.prefill_ms(PromptWork {
+                unread_tokens: assignment.pending_prefill_tokens,
+                prompt_tokens: assignment.prompt_tokens,
+            });
             let cost_ms = node_share.cost_ms.max(prefill_ms);
             self.pacer.spend(class, cost_ms, now_ms, &mut self.rng);
         }
@@ -473,11 +479,21 @@
         assignment.fetch_from = store.or(source);
         let is_certain = is_stored || holder.is_some();
         let fetched = if is_certain { shared } else { stored };
+        assignment.fetched_tokens = u64::from(fetched);
         assignment.pending_prefill_tokens =
             assignment.pending_prefill_tokens.saturating_sub(u64::from(fetched));
     }
 }
 
+/// Returns the pending prefill below which an engine gets a request, in milliseconds.
+pub(super) fn pending_limit_ms(request: &ScheduleRequest, curve: &PrefillCurve) -> f64 {
+    match request.target_ms {
+        // Without a target, a request waits about as long as it is served.
+        0 => curve.first_event_ms(request.cold_work()),
+        target_ms => target_ms as f64 * PENDING_PREFILL_SHARE,
+    }
+}
+
 /// Keeps a random sample of the candidates of each base cost.
 fn retain_sampled(candidates: &mut Vec<Candidate>, sample_bound: SampleBound, rng: &mut SmallRng) {
     candidates.shuffle(rng);
--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -11,9 +11,15 @@
 
 use super::Assignment;
 use super::AttemptOutcome;
+use super::ScheduleRequest;
 use super::choose::Candidate;
 use super::pacing::NodeShare;
 use super::pacing::Pacer;
+use crate::engine_model::FirstEventSample;
+use crate::engine_model::ModelDigest;
+use crate::engine_model::PromptWork;
+use crate::engine_model::ServiceModel;
+use crate::engine_model::ServiceTag;
 use crate::fleet::ArrivalCounter;
 use crate::fleet::Fleet;
 use crate::fleet::LoadDigest;
@@ -24,7 +30,6 @@
 use crate::placement::ArrivalRates;
 use crate::placement::CacheIndex;
 use crate::placement::PrefixTag;
-use crate::placement::is_long;
 use crate::retry_budget::RetryBudget;
 use crate::retry_budget::RetryBudgetSpec;
 use redwingrill_routing::CacheChange;
@@ -88,6 +93,9 @@
     }
 }
 
+/// The maximum number of engine speeds in a digest.
+const SPEEDS_LIMIT: usize = 24;
+
 /// All state that scheduling decisions depend on.
 #[derive(Clone, Debug)]
 pub struct Scheduler {
@@ -98,6 +106,7 @@
     pub(super) cache_store: Option<SocketAddr>,
     pub(super) rng: SmallRng,
     pub(super) pacer: Pacer,
+    models: HashMap<String, ServiceModel>,
     // A buffer that is reused between decisions.
     pub(super) candidates: Vec<Candidate>,
     started_ms: u64,
@@ -123,6 +132,7 @@
             cache_store: None,
             rng,
             pacer: Pacer::default(),
+            models: HashMap::new(),
             candidates: Vec::new(),
             peers: PeerLoads::default(),
             short_arrivals: ArrivalCounter::default(),
@@ -161,10 +171,45 @@
                 self.cache_index.record_use(*prefix, index, now_ms);
             }
         }
+        self.merge_model(&digest.model);
         self.peers.observe(digest, now_ms);
         self.fleet.set_peer_loads(&self.peers);
     }
 
+    /// Merges what another node learned about the upstreams.
+    fn merge_model(&mut self, digest: &ModelDigest) {
+        for (service, model) in &mut self.models {
+            let tag = ServiceTag::of(service);
+            if let Some((_, curve, samples)) = digest.curves.iter().find(|(t, _, _)| *t == tag) {
+                model.fit_mut().merge_prior((*curve).into(), f64::from(*samples));
+            }
+        }
+        for (tag, factor, samples) in &digest.speeds {
+            if let Some(index) = self.fleet.by_tag(*tag)
+                && let Some(entry) = self.fleet.get_mut(index)
+            {
+                entry.speed.merge(f64::from(*factor), f64::from(*samples));
+            }
+        }
+    }
+
+    /// Returns what this node learned about the upstreams: all services, and the engines that it
+    /// uses at this moment, at most [`SPEEDS_LIMIT`].
+    fn model_digest(&self) -> ModelDigest {
+        let curves = self.models.iter().filter(|(_, model)| model.fit().samples() > 0.0);
+        let curves = curves.map(|(service, model)| {
+            (ServiceTag::of(service), model.curve().into(), model.fit().samples() as f32)
+        });
+        let used = self
+            .fleet
+            .iter()
+            .filter(|(_, entry)| entry.in_flight > 0 && entry.speed.samples() > 0.0);
+        let speeds = used.take(SPEEDS_LIMIT).map(|(_, entry)| {
+            (entry.tag, entry.speed.factor() as f32, entry.speed.samples() as f32)
+        });
+        ModelDigest { curves: curves.collect(), speeds: speeds.collect() }
+    }
+
     /// Returns the digest of this node's requests for the other nodes.
     pub fn digest(&mut self, node: u64, now_ms: u64) -> LoadDigest {
         if self.peers.expire(now_ms) {
@@ -186,6 +231,7 @@
         LoadDigest {
             prefixes: prefixes.collect(),
             cache_store: self.cache_index.cache_store().digest(now_ms),
+            model: self.model_digest(),
             node,
             sequence: self.sequence,
             upstreams: upstreams.collect(),
@@ -194,14 +240,55 @@
         }
     }
 
-    /// Counts the arrival of a request with a prompt.
-    pub fn count_prompt(&mut self, prompt: &DeclaredPrompt, now_ms: u64) {
-        match is_long(prompt.prompt_tokens) {
+    /// Counts the arrival of a request of a service with a prompt and a latency target.
+    pub fn count_prompt(
+        &mut self,
+        service: &str,
+        prompt: &DeclaredPrompt,
+        target_ms: u64,
+        now_ms: u64,
+    ) {
+        let prompt_tokens = u64::from(prompt.prompt_tokens);
+        let own_tokens = prompt_tokens.saturating_sub(u64::from(prompt.shared_tokens()));
+        let model = self.model_mut(service);
+        model.observe_prompt(prompt_tokens, own_tokens, target_ms);
+        match model.is_long(prompt_tokens) {
             true => self.long_arrivals.count(now_ms),
             false => self.short_arrivals.count(now_ms),
         }
     }
 
+    /// Returns the model of a service's upstreams, if any of its requests was seen.
+    pub fn model(&self, service: &str) -> Option<&ServiceModel> {
+        self.models.get(service)
+    }
+
+    /// Replaces the model of a service's upstreams.
+    pub fn set_model(&mut self, service: &str, model: ServiceModel) {
+        self.models.insert(service.to_owned(), model);
+    }
+
+    /// Returns the model of a service's upstreams for modification.
+    pub(super) fn model_mut(&mut self, service: &str) -> &mut ServiceModel {
+        if !self.models.contains_key(service) {
+            self.models.insert(service.to_owned(), ServiceModel::default());
+        }
+        self.models.get_mut(service).expect("model was inserted above")
+    }
+
+    /// Returns whether the prompt of a request is long.
+    pub(super) fn is_long(&mut self, request: &ScheduleRequest) -> bool {
+        let Some(prompt_tokens) = request.prompt.as_ref().map(|prompt| prompt.prompt_tokens) else {
+            return false;
+        };
+        self.model_mut(&request.service).is_long(u64::from(prompt_tokens))
+    }
+
+    /// Records the longest pause of a stream that ended well.
+    pub fn observe_pause(&mut self, service: &str, longest_pause_ms: u64) {
+        self.model_mut(service).observe_pause(longest_pause_ms);
+    }
+
     /// Returns a random number from an inclusive range.
     pub(super) fn random_between(&mut self, min: u64, max: u64) -> u64 {
         self.rng.random_range(min..=max.max(min))
@@ -347,6 +434,22 @@
     pub fn record_prefill_done(&mut self, assignment: &Assignment, now_ms: u64) {
         if let Some(entry) = self.fleet.get_mut(assignment.index) {
             entry.record_prefill(assignment.pending_prefill_tokens);
+            let sample = FirstEventSample {
+                work: PromptWork {
+                    unread_tokens: assignment.pending_prefill_tokens,
+                    prompt_tokens: assignment.prompt_tokens,
+                },
+                fetched_tokens: assignment.fetched_tokens,
+                queued_tokens: assignment.queued_tokens,
+                observed_ms: now_ms.saturating_sub(assignment.sent_ms) as f64,
+            };
+            let service = &entry.upstream.service;
+            if !self.models.contains_key(service) {
+                self.models.insert(service.clone(), ServiceModel::default());
+            }
+            if let Some(model) = self.models.get_mut(service) {
+                model.observe_first_event(&sample, &mut entry.speed);
+            }
         }
         if let (Some(key), Some(scope)) = (assignment.affinity, &assignment.scope) {
             self.cache_index.record_prefill(PrefixTag::new(key, scope), assignment.index, now_ms);
--- a/crates/scheduling/src/scheduler/cost.rs
+++ b/crates/scheduling/src/scheduler/cost.rs
@@ -1,46 +1,42 @@
 //! The cost of a request at an upstream, in milliseconds of waiting.
 //!
 //! The cost has three parts: the base cost of the upstream (role and weights), which is the same at
-//! every node; the cost of a missing shared prefix; and the cost of its load, failure domain and
-//! health.
+//! every node; the time of the prompt itself, with a missing shared prefix; and the cost of its
+//! load, failure domain and health. All times come from the learned model of the engines.
 
 use super::ScheduleRequest;
 use super::Scheduler;
 use super::choose::RequestContext;
+use crate::engine_model::PromptWork;
 use crate::fleet::FleetEntry;
 use crate::fleet::UpstreamIndex;
 use crate::placement::CacheLocation;
 use crate::placement::PrefixTag;
 
-/// Prompt tokens that an engine prefills per millisecond, from the engines' data sheet.
-pub(super) const PREFILL_TOKENS_PER_MS: f64 = 50.0;
-
-/// The cost of fetching a shared prefix instead of finding it in the engine.
-const FETCH_COST_MS: f64 = 60.0;
-
 /// The cost of an upstream in another failure domain.
 const DOMAIN_COST_MS: f64 = 12.0;
 
-/// The cost of older weights.
-const OLD_WEIGHTS_COST_MS: f64 = 400.0;
-
-/// The cost of each request in excess of the upstream's slots.
-const QUEUE_COST_MS: f64 = 15.0;
-
-/// The cost of fully occupied slots; scaled by the occupied share.
-const BUSY_COST_MS: f64 = 40.0;
+/// The cost of older weights, relative to the target of urgent requests, like the costs below.
+const OLD_WEIGHTS_COST: f64 = 0.8;
 
 /// The cost if all requests fail; scaled by the failure share.
-const FAILURE_COST_MS: f64 = 400.0;
+const FAILURE_COST: f64 = 0.8;
 
 /// The cost of an upstream that is still slow after its start.
-const WARM_UP_COST_MS: f64 = 100.0;
+const WARM_UP_COST: f64 = 0.2;
 
 /// The cost of an engine for short prompts for a long prompt.
-const LONG_AMONG_SHORT_COST_MS: f64 = 600.0;
+const LONG_AMONG_SHORT_COST: f64 = 1.2;
 
 /// The cost of an engine for long prompts for a short one, which concurrent long prompts slow down.
-const SHORT_AMONG_LONG_COST_MS: f64 = 80.0;
+const SHORT_AMONG_LONG_COST: f64 = 0.16;
+
+/// The wait for each request in excess of the upstream's slots, relative to the time to the first
+/// event without prefill.
+const QUEUE_WAIT: f64 = 0.16;
+
+/// The delay by fully occupied slots, relative to the same time; scaled by the occupied share.
+const BUSY_DELAY: f64 = 0.4;
 
 impl Scheduler {
     /// Returns the cost of an upstream's role and weights.
@@ -52,25 +48,27 @@
         entry: &FleetEntry,
         now_ms: u64,
     ) -> f64 {
+        let unit_ms = context.times.urgent_target_ms;
         let mut cost_ms = 0.0;
         if entry.is_warming_up(now_ms) {
-            cost_ms += WARM_UP_COST_MS;
+            cost_ms += WARM_UP_COST * unit_ms;
         }
         let Some(prompt) = &request.prompt else { return cost_ms };
         cost_ms += match (context.is_long, context.roles.is_short(index)) {
-            (true, true) => LONG_AMONG_SHORT_COST_MS,
-            (false, false) => SHORT_AMONG_LONG_COST_MS,
+            (true, true) => LONG_AMONG_SHORT_COST * unit_ms,
+            (false, false) => SHORT_AMONG_LONG_COST * unit_ms,
             _ => 0.0,
         };
         let version = entry.version_of(&prompt.model).unwrap_or_default();
         if context.prefers_newest && version < self.newest(&prompt.model) {
-            cost_ms += OLD_WEIGHTS_COST_MS;
+            cost_ms += OLD_WEIGHTS_COST * unit_ms;
         }
         cost_ms
     }
 
-    /// Returns the cost of a shared prefix that the upstream may lack.
-    pub(super) fn prefix_cost_ms(
+    /// Returns the cost of the prompt itself at an upstream: the prefill of its own tokens, and the
+    /// fetch or prefill of a shared prefix that the upstream may lack.
+    pub(super) fn prompt_cost_ms(
         &self,
         request: &ScheduleRequest,
         context: &RequestContext,
@@ -78,41 +76,61 @@
         entry: &FleetEntry,
         now_ms: u64,
     ) -> f64 {
-        let (Some(prompt), Some(key)) = (&request.prompt, context.affinity) else { return 0.0 };
+        let Some(prompt) = &request.prompt else { return 0.0 };
+        let times = &context.times;
+        let shared_tokens = u64::from(prompt.shared_tokens());
+        let prompt_tokens = u64::from(prompt.prompt_tokens);
+        let own = PromptWork {
+            unread_tokens: prompt_tokens.saturating_sub(shared_tokens),
+            prompt_tokens,
+        };
+        let own_ms = times.curve.first_event_ms(own) * entry.speed.time_factor();
+        let Some(key) = context.affinity else { return own_ms };
         let scope = request.scope(entry.version_of(&prompt.model).unwrap_or_default());
         let tag = PrefixTag::new(key, &scope);
         if self.cache_index.has(tag, index, now_ms) {
-            return 0.0;
+            return own_ms;
         }
+        let fetch_ms = times.fetch_ms(shared_tokens);
         if self.stored_tokens(&scope, prompt, now_ms) >= prompt.shared_tokens() {
-            return FETCH_COST_MS;
+            return own_ms + fetch_ms;
         }
-        match self.cache_index.location(tag, now_ms) {
-            CacheLocation::Cached => FETCH_COST_MS,
-            // A concurrent second prefill of the prefix costs time at both engines.
-            CacheLocation::Prefilling => {
-                2.0 * f64::from(prompt.shared_tokens()) / PREFILL_TOKENS_PER_MS
+        own_ms
+            + match self.cache_index.location(tag, now_ms) {
+                CacheLocation::Cached => fetch_ms,
+                // A concurrent second prefill of the prefix costs time at both engines.
+                CacheLocation::Prefilling => 2.0 * times.curve.queue_ms(shared_tokens),
+                CacheLocation::Unknown if context.is_preferred(index) => 0.0,
+                CacheLocation::Unknown => fetch_ms,
             }
-            CacheLocation::Unknown if context.is_preferred(index) => 0.0,
-            CacheLocation::Unknown => FETCH_COST_MS,
-        }
     }
 
     /// Returns the cost of an upstream's load, failure domain and health.
-    pub(super) fn load_cost_ms(&self, entry: &FleetEntry, now_ms: u64) -> f64 {
-        let mut cost_ms = self.estimated_wait_ms(entry, now_ms);
+    pub(super) fn load_cost_ms(
+        &self,
+        context: &RequestContext,
+        entry: &FleetEntry,
+        now_ms: u64,
+    ) -> f64 {
+        let mut cost_ms = estimated_wait_ms(context, entry, now_ms);
         if entry.upstream.failure_domain != self.options.failure_domain {
             cost_ms += DOMAIN_COST_MS;
         }
-        cost_ms + entry.health.failure_share() * FAILURE_COST_MS
+        cost_ms + entry.health.failure_share() * FAILURE_COST * context.times.urgent_target_ms
     }
+}
 
-    /// Estimates how long a new request waits at an upstream.
-    fn estimated_wait_ms(&self, entry: &FleetEntry, now_ms: u64) -> f64 {
-        let (load, slots) = (entry.load(now_ms), entry.slots());
-        let prefill_ms = entry.total_pending_prefill_tokens() as f64 / PREFILL_TOKENS_PER_MS;
-        let queued = f64::from(load.saturating_sub(slots));
-        let busy = f64::from(load) / f64::from(slots);
-        prefill_ms + queued * QUEUE_COST_MS + busy * BUSY_COST_MS
-    }
+/// Estimates how long a new request waits at an upstream.
+fn estimated_wait_ms(context: &RequestContext, entry: &FleetEntry, now_ms: u64) -> f64 {
+    let (load, slots) = (entry.load(now_ms), entry.slots());
+    let queued = f64::from(load.saturating_sub(slots));
+    let busy = f64::from(load) / f64::from(slots);
+    let base_ms = context.times.curve.base_ms;
+    pending_prefill_ms(context, entry) + (queued * QUEUE_WAIT + busy * BUSY_DELAY) * base_ms
+}
+
+/// Returns the time that an upstream needs to prefill the prompts that it has, in milliseconds.
+pub(super) fn pending_prefill_ms(context: &RequestContext, entry: &FleetEntry) -> f64 {
+    let queue_ms = context.times.curve.queue_ms(entry.total_pending_prefill_tokens());
+    queue_ms * entry.speed.time_factor()
 }
--- a/crates/scheduling/src/scheduler/request.rs
+++ b/crates/scheduling/src/scheduler/request.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::engine_model::PromptWork;
 use crate::fleet::UpstreamIndex;
 use crate::placement::AffinityKey;
 use crate::placement::Scope;
@@ -25,13 +26,22 @@
     pub arrived_ms: u64,
     /// The deadline of the response, in milliseconds on the node's clock.
     pub deadline_ms: u64,
-    /// The latency target in milliseconds.
+    /// The latency target in milliseconds; zero if none is stated.
     pub target_ms: u64,
+    /// The longest pause between events that the route allows, in milliseconds.
+    pub pause_target_ms: Option<u64>,
     /// Upstreams to which the request was already sent.
     pub tried: Vec<UpstreamIndex>,
 }
 
 impl ScheduleRequest {
+    /// Returns the prefill of the prompt at an engine that holds nothing of it.
+    pub fn cold_work(&self) -> PromptWork {
+        let prompt_tokens =
+            self.prompt.as_ref().map_or(0, |prompt| u64::from(prompt.prompt_tokens));
+        PromptWork { unread_tokens: prompt_tokens, prompt_tokens }
+    }
+
     /// Returns the scope of the request's cached parts for a version of the weights.
     pub fn scope(&self, version: WeightsVersion) -> Scope {
         Scope::new(version, self.isolated_account.as_deref())
@@ -55,6 +65,16 @@
     pub pending_prefill_tokens: u64,
     /// Tokens that the request reserves in the upstream's memory until it ends.
     pub reserved_tokens: u64,
+    /// All tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Tokens that the upstream is expected to fetch.
+    pub fetched_tokens: u64,
+    /// Tokens of other prompts that the upstream had to prefill when the request was assigned.
+    pub queued_tokens: u64,
+    /// When the request was assigned, in milliseconds on the node's clock.
+    pub sent_ms: u64,
+    /// The pause after which a stream of this request is stalled, in milliseconds.
+    pub stall_timeout_ms: u64,
     /// Where the upstream fetches parts that it does not hold.
     pub fetch_from: Option<SocketAddr>,
     /// Where the upstream saves parts after prefill.
--- a/crates/scheduling/src/scheduler/wait_queue.rs
+++ b/crates/scheduling/src/scheduler/wait_queue.rs
@@ -13,16 +13,11 @@
 use super::RefusalCause;
 use super::ScheduleRequest;
 use super::Scheduler;
-use crate::placement::is_long;
+use super::choose::pending_limit_ms;
 
 /// The percentage of its total time that a request may wait.
 const WAIT_PERCENT: u64 = 30;
 
-/// The time from sending a long or a short prompt to its first event, including the prefill in
-/// front of it, from the engines' data sheet.
-const LONG_SERVING_MS: u64 = 700;
-const SHORT_SERVING_MS: u64 = 250;
-
 /// The maximum number of queued requests of a class at a node.
 const QUEUE_LIMIT: usize = 96;
 
@@ -36,21 +31,22 @@
 #[derive(Debug)]
 struct QueuedRequest<T> {
     request: ScheduleRequest,
+    class: RequestClass,
+    // The expected time from sending the request to its first event, including the prefill in
+    // front of it.
+    serving_ms: u64,
     since_ms: u64,
     responder: T,
 }
 
 impl<T> QueuedRequest<T> {
-    fn class(&self) -> (String, bool) {
-        class_of(&self.request)
-    }
-
     /// Returns whether the request can no longer meet its target, even if sent now.
     fn is_late(&self, now_ms: u64) -> bool {
-        let is_long = self.class().1;
-        let serving_ms = if is_long { LONG_SERVING_MS } else { SHORT_SERVING_MS };
+        if self.request.target_ms == 0 {
+            return false;
+        }
         // A request with a tighter target than that is on time while half of the target is left.
-        let needed_ms = serving_ms.min(self.request.target_ms / 2);
+        let needed_ms = self.serving_ms.min(self.request.target_ms / 2);
         now_ms + needed_ms >= self.request.arrived_ms + self.request.target_ms
     }
 
@@ -60,9 +56,11 @@
     }
 }
 
-fn class_of(request: &ScheduleRequest) -> (String, bool) {
-    let is_long = request.prompt.as_ref().is_some_and(|prompt| is_long(prompt.prompt_tokens));
-    (request.service.clone(), is_long)
+/// The requests that wait for the same capacity.
+#[derive(Clone, PartialEq, Eq, Hash, Debug)]
+struct RequestClass {
+    service: String,
+    is_long: bool,
 }
 
 /// The queue of requests that wait for an upstream.
@@ -97,13 +95,21 @@
         responder: T,
         now_ms: u64,
     ) -> Vec<(T, Choice)> {
-        let class = class_of(&request);
-        let queued_before = self.waiting.iter().filter(|waiting| waiting.class() == class).count();
+        let is_long = scheduler.is_long(&request);
+        let class = RequestClass { service: request.service.clone(), is_long };
+        let queued_before = self.waiting.iter().filter(|waiting| waiting.class == class).count();
         if queued_before >= QUEUE_LIMIT {
             return vec![(responder, scheduler.refuse_overloaded(&request, now_ms))];
         }
         let is_first = queued_before == 0;
-        self.waiting.push(QueuedRequest { request, since_ms: now_ms, responder });
+        let serving_ms = scheduler.serving_ms(&request);
+        self.waiting.push(QueuedRequest {
+            request,
+            class,
+            serving_ms,
+            since_ms: now_ms,
+            responder,
+        });
         match is_first {
             true => {
                 let entry = self.waiting.pop().expect("entry was pushed above");
@@ -125,10 +131,10 @@
         waiting.retain(|waiting| !is_abandoned(&waiting.responder));
         // The sort is stable: requests of equal rank stay in the order of their arrival.
         waiting.sort_by_key(|waiting| (waiting.is_late(now_ms), waiting.request.urgency));
-        let mut full: HashSet<(String, bool)> = HashSet::new();
+        let mut full: HashSet<RequestClass> = HashSet::new();
         let mut decisions = Vec::new();
         for entry in waiting {
-            let class = entry.class();
+            let class = entry.class.clone();
             if full.contains(&class) && now_ms < entry.wait_ends_ms() {
                 self.waiting.push(entry);
                 continue;
@@ -182,6 +188,14 @@
 }
 
 impl Scheduler {
+    /// Returns the expected time from sending a request to its first event, with the prefill that
+    /// an engine may have in front of it.
+    fn serving_ms(&mut self, request: &ScheduleRequest) -> u64 {
+        let curve = *self.model_mut(&request.service).curve();
+        let first_event_ms = curve.first_event_ms(request.cold_work());
+        (first_event_ms + pending_limit_ms(request, &curve) / 2.0) as u64
+    }
+
     /// Refuses a request because of overload. The retry delay is randomized, so that requests
     /// refused together do not return together.
     fn refuse_overloaded(&mut self, request: &ScheduleRequest, now_ms: u64) -> Choice {
--- a/crates/scheduling/tests/fleet.rs
+++ b/crates/scheduling/tests/fleet.rs
@@ -9,6 +9,7 @@
 
 use redwingrill_routing::ReportedLoad;
 use redwingrill_routing::Upstream;
+use redwingrill_scheduling::engine_model::ModelDigest;
 use redwingrill_scheduling::fleet::Fleet;
 use redwingrill_scheduling::fleet::Health;
 use redwingrill_scheduling::fleet::LoadDigest;
@@ -97,7 +98,8 @@
     let upstreams = vec![(UpstreamTag::of("e"), load)];
     let prefixes = Vec::new();
     let (short_per_s, long_per_s, cache_store) = (3, 1, None);
-    LoadDigest { node, sequence, short_per_s, long_per_s, upstreams, prefixes, cache_store }
+    let model = ModelDigest::default();
+    LoadDigest { node, sequence, short_per_s, long_per_s, upstreams, prefixes, cache_store, model }
 }
 
 #[test]
@@ -133,7 +135,10 @@
     fleet.set_upstreams(vec![engine("e", 1)], 0);
     let (index, _) = fleet.of_service(support::SERVICE).next().expect("service has an engine");
     let entry = fleet.get_mut(index).expect("engine is listed");
-    entry.record_load_report(ReportedLoad { running: 7, waiting: 2, slots: 32 }, 100);
+    entry.record_load_report(
+        ReportedLoad { running: 7, waiting: 2, slots: 32, slowdown_percent: None },
+        100,
+    );
     entry.record_sent(10, 20);
     assert_eq!(entry.load(200), 10);
     assert_eq!(entry.load(5_000), 1);
--- a/crates/scheduling/tests/load_simulation.rs
+++ b/crates/scheduling/tests/load_simulation.rs
@@ -12,6 +12,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use support::MODEL;
+use support::count_prompt;
 use support::engines;
 use support::long_prompt;
 use support::request;
@@ -139,8 +140,9 @@
             false => short_prompt(now_ms),
         };
         let (scheduler, waiting) = &mut self.nodes[node];
-        scheduler.count_prompt(&prompt, now_ms);
-        let decisions = waiting.enqueue(scheduler, request(Some(prompt), now_ms), job, now_ms);
+        let request = request(Some(prompt), now_ms);
+        count_prompt(scheduler, &request, now_ms);
+        let decisions = waiting.enqueue(scheduler, request, job, now_ms);
         self.apply_decisions(node, decisions, now_ms);
     }
 
--- a/crates/scheduling/tests/support/mod.rs
+++ b/crates/scheduling/tests/support/mod.rs
@@ -65,7 +65,8 @@
     prompt(&[(document, 13_300), (2_000_000 + own, 3_720)])
 }
 
-fn prompt(parts: &[(u64, u32)]) -> DeclaredPrompt {
+/// Returns a prompt of parts, each given by its identifier and tokens.
+pub fn prompt(parts: &[(u64, u32)]) -> DeclaredPrompt {
     let parts = parts.iter().map(|&(id, tokens)| PromptPart { id: PartId(id), tokens });
     let parts: Vec<PromptPart> = parts.collect();
     DeclaredPrompt {
@@ -86,6 +87,7 @@
         arrived_ms,
         deadline_ms: arrived_ms + if is_long { 12_000 } else { 5_000 },
         target_ms: if is_long { 1_500 } else { 500 },
+        pause_target_ms: None,
         tried: Vec::new(),
     }
 }
@@ -96,3 +98,9 @@
         other => panic!("not sent: {other:?}"),
     }
 }
+
+/// Counts the arrival of a request's prompt.
+pub fn count_prompt(scheduler: &mut Scheduler, request: &ScheduleRequest, now_ms: u64) {
+    let prompt = request.prompt.as_deref().expect("request has a prompt");
+    scheduler.count_prompt(&request.service, prompt, request.target_ms, now_ms);
+}
--- a/crates/scheduling/tests/thundering_herd.rs
+++ b/crates/scheduling/tests/thundering_herd.rs
@@ -13,6 +13,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use support::MODEL;
+use support::count_prompt;
 use support::engine;
 use support::long_prompt;
 use support::request;
@@ -118,10 +119,10 @@
     fn arrive(&mut self, node: usize, is_long: bool, document: u64, now_ms: u64) {
         let prompt = if is_long { long_prompt(document, now_ms) } else { short_prompt(now_ms) };
         let scheduler = &mut self.nodes[node];
-        scheduler.count_prompt(&prompt, now_ms);
+        let request = request(Some(prompt), now_ms);
+        count_prompt(scheduler, &request, now_ms);
         let job = Job { is_long };
-        let decisions =
-            self.queues[node].enqueue(scheduler, request(Some(prompt), now_ms), job, now_ms);
+        let decisions = self.queues[node].enqueue(scheduler, request, job, now_ms);
         self.apply_decisions(node, decisions, now_ms);
     }
 
