Log the learned model, queued tokens and abandoned requests

Change: event=engine_model every five seconds for each service, the same numbers as metric redwingrill_engine_model and in the dump; queued_tokens in event=assigned; event=request_abandoned with the age.

--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -27,6 +27,9 @@
 /// The retry-after of a request that is refused because its retry or move is not possible.
 const BUDGET_RETRY_AFTER_MS: u64 = 500;
 
+/// How often the learned model is logged.
+const MODEL_LOG_PERIOD_MS: u64 = 5_000;
+
 /// How often the queue is served while no message arrives.
 const QUEUE_POLL_PERIOD: Duration = Duration::from_millis(20);
 
@@ -40,6 +43,7 @@
     queue: WaitQueue<oneshot::Sender<Choice>>,
     // Identifies this run of the node in digests.
     node_incarnation: u64,
+    model_logged_ms: u64,
 }
 
 impl DispatchTask {
@@ -58,6 +62,7 @@
             metrics,
             queue: WaitQueue::default(),
             node_incarnation: rand::random(),
+            model_logged_ms: now_ms(),
         };
         (Dispatcher::new(sender), task)
     }
@@ -154,6 +159,10 @@
             Message::Digest { responder } => {
                 let _disconnected =
                     responder.send(self.scheduler.digest(self.node_incarnation, now_ms)).is_err();
+                if now_ms.saturating_sub(self.model_logged_ms) >= MODEL_LOG_PERIOD_MS {
+                    self.model_logged_ms = now_ms;
+                    self.report_models();
+                }
             }
             Message::CacheStoreChanged { changes } => {
                 self.scheduler.apply_cache_store_changes(changes, now_ms);
@@ -226,6 +235,27 @@
         }
     }
 
+    /// Logs the learned times of each service and sets their metrics.
+    fn report_models(&self) {
+        for (service, model) in self.scheduler.models() {
+            let (curve, times) = (model.curve(), model.times());
+            info!(
+                "event=engine_model service={service} base_ms={:.1} ms_per_1k_tokens={:.2} \
+                 ms_per_1m_pairs={:.3} samples={:.0} fetch_ms_per_1k_tokens={:.2} \
+                 urgent_target_ms={:.0} short_cost_ms={:.1} long_cost_ms={:.1}",
+                curve.base_ms,
+                curve.ms_per_1k_tokens,
+                curve.ms_per_1m_pairs,
+                model.fit().samples(),
+                times.fetch_ms(1_000),
+                times.urgent_target_ms,
+                model.short_cost_ms(),
+                model.long_cost_ms(),
+            );
+            self.metrics.engine_model(service, curve);
+        }
+    }
+
     fn dump(&self, now_ms: u64) -> serde_json::Value {
         let entries = self.scheduler.fleet().iter().map(|(index, entry)| {
             json!({
@@ -238,10 +268,21 @@
                 "is_open": entry.accepts_requests(now_ms),
                 "is_loading": entry.is_loading,
                 "health": entry.health,
+                "time_factor": entry.speed.time_factor(),
             })
         });
         let verified = self.scheduler.fleet().verify();
-        json!({ "waiting": self.queue.len(), "longest_wait_ms": self.queue.longest_wait_ms(now_ms),
+        let models = self.scheduler.models().map(|(service, model)| {
+            let curve = model.curve();
+            json!({
+                "service": service,
+                "base_ms": curve.base_ms,
+                "ms_per_1k_tokens": curve.ms_per_1k_tokens,
+                "ms_per_1m_pairs": curve.ms_per_1m_pairs,
+                "samples": model.fit().samples(),
+            })
+        });
+        json!({ "models": models.collect::<Vec<_>>(), "waiting": self.queue.len(), "longest_wait_ms": self.queue.longest_wait_ms(now_ms),
             "upstreams": entries.collect::<Vec<_>>(), "fault": verified.err() })
     }
 }
--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -122,7 +122,9 @@
         let id = metadata.id.clone();
         let completion = match self.admit(request, metadata, &view, arrived_ms).await {
             Ok(mut call) => {
+                let mut departure = DepartureLog::new(&call);
                 let completion = self.forward(&mut call).await;
+                departure.disarm();
                 let completion =
                     completion.unwrap_or_else(|refusal| refusal_completion(&refusal, &id));
                 self.log_end(&call, &completion);
@@ -385,6 +387,42 @@
     }
 }
 
+/// Logs a request whose caller left before there was a response: its handler is dropped.
+struct DepartureLog {
+    request_id: String,
+    route: String,
+    arrived_ms: u64,
+    is_armed: bool,
+}
+
+impl DepartureLog {
+    fn new(call: &Call) -> Self {
+        Self {
+            request_id: call.metadata.id.clone(),
+            route: call.route.name.clone(),
+            arrived_ms: call.arrived_ms,
+            is_armed: true,
+        }
+    }
+
+    fn disarm(&mut self) {
+        self.is_armed = false;
+    }
+}
+
+impl Drop for DepartureLog {
+    fn drop(&mut self) {
+        if self.is_armed {
+            info!(
+                "event=request_abandoned request_id={} route={} age_ms={}",
+                self.request_id,
+                self.route,
+                now_ms().saturating_sub(self.arrived_ms),
+            );
+        }
+    }
+}
+
 fn refusal_completion(refusal: &Refusal, id: &str) -> Completion {
     Completion { response: refusal_response(refusal, id), code: refusal.code }
 }
@@ -478,11 +516,12 @@
     let fetch = assignment.fetch_from.map_or_else(|| "-".to_owned(), |from| from.to_string());
     info!(
         "event=assigned request_id={} route={} upstream={} scope={scope} prefix={prefix:x} \
-         unread_tokens={} fetch={fetch} save={} sends={} age_ms={}",
+         unread_tokens={} queued_tokens={} fetch={fetch} save={} sends={} age_ms={}",
         call.metadata.id,
         call.route.name,
         assignment.upstream.id,
         assignment.pending_prefill_tokens,
+        assignment.queued_tokens,
         assignment.save_to.is_some(),
         call.sends,
         call.age_ms(),
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -5,6 +5,7 @@
 
 use log::error;
 use prometheus::Encoder;
+use prometheus::GaugeVec;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
 use prometheus::IntCounterVec;
@@ -13,6 +14,8 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use redwingrill_scheduling::engine_model::PrefillCurve;
+
 /// The upper bounds of the latency buckets in seconds, around the targets of short and long
 /// requests.
 const LATENCY_BUCKETS_S: [f64; 12] =
@@ -35,6 +38,7 @@
     store_calls: IntCounterVec,
     view_revision: IntGauge,
     open_connections: IntGauge,
+    engine_model: GaugeVec,
 }
 
 impl Default for Metrics {
@@ -68,6 +72,11 @@
             store_calls: counter("redwingrill_store_calls", "Calls to the store", &["outcome"]),
             view_revision: gauge("redwingrill_beliefs_revision", "Revision of the beliefs"),
             open_connections: gauge("redwingrill_open_connections", "Connections of callers"),
+            engine_model: GaugeVec::new(
+                Opts::new("redwingrill_engine_model", "Learned times of a service's upstreams"),
+                &["service", "parameter"],
+            )
+            .expect("the name is valid"),
         };
         inner.register();
         Self { inner: Arc::new(inner) }
@@ -111,6 +120,17 @@
         self.inner.open_connections.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Sets the learned times of a service's upstreams.
+    pub fn engine_model(&self, service: &str, curve: &PrefillCurve) {
+        for (parameter, value) in [
+            ("base_ms", curve.base_ms),
+            ("ms_per_1k_tokens", curve.ms_per_1k_tokens),
+            ("ms_per_1m_pairs", curve.ms_per_1m_pairs),
+        ] {
+            self.inner.engine_model.with_label_values(&[service, parameter]).set(value);
+        }
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn to_text(&self) -> Vec<u8> {
         let mut text = Vec::new();
@@ -123,7 +143,7 @@
 
 impl Inner {
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 8] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 9] = [
             Box::new(self.requests.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.first_event.clone()),
@@ -132,6 +152,7 @@
             Box::new(self.store_calls.clone()),
             Box::new(self.view_revision.clone()),
             Box::new(self.open_connections.clone()),
+            Box::new(self.engine_model.clone()),
         ];
         for collector in collectors {
             self.registry.register(collector).expect("each name is registered once");
--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -263,6 +263,11 @@
         self.models.get(service)
     }
 
+    /// Returns the models of all services.
+    pub fn models(&self) -> impl Iterator<Item = (&str, &ServiceModel)> {
+        self.models.iter().map(|(service, model)| (service.as_str(), model))
+    }
+
     /// Replaces the model of a service's upstreams.
     pub fn set_model(&mut self, service: &str, model: ServiceModel) {
         self.models.insert(service.to_owned(), model);
