Use older weights until a request would no longer start in time

Change: the margin is a second for versions that others received earlier, and twice the time that the learned model expects the request to take at an engine. The assumed age of a version that is found at the start is a part of the allowed time, too.

--- a/crates/scheduling/src/scheduler/choose.rs
+++ b/crates/scheduling/src/scheduler/choose.rs
@@ -40,9 +40,13 @@
 const NOISE_MS_PER_NODE: f64 = 0.9;
 const NOISE_LIMIT_MS: f64 = 80.0;
 
-/// Older weights are not used during this time before they expire, because a request may wait that
-/// long at an engine before it starts.
-const OLD_WEIGHTS_MARGIN_MS: u64 = 5_000;
+/// Older weights are not used during this time before they expire, because another node or the
+/// upstream may have received the newer version earlier; the time that a request waits at an engine
+/// before it starts is added.
+const OLD_WEIGHTS_MARGIN_MS: u64 = 1_000;
+
+/// The multiple of the expected serving time that a request may wait at an engine before it starts.
+const START_DELAY_FACTOR: u64 = 2;
 
 /// The retry delay for callers while no upstream is available.
 const NO_UPSTREAM_RETRY_AFTER_MS: u64 = 700;
@@ -93,6 +97,8 @@
     // Whether the request can no longer meet its target.
     is_late: bool,
     sample_bound: Option<SampleBound>,
+    // How long before the expiry of older weights the request must not be sent there.
+    old_weights_margin_ms: u64,
     // This node's share of the capacity, if the digests of the other nodes are old.
     node_share: Option<NodeShare>,
 }
@@ -155,6 +161,7 @@
                 prefers_newest: false,
                 is_late,
                 sample_bound: None,
+                old_weights_margin_ms: 0,
                 node_share: None,
             };
         };
@@ -164,6 +171,8 @@
             short_ms: model.short_cost_ms(),
             cold_long_ms: model.cold_long_cost_ms(),
         };
+        let serving_ms = serving_ms(request, &times.curve);
+        let old_weights_margin_ms = OLD_WEIGHTS_MARGIN_MS + START_DELAY_FACTOR * serving_ms;
         let rates = self.arrival_rates(now_ms);
         let engines = self.fleet.of_service(&request.service);
         let engines = engines.filter_map(|(index, entry)| {
@@ -203,6 +212,7 @@
             prefers_newest,
             is_late,
             sample_bound,
+            old_weights_margin_ms,
             node_share,
         }
     }
@@ -279,7 +289,9 @@
     ) -> bool {
         let mut any_eligible = false;
         for (index, entry) in self.fleet.of_service(&request.service) {
-            if request.tried.contains(&index) || !self.is_eligible(entry, request, strict, now_ms) {
+            if request.tried.contains(&index)
+                || !self.is_eligible(entry, request, context, strict, now_ms)
+            {
                 continue;
             }
             any_eligible = true;
@@ -338,6 +350,7 @@
         &self,
         entry: &FleetEntry,
         request: &ScheduleRequest,
+        context: &RequestContext,
         strict: bool,
         now_ms: u64,
     ) -> bool {
@@ -347,7 +360,7 @@
             return false;
         }
         if let Some(prompt) = &request.prompt
-            && !self.has_accepted_version(entry, prompt, now_ms)
+            && !self.has_accepted_version(entry, prompt, context, now_ms)
         {
             return false;
         }
@@ -361,12 +374,13 @@
         &self,
         entry: &FleetEntry,
         prompt: &DeclaredPrompt,
+        context: &RequestContext,
         now_ms: u64,
     ) -> bool {
         let Some(version) = entry.version_of(&prompt.model) else { return false };
         let history = self.target_versions.get(&prompt.model);
         let superseded_ms = history.and_then(|history| history.superseded_ms(version));
-        let limit_ms = self.options.version_limit_ms.saturating_sub(OLD_WEIGHTS_MARGIN_MS);
+        let limit_ms = self.options.version_limit_ms.saturating_sub(context.old_weights_margin_ms);
         superseded_ms.is_none_or(|at_ms| now_ms.saturating_sub(at_ms) < limit_ms)
     }
 
@@ -485,6 +499,13 @@
     }
 }
 
+/// Returns the expected time from sending a request to its first event, with the prefill that an
+/// engine may have in front of it.
+pub(super) fn serving_ms(request: &ScheduleRequest, curve: &PrefillCurve) -> u64 {
+    let first_event_ms = curve.first_event_ms(request.cold_work());
+    (first_event_ms + pending_limit_ms(request, curve) / 2.0) as u64
+}
+
 /// Returns the pending prefill below which an engine gets a request, in milliseconds.
 pub(super) fn pending_limit_ms(request: &ScheduleRequest, curve: &PrefillCurve) -> f64 {
     match request.target_ms {
--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -58,8 +58,9 @@
     pub seed: u64,
 }
 
-/// The assumed age of target versions that are found at the start of a node.
-const ASSUMED_TARGET_AGE_MS: u64 = 8_000;
+/// The assumed age of target versions that are found at the start of a node, in percent of the time
+/// for which older weights may be used.
+const ASSUMED_TARGET_AGE_PERCENT: u64 = 60;
 
 /// How long after its start a node treats target versions as published before the start.
 const STARTUP_MS: u64 = 2_000;
@@ -313,7 +314,8 @@
         let is_new_model = !self.target_versions.contains_key(model);
         // A version that is found at the start may have been published some time before.
         let is_first = is_new_model && now_ms.saturating_sub(self.started_ms) < STARTUP_MS;
-        let at_ms = if is_first { now_ms.saturating_sub(ASSUMED_TARGET_AGE_MS) } else { now_ms };
+        let assumed_age_ms = self.options.version_limit_ms * ASSUMED_TARGET_AGE_PERCENT / 100;
+        let at_ms = if is_first { now_ms.saturating_sub(assumed_age_ms) } else { now_ms };
         self.target_versions.entry(model.to_owned()).or_default().add(version, at_ms);
     }
 
--- a/crates/scheduling/src/scheduler/wait_queue.rs
+++ b/crates/scheduling/src/scheduler/wait_queue.rs
@@ -13,7 +13,7 @@
 use super::RefusalCause;
 use super::ScheduleRequest;
 use super::Scheduler;
-use super::choose::pending_limit_ms;
+use super::choose::serving_ms;
 
 /// The percentage of its total time that a request may wait.
 const WAIT_PERCENT: u64 = 30;
@@ -102,7 +102,8 @@
             return vec![(responder, scheduler.refuse_overloaded(&request, now_ms))];
         }
         let is_first = queued_before == 0;
-        let serving_ms = scheduler.serving_ms(&request);
+        let curve = *scheduler.model_mut(&request.service).curve();
+        let serving_ms = serving_ms(&request, &curve);
         self.waiting.push(QueuedRequest {
             request,
             class,
@@ -188,14 +189,6 @@
 }
 
 impl Scheduler {
-    /// Returns the expected time from sending a request to its first event, with the prefill that
-    /// an engine may have in front of it.
-    fn serving_ms(&mut self, request: &ScheduleRequest) -> u64 {
-        let curve = *self.model_mut(&request.service).curve();
-        let first_event_ms = curve.first_event_ms(request.cold_work());
-        (first_event_ms + pending_limit_ms(request, &curve) / 2.0) as u64
-    }
-
     /// Refuses a request because of overload. The retry delay is randomized, so that requests
     /// refused together do not return together.
     fn refuse_overloaded(&mut self, request: &ScheduleRequest, now_ms: u64) -> Choice {
--- a/crates/scheduling/tests/weights_rollout.rs
+++ b/crates/scheduling/tests/weights_rollout.rs
@@ -57,6 +57,12 @@
             at_ms: 24_900,
             is_sent: false,
         },
+        TargetCase {
+            name: "most of the allowed time has passed, and a request would start in time",
+            targets: &[(2, 5_000)],
+            at_ms: 23_000,
+            is_sent: true,
+        },
         TargetCase {
             name: "another newer target does not restart the time",
             targets: &[(2, 5_000), (3, 15_000), (4, 24_000)],
