--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -80,11 +80,19 @@
             arrived_ms: self.arrived_ms,
             deadline_ms: self.deadline_ms,
             target_ms: self.route.target_latency.as_millis() as u64,
+            leaves_ms: self.leaves_ms(),
             pause_target_ms: self.route.pause_target.map(|pause| pause.as_millis() as u64),
             tried: self.tried.clone(),
         }
     }
 
+    /// Returns when the caller leaves unless there is a first event.
+    fn leaves_ms(&self) -> u64 {
+        let patience = self.route.first_event_patience;
+        let leaves_ms = patience.map(|wait| self.arrived_ms + wait.as_millis() as u64);
+        leaves_ms.unwrap_or(self.deadline_ms).min(self.deadline_ms)
+    }
+
     /// Returns the metadata of one attempt, for the head of the upstream request.
     pub fn attempt_metadata(
         &self,
--- a/crates/routing/src/routes.rs
+++ b/crates/routing/src/routes.rs
@@ -55,6 +55,8 @@
     pub target_latency: Duration,
     /// The longest pause between the events of a stream for which the response is on time.
     pub pause_target: Option<Duration>,
+    /// How long callers of a stream wait for its first event before they leave, if that is known.
+    pub first_event_patience: Option<Duration>,
     /// The maximum number of upstreams that may run one request.
     pub attempts_limit: u32,
     /// The priority; zero is the most urgent.
--- a/crates/scheduling/src/scheduler/request.rs
+++ b/crates/scheduling/src/scheduler/request.rs
@@ -28,6 +28,8 @@
     pub deadline_ms: u64,
     /// The latency target in milliseconds; zero if none is stated.
     pub target_ms: u64,
+    /// When the caller leaves unless there is a first event, in milliseconds on the node's clock.
+    pub leaves_ms: u64,
     /// The longest pause between events that the route allows, in milliseconds.
     pub pause_target_ms: Option<u64>,
     /// Upstreams to which the request was already sent.
--- a/crates/scheduling/src/scheduler/wait_queue.rs
+++ b/crates/scheduling/src/scheduler/wait_queue.rs
@@ -18,6 +18,10 @@
 /// The percentage of its total time that a request may wait.
 const WAIT_PERCENT: u64 = 30;
 
+/// The percentage of the time that a caller waits for the first event, without the time to serve
+/// it, that a request may wait. A caller that is refused can return; one that leaves cannot.
+const PATIENCE_WAIT_PERCENT: u64 = 50;
+
 /// The maximum number of queued requests of a class at a node.
 const QUEUE_LIMIT: usize = 96;
 
@@ -51,8 +55,11 @@
     }
 
     fn wait_ends_ms(&self) -> u64 {
-        let span_ms = self.request.deadline_ms.saturating_sub(self.request.arrived_ms);
-        self.request.arrived_ms + span_ms * WAIT_PERCENT / 100
+        let arrived_ms = self.request.arrived_ms;
+        let span_ms = self.request.deadline_ms.saturating_sub(arrived_ms);
+        let patience_ms =
+            self.request.leaves_ms.saturating_sub(arrived_ms).saturating_sub(self.serving_ms);
+        arrived_ms + (span_ms * WAIT_PERCENT / 100).min(patience_ms * PATIENCE_WAIT_PERCENT / 100)
     }
 }
 
--- a/crates/scheduling/tests/engine_sheets.rs
+++ b/crates/scheduling/tests/engine_sheets.rs
@@ -261,6 +261,7 @@
         let request = ScheduleRequest {
             urgency: u8::from(is_long),
             deadline_ms: now_ms + target_ms * 10,
+            leaves_ms: now_ms + (target_ms * 4).max(2_000),
             target_ms,
             ..support::request(Some(prompt(&parts)), now_ms)
         };
--- a/crates/scheduling/tests/load_simulation.rs
+++ b/crates/scheduling/tests/load_simulation.rs
@@ -342,3 +342,27 @@
         assert!(max_ms > min_ms + max_ms / 3, "{}: not spread", case.name);
     }
 }
+
+#[test]
+fn request_is_refused_before_its_caller_leaves() {
+    // All slots of the only engine are taken, and the caller of a stream leaves after two seconds.
+    let mut scheduler = scheduler(3);
+    scheduler.set_upstreams(engines(1, 1), 0);
+    let mut waiting = WaitQueue::default();
+    let mut arrive = |own: u64, now_ms: u64| {
+        let mut request = request(Some(short_prompt(own)), now_ms);
+        request.deadline_ms = now_ms + 15_000;
+        request.leaves_ms = now_ms + 2_000;
+        waiting.enqueue(&mut scheduler, request, own, now_ms)
+    };
+    let sent = (0..200).flat_map(|own| arrive(own, 0));
+    assert!(sent.filter(|(_, choice)| matches!(choice, Choice::Send(_))).count() > 0);
+    let refused = waiting.dispatch(&mut scheduler, 1_600, |_| false);
+    let refusals = refused.iter().filter_map(|(_, choice)| match choice {
+        Choice::Refuse { retry_after_ms, .. } => Some(*retry_after_ms),
+        _ => None,
+    });
+    let delays_ms: Vec<u64> = refusals.collect();
+    assert!(delays_ms.len() > 10, "{} refused while their callers still wait", delays_ms.len());
+    assert!(delays_ms.iter().all(|delay_ms| *delay_ms <= (15_000 - 1_600) / 3));
+}
--- a/crates/scheduling/tests/support/mod.rs
+++ b/crates/scheduling/tests/support/mod.rs
@@ -87,6 +87,7 @@
         arrived_ms,
         deadline_ms: arrived_ms + if is_long { 12_000 } else { 5_000 },
         target_ms: if is_long { 1_500 } else { 500 },
+        leaves_ms: arrived_ms + if is_long { 12_000 } else { 5_000 },
         pause_target_ms: None,
         tried: Vec::new(),
     }
