Load each engine before its older weights expire

Four dark engines, idle in the counts, were commanded first and held up each round by 0.7 s. At 13.3 s the older weights expired with 5 of 14 engines loaded: 4 to 8 engines carried the peak until 20 s, a third of the need.

Change: the plan knows how long each engine's weights may still be used and the average time from a command to the new weights; it takes as many engines out of service as are needed to load each in time, at most half. An engine that still finishes its requests does not count as loading. Engines that do not respond go last.

--- a/crates/gateway/src/dispatch/dispatcher.rs
+++ b/crates/gateway/src/dispatch/dispatcher.rs
@@ -1,5 +1,6 @@
 //! The handle through which requests reach the dispatch task.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -33,6 +34,16 @@
     Move,
 }
 
+/// What the roll-out needs to know of an upstream.
+#[derive(Clone, PartialEq, Eq, Debug, Default)]
+pub struct UpstreamLoad {
+    /// The known requests there.
+    pub requests: u32,
+    /// How long its weights may still be used, by model, if a newer version supersedes them, in
+    /// milliseconds.
+    pub usable_ms: HashMap<String, u64>,
+}
+
 /// A message to the dispatch task.
 #[derive(Debug)]
 pub(super) enum Message {
@@ -71,7 +82,7 @@
     /// Requests a dump of the state.
     Dump { responder: oneshot::Sender<serde_json::Value> },
     /// Requests the load of each upstream.
-    Loads { responder: oneshot::Sender<Vec<(String, u32)>> },
+    Loads { responder: oneshot::Sender<HashMap<String, UpstreamLoad>> },
 }
 
 impl Message {
@@ -161,7 +172,7 @@
     }
 
     /// Returns the load of each upstream by its identity.
-    pub async fn loads(&self) -> Vec<(String, u32)> {
+    pub async fn loads(&self) -> HashMap<String, UpstreamLoad> {
         let (responder, response) = oneshot::channel();
         self.send(Message::Loads { responder });
         response.await.unwrap_or_default()
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -11,4 +11,5 @@
 pub use attempt::Attempt;
 pub use dispatcher::Dispatcher;
 pub use dispatcher::Purpose;
+pub use dispatcher::UpstreamLoad;
 pub use task::DispatchTask;
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -1,5 +1,6 @@
 //! The task that owns the scheduler.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,6 +13,7 @@
 
 use super::Dispatcher;
 use super::Purpose;
+use super::UpstreamLoad;
 use super::dispatcher::Message;
 use crate::clock::now_ms;
 use crate::cluster_view::ClusterView;
@@ -177,10 +179,7 @@
                 let _disconnected = responder.send(self.dump(now_ms)).is_err();
             }
             Message::Loads { responder } => {
-                let entries = self.scheduler.fleet().iter();
-                let loads =
-                    entries.map(|(_, entry)| (entry.upstream.id.clone(), entry.load(now_ms)));
-                let _disconnected = responder.send(loads.collect()).is_err();
+                let _disconnected = responder.send(self.loads(now_ms)).is_err();
             }
         }
     }
@@ -235,6 +234,19 @@
         }
     }
 
+    fn loads(&self, now_ms: u64) -> HashMap<String, UpstreamLoad> {
+        let entries = self.scheduler.fleet().iter();
+        let loads = entries.map(|(_, entry)| {
+            let models = entry.upstream.models.iter().filter_map(|(model, _)| {
+                let version = entry.version_of(model)?;
+                Some((model.clone(), self.scheduler.usable_ms(model, version, now_ms)?))
+            });
+            let requests = entry.load(now_ms);
+            (entry.upstream.id.clone(), UpstreamLoad { requests, usable_ms: models.collect() })
+        });
+        loads.collect()
+    }
+
     /// Logs the learned times of each service and sets their metrics.
     fn report_models(&self) {
         for (service, model) in self.scheduler.models() {
--- a/crates/gateway/src/rollout/task.rs
+++ b/crates/gateway/src/rollout/task.rs
@@ -201,12 +201,16 @@
     }
 
     async fn load(&mut self, view: &ClusterView, model: &str, target: WeightsVersion) {
-        let loads: HashMap<String, u32> = self.dispatcher.loads().await.into_iter().collect();
+        let loads = self.dispatcher.loads().await;
         let upstreams = engines_of(view, model);
-        let engines = upstreams.iter().map(|(upstream, loaded)| EngineWeights {
-            upstream_id: upstream.id.clone(),
-            loaded_version: *loaded,
-            load: loads.get(&upstream.id).copied().unwrap_or(0),
+        let engines = upstreams.iter().map(|(upstream, loaded)| {
+            let known = loads.get(&upstream.id);
+            EngineWeights {
+                upstream_id: upstream.id.clone(),
+                loaded_version: *loaded,
+                load: known.map_or(0, |known| known.requests),
+                usable_ms: known.and_then(|known| known.usable_ms.get(model).copied()),
+            }
         });
         let engines: Vec<EngineWeights> = engines.collect();
         let plan = self.plans.entry(model.to_owned()).or_default();
--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -264,6 +264,13 @@
         self.models.get(service)
     }
 
+    /// Returns how long the weights of an engine may still be used, in milliseconds; `None` if no
+    /// newer version supersedes them.
+    pub fn usable_ms(&self, model: &str, version: WeightsVersion, now_ms: u64) -> Option<u64> {
+        let superseded_ms = self.target_versions.get(model)?.superseded_ms(version)?;
+        Some((superseded_ms + self.options.version_limit_ms).saturating_sub(now_ms))
+    }
+
     /// Returns the models of all services.
     pub fn models(&self) -> impl Iterator<Item = (&str, &ServiceModel)> {
         self.models.iter().map(|(service, model)| (service.as_str(), model))
--- a/crates/scheduling/tests/weights_rollout.rs
+++ b/crates/scheduling/tests/weights_rollout.rs
@@ -87,6 +87,7 @@
         upstream_id: id.to_owned(),
         loaded_version: WeightsVersion(loaded_version),
         load,
+        usable_ms: None,
     }
 }
 
@@ -126,6 +127,83 @@
     }
 }
 
+#[test]
+fn engine_that_finishes_its_requests_does_not_hold_up_the_loads_of_others() {
+    let engines = |load: u32, usable_ms: u64| -> Vec<EngineWeights> {
+        let listed = (0..18).map(|n| EngineWeights {
+            usable_ms: Some(usable_ms),
+            ..engine_weights(&format!("e{n:02}"), 1, load)
+        });
+        listed.collect()
+    };
+    let mut plan = LoadPlan::default();
+    let (first, _) = plan.next(&engines(5, 20_000), WeightsVersion(2), 0);
+    assert_eq!(first.len(), 3);
+    for id in &first {
+        plan.record_result(id, WeightsVersion(2), CommandResult::InProgress, 0);
+    }
+    // The commanded engines finish their streams, and the weights of the others expire soon.
+    let (second, _) = plan.next(&engines(5, 9_000), WeightsVersion(2), 200);
+    assert_eq!(second.len(), 3, "{second:?}");
+    // With enough time, or once the first ones load, the others wait.
+    let (none, _) = plan.next(&engines(5, 20_000), WeightsVersion(2), 200);
+    assert!(none.is_empty(), "{none:?}");
+    let (none, _) = plan.next(&engines(0, 9_000), WeightsVersion(2), 200);
+    assert!(none.is_empty(), "{none:?}");
+}
+
+#[test]
+fn engines_are_loaded_before_their_older_weights_expire() {
+    // 14 engines that finish streams before they load, 3 s in all, and 10 s until the weights
+    // expire.
+    const LOAD_MS: u64 = 3_000;
+    const USABLE_MS: u64 = 10_000;
+    let mut plan = LoadPlan::default();
+    let mut commanded_ms: Vec<Option<u64>> = vec![None; 14];
+    for now_ms in (0..USABLE_MS).step_by(150) {
+        let engines: Vec<EngineWeights> = (0..commanded_ms.len())
+            .map(|n| {
+                let since_ms = commanded_ms[n].map(|at_ms| now_ms - at_ms);
+                let loaded_version = if since_ms.is_some_and(|ms| ms >= LOAD_MS) { 2 } else { 1 };
+                let load = if since_ms.is_some_and(|ms| ms >= LOAD_MS / 2) { 0 } else { 4 };
+                EngineWeights {
+                    usable_ms: Some(USABLE_MS - now_ms),
+                    ..engine_weights(&format!("e{n:02}"), loaded_version, load)
+                }
+            })
+            .collect();
+        let (next, in_progress) = plan.next(&engines, WeightsVersion(2), now_ms);
+        assert!(next.len() + in_progress.len() <= 7, "half of the engines stay in service");
+        for id in next {
+            let n: usize = id[1..].parse().expect("identity ends with a number");
+            commanded_ms[n] = Some(now_ms);
+            plan.record_result(&id, WeightsVersion(2), CommandResult::InProgress, now_ms);
+        }
+    }
+    let loaded = commanded_ms.iter().flatten().filter(|at_ms| **at_ms + LOAD_MS <= USABLE_MS);
+    assert!(loaded.count() >= 12, "loaded in time: {commanded_ms:?}");
+}
+
+#[test]
+fn engine_that_does_not_respond_leaves_its_place_to_others() {
+    let engines: Vec<EngineWeights> =
+        (0..10).map(|n| engine_weights(&format!("e{n}"), 1, if n < 4 { 0 } else { 3 })).collect();
+    let mut plan = LoadPlan::default();
+    let mut reached = 0;
+    for round in 0..4 {
+        let (next, _) = plan.next(&engines, WeightsVersion(2), round * 1_000);
+        for id in &next {
+            // The first four are dark; their lost requests make them look idle.
+            let is_dark = id.as_str() < "e4";
+            reached += usize::from(!is_dark);
+            let result =
+                if is_dark { CommandResult::RetryLater } else { CommandResult::InProgress };
+            plan.record_result(id, WeightsVersion(2), result, round * 1_000);
+        }
+    }
+    assert!(reached >= 2, "{reached} engines commanded in four rounds");
+}
+
 #[test]
 fn lost_command_is_sent_again() {
     let engines = [engine_weights("a", 1, 0)];
