Follow a peer whose revision of the store is ahead

Change: each datagram between nodes carries the revision that its sender has applied. A node that stays behind one for 250 ms fetches the changes from that sender, beside the call to its own source.

Test: node_whose_store_falls_silent_follows_a_peer_that_is_ahead fails on the code before (not in time, 2 s) and passes in under one.

--- a/crates/gateway/src/node/lifecycle.rs
+++ b/crates/gateway/src/node/lifecycle.rs
@@ -137,7 +137,7 @@
         );
         services.spawn(store_sync.run(stopping.clone()));
         if let Some(socket) = peer_socket {
-            services.spawn(PeerServer::new(socket, reader).run(stopping.clone()));
+            services.spawn(PeerServer::new(socket, reader.clone()).run(stopping.clone()));
         }
         let (dispatcher, dispatch_task) =
             DispatchTask::new(scheduler_options(&options), view.clone(), metrics.clone());
@@ -145,7 +145,7 @@
         if let (Some(address), Some(gossip)) = (options.peer_address, options.gossip_address) {
             let socket = UdpSocket::bind(gossip).await.context(BindSnafu { address: gossip })?;
             let (name, dispatcher) = (options.name.clone(), dispatcher.clone());
-            let task = Gossip::new(name, socket, view.clone(), dispatcher);
+            let task = Gossip::new(name, socket, view.clone(), dispatcher, reader);
             services.spawn(task.run(stopping.clone()));
             let key = ports.item_codec.own_key(&format!("{MEMBER_PREFIX}{}", options.name));
             let member = Member {
--- a/crates/gateway/src/peers/gossip.rs
+++ b/crates/gateway/src/peers/gossip.rs
@@ -1,4 +1,5 @@
-//! Exchanges load digests with the other nodes in datagrams.
+//! Exchanges load digests with the other nodes in datagrams, with the revision of the store that
+//! the sender has applied.
 //!
 //! The next datagram makes up for a lost one; nothing waits for a datagram.
 
@@ -8,6 +9,8 @@
 
 use log::debug;
 use log::warn;
+use serde::Deserialize;
+use serde::Serialize;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -15,6 +18,9 @@
 
 use crate::cluster_view::ClusterView;
 use crate::dispatch::Dispatcher;
+use crate::store_sync::StoreReader;
+use redwingrill_routing::Revision;
+use redwingrill_scheduling::fleet::LoadDigest;
 
 /// The period between datagrams to one node in a small fleet.
 const SEND_PERIOD: Duration = Duration::from_millis(100);
@@ -25,6 +31,14 @@
 /// The size limit of a received datagram.
 const DATAGRAM_LIMIT_BYTES: usize = 8 << 10;
 
+/// A datagram.
+#[derive(Debug, Serialize, Deserialize)]
+struct Datagram {
+    /// The revision of the store that the sender has applied.
+    revision: u64,
+    digest: LoadDigest,
+}
+
 /// The gossip task.
 #[derive(Debug)]
 pub struct Gossip {
@@ -32,6 +46,7 @@
     socket: UdpSocket,
     view: watch::Receiver<Arc<ClusterView>>,
     dispatcher: Dispatcher,
+    reader: StoreReader,
     // The first recipient of the next period. It starts at random: if all nodes sent to the same
     // recipients at the same time, these would see free capacity together and fill it together.
     next_index: usize,
@@ -44,9 +59,10 @@
         socket: UdpSocket,
         view: watch::Receiver<Arc<ClusterView>>,
         dispatcher: Dispatcher,
+        reader: StoreReader,
     ) -> Self {
         let next_index = usize::from(rand::random::<u16>());
-        Self { node, socket, view, dispatcher, next_index }
+        Self { node, socket, view, dispatcher, reader, next_index }
     }
 
     /// Runs until `stopping` is cancelled.
@@ -70,7 +86,16 @@
 
     fn receive(&self, datagram: &[u8], from: SocketAddr) {
         match postcard::from_bytes(datagram) {
-            Ok(digest) => self.dispatcher.observe_peer(digest),
+            Ok(Datagram { revision, digest }) => {
+                self.dispatcher.observe_peer(digest);
+                let sender = {
+                    let view = self.view.borrow();
+                    view.members.iter().find(|m| m.gossip == from).map(|m| m.address)
+                };
+                if let Some(peer) = sender {
+                    self.reader.observe_peer_revision(peer, Revision(revision));
+                }
+            }
             Err(e) => warn!("event=gossip_decode_failed from={from} reason={:?}", e.to_string()),
         }
     }
@@ -85,7 +110,8 @@
             return;
         }
         let Some(digest) = self.dispatcher.digest().await else { return };
-        let datagram = match postcard::to_allocvec(&digest) {
+        let revision = self.view.borrow().complete_to.0;
+        let datagram = match postcard::to_allocvec(&Datagram { revision, digest }) {
             Ok(datagram) => datagram,
             Err(e) => {
                 warn!("event=gossip_encode_failed reason={:?}", e.to_string());
--- a/crates/gateway/src/store_sync/task.rs
+++ b/crates/gateway/src/store_sync/task.rs
@@ -45,6 +45,13 @@
 /// The delay before each request to a peer while the store is unavailable.
 const PEER_POLL_DELAY: Duration = Duration::from_millis(300);
 
+/// How long a peer's revision may be ahead before its changes are fetched from that peer: longer
+/// than a change takes through the watchers.
+const PEER_LEAD_DELAY: Duration = Duration::from_millis(250);
+
+/// The number of revisions of peers that wait to be compared.
+const PEER_REVISIONS_QUEUE_LEN: usize = 64;
+
 /// How long upstreams that the store no longer lists are retained after it is available again: live
 /// ones register again within about two seconds.
 const UNLISTED_RETENTION_MS: u64 = 2_100;
@@ -66,6 +73,14 @@
 #[derive(Clone, Debug)]
 pub struct StoreReader {
     requests: mpsc::Sender<UpdateRequest>,
+    peer_revisions: mpsc::Sender<PeerRevision>,
+}
+
+/// The revision that a peer has applied.
+#[derive(Clone, Copy, Debug)]
+struct PeerRevision {
+    peer: SocketAddr,
+    revision: Revision,
 }
 
 #[derive(Debug)]
@@ -77,6 +92,13 @@
 }
 
 impl StoreReader {
+    /// Reports the revision that a peer has applied. If it stays ahead of this node's, the source of
+    /// this node's updates is silent, and the changes are fetched from the peer.
+    pub fn observe_peer_revision(&self, peer: SocketAddr, revision: Revision) {
+        // The next datagram makes up for a report that finds the queue full.
+        let _dropped = self.peer_revisions.try_send(PeerRevision { peer, revision }).is_err();
+    }
+
     /// Returns the changes after a revision, and waits up to `wait` for one; `None` once the task
     /// has ended.
     pub async fn update_after(
@@ -107,6 +129,9 @@
     // The request to a peer in flight. It is kept across calls to the store, which may fail faster
     // than the peer responds.
     peer_request: Option<PeerRequest>,
+    peer_revisions: mpsc::Receiver<PeerRevision>,
+    // The last peer that was ahead of this node.
+    peer_ahead: Option<PeerRevision>,
     returning_until_ms: u64,
     metrics: Metrics,
     contact: StoreContact,
@@ -131,6 +156,7 @@
         metrics: Metrics,
     ) -> (Self, StoreReader, watch::Receiver<Arc<ClusterView>>) {
         let (sender, requests) = mpsc::channel(64);
+        let (revisions_sender, peer_revisions) = mpsc::channel(PEER_REVISIONS_QUEUE_LEN);
         let (view, view_receiver) = watch::channel(Arc::default());
         let task = Self {
             store,
@@ -146,11 +172,14 @@
             options,
             watcher_client: None,
             peer_request: None,
+            peer_revisions,
+            peer_ahead: None,
             returning_until_ms: 0,
             metrics,
             contact: StoreContact::Never,
         };
-        (task, StoreReader { requests: sender }, view_receiver)
+        let reader = StoreReader { requests: sender, peer_revisions: revisions_sender };
+        (task, reader, view_receiver)
     }
 
     /// Runs until `stopping` is cancelled.
@@ -258,6 +287,11 @@
                 }
                 () = stopping.cancelled() => return None,
                 Some(request) = self.requests.recv() => self.handle_request(request),
+                Some(reported) = self.peer_revisions.recv() => {
+                    if reported.revision > self.mirror.complete_to() {
+                        self.peer_ahead = Some(reported);
+                    }
+                }
                 () = sleep_until(deadline.unwrap_or_else(Instant::now)), if deadline.is_some() => {
                     self.respond_due();
                 }
@@ -322,14 +356,19 @@
         self.builder.store_returned(until_ms);
     }
 
-    /// Returns the request to a peer in flight, or a new one, while the store is unavailable.
+    /// Returns the request to a peer in flight, or a new one, while the store is unavailable or a
+    /// peer is ahead of this node.
     fn next_peer_request(&mut self) -> Option<PeerRequest> {
         let peer_request = self.peer_request.take();
-        let peer = self.choose_peer()?;
         let after = self.mirror.complete_to();
+        self.peer_ahead = self.peer_ahead.filter(|ahead| ahead.revision > after);
+        let (peer, delay) = match self.peer_ahead {
+            Some(ahead) => (ahead.peer, PEER_LEAD_DELAY),
+            None => (self.choose_peer()?, PEER_POLL_DELAY),
+        };
         Some(peer_request.unwrap_or_else(|| {
             Box::pin(async move {
-                sleep(PEER_POLL_DELAY).await;
+                sleep(delay).await;
                 fetch_peer_update(peer, after).await
             })
         }))
--- a/crates/lab/src/soak/link.rs
+++ b/crates/lab/src/soak/link.rs
@@ -37,7 +37,8 @@
 
 /// The proxy. Dropping it ends its connections.
 #[derive(Debug)]
-pub(super) struct Link {
+pub struct Link {
+    /// The address of the proxy.
     pub address: SocketAddr,
     state: Arc<watch::Sender<LinkState>>,
     _tasks: JoinSet<()>,
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -19,6 +19,7 @@
 pub use callers::target;
 pub use check::Finding;
 pub use check::check;
+pub use link::Link;
 pub use link::LinkState;
 pub use plan::Fault;
 pub use plan::Plan;
--- a/crates/lab/tests/on_platform/news.rs
+++ b/crates/lab/tests/on_platform/news.rs
@@ -15,6 +15,8 @@
 use redwingrill_lab::metadata_store::MetadataStore;
 use redwingrill_lab::metadata_store::StoreFault;
 use redwingrill_lab::metadata_store::StoreState;
+use redwingrill_lab::soak::Link;
+use redwingrill_lab::soak::LinkState;
 
 fn added_route() -> serde_json::Value {
     json!({"name": "added", "host": HOST, "prefix": "/added/", "kind": "safe",
@@ -164,3 +166,29 @@
     site.stop(vec![first, second]).await;
     busy.stop().await;
 }
+
+/// A store that falls silent to a node looks to it like one without changes until its call times
+/// out. The revisions of its peers show the change before.
+#[tokio::test]
+async fn node_whose_store_falls_silent_follows_a_peer_that_is_ahead() {
+    for phase_ms in [0, 700, 1_400] {
+        let site = Site::start(0, 1).await;
+        let first = site.node("n1").await;
+        let link = Link::start(site.store.address()).await.expect("a port is free");
+        let second = site.start_node("n2", link.address, vec![first.peers]).await;
+        site.wait("the second node is ready", async || site.is_ready(&second).await).await;
+        // Both know each other after some datagrams.
+        tokio::time::sleep(Duration::from_millis(1_000 + phase_ms)).await;
+        link.set(LinkState::Silent);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        site.store.state.put("op/config", configuration(2, &["another"], &[]));
+        let changed = Instant::now();
+        site.wait("the change there, too", async || {
+            site.ask(&second, &Call::new("order", "r1")).await.status == StatusCode::UNAUTHORIZED
+        })
+        .await;
+        let took = changed.elapsed();
+        assert!(took < IN_FORCE / 2, "phase {phase_ms}: {took:?}");
+        site.stop(vec![first, second]).await;
+    }
+}
