Leave a silent stream only if another engine takes it over

Change: at the stall timeout the node asks for an engine with room now. Without one the stream goes on at its engine, and is tried again after twice the time; its deadline still ends it. Bytes that complete no event do not end a pause.

Test: slow_but_sound_stream_is_not_cut fails on the code before (body cut after 1.2 s) and passes now.

Not tried: waiting for a place beside the silent stream in place of asking for one now.

--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -5,6 +5,7 @@
 //! - The caller's stream ends normally only if an upstream's stream ended normally.
 //! - A stream continues at another upstream only if it may be resumed, after the last event that
 //!   was forwarded.
+//! - A silent upstream is left only if another one takes over; else its stream goes on.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,6 +21,7 @@
 use log::info;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
+use tokio::time::sleep;
 use tokio_util::task::TaskTracker;
 
 use super::GatewayContext;
@@ -44,13 +46,15 @@
 pub(super) struct Relay {
     context: Arc<GatewayContext>,
     head: Parts,
-    body: ResponseBody,
+    // `None` while the stream moves from one upstream to another.
+    body: Option<ResponseBody>,
     attempt: Option<Attempt>,
     splitter: EventSplitter,
     first_events: Bytes,
     is_ended: bool,
     // A resumable stream without an event for this long is resumed at another upstream.
     stall_timeout: Duration,
+    last_event: Instant,
     longest_pause: Duration,
 }
 
@@ -59,6 +63,8 @@
     Complete,
     CallerDisconnected,
     DeadlineExceeded,
+    /// No event came for the stall timeout; the upstream may still be at work.
+    Stalled,
     Failed(String),
 }
 
@@ -73,12 +79,13 @@
         Self {
             context,
             head,
-            body,
+            body: Some(body),
             attempt: Some(attempt),
             splitter: EventSplitter::after(last_event_id),
             first_events: Bytes::new(),
             is_ended: false,
             stall_timeout,
+            last_event: Instant::now(),
             longest_pause: Duration::ZERO,
         }
     }
@@ -87,7 +94,10 @@
     pub async fn wait_first_events(&mut self, wait: Duration) -> Result<(), String> {
         let events = async {
             loop {
-                match self.body.next(wait).await.map_err(|e| e.to_string())? {
+                let Some(body) = &mut self.body else {
+                    return Err("the stream has no upstream".to_owned());
+                };
+                match body.next(wait).await.map_err(|e| e.to_string())? {
                     None => {
                         self.first_events = self.splitter.take_incomplete();
                         self.is_ended = true;
@@ -118,12 +128,13 @@
     }
 
     /// Spawns the relay task and returns the response whose body it feeds.
-    pub fn start(self, call: &mut Call, tasks: &TaskTracker) -> Response<Body> {
+    pub fn start(mut self, call: &mut Call, tasks: &TaskTracker) -> Response<Body> {
         let (sender, receiver) = mpsc::channel(RELAY_QUEUE_LEN);
         let mut head = self.head.clone();
         self.context.head_codec.sanitize_response(&mut head.headers);
         head.headers.remove(header::CONTENT_LENGTH);
         let call = detach_call(call);
+        self.last_event = Instant::now();
         tasks.spawn(self.run(call, sender));
         let pieces = futures::stream::unfold(receiver, |mut receiver| async move {
             receiver.recv().await.map(|piece| (piece, receiver))
@@ -163,6 +174,18 @@
                         self.splitter.last_id(),
                     );
                     self.end_attempt(Verdict::Failed);
+                    self.body = None;
+                }
+                SegmentEnd::Stalled => {
+                    let Some(next) = self.take_over(&call).await else {
+                        self.stall_timeout *= 2;
+                        continue;
+                    };
+                    self.end_attempt(Verdict::Failed);
+                    self.body = None;
+                    if self.resume_at(&mut call, next).await {
+                        continue;
+                    }
                 }
             }
             if !self.resume(&mut call).await {
@@ -181,7 +204,6 @@
         if self.is_ended {
             return SegmentEnd::Complete;
         }
-        let mut last_event = Instant::now();
         loop {
             let remaining = call.remaining();
             if remaining.is_zero() {
@@ -189,12 +211,13 @@
             }
             // Bytes that complete no event do not end a pause.
             let may_resume = call.may_retry() && self.splitter.last_id().is_some();
-            let until_stalled = self.stall_timeout.saturating_sub(last_event.elapsed());
-            let wait = if may_resume { until_stalled.min(remaining) } else { remaining };
+            let until_stalled = self.stall_timeout.saturating_sub(self.last_event.elapsed());
+            let Some(body) = &mut self.body else { return SegmentEnd::Stalled };
             let piece = tokio::select! {
                 biased;
                 () = sender.closed() => return SegmentEnd::CallerDisconnected,
-                piece = self.body.next(wait) => piece,
+                piece = body.next(remaining) => piece,
+                () = sleep(until_stalled), if may_resume => return SegmentEnd::Stalled,
             };
             let events = match piece {
                 Ok(Some(piece)) => match self.splitter.push(piece) {
@@ -216,22 +239,38 @@
             if events.is_empty() {
                 continue;
             }
-            self.longest_pause = self.longest_pause.max(last_event.elapsed());
+            self.longest_pause = self.longest_pause.max(self.last_event.elapsed());
             let sent = tokio::time::timeout(remaining, sender.send(Ok(Frame::data(events)))).await;
             match sent {
                 Ok(Ok(())) => {}
                 Ok(Err(_)) => return SegmentEnd::CallerDisconnected,
                 Err(_) => return SegmentEnd::DeadlineExceeded,
             }
-            last_event = Instant::now();
+            self.last_event = Instant::now();
+        }
+    }
+
+    /// Returns an attempt at another upstream that can take over a stalled stream now. `None` if
+    /// there is none: then a slow upstream is better than a broken stream.
+    async fn take_over(&self, call: &Call) -> Option<Attempt> {
+        match self.context.dispatcher.choose(call.schedule_request(), Purpose::Move).await {
+            Ok(attempt) => Some(attempt),
+            Err((cause, _)) => {
+                info!(
+                    "event=stall_kept request_id={} cause={cause:?} pause_ms={} last_event={:?}",
+                    call.metadata.id,
+                    self.last_event.elapsed().as_millis(),
+                    self.splitter.last_id(),
+                );
+                None
+            }
         }
     }
 
     /// Resumes the stream at another upstream after the last event that was forwarded. Returns
     /// whether an upstream took over.
     async fn resume(&mut self, call: &mut Call) -> bool {
-        let Some(last_id) = self.splitter.last_id() else { return false };
-        while call.may_retry() && !call.remaining().is_zero() {
+        while self.splitter.last_id().is_some() && call.may_retry() && !call.remaining().is_zero() {
             let choice =
                 self.context.dispatcher.choose(call.schedule_request(), Purpose::Retry).await;
             let attempt = match choice {
@@ -241,38 +280,48 @@
                     return false;
                 }
             };
-            let index = attempt.assignment().index;
-            call.tried.push(index);
-            call.sends += 1;
-            info!(
-                "event=resuming request_id={} upstream={} last_event={last_id}",
-                call.metadata.id,
-                attempt.assignment().upstream.id,
-            );
-            let (codec, pool) = (self.context.head_codec.as_ref(), &self.context.pool);
-            match send_attempt(call, attempt, Some(last_id), codec, pool).await {
-                SendOutcome::Responded(response) => {
-                    call.possible_runs += 1;
-                    let UpstreamResponse { parts, body, mut attempt } = *response;
-                    if parts.status != StatusCode::OK {
-                        attempt.end(Verdict::Failed, false);
-                        continue;
-                    }
-                    attempt.report_prefilled();
-                    self.stall_timeout =
-                        Duration::from_millis(attempt.assignment().stall_timeout_ms);
-                    self.body = body;
-                    self.attempt = Some(attempt);
-                    self.splitter = EventSplitter::after(Some(last_id));
-                    return true;
-                }
-                SendOutcome::NotSent { .. } | SendOutcome::NotRun { .. } => {}
-                SendOutcome::Lost { .. } | SendOutcome::TimedOut => call.possible_runs += 1,
+            if self.resume_at(call, attempt).await {
+                return true;
             }
         }
         false
     }
 
+    /// Resumes the stream by one attempt. Returns whether its upstream took over.
+    async fn resume_at(&mut self, call: &mut Call, attempt: Attempt) -> bool {
+        let Some(last_id) = self.splitter.last_id() else { return false };
+        call.tried.push(attempt.assignment().index);
+        call.sends += 1;
+        info!(
+            "event=resuming request_id={} upstream={} last_event={last_id}",
+            call.metadata.id,
+            attempt.assignment().upstream.id,
+        );
+        let (codec, pool) = (self.context.head_codec.as_ref(), &self.context.pool);
+        match send_attempt(call, attempt, Some(last_id), codec, pool).await {
+            SendOutcome::Responded(response) => {
+                call.possible_runs += 1;
+                let UpstreamResponse { parts, body, mut attempt } = *response;
+                if parts.status != StatusCode::OK {
+                    attempt.end(Verdict::Failed, false);
+                    return false;
+                }
+                attempt.report_prefilled();
+                self.stall_timeout = Duration::from_millis(attempt.assignment().stall_timeout_ms);
+                self.last_event = Instant::now();
+                self.body = Some(body);
+                self.attempt = Some(attempt);
+                self.splitter = EventSplitter::after(Some(last_id));
+                true
+            }
+            SendOutcome::NotSent { .. } | SendOutcome::NotRun { .. } => false,
+            SendOutcome::Lost { .. } | SendOutcome::TimedOut => {
+                call.possible_runs += 1;
+                false
+            }
+        }
+    }
+
     fn end_attempt(&mut self, verdict: Verdict) {
         if let Some(attempt) = self.attempt.take() {
             attempt.end(verdict, false);
--- a/crates/lab/tests/on_platform/failures.rs
+++ b/crates/lab/tests/on_platform/failures.rs
@@ -3,11 +3,15 @@
 use std::time::Duration;
 
 use http::StatusCode;
+use serde_json::json;
 use tokio::time::Instant;
 
 use crate::site::Answer;
 use crate::site::Call;
+use crate::site::HOST;
+use crate::site::KEY;
 use crate::site::Site;
+use crate::site::configuration;
 use redwingrill_lab::site_upstream::Behaviour;
 
 /// What the caller gets.
@@ -164,3 +168,24 @@
     assert!((limit..limit + Duration::from_millis(250)).contains(&took), "{took:?}");
     site.stop(vec![node]).await;
 }
+
+/// A stream whose only engine pauses for longer than the stall timeout: cutting it would lose it,
+/// since no other upstream can take over.
+#[tokio::test]
+async fn slow_but_sound_stream_is_not_cut() {
+    let site = Site::start(1, 0).await;
+    let node = site.node("n1").await;
+    let steady = json!({"name": "steady", "host": HOST, "prefix": "/steady/", "kind": "stream",
+        "timeout_ms": 15_000, "target_latency_ms": 400, "gap_target_ms": 100, "priority": 1,
+        "service": "llm", "max_attempts": 2, "anonymous": false, "sticky": true,
+        "resumable": true});
+    site.store.state.put("op/config", configuration(2, &[KEY], &[steady]));
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    site.engines[0].set(Behaviour::IsSlow);
+    let answer = site.ask(&node, &Call::new("steady", "r1")).await;
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(answer.events(), [1, 2, 3, 4, 5, 6]);
+    assert!(answer.body.is_some(), "the stream ended well");
+    assert_eq!(site.engines[0].runs(), 1);
+    site.stop(vec![node]).await;
+}
--- a/crates/lab/tests/on_platform/site.rs
+++ b/crates/lab/tests/on_platform/site.rs
@@ -216,8 +216,12 @@
     }
 
     fn request(&self) -> Request<Bytes> {
-        let deadline = Duration::from_millis(if self.route == "slow" { 15_000 } else { 1_500 });
-        let is_stream = matches!(self.route, "draft" | "check" | "slow");
+        let deadline = Duration::from_millis(if matches!(self.route, "slow" | "steady") {
+            15_000
+        } else {
+            1_500
+        });
+        let is_stream = matches!(self.route, "draft" | "check" | "slow" | "steady");
         let mut request = on_platform::request(self.route, &self.id, deadline, self.key, is_stream);
         for (name, value) in &self.headers {
             request = request.header(*name, *value);
