Give each test of the platform's adapter ports that no connection takes

Ruled out: a node of an earlier test that held it (each test binds its own).

Change: ports come from a range below that one, each once in a process, and only if they can be bound. No check or bound of a test changed.

--- a/crates/lab/tests/on_platform/site.rs
+++ b/crates/lab/tests/on_platform/site.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -230,7 +232,22 @@
     }
 }
 
+/// The ports below those that the system gives to outgoing connections, which could take a port
+/// between its choice and its use. Each is given out once in a process.
+const FIRST_PORT: u16 = 20_000;
+const PORTS: u16 = 12_000;
+
+static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
+
 pub fn free_address() -> SocketAddr {
-    let socket = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    socket.local_addr().expect("a bound socket")
+    // Processes of the same time begin at different ports.
+    let begin = (std::process::id() % u32::from(PORTS)) as u16;
+    for _ in 0..PORTS {
+        let step = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + (begin + step % PORTS) % PORTS;
+        if let Ok(socket) = std::net::TcpListener::bind(("127.0.0.1", port)) {
+            return socket.local_addr().expect("a bound socket");
+        }
+    }
+    panic!("no port is free");
 }
