Log the weights of each send and the assumed age of a version

The logs could not tell whether the node that sent them took the version for young, or did not know what weights the engine had, or found no other engine.

assigned names the weights expected at the upstream, weights_superseded the age that a node takes a new target version for, rollout_waits how long a leader waits for its predecessor's lease, rollout_step how many engines are outdated and commanded. The gauge redwingrill_outdated_engines counts outdated engines.

No decision is changed.

--- a/crates/gateway/src/cluster_view/mod.rs
+++ b/crates/gateway/src/cluster_view/mod.rs
@@ -10,6 +10,7 @@
 use redwingrill_routing::Configuration;
 use redwingrill_routing::Revision;
 use redwingrill_routing::Upstream;
+use redwingrill_routing::UpstreamState;
 use redwingrill_routing::WeightsVersion;
 
 pub use builder::ClusterViewBuilder;
@@ -47,6 +48,13 @@
         outdated.map(|upstream| upstream.id.clone()).collect()
     }
 
+    /// Returns the number of ready engines with older weights of a model than its target version.
+    pub fn outdated_engines(&self, model: &str) -> usize {
+        let Some(target) = self.target_versions.get(model) else { return 0 };
+        let ready = self.upstreams.iter().filter(|u| u.state == UpstreamState::Ready);
+        ready.filter(|u| u.version_of(model).is_some_and(|version| version < *target)).count()
+    }
+
     /// Returns whether an engine has older weights than the target version.
     pub fn needs_target_version(&self, upstream: &Upstream) -> bool {
         upstream.models.iter().any(|(model, version)| {
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -104,7 +104,13 @@
         self.scheduler.set_loading(view.loading());
         self.scheduler.set_members(view.members.len());
         for (model, version) in &view.target_versions {
-            self.scheduler.set_target_version(model, *version, now_ms);
+            if let Some(age_ms) = self.scheduler.set_target_version(model, *version, now_ms) {
+                info!(
+                    "event=weights_superseded model={model} version={} age_ms={age_ms}",
+                    version.0
+                );
+            }
+            self.metrics.outdated_engines(model, view.outdated_engines(model));
         }
         if let Some(configuration) = &view.configuration {
             let cache_store = configuration.cache_store().map(|store| store.address);
--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -514,8 +514,10 @@
     let prefix = assignment.affinity.map_or(0, |key| key.0);
     let scope = assignment.scope.as_ref().map_or("-", |scope| scope.0.as_str());
     let fetch = assignment.fetch_from.map_or_else(|| "-".to_owned(), |from| from.to_string());
+    let weights = assignment.version.map_or_else(|| "-".to_owned(), |known| known.0.to_string());
     info!(
-        "event=assigned request_id={} route={} upstream={} scope={scope} prefix={prefix:x} \
+        "event=assigned request_id={} route={} upstream={} weights={weights} scope={scope} \
+         prefix={prefix:x} \
          unread_tokens={} queued_tokens={} fetch={fetch} save={} sends={} age_ms={}",
         call.metadata.id,
         call.route.name,
--- a/crates/gateway/src/rollout/task.rs
+++ b/crates/gateway/src/rollout/task.rs
@@ -146,6 +146,11 @@
         match claim(&self.store, &self.key, &record, self.options.lease).await {
             Ok(Some(leader_key)) => {
                 self.leadership.acquired(leader_key.fencing_number, sent_ms);
+                info!(
+                    "event=rollout_waits fence={} commands_in_ms={}",
+                    leader_key.fencing_number,
+                    self.leadership.commands_wait_ms(now_ms()),
+                );
                 self.leader_key = Some(leader_key);
                 self.renewed_ms = sent_ms;
             }
@@ -218,6 +223,15 @@
         if next.is_empty() || self.leadership.active_fencing_number(now_ms()).is_none() {
             return;
         }
+        let outdated = engines.iter().filter(|engine| engine.loaded_version < target).count();
+        info!(
+            "event=rollout_step model={model} version={} engines={} outdated={outdated} \
+             in_progress={} next={}",
+            target.0,
+            engines.len(),
+            loading.len(),
+            next.len(),
+        );
         let record = self.record(loading.iter().chain(&next).cloned().collect());
         let Some(leader_key) = &mut self.leader_key else { return };
         match leader_key.update(&self.store, &self.key, &record).await {
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus::HistogramVec;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
@@ -39,6 +40,7 @@
     view_revision: IntGauge,
     open_connections: IntGauge,
     engine_model: GaugeVec,
+    outdated_engines: IntGaugeVec,
 }
 
 impl Default for Metrics {
@@ -77,6 +79,14 @@
                 &["service", "parameter"],
             )
             .expect("the name is valid"),
+            outdated_engines: IntGaugeVec::new(
+                Opts::new(
+                    "redwingrill_outdated_engines",
+                    "Ready engines whose weights are older than the target version",
+                ),
+                &["model"],
+            )
+            .expect("the name is valid"),
         };
         inner.register();
         Self { inner: Arc::new(inner) }
@@ -131,6 +141,12 @@
         }
     }
 
+    /// Sets the number of ready engines whose weights are older than the model's target version.
+    pub fn outdated_engines(&self, model: &str, count: usize) {
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        self.inner.outdated_engines.with_label_values(&[model]).set(count);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn to_text(&self) -> Vec<u8> {
         let mut text = Vec::new();
@@ -143,7 +159,7 @@
 
 impl Inner {
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 9] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 10] = [
             Box::new(self.requests.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.first_event.clone()),
@@ -153,6 +169,7 @@
             Box::new(self.view_revision.clone()),
             Box::new(self.open_connections.clone()),
             Box::new(self.engine_model.clone()),
+            Box::new(self.outdated_engines.clone()),
         ];
         for collector in collectors {
             self.registry.register(collector).expect("each name is registered once");
--- a/crates/scheduling/src/rollout/leadership.rs
+++ b/crates/scheduling/src/rollout/leadership.rs
@@ -85,6 +85,12 @@
         self.lease = None;
     }
 
+    /// Returns how long the node still waits for the lease of a possible predecessor, in
+    /// milliseconds.
+    pub fn commands_wait_ms(&self, now_ms: u64) -> u64 {
+        self.lease.map_or(0, |lease| lease.commands_from_ms.saturating_sub(now_ms))
+    }
+
     /// Returns the fencing number if the node may send commands now.
     pub fn active_fencing_number(&self, now_ms: u64) -> Option<u64> {
         let lease = self.lease?;
--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -320,14 +320,23 @@
         }
     }
 
-    /// Records the target version of a model's weights.
-    pub fn set_target_version(&mut self, model: &str, version: WeightsVersion, now_ms: u64) {
+    /// Records the target version of a model's weights. Returns the age in milliseconds that the
+    /// version is taken for, if it is new to this node.
+    pub fn set_target_version(
+        &mut self,
+        model: &str,
+        version: WeightsVersion,
+        now_ms: u64,
+    ) -> Option<u64> {
         let is_new_model = !self.target_versions.contains_key(model);
         // A version that is found at the start may have been published some time before.
         let is_first = is_new_model && now_ms.saturating_sub(self.started_ms) < STARTUP_MS;
         let assumed_age_ms = self.options.version_limit_ms * ASSUMED_TARGET_AGE_PERCENT / 100;
         let at_ms = if is_first { now_ms.saturating_sub(assumed_age_ms) } else { now_ms };
-        self.target_versions.entry(model.to_owned()).or_default().add(version, at_ms);
+        let history = self.target_versions.entry(model.to_owned()).or_default();
+        let is_new = history.0.is_empty() || history.newest() < version;
+        history.add(version, at_ms);
+        is_new.then(|| now_ms.saturating_sub(at_ms))
     }
 
     /// Returns this node's share of the prompts that arrive at all nodes, from zero to one.
