Add the failing test of a restarted node that uses expired weights

Cause under test: a node that starts takes a target version that it finds for a fixed share of the limit old. The test names a version, stops all nodes, and starts one once the limit has passed: it answers 200 from an engine with the older weights, where 503 is expected. Nodes of the test take the limits of the site, and may be started at the addresses of an earlier process.

--- a/crates/lab/tests/on_platform/rollout.rs
+++ b/crates/lab/tests/on_platform/rollout.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use http::StatusCode;
 use serde_json::json;
 use tokio::time::Instant;
 
@@ -100,3 +101,34 @@
     assert_eq!(answer.events().len(), 6);
     site.stop(vec![node]).await;
 }
+
+/// A killed process forgets when it saw a version published; the limit counts on.
+#[tokio::test]
+async fn restarted_node_does_not_use_expired_weights() {
+    const LIMIT: Duration = Duration::from_secs(6);
+    let mut site = Site::start(2, 0).await;
+    site.stale_version_limit = LIMIT;
+    // While another node leads the roll-out and does nothing, the engines keep version 1.
+    let leader = json!({"name": "n0", "tenure": 1, "loading": []});
+    site.store.state.put("redwingrill/rollout/holder", leader.to_string());
+    let first = site.node("n1").await;
+    name_version(&site, 2);
+    let published = Instant::now();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let second = site.node("n2").await;
+    for node in [&first, &second] {
+        let answer = site.ask(node, &Call::new("draft", "r1")).await;
+        assert_eq!(answer.status, StatusCode::OK, "older weights can still be used");
+    }
+    for node in [first, second] {
+        node.node.drain().await.finish().await;
+    }
+    tokio::time::sleep_until(published + LIMIT).await;
+    let restarted = site.node("n1").await;
+    let runs = |site: &Site| site.engines.iter().map(|engine| engine.runs()).sum::<usize>();
+    let runs_before = runs(&site);
+    let answer = site.ask(&restarted, &Call::new("draft", "r2")).await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(runs(&site), runs_before);
+    site.stop(vec![restarted]).await;
+}
--- a/crates/lab/tests/on_platform/site.rs
+++ b/crates/lab/tests/on_platform/site.rs
@@ -16,6 +16,7 @@
 use redwingrill_gateway::node::NodeOptions;
 use redwingrill_gateway::node::NodePorts;
 use redwingrill_gateway::node::Serving;
+use redwingrill_gateway::node::StartError;
 use redwingrill_lab::metadata_store::MetadataStore;
 use redwingrill_lab::metadata_store::StoreState;
 use redwingrill_lab::on_platform;
@@ -73,6 +74,26 @@
     pub engines: Vec<SiteUpstream>,
     pub shops: Vec<SiteUpstream>,
     pub pool: Pool,
+    /// How long nodes may use older weights.
+    pub stale_version_limit: Duration,
+    /// The lease of the roll-out's leader.
+    pub rollout_lease: Duration,
+}
+
+/// The addresses of a node, all of one instance.
+#[derive(Clone, Copy)]
+pub struct NodeAddresses {
+    pub callers: SocketAddr,
+    pub readiness: SocketAddr,
+    pub peers: SocketAddr,
+    pub gossip: SocketAddr,
+}
+
+impl NodeAddresses {
+    pub fn new() -> Self {
+        let (callers, readiness) = (free_address(), free_address());
+        Self { callers, readiness, peers: free_address(), gossip: free_address() }
+    }
 }
 
 impl Site {
@@ -80,7 +101,14 @@
         let state = StoreState::default();
         let store = MetadataStore::start(state.clone()).await.expect("a free port");
         state.put("op/config", configuration(1, &[KEY], &[]));
-        let mut site = Self { store, engines: Vec::new(), shops: Vec::new(), pool: Pool::new() };
+        let mut site = Self {
+            store,
+            engines: Vec::new(),
+            shops: Vec::new(),
+            pool: Pool::new(),
+            stale_version_limit: Duration::from_secs(20),
+            rollout_lease: Duration::from_secs(1),
+        };
         for n in 0..engines {
             let engine = SiteUpstream::start(&format!("e{n}"), "llm", &state).await;
             site.engines.push(engine.expect("a free port"));
@@ -106,8 +134,23 @@
         store: SocketAddr,
         seeds: Vec<SocketAddr>,
     ) -> SiteNode {
-        let (callers, readiness) = (free_address(), free_address());
-        let (peers, gossip) = (free_address(), free_address());
+        let node = self.start_node_at(name, NodeAddresses::new(), store, seeds).await;
+        node.expect("free ports")
+    }
+
+    /// Starts a node at its addresses, which an earlier process of the instance may still hold.
+    ///
+    /// # Errors
+    ///
+    /// See [`StartError`].
+    pub async fn start_node_at(
+        &self,
+        name: &str,
+        addresses: NodeAddresses,
+        store: SocketAddr,
+        seeds: Vec<SocketAddr>,
+    ) -> Result<SiteNode, StartError> {
+        let NodeAddresses { callers, readiness, peers, gossip } = addresses;
         let options = NodeOptions {
             name: name.to_owned(),
             failure_domain: "a".to_owned(),
@@ -119,8 +162,8 @@
             metrics_address: None,
             seeds,
             retry_budget: RetryBudgetSpec { ratio: 0.2, allowance: 54.0, window_ms: 10_000 },
-            stale_version_limit: Duration::from_secs(20),
-            rollout_lease: Duration::from_secs(1),
+            stale_version_limit: self.stale_version_limit,
+            rollout_lease: self.rollout_lease,
             stop_timeout: Duration::from_secs(4),
         };
         let pool = Pool::new();
@@ -130,9 +173,8 @@
             item_codec: Arc::new(PlatformItemCodec),
             head_codec: Arc::new(PlatformHeadCodec),
         };
-        let node = Node::new(options).serve(ports, pool).await;
-        let node = node.expect("free ports");
-        SiteNode { node, callers, readiness, peers }
+        let node = Node::new(options).serve(ports, pool).await?;
+        Ok(SiteNode { node, callers, readiness, peers })
     }
 
     pub async fn is_ready(&self, node: &SiteNode) -> bool {
