Count the age of a target version in the store, not in the process

Cause: a node that finds a target version at its start took it for 60 percent of the limit old. Started 19.9 s after the version was published, it used older weights for up to 8 s past the limit of 20 s. The class: a time limit that is counted by a process and begins anew with it.

Evidence: weights_superseded age_ms=12000 at each restarted node; rollout::restarted_node_does_not_use_expired_weights failed. Ruled out: the engine's own choice of weights (the sends name version 1), a late update of the view (the version is in the first listing).

Change: as a version is published, one node writes a grace record under a lease of 80 percent of the limit. A node that starts later uses older weights while the record exists and for the rest of the limit after its end; without a record it uses only the newest. Nodes that saw the publication count by their own clock as before.

--- a/crates/gateway/src/cluster_view/builder.rs
+++ b/crates/gateway/src/cluster_view/builder.rs
@@ -11,6 +11,8 @@
 use serde::de::DeserializeOwned;
 
 use super::ClusterView;
+use super::GRACE_PREFIX;
+use super::GraceItem;
 use super::MEMBER_PREFIX;
 use super::Member;
 use super::ROLLOUT_LEADER_KEY;
@@ -223,6 +225,10 @@
         view.members.extend(decode::<Member>(node_key, value));
     } else if node_key == ROLLOUT_LEADER_KEY {
         view.rollout_leader = decode::<RolloutLeader>(node_key, value);
+    } else if node_key.starts_with(GRACE_PREFIX)
+        && let Some(item) = decode::<GraceItem>(node_key, value)
+    {
+        view.grace_records.entry(item.model.clone()).or_default().push((&item).into());
     }
 }
 
--- a/crates/gateway/src/cluster_view/mod.rs
+++ b/crates/gateway/src/cluster_view/mod.rs
@@ -12,8 +12,11 @@
 use redwingrill_routing::Upstream;
 use redwingrill_routing::UpstreamState;
 use redwingrill_routing::WeightsVersion;
+use redwingrill_scheduling::weights::GraceRecord;
 
 pub use builder::ClusterViewBuilder;
+pub use node_items::GRACE_PREFIX;
+pub use node_items::GraceItem;
 pub use node_items::MEMBER_PREFIX;
 pub use node_items::Member;
 pub use node_items::ROLLOUT_LEADER_KEY;
@@ -30,6 +33,8 @@
     pub upstreams: Vec<Arc<Upstream>>,
     /// The target weights version of each model.
     pub target_versions: HashMap<String, WeightsVersion>,
+    /// The grace records of each model's target versions.
+    pub grace_records: HashMap<String, Vec<GraceRecord>>,
     /// The nodes, sorted by name.
     pub members: Vec<Member>,
     /// The node that leads the roll-out.
@@ -37,6 +42,16 @@
 }
 
 impl ClusterView {
+    /// Returns whether the items of the store have been read.
+    pub fn is_loaded(&self) -> bool {
+        self.complete_to > Revision(0)
+    }
+
+    /// Returns the rank of a node among the members, by name.
+    pub fn rank_of(&self, node: &str) -> usize {
+        self.members.iter().filter(|member| member.name.as_str() < node).count()
+    }
+
     /// Returns the identities of the engines that are loading new weights: those that the leader of
     /// the roll-out has commanded and that do not yet list the target version.
     pub fn loading(&self) -> HashSet<String> {
--- a/crates/gateway/src/cluster_view/node_items.rs
+++ b/crates/gateway/src/cluster_view/node_items.rs
@@ -5,12 +5,18 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use redwingrill_routing::WeightsVersion;
+use redwingrill_scheduling::weights::GraceRecord;
+
 /// The key prefix of members, followed by the node's name.
 pub const MEMBER_PREFIX: &str = "members/";
 
 /// The key of the roll-out's leader.
 pub const ROLLOUT_LEADER_KEY: &str = "rollout/holder";
 
+/// The key prefix of grace records, followed by the model and the version.
+pub const GRACE_PREFIX: &str = "grace/";
+
 /// A live node.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct Member {
@@ -37,3 +43,28 @@
     /// The identities of the engines that are commanded to load new weights.
     pub loading: Vec<String>,
 }
+
+/// A grace record as it lies in the store.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct GraceItem {
+    /// The model.
+    pub model: String,
+    /// The target version before.
+    pub previous: u64,
+    /// The target version.
+    pub version: u64,
+}
+
+impl GraceItem {
+    /// Creates the item of a model's record.
+    pub fn new(model: &str, record: GraceRecord) -> Self {
+        let (previous, version) = (record.previous.0, record.version.0);
+        Self { model: model.to_owned(), previous, version }
+    }
+}
+
+impl From<&GraceItem> for GraceRecord {
+    fn from(item: &GraceItem) -> Self {
+        Self { previous: WeightsVersion(item.previous), version: WeightsVersion(item.version) }
+    }
+}
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -46,6 +46,8 @@
     // Identifies this run of the node in digests.
     node_incarnation: u64,
     model_logged_ms: u64,
+    // Whether a view with the items of the store was applied.
+    has_view: bool,
 }
 
 impl DispatchTask {
@@ -56,7 +58,7 @@
         metrics: Metrics,
     ) -> (Dispatcher, Self) {
         let (sender, messages) = mpsc::unbounded_channel();
-        let scheduler = Scheduler::new(options, now_ms());
+        let scheduler = Scheduler::new(options);
         let task = Self {
             messages,
             view,
@@ -65,6 +67,7 @@
             queue: WaitQueue::default(),
             node_incarnation: rand::random(),
             model_logged_ms: now_ms(),
+            has_view: false,
         };
         (Dispatcher::new(sender), task)
     }
@@ -104,14 +107,23 @@
         self.scheduler.set_loading(view.loading());
         self.scheduler.set_members(view.members.len());
         for (model, version) in &view.target_versions {
-            if let Some(age_ms) = self.scheduler.set_target_version(model, *version, now_ms) {
+            let is_new = match self.has_view {
+                true => self.scheduler.set_target_version(model, *version, now_ms),
+                false => self.scheduler.find_target_version(model, *version, now_ms),
+            };
+            let records = view.grace_records.get(model).map_or(&[][..], Vec::as_slice);
+            self.scheduler.set_grace_records(model, records, now_ms);
+            if is_new {
                 info!(
-                    "event=weights_superseded model={model} version={} age_ms={age_ms}",
-                    version.0
+                    "event=weights_superseded model={model} version={} published={} records={}",
+                    version.0,
+                    if self.has_view { "now" } else { "before_start" },
+                    records.len(),
                 );
             }
             self.metrics.outdated_engines(model, view.outdated_engines(model));
         }
+        self.has_view |= view.is_loaded();
         if let Some(configuration) = &view.configuration {
             let cache_store = configuration.cache_store().map(|store| store.address);
             self.scheduler.set_cache_store(cache_store);
--- a/crates/gateway/src/node/lifecycle.rs
+++ b/crates/gateway/src/node/lifecycle.rs
@@ -30,6 +30,7 @@
 use crate::front::StatusServer;
 use crate::peers::Gossip;
 use crate::peers::PeerServer;
+use crate::rollout::GraceTask;
 use crate::rollout::RolloutOptions;
 use crate::rollout::RolloutTask;
 use crate::store_sync::StoreSync;
@@ -162,6 +163,14 @@
         let (node, control) = (options.name.clone(), ports.control.clone());
         let cache_watch = CacheWatch::new(node, control, view.clone(), dispatcher.clone());
         services.spawn(cache_watch.run(stopping.clone()));
+        let grace = GraceTask::new(
+            options.name.clone(),
+            options.stale_version_limit,
+            ports.store.clone(),
+            ports.item_codec.as_ref(),
+            view.clone(),
+        );
+        services.spawn(grace.run(stopping.clone()));
         let rollout = RolloutTask::new(
             RolloutOptions { node: options.name.clone(), lease: options.rollout_lease },
             ports.store,
--- /dev/null
+++ b/crates/gateway/src/rollout/grace_task.rs
@@ -0,0 +1,141 @@
+//! Writes the grace records of target versions that are published while this node runs.
+//!
+//! The decisions are made in [`redwingrill_scheduling::weights`].
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use log::info;
+use log::warn;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::clock::now_ms;
+use crate::cluster_view::ClusterView;
+use crate::cluster_view::GRACE_PREFIX;
+use crate::cluster_view::GraceItem;
+use redwingrill_routing::Condition;
+use redwingrill_routing::ItemCodec;
+use redwingrill_routing::Revision;
+use redwingrill_routing::SharedStore;
+use redwingrill_routing::SharedStoreError;
+use redwingrill_routing::WeightsVersion;
+use redwingrill_routing::Write;
+use redwingrill_routing::WriteOutcome;
+use redwingrill_scheduling::weights::GraceRecorder;
+use redwingrill_scheduling::weights::PendingRecord;
+
+/// How often the turns are checked while a version lacks its record.
+const STEP_PERIOD: Duration = Duration::from_millis(100);
+
+/// The task that writes grace records.
+pub struct GraceTask<S> {
+    node: String,
+    store: S,
+    key_prefix: String,
+    view: watch::Receiver<Arc<ClusterView>>,
+    recorder: GraceRecorder,
+    // The target versions of the last view; `None` before the first complete view.
+    targets: Option<HashMap<String, WeightsVersion>>,
+}
+
+impl<S: SharedStore> GraceTask<S> {
+    /// Creates the task of a node; older weights may be used for `limit`.
+    pub fn new<D: ItemCodec>(
+        node: String,
+        limit: Duration,
+        store: S,
+        codec: &D,
+        view: watch::Receiver<Arc<ClusterView>>,
+    ) -> Self {
+        Self {
+            node,
+            store,
+            key_prefix: codec.own_key(GRACE_PREFIX),
+            view,
+            recorder: GraceRecorder::new(limit.as_millis() as u64),
+            targets: None,
+        }
+    }
+
+    /// Runs until `stopping` is cancelled.
+    pub async fn run(mut self, stopping: CancellationToken) {
+        loop {
+            let view = self.view.borrow_and_update().clone();
+            self.observe(&view);
+            let rank = view.rank_of(&self.node);
+            if let Some(pending) = self.recorder.next(rank, now_ms()) {
+                self.record(&pending).await;
+            }
+            tokio::select! {
+                () = stopping.cancelled() => return,
+                changed = self.view.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                }
+                () = tokio::time::sleep(STEP_PERIOD), if self.recorder.has_work() => {}
+            }
+        }
+    }
+
+    fn observe(&mut self, view: &ClusterView) {
+        if !view.is_loaded() {
+            return;
+        }
+        if let Some(targets) = &self.targets {
+            for (model, version) in &view.target_versions {
+                let previous = targets.get(model).copied().unwrap_or_default();
+                if previous < *version {
+                    self.recorder.observe(model, previous, *version, now_ms());
+                }
+            }
+        }
+        self.targets = Some(view.target_versions.clone());
+        for (model, records) in &view.grace_records {
+            records.iter().for_each(|record| self.recorder.record_exists(model, record.version));
+        }
+    }
+
+    async fn record(&mut self, pending: &PendingRecord) {
+        let (model, version) = (&pending.model, pending.record.version);
+        match self.write(pending).await {
+            Ok(WriteOutcome::Done(_)) => {
+                info!(
+                    "event=grace_recorded model={model} version={} lease_ms={}",
+                    version.0, pending.lease_ms
+                );
+                self.recorder.record_exists(model, version);
+            }
+            Ok(WriteOutcome::Conflict(_)) => self.recorder.record_exists(model, version),
+            Ok(WriteOutcome::NoLease) => {
+                warn!("event=grace_record_failed model={model} reason=lease_ended");
+                self.recorder.record_failed(model, version, now_ms());
+            }
+            Err(error) => {
+                warn!("event=grace_record_failed model={model} reason={:?}", error.to_string());
+                self.recorder.record_failed(model, version, now_ms());
+            }
+        }
+    }
+
+    async fn write(&self, pending: &PendingRecord) -> Result<WriteOutcome, SharedStoreError> {
+        let lease = self.store.grant(Duration::from_millis(pending.lease_ms)).await?.id;
+        let item = GraceItem::new(&pending.model, pending.record);
+        let value = serde_json::to_vec(&item).expect("a grace item always serializes to JSON");
+        let key = format!("{}{}/{}", self.key_prefix, item.model, item.version);
+        let write = Write {
+            conditions: vec![Condition { key: key.clone(), revision: Revision(0) }],
+            key,
+            value: Bytes::from(value),
+            lease: Some(lease),
+        };
+        let outcome = self.store.write(write).await?;
+        if !matches!(outcome, WriteOutcome::Done(_)) {
+            self.store.revoke(lease).await?;
+        }
+        Ok(outcome)
+    }
+}
--- a/crates/gateway/src/rollout/task.rs
+++ b/crates/gateway/src/rollout/task.rs
@@ -133,7 +133,7 @@
             self.lead(view, has_work).await;
             return;
         }
-        let rank = rank_of(view, &self.options.node);
+        let rank = view.rank_of(&self.options.node);
         if self.leadership.claim(has_work, view.rollout_leader.is_some(), rank, now) == Claim::Now {
             self.claim().await;
         }
@@ -332,9 +332,3 @@
     let ready = view.upstreams.iter().filter(|u| u.state == UpstreamState::Ready);
     ready.filter_map(|u| Some((u.clone(), u.version_of(model)?))).collect()
 }
-
-/// Returns the rank of a node among the members, by name.
-fn rank_of(view: &ClusterView, node: &str) -> usize {
-    let names = view.members.iter().map(|member| member.name.as_str());
-    names.filter(|name| *name < node).count()
-}
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`retry_budget`] limits retries over the whole fleet.
 //! - [`rollout`] decides which engines load new weights, and when.
 //! - [`scheduler`] combines these: it chooses an upstream for a request, or refuses the request.
+//! - [`weights`] decides how long older weights may be used.
 //!
 //! Callers pass in the time as milliseconds of a monotonic clock, and random seeds.
 
@@ -16,3 +17,4 @@
 pub mod retry_budget;
 pub mod rollout;
 pub mod scheduler;
+pub mod weights;
--- a/crates/scheduling/src/scheduler/choose.rs
+++ b/crates/scheduling/src/scheduler/choose.rs
@@ -14,7 +14,6 @@
 use super::RefusalCause;
 use super::ScheduleRequest;
 use super::Scheduler;
-use super::core::VersionHistory;
 use super::cost::pending_prefill_ms;
 use super::pacing::NodeShare;
 use super::pacing::Pacer;
@@ -31,6 +30,7 @@
 use crate::placement::PromptCosts;
 use crate::placement::Scope;
 use crate::placement::rendezvous_score;
+use crate::weights::VersionHistory;
 use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::WeightsVersion;
 
@@ -386,10 +386,8 @@
         now_ms: u64,
     ) -> bool {
         let Some(version) = entry.version_of(&prompt.model) else { return false };
-        let history = self.target_versions.get(&prompt.model);
-        let superseded_ms = history.and_then(|history| history.superseded_ms(version));
-        let limit_ms = self.options.version_limit_ms.saturating_sub(context.old_weights_margin_ms);
-        superseded_ms.is_none_or(|at_ms| now_ms.saturating_sub(at_ms) < limit_ms)
+        let usable_ms = self.usable_ms(&prompt.model, version, now_ms);
+        usable_ms.is_none_or(|usable_ms| usable_ms > context.old_weights_margin_ms)
     }
 
     /// Returns how many of the leading shared tokens of a prompt are in the cache store.
--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -32,6 +32,8 @@
 use crate::placement::PrefixTag;
 use crate::retry_budget::RetryBudget;
 use crate::retry_budget::RetryBudgetSpec;
+use crate::weights::GraceRecord;
+use crate::weights::VersionHistory;
 use redwingrill_routing::CacheChange;
 use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::ReportedLoad;
@@ -58,42 +60,6 @@
     pub seed: u64,
 }
 
-/// The assumed age of target versions that are found at the start of a node, in percent of the time
-/// for which older weights may be used.
-const ASSUMED_TARGET_AGE_PERCENT: u64 = 60;
-
-/// How long after its start a node treats target versions as published before the start.
-const STARTUP_MS: u64 = 2_000;
-
-/// The maximum number of versions kept per model.
-const VERSION_HISTORY_LIMIT: usize = 64;
-
-/// The target versions of a model, each with the time at which this node received it; both
-/// increase.
-#[derive(Clone, Debug, Default)]
-pub(super) struct VersionHistory(Vec<(WeightsVersion, u64)>);
-
-impl VersionHistory {
-    /// Returns the newest version.
-    pub fn newest(&self) -> WeightsVersion {
-        self.0.last().map(|&(version, _)| version).unwrap_or_default()
-    }
-
-    /// Returns when a version newer than this one was first received.
-    pub fn superseded_ms(&self, version: WeightsVersion) -> Option<u64> {
-        self.0.iter().find(|(target, _)| *target > version).map(|&(_, at_ms)| at_ms)
-    }
-
-    fn add(&mut self, version: WeightsVersion, at_ms: u64) {
-        if self.0.is_empty() || self.newest() < version {
-            self.0.push((version, at_ms));
-        }
-        if self.0.len() > VERSION_HISTORY_LIMIT {
-            self.0.remove(0);
-        }
-    }
-}
-
 /// The maximum number of engine speeds in a digest.
 const SPEEDS_LIMIT: usize = 24;
 
@@ -110,7 +76,6 @@
     models: HashMap<String, ServiceModel>,
     // A buffer that is reused between decisions.
     pub(super) candidates: Vec<Candidate>,
-    started_ms: u64,
     pub(super) peers: PeerLoads,
     short_arrivals: ArrivalCounter,
     long_arrivals: ArrivalCounter,
@@ -125,7 +90,7 @@
 
 impl Scheduler {
     /// Creates a scheduler without upstreams.
-    pub fn new(options: SchedulerOptions, now_ms: u64) -> Self {
+    pub fn new(options: SchedulerOptions) -> Self {
         let rng = SmallRng::seed_from_u64(options.seed);
         Self {
             options,
@@ -141,7 +106,6 @@
             short_arrivals: ArrivalCounter::default(),
             long_arrivals: ArrivalCounter::default(),
             sequence: 0,
-            started_ms: now_ms,
             budgets: HashMap::new(),
             connection_limits: HashMap::new(),
             cache_tokens: HashMap::new(),
@@ -271,8 +235,9 @@
     /// Returns how long the weights of an engine may still be used, in milliseconds; `None` if no
     /// newer version supersedes them.
     pub fn usable_ms(&self, model: &str, version: WeightsVersion, now_ms: u64) -> Option<u64> {
-        let superseded_ms = self.target_versions.get(model)?.superseded_ms(version)?;
-        Some((superseded_ms + self.options.version_limit_ms).saturating_sub(now_ms))
+        let history = self.target_versions.get(model)?;
+        let expiry_ms = history.expiry_ms(version, self.options.version_limit_ms)?;
+        Some(expiry_ms.saturating_sub(now_ms))
     }
 
     /// Returns the models of all services.
@@ -320,23 +285,38 @@
         }
     }
 
-    /// Records the target version of a model's weights. Returns the age in milliseconds that the
-    /// version is taken for, if it is new to this node.
+    /// Records a target version of a model's weights that is published now. Returns whether it is
+    /// new to this node.
     pub fn set_target_version(
         &mut self,
         model: &str,
         version: WeightsVersion,
         now_ms: u64,
-    ) -> Option<u64> {
-        let is_new_model = !self.target_versions.contains_key(model);
-        // A version that is found at the start may have been published some time before.
-        let is_first = is_new_model && now_ms.saturating_sub(self.started_ms) < STARTUP_MS;
-        let assumed_age_ms = self.options.version_limit_ms * ASSUMED_TARGET_AGE_PERCENT / 100;
-        let at_ms = if is_first { now_ms.saturating_sub(assumed_age_ms) } else { now_ms };
-        let history = self.target_versions.entry(model.to_owned()).or_default();
-        let is_new = history.0.is_empty() || history.newest() < version;
-        history.add(version, at_ms);
-        is_new.then(|| now_ms.saturating_sub(at_ms))
+    ) -> bool {
+        self.version_history(model).observe(version, now_ms)
+    }
+
+    /// Records a target version that was published before the node started. Returns whether it is
+    /// new to this node.
+    pub fn find_target_version(
+        &mut self,
+        model: &str,
+        version: WeightsVersion,
+        now_ms: u64,
+    ) -> bool {
+        self.version_history(model).find(version, now_ms)
+    }
+
+    /// Replaces the grace records of a model's target versions.
+    pub fn set_grace_records(&mut self, model: &str, records: &[GraceRecord], now_ms: u64) {
+        self.version_history(model).set_records(records, now_ms);
+    }
+
+    fn version_history(&mut self, model: &str) -> &mut VersionHistory {
+        if !self.target_versions.contains_key(model) {
+            self.target_versions.insert(model.to_owned(), VersionHistory::default());
+        }
+        self.target_versions.get_mut(model).expect("history was inserted above")
     }
 
     /// Returns this node's share of the prompts that arrive at all nodes, from zero to one.
