Report the end of a lease to watches of the lab's store

Seen: the test of a restarted leader waited for 20 s for a command; its node never learned that the key of the killed process was gone. Callers saw nothing: the fault is in the lab's stand-in of the store, not in the product.

Cause: a watch that timed out locked the state again for the revision of its empty response. The lock removes the keys of ended leases, so the response could state a revision past a removal that it did not report. Evidence: the store had no such key, the node's view had; the new test fails before (wait of 100 ms) and passes after. Ruled out: the node's mirror, which keeps what the watch reports.

Change: events and revision come from one lock, and a watch wakes as a lease ends.

--- a/crates/lab/src/metadata_store/http.rs
+++ b/crates/lab/src/metadata_store/http.rs
@@ -181,18 +181,21 @@
         let ends = Instant::now() + Duration::from_millis(wait_ms);
         loop {
             let changed = self.state.changed.notified();
-            let reply = {
+            let (reply, next_lease_end) = {
                 let inner = self.state.lock();
                 if after < inner.history_from {
                     return status_reply(StatusCode::GONE);
                 }
-                changes(&inner, after)
+                // The revision is that of the events: a lease may end between two locks.
+                let empty = json!({"events": [], "current_rev": inner.rev});
+                let is_over = Instant::now() >= ends;
+                (changes(&inner, after).or(is_over.then_some(empty)), inner.next_lease_end())
             };
-            if reply.is_some() || timeout_at(ends, changed).await.is_err() {
-                let current_rev = self.state.lock().rev;
-                let empty = || json!({"events": [], "current_rev": current_rev});
-                return json_reply(StatusCode::OK, &reply.unwrap_or_else(empty));
+            if let Some(reply) = reply {
+                return json_reply(StatusCode::OK, &reply);
             }
+            let wakes = next_lease_end.map_or(ends, |lease_end| lease_end.min(ends));
+            let _timed_out = timeout_at(wakes, changed).await.is_err();
         }
     }
 
--- a/crates/lab/src/metadata_store/state.rs
+++ b/crates/lab/src/metadata_store/state.rs
@@ -127,6 +127,11 @@
         self.leases.remove(&lease).is_some()
     }
 
+    /// Returns when the next lease ends.
+    pub fn next_lease_end(&self) -> Option<Instant> {
+        self.leases.values().map(|(_, end)| *end).min()
+    }
+
     fn expire(&mut self) {
         let now = Instant::now();
         let ended = self.leases.iter().filter(|(_, (_, end))| *end <= now);
--- a/crates/lab/tests/on_platform/main.rs
+++ b/crates/lab/tests/on_platform/main.rs
@@ -5,4 +5,5 @@
 mod requests;
 mod rollout;
 mod site;
+mod stand_ins;
 mod stops;
