Do not take a version that is learned late for a young one

Callers: as before, requests on weights replaced for longer than the limit.

Cause: a node that was suspended, or without contact, while a version was published counted the whole limit from the moment that it learned of it; it could even write the grace record a second time after its end, for nodes that start later.

Evidence: rollout::suspended_node_does_not_use_expired_weights (limit 6 s, node suspended for 3 s across the publication): before, 200 from the older weights after the limit; after, 503. Ruled out: clocks, the node counts suspended time.

Change: the store's task tracks its own runs and the responses of the store. A version that it learns of after a gap, or from a peer, is discovered and not observed: its grace record tells its age, and only observers write one. The end of a record counts before a later record of the same version. The view carries for each target whether it was observed, and the target before, so that no task has to guess either.

--- a/crates/gateway/src/cluster_view/builder.rs
+++ b/crates/gateway/src/cluster_view/builder.rs
@@ -17,6 +17,7 @@
 use super::Member;
 use super::ROLLOUT_LEADER_KEY;
 use super::RolloutLeader;
+use super::TargetVersion;
 use crate::store_sync::StoreMirror;
 use redwingrill_routing::Configuration;
 use redwingrill_routing::ItemCodec;
@@ -35,7 +36,7 @@
     // Upstreams that are no longer listed and are retained until the given time.
     retained: HashMap<String, (Arc<Upstream>, u64)>,
     version_items: HashMap<String, (Revision, Option<(String, WeightsVersion)>)>,
-    target_versions: HashMap<String, WeightsVersion>,
+    target_versions: HashMap<String, TargetVersion>,
     retention: Retention,
 }
 
@@ -82,15 +83,18 @@
         self.retained.values().map(|(_, until_ms)| *until_ms).min()
     }
 
-    /// Builds the view.
-    pub fn build(&mut self, mirror: &StoreMirror, now_ms: u64) -> ClusterView {
+    /// Builds the view; `is_recent` states whether the changes since the last one happened just
+    /// now.
+    pub fn build(&mut self, mirror: &StoreMirror, is_recent: bool, now_ms: u64) -> ClusterView {
         let codec = self.codec.clone();
         let mut view = ClusterView { complete_to: mirror.complete_to(), ..ClusterView::default() };
         let mut listed = HashMap::new();
         for (key, revision, value) in mirror.items() {
             match codec.kind_of(key) {
                 ItemKind::Configuration => self.read_configuration(revision, value),
-                ItemKind::TargetVersion => self.update_target_version(key, revision, value),
+                ItemKind::TargetVersion => {
+                    self.update_target_version(key, revision, value, is_recent)
+                }
                 ItemKind::Upstream(id) => {
                     let upstream = self.read_upstream(id, revision, value);
                     listed.insert(id.to_owned(), (revision, upstream));
@@ -195,7 +199,13 @@
         }
     }
 
-    fn update_target_version(&mut self, key: &str, revision: Revision, value: &[u8]) {
+    fn update_target_version(
+        &mut self,
+        key: &str,
+        revision: Revision,
+        value: &[u8],
+        is_recent: bool,
+    ) {
         if self.version_items.get(key).is_some_and(|(known, _)| *known == revision) {
             return;
         }
@@ -208,12 +218,13 @@
         };
         if let Some((model, version)) = &target {
             let known = self.target_versions.entry(model.clone()).or_default();
-            if *known < *version {
+            if known.version < *version {
                 info!(
-                    "event=version_named model={model} version={} revision={}",
+                    "event=version_named model={model} version={} revision={} observed={is_recent}",
                     version.0, revision.0
                 );
-                *known = *version;
+                let previous = known.version;
+                *known = TargetVersion { version: *version, previous, is_observed: is_recent };
             }
         }
         self.version_items.insert(key.to_owned(), (revision, target));
--- a/crates/gateway/src/cluster_view/mod.rs
+++ b/crates/gateway/src/cluster_view/mod.rs
@@ -22,6 +22,18 @@
 pub use node_items::ROLLOUT_LEADER_KEY;
 pub use node_items::RolloutLeader;
 
+/// The target version of a model's weights.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub struct TargetVersion {
+    /// The version.
+    pub version: WeightsVersion,
+    /// The target version before, as far as this node knows.
+    pub previous: WeightsVersion,
+    /// Whether this node learned of the version as it was published. Otherwise the version was
+    /// published at some time before: the node has just started, or had no contact.
+    pub is_observed: bool,
+}
+
 /// The configuration, upstreams and nodes that this node knows of.
 #[derive(Clone, Debug, Default)]
 pub struct ClusterView {
@@ -32,7 +44,7 @@
     /// The live upstreams, and those that are retained for a while, sorted by identity.
     pub upstreams: Vec<Arc<Upstream>>,
     /// The target weights version of each model.
-    pub target_versions: HashMap<String, WeightsVersion>,
+    pub target_versions: HashMap<String, TargetVersion>,
     /// The grace records of each model's target versions.
     pub grace_records: HashMap<String, Vec<GraceRecord>>,
     /// The nodes, sorted by name.
@@ -42,11 +54,6 @@
 }
 
 impl ClusterView {
-    /// Returns whether the items of the store have been read.
-    pub fn is_loaded(&self) -> bool {
-        self.complete_to > Revision(0)
-    }
-
     /// Returns the rank of a node among the members, by name.
     pub fn rank_of(&self, node: &str) -> usize {
         self.members.iter().filter(|member| member.name.as_str() < node).count()
@@ -67,13 +74,14 @@
     pub fn outdated_engines(&self, model: &str) -> usize {
         let Some(target) = self.target_versions.get(model) else { return 0 };
         let ready = self.upstreams.iter().filter(|u| u.state == UpstreamState::Ready);
-        ready.filter(|u| u.version_of(model).is_some_and(|version| version < *target)).count()
+        let versions = ready.filter_map(|upstream| upstream.version_of(model));
+        versions.filter(|version| *version < target.version).count()
     }
 
     /// Returns whether an engine has older weights than the target version.
     pub fn needs_target_version(&self, upstream: &Upstream) -> bool {
         upstream.models.iter().any(|(model, version)| {
-            self.target_versions.get(model).is_some_and(|target| version < target)
+            self.target_versions.get(model).is_some_and(|target| *version < target.version)
         })
     }
 }
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -46,8 +46,6 @@
     // Identifies this run of the node in digests.
     node_incarnation: u64,
     model_logged_ms: u64,
-    // Whether a view with the items of the store was applied.
-    has_view: bool,
 }
 
 impl DispatchTask {
@@ -67,7 +65,6 @@
             queue: WaitQueue::default(),
             node_incarnation: rand::random(),
             model_logged_ms: now_ms(),
-            has_view: false,
         };
         (Dispatcher::new(sender), task)
     }
@@ -106,24 +103,24 @@
         self.scheduler.set_upstreams(view.upstreams.clone(), now_ms);
         self.scheduler.set_loading(view.loading());
         self.scheduler.set_members(view.members.len());
-        for (model, version) in &view.target_versions {
-            let is_new = match self.has_view {
-                true => self.scheduler.set_target_version(model, *version, now_ms),
-                false => self.scheduler.find_target_version(model, *version, now_ms),
+        for (model, target) in &view.target_versions {
+            let version = target.version;
+            let is_new = match target.is_observed {
+                true => self.scheduler.observe_target_version(model, version, now_ms),
+                false => self.scheduler.discover_target_version(model, version, now_ms),
             };
             let records = view.grace_records.get(model).map_or(&[][..], Vec::as_slice);
             self.scheduler.set_grace_records(model, records, now_ms);
             if is_new {
                 info!(
-                    "event=weights_superseded model={model} version={} published={} records={}",
+                    "event=weights_superseded model={model} version={} observed={} records={}",
                     version.0,
-                    if self.has_view { "now" } else { "before_start" },
+                    target.is_observed,
                     records.len(),
                 );
             }
             self.metrics.outdated_engines(model, view.outdated_engines(model));
         }
-        self.has_view |= view.is_loaded();
         if let Some(configuration) = &view.configuration {
             let cache_store = configuration.cache_store().map(|store| store.address);
             self.scheduler.set_cache_store(cache_store);
--- a/crates/gateway/src/rollout/grace_task.rs
+++ b/crates/gateway/src/rollout/grace_task.rs
@@ -37,8 +37,8 @@
     key_prefix: String,
     view: watch::Receiver<Arc<ClusterView>>,
     recorder: GraceRecorder,
-    // The target versions of the last view; `None` before the first complete view.
-    targets: Option<HashMap<String, WeightsVersion>>,
+    // The target versions of the last view.
+    known_versions: HashMap<String, WeightsVersion>,
 }
 
 impl<S: SharedStore> GraceTask<S> {
@@ -56,7 +56,7 @@
             key_prefix: codec.own_key(GRACE_PREFIX),
             view,
             recorder: GraceRecorder::new(limit.as_millis() as u64),
-            targets: None,
+            known_versions: HashMap::new(),
         }
     }
 
@@ -82,20 +82,18 @@
     }
 
     fn observe(&mut self, view: &ClusterView) {
-        if !view.is_loaded() {
-            return;
-        }
-        if let Some(targets) = &self.targets {
-            for (model, version) in &view.target_versions {
-                let previous = targets.get(model).copied().unwrap_or_default();
-                if previous < *version {
-                    self.recorder.observe(model, previous, *version, now_ms());
+        for (model, target) in &view.target_versions {
+            let known = self.known_versions.entry(model.clone()).or_default();
+            if *known < target.version {
+                *known = target.version;
+                // A node that learned of the version late cannot tell how old it is.
+                if target.is_observed {
+                    self.recorder.observe(model, target.previous, target.version, now_ms());
                 }
             }
         }
-        self.targets = Some(view.target_versions.clone());
         for (model, records) in &view.grace_records {
-            records.iter().for_each(|record| self.recorder.record_exists(model, record.version));
+            records.iter().for_each(|record| self.recorder.remove(model, record.version));
         }
     }
 
@@ -107,16 +105,16 @@
                     "event=grace_recorded model={model} version={} lease_ms={}",
                     version.0, pending.lease_ms
                 );
-                self.recorder.record_exists(model, version);
+                self.recorder.remove(model, version);
             }
-            Ok(WriteOutcome::Conflict(_)) => self.recorder.record_exists(model, version),
+            Ok(WriteOutcome::Conflict(_)) => self.recorder.remove(model, version),
             Ok(WriteOutcome::NoLease) => {
                 warn!("event=grace_record_failed model={model} reason=lease_ended");
-                self.recorder.record_failed(model, version, now_ms());
+                self.recorder.delay(model, version, now_ms());
             }
             Err(error) => {
                 warn!("event=grace_record_failed model={model} reason={:?}", error.to_string());
-                self.recorder.record_failed(model, version, now_ms());
+                self.recorder.delay(model, version, now_ms());
             }
         }
     }
--- a/crates/gateway/src/rollout/task.rs
+++ b/crates/gateway/src/rollout/task.rs
@@ -220,7 +220,7 @@
             return;
         }
         for (model, target) in &view.target_versions {
-            self.load(view, model, *target).await;
+            self.load(view, model, target.version).await;
         }
     }
 
@@ -347,7 +347,7 @@
 
     fn has_work(&self, view: &ClusterView) -> bool {
         view.target_versions.iter().any(|(model, target)| {
-            engines_of(view, model).iter().any(|(_, loaded)| loaded < target)
+            engines_of(view, model).iter().any(|(_, loaded)| *loaded < target.version)
         })
     }
 
--- a/crates/gateway/src/store_sync/mod.rs
+++ b/crates/gateway/src/store_sync/mod.rs
@@ -4,10 +4,12 @@
 //! and the others poll these watchers. While the store is unavailable, a node polls its peers.
 //! Invariant: an item never goes back to an older revision, whatever the source of an update.
 
+mod continuity;
 mod mirror;
 mod source;
 mod task;
 
+pub use continuity::Continuity;
 pub use mirror::MirrorEntry;
 pub use mirror::MirrorUpdate;
 pub use mirror::StoreMirror;
--- a/crates/gateway/src/store_sync/task.rs
+++ b/crates/gateway/src/store_sync/task.rs
@@ -16,6 +16,7 @@
 use tokio::time::sleep_until;
 use tokio_util::sync::CancellationToken;
 
+use super::Continuity;
 use super::MirrorUpdate;
 use super::Source;
 use super::SourceSelector;
@@ -49,6 +50,9 @@
 /// than a change takes through the watchers.
 const PEER_LEAD_DELAY: Duration = Duration::from_millis(250);
 
+/// How often the task runs at least, so that a suspension shows.
+const RUN_PERIOD: Duration = Duration::from_millis(250);
+
 /// The number of revisions of peers that wait to be compared.
 const PEER_REVISIONS_QUEUE_LEN: usize = 64;
 
@@ -133,6 +137,7 @@
     // The last peer that was ahead of this node.
     peer_ahead: Option<PeerRevision>,
     returning_until_ms: u64,
+    continuity: Continuity,
     metrics: Metrics,
     contact: StoreContact,
 }
@@ -175,6 +180,7 @@
             peer_revisions,
             peer_ahead: None,
             returning_until_ms: 0,
+            continuity: Continuity::default(),
             metrics,
             contact: StoreContact::Never,
         };
@@ -209,14 +215,16 @@
                 Ok(Fetched::Listing(listing)) => {
                     must_list = false;
                     self.contact_restored();
+                    let is_recent = self.continuity.record_contact(now_ms());
                     self.mirror.apply_listing(listing);
-                    self.publish();
+                    self.publish(is_recent);
                 }
                 Ok(Fetched::Batch(batch)) => {
                     self.contact_restored();
+                    let is_recent = self.continuity.record_contact(now_ms());
                     let changed = self.mirror.apply_batch(batch.changes, batch.complete_to);
                     if changed {
-                        self.publish();
+                        self.publish(is_recent);
                         self.serve_while(sleep(BATCH_DELAY), &stopping).await;
                     }
                 }
@@ -259,8 +267,9 @@
         if let StoreStatus::Returning { remaining_ms } = response.store {
             self.set_returning(now_ms() + remaining_ms);
         }
+        let is_recent = self.continuity.record_contact(now_ms());
         if self.mirror.apply_update(response.update) {
-            self.publish();
+            self.publish(is_recent);
             self.serve_while(sleep(BATCH_DELAY), stopping).await;
         }
     }
@@ -275,6 +284,7 @@
     ) -> Option<T> {
         tokio::pin!(operation);
         loop {
+            self.continuity.record_run(now_ms());
             let retention_end_ms = self.builder.next_retention_end_ms();
             let retain_ms = retention_end_ms.map(|end_ms| end_ms.saturating_sub(now_ms()).max(1));
             let mut peer_request = self.next_peer_request();
@@ -298,8 +308,9 @@
                 () = sleep(Duration::from_millis(retain_ms.unwrap_or(0))),
                     if retain_ms.is_some() =>
                 {
-                    self.publish();
+                    self.publish(false);
                 }
+                () = sleep(RUN_PERIOD) => {}
                 response = peer_response(&mut peer_request) => {
                     peer_request = None;
                     if let Some(response) = response {
@@ -395,7 +406,8 @@
         }
         info!("event=news_from_peer from={from} to={to} changes={}", update.entries.len());
         if self.mirror.apply_update(update) {
-            self.publish();
+            // The peer itself may have learned of the changes late.
+            self.publish(false);
         }
     }
 
@@ -425,8 +437,9 @@
         }
     }
 
-    fn publish(&mut self) {
-        let view = Arc::new(self.builder.build(&self.mirror, now_ms()));
+    /// Publishes the view; `is_recent` states whether its changes happened just now.
+    fn publish(&mut self, is_recent: bool) {
+        let view = Arc::new(self.builder.build(&self.mirror, is_recent, now_ms()));
         self.metrics.view_revision(view.complete_to.0);
         self.view.send_replace(view);
         self.respond_all();
--- a/crates/lab/tests/on_platform/rollout.rs
+++ b/crates/lab/tests/on_platform/rollout.rs
@@ -5,7 +5,9 @@
 
 use http::StatusCode;
 use serde_json::json;
+use tokio::runtime::Builder;
 use tokio::runtime::Runtime;
+use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 use crate::site::Call;
@@ -188,3 +190,50 @@
     assert_eq!(fences.len(), 2, "the second process has a fencing number of its own: {fences:?}");
     node.node.drain().await.finish().await;
 }
+
+/// A suspended node learns late of a version, which is then no younger than it is to the others.
+#[tokio::test]
+async fn suspended_node_does_not_use_expired_weights() {
+    const LIMIT: Duration = Duration::from_secs(6);
+    const SUSPENDED: Duration = Duration::from_secs(3);
+    let mut site = Site::start(2, 0).await;
+    site.stale_version_limit = LIMIT;
+    let leader = json!({"name": "n0", "tenure": 1, "loading": []});
+    site.store.state.put("redwingrill/rollout/holder", leader.to_string());
+    let site = Arc::new(site);
+    let running = site.node("n1").await;
+    // All tasks of the other node share one thread, so a sleep there suspends the node.
+    let (suspend, suspended) = oneshot::channel();
+    let (ready, is_ready) = oneshot::channel();
+    let (end, ended) = oneshot::channel::<()>();
+    let thread = std::thread::spawn({
+        let site = site.clone();
+        move || {
+            let runtime = Builder::new_current_thread().enable_all().build();
+            runtime.expect("a runtime").block_on(async move {
+                let node = site.node("n2").await;
+                ready.send(node.callers).expect("the test waits");
+                suspended.await.expect("the test runs");
+                std::thread::sleep(SUSPENDED);
+                ended.await.expect("the test runs");
+                node.node.drain().await.finish().await;
+            });
+        }
+    });
+    let callers = is_ready.await.expect("the node starts");
+    suspend.send(()).expect("the node runs");
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    name_version(&site, 2);
+    let published = Instant::now();
+    tokio::time::sleep_until(published + SUSPENDED).await;
+    let call = Call::new("draft", "r1");
+    let answer = Site::ask_at(&site.pool, callers, &call).await.expect("the node answers");
+    assert_eq!(answer.status, StatusCode::OK, "older weights can still be used");
+    tokio::time::sleep_until(published + LIMIT).await;
+    let call = Call::new("draft", "r2");
+    let answer = Site::ask_at(&site.pool, callers, &call).await.expect("the node answers");
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    end.send(()).expect("the node runs");
+    tokio::task::spawn_blocking(|| thread.join()).await.expect("no panic").expect("no panic");
+    running.node.drain().await.finish().await;
+}
--- a/crates/scheduling/examples/choice.rs
+++ b/crates/scheduling/examples/choice.rs
@@ -74,7 +74,7 @@
         };
         let mut scheduler = Scheduler::new(options);
         scheduler.set_upstreams(engines(count), 0);
-        scheduler.set_target_version("m", WeightsVersion(1), 0);
+        scheduler.observe_target_version("m", WeightsVersion(1), 0);
         let mut took = Vec::with_capacity(CHOICES);
         for number in 0..CHOICES {
             let now_ms = number as u64 * 5;
--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -233,7 +233,7 @@
     }
 
     /// Returns how long the weights of an engine may still be used, in milliseconds; `None` if no
-    /// newer version supersedes them.
+    /// newer version supersedes them. An upper bound if the age of the newer version is not known.
     pub fn usable_ms(&self, model: &str, version: WeightsVersion, now_ms: u64) -> Option<u64> {
         let history = self.target_versions.get(model)?;
         let expiry_ms = history.expiry_ms(version, self.options.version_limit_ms)?;
@@ -287,7 +287,7 @@
 
     /// Records a target version of a model's weights that is published now. Returns whether it is
     /// new to this node.
-    pub fn set_target_version(
+    pub fn observe_target_version(
         &mut self,
         model: &str,
         version: WeightsVersion,
@@ -296,15 +296,15 @@
         self.version_history(model).observe(version, now_ms)
     }
 
-    /// Records a target version that was published before the node started. Returns whether it is
+    /// Records a target version that was published at some time before now. Returns whether it is
     /// new to this node.
-    pub fn find_target_version(
+    pub fn discover_target_version(
         &mut self,
         model: &str,
         version: WeightsVersion,
         now_ms: u64,
     ) -> bool {
-        self.version_history(model).find(version, now_ms)
+        self.version_history(model).discover(version, now_ms)
     }
 
     /// Replaces the grace records of a model's target versions.
--- a/crates/scheduling/src/weights/history.rs
+++ b/crates/scheduling/src/weights/history.rs
@@ -1,6 +1,6 @@
 //! The target versions of a model and when each was published.
 
-use super::record_ms;
+use super::record_lease_ms;
 use redwingrill_routing::WeightsVersion;
 
 /// The maximum number of versions and of ended records kept per model.
@@ -26,8 +26,8 @@
 #[derive(Clone, Copy, Debug)]
 enum Publication {
     Observed { at_ms: u64 },
-    // The version was there when the node started.
-    Found { at_ms: u64 },
+    // The version was published at some time before.
+    Discovered { at_ms: u64 },
 }
 
 /// The target versions of a model, in increasing order.
@@ -50,10 +50,10 @@
         self.add(version, Publication::Observed { at_ms: now_ms })
     }
 
-    /// Records a version that was published before the node started. Returns whether it is newer
+    /// Records a version that was published at some time before now. Returns whether it is newer
     /// than the others.
-    pub fn find(&mut self, version: WeightsVersion, now_ms: u64) -> bool {
-        self.add(version, Publication::Found { at_ms: now_ms })
+    pub fn discover(&mut self, version: WeightsVersion, now_ms: u64) -> bool {
+        self.add(version, Publication::Discovered { at_ms: now_ms })
     }
 
     /// Replaces the grace records that exist in the store.
@@ -68,23 +68,33 @@
     }
 
     /// Returns when a version of the weights expires, if it may be used for `limit_ms` after a
-    /// newer one was published; `None` if it is not superseded.
+    /// newer one was published; `None` if it is not superseded. While the age of the newer version
+    /// is not known, this is the latest possible time, and the end of the grace record corrects
+    /// it.
     pub fn expiry_ms(&self, weights: WeightsVersion, limit_ms: u64) -> Option<u64> {
         let (_, publication) = self.targets.iter().find(|(target, _)| *target > weights)?;
         Some(match *publication {
             Publication::Observed { at_ms } => at_ms + limit_ms,
-            Publication::Found { at_ms } => self.expiry_of_found_ms(weights, at_ms, limit_ms),
+            Publication::Discovered { at_ms } => {
+                self.expiry_of_discovered_ms(weights, at_ms, limit_ms)
+            }
         })
     }
 
-    fn expiry_of_found_ms(&self, weights: WeightsVersion, found_ms: u64, limit_ms: u64) -> u64 {
-        let latest_ms = found_ms + limit_ms;
-        if self.records.iter().any(|record| record.covers(weights)) {
-            return latest_ms;
+    fn expiry_of_discovered_ms(
+        &self,
+        weights: WeightsVersion,
+        discovered_ms: u64,
+        limit_ms: u64,
+    ) -> u64 {
+        let latest_ms = discovered_ms + limit_ms;
+        if let Some((_, ended_ms)) = self.ended_records.iter().find(|(r, _)| r.covers(weights)) {
+            return latest_ms.min(ended_ms + limit_ms - record_lease_ms(limit_ms));
+        }
+        match self.records.iter().any(|record| record.covers(weights)) {
+            true => latest_ms,
+            false => discovered_ms,
         }
-        let ended = self.ended_records.iter().find(|(record, _)| record.covers(weights));
-        let rest_ms = limit_ms - record_ms(limit_ms);
-        ended.map_or(found_ms, |(_, ended_ms)| latest_ms.min(ended_ms + rest_ms))
     }
 
     fn add(&mut self, version: WeightsVersion, publication: Publication) -> bool {
--- a/crates/scheduling/src/weights/recorder.rs
+++ b/crates/scheduling/src/weights/recorder.rs
@@ -3,7 +3,7 @@
 //! Nodes take turns by rank, so that one of them writes the record unless it fails.
 
 use super::GraceRecord;
-use super::record_ms;
+use super::record_lease_ms;
 use redwingrill_routing::WeightsVersion;
 
 /// The delay between the turns of nodes with consecutive ranks.
@@ -57,13 +57,13 @@
         self.unrecorded.push(Unrecorded { model, record, published_ms, paused_until_ms });
     }
 
-    /// Removes the version of a record that exists.
-    pub fn record_exists(&mut self, model: &str, version: WeightsVersion) {
+    /// Removes a version, whose record exists.
+    pub fn remove(&mut self, model: &str, version: WeightsVersion) {
         self.unrecorded.retain(|entry| entry.model != model || entry.record.version != version);
     }
 
     /// Delays the next write of a record after a failure.
-    pub fn record_failed(&mut self, model: &str, version: WeightsVersion, now_ms: u64) {
+    pub fn delay(&mut self, model: &str, version: WeightsVersion, now_ms: u64) {
         let failed = self.unrecorded.iter_mut();
         failed
             .filter(|entry| entry.model == model && entry.record.version == version)
@@ -77,8 +77,8 @@
 
     /// Returns the next record to write, for a node with this position in the order of turns.
     pub fn next(&mut self, rank: usize, now_ms: u64) -> Option<PendingRecord> {
-        let record_ms = record_ms(self.limit_ms);
-        self.unrecorded.retain(|entry| now_ms < entry.published_ms + record_ms);
+        let lease_ms = record_lease_ms(self.limit_ms);
+        self.unrecorded.retain(|entry| now_ms < entry.published_ms + lease_ms);
         let turn_ms = rank as u64 * TURN_MS;
         let mut due = self.unrecorded.iter().filter(|entry| {
             now_ms >= entry.published_ms + turn_ms && now_ms >= entry.paused_until_ms
@@ -86,7 +86,7 @@
         due.next().map(|entry| PendingRecord {
             model: entry.model.clone(),
             record: entry.record,
-            lease_ms: (entry.published_ms + record_ms).saturating_sub(now_ms),
+            lease_ms: (entry.published_ms + lease_ms).saturating_sub(now_ms),
         })
     }
 }
--- a/crates/scheduling/tests/engine_sheets.rs
+++ b/crates/scheduling/tests/engine_sheets.rs
@@ -187,7 +187,7 @@
         let nodes = (0..NODES).map(|node| {
             let mut scheduler = scheduler(seed + node as u64);
             scheduler.set_upstreams(listed.clone(), 0);
-            scheduler.set_target_version(MODEL, WeightsVersion(1), 0);
+            scheduler.observe_target_version(MODEL, WeightsVersion(1), 0);
             scheduler.set_members(NODES);
             scheduler.set_cache_store(Some(([10, 1, 0, 1], 80).into()));
             scheduler.set_cache_store_epoch(Some(1));
--- a/crates/scheduling/tests/load_simulation.rs
+++ b/crates/scheduling/tests/load_simulation.rs
@@ -98,7 +98,7 @@
         let nodes = (0..NODES).map(|seed| {
             let mut scheduler = scheduler(seed as u64);
             scheduler.set_upstreams(listed.clone(), 0);
-            scheduler.set_target_version(MODEL, WeightsVersion(1), 0);
+            scheduler.observe_target_version(MODEL, WeightsVersion(1), 0);
             scheduler.set_members(NODES);
             scheduler.set_cache_store(Some(std::net::SocketAddr::from(([10, 1, 0, 1], 80))));
             scheduler.set_cache_store_epoch(Some(1));
--- a/crates/scheduling/tests/thundering_herd.rs
+++ b/crates/scheduling/tests/thundering_herd.rs
@@ -81,7 +81,7 @@
         let nodes = (0..NODES).map(|seed| {
             let mut scheduler = scheduler(seed as u64);
             scheduler.set_upstreams(fleet(ENGINES, 0), 0);
-            scheduler.set_target_version(MODEL, WeightsVersion(1), 0);
+            scheduler.observe_target_version(MODEL, WeightsVersion(1), 0);
             scheduler.set_members(NODES);
             scheduler
         });
@@ -205,7 +205,7 @@
     const MAX_UPDATED: u64 = 60;
     if now_ms == TARGET_SET_MS {
         for node in nodes.iter_mut() {
-            node.set_target_version(MODEL, WeightsVersion(2), now_ms);
+            node.observe_target_version(MODEL, WeightsVersion(2), now_ms);
         }
     }
     if now_ms >= FIRST_MS && (now_ms - FIRST_MS).is_multiple_of(INTERVAL_MS) {
--- a/crates/scheduling/tests/weights_rollout.rs
+++ b/crates/scheduling/tests/weights_rollout.rs
@@ -21,7 +21,7 @@
 use redwingrill_scheduling::scheduler::Choice;
 use redwingrill_scheduling::weights::GraceRecord;
 use redwingrill_scheduling::weights::GraceRecorder;
-use redwingrill_scheduling::weights::record_ms;
+use redwingrill_scheduling::weights::record_lease_ms;
 
 /// The clock at the start of the node, in milliseconds.
 const START_MS: u64 = 100_000;
@@ -73,7 +73,7 @@
         let mut scheduler = scheduler(1);
         scheduler.set_upstreams(vec![engine("e", 1)], START_MS);
         for (version, at_ms) in case.targets {
-            scheduler.set_target_version(MODEL, WeightsVersion(*version), START_MS + at_ms);
+            scheduler.observe_target_version(MODEL, WeightsVersion(*version), START_MS + at_ms);
         }
         let now_ms = START_MS + case.at_ms;
         let choice = scheduler.choose(&request(Some(short_prompt(1)), now_ms), now_ms);
@@ -90,7 +90,7 @@
 }
 
 #[test]
-fn target_found_at_the_start_is_as_old_as_its_grace_record_says() {
+fn target_learned_late_is_as_old_as_its_grace_record_says() {
     let cases = [
         FoundCase { name: "no record", record_ms: None, at_ms: 100, is_sent: false },
         FoundCase { name: "no record, later", record_ms: None, at_ms: 9_000, is_sent: false },
@@ -124,7 +124,7 @@
     for case in cases {
         let mut scheduler = scheduler(1);
         scheduler.set_upstreams(vec![engine("e", 1)], START_MS);
-        assert!(scheduler.find_target_version(MODEL, WeightsVersion(2), START_MS));
+        assert!(scheduler.discover_target_version(MODEL, WeightsVersion(2), START_MS));
         for at_ms in (0..=case.at_ms).step_by(100) {
             let is_listed = case.record_ms.is_some_and(|(from, to)| (from..to).contains(&at_ms));
             let records = if is_listed { &[record][..] } else { &[] };
@@ -136,11 +136,25 @@
     }
 }
 
+#[test]
+fn second_grace_record_of_a_version_does_not_revive_its_predecessors() {
+    let mut scheduler = scheduler(1);
+    scheduler.set_upstreams(vec![engine("e", 1)], START_MS);
+    scheduler.discover_target_version(MODEL, WeightsVersion(2), START_MS);
+    let record = GraceRecord { previous: WeightsVersion(1), version: WeightsVersion(2) };
+    for (at_ms, records) in [(0, &[record][..]), (1_000, &[]), (2_000, &[record])] {
+        scheduler.set_grace_records(MODEL, records, START_MS + at_ms);
+    }
+    let now_ms = START_MS + 6_000;
+    let choice = scheduler.choose(&request(Some(short_prompt(1)), now_ms), now_ms);
+    assert!(!matches!(choice, Choice::Send(_)));
+}
+
 #[test]
 fn grace_record_of_a_later_target_does_not_revive_older_weights() {
     let mut scheduler = scheduler(1);
     scheduler.set_upstreams(vec![engine("e", 1)], START_MS);
-    scheduler.find_target_version(MODEL, WeightsVersion(3), START_MS);
+    scheduler.discover_target_version(MODEL, WeightsVersion(3), START_MS);
     let record = GraceRecord { previous: WeightsVersion(2), version: WeightsVersion(3) };
     scheduler.set_grace_records(MODEL, &[record], START_MS);
     let choice = scheduler.choose(&request(Some(short_prompt(1)), START_MS), START_MS);
@@ -154,14 +168,14 @@
     /// A node that is killed and started at any times never uses weights past the limit.
     fn restarts_never_extend_the_use_of_older_weights(starts_ms: Vec<u16>, sent_after_ms: u16) -> bool {
         let record = GraceRecord { previous: WeightsVersion(1), version: WeightsVersion(2) };
-        let recorded_ms = record_ms(VERSION_LIMIT_MS);
+        let recorded_ms = record_lease_ms(VERSION_LIMIT_MS);
         starts_ms.iter().all(|start_ms| {
             // The version is published at START_MS, and the lease of its record begins then.
             let start_ms = u64::from(*start_ms);
             let sent_ms = start_ms + u64::from(sent_after_ms);
             let mut scheduler = scheduler(1);
             scheduler.set_upstreams(vec![engine("e", 1)], START_MS + start_ms);
-            scheduler.find_target_version(MODEL, WeightsVersion(2), START_MS + start_ms);
+            scheduler.discover_target_version(MODEL, WeightsVersion(2), START_MS + start_ms);
             for at_ms in (start_ms..=sent_ms).step_by(50) {
                 let records = if at_ms < recorded_ms { &[record][..] } else { &[] };
                 scheduler.set_grace_records(MODEL, records, START_MS + at_ms);
@@ -182,15 +196,15 @@
     assert_eq!(recorder.next(2, START_MS + 700), None);
     let pending = recorder.next(2, START_MS + 800).expect("it is the node's turn");
     assert_eq!(pending.record.previous, WeightsVersion(1));
-    assert_eq!(pending.lease_ms, record_ms(LIMIT_MS) - 800);
-    recorder.record_failed(MODEL, WeightsVersion(2), START_MS + 800);
+    assert_eq!(pending.lease_ms, record_lease_ms(LIMIT_MS) - 800);
+    recorder.delay(MODEL, WeightsVersion(2), START_MS + 800);
     assert_eq!(recorder.next(2, START_MS + 900), None);
     assert!(recorder.next(2, START_MS + 1_300).is_some());
-    recorder.record_exists(MODEL, WeightsVersion(2));
+    recorder.remove(MODEL, WeightsVersion(2));
     assert!(!recorder.has_work());
     // A record that would be as old as its lease is not written.
     recorder.observe(MODEL, WeightsVersion(2), WeightsVersion(3), START_MS);
-    assert_eq!(recorder.next(0, START_MS + record_ms(LIMIT_MS)), None);
+    assert_eq!(recorder.next(0, START_MS + record_lease_ms(LIMIT_MS)), None);
     assert!(!recorder.has_work());
 }
 
