Keep the removal of a key that the mirror does not know

A removed engine, member, leader or grace record could come back into a node's view until its next full listing.

Cause: a peer's update may hold only the removal of a key (revision 150) whose creation (100) is still in the response of a watch. The mirror dropped the removal of an unknown key but advanced to the update's revision, and then took the creation.

Evidence: key_whose_removal_came_first_is_not_revived, before: a@100 exists after its removal at 150; after: passes. Ruled out: the order within one source.

Change: the mirror keeps the removal, within the limit of removed keys that it has.

--- a/crates/gateway/src/store_sync/mirror.rs
+++ b/crates/gateway/src/store_sync/mirror.rs
@@ -132,17 +132,16 @@
         if known.is_some_and(|known| known.value.is_none()) {
             self.removed -= 1;
         }
+        // The removal of an unknown key is kept, since an older change of it may come later.
+        let has_changed = known.is_some() || value.is_some();
         if value.is_none() {
-            if known.is_none() {
-                return false;
-            }
             self.removed += 1;
         }
         self.entries.insert(key, MirrorEntry { revision, value });
         if self.removed > REMOVED_KEYS_LIMIT {
             self.evict_removed();
         }
-        true
+        has_changed
     }
 
     fn evict_removed(&mut self) {
--- a/crates/gateway/tests/store_mirror.rs
+++ b/crates/gateway/tests/store_mirror.rs
@@ -27,6 +27,23 @@
     keys
 }
 
+/// A peer's update may hold only the removal of a key whose creation is still on its way.
+#[test]
+fn key_whose_removal_came_first_is_not_revived() {
+    let mut peer = StoreMirror::default();
+    peer.apply_batch(vec![put("a", 100)], Revision(100));
+    peer.apply_batch(vec![removed("a", 150)], Revision(160));
+    let mut mirror = StoreMirror::default();
+    mirror.apply_batch(vec![put("b", 90)], Revision(90));
+    mirror.apply_update(peer.update_after(Revision(90)));
+    mirror.apply_batch(vec![put("a", 100)], Revision(120));
+    assert_eq!(keys(&mirror), [("b".to_owned(), 90)]);
+    // A node that gets its updates from this one learns of the removal, too.
+    let update = mirror.update_after(Revision(120));
+    assert!(update.entries.iter().any(|(key, _, value)| key == "a" && value.is_none()));
+    assert_eq!(mirror.verify(), Ok(()));
+}
+
 #[test]
 fn older_change_is_ignored() {
     let mut mirror = StoreMirror::default();
