Let a restarted leader keep the loads that are in progress

Callers: requests sent to engines that are loading (rejected and repeated), and loads that share the transfer and take longer.

Cause: the take-over wrote a record without engines and began with an empty plan, so the new process commanded as many engines again, and the nodes took the loading ones for free. A process that was killed once more before its first command even waited for a lease, since an empty record meant that none had been sent.

Evidence: restarted_leader_does_not_command_more_engines_than_may_load: before, 4 of 10 engines commanded where 2 may load; after, 2.

Change: the record taken over keeps its engines, and states whether its instance sends commands. The new process asks these engines and plans those that are busy as in progress. The lab's upstream reports that it is busy, rejects a second command meanwhile, and loads for a time that the test sets.

--- a/crates/gateway/src/cluster_view/node_items.rs
+++ b/crates/gateway/src/cluster_view/node_items.rs
@@ -43,6 +43,9 @@
     /// Distinguishes successive leaderships of the same node.
     #[serde(rename = "tenure")]
     pub leadership_id: u64,
+    /// Whether the instance has waited for its predecessor and sends commands.
+    #[serde(default)]
+    pub has_commanded: bool,
     /// The identities of the engines that are commanded to load new weights.
     pub loading: Vec<String>,
 }
--- a/crates/gateway/src/rollout/task.rs
+++ b/crates/gateway/src/rollout/task.rs
@@ -71,6 +71,8 @@
     renewed_ms: u64,
     paused_until_ms: u64,
     plans: HashMap<String, LoadPlan>,
+    // Engines that an earlier process of this instance commanded, not yet asked about it.
+    inherited: Vec<String>,
     codec: std::marker::PhantomData<D>,
 }
 
@@ -98,6 +100,7 @@
             renewed_ms: 0,
             paused_until_ms: 0,
             plans: HashMap::new(),
+            inherited: Vec::new(),
             codec: std::marker::PhantomData,
         }
     }
@@ -186,15 +189,19 @@
     ) -> Result<(), SharedStoreError> {
         let sent_ms = now_ms();
         self.leadership_id = self.leadership_id.wrapping_add(1);
-        let record = self.record(Vec::new());
+        let mut record = self.record(Vec::new());
+        if let Some((replaced, _)) = &replaced {
+            record.loading = replaced.loading.clone();
+            record.has_commanded = replaced.has_commanded;
+        }
         let revision = replaced.as_ref().map_or(Revision(0), |(_, revision)| *revision);
         match claim(&self.store, &self.key, &record, revision, self.options.lease).await? {
             Some(leader_key) => {
-                // A record names engines once its leader has sent commands.
-                match replaced.is_some_and(|(record, _)| !record.loading.is_empty()) {
+                match record.has_commanded {
                     true => self.leadership.taken_over(leader_key.fencing_number, sent_ms),
                     false => self.leadership.acquired(leader_key.fencing_number, sent_ms),
                 }
+                self.inherited = record.loading;
                 info!(
                     "event=rollout_waits fence={} commands_in_ms={}",
                     leader_key.fencing_number,
@@ -264,6 +271,7 @@
             }
         });
         let engines: Vec<EngineWeights> = engines.collect();
+        self.inherit_commands(&upstreams, model, target).await;
         let plan = self.plans.entry(model.to_owned()).or_default();
         let (next, loading) = plan.next(&engines, target, now_ms());
         if next.is_empty() || self.leadership.active_fencing_number(now_ms()).is_none() {
@@ -303,6 +311,29 @@
         }
     }
 
+    /// Adds the commands of an earlier process of this instance that engines still carry out.
+    async fn inherit_commands(
+        &mut self,
+        upstreams: &[(Arc<Upstream>, WeightsVersion)],
+        model: &str,
+        target: WeightsVersion,
+    ) {
+        let inherited = upstreams
+            .iter()
+            .filter(|(upstream, loaded)| *loaded < target && self.inherited.contains(&upstream.id));
+        let states = inherited.map(async |(upstream, _)| {
+            let state = self.control.command_state(upstream).await;
+            state.is_ok_and(|state| state.is_busy).then(|| upstream.id.clone())
+        });
+        let busy = join_all(states).await;
+        let plan = self.plans.entry(model.to_owned()).or_default();
+        for id in busy.into_iter().flatten() {
+            plan.record_result(&id, target, CommandResult::InProgress, now_ms());
+        }
+        let of_model = |id: &String| upstreams.iter().any(|(upstream, _)| upstream.id == *id);
+        self.inherited.retain(|id| !of_model(id));
+    }
+
     async fn send_command(
         &self,
         upstream: &Upstream,
@@ -310,8 +341,8 @@
         version: WeightsVersion,
     ) -> (String, CommandResult) {
         let id = upstream.id.clone();
-        let accepted = match self.control.accepted_commands(upstream).await {
-            Ok(accepted) => accepted,
+        let accepted = match self.control.command_state(upstream).await {
+            Ok(state) => state.accepted,
             Err(e) => {
                 info!("event=report_failed upstream={id} reason={:?}", e.to_string());
                 return (id, CommandResult::RetryLater);
@@ -370,6 +401,7 @@
             name: self.options.node.clone(),
             instance: self.options.instance,
             leadership_id: self.leadership_id,
+            has_commanded: !loading.is_empty(),
             loading,
         }
     }
--- a/crates/lab/src/site_upstream/http.rs
+++ b/crates/lab/src/site_upstream/http.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -36,7 +37,7 @@
 const EVENT_PAUSE: Duration = Duration::from_millis(10);
 const LONG_PAUSE: Duration = Duration::from_secs(5);
 
-/// How long new weights take.
+/// How long new weights take unless it is changed.
 const LOAD: Duration = Duration::from_millis(300);
 
 /// A running stand-in.
@@ -55,6 +56,8 @@
     seen: Mutex<Vec<SeenRequest>>,
     orders: Mutex<Vec<serde_json::Value>>,
     version: Mutex<u64>,
+    load: Mutex<Duration>,
+    is_loading: AtomicBool,
     open_streams: Arc<AtomicUsize>,
 }
 
@@ -73,6 +76,8 @@
             seen: Mutex::default(),
             orders: Mutex::default(),
             version: Mutex::new(1),
+            load: Mutex::new(LOAD),
+            is_loading: AtomicBool::new(false),
             open_streams: Arc::default(),
         });
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -117,6 +122,11 @@
         *self.shared.version.lock().expect("no holder panics")
     }
 
+    /// Sets how long new weights take.
+    pub fn set_load_time(&self, load: Duration) {
+        *self.shared.load.lock().expect("no holder panics") = load;
+    }
+
     /// Returns how many streams it is working on.
     pub fn open_streams(&self) -> usize {
         self.shared.open_streams.load(Ordering::SeqCst)
@@ -154,7 +164,8 @@
         let path = request.uri().path().to_owned();
         if path == "/-/report" {
             let orders = self.orders.lock().expect("no holder panics").len();
-            let report = json!({"stage": "colocated", "busy": false, "sequence": orders});
+            let busy = self.is_loading.load(Ordering::SeqCst);
+            let report = json!({"stage": "colocated", "busy": busy, "sequence": orders});
             return Ok(json_reply(StatusCode::OK, &report));
         }
         if path == "/-/order" {
@@ -182,9 +193,11 @@
         let accepted = {
             let mut orders = self.orders.lock().expect("no holder panics");
             let expected = order["expect"].as_u64();
-            let holds = expected.is_none_or(|expected| expected == orders.len() as u64);
+            let holds = expected.is_none_or(|expected| expected == orders.len() as u64)
+                && !self.is_loading.load(Ordering::SeqCst);
             if holds {
                 orders.push(order.clone());
+                self.is_loading.store(true, Ordering::SeqCst);
             }
             holds
         };
@@ -195,9 +208,11 @@
         let listed = self.store.get(&format!("servers/{}", self.id)).unwrap_or_default();
         let listed: serde_json::Value = serde_json::from_slice(&listed).unwrap_or_default();
         let address = listed["address"].as_str().and_then(|address| address.parse().ok());
+        let load = *self.load.lock().expect("no holder panics");
         tokio::spawn(async move {
-            tokio::time::sleep(LOAD).await;
+            tokio::time::sleep(load).await;
             *self.version.lock().expect("no holder panics") = version;
+            self.is_loading.store(false, Ordering::SeqCst);
             if let Some(address) = address {
                 self.list(address, "ready");
             }
--- a/crates/lab/tests/on_platform/rollout.rs
+++ b/crates/lab/tests/on_platform/rollout.rs
@@ -13,6 +13,7 @@
 use crate::site::Call;
 use crate::site::NodeAddresses;
 use crate::site::Site;
+use crate::site::SiteNode;
 use redwingrill_lab::metadata_store::StoreFault;
 use redwingrill_lab::site_upstream::Behaviour;
 
@@ -138,44 +139,68 @@
     site.stop(vec![restarted]).await;
 }
 
+/// A node whose process can be killed: it runs on a runtime of its own, whose end leaves its key as
+/// it is.
+struct KilledNode {
+    site: Arc<Site>,
+    addresses: NodeAddresses,
+    process: Runtime,
+}
+
+impl KilledNode {
+    fn start(site: &Arc<Site>) -> Self {
+        let (site, addresses) = (site.clone(), NodeAddresses::new());
+        let process = Runtime::new().expect("threads for a runtime");
+        process.spawn({
+            let site = site.clone();
+            async move {
+                let store = site.store.address();
+                let _node = site.start_node_at("n1", addresses, store, Vec::new()).await;
+                std::future::pending::<()>().await;
+            }
+        });
+        Self { site, addresses, process }
+    }
+
+    /// Kills the process and starts the node again.
+    async fn restart(self) -> SiteNode {
+        let Self { site, addresses, process } = self;
+        process.shutdown_background();
+        let store = site.store.address();
+        loop {
+            match site.start_node_at("n1", addresses, store, Vec::new()).await {
+                Ok(node) => return node,
+                Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+            }
+        }
+    }
+}
+
+fn orders(site: &Site) -> usize {
+    site.engines.iter().map(|engine| engine.orders().len()).sum()
+}
+
+async fn wait_for_orders(site: &Site, count: usize) {
+    let ends = Instant::now() + ALL_IN_TIME;
+    while orders(site) < count {
+        assert!(Instant::now() < ends, "fewer than {count} commands");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
 /// The instance of the killed process leads on: no other one may have led meanwhile.
 #[tokio::test]
 async fn restarted_leader_does_not_wait_for_its_own_lease() {
     let mut site = Site::start(8, 0).await;
     site.rollout_lease = Duration::from_secs(3);
-    let (lease, addresses) = (site.rollout_lease, NodeAddresses::new());
-    let site = Arc::new(site);
-    // The end of its runtime ends the first process without a release of its key.
-    let process = Runtime::new().expect("threads for a runtime");
-    process.spawn({
-        let site = site.clone();
-        async move {
-            let store = site.store.address();
-            let _node = site.start_node_at("n1", addresses, store, Vec::new()).await;
-            std::future::pending::<()>().await;
-        }
-    });
+    let (lease, site) = (site.rollout_lease, Arc::new(site));
+    let killed = KilledNode::start(&site);
     name_version(&site, 2);
-    let orders = |site: &Site| site.engines.iter().map(|engine| engine.orders().len()).sum();
-    let commanded = async |count: usize| {
-        let ends = Instant::now() + ALL_IN_TIME;
-        while orders(&site) < count {
-            assert!(Instant::now() < ends, "fewer than {count} commands");
-            tokio::time::sleep(Duration::from_millis(10)).await;
-        }
-    };
-    commanded(2).await;
-    process.shutdown_background();
-    let before: usize = orders(&site);
+    wait_for_orders(&site, 2).await;
+    let before = orders(&site);
     let restarted = Instant::now();
-    let store = site.store.address();
-    let node = loop {
-        match site.start_node_at("n1", addresses, store, Vec::new()).await {
-            Ok(node) => break node,
-            Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
-        }
-    };
-    commanded(before + 1).await;
+    let node = killed.restart().await;
+    wait_for_orders(&site, before + 1).await;
     let took = restarted.elapsed();
     assert!(took < lease, "{took:?}");
     wait_for_version(&site, 2).await;
@@ -191,6 +216,23 @@
     node.node.drain().await.finish().await;
 }
 
+/// Two of ten engines may load at once.
+#[tokio::test]
+async fn restarted_leader_does_not_command_more_engines_than_may_load() {
+    const LOAD: Duration = Duration::from_secs(3);
+    let site = Arc::new(Site::start(10, 0).await);
+    site.engines.iter().for_each(|engine| engine.set_load_time(LOAD));
+    let killed = KilledNode::start(&site);
+    name_version(&site, 2);
+    wait_for_orders(&site, 2).await;
+    let node = killed.restart().await;
+    tokio::time::sleep(LOAD / 2).await;
+    assert_eq!(orders(&site), 2);
+    site.engines.iter().for_each(|engine| engine.set_load_time(Duration::ZERO));
+    wait_for_version(&site, 2).await;
+    node.node.drain().await.finish().await;
+}
+
 /// A suspended node learns late of a version, which is then no younger than it is to the others.
 #[tokio::test]
 async fn suspended_node_does_not_use_expired_weights() {
--- a/crates/routing/src/control.rs
+++ b/crates/routing/src/control.rs
@@ -24,6 +24,15 @@
     pub expected_commands: Option<u64>,
 }
 
+/// What an engine reports about its commands.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct CommandState {
+    /// The number of commands that it has accepted since its start.
+    pub accepted: u64,
+    /// Whether it is carrying out a command.
+    pub is_busy: bool,
+}
+
 /// The response of an engine to a command.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum WeightsOutcome {
@@ -83,15 +92,15 @@
 
 /// The control interface of engines.
 pub trait UpstreamControl: Clone + Send + Sync + 'static {
-    /// Returns how many commands an engine has accepted since its start.
+    /// Returns what an engine reports about its commands.
     ///
     /// # Errors
     ///
     /// [`ControlError`] if the call fails.
-    fn accepted_commands(
+    fn command_state(
         &self,
         upstream: &Upstream,
-    ) -> impl Future<Output = Result<u64, ControlError>> + Send;
+    ) -> impl Future<Output = Result<CommandState, ControlError>> + Send;
 
     /// Waits up to about one second for changes in the cache at an address.
     ///
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -33,6 +33,7 @@
 pub use configuration::InvalidConfiguration;
 pub use control::CacheChange;
 pub use control::CacheChanges;
+pub use control::CommandState;
 pub use control::ControlError;
 pub use control::UpstreamControl;
 pub use control::WeightsCommand;
