Let a leader that lost its lease wait for who may have led since

Cause: a node that lost its lease, or found the key in other hands than its view says, did not count that as another leader. Suspended while another node led and ended, it could claim the free key and command at once; since it reads the store before a take-over it does so sooner.

Evidence: leader_that_lost_its_lease_waits_for_who_may_have_led_since fails if a loss only drops the lease (Some(9) where None is expected), and passes.

Change: a loss counts as another leader until now, and a record of another instance in the store too, with a pause until the view has caught up.

--- a/crates/gateway/src/rollout/task.rs
+++ b/crates/gateway/src/rollout/task.rs
@@ -176,7 +176,11 @@
                 self.claim(Some((record, revision))).await
             }
             // The view is older than the key.
-            Some(_) => Ok(()),
+            Some(_) => {
+                self.leadership.observe_other_leader(now_ms());
+                self.paused_until_ms = now_ms() + STORE_RETRY_DELAY_MS;
+                Ok(())
+            }
             None => self.claim(None).await,
         }
     }
@@ -247,7 +251,7 @@
             }
             Ok(false) => {
                 warn!("event=rollout_lost reason=lease_ended");
-                self.drop_leadership();
+                self.lose_leadership();
                 false
             }
             Err(error) => {
@@ -292,7 +296,7 @@
             Ok(true) => {}
             Ok(false) => {
                 warn!("event=rollout_lost reason=key_changed");
-                self.drop_leadership();
+                self.lose_leadership();
                 return;
             }
             Err(error) => {
@@ -391,9 +395,9 @@
         }
     }
 
-    fn drop_leadership(&mut self) {
+    fn lose_leadership(&mut self) {
         self.leader_key = None;
-        self.leadership.released();
+        self.leadership.lost(now_ms());
     }
 
     fn record(&self, loading: Vec<String>) -> RolloutLeader {
--- a/crates/scheduling/src/rollout/leadership.rs
+++ b/crates/scheduling/src/rollout/leadership.rs
@@ -107,11 +107,16 @@
         }
     }
 
-    /// Records that the lease or the key was lost or given up.
+    /// Records that the key was given up.
     pub fn released(&mut self) {
         self.lease = None;
     }
 
+    /// Records that the lease or the key was lost: another node may have led until now.
+    pub fn lost(&mut self, now_ms: u64) {
+        self.observe_other_leader(now_ms);
+    }
+
     /// Returns how long the node still waits for the lease of a possible predecessor, in
     /// milliseconds.
     pub fn commands_wait_ms(&self, now_ms: u64) -> u64 {
--- a/crates/scheduling/tests/weights_rollout.rs
+++ b/crates/scheduling/tests/weights_rollout.rs
@@ -386,6 +386,19 @@
     assert_eq!(leadership.claim(true, KeyHolder::Nobody, 2, 6_000), Claim::NotYet);
 }
 
+#[test]
+fn leader_that_lost_its_lease_waits_for_who_may_have_led_since() {
+    let mut leadership = Leadership::new(LEASE_MS, 0);
+    leadership.acquired(7, 10_000);
+    assert_eq!(leadership.active_fencing_number(10_100), Some(7));
+    // The node was suspended; another one has led and ended without this node's notice.
+    leadership.lost(15_400);
+    leadership.acquired(9, 15_500);
+    leadership.renewed(18_000);
+    assert_eq!(leadership.active_fencing_number(18_300), None);
+    assert_eq!(leadership.active_fencing_number(18_400), Some(9));
+}
+
 #[test]
 fn restarted_leader_does_not_wait_for_its_own_lease() {
     // The last of ten nodes in the order of claims.
