Print the seed of a drawn data sheet, and play it again

learned_times_serve_unlike_engines_like_a_known_data_sheet draws one sheet from a random seed; a failure printed the curve, not the seed, so it could not be played again.

Change: the message of the assertion names the seed, and REDWINGRILL_SHEET_SEED=N takes seed N in place of a fresh one. The draw, the sheets and the bound are the same.

--- a/crates/scheduling/tests/engine_sheets.rs
+++ b/crates/scheduling/tests/engine_sheets.rs
@@ -4,6 +4,8 @@
 //! slows down for moments. The load scales with the engines, so that a scheduler that learns their
 //! times serves each deployment about as well as one that knows the data sheet; one with constants
 //! of a single deployment waits, refuses and places by a wrong clock on the others.
+//!
+//! One sheet is drawn from a fresh seed in each run; `REDWINGRILL_SHEET_SEED=N` plays seed N again.
 
 mod support;
 
@@ -38,6 +40,7 @@
 use redwingrill_scheduling::scheduler::Scheduler;
 use redwingrill_scheduling::scheduler::WaitQueue;
 
+const SEED_VARIABLE: &str = "REDWINGRILL_SHEET_SEED";
 const NODES: usize = 6;
 const ENGINES: usize = 18;
 const DOCUMENTS: u64 = 60;
@@ -56,6 +59,8 @@
 #[derive(Clone, Copy)]
 struct Sheet {
     name: &'static str,
+    /// The seed that it was drawn from.
+    seed: Option<u64>,
     truth: PrefillCurve,
     slots: u32,
     short_tokens: u64,
@@ -73,6 +78,7 @@
 /// Prefill at 56 tokens a millisecond, machines of their own.
 const SLOW: Sheet = Sheet {
     name: "56 tokens a ms",
+    seed: None,
     truth: PrefillCurve { base_ms: 93.0, ms_per_1k_tokens: 17.8, ms_per_1m_pairs: 0.31 },
     slots: 32,
     short_tokens: 380,
@@ -89,6 +95,7 @@
 /// in length.
 const SHARED: Sheet = Sheet {
     name: "112 tokens a ms, shared machines",
+    seed: None,
     truth: PrefillCurve { base_ms: 47.0, ms_per_1k_tokens: 8.9, ms_per_1m_pairs: 0.15 },
     slots: 128,
     short_tokens: 2_400,
@@ -119,6 +126,7 @@
     };
     Sheet {
         name: "drawn",
+        seed: Some(seed),
         truth,
         slots: rng.random_range(12..128),
         short_target_ms: target_ms(1_000, 5.0),
@@ -388,9 +396,17 @@
     }
 }
 
+/// Returns the seed of the sheet to play again, or a fresh one.
+fn sheet_seed() -> u64 {
+    match std::env::var(SEED_VARIABLE) {
+        Ok(text) => text.parse().expect("a seed is a whole number"),
+        Err(_) => rand::random(),
+    }
+}
+
 #[test]
 fn learned_times_serve_unlike_engines_like_a_known_data_sheet() {
-    for sheet in [SLOW, SHARED, LARGE, drawn(1), drawn(2), drawn(rand::random())] {
+    for sheet in [SLOW, SHARED, LARGE, drawn(1), drawn(2), drawn(sheet_seed())] {
         let learned = Simulation::new(sheet, 1).run();
         let known = Simulation::new(sheet, 1).with_known_sheet().run();
         for (class, (learned_share, known_share)) in
@@ -398,8 +414,10 @@
         {
             assert!(
                 learned_share >= 0.9 * known_share,
-                "{} {:?}: {class} in time {learned_share:.3}, with the sheet {known_share:.3}",
+                "{} (seed {:?}) {:?}: {class} in time {learned_share:.3}, with the sheet \
+                 {known_share:.3}",
                 sheet.name,
+                sheet.seed,
                 sheet.truth,
             );
         }
