Show that a part which crashes engines is sent again and again

Sound requests that an engine served beside them broke with it.

Cause: a request that kills its upstream is retried, and its kind is sent again, because a failure is attributed to the upstream alone and never to what the request carries. Nodes do not share that evidence either.

The stand-in learns to crash on a part (SiteUpstream::crash_on).

--- a/crates/lab/src/site_upstream/http.rs
+++ b/crates/lab/src/site_upstream/http.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -21,7 +22,9 @@
 use super::Behaviour;
 use super::SeenRequest;
 use crate::metadata_store::StoreState;
+use crate::net::Accept;
 use crate::net::Body;
+use crate::net::Connections;
 use crate::net::Cut;
 use crate::net::Handler;
 use crate::net::Server;
@@ -39,6 +42,10 @@
 /// How long new weights take.
 const LOAD: Duration = Duration::from_millis(300);
 
+/// How long it runs a request that crashes it, and how long it is down after that.
+const CRASH_AFTER: Duration = Duration::from_millis(100);
+const DOWN: Duration = Duration::from_millis(1_000);
+
 /// A running stand-in.
 #[derive(Debug)]
 pub struct SiteUpstream {
@@ -48,7 +55,12 @@
 
 #[derive(Debug)]
 struct Shared {
-    id: String,
+    name: String,
+    // The crashes so far; each start after one has an identity of its own.
+    crashes: AtomicUsize,
+    is_down: AtomicBool,
+    crash_part: Mutex<Option<String>>,
+    connections: Connections,
     service: String,
     store: StoreState,
     behaviour: Mutex<Behaviour>,
@@ -66,7 +78,11 @@
     /// The cause if no port can be bound.
     pub async fn start(id: &str, service: &str, store: &StoreState) -> io::Result<Self> {
         let shared = Arc::new(Shared {
-            id: id.to_owned(),
+            name: id.to_owned(),
+            crashes: AtomicUsize::default(),
+            is_down: AtomicBool::default(),
+            crash_part: Mutex::default(),
+            connections: Connections::default(),
             service: service.to_owned(),
             store: store.clone(),
             behaviour: Mutex::default(),
@@ -76,7 +92,8 @@
             open_streams: Arc::default(),
         });
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
-        let server = Server::start(address, shared.clone()).await?;
+        let connections = shared.connections.clone();
+        let server = Server::start_with(address, shared.clone(), connections).await?;
         let upstream = Self { shared, server };
         upstream.list("ready");
         Ok(upstream)
@@ -89,7 +106,7 @@
 
     /// Removes its entry.
     pub fn unlist(&self) {
-        self.shared.store.remove(&format!("servers/{}", self.shared.id));
+        self.shared.store.remove(&format!("servers/{}", self.shared.id()));
     }
 
     /// Switches how it answers.
@@ -97,6 +114,17 @@
         *self.shared.behaviour.lock().expect("no holder panics") = behaviour;
     }
 
+    /// Lets it crash under each request whose prompt has this part: the connections of all its
+    /// requests end, and after a while it is back under a new identity.
+    pub fn crash_on(&self, part: &str) {
+        *self.shared.crash_part.lock().expect("no holder panics") = Some(part.to_owned());
+    }
+
+    /// Returns how often it crashed.
+    pub fn crashes(&self) -> usize {
+        self.shared.crashes.load(Ordering::SeqCst)
+    }
+
     /// Returns the requests that arrived.
     pub fn seen(&self) -> Vec<SeenRequest> {
         self.shared.seen.lock().expect("no holder panics").clone()
@@ -150,6 +178,10 @@
 }
 
 impl Handler for Shared {
+    fn accept(&self) -> Accept {
+        if self.is_down.load(Ordering::SeqCst) { Accept::Close } else { Accept::Serve }
+    }
+
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
         let path = request.uri().path().to_owned();
         if path == "/-/report" {
@@ -160,11 +192,61 @@
         if path == "/-/order" {
             return Ok(self.order(request).await);
         }
+        if self.crashes_on(&request) {
+            return Err(self.crash(request).await);
+        }
         self.answer(request).await
     }
 }
 
 impl Shared {
+    fn id(&self) -> String {
+        match self.crashes.load(Ordering::SeqCst) {
+            0 => self.name.clone(),
+            crashes => format!("{}.{crashes}", self.name),
+        }
+    }
+
+    fn crashes_on(&self, request: &Request<Incoming>) -> bool {
+        let crash_part = self.crash_part.lock().expect("no holder panics");
+        let prefix = request.headers().get("x-prompt-prefix");
+        let prefix = prefix.and_then(|prefix| prefix.to_str().ok()).unwrap_or_default();
+        let mut parts = prefix.split(',').filter_map(|part| part.split_once(':'));
+        crash_part.as_ref().is_some_and(|crash| parts.any(|(id, _)| id == crash))
+    }
+
+    async fn crash(self: Arc<Self>, request: Request<Incoming>) -> Cut {
+        let (parts, _) = request.into_parts();
+        let seen = SeenRequest {
+            method: parts.method,
+            target: parts.uri.to_string(),
+            headers: parts.headers,
+            body: Bytes::new(),
+            has_run: true,
+        };
+        self.seen.lock().expect("no holder panics").push(seen);
+        tokio::time::sleep(CRASH_AFTER).await;
+        if self.is_down.swap(true, Ordering::SeqCst) {
+            return Cut;
+        }
+        let entry = format!("servers/{}", self.id());
+        let listed = self.store.get(&entry).unwrap_or_default();
+        let listed: serde_json::Value = serde_json::from_slice(&listed).unwrap_or_default();
+        let address = listed["address"].as_str().and_then(|address| address.parse().ok());
+        let shared = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(DOWN).await;
+            shared.store.remove(&entry);
+            shared.crashes.fetch_add(1, Ordering::SeqCst);
+            if let Some(address) = address {
+                shared.list(address, "ready");
+            }
+            shared.is_down.store(false, Ordering::SeqCst);
+        });
+        self.connections.close_all();
+        Cut
+    }
+
     fn list(&self, address: SocketAddr, state: &str) {
         let version = *self.version.lock().expect("no holder panics");
         let entry = json!({
@@ -172,7 +254,7 @@
             "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0,
             "models": [{"name": "m", "version": version, "adapters": []}], "sequence": 1,
         });
-        self.store.put(&format!("servers/{}", self.id), entry.to_string());
+        self.store.put(&format!("servers/{}", self.id()), entry.to_string());
     }
 
     async fn order(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
@@ -192,7 +274,7 @@
             return json_reply(StatusCode::CONFLICT, &json!({}));
         }
         let version = order["version"].as_u64().unwrap_or(0);
-        let listed = self.store.get(&format!("servers/{}", self.id)).unwrap_or_default();
+        let listed = self.store.get(&format!("servers/{}", self.id())).unwrap_or_default();
         let listed: serde_json::Value = serde_json::from_slice(&listed).unwrap_or_default();
         let address = listed["address"].as_str().and_then(|address| address.parse().ok());
         tokio::spawn(async move {
@@ -209,7 +291,7 @@
         let behaviour = *self.behaviour.lock().expect("no holder panics");
         let (parts, body) = request.into_parts();
         let body = body.collect().await.map_err(|_| Cut)?.to_bytes();
-        let is_meant = parts.headers.get("x-expect-instance").is_none_or(|id| id == &self.id);
+        let is_meant = parts.headers.get("x-expect-instance").is_none_or(|id| id == &self.id());
         let has_run = is_meant && !matches!(behaviour, Behaviour::Sheds | Behaviour::IsAnother);
         let seen = SeenRequest {
             method: parts.method,
@@ -244,7 +326,7 @@
             None if behaviour == Behaviour::BreaksOff => {
                 stream_body(futures::stream::iter([Ok(Bytes::from("half")), Err(Cut)]))
             }
-            None => full_body(format!("answer of {}", self.id)),
+            None => full_body(format!("answer of {}", self.id())),
         };
         let mut reply = match behaviour {
             Behaviour::DoesNotSign => self.reply(StatusCode::OK, &seen, body),
@@ -282,7 +364,7 @@
 
     fn signed(&self, status: StatusCode, seen: &SeenRequest, body: Body) -> Response<Body> {
         let mut reply = self.reply(status, seen, body);
-        let stamp = HeaderValue::from_str(&format!("stamp-{}", self.id)).expect("plain text");
+        let stamp = HeaderValue::from_str(&format!("stamp-{}", self.id())).expect("plain text");
         reply.headers_mut().insert("x-server-stamp", stamp);
         reply
     }
--- a/crates/lab/tests/on_platform/main.rs
+++ b/crates/lab/tests/on_platform/main.rs
@@ -3,6 +3,7 @@
 mod close_delimited;
 mod failures;
 mod news;
+mod quarantine;
 mod requests;
 mod rollout;
 mod site;
--- a/crates/lab/tests/on_platform/site.rs
+++ b/crates/lab/tests/on_platform/site.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use http::HeaderMap;
+use http::HeaderValue;
 use http::Request;
 use http::StatusCode;
 use tokio::time::Instant;
@@ -208,13 +209,15 @@
     pub route: &'static str,
     pub key: Option<&'static str>,
     pub headers: Vec<(&'static str, &'static str)>,
+    /// The parts of the prompt, if they aren't those of every request.
+    pub parts: Option<String>,
     pub body: Bytes,
 }
 
 impl Call {
     pub fn new(route: &'static str, id: &str) -> Self {
         let (headers, body) = (Vec::new(), Bytes::from_static(b"body"));
-        Self { id: id.to_owned(), route, key: Some(KEY), headers, body }
+        Self { id: id.to_owned(), route, key: Some(KEY), headers, parts: None, body }
     }
 
     fn request(&self) -> Request<Bytes> {
@@ -228,7 +231,12 @@
         for (name, value) in &self.headers {
             request = request.header(*name, *value);
         }
-        request.body(self.body.clone()).expect("a request")
+        let mut request = request.body(self.body.clone()).expect("a request");
+        if let Some(parts) = &self.parts {
+            let parts = HeaderValue::from_str(parts).expect("plain text");
+            request.headers_mut().insert("x-prompt-prefix", parts);
+        }
+        request
     }
 }
 
