Find the part of prompts that crashes engines

Part of the mend for requests that end one engine after the other; nothing uses it yet.

An attempt whose connection broke accuses each shared part of its prompt. What counts are generations: attempts at distinct engines of which each was sent after the one before had broken. A completed answer clears a part, an engine that lives on voids an attempt, and the part that explains the breaks of most engines with the fewest attempts takes the evidence of those beside it. Nodes exchange their own attempts, as ages, and what they completed; a part is quarantined only after the others had time to answer. All without I/O.

--- a/crates/scheduling/src/fleet/digest.rs
+++ b/crates/scheduling/src/fleet/digest.rs
@@ -14,6 +14,18 @@
 use crate::placement::CacheStoreDigest;
 use crate::placement::PrefixTag;
 
+/// The period between digests to one node in a small fleet.
+pub const DIGEST_PERIOD_MS: u64 = 100;
+
+/// The number of nodes that get a digest per period; in a larger fleet each gets one less often.
+pub const NODES_PER_DIGEST_PERIOD: usize = 12;
+
+/// Returns the time in which a digest reaches each of the other nodes.
+pub fn digest_round_ms(members: usize) -> u64 {
+    let periods = members.saturating_sub(1).div_ceil(NODES_PER_DIGEST_PERIOD).max(1);
+    DIGEST_PERIOD_MS * periods as u64
+}
+
 /// How long a node's digest is valid.
 const DIGEST_AGE_LIMIT_MS: u64 = 1_000;
 
--- a/crates/scheduling/src/fleet/mod.rs
+++ b/crates/scheduling/src/fleet/mod.rs
@@ -6,10 +6,13 @@
 mod table;
 
 pub use arrivals::ArrivalCounter;
+pub use digest::DIGEST_PERIOD_MS;
 pub use digest::LoadDigest;
+pub use digest::NODES_PER_DIGEST_PERIOD;
 pub use digest::NodeLoad;
 pub use digest::PeerLoads;
 pub use digest::UpstreamTag;
+pub use digest::digest_round_ms;
 pub use health::Health;
 pub use health::Verdict;
 pub use table::Fleet;
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`engine_model`] learns how long the upstreams of a service take.
 //! - [`fleet`] holds the upstreams with their reported load and health.
 //! - [`placement`] ranks engines for a prompt and tracks which parts are cached where.
+//! - [`quarantine`] finds the parts of prompts that crash engines.
 //! - [`retry_budget`] limits retries over the whole fleet.
 //! - [`rollout`] decides which engines load new weights, and when.
 //! - [`scheduler`] combines these: it chooses an upstream for a request, or refuses the request.
@@ -12,6 +13,7 @@
 pub mod engine_model;
 pub mod fleet;
 pub mod placement;
+pub mod quarantine;
 mod recent;
 pub mod retry_budget;
 pub mod rollout;
--- /dev/null
+++ b/crates/scheduling/src/quarantine/evidence.rs
@@ -0,0 +1,168 @@
+//! The suspect attempts and completed answers that a node knows of.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use super::PartKey;
+use super::RequestTag;
+use super::timing::COMPLETED_LIMIT;
+use super::timing::EVIDENCE_AGE_LIMIT_MS;
+use super::timing::PARTS_PER_ATTEMPT_LIMIT;
+use super::timing::SPANS_LIMIT;
+use super::timing::SURVIVAL_MARGIN_MS;
+use super::timing::SUSPECTS_LIMIT;
+use crate::fleet::UpstreamTag;
+
+/// An attempt that ended because its engine's connection broke after the engine had the request.
+#[derive(Clone, Debug)]
+pub struct BrokenAttempt<'a> {
+    /// The engine.
+    pub engine: UpstreamTag,
+    /// The request.
+    pub request: RequestTag,
+    /// The shared parts of the prompt.
+    pub parts: &'a [PartKey],
+    /// When the attempt was assigned, in milliseconds on the node's clock.
+    pub sent_ms: u64,
+}
+
+/// An attempt whose answer was received whole.
+#[derive(Clone, Debug)]
+pub struct CompletedAttempt<'a> {
+    /// The engine.
+    pub engine: UpstreamTag,
+    /// The shared parts of the prompt.
+    pub parts: &'a [PartKey],
+    /// When the attempt was assigned, in milliseconds on the node's clock.
+    pub sent_ms: u64,
+}
+
+/// A suspect attempt, on the clock of this node.
+#[derive(Clone, Debug)]
+pub(super) struct Suspect {
+    pub engine: UpstreamTag,
+    pub request: RequestTag,
+    pub parts: Vec<PartKey>,
+    pub sent_ms: u64,
+    pub broken_ms: u64,
+    pub known_ms: u64,
+    // The engine completed another answer over the break.
+    pub has_survivor: bool,
+}
+
+/// The time over which an engine worked on an answer that it completed.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Span {
+    pub sent_ms: u64,
+    pub ended_ms: u64,
+}
+
+impl Span {
+    fn covers(self, suspect: &Suspect) -> bool {
+        self.sent_ms < suspect.broken_ms && suspect.broken_ms + SURVIVAL_MARGIN_MS <= self.ended_ms
+    }
+}
+
+/// The origin of a suspect attempt, and its number there; `None` is this node.
+pub(super) type SuspectId = (Option<u64>, u32);
+
+/// All evidence.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Evidence {
+    suspects: BTreeMap<SuspectId, Suspect>,
+    completed: HashMap<PartKey, u64>,
+    spans: HashMap<UpstreamTag, Span>,
+}
+
+impl Evidence {
+    /// Adds a suspect attempt. Returns whether it is new; a known one keeps the earlier times,
+    /// which are those that travelled faster.
+    pub fn add_suspect(&mut self, id: SuspectId, mut suspect: Suspect) -> bool {
+        if let Some(known) = self.suspects.get_mut(&id) {
+            known.sent_ms = known.sent_ms.min(suspect.sent_ms);
+            known.broken_ms = known.broken_ms.min(suspect.broken_ms);
+            return false;
+        }
+        suspect.parts.truncate(PARTS_PER_ATTEMPT_LIMIT);
+        suspect.has_survivor =
+            self.spans.get(&suspect.engine).is_some_and(|span| span.covers(&suspect));
+        self.suspects.insert(id, suspect);
+        if self.suspects.len() > SUSPECTS_LIMIT
+            && let Some(oldest) = self.suspects.iter().min_by_key(|(_, s)| s.broken_ms)
+        {
+            let oldest = *oldest.0;
+            self.suspects.remove(&oldest);
+        }
+        true
+    }
+
+    /// Records when an answer of requests with a part was last completed.
+    pub fn add_completed(&mut self, part: PartKey, at_ms: u64) {
+        let last_ms = self.completed.entry(part).or_default();
+        *last_ms = (*last_ms).max(at_ms);
+        if self.completed.len() > COMPLETED_LIMIT {
+            let mut times: Vec<u64> = self.completed.values().copied().collect();
+            let quarter = times.len() / 4;
+            let oldest_kept = *times.select_nth_unstable(quarter).1;
+            self.completed.retain(|_, at_ms| *at_ms > oldest_kept);
+        }
+    }
+
+    /// Records that an engine completed an answer. Returns whether that voids a suspect attempt.
+    pub fn add_span(&mut self, engine: UpstreamTag, span: Span) -> bool {
+        let known = self.spans.entry(engine).or_insert(span);
+        if known.ended_ms < span.ended_ms {
+            *known = span;
+        }
+        if self.spans.len() > SPANS_LIMIT {
+            let newest_ms = self.spans.values().map(|span| span.ended_ms).max().unwrap_or(0);
+            self.spans.retain(|_, span| span.ended_ms + EVIDENCE_AGE_LIMIT_MS / 2 > newest_ms);
+        }
+        let mut is_voiding = false;
+        for suspect in self.suspects.values_mut().filter(|suspect| suspect.engine == engine) {
+            if !suspect.has_survivor && span.covers(suspect) {
+                suspect.has_survivor = true;
+                is_voiding = true;
+            }
+        }
+        is_voiding
+    }
+
+    pub fn completed_ms(&self, part: PartKey) -> Option<u64> {
+        self.completed.get(&part).copied()
+    }
+
+    pub fn span(&self, engine: UpstreamTag) -> Option<Span> {
+        self.spans.get(&engine).copied()
+    }
+
+    pub fn suspects(&self) -> impl DoubleEndedIterator<Item = (&SuspectId, &Suspect)> {
+        self.suspects.iter()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    pub fn is_suspected(&self, part: PartKey) -> bool {
+        self.suspects.values().any(|suspect| suspect.parts.contains(&part))
+    }
+
+    pub fn expire(&mut self, now_ms: u64) {
+        self.suspects
+            .retain(|_, suspect| now_ms.saturating_sub(suspect.broken_ms) < EVIDENCE_AGE_LIMIT_MS);
+    }
+
+    pub fn verify(&self) -> Result<(), String> {
+        let sizes = [
+            ("suspects", self.suspects.len(), SUSPECTS_LIMIT),
+            ("completed", self.completed.len(), COMPLETED_LIMIT),
+        ];
+        for (name, len, limit) in sizes {
+            if len > limit {
+                return Err(format!("{len} {name}, limit {limit}"));
+            }
+        }
+        Ok(())
+    }
+}
