Refuse requests with a part that crashes engines

Cause: a failure was attributed to the upstream alone. The request was retried and its kind sent again, and nodes did not share what they had seen.

Change: an attempt whose connection broke after the upstream had the request, or whose stream ended inside an event, is evidence against the shared parts of its prompt; a whole answer is evidence for them. Load digests carry it, and the parts that a node holds. The node that finds a part writes quarantine/SCOPE/PART under the product's prefix with a lease of ten minutes if the key is absent, again and again while the store is away; restarted nodes have it from their first listing or from a peer. A request with a held part is refused before a send, a retry, a move and a resume, and in the queue: code 207, 503 with Retry-After, or 502 if an earlier attempt may have run. Log lines, a counter and the operators' page.

Evidence: on_platform quarantine, 8 stand-ins, 3 nodes, 5 such requests a second. With the store away, the other nodes refuse within 0.5 s, the record follows the store's return, a replaced node refuses at once, and removing the record ends it.

Parts with and without an answer on record are no longer taken for a pair (part_with_a_completed_answer_...).

Ruled out: counting crashes in the store (nothing while it is away); refusing by key, account, route or first part (sound requests share them).

--- a/crates/gateway/src/cluster_view/builder.rs
+++ b/crates/gateway/src/cluster_view/builder.rs
@@ -13,6 +13,7 @@
 use super::ClusterView;
 use super::MEMBER_PREFIX;
 use super::Member;
+use super::QUARANTINE_PREFIX;
 use super::ROLLOUT_LEADER_KEY;
 use super::RolloutLeader;
 use crate::store_sync::StoreMirror;
@@ -223,6 +224,12 @@
         view.members.extend(decode::<Member>(node_key, value));
     } else if node_key == ROLLOUT_LEADER_KEY {
         view.rollout_leader = decode::<RolloutLeader>(node_key, value);
+    } else if let Some(part) = node_key.strip_prefix(QUARANTINE_PREFIX) {
+        // The value is for operators.
+        match part.parse() {
+            Ok(part) => view.quarantined.push(part),
+            Err(_) => warn!("event=item_unreadable key={node_key} reason=\"no part\""),
+        }
     }
 }
 
--- a/crates/gateway/src/cluster_view/mod.rs
+++ b/crates/gateway/src/cluster_view/mod.rs
@@ -11,10 +11,12 @@
 use redwingrill_routing::Revision;
 use redwingrill_routing::Upstream;
 use redwingrill_routing::WeightsVersion;
+use redwingrill_scheduling::quarantine::PartKey;
 
 pub use builder::ClusterViewBuilder;
 pub use node_items::MEMBER_PREFIX;
 pub use node_items::Member;
+pub use node_items::QUARANTINE_PREFIX;
 pub use node_items::ROLLOUT_LEADER_KEY;
 pub use node_items::RolloutLeader;
 
@@ -33,6 +35,8 @@
     pub members: Vec<Member>,
     /// The node that leads the roll-out.
     pub rollout_leader: Option<RolloutLeader>,
+    /// The quarantined parts of prompts.
+    pub quarantined: Vec<PartKey>,
 }
 
 impl ClusterView {
--- a/crates/gateway/src/cluster_view/node_items.rs
+++ b/crates/gateway/src/cluster_view/node_items.rs
@@ -11,6 +11,9 @@
 /// The key of the roll-out's leader.
 pub const ROLLOUT_LEADER_KEY: &str = "rollout/holder";
 
+/// The key prefix of quarantined parts, followed by the part.
+pub const QUARANTINE_PREFIX: &str = "quarantine/";
+
 /// A live node.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct Member {
--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -1,7 +1,11 @@
 //! One attempt to serve a request at an upstream.
 
+use std::sync::Arc;
+
 use super::Dispatcher;
+use super::dispatcher::AttemptEvidence;
 use super::dispatcher::Message;
+use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::ResponseMetadata;
 use redwingrill_scheduling::fleet::Verdict;
 use redwingrill_scheduling::scheduler::Assignment;
@@ -12,19 +16,19 @@
 pub struct Attempt {
     dispatcher: Dispatcher,
     assignment: Assignment,
-    model: Option<String>,
+    prompt: Option<Arc<DeclaredPrompt>>,
     is_prefill_pending: bool,
     outcome: Option<AttemptOutcome>,
 }
 
 impl Attempt {
-    /// Creates an attempt; `model` is the model that the request names.
+    /// Creates an attempt of a request with this prompt.
     pub(super) fn new(
         dispatcher: Dispatcher,
         assignment: Assignment,
-        model: Option<String>,
+        prompt: Option<Arc<DeclaredPrompt>>,
     ) -> Self {
-        Self { dispatcher, assignment, model, is_prefill_pending: true, outcome: None }
+        Self { dispatcher, assignment, prompt, is_prefill_pending: true, outcome: None }
     }
 
     /// Returns the upstream and the parameters of the attempt.
@@ -39,7 +43,7 @@
         }
         self.dispatcher.send(Message::ResponseHead {
             index: self.assignment.index,
-            model: self.model.clone(),
+            model: self.prompt.as_ref().map(|prompt| prompt.model.clone()),
             load: metadata.load,
             version: metadata.weights_version,
         });
@@ -60,8 +64,28 @@
         self.dispatcher.send(Message::StreamEnded { service, longest_pause_ms });
     }
 
-    /// Ends the attempt.
+    /// Ends an attempt whose connection broke after the upstream had the request. This is evidence
+    /// against the parts of the prompt, too.
+    pub fn end_broken(self) {
+        if let Some(evidence) = self.evidence() {
+            self.dispatcher.send(Message::AttemptBroken { evidence });
+        }
+        self.end(Verdict::Failed, false);
+    }
+
+    fn evidence(&self) -> Option<Box<AttemptEvidence>> {
+        let prompt = self.prompt.clone().filter(|prompt| !prompt.shared_parts().is_empty())?;
+        let upstream = self.assignment.upstream.clone();
+        Some(Box::new(AttemptEvidence { upstream, prompt, sent_ms: self.assignment.sent_ms }))
+    }
+
+    /// Ends the attempt. A served one has received its whole answer.
     pub fn end(mut self, verdict: Verdict, is_misdirected: bool) {
+        if verdict == Verdict::Served
+            && let Some(evidence) = self.evidence()
+        {
+            self.dispatcher.send(Message::AttemptCompleted { evidence });
+        }
         self.outcome = Some(AttemptOutcome { verdict, is_misdirected });
     }
 }
--- a/crates/gateway/src/dispatch/dispatcher.rs
+++ b/crates/gateway/src/dispatch/dispatcher.rs
@@ -11,6 +11,7 @@
 use redwingrill_routing::CacheChange;
 use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::ReportedLoad;
+use redwingrill_routing::Upstream;
 use redwingrill_routing::WeightsVersion;
 use redwingrill_scheduling::fleet::LoadDigest;
 use redwingrill_scheduling::fleet::UpstreamIndex;
@@ -44,6 +45,15 @@
     pub usable_ms: HashMap<String, u64>,
 }
 
+/// An attempt as evidence for or against the parts of its prompt.
+#[derive(Debug)]
+pub(super) struct AttemptEvidence {
+    pub upstream: Arc<Upstream>,
+    pub prompt: Arc<DeclaredPrompt>,
+    /// When the attempt was assigned, in milliseconds on the node's clock.
+    pub sent_ms: u64,
+}
+
 /// A message to the dispatch task.
 #[derive(Debug)]
 pub(super) enum Message {
@@ -69,6 +79,10 @@
         reserved_tokens: u64,
         outcome: AttemptOutcome,
     },
+    /// The connection of an attempt broke after the upstream had the request.
+    AttemptBroken { evidence: Box<AttemptEvidence> },
+    /// The answer of an attempt was received whole.
+    AttemptCompleted { evidence: Box<AttemptEvidence> },
     /// A load digest arrived from another node.
     PeerDigest { digest: LoadDigest },
     /// Requests the load digest of this node.
@@ -126,10 +140,10 @@
         purpose: Purpose,
     ) -> Result<Attempt, (RefusalCause, u64)> {
         let (responder, response) = oneshot::channel();
-        let model = request.prompt.as_ref().map(|prompt| prompt.model.clone());
+        let prompt = request.prompt.clone();
         self.send(Message::Choose { request: Box::new(request), purpose, responder });
         match response.await {
-            Ok(Choice::Send(assignment)) => Ok(Attempt::new(self.clone(), *assignment, model)),
+            Ok(Choice::Send(assignment)) => Ok(Attempt::new(self.clone(), *assignment, prompt)),
             Ok(Choice::Refuse { cause, retry_after_ms }) => Err((cause, retry_after_ms)),
             // `Wait` is never sent as a response; a closed channel means that the task has ended.
             Ok(Choice::Wait) | Err(_) => Err((RefusalCause::NoUpstream, STOPPING_RETRY_AFTER_MS)),
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -14,11 +14,19 @@
 use super::Dispatcher;
 use super::Purpose;
 use super::UpstreamLoad;
+use super::dispatcher::AttemptEvidence;
 use super::dispatcher::Message;
 use crate::clock::now_ms;
 use crate::cluster_view::ClusterView;
+use crate::quarantine::log_event;
 use crate::telemetry::Metrics;
 use redwingrill_routing::Configuration;
+use redwingrill_scheduling::fleet::UpstreamTag;
+use redwingrill_scheduling::quarantine::BrokenAttempt;
+use redwingrill_scheduling::quarantine::CompletedAttempt;
+use redwingrill_scheduling::quarantine::HeldPart;
+use redwingrill_scheduling::quarantine::PartKey;
+use redwingrill_scheduling::quarantine::RequestTag;
 use redwingrill_scheduling::scheduler::Choice;
 use redwingrill_scheduling::scheduler::RefusalCause;
 use redwingrill_scheduling::scheduler::ScheduleRequest;
@@ -46,6 +54,8 @@
     // Identifies this run of the node in digests.
     node_incarnation: u64,
     model_logged_ms: u64,
+    // The quarantined parts that the store does not list.
+    unlisted: watch::Sender<Vec<HeldPart>>,
 }
 
 impl DispatchTask {
@@ -65,10 +75,16 @@
             queue: WaitQueue::default(),
             node_incarnation: rand::random(),
             model_logged_ms: now_ms(),
+            unlisted: watch::Sender::default(),
         };
         (Dispatcher::new(sender), task)
     }
 
+    /// Returns the quarantined parts that the store does not list.
+    pub fn unlisted_parts(&self) -> watch::Receiver<Vec<HeldPart>> {
+        self.unlisted.subscribe()
+    }
+
     /// Runs until `stopping` is cancelled.
     pub async fn run(mut self, stopping: CancellationToken) {
         let mut is_view_open = true;
@@ -85,6 +101,7 @@
                     Some(message) => {
                         let frees_capacity = message.may_free_capacity();
                         self.handle(message);
+                        self.report_quarantine();
                         if frees_capacity && !self.queue.is_empty() {
                             self.serve_queue();
                         }
@@ -97,12 +114,36 @@
         }
     }
 
+    /// Logs what changed in the quarantine, and passes on what is to be written to the store.
+    fn report_quarantine(&mut self) {
+        let events = self.scheduler.quarantine_mut().take_events();
+        if events.is_empty() {
+            return;
+        }
+        for event in events {
+            self.metrics.quarantine(log_event(&event));
+        }
+        self.publish_unlisted();
+    }
+
+    fn publish_unlisted(&mut self) {
+        let unlisted = self.scheduler.quarantine_mut().unlisted();
+        self.unlisted.send_if_modified(|known| {
+            let is_changed = *known != unlisted;
+            *known = unlisted;
+            is_changed
+        });
+    }
+
     fn apply_view(&mut self) {
         let view = self.view.borrow_and_update().clone();
         let now_ms = now_ms();
         self.scheduler.set_upstreams(view.upstreams.clone(), now_ms);
         self.scheduler.set_loading(view.loading());
         self.scheduler.set_members(view.members.len());
+        self.scheduler.quarantine_mut().set_listed(&view.quarantined, now_ms);
+        self.report_quarantine();
+        self.publish_unlisted();
         for (model, version) in &view.target_versions {
             self.scheduler.set_target_version(model, *version, now_ms);
         }
@@ -157,6 +198,8 @@
                     );
                 }
             }
+            Message::AttemptBroken { evidence } => self.record_broken(&evidence, now_ms),
+            Message::AttemptCompleted { evidence } => self.record_completed(&evidence, now_ms),
             Message::PeerDigest { digest } => self.scheduler.observe_peer(digest, now_ms),
             Message::Digest { responder } => {
                 let _disconnected =
@@ -184,6 +227,26 @@
         }
     }
 
+    fn record_broken(&mut self, evidence: &AttemptEvidence, now_ms: u64) {
+        let (service, prompt) = (&evidence.upstream.service, &evidence.prompt);
+        let broken = BrokenAttempt {
+            engine: UpstreamTag::of(&evidence.upstream.id),
+            request: RequestTag::of(prompt),
+            parts: &PartKey::shared_parts(service, prompt),
+            sent_ms: evidence.sent_ms,
+        };
+        self.scheduler.quarantine_mut().record_broken((service, &prompt.model), &broken, now_ms);
+    }
+
+    fn record_completed(&mut self, evidence: &AttemptEvidence, now_ms: u64) {
+        let completed = CompletedAttempt {
+            engine: UpstreamTag::of(&evidence.upstream.id),
+            parts: &PartKey::shared_parts(&evidence.upstream.service, &evidence.prompt),
+            sent_ms: evidence.sent_ms,
+        };
+        self.scheduler.quarantine_mut().record_completed(&completed, now_ms);
+    }
+
     fn choose(
         &mut self,
         request: ScheduleRequest,
@@ -191,6 +254,10 @@
         responder: oneshot::Sender<Choice>,
         now_ms: u64,
     ) {
+        if let Some(refusal) = self.scheduler.refuse_quarantined(&request, now_ms) {
+            self.send_choice(responder, refusal);
+            return;
+        }
         if purpose != Purpose::First {
             // A move without capacity is refused before it draws on the retry budget.
             if purpose == Purpose::Move && !self.scheduler.has_capacity_now(&request, now_ms) {
--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -41,6 +41,7 @@
 use redwingrill_scheduling::fleet::Verdict;
 use redwingrill_scheduling::scheduler::RefusalCause;
 use redwingrill_transport::Pool;
+use redwingrill_transport::TransportError;
 
 /// The timeout of a request that carries no deadline.
 const DEFAULT_TIMEOUT_MS: u64 = 30_000;
@@ -283,6 +284,11 @@
             }
             Err(refusal) => refusal,
         };
+        if let RefusalCause::Quarantined(part) = cause {
+            self.context.metrics.quarantine("refused");
+            let (id, runs) = (&call.metadata.id, call.possible_runs);
+            info!("event=request_quarantined request_id={id} part={part} runs={runs}");
+        }
         if call.possible_runs > 0 {
             // An earlier upstream may have run the request, so a refusal code would be wrong.
             let detail = format!("{cause:?}");
@@ -293,6 +299,7 @@
             RefusalCause::Overloaded => ResultCode::Shed,
             RefusalCause::RepeatBudget => ResultCode::RetryBudgetSpent,
             RefusalCause::Stopping => ResultCode::Draining,
+            RefusalCause::Quarantined(_) => ResultCode::Quarantined,
         };
         Err(Refusal::new(code).retry_after(retry_after_ms))
     }
@@ -311,7 +318,10 @@
             Ok(whole) => whole,
             Err(e) => {
                 self.record_failure(call, "lost", &e.to_string());
-                attempt.end(Verdict::Failed, false);
+                match e {
+                    TransportError::Broken { .. } => attempt.end_broken(),
+                    _ => attempt.end(Verdict::Failed, false),
+                }
                 ensure_retryable(call, ResultCode::UpstreamFailed, e.to_string())?;
                 return Ok(None);
             }
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -37,6 +37,7 @@
 use crate::dispatch::Purpose;
 use redwingrill_scheduling::fleet::Verdict;
 use redwingrill_transport::ResponseBody;
+use redwingrill_transport::TransportError;
 
 /// The pieces queued for a slow caller; while the queue is full, the upstream is not read.
 const RELAY_QUEUE_LEN: usize = 8;
@@ -53,6 +54,8 @@
     splitter: EventSplitter,
     first_events: Bytes,
     is_ended: bool,
+    // Whether the connection to the upstream broke, or ended inside an event.
+    is_broken: bool,
     // A resumable stream without an event for this long is resumed at another upstream.
     stall_timeout: Duration,
     last_event: Instant,
@@ -85,6 +88,7 @@
             splitter: EventSplitter::after(last_event_id),
             first_events: Bytes::new(),
             is_ended: false,
+            is_broken: false,
             stall_timeout,
             last_event: Instant::now(),
             longest_pause: Duration::ZERO,
@@ -98,9 +102,15 @@
                 let Some(body) = &mut self.body else {
                     return Err("the stream has no upstream".to_owned());
                 };
-                match body.next(wait).await.map_err(|e| e.to_string())? {
+                let piece = body.next(wait).await.map_err(|e| {
+                    self.is_broken = matches!(e, TransportError::Broken { .. });
+                    e.to_string()
+                })?;
+                match piece {
                     None => {
-                        self.first_events = self.splitter.finish()?;
+                        let rest = self.splitter.finish();
+                        self.is_broken = rest.is_err();
+                        self.first_events = rest?;
                         self.is_ended = true;
                         return Ok::<(), String>(());
                     }
@@ -228,7 +238,10 @@
                 Ok(None) => {
                     let rest = match self.splitter.finish() {
                         Ok(rest) => rest,
-                        Err(reason) => return SegmentEnd::Failed(reason.to_owned()),
+                        Err(reason) => {
+                            self.is_broken = true;
+                            return SegmentEnd::Failed(reason.to_owned());
+                        }
                     };
                     if !rest.is_empty() && sender.send(Ok(Frame::data(rest))).await.is_err() {
                         return SegmentEnd::CallerDisconnected;
@@ -236,7 +249,10 @@
                     return SegmentEnd::Complete;
                 }
                 Err(_) if call.remaining().is_zero() => return SegmentEnd::DeadlineExceeded,
-                Err(e) => return SegmentEnd::Failed(e.to_string()),
+                Err(e) => {
+                    self.is_broken = matches!(e, TransportError::Broken { .. });
+                    return SegmentEnd::Failed(e.to_string());
+                }
             };
             if events.is_empty() {
                 continue;
@@ -312,6 +328,7 @@
                 self.stall_timeout = Duration::from_millis(attempt.assignment().stall_timeout_ms);
                 self.last_event = Instant::now();
                 self.body = Some(body);
+                self.is_broken = false;
                 self.attempt = Some(attempt);
                 self.splitter = EventSplitter::after(Some(last_id));
                 true
@@ -325,8 +342,10 @@
     }
 
     fn end_attempt(&mut self, verdict: Verdict) {
-        if let Some(attempt) = self.attempt.take() {
-            attempt.end(verdict, false);
+        match self.attempt.take() {
+            Some(attempt) if self.is_broken => attempt.end_broken(),
+            Some(attempt) => attempt.end(verdict, false),
+            None => {}
         }
     }
 
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -121,7 +121,11 @@
             attempt.end(Verdict::Failed, false);
             SendOutcome::TimedOut
         }
-        TransportError::Broken { .. } | TransportError::TooLarge { .. } => {
+        TransportError::Broken { .. } => {
+            attempt.end_broken();
+            SendOutcome::Lost { reason }
+        }
+        TransportError::TooLarge { .. } => {
             attempt.end(Verdict::Failed, false);
             SendOutcome::Lost { reason }
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod front;
 pub mod node;
 pub mod peers;
+pub mod quarantine;
 pub mod rollout;
 pub mod store_sync;
 pub mod telemetry;
--- a/crates/gateway/src/node/lifecycle.rs
+++ b/crates/gateway/src/node/lifecycle.rs
@@ -30,6 +30,7 @@
 use crate::front::StatusServer;
 use crate::peers::Gossip;
 use crate::peers::PeerServer;
+use crate::quarantine::QuarantineRecorder;
 use crate::rollout::RolloutOptions;
 use crate::rollout::RolloutTask;
 use crate::store_sync::StoreSync;
@@ -141,6 +142,14 @@
         }
         let (dispatcher, dispatch_task) =
             DispatchTask::new(scheduler_options(&options), view.clone(), metrics.clone());
+        let recorder = QuarantineRecorder::new(
+            options.name.clone(),
+            ports.store.clone(),
+            ports.item_codec.clone(),
+            view.clone(),
+            dispatch_task.unlisted_parts(),
+        );
+        services.spawn(recorder.run(stopping.clone()));
         services.spawn(dispatch_task.run(stopping.clone()));
         if let (Some(address), Some(gossip)) = (options.peer_address, options.gossip_address) {
             let socket = UdpSocket::bind(gossip).await.context(BindSnafu { address: gossip })?;
--- a/crates/gateway/src/peers/gossip.rs
+++ b/crates/gateway/src/peers/gossip.rs
@@ -20,13 +20,12 @@
 use crate::dispatch::Dispatcher;
 use crate::store_sync::StoreReader;
 use redwingrill_routing::Revision;
+use redwingrill_scheduling::fleet::DIGEST_PERIOD_MS;
 use redwingrill_scheduling::fleet::LoadDigest;
+use redwingrill_scheduling::fleet::NODES_PER_DIGEST_PERIOD;
 
 /// The period between datagrams to one node in a small fleet.
-const SEND_PERIOD: Duration = Duration::from_millis(100);
-
-/// The number of nodes that get a datagram per period; in a larger fleet each gets one less often.
-const NODES_PER_PERIOD: usize = 12;
+const SEND_PERIOD: Duration = Duration::from_millis(DIGEST_PERIOD_MS);
 
 /// The size limit of a received datagram.
 const DATAGRAM_LIMIT_BYTES: usize = 8 << 10;
@@ -118,7 +117,7 @@
                 return;
             }
         };
-        let recipients = others.len().min(NODES_PER_PERIOD);
+        let recipients = others.len().min(NODES_PER_DIGEST_PERIOD);
         for offset in 0..recipients {
             let address = others[(self.next_index + offset) % others.len()];
             if let Err(e) = self.socket.send_to(&datagram, address).await {
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -36,6 +36,7 @@
     attempts: IntCounterVec,
     retries: IntCounterVec,
     store_calls: IntCounterVec,
+    quarantine: IntCounterVec,
     view_revision: IntGauge,
     open_connections: IntGauge,
     engine_model: GaugeVec,
@@ -70,6 +71,11 @@
             ),
             retries: counter("redwingrill_repeats", "Repeated sends", &["service", "allowed"]),
             store_calls: counter("redwingrill_store_calls", "Calls to the store", &["outcome"]),
+            quarantine: counter(
+                "redwingrill_quarantine",
+                "Changes of suspect and quarantined parts",
+                &["event"],
+            ),
             view_revision: gauge("redwingrill_beliefs_revision", "Revision of the beliefs"),
             open_connections: gauge("redwingrill_open_connections", "Connections of callers"),
             engine_model: GaugeVec::new(
@@ -110,6 +116,11 @@
         self.inner.store_calls.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a change of the quarantine, or a request that it refuses.
+    pub fn quarantine(&self, event: &str) {
+        self.inner.quarantine.with_label_values(&[event]).inc();
+    }
+
     /// Sets the revision of the cluster view.
     pub fn view_revision(&self, revision: u64) {
         self.inner.view_revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
@@ -143,13 +154,14 @@
 
 impl Inner {
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 9] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 10] = [
             Box::new(self.requests.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.first_event.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.retries.clone()),
             Box::new(self.store_calls.clone()),
+            Box::new(self.quarantine.clone()),
             Box::new(self.view_revision.clone()),
             Box::new(self.open_connections.clone()),
             Box::new(self.engine_model.clone()),
--- a/crates/lab/tests/on_platform/quarantine.rs
+++ b/crates/lab/tests/on_platform/quarantine.rs
@@ -11,6 +11,9 @@
 use crate::site::IN_FORCE;
 use crate::site::Site;
 use crate::site::SiteNode;
+use redwingrill_lab::metadata_store::StoreFault;
+use redwingrill_scheduling::quarantine::PartKey;
+use redwingrill_scheduling::quarantine::ScopeTag;
 
 const CRASH_PART: &str = "bad0bad0";
 const SHARED_PART: &str = "5c1e07a2:800";
@@ -28,6 +31,11 @@
     Call { parts, ..Call::new("check", &format!("crashing-{n}")) }
 }
 
+fn is_quarantined(answer: &Answer) -> bool {
+    let is_refused = answer.status == StatusCode::SERVICE_UNAVAILABLE;
+    is_refused && answer.body.as_deref().is_some_and(|body| body.contains("quarantined"))
+}
+
 fn crash_count(site: &Site) -> usize {
     site.engines.iter().map(|engine| engine.crashes()).sum()
 }
@@ -90,16 +98,73 @@
     assert_eq!(served, answers.len(), "sound requests are served");
 
     let refused = site.ask(&nodes[0], &crashing(900_000)).await;
-    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(is_quarantined(&refused));
     assert!(refused.headers.contains_key("retry-after"));
 
     // A node that starts later knows the part from the store.
     let late = site.node("n4").await;
     let sends_before = crashing_sends(&site);
-    let refused = site.ask(&late, &crashing(900_001)).await;
-    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(is_quarantined(&site.ask(&late, &crashing(900_001)).await));
     assert_eq!(crashing_sends(&site), sends_before);
     assert_eq!(site.ask(&late, &sound(900_002)).await.status, StatusCode::OK);
     nodes.push(late);
     site.stop(nodes).await;
 }
+
+/// The store is away when the part is found, and all nodes are replaced after its return.
+#[tokio::test]
+async fn quarantine_is_lost_with_the_nodes_or_the_store() {
+    let site = Site::start(10, 0).await;
+    let mut nodes = Vec::new();
+    for name in ["n1", "n2", "n3"] {
+        nodes.push(site.node(name).await);
+    }
+    site.engines.iter().for_each(|engine| engine.crash_on(CRASH_PART));
+    assert_eq!(site.ask(&nodes[0], &sound(0)).await.status, StatusCode::OK);
+    let key = format!("redwingrill/quarantine/{}", crash_key());
+    site.store.state.set_fault(StoreFault::Busy);
+    let mut sent = 0;
+    while !is_quarantined(&site.ask(&nodes[sent % 3], &crashing(sent as u64)).await) {
+        sent += 1;
+        assert!(sent < 20, "the part is not quarantined");
+        sleep(Duration::from_millis(250)).await;
+    }
+    // The other nodes know it by the next digests.
+    sleep(Duration::from_millis(500)).await;
+    let sends = crashing_sends(&site);
+    for (n, node) in nodes.iter().enumerate() {
+        assert!(is_quarantined(&site.ask(node, &crashing(100 + n as u64)).await));
+    }
+    assert_eq!(crashing_sends(&site), sends);
+    assert_eq!(site.store.state.get(&key), None);
+
+    site.store.state.set_fault(StoreFault::None);
+    let ends = Instant::now() + 3 * IN_FORCE;
+    while site.store.state.get(&key).is_none() {
+        assert!(Instant::now() < ends, "the record is not written");
+        sleep(Duration::from_millis(50)).await;
+    }
+    for node in nodes.drain(..) {
+        node.node.drain().await.finish().await;
+    }
+    let replaced = site.node("n4").await;
+    assert!(is_quarantined(&site.ask(&replaced, &crashing(200)).await));
+    assert_eq!(crashing_sends(&site), sends);
+    site.wait("sound requests are served", async || {
+        site.ask(&replaced, &sound(1)).await.status == StatusCode::OK
+    })
+    .await;
+
+    // The end of the record lets the part be tried again.
+    site.store.state.remove(&key);
+    site.wait("the part is tried again", async || {
+        site.ask(&replaced, &crashing(300)).await.status == StatusCode::BAD_GATEWAY
+    })
+    .await;
+    site.stop(vec![replaced]).await;
+}
+
+fn crash_key() -> PartKey {
+    let part = u64::from_str_radix(CRASH_PART, 16).expect("a hexadecimal number");
+    PartKey { scope: ScopeTag::of("llm", "m"), part }
+}
--- a/crates/scheduling/src/fleet/digest.rs
+++ b/crates/scheduling/src/fleet/digest.rs
@@ -13,6 +13,7 @@
 use crate::engine_model::ModelDigest;
 use crate::placement::CacheStoreDigest;
 use crate::placement::PrefixTag;
+use crate::quarantine::QuarantineDigest;
 
 /// The period between digests to one node in a small fleet.
 pub const DIGEST_PERIOD_MS: u64 = 100;
@@ -70,6 +71,8 @@
     pub cache_store: Option<CacheStoreDigest>,
     /// What the node learned about the upstreams.
     pub model: ModelDigest,
+    /// Suspect and quarantined parts of prompts.
+    pub quarantine: QuarantineDigest,
 }
 
 /// The latest digests of the other nodes.
--- a/crates/scheduling/src/quarantine/state.rs
+++ b/crates/scheduling/src/quarantine/state.rs
@@ -409,12 +409,15 @@
 
     /// Returns the part that explains the breaks of most engines with the fewest attempts, if its
     /// evidence suffices. A part that only accompanies it explains fewer engines or has more
-    /// attempts, and loses its evidence once the other one is held. Parts that always came together
-    /// can't be told apart and are returned together, after more generations.
+    /// attempts, or has a completed answer on record, and loses its evidence once the other one is
+    /// held. Parts that always came together can't be told apart and are returned together, after
+    /// more generations.
     fn next_sufficient(&self, now_ms: u64) -> Vec<Case> {
         let mut cases = self.cases(now_ms);
         cases.retain(|case| case.requests >= REQUESTS);
-        cases.sort_by_key(|case| (usize::MAX - case.engines.len(), case.attempts.len(), case.part));
+        cases.sort_by_key(|case| {
+            (usize::MAX - case.engines.len(), case.attempts.len(), case.needed, case.part)
+        });
         let best = cases.iter().position(|case| case.generations >= case.needed);
         let Some(best) = best.map(|index| (index, &cases[index])) else { return Vec::new() };
         let (index, best) = best;
@@ -426,7 +429,8 @@
             return Vec::new();
         }
         let (attempts, generations) = (best.attempts.clone(), best.generations);
-        cases.retain(|case| case.attempts == attempts);
+        let needed = best.needed;
+        cases.retain(|case| case.attempts == attempts && case.needed == needed);
         if cases.len() > 1 && generations < JOINT_GENERATIONS {
             return Vec::new();
         }
--- a/crates/scheduling/src/scheduler/choose.rs
+++ b/crates/scheduling/src/scheduler/choose.rs
@@ -123,6 +123,14 @@
         self.choose_with_lateness(request, false, now_ms)
     }
 
+    /// Refuses a request if a part of its prompt is quarantined.
+    pub fn refuse_quarantined(&mut self, request: &ScheduleRequest, now_ms: u64) -> Option<Choice> {
+        let prompt = request.prompt.as_deref()?;
+        let block = self.quarantine_mut().block(&request.service, prompt, now_ms)?;
+        let cause = RefusalCause::Quarantined(block.part);
+        Some(Choice::Refuse { cause, retry_after_ms: block.remaining_ms })
+    }
+
     /// Chooses an upstream; `is_late` states whether the request can no longer meet its target.
     pub(super) fn choose_with_lateness(
         &mut self,
@@ -130,6 +138,9 @@
         is_late: bool,
         now_ms: u64,
     ) -> Choice {
+        if let Some(refusal) = self.refuse_quarantined(request, now_ms) {
+            return refusal;
+        }
         let context = self.context(request, is_late, now_ms);
         match self.select(request, &context, now_ms) {
             Ok(best) => Choice::Send(Box::new(self.assign(request, &context, best, now_ms))),
--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -30,6 +30,7 @@
 use crate::placement::ArrivalRates;
 use crate::placement::CacheIndex;
 use crate::placement::PrefixTag;
+use crate::quarantine::Quarantine;
 use crate::retry_budget::RetryBudget;
 use crate::retry_budget::RetryBudgetSpec;
 use redwingrill_routing::CacheChange;
@@ -121,6 +122,7 @@
     members: usize,
     // The long prefixes in use; counted with each digest.
     pub(super) live_prefixes: usize,
+    quarantine: Quarantine,
 }
 
 impl Scheduler {
@@ -147,6 +149,7 @@
             cache_tokens: HashMap::new(),
             members: DEFAULT_MEMBERS,
             live_prefixes: 0,
+            quarantine: Quarantine::default(),
         }
     }
 
@@ -155,6 +158,11 @@
         &self.fleet
     }
 
+    /// Returns the parts of prompts that are suspect or quarantined.
+    pub fn quarantine_mut(&mut self) -> &mut Quarantine {
+        &mut self.quarantine
+    }
+
     /// Replaces the list of upstreams.
     pub fn set_upstreams(&mut self, listed: Vec<Arc<Upstream>>, now_ms: u64) {
         for removed in self.fleet.set_upstreams(listed, now_ms) {
@@ -176,6 +184,7 @@
             }
         }
         self.merge_model(&digest.model);
+        self.quarantine.merge(digest.node, &digest.quarantine, now_ms);
         self.peers.observe(digest, now_ms);
         self.fleet.set_peer_loads(&self.peers);
     }
@@ -237,6 +246,7 @@
             prefixes: prefixes.collect(),
             cache_store: self.cache_index.cache_store().digest(now_ms),
             model: self.model_digest(),
+            quarantine: self.quarantine.digest(now_ms),
             node,
             sequence: self.sequence,
             upstreams: upstreams.collect(),
@@ -374,6 +384,7 @@
     /// Sets the number of nodes that share the retry budget.
     pub fn set_members(&mut self, members: usize) {
         self.members = if members == 0 { DEFAULT_MEMBERS } else { members };
+        self.quarantine.set_members(self.members);
     }
 
     /// Sets how many connections one upstream of a service accepts from all nodes together.
--- a/crates/scheduling/src/scheduler/request.rs
+++ b/crates/scheduling/src/scheduler/request.rs
@@ -7,6 +7,7 @@
 use crate::fleet::UpstreamIndex;
 use crate::placement::AffinityKey;
 use crate::placement::Scope;
+use crate::quarantine::PartKey;
 use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::Upstream;
 use redwingrill_routing::WeightsVersion;
@@ -94,6 +95,8 @@
     RepeatBudget,
     /// The node is stopping.
     Stopping,
+    /// This part of the prompt is quarantined.
+    Quarantined(PartKey),
 }
 
 /// The decision on a request.
--- a/crates/scheduling/src/scheduler/wait_queue.rs
+++ b/crates/scheduling/src/scheduler/wait_queue.rs
@@ -142,6 +142,10 @@
         let mut full: HashSet<RequestClass> = HashSet::new();
         let mut decisions = Vec::new();
         for entry in waiting {
+            if let Some(refusal) = scheduler.refuse_quarantined(&entry.request, now_ms) {
+                decisions.push((entry.responder, refusal));
+                continue;
+            }
             let class = entry.class.clone();
             if full.contains(&class) && now_ms < entry.wait_ends_ms() {
                 self.waiting.push(entry);
--- a/crates/scheduling/tests/fleet.rs
+++ b/crates/scheduling/tests/fleet.rs
@@ -17,6 +17,7 @@
 use redwingrill_scheduling::fleet::PeerLoads;
 use redwingrill_scheduling::fleet::UpstreamTag;
 use redwingrill_scheduling::fleet::Verdict;
+use redwingrill_scheduling::quarantine::QuarantineDigest;
 
 #[test]
 fn new_listing_keeps_in_flight_counts() {
@@ -98,8 +99,18 @@
     let upstreams = vec![(UpstreamTag::of("e"), load)];
     let prefixes = Vec::new();
     let (short_per_s, long_per_s, cache_store) = (3, 1, None);
-    let model = ModelDigest::default();
-    LoadDigest { node, sequence, short_per_s, long_per_s, upstreams, prefixes, cache_store, model }
+    let (model, quarantine) = (ModelDigest::default(), QuarantineDigest::default());
+    LoadDigest {
+        node,
+        sequence,
+        short_per_s,
+        long_per_s,
+        upstreams,
+        prefixes,
+        cache_store,
+        model,
+        quarantine,
+    }
 }
 
 #[test]
--- a/crates/scheduling/tests/quarantine.rs
+++ b/crates/scheduling/tests/quarantine.rs
@@ -24,6 +24,9 @@
 use redwingrill_scheduling::quarantine::Quarantine;
 use redwingrill_scheduling::quarantine::QuarantineDigest;
 use redwingrill_scheduling::quarantine::RequestTag;
+use redwingrill_scheduling::scheduler::Choice;
+use redwingrill_scheduling::scheduler::RefusalCause;
+use redwingrill_scheduling::scheduler::WaitQueue;
 
 const CRASH_PART: u64 = 0xbad;
 const STEP_MS: u64 = 5;
@@ -437,6 +440,26 @@
     assert!(!is_blocked(&mut quarantine, 10_000));
 }
 
+/// Two parts break together each time; one of them was answered before.
+#[test]
+fn part_with_a_completed_answer_is_quarantined_with_the_one_beside_it() {
+    let mut quarantine = Quarantine::default();
+    let engine = UpstreamTag::of("sound");
+    let completed = CompletedAttempt { engine, parts: &[key(7)], sent_ms: 0 };
+    quarantine.record_completed(&completed, 500);
+    for n in 0..10 {
+        let now_ms = 1_000 + n * 400;
+        let engine = UpstreamTag::of(&format!("e{n}"));
+        let request = RequestTag::of(&prompt(&[(7, 1), (8, 1), (n, 1)]));
+        let parts = &[key(7), key(8)];
+        let broken = BrokenAttempt { engine, request, parts, sent_ms: now_ms - 100 };
+        quarantine.record_broken((SERVICE, MODEL), &broken, now_ms);
+        let later_ms = now_ms + 200;
+        assert_eq!(quarantine.block(SERVICE, &prompt(&[(7, 1), (1, 1)]), later_ms), None);
+    }
+    assert!(quarantine.block(SERVICE, &prompt(&[(8, 1), (1, 1)]), 9_000).is_some());
+}
+
 #[test]
 fn quarantine_does_not_end() {
     let mut quarantine = Quarantine::default();
@@ -464,3 +487,30 @@
     restarted.merge(1, &digest, 3_200);
     assert!(is_blocked(&mut restarted, 3_300));
 }
+
+#[test]
+fn request_that_waits_is_sent_after_its_part_is_quarantined() {
+    let mut scheduler = support::scheduler(1);
+    scheduler.set_upstreams(support::engines(1, 1), 0);
+    let mut queue = WaitQueue::default();
+    let mut waiting = Vec::new();
+    for own in 0..200 {
+        let request = support::request(Some(prompt(&[(7, 9_000), (1_000 + own, 300)])), 0);
+        let decisions = queue.enqueue(&mut scheduler, request, own, 0);
+        if decisions.is_empty() {
+            waiting.push(own);
+        }
+        if waiting.len() == 3 {
+            break;
+        }
+    }
+    assert_eq!(queue.len(), 3);
+    scheduler.quarantine_mut().set_listed(&[key(7)], 10);
+    let decisions = queue.dispatch(&mut scheduler, 20, |_| false);
+    let refused = decisions.iter().filter(|(_, choice)| {
+        let is_quarantined = |cause: &RefusalCause| *cause == RefusalCause::Quarantined(key(7));
+        matches!(choice, Choice::Refuse { cause, .. } if is_quarantined(cause))
+    });
+    assert_eq!(refused.count(), 3);
+    assert!(queue.is_empty());
+}
