Count evidence against parts only while it is new

A node with old evidence counted it anew with each digest and request, up to twenty times a second for a minute. Once the other nodes have been heard, nothing changes until the next suspect attempt.

--- a/crates/scheduling/src/quarantine/state.rs
+++ b/crates/scheduling/src/quarantine/state.rs
@@ -141,6 +141,8 @@
     round_ms: u64,
     next_id: u32,
     counted_ms: u64,
+    // When evidence was last added, until it was counted after the other nodes were heard.
+    changed_ms: Option<u64>,
 }
 
 impl Default for Quarantine {
@@ -157,6 +159,7 @@
             round_ms: digest_round_ms(1),
             next_id: 0,
             counted_ms: 0,
+            changed_ms: None,
         }
     }
 }
@@ -255,6 +258,7 @@
         if !self.evidence.add_suspect(id, suspect) {
             return;
         }
+        self.changed_ms = Some(now_ms);
         let report_until_ms = now_ms + self.report_ms();
         for part in parts {
             if self.evidence.completed_ms(part).is_some() {
@@ -386,6 +390,11 @@
         self.round_ms * REPEATED_ROUNDS
     }
 
+    /// How long the other nodes have to report answers of a part.
+    fn hearing_ms(&self) -> u64 {
+        2 * self.round_ms + HEARING_MARGIN_MS
+    }
+
     /// Counts the evidence, and quarantines the parts for which it suffices.
     fn count(&mut self, now_ms: u64) {
         self.counted_ms = now_ms;
@@ -395,7 +404,11 @@
         let over: Vec<PartKey> = over.map(|(part, _)| *part).collect();
         over.into_iter().for_each(|part| self.lift(part, now_ms));
         self.lifted.retain(|_, at_ms| now_ms < *at_ms + QUARANTINE_MS);
-        while !self.evidence.is_empty() {
+        let Some(changed_ms) = self.changed_ms else { return };
+        if now_ms > changed_ms + 2 * self.hearing_ms() {
+            self.changed_ms = None;
+        }
+        loop {
             let found = self.next_sufficient(now_ms);
             if found.is_empty() || self.held.len() + found.len() > HELD_LIMIT {
                 return;
@@ -439,7 +452,7 @@
 
     /// Gathers what is known against each part that is not held.
     fn cases(&self, now_ms: u64) -> Vec<Case> {
-        let hearing_ms = 2 * self.round_ms + HEARING_MARGIN_MS;
+        let hearing_ms = self.hearing_ms();
         let settled_ms = self.round_ms + HEARING_MARGIN_MS / 3;
         let explained = self.explained_breaks();
         let mut by_part: HashMap<PartKey, Vec<(&SuspectId, &Suspect)>> = HashMap::new();
