--- a/crates/scheduling/src/quarantine/evidence.rs
+++ b/crates/scheduling/src/quarantine/evidence.rs
@@ -66,10 +66,18 @@
 /// The origin of a suspect attempt, and its number there; `None` is this node.
 pub(super) type SuspectId = (Option<u64>, u32);
 
-/// All evidence.
+/// The suspect attempts of one part.
+#[derive(Clone, Copy, Debug, Default)]
+struct Accusation {
+    attempts: u32,
+    last_broken_ms: u64,
+}
+
+/// All evidence. Invariant: `accused` counts the parts of `suspects`.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Evidence {
     suspects: BTreeMap<SuspectId, Suspect>,
+    accused: HashMap<PartKey, Accusation>,
     completed: HashMap<PartKey, u64>,
     spans: HashMap<UpstreamTag, Span>,
 }
@@ -86,12 +94,19 @@
         suspect.parts.truncate(PARTS_PER_ATTEMPT_LIMIT);
         suspect.has_survivor =
             self.spans.get(&suspect.engine).is_some_and(|span| span.covers(&suspect));
+        for part in &suspect.parts {
+            let accusation = self.accused.entry(*part).or_default();
+            accusation.attempts += 1;
+            accusation.last_broken_ms = accusation.last_broken_ms.max(suspect.broken_ms);
+        }
         self.suspects.insert(id, suspect);
         if self.suspects.len() > SUSPECTS_LIMIT
             && let Some(oldest) = self.suspects.iter().min_by_key(|(_, s)| s.broken_ms)
         {
             let oldest = *oldest.0;
-            self.suspects.remove(&oldest);
+            if let Some(removed) = self.suspects.remove(&oldest) {
+                release(&mut self.accused, &removed);
+            }
         }
         true
     }
@@ -140,17 +155,20 @@
         self.suspects.iter()
     }
 
-    pub fn is_empty(&self) -> bool {
-        self.suspects.is_empty()
-    }
-
-    pub fn is_suspected(&self, part: PartKey) -> bool {
-        self.suspects.values().any(|suspect| suspect.parts.contains(&part))
+    /// Returns when a suspect attempt of the part last broke.
+    pub fn last_broken_ms(&self, part: PartKey) -> Option<u64> {
+        self.accused.get(&part).map(|accusation| accusation.last_broken_ms)
     }
 
     pub fn expire(&mut self, now_ms: u64) {
-        self.suspects
-            .retain(|_, suspect| now_ms.saturating_sub(suspect.broken_ms) < EVIDENCE_AGE_LIMIT_MS);
+        let accused = &mut self.accused;
+        self.suspects.retain(|_, suspect| {
+            let is_kept = now_ms.saturating_sub(suspect.broken_ms) < EVIDENCE_AGE_LIMIT_MS;
+            if !is_kept {
+                release(accused, suspect);
+            }
+            is_kept
+        });
     }
 
     pub fn verify(&self) -> Result<(), String> {
@@ -163,6 +181,21 @@
                 return Err(format!("{len} {name}, limit {limit}"));
             }
         }
+        let parts: usize = self.suspects.values().map(|suspect| suspect.parts.len()).sum();
+        let accused: u32 = self.accused.values().map(|accusation| accusation.attempts).sum();
+        if parts != accused as usize {
+            return Err(format!("{parts} parts of suspects, {accused} accusations"));
+        }
         Ok(())
     }
 }
+
+fn release(accused: &mut HashMap<PartKey, Accusation>, removed: &Suspect) {
+    for part in &removed.parts {
+        let Some(accusation) = accused.get_mut(part) else { continue };
+        accusation.attempts -= 1;
+        if accusation.attempts == 0 {
+            accused.remove(part);
+        }
+    }
+}
--- a/crates/scheduling/src/quarantine/state.rs
+++ b/crates/scheduling/src/quarantine/state.rs
@@ -207,7 +207,7 @@
     pub fn record_completed(&mut self, attempt: &CompletedAttempt<'_>, now_ms: u64) {
         let report_until_ms = now_ms + self.report_ms();
         for part in attempt.parts {
-            if !self.evidence.is_empty() && self.evidence.is_suspected(*part) {
+            if self.evidence.last_broken_ms(*part).is_some() {
                 self.report_cleared(*part, now_ms);
                 self.reported_parts.insert(*part, report_until_ms);
             }
@@ -271,11 +271,9 @@
     }
 
     fn report_cleared(&mut self, part: PartKey, at_ms: u64) {
+        let Some(broken_ms) = self.evidence.last_broken_ms(part) else { return };
         let since_ms = self.evidence.completed_ms(part).unwrap_or(0);
-        let suspects = self.evidence.suspects();
-        let was_suspected = suspects
-            .filter(|(_, suspect)| suspect.broken_ms > since_ms && suspect.broken_ms <= at_ms)
-            .any(|(_, suspect)| suspect.parts.contains(&part));
+        let was_suspected = broken_ms > since_ms && broken_ms <= at_ms;
         if was_suspected && self.suspect_events.count(at_ms) < SUSPECT_EVENTS_PER_S {
             self.suspect_events.push((), at_ms);
             self.events.push(QuarantineEvent::Cleared { part });
