--- a/crates/gateway/src/cluster_view/builder.rs
+++ b/crates/gateway/src/cluster_view/builder.rs
@@ -15,6 +15,7 @@
 use super::GraceItem;
 use super::MEMBER_PREFIX;
 use super::Member;
+use super::QUARANTINE_PREFIX;
 use super::ROLLOUT_LEADER_KEY;
 use super::RolloutLeader;
 use super::TargetVersion;
@@ -240,6 +241,12 @@
         && let Some(item) = decode::<GraceItem>(node_key, value)
     {
         view.grace_records.entry(item.model.clone()).or_default().push((&item).into());
+    } else if let Some(part) = node_key.strip_prefix(QUARANTINE_PREFIX) {
+        // The value is for operators.
+        match part.parse() {
+            Ok(part) => view.quarantined.push(part),
+            Err(_) => warn!("event=item_unreadable key={node_key} reason=\"no part\""),
+        }
     }
 }
 
--- a/crates/gateway/src/cluster_view/mod.rs
+++ b/crates/gateway/src/cluster_view/mod.rs
@@ -12,6 +12,7 @@
 use redwingrill_routing::Upstream;
 use redwingrill_routing::UpstreamState;
 use redwingrill_routing::WeightsVersion;
+use redwingrill_scheduling::quarantine::PartKey;
 use redwingrill_scheduling::weights::GraceRecord;
 
 pub use builder::ClusterViewBuilder;
@@ -19,6 +20,7 @@
 pub use node_items::GraceItem;
 pub use node_items::MEMBER_PREFIX;
 pub use node_items::Member;
+pub use node_items::QUARANTINE_PREFIX;
 pub use node_items::ROLLOUT_LEADER_KEY;
 pub use node_items::RolloutLeader;
 
@@ -51,6 +53,8 @@
     pub members: Vec<Member>,
     /// The node that leads the roll-out.
     pub rollout_leader: Option<RolloutLeader>,
+    /// The quarantined parts of prompts.
+    pub quarantined: Vec<PartKey>,
 }
 
 impl ClusterView {
--- a/crates/gateway/src/cluster_view/node_items.rs
+++ b/crates/gateway/src/cluster_view/node_items.rs
@@ -17,6 +17,9 @@
 /// The key prefix of grace records, followed by the model and the version.
 pub const GRACE_PREFIX: &str = "grace/";
 
+/// The key prefix of quarantined parts, followed by the part.
+pub const QUARANTINE_PREFIX: &str = "quarantine/";
+
 /// A live node.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct Member {
--- a/crates/lab/tests/on_platform/main.rs
+++ b/crates/lab/tests/on_platform/main.rs
@@ -1,7 +1,9 @@
 //! Nodes on the platform's adapter against stand-ins that speak the platform's protocol.
 
+mod close_delimited;
 mod failures;
 mod news;
+mod quarantine;
 mod requests;
 mod rollout;
 mod site;
