Do not accuse a hot part for breaks of other causes

A part that had been answered before and that broke at more engines than the one beside it, because other engines ended too, ranked before it: the part that crashes engines was passed over as explained, until the hot part had its five generations and was quarantined instead. Found by reading; hot_part_is_quarantined_for_breaks_of_other_causes failed after 4 engines before. Parts without a completed answer on record now rank before those with one.

What is reported to peers expires with each count, also at a node without peers.

--- a/crates/scheduling/src/quarantine/state.rs
+++ b/crates/scheduling/src/quarantine/state.rs
@@ -302,8 +302,6 @@
                 parts: suspect.parts.clone(),
             });
         let suspects = suspects.collect();
-        self.reported_parts.retain(|_, until_ms| now_ms < *until_ms);
-        self.reported_engines.retain(|_, until_ms| now_ms < *until_ms);
         let completed = self
             .reported_parts
             .keys()
@@ -402,6 +400,8 @@
         let over: Vec<PartKey> = over.map(|(part, _)| *part).collect();
         over.into_iter().for_each(|part| self.lift(part, now_ms));
         self.lifted.retain(|_, at_ms| now_ms < *at_ms + QUARANTINE_MS);
+        self.reported_parts.retain(|_, until_ms| now_ms < *until_ms);
+        self.reported_engines.retain(|_, until_ms| now_ms < *until_ms);
         let Some(changed_ms) = self.changed_ms else { return };
         if now_ms > changed_ms + 2 * self.hearing_ms() {
             self.changed_ms = None;
@@ -419,15 +419,14 @@
     }
 
     /// Returns the part that explains the breaks of most engines with the fewest attempts, if its
-    /// evidence suffices. A part that only accompanies it explains fewer engines or has more
-    /// attempts, or has a completed answer on record, and loses its evidence once the other one is
-    /// held. Parts that always came together can't be told apart and are returned together, after
-    /// more generations.
+    /// evidence suffices; those with a completed answer on record come last. A part that only
+    /// accompanies it loses its evidence once the other one is held. Parts that always came together
+    /// can't be told apart and are returned together, after more generations.
     fn next_sufficient(&self, now_ms: u64) -> Vec<Case> {
         let mut cases = self.cases(now_ms);
         cases.retain(|case| case.requests >= REQUESTS);
         cases.sort_by_key(|case| {
-            (usize::MAX - case.engines.len(), case.attempts.len(), case.needed, case.part)
+            (case.needed, usize::MAX - case.engines.len(), case.attempts.len(), case.part)
         });
         let best = cases.iter().position(|case| case.generations >= case.needed);
         let Some(best) = best.map(|index| (index, &cases[index])) else { return Vec::new() };
--- a/crates/scheduling/tests/quarantine.rs
+++ b/crates/scheduling/tests/quarantine.rs
@@ -460,6 +460,30 @@
     assert!(quarantine.block(SERVICE, &prompt(&[(8, 1), (1, 1)]), 9_000).is_some());
 }
 
+/// A part that was answered before breaks at more engines than the one beside it that crashes them.
+#[test]
+fn hot_part_is_quarantined_for_breaks_of_other_causes() {
+    let mut quarantine = Quarantine::default();
+    let engine = UpstreamTag::of("sound");
+    let completed = CompletedAttempt { engine, parts: &[key(7)], sent_ms: 0 };
+    quarantine.record_completed(&completed, 500);
+    let mut break_parts = |engine: &str, n: u64, parts: &[PartKey], now_ms: u64| {
+        let request = RequestTag::of(&prompt(&[(7, 1), (n, 1)]));
+        let (engine, sent_ms) = (UpstreamTag::of(engine), now_ms - 100);
+        let broken = BrokenAttempt { engine, request, parts, sent_ms };
+        quarantine.record_broken((SERVICE, MODEL), &broken, now_ms);
+        quarantine.block(SERVICE, &prompt(&[(7, 1), (1, 1)]), now_ms + 200)
+    };
+    for n in 0..4 {
+        assert_eq!(break_parts(&format!("other-{n}"), 100 + n, &[key(7)], 900), None);
+    }
+    for n in 0..10 {
+        let is_refused = break_parts(&format!("e{n}"), n, &[key(7), key(8)], 1_000 + n * 400);
+        assert_eq!(is_refused, None, "after {n} engines");
+    }
+    assert!(quarantine.block(SERVICE, &prompt(&[(8, 1), (1, 1)]), 9_000).is_some());
+}
+
 #[test]
 fn quarantine_does_not_end() {
     let mut quarantine = Quarantine::default();
