Keep a part quarantined whose record lapses with the store

After an outage in which leases run out, engines would crash again, once per node and generation.

Cause: a record that the store no longer lists lifts the quarantine, also if only its lease ran out while the store was away.

Evidence: quarantine_whose_record_lapses_with_the_store_is_lifted: before, the request with the part is sent on as the store returns; after, it is refused throughout and the record is written again. Ruled out: the operator's removal of a record, which lifts as before (quarantine_is_lost_with_the_nodes_or_the_store).

Change: a record that vanishes while the store is unavailable or returning counts as lapsed, as unlisted upstreams do; nodes hold the part and write the record again.

--- a/crates/gateway/src/cluster_view/builder.rs
+++ b/crates/gateway/src/cluster_view/builder.rs
@@ -4,6 +4,7 @@
 //! configuration, the previous one stays in force.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use log::info;
@@ -27,6 +28,8 @@
 use redwingrill_routing::Upstream;
 use redwingrill_routing::UpstreamState;
 use redwingrill_routing::WeightsVersion;
+use redwingrill_scheduling::quarantine::PartKey;
+use redwingrill_scheduling::quarantine::QUARANTINE_MS;
 
 /// Builds cluster views and caches decoded items between builds.
 #[derive(Debug)]
@@ -39,6 +42,9 @@
     version_items: HashMap<String, (Revision, Option<(String, WeightsVersion)>)>,
     target_versions: HashMap<String, TargetVersion>,
     retention: Retention,
+    quarantined: HashSet<PartKey>,
+    // Parts whose records vanished while the store was unavailable, with the time.
+    lapsed_quarantines: HashMap<PartKey, u64>,
 }
 
 /// Whether to retain upstreams that are no longer listed, because only their lease may have
@@ -64,6 +70,8 @@
             version_items: HashMap::new(),
             target_versions: HashMap::new(),
             retention: Retention::Off,
+            quarantined: HashSet::new(),
+            lapsed_quarantines: HashMap::new(),
         }
     }
 
@@ -104,6 +112,7 @@
                 ItemKind::Foreign => {}
             }
         }
+        self.retain_lapsed_quarantines(&mut view, now_ms);
         self.retain_unlisted(&listed, now_ms);
         let current = listed.values().filter_map(|(_, upstream)| upstream.clone());
         let retained = self.retained.values().map(|(upstream, _)| upstream.clone());
@@ -116,6 +125,28 @@
         view
     }
 
+    fn retain_lapsed_quarantines(&mut self, view: &mut ClusterView, now_ms: u64) {
+        let listed: HashSet<PartKey> = view.quarantined.iter().copied().collect();
+        if self.is_store_unavailable(now_ms) {
+            let vanished = self.quarantined.difference(&listed);
+            self.lapsed_quarantines.extend(vanished.map(|part| (*part, now_ms)));
+        }
+        self.lapsed_quarantines.retain(|part, at_ms| {
+            !listed.contains(part) && now_ms.saturating_sub(*at_ms) < QUARANTINE_MS
+        });
+        view.lapsed_quarantines = self.lapsed_quarantines.keys().copied().collect();
+        self.quarantined = listed;
+    }
+
+    /// Returns whether leases may have run out because the store is, or has just been, unavailable.
+    fn is_store_unavailable(&self, now_ms: u64) -> bool {
+        match self.retention {
+            Retention::Off => false,
+            Retention::StoreUnavailable { .. } => true,
+            Retention::StoreReturning { until_ms } => now_ms < until_ms,
+        }
+    }
+
     fn retain_unlisted(
         &mut self,
         listed: &HashMap<String, (Revision, Option<Arc<Upstream>>)>,
--- a/crates/gateway/src/cluster_view/mod.rs
+++ b/crates/gateway/src/cluster_view/mod.rs
@@ -55,6 +55,9 @@
     pub rollout_leader: Option<RolloutLeader>,
     /// The quarantined parts of prompts.
     pub quarantined: Vec<PartKey>,
+    /// Quarantined parts whose records vanished while the store was unavailable: only their leases
+    /// ran out.
+    pub lapsed_quarantines: Vec<PartKey>,
 }
 
 impl ClusterView {
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -141,6 +141,7 @@
         self.scheduler.set_upstreams(view.upstreams.clone(), now_ms);
         self.scheduler.set_loading(view.loading());
         self.scheduler.set_members(view.members.len());
+        self.scheduler.quarantine_mut().set_lapsed(&view.lapsed_quarantines);
         self.scheduler.quarantine_mut().set_listed(&view.quarantined, now_ms);
         self.report_quarantine();
         self.publish_unlisted();
--- a/crates/lab/tests/on_platform/quarantine.rs
+++ b/crates/lab/tests/on_platform/quarantine.rs
@@ -164,6 +164,37 @@
     site.stop(vec![replaced]).await;
 }
 
+/// Leases may run out while the store is away; the record is not gone by anyone's will.
+#[tokio::test]
+async fn quarantine_whose_record_lapses_with_the_store_is_lifted() {
+    let site = Site::start(8, 0).await;
+    let node = site.node("n1").await;
+    site.engines.iter().for_each(|engine| engine.crash_on(CRASH_PART));
+    let key = format!("redwingrill/quarantine/{}", crash_key());
+    site.store.state.put(&key, "{}");
+    site.wait("the part is quarantined", async || {
+        is_quarantined(&site.ask(&node, &crashing(0)).await)
+    })
+    .await;
+    let sends = crashing_sends(&site);
+    site.store.state.set_fault(StoreFault::Busy);
+    sleep(Duration::from_millis(3_200)).await;
+    site.store.state.remove(&key);
+    site.store.state.set_fault(StoreFault::None);
+    let ends = Instant::now() + 6 * IN_FORCE;
+    let mut n = 1;
+    while site.store.state.get(&key).is_none() {
+        assert!(Instant::now() < ends, "the record is not written again");
+        assert!(is_quarantined(&site.ask(&node, &crashing(n)).await));
+        sleep(Duration::from_millis(100)).await;
+        n += 1;
+    }
+    sleep(IN_FORCE).await;
+    assert!(is_quarantined(&site.ask(&node, &crashing(n)).await));
+    assert_eq!(crashing_sends(&site), sends);
+    site.stop(vec![node]).await;
+}
+
 fn crash_key() -> PartKey {
     let part = u64::from_str_radix(CRASH_PART, 16).expect("a hexadecimal number");
     PartKey { scope: ScopeTag::of("llm", "m"), part }
--- a/crates/scheduling/src/quarantine/state.rs
+++ b/crates/scheduling/src/quarantine/state.rs
@@ -339,6 +339,16 @@
         unlisted.into_iter().for_each(|part| self.lift(part, now_ms));
     }
 
+    /// Records that the store lost the records of these parts: they stay quarantined, and their
+    /// records are to be written again.
+    pub fn set_lapsed(&mut self, lapsed: &[PartKey]) {
+        for part in lapsed {
+            if let Some(held) = self.held.get_mut(part) {
+                held.is_listed = false;
+            }
+        }
+    }
+
     /// Returns the parts that the store does not list yet.
     pub fn unlisted(&self) -> Vec<HeldPart> {
         let unlisted = self.held.iter().filter(|(_, held)| !held.is_listed);
