Keep the time of the first accusation when evidence is displaced

Callers: none seen; found by the review of the quarantine. In a fleet of 195 nodes engines would go on crashing without end.

Cause: a part is held once the other nodes had time to answer since its first known attempt, 3.7 s there. Victims of the crashes fill the table of 1,024 attempts within less, and displace just that attempt; the time never passed.

Evidence: victims_of_a_large_fleet_displace_the_part_that_crashes_engines: before, not held after 9.9 s at 15 crashes a second; after, held. Ruled out: the generations, of which there were enough.

Change: the first time is kept with the part, until a completed answer resets it.

--- a/crates/scheduling/src/quarantine/evidence.rs
+++ b/crates/scheduling/src/quarantine/evidence.rs
@@ -71,6 +71,9 @@
 struct Accusation {
     attempts: u32,
     last_broken_ms: u64,
+    // When this node first knew of an attempt since the last completed answer. Kept here, since the
+    // attempt itself may be displaced by newer ones.
+    first_known_ms: Option<u64>,
 }
 
 /// All evidence. Invariant: `accused` counts the parts of `suspects`.
@@ -98,6 +101,7 @@
             let accusation = self.accused.entry(*part).or_default();
             accusation.attempts += 1;
             accusation.last_broken_ms = accusation.last_broken_ms.max(suspect.broken_ms);
+            accusation.first_known_ms.get_or_insert(suspect.known_ms);
         }
         self.suspects.insert(id, suspect);
         if self.suspects.len() > SUSPECTS_LIMIT
@@ -113,6 +117,11 @@
 
     /// Records when an answer of requests with a part was last completed.
     pub fn add_completed(&mut self, part: PartKey, at_ms: u64) {
+        if let Some(accusation) = self.accused.get_mut(&part)
+            && accusation.last_broken_ms <= at_ms
+        {
+            accusation.first_known_ms = None;
+        }
         let last_ms = self.completed.entry(part).or_default();
         *last_ms = (*last_ms).max(at_ms);
         if self.completed.len() > COMPLETED_LIMIT {
@@ -160,6 +169,11 @@
         self.accused.get(&part).map(|accusation| accusation.last_broken_ms)
     }
 
+    /// Returns when this node first knew of a suspect attempt of the part.
+    pub fn first_known_ms(&self, part: PartKey) -> Option<u64> {
+        self.accused.get(&part).and_then(|accusation| accusation.first_known_ms)
+    }
+
     pub fn expire(&mut self, now_ms: u64) {
         let accused = &mut self.accused;
         self.suspects.retain(|_, suspect| {
--- a/crates/scheduling/src/quarantine/state.rs
+++ b/crates/scheduling/src/quarantine/state.rs
@@ -478,7 +478,7 @@
             let completed_ms = self.evidence.completed_ms(part);
             let since_ms = completed_ms.max(self.lifted.get(&part).copied());
             suspects.retain(|(_, suspect)| since_ms.is_none_or(|at_ms| suspect.broken_ms > at_ms));
-            let first_known_ms = suspects.iter().map(|(_, suspect)| suspect.known_ms).min();
+            let first_known_ms = self.evidence.first_known_ms(part);
             let mut all = Generations::default();
             let mut settled = Generations::default();
             for (_, suspect) in &suspects {
--- a/crates/scheduling/tests/quarantine.rs
+++ b/crates/scheduling/tests/quarantine.rs
@@ -426,6 +426,28 @@
     }
 }
 
+/// Victims of each crash fill the table of evidence within seconds.
+#[test]
+fn victims_of_a_large_fleet_displace_the_part_that_crashes_engines() {
+    const CRASH_PERIOD_MS: u64 = 66;
+    let mut quarantine = Quarantine::default();
+    quarantine.set_members(195);
+    for n in 0..150 {
+        let now_ms = 1_000 + n * CRASH_PERIOD_MS;
+        let engine = UpstreamTag::of(&format!("e{n}"));
+        for victim in 0..26 {
+            let part = if victim == 0 { 7 } else { 1_000 + n * 100 + victim };
+            let request = RequestTag::of(&prompt(&[(part, 1), (n * 100 + victim, 1)]));
+            let parts = &[key(part)];
+            let broken = BrokenAttempt { engine, request, parts, sent_ms: now_ms - 100 };
+            quarantine.record_broken((SERVICE, MODEL), &broken, now_ms);
+        }
+        is_blocked(&mut quarantine, now_ms);
+    }
+    assert!(is_blocked(&mut quarantine, 1_000 + 150 * CRASH_PERIOD_MS));
+    assert_eq!(quarantine.verify(), Ok(()));
+}
+
 #[test]
 fn one_request_and_its_repeats_quarantine_a_part() {
     let mut quarantine = Quarantine::default();
