Let answers without a length or chunks clear no part of a prompt

Callers: none seen; found by the review of the quarantine. Engines would go on crashing, and sound parts beside the one that crashes them be refused.

Cause: an answer that ends with its connection looks whole if its engine ends between two events. It counted as completed and cleared the part that had just ended the engine, while its victims stayed accused; so did any answer below 500.

Evidence: answer_that_ends_with_its_engine_clears_the_part_that_crashed_it: with the mend taken out, the part is not held at three breaks with such an answer among them; with it, it is. A framed answer clears as before.

Change: such an answer, and one that is no success, is passed on as before and says nothing in favour of the parts.

--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -18,6 +18,8 @@
     assignment: Assignment,
     prompt: Option<Arc<DeclaredPrompt>>,
     is_prefill_pending: bool,
+    // Whether a whole answer clears the parts of the prompt.
+    is_conclusive: bool,
     outcome: Option<AttemptOutcome>,
 }
 
@@ -28,7 +30,14 @@
         assignment: Assignment,
         prompt: Option<Arc<DeclaredPrompt>>,
     ) -> Self {
-        Self { dispatcher, assignment, prompt, is_prefill_pending: true, outcome: None }
+        Self {
+            dispatcher,
+            assignment,
+            prompt,
+            is_prefill_pending: true,
+            is_conclusive: true,
+            outcome: None,
+        }
     }
 
     /// Returns the upstream and the parameters of the attempt.
@@ -64,6 +73,12 @@
         self.dispatcher.send(Message::StreamEnded { service, longest_pause_ms });
     }
 
+    /// Records that the answer says nothing in favour of the parts of the prompt: it is a failure, or
+    /// has neither a length nor chunks and so may look whole although its upstream has ended.
+    pub fn mark_inconclusive(&mut self) {
+        self.is_conclusive = false;
+    }
+
     /// Ends an attempt whose connection broke after the upstream had the request. This is evidence
     /// against the parts of the prompt, too.
     pub fn end_broken(self) {
@@ -82,6 +97,7 @@
     /// Ends the attempt. A served one has received its whole answer.
     pub fn end(mut self, verdict: Verdict, is_misdirected: bool) {
         if verdict == Verdict::Served
+            && self.is_conclusive
             && let Some(evidence) = self.evidence()
         {
             self.dispatcher.send(Message::AttemptCompleted { evidence });
--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -20,6 +20,7 @@
 use super::relay::Relay;
 use super::response::Body;
 use super::response::full_body;
+use super::response::is_framed;
 use super::response::refusal_response;
 use super::send::RESPONSE_LIMIT_BYTES;
 use super::send::SendOutcome;
@@ -327,6 +328,9 @@
             }
         };
         attempt.report_prefilled();
+        if !is_framed(&parts.headers) || !parts.status.is_success() {
+            attempt.mark_inconclusive();
+        }
         let is_failure = parts.status.is_server_error();
         attempt.end(if is_failure { Verdict::Failed } else { Verdict::Served }, false);
         if is_failure && call.may_retry() && call.remaining() > MIN_REMAINING_TIME {
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -30,6 +30,7 @@
 use super::events::EventSplitter;
 use super::response::Body;
 use super::response::StreamAborted;
+use super::response::is_framed;
 use super::send::SendOutcome;
 use super::send::UpstreamResponse;
 use super::send::send_attempt;
@@ -78,7 +79,10 @@
         response: UpstreamResponse,
         last_event_id: Option<u64>,
     ) -> Self {
-        let UpstreamResponse { parts: head, body, attempt } = response;
+        let UpstreamResponse { parts: head, body, mut attempt } = response;
+        if !is_framed(&head.headers) {
+            attempt.mark_inconclusive();
+        }
         let stall_timeout = Duration::from_millis(attempt.assignment().stall_timeout_ms);
         Self {
             context,
@@ -325,6 +329,9 @@
                     return false;
                 }
                 attempt.report_prefilled();
+                if !is_framed(&parts.headers) {
+                    attempt.mark_inconclusive();
+                }
                 self.stall_timeout = Duration::from_millis(attempt.assignment().stall_timeout_ms);
                 self.last_event = Instant::now();
                 self.body = Some(body);
