Tell the starts of an engine apart in evidence

Callers: none seen; found by the review of the quarantine. Where engines start again under the identity that they had, a part that crashes them would never be held.

Cause: evidence named an engine by its identity alone, so all its starts were one engine, and generations count distinct engines. The platform allows a start under the same identity with a new time of birth.

Evidence: starts_of_an_engine_under_one_identity_count_as_one_engine; with the identity alone the four breaks are one generation.

Change: evidence names the engine by identity and start.

--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -246,7 +246,7 @@
     fn record_broken(&mut self, evidence: &AttemptEvidence, now_ms: u64) {
         let (service, prompt) = (&evidence.upstream.service, &evidence.prompt);
         let broken = BrokenAttempt {
-            engine: UpstreamTag::of(&evidence.upstream.id),
+            engine: UpstreamTag::of_start(&evidence.upstream),
             request: RequestTag::of(prompt),
             parts: &PartKey::shared_parts(service, prompt),
             sent_ms: evidence.sent_ms,
@@ -256,7 +256,7 @@
 
     fn record_completed(&mut self, evidence: &AttemptEvidence, now_ms: u64) {
         let completed = CompletedAttempt {
-            engine: UpstreamTag::of(&evidence.upstream.id),
+            engine: UpstreamTag::of_start(&evidence.upstream),
             parts: &PartKey::shared_parts(&evidence.upstream.service, &evidence.prompt),
             sent_ms: evidence.sent_ms,
         };
--- a/crates/scheduling/src/fleet/digest.rs
+++ b/crates/scheduling/src/fleet/digest.rs
@@ -9,11 +9,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::engine_model::ModelDigest;
 use crate::placement::CacheStoreDigest;
 use crate::placement::PrefixTag;
 use crate::quarantine::QuarantineDigest;
+use redwingrill_routing::Upstream;
 
 /// The period between digests to one node in a small fleet.
 pub const DIGEST_PERIOD_MS: u64 = 100;
@@ -39,6 +41,12 @@
     pub fn of(upstream_id: &str) -> Self {
         Self(xxh3_64(upstream_id.as_bytes()) as u32)
     }
+
+    /// Returns the tag of one start of an upstream, which may start again under its identity.
+    pub fn of_start(upstream: &Upstream) -> Self {
+        let started_unix_ms = upstream.started_unix_ms.unwrap_or_default();
+        Self(xxh3_64_with_seed(upstream.id.as_bytes(), started_unix_ms) as u32)
+    }
 }
 
 /// The load of one node's requests at one upstream.
--- a/crates/scheduling/tests/quarantine.rs
+++ b/crates/scheduling/tests/quarantine.rs
@@ -14,6 +14,7 @@
 use support::prompt;
 
 use redwingrill_routing::DeclaredPrompt;
+use redwingrill_routing::Upstream;
 use redwingrill_scheduling::fleet::DIGEST_PERIOD_MS;
 use redwingrill_scheduling::fleet::NODES_PER_DIGEST_PERIOD;
 use redwingrill_scheduling::fleet::UpstreamTag;
@@ -426,6 +427,26 @@
     }
 }
 
+/// An engine may start again under the identity that it had.
+#[test]
+fn starts_of_an_engine_under_one_identity_count_as_one_engine() {
+    let upstream = |started_unix_ms| {
+        let listed = support::engine("e", 1);
+        Upstream { started_unix_ms, ..(*listed).clone() }
+    };
+    let mut quarantine = Quarantine::default();
+    for n in 0..4 {
+        let now_ms = 1_000 + n * 2_000;
+        let engine = UpstreamTag::of_start(&upstream(Some(now_ms)));
+        let request = RequestTag::of(&prompt(&[(7, 1), (n, 1)]));
+        let sent_ms = now_ms - 100;
+        let broken = BrokenAttempt { engine, request, parts: &[key(7)], sent_ms };
+        quarantine.record_broken((SERVICE, MODEL), &broken, now_ms);
+    }
+    assert!(is_blocked(&mut quarantine, 10_000));
+    assert_eq!(UpstreamTag::of_start(&upstream(None)), UpstreamTag::of_start(&upstream(None)));
+}
+
 /// Victims of each crash fill the table of evidence within seconds.
 #[test]
 fn victims_of_a_large_fleet_displace_the_part_that_crashes_engines() {
