Hold two parts that always come together only together

Callers: none seen; found by the review of the quarantine. Sound requests would be refused for ten minutes because their document had come with a part that crashes engines and was new to the nodes (LOST).

Cause: parts with the same evidence were both held, each alone.

Evidence: sound_part_is_refused_for_the_one_that_came_with_it: before, nothing is held at three generations, and each part alone at six.

Change: the pair is held under a key of its own, at the generations of a single part; only prompts with both are refused, so a sound part clears itself and the cause shows beside others. The replay's check of what is held is stricter: nothing but the part, alone or with a document that comes with it; before, a document of its own passed.

--- a/crates/scheduling/src/quarantine/part_key.rs
+++ b/crates/scheduling/src/quarantine/part_key.rs
@@ -26,7 +26,7 @@
     }
 }
 
-/// A part of prompts for a model of a service.
+/// A part of prompts for a model of a service, or two parts that come together.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Serialize, Deserialize)]
 pub struct PartKey {
     /// The service and the model.
@@ -43,6 +43,15 @@
     }
 }
 
+impl PartKey {
+    /// Returns the key of two parts of one prompt, for evidence that holds against both together and
+    /// against neither alone.
+    pub fn joint(self, other: Self) -> Self {
+        let (low, high) = (self.part.min(other.part), self.part.max(other.part));
+        Self { scope: self.scope, part: xxh3_64_with_seed(&low.to_le_bytes(), high) }
+    }
+}
+
 impl fmt::Display for PartKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:08x}/{:x}", self.scope.0, self.part)
--- a/crates/scheduling/src/quarantine/state.rs
+++ b/crates/scheduling/src/quarantine/state.rs
@@ -25,8 +25,8 @@
 use super::timing::GENERATIONS;
 use super::timing::HEARING_MARGIN_MS;
 use super::timing::HELD_LIMIT;
-use super::timing::JOINT_GENERATIONS;
 use super::timing::LIFTED_MS;
+use super::timing::PARTS_PER_ATTEMPT_LIMIT;
 use super::timing::QUARANTINE_MS;
 use super::timing::REPEATED_ROUNDS;
 use super::timing::REQUESTS;
@@ -368,13 +368,20 @@
         if self.held.is_empty() {
             return None;
         }
-        let scope = ScopeTag::of(service, &prompt.model);
-        prompt.shared_parts().iter().find_map(|part| {
-            let part = PartKey { scope, part: part.id.0 };
-            let held = self.held.get(&part)?;
-            // A part that the store still lists has a little time left at least.
-            Some(Block { part, remaining_ms: held.until_ms.saturating_sub(now_ms).max(1_000) })
-        })
+        let part = self.held_of(&PartKey::shared_parts(service, prompt))?;
+        let held = self.held.get(&part)?;
+        // A part that the store still lists has a little time left at least.
+        Some(Block { part, remaining_ms: held.until_ms.saturating_sub(now_ms).max(1_000) })
+    }
+
+    /// Returns the part among those of a prompt, or the two parts together, that is held.
+    fn held_of(&self, parts: &[PartKey]) -> Option<PartKey> {
+        let parts = &parts[..parts.len().min(PARTS_PER_ATTEMPT_LIMIT)];
+        let pairs = parts
+            .iter()
+            .enumerate()
+            .flat_map(|(index, part)| parts[index + 1..].iter().map(|other| part.joint(*other)));
+        parts.iter().copied().chain(pairs).find(|part| self.held.contains_key(part))
     }
 
     /// Returns the changes since the last call, for the log.
@@ -418,20 +425,21 @@
         }
         loop {
             let found = self.next_sufficient(now_ms);
-            if found.is_empty() || self.held.len() + found.len() > HELD_LIMIT {
+            if self.held.len() >= HELD_LIMIT {
                 return;
             }
-            for case in found {
-                let counts = (case.generations, case.engines.len(), case.requests);
-                self.hold(case.part, Source::Own, now_ms + QUARANTINE_MS, Some(counts));
-            }
+            let [first, others @ ..] = found.as_slice() else { return };
+            let part = others.first().map_or(first.part, |other| first.part.joint(other.part));
+            let counts = (first.generations, first.engines.len(), first.requests);
+            self.hold(part, Source::Own, now_ms + QUARANTINE_MS, Some(counts));
         }
     }
 
     /// Returns the part that explains the breaks of most engines with the fewest attempts, if its
     /// evidence suffices; those with a completed answer on record come last. A part that only
     /// accompanies it loses its evidence once the other one is held. Parts that always came together
-    /// can't be told apart and are returned together, after more generations.
+    /// can't be told apart and are returned together: only prompts with both are refused, so that a
+    /// sound one of them can show it.
     fn next_sufficient(&self, now_ms: u64) -> Vec<Case> {
         let mut cases = self.cases(now_ms);
         cases.retain(|case| case.requests >= REQUESTS);
@@ -448,12 +456,8 @@
         if is_explained || !best.is_settled {
             return Vec::new();
         }
-        let (attempts, generations) = (best.attempts.clone(), best.generations);
-        let needed = best.needed;
+        let (attempts, needed) = (best.attempts.clone(), best.needed);
         cases.retain(|case| case.attempts == attempts && case.needed == needed);
-        if cases.len() > 1 && generations < JOINT_GENERATIONS {
-            return Vec::new();
-        }
         cases
     }
 
@@ -512,7 +516,7 @@
             return breaks_ms;
         }
         for (_, suspect) in self.evidence.suspects() {
-            if suspect.parts.iter().any(|part| self.held.contains_key(part)) {
+            if self.held_of(&suspect.parts).is_some() {
                 breaks_ms.entry(suspect.engine).or_default().push(suspect.broken_ms);
             }
         }
--- a/crates/scheduling/src/quarantine/timing.rs
+++ b/crates/scheduling/src/quarantine/timing.rs
@@ -12,9 +12,6 @@
 pub(super) const GENERATIONS: usize = 3;
 pub(super) const CLEARED_GENERATIONS: usize = 5;
 
-/// The generations from which two parts that always came together are both quarantined.
-pub(super) const JOINT_GENERATIONS: usize = 6;
-
 /// The distinct requests that a quarantine rests on, at least.
 pub(super) const REQUESTS: usize = 2;
 
--- a/crates/scheduling/tests/quarantine.rs
+++ b/crates/scheduling/tests/quarantine.rs
@@ -348,11 +348,15 @@
             crashes.push(outcome.crashes_ms.len());
             last_sends_ms.push(outcome.last_send_ms());
             assert!(outcome.late_sends() <= 3, "{name}, seed {seed}: {:?}", outcome.late_sends());
-            assert!(outcome.held.contains(&CRASH_PART), "{name}, seed {seed}: {:?}", outcome.held);
-            let others = outcome.held.iter().filter(|part| {
-                // A document that only requests with the part have is refused with it.
-                **part != CRASH_PART && **part <= replay.documents
-            });
+            assert!(!outcome.held.is_empty(), "{name}, seed {seed}");
+            // Only the part, alone or together with a document that comes with it.
+            let documents = match replay.crash_document {
+                0 => 1..=replay.documents,
+                document => document..=document,
+            };
+            let joint = |document: u64| key(document).joint(key(CRASH_PART)).part;
+            let expected: Vec<u64> = documents.map(joint).chain([CRASH_PART]).collect();
+            let others = outcome.held.iter().filter(|part| !expected.contains(part));
             assert_eq!(others.count(), 0, "{name}, seed {seed}: {:?}", outcome.held);
             assert_eq!(outcome.sound_refused, 0, "{name}, seed {seed}");
         }
@@ -427,6 +431,35 @@
     }
 }
 
+/// Records the break of a request with two parts at an engine of its own.
+fn break_pair(quarantine: &mut Quarantine, parts: [u64; 2], n: u64) {
+    let now_ms = 1_000 + n * 400;
+    let engine = UpstreamTag::of(&format!("e{n}"));
+    let request = RequestTag::of(&prompt(&[(parts[0], 1), (parts[1], 1), (n, 1)]));
+    let parts = &parts.map(key);
+    let broken = BrokenAttempt { engine, request, parts, sent_ms: now_ms - 100 };
+    quarantine.record_broken((SERVICE, MODEL), &broken, now_ms);
+}
+
+/// Two parts that always came together: either may be the cause.
+#[test]
+fn sound_part_is_refused_for_the_one_that_came_with_it() {
+    let mut quarantine = Quarantine::default();
+    let is_refused = |quarantine: &mut Quarantine, parts: &[u64], now_ms| {
+        let parts: Vec<(u64, u32)> = parts.iter().chain([&1]).map(|part| (*part, 1)).collect();
+        quarantine.block(SERVICE, &prompt(&parts), now_ms).is_some()
+    };
+    (0..3).for_each(|n| break_pair(&mut quarantine, [7, 8], n));
+    assert!(is_refused(&mut quarantine, &[7, 8], 4_000));
+    assert!(is_refused(&mut quarantine, &[8, 7], 4_000));
+    assert!(!is_refused(&mut quarantine, &[7], 4_000));
+    assert!(!is_refused(&mut quarantine, &[8], 4_000));
+    // Beside other parts the cause shows.
+    (10..14).for_each(|n| break_pair(&mut quarantine, [20 + n, 8], n));
+    assert!(is_refused(&mut quarantine, &[8], 9_000));
+    assert!(!is_refused(&mut quarantine, &[7], 9_000));
+}
+
 /// An engine may start again under the identity that it had.
 #[test]
 fn starts_of_an_engine_under_one_identity_count_as_one_engine() {
