Give each reported part and engine its turn in the digests

Callers: none seen; found by the review of the quarantine. Sound parts could be held because the answers that clear them never reached the other nodes.

Cause: a digest holds 32 answered parts, 16 engines and 16 held parts, and took the first ones of a hash map: beyond the limits, the same ones were left out each time.

Evidence: answers_beyond_the_limit_of_a_digest_never_reach_other_nodes: before, 32 of 100 parts are reported in five digests; after, all.

Change: consecutive digests take consecutive parts and engines.

--- a/crates/scheduling/src/fleet/digest.rs
+++ b/crates/scheduling/src/fleet/digest.rs
@@ -33,7 +33,7 @@
 const DIGEST_AGE_LIMIT_MS: u64 = 1_000;
 
 /// A hash that identifies an upstream in digests.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Serialize, Deserialize)]
 pub struct UpstreamTag(pub u32);
 
 impl UpstreamTag {
--- a/crates/scheduling/src/quarantine/state.rs
+++ b/crates/scheduling/src/quarantine/state.rs
@@ -140,6 +140,7 @@
     suspect_events: Recent<(), 1_000>,
     round_ms: u64,
     next_id: u32,
+    digests: usize,
     counted_ms: u64,
     // When evidence was last added, until it was counted after the other nodes were heard.
     changed_ms: Option<u64>,
@@ -158,6 +159,7 @@
             suspect_events: Recent::default(),
             round_ms: digest_round_ms(1),
             next_id: 0,
+            digests: 0,
             counted_ms: 0,
             changed_ms: None,
         }
@@ -302,22 +304,26 @@
                 parts: suspect.parts.clone(),
             });
         let suspects = suspects.collect();
-        let completed = self
-            .reported_parts
-            .keys()
-            .filter_map(|part| Some((*part, age_ms(self.evidence.completed_ms(*part)?, now_ms))));
-        let survivals = self.reported_engines.keys().filter_map(|engine| {
-            let span = self.evidence.span(*engine)?;
-            Some((*engine, age_ms(span.sent_ms, now_ms), age_ms(span.ended_ms, now_ms)))
+        self.digests = self.digests.wrapping_add(1);
+        let parts = by_turns(self.reported_parts.keys(), self.digests, DIGEST_COMPLETED_LIMIT);
+        let completed = parts
+            .into_iter()
+            .filter_map(|part| Some((part, age_ms(self.evidence.completed_ms(part)?, now_ms))));
+        let engines = by_turns(self.reported_engines.keys(), self.digests, DIGEST_SPANS_LIMIT);
+        let survivals = engines.into_iter().filter_map(|engine| {
+            let span = self.evidence.span(engine)?;
+            Some((engine, age_ms(span.sent_ms, now_ms), age_ms(span.ended_ms, now_ms)))
         });
-        let quarantined = self.held.iter().map(|(part, held)| {
-            (*part, u32::try_from(held.until_ms.saturating_sub(now_ms)).unwrap_or(u32::MAX))
+        let held = by_turns(self.held.keys(), self.digests, DIGEST_HELD_LIMIT);
+        let quarantined = held.into_iter().filter_map(|part| {
+            let remaining_ms = self.held.get(&part)?.until_ms.saturating_sub(now_ms);
+            Some((part, u32::try_from(remaining_ms).unwrap_or(u32::MAX)))
         });
         QuarantineDigest {
             suspects,
-            completed: completed.take(DIGEST_COMPLETED_LIMIT).collect(),
-            survivals: survivals.take(DIGEST_SPANS_LIMIT).collect(),
-            quarantined: quarantined.take(DIGEST_HELD_LIMIT).collect(),
+            completed: completed.collect(),
+            survivals: survivals.collect(),
+            quarantined: quarantined.collect(),
         }
     }
 
@@ -557,3 +563,20 @@
         }
     }
 }
+
+/// Returns up to `limit` of the keys: consecutive turns return consecutive ones, so that each key has
+/// its turn.
+fn by_turns<'a, K: Copy + Ord + 'a>(
+    keys: impl Iterator<Item = &'a K>,
+    turn: usize,
+    limit: usize,
+) -> Vec<K> {
+    let mut keys: Vec<K> = keys.copied().collect();
+    if keys.len() > limit {
+        keys.sort_unstable();
+        let first = turn.wrapping_mul(limit) % keys.len();
+        keys.rotate_left(first);
+        keys.truncate(limit);
+    }
+    keys
+}
--- a/crates/scheduling/tests/quarantine.rs
+++ b/crates/scheduling/tests/quarantine.rs
@@ -480,6 +480,29 @@
     assert_eq!(UpstreamTag::of_start(&upstream(None)), UpstreamTag::of_start(&upstream(None)));
 }
 
+/// A digest has room for some of the parts that were answered; the others have their turn.
+#[test]
+fn answers_beyond_the_limit_of_a_digest_never_reach_other_nodes() {
+    const PARTS: u64 = 100;
+    let (mut node, mut other) = (Quarantine::default(), Quarantine::default());
+    let engine = UpstreamTag::of("e");
+    let parts: Vec<PartKey> = (0..PARTS).map(key).collect();
+    for part in &parts {
+        let request = RequestTag::of(&prompt(&[(part.part, 1), (1, 1)]));
+        let parts = std::slice::from_ref(part);
+        let broken = BrokenAttempt { engine, request, parts, sent_ms: 900 };
+        node.record_broken((SERVICE, MODEL), &broken, 1_000);
+    }
+    node.record_completed(&CompletedAttempt { engine, parts: &parts, sent_ms: 950 }, 1_100);
+    let mut reported = std::collections::BTreeSet::new();
+    for n in 0..5 {
+        let digest = node.digest(1_200 + n * DIGEST_PERIOD_MS);
+        other.merge(1, &digest, 1_210 + n * DIGEST_PERIOD_MS);
+        reported.extend(digest.completed.iter().map(|(part, _)| part.part));
+    }
+    assert_eq!(reported.len() as u64, PARTS);
+}
+
 /// Victims of each crash fill the table of evidence within seconds.
 #[test]
 fn victims_of_a_large_fleet_displace_the_part_that_crashes_engines() {
