Hold no part that was answered lately

Callers: none seen; found by the review of the quarantine. Where engines end by turns for another reason, sound parts would be refused for ten minutes (LOST).

Cause: five generations since the last answer sufficed against a part that is answered all the time; among many engines that end they come together within two seconds.

Change: a part is not held for 30 s after an answer.

--- a/crates/scheduling/src/quarantine/mod.rs
+++ b/crates/scheduling/src/quarantine/mod.rs
@@ -17,7 +17,8 @@
 //!   before had broken. A mass failure, or one engine that ends under many requests, is one.
 //! - A part is not quarantined by attempts before its last completed answer, by those of one
 //!   request, by those at an engine that lived on, or by those that a quarantined part explains.
-//! - A part with a completed answer on record needs more generations than one without.
+//! - A part with a completed answer on record needs more generations than one without, and is not
+//!   quarantined for some time after the answer.
 //! - A part is quarantined by a node's own count only after the other nodes had time to report
 //!   completed answers.
 //! - All tables are bounded, and evidence expires.
--- a/crates/scheduling/src/quarantine/state.rs
+++ b/crates/scheduling/src/quarantine/state.rs
@@ -16,6 +16,7 @@
 use super::evidence::Suspect;
 use super::evidence::SuspectId;
 use super::timing::CLEARED_GENERATIONS;
+use super::timing::CLEARED_MS;
 use super::timing::COUNT_PERIOD_MS;
 use super::timing::DIGEST_COMPLETED_LIMIT;
 use super::timing::DIGEST_HELD_LIMIT;
@@ -467,6 +468,11 @@
         cases
     }
 
+    fn was_cleared_lately(&self, part: PartKey, now_ms: u64) -> bool {
+        let completed_ms = self.evidence.completed_ms(part);
+        completed_ms.is_some_and(|at_ms| now_ms < at_ms + CLEARED_MS)
+    }
+
     /// Gathers what is known against each part that is not held.
     fn cases(&self, now_ms: u64) -> Vec<Case> {
         let hearing_ms = self.hearing_ms();
@@ -480,7 +486,10 @@
             if suspect.has_survivor || is_explained {
                 continue;
             }
-            for part in suspect.parts.iter().filter(|part| !self.held.contains_key(part)) {
+            let accused = suspect.parts.iter().filter(|part| {
+                !self.held.contains_key(part) && !self.was_cleared_lately(**part, now_ms)
+            });
+            for part in accused {
                 by_part.entry(*part).or_default().push((id, suspect));
             }
         }
--- a/crates/scheduling/src/quarantine/timing.rs
+++ b/crates/scheduling/src/quarantine/timing.rs
@@ -12,6 +12,10 @@
 pub(super) const GENERATIONS: usize = 3;
 pub(super) const CLEARED_GENERATIONS: usize = 5;
 
+/// How long after a completed answer a part is not quarantined: a part that crashes engines has
+/// none, while a sound one among engines that end by turns has one now and then.
+pub(super) const CLEARED_MS: u64 = 30_000;
+
 /// The distinct requests that a quarantine rests on, at least.
 pub(super) const REQUESTS: usize = 2;
 
--- a/crates/scheduling/tests/quarantine.rs
+++ b/crates/scheduling/tests/quarantine.rs
@@ -371,6 +371,8 @@
         ("a quarter ends at once", Fault::MassEnd { percent: 25 }),
         ("all end at once", Fault::MassEnd { percent: 100 }),
         ("four engines flap", Fault::Flapping { engines: 4 }),
+        ("twelve engines flap", Fault::Flapping { engines: 12 }),
+        ("all engines flap", Fault::Flapping { engines: 18 }),
         ("5 in 100 answers are garbled", Fault::Garbled { percent: 5 }),
     ];
     for (name, fault) in faults {
