--- a/crates/scheduling/src/quarantine/state.rs
+++ b/crates/scheduling/src/quarantine/state.rs
@@ -16,6 +16,7 @@
 use super::evidence::Suspect;
 use super::evidence::SuspectId;
 use super::timing::CLEARED_GENERATIONS;
+use super::timing::CLEARED_MS;
 use super::timing::COUNT_PERIOD_MS;
 use super::timing::DIGEST_COMPLETED_LIMIT;
 use super::timing::DIGEST_HELD_LIMIT;
@@ -25,8 +26,8 @@
 use super::timing::GENERATIONS;
 use super::timing::HEARING_MARGIN_MS;
 use super::timing::HELD_LIMIT;
-use super::timing::JOINT_GENERATIONS;
 use super::timing::LIFTED_MS;
+use super::timing::PARTS_PER_ATTEMPT_LIMIT;
 use super::timing::QUARANTINE_MS;
 use super::timing::REPEATED_ROUNDS;
 use super::timing::REQUESTS;
@@ -140,6 +141,7 @@
     suspect_events: Recent<(), 1_000>,
     round_ms: u64,
     next_id: u32,
+    digests: usize,
     counted_ms: u64,
     // When evidence was last added, until it was counted after the other nodes were heard.
     changed_ms: Option<u64>,
@@ -158,6 +160,7 @@
             suspect_events: Recent::default(),
             round_ms: digest_round_ms(1),
             next_id: 0,
+            digests: 0,
             counted_ms: 0,
             changed_ms: None,
         }
@@ -302,22 +305,26 @@
                 parts: suspect.parts.clone(),
             });
         let suspects = suspects.collect();
-        let completed = self
-            .reported_parts
-            .keys()
-            .filter_map(|part| Some((*part, age_ms(self.evidence.completed_ms(*part)?, now_ms))));
-        let survivals = self.reported_engines.keys().filter_map(|engine| {
-            let span = self.evidence.span(*engine)?;
-            Some((*engine, age_ms(span.sent_ms, now_ms), age_ms(span.ended_ms, now_ms)))
+        self.digests = self.digests.wrapping_add(1);
+        let parts = by_turns(self.reported_parts.keys(), self.digests, DIGEST_COMPLETED_LIMIT);
+        let completed = parts
+            .into_iter()
+            .filter_map(|part| Some((part, age_ms(self.evidence.completed_ms(part)?, now_ms))));
+        let engines = by_turns(self.reported_engines.keys(), self.digests, DIGEST_SPANS_LIMIT);
+        let survivals = engines.into_iter().filter_map(|engine| {
+            let span = self.evidence.span(engine)?;
+            Some((engine, age_ms(span.sent_ms, now_ms), age_ms(span.ended_ms, now_ms)))
         });
-        let quarantined = self.held.iter().map(|(part, held)| {
-            (*part, u32::try_from(held.until_ms.saturating_sub(now_ms)).unwrap_or(u32::MAX))
+        let held = by_turns(self.held.keys(), self.digests, DIGEST_HELD_LIMIT);
+        let quarantined = held.into_iter().filter_map(|part| {
+            let remaining_ms = self.held.get(&part)?.until_ms.saturating_sub(now_ms);
+            Some((part, u32::try_from(remaining_ms).unwrap_or(u32::MAX)))
         });
         QuarantineDigest {
             suspects,
-            completed: completed.take(DIGEST_COMPLETED_LIMIT).collect(),
-            survivals: survivals.take(DIGEST_SPANS_LIMIT).collect(),
-            quarantined: quarantined.take(DIGEST_HELD_LIMIT).collect(),
+            completed: completed.collect(),
+            survivals: survivals.collect(),
+            quarantined: quarantined.collect(),
         }
     }
 
@@ -368,13 +375,20 @@
         if self.held.is_empty() {
             return None;
         }
-        let scope = ScopeTag::of(service, &prompt.model);
-        prompt.shared_parts().iter().find_map(|part| {
-            let part = PartKey { scope, part: part.id.0 };
-            let held = self.held.get(&part)?;
-            // A part that the store still lists has a little time left at least.
-            Some(Block { part, remaining_ms: held.until_ms.saturating_sub(now_ms).max(1_000) })
-        })
+        let part = self.held_of(&PartKey::shared_parts(service, prompt))?;
+        let held = self.held.get(&part)?;
+        // A part that the store still lists has a little time left at least.
+        Some(Block { part, remaining_ms: held.until_ms.saturating_sub(now_ms).max(1_000) })
+    }
+
+    /// Returns the part among those of a prompt, or the two parts together, that is held.
+    fn held_of(&self, parts: &[PartKey]) -> Option<PartKey> {
+        let parts = &parts[..parts.len().min(PARTS_PER_ATTEMPT_LIMIT)];
+        let pairs = parts
+            .iter()
+            .enumerate()
+            .flat_map(|(index, part)| parts[index + 1..].iter().map(|other| part.joint(*other)));
+        parts.iter().copied().chain(pairs).find(|part| self.held.contains_key(part))
     }
 
     /// Returns the changes since the last call, for the log.
@@ -418,20 +432,21 @@
         }
         loop {
             let found = self.next_sufficient(now_ms);
-            if found.is_empty() || self.held.len() + found.len() > HELD_LIMIT {
+            if self.held.len() >= HELD_LIMIT {
                 return;
             }
-            for case in found {
-                let counts = (case.generations, case.engines.len(), case.requests);
-                self.hold(case.part, Source::Own, now_ms + QUARANTINE_MS, Some(counts));
-            }
+            let [first, others @ ..] = found.as_slice() else { return };
+            let part = others.first().map_or(first.part, |other| first.part.joint(other.part));
+            let counts = (first.generations, first.engines.len(), first.requests);
+            self.hold(part, Source::Own, now_ms + QUARANTINE_MS, Some(counts));
         }
     }
 
     /// Returns the part that explains the breaks of most engines with the fewest attempts, if its
     /// evidence suffices; those with a completed answer on record come last. A part that only
     /// accompanies it loses its evidence once the other one is held. Parts that always came together
-    /// can't be told apart and are returned together, after more generations.
+    /// can't be told apart and are returned together: only prompts with both are refused, so that a
+    /// sound one of them can show it.
     fn next_sufficient(&self, now_ms: u64) -> Vec<Case> {
         let mut cases = self.cases(now_ms);
         cases.retain(|case| case.requests >= REQUESTS);
@@ -448,15 +463,16 @@
         if is_explained || !best.is_settled {
             return Vec::new();
         }
-        let (attempts, generations) = (best.attempts.clone(), best.generations);
-        let needed = best.needed;
+        let (attempts, needed) = (best.attempts.clone(), best.needed);
         cases.retain(|case| case.attempts == attempts && case.needed == needed);
-        if cases.len() > 1 && generations < JOINT_GENERATIONS {
-            return Vec::new();
-        }
         cases
     }
 
+    fn was_cleared_lately(&self, part: PartKey, now_ms: u64) -> bool {
+        let completed_ms = self.evidence.completed_ms(part);
+        completed_ms.is_some_and(|at_ms| now_ms < at_ms + CLEARED_MS)
+    }
+
     /// Gathers what is known against each part that is not held.
     fn cases(&self, now_ms: u64) -> Vec<Case> {
         let hearing_ms = self.hearing_ms();
@@ -470,7 +486,10 @@
             if suspect.has_survivor || is_explained {
                 continue;
             }
-            for part in suspect.parts.iter().filter(|part| !self.held.contains_key(part)) {
+            let accused = suspect.parts.iter().filter(|part| {
+                !self.held.contains_key(part) && !self.was_cleared_lately(**part, now_ms)
+            });
+            for part in accused {
                 by_part.entry(*part).or_default().push((id, suspect));
             }
         }
@@ -512,7 +531,7 @@
             return breaks_ms;
         }
         for (_, suspect) in self.evidence.suspects() {
-            if suspect.parts.iter().any(|part| self.held.contains_key(part)) {
+            if self.held_of(&suspect.parts).is_some() {
                 breaks_ms.entry(suspect.engine).or_default().push(suspect.broken_ms);
             }
         }
@@ -553,3 +572,20 @@
         }
     }
 }
+
+/// Returns up to `limit` of the keys: consecutive turns return consecutive ones, so that each key has
+/// its turn.
+fn by_turns<'a, K: Copy + Ord + 'a>(
+    keys: impl Iterator<Item = &'a K>,
+    turn: usize,
+    limit: usize,
+) -> Vec<K> {
+    let mut keys: Vec<K> = keys.copied().collect();
+    if keys.len() > limit {
+        keys.sort_unstable();
+        let first = turn.wrapping_mul(limit) % keys.len();
+        keys.rotate_left(first);
+        keys.truncate(limit);
+    }
+    keys
+}
