Log and count what determined the end of each upstream's answer

What operators could not see: stream_ended outcome=complete did not say whether a final chunk, a length or only the end of the connection told that the answer was whole, nor which engine gave it.

Change: the transport derives the framing from the response's headers (RFC 9112, 6.3) and keeps it with the body; stream_ended and stream_part_broken name it with the upstream, response_without_length names a plain answer that ended with its connection, and redwingrill_response_ends{service,framing} counts complete answers. A last transfer coding other than chunked now counts as no framing for the evidence about crashes, as hyper reads it; before, any Transfer-Encoding header did.

No logic of forwarding changed.

--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -20,7 +20,6 @@
 use super::relay::Relay;
 use super::response::Body;
 use super::response::full_body;
-use super::response::is_framed;
 use super::response::refusal_response;
 use super::send::RESPONSE_LIMIT_BYTES;
 use super::send::SendOutcome;
@@ -315,6 +314,7 @@
             return self.handle_stream(call, upstream_response).await;
         }
         let UpstreamResponse { mut parts, body, mut attempt } = upstream_response;
+        let framing = body.framing();
         let whole = match body.read_all(RESPONSE_LIMIT_BYTES, call.remaining()).await {
             Ok(whole) => whole,
             Err(e) => {
@@ -328,7 +328,17 @@
             }
         };
         attempt.report_prefilled();
-        if !is_framed(&parts.headers) || !parts.status.is_success() {
+        self.context.metrics.response_ended(&call.service, framing);
+        if !framing.marks_end() {
+            info!(
+                "event=response_without_length request_id={} upstream={} status={} bytes={}",
+                call.metadata.id,
+                attempt.assignment().upstream.id,
+                parts.status.as_str(),
+                whole.len(),
+            );
+        }
+        if !framing.marks_end() || !parts.status.is_success() {
             attempt.mark_inconclusive();
         }
         let is_failure = parts.status.is_server_error();
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -30,13 +30,13 @@
 use super::events::EventSplitter;
 use super::response::Body;
 use super::response::StreamAborted;
-use super::response::is_framed;
 use super::send::SendOutcome;
 use super::send::UpstreamResponse;
 use super::send::send_attempt;
 use crate::dispatch::Attempt;
 use crate::dispatch::Purpose;
 use redwingrill_scheduling::fleet::Verdict;
+use redwingrill_transport::Framing;
 use redwingrill_transport::ResponseBody;
 use redwingrill_transport::TransportError;
 
@@ -51,6 +51,9 @@
     head: Parts,
     // `None` while the stream moves from one upstream to another.
     body: Option<ResponseBody>,
+    // Of the current segment, and the identity of its upstream.
+    framing: Framing,
+    upstream_id: String,
     attempt: Option<Attempt>,
     splitter: EventSplitter,
     first_events: Bytes,
@@ -80,14 +83,18 @@
         last_event_id: Option<u64>,
     ) -> Self {
         let UpstreamResponse { parts: head, body, mut attempt } = response;
-        if !is_framed(&head.headers) {
+        let framing = body.framing();
+        if !framing.marks_end() {
             attempt.mark_inconclusive();
         }
         let stall_timeout = Duration::from_millis(attempt.assignment().stall_timeout_ms);
+        let upstream_id = attempt.assignment().upstream.id.clone();
         Self {
             context,
             head,
             body: Some(body),
+            framing,
+            upstream_id,
             attempt: Some(attempt),
             splitter: EventSplitter::after(last_event_id),
             first_events: Bytes::new(),
@@ -170,6 +177,7 @@
                         attempt.report_longest_pause(self.longest_pause.as_millis() as u64);
                     }
                     self.end_attempt(Verdict::Served);
+                    self.context.metrics.response_ended(&call.service, self.framing);
                     self.log_end(&call, "complete");
                     return;
                 }
@@ -184,9 +192,12 @@
                 }
                 SegmentEnd::Failed(reason) => {
                     info!(
-                        "event=stream_part_broken request_id={} reason={reason:?} last_event={:?}",
+                        "event=stream_part_broken request_id={} reason={reason:?} last_event={:?} \
+                         upstream={} framing={}",
                         call.metadata.id,
                         self.splitter.last_id(),
+                        self.upstream_id,
+                        self.framing,
                     );
                     self.end_attempt(Verdict::Failed);
                     self.body = None;
@@ -329,7 +340,9 @@
                     return false;
                 }
                 attempt.report_prefilled();
-                if !is_framed(&parts.headers) {
+                self.framing = body.framing();
+                self.upstream_id.clone_from(&attempt.assignment().upstream.id);
+                if !self.framing.marks_end() {
                     attempt.mark_inconclusive();
                 }
                 self.stall_timeout = Duration::from_millis(attempt.assignment().stall_timeout_ms);
@@ -360,12 +373,14 @@
         self.context.metrics.attempt_ended(&call.service, outcome);
         info!(
             "event=stream_ended request_id={} outcome={outcome} age_ms={} last_event={:?} runs={} \
-             longest_pause_ms={}",
+             longest_pause_ms={} upstream={} framing={}",
             call.metadata.id,
             call.age_ms(),
             self.splitter.last_id(),
             call.possible_runs,
             self.longest_pause.as_millis(),
+            self.upstream_id,
+            self.framing,
         );
     }
 }
--- a/crates/gateway/src/forward/response.rs
+++ b/crates/gateway/src/forward/response.rs
@@ -1,7 +1,6 @@
 //! Responses that the router generates.
 
 use bytes::Bytes;
-use http::HeaderMap;
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
@@ -41,9 +40,3 @@
     }
     response
 }
-
-/// Returns whether an upstream's answer has a length or chunks, so that its end tells that it is
-/// whole.
-pub(super) fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
-}
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -16,6 +16,7 @@
 use prometheus::TextEncoder;
 
 use redwingrill_scheduling::engine_model::PrefillCurve;
+use redwingrill_transport::Framing;
 
 /// The upper bounds of the latency buckets in seconds, around the targets of short and long
 /// requests.
@@ -35,6 +36,7 @@
     latency: HistogramVec,
     first_event: HistogramVec,
     attempts: IntCounterVec,
+    response_ends: IntCounterVec,
     retries: IntCounterVec,
     store_calls: IntCounterVec,
     quarantine: IntCounterVec,
@@ -71,6 +73,11 @@
                 "Sends to upstreams by outcome",
                 &["service", "outcome"],
             ),
+            response_ends: counter(
+                "redwingrill_response_ends",
+                "Complete responses of upstreams by what determined their end",
+                &["service", "framing"],
+            ),
             retries: counter("redwingrill_repeats", "Repeated sends", &["service", "allowed"]),
             store_calls: counter("redwingrill_store_calls", "Calls to the store", &["outcome"]),
             quarantine: counter(
@@ -114,6 +121,12 @@
         self.inner.attempts.with_label_values(&[service, outcome]).inc();
     }
 
+    /// Counts a complete response of an upstream by what determined its end.
+    pub fn response_ended(&self, service: &str, framing: Framing) {
+        let framing = framing.to_string();
+        self.inner.response_ends.with_label_values(&[service, &framing]).inc();
+    }
+
     /// Counts a retry that the retry budget allowed or denied.
     pub fn retry(&self, service: &str, allowed: bool) {
         let allowed = if allowed { "yes" } else { "no" };
@@ -170,11 +183,12 @@
 
 impl Inner {
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 11] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 12] = [
             Box::new(self.requests.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.first_event.clone()),
             Box::new(self.attempts.clone()),
+            Box::new(self.response_ends.clone()),
             Box::new(self.retries.clone()),
             Box::new(self.store_calls.clone()),
             Box::new(self.quarantine.clone()),
--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 use tokio::time::timeout;
 
+use crate::Framing;
 use crate::TransportError;
 use crate::pool::ConnectionGuard;
 
@@ -15,12 +16,18 @@
 #[derive(Debug)]
 pub struct ResponseBody {
     incoming: Incoming,
+    framing: Framing,
     guard: Option<ConnectionGuard>,
 }
 
 impl ResponseBody {
-    pub(crate) fn new(incoming: Incoming, guard: ConnectionGuard) -> Self {
-        Self { incoming, guard: Some(guard) }
+    pub(crate) fn new(incoming: Incoming, framing: Framing, guard: ConnectionGuard) -> Self {
+        Self { incoming, framing, guard: Some(guard) }
+    }
+
+    /// Returns what determines the end of the body.
+    pub fn framing(&self) -> Framing {
+        self.framing
     }
 
     /// Waits for the next data. Returns `None` at the end of the body.
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -11,12 +11,14 @@
 mod body;
 mod dead_peer;
 mod error;
+mod framing;
 mod pool;
 mod postcard_codec;
 
 pub use body::ResponseBody;
 pub use dead_peer::enable_dead_peer_detection;
 pub use error::TransportError;
+pub use framing::Framing;
 pub use pool::Freshness;
 pub use pool::Pool;
 pub use pool::PoolState;
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -30,6 +30,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::Framing;
 use crate::ResponseBody;
 use crate::TransportError;
 use crate::dead_peer::enable_dead_peer_detection;
@@ -174,7 +175,8 @@
                 }
                 Ok(Ok(response)) => {
                     guard.set_peer_idle_timeout(response.headers());
-                    return Ok(response.map(|body| ResponseBody::new(body, guard)));
+                    let framing = Framing::of(response.headers());
+                    return Ok(response.map(|body| ResponseBody::new(body, framing, guard)));
                 }
                 Ok(Err(mut failure)) => match failure.take_message() {
                     Some(unsent) if reused => request = unsent,
