Add failing tests of streams that break and look complete

Three ways on the current code, each test failing for its reason: - an answer without length or chunks whose connection ends before its first event: 200 with an empty, complete body; - the same at the engine that takes a broken stream over: the events of the first engine alone, as a complete answer; - any broken stream, to a caller with HTTP/1.0: such a caller gets neither length nor chunks, and the node closes its connection in order.

--- a/crates/lab/tests/on_platform/close_delimited.rs
+++ b/crates/lab/tests/on_platform/close_delimited.rs
@@ -11,6 +11,8 @@
 use tokio::task::JoinHandle;
 
 use crate::site::Call;
+use crate::site::HOST;
+use crate::site::KEY;
 use crate::site::Site;
 
 /// What an upstream writes after the head, and how its connection ends.
@@ -161,3 +163,56 @@
     sound.task.abort();
     site.stop(vec![node]).await;
 }
+
+/// A crash before the first event ends the connection without a part of an event.
+#[tokio::test]
+async fn stream_cut_before_its_first_event_looks_complete() {
+    let site = Site::start(0, 0).await;
+    let upstream = ClosingUpstream::start(Ending { body: "", is_reset: false }).await;
+    upstream.list(&site, "u0", "llm");
+    let node = site.node("n1").await;
+    let answer = site.ask(&node, &Call::new("draft", "r1")).await;
+    assert!(!answer.status.is_success() || answer.body.is_none(), "{answer:?}");
+    upstream.task.abort();
+    site.stop(vec![node]).await;
+}
+
+/// The upstream that takes a stream over may crash before it sends an event.
+#[tokio::test]
+async fn resumed_stream_cut_before_its_first_event_looks_complete() {
+    let site = Site::start(0, 0).await;
+    let cut = ClosingUpstream::start(Ending { body: EVENT_AND_PART, is_reset: false }).await;
+    cut.list(&site, "u0", "llm");
+    let empty = ClosingUpstream::start(Ending { body: "", is_reset: false }).await;
+    let node = site.node("n1").await;
+    let answer = site.send(&node, &Call::new("check", "r1")).await;
+    empty.list(&site, "u1", "llm");
+    let body = answer.into_body().read_all(1 << 20, Duration::from_secs(3)).await;
+    assert!(body.is_err(), "{body:?}");
+    cut.task.abort();
+    empty.task.abort();
+    site.stop(vec![node]).await;
+}
+
+/// A caller with HTTP/1.0 gets neither a length nor chunks, so only a reset tells it of a break.
+#[tokio::test]
+async fn stream_that_breaks_looks_complete_to_an_http_1_0_caller() {
+    let site = Site::start(0, 0).await;
+    let cut = ClosingUpstream::start(Ending { body: EVENT_AND_PART, is_reset: false }).await;
+    cut.list(&site, "u0", "llm");
+    let node = site.node("n1").await;
+    let mut caller = TcpStream::connect(node.callers).await.expect("the node listens");
+    let head = format!(
+        "POST /draft/ HTTP/1.0\r\nhost: {HOST}\r\nx-request-id: r1\r\nauthorization: Token {KEY}\r\n\
+         x-model: m\r\nx-token-count: 100,10\r\nx-prompt-prefix: 1:100\r\n\
+         content-length: 4\r\n\r\nbody",
+    );
+    caller.write_all(head.as_bytes()).await.expect("the node reads");
+    let mut answer = Vec::new();
+    let end = caller.read_to_end(&mut answer).await;
+    let answer = String::from_utf8_lossy(&answer).into_owned();
+    assert!(answer.contains(EVENT), "{answer}");
+    assert!(end.is_err(), "the answer ended in order: {answer}");
+    cut.task.abort();
+    site.stop(vec![node]).await;
+}
