Take a stream whose connection ends before any event as broken off

What callers saw: a 200 with an empty body, framed as complete, from an engine that answered without length or chunks and crashed before its first event; for a resumed stream, the events of the first engine alone as a complete answer.

Cause: an orderly end of the connection was taken for the end of the answer unless it lay inside an event. A process that ends closes its connections in order, so for such an answer the end of the connection says nothing by itself; only what was received can.

Why it works: EventSplitter::finish knows what marked the end; without a mark, a segment needs at least one event with data.

Ruled out: a mark that was lost on the way. The transport reports a missing last chunk or length as an error, also when the task that drives the connection ends.

The row of the splitter's test that held an empty stream as whole, whatever ended it, was wrong for such answers: it is now three rows, one for each framing, and a comment alone does not count as an event. What remains: an orderly end right between two events cannot be told from a complete answer.

--- a/crates/gateway/src/forward/events.rs
+++ b/crates/gateway/src/forward/events.rs
@@ -1,10 +1,16 @@
 //! Splitting a byte stream at event boundaries.
 //!
-//! Invariant: the output ends at an event boundary, and no byte is changed, lost or duplicated.
+//! Invariants:
+//! - The output ends at an event boundary, and no byte is changed, lost or duplicated.
+//! - A stream is complete only if its transport marked the end, or, where only its connection
+//!   ended, if it had an event and did not end inside one: an upstream that crashes closes its
+//!   connections too.
 
 use bytes::Bytes;
 use bytes::BytesMut;
 
+use redwingrill_transport::Framing;
+
 /// The size limit of one event.
 const EVENT_LIMIT_BYTES: usize = 1 << 20;
 
@@ -13,12 +19,13 @@
 pub struct EventSplitter {
     pending: BytesMut,
     last_id: Option<u64>,
+    has_data: bool,
 }
 
 impl EventSplitter {
     /// Creates a splitter for a stream that continues after the event `last_id`.
     pub fn after(last_id: Option<u64>) -> Self {
-        Self { pending: BytesMut::new(), last_id }
+        Self { pending: BytesMut::new(), last_id, has_data: false }
     }
 
     /// Adds a piece and returns the events that it completes, or no bytes if it completes none.
@@ -28,7 +35,7 @@
     /// The reason if an event is too long, or an event id is not text or does not increase.
     pub fn push(&mut self, piece: Bytes) -> Result<Bytes, &'static str> {
         if self.pending.is_empty() && piece.ends_with(b"\n\n") {
-            self.check_ids(&piece)?;
+            self.check_lines(&piece)?;
             return Ok(piece);
         }
         self.pending.extend_from_slice(&piece);
@@ -40,7 +47,7 @@
             };
         }
         let complete = self.pending.split_to(end).freeze();
-        self.check_ids(&complete)?;
+        self.check_lines(&complete)?;
         Ok(complete)
     }
 
@@ -49,11 +56,19 @@
     ///
     /// # Errors
     ///
-    /// The reason if the stream ends inside an event.
-    pub fn finish(&mut self) -> Result<Bytes, &'static str> {
+    /// The reason if the stream ends inside an event, or if only its connection ended and there
+    /// was no event.
+    pub fn finish(&mut self, framing: Framing) -> Result<Bytes, &'static str> {
         let rest = self.take_incomplete();
         let is_whole = rest.is_empty() || rest.ends_with(b"\n\r\n") || rest.ends_with(b"\r\r");
-        if is_whole { Ok(rest) } else { Err("the stream ended inside an event") }
+        if !is_whole {
+            return Err("the stream ended inside an event");
+        }
+        self.check_lines(&rest)?;
+        match self.has_data || framing.marks_end() {
+            true => Ok(rest),
+            false => Err("the connection ended before any event"),
+        }
     }
 
     /// Takes the buffered bytes of the incomplete last event.
@@ -66,8 +81,9 @@
         self.last_id
     }
 
-    fn check_ids(&mut self, events: &[u8]) -> Result<(), &'static str> {
-        for line in events.split(|byte| *byte == b'\n') {
+    fn check_lines(&mut self, events: &[u8]) -> Result<(), &'static str> {
+        for line in events.split(|byte| matches!(byte, b'\n' | b'\r')) {
+            self.has_data |= line.starts_with(b"data");
             let Some(text) = line.strip_prefix(b"id:") else { continue };
             let text = std::str::from_utf8(text).map_err(|_| "an event's id is no text")?;
             // A non-numeric id can't be compared, so it is ignored and the stream is not resumed.
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -2,8 +2,8 @@
 //!
 //! Invariants:
 //! - Only complete events are forwarded, each once and in order.
-//! - The caller's stream ends normally only if an upstream's stream ended normally, and not inside
-//!   an event: a body without length or chunks ends with its connection, whatever ended that.
+//! - The caller's stream ends normally only if an upstream's stream is complete, see
+//!   [`EventSplitter::finish`].
 //! - A stream continues at another upstream only if it may be resumed, after the last event that
 //!   was forwarded.
 //! - A silent upstream is left only if another one takes over; else its stream goes on.
@@ -119,7 +119,7 @@
                 })?;
                 match piece {
                     None => {
-                        let rest = self.splitter.finish();
+                        let rest = self.splitter.finish(self.framing);
                         self.is_broken = rest.is_err();
                         self.first_events = rest?;
                         self.is_ended = true;
@@ -251,7 +251,7 @@
                     Err(reason) => return SegmentEnd::Failed(reason.to_owned()),
                 },
                 Ok(None) => {
-                    let rest = match self.splitter.finish() {
+                    let rest = match self.splitter.finish(self.framing) {
                         Ok(rest) => rest,
                         Err(reason) => {
                             self.is_broken = true;
--- a/crates/gateway/tests/event_splitter.rs
+++ b/crates/gateway/tests/event_splitter.rs
@@ -4,6 +4,7 @@
 use quickcheck::quickcheck;
 
 use redwingrill_gateway::forward::EventSplitter;
+use redwingrill_transport::Framing;
 
 fn stream(events: u64) -> String {
     (1..=events).map(|id| format!("id: {id}\ndata: token {id}\n\n")).collect()
@@ -41,24 +42,34 @@
 
 struct EndCase {
     stream: &'static str,
+    framing: Framing,
     is_whole: bool,
 }
 
+const fn end(stream: &'static str, framing: Framing, is_whole: bool) -> EndCase {
+    EndCase { stream, framing, is_whole }
+}
+
 #[test]
-fn stream_that_ends_inside_an_event_is_taken_as_whole() {
+fn stream_that_is_cut_is_taken_as_whole() {
     let cases = [
-        EndCase { stream: "", is_whole: true },
-        EndCase { stream: "id: 1\ndata: a\n\n", is_whole: true },
-        EndCase { stream: "id: 1\r\ndata: a\r\n\r\n", is_whole: true },
-        EndCase { stream: "id: 1\rdata: a\r\r", is_whole: true },
-        EndCase { stream: "id: 1\ndata: a\n\nid", is_whole: false },
-        EndCase { stream: "id: 1\ndata: a\n", is_whole: false },
-        EndCase { stream: "id: 1\r\ndata: a\r\n", is_whole: false },
+        end("", Framing::Chunked, true),
+        end("", Framing::Length, true),
+        end("", Framing::Connection, false),
+        end(": comment\n\n", Framing::Connection, false),
+        end("id: 1\ndata: a\n\n", Framing::Connection, true),
+        end("id: 1\r\ndata: a\r\n\r\n", Framing::Connection, true),
+        end("id: 1\rdata: a\r\r", Framing::Connection, true),
+        end("id: 1\ndata: a\n\nid", Framing::Connection, false),
+        end("id: 1\ndata: a\n\nid", Framing::Chunked, false),
+        end("id: 1\ndata: a\n", Framing::Connection, false),
+        end("id: 1\r\ndata: a\r\n", Framing::Connection, false),
     ];
     for case in cases {
         let mut splitter = EventSplitter::after(None);
         splitter.push(Bytes::from(case.stream)).expect("the ids increase");
-        assert_eq!(splitter.finish().is_ok(), case.is_whole, "{:?}", case.stream);
+        let is_whole = splitter.finish(case.framing).is_ok();
+        assert_eq!(is_whole, case.is_whole, "{:?} by {}", case.stream, case.framing);
     }
 }
 
