Break a stream off unless its relay says that it is complete

What a caller would see: a stream that is framed as complete and is not, if the task that relays it ends in any other way than by its own decision: a panic, or a cancellation at the stop of the node.

Change: StreamSender::complete marks the end; a sender that is dropped without it breaks the stream off. An abort no longer waits for room in the queue of a slow caller.

Ruled out: the same on the product's own interface, whose streams end with [DONE], and in hyper's client, which (read, not run) reports an ended connection task as an error.

--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -21,6 +21,7 @@
 mod relay;
 mod response;
 mod send;
+mod stream_body;
 
 pub use events::EventSplitter;
 pub use gateway::Gateway;
@@ -28,3 +29,6 @@
 pub use response::Body;
 pub use response::StreamAborted;
 pub use response::full_body;
+pub use stream_body::CallerLeft;
+pub use stream_body::StreamSender;
+pub use stream_body::stream_body;
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -16,11 +16,7 @@
 use http::StatusCode;
 use http::header;
 use http::response::Parts;
-use http_body::Frame;
-use http_body_util::BodyExt;
-use http_body_util::StreamBody;
 use log::info;
-use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio_util::task::TaskTracker;
@@ -29,10 +25,11 @@
 use super::call::Call;
 use super::events::EventSplitter;
 use super::response::Body;
-use super::response::StreamAborted;
 use super::send::SendOutcome;
 use super::send::UpstreamResponse;
 use super::send::send_attempt;
+use super::stream_body::StreamSender;
+use super::stream_body::stream_body;
 use crate::dispatch::Attempt;
 use crate::dispatch::Purpose;
 use redwingrill_scheduling::fleet::Verdict;
@@ -40,11 +37,6 @@
 use redwingrill_transport::ResponseBody;
 use redwingrill_transport::TransportError;
 
-/// The pieces queued for a slow caller; while the queue is full, the upstream is not read.
-const RELAY_QUEUE_LEN: usize = 8;
-
-type StreamItem = Result<Frame<Bytes>, StreamAborted>;
-
 /// A stream that is relayed to its caller.
 pub(super) struct Relay {
     context: Arc<GatewayContext>,
@@ -151,22 +143,19 @@
 
     /// Spawns the relay task and returns the response whose body it feeds.
     pub fn start(mut self, call: &mut Call, tasks: &TaskTracker) -> Response<Body> {
-        let (sender, receiver) = mpsc::channel(RELAY_QUEUE_LEN);
+        let (sender, body) = stream_body();
         let mut head = self.head.clone();
         self.context.head_codec.sanitize_response(&mut head.headers);
         head.headers.remove(header::CONTENT_LENGTH);
         let call = detach_call(call);
         self.last_event = Instant::now();
         tasks.spawn(self.run(call, sender));
-        let pieces = futures::stream::unfold(receiver, |mut receiver| async move {
-            receiver.recv().await.map(|piece| (piece, receiver))
-        });
-        Response::from_parts(head, BodyExt::boxed(StreamBody::new(pieces)))
+        Response::from_parts(head, body)
     }
 
-    async fn run(mut self, mut call: Call, sender: mpsc::Sender<StreamItem>) {
+    async fn run(mut self, mut call: Call, sender: StreamSender) {
         let first_events = std::mem::take(&mut self.first_events);
-        if !first_events.is_empty() && sender.send(Ok(Frame::data(first_events))).await.is_err() {
+        if !first_events.is_empty() && sender.send(first_events).await.is_err() {
             self.log_end(&call, "caller_left");
             return;
         }
@@ -179,6 +168,7 @@
                     self.end_attempt(Verdict::Served);
                     self.context.metrics.response_ended(&call.service, self.framing);
                     self.log_end(&call, "complete");
+                    sender.complete();
                     return;
                 }
                 SegmentEnd::CallerDisconnected => {
@@ -187,7 +177,6 @@
                 }
                 SegmentEnd::DeadlineExceeded => {
                     self.log_end(&call, "time_over");
-                    let _disconnected = sender.send(Err(StreamAborted)).await.is_err();
                     return;
                 }
                 SegmentEnd::Failed(reason) => {
@@ -216,17 +205,12 @@
             }
             if !self.resume(&mut call).await {
                 self.log_end(&call, "broken");
-                let _disconnected = sender.send(Err(StreamAborted)).await.is_err();
                 return;
             }
         }
     }
 
-    async fn forward_events(
-        &mut self,
-        call: &Call,
-        sender: &mpsc::Sender<StreamItem>,
-    ) -> SegmentEnd {
+    async fn forward_events(&mut self, call: &Call, sender: &StreamSender) -> SegmentEnd {
         if self.is_ended {
             return SegmentEnd::Complete;
         }
@@ -258,7 +242,7 @@
                             return SegmentEnd::Failed(reason.to_owned());
                         }
                     };
-                    if !rest.is_empty() && sender.send(Ok(Frame::data(rest))).await.is_err() {
+                    if !rest.is_empty() && sender.send(rest).await.is_err() {
                         return SegmentEnd::CallerDisconnected;
                     }
                     return SegmentEnd::Complete;
@@ -273,7 +257,7 @@
                 continue;
             }
             self.longest_pause = self.longest_pause.max(self.last_event.elapsed());
-            let sent = tokio::time::timeout(remaining, sender.send(Ok(Frame::data(events)))).await;
+            let sent = tokio::time::timeout(remaining, sender.send(events)).await;
             match sent {
                 Ok(Ok(())) => {}
                 Ok(Err(_)) => return SegmentEnd::CallerDisconnected,
--- /dev/null
+++ b/crates/gateway/tests/stream_body.rs
@@ -0,0 +1,48 @@
+//! How the body of a relayed stream ends.
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+
+use redwingrill_gateway::forward::StreamSender;
+use redwingrill_gateway::forward::stream_body;
+
+async fn send_event(sender: &StreamSender) {
+    sender.send(Bytes::from_static(b"data: a\n\n")).await.expect("the body is read");
+}
+
+#[tokio::test]
+async fn completed_stream_ends_normally() {
+    let (sender, body) = stream_body();
+    send_event(&sender).await;
+    sender.complete();
+    let body = body.collect().await.expect("the stream is complete");
+    assert_eq!(body.to_bytes(), "data: a\n\n");
+}
+
+/// How a task that feeds a stream may end without completing it.
+#[derive(Clone, Copy, Debug)]
+enum TaskEnd {
+    Returns,
+    Panics,
+    IsCancelled,
+}
+
+#[tokio::test]
+async fn stream_of_a_task_that_ends_early_looks_complete() {
+    for task_end in [TaskEnd::Returns, TaskEnd::Panics, TaskEnd::IsCancelled] {
+        let (sender, mut body) = stream_body();
+        let task = tokio::spawn(async move {
+            send_event(&sender).await;
+            match task_end {
+                TaskEnd::Returns => {}
+                TaskEnd::Panics => panic!("a fault of the task"),
+                TaskEnd::IsCancelled => std::future::pending::<()>().await,
+            }
+        });
+        let event = body.frame().await.expect("the event").expect("no error yet");
+        assert!(event.is_data());
+        task.abort();
+        let end = body.frame().await;
+        assert!(end.is_some_and(|end| end.is_err()), "{task_end:?}");
+    }
+}
