Reset the connection of an HTTP/1.0 caller whose stream breaks

What callers saw: with HTTP/1.0, a stream that the node broke off ended in order, like a complete one.

Cause: an answer without length and chunks ends with its connection, and the node closed that connection in order whether the answer was complete or cut short.

Why it works: with HTTP/1.0 a connection that ends with an error, or that is aborted at the stop of the node, is closed with a zero linger time, which resets it. Callers with chunks keep the orderly close, which lets them read all that was sent before the break.

Ruled out: closing with a reset for all; a reset may discard events that the caller has not read yet, which a resumable caller would have to get again.

--- a/crates/gateway/src/front/listener.rs
+++ b/crates/gateway/src/front/listener.rs
@@ -6,12 +6,19 @@
 //!
 //! While the node drains, each response asks the caller to close its connection. In `closing`, idle
 //! connections are closed and requests in progress end normally.
+//!
+//! A response that is cut short never ends in order: its last chunk is missing, or, for a caller
+//! that knows no chunks, its connection is reset.
 
 use std::convert::Infallible;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use http::HeaderValue;
 use http::Request;
+use http::Version;
 use http::header;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -65,9 +72,12 @@
         let limits = self.gateway.limits();
         let gateway = Arc::new(self.gateway.clone());
         let draining = self.draining.clone();
+        let knows_chunks = Arc::new(AtomicBool::new(true));
+        let caller_knows_chunks = knows_chunks.clone();
         let service = service_fn(move |request: Request<Incoming>| {
             let gateway = gateway.clone();
             let draining = draining.clone();
+            knows_chunks.store(request.version() >= Version::HTTP_11, Ordering::Relaxed);
             async move {
                 let mut response = gateway.handle(request).await;
                 if draining.is_cancelled() {
@@ -77,7 +87,7 @@
                 Ok::<_, Infallible>(response)
             }
         });
-        let connection = http1::Builder::new()
+        let mut connection = http1::Builder::new()
             .timer(TokioTimer::new())
             // This timeout also covers the idle time between two requests.
             .header_read_timeout(limits.idle_timeout + limits.header_timeout)
@@ -88,24 +98,33 @@
         let (tasks, metrics) = (self.tasks.clone(), self.metrics.clone());
         self.tasks.spawn(async move {
             metrics.open_connections(tasks.len());
-            tokio::pin!(connection);
             let mut is_closing = false;
-            loop {
+            let is_cut_short = loop {
                 tokio::select! {
-                    ended = connection.as_mut() => {
-                        if let Err(e) = ended {
+                    ended = &mut connection => {
+                        if let Err(e) = &ended {
                             debug!("event=connection_ended reason={:?}", e.to_string());
                         }
-                        break;
+                        break ended.is_err();
                     }
                     () = closing.cancelled(), if !is_closing => {
                         is_closing = true;
-                        connection.as_mut().graceful_shutdown();
+                        Pin::new(&mut connection).graceful_shutdown();
                     }
-                    () = aborting.cancelled() => break,
+                    () = aborting.cancelled() => break true,
                 }
+            };
+            if is_cut_short && !caller_knows_chunks.load(Ordering::Relaxed) {
+                reset_on_close(connection.into_parts().io.inner());
             }
             metrics.open_connections(tasks.len().saturating_sub(1));
         });
     }
 }
+
+/// Lets the close of a connection reset it.
+fn reset_on_close(stream: &TcpStream) {
+    if let Err(e) = stream.set_zero_linger() {
+        debug!("event=socket_option_failed reason={:?}", e.to_string());
+    }
+}
