--- a/crates/gateway/src/front/listener.rs
+++ b/crates/gateway/src/front/listener.rs
@@ -11,7 +11,6 @@
 //! that knows no chunks, its connection is reset.
 
 use std::convert::Infallible;
-use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
