Answer callers with HTTP/1.1 whatever version the upstream has

What callers saw: a stream of an upstream with HTTP/1.0 came with neither length nor chunks, so that a break looked like its end, although the node had noticed the break.

Cause: the head for the caller was the upstream's head without some headers, and its version went along. The server takes the framing of a response from its version. What concerns only the connection to the upstream decided how the connection to the caller ends.

Evidence: the new rows of each_failure_ends_as_its_kind_allows, where an upstream answers with HTTP/1.0 and its connection ends in order inside the second event, or before the first. Red before this change: 'draft CutsUnframed' came as a 200 without transfer-encoding, whole as far as its caller could see ("id: 1\ndata: token1\n\n"). All four rows pass now.

Why it works: relayed_head makes the head for the caller in one place, for streams and plain answers, and sets the version; the server still answers a caller with HTTP/1.0 in kind, and that connection is reset on a break.

The lab's upstream learned to answer without length or chunks, and the soak draws it. Why close_delimited did not show it: its upstream writes HTTP/1.1 by hand.

--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -21,6 +21,7 @@
 use super::response::Body;
 use super::response::full_body;
 use super::response::refusal_response;
+use super::response::relayed_head;
 use super::send::RESPONSE_LIMIT_BYTES;
 use super::send::SendOutcome;
 use super::send::UpstreamResponse;
@@ -313,7 +314,7 @@
         if call.route.kind.is_stream() && upstream_response.parts.status == StatusCode::OK {
             return self.handle_stream(call, upstream_response).await;
         }
-        let UpstreamResponse { mut parts, body, mut attempt } = upstream_response;
+        let UpstreamResponse { parts, body, mut attempt } = upstream_response;
         let framing = body.framing();
         let whole = match body.read_all(RESPONSE_LIMIT_BYTES, call.remaining()).await {
             Ok(whole) => whole,
@@ -353,10 +354,9 @@
             let status = parts.status.as_str();
             return Err(Refusal::with_detail(ResultCode::UpstreamFailed, status));
         }
-        self.context.head_codec.sanitize_response(&mut parts.headers);
-        parts.headers.remove(header::CONTENT_LENGTH);
         self.context.metrics.attempt_ended(&call.service, parts.status.as_str());
-        let response = Response::from_parts(parts, full_body(whole));
+        let head = relayed_head(parts, self.context.head_codec.as_ref());
+        let response = Response::from_parts(head, full_body(whole));
         Ok(Some(Completion { response, code: ResultCode::Ok }))
     }
 
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -14,7 +14,6 @@
 use bytes::Bytes;
 use http::Response;
 use http::StatusCode;
-use http::header;
 use http::response::Parts;
 use log::info;
 use tokio::time::Instant;
@@ -25,6 +24,7 @@
 use super::call::Call;
 use super::events::EventSplitter;
 use super::response::Body;
+use super::response::relayed_head;
 use super::send::SendOutcome;
 use super::send::UpstreamResponse;
 use super::send::send_attempt;
@@ -144,9 +144,7 @@
     /// Spawns the relay task and returns the response whose body it feeds.
     pub fn start(mut self, call: &mut Call, tasks: &TaskTracker) -> Response<Body> {
         let (sender, body) = stream_body();
-        let mut head = self.head.clone();
-        self.context.head_codec.sanitize_response(&mut head.headers);
-        head.headers.remove(header::CONTENT_LENGTH);
+        let head = relayed_head(self.head.clone(), self.context.head_codec.as_ref());
         let call = detach_call(call);
         self.last_event = Instant::now();
         tasks.spawn(self.run(call, sender));
--- a/crates/gateway/src/forward/response.rs
+++ b/crates/gateway/src/forward/response.rs
@@ -4,7 +4,9 @@
 use http::HeaderValue;
 use http::Response;
 use http::StatusCode;
+use http::Version;
 use http::header;
+use http::response::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::combinators::BoxBody;
@@ -12,6 +14,7 @@
 
 use redwingrill_codes::ErrorBody;
 use redwingrill_codes::Refusal;
+use redwingrill_routing::HeadCodec;
 
 /// The error of a stream that ends early; it closes the connection so that the caller notices.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Snafu)]
@@ -26,6 +29,16 @@
     Full::new(data.into()).map_err(|never| match never {}).boxed()
 }
 
+/// Turns the head of an upstream's response into the head for the caller. What concerns only the
+/// connection to the upstream goes, its version and framing too: they would decide how the
+/// response to the caller ends.
+pub(super) fn relayed_head(mut head: Parts, codec: &dyn HeadCodec) -> Parts {
+    codec.sanitize_response(&mut head.headers);
+    head.headers.remove(header::CONTENT_LENGTH);
+    head.version = Version::HTTP_11;
+    head
+}
+
 /// Returns the response of a refusal.
 pub(super) fn refusal_response(refusal: &Refusal, request_id: &str) -> Response<Body> {
     let body = ErrorBody::new(refusal.code, &refusal.detail, request_id);
--- a/crates/lab/src/site_upstream/behaviour.rs
+++ b/crates/lab/src/site_upstream/behaviour.rs
@@ -28,6 +28,11 @@
     Recodes,
     /// It breaks off in the middle of the second event, or of the body.
     BreaksOff,
+    /// Its streams have neither length nor chunks, and its connection ends in order in the middle of
+    /// the second event.
+    CutsUnframed,
+    /// The same, before the first event.
+    EndsUnframed,
     /// Its events pause for long after the first.
     IsSlow,
 }
--- a/crates/lab/src/site_upstream/http.rs
+++ b/crates/lab/src/site_upstream/http.rs
@@ -15,6 +15,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::Version;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use serde_json::json;
@@ -346,6 +347,10 @@
             Behaviour::DoesNotSign => self.reply(StatusCode::OK, &seen, body),
             _ => self.signed(StatusCode::OK, &seen, body),
         };
+        if matches!(behaviour, Behaviour::CutsUnframed | Behaviour::EndsUnframed) {
+            // The server sends no chunks with this version.
+            *reply.version_mut() = Version::HTTP_10;
+        }
         if behaviour == Behaviour::CrossesAnswers {
             reply.headers_mut().insert("x-request-id", HeaderValue::from_static("another"));
         }
@@ -357,14 +362,21 @@
 
     fn events(&self, seen: &SeenRequest, behaviour: Behaviour) -> Body {
         let last = seen.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
-        let ids = futures::stream::iter(last + 1..=EVENTS);
+        let until = match behaviour {
+            Behaviour::CutsUnframed => last + 2,
+            Behaviour::EndsUnframed => last,
+            _ => EVENTS,
+        };
+        let ids = futures::stream::iter(last + 1..=until);
         let pieces = ids.then(move |id| async move {
             let is_second = id == last + 2;
             let pauses = is_second && behaviour == Behaviour::IsSlow;
             tokio::time::sleep(if pauses { LONG_PAUSE } else { EVENT_PAUSE }).await;
-            match is_second && behaviour == Behaviour::BreaksOff {
-                true => vec![Ok(Bytes::from(format!("id: {id}\nda"))), Err(Cut)],
-                false => vec![Ok(Bytes::from(format!("id: {id}\ndata: token{id}\n\n")))],
+            let part = Ok(Bytes::from(format!("id: {id}\nda")));
+            match behaviour {
+                Behaviour::BreaksOff if is_second => vec![part, Err(Cut)],
+                Behaviour::CutsUnframed if is_second => vec![part],
+                _ => vec![Ok(Bytes::from(format!("id: {id}\ndata: token{id}\n\n")))],
             }
         });
         // The counter lives as long as the stream.
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -69,7 +69,7 @@
     const LINKS: [LinkState; 4] =
         [LinkState::Slow, LinkState::Silent, LinkState::SilentBack, LinkState::Resets];
     const STORE: [StoreFault; 3] = [StoreFault::Busy, StoreFault::Silent, StoreFault::LosesAnswers];
-    const BEHAVIOURS: [Behaviour; 11] = [
+    const BEHAVIOURS: [Behaviour; 13] = [
         Behaviour::Sheds,
         Behaviour::IsAnother,
         Behaviour::Fails,
@@ -80,6 +80,8 @@
         Behaviour::DoesNotSign,
         Behaviour::Recodes,
         Behaviour::BreaksOff,
+        Behaviour::CutsUnframed,
+        Behaviour::EndsUnframed,
         Behaviour::IsSlow,
     ];
     let lasts = Duration::from_millis(rng.random_range(LASTS_MS));
--- a/crates/lab/tests/on_platform/failures.rs
+++ b/crates/lab/tests/on_platform/failures.rs
@@ -42,7 +42,7 @@
     FailureCase { route, first, gets, runs }
 }
 
-const CASES: [FailureCase; 33] = [
+const CASES: [FailureCase; 37] = [
     case("order", Behaviour::Sheds, Gets::Whole, 1),
     case("order", Behaviour::IsAnother, Gets::Whole, 1),
     case("order", Behaviour::Fails, Gets::UpstreamFailure, 1),
@@ -69,6 +69,10 @@
     case("draft", Behaviour::DropsAnswer, Gets::Unknown, 1),
     case("draft", Behaviour::CrossesAnswers, Gets::Unknown, 1),
     case("draft", Behaviour::BreaksOff, Gets::Broken, 1),
+    case("draft", Behaviour::CutsUnframed, Gets::Broken, 1),
+    case("draft", Behaviour::EndsUnframed, Gets::Unknown, 1),
+    case("check", Behaviour::CutsUnframed, Gets::Whole, 2),
+    case("check", Behaviour::EndsUnframed, Gets::Whole, 2),
     case("check", Behaviour::Sheds, Gets::Whole, 1),
     case("check", Behaviour::Fails, Gets::Whole, 2),
     case("check", Behaviour::DropsAnswer, Gets::Whole, 2),
