--- a/crates/gateway/src/store_sync/task.rs
+++ b/crates/gateway/src/store_sync/task.rs
@@ -216,7 +216,15 @@
                     must_list = false;
                     self.contact_restored();
                     let is_recent = self.continuity.record_contact(now_ms());
-                    self.mirror.apply_listing(listing);
+                    let (items, complete_to) = (listing.items.len(), listing.complete_to);
+                    let changed = self.mirror.apply_listing(listing);
+                    self.metrics.store_listed();
+                    info!(
+                        "event=store_listed items={items} revision={} changed={changed} \
+                         complete_to={}",
+                        complete_to.0,
+                        self.mirror.complete_to().0,
+                    );
                     self.publish(is_recent);
                 }
                 Ok(Fetched::Batch(batch)) => {
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -8,6 +8,7 @@
 use prometheus::GaugeVec;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
+use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
 use prometheus::IntGaugeVec;
@@ -39,6 +40,7 @@
     response_ends: IntCounterVec,
     retries: IntCounterVec,
     store_calls: IntCounterVec,
+    store_listings: IntCounter,
     quarantine: IntCounterVec,
     view_revision: IntGauge,
     open_connections: IntGauge,
@@ -80,6 +82,11 @@
             ),
             retries: counter("redwingrill_repeats", "Repeated sends", &["service", "allowed"]),
             store_calls: counter("redwingrill_store_calls", "Calls to the store", &["outcome"]),
+            store_listings: IntCounter::new(
+                "redwingrill_store_listings",
+                "Listings of the whole store",
+            )
+            .expect("the name is valid"),
             quarantine: counter(
                 "redwingrill_quarantine",
                 "Changes of suspect and quarantined parts",
@@ -139,6 +146,11 @@
         self.inner.store_calls.with_label_values(&[outcome]).inc();
     }
 
+    /// Counts a listing of the whole store.
+    pub fn store_listed(&self) {
+        self.inner.store_listings.inc();
+    }
+
     /// Counts a change of the quarantine, or a request that it refuses.
     pub fn quarantine(&self, event: &str) {
         self.inner.quarantine.with_label_values(&[event]).inc();
@@ -183,7 +195,7 @@
 
 impl Inner {
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 12] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 13] = [
             Box::new(self.requests.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.first_event.clone()),
@@ -191,6 +203,7 @@
             Box::new(self.response_ends.clone()),
             Box::new(self.retries.clone()),
             Box::new(self.store_calls.clone()),
+            Box::new(self.store_listings.clone()),
             Box::new(self.quarantine.clone()),
             Box::new(self.view_revision.clone()),
             Box::new(self.open_connections.clone()),
