--- a/crates/lab/src/metadata_store/http.rs
+++ b/crates/lab/src/metadata_store/http.rs
@@ -9,6 +9,7 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use form_urlencoded::parse;
+use http::HeaderValue;
 use http::Method;
 use http::Request;
 use http::Response;
@@ -33,6 +34,9 @@
 use crate::net::read_json;
 use crate::net::status_reply;
 
+/// How often the store came back from a copy; in all replies.
+const ERA_HEADER: &str = "store-era";
+
 /// How long leases last at least.
 const TTL_MIN_MS: u64 = 1_000;
 
@@ -99,19 +103,25 @@
 
 impl Handler for Calls {
     async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
-        let fault = {
+        let (fault, era) = {
             let mut inner = self.state.lock();
             inner.calls += 1;
-            inner.fault
+            (inner.fault, inner.era)
         };
         match fault {
-            StoreFault::Busy => return Ok(status_reply(StatusCode::SERVICE_UNAVAILABLE)),
+            StoreFault::Busy => {
+                let mut reply = status_reply(StatusCode::SERVICE_UNAVAILABLE);
+                reply.headers_mut().insert(ERA_HEADER, HeaderValue::from(era));
+                return Ok(reply);
+            }
             StoreFault::Silent => {
                 std::future::pending::<()>().await;
             }
             StoreFault::None | StoreFault::LosesAnswers => {}
         }
-        let reply = self.answer(request).await;
+        let mut reply = self.answer(request).await;
+        let era = self.state.lock().era;
+        reply.headers_mut().insert(ERA_HEADER, HeaderValue::from(era));
         match fault {
             StoreFault::LosesAnswers => Err(Cut),
             _ => Ok(reply),
@@ -183,7 +193,7 @@
             let changed = self.state.changed.notified();
             let (reply, next_lease_end) = {
                 let inner = self.state.lock();
-                if after < inner.history_from {
+                if after < inner.history_from || after > inner.rev {
                     return status_reply(StatusCode::GONE);
                 }
                 // The revision is that of the events: a lease may end between two locks.
--- a/crates/lab/src/metadata_store/mod.rs
+++ b/crates/lab/src/metadata_store/mod.rs
@@ -4,5 +4,6 @@
 mod state;
 
 pub use http::MetadataStore;
+pub use state::StoreCopy;
 pub use state::StoreFault;
 pub use state::StoreState;
--- a/crates/lab/src/metadata_store/state.rs
+++ b/crates/lab/src/metadata_store/state.rs
@@ -45,8 +45,20 @@
     pub history_from: u64,
     pub rev: u64,
     pub leases: BTreeMap<u64, (Duration, Instant)>,
+    /// How often the store came back from a copy.
+    pub era: u64,
     pub fault: StoreFault,
     pub calls: u64,
+    // The last writes of the operator and the engines; `None` for a removal.
+    outside: BTreeMap<String, Option<Vec<u8>>>,
+}
+
+/// A copy of the store, from which it can come back.
+#[derive(Clone, Debug)]
+pub struct StoreCopy {
+    items: BTreeMap<String, Stored>,
+    rev: u64,
+    leases: BTreeMap<u64, Duration>,
 }
 
 /// The state of the store. Clones share it.
@@ -59,14 +71,59 @@
 impl StoreState {
     /// Writes a key as the operator or an engine does. Returns the revision.
     pub fn put(&self, key: &str, value: impl Into<Vec<u8>>) -> u64 {
-        let rev = self.lock().put(key, value.into(), 0);
+        let value = value.into();
+        let mut inner = self.lock();
+        inner.outside.insert(key.to_owned(), Some(value.clone()));
+        let rev = inner.put(key, value, 0);
+        drop(inner);
         self.changed.notify_waiters();
         rev
     }
 
     /// Removes a key.
     pub fn remove(&self, key: &str) {
-        self.lock().remove(key);
+        let mut inner = self.lock();
+        inner.outside.insert(key.to_owned(), None);
+        inner.remove(key);
+        drop(inner);
+        self.changed.notify_waiters();
+    }
+
+    /// Makes a copy.
+    pub fn copy(&self) -> StoreCopy {
+        let inner = self.lock();
+        let leases = inner.leases.iter().map(|(lease, (ttl, _))| (*lease, *ttl)).collect();
+        StoreCopy { items: inner.items.clone(), rev: inner.rev, leases }
+    }
+
+    /// Comes back from a copy. All changes since are lost with their leases, and revisions and
+    /// leases are given out again from there.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut inner = self.lock();
+        let now = Instant::now();
+        inner.items = copy.items.clone();
+        inner.rev = copy.rev;
+        inner.leases = copy.leases.iter().map(|(id, ttl)| (*id, (*ttl, now + *ttl))).collect();
+        inner.history.clear();
+        inner.history_from = copy.rev;
+        inner.era += 1;
+        drop(inner);
+        self.changed.notify_waiters();
+    }
+
+    /// Lets the operator and the engines write again what a restored store has lost.
+    pub fn write_lost_again(&self) {
+        let mut inner = self.lock();
+        for (key, value) in inner.outside.clone() {
+            match value {
+                Some(value) if inner.items.get(&key).is_none_or(|item| item.value != value) => {
+                    inner.put(&key, value, 0);
+                }
+                Some(_) => {}
+                None => inner.remove(&key),
+            }
+        }
+        drop(inner);
         self.changed.notify_waiters();
     }
 
--- a/crates/lab/tests/on_platform/main.rs
+++ b/crates/lab/tests/on_platform/main.rs
@@ -5,6 +5,7 @@
 mod news;
 mod quarantine;
 mod requests;
+mod restored;
 mod rollout;
 mod site;
 mod stand_ins;
--- a/crates/lab/tests/on_platform/news.rs
+++ b/crates/lab/tests/on_platform/news.rs
@@ -7,10 +7,10 @@
 use tokio::time::Instant;
 
 use crate::site::Call;
-use crate::site::HOST;
 use crate::site::IN_FORCE;
 use crate::site::KEY;
 use crate::site::Site;
+use crate::site::added_route;
 use crate::site::configuration;
 use redwingrill_lab::metadata_store::MetadataStore;
 use redwingrill_lab::metadata_store::StoreFault;
@@ -18,12 +18,6 @@
 use redwingrill_lab::soak::Link;
 use redwingrill_lab::soak::LinkState;
 
-fn added_route() -> serde_json::Value {
-    json!({"name": "added", "host": HOST, "prefix": "/added/", "kind": "safe",
-           "timeout_ms": 1_500, "target_latency_ms": 400, "priority": 1, "service": "shop",
-           "max_attempts": 2, "anonymous": false, "sticky": false, "resumable": false})
-}
-
 #[tokio::test]
 async fn a_configuration_is_in_force_and_a_key_taken_away() {
     let site = Site::start(0, 1).await;
--- a/crates/lab/tests/on_platform/site.rs
+++ b/crates/lab/tests/on_platform/site.rs
@@ -11,6 +11,7 @@
 use http::HeaderValue;
 use http::Request;
 use http::StatusCode;
+use serde_json::json;
 use tokio::time::Instant;
 
 use redwingrill_gateway::node::Node;
@@ -61,6 +62,13 @@
     on_platform::configuration(version, &routes.collect::<Vec<_>>(), keys, 100)
 }
 
+/// A safe route to the plain upstreams, `added`.
+pub fn added_route() -> serde_json::Value {
+    json!({"name": "added", "host": HOST, "prefix": "/added/", "kind": "safe",
+           "timeout_ms": 1_500, "target_latency_ms": 400, "priority": 1, "service": "shop",
+           "max_attempts": 2, "anonymous": false, "sticky": false, "resumable": false})
+}
+
 /// A node with its addresses.
 pub struct SiteNode {
     pub node: Node<Serving>,
