Qualify revisions of the store by its era

Cause, hypothesis 1: revisions of two histories were compared. The mirror took no item whose revision was not above the known one and never lowered the revision up to which it was complete, so a restored store could say nothing until it had passed the lost revisions, and the nodes listed it in a loop; a store that passed them in time was followed with a gap.

Change: a revision carries the era that Store-Era names and is ordered by it first, in the mirror, among peers (whose messages keep their form) and as a fencing number. A later era replaces what a mirror holds as a whole, from the store or a peer.

What the copy says is older than what the node knows, which two rules keep from coming back: a configuration gives way to none of a lower version, and an upstream that left counts again only when its entry is newer than the last one before, or after the time in which the entry of a dead one lapses.

--- a/crates/gateway/src/cluster_view/builder.rs
+++ b/crates/gateway/src/cluster_view/builder.rs
@@ -20,8 +20,10 @@
 use super::ROLLOUT_LEADER_KEY;
 use super::RolloutLeader;
 use super::TargetVersion;
+use super::departures::Departures;
 use crate::store_sync::StoreMirror;
 use redwingrill_routing::Configuration;
+use redwingrill_routing::Era;
 use redwingrill_routing::ItemCodec;
 use redwingrill_routing::ItemKind;
 use redwingrill_routing::Revision;
@@ -42,6 +44,9 @@
     version_items: HashMap<String, (Revision, Option<(String, WeightsVersion)>)>,
     target_versions: HashMap<String, TargetVersion>,
     retention: Retention,
+    departures: Departures,
+    // The era of the last build; `None` before the first item was read.
+    era: Option<Era>,
     quarantined: HashSet<PartKey>,
     // Parts whose records vanished while the store was unavailable, with the time.
     lapsed_quarantines: HashMap<PartKey, u64>,
@@ -60,8 +65,9 @@
 }
 
 impl<D: ItemCodec> ClusterViewBuilder<D> {
-    /// Creates a builder.
-    pub fn new(codec: Arc<D>) -> Self {
+    /// Creates a builder. The entry of an upstream that is gone lapses within
+    /// `upstream_lapse_ms`.
+    pub fn new(codec: Arc<D>, upstream_lapse_ms: u64) -> Self {
         Self {
             codec,
             configuration: None,
@@ -70,6 +76,8 @@
             version_items: HashMap::new(),
             target_versions: HashMap::new(),
             retention: Retention::Off,
+            departures: Departures::new(upstream_lapse_ms),
+            era: None,
             quarantined: HashSet::new(),
             lapsed_quarantines: HashMap::new(),
         }
@@ -86,16 +94,18 @@
         self.retention = Retention::StoreReturning { until_ms };
     }
 
-    /// Returns when the next retained upstream is to be removed, in milliseconds on the node's
-    /// clock.
-    pub fn next_retention_end_ms(&self) -> Option<u64> {
-        self.retained.values().map(|(_, until_ms)| *until_ms).min()
+    /// Returns when the view is to be built again although nothing changes, in milliseconds on the
+    /// node's clock: a retained upstream is to be removed, or departures no longer count.
+    pub fn next_build_ms(&self, now_ms: u64) -> Option<u64> {
+        let retained = self.retained.values().map(|(_, until_ms)| *until_ms);
+        retained.chain(self.departures.doubt_end_ms(now_ms)).min()
     }
 
     /// Builds the view; `is_recent` states whether the changes since the last one happened just
     /// now.
     pub fn build(&mut self, mirror: &StoreMirror, is_recent: bool, now_ms: u64) -> ClusterView {
         let codec = self.codec.clone();
+        self.observe_era(mirror.complete_to(), now_ms);
         let mut view = ClusterView { complete_to: mirror.complete_to(), ..ClusterView::default() };
         let mut listed = HashMap::new();
         for (key, revision, value) in mirror.items() {
@@ -106,13 +116,19 @@
                 }
                 ItemKind::Upstream(id) => {
                     let upstream = self.read_upstream(id, revision, value);
-                    listed.insert(id.to_owned(), (revision, upstream));
+                    let is_outdated = upstream.as_ref().is_some_and(|upstream| {
+                        self.departures.is_outdated(upstream, revision, now_ms)
+                    });
+                    if !is_outdated {
+                        listed.insert(id.to_owned(), (revision, upstream));
+                    }
                 }
                 ItemKind::Own(node_key) => decode_node_item(&mut view, node_key, value),
                 ItemKind::Foreign => {}
             }
         }
         self.retain_lapsed_quarantines(&mut view, now_ms);
+        self.record_departures(&listed, now_ms);
         self.retain_unlisted(&listed, now_ms);
         let current = listed.values().filter_map(|(_, upstream)| upstream.clone());
         let retained = self.retained.values().map(|(upstream, _)| upstream.clone());
@@ -125,6 +141,44 @@
         view
     }
 
+    /// Notices that the store came back from an older copy. Upstreams that registered since the
+    /// copy register again, as after an outage.
+    fn observe_era(&mut self, complete_to: Revision, now_ms: u64) {
+        let known = self.era.replace(complete_to.era());
+        if known.is_some_and(|known| known < complete_to.era()) {
+            info!("event=store_restored era={} revision={complete_to}", complete_to.era());
+            self.departures.store_restored(now_ms);
+        }
+    }
+
+    /// Records the upstreams that are leaving or gone since the last build. One whose entry was
+    /// lost as the store came back did not leave.
+    fn record_departures(
+        &mut self,
+        listed: &HashMap<String, (Revision, Option<Arc<Upstream>>)>,
+        now_ms: u64,
+    ) {
+        for (id, (revision, known)) in &self.upstreams {
+            let Some(known) = known.as_ref().filter(|u| u.state == UpstreamState::Ready) else {
+                continue;
+            };
+            if Some(revision.era()) != self.era {
+                continue;
+            }
+            let is_ready = listed.get(id).is_some_and(|(_, upstream)| {
+                upstream.as_ref().is_some_and(|upstream| upstream.state == UpstreamState::Ready)
+            });
+            if !is_ready {
+                self.departures.record(known, *revision, now_ms);
+            }
+        }
+        for (id, (_, upstream)) in listed {
+            if upstream.as_ref().is_some_and(|upstream| upstream.state == UpstreamState::Ready) {
+                self.departures.forget(id);
+            }
+        }
+    }
+
     fn retain_lapsed_quarantines(&mut self, view: &mut ClusterView, now_ms: u64) {
         let listed: HashSet<PartKey> = view.quarantined.iter().copied().collect();
         if self.is_store_unavailable(now_ms) {
@@ -188,19 +242,25 @@
             return;
         }
         let previous = self.configuration.take().and_then(|(_, configuration)| configuration);
+        let in_force = previous.as_ref().map(|configuration| configuration.version());
         let configuration = match self.codec.decode_configuration(value) {
+            Ok(older) if in_force.is_some_and(|version| older.version() < version) => {
+                // The store came back from a copy; the operator writes the newer one again.
+                info!("event=configuration_older version={} revision={revision}", older.version());
+                previous
+            }
             Ok(configuration) => {
                 info!(
                     "event=configuration_in_force version={} revision={} routes={} accounts={}",
                     configuration.version(),
-                    revision.0,
+                    revision,
                     configuration.routes_len(),
                     configuration.accounts().len(),
                 );
                 Some(Arc::new(configuration))
             }
             Err(e) => {
-                warn!("event=configuration_unreadable revision={} reason={e:?}", revision.0);
+                warn!("event=configuration_unreadable revision={} reason={e:?}", revision);
                 previous
             }
         };
@@ -217,15 +277,12 @@
                 info!(
                     "event=upstream_listed upstream={id} revision={} service={} address={} \
                      state={:?} models={:?}",
-                    revision.0, upstream.service, upstream.address, upstream.state, upstream.models,
+                    revision, upstream.service, upstream.address, upstream.state, upstream.models,
                 );
                 Some(Arc::new(upstream))
             }
             Err(e) => {
-                warn!(
-                    "event=upstream_unreadable upstream={id} revision={} reason={e:?}",
-                    revision.0
-                );
+                warn!("event=upstream_unreadable upstream={id} revision={} reason={e:?}", revision);
                 None
             }
         }
@@ -244,7 +301,7 @@
         let target = match self.codec.decode_target_version(value) {
             Ok(target) => Some(target),
             Err(e) => {
-                warn!("event=version_unreadable key={key} revision={} reason={e:?}", revision.0);
+                warn!("event=version_unreadable key={key} revision={} reason={e:?}", revision);
                 None
             }
         };
@@ -253,7 +310,7 @@
             if known.version < *version {
                 info!(
                     "event=version_named model={model} version={} revision={} observed={is_recent}",
-                    version.0, revision.0
+                    version.0, revision
                 );
                 let previous = known.version;
                 *known = TargetVersion { version: *version, previous, is_observed: is_recent };
--- a/crates/gateway/src/cluster_view/mod.rs
+++ b/crates/gateway/src/cluster_view/mod.rs
@@ -1,6 +1,7 @@
 //! The typed view of the cluster at one revision of the store.
 
 mod builder;
+mod departures;
 mod node_items;
 
 use std::collections::HashMap;
--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -137,7 +137,7 @@
                     "event=request_ended request_id={id} code={} detail={:?} revision={}",
                     refusal.code.number(),
                     refusal.detail,
-                    view.complete_to.0,
+                    view.complete_to,
                 );
                 refusal_completion(&refusal, &id)
             }
--- a/crates/gateway/src/node/lifecycle.rs
+++ b/crates/gateway/src/node/lifecycle.rs
@@ -129,6 +129,7 @@
             node: options.name.clone(),
             failure_domain: options.failure_domain.clone(),
             seeds: options.seeds.clone(),
+            upstream_lapse: options.upstream_lapse,
             own_address: options.peer_address,
         };
         let (store_sync, reader, view) = StoreSync::new(
--- a/crates/gateway/src/node/options.rs
+++ b/crates/gateway/src/node/options.rs
@@ -28,6 +28,8 @@
     pub metrics_address: Option<SocketAddr>,
     /// Peers to poll before any member is known.
     pub seeds: Vec<SocketAddr>,
+    /// How long the store keeps the entry of an upstream that is gone.
+    pub upstream_lapse: Duration,
     /// The retry budget.
     pub retry_budget: RetryBudgetSpec,
     /// How long after a target version is set requests may still be served with older weights.
--- a/crates/gateway/src/peers/gossip.rs
+++ b/crates/gateway/src/peers/gossip.rs
@@ -92,7 +92,7 @@
                     view.members.iter().find(|m| m.gossip == from).map(|m| m.address)
                 };
                 if let Some(peer) = sender {
-                    self.reader.observe_peer_revision(peer, Revision(revision));
+                    self.reader.observe_peer_revision(peer, Revision::from_u64(revision));
                 }
             }
             Err(e) => warn!("event=gossip_decode_failed from={from} reason={:?}", e.to_string()),
@@ -109,7 +109,7 @@
             return;
         }
         let Some(digest) = self.dispatcher.digest().await else { return };
-        let revision = self.view.borrow().complete_to.0;
+        let revision = self.view.borrow().complete_to.as_u64();
         let datagram = match postcard::to_allocvec(&Datagram { revision, digest }) {
             Ok(datagram) => datagram,
             Err(e) => {
--- a/crates/gateway/src/peers/server.rs
+++ b/crates/gateway/src/peers/server.rs
@@ -46,7 +46,7 @@
         wait_ms: u64,
     ) -> Option<StoreUpdateResponse> {
         let wait = Duration::from_millis(wait_ms).min(WAIT_LIMIT);
-        self.reader.update_after(Revision(revision), wait).await
+        self.reader.update_after(Revision::from_u64(revision), wait).await
     }
 }
 
--- a/crates/gateway/src/quarantine/recorder.rs
+++ b/crates/gateway/src/quarantine/recorder.rs
@@ -126,11 +126,11 @@
         };
         let value = serde_json::to_vec(&value).expect("a record always serializes to JSON");
         let key = self.codec.own_key(&format!("{QUARANTINE_PREFIX}{}", held.part));
-        let conditions = vec![Condition { key: key.clone(), revision: Revision(0) }];
+        let conditions = vec![Condition { key: key.clone(), revision: Revision::ABSENT }];
         let write = Write { conditions, key, value: Bytes::from(value), lease: Some(lease) };
         match self.store.write(write).await? {
             WriteOutcome::Done(revision) => {
-                info!("event=quarantine_written part={} revision={}", held.part, revision.0);
+                info!("event=quarantine_written part={} revision={}", held.part, revision);
             }
             WriteOutcome::Conflict(_) | WriteOutcome::NoLease => self.store.revoke(lease).await?,
         }
--- a/crates/gateway/src/rollout/grace_task.rs
+++ b/crates/gateway/src/rollout/grace_task.rs
@@ -125,7 +125,7 @@
         let value = serde_json::to_vec(&item).expect("a grace item always serializes to JSON");
         let key = format!("{}{}/{}", self.key_prefix, item.model, item.version);
         let write = Write {
-            conditions: vec![Condition { key: key.clone(), revision: Revision(0) }],
+            conditions: vec![Condition { key: key.clone(), revision: Revision::ABSENT }],
             key,
             value: Bytes::from(value),
             lease: Some(lease),
--- a/crates/gateway/src/rollout/leader_key.rs
+++ b/crates/gateway/src/rollout/leader_key.rs
@@ -25,7 +25,7 @@
 }
 
 /// Claims the key; returns `None` if another node holds it. `replaced` is the revision of the key
-/// that is taken over, or zero if there must be none.
+/// that is taken over, or [`Revision::ABSENT`] if there must be none.
 pub(super) async fn claim<S: SharedStore>(
     store: &S,
     key: &str,
@@ -50,8 +50,9 @@
         }
         Err(error) => return Err(error),
     };
-    info!("event=rollout_claimed fence={} replaced={}", revision.0, replaced.0);
-    Ok(Some(LeaderKey { lease, fencing_number: revision.0, revision, written: record.clone() }))
+    let fencing_number = revision.as_u64();
+    info!("event=rollout_claimed fence={fencing_number} revision={revision} replaced={replaced}");
+    Ok(Some(LeaderKey { lease, fencing_number, revision, written: record.clone() }))
 }
 
 /// Returns the record of the key and its revision.
--- a/crates/gateway/src/rollout/task.rs
+++ b/crates/gateway/src/rollout/task.rs
@@ -198,7 +198,7 @@
             record.loading = replaced.loading.clone();
             record.has_commanded = replaced.has_commanded;
         }
-        let revision = replaced.as_ref().map_or(Revision(0), |(_, revision)| *revision);
+        let revision = replaced.as_ref().map_or(Revision::ABSENT, |(_, revision)| *revision);
         match claim(&self.store, &self.key, &record, revision, self.options.lease).await? {
             Some(leader_key) => {
                 match record.has_commanded {
--- a/crates/gateway/src/store_sync/mirror.rs
+++ b/crates/gateway/src/store_sync/mirror.rs
@@ -34,7 +34,9 @@
 
 /// The items of the store.
 ///
-/// Invariant: neither the revision of a key nor `complete_to` decreases.
+/// Invariants:
+/// - Neither the revision of a key nor `complete_to` decreases. A later era is always higher.
+/// - All existing items are of the era of `complete_to`: what an era has lost goes as a whole.
 #[derive(Clone, Debug, Default)]
 pub struct StoreMirror {
     entries: HashMap<String, MirrorEntry>,
@@ -74,8 +76,7 @@
         for change in changes {
             has_changed |= self.apply(change);
         }
-        self.complete_to = self.complete_to.max(complete_to);
-        has_changed
+        has_changed | self.advance(complete_to)
     }
 
     /// Applies a complete listing. Keys that it lacks are removed unless they changed after its
@@ -88,41 +89,58 @@
             listed.insert(item.key.clone());
             has_changed |= self.set(item.key, item.revision, Some(item.value));
         }
-        let missing: Vec<String> = self
-            .entries
-            .iter()
-            .filter(|(key, entry)| {
-                entry.value.is_some() && entry.revision <= complete_to && !listed.contains(*key)
-            })
-            .map(|(key, _)| key.clone())
-            .collect();
-        for key in missing {
-            has_changed |= self.set(key, complete_to, None);
-        }
-        self.complete_to = self.complete_to.max(complete_to);
-        has_changed
+        has_changed |= self.remove_all(complete_to, |key, entry| {
+            entry.revision <= complete_to && !listed.contains(key)
+        });
+        has_changed | self.advance(complete_to)
     }
 
     /// Returns the changes after a revision, for a peer.
     pub fn update_after(&self, after: Revision) -> MirrorUpdate {
         let newer = self.entries.iter().filter(|(_, entry)| entry.revision > after);
         let entries = newer.map(|(key, entry)| {
-            (key.clone(), entry.revision.0, entry.value.as_ref().map(|value| value.to_vec()))
+            let value = entry.value.as_ref().map(|value| value.to_vec());
+            (key.clone(), entry.revision.as_u64(), value)
         });
-        MirrorUpdate { complete_to: self.complete_to.0, entries: entries.collect() }
+        MirrorUpdate { complete_to: self.complete_to.as_u64(), entries: entries.collect() }
     }
 
-    /// Applies an update from a peer. Returns whether the mirror changed.
+    /// Applies an update from a peer. Returns whether the mirror changed. An update of a later era
+    /// has all items, since each of them is newer than any revision that was asked for.
     pub fn apply_update(&mut self, update: MirrorUpdate) -> bool {
         let mut has_changed = false;
         for (key, revision, value) in update.entries {
-            has_changed |= self.set(key, Revision(revision), value.map(Bytes::from));
+            let revision = Revision::from_u64(revision);
+            has_changed |= self.set(key, revision, value.map(Bytes::from));
         }
-        self.complete_to = self.complete_to.max(Revision(update.complete_to));
-        has_changed
+        has_changed | self.advance(Revision::from_u64(update.complete_to))
+    }
+
+    /// Raises `complete_to`, and removes what a later era has lost. Returns whether an item was
+    /// removed.
+    fn advance(&mut self, complete_to: Revision) -> bool {
+        if complete_to <= self.complete_to {
+            return false;
+        }
+        self.complete_to = complete_to;
+        self.remove_all(complete_to, |_, entry| entry.revision.era() < complete_to.era())
+    }
+
+    /// Removes all items that `is_gone` names. Returns whether there was one.
+    fn remove_all(
+        &mut self,
+        revision: Revision,
+        is_gone: impl Fn(&str, &MirrorEntry) -> bool,
+    ) -> bool {
+        let gone = self.entries.iter().filter(|(key, e)| e.value.is_some() && is_gone(key, e));
+        let gone: Vec<String> = gone.map(|(key, _)| key.clone()).collect();
+        gone.into_iter().fold(false, |changed, key| changed | self.set(key, revision, None))
     }
 
     fn set(&mut self, key: String, revision: Revision, value: Option<Bytes>) -> bool {
+        if revision.era() < self.complete_to.era() {
+            return false;
+        }
         let known = self.entries.get(&key);
         // A removal found by a listing has the revision of the listing, so an equal revision is not
         // a change.
@@ -163,6 +181,10 @@
         if removed != self.removed {
             return Err(format!("{removed} removed keys, counted {}", self.removed));
         }
-        Ok(())
+        let era = self.complete_to.era();
+        match self.items().find(|(_, revision, _)| revision.era() != era) {
+            Some((key, revision, _)) => Err(format!("{key} at {revision} in era {era}")),
+            None => Ok(()),
+        }
     }
 }
--- a/crates/gateway/src/store_sync/task.rs
+++ b/crates/gateway/src/store_sync/task.rs
@@ -30,6 +30,7 @@
 use crate::peers::fetch_peer_update;
 use crate::telemetry::Metrics;
 use redwingrill_routing::ItemCodec;
+use redwingrill_routing::Listing;
 use redwingrill_routing::Revision;
 use redwingrill_routing::SharedStore;
 use redwingrill_routing::SharedStoreError;
@@ -69,6 +70,8 @@
     pub failure_domain: String,
     /// Addresses of peers to poll before any member is known.
     pub seeds: Vec<SocketAddr>,
+    /// How long the store keeps the entry of an upstream that is gone.
+    pub upstream_lapse: Duration,
     /// The address of this node for peers, which is skipped when a peer is chosen.
     pub own_address: Option<SocketAddr>,
 }
@@ -166,7 +169,7 @@
         let task = Self {
             store,
             mirror: StoreMirror::default(),
-            builder: ClusterViewBuilder::new(codec),
+            builder: ClusterViewBuilder::new(codec, options.upstream_lapse.as_millis() as u64),
             view,
             requests,
             waiting_requests: Vec::new(),
@@ -216,15 +219,7 @@
                     must_list = false;
                     self.contact_restored();
                     let is_recent = self.continuity.record_contact(now_ms());
-                    let (items, complete_to) = (listing.items.len(), listing.complete_to);
-                    let changed = self.mirror.apply_listing(listing);
-                    self.metrics.store_listed();
-                    info!(
-                        "event=store_listed items={items} revision={} changed={changed} \
-                         complete_to={}",
-                        complete_to.0,
-                        self.mirror.complete_to().0,
-                    );
+                    self.apply_listing(listing);
                     self.publish(is_recent);
                 }
                 Ok(Fetched::Batch(batch)) => {
@@ -237,7 +232,7 @@
                     }
                 }
                 Err(SharedStoreError::HistoryDropped) => {
-                    info!("event=store_history_dropped complete_to={}", after.0);
+                    info!("event=store_history_dropped complete_to={after}");
                     must_list = true;
                 }
                 Err(error) => {
@@ -276,14 +271,14 @@
             self.set_returning(now_ms() + remaining_ms);
         }
         let is_recent = self.continuity.record_contact(now_ms());
-        if self.mirror.apply_update(response.update) {
+        if self.apply_update(response.update) {
             self.publish(is_recent);
             self.serve_while(sleep(BATCH_DELAY), stopping).await;
         }
     }
 
-    /// Waits for `operation`. Meanwhile responds to requests, removes retained upstreams whose time
-    /// has passed, and polls peers while the store is unavailable. Returns `None` when the node
+    /// Waits for `operation`. Meanwhile responds to requests, builds the view again when
+    /// its time has come, and polls peers while the store is unavailable. Returns `None` when the node
     /// stops.
     async fn serve_while<T>(
         &mut self,
@@ -293,8 +288,8 @@
         tokio::pin!(operation);
         loop {
             self.continuity.record_run(now_ms());
-            let retention_end_ms = self.builder.next_retention_end_ms();
-            let retain_ms = retention_end_ms.map(|end_ms| end_ms.saturating_sub(now_ms()).max(1));
+            let next_build_ms = self.builder.next_build_ms(now_ms());
+            let build_in_ms = next_build_ms.map(|at_ms| at_ms.saturating_sub(now_ms()).max(1));
             let mut peer_request = self.next_peer_request();
             let deadline = self.waiting_requests.iter().map(|request| request.deadline).min();
             tokio::select! {
@@ -313,8 +308,8 @@
                 () = sleep_until(deadline.unwrap_or_else(Instant::now)), if deadline.is_some() => {
                     self.respond_due();
                 }
-                () = sleep(Duration::from_millis(retain_ms.unwrap_or(0))),
-                    if retain_ms.is_some() =>
+                () = sleep(Duration::from_millis(build_in_ms.unwrap_or(0))),
+                    if build_in_ms.is_some() =>
                 {
                     self.publish(false);
                 }
@@ -408,12 +403,12 @@
     }
 
     fn apply_peer_update(&mut self, update: MirrorUpdate) {
-        let (from, to) = (self.mirror.complete_to().0, update.complete_to);
+        let (from, to) = (self.mirror.complete_to(), Revision::from_u64(update.complete_to));
         if to <= from {
             return;
         }
         info!("event=news_from_peer from={from} to={to} changes={}", update.entries.len());
-        if self.mirror.apply_update(update) {
+        if self.apply_update(update) {
             // The peer itself may have learned of the changes late.
             self.publish(false);
         }
@@ -445,17 +440,51 @@
         }
     }
 
+    /// Applies a listing. One of a later era begins the time in which upstreams and nodes write
+    /// their entries again.
+    fn apply_listing(&mut self, listing: Listing) {
+        let (items, complete_to) = (listing.items.len(), listing.complete_to);
+        let is_restored = self.begins_era(complete_to);
+        let changed = self.mirror.apply_listing(listing);
+        self.metrics.store_listed();
+        info!(
+            "event=store_listed items={items} revision={complete_to} changed={changed} \
+             complete_to={}",
+            self.mirror.complete_to(),
+        );
+        if is_restored {
+            self.set_returning(now_ms() + UNLISTED_RETENTION_MS);
+        }
+    }
+
+    /// Applies an update from a peer, like a listing if it is of a later era. Returns whether the
+    /// mirror changed.
+    fn apply_update(&mut self, update: MirrorUpdate) -> bool {
+        let is_restored = self.begins_era(Revision::from_u64(update.complete_to));
+        let changed = self.mirror.apply_update(update);
+        if is_restored {
+            self.set_returning(now_ms() + UNLISTED_RETENTION_MS);
+        }
+        changed
+    }
+
+    /// Returns whether a revision is of a later era than the mirror, which has items already.
+    fn begins_era(&self, revision: Revision) -> bool {
+        let known = self.mirror.complete_to();
+        known != Revision::default() && known.era() < revision.era()
+    }
+
     /// Publishes the view; `is_recent` states whether its changes happened just now.
     fn publish(&mut self, is_recent: bool) {
         let view = Arc::new(self.builder.build(&self.mirror, is_recent, now_ms()));
-        self.metrics.view_revision(view.complete_to.0);
+        self.metrics.view_revision(view.complete_to);
         self.view.send_replace(view);
         self.respond_all();
     }
 }
 
 enum Fetched {
-    Listing(redwingrill_routing::Listing),
+    Listing(Listing),
     Batch(redwingrill_routing::ChangeBatch),
 }
 
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -16,6 +16,7 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use redwingrill_routing::Revision;
 use redwingrill_scheduling::engine_model::PrefillCurve;
 use redwingrill_transport::Framing;
 
@@ -43,6 +44,7 @@
     store_listings: IntCounter,
     quarantine: IntCounterVec,
     view_revision: IntGauge,
+    store_era: IntGauge,
     open_connections: IntGauge,
     engine_model: GaugeVec,
     outdated_engines: IntGaugeVec,
@@ -93,6 +95,7 @@
                 &["event"],
             ),
             view_revision: gauge("redwingrill_beliefs_revision", "Revision of the beliefs"),
+            store_era: gauge("redwingrill_store_era", "Era of the store in the beliefs"),
             open_connections: gauge("redwingrill_open_connections", "Connections of callers"),
             engine_model: GaugeVec::new(
                 Opts::new("redwingrill_engine_model", "Learned times of a service's upstreams"),
@@ -157,8 +160,10 @@
     }
 
     /// Sets the revision of the cluster view.
-    pub fn view_revision(&self, revision: u64) {
-        self.inner.view_revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
+    pub fn view_revision(&self, revision: Revision) {
+        let as_gauge = |number: u64| i64::try_from(number).unwrap_or(i64::MAX);
+        self.inner.view_revision.set(as_gauge(revision.number()));
+        self.inner.store_era.set(as_gauge(revision.era().0));
     }
 
     /// Sets the number of open connections from callers.
@@ -195,7 +200,7 @@
 
 impl Inner {
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 13] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 14] = [
             Box::new(self.requests.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.first_event.clone()),
@@ -206,6 +211,7 @@
             Box::new(self.store_listings.clone()),
             Box::new(self.quarantine.clone()),
             Box::new(self.view_revision.clone()),
+            Box::new(self.store_era.clone()),
             Box::new(self.open_connections.clone()),
             Box::new(self.engine_model.clone()),
             Box::new(self.outdated_engines.clone()),
--- a/crates/gateway/tests/store_mirror.rs
+++ b/crates/gateway/tests/store_mirror.rs
@@ -7,22 +7,28 @@
 
 use redwingrill_gateway::store_sync::StoreMirror;
 use redwingrill_routing::Change;
+use redwingrill_routing::Era;
 use redwingrill_routing::Item;
 use redwingrill_routing::Listing;
 use redwingrill_routing::Revision;
 
-fn put(key: &str, revision: u64) -> Change {
-    let value = Bytes::from(format!("{key}@{revision}"));
-    Change::Put(Item { key: key.to_owned(), value, revision: Revision(revision) })
+/// A revision of the first era.
+fn revision(number: u64) -> Revision {
+    Revision::from_u64(number)
 }
 
-fn removed(key: &str, revision: u64) -> Change {
-    Change::Removed { key: key.to_owned(), revision: Revision(revision) }
+fn put(key: &str, number: u64) -> Change {
+    let value = Bytes::from(format!("{key}@{number}"));
+    Change::Put(Item { key: key.to_owned(), value, revision: revision(number) })
+}
+
+fn removed(key: &str, number: u64) -> Change {
+    Change::Removed { key: key.to_owned(), revision: revision(number) }
 }
 
 fn keys(mirror: &StoreMirror) -> Vec<(String, u64)> {
     let mut keys: Vec<_> =
-        mirror.items().map(|(key, revision, _)| (key.to_owned(), revision.0)).collect();
+        mirror.items().map(|(key, revision, _)| (key.to_owned(), revision.as_u64())).collect();
     keys.sort();
     keys
 }
@@ -31,15 +37,15 @@
 #[test]
 fn key_whose_removal_came_first_is_not_revived() {
     let mut peer = StoreMirror::default();
-    peer.apply_batch(vec![put("a", 100)], Revision(100));
-    peer.apply_batch(vec![removed("a", 150)], Revision(160));
+    peer.apply_batch(vec![put("a", 100)], revision(100));
+    peer.apply_batch(vec![removed("a", 150)], revision(160));
     let mut mirror = StoreMirror::default();
-    mirror.apply_batch(vec![put("b", 90)], Revision(90));
-    mirror.apply_update(peer.update_after(Revision(90)));
-    mirror.apply_batch(vec![put("a", 100)], Revision(120));
+    mirror.apply_batch(vec![put("b", 90)], revision(90));
+    mirror.apply_update(peer.update_after(revision(90)));
+    mirror.apply_batch(vec![put("a", 100)], revision(120));
     assert_eq!(keys(&mirror), [("b".to_owned(), 90)]);
     // A node that gets its updates from this one learns of the removal, too.
-    let update = mirror.update_after(Revision(120));
+    let update = mirror.update_after(revision(120));
     assert!(update.entries.iter().any(|(key, _, value)| key == "a" && value.is_none()));
     assert_eq!(mirror.verify(), Ok(()));
 }
@@ -61,24 +67,67 @@
 #[test]
 fn listing_removes_missing_keys_unless_they_are_newer() {
     let mut mirror = StoreMirror::default();
-    mirror.apply_batch(vec![put("a", 1), put("b", 2), put("c", 9)], Revision(9));
-    let item = Item { key: "a".to_owned(), value: Bytes::from("x"), revision: Revision(1) };
-    assert!(mirror.apply_listing(Listing { items: vec![item], complete_to: Revision(5) }));
+    mirror.apply_batch(vec![put("a", 1), put("b", 2), put("c", 9)], revision(9));
+    let item = Item { key: "a".to_owned(), value: Bytes::from("x"), revision: revision(1) };
+    assert!(mirror.apply_listing(Listing { items: vec![item], complete_to: revision(5) }));
     assert_eq!(keys(&mirror), [("a".to_owned(), 1), ("c".to_owned(), 9)]);
-    assert_eq!(mirror.complete_to(), Revision(9));
+    assert_eq!(mirror.complete_to(), revision(9));
 }
 
 #[test]
 fn update_for_a_peer_includes_removed_keys() {
     let (mut first, mut second) = (StoreMirror::default(), StoreMirror::default());
-    first.apply_batch(vec![put("a", 1), put("b", 2)], Revision(2));
-    assert!(second.apply_update(first.update_after(Revision(0))));
-    first.apply_batch(vec![removed("a", 3), put("c", 4)], Revision(4));
+    first.apply_batch(vec![put("a", 1), put("b", 2)], revision(2));
+    assert!(second.apply_update(first.update_after(revision(0))));
+    first.apply_batch(vec![removed("a", 3), put("c", 4)], revision(4));
     let update = first.update_after(second.complete_to());
     assert_eq!(update.entries.len(), 2);
     assert!(second.apply_update(update));
     assert_eq!(keys(&second), keys(&first));
-    assert_eq!(second.complete_to(), Revision(4));
+    assert_eq!(second.complete_to(), revision(4));
+}
+
+/// The store came back from a copy at revision 5, and gives out the revisions after it again.
+fn listing_of_next_era() -> Listing {
+    let of_next_era = |number| Revision::new(Era(1), number).expect("a small revision");
+    let item = |key: &str, number| Item {
+        key: key.to_owned(),
+        value: Bytes::from(format!("{key}@1:{number}")),
+        revision: of_next_era(number),
+    };
+    Listing { items: vec![item("a", 1), item("b", 6)], complete_to: of_next_era(6) }
+}
+
+fn mirror_of_first_era() -> StoreMirror {
+    let mut mirror = StoreMirror::default();
+    mirror.apply_batch(vec![put("a", 1), put("b", 7), put("c", 9)], revision(9));
+    mirror
+}
+
+#[test]
+fn restored_store_is_ignored_until_it_passes_the_lost_revisions() {
+    let mut mirror = mirror_of_first_era();
+    assert!(mirror.apply_listing(listing_of_next_era()));
+    let mut items: Vec<_> = mirror.items().map(|(_, _, value)| value.clone()).collect();
+    items.sort();
+    assert_eq!(items, ["a@1:1", "b@1:6"]);
+    assert_eq!(mirror.complete_to(), listing_of_next_era().complete_to);
+    mirror.verify().expect("the invariants hold");
+    // What was on its way from the first era has no effect.
+    assert!(!mirror.apply(put("d", 12)));
+    assert!(!mirror.apply_update(mirror_of_first_era().update_after(revision(0))));
+    mirror.verify().expect("the invariants hold");
+}
+
+#[test]
+fn peer_of_an_earlier_era_keeps_what_was_lost() {
+    let mut restored = mirror_of_first_era();
+    restored.apply_listing(listing_of_next_era());
+    let mut peer = mirror_of_first_era();
+    assert!(peer.apply_update(restored.update_after(peer.complete_to())));
+    assert_eq!(keys(&peer), keys(&restored));
+    assert_eq!(peer.complete_to(), restored.complete_to());
+    peer.verify().expect("the invariants hold");
 }
 
 /// Returns changes of four keys at increasing revisions.
@@ -95,7 +144,7 @@
     let mut items = HashMap::new();
     for change in changes {
         match change {
-            Change::Put(item) => items.insert(item.key.clone(), item.revision.0),
+            Change::Put(item) => items.insert(item.key.clone(), item.revision.as_u64()),
             Change::Removed { key, .. } => items.remove(key),
         };
     }
@@ -112,10 +161,10 @@
         let cut = cut % (changes.len() + 1);
         let mut peer = StoreMirror::default();
         let (early, late) = changes.split_at(cut);
-        peer.apply_batch(early.to_vec(), Revision(cut as u64));
+        peer.apply_batch(early.to_vec(), revision(cut as u64));
         let mut mirror = StoreMirror::default();
-        mirror.apply_update(peer.update_after(Revision(0)));
-        mirror.apply_batch(late.to_vec(), Revision(changes.len() as u64));
+        mirror.apply_update(peer.update_after(revision(0)));
+        mirror.apply_batch(late.to_vec(), revision(changes.len() as u64));
         for index in repeated {
             if let Some(change) = changes.get(index % changes.len().max(1)) {
                 mirror.apply(change.clone());
@@ -123,7 +172,7 @@
         }
         // A late update from the peer changes nothing.
         let before = mirror.complete_to();
-        mirror.apply_update(peer.update_after(Revision(0)));
+        mirror.apply_update(peer.update_after(revision(0)));
         keys(&mirror) == expected_items(&changes)
             && mirror.complete_to() == before
             && mirror.verify().is_ok()
--- a/crates/lab/tests/on_platform/site.rs
+++ b/crates/lab/tests/on_platform/site.rs
@@ -170,6 +170,7 @@
             gossip_address: Some(gossip),
             metrics_address: None,
             seeds,
+            upstream_lapse: Duration::from_secs(3),
             retry_budget: RetryBudgetSpec { ratio: 0.2, allowance: 54.0, window_ms: 10_000 },
             stale_version_limit: self.stale_version_limit,
             rollout_lease: self.rollout_lease,
--- a/crates/routing/src/store.rs
+++ b/crates/routing/src/store.rs
@@ -1,7 +1,7 @@
 //! The port to the platform's key-value store.
 //!
-//! One revision counter covers all changes of the store, so a batch of changes states up to which
-//! revision the receiver is complete.
+//! One revision counter covers all changes of an era of the store, so a batch of changes states up
+//! to which revision the receiver is complete.
 
 use std::future::Future;
 use std::time::Duration;
@@ -9,9 +9,7 @@
 use bytes::Bytes;
 use snafu::Snafu;
 
-/// A revision of the whole store.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Default)]
-pub struct Revision(pub u64);
+use crate::Revision;
 
 /// The identifier of a lease.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
@@ -75,7 +73,7 @@
 pub struct Condition {
     /// The key.
     pub key: String,
-    /// The revision of its last write; zero if the key must not exist.
+    /// The revision of its last write; [`Revision::ABSENT`] if the key must not exist.
     pub revision: Revision,
 }
 
@@ -128,8 +126,9 @@
         /// The cause, for logs.
         reason: String,
     },
-    /// The changes after the revision have been discarded.
-    #[snafu(display("changes after the revision were discarded"))]
+    /// The changes after the revision are not to be had: they have been discarded, or the store
+    /// came back from a copy without the revision.
+    #[snafu(display("changes after the revision are not available"))]
     HistoryDropped,
 }
 
@@ -142,7 +141,7 @@
     /// Lists all items whose key begins with `prefix`.
     fn list(&self, prefix: &str) -> impl Future<Output = Result<Listing, SharedStoreError>> + Send;
 
-    /// Waits up to `wait` for changes after a revision.
+    /// Waits up to `wait` for changes after a revision of the same era.
     fn changes(
         &self,
         prefix: &str,
