Let no lease outlast the era in which it was granted

What would break: after the store came back from a copy, a node renewed a lease that the copy does not have and whose identifier had been given to another node since. The answer is 200: the node believes in a lease that it does not hold, keeps that of the other alive, and ends it with its own.

Change: a lease carries its era.

What remains: a call that is under way as the store comes back may reach the lease of another node once, as the store cannot be told the era of a call.

--- a/crates/routing/src/store.rs
+++ b/crates/routing/src/store.rs
@@ -9,11 +9,18 @@
 use bytes::Bytes;
 use snafu::Snafu;
 
+use crate::Era;
 use crate::Revision;
 
-/// The identifier of a lease.
+/// The identifier of a lease, unique within an era. A lease does not outlast its era: what a copy
+/// says of it may be older than its last renewal or its end.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
-pub struct LeaseId(pub u64);
+pub struct LeaseId {
+    /// The era in which the lease was granted.
+    pub era: Era,
+    /// The store's number for the lease.
+    pub number: u64,
+}
 
 /// A key with its value.
 #[derive(Clone, PartialEq, Eq, Debug)]
