Write the member entry again as soon as the store is restored

What would break: a node whose entry the restored store had lost was unknown to all others until its next renewal, 6 s at most. Meanwhile the others had larger parts of the bound on retries, and sent it neither load digests nor changes of the store.

Change: the task follows the era of the node's view and registers anew when it rises, after a random delay, as all nodes of a fleet do so at once.

--- a/crates/gateway/src/node/lifecycle.rs
+++ b/crates/gateway/src/node/lifecycle.rs
@@ -166,8 +166,13 @@
                 failure_domain: options.failure_domain.clone(),
                 link_mbps: options.link_mbps,
             };
-            let membership =
-                maintain_membership(ports.store.clone(), key, member, stopping.clone());
+            let membership = maintain_membership(
+                ports.store.clone(),
+                key,
+                member,
+                view.clone(),
+                stopping.clone(),
+            );
             services.spawn(membership);
         }
         let (node, control) = (options.name.clone(), ports.control.clone());
--- a/crates/gateway/src/node/membership.rs
+++ b/crates/gateway/src/node/membership.rs
@@ -1,13 +1,20 @@
 //! Maintains the node's member entry in the store, under a lease.
+//!
+//! A store that comes back from an older copy may have lost the entry, or its lease, so the entry
+//! is written again as soon as the node follows the new era.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use log::info;
 use log::warn;
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+use crate::cluster_view::ClusterView;
 use crate::cluster_view::Member;
+use redwingrill_routing::Era;
 use redwingrill_routing::LeaseId;
 use redwingrill_routing::SharedStore;
 use redwingrill_routing::SharedStoreError;
@@ -23,11 +30,15 @@
 /// The delay after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(1_500);
 
+/// The longest delay after a change of the era, so that a large fleet does not write all at once.
+const ERA_DELAY_MS: u64 = 600;
+
 /// Maintains the entry until `stopping` is cancelled, then removes it.
 pub(super) async fn maintain_membership<S: SharedStore>(
     store: S,
     key: String,
     member: Member,
+    mut view: watch::Receiver<Arc<ClusterView>>,
     stopping: CancellationToken,
 ) {
     let mut current_lease: Option<LeaseId> = None;
@@ -39,9 +50,15 @@
                 RETRY_DELAY
             }
         };
+        let lease_era = current_lease.map(|lease| lease.era);
         tokio::select! {
             () = stopping.cancelled() => break,
             () = tokio::time::sleep(delay) => {}
+            () = era_after(&mut view, lease_era) => {
+                current_lease = None;
+                let delay_ms = rand::random_range(0..ERA_DELAY_MS);
+                tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+            }
         }
     }
     if let Some(lease) = current_lease
@@ -51,6 +68,15 @@
     }
 }
 
+/// Waits until the node follows a later era of the store; forever if there is none to compare with.
+async fn era_after(view: &mut watch::Receiver<Arc<ClusterView>>, lease_era: Option<Era>) {
+    let Some(lease_era) = lease_era else { return std::future::pending().await };
+    let is_later = |view: &Arc<ClusterView>| view.complete_to.era() > lease_era;
+    if view.wait_for(is_later).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
 async fn renew_or_register<S: SharedStore>(
     store: &S,
     key: &str,
