Let a leader that a copy names wait for who may have led since

What would break: after the store came back from a copy, an instance found its own earlier record as leader and commanded engines at once, though another instance had led in the part that was lost and may have sent its last command just before: two holders within a lease.

A record of the own instance proved that no other one had led since, which holds within an era only. The holder of the key, too, went on with a key and a lease of the lost history.

Change: the record names the era in which it was written, a leader gives up as its node follows a later era, and a record of an earlier one is taken over like that of another instance, with a wait. A key that is read back in another era than its lease is not held.

--- a/crates/gateway/src/cluster_view/node_items.rs
+++ b/crates/gateway/src/cluster_view/node_items.rs
@@ -46,6 +46,10 @@
     /// Distinguishes successive leaderships of the same node.
     #[serde(rename = "tenure")]
     pub leadership_id: u64,
+    /// The era of the store in which the record was written. A record of an earlier era comes from
+    /// a copy, and another instance may have led since.
+    #[serde(default)]
+    pub era: u64,
     /// Whether the instance has waited for its predecessor and sends commands.
     #[serde(default)]
     pub has_commanded: bool,
--- a/crates/gateway/src/rollout/leader_key.rs
+++ b/crates/gateway/src/rollout/leader_key.rs
@@ -34,6 +34,7 @@
     ttl: Duration,
 ) -> Result<Option<LeaderKey>, SharedStoreError> {
     let lease = store.grant(ttl).await?.id;
+    let record = &RolloutLeader { era: lease.era.0, ..record.clone() };
     let written = write(store, key, record, replaced, lease).await;
     let revision = match written {
         Ok(WriteOutcome::Done(revision)) => revision,
@@ -43,7 +44,9 @@
         }
         Err(SharedStoreError::AnswerLost { reason }) => {
             match read_back(store, key, record).await? {
-                Some(revision) => revision,
+                // A record of another era is under no lease.
+                Some(revision) if revision.era() == lease.era => revision,
+                Some(_) => return Ok(None),
                 // The write may still take effect later; the expiry of its lease removes the key.
                 None => return Err(SharedStoreError::AnswerLost { reason }),
             }
@@ -72,6 +75,7 @@
         key: &str,
         record: &RolloutLeader,
     ) -> Result<bool, SharedStoreError> {
+        let record = &RolloutLeader { era: self.lease.era.0, ..record.clone() };
         if self.written == *record {
             return Ok(true);
         }
@@ -90,6 +94,9 @@
             }
             Err(error) => return Err(error),
         };
+        if revision.era() != self.lease.era {
+            return Ok(false);
+        }
         self.revision = revision;
         self.written = record.clone();
         Ok(true)
--- a/crates/gateway/src/rollout/task.rs
+++ b/crates/gateway/src/rollout/task.rs
@@ -20,6 +20,7 @@
 use crate::cluster_view::RolloutLeader;
 use crate::dispatch::Dispatcher;
 use redwingrill_routing::ControlError;
+use redwingrill_routing::Era;
 use redwingrill_routing::ItemCodec;
 use redwingrill_routing::Revision;
 use redwingrill_routing::SharedStore;
@@ -67,6 +68,8 @@
     dispatcher: Dispatcher,
     leadership: Leadership,
     leadership_id: u64,
+    // The era of the last view.
+    era: Era,
     leader_key: Option<LeaderKey>,
     renewed_ms: u64,
     paused_until_ms: u64,
@@ -96,6 +99,7 @@
             dispatcher,
             leadership: Leadership::new(lease_ms, now_ms()),
             leadership_id: rand::random(),
+            era: Era::default(),
             leader_key: None,
             renewed_ms: 0,
             paused_until_ms: 0,
@@ -127,6 +131,7 @@
 
     async fn step(&mut self, view: &ClusterView, has_work: bool) {
         let now = now_ms();
+        self.observe_era(view, now);
         let holder = self.key_holder(view);
         if let (KeyHolder::OtherInstance, Some(leader)) = (holder, &view.rollout_leader) {
             if self.leader_key.take().is_some() {
@@ -153,6 +158,19 @@
         }
     }
 
+    /// Gives the leadership up when the store came back from an older copy: the key and its lease
+    /// are lost, or older than what this instance and others have done since.
+    fn observe_era(&mut self, view: &ClusterView, now: u64) {
+        let era = view.complete_to.era();
+        if std::mem::replace(&mut self.era, era) >= era {
+            return;
+        }
+        if self.leader_key.take().is_some() {
+            warn!("event=rollout_lost reason=store_restored era={era}");
+        }
+        self.leadership.lost(now);
+    }
+
     fn key_holder(&self, view: &ClusterView) -> KeyHolder {
         match &view.rollout_leader {
             None => KeyHolder::Nobody,
@@ -194,9 +212,9 @@
         let sent_ms = now_ms();
         self.leadership_id = self.leadership_id.wrapping_add(1);
         let mut record = self.record(Vec::new());
-        if let Some((replaced, _)) = &replaced {
+        if let Some((replaced, revision)) = &replaced {
             record.loading = replaced.loading.clone();
-            record.has_commanded = replaced.has_commanded;
+            record.has_commanded = replaced.has_commanded && Era(replaced.era) == revision.era();
         }
         let revision = replaced.as_ref().map_or(Revision::ABSENT, |(_, revision)| *revision);
         match claim(&self.store, &self.key, &record, revision, self.options.lease).await? {
@@ -405,6 +423,8 @@
             name: self.options.node.clone(),
             instance: self.options.instance,
             leadership_id: self.leadership_id,
+            // The key's holder sets it to that of the lease.
+            era: 0,
             has_commanded: !loading.is_empty(),
             loading,
         }
--- a/crates/lab/tests/on_platform/restored.rs
+++ b/crates/lab/tests/on_platform/restored.rs
@@ -230,3 +230,27 @@
     assert_eq!(changes, Err(SharedStoreError::HistoryDropped));
     server.stop().await;
 }
+
+/// The copy names this instance as the leader; another one may have led since.
+#[tokio::test]
+async fn leader_in_the_copy_does_not_wait_for_who_led_since() {
+    const LEASE: Duration = Duration::from_secs(3);
+    let mut site = Site::start(2, 0).await;
+    site.rollout_lease = LEASE;
+    let node = site.node("n1").await;
+    let leader = json!({"name": "n1", "instance": node.peers, "tenure": 1, "has_commanded": true,
+        "loading": []});
+    site.store.state.put("redwingrill/rollout/holder", leader.to_string());
+    let copy = site.store.state.copy();
+    site.store.state.remove("redwingrill/rollout/holder");
+    sleep(Duration::from_millis(400)).await;
+    restore(&site, &copy).await;
+    let restored = Instant::now();
+    site.store.state.put("op/version/m", json!({"model": "m", "version": 2}).to_string());
+    while site.engines.iter().all(|engine| engine.orders().is_empty()) {
+        assert!(restored.elapsed() < 3 * LEASE, "no command");
+        sleep(Duration::from_millis(20)).await;
+    }
+    assert!(restored.elapsed() >= LEASE, "{:?}", restored.elapsed());
+    site.stop(vec![node]).await;
+}
