Count grace records of the store's present era only

What would break: requests on expired weights (VERSION) at a node that starts after the store came back from a copy. The copy still holds the grace record of a version whose lease had ended, and gives the lease its time again, so the node takes the version for young. The other way, a record that the copy lacks was not written again, and a starting node refused work that could be served.

Evidence: grace_record_in_the_copy_revives_expired_weights (200 for a request 3 s after its weights had expired) and grace_record_in_the_copy_keeps_it_from_being_written_again, both red before.

Change: a record names the era in which it was written and counts in that era only. The nodes that saw the publication remember it for as long as the record lasts, and write it again with the rest of the time once the era rises, in place of one from the copy.

What remains: records of nodes with an older build name no era; while both run on a store that has been restored, a starting node treats older weights as expired.

--- a/crates/gateway/src/cluster_view/builder.rs
+++ b/crates/gateway/src/cluster_view/builder.rs
@@ -327,6 +327,7 @@
         view.rollout_leader = decode::<RolloutLeader>(node_key, value);
     } else if node_key.starts_with(GRACE_PREFIX)
         && let Some(item) = decode::<GraceItem>(node_key, value)
+        && Era(item.era) == view.complete_to.era()
     {
         view.grace_records.entry(item.model.clone()).or_default().push((&item).into());
     } else if let Some(part) = node_key.strip_prefix(QUARANTINE_PREFIX) {
--- a/crates/gateway/src/cluster_view/node_items.rs
+++ b/crates/gateway/src/cluster_view/node_items.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use redwingrill_routing::Era;
 use redwingrill_routing::WeightsVersion;
 use redwingrill_scheduling::weights::GraceRecord;
 
@@ -60,6 +61,10 @@
 /// A grace record as it lies in the store.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct GraceItem {
+    /// The era of the store in which the record was written. One of an earlier era comes from a
+    /// copy: its lease may have ended before, and does not tell the age of the version.
+    #[serde(default)]
+    pub era: u64,
     /// The model.
     pub model: String,
     /// The target version before.
@@ -70,9 +75,9 @@
 
 impl GraceItem {
     /// Creates the item of a model's record.
-    pub fn new(model: &str, record: GraceRecord) -> Self {
+    pub fn new(model: &str, record: GraceRecord, era: Era) -> Self {
         let (previous, version) = (record.previous.0, record.version.0);
-        Self { model: model.to_owned(), previous, version }
+        Self { era: era.0, model: model.to_owned(), previous, version }
     }
 }
 
--- a/crates/gateway/src/rollout/grace_task.rs
+++ b/crates/gateway/src/rollout/grace_task.rs
@@ -17,6 +17,8 @@
 use crate::cluster_view::GRACE_PREFIX;
 use crate::cluster_view::GraceItem;
 use redwingrill_routing::Condition;
+use redwingrill_routing::Era;
+use redwingrill_routing::Item;
 use redwingrill_routing::ItemCodec;
 use redwingrill_routing::Revision;
 use redwingrill_routing::SharedStore;
@@ -37,6 +39,8 @@
     key_prefix: String,
     view: watch::Receiver<Arc<ClusterView>>,
     recorder: GraceRecorder,
+    // The era of the last view.
+    era: Era,
     // The target versions of the last view.
     known_versions: HashMap<String, WeightsVersion>,
 }
@@ -56,6 +60,7 @@
             key_prefix: codec.own_key(GRACE_PREFIX),
             view,
             recorder: GraceRecorder::new(limit.as_millis() as u64),
+            era: Era::default(),
             known_versions: HashMap::new(),
         }
     }
@@ -82,6 +87,11 @@
     }
 
     fn observe(&mut self, view: &ClusterView) {
+        let era = view.complete_to.era();
+        if self.era < era {
+            self.era = era;
+            self.recorder.store_restored();
+        }
         for (model, target) in &view.target_versions {
             let known = self.known_versions.entry(model.clone()).or_default();
             if *known < target.version {
@@ -93,7 +103,7 @@
             }
         }
         for (model, records) in &view.grace_records {
-            records.iter().for_each(|record| self.recorder.remove(model, record.version));
+            records.iter().for_each(|record| self.recorder.recorded(model, record.version));
         }
     }
 
@@ -105,9 +115,9 @@
                     "event=grace_recorded model={model} version={} lease_ms={}",
                     version.0, pending.lease_ms
                 );
-                self.recorder.remove(model, version);
+                self.recorder.recorded(model, version);
             }
-            Ok(WriteOutcome::Conflict(_)) => self.recorder.remove(model, version),
+            Ok(WriteOutcome::Conflict(_)) => self.recorder.recorded(model, version),
             Ok(WriteOutcome::NoLease) => {
                 warn!("event=grace_record_failed model={model} reason=lease_ended");
                 self.recorder.delay(model, version, now_ms());
@@ -121,19 +131,30 @@
 
     async fn write(&self, pending: &PendingRecord) -> Result<WriteOutcome, SharedStoreError> {
         let lease = self.store.grant(Duration::from_millis(pending.lease_ms)).await?.id;
-        let item = GraceItem::new(&pending.model, pending.record);
+        let item = GraceItem::new(&pending.model, pending.record, lease.era);
         let value = serde_json::to_vec(&item).expect("a grace item always serializes to JSON");
         let key = format!("{}{}/{}", self.key_prefix, item.model, item.version);
-        let write = Write {
-            conditions: vec![Condition { key: key.clone(), revision: Revision::ABSENT }],
-            key,
-            value: Bytes::from(value),
+        let write = |replaced| Write {
+            conditions: vec![Condition { key: key.clone(), revision: replaced }],
+            key: key.clone(),
+            value: Bytes::from(value.clone()),
             lease: Some(lease),
         };
-        let outcome = self.store.write(write).await?;
+        let mut outcome = self.store.write(write(Revision::ABSENT)).await?;
+        if let WriteOutcome::Conflict(items) = &outcome
+            && let Some(outdated) = items.iter().find(|item| is_of_earlier_era(item, lease.era))
+        {
+            outcome = self.store.write(write(outdated.revision)).await?;
+        }
         if !matches!(outcome, WriteOutcome::Done(_)) {
             self.store.revoke(lease).await?;
         }
         Ok(outcome)
     }
 }
+
+/// Returns whether a record was written before the store came back from a copy.
+fn is_of_earlier_era(item: &Item, era: Era) -> bool {
+    let record: Option<GraceItem> = serde_json::from_slice(&item.value).ok();
+    record.is_some_and(|record| Era(record.era) < era)
+}
--- a/crates/lab/tests/on_platform/restored.rs
+++ b/crates/lab/tests/on_platform/restored.rs
@@ -254,3 +254,51 @@
     assert!(restored.elapsed() >= LEASE, "{:?}", restored.elapsed());
     site.stop(vec![node]).await;
 }
+
+/// The copy holds a grace record whose lease had ended since.
+#[tokio::test]
+async fn grace_record_in_the_copy_revives_expired_weights() {
+    const LIMIT: Duration = Duration::from_secs(3);
+    let mut site = Site::start(1, 0).await;
+    site.stale_version_limit = LIMIT;
+    // Another instance leads and loads nothing.
+    let leader = json!({"name": "n0", "tenure": 1, "loading": []});
+    site.store.state.put("redwingrill/rollout/holder", leader.to_string());
+    let first = site.node("n1").await;
+    site.store.state.put("op/version/m", json!({"model": "m", "version": 2}).to_string());
+    let published = Instant::now();
+    let record = "redwingrill/grace/m/2";
+    site.wait("the record", async || site.store.state.get(record).is_some()).await;
+    let copy = site.store.state.copy();
+    sleep(LIMIT.saturating_sub(published.elapsed())).await;
+    assert!(site.store.state.get(record).is_none(), "its lease has ended");
+    first.node.drain().await.finish().await;
+    restore(&site, &copy).await;
+    assert!(site.store.state.get(record).is_some(), "the copy has it");
+    let restarted = site.node("n1").await;
+    let answer = site.ask(&restarted, &Call::new("draft", "r1")).await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(site.engines[0].runs(), 0);
+    site.stop(vec![restarted]).await;
+}
+
+/// A record of an earlier era does not count, so that of the new era takes its place.
+#[tokio::test]
+async fn grace_record_in_the_copy_keeps_it_from_being_written_again() {
+    let site = Site::start(1, 0).await;
+    let leader = json!({"name": "n0", "tenure": 1, "loading": []});
+    site.store.state.put("redwingrill/rollout/holder", leader.to_string());
+    let node = site.node("n1").await;
+    site.store.state.put("op/version/m", json!({"model": "m", "version": 2}).to_string());
+    let record = "redwingrill/grace/m/2";
+    site.wait("the record", async || site.store.state.get(record).is_some()).await;
+    let copy = site.store.state.copy();
+    restore(&site, &copy).await;
+    site.wait("the record of the new era", async || {
+        let value = site.store.state.get(record).unwrap_or_default();
+        let item: serde_json::Value = serde_json::from_slice(&value).unwrap_or_default();
+        item["era"] == 1
+    })
+    .await;
+    site.stop(vec![node]).await;
+}
--- a/crates/scheduling/src/weights/recorder.rs
+++ b/crates/scheduling/src/weights/recorder.rs
@@ -24,24 +24,25 @@
 }
 
 #[derive(Clone, Debug)]
-struct Unrecorded {
+struct Published {
     model: String,
     record: GraceRecord,
     published_ms: u64,
     paused_until_ms: u64,
+    is_recorded: bool,
 }
 
-/// The versions that this node saw published and that may lack a record.
+/// The versions that this node saw published, while their records last.
 #[derive(Clone, Debug)]
 pub struct GraceRecorder {
     limit_ms: u64,
-    unrecorded: Vec<Unrecorded>,
+    published: Vec<Published>,
 }
 
 impl GraceRecorder {
     /// Creates a recorder; older weights may be used for `limit_ms`.
     pub fn new(limit_ms: u64) -> Self {
-        Self { limit_ms, unrecorded: Vec::new() }
+        Self { limit_ms, published: Vec::new() }
     }
 
     /// Adds a version that is published now; `previous` is the target version before.
@@ -54,17 +55,32 @@
     ) {
         let (model, record) = (model.to_owned(), GraceRecord { previous, version });
         let (published_ms, paused_until_ms) = (now_ms, 0);
-        self.unrecorded.push(Unrecorded { model, record, published_ms, paused_until_ms });
+        let is_recorded = false;
+        self.published.push(Published {
+            model,
+            record,
+            published_ms,
+            paused_until_ms,
+            is_recorded,
+        });
+    }
+
+    /// Notes that the record of a version exists.
+    pub fn recorded(&mut self, model: &str, version: WeightsVersion) {
+        let recorded = self.published.iter_mut();
+        recorded
+            .filter(|entry| entry.model == model && entry.record.version == version)
+            .for_each(|entry| entry.is_recorded = true);
     }
 
-    /// Removes a version, whose record exists.
-    pub fn remove(&mut self, model: &str, version: WeightsVersion) {
-        self.unrecorded.retain(|entry| entry.model != model || entry.record.version != version);
+    /// Notes that the store came back from an older copy: no record counts any more.
+    pub fn store_restored(&mut self) {
+        self.published.iter_mut().for_each(|entry| entry.is_recorded = false);
     }
 
     /// Delays the next write of a record after a failure.
     pub fn delay(&mut self, model: &str, version: WeightsVersion, now_ms: u64) {
-        let failed = self.unrecorded.iter_mut();
+        let failed = self.published.iter_mut();
         failed
             .filter(|entry| entry.model == model && entry.record.version == version)
             .for_each(|entry| entry.paused_until_ms = now_ms + RETRY_MS);
@@ -72,16 +88,18 @@
 
     /// Returns whether any version lacks a record.
     pub fn has_work(&self) -> bool {
-        !self.unrecorded.is_empty()
+        self.published.iter().any(|entry| !entry.is_recorded)
     }
 
     /// Returns the next record to write, for a node with this position in the order of turns.
     pub fn next(&mut self, rank: usize, now_ms: u64) -> Option<PendingRecord> {
         let lease_ms = record_lease_ms(self.limit_ms);
-        self.unrecorded.retain(|entry| now_ms < entry.published_ms + lease_ms);
+        self.published.retain(|entry| now_ms < entry.published_ms + lease_ms);
         let turn_ms = rank as u64 * TURN_MS;
-        let mut due = self.unrecorded.iter().filter(|entry| {
-            now_ms >= entry.published_ms + turn_ms && now_ms >= entry.paused_until_ms
+        let mut due = self.published.iter().filter(|entry| {
+            !entry.is_recorded
+                && now_ms >= entry.published_ms + turn_ms
+                && now_ms >= entry.paused_until_ms
         });
         due.next().map(|entry| PendingRecord {
             model: entry.model.clone(),
--- a/crates/scheduling/tests/weights_rollout.rs
+++ b/crates/scheduling/tests/weights_rollout.rs
@@ -200,8 +200,14 @@
     recorder.delay(MODEL, WeightsVersion(2), START_MS + 800);
     assert_eq!(recorder.next(2, START_MS + 900), None);
     assert!(recorder.next(2, START_MS + 1_300).is_some());
-    recorder.remove(MODEL, WeightsVersion(2));
+    recorder.recorded(MODEL, WeightsVersion(2));
     assert!(!recorder.has_work());
+    assert_eq!(recorder.next(2, START_MS + 1_400), None);
+    // A store that comes back from a copy has lost the record; its lease ends when it would have.
+    recorder.store_restored();
+    let again = recorder.next(2, START_MS + 1_400).expect("the record is lost");
+    assert_eq!((again.record, again.lease_ms), (pending.record, record_lease_ms(LIMIT_MS) - 1_400));
+    recorder.recorded(MODEL, WeightsVersion(2));
     // A record that would be as old as its lease is not written.
     recorder.observe(MODEL, WeightsVersion(2), WeightsVersion(3), START_MS);
     assert_eq!(recorder.next(0, START_MS + record_lease_ms(LIMIT_MS)), None);
