Do not list a store without history in a loop

What would break: a store that answers each watch with 410 was listed without a pause, 7,910 calls in 2 s by one node (its rate limit is shared by all nodes).

Cause: a listing after 410 is right once. Nothing told a second one, after which no change had come, from the first.

Evidence: store_without_history_is_listed_in_a_loop, red before with the 7,910 calls; under 100 now, and a change is still in force in time.

Change: a gap right after a listing waits for the delay of a failed call. The lab's store can keep no history, and the soak draws it.

--- a/crates/gateway/src/store_sync/task.rs
+++ b/crates/gateway/src/store_sync/task.rs
@@ -194,6 +194,8 @@
     /// Runs until `stopping` is cancelled.
     pub async fn run(mut self, stopping: CancellationToken) {
         let mut must_list = true;
+        // Whether nothing but a listing has succeeded since the last gap.
+        let mut was_listed = false;
         while !stopping.is_cancelled() {
             let source = match must_list {
                 true => Source::Store,
@@ -217,12 +219,14 @@
             match result {
                 Ok(Fetched::Listing(listing)) => {
                     must_list = false;
+                    was_listed = true;
                     self.contact_restored();
                     let is_recent = self.continuity.record_contact(now_ms());
                     self.apply_listing(listing);
                     self.publish(is_recent);
                 }
                 Ok(Fetched::Batch(batch)) => {
+                    was_listed = false;
                     self.contact_restored();
                     let is_recent = self.continuity.record_contact(now_ms());
                     let changed = self.mirror.apply_batch(batch.changes, batch.complete_to);
@@ -234,11 +238,14 @@
                 Err(SharedStoreError::HistoryDropped) => {
                     info!("event=store_history_dropped complete_to={after}");
                     must_list = true;
+                    // A store that drops its history at once is not listed in a loop.
+                    if std::mem::replace(&mut was_listed, false) {
+                        self.serve_while(sleep(retry_delay()), &stopping).await;
+                    }
                 }
                 Err(error) => {
                     self.contact_lost(&error);
-                    let delay = RETRY_DELAY.mul_f64(rand::rng().random_range(0.6..1.4));
-                    self.serve_while(sleep(delay), &stopping).await;
+                    self.serve_while(sleep(retry_delay()), &stopping).await;
                 }
             }
         }
@@ -483,6 +490,10 @@
     }
 }
 
+fn retry_delay() -> Duration {
+    RETRY_DELAY.mul_f64(rand::rng().random_range(0.6..1.4))
+}
+
 enum Fetched {
     Listing(Listing),
     Batch(redwingrill_routing::ChangeBatch),
--- a/crates/lab/src/metadata_store/http.rs
+++ b/crates/lab/src/metadata_store/http.rs
@@ -117,7 +117,7 @@
             StoreFault::Silent => {
                 std::future::pending::<()>().await;
             }
-            StoreFault::None | StoreFault::LosesAnswers => {}
+            StoreFault::None | StoreFault::LosesAnswers | StoreFault::KeepsNoHistory => {}
         }
         let mut reply = self.answer(request).await;
         let era = self.state.lock().era;
@@ -193,7 +193,8 @@
             let changed = self.state.changed.notified();
             let (reply, next_lease_end) = {
                 let inner = self.state.lock();
-                if after < inner.history_from || after > inner.rev {
+                let is_dropped = inner.fault == StoreFault::KeepsNoHistory;
+                if is_dropped || after < inner.history_from || after > inner.rev {
                     return status_reply(StatusCode::GONE);
                 }
                 // The revision is that of the events: a lease may end between two locks.
--- a/crates/lab/src/metadata_store/state.rs
+++ b/crates/lab/src/metadata_store/state.rs
@@ -21,6 +21,8 @@
     Silent,
     /// It does what is asked and does not answer.
     LosesAnswers,
+    /// It keeps no history: each watch gets 410.
+    KeepsNoHistory,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -68,7 +68,12 @@
 fn draw_fault(rng: &mut SmallRng, nodes: usize, upstreams: usize) -> Fault {
     const LINKS: [LinkState; 4] =
         [LinkState::Slow, LinkState::Silent, LinkState::SilentBack, LinkState::Resets];
-    const STORE: [StoreFault; 3] = [StoreFault::Busy, StoreFault::Silent, StoreFault::LosesAnswers];
+    const STORE: [StoreFault; 4] = [
+        StoreFault::Busy,
+        StoreFault::Silent,
+        StoreFault::LosesAnswers,
+        StoreFault::KeepsNoHistory,
+    ];
     const BEHAVIOURS: [Behaviour; 13] = [
         Behaviour::Sheds,
         Behaviour::IsAnother,
--- a/crates/lab/tests/on_platform/news.rs
+++ b/crates/lab/tests/on_platform/news.rs
@@ -186,3 +186,20 @@
         site.stop(vec![first, second]).await;
     }
 }
+
+/// A store that never has the changes that a node asks for.
+#[tokio::test]
+async fn store_without_history_is_listed_in_a_loop() {
+    let site = Site::start(0, 1).await;
+    let node = site.node("n1").await;
+    site.store.state.set_fault(StoreFault::KeepsNoHistory);
+    let before = site.store.state.calls();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let calls = site.store.state.calls() - before;
+    assert!(calls < 100, "{calls} calls in 2 s");
+    site.store.state.put("op/config", configuration(2, &[KEY], &[added_route()]));
+    let added = Call::new("added", "r1");
+    site.wait("the added route", async || site.ask(&node, &added).await.status == StatusCode::OK)
+        .await;
+    site.stop(vec![node]).await;
+}
