Give no changes to peers whose revisions have no era

What would break: while builds are replaced one after the other, a node of the older build took a revision with an era from a peer for one far ahead of the store.

Cause: revisions with an era look like large numbers of the older form in the messages between nodes.

Change: nodes ask each other by a call of its own. The call of older builds is answered with nothing, upon which they turn to the store, as they do for a peer that has lost it; the call of this build does not decode at an older one, with the same effect.

Evidence: read, not run. No test starts two builds.

--- a/crates/gateway/src/peers/server.rs
+++ b/crates/gateway/src/peers/server.rs
@@ -39,7 +39,11 @@
 }
 
 impl StoreUpdates for UpdateService {
-    async fn update_after(
+    async fn update_after(self, _: Context, _: u64, _: u64) -> Option<StoreUpdateResponse> {
+        None
+    }
+
+    async fn changes_after(
         self,
         _: Context,
         revision: u64,
--- a/crates/gateway/src/peers/service.rs
+++ b/crates/gateway/src/peers/service.rs
@@ -34,8 +34,12 @@
 /// The calls between nodes.
 #[tarpc::service]
 pub(super) trait StoreUpdates {
-    /// Returns the changes after a revision, and waits up to `wait_ms` for one.
+    /// The call of builds whose revisions have no era. It is answered with nothing, as they would
+    /// take a revision with an era for one that the store has not reached.
     async fn update_after(revision: u64, wait_ms: u64) -> Option<StoreUpdateResponse>;
+
+    /// Returns the changes after a revision, and waits up to `wait_ms` for one.
+    async fn changes_after(revision: u64, wait_ms: u64) -> Option<StoreUpdateResponse>;
 }
 
 /// Returns the frame codec of a connection.
