Let the soak's store come back from a copy, and check what is in force

The soak copies its store twice a second and draws a fault in which the store is silent and comes back from a copy up to 6 s older; 300 ms later the operator and the engines write again what it lost.

--- a/crates/lab/src/soak/callers.rs
+++ b/crates/lab/src/soak/callers.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::StatusCode;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -98,6 +99,19 @@
     })
 }
 
+/// Returns whether a node knows a route. The request has no key, so no upstream gets it.
+pub(super) async fn knows_route(pool: &Pool, node: SocketAddr, route: &str) -> Option<bool> {
+    let timeouts = Timeouts { connect: CONNECT, head: DEADLINE };
+    let request = request(route, "probe", DEADLINE, None, false).body(Bytes::new());
+    let request = request.expect("a request");
+    let reply = pool.send(node, request, Freshness::New, &timeouts).await.ok()?;
+    match reply.status() {
+        StatusCode::UNAUTHORIZED => Some(true),
+        StatusCode::NOT_FOUND => Some(false),
+        _ => None,
+    }
+}
+
 /// Returns the path and query of a kind.
 pub fn target(kind: Kind) -> String {
     format!("/{}/2f?q=1", kind.route())
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -15,6 +15,9 @@
 const SPAN_MS: std::ops::Range<u64> = 1_000..9_000;
 const LASTS_MS: std::ops::Range<u64> = 200..3_000;
 
+/// How old a copy is from which the store comes back.
+const COPY_AGE_MS: std::ops::Range<u64> = 0..6_000;
+
 /// The fewest and the most faults of a run.
 const FAULTS: std::ops::Range<usize> = 3..10;
 
@@ -33,6 +36,13 @@
     Store(StoreFault, Duration),
     /// The store forgets its history.
     Forgets,
+    /// The store goes away and comes back from a copy that is so old.
+    Restored {
+        /// The age of the copy as the store goes away.
+        copy_age: Duration,
+        /// How long it is away.
+        away: Duration,
+    },
     /// An upstream misbehaves.
     Upstream(usize, Behaviour, Duration),
     /// An upstream is emptied and taken off the list, and comes back.
@@ -95,7 +105,8 @@
     let link = *LINKS.choose(rng).expect("links can fail");
     let fault = *STORE.choose(rng).expect("the store can fail");
     let behaviour = *BEHAVIOURS.choose(rng).expect("upstreams can misbehave");
-    match rng.random_range(0..10) {
+    let copy_age = Duration::from_millis(rng.random_range(COPY_AGE_MS));
+    match rng.random_range(0..11) {
         0 => Fault::Kill(node),
         1 => Fault::Stop(node),
         2 => Fault::Pause(node, lasts),
@@ -105,6 +116,7 @@
         6 => Fault::Leaves(upstream, lasts),
         7 => Fault::Configure,
         8 => Fault::NewWeights,
+        9 => Fault::Restored { copy_age, away: lasts },
         _ => Fault::Upstream(upstream, behaviour, lasts),
     }
 }
--- a/crates/lab/src/soak/run.rs
+++ b/crates/lab/src/soak/run.rs
@@ -24,12 +24,15 @@
 use super::callers::Asked;
 use super::callers::ask;
 use super::callers::keep_asking;
+use super::callers::knows_route;
 use super::check::check;
 use super::link::LinkState;
 use super::node::SoakNode;
 use super::site::Kind;
 use super::site::configuration_of;
+use super::site::version_route;
 use crate::metadata_store::MetadataStore;
+use crate::metadata_store::StoreCopy;
 use crate::metadata_store::StoreFault;
 use crate::metadata_store::StoreState;
 use crate::on_platform::is_ready;
@@ -51,6 +54,10 @@
 /// The requests of each kind that each node must serve after the recovery, one after the other.
 const LAST_REQUESTS: usize = 3;
 
+/// How often the store is copied, and how long after its return what it lost is written again.
+const COPY_PERIOD: Duration = Duration::from_millis(500);
+const WRITTEN_AGAIN_AFTER: Duration = Duration::from_millis(300);
+
 /// How often processes that ended are looked for.
 const WATCH: Duration = Duration::from_millis(50);
 
@@ -97,6 +104,12 @@
     upstreams: Vec<SiteUpstream>,
     pool: Pool,
     version: u64,
+    // The version of the last configuration.
+    configured: u64,
+    // Copies of the store, one for each period, the oldest first.
+    copies: Vec<(Instant, StoreCopy)>,
+    // When the operator and the engines write again what the store has lost.
+    written_again_at: Option<Instant>,
     findings: Vec<Finding>,
     // What is healed when.
     healing: Vec<(Instant, Fault)>,
@@ -158,6 +171,9 @@
             upstreams,
             pool: Pool::new(),
             version: 1,
+            configured: 1,
+            copies: Vec::new(),
+            written_again_at: None,
             findings: Vec::new(),
             healing: Vec::new(),
         };
@@ -189,6 +205,7 @@
         for (_, fault) in std::mem::take(&mut self.healing) {
             self.heal(&fault)?;
         }
+        self.store.state.write_lost_again();
         Ok(())
     }
 
@@ -201,6 +218,13 @@
             for (_, fault) in due {
                 self.heal(&fault)?;
             }
+            if self.written_again_at.is_some_and(|at| at <= now) {
+                self.written_again_at = None;
+                self.store.state.write_lost_again();
+            }
+            if self.copies.last().is_none_or(|(at, _)| *at + COPY_PERIOD <= now) {
+                self.copies.push((now, self.store.state.copy()));
+            }
             for node in &mut self.nodes {
                 node.revive()?;
             }
@@ -235,6 +259,10 @@
                 self.store.state.drop_history();
                 None
             }
+            Fault::Restored { away, .. } => {
+                self.store.state.set_fault(StoreFault::Silent);
+                Some(*away)
+            }
             Fault::Upstream(upstream, behaviour, lasts) => {
                 self.upstreams[*upstream].set(*behaviour);
                 Some(*lasts)
@@ -245,6 +273,7 @@
             }
             Fault::Configure => {
                 self.version += 1;
+                self.configured = self.version;
                 self.store.state.put("op/config", configuration_of(self.version));
                 None
             }
@@ -276,6 +305,10 @@
             Fault::Pause(node, _) => self.nodes[*node].pause(false)?,
             Fault::Link(node, ..) => self.nodes[*node].link.set(LinkState::Open),
             Fault::Store(..) => self.store.state.set_fault(StoreFault::None),
+            Fault::Restored { copy_age, away } => {
+                self.restore(*copy_age + *away);
+                self.store.state.set_fault(StoreFault::None);
+            }
             Fault::Upstream(upstream, ..) => self.upstreams[*upstream].set(Behaviour::Serves),
             Fault::Leaves(upstream, _) => self.upstreams[*upstream].list("ready"),
             _ => {}
@@ -283,11 +316,37 @@
         Ok(())
     }
 
+    /// Lets the store come back from the youngest copy that is at least so old.
+    fn restore(&mut self, age: Duration) {
+        let now = Instant::now();
+        let old_enough = self.copies.iter().rev().find(|(at, _)| *at + age <= now);
+        if let Some((_, copy)) = old_enough.or(self.copies.first()) {
+            self.store.state.restore(copy);
+            self.written_again_at = Some(now + WRITTEN_AGAIN_AFTER);
+        }
+    }
+
+    /// Checks that the last configuration is in force at a node, and the first one is not.
+    async fn check_configuration(&mut self, n: usize, node: SocketAddr) {
+        for version in [1, self.configured] {
+            let is_last = version == self.configured;
+            let known = knows_route(&self.pool, node, &version_route(version)).await;
+            if known != Some(is_last) {
+                let seen = format!(
+                    "n{n} knows the route of version {version} of {}: {known:?}",
+                    self.configured
+                );
+                self.findings.push(Finding { rule: "configuration", seen });
+            }
+        }
+    }
+
     /// Waits as long as a recovery may take, and asks each node for each kind.
     async fn recover(&mut self, nodes: &[SocketAddr]) -> Vec<Asked> {
         sleep(RECOVERY).await;
         let mut asked = Vec::new();
         for (n, node) in nodes.iter().enumerate() {
+            self.check_configuration(n, *node).await;
             for kind in Kind::ALL {
                 for turn in 0..LAST_REQUESTS {
                     let id = format!("last-{n}-{}-{turn}", kind.route());
--- a/crates/lab/src/soak/site.rs
+++ b/crates/lab/src/soak/site.rs
@@ -67,8 +67,16 @@
     }
 }
 
-/// Returns the configuration of a version.
+/// Returns the configuration of a version, which has a route of its own beside those of the kinds.
 pub(super) fn configuration_of(version: u64) -> String {
-    let routes = Kind::ALL.map(Kind::entry);
+    let mut own_route = Kind::Safe.entry();
+    own_route["name"] = version_route(version).into();
+    own_route["prefix"] = format!("/{}/", version_route(version)).into();
+    let routes: Vec<Value> = Kind::ALL.map(Kind::entry).into_iter().chain([own_route]).collect();
     configuration(version, &routes, &[KEY], CONNECTIONS_LIMIT)
 }
+
+/// Returns the name of the route that only one version of the configuration has.
+pub(super) fn version_route(version: u64) -> String {
+    format!("version-{version}")
+}
