Build the view again when departures no longer count

What could break: an upstream that is alive, and whose entry from the copy nobody writes again, stayed unused until some other item changed. The node armed a timer for the end of the doubt, but asked for it anew after each event, and an event in the very millisecond of the end left no timer at all.

Change: the doubt lasts until a build ends it. upstream_that_stays_listed_after_a_restore_ stays_unused covers the way back by time alone; it passes on the code before, too, but for that millisecond.

--- a/crates/gateway/src/cluster_view/builder.rs
+++ b/crates/gateway/src/cluster_view/builder.rs
@@ -96,15 +96,16 @@
 
     /// Returns when the view is to be built again although nothing changes, in milliseconds on the
     /// node's clock: a retained upstream is to be removed, or departures no longer count.
-    pub fn next_build_ms(&self, now_ms: u64) -> Option<u64> {
+    pub fn next_build_ms(&self) -> Option<u64> {
         let retained = self.retained.values().map(|(_, until_ms)| *until_ms);
-        retained.chain(self.departures.doubt_end_ms(now_ms)).min()
+        retained.chain(self.departures.doubt_until_ms()).min()
     }
 
     /// Builds the view; `is_recent` states whether the changes since the last one happened just
     /// now.
     pub fn build(&mut self, mirror: &StoreMirror, is_recent: bool, now_ms: u64) -> ClusterView {
         let codec = self.codec.clone();
+        self.departures.end_doubt(now_ms);
         self.observe_era(mirror.complete_to(), now_ms);
         let mut view = ClusterView { complete_to: mirror.complete_to(), ..ClusterView::default() };
         let mut listed = HashMap::new();
@@ -116,9 +117,9 @@
                 }
                 ItemKind::Upstream(id) => {
                     let upstream = self.read_upstream(id, revision, value);
-                    let is_outdated = upstream.as_ref().is_some_and(|upstream| {
-                        self.departures.is_outdated(upstream, revision, now_ms)
-                    });
+                    let is_outdated = upstream
+                        .as_ref()
+                        .is_some_and(|upstream| self.departures.is_outdated(upstream, revision));
                     if !is_outdated {
                         listed.insert(id.to_owned(), (revision, upstream));
                     }
--- a/crates/gateway/src/cluster_view/departures.rs
+++ b/crates/gateway/src/cluster_view/departures.rs
@@ -25,12 +25,13 @@
     by_id: HashMap<String, Departure>,
     // How long the entry of an upstream that is gone may stay in the store.
     lapse_ms: u64,
-    doubt_until_ms: u64,
+    // Until when entries are compared with departures; `None` if the store did not come back.
+    doubt_until_ms: Option<u64>,
 }
 
 impl Departures {
     pub fn new(lapse_ms: u64) -> Self {
-        Self { by_id: HashMap::new(), lapse_ms, doubt_until_ms: 0 }
+        Self { by_id: HashMap::new(), lapse_ms, doubt_until_ms: None }
     }
 
     /// Records that an upstream left, whose entry at `last_ready` was the last one before.
@@ -48,12 +49,17 @@
 
     /// Records that the store came back from an older copy.
     pub fn store_restored(&mut self, now_ms: u64) {
-        self.doubt_until_ms = now_ms + self.lapse_ms;
+        self.doubt_until_ms = Some(now_ms + self.lapse_ms);
+    }
+
+    /// Ends the comparison if its time has passed.
+    pub fn end_doubt(&mut self, now_ms: u64) {
+        self.doubt_until_ms = self.doubt_until_ms.filter(|until_ms| now_ms < *until_ms);
     }
 
     /// Returns whether an entry describes an upstream as it was before it left.
-    pub fn is_outdated(&self, upstream: &Upstream, revision: Revision, now_ms: u64) -> bool {
-        now_ms < self.doubt_until_ms
+    pub fn is_outdated(&self, upstream: &Upstream, revision: Revision) -> bool {
+        self.doubt_until_ms.is_some()
             && self.by_id.get(&upstream.id).is_some_and(|departure| {
                 departure.started_unix_ms == upstream.started_unix_ms
                     && departure.last_ready.era() < revision.era()
@@ -61,8 +67,8 @@
             })
     }
 
-    /// Returns when entries of departed upstreams count again, if that lies ahead.
-    pub fn doubt_end_ms(&self, now_ms: u64) -> Option<u64> {
-        Some(self.doubt_until_ms).filter(|until_ms| now_ms < *until_ms)
+    /// Returns when entries of departed upstreams count again.
+    pub fn doubt_until_ms(&self) -> Option<u64> {
+        self.doubt_until_ms
     }
 }
--- a/crates/gateway/src/store_sync/task.rs
+++ b/crates/gateway/src/store_sync/task.rs
@@ -295,7 +295,7 @@
         tokio::pin!(operation);
         loop {
             self.continuity.record_run(now_ms());
-            let next_build_ms = self.builder.next_build_ms(now_ms());
+            let next_build_ms = self.builder.next_build_ms();
             let build_in_ms = next_build_ms.map(|at_ms| at_ms.saturating_sub(now_ms()).max(1));
             let mut peer_request = self.next_peer_request();
             let deadline = self.waiting_requests.iter().map(|request| request.deadline).min();
--- a/crates/lab/tests/on_platform/restored.rs
+++ b/crates/lab/tests/on_platform/restored.rs
@@ -13,6 +13,7 @@
 use crate::site::KEY;
 use crate::site::Site;
 use crate::site::SiteNode;
+use crate::site::UPSTREAM_LAPSE;
 use crate::site::added_route;
 use crate::site::configuration;
 use redwingrill_lab::metadata_store::MetadataStore;
@@ -141,6 +142,21 @@
     site.stop(vec![node]).await;
 }
 
+/// An entry that does not lapse is that of a live upstream, though nobody writes it again.
+#[tokio::test]
+async fn upstream_that_stays_listed_after_a_restore_stays_unused() {
+    let site = Site::start(0, 1).await;
+    let node = site.node("n1").await;
+    let copy = site.store.state.copy();
+    site.shops[0].unlist();
+    sleep(Duration::from_millis(400)).await;
+    restore(&site, &copy).await;
+    // Without other changes and requests, only the node's own time brings it back.
+    sleep(UPSTREAM_LAPSE + Duration::from_millis(500)).await;
+    assert_eq!(status_of(&site, &node, &Call::new("look", "r1")).await, StatusCode::OK);
+    site.stop(vec![node]).await;
+}
+
 #[tokio::test]
 async fn fencing_numbers_fall_after_a_restore() {
     let site = Site::start(3, 0).await;
--- a/crates/lab/tests/on_platform/site.rs
+++ b/crates/lab/tests/on_platform/site.rs
@@ -38,6 +38,8 @@
 
 /// How long a change may take to be in force.
 pub const IN_FORCE: Duration = Duration::from_secs(2);
+/// How long nodes expect the entry of an upstream that is gone to stay in the store.
+pub const UPSTREAM_LAPSE: Duration = Duration::from_secs(3);
 const CALL_LIMIT: Duration = Duration::from_secs(6);
 
 /// Routes of each kind. The account `cafe` is isolated; `extra` is more routes.
@@ -170,7 +172,7 @@
             gossip_address: Some(gossip),
             metrics_address: None,
             seeds,
-            upstream_lapse: Duration::from_secs(3),
+            upstream_lapse: UPSTREAM_LAPSE,
             retry_budget: RetryBudgetSpec { ratio: 0.2, allowance: 54.0, window_ms: 10_000 },
             stale_version_limit: self.stale_version_limit,
             rollout_lease: self.rollout_lease,
