Decide on leadership over eras apart from I/O

What could break: a leader that claimed the key in the new era before its view had followed the store was deposed when the view did, and waited once more; and a view that lagged behind let the task count the same era twice.

Change: Leadership knows the era, which a claim as well as a view can raise and nothing lowers. leader_of_a_lost_era_does_not_wait_for_who_led_since states the waits: after the view, after a claim that comes first, and with a view that follows late. It could not be written against the code before, where the rule sat in the task.

--- a/crates/gateway/src/rollout/leader_key.rs
+++ b/crates/gateway/src/rollout/leader_key.rs
@@ -18,8 +18,9 @@
 #[derive(Clone, Debug)]
 pub(super) struct LeaderKey {
     pub lease: LeaseId,
-    // The revision of the first write, so it increases with each leadership.
-    pub fencing_number: u64,
+    // The revision of the first write. It increases with each leadership, over eras too, and is the
+    // fencing number.
+    pub claimed: Revision,
     revision: Revision,
     written: RolloutLeader,
 }
@@ -53,9 +54,9 @@
         }
         Err(error) => return Err(error),
     };
-    let fencing_number = revision.as_u64();
-    info!("event=rollout_claimed fence={fencing_number} revision={revision} replaced={replaced}");
-    Ok(Some(LeaderKey { lease, fencing_number, revision, written: record.clone() }))
+    let fence = revision.as_u64();
+    info!("event=rollout_claimed fence={fence} revision={revision} replaced={replaced}");
+    Ok(Some(LeaderKey { lease, claimed: revision, revision, written: record.clone() }))
 }
 
 /// Returns the record of the key and its revision.
--- a/crates/gateway/src/rollout/task.rs
+++ b/crates/gateway/src/rollout/task.rs
@@ -68,8 +68,6 @@
     dispatcher: Dispatcher,
     leadership: Leadership,
     leadership_id: u64,
-    // The era of the last view.
-    era: Era,
     leader_key: Option<LeaderKey>,
     renewed_ms: u64,
     paused_until_ms: u64,
@@ -99,7 +97,6 @@
             dispatcher,
             leadership: Leadership::new(lease_ms, now_ms()),
             leadership_id: rand::random(),
-            era: Era::default(),
             leader_key: None,
             renewed_ms: 0,
             paused_until_ms: 0,
@@ -131,7 +128,10 @@
 
     async fn step(&mut self, view: &ClusterView, has_work: bool) {
         let now = now_ms();
-        self.observe_era(view, now);
+        let era = view.complete_to.era();
+        if self.leadership.observe_era(era, now) && self.leader_key.take().is_some() {
+            warn!("event=rollout_lost reason=store_restored era={era}");
+        }
         let holder = self.key_holder(view);
         if let (KeyHolder::OtherInstance, Some(leader)) = (holder, &view.rollout_leader) {
             if self.leader_key.take().is_some() {
@@ -158,19 +158,6 @@
         }
     }
 
-    /// Gives the leadership up when the store came back from an older copy: the key and its lease
-    /// are lost, or older than what this instance and others have done since.
-    fn observe_era(&mut self, view: &ClusterView, now: u64) {
-        let era = view.complete_to.era();
-        if std::mem::replace(&mut self.era, era) >= era {
-            return;
-        }
-        if self.leader_key.take().is_some() {
-            warn!("event=rollout_lost reason=store_restored era={era}");
-        }
-        self.leadership.lost(now);
-    }
-
     fn key_holder(&self, view: &ClusterView) -> KeyHolder {
         match &view.rollout_leader {
             None => KeyHolder::Nobody,
@@ -220,13 +207,13 @@
         match claim(&self.store, &self.key, &record, revision, self.options.lease).await? {
             Some(leader_key) => {
                 match record.has_commanded {
-                    true => self.leadership.taken_over(leader_key.fencing_number, sent_ms),
-                    false => self.leadership.acquired(leader_key.fencing_number, sent_ms),
+                    true => self.leadership.taken_over(leader_key.claimed, sent_ms),
+                    false => self.leadership.acquired(leader_key.claimed, sent_ms),
                 }
                 self.inherited = record.loading;
                 info!(
                     "event=rollout_waits fence={} commands_in_ms={}",
-                    leader_key.fencing_number,
+                    leader_key.claimed.as_u64(),
                     self.leadership.commands_wait_ms(now_ms()),
                 );
                 self.leader_key = Some(leader_key);
@@ -407,7 +394,7 @@
     async fn release(&mut self, reason: &str) {
         let Some(leader_key) = self.leader_key.take() else { return };
         self.leadership.released();
-        info!("event=rollout_released reason={reason} fence={}", leader_key.fencing_number);
+        info!("event=rollout_released reason={reason} fence={}", leader_key.claimed.as_u64());
         if let Err(error) = self.store.revoke(leader_key.lease).await {
             warn!("event=rollout_release_failed reason={:?}", error.to_string());
         }
--- a/crates/scheduling/src/rollout/leadership.rs
+++ b/crates/scheduling/src/rollout/leadership.rs
@@ -5,6 +5,12 @@
 //! renewed it. A new leader waits for the lease of a possible predecessor to expire. While the key
 //! still belongs to an earlier leadership of the same instance, no other instance can have led
 //! since, so a node that was killed and started takes the key over and goes on at once.
+//!
+//! All of this holds within an era of the store. Once the store comes back from an older copy, the
+//! key and the leases of earlier eras prove nothing, so every instance waits as for a predecessor.
+
+use redwingrill_routing::Era;
+use redwingrill_routing::Revision;
 
 /// The percentage of its lease that a leader leaves unused, for commands in progress.
 const LEASE_MARGIN_PERCENT: u64 = 30;
@@ -40,6 +46,8 @@
     lease_ms: u64,
     // The last time at which another node was, or may have been, the leader.
     other_leader_seen_ms: u64,
+    // The latest era of the store that the node has seen.
+    era: Era,
     work_since_ms: Option<u64>,
     lease: Option<HeldLease>,
 }
@@ -54,7 +62,20 @@
 impl Leadership {
     /// Creates the view of a node that starts now; another leader may have been active until now.
     pub fn new(lease_ms: u64, now_ms: u64) -> Self {
-        Self { lease_ms, other_leader_seen_ms: now_ms, work_since_ms: None, lease: None }
+        let (era, other_leader_seen_ms) = (Era::default(), now_ms);
+        Self { lease_ms, other_leader_seen_ms, era, work_since_ms: None, lease: None }
+    }
+
+    /// Records the era of the store. Returns whether the node has lost its leadership: the store
+    /// came back from a copy since the key was written.
+    pub fn observe_era(&mut self, era: Era, now_ms: u64) -> bool {
+        if era <= self.era {
+            return false;
+        }
+        self.era = era;
+        let had_lease = self.lease.is_some();
+        self.observe_other_leader(now_ms);
+        had_lease
     }
 
     /// Records that another node is the leader.
@@ -79,11 +100,13 @@
         }
     }
 
-    /// Records that the key was written; `requested_ms` is before the call that granted the lease.
-    pub fn acquired(&mut self, fencing_number: u64, requested_ms: u64) {
+    /// Records that the key was written at a revision; `requested_ms` is before the call that
+    /// granted the lease.
+    pub fn acquired(&mut self, written: Revision, requested_ms: u64) {
+        self.observe_era(written.era(), requested_ms);
         let commands_from_ms = self.other_leader_seen_ms + self.lease_ms;
         self.lease = Some(HeldLease {
-            fencing_number,
+            fencing_number: written.as_u64(),
             safe_until_ms: self.safe_until_ms(requested_ms),
             commands_from_ms,
         });
@@ -91,9 +114,10 @@
 
     /// Records that the key was taken over from an earlier leadership of this instance, which had
     /// sent commands and so had waited for its predecessor.
-    pub fn taken_over(&mut self, fencing_number: u64, requested_ms: u64) {
+    pub fn taken_over(&mut self, written: Revision, requested_ms: u64) {
+        self.observe_era(written.era(), requested_ms);
         self.lease = Some(HeldLease {
-            fencing_number,
+            fencing_number: written.as_u64(),
             safe_until_ms: self.safe_until_ms(requested_ms),
             commands_from_ms: requested_ms,
         });
--- a/crates/scheduling/tests/weights_rollout.rs
+++ b/crates/scheduling/tests/weights_rollout.rs
@@ -11,6 +11,8 @@
 use support::scheduler;
 use support::short_prompt;
 
+use redwingrill_routing::Era;
+use redwingrill_routing::Revision;
 use redwingrill_routing::WeightsVersion;
 use redwingrill_scheduling::rollout::Claim;
 use redwingrill_scheduling::rollout::CommandResult;
@@ -363,7 +365,7 @@
 fn new_leader_waits_for_the_previous_lease_to_expire() {
     let mut leadership = Leadership::new(LEASE_MS, 10_000);
     assert_eq!(leadership.claim(true, KeyHolder::Nobody, 0, 10_100), Claim::Now);
-    leadership.acquired(7, 10_100);
+    leadership.acquired(Revision::from_u64(7), 10_100);
     assert_eq!(leadership.active_fencing_number(10_200), None);
     assert_eq!(leadership.active_fencing_number(12_000), None);
     leadership.renewed(12_900);
@@ -373,7 +375,7 @@
 #[test]
 fn leader_stops_before_its_lease_expires() {
     let mut leadership = Leadership::new(LEASE_MS, 0);
-    leadership.acquired(7, 10_000);
+    leadership.acquired(Revision::from_u64(7), 10_000);
     assert_eq!(leadership.active_fencing_number(12_000), Some(7));
     assert_eq!(leadership.active_fencing_number(12_100), None);
     leadership.renewed(12_200);
@@ -395,16 +397,42 @@
 #[test]
 fn leader_that_lost_its_lease_waits_for_who_may_have_led_since() {
     let mut leadership = Leadership::new(LEASE_MS, 0);
-    leadership.acquired(7, 10_000);
+    leadership.acquired(Revision::from_u64(7), 10_000);
     assert_eq!(leadership.active_fencing_number(10_100), Some(7));
     // The node was suspended; another one has led and ended without this node's notice.
     leadership.lost(15_400);
-    leadership.acquired(9, 15_500);
+    leadership.acquired(Revision::from_u64(9), 15_500);
     leadership.renewed(18_000);
     assert_eq!(leadership.active_fencing_number(18_300), None);
     assert_eq!(leadership.active_fencing_number(18_400), Some(9));
 }
 
+/// The store comes back from a copy while the node leads, or just before it claims.
+#[test]
+fn leader_of_a_lost_era_does_not_wait_for_who_led_since() {
+    let revision = |era, number| Revision::new(Era(era), number).expect("a small revision");
+    let mut leader = Leadership::new(LEASE_MS, 0);
+    leader.observe_era(Era(1), 0);
+    leader.acquired(revision(1, 90), 10_000);
+    let lost = leader.active_fencing_number(10_100).expect("it leads");
+    assert!(leader.observe_era(Era(2), 10_500));
+    assert_eq!(leader.active_fencing_number(10_500), None);
+    leader.acquired(revision(2, 70), 10_600);
+    leader.renewed(10_400 + LEASE_MS);
+    assert_eq!(leader.active_fencing_number(10_499 + LEASE_MS), None);
+    assert!(leader.active_fencing_number(10_500 + LEASE_MS).is_some_and(|fence| fence > lost));
+
+    // A claim may be the first that the node hears of the era; its view follows later.
+    let mut claims_first = Leadership::new(LEASE_MS, 0);
+    claims_first.observe_era(Era(1), 0);
+    claims_first.acquired(revision(2, 70), 10_000);
+    assert_eq!(claims_first.active_fencing_number(10_000), None);
+    assert!(!claims_first.observe_era(Era(2), 10_300));
+    assert!(!claims_first.observe_era(Era(1), 10_400));
+    claims_first.renewed(9_900 + LEASE_MS);
+    assert!(claims_first.active_fencing_number(10_000 + LEASE_MS).is_some());
+}
+
 #[test]
 fn restarted_leader_does_not_wait_for_its_own_lease() {
     // The last of ten nodes in the order of claims.
@@ -412,7 +440,7 @@
     assert_eq!(leadership.claim(false, KeyHolder::ThisInstance, 9, 10_100), Claim::NotYet);
     assert_eq!(leadership.claim(true, KeyHolder::OtherInstance, 9, 10_100), Claim::NotYet);
     assert_eq!(leadership.claim(true, KeyHolder::ThisInstance, 9, 10_100), Claim::TakeOver);
-    leadership.taken_over(8, 10_100);
+    leadership.taken_over(Revision::from_u64(8), 10_100);
     assert_eq!(leadership.active_fencing_number(10_110), Some(8));
     assert_eq!(leadership.claim(true, KeyHolder::ThisInstance, 9, 10_200), Claim::NotYet);
     leadership.observe_other_leader(10_300);
@@ -425,7 +453,7 @@
     fn consecutive_leaders_never_command_within_one_lease(renewed_ms: u16, acquire_delay_ms: u16) -> bool {
         let renewed_ms = 10_000 + u64::from(renewed_ms);
         let mut first = Leadership::new(LEASE_MS, 0);
-        first.acquired(1, 10_000);
+        first.acquired(Revision::from_u64(1), 10_000);
         first.renewed(renewed_ms);
         let last_order_ms = (10_000..renewed_ms + 2 * LEASE_MS)
             .rev()
@@ -436,7 +464,7 @@
         let acquired_ms = expired_ms + u64::from(acquire_delay_ms % 1_000);
         let mut second = Leadership::new(LEASE_MS, 0);
         second.observe_other_leader(expired_ms);
-        second.acquired(2, acquired_ms);
+        second.acquired(Revision::from_u64(2), acquired_ms);
         second.renewed(acquired_ms + LEASE_MS);
         let first_order_ms = (acquired_ms..acquired_ms + 3 * LEASE_MS)
             .find(|&at_ms| second.active_fencing_number(at_ms).is_some())
