Pass on events with CRLF line ends as they arrive

What callers saw: from an engine that ends its lines with CRLF, as the event stream format allows, all events at once at the end of the stream, or an error beyond 1 MB.

Cause: the end of an event was looked for as two line feeds. CRLF was thought of at the end of the stream only.

Evidence: events_with_crlf_are_held_until_the_stream_ends, red before (nothing came of a whole event). Lines that end with CR alone still wait for the end of the stream, since their blank line shows only at the next one.

Ruled out: an effect on streams with line feeds; the property over all cuts passes.

--- a/crates/gateway/src/forward/events.rs
+++ b/crates/gateway/src/forward/events.rs
@@ -34,7 +34,7 @@
     ///
     /// The reason if an event is too long, or an event id is not text or does not increase.
     pub fn push(&mut self, piece: Bytes) -> Result<Bytes, &'static str> {
-        if self.pending.is_empty() && piece.ends_with(b"\n\n") {
+        if self.pending.is_empty() && last_event_end(&piece) == piece.len() {
             self.check_lines(&piece)?;
             return Ok(piece);
         }
@@ -51,8 +51,7 @@
         Ok(complete)
     }
 
-    /// Takes what is left at the end of the stream: nothing, or events whose lines do not end with
-    /// a line feed alone.
+    /// Takes what is left at the end of the stream: nothing, or events whose lines end with CR alone.
     ///
     /// # Errors
     ///
@@ -60,7 +59,7 @@
     /// was no event.
     pub fn finish(&mut self, framing: Framing) -> Result<Bytes, &'static str> {
         let rest = self.take_incomplete();
-        let is_whole = rest.is_empty() || rest.ends_with(b"\n\r\n") || rest.ends_with(b"\r\r");
+        let is_whole = rest.is_empty() || rest.ends_with(b"\r\r");
         if !is_whole {
             return Err("the stream ended inside an event");
         }
@@ -97,8 +96,15 @@
     }
 }
 
+/// The ends of an event whose lines end with LF or with CRLF. An event whose lines end with CR alone
+/// shows its end only at the next line, so it is held until the stream ends.
+const EVENT_ENDS: [&[u8]; 2] = [b"\n\n", b"\n\r\n"];
+
 /// Returns the position after the last blank line, or zero if there is none.
 fn last_event_end(bytes: &[u8]) -> usize {
-    let ends = bytes.windows(2).rposition(|pair| pair == b"\n\n");
-    ends.map_or(0, |position| position + 2)
+    let last = |end: &[u8]| {
+        let position = bytes.windows(end.len()).rposition(|window| window == end);
+        position.map_or(0, |position| position + end.len())
+    };
+    EVENT_ENDS.into_iter().map(last).max().unwrap_or(0)
 }
--- a/crates/gateway/tests/event_splitter.rs
+++ b/crates/gateway/tests/event_splitter.rs
@@ -40,6 +40,21 @@
     assert_eq!(splitter.take_incomplete(), "id: 6\nda");
 }
 
+#[test]
+fn events_with_crlf_are_held_until_the_stream_ends() {
+    let mut splitter = EventSplitter::after(None);
+    let events = splitter.push(Bytes::from("id: 1\r\ndata: a\r\n\r\n")).expect("ids increase");
+    assert_eq!(events, "id: 1\r\ndata: a\r\n\r\n");
+    let cut = ["id: 2\r\ndata: b\r", "\n\r", "\nid: 3\r\nda", "ta: c\r\n\r\n"];
+    let mut output = Vec::new();
+    for piece in cut {
+        output.push(splitter.push(Bytes::from(piece)).expect("ids increase"));
+    }
+    assert_eq!(output, ["", "", "id: 2\r\ndata: b\r\n\r\n", "id: 3\r\ndata: c\r\n\r\n"]);
+    assert_eq!(splitter.last_id(), Some(3));
+    assert_eq!(splitter.finish(Framing::Connection).expect("the stream is whole"), "");
+}
+
 struct EndCase {
     stream: &'static str,
     framing: Framing,
