--- a/crates/lab/tests/on_platform/restored.rs
+++ b/crates/lab/tests/on_platform/restored.rs
@@ -21,6 +21,7 @@
 use redwingrill_lab::metadata_store::StoreFault;
 use redwingrill_lab::metadata_store::StoreState;
 use redwingrill_platform::PlatformStore;
+use redwingrill_routing::LeaseId;
 use redwingrill_routing::SharedStore;
 use redwingrill_routing::SharedStoreError;
 use redwingrill_routing::Write;
@@ -125,14 +126,20 @@
     }
 }
 
-#[tokio::test]
-async fn upstream_that_is_written_again_after_a_restore_stays_unused() {
+/// Starts a site whose only plain upstream left after the copy from which the store came back.
+async fn site_whose_upstream_left() -> (Site, SiteNode) {
     let site = Site::start(0, 1).await;
     let node = site.node("n1").await;
     let copy = site.store.state.copy();
     site.shops[0].unlist();
     sleep(Duration::from_millis(400)).await;
     restore(&site, &copy).await;
+    (site, node)
+}
+
+#[tokio::test]
+async fn upstream_that_is_written_again_after_a_restore_stays_unused() {
+    let (site, node) = site_whose_upstream_left().await;
     // It is alive: its entry had only lapsed.
     site.shops[0].list("ready");
     let ends = Instant::now() + Duration::from_secs(8);
@@ -145,12 +152,7 @@
 /// An entry that does not lapse is that of a live upstream, though nobody writes it again.
 #[tokio::test]
 async fn upstream_that_stays_listed_after_a_restore_stays_unused() {
-    let site = Site::start(0, 1).await;
-    let node = site.node("n1").await;
-    let copy = site.store.state.copy();
-    site.shops[0].unlist();
-    sleep(Duration::from_millis(400)).await;
-    restore(&site, &copy).await;
+    let (site, node) = site_whose_upstream_left().await;
     // Without other changes and requests, only the node's own time brings it back.
     sleep(UPSTREAM_LAPSE + Duration::from_millis(500)).await;
     assert_eq!(status_of(&site, &node, &Call::new("look", "r1")).await, StatusCode::OK);
@@ -163,23 +165,12 @@
     let nodes = [site.node("n1").await, site.node("n2").await];
     let copy = site.store.state.copy();
     write_often(&site, 100);
-    let name_version = |version: u64| {
-        let named = json!({"model": "m", "version": version});
-        site.store.state.put("op/version/m", named.to_string());
-    };
-    let wait_for_version = async |version: u64| {
-        let ends = Instant::now() + Duration::from_secs(20);
-        while site.engines.iter().any(|engine| engine.version() < version) {
-            assert!(Instant::now() < ends, "engines lack version {version}");
-            sleep(Duration::from_millis(50)).await;
-        }
-    };
-    name_version(2);
-    wait_for_version(2).await;
+    site.name_version(2);
+    site.wait_for_version(2).await;
     restore(&site, &copy).await;
     site.store.state.write_lost_again();
-    name_version(3);
-    wait_for_version(3).await;
+    site.name_version(3);
+    site.wait_for_version(3).await;
     for engine in &site.engines {
         let fences = engine.orders();
         let fences: Vec<u64> = fences.iter().filter_map(|order| order["fence"].as_u64()).collect();
@@ -201,18 +192,18 @@
     site.stop(vec![node]).await;
 }
 
-async fn leased_key(
-    store: &PlatformStore,
-    key: &str,
-) -> (redwingrill_routing::LeaseGrant, WriteOutcome) {
-    let lease = store.grant(Duration::from_secs(5)).await.expect("the store answers");
+/// Writes a key under a new lease.
+async fn write_leased(store: &PlatformStore, key: &str) -> LeaseId {
+    let lease = store.grant(Duration::from_secs(5)).await.expect("the store answers").id;
     let write = Write {
         conditions: Vec::new(),
         key: key.to_owned(),
         value: Bytes::from_static(b"1"),
-        lease: Some(lease.id),
+        lease: Some(lease),
     };
-    (lease, store.write(write).await.expect("the store answers"))
+    let outcome = store.write(write).await.expect("the store answers");
+    assert!(matches!(outcome, WriteOutcome::Done(_)), "{outcome:?}");
+    lease
 }
 
 /// After a restore the identifiers of lost leases are given to others.
@@ -222,12 +213,12 @@
     let copy = server.state.copy();
     let store = PlatformStore::new(server.address(), Pool::new());
     let other = PlatformStore::new(server.address(), Pool::new());
-    let (lost, _) = leased_key(&store, "redwingrill/a").await;
+    let lost = write_leased(&store, "redwingrill/a").await;
     server.state.restore(&copy);
-    let (granted, _) = leased_key(&other, "redwingrill/b").await;
-    assert_eq!(store.renew(lost.id).await, Ok(false));
-    store.revoke(lost.id).await.expect("the store answers");
-    assert_eq!(other.renew(granted.id).await, Ok(true), "the lease of another was ended");
+    let granted = write_leased(&other, "redwingrill/b").await;
+    assert_eq!(store.renew(lost).await, Ok(false));
+    store.revoke(lost).await.expect("the store answers");
+    assert_eq!(other.renew(granted).await, Ok(true), "the lease of another was ended");
     server.stop().await;
 }
 
@@ -262,7 +253,7 @@
     sleep(Duration::from_millis(400)).await;
     restore(&site, &copy).await;
     let restored = Instant::now();
-    site.store.state.put("op/version/m", json!({"model": "m", "version": 2}).to_string());
+    site.name_version(2);
     while site.engines.iter().all(|engine| engine.orders().is_empty()) {
         assert!(restored.elapsed() < 3 * LEASE, "no command");
         sleep(Duration::from_millis(20)).await;
@@ -281,7 +272,7 @@
     let leader = json!({"name": "n0", "tenure": 1, "loading": []});
     site.store.state.put("redwingrill/rollout/holder", leader.to_string());
     let first = site.node("n1").await;
-    site.store.state.put("op/version/m", json!({"model": "m", "version": 2}).to_string());
+    site.name_version(2);
     let published = Instant::now();
     let record = "redwingrill/grace/m/2";
     site.wait("the record", async || site.store.state.get(record).is_some()).await;
@@ -305,7 +296,7 @@
     let leader = json!({"name": "n0", "tenure": 1, "loading": []});
     site.store.state.put("redwingrill/rollout/holder", leader.to_string());
     let node = site.node("n1").await;
-    site.store.state.put("op/version/m", json!({"model": "m", "version": 2}).to_string());
+    site.name_version(2);
     let record = "redwingrill/grace/m/2";
     site.wait("the record", async || site.store.state.get(record).is_some()).await;
     let copy = site.store.state.copy();
--- a/crates/lab/tests/on_platform/rollout.rs
+++ b/crates/lab/tests/on_platform/rollout.rs
@@ -10,6 +10,7 @@
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
+use crate::site::ALL_IN_TIME;
 use crate::site::Call;
 use crate::site::NodeAddresses;
 use crate::site::Site;
@@ -17,27 +18,12 @@
 use redwingrill_lab::metadata_store::StoreFault;
 use redwingrill_lab::site_upstream::Behaviour;
 
-const ALL_IN_TIME: Duration = Duration::from_secs(20);
-
-fn name_version(site: &Site, version: u64) {
-    let named = json!({"model": "m", "version": version});
-    site.store.state.put("op/version/m", named.to_string());
-}
-
-async fn wait_for_version(site: &Site, version: u64) {
-    let ends = Instant::now() + ALL_IN_TIME;
-    while site.engines.iter().any(|engine| engine.version() < version) {
-        assert!(Instant::now() < ends, "engines lack version {version}");
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    }
-}
-
 #[tokio::test]
 async fn engines_take_the_version_by_one_holder() {
     let site = Site::start(4, 0).await;
     let nodes = [site.node("n1").await, site.node("n2").await];
-    name_version(&site, 2);
-    wait_for_version(&site, 2).await;
+    site.name_version(2);
+    site.wait_for_version(2).await;
     for engine in &site.engines {
         let orders = engine.orders();
         assert_eq!(orders.len(), 1);
@@ -64,9 +50,9 @@
 async fn a_version_that_was_overtaken_is_skipped() {
     let site = Site::start(4, 0).await;
     let node = site.node("n1").await;
-    name_version(&site, 2);
-    name_version(&site, 3);
-    wait_for_version(&site, 3).await;
+    site.name_version(2);
+    site.name_version(3);
+    site.wait_for_version(3).await;
     let orders = site.engines.iter().flat_map(|engine| engine.orders());
     assert!(orders.into_iter().all(|order| order["version"] == 3));
     site.stop(vec![node]).await;
@@ -78,14 +64,14 @@
     let first = site.node("n1").await;
     let second = site.node("n2").await;
     tokio::time::sleep(Duration::from_millis(300)).await;
-    name_version(&site, 2);
+    site.name_version(2);
     let ends = Instant::now() + ALL_IN_TIME;
     while site.engines.iter().all(|engine| engine.orders().is_empty()) {
         assert!(Instant::now() < ends, "no order");
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     first.node.drain().await.finish().await;
-    wait_for_version(&site, 2).await;
+    site.wait_for_version(2).await;
     let fences = site.engines.iter().flat_map(|engine| engine.orders());
     let fences: Vec<u64> = fences.filter_map(|order| order["fence"].as_u64()).collect();
     assert!(fences.iter().all(|fence| *fence > 0));
@@ -96,12 +82,12 @@
 async fn a_store_outage_delays_the_roll_out_and_no_more() {
     let site = Site::start(3, 0).await;
     let node = site.node("n1").await;
-    name_version(&site, 2);
+    site.name_version(2);
     tokio::time::sleep(Duration::from_millis(200)).await;
     site.store.state.set_fault(StoreFault::Busy);
     tokio::time::sleep(Duration::from_millis(1_500)).await;
     site.store.state.set_fault(StoreFault::None);
-    wait_for_version(&site, 2).await;
+    site.wait_for_version(2).await;
     site.engines.iter().for_each(|engine| engine.set(Behaviour::Serves));
     let answer = site.ask(&node, &Call::new("draft", "r1")).await;
     assert_eq!(answer.events().len(), 6);
@@ -118,7 +104,7 @@
     let leader = json!({"name": "n0", "tenure": 1, "loading": []});
     site.store.state.put("redwingrill/rollout/holder", leader.to_string());
     let first = site.node("n1").await;
-    name_version(&site, 2);
+    site.name_version(2);
     let published = Instant::now();
     tokio::time::sleep(Duration::from_secs(1)).await;
     let second = site.node("n2").await;
@@ -195,7 +181,7 @@
     site.rollout_lease = Duration::from_secs(3);
     let (lease, site) = (site.rollout_lease, Arc::new(site));
     let killed = KilledNode::start(&site);
-    name_version(&site, 2);
+    site.name_version(2);
     wait_for_orders(&site, 2).await;
     let before = orders(&site);
     let restarted = Instant::now();
@@ -203,7 +189,7 @@
     wait_for_orders(&site, before + 1).await;
     let took = restarted.elapsed();
     assert!(took < lease, "{took:?}");
-    wait_for_version(&site, 2).await;
+    site.wait_for_version(2).await;
     let mut fences: Vec<u64> = site
         .engines
         .iter()
@@ -223,13 +209,13 @@
     let site = Arc::new(Site::start(10, 0).await);
     site.engines.iter().for_each(|engine| engine.set_load_time(LOAD));
     let killed = KilledNode::start(&site);
-    name_version(&site, 2);
+    site.name_version(2);
     wait_for_orders(&site, 2).await;
     let node = killed.restart().await;
     tokio::time::sleep(LOAD / 2).await;
     assert_eq!(orders(&site), 2);
     site.engines.iter().for_each(|engine| engine.set_load_time(Duration::ZERO));
-    wait_for_version(&site, 2).await;
+    site.wait_for_version(2).await;
     node.node.drain().await.finish().await;
 }
 
@@ -265,7 +251,7 @@
     let callers = is_ready.await.expect("the node starts");
     suspend.send(()).expect("the node runs");
     tokio::time::sleep(Duration::from_millis(100)).await;
-    name_version(&site, 2);
+    site.name_version(2);
     let published = Instant::now();
     tokio::time::sleep_until(published + SUSPENDED).await;
     let call = Call::new("draft", "r1");
--- a/crates/lab/tests/on_platform/site.rs
+++ b/crates/lab/tests/on_platform/site.rs
@@ -38,6 +38,8 @@
 
 /// How long a change may take to be in force.
 pub const IN_FORCE: Duration = Duration::from_secs(2);
+/// How long a roll-out may take.
+pub const ALL_IN_TIME: Duration = Duration::from_secs(20);
 /// How long nodes expect the entry of an upstream that is gone to stay in the store.
 pub const UPSTREAM_LAPSE: Duration = Duration::from_secs(3);
 const CALL_LIMIT: Duration = Duration::from_secs(6);
@@ -202,6 +204,21 @@
         }
     }
 
+    /// Names new weights, as the operator does.
+    pub fn name_version(&self, version: u64) {
+        let named = json!({"model": "m", "version": version});
+        self.store.state.put("op/version/m", named.to_string());
+    }
+
+    /// Waits until all engines have a version, and fails if they do not get it in time.
+    pub async fn wait_for_version(&self, version: u64) {
+        let ends = Instant::now() + ALL_IN_TIME;
+        while self.engines.iter().any(|engine| engine.version() < version) {
+            assert!(Instant::now() < ends, "engines lack version {version}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
     /// Sends a request and returns the head of the answer.
     pub async fn send(&self, node: &SiteNode, call: &Call) -> http::Response<ResponseBody> {
         let timeouts = Timeouts { connect: CALL_LIMIT, head: CALL_LIMIT };
