Add a failing test of an engine that names a limit

An engine with Server-Limit: 4.0 got 103 requests in 4 s from three nodes that had its answers, 29 are allowed. The stand-in engine can add headers to its answers and notes when a request arrived.

--- a/crates/lab/src/site_upstream/behaviour.rs
+++ b/crates/lab/src/site_upstream/behaviour.rs
@@ -1,6 +1,7 @@
 //! How the stand-in answers, and what it has seen.
 
 use http::HeaderMap;
+use tokio::time::Instant;
 
 /// How the stand-in answers.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
@@ -50,6 +51,8 @@
     pub body: bytes::Bytes,
     /// Whether the stand-in ran it.
     pub has_run: bool,
+    /// When it arrived whole.
+    pub arrived: Instant,
 }
 
 impl SeenRequest {
--- a/crates/lab/src/site_upstream/http.rs
+++ b/crates/lab/src/site_upstream/http.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use futures::StreamExt;
+use http::HeaderName;
 use http::HeaderValue;
 use http::Request;
 use http::Response;
@@ -19,6 +20,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use serde_json::json;
+use tokio::time::Instant;
 
 use super::Behaviour;
 use super::SeenRequest;
@@ -71,6 +73,8 @@
     load: Mutex<Duration>,
     is_loading: AtomicBool,
     open_streams: Arc<AtomicUsize>,
+    // What it says of itself in the heads of its answers.
+    signals: Mutex<Vec<(HeaderName, HeaderValue)>>,
 }
 
 impl SiteUpstream {
@@ -95,6 +99,7 @@
             load: Mutex::new(LOAD),
             is_loading: AtomicBool::new(false),
             open_streams: Arc::default(),
+            signals: Mutex::default(),
         });
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
         let connections = shared.connections.clone();
@@ -119,6 +124,18 @@
         *self.shared.behaviour.lock().expect("no holder panics") = behaviour;
     }
 
+    /// Adds a header to each of its answers from now on.
+    pub fn add_signal(&self, name: &'static str, value: &str) {
+        let value = HeaderValue::from_str(value).expect("plain text");
+        let mut signals = self.shared.signals.lock().expect("no holder panics");
+        signals.push((HeaderName::from_static(name), value));
+    }
+
+    /// Adds no headers to its answers any more.
+    pub fn clear_signals(&self) {
+        self.shared.signals.lock().expect("no holder panics").clear();
+    }
+
     /// Lets it crash under each request whose prompt has this part: the connections of all its
     /// requests end, and after a while it is back under a new identity.
     pub fn crash_on(&self, part: &str) {
@@ -234,6 +251,7 @@
             headers: parts.headers,
             body: Bytes::new(),
             has_run: true,
+            arrived: Instant::now(),
         };
         self.seen.lock().expect("no holder panics").push(seen);
         tokio::time::sleep(CRASH_AFTER).await;
@@ -314,6 +332,7 @@
             headers: parts.headers,
             body,
             has_run,
+            arrived: Instant::now(),
         };
         self.seen.lock().expect("no holder panics").push(seen.clone());
         if !is_meant || behaviour == Behaviour::IsAnother {
@@ -403,6 +422,9 @@
             headers.insert("x-request-id", id.clone());
         }
         headers.insert("x-server-load", HeaderValue::from_static("1,0,8"));
+        for (name, value) in self.signals.lock().expect("no holder panics").iter() {
+            headers.append(name.clone(), value.clone());
+        }
         reply
     }
 }
--- a/crates/lab/tests/on_platform/main.rs
+++ b/crates/lab/tests/on_platform/main.rs
@@ -2,6 +2,7 @@
 
 mod close_delimited;
 mod failures;
+mod limits;
 mod news;
 mod quarantine;
 mod requests;
--- a/crates/lab/tests/soak.rs
+++ b/crates/lab/tests/soak.rs
@@ -75,7 +75,8 @@
     headers.insert("x-request-id", id.parse().expect("plain text"));
     headers.insert("x-tenant", HeaderValue::from_static("cafe"));
     let (method, target, body) = (Method::POST, target(kind), body(id));
-    SeenRequest { method, target, headers, body, has_run: true }
+    let arrived = tokio::time::Instant::now();
+    SeenRequest { method, target, headers, body, has_run: true, arrived }
 }
 
 #[test]
