Keep the limits that upstreams name, over all nodes together

Cause: nothing read the header. Ruled out: a limit that each node takes for its own (then there would be a multiple of it), and sends that a limit does not reach (the excess was all requests).

Now the head is decoded into a typed signal, kept for each start of an upstream, and the choice of an upstream asks a gate. A few nodes selected by rendezvous hashing share the limit, each with a token bucket; digests tell the others of beginning and end.

--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -7,6 +7,7 @@
 use super::dispatcher::Message;
 use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::ResponseMetadata;
+use redwingrill_routing::UpstreamSignals;
 use redwingrill_scheduling::fleet::Verdict;
 use redwingrill_scheduling::scheduler::Assignment;
 use redwingrill_scheduling::scheduler::AttemptOutcome;
@@ -58,6 +59,15 @@
         });
     }
 
+    /// Reports what the upstream says of itself in its answer to this attempt.
+    pub fn report_signals(&self, signals: &UpstreamSignals) {
+        self.dispatcher.send(Message::Signals {
+            index: self.assignment.index,
+            signals: Box::new(signals.clone()),
+            sent_ms: self.assignment.sent_ms,
+        });
+    }
+
     /// Reports that the upstream has prefilled the prompt.
     pub fn report_prefilled(&mut self) {
         if self.is_prefill_pending {
--- a/crates/gateway/src/dispatch/dispatcher.rs
+++ b/crates/gateway/src/dispatch/dispatcher.rs
@@ -12,6 +12,7 @@
 use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::ReportedLoad;
 use redwingrill_routing::Upstream;
+use redwingrill_routing::UpstreamSignals;
 use redwingrill_routing::WeightsVersion;
 use redwingrill_scheduling::fleet::LoadDigest;
 use redwingrill_scheduling::fleet::UpstreamIndex;
@@ -68,6 +69,13 @@
         load: Option<ReportedLoad>,
         version: Option<WeightsVersion>,
     },
+    /// What an upstream says of itself in an answer.
+    Signals {
+        index: UpstreamIndex,
+        signals: Box<UpstreamSignals>,
+        /// When the request of the answer was sent, in milliseconds on the node's clock.
+        sent_ms: u64,
+    },
     /// The upstream has prefilled the prompt.
     Prefilled { assignment: Box<Assignment> },
     /// A stream of the service ended well.
@@ -84,7 +92,7 @@
     /// The answer of an attempt was received whole.
     AttemptCompleted { evidence: Box<AttemptEvidence> },
     /// A load digest arrived from another node.
-    PeerDigest { digest: LoadDigest },
+    PeerDigest { digest: Box<LoadDigest> },
     /// Requests the load digest of this node.
     Digest { responder: oneshot::Sender<LoadDigest> },
     /// The cache store changed.
@@ -152,7 +160,7 @@
 
     /// Applies the load digest of another node.
     pub fn observe_peer(&self, digest: LoadDigest) {
-        self.send(Message::PeerDigest { digest });
+        self.send(Message::PeerDigest { digest: Box::new(digest) });
     }
 
     /// Returns the load digest of this node; `None` once the task has ended.
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -21,6 +21,8 @@
 use crate::quarantine::log_event;
 use crate::telemetry::Metrics;
 use redwingrill_routing::Configuration;
+use redwingrill_routing::UpstreamSignals;
+use redwingrill_scheduling::fleet::UpstreamIndex;
 use redwingrill_scheduling::fleet::UpstreamTag;
 use redwingrill_scheduling::quarantine::BrokenAttempt;
 use redwingrill_scheduling::quarantine::CompletedAttempt;
@@ -33,6 +35,7 @@
 use redwingrill_scheduling::scheduler::Scheduler;
 use redwingrill_scheduling::scheduler::SchedulerOptions;
 use redwingrill_scheduling::scheduler::WaitQueue;
+use redwingrill_scheduling::signals::GateChange;
 
 /// The retry-after of a request that is refused because its retry or move is not possible.
 const BUDGET_RETRY_AFTER_MS: u64 = 500;
@@ -140,7 +143,8 @@
         let now_ms = now_ms();
         self.scheduler.set_upstreams(view.upstreams.clone(), now_ms);
         self.scheduler.set_loading(view.loading());
-        self.scheduler.set_members(view.members.len());
+        let names = view.members.iter().map(|member| member.name.clone()).collect();
+        self.scheduler.set_member_names(names, now_ms);
         self.scheduler.quarantine_mut().set_lapsed(&view.lapsed_quarantines);
         self.scheduler.quarantine_mut().set_listed(&view.quarantined, now_ms);
         self.report_quarantine();
@@ -192,6 +196,9 @@
                     now_ms,
                 );
             }
+            Message::Signals { index, signals, sent_ms } => {
+                self.observe_signals(index, &signals, sent_ms, now_ms);
+            }
             Message::StreamEnded { service, longest_pause_ms } => {
                 self.scheduler.observe_pause(&service, longest_pause_ms)
             }
@@ -216,7 +223,7 @@
             }
             Message::AttemptBroken { evidence } => self.record_broken(&evidence, now_ms),
             Message::AttemptCompleted { evidence } => self.record_completed(&evidence, now_ms),
-            Message::PeerDigest { digest } => self.scheduler.observe_peer(digest, now_ms),
+            Message::PeerDigest { digest } => self.scheduler.observe_peer(*digest, now_ms),
             Message::Digest { responder } => {
                 let _disconnected =
                     responder.send(self.scheduler.digest(self.node_incarnation, now_ms)).is_err();
@@ -243,6 +250,41 @@
         }
     }
 
+    /// Takes what an upstream says of itself in an answer to a request that was sent at `sent_ms`.
+    fn observe_signals(
+        &mut self,
+        index: UpstreamIndex,
+        signals: &UpstreamSignals,
+        sent_ms: u64,
+        now_ms: u64,
+    ) {
+        let change = self.scheduler.observe_limit(index, signals.rate_limit, sent_ms, now_ms);
+        let is_first_invalid =
+            signals.invalid.is_some() && self.scheduler.record_invalid_signal(index);
+        let Some(entry) = self.scheduler.fleet().get(index) else { return };
+        let upstream = &entry.upstream.id;
+        if is_first_invalid {
+            self.metrics.upstream_signal("invalid");
+            info!("event=signal_invalid upstream={upstream} header={:?}", signals.invalid);
+        }
+        match change {
+            Some(GateChange::Limited(limit)) => {
+                let share_per_s = self.scheduler.limit_share_per_s(index).unwrap_or(0.0);
+                self.metrics.upstream_signal("limited");
+                info!(
+                    "event=upstream_limited upstream={upstream} per_s={:.2} share_per_s={:.3}",
+                    limit.per_s(),
+                    share_per_s,
+                );
+            }
+            Some(GateChange::Ended) => {
+                self.metrics.upstream_signal("limit_ended");
+                info!("event=upstream_limit_ended upstream={upstream}");
+            }
+            None => {}
+        }
+    }
+
     fn record_broken(&mut self, evidence: &AttemptEvidence, now_ms: u64) {
         let (service, prompt) = (&evidence.upstream.service, &evidence.prompt);
         let broken = BrokenAttempt {
@@ -362,6 +404,8 @@
                 "load": entry.load(now_ms),
                 "is_open": entry.accepts_requests(now_ms),
                 "is_loading": entry.is_loading,
+                "limit_per_s": entry.gate.limit().map(|limit| limit.per_s()),
+                "limit_share_per_s": self.scheduler.limit_share_per_s(index),
                 "health": entry.health,
                 "time_factor": entry.speed.time_factor(),
             })
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -10,6 +10,7 @@
 use super::call::Call;
 use crate::dispatch::Attempt;
 use redwingrill_routing::HeadCodec;
+use redwingrill_routing::UpstreamSignals;
 use redwingrill_scheduling::fleet::Verdict;
 use redwingrill_transport::Freshness;
 use redwingrill_transport::Pool;
@@ -75,11 +76,16 @@
         return drain_refusal(parts.status, body).await;
     }
     attempt.report_head(&metadata);
+    let is_own = metadata.request_id.as_deref() == Some(call.metadata.id.as_str());
+    // An unsigned answer may name a limit, but not end one by its silence.
+    if is_own && (metadata.is_signed || metadata.signals != UpstreamSignals::default()) {
+        attempt.report_signals(&metadata.signals);
+    }
     if metadata.has_not_run {
         attempt.end(Verdict::Refused, false);
         return drain_refusal(parts.status, body).await;
     }
-    let mismatch = if metadata.request_id.as_deref() != Some(call.metadata.id.as_str()) {
+    let mismatch = if !is_own {
         Some("the response belongs to another request")
     } else if !metadata.is_signed {
         Some("the response is not signed")
--- a/crates/gateway/src/node/lifecycle.rs
+++ b/crates/gateway/src/node/lifecycle.rs
@@ -276,6 +276,7 @@
 
 fn scheduler_options(options: &NodeOptions) -> SchedulerOptions {
     SchedulerOptions {
+        node: options.name.clone(),
         failure_domain: options.failure_domain.clone(),
         budget: options.retry_budget,
         version_limit_ms: options.stale_version_limit.as_millis() as u64,
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -43,6 +43,7 @@
     store_calls: IntCounterVec,
     store_listings: IntCounter,
     quarantine: IntCounterVec,
+    upstream_signals: IntCounterVec,
     view_revision: IntGauge,
     store_era: IntGauge,
     open_connections: IntGauge,
@@ -94,6 +95,11 @@
                 "Changes of suspect and quarantined parts",
                 &["event"],
             ),
+            upstream_signals: counter(
+                "redwingrill_upstream_signals",
+                "Changes of what upstreams say of themselves",
+                &["event"],
+            ),
             view_revision: gauge("redwingrill_beliefs_revision", "Revision of the beliefs"),
             store_era: gauge("redwingrill_store_era", "Era of the store in the beliefs"),
             open_connections: gauge("redwingrill_open_connections", "Connections of callers"),
@@ -154,6 +160,11 @@
         self.inner.store_listings.inc();
     }
 
+    /// Counts a change of what an upstream says of itself.
+    pub fn upstream_signal(&self, event: &str) {
+        self.inner.upstream_signals.with_label_values(&[event]).inc();
+    }
+
     /// Counts a change of the quarantine, or a request that it refuses.
     pub fn quarantine(&self, event: &str) {
         self.inner.quarantine.with_label_values(&[event]).inc();
@@ -200,7 +211,7 @@
 
 impl Inner {
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 14] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 15] = [
             Box::new(self.requests.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.first_event.clone()),
@@ -210,6 +221,7 @@
             Box::new(self.store_calls.clone()),
             Box::new(self.store_listings.clone()),
             Box::new(self.quarantine.clone()),
+            Box::new(self.upstream_signals.clone()),
             Box::new(self.view_revision.clone()),
             Box::new(self.store_era.clone()),
             Box::new(self.open_connections.clone()),
--- a/crates/gateway/tests/attempt_evidence.rs
+++ b/crates/gateway/tests/attempt_evidence.rs
@@ -108,6 +108,7 @@
     for case in cases {
         let (_view, receiver) = watch::channel(Arc::new(view(8)));
         let options = SchedulerOptions {
+            node: "n1".to_owned(),
             failure_domain: "a".to_owned(),
             budget: RetryBudgetSpec { ratio: 0.2, allowance: 54.0, window_ms: 10_000 },
             version_limit_ms: 20_000,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -20,6 +20,7 @@
 mod revision;
 mod routes;
 mod services;
+mod signals;
 mod store;
 mod upstreams;
 
@@ -55,6 +56,8 @@
 pub use services::CacheStore;
 pub use services::EngineSpec;
 pub use services::Service;
+pub use signals::RateLimit;
+pub use signals::UpstreamSignals;
 pub use store::Change;
 pub use store::ChangeBatch;
 pub use store::Condition;
--- a/crates/routing/src/metadata.rs
+++ b/crates/routing/src/metadata.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::DeclaredPrompt;
+use crate::UpstreamSignals;
 use crate::WeightsVersion;
 
 /// Metadata from the head of a caller's request.
@@ -35,7 +36,7 @@
 }
 
 /// Metadata from the head of an upstream's response.
-#[derive(Clone, PartialEq, Eq, Debug, Default)]
+#[derive(Clone, PartialEq, Debug, Default)]
 pub struct ResponseMetadata {
     /// The identifier of the request that the response belongs to, as echoed by the upstream.
     pub request_id: Option<String>,
@@ -51,6 +52,8 @@
     pub upstream_id: Option<String>,
     /// The version of the weights that produced the response.
     pub weights_version: Option<WeightsVersion>,
+    /// What the upstream says of itself.
+    pub signals: UpstreamSignals,
 }
 
 /// Metadata that the router adds to the head of a request to an upstream.
--- a/crates/scheduling/examples/choice.rs
+++ b/crates/scheduling/examples/choice.rs
@@ -67,6 +67,7 @@
 fn main() {
     for count in [18, 79, 850] {
         let options = SchedulerOptions {
+            node: "node".to_owned(),
             failure_domain: "domain-0".to_owned(),
             budget: RetryBudgetSpec { ratio: 0.2, allowance: 54.0, window_ms: 10_000 },
             version_limit_ms: 20_000,
--- a/crates/scheduling/src/fleet/digest.rs
+++ b/crates/scheduling/src/fleet/digest.rs
@@ -15,6 +15,7 @@
 use crate::placement::CacheStoreDigest;
 use crate::placement::PrefixTag;
 use crate::quarantine::QuarantineDigest;
+use crate::signals::LimitStatement;
 use redwingrill_routing::Upstream;
 
 /// The period between digests to one node in a small fleet.
@@ -81,6 +82,8 @@
     pub model: ModelDigest,
     /// Suspect and quarantined parts of prompts.
     pub quarantine: QuarantineDigest,
+    /// What upstreams stated to the node recently about their rate limits.
+    pub limits: Vec<LimitStatement>,
 }
 
 /// The latest digests of the other nodes.
--- a/crates/scheduling/src/fleet/table.rs
+++ b/crates/scheduling/src/fleet/table.rs
@@ -13,6 +13,7 @@
 use super::PeerLoads;
 use super::UpstreamTag;
 use crate::engine_model::EngineSpeed;
+use crate::signals::RateGate;
 use redwingrill_routing::ReportedLoad;
 use redwingrill_routing::Upstream;
 use redwingrill_routing::UpstreamState;
@@ -35,6 +36,8 @@
     pub upstream: Arc<Upstream>,
     /// The identifier in digests.
     pub tag: UpstreamTag,
+    /// The identifier of this start in digests.
+    pub start_tag: UpstreamTag,
     /// The load of the other nodes' requests.
     pub peer_load: NodeLoad,
     /// This node's requests in flight.
@@ -49,6 +52,10 @@
     pub is_loading: bool,
     /// The speed relative to the service.
     pub speed: EngineSpeed,
+    /// Limits this node's requests if the upstream named a rate limit.
+    pub gate: RateGate,
+    /// Whether it sent a signal that could not be decoded.
+    pub has_invalid_signal: bool,
     reported: Option<(ReportedLoad, u64)>,
     sent_since_report: u32,
     // Versions reported in responses, which may be newer than the listed ones.
@@ -62,6 +69,7 @@
         let warm_at_ms = now_ms + upstream.warm_up_remaining.as_millis() as u64;
         Self {
             tag: UpstreamTag::of(&upstream.id),
+            start_tag: UpstreamTag::of_start(&upstream),
             peer_load: NodeLoad::default(),
             upstream,
             in_flight: 0,
@@ -70,6 +78,8 @@
             health: Health::default(),
             is_loading: false,
             speed: EngineSpeed::default(),
+            gate: RateGate::default(),
+            has_invalid_signal: false,
             reported: None,
             sent_since_report: 0,
             reported_versions: HashMap::new(),
@@ -268,6 +278,11 @@
         }
     }
 
+    /// Returns all upstreams for modification.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (UpstreamIndex, &mut FleetEntry)> {
+        self.entries.iter_mut().map(|(index, entry)| (*index, entry))
+    }
+
     /// Returns all upstreams.
     pub fn iter(&self) -> impl Iterator<Item = (UpstreamIndex, &FleetEntry)> {
         self.entries.iter().map(|(index, entry)| (*index, entry))
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`retry_budget`] limits retries over the whole fleet.
 //! - [`rollout`] decides which engines load new weights, and when.
 //! - [`scheduler`] combines these: it chooses an upstream for a request, or refuses the request.
+//! - [`signals`] holds what upstreams say of themselves, and limits requests accordingly.
 //! - [`weights`] decides how long older weights may be used.
 //!
 //! Callers pass in the time as milliseconds of a monotonic clock, and random seeds.
@@ -19,4 +20,5 @@
 pub mod retry_budget;
 pub mod rollout;
 pub mod scheduler;
+pub mod signals;
 pub mod weights;
--- a/crates/scheduling/src/scheduler/choose.rs
+++ b/crates/scheduling/src/scheduler/choose.rs
@@ -71,7 +71,9 @@
     index: UpstreamIndex,
     slots: u32,
     // The cost of its role and weights, which is the same at every node.
-    base_cost_ms: u32,
+    base_cost_ms: i32,
+    // Whether a rate limit paces the requests to it.
+    is_limited: bool,
     // The total cost.
     cost_ms: f64,
 }
@@ -80,7 +82,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Selection {
     index: UpstreamIndex,
-    base_cost_ms: u32,
+    base_cost_ms: i32,
+    is_limited: bool,
 }
 
 /// Properties of a request that are the same for all candidates.
@@ -198,9 +201,15 @@
             let version = entry.version_of(&prompt.model)?;
             let is_newest = version >= self.newest(&prompt.model);
             let is_eligible = entry.accepts_requests(now_ms) && !entry.health.is_ejected(now_ms);
-            is_eligible.then_some((index, entry.upstream.id.as_str(), is_newest))
+            let is_limited = entry.gate.limit().is_some();
+            is_eligible.then_some((index, entry.upstream.id.as_str(), is_newest, is_limited))
         });
-        let engines: Vec<_> = engines.collect();
+        let mut engines: Vec<_> = engines.collect();
+        // Prefixes and short prompts move away from limited engines while there are others.
+        if engines.iter().any(|(_, _, _, is_limited)| !is_limited) {
+            engines.retain(|(_, _, _, is_limited)| !is_limited);
+        }
+        let engines: Vec<_> = engines.into_iter().map(|(i, id, new, _)| (i, id, new)).collect();
         let roles = EngineRoles::choose(engines.iter().copied(), rates, costs);
         let affinity = AffinityKey::of(prompt);
         let preferred_of = |wants_newest: bool| {
@@ -267,8 +276,11 @@
             candidate.cost_ms += self.rng.random_range(0.0..noise_ms);
         }
         let best = candidates.iter().min_by(|one, other| one.cost_ms.total_cmp(&other.cost_ms));
-        let best =
-            best.map(|best| Selection { index: best.index, base_cost_ms: best.base_cost_ms });
+        let best = best.map(|best| Selection {
+            index: best.index,
+            base_cost_ms: best.base_cost_ms,
+            is_limited: best.is_limited,
+        });
         self.candidates = candidates;
         best.ok_or_else(|| {
             let mut untried = self.fleet.of_service(&request.service);
@@ -287,12 +299,13 @@
         node_share: NodeShare,
         now_ms: u64,
     ) {
-        let mut base_costs_ms: Vec<u32> = candidates.iter().map(|c| c.base_cost_ms).collect();
+        let paced = candidates.iter().filter(|candidate| !candidate.is_limited);
+        let mut base_costs_ms: Vec<i32> = paced.map(|candidate| candidate.base_cost_ms).collect();
         base_costs_ms.sort_unstable();
         for equal in base_costs_ms.chunk_by(|one, other| one == other) {
             let class = RequestClass { is_long, base_cost_ms: equal[0] };
             if !self.pacer.affords(class, equal.len(), node_share, now_ms, &mut self.rng) {
-                candidates.retain(|candidate| candidate.base_cost_ms != equal[0]);
+                candidates.retain(|c| c.is_limited || c.base_cost_ms != equal[0]);
             }
         }
     }
@@ -321,7 +334,8 @@
                 candidates.push(Candidate {
                     index,
                     slots: entry.slots(),
-                    base_cost_ms: base_cost_ms as u32,
+                    base_cost_ms: base_cost_ms as i32,
+                    is_limited: entry.gate.limit().is_some(),
                     cost_ms: base_cost_ms + prompt_cost_ms + load_cost_ms,
                 });
             }
@@ -339,6 +353,9 @@
         entry: &FleetEntry,
         now_ms: u64,
     ) -> bool {
+        if !entry.gate.allows(now_ms) {
+            return false;
+        }
         let (load, slots) = (entry.load(now_ms), entry.slots());
         if request.prompt.is_none() {
             let limit = if context.is_late { slots } else { slots * SERVICE_QUEUE_FACTOR };
@@ -374,6 +391,7 @@
         now_ms: u64,
     ) -> bool {
         if !entry.accepts_requests(now_ms)
+            || entry.gate.is_closed()
             || entry.in_flight >= self.own_connection_limit(&request.service)
         {
             return false;
@@ -451,7 +469,7 @@
         if let (Some(prompt), Some(key)) = (prompt, context.affinity) {
             self.plan_cache_transfer(&mut assignment, prompt, key, context, now_ms);
         }
-        if let Some(node_share) = context.node_share {
+        if let Some(node_share) = context.node_share.filter(|_| !best.is_limited) {
             let class = RequestClass { is_long: context.is_long, base_cost_ms: best.base_cost_ms };
             let prefill_ms = context.times.curve.prefill_ms(PromptWork {
                 unread_tokens: assignment.pending_prefill_tokens,
@@ -462,6 +480,7 @@
         }
         let entry = self.fleet.get_mut(index).expect("selected upstream is in the table");
         entry.record_sent(assignment.pending_prefill_tokens, assignment.reserved_tokens);
+        entry.gate.spend(now_ms);
         assignment
     }
 
--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -42,7 +42,7 @@
 use redwingrill_routing::WeightsVersion;
 
 /// The number of nodes that is assumed before the members are known.
-const DEFAULT_MEMBERS: usize = 8;
+pub(super) const DEFAULT_MEMBERS: usize = 8;
 
 /// The percentage of an upstream's connections that nodes use, so that nodes which do not know each
 /// other yet stay within its limit together.
@@ -51,6 +51,8 @@
 /// Options of a scheduler.
 #[derive(Clone, Debug)]
 pub struct SchedulerOptions {
+    /// The name of the node.
+    pub node: String,
     /// The failure domain of the node.
     pub failure_domain: String,
     /// The retry budget.
@@ -85,6 +87,8 @@
     connection_limits: HashMap<String, u32>,
     cache_tokens: HashMap<String, u64>,
     members: usize,
+    // The names of the nodes, if they are known.
+    pub(super) member_names: Vec<String>,
     // The long prefixes in use; counted with each digest.
     pub(super) live_prefixes: usize,
     quarantine: Quarantine,
@@ -112,6 +116,7 @@
             connection_limits: HashMap::new(),
             cache_tokens: HashMap::new(),
             members: DEFAULT_MEMBERS,
+            member_names: Vec::new(),
             live_prefixes: 0,
             quarantine: Quarantine::default(),
         }
@@ -148,6 +153,7 @@
             }
         }
         self.merge_model(&digest.model);
+        self.merge_limits(&digest.limits, now_ms);
         self.quarantine.merge(digest.node, &digest.quarantine, now_ms);
         self.peers.observe(digest, now_ms);
         self.fleet.set_peer_loads(&self.peers);
@@ -211,6 +217,7 @@
             cache_store: self.cache_index.cache_store().digest(now_ms),
             model: self.model_digest(),
             quarantine: self.quarantine.digest(now_ms),
+            limits: self.limit_statements(now_ms),
             node,
             sequence: self.sequence,
             upstreams: upstreams.collect(),
@@ -376,6 +383,15 @@
         self.quarantine.set_members(self.members);
     }
 
+    /// Sets the names of the nodes, which share rate limits and the retry budget.
+    pub fn set_member_names(&mut self, names: Vec<String>, now_ms: u64) {
+        self.set_members(names.len());
+        if self.member_names != names {
+            self.member_names = names;
+            self.share_limits(now_ms);
+        }
+    }
+
     /// Sets how many connections one upstream of a service accepts from all nodes together.
     pub fn set_connection_limits(&mut self, limits: Vec<(String, u32)>) {
         self.connection_limits = limits.into_iter().collect();
--- a/crates/scheduling/src/scheduler/cost.rs
+++ b/crates/scheduling/src/scheduler/cost.rs
@@ -31,6 +31,11 @@
 /// The cost of an engine for long prompts for a short one, which concurrent long prompts slow down.
 const SHORT_AMONG_LONG_COST: f64 = 0.16;
 
+/// The preference for a limited upstream while a request may be sent to it: only a few nodes may,
+/// and would otherwise leave it idle. A limited engine has no role. Requests with a long shared
+/// prefix stay where it is cached.
+const LIMITED_PREFERENCE: f64 = 0.2;
+
 /// The wait for each request in excess of the upstream's slots, relative to the time to the first
 /// event without prefill.
 const QUEUE_WAIT: f64 = 0.16;
@@ -53,12 +58,17 @@
         if entry.is_warming_up(now_ms) {
             cost_ms += WARM_UP_COST * unit_ms;
         }
+        if entry.gate.limit().is_some() && context.affinity.is_none() {
+            cost_ms -= LIMITED_PREFERENCE * unit_ms;
+        }
         let Some(prompt) = &request.prompt else { return cost_ms };
-        cost_ms += match (context.is_long, context.roles.is_short(index)) {
-            (true, true) => LONG_AMONG_SHORT_COST * unit_ms,
-            (false, false) => SHORT_AMONG_LONG_COST * unit_ms,
-            _ => 0.0,
-        };
+        if entry.gate.limit().is_none() {
+            cost_ms += match (context.is_long, context.roles.is_short(index)) {
+                (true, true) => LONG_AMONG_SHORT_COST * unit_ms,
+                (false, false) => SHORT_AMONG_LONG_COST * unit_ms,
+                _ => 0.0,
+            };
+        }
         let version = entry.version_of(&prompt.model).unwrap_or_default();
         if context.prefers_newest && version < self.newest(&prompt.model) {
             cost_ms += OLD_WEIGHTS_COST * unit_ms;
--- /dev/null
+++ b/crates/scheduling/src/scheduler/limits.rs
@@ -0,0 +1,93 @@
+//! Rate limits of upstreams, shared between the nodes.
+
+use super::Scheduler;
+use super::core::DEFAULT_MEMBERS;
+use crate::fleet::UpstreamIndex;
+use crate::fleet::digest_round_ms;
+use crate::signals::GateChange;
+use crate::signals::LimitStatement;
+use crate::signals::limit_share_per_s;
+use redwingrill_routing::RateLimit;
+
+/// How long a statement is passed on beyond the time in which a digest reaches each node, so that
+/// lost digests are made up for.
+const STATEMENT_MARGIN_MS: u64 = 500;
+
+impl Scheduler {
+    /// Records whether an answer of an upstream names a rate limit; the request of the answer was
+    /// sent at `sent_ms`.
+    pub fn observe_limit(
+        &mut self,
+        index: UpstreamIndex,
+        limit: Option<RateLimit>,
+        sent_ms: u64,
+        now_ms: u64,
+    ) -> Option<GateChange> {
+        let entry = self.fleet.get_mut(index)?;
+        let change = entry.gate.observe_answer(limit, sent_ms, now_ms)?;
+        self.share_limit(index, now_ms);
+        Some(change)
+    }
+
+    /// Records that an upstream sent a signal that could not be decoded. Returns whether it is the
+    /// first one of this start.
+    pub fn record_invalid_signal(&mut self, index: UpstreamIndex) -> bool {
+        let entry = self.fleet.get_mut(index);
+        entry.is_some_and(|entry| !std::mem::replace(&mut entry.has_invalid_signal, true))
+    }
+
+    /// Returns the share of an upstream's limit that this node may use, in requests per second.
+    pub fn limit_share_per_s(&self, index: UpstreamIndex) -> Option<f64> {
+        let entry = self.fleet.get(index)?;
+        let limit = entry.gate.limit()?;
+        if self.member_names.is_empty() {
+            return Some(limit.per_s() / DEFAULT_MEMBERS as f64);
+        }
+        let (node, nodes) = (&self.options.node, &self.member_names);
+        Some(limit_share_per_s(limit, entry.start_tag, node, nodes))
+    }
+
+    /// Computes the share of each limit again, since the nodes changed.
+    pub(super) fn share_limits(&mut self, now_ms: u64) {
+        let limited = self.fleet.iter().filter(|(_, entry)| entry.gate.limit().is_some());
+        let limited: Vec<_> = limited.map(|(index, _)| index).collect();
+        limited.into_iter().for_each(|index| self.share_limit(index, now_ms));
+    }
+
+    fn share_limit(&mut self, index: UpstreamIndex, now_ms: u64) {
+        let share_per_s = self.limit_share_per_s(index).unwrap_or(0.0);
+        if let Some(entry) = self.fleet.get_mut(index) {
+            entry.gate.set_share(share_per_s, now_ms);
+        }
+    }
+
+    /// Merges statements that another node received.
+    pub(super) fn merge_limits(&mut self, statements: &[LimitStatement], now_ms: u64) {
+        if statements.is_empty() {
+            return;
+        }
+        let mut changed = Vec::new();
+        for (index, entry) in self.fleet.iter_mut() {
+            let statement = statements.iter().find(|known| known.upstream == entry.start_tag);
+            let Some(statement) = statement else { continue };
+            let Some(limit) = statement.limit() else { continue };
+            let at_ms = now_ms.saturating_sub(u64::from(statement.age_ms));
+            if entry.gate.merge(limit, at_ms, now_ms).is_some() {
+                changed.push(index);
+            }
+        }
+        changed.into_iter().for_each(|index| self.share_limit(index, now_ms));
+    }
+
+    /// Returns the statements that this node received recently.
+    pub(super) fn limit_statements(&self, now_ms: u64) -> Vec<LimitStatement> {
+        let span_ms = digest_round_ms(self.members()) + STATEMENT_MARGIN_MS;
+        let statements = self.fleet.iter().filter_map(|(_, entry)| {
+            let (limit, age_ms) = entry.gate.received_within(span_ms, now_ms)?;
+            let per_s = limit.map(|limit| limit.per_s() as f32);
+            let age_ms = u32::try_from(age_ms).unwrap_or(u32::MAX);
+            Some(LimitStatement { upstream: entry.start_tag, per_s, age_ms })
+        });
+        statements.collect()
+    }
+}
--- a/crates/scheduling/src/scheduler/mod.rs
+++ b/crates/scheduling/src/scheduler/mod.rs
@@ -3,6 +3,7 @@
 mod choose;
 mod core;
 mod cost;
+mod limits;
 mod outcome;
 mod pacing;
 mod request;
--- a/crates/scheduling/src/scheduler/pacing.rs
+++ b/crates/scheduling/src/scheduler/pacing.rs
@@ -37,7 +37,7 @@
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
 pub(super) struct RequestClass {
     pub is_long: bool,
-    pub base_cost_ms: u32,
+    pub base_cost_ms: i32,
 }
 
 /// A node's share of the engines' capacity.
--- a/crates/scheduling/tests/fleet.rs
+++ b/crates/scheduling/tests/fleet.rs
@@ -110,6 +110,7 @@
         cache_store,
         model,
         quarantine,
+        limits: Vec::new(),
     }
 }
 
--- a/crates/scheduling/tests/support/mod.rs
+++ b/crates/scheduling/tests/support/mod.rs
@@ -24,6 +24,7 @@
 
 pub fn scheduler(seed: u64) -> Scheduler {
     let options = SchedulerOptions {
+        node: format!("node-{seed}"),
         failure_domain: "a".to_owned(),
         budget: RetryBudgetSpec { ratio: 0.2, allowance: 54.0, window_ms: 10_000 },
         version_limit_ms: VERSION_LIMIT_MS,
