Break a stream off where text is no event

A stream had begun and broke off; the next engine answered with an error. Where it wrote that as the body of an answer with status 200, the caller found the text in the middle of its stream, which then ended as complete.

Cause: the splitter looked for blank lines and the identifiers of events; what stood between two blank lines could be anything. Answers with another status, refusals and answers to another request were told apart before (five of the six new cases passed); only the sixth was red.

Now a block without any field of an event is an error of its upstream, and the stream goes on elsewhere or is broken off. Lines are split with CRLF as one end, so blocks are seen with each kind of line end.

--- a/crates/gateway/src/forward/events.rs
+++ b/crates/gateway/src/forward/events.rs
@@ -2,6 +2,7 @@
 //!
 //! Invariants:
 //! - The output ends at an event boundary, and no byte is changed, lost or duplicated.
+//! - Only events are passed on: text without any field of an event is an error of the upstream.
 //! - A stream is complete only if its transport marked the end, or, where only its connection
 //!   ended, if it had an event and did not end inside one: an upstream that crashes closes its
 //!   connections too.
@@ -32,7 +33,8 @@
     ///
     /// # Errors
     ///
-    /// The reason if an event is too long, or an event id is not text or does not increase.
+    /// The reason if an event is too long, if what stands between two blank lines is no event, or if
+    /// an event id is not text or does not increase.
     pub fn push(&mut self, piece: Bytes) -> Result<Bytes, &'static str> {
         if self.pending.is_empty() && last_event_end(&piece) == piece.len() {
             self.check_lines(&piece)?;
@@ -81,7 +83,17 @@
     }
 
     fn check_lines(&mut self, events: &[u8]) -> Result<(), &'static str> {
-        for line in events.split(|byte| matches!(byte, b'\n' | b'\r')) {
+        let (mut has_text, mut has_field) = (false, false);
+        for line in Lines(events) {
+            if line.is_empty() {
+                if has_text && !has_field {
+                    return Err("text that is no event");
+                }
+                (has_text, has_field) = (false, false);
+                continue;
+            }
+            has_text = true;
+            has_field |= FIELDS.iter().any(|field| line.starts_with(field));
             self.has_data |= line.starts_with(b"data");
             let Some(text) = line.strip_prefix(b"id:") else { continue };
             let text = std::str::from_utf8(text).map_err(|_| "an event's id is no text")?;
@@ -96,6 +108,29 @@
     }
 }
 
+/// What the lines of events begin with, comments too. A line that begins otherwise is ignored by
+/// callers.
+const FIELDS: [&[u8]; 5] = [b"data", b"id", b"event", b"retry", b":"];
+
+/// The lines of some events, which end with LF, CRLF or CR alone.
+struct Lines<'a>(&'a [u8]);
+
+impl<'a> Iterator for Lines<'a> {
+    type Item = &'a [u8];
+
+    fn next(&mut self) -> Option<&'a [u8]> {
+        if self.0.is_empty() {
+            return None;
+        }
+        let end = self.0.iter().position(|byte| matches!(byte, b'\n' | b'\r'));
+        let end = end.unwrap_or(self.0.len());
+        let (line, rest) = self.0.split_at(end);
+        let terminator = if rest.starts_with(b"\r\n") { 2 } else { 1 };
+        self.0 = rest.get(terminator..).unwrap_or_default();
+        Some(line)
+    }
+}
+
 /// The ends of an event whose lines end with LF or with CRLF. An event whose lines end with CR alone
 /// shows its end only at the next line, so it is held until the stream ends.
 const EVENT_ENDS: [&[u8]; 2] = [b"\n\n", b"\n\r\n"];
--- a/crates/gateway/tests/event_splitter.rs
+++ b/crates/gateway/tests/event_splitter.rs
@@ -88,6 +88,22 @@
     }
 }
 
+#[test]
+fn text_that_is_no_event_is_passed_on() {
+    for (text, is_event) in [
+        ("HTTP/1.1 500 Internal Server Error\r\n\r\n{}\n\n", false),
+        ("{\"error\":\"none\"}\n\n", false),
+        ("id: 5\ndata: a\n\nService Unavailable\n\n", false),
+        ("content-type: text/plain\n\n", false),
+        ("x-weight-versions: 3\nid: 5\ndata: a\n\n", true),
+        (": comment\r\n\r\nevent: e\r\nid: 5\r\n\r\n", true),
+        ("\n\n\nretry: 5\n\n", true),
+    ] {
+        let mut splitter = EventSplitter::after(Some(4));
+        assert_eq!(splitter.push(Bytes::from(text)).is_ok(), is_event, "{text:?}");
+    }
+}
+
 #[test]
 fn non_increasing_event_id_is_an_error() {
     for ids in ["id: 4\n\n", "id: 5\n\nid: 5\n\n", "id: 6\n\nid: 5\n\n"] {
--- a/crates/lab/src/site_upstream/behaviour.rs
+++ b/crates/lab/src/site_upstream/behaviour.rs
@@ -38,6 +38,8 @@
     CutsUnframed,
     /// The same, before the first event.
     EndsUnframed,
+    /// It answers a stream that goes on with its text of an error, as if that were the stream.
+    WritesError,
     /// Its events pause for long after the first.
     IsSlow,
 }
--- a/crates/lab/src/site_upstream/http.rs
+++ b/crates/lab/src/site_upstream/http.rs
@@ -346,6 +346,10 @@
                 reply.headers_mut().insert("x-not-executed", HeaderValue::from_static("1"));
                 return Ok(reply);
             }
+            Behaviour::WritesError if seen.header("last-event-id").is_some() => {
+                let text = "HTTP/1.1 500 Internal Server Error\r\n\r\n{\"error\":\"none\"}\n\n";
+                return Ok(self.signed(StatusCode::OK, &seen, full_body(text)));
+            }
             Behaviour::RepeatsRefusal | Behaviour::RepeatsMisdirection => {
                 let status = match behaviour {
                     Behaviour::RepeatsRefusal => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/lab/tests/on_platform/failures.rs
+++ b/crates/lab/tests/on_platform/failures.rs
@@ -140,6 +140,39 @@
     }
 }
 
+/// A stream that broke off goes on at an engine that answers with an error.
+#[tokio::test]
+async fn error_of_the_next_engine_gets_into_a_stream() {
+    for error in [
+        Behaviour::Fails,
+        Behaviour::FailsBusy,
+        Behaviour::Sheds,
+        Behaviour::IsAnother,
+        Behaviour::CrossesAnswers,
+        Behaviour::WritesError,
+    ] {
+        let site = Site::start(2, 0).await;
+        let node = site.node("n1").await;
+        for attempt in 0..20 {
+            let first = attempt % 2;
+            site.engines[first].set(Behaviour::BreaksOff);
+            site.engines[1 - first].set(error);
+            let seen_before = site.engines[1 - first].seen().len();
+            let answer = site.ask(&node, &Call::new("check", &format!("r{attempt}"))).await;
+            let next = site.engines[1 - first].seen();
+            let resumed = next[seen_before..].iter();
+            let resumed = resumed.filter(|seen| seen.header("last-event-id").is_some()).count();
+            if answer.status == StatusCode::OK && resumed > 0 {
+                assert_eq!(answer.body, None, "{error:?}: the stream does not look complete");
+                break;
+            }
+            assert!(attempt < 19, "{error:?}: no stream went on at the next engine");
+            tokio::time::sleep(Duration::from_millis(300)).await;
+        }
+        site.stop(vec![node]).await;
+    }
+}
+
 #[tokio::test]
 async fn a_request_that_no_upstream_takes_is_refused_as_not_run() {
     let site = Site::start(0, 2).await;
