--- a/crates/lab/tests/on_platform/news.rs
+++ b/crates/lab/tests/on_platform/news.rs
@@ -35,6 +35,43 @@
     site.stop(vec![node]).await;
 }
 
+/// Entries that another writer left among those of the upstreams.
+#[tokio::test]
+async fn odd_entry_ends_the_node_or_its_updates() {
+    let site = Site::start(1, 1).await;
+    let node = site.node("n1").await;
+    let state = &site.store.state;
+    let entry = |field: &str, value: serde_json::Value| {
+        let mut entry = json!({"service": "shop", "address": site.shops[0].address().to_string(),
+            "zone": "a", "slots": 8, "state": "ready", "cold_left_ms": 0, "sequence": 1,
+            "models": [{"name": "m", "version": 1, "adapters": []}], "born": 1});
+        entry[field] = value;
+        entry.to_string()
+    };
+    state.put("servers/nested", "[".repeat(100_000));
+    state.put("servers/nested-field", format!("{{\"odd\":{}", "{\"a\":".repeat(100_000)));
+    state.put("servers/huge", entry("sequence", json!(1)).replace("\"born\":1", "\"born\":1e999"));
+    state.put("servers/long-number", entry("cold_left_ms", json!(f64::MAX)));
+    state.put("servers/many-slots", entry("slots", json!(u32::MAX)));
+    state.put("servers/late", entry("born", json!(u64::MAX)));
+    state.put("servers/port", entry("address", json!("127.0.0.1:70000")));
+    state.put("servers/port-zero", entry("address", json!("127.0.0.1:0")));
+    let mut versions = entry("slots", json!(8));
+    versions = versions.replace("\"version\":1", &format!("\"version\":{}", u64::MAX));
+    state.put("servers/version", versions.replace("\"shop\"", "\"llm\""));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    for (n, route) in ["order", "look", "draft", "check"].into_iter().cycle().take(40).enumerate() {
+        let answer = site.ask(&node, &Call::new(route, &format!("r{n}"))).await;
+        assert_eq!(answer.status, StatusCode::OK, "{route} {n}: {answer:?}");
+    }
+    // The node still follows the store.
+    state.put("op/config", configuration(2, &[KEY], &[added_route()]));
+    let added = Call::new("added", "r-added");
+    site.wait("the added route", async || site.ask(&node, &added).await.status == StatusCode::OK)
+        .await;
+    site.stop(vec![node]).await;
+}
+
 #[tokio::test]
 async fn what_cannot_be_read_changes_nothing() {
     let site = Site::start(0, 1).await;
--- a/crates/scheduling/src/fleet/table.rs
+++ b/crates/scheduling/src/fleet/table.rs
@@ -108,10 +108,11 @@
 
     /// Returns the known number of running and queued requests at the upstream.
     pub fn load(&self, now_ms: u64) -> u32 {
-        let known = self.in_flight + self.peer_load.in_flight;
+        let known = self.in_flight.saturating_add(self.peer_load.in_flight);
         match self.reported {
             Some((load, at_ms)) if now_ms.saturating_sub(at_ms) < REPORT_AGE_LIMIT_MS => {
-                let reported = load.running + load.waiting + self.sent_since_report;
+                let reported = load.running.saturating_add(load.waiting);
+                let reported = reported.saturating_add(self.sent_since_report);
                 match self.peer_load.in_flight {
                     0 => reported.max(known),
                     // The counters are newer than the report and include all nodes.
--- a/crates/scheduling/src/scheduler/choose.rs
+++ b/crates/scheduling/src/scheduler/choose.rs
@@ -358,7 +358,8 @@
         }
         let (load, slots) = (entry.load(now_ms), entry.slots());
         if request.prompt.is_none() {
-            let limit = if context.is_late { slots } else { slots * SERVICE_QUEUE_FACTOR };
+            let factor = if context.is_late { 1 } else { SERVICE_QUEUE_FACTOR };
+            let limit = slots.saturating_mul(factor);
             return load < limit;
         }
         // An engine for short prompts takes a long one only if it is nearly idle and can fetch the
--- a/crates/scheduling/tests/fleet.rs
+++ b/crates/scheduling/tests/fleet.rs
@@ -154,4 +154,9 @@
     entry.record_sent(10, 20);
     assert_eq!(entry.load(200), 10);
     assert_eq!(entry.load(5_000), 1);
+    let huge = u32::MAX;
+    let report =
+        ReportedLoad { running: huge, waiting: huge, slots: huge, slowdown_percent: Some(huge) };
+    entry.record_load_report(report, 6_000);
+    assert_eq!(entry.load(6_100), huge);
 }
