Send nothing new to an upstream that says it leaves

An engine that leaves says so in all its answers (Server-Leaving: 1), at times before its entry in the store says so, or while the store is away. Nothing read the header: the engine got all of 50 requests of a second that came after the answer, and none were allowed after drain_ms.

The answer's head is decoded into the same typed signals as the rate limit. Leaving belongs to one start of the upstream and is never taken back: not by its silence, not by its entry in the store, and not when the entry goes and comes back (signals of unlisted starts are kept for ten minutes). The engine counts as draining does: it is in no role, prefers no prefix, and accepts nothing; its running streams go on.

Values other than 1 say nothing and are logged once; of several headers one that says so is enough. The test on a node was red before (50 requests).

--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -261,8 +261,13 @@
         let change = self.scheduler.observe_limit(index, signals.rate_limit, sent_ms, now_ms);
         let is_first_invalid =
             signals.invalid.is_some() && self.scheduler.record_invalid_signal(index);
+        let is_now_leaving = signals.is_leaving && self.scheduler.record_leaving(index, now_ms);
         let Some(entry) = self.scheduler.fleet().get(index) else { return };
         let upstream = &entry.upstream.id;
+        if is_now_leaving {
+            self.metrics.upstream_signal("leaving");
+            info!("event=upstream_leaving upstream={upstream}");
+        }
         if is_first_invalid {
             self.metrics.upstream_signal("invalid");
             info!("event=signal_invalid upstream={upstream} header={:?}", signals.invalid);
@@ -404,7 +409,8 @@
                 "load": entry.load(now_ms),
                 "is_open": entry.accepts_requests(now_ms),
                 "is_loading": entry.is_loading,
-                "limit_per_s": entry.gate.limit().map(|limit| limit.per_s()),
+                "is_leaving": entry.signals.leaving_since_ms.is_some(),
+                "limit_per_s": entry.signals.gate.limit().map(|limit| limit.per_s()),
                 "limit_share_per_s": self.scheduler.limit_share_per_s(index),
                 "health": entry.health,
                 "time_factor": entry.speed.time_factor(),
--- a/crates/lab/tests/on_platform/main.rs
+++ b/crates/lab/tests/on_platform/main.rs
@@ -2,12 +2,12 @@
 
 mod close_delimited;
 mod failures;
-mod limits;
 mod news;
 mod quarantine;
 mod requests;
 mod restored;
 mod rollout;
+mod signals;
 mod site;
 mod stand_ins;
 mod stops;
--- a/crates/routing/src/signals.rs
+++ b/crates/routing/src/signals.rs
@@ -24,6 +24,8 @@
 pub struct UpstreamSignals {
     /// The rate limit, for as long as its answers name one.
     pub rate_limit: Option<RateLimit>,
+    /// Whether it leaves.
+    pub is_leaving: bool,
     /// A signal that could not be decoded, for logs. It says nothing.
     pub invalid: Option<String>,
 }
--- a/crates/scheduling/src/fleet/table.rs
+++ b/crates/scheduling/src/fleet/table.rs
@@ -13,7 +13,7 @@
 use super::PeerLoads;
 use super::UpstreamTag;
 use crate::engine_model::EngineSpeed;
-use crate::signals::RateGate;
+use crate::signals::SignalState;
 use redwingrill_routing::ReportedLoad;
 use redwingrill_routing::Upstream;
 use redwingrill_routing::UpstreamState;
@@ -22,6 +22,10 @@
 /// How long an upstream is skipped after it turned out to be another one or to hold other weights.
 const MISDIRECTED_SKIP_MS: u64 = 400;
 
+/// How long the signals of an upstream that is no longer listed are kept: longer than an upstream
+/// that leaves still serves, and than copies of the store are old.
+const UNLISTED_SIGNALS_AGE_MS: u64 = 600_000;
+
 /// How long a load report is valid.
 const REPORT_AGE_LIMIT_MS: u64 = 3_000;
 
@@ -52,10 +56,8 @@
     pub is_loading: bool,
     /// The speed relative to the service.
     pub speed: EngineSpeed,
-    /// Limits this node's requests if the upstream named a rate limit.
-    pub gate: RateGate,
-    /// Whether it sent a signal that could not be decoded.
-    pub has_invalid_signal: bool,
+    /// What the upstream said of itself.
+    pub signals: SignalState,
     reported: Option<(ReportedLoad, u64)>,
     sent_since_report: u32,
     // Versions reported in responses, which may be newer than the listed ones.
@@ -78,8 +80,7 @@
             health: Health::default(),
             is_loading: false,
             speed: EngineSpeed::default(),
-            gate: RateGate::default(),
-            has_invalid_signal: false,
+            signals: SignalState::default(),
             reported: None,
             sent_since_report: 0,
             reported_versions: HashMap::new(),
@@ -92,6 +93,7 @@
     pub fn accepts_requests(&self, now_ms: u64) -> bool {
         self.upstream.state == UpstreamState::Ready
             && !self.is_loading
+            && !self.signals.is_closed()
             && now_ms >= self.skipped_until_ms
     }
 
@@ -192,6 +194,8 @@
     by_id: HashMap<String, UpstreamIndex>,
     by_service: HashMap<String, Vec<UpstreamIndex>>,
     loading: HashSet<String>,
+    // What starts that are no longer listed said of themselves, and when they were removed.
+    unlisted_signals: HashMap<UpstreamTag, (SignalState, u64)>,
     next_index: u64,
 }
 
@@ -208,9 +212,14 @@
         let listed_indexes: HashSet<UpstreamIndex> = kept.values().copied().collect();
         let removed: Vec<_> =
             self.entries.keys().filter(|i| !listed_indexes.contains(i)).copied().collect();
-        removed.iter().for_each(|index| {
-            self.entries.remove(index);
-        });
+        self.unlisted_signals
+            .retain(|_, (_, at_ms)| now_ms.saturating_sub(*at_ms) < UNLISTED_SIGNALS_AGE_MS);
+        for index in &removed {
+            let Some(entry) = self.entries.remove(index) else { continue };
+            if entry.signals.is_significant() {
+                self.unlisted_signals.insert(entry.start_tag, (entry.signals, now_ms));
+            }
+        }
         self.by_id = kept;
         self.mark_loading();
         removed
@@ -232,7 +241,11 @@
         }
         self.next_index += 1;
         let index = UpstreamIndex(self.next_index);
-        self.entries.insert(index, FleetEntry::new(upstream.clone(), now_ms));
+        let mut entry = FleetEntry::new(upstream.clone(), now_ms);
+        if let Some((signals, _)) = self.unlisted_signals.remove(&entry.start_tag) {
+            entry.signals = signals;
+        }
+        self.entries.insert(index, entry);
         index
     }
 
--- a/crates/scheduling/src/scheduler/choose.rs
+++ b/crates/scheduling/src/scheduler/choose.rs
@@ -201,7 +201,7 @@
             let version = entry.version_of(&prompt.model)?;
             let is_newest = version >= self.newest(&prompt.model);
             let is_eligible = entry.accepts_requests(now_ms) && !entry.health.is_ejected(now_ms);
-            let is_limited = entry.gate.limit().is_some();
+            let is_limited = entry.signals.gate.limit().is_some();
             is_eligible.then_some((index, entry.upstream.id.as_str(), is_newest, is_limited))
         });
         let mut engines: Vec<_> = engines.collect();
@@ -335,7 +335,7 @@
                     index,
                     slots: entry.slots(),
                     base_cost_ms: base_cost_ms as i32,
-                    is_limited: entry.gate.limit().is_some(),
+                    is_limited: entry.signals.gate.limit().is_some(),
                     cost_ms: base_cost_ms + prompt_cost_ms + load_cost_ms,
                 });
             }
@@ -353,7 +353,7 @@
         entry: &FleetEntry,
         now_ms: u64,
     ) -> bool {
-        if !entry.gate.allows(now_ms) {
+        if !entry.signals.gate.allows(now_ms) {
             return false;
         }
         let (load, slots) = (entry.load(now_ms), entry.slots());
@@ -392,7 +392,6 @@
         now_ms: u64,
     ) -> bool {
         if !entry.accepts_requests(now_ms)
-            || entry.gate.is_closed()
             || entry.in_flight >= self.own_connection_limit(&request.service)
         {
             return false;
@@ -481,7 +480,7 @@
         }
         let entry = self.fleet.get_mut(index).expect("selected upstream is in the table");
         entry.record_sent(assignment.pending_prefill_tokens, assignment.reserved_tokens);
-        entry.gate.spend(now_ms);
+        entry.signals.gate.spend(now_ms);
         assignment
     }
 
--- a/crates/scheduling/src/scheduler/cost.rs
+++ b/crates/scheduling/src/scheduler/cost.rs
@@ -58,11 +58,11 @@
         if entry.is_warming_up(now_ms) {
             cost_ms += WARM_UP_COST * unit_ms;
         }
-        if entry.gate.limit().is_some() && context.affinity.is_none() {
+        if entry.signals.gate.limit().is_some() && context.affinity.is_none() {
             cost_ms -= LIMITED_PREFERENCE * unit_ms;
         }
         let Some(prompt) = &request.prompt else { return cost_ms };
-        if entry.gate.limit().is_none() {
+        if entry.signals.gate.limit().is_none() {
             cost_ms += match (context.is_long, context.roles.is_short(index)) {
                 (true, true) => LONG_AMONG_SHORT_COST * unit_ms,
                 (false, false) => SHORT_AMONG_LONG_COST * unit_ms,
--- a/crates/scheduling/src/scheduler/mod.rs
+++ b/crates/scheduling/src/scheduler/mod.rs
@@ -3,11 +3,12 @@
 mod choose;
 mod core;
 mod cost;
-mod limits;
+
 mod outcome;
 mod pacing;
 mod request;
 mod sampling;
+mod signals;
 mod wait_queue;
 
 pub use self::core::Scheduler;
--- a/crates/scheduling/src/scheduler/limits.rs
+++ b/crates/scheduling/src/scheduler/signals.rs
@@ -1,4 +1,4 @@
-//! Rate limits of upstreams, shared between the nodes.
+//! What upstreams say of themselves: rate limits, which the nodes share, and leaving.
 
 use super::Scheduler;
 use super::core::DEFAULT_MEMBERS;
@@ -24,22 +24,27 @@
         now_ms: u64,
     ) -> Option<GateChange> {
         let entry = self.fleet.get_mut(index)?;
-        let change = entry.gate.observe_answer(limit, sent_ms, now_ms)?;
+        let change = entry.signals.gate.observe_answer(limit, sent_ms, now_ms)?;
         self.share_limit(index, now_ms);
         Some(change)
     }
 
+    /// Records that an upstream said that it leaves. Returns whether that is new.
+    pub fn record_leaving(&mut self, index: UpstreamIndex, now_ms: u64) -> bool {
+        self.fleet.get_mut(index).is_some_and(|entry| entry.signals.record_leaving(now_ms))
+    }
+
     /// Records that an upstream sent a signal that could not be decoded. Returns whether it is the
     /// first one of this start.
     pub fn record_invalid_signal(&mut self, index: UpstreamIndex) -> bool {
         let entry = self.fleet.get_mut(index);
-        entry.is_some_and(|entry| !std::mem::replace(&mut entry.has_invalid_signal, true))
+        entry.is_some_and(|entry| !std::mem::replace(&mut entry.signals.has_invalid_signal, true))
     }
 
     /// Returns the share of an upstream's limit that this node may use, in requests per second.
     pub fn limit_share_per_s(&self, index: UpstreamIndex) -> Option<f64> {
         let entry = self.fleet.get(index)?;
-        let limit = entry.gate.limit()?;
+        let limit = entry.signals.gate.limit()?;
         if self.member_names.is_empty() {
             return Some(limit.per_s() / DEFAULT_MEMBERS as f64);
         }
@@ -49,7 +54,7 @@
 
     /// Computes the share of each limit again, since the nodes changed.
     pub(super) fn share_limits(&mut self, now_ms: u64) {
-        let limited = self.fleet.iter().filter(|(_, entry)| entry.gate.limit().is_some());
+        let limited = self.fleet.iter().filter(|(_, entry)| entry.signals.gate.limit().is_some());
         let limited: Vec<_> = limited.map(|(index, _)| index).collect();
         limited.into_iter().for_each(|index| self.share_limit(index, now_ms));
     }
@@ -57,7 +62,7 @@
     fn share_limit(&mut self, index: UpstreamIndex, now_ms: u64) {
         let share_per_s = self.limit_share_per_s(index).unwrap_or(0.0);
         if let Some(entry) = self.fleet.get_mut(index) {
-            entry.gate.set_share(share_per_s, now_ms);
+            entry.signals.gate.set_share(share_per_s, now_ms);
         }
     }
 
@@ -72,7 +77,7 @@
             let Some(statement) = statement else { continue };
             let Some(limit) = statement.limit() else { continue };
             let at_ms = now_ms.saturating_sub(u64::from(statement.age_ms));
-            if entry.gate.merge(limit, at_ms, now_ms).is_some() {
+            if entry.signals.gate.merge(limit, at_ms, now_ms).is_some() {
                 changed.push(index);
             }
         }
@@ -83,7 +88,7 @@
     pub(super) fn limit_statements(&self, now_ms: u64) -> Vec<LimitStatement> {
         let span_ms = digest_round_ms(self.members()) + STATEMENT_MARGIN_MS;
         let statements = self.fleet.iter().filter_map(|(_, entry)| {
-            let (limit, age_ms) = entry.gate.received_within(span_ms, now_ms)?;
+            let (limit, age_ms) = entry.signals.gate.received_within(span_ms, now_ms)?;
             let per_s = limit.map(|limit| limit.per_s() as f32);
             let age_ms = u32::try_from(age_ms).unwrap_or(u32::MAX);
             Some(LimitStatement { upstream: entry.start_tag, per_s, age_ms })
--- a/crates/scheduling/tests/rate_limits.rs
+++ b/crates/scheduling/tests/rate_limits.rs
@@ -171,7 +171,7 @@
         }
     }
     let is_limiting = |scheduler: &Scheduler| {
-        scheduler.fleet().iter().any(|(_, entry)| entry.gate.limit().is_some())
+        scheduler.fleet().iter().any(|(_, entry)| entry.signals.gate.limit().is_some())
     };
     outcome.limiting_nodes = nodes.iter().filter(|(node, _)| is_limiting(node)).count();
     outcome
