Keep the pauses that upstreams ask for

An engine that turns a request away with 503 may say for how long it wants nothing (Retry-After). The header was not read: within a pause of 2.5 s an engine got 39 more requests, two are allowed; and while all engines of a service paused for 4 s, callers were told to come back after half a second, to be refused again.

It counts with status 503 only, for the node that was told, and for one start of the upstream. Paused upstreams get nothing; an answer of this kind is no failure of health, so the engine and its sessions come back at once. A request that would wait for longer than it may, since each upstream is paused, limited or leaves, is refused on arrival, with a time no shorter than the earliest end of a pause, spread.

--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -262,8 +262,15 @@
         let is_first_invalid =
             signals.invalid.is_some() && self.scheduler.record_invalid_signal(index);
         let is_now_leaving = signals.is_leaving && self.scheduler.record_leaving(index, now_ms);
+        let pause_ms = signals.retry_after.map(|pause| pause.as_millis() as u64);
+        let is_now_paused =
+            pause_ms.is_some_and(|pause_ms| self.scheduler.record_pause(index, pause_ms, now_ms));
         let Some(entry) = self.scheduler.fleet().get(index) else { return };
         let upstream = &entry.upstream.id;
+        if is_now_paused {
+            self.metrics.upstream_signal("paused");
+            info!("event=upstream_paused upstream={upstream} pause_ms={pause_ms:?}");
+        }
         if is_now_leaving {
             self.metrics.upstream_signal("leaving");
             info!("event=upstream_leaving upstream={upstream}");
@@ -410,6 +417,7 @@
                 "is_open": entry.accepts_requests(now_ms),
                 "is_loading": entry.is_loading,
                 "is_leaving": entry.signals.leaving_since_ms.is_some(),
+                "paused_ms": entry.signals.paused_until_ms.saturating_sub(now_ms),
                 "limit_per_s": entry.signals.gate.limit().map(|limit| limit.per_s()),
                 "limit_share_per_s": self.scheduler.limit_share_per_s(index),
                 "health": entry.health,
--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -314,7 +314,7 @@
         if call.route.kind.is_stream() && upstream_response.parts.status == StatusCode::OK {
             return self.handle_stream(call, upstream_response).await;
         }
-        let UpstreamResponse { parts, body, mut attempt } = upstream_response;
+        let UpstreamResponse { parts, body, mut attempt, wants_pause } = upstream_response;
         let framing = body.framing();
         let whole = match body.read_all(RESPONSE_LIMIT_BYTES, call.remaining()).await {
             Ok(whole) => whole,
@@ -343,7 +343,13 @@
             attempt.mark_inconclusive();
         }
         let is_failure = parts.status.is_server_error();
-        attempt.end(if is_failure { Verdict::Failed } else { Verdict::Served }, false);
+        let verdict = match is_failure {
+            false => Verdict::Served,
+            // An upstream that wants a pause is not ill.
+            true if wants_pause => Verdict::Refused,
+            true => Verdict::Failed,
+        };
+        attempt.end(verdict, false);
         if is_failure && call.may_retry() && call.remaining() > MIN_REMAINING_TIME {
             self.record_failure(call, "failed", parts.status.as_str());
             return Ok(None);
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -74,7 +74,7 @@
         response: UpstreamResponse,
         last_event_id: Option<u64>,
     ) -> Self {
-        let UpstreamResponse { parts: head, body, mut attempt } = response;
+        let UpstreamResponse { parts: head, body, mut attempt, .. } = response;
         let framing = body.framing();
         if !framing.marks_end() {
             attempt.mark_inconclusive();
@@ -316,9 +316,10 @@
         match send_attempt(call, attempt, Some(last_id), codec, pool).await {
             SendOutcome::Responded(response) => {
                 call.possible_runs += 1;
-                let UpstreamResponse { parts, body, mut attempt } = *response;
+                let UpstreamResponse { parts, body, mut attempt, wants_pause } = *response;
                 if parts.status != StatusCode::OK {
-                    attempt.end(Verdict::Failed, false);
+                    let verdict = if wants_pause { Verdict::Refused } else { Verdict::Failed };
+                    attempt.end(verdict, false);
                     return false;
                 }
                 attempt.report_prefilled();
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -45,6 +45,8 @@
     pub parts: Parts,
     pub body: ResponseBody,
     pub attempt: Attempt,
+    /// Whether the upstream wants no request for a while.
+    pub wants_pause: bool,
 }
 
 /// Sends a request to the upstream of `attempt` and waits for the response head, up to the
@@ -70,7 +72,7 @@
         Err(e) => return failed_send(attempt, &e),
     };
     let (parts, body) = response.into_parts();
-    let metadata = codec.decode_response(&parts.headers);
+    let mut metadata = codec.decode_response(&parts.headers);
     // A refusal, too, may have been written for an earlier request on the connection.
     if metadata.request_id.as_deref() != Some(call.metadata.id.as_str()) {
         attempt.end(Verdict::Failed, false);
@@ -81,6 +83,10 @@
         return drain_refusal(parts.status, body).await;
     }
     attempt.report_head(&metadata);
+    // With another status, the header is not about the upstream's capacity.
+    if parts.status != StatusCode::SERVICE_UNAVAILABLE {
+        metadata.signals.retry_after = None;
+    }
     // An unsigned answer may name a limit, but not end one by its silence.
     if metadata.is_signed || metadata.signals != UpstreamSignals::default() {
         attempt.report_signals(&metadata.signals);
@@ -100,7 +106,8 @@
         attempt.end(Verdict::Failed, false);
         return SendOutcome::Lost { reason: reason.to_owned() };
     }
-    SendOutcome::Responded(Box::new(UpstreamResponse { parts, body, attempt }))
+    let wants_pause = metadata.signals.retry_after.is_some();
+    SendOutcome::Responded(Box::new(UpstreamResponse { parts, body, attempt, wants_pause }))
 }
 
 /// The timeout for reading the short body of a refusal; after it the connection is closed.
--- a/crates/routing/src/signals.rs
+++ b/crates/routing/src/signals.rs
@@ -1,5 +1,7 @@
 //! What an upstream says of itself in the heads of its answers.
 
+use std::time::Duration;
+
 /// The highest rate limit; a higher one is as good as none.
 const LIMIT_PER_S: f32 = 1_000_000.0;
 
@@ -24,6 +26,8 @@
 pub struct UpstreamSignals {
     /// The rate limit, for as long as its answers name one.
     pub rate_limit: Option<RateLimit>,
+    /// How long it wants no request from this node, if the answer is a refusal for want of capacity.
+    pub retry_after: Option<Duration>,
     /// Whether it leaves.
     pub is_leaving: bool,
     /// A signal that could not be decoded, for logs. It says nothing.
--- a/crates/scheduling/src/fleet/table.rs
+++ b/crates/scheduling/src/fleet/table.rs
@@ -93,7 +93,7 @@
     pub fn accepts_requests(&self, now_ms: u64) -> bool {
         self.upstream.state == UpstreamState::Ready
             && !self.is_loading
-            && !self.signals.is_closed()
+            && !self.signals.is_closed(now_ms)
             && now_ms >= self.skipped_until_ms
     }
 
@@ -216,7 +216,7 @@
             .retain(|_, (_, at_ms)| now_ms.saturating_sub(*at_ms) < UNLISTED_SIGNALS_AGE_MS);
         for index in &removed {
             let Some(entry) = self.entries.remove(index) else { continue };
-            if entry.signals.is_significant() {
+            if entry.signals.is_significant(now_ms) {
                 self.unlisted_signals.insert(entry.start_tag, (entry.signals, now_ms));
             }
         }
--- a/crates/scheduling/src/scheduler/signals.rs
+++ b/crates/scheduling/src/scheduler/signals.rs
@@ -1,5 +1,8 @@
-//! What upstreams say of themselves: rate limits, which the nodes share, and leaving.
+//! What upstreams say of themselves: rate limits, which the nodes share, pauses and leaving.
 
+use super::Choice;
+use super::RefusalCause;
+use super::ScheduleRequest;
 use super::Scheduler;
 use super::core::DEFAULT_MEMBERS;
 use crate::fleet::UpstreamIndex;
@@ -8,11 +11,18 @@
 use crate::signals::LimitStatement;
 use crate::signals::limit_share_per_s;
 use redwingrill_routing::RateLimit;
+use redwingrill_routing::UpstreamState;
 
 /// How long a statement is passed on beyond the time in which a digest reaches each node, so that
 /// lost digests are made up for.
 const STATEMENT_MARGIN_MS: u64 = 500;
 
+/// The retry delay for callers while all upstreams leave, and the least spread of retries.
+const CLOSED_RETRY_AFTER_MS: u64 = 500;
+
+/// The maximum retry delay, before it is spread.
+const RETRY_AFTER_LIMIT_MS: u64 = 60_000;
+
 impl Scheduler {
     /// Records whether an answer of an upstream names a rate limit; the request of the answer was
     /// sent at `sent_ms`.
@@ -29,6 +39,61 @@
         Some(change)
     }
 
+    /// Records that an upstream wants no request from this node for `pause_ms`. Returns whether there
+    /// was no pause before.
+    pub fn record_pause(&mut self, index: UpstreamIndex, pause_ms: u64, now_ms: u64) -> bool {
+        let entry = self.fleet.get_mut(index);
+        entry.is_some_and(|entry| entry.signals.record_pause(pause_ms, now_ms))
+    }
+
+    /// Returns when a request may be sent, with `ahead` others in front of it, if all upstreams that
+    /// it was not sent to yet are closed or limited by what they say of themselves. `None` if one is
+    /// not; `u64::MAX` if none opens again.
+    pub(super) fn opens_ms(
+        &self,
+        request: &ScheduleRequest,
+        ahead: usize,
+        now_ms: u64,
+    ) -> Option<u64> {
+        let mut opens_ms = u64::MAX;
+        let (mut share_per_s, mut is_any_closed) = (0.0, false);
+        for (index, entry) in self.fleet.of_service(&request.service) {
+            let is_ready = entry.upstream.state == UpstreamState::Ready;
+            if !is_ready || request.tried.contains(&index) {
+                continue;
+            }
+            let signals = &entry.signals;
+            is_any_closed = true;
+            if signals.leaving_since_ms.is_some() {
+                continue;
+            }
+            match signals.gate.limit() {
+                _ if now_ms < signals.paused_until_ms => {
+                    opens_ms = opens_ms.min(signals.paused_until_ms);
+                }
+                Some(_) => share_per_s += signals.gate.share_per_s(),
+                None => return None,
+            }
+        }
+        if share_per_s > 0.0 {
+            let wait_ms = (ahead + 1) as f64 / share_per_s * 1_000.0;
+            opens_ms = opens_ms.min(now_ms.saturating_add(wait_ms as u64));
+        }
+        is_any_closed.then_some(opens_ms)
+    }
+
+    /// Refuses a request that would wait in vain for closed upstreams. Callers that are refused
+    /// together do not return together.
+    pub(super) fn refuse_closed(&mut self, opens_ms: u64, now_ms: u64) -> Choice {
+        let wait_ms = match opens_ms {
+            u64::MAX => CLOSED_RETRY_AFTER_MS,
+            opens_ms => opens_ms.saturating_sub(now_ms).min(RETRY_AFTER_LIMIT_MS),
+        };
+        let spread_ms = (wait_ms / 2).max(CLOSED_RETRY_AFTER_MS);
+        let retry_after_ms = self.random_between(wait_ms, wait_ms + spread_ms);
+        Choice::Refuse { cause: RefusalCause::Overloaded, retry_after_ms }
+    }
+
     /// Records that an upstream said that it leaves. Returns whether that is new.
     pub fn record_leaving(&mut self, index: UpstreamIndex, now_ms: u64) -> bool {
         self.fleet.get_mut(index).is_some_and(|entry| entry.signals.record_leaving(now_ms))
--- a/crates/scheduling/src/scheduler/wait_queue.rs
+++ b/crates/scheduling/src/scheduler/wait_queue.rs
@@ -181,8 +181,16 @@
         let is_late = entry.is_late(now_ms);
         match scheduler.choose_with_lateness(&entry.request, is_late, now_ms) {
             Choice::Wait if now_ms < entry.wait_ends_ms() => {
-                self.waiting.push(entry);
-                None
+                let ahead = self.waiting.iter().filter(|known| known.class == entry.class).count();
+                match scheduler.opens_ms(&entry.request, ahead, now_ms) {
+                    Some(opens_ms) if opens_ms > entry.wait_ends_ms() => {
+                        Some((entry.responder, scheduler.refuse_closed(opens_ms, now_ms)))
+                    }
+                    _ => {
+                        self.waiting.push(entry);
+                        None
+                    }
+                }
             }
             Choice::Wait => {
                 let refusal = scheduler.refuse_overloaded(&entry.request, now_ms);
--- a/crates/scheduling/src/signals/mod.rs
+++ b/crates/scheduling/src/signals/mod.rs
@@ -1,6 +1,6 @@
 //! What upstreams say of themselves in their answers, and what follows for requests to them.
 //!
-//! Upstreams say of themselves that they are limited or leave ([`SignalState`]).
+//! Upstreams say of themselves that they are limited, want a pause, or leave ([`SignalState`]).
 //!
 //! An upstream in need names a rate limit for the requests of all nodes together. With many nodes
 //! the first burst decides: a token for each of 195 nodes is more than a limit of nine a second
--- a/crates/scheduling/src/signals/rate_gate.rs
+++ b/crates/scheduling/src/signals/rate_gate.rs
@@ -121,6 +121,11 @@
         self.tokens = self.tokens.min(self.capacity());
     }
 
+    /// Returns this node's share of the limit, in requests per second.
+    pub fn share_per_s(&self) -> f64 {
+        self.share_per_s
+    }
+
     /// Returns whether this node has no share of the limit.
     pub fn is_closed(&self) -> bool {
         self.limit().is_some() && self.share_per_s <= 0.0
