--- a/crates/lab/tests/on_platform/rollout.rs
+++ b/crates/lab/tests/on_platform/rollout.rs
@@ -17,6 +17,8 @@
 use crate::site::SiteNode;
 use redwingrill_lab::metadata_store::StoreFault;
 use redwingrill_lab::site_upstream::Behaviour;
+use redwingrill_lab::soak::Link;
+use redwingrill_lab::soak::LinkState;
 
 #[tokio::test]
 async fn engines_take_the_version_by_one_holder() {
@@ -265,3 +267,39 @@
     tokio::task::spawn_blocking(|| thread.join()).await.expect("no panic").expect("no panic");
     running.node.drain().await.finish().await;
 }
+
+/// The store falls silent for all nodes of one failure domain, and then new weights are named. These
+/// nodes hear of them late, and may go on with the older weights only once a node of another domain
+/// has recorded the age of the new ones.
+#[tokio::test]
+async fn domain_without_the_store_refuses_while_new_weights_are_rolled_out() {
+    const CUT_NODES: usize = 9;
+    let site = Site::start(4, 0).await;
+    site.engines.iter().for_each(|engine| engine.set_load_time(Duration::from_secs(15)));
+    let link = Link::start(site.store.address()).await.expect("a free port");
+    let mut nodes = Vec::new();
+    for n in 0..CUT_NODES {
+        nodes.push(site.start_node(&format!("a-{n}"), link.address, Vec::new()).await);
+    }
+    nodes.push(site.start_node("b-0", site.store.address(), Vec::new()).await);
+    for node in &nodes {
+        site.wait("the node is ready", async || site.is_ready(node).await).await;
+    }
+    link.set(LinkState::Silent);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    site.name_version(2);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+
+    let ends = Instant::now() + Duration::from_secs(2);
+    let (mut asked, mut served) = (0, 0);
+    while Instant::now() < ends {
+        for node in &nodes[..CUT_NODES] {
+            let answer = site.ask(node, &Call::new("check", &format!("r{asked}"))).await;
+            asked += 1;
+            served += usize::from(answer.status == StatusCode::OK);
+        }
+    }
+    assert!(asked >= CUT_NODES && served == asked, "{served} of {asked} were served");
+    drop(link);
+    site.stop(nodes).await;
+}
--- a/crates/lab/tests/on_platform/site.rs
+++ b/crates/lab/tests/on_platform/site.rs
@@ -109,6 +109,11 @@
     }
 }
 
+/// Returns the failure domain of a node: what is before the hyphen in its name, or `a`.
+fn failure_domain_of(name: &str) -> &str {
+    name.split_once('-').map_or("a", |(domain, _)| domain)
+}
+
 impl Site {
     pub async fn start(engines: usize, shops: usize) -> Self {
         let state = StoreState::default();
@@ -166,7 +171,7 @@
         let NodeAddresses { callers, readiness, peers, gossip } = addresses;
         let options = NodeOptions {
             name: name.to_owned(),
-            failure_domain: "a".to_owned(),
+            failure_domain: failure_domain_of(name).to_owned(),
             link_mbps: 1_000,
             caller_address: callers,
             readiness_address: readiness,
