Let duties pass over failure domains, and double the nodes of each turn

Cause: the record that tells nodes without contact how long they may use older weights is written by one node for all, in the order of names, each 0.4 s after the one before. The 37 nodes of rvk-a come first and could not write; the record came when the turn of the 38th node did, 14.8 s later. Until then rvk-a took all older weights for expired and refused its callers: its refusals begin at 4.4 s, as the version is named, and end at 18.8 s. The claims of the roll-out went through the same nodes meanwhile.

Class: a duty that one node does for all, handed on in an order in which nodes that fail together stand together. Also changed, from the same order: who leads a roll-out, and who listens to the cache store (six nodes, three each of the first two domains).

Now the order passes over the domains by turns, each turn has twice as many nodes as the one before, and delays of tries double with it, so that all nodes together try at most 20 times a second.

Two tests of the old order's ranks now use the rank that has the same turn, 0.8 s; the delay of a second try in that turn is 2 s.

--- a/crates/gateway/src/cache_watch/task.rs
+++ b/crates/gateway/src/cache_watch/task.rs
@@ -10,7 +10,6 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::cluster_view::ClusterView;
-use crate::cluster_view::Member;
 use crate::dispatch::Dispatcher;
 use redwingrill_routing::UpstreamControl;
 
@@ -84,13 +83,12 @@
     fn watched_address(&mut self) -> Option<SocketAddr> {
         let view = self.view.borrow_and_update();
         let store = view.configuration.as_ref()?.cache_store()?;
-        // Fast links first: listeners pass the events on to all other nodes.
-        let own = view.members.iter().find(|member| member.name == self.node)?;
-        let ranks_before =
-            |member: &&Member| (own.link_mbps, &member.name) < (member.link_mbps, &own.name);
-        let rank = view.members.iter().filter(ranks_before).count();
+        // Listeners pass the events on to all other nodes.
+        let rank = view.rank_of(&self.node);
+        let is_member = rank < view.members.len();
         let listeners = store.event_listeners as usize;
-        (rank < listeners.saturating_sub(RESERVED_LISTENERS)).then_some(store.address)
+        let is_listener = rank < listeners.saturating_sub(RESERVED_LISTENERS);
+        (is_member && is_listener).then_some(store.address)
     }
 
     async fn poll(&self, position: &mut Position) -> Duration {
--- a/crates/gateway/src/cluster_view/mod.rs
+++ b/crates/gateway/src/cluster_view/mod.rs
@@ -14,6 +14,8 @@
 use redwingrill_routing::UpstreamState;
 use redwingrill_routing::WeightsVersion;
 use redwingrill_scheduling::quarantine::PartKey;
+use redwingrill_scheduling::turns::Contender;
+use redwingrill_scheduling::turns::rank;
 use redwingrill_scheduling::weights::GraceRecord;
 
 pub use builder::ClusterViewBuilder;
@@ -62,9 +64,9 @@
 }
 
 impl ClusterView {
-    /// Returns the rank of a node among the members, by name.
+    /// Returns the rank of a node among the members, in the order of turns at duties.
     pub fn rank_of(&self, node: &str) -> usize {
-        self.members.iter().filter(|member| member.name.as_str() < node).count()
+        rank(node, self.members.iter().map(Contender::from))
     }
 
     /// Returns the identities of the engines that are loading new weights: those that the leader of
--- a/crates/gateway/src/cluster_view/node_items.rs
+++ b/crates/gateway/src/cluster_view/node_items.rs
@@ -7,6 +7,7 @@
 
 use redwingrill_routing::Era;
 use redwingrill_routing::WeightsVersion;
+use redwingrill_scheduling::turns::Contender;
 use redwingrill_scheduling::weights::GraceRecord;
 
 /// The key prefix of members, followed by the node's name.
@@ -36,6 +37,16 @@
     pub link_mbps: u64,
 }
 
+impl<'a> From<&'a Member> for Contender<'a> {
+    fn from(member: &'a Member) -> Self {
+        Self {
+            name: &member.name,
+            failure_domain: &member.failure_domain,
+            link_mbps: member.link_mbps,
+        }
+    }
+}
+
 /// The node that leads the roll-out.
 #[derive(Clone, PartialEq, Eq, Debug, Default, Serialize, Deserialize)]
 pub struct RolloutLeader {
--- a/crates/gateway/src/rollout/grace_task.rs
+++ b/crates/gateway/src/rollout/grace_task.rs
@@ -72,7 +72,7 @@
             self.observe(&view);
             let rank = view.rank_of(&self.node);
             if let Some(pending) = self.recorder.next(rank, now_ms()) {
-                self.record(&pending).await;
+                self.record(&pending, rank).await;
             }
             tokio::select! {
                 () = stopping.cancelled() => return,
@@ -107,7 +107,7 @@
         }
     }
 
-    async fn record(&mut self, pending: &PendingRecord) {
+    async fn record(&mut self, pending: &PendingRecord, rank: usize) {
         let (model, version) = (&pending.model, pending.record.version);
         match self.write(pending).await {
             Ok(WriteOutcome::Done(_)) => {
@@ -120,11 +120,11 @@
             Ok(WriteOutcome::Conflict(_)) => self.recorder.recorded(model, version),
             Ok(WriteOutcome::NoLease) => {
                 warn!("event=grace_record_failed model={model} reason=lease_ended");
-                self.recorder.delay(model, version, now_ms());
+                self.recorder.delay(model, version, rank, now_ms());
             }
             Err(error) => {
                 warn!("event=grace_record_failed model={model} reason={:?}", error.to_string());
-                self.recorder.delay(model, version, now_ms());
+                self.recorder.delay(model, version, rank, now_ms());
             }
         }
     }
--- a/crates/gateway/src/rollout/task.rs
+++ b/crates/gateway/src/rollout/task.rs
@@ -37,6 +37,7 @@
 use redwingrill_scheduling::rollout::KeyHolder;
 use redwingrill_scheduling::rollout::Leadership;
 use redwingrill_scheduling::rollout::LoadPlan;
+use redwingrill_scheduling::turns::retry_delay_ms;
 
 /// How often the roll-out is advanced while there is work.
 const STEP_PERIOD: Duration = Duration::from_millis(150);
@@ -154,7 +155,7 @@
         };
         if let Err(error) = claimed {
             warn!("event=rollout_claim_failed reason={:?}", error.to_string());
-            self.paused_until_ms = now_ms() + STORE_RETRY_DELAY_MS;
+            self.paused_until_ms = now_ms() + retry_delay_ms(rank, STORE_RETRY_DELAY_MS);
         }
     }
 
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`rollout`] decides which engines load new weights, and when.
 //! - [`scheduler`] combines these: it chooses an upstream for a request, or refuses the request.
 //! - [`signals`] holds what upstreams say of themselves, and limits requests accordingly.
+//! - [`turns`] orders the nodes for duties that one node does for all.
 //! - [`weights`] decides how long older weights may be used.
 //!
 //! Callers pass in the time as milliseconds of a monotonic clock, and random seeds.
@@ -21,4 +22,5 @@
 pub mod rollout;
 pub mod scheduler;
 pub mod signals;
+pub mod turns;
 pub mod weights;
--- a/crates/scheduling/src/rollout/leadership.rs
+++ b/crates/scheduling/src/rollout/leadership.rs
@@ -9,15 +9,13 @@
 //! All of this holds within an era of the store. Once the store comes back from an older copy, the
 //! key and the leases of earlier eras prove nothing, so every instance waits as for a predecessor.
 
+use crate::turns::turn_delay_ms;
 use redwingrill_routing::Era;
 use redwingrill_routing::Revision;
 
 /// The percentage of its lease that a leader leaves unused, for commands in progress.
 const LEASE_MARGIN_PERCENT: u64 = 30;
 
-/// The delay between the claims of nodes with consecutive ranks.
-const CLAIM_STEP_MS: u64 = 400;
-
 /// Who holds the leader's key.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum KeyHolder {
@@ -84,7 +82,7 @@
         self.lease = None;
     }
 
-    /// Decides whether to claim leadership. `rank` is the node's position in the order of claims.
+    /// Decides whether to claim leadership. `rank` is the node's position in the order of turns.
     pub fn claim(&mut self, has_work: bool, holder: KeyHolder, rank: usize, now_ms: u64) -> Claim {
         if !has_work || holder == KeyHolder::OtherInstance || self.lease.is_some() {
             self.work_since_ms = None;
@@ -94,7 +92,7 @@
             return Claim::TakeOver;
         }
         let since_ms = *self.work_since_ms.get_or_insert(now_ms);
-        match now_ms.saturating_sub(since_ms) >= rank as u64 * CLAIM_STEP_MS {
+        match now_ms.saturating_sub(since_ms) >= turn_delay_ms(rank) {
             true => Claim::Now,
             false => Claim::NotYet,
         }
--- a/crates/scheduling/src/weights/recorder.rs
+++ b/crates/scheduling/src/weights/recorder.rs
@@ -1,15 +1,14 @@
 //! Decides when this node writes the grace record of a version that it saw published.
 //!
-//! Nodes take turns by rank, so that one of them writes the record unless it fails.
+//! Nodes take turns, so that one of them writes the record unless it fails, see [`crate::turns`].
 
 use super::GraceRecord;
 use super::record_lease_ms;
+use crate::turns::retry_delay_ms;
+use crate::turns::turn_delay_ms;
 use redwingrill_routing::WeightsVersion;
 
-/// The delay between the turns of nodes with consecutive ranks.
-const TURN_MS: u64 = 400;
-
-/// The delay after a failed write.
+/// The delay after a failed write of the first node.
 const RETRY_MS: u64 = 500;
 
 /// A record that is to be written.
@@ -78,12 +77,13 @@
         self.published.iter_mut().for_each(|entry| entry.is_recorded = false);
     }
 
-    /// Delays the next write of a record after a failure.
-    pub fn delay(&mut self, model: &str, version: WeightsVersion, now_ms: u64) {
+    /// Delays the next write of a record after a failure, for a node with this position in the order
+    /// of turns.
+    pub fn delay(&mut self, model: &str, version: WeightsVersion, rank: usize, now_ms: u64) {
         let failed = self.published.iter_mut();
         failed
             .filter(|entry| entry.model == model && entry.record.version == version)
-            .for_each(|entry| entry.paused_until_ms = now_ms + RETRY_MS);
+            .for_each(|entry| entry.paused_until_ms = now_ms + retry_delay_ms(rank, RETRY_MS));
     }
 
     /// Returns whether any version lacks a record.
@@ -95,7 +95,7 @@
     pub fn next(&mut self, rank: usize, now_ms: u64) -> Option<PendingRecord> {
         let lease_ms = record_lease_ms(self.limit_ms);
         self.published.retain(|entry| now_ms < entry.published_ms + lease_ms);
-        let turn_ms = rank as u64 * TURN_MS;
+        let turn_ms = turn_delay_ms(rank);
         let mut due = self.published.iter().filter(|entry| {
             !entry.is_recorded
                 && now_ms >= entry.published_ms + turn_ms
--- a/crates/scheduling/tests/weights_rollout.rs
+++ b/crates/scheduling/tests/weights_rollout.rs
@@ -194,21 +194,21 @@
     const LIMIT_MS: u64 = 20_000;
     let mut recorder = GraceRecorder::new(LIMIT_MS);
     recorder.observe(MODEL, WeightsVersion(1), WeightsVersion(2), START_MS);
-    // The node is third in the order of turns.
-    assert_eq!(recorder.next(2, START_MS + 700), None);
-    let pending = recorder.next(2, START_MS + 800).expect("it is the node's turn");
+    // The node has the third turn.
+    assert_eq!(recorder.next(3, START_MS + 700), None);
+    let pending = recorder.next(3, START_MS + 800).expect("it is the node's turn");
     assert_eq!(pending.record.previous, WeightsVersion(1));
     assert_eq!(pending.lease_ms, record_lease_ms(LIMIT_MS) - 800);
-    recorder.delay(MODEL, WeightsVersion(2), START_MS + 800);
-    assert_eq!(recorder.next(2, START_MS + 900), None);
-    assert!(recorder.next(2, START_MS + 1_300).is_some());
+    recorder.delay(MODEL, WeightsVersion(2), 3, START_MS + 800);
+    assert_eq!(recorder.next(3, START_MS + 2_700), None);
+    assert!(recorder.next(3, START_MS + 2_800).is_some());
     recorder.recorded(MODEL, WeightsVersion(2));
     assert!(!recorder.has_work());
-    assert_eq!(recorder.next(2, START_MS + 1_400), None);
+    assert_eq!(recorder.next(3, START_MS + 2_900), None);
     // A store that comes back from a copy has lost the record; its lease ends when it would have.
     recorder.store_restored();
-    let again = recorder.next(2, START_MS + 1_400).expect("the record is lost");
-    assert_eq!((again.record, again.lease_ms), (pending.record, record_lease_ms(LIMIT_MS) - 1_400));
+    let again = recorder.next(3, START_MS + 2_900).expect("the record is lost");
+    assert_eq!((again.record, again.lease_ms), (pending.record, record_lease_ms(LIMIT_MS) - 2_900));
     recorder.recorded(MODEL, WeightsVersion(2));
     // A record that would be as old as its lease is not written.
     recorder.observe(MODEL, WeightsVersion(2), WeightsVersion(3), START_MS);
@@ -387,11 +387,11 @@
 #[test]
 fn nodes_claim_in_order_of_rank() {
     let mut leadership = Leadership::new(LEASE_MS, 0);
-    assert_eq!(leadership.claim(true, KeyHolder::Nobody, 2, 5_000), Claim::NotYet);
-    assert_eq!(leadership.claim(true, KeyHolder::Nobody, 2, 5_700), Claim::NotYet);
-    assert_eq!(leadership.claim(true, KeyHolder::Nobody, 2, 5_800), Claim::Now);
-    assert_eq!(leadership.claim(true, KeyHolder::OtherInstance, 2, 5_900), Claim::NotYet);
-    assert_eq!(leadership.claim(true, KeyHolder::Nobody, 2, 6_000), Claim::NotYet);
+    assert_eq!(leadership.claim(true, KeyHolder::Nobody, 3, 5_000), Claim::NotYet);
+    assert_eq!(leadership.claim(true, KeyHolder::Nobody, 3, 5_700), Claim::NotYet);
+    assert_eq!(leadership.claim(true, KeyHolder::Nobody, 3, 5_800), Claim::Now);
+    assert_eq!(leadership.claim(true, KeyHolder::OtherInstance, 3, 5_900), Claim::NotYet);
+    assert_eq!(leadership.claim(true, KeyHolder::Nobody, 3, 6_000), Claim::NotYet);
 }
 
 #[test]
