Let the soak draw signals of upstreams and judge them

A seed now has none to two of them beside its faults, from a generator of their own, so the other faults of every seed stay the same.

The stand-in engine can start again under an identity of its own, rejects requests that expect other weights, and names its models in its report.

--- a/crates/lab/src/site_upstream/http.rs
+++ b/crates/lab/src/site_upstream/http.rs
@@ -119,6 +119,13 @@
         self.shared.store.remove(&format!("servers/{}", self.shared.id()));
     }
 
+    /// Starts again under an identity of its own; the old entry is gone.
+    pub fn start_again(&self) {
+        self.unlist();
+        self.shared.crashes.fetch_add(1, Ordering::SeqCst);
+        self.list("ready");
+    }
+
     /// Switches how it answers.
     pub fn set(&self, behaviour: Behaviour) {
         *self.shared.behaviour.lock().expect("no holder panics") = behaviour;
@@ -167,6 +174,12 @@
         *self.shared.version.lock().expect("no holder panics")
     }
 
+    /// Loads a version of the weights at once.
+    pub fn load(&self, version: u64) {
+        *self.shared.version.lock().expect("no holder panics") = version;
+        self.list("ready");
+    }
+
     /// Sets how long new weights take.
     pub fn set_load_time(&self, load: Duration) {
         *self.shared.load.lock().expect("no holder panics") = load;
@@ -214,7 +227,10 @@
         if path == "/-/report" {
             let orders = self.orders.lock().expect("no holder panics").len();
             let busy = self.is_loading.load(Ordering::SeqCst);
-            let report = json!({"stage": "colocated", "busy": busy, "sequence": orders});
+            let version = *self.version.lock().expect("no holder panics");
+            let models = json!([{"name": "m", "version": version, "adapters": []}]);
+            let report = json!({"stage": "colocated", "models": models, "busy": busy,
+                "sequence": orders});
             return Ok(json_reply(StatusCode::OK, &report));
         }
         if path == "/-/order" {
@@ -324,7 +340,9 @@
         let behaviour = *self.behaviour.lock().expect("no holder panics");
         let (parts, body) = request.into_parts();
         let body = body.collect().await.map_err(|_| Cut)?.to_bytes();
-        let is_meant = parts.headers.get("x-expect-instance").is_none_or(|id| id == &self.id());
+        let version = self.version.lock().expect("no holder panics").to_string();
+        let is_meant = parts.headers.get("x-expect-instance").is_none_or(|id| id == &self.id())
+            && parts.headers.get("x-expect-version").is_none_or(|known| known == &version);
         let has_run = is_meant && !matches!(behaviour, Behaviour::Sheds | Behaviour::IsAnother);
         let seen = SeenRequest {
             method: parts.method,
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! A seed decides what strikes when: processes are stopped, paused and killed by signals, the links
 //! to the store are cut, delayed and silenced by a loopback proxy, the store fails in its ways, and
-//! upstreams misbehave. Callers go on all the while over open connections. At the end all faults
-//! are healed, and what callers and upstreams saw is checked against what the pages promise.
+//! upstreams misbehave, or say that they are limited, want a pause or leave. Callers go on all the
+//! while over open connections. At the end all faults are healed, and what callers and upstreams saw
+//! is checked against what the pages promise.
 
 mod callers;
 mod check;
@@ -11,6 +12,7 @@
 mod node;
 mod plan;
 mod run;
+mod signals;
 mod site;
 
 pub use callers::Answer;
@@ -27,4 +29,5 @@
 pub use run::SoakOptions;
 pub use run::SoakReport;
 pub use run::run;
+pub use signals::Signal;
 pub use site::Kind;
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -8,6 +8,8 @@
 use rand::seq::IndexedRandom;
 
 use super::link::LinkState;
+use super::signals::Signal;
+use super::signals::draw_signals;
 use crate::metadata_store::StoreFault;
 use crate::site_upstream::Behaviour;
 
@@ -47,6 +49,8 @@
     Upstream(usize, Behaviour, Duration),
     /// An upstream is emptied and taken off the list, and comes back.
     Leaves(usize, Duration),
+    /// An upstream says something of itself until the end of the faults.
+    Signal(usize, Signal),
     /// The operator writes a new configuration.
     Configure,
     /// The operator names new weights.
@@ -70,6 +74,7 @@
             (at, draw_fault(&mut rng, nodes, upstreams))
         });
         let mut faults: Vec<_> = faults.collect();
+        faults.extend(draw_signals(seed, upstreams));
         faults.sort_by_key(|(at, _)| *at);
         Self { faults }
     }
--- a/crates/lab/src/soak/run.rs
+++ b/crates/lab/src/soak/run.rs
@@ -28,6 +28,11 @@
 use super::check::check;
 use super::link::LinkState;
 use super::node::SoakNode;
+use super::signals::GivenSignal;
+use super::signals::check_signal;
+use super::signals::excuses;
+use super::signals::give;
+use super::signals::withdraw;
 use super::site::Kind;
 use super::site::configuration_of;
 use super::site::version_route;
@@ -113,6 +118,10 @@
     findings: Vec<Finding>,
     // What is healed when.
     healing: Vec<(Instant, Fault)>,
+    // What upstreams said of themselves.
+    signals: Vec<GivenSignal>,
+    // When faults struck that excuse nodes from keeping to that.
+    excused: Vec<Instant>,
 }
 
 /// Plays the faults of a seed.
@@ -137,6 +146,7 @@
     asked.extend(soak.recover(&addresses).await);
     let is_served = |one: &&Asked| one.answer.as_ref().is_some_and(|answer| answer.status == 200);
     let served = asked.iter().filter(is_served).count();
+    soak.check_signals(&plan);
     let findings = soak.finish(&asked).await;
     Ok(SoakReport { plan, asked: asked.len(), served, findings })
 }
@@ -176,6 +186,8 @@
             written_again_at: None,
             findings: Vec::new(),
             healing: Vec::new(),
+            signals: Vec::new(),
+            excused: Vec::new(),
         };
         soak.wait_ready().await?;
         Ok(soak)
@@ -234,6 +246,9 @@
     }
 
     async fn strike(&mut self, fault: &Fault) -> io::Result<()> {
+        if excuses(fault) {
+            self.excused.push(Instant::now());
+        }
         let lasts = match fault {
             Fault::Kill(node) => {
                 self.nodes[*node].kill().await?;
@@ -271,6 +286,17 @@
                 self.upstreams[*upstream].list("draining");
                 Some(*lasts)
             }
+            Fault::Signal(upstream, signal) => {
+                let now = Instant::now();
+                give(&self.upstreams[*upstream], *signal);
+                self.signals.push(GivenSignal {
+                    upstream: *upstream,
+                    signal: *signal,
+                    since: now,
+                    until: now + SPAN,
+                });
+                Some(SPAN)
+            }
             Fault::Configure => {
                 self.version += 1;
                 self.configured = self.version;
@@ -311,6 +337,14 @@
             }
             Fault::Upstream(upstream, ..) => self.upstreams[*upstream].set(Behaviour::Serves),
             Fault::Leaves(upstream, _) => self.upstreams[*upstream].list("ready"),
+            Fault::Signal(upstream, signal) => {
+                let now = Instant::now();
+                let given = self.signals.iter_mut();
+                given
+                    .filter(|given| given.upstream == *upstream && given.signal == *signal)
+                    .for_each(|given| given.until = given.until.min(now));
+                withdraw(&self.upstreams[*upstream], *signal);
+            }
             _ => {}
         }
         Ok(())
@@ -362,6 +396,25 @@
         asked
     }
 
+    /// Checks that the nodes kept to what upstreams said of themselves.
+    /// An upstream that misbehaved, or said more than one thing, may not have told them.
+    fn check_signals(&mut self, plan: &Plan) {
+        let told = |upstream: usize| {
+            let others = plan.faults.iter().filter(|(_, fault)| match fault {
+                Fault::Upstream(other, ..) | Fault::Signal(other, _) => *other == upstream,
+                _ => false,
+            });
+            others.count() == 1
+        };
+        let nodes = self.nodes.len();
+        let judged = self.signals.iter().filter(|given| told(given.upstream));
+        let findings = judged.filter_map(|given| {
+            check_signal(given, &self.upstreams[given.upstream], nodes, &self.excused)
+        });
+        let findings: Vec<Finding> = findings.collect();
+        self.findings.extend(findings);
+    }
+
     async fn finish(mut self, asked: &[Asked]) -> Vec<Finding> {
         let seen: Vec<SeenRequest> = self.upstreams.iter().flat_map(SiteUpstream::seen).collect();
         self.findings.extend(check(asked, &seen));
