Ask engines for their weights when the list does not tell

Nodes that are cut off from the store and from all other nodes hear of new weights from nobody. Engines that have them reject requests which expect the older ones (421, without the version), so such nodes refuse their callers once the roll-out has reached most engines.

Tried first: the version in the rejection itself.

Now an engine that rejects a request because of its weights is asked for its report, unless the list tells within 0.6 s; if it has newer ones the others of the service are asked, eight at a time, each 4 s at most. The list stays the first source: in contact, nothing is asked.

--- a/crates/gateway/src/dispatch/dispatcher.rs
+++ b/crates/gateway/src/dispatch/dispatcher.rs
@@ -91,6 +91,8 @@
     AttemptBroken { evidence: Box<AttemptEvidence> },
     /// The answer of an attempt was received whole.
     AttemptCompleted { evidence: Box<AttemptEvidence> },
+    /// An engine reported its weights.
+    Weights { upstream: Arc<Upstream>, versions: Vec<(String, WeightsVersion)> },
     /// A load digest arrived from another node.
     PeerDigest { digest: Box<LoadDigest> },
     /// Requests the load digest of this node.
@@ -158,6 +160,11 @@
         }
     }
 
+    /// Reports the weights that an engine says it has.
+    pub fn report_weights(&self, upstream: Arc<Upstream>, versions: Vec<(String, WeightsVersion)>) {
+        self.send(Message::Weights { upstream, versions });
+    }
+
     /// Applies the load digest of another node.
     pub fn observe_peer(&self, digest: LoadDigest) {
         self.send(Message::PeerDigest { digest: Box::new(digest) });
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -21,6 +21,7 @@
 use crate::quarantine::log_event;
 use crate::telemetry::Metrics;
 use redwingrill_routing::Configuration;
+use redwingrill_routing::Upstream;
 use redwingrill_routing::UpstreamSignals;
 use redwingrill_scheduling::fleet::UpstreamIndex;
 use redwingrill_scheduling::fleet::UpstreamTag;
@@ -59,14 +60,18 @@
     model_logged_ms: u64,
     // The quarantined parts that the store does not list.
     unlisted: watch::Sender<Vec<HeldPart>>,
+    // Upstreams that rejected a request because of its expected upstream or weights.
+    misdirected: mpsc::Sender<Arc<Upstream>>,
 }
 
 impl DispatchTask {
-    /// Creates the task and its handle.
+    /// Creates the task and its handle. Upstreams that reject a request because of its expected
+    /// upstream or weights are sent to `misdirected`.
     pub fn new(
         options: SchedulerOptions,
         view: watch::Receiver<Arc<ClusterView>>,
         metrics: Metrics,
+        misdirected: mpsc::Sender<Arc<Upstream>>,
     ) -> (Dispatcher, Self) {
         let (sender, messages) = mpsc::unbounded_channel();
         let scheduler = Scheduler::new(options);
@@ -79,6 +84,7 @@
             node_incarnation: rand::random(),
             model_logged_ms: now_ms(),
             unlisted: watch::Sender::default(),
+            misdirected,
         };
         (Dispatcher::new(sender), task)
     }
@@ -206,6 +212,13 @@
                 self.scheduler.record_prefill_done(&assignment, now_ms)
             }
             Message::AttemptEnded { index, pending_prefill_tokens, reserved_tokens, outcome } => {
+                if outcome.is_misdirected
+                    && let Some(entry) = self.scheduler.fleet().get(index)
+                    && !entry.upstream.models.is_empty()
+                {
+                    // One of several reports is enough.
+                    let _full = self.misdirected.try_send(entry.upstream.clone()).is_err();
+                }
                 if self.scheduler.record_attempt_end(
                     index,
                     pending_prefill_tokens,
@@ -221,6 +234,9 @@
                     );
                 }
             }
+            Message::Weights { upstream, versions } => {
+                self.scheduler.observe_weights(&upstream, &versions);
+            }
             Message::AttemptBroken { evidence } => self.record_broken(&evidence, now_ms),
             Message::AttemptCompleted { evidence } => self.record_completed(&evidence, now_ms),
             Message::PeerDigest { digest } => self.scheduler.observe_peer(*digest, now_ms),
--- a/crates/gateway/src/node/lifecycle.rs
+++ b/crates/gateway/src/node/lifecycle.rs
@@ -11,6 +11,7 @@
 use snafu::Snafu;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 use tokio_util::sync::CancellationToken;
@@ -34,6 +35,7 @@
 use crate::rollout::GraceTask;
 use crate::rollout::RolloutOptions;
 use crate::rollout::RolloutTask;
+use crate::rollout::WeightsInquiry;
 use crate::store_sync::StoreSync;
 use crate::store_sync::StoreSyncOptions;
 use crate::telemetry::Metrics;
@@ -50,6 +52,9 @@
 /// The part of the stop timeout that is reserved for the exit of the process.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
 
+/// The number of upstreams that wait to be asked for their weights.
+const MISDIRECTED_QUEUE_LEN: usize = 4;
+
 /// How long the tasks of a node may take to end after its open work.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -142,8 +147,13 @@
         if let Some(socket) = peer_socket {
             services.spawn(PeerServer::new(socket, reader.clone()).run(stopping.clone()));
         }
-        let (dispatcher, dispatch_task) =
-            DispatchTask::new(scheduler_options(&options), view.clone(), metrics.clone());
+        let (misdirected, misdirected_receiver) = mpsc::channel(MISDIRECTED_QUEUE_LEN);
+        let (dispatcher, dispatch_task) = DispatchTask::new(
+            scheduler_options(&options),
+            view.clone(),
+            metrics.clone(),
+            misdirected,
+        );
         let recorder = QuarantineRecorder::new(
             options.name.clone(),
             ports.store.clone(),
@@ -178,6 +188,13 @@
         let (node, control) = (options.name.clone(), ports.control.clone());
         let cache_watch = CacheWatch::new(node, control, view.clone(), dispatcher.clone());
         services.spawn(cache_watch.run(stopping.clone()));
+        let inquiry = WeightsInquiry::new(
+            ports.control.clone(),
+            view.clone(),
+            dispatcher.clone(),
+            misdirected_receiver,
+        );
+        services.spawn(inquiry.run(stopping.clone()));
         let grace = GraceTask::new(
             options.name.clone(),
             options.stale_version_limit,
--- a/crates/gateway/src/rollout/mod.rs
+++ b/crates/gateway/src/rollout/mod.rs
@@ -4,9 +4,11 @@
 //! [`redwingrill_scheduling::rollout`].
 
 mod grace_task;
+mod inquiry;
 mod leader_key;
 mod task;
 
 pub use grace_task::GraceTask;
+pub use inquiry::WeightsInquiry;
 pub use task::RolloutOptions;
 pub use task::RolloutTask;
--- a/crates/gateway/src/rollout/task.rs
+++ b/crates/gateway/src/rollout/task.rs
@@ -332,7 +332,7 @@
             .iter()
             .filter(|(upstream, loaded)| *loaded < target && self.inherited.contains(&upstream.id));
         let states = inherited.map(async |(upstream, _)| {
-            let state = self.control.command_state(upstream).await;
+            let state = self.control.report(upstream).await;
             state.is_ok_and(|state| state.is_busy).then(|| upstream.id.clone())
         });
         let busy = join_all(states).await;
@@ -351,7 +351,7 @@
         version: WeightsVersion,
     ) -> (String, CommandResult) {
         let id = upstream.id.clone();
-        let accepted = match self.control.command_state(upstream).await {
+        let accepted = match self.control.report(upstream).await {
             Ok(state) => state.accepted,
             Err(e) => {
                 info!("event=report_failed upstream={id} reason={:?}", e.to_string());
--- a/crates/gateway/tests/attempt_evidence.rs
+++ b/crates/gateway/tests/attempt_evidence.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
@@ -114,7 +115,8 @@
             version_limit_ms: 20_000,
             seed: 1,
         };
-        let (dispatcher, task) = DispatchTask::new(options, receiver, Metrics::new());
+        let (dispatcher, task) =
+            DispatchTask::new(options, receiver, Metrics::new(), mpsc::channel(1).0);
         let stopping = CancellationToken::new();
         let task = tokio::spawn(task.run(stopping.clone()));
         let mut requests = Requests { dispatcher, tried: Vec::new(), sent: 0 };
--- a/crates/lab/tests/on_platform/rollout.rs
+++ b/crates/lab/tests/on_platform/rollout.rs
@@ -303,3 +303,30 @@
     drop(link);
     site.stop(nodes).await;
 }
+
+/// A node without the store and without peers hears of new weights from engines only.
+#[tokio::test]
+async fn cut_off_node_refuses_once_all_engines_have_new_weights() {
+    let site = Site::start(4, 0).await;
+    let link = Link::start(site.store.address()).await.expect("a free port");
+    let node = site.start_node("n1", link.address, Vec::new()).await;
+    site.wait("the node is ready", async || site.is_ready(&node).await).await;
+    assert_eq!(site.ask(&node, &Call::new("check", "before")).await.status, StatusCode::OK);
+    link.set(LinkState::Silent);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    site.engines.iter().for_each(|engine| engine.load(2));
+
+    // The first ones show that the engines have other weights.
+    for n in 0..3 {
+        site.ask(&node, &Call::new("check", &format!("first{n}"))).await;
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let mut served = 0;
+    for n in 0..20 {
+        let answer = site.ask(&node, &Call::new("check", &format!("r{n}"))).await;
+        served += usize::from(answer.status == StatusCode::OK);
+    }
+    assert!(served >= 18, "{served} of 20 were served");
+    drop(link);
+    site.stop(vec![node]).await;
+}
--- a/crates/routing/src/control.rs
+++ b/crates/routing/src/control.rs
@@ -24,13 +24,15 @@
     pub expected_commands: Option<u64>,
 }
 
-/// What an engine reports about its commands.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub struct CommandState {
+/// What an engine reports about its commands and weights.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct EngineReport {
     /// The number of commands that it has accepted since its start.
     pub accepted: u64,
     /// Whether it is carrying out a command.
     pub is_busy: bool,
+    /// The models that it holds, with the versions of their weights.
+    pub versions: Vec<(String, WeightsVersion)>,
 }
 
 /// The response of an engine to a command.
@@ -92,15 +94,15 @@
 
 /// The control interface of engines.
 pub trait UpstreamControl: Clone + Send + Sync + 'static {
-    /// Returns what an engine reports about its commands.
+    /// Returns what an engine reports about itself.
     ///
     /// # Errors
     ///
     /// [`ControlError`] if the call fails.
-    fn command_state(
+    fn report(
         &self,
         upstream: &Upstream,
-    ) -> impl Future<Output = Result<CommandState, ControlError>> + Send;
+    ) -> impl Future<Output = Result<EngineReport, ControlError>> + Send;
 
     /// Waits up to about one second for changes in the cache at an address.
     ///
--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -26,6 +26,7 @@
 use crate::fleet::NodeLoad;
 use crate::fleet::PeerLoads;
 use crate::fleet::UpstreamIndex;
+use crate::fleet::UpstreamTag;
 use crate::fleet::Verdict;
 use crate::placement::ArrivalRates;
 use crate::placement::CacheIndex;
@@ -464,6 +465,18 @@
         }
     }
 
+    /// Records the weights that an engine says it has, unless it has started again since.
+    pub fn observe_weights(&mut self, upstream: &Upstream, versions: &[(String, WeightsVersion)]) {
+        let start_tag = UpstreamTag::of_start(upstream);
+        let mut entries = self.fleet.iter_mut();
+        let Some((_, entry)) = entries.find(|(_, entry)| entry.start_tag == start_tag) else {
+            return;
+        };
+        for (model, version) in versions {
+            entry.record_version(model, *version);
+        }
+    }
+
     /// Records that an engine has prefilled the prompt of a request.
     pub fn record_prefill_done(&mut self, assignment: &Assignment, now_ms: u64) {
         if let Some(entry) = self.fleet.get_mut(assignment.index) {
