Do not end a limit because of a malformed header

An answer whose limit cannot be decoded counted as one that names none, so it ended the limit at all nodes. Found by reading the change as a newcomer. Red before: after "Server-Limit: many" the limited engine of the test got 54 requests in 2 s (at most 13 by the test).

A malformed header says nothing: the statement of before stays.

--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -274,7 +274,11 @@
         sent_ms: u64,
         now_ms: u64,
     ) {
-        let change = self.scheduler.observe_limit(index, signals.rate_limit, sent_ms, now_ms);
+        // A malformed header says nothing, so it does not end a limit.
+        let states_limit = signals.rate_limit.is_some() || signals.invalid.is_none();
+        let change = states_limit
+            .then(|| self.scheduler.observe_limit(index, signals.rate_limit, sent_ms, now_ms))
+            .flatten();
         let is_first_invalid =
             signals.invalid.is_some() && self.scheduler.record_invalid_signal(index);
         let is_now_leaving = signals.is_leaving && self.scheduler.record_leaving(index, now_ms);
--- a/crates/lab/tests/on_platform/signals.rs
+++ b/crates/lab/tests/on_platform/signals.rs
@@ -68,6 +68,14 @@
     assert!(window >= expected, "only {window} requests in 4 s of {expected}");
     assert!(served >= 400, "{served} served");
 
+    // A malformed header does not end the limit.
+    limited.clear_signals();
+    limited.add_signal("server-limit", "many");
+    let garbled = Instant::now();
+    load(&site, &nodes, Duration::from_millis(20), Duration::from_secs(2)).await;
+    let requests = requests_after(limited, garbled);
+    assert!(requests <= 2 * limit_per_s + 5, "{requests} in 2 s after a malformed header");
+
     // Once its answers do not name a limit any more, it gets as much as the others.
     limited.clear_signals();
     load(&site, &nodes, Duration::from_millis(20), Duration::from_secs(2)).await;
