Let nodes that are not listed for a while keep their shares of limits

When the store was away or comes back from an older copy, the list of nodes is empty or short until all have written their entries again. Each node then took the listed ones for all, and 60 nodes could send 64 requests a second to an engine that takes eight. Found by reading; red before in the new test. A node now counts for 30 s after it was listed last, longer than its lease and a return take. The retry budget and connections go by the list, as before.

--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -45,6 +45,11 @@
 /// The number of nodes that is assumed before the members are known.
 pub(super) const DEFAULT_MEMBERS: usize = 8;
 
+/// How long a node that is no longer listed counts among those that share rate limits. The list may
+/// lose many nodes at once that go on, when the store was unavailable or came back from an older
+/// copy, and each would take the share of the others.
+const MEMBER_MEMORY_MS: u64 = 30_000;
+
 /// The percentage of an upstream's connections that nodes use, so that nodes which do not know each
 /// other yet stay within its limit together.
 const CONNECTIONS_PERCENT: u32 = 80;
@@ -88,8 +93,10 @@
     connection_limits: HashMap<String, u32>,
     cache_tokens: HashMap<String, u64>,
     members: usize,
-    // The names of the nodes, if they are known.
+    // The names of the nodes that share rate limits, sorted; empty until they are known.
     pub(super) member_names: Vec<String>,
+    // When each of them was listed last.
+    members_listed_ms: HashMap<String, u64>,
     // The long prefixes in use; counted with each digest.
     pub(super) live_prefixes: usize,
     quarantine: Quarantine,
@@ -118,6 +125,7 @@
             cache_tokens: HashMap::new(),
             members: DEFAULT_MEMBERS,
             member_names: Vec::new(),
+            members_listed_ms: HashMap::new(),
             live_prefixes: 0,
             quarantine: Quarantine::default(),
         }
@@ -387,6 +395,11 @@
     /// Sets the names of the nodes, which share rate limits and the retry budget.
     pub fn set_member_names(&mut self, names: Vec<String>, now_ms: u64) {
         self.set_members(names.len());
+        self.members_listed_ms.extend(names.into_iter().map(|name| (name, now_ms)));
+        self.members_listed_ms
+            .retain(|_, listed_ms| now_ms.saturating_sub(*listed_ms) < MEMBER_MEMORY_MS);
+        let mut names: Vec<String> = self.members_listed_ms.keys().cloned().collect();
+        names.sort_unstable();
         if self.member_names != names {
             self.member_names = names;
             self.share_limits(now_ms);
--- a/crates/scheduling/tests/rate_limits.rs
+++ b/crates/scheduling/tests/rate_limits.rs
@@ -324,3 +324,23 @@
     }
     assert_eq!(sent, 1);
 }
+
+/// The list of nodes loses most of them for a while, as after the return of an older store.
+#[test]
+fn nodes_take_the_shares_of_nodes_that_are_not_listed_for_a_while() {
+    const NODES: usize = 60;
+    let limit = RateLimit::new(8.0);
+    let names: Vec<String> = (0..NODES).map(node_name).collect();
+    let mut share_per_s = 0.0;
+    for node in 0..NODES {
+        let mut scheduler = scheduler(node as u64);
+        scheduler.set_upstreams(engines(1, 1), 0);
+        scheduler.set_member_names(names.clone(), 0);
+        let (index, _) = scheduler.fleet().iter().next().expect("an engine is listed");
+        scheduler.observe_limit(index, limit, 0, 100);
+        scheduler.set_member_names(Vec::new(), 1_000);
+        scheduler.set_member_names(names[..3].to_vec(), 2_000);
+        share_per_s += scheduler.limit_share_per_s(index).expect("the engine is limited");
+    }
+    assert!((share_per_s - 8.0).abs() < 1e-6, "{share_per_s} a second in all");
+}
