Share the limit of an upstream that is listed again

An upstream that goes from the list and comes back keeps its limit, but this node's share was that of the nodes of before: with one node it stayed the whole limit after 49 others had come. Found by reading; red before in the new test. The shares of limited upstreams are computed again with each list of upstreams.

--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -147,6 +147,8 @@
             self.cache_index.remove_engine(removed);
         }
         self.fleet.set_peer_loads(&self.peers);
+        // An upstream that is listed again brings its limit, and the nodes may have changed.
+        self.share_limits(now_ms);
     }
 
     /// Merges the load digest of another node.
--- a/crates/scheduling/tests/rate_limits.rs
+++ b/crates/scheduling/tests/rate_limits.rs
@@ -344,3 +344,20 @@
     }
     assert!((share_per_s - 8.0).abs() < 1e-6, "{share_per_s} a second in all");
 }
+
+/// An upstream is not listed while the nodes change, and is listed again.
+#[test]
+fn share_of_an_upstream_that_is_listed_again_is_that_of_before() {
+    let mut scheduler = scheduler(0);
+    scheduler.set_upstreams(engines(1, 1), 0);
+    scheduler.set_member_names(vec![node_name(0)], 0);
+    let (index, _) = scheduler.fleet().iter().next().expect("an engine is listed");
+    scheduler.observe_limit(index, RateLimit::new(1.0), 0, 100);
+    scheduler.set_upstreams(Vec::new(), 200);
+    // With many more nodes, this one is not the one that is selected.
+    scheduler.set_member_names((0..50).map(node_name).collect(), 300);
+    scheduler.set_upstreams(engines(1, 1), 400);
+    let (index, entry) = scheduler.fleet().iter().next().expect("an engine is listed");
+    let expected = scheduler.limit_share_per_s(index).expect("the engine is limited");
+    assert_eq!(entry.signals.gate.share_per_s(), expected);
+}
