Say more plainly what five comments mean

Comments only, found by reading lines of the change by themselves: the delay of the first turn, what excuses nodes in the soak, when a signal is known, when Retry-After asks for a pause, and the minimum rate of probes. No code changed.

--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -83,7 +83,7 @@
         return drain_refusal(parts.status, body).await;
     }
     attempt.report_head(&metadata);
-    // With another status, the header is not about the upstream's capacity.
+    // Only with this status does the header ask for a pause.
     if parts.status != StatusCode::SERVICE_UNAVAILABLE {
         metadata.signals.retry_after = None;
     }
--- a/crates/lab/src/soak/signals.rs
+++ b/crates/lab/src/soak/signals.rs
@@ -18,7 +18,7 @@
 /// The span in which signals begin; a limit or a leaving lasts to the end of the faults.
 const SPAN_MS: std::ops::Range<u64> = 500..3_000;
 
-/// How long after it a signal is known to each node that has requests for the upstream.
+/// The time after which each node with requests for the upstream has received its signal.
 const KNOWN_AFTER: Duration = Duration::from_millis(1_500);
 
 /// How long before a signal a suspended node may have received what it sends after it.
@@ -97,7 +97,8 @@
     matches!(fault, Fault::Kill(_) | Fault::Stop(_) | Fault::Pause(..))
 }
 
-/// Checks that `nodes` nodes kept to a signal; `excused` is when faults struck that excuse them.
+/// Checks that `nodes` nodes kept to a signal. `excused` holds the times of the faults that excuse
+/// them from it.
 pub(super) fn check_signal(
     given: &GivenSignal,
     upstream: &SiteUpstream,
--- a/crates/scheduling/src/signals/share.rs
+++ b/crates/scheduling/src/signals/share.rs
@@ -8,7 +8,7 @@
 use crate::fleet::UpstreamTag;
 use redwingrill_routing::RateLimit;
 
-/// The lowest rate at which all nodes together send to a limited upstream: without an answer, they
+/// The minimum rate at which all nodes together send to a limited upstream. Without any answer, they
 /// would not learn that the limit has ended.
 const PROBES_PER_S: f64 = 0.25;
 
--- a/crates/scheduling/src/weights/recorder.rs
+++ b/crates/scheduling/src/weights/recorder.rs
@@ -8,7 +8,7 @@
 use crate::turns::turn_delay_ms;
 use redwingrill_routing::WeightsVersion;
 
-/// The delay after a failed write of the first node.
+/// The delay after a failed write, for the node whose turn comes first.
 const RETRY_MS: u64 = 500;
 
 /// A record that is to be written.
