Do not take an engine for full after its reported requests have ended

What callers saw: requests waited and were refused at nodes while engines had free slots.

An engine that reported full slots stayed full for the node until a response brought a newer report; but a full engine gets no request that could bring one.

The new test fails before: 15 requests instead of 3.

Change: of a report, only the requests that no counter contained then are kept and added to the counters.

--- a/crates/scheduling/src/fleet/table.rs
+++ b/crates/scheduling/src/fleet/table.rs
@@ -59,7 +59,8 @@
     /// What the upstream said of itself.
     pub signals: SignalState,
     reported: Option<(ReportedLoad, u64)>,
-    sent_since_report: u32,
+    // The requests of the last report that no node's counters contained.
+    unknown_at_report: u32,
     // Versions reported in responses, which may be newer than the listed ones.
     reported_versions: HashMap<String, WeightsVersion>,
     skipped_until_ms: u64,
@@ -82,7 +83,7 @@
             speed: EngineSpeed::default(),
             signals: SignalState::default(),
             reported: None,
-            sent_since_report: 0,
+            unknown_at_report: 0,
             reported_versions: HashMap::new(),
             skipped_until_ms: 0,
             warm_at_ms,
@@ -112,14 +113,10 @@
     pub fn load(&self, now_ms: u64) -> u32 {
         let known = self.in_flight.saturating_add(self.peer_load.in_flight);
         match self.reported {
-            Some((load, at_ms)) if now_ms.saturating_sub(at_ms) < REPORT_AGE_LIMIT_MS => {
-                let reported = load.running.saturating_add(load.waiting);
-                let reported = reported.saturating_add(self.sent_since_report);
-                match self.peer_load.in_flight {
-                    0 => reported.max(known),
-                    // The counters are newer than the report and include all nodes.
-                    _ => known,
-                }
+            // The counters of the nodes are newer than the report and include all nodes.
+            _ if self.peer_load.in_flight > 0 => known,
+            Some((_, at_ms)) if now_ms.saturating_sub(at_ms) < REPORT_AGE_LIMIT_MS => {
+                known.saturating_add(self.unknown_at_report)
             }
             _ => known,
         }
@@ -144,7 +141,6 @@
     /// Records that a request was sent.
     pub fn record_sent(&mut self, pending_prefill_tokens: u64, reserved_tokens: u64) {
         self.in_flight += 1;
-        self.sent_since_report += 1;
         self.pending_prefill_tokens += pending_prefill_tokens;
         self.reserved_tokens += reserved_tokens;
     }
@@ -166,8 +162,10 @@
         if let Some(percent) = load.slowdown_percent {
             self.speed.observe_slowdown(f64::from(percent) / 100.0);
         }
+        let reported = load.running.saturating_add(load.waiting);
+        let known = self.in_flight.saturating_add(self.peer_load.in_flight);
+        self.unknown_at_report = reported.saturating_sub(known);
         self.reported = Some((load, now_ms));
-        self.sent_since_report = 0;
     }
 
     /// Records the version that a response reported.
--- a/crates/scheduling/tests/fleet.rs
+++ b/crates/scheduling/tests/fleet.rs
@@ -160,3 +160,22 @@
     entry.record_load_report(report, 6_000);
     assert_eq!(entry.load(6_100), huge);
 }
+
+#[test]
+fn engine_counts_as_full_after_the_requests_of_its_last_report_ended() {
+    let mut fleet = Fleet::default();
+    fleet.set_upstreams(vec![engine("e", 1)], 0);
+    let (index, _) = fleet.of_service(support::SERVICE).next().expect("service has an engine");
+    let entry = fleet.get_mut(index).expect("engine is listed");
+    for _ in 0..12 {
+        entry.record_sent(10, 20);
+    }
+    // Three of its fifteen requests came from elsewhere.
+    let report = ReportedLoad { running: 12, waiting: 3, slots: 12, slowdown_percent: None };
+    entry.record_load_report(report, 100);
+    assert_eq!(entry.load(100), 15);
+    for _ in 0..12 {
+        entry.record_end(20);
+    }
+    assert_eq!(entry.load(200), 3);
+}
