--- a/crates/gateway/src/cluster_view/node_items.rs
+++ b/crates/gateway/src/cluster_view/node_items.rs
@@ -7,6 +7,7 @@
 
 use redwingrill_routing::Era;
 use redwingrill_routing::WeightsVersion;
+use redwingrill_scheduling::coordination::GroupNode;
 use redwingrill_scheduling::turns::Contender;
 use redwingrill_scheduling::weights::GraceRecord;
 
@@ -37,6 +38,17 @@
     pub link_mbps: u64,
 }
 
+impl From<&Member> for GroupNode {
+    fn from(member: &Member) -> Self {
+        Self {
+            name: member.name.clone(),
+            failure_domain: member.failure_domain.clone(),
+            link_mbps: member.link_mbps,
+            address: member.gossip,
+        }
+    }
+}
+
 impl<'a> From<&'a Member> for Contender<'a> {
     fn from(member: &'a Member) -> Self {
         Self {
--- a/crates/gateway/src/dispatch/dispatcher.rs
+++ b/crates/gateway/src/dispatch/dispatcher.rs
@@ -1,6 +1,7 @@
 //! The handle through which requests reach the dispatch task.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 use redwingrill_routing::Upstream;
 use redwingrill_routing::UpstreamSignals;
 use redwingrill_routing::WeightsVersion;
+use redwingrill_scheduling::coordination::CoordinationMessage;
 use redwingrill_scheduling::fleet::LoadDigest;
 use redwingrill_scheduling::fleet::UpstreamIndex;
 use redwingrill_scheduling::scheduler::Assignment;
@@ -95,6 +97,8 @@
     Weights { upstream: Arc<Upstream>, versions: Vec<(String, WeightsVersion)> },
     /// A load digest arrived from another node.
     PeerDigest { digest: Box<LoadDigest> },
+    /// A message of the coordination arrived from another node.
+    Coordination { from: SocketAddr, message: Box<CoordinationMessage> },
     /// Requests the load digest of this node.
     Digest { responder: oneshot::Sender<LoadDigest> },
     /// The cache store changed.
@@ -170,6 +174,11 @@
         self.send(Message::PeerDigest { digest: Box::new(digest) });
     }
 
+    /// Takes a message of the coordination from another node.
+    pub fn receive_coordination(&self, from: SocketAddr, message: CoordinationMessage) {
+        self.send(Message::Coordination { from, message: Box::new(message) });
+    }
+
     /// Returns the load digest of this node; `None` once the task has ended.
     pub async fn digest(&self) -> Option<LoadDigest> {
         let (responder, response) = oneshot::channel();
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -1,6 +1,7 @@
 //! The task that owns the scheduler.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
+use tokio::time::MissedTickBehavior;
 use tokio_util::sync::CancellationToken;
 
 use super::Dispatcher;
@@ -23,6 +25,11 @@
 use redwingrill_routing::Configuration;
 use redwingrill_routing::Upstream;
 use redwingrill_routing::UpstreamSignals;
+use redwingrill_scheduling::coordination::Coordination;
+use redwingrill_scheduling::coordination::CoordinationMessage;
+use redwingrill_scheduling::coordination::GroupNode;
+use redwingrill_scheduling::coordination::Resolution;
+use redwingrill_scheduling::coordination::Resolved;
 use redwingrill_scheduling::fleet::UpstreamIndex;
 use redwingrill_scheduling::fleet::UpstreamTag;
 use redwingrill_scheduling::quarantine::BrokenAttempt;
@@ -30,6 +37,7 @@
 use redwingrill_scheduling::quarantine::HeldPart;
 use redwingrill_scheduling::quarantine::PartKey;
 use redwingrill_scheduling::quarantine::RequestTag;
+use redwingrill_scheduling::scheduler::Assignment;
 use redwingrill_scheduling::scheduler::Choice;
 use redwingrill_scheduling::scheduler::RefusalCause;
 use redwingrill_scheduling::scheduler::ScheduleRequest;
@@ -44,9 +52,22 @@
 /// How often the learned model is logged.
 const MODEL_LOG_PERIOD_MS: u64 = 5_000;
 
-/// How often the queue is served while no message arrives.
+/// The number of messages to other nodes that wait to be sent; others are dropped, as if lost.
+const OUTGOING_LIMIT: usize = 4_096;
+
+/// How often the coordination takes over what the scheduler learned.
+const FOLLOW_PERIOD_MS: u64 = 100;
+
+/// How often what is due with time is done while anything waits.
 const QUEUE_POLL_PERIOD: Duration = Duration::from_millis(20);
 
+/// A request that waits for the assignment of a coordinator.
+#[derive(Debug)]
+struct Waiter {
+    responder: oneshot::Sender<Choice>,
+    purpose: Purpose,
+}
+
 /// The dispatch task.
 #[derive(Debug)]
 pub struct DispatchTask {
@@ -54,7 +75,12 @@
     view: watch::Receiver<Arc<ClusterView>>,
     scheduler: Scheduler,
     metrics: Metrics,
+    // Requests that wait for capacity by this node's own choice.
     queue: WaitQueue<oneshot::Sender<Choice>>,
+    coordination: Coordination<Waiter>,
+    followed_ms: u64,
+    // To the other nodes, with the address of this one, if it takes part in the coordination.
+    outgoing: Option<(SocketAddr, mpsc::Sender<(SocketAddr, CoordinationMessage)>)>,
     // Identifies this run of the node in digests.
     node_incarnation: u64,
     model_logged_ms: u64,
@@ -74,6 +100,9 @@
         misdirected: mpsc::Sender<Arc<Upstream>>,
     ) -> (Dispatcher, Self) {
         let (sender, messages) = mpsc::unbounded_channel();
+        let node_incarnation: u64 = rand::random();
+        let coordination =
+            Coordination::new(node_incarnation, options.failure_domain.clone(), rand::random());
         let scheduler = Scheduler::new(options);
         let task = Self {
             messages,
@@ -81,7 +110,10 @@
             scheduler,
             metrics,
             queue: WaitQueue::default(),
-            node_incarnation: rand::random(),
+            coordination,
+            followed_ms: 0,
+            outgoing: None,
+            node_incarnation,
             model_logged_ms: now_ms(),
             unlisted: watch::Sender::default(),
             misdirected,
@@ -94,11 +126,25 @@
         self.unlisted.subscribe()
     }
 
+    /// Lets the node take part in the coordination, with `own_address` as its address for messages
+    /// of the others. Returns the messages to send to them.
+    pub fn coordinate(
+        &mut self,
+        own_address: SocketAddr,
+    ) -> mpsc::Receiver<(SocketAddr, CoordinationMessage)> {
+        let (sender, receiver) = mpsc::channel(OUTGOING_LIMIT);
+        self.outgoing = Some((own_address, sender));
+        receiver
+    }
+
     /// Runs until `stopping` is cancelled.
     pub async fn run(mut self, stopping: CancellationToken) {
         let mut is_view_open = true;
+        let mut poll = tokio::time::interval(QUEUE_POLL_PERIOD);
+        poll.set_missed_tick_behavior(MissedTickBehavior::Delay);
         self.apply_view();
         loop {
+            let is_idle = self.queue.is_empty() && self.coordination.is_idle();
             tokio::select! {
                 biased;
                 () = stopping.cancelled() => return,
@@ -117,9 +163,85 @@
                     }
                     None => return,
                 },
-                () = tokio::time::sleep(QUEUE_POLL_PERIOD),
-                    if !self.queue.is_empty() => self.serve_queue(),
+                _ = poll.tick(), if !is_idle => {
+                    let is_abandoned = |waiter: &Waiter| waiter.responder.is_closed();
+                    self.coordination.tick(&mut self.scheduler, now_ms(), is_abandoned);
+                    if !self.queue.is_empty() {
+                        self.serve_queue();
+                    }
+                }
+            }
+            self.finish_coordination();
+        }
+    }
+
+    /// Sends the messages of the coordination, and uses what it resolved.
+    fn finish_coordination(&mut self) {
+        let now_ms = now_ms();
+        if now_ms.saturating_sub(self.followed_ms) >= FOLLOW_PERIOD_MS {
+            self.follow_scheduler(now_ms);
+        }
+        for resolved in self.coordination.take_resolved() {
+            self.resolve(resolved, now_ms);
+        }
+        let messages = self.coordination.take_outgoing();
+        let Some((_, outgoing)) = &self.outgoing else { return };
+        let lost = messages.into_iter().filter_map(|message| outgoing.try_send(message).err());
+        let lost = lost.count();
+        if lost > 0 {
+            info!("event=coordination_messages_dropped count={lost}");
+        }
+    }
+
+    fn follow_scheduler(&mut self, now_ms: u64) {
+        self.followed_ms = now_ms;
+        self.coordination.follow(&self.scheduler, now_ms);
+    }
+
+    /// Uses the outcome of a request for an assignment.
+    fn resolve(&mut self, resolved: Resolved<Waiter>, now_ms: u64) {
+        let Resolved { handle: Waiter { responder, purpose }, request, resolution } = resolved;
+        self.metrics.assignment(resolution_name(&resolution));
+        match resolution {
+            Resolution::Assigned(assignment) => {
+                let refused = self.scheduler.refuse_quarantined(&request, now_ms);
+                let refused = refused.or_else(|| {
+                    let needs_budget = purpose == Purpose::Move;
+                    (needs_budget && !self.try_retry(&request.service, now_ms))
+                        .then(|| refusal(RefusalCause::RepeatBudget))
+                });
+                match refused {
+                    Some(refused) => {
+                        self.release(&assignment);
+                        self.send_choice(responder, refused);
+                    }
+                    None => self.send_choice(responder, Choice::Send(assignment)),
+                }
+            }
+            Resolution::NoCapacity => {
+                self.send_choice(responder, refusal(RefusalCause::Overloaded));
+            }
+            Resolution::Refused { cause, retry_after_ms } => {
+                self.send_choice(responder, Choice::Refuse { cause, retry_after_ms });
             }
+            Resolution::Undecided => self.choose_alone(request, purpose, responder, now_ms),
+        }
+    }
+
+    fn try_retry(&mut self, service: &str, now_ms: u64) -> bool {
+        let allowed = self.scheduler.try_retry(service, now_ms);
+        self.metrics.retry(service, allowed);
+        allowed
+    }
+
+    fn release(&mut self, assignment: &Assignment) {
+        self.scheduler.release_assignment(assignment);
+        self.record_change(assignment.index);
+    }
+
+    fn record_change(&mut self, index: UpstreamIndex) {
+        if let Some(entry) = self.scheduler.fleet().get(index) {
+            self.coordination.record_change(entry.tag);
         }
     }
 
@@ -151,6 +273,10 @@
         self.scheduler.set_loading(view.loading());
         let names = view.members.iter().map(|member| member.name.clone()).collect();
         self.scheduler.set_member_names(names, now_ms);
+        if let Some((own_address, _)) = &self.outgoing {
+            let nodes = view.members.iter().map(GroupNode::from).collect();
+            self.coordination.set_nodes(nodes, Some(*own_address));
+        }
         self.scheduler.quarantine_mut().set_lapsed(&view.lapsed_quarantines);
         self.scheduler.quarantine_mut().set_listed(&view.quarantined, now_ms);
         self.report_quarantine();
@@ -179,6 +305,7 @@
             self.scheduler.set_connection_limits(connection_limits(configuration));
             self.scheduler.set_cache_tokens(cache_tokens(configuration));
         }
+        self.follow_scheduler(now_ms);
     }
 
     fn handle(&mut self, message: Message) {
@@ -209,9 +336,11 @@
                 self.scheduler.observe_pause(&service, longest_pause_ms)
             }
             Message::Prefilled { assignment } => {
-                self.scheduler.record_prefill_done(&assignment, now_ms)
+                self.scheduler.record_prefill_done(&assignment, now_ms);
+                self.record_change(assignment.index);
             }
             Message::AttemptEnded { index, pending_prefill_tokens, reserved_tokens, outcome } => {
+                self.record_change(index);
                 if outcome.is_misdirected
                     && let Some(entry) = self.scheduler.fleet().get(index)
                     && !entry.upstream.models.is_empty()
@@ -239,7 +368,15 @@
             }
             Message::AttemptBroken { evidence } => self.record_broken(&evidence, now_ms),
             Message::AttemptCompleted { evidence } => self.record_completed(&evidence, now_ms),
-            Message::PeerDigest { digest } => self.scheduler.observe_peer(*digest, now_ms),
+            Message::PeerDigest { digest } => {
+                if let Some(stored) = &digest.cache_store {
+                    self.coordination.merge_cache_store(stored, now_ms);
+                }
+                self.scheduler.observe_peer(*digest, now_ms);
+            }
+            Message::Coordination { from, message } => {
+                self.coordination.receive(&mut self.scheduler, from, *message, now_ms);
+            }
             Message::Digest { responder } => {
                 let _disconnected =
                     responder.send(self.scheduler.digest(self.node_incarnation, now_ms)).is_err();
@@ -249,10 +386,18 @@
                 }
             }
             Message::CacheStoreChanged { changes } => {
+                self.coordination.apply_cache_store_changes(&changes, now_ms);
                 self.scheduler.apply_cache_store_changes(changes, now_ms);
             }
-            Message::CacheStoreEpoch { epoch } => self.scheduler.set_cache_store_epoch(epoch),
+            Message::CacheStoreEpoch { epoch } => {
+                self.coordination.set_cache_store_epoch(epoch);
+                self.scheduler.set_cache_store_epoch(epoch);
+            }
             Message::RefuseQueued => {
+                for Resolved { handle, .. } in self.coordination.give_up_all() {
+                    let refused = self.scheduler.refuse_stopping();
+                    self.send_choice(handle.responder, refused);
+                }
                 let refused = self.queue.refuse_all(&mut self.scheduler);
                 info!("event=queued_requests_refused count={}", refused.len());
                 self.send_choices(refused);
@@ -348,21 +493,37 @@
             self.send_choice(responder, refusal);
             return;
         }
-        if purpose != Purpose::First {
-            // A move without capacity is refused before it draws on the retry budget.
-            if purpose == Purpose::Move && !self.scheduler.has_capacity_now(&request, now_ms) {
-                self.send_choice(responder, refusal(RefusalCause::Overloaded));
-                return;
-            }
-            let allowed = self.scheduler.try_retry(&request.service, now_ms);
-            self.metrics.retry(&request.service, allowed);
-            if !allowed {
-                self.send_choice(responder, refusal(RefusalCause::RepeatBudget));
-                return;
-            }
+        if purpose == Purpose::Retry && !self.try_retry(&request.service, now_ms) {
+            self.send_choice(responder, refusal(RefusalCause::RepeatBudget));
+            return;
         }
+        if request.prompt.is_none() {
+            self.choose_alone(request, purpose, responder, now_ms);
+            return;
+        }
+        let waiter = Waiter { responder, purpose };
+        let (may_wait, is_first) = (purpose != Purpose::Move, purpose == Purpose::First);
+        let scheduler = &mut self.scheduler;
+        self.coordination.begin(scheduler, request, waiter, (may_wait, is_first), now_ms);
+    }
+
+    /// Chooses an upstream without a coordinator.
+    fn choose_alone(
+        &mut self,
+        request: ScheduleRequest,
+        purpose: Purpose,
+        responder: oneshot::Sender<Choice>,
+        now_ms: u64,
+    ) {
         if purpose == Purpose::Move {
-            let choice = self.scheduler.choose(&request, now_ms);
+            // A move without capacity is refused before it draws on the retry budget.
+            let choice = if !self.scheduler.has_capacity_now(&request, now_ms) {
+                refusal(RefusalCause::Overloaded)
+            } else if !self.try_retry(&request.service, now_ms) {
+                refusal(RefusalCause::RepeatBudget)
+            } else {
+                self.scheduler.choose(&request, now_ms)
+            };
             self.send_choice(responder, choice);
             return;
         }
@@ -387,7 +548,7 @@
     fn send_choice(&mut self, responder: oneshot::Sender<Choice>, choice: Choice) {
         if let Err(Choice::Send(assignment)) = responder.send(choice) {
             // The request was cancelled before it received its assignment.
-            self.scheduler.release_assignment(&assignment);
+            self.release(&assignment);
         }
     }
 
@@ -455,11 +616,27 @@
                 "samples": model.fit().samples(),
             })
         });
-        json!({ "models": models.collect::<Vec<_>>(), "waiting": self.queue.len(), "longest_wait_ms": self.queue.longest_wait_ms(now_ms),
+        let coordinator = self.coordination.coordinator();
+        json!({ "models": models.collect::<Vec<_>>(),
+            "coordination": {
+                "requested": self.coordination.requester().pending(),
+                "groups": coordinator.group_count(),
+                "waiting": coordinator.waiting(),
+            },
+            "waiting": self.queue.len(), "longest_wait_ms": self.queue.longest_wait_ms(now_ms),
             "upstreams": entries.collect::<Vec<_>>(), "fault": verified.err() })
     }
 }
 
+fn resolution_name(resolution: &Resolution) -> &'static str {
+    match resolution {
+        Resolution::Assigned(_) => "assigned",
+        Resolution::NoCapacity => "no_capacity",
+        Resolution::Refused { .. } => "refused",
+        Resolution::Undecided => "undecided",
+    }
+}
+
 fn refusal(cause: RefusalCause) -> Choice {
     Choice::Refuse { cause, retry_after_ms: BUDGET_RETRY_AFTER_MS }
 }
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -82,6 +82,7 @@
             target_ms: self.route.target_latency.as_millis() as u64,
             leaves_ms: self.leaves_ms(),
             pause_target_ms: self.route.pause_target.map(|pause| pause.as_millis() as u64),
+            origin_domain: None,
             tried: self.tried.clone(),
         }
     }
--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -88,7 +88,7 @@
 
 /// The outcome of an attempt that may move from a slow upstream to another one.
 enum AttemptOrMove {
-    Moved(Attempt),
+    Moved(Box<Attempt>),
     Finished(SendOutcome),
 }
 
@@ -205,7 +205,7 @@
                 AttemptOrMove::Moved(next) => {
                     self.record_failure(call, "moved", "");
                     call.record_possible_run(index);
-                    attempt = next;
+                    attempt = *next;
                     continue;
                 }
                 AttemptOrMove::Finished(SendOutcome::Responded(upstream_response)) => {
@@ -259,7 +259,7 @@
             request.tried.push(index);
             if let Ok(next) = self.context.dispatcher.choose(request, Purpose::Move).await {
                 log_assignment(call, &next);
-                return AttemptOrMove::Moved(next);
+                return AttemptOrMove::Moved(Box::new(next));
             }
         }
         AttemptOrMove::Finished(outcome.await)
@@ -544,11 +544,13 @@
     let prefix = assignment.affinity.map_or(0, |key| key.0);
     let scope = assignment.scope.as_ref().map_or("-", |scope| scope.0.as_str());
     let fetch = assignment.fetch_from.map_or_else(|| "-".to_owned(), |from| from.to_string());
+    let coordinator = assignment.coordinator.map_or_else(|| "-".to_owned(), |at| at.to_string());
     let weights = assignment.version.map_or_else(|| "-".to_owned(), |known| known.0.to_string());
     info!(
         "event=assigned request_id={} route={} upstream={} weights={weights} scope={scope} \
          prefix={prefix:x} \
-         unread_tokens={} queued_tokens={} fetch={fetch} save={} sends={} age_ms={}",
+         unread_tokens={} queued_tokens={} fetch={fetch} save={} coordinator={coordinator} sends={} \
+         age_ms={}",
         call.metadata.id,
         call.route.name,
         assignment.upstream.id,
--- a/crates/gateway/src/node/lifecycle.rs
+++ b/crates/gateway/src/node/lifecycle.rs
@@ -148,7 +148,7 @@
             services.spawn(PeerServer::new(socket, reader.clone()).run(stopping.clone()));
         }
         let (misdirected, misdirected_receiver) = mpsc::channel(MISDIRECTED_QUEUE_LEN);
-        let (dispatcher, dispatch_task) = DispatchTask::new(
+        let (dispatcher, mut dispatch_task) = DispatchTask::new(
             scheduler_options(&options),
             view.clone(),
             metrics.clone(),
@@ -162,11 +162,11 @@
             dispatch_task.unlisted_parts(),
         );
         services.spawn(recorder.run(stopping.clone()));
-        services.spawn(dispatch_task.run(stopping.clone()));
         if let (Some(address), Some(gossip)) = (options.peer_address, options.gossip_address) {
             let socket = UdpSocket::bind(gossip).await.context(BindSnafu { address: gossip })?;
             let (name, dispatcher) = (options.name.clone(), dispatcher.clone());
-            let task = Gossip::new(name, socket, view.clone(), dispatcher, reader);
+            let outgoing = dispatch_task.coordinate(gossip);
+            let task = Gossip::new(name, socket, view.clone(), dispatcher, reader, outgoing);
             services.spawn(task.run(stopping.clone()));
             let key = ports.item_codec.own_key(&format!("{MEMBER_PREFIX}{}", options.name));
             let member = Member {
@@ -185,6 +185,7 @@
             );
             services.spawn(membership);
         }
+        services.spawn(dispatch_task.run(stopping.clone()));
         let (node, control) = (options.name.clone(), ports.control.clone());
         let cache_watch = CacheWatch::new(node, control, view.clone(), dispatcher.clone());
         services.spawn(cache_watch.run(stopping.clone()));
--- a/crates/gateway/src/peers/gossip.rs
+++ b/crates/gateway/src/peers/gossip.rs
@@ -1,5 +1,5 @@
-//! Exchanges load digests with the other nodes in datagrams, with the revision of the store that
-//! the sender has applied.
+//! Exchanges datagrams with the other nodes: load digests with the revision of the store that the
+//! sender has applied, and the messages of the coordination.
 //!
 //! The next datagram makes up for a lost one; nothing waits for a datagram.
 
@@ -12,6 +12,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -20,6 +21,7 @@
 use crate::dispatch::Dispatcher;
 use crate::store_sync::StoreReader;
 use redwingrill_routing::Revision;
+use redwingrill_scheduling::coordination::CoordinationMessage;
 use redwingrill_scheduling::fleet::DIGEST_PERIOD_MS;
 use redwingrill_scheduling::fleet::LoadDigest;
 use redwingrill_scheduling::fleet::NODES_PER_DIGEST_PERIOD;
@@ -32,10 +34,13 @@
 
 /// A datagram.
 #[derive(Debug, Serialize, Deserialize)]
-struct Datagram {
-    /// The revision of the store that the sender has applied.
-    revision: u64,
-    digest: LoadDigest,
+enum Datagram {
+    Digest {
+        /// The revision of the store that the sender has applied.
+        revision: u64,
+        digest: Box<LoadDigest>,
+    },
+    Coordination(CoordinationMessage),
 }
 
 /// The gossip task.
@@ -46,6 +51,8 @@
     view: watch::Receiver<Arc<ClusterView>>,
     dispatcher: Dispatcher,
     reader: StoreReader,
+    // Messages of the coordination for other nodes.
+    outgoing: mpsc::Receiver<(SocketAddr, CoordinationMessage)>,
     // The first recipient of the next period. It starts at random: if all nodes sent to the same
     // recipients at the same time, these would see free capacity together and fill it together.
     next_index: usize,
@@ -59,9 +66,10 @@
         view: watch::Receiver<Arc<ClusterView>>,
         dispatcher: Dispatcher,
         reader: StoreReader,
+        outgoing: mpsc::Receiver<(SocketAddr, CoordinationMessage)>,
     ) -> Self {
         let next_index = usize::from(rand::random::<u16>());
-        Self { node, socket, view, dispatcher, reader, next_index }
+        Self { node, socket, view, dispatcher, reader, outgoing, next_index }
     }
 
     /// Runs until `stopping` is cancelled.
@@ -75,6 +83,9 @@
                     Ok((len, from)) => self.receive(&datagram[..len], from),
                     Err(e) => debug!("event=gossip_receive_failed reason={:?}", e.to_string()),
                 },
+                Some((to, message)) = self.outgoing.recv() => {
+                    self.send(&Datagram::Coordination(message), &[to]).await;
+                }
                 () = tokio::time::sleep_until(next_send) => {
                     self.send_digest().await;
                     next_send = Instant::now() + SEND_PERIOD;
@@ -85,8 +96,11 @@
 
     fn receive(&self, datagram: &[u8], from: SocketAddr) {
         match postcard::from_bytes(datagram) {
-            Ok(Datagram { revision, digest }) => {
-                self.dispatcher.observe_peer(digest);
+            Ok(Datagram::Coordination(message)) => {
+                self.dispatcher.receive_coordination(from, message);
+            }
+            Ok(Datagram::Digest { revision, digest }) => {
+                self.dispatcher.observe_peer(*digest);
                 let sender = {
                     let view = self.view.borrow();
                     view.members.iter().find(|m| m.gossip == from).map(|m| m.address)
@@ -110,20 +124,26 @@
         }
         let Some(digest) = self.dispatcher.digest().await else { return };
         let revision = self.view.borrow().complete_to.as_u64();
-        let datagram = match postcard::to_allocvec(&Datagram { revision, digest }) {
+        let count = others.len().min(NODES_PER_DIGEST_PERIOD);
+        let recipients = (0..count).map(|offset| others[(self.next_index + offset) % others.len()]);
+        let recipients: Vec<SocketAddr> = recipients.collect();
+        self.next_index = (self.next_index + count) % others.len();
+        let digest = Box::new(digest);
+        self.send(&Datagram::Digest { revision, digest }, &recipients).await;
+    }
+
+    async fn send(&self, datagram: &Datagram, recipients: &[SocketAddr]) {
+        let datagram = match postcard::to_allocvec(datagram) {
             Ok(datagram) => datagram,
             Err(e) => {
                 warn!("event=gossip_encode_failed reason={:?}", e.to_string());
                 return;
             }
         };
-        let recipients = others.len().min(NODES_PER_DIGEST_PERIOD);
-        for offset in 0..recipients {
-            let address = others[(self.next_index + offset) % others.len()];
+        for address in recipients {
             if let Err(e) = self.socket.send_to(&datagram, address).await {
                 debug!("event=gossip_send_failed to={address} reason={:?}", e.to_string());
             }
         }
-        self.next_index = (self.next_index + recipients) % others.len();
     }
 }
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -44,6 +44,7 @@
     store_listings: IntCounter,
     quarantine: IntCounterVec,
     upstream_signals: IntCounterVec,
+    assignments: IntCounterVec,
     view_revision: IntGauge,
     store_era: IntGauge,
     open_connections: IntGauge,
@@ -100,6 +101,11 @@
                 "Changes of what upstreams say of themselves",
                 &["event"],
             ),
+            assignments: counter(
+                "redwingrill_assignments",
+                "Requests to coordinators by outcome",
+                &["outcome"],
+            ),
             view_revision: gauge("redwingrill_beliefs_revision", "Revision of the beliefs"),
             store_era: gauge("redwingrill_store_era", "Era of the store in the beliefs"),
             open_connections: gauge("redwingrill_open_connections", "Connections of callers"),
@@ -165,6 +171,11 @@
         self.inner.upstream_signals.with_label_values(&[event]).inc();
     }
 
+    /// Counts the outcome of a request to a coordinator.
+    pub fn assignment(&self, outcome: &str) {
+        self.inner.assignments.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts a change of the quarantine, or a request that it refuses.
     pub fn quarantine(&self, event: &str) {
         self.inner.quarantine.with_label_values(&[event]).inc();
--- a/crates/gateway/tests/attempt_evidence.rs
+++ b/crates/gateway/tests/attempt_evidence.rs
@@ -65,6 +65,7 @@
         target_ms: 500,
         leaves_ms: now_ms + 5_000,
         pause_target_ms: None,
+        origin_domain: None,
         tried,
     }
 }
--- a/crates/scheduling/examples/choice.rs
+++ b/crates/scheduling/examples/choice.rs
@@ -60,6 +60,7 @@
         target_ms: if is_long { 1_500 } else { 500 },
         leaves_ms: now_ms + 6_000,
         pause_target_ms: Some(500),
+        origin_domain: None,
         tried: Vec::new(),
     }
 }
--- /dev/null
+++ b/crates/scheduling/src/coordination/coordinator.rs
@@ -0,0 +1,293 @@
+//! The coordinator of groups of engines.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use super::AssignmentRequest;
+use super::AssignmentResponse;
+use super::Decision;
+use super::EngineGroup;
+use super::Grant;
+use super::GroupKey;
+use super::LoadReport;
+use crate::fleet::UpstreamTag;
+use crate::placement::CacheStoreDigest;
+use crate::scheduler::Assignment;
+use crate::scheduler::Choice;
+use crate::scheduler::RefusalCause;
+use crate::scheduler::Scheduler;
+use crate::scheduler::WaitQueue;
+use redwingrill_routing::CacheChange;
+
+/// How long a waiting request is kept without being renewed.
+const RENEWAL_LIMIT_MS: u64 = 700;
+
+/// How long an assignment counts while no report includes it.
+const UNSETTLED_LIMIT_MS: u64 = 1_500;
+
+/// How long decisions are kept, in case the node repeats the request.
+const DECISION_MEMORY_MS: u64 = 3_000;
+
+/// How long a group is kept after its last request.
+const GROUP_MEMORY_MS: u64 = 30_000;
+
+/// A response and the node that it is for.
+pub(super) type Addressed = (SocketAddr, AssignmentResponse);
+
+/// A request of a node.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+struct RequestKey {
+    node: u64,
+    id: u64,
+}
+
+#[derive(Debug)]
+enum RequestState {
+    Waiting,
+    Decided {
+        decision: Decision,
+        at_ms: u64,
+        // The assignment that no report includes yet.
+        unsettled: Option<Box<Assignment>>,
+    },
+}
+
+#[derive(Debug)]
+struct TrackedRequest {
+    reply_to: SocketAddr,
+    renewed_ms: u64,
+    state: RequestState,
+}
+
+#[derive(Debug)]
+struct Group {
+    scheduler: Scheduler,
+    queue: WaitQueue<RequestKey>,
+    requests: HashMap<RequestKey, TrackedRequest>,
+    used_ms: u64,
+}
+
+/// Assigns the engines of groups to the prompts of all nodes.
+#[derive(Debug, Default)]
+pub struct Coordinator {
+    groups: HashMap<GroupKey, Group>,
+}
+
+impl Coordinator {
+    /// Returns the number of groups that this node coordinates.
+    pub fn group_count(&self) -> usize {
+        self.groups.len()
+    }
+
+    /// Returns the number of requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.groups.values().map(|group| group.queue.len()).sum()
+    }
+
+    /// Takes over the current engines and what the node's scheduler knows of them.
+    pub(super) fn follow(&mut self, node: &Scheduler, groups: &[EngineGroup], now_ms: u64) {
+        self.groups.retain(|_, group| now_ms.saturating_sub(group.used_ms) < GROUP_MEMORY_MS);
+        for (key, state) in &mut self.groups {
+            let group = groups.iter().find(|group| group.key == *key);
+            state.scheduler.follow(node, group.map_or(&[], |group| &group.engines), now_ms);
+        }
+    }
+
+    /// Applies events of the cache store.
+    pub(super) fn apply_cache_store_changes(&mut self, changes: &[CacheChange], now_ms: u64) {
+        for group in self.groups.values_mut() {
+            group.scheduler.apply_cache_store_changes(changes.to_vec(), now_ms);
+        }
+    }
+
+    /// Records whether this node is subscribed to the cache store.
+    pub(super) fn set_cache_store_epoch(&mut self, epoch: Option<u64>) {
+        for group in self.groups.values_mut() {
+            group.scheduler.set_cache_store_epoch(epoch);
+        }
+    }
+
+    /// Merges what another node reports of the cache store.
+    pub(super) fn merge_cache_store(&mut self, stored: &CacheStoreDigest, now_ms: u64) {
+        for group in self.groups.values_mut() {
+            group.scheduler.merge_cache_store(stored.clone(), now_ms);
+        }
+    }
+
+    /// Decides on a request for an assignment; returns the responses, of which some may be for
+    /// other nodes.
+    pub(super) fn handle_request(
+        &mut self,
+        node: &Scheduler,
+        groups: &[EngineGroup],
+        from: SocketAddr,
+        request: AssignmentRequest,
+        now_ms: u64,
+    ) -> Vec<Addressed> {
+        let AssignmentRequest { id, group: key, may_wait, is_first, requirements, report } =
+            request;
+        let group = self.groups.entry(key).or_insert_with(|| {
+            let known = groups.iter().find(|group| group.key == key);
+            Group {
+                scheduler: node.for_group(known.map_or(&[], |group| &group.engines), now_ms),
+                queue: WaitQueue::default(),
+                requests: HashMap::new(),
+                used_ms: now_ms,
+            }
+        });
+        group.used_ms = now_ms;
+        let request_key = RequestKey { node: report.node, id };
+        group.observe_report(report, now_ms);
+        if let Some(tracked) = group.requests.get_mut(&request_key) {
+            tracked.renewed_ms = now_ms;
+            let decision = match &tracked.state {
+                RequestState::Waiting => Decision::Queued,
+                RequestState::Decided { decision, .. } => decision.clone(),
+            };
+            return vec![(from, AssignmentResponse { id, group: key, decision })];
+        }
+        let fleet = group.scheduler.fleet();
+        let index_of = |tag: UpstreamTag| {
+            fleet.iter().find(|(_, entry)| entry.start_tag == tag).map(|(index, _)| index)
+        };
+        let request = requirements.into_request(now_ms, index_of);
+        if is_first && let Some(prompt) = request.prompt.clone() {
+            let (service, target_ms) = (request.service.clone(), request.target_ms);
+            group.scheduler.count_prompt(&service, &prompt, target_ms, now_ms);
+        }
+        let tracked =
+            TrackedRequest { reply_to: from, renewed_ms: now_ms, state: RequestState::Waiting };
+        group.requests.insert(request_key, tracked);
+        let decided = match may_wait {
+            true => group.queue.enqueue(&mut group.scheduler, request, request_key, now_ms),
+            false if group.queue.has_rivals(&mut group.scheduler, &request) => {
+                vec![(request_key, Choice::Wait)]
+            }
+            false => vec![(request_key, group.scheduler.choose(&request, now_ms))],
+        };
+        let mut responses = group.record_decisions(key, decided, now_ms);
+        if let Some(tracked) = group.requests.get(&request_key)
+            && matches!(tracked.state, RequestState::Waiting)
+        {
+            let decision = Decision::Queued;
+            responses.push((from, AssignmentResponse { id, group: key, decision }));
+        }
+        responses
+    }
+
+    /// Takes the load report of a node; returns the decisions that it allows.
+    pub(super) fn handle_report(
+        &mut self,
+        key: GroupKey,
+        report: LoadReport,
+        now_ms: u64,
+    ) -> Vec<Addressed> {
+        let Some(group) = self.groups.get_mut(&key) else { return Vec::new() };
+        group.observe_report(report, now_ms);
+        group.dispatch(key, now_ms)
+    }
+
+    /// Forgets a request that its node no longer needs.
+    pub(super) fn withdraw(&mut self, key: GroupKey, node: u64, id: u64) {
+        let Some(group) = self.groups.get_mut(&key) else { return };
+        if let Some(tracked) = group.requests.remove(&RequestKey { node, id }) {
+            group.release(tracked);
+        }
+    }
+
+    /// Expires what is too old, and returns the decisions that are due.
+    pub(super) fn tick(&mut self, now_ms: u64) -> Vec<Addressed> {
+        let mut responses = Vec::new();
+        for (key, group) in &mut self.groups {
+            group.expire(now_ms);
+            responses.extend(group.dispatch(*key, now_ms));
+        }
+        responses
+    }
+}
+
+impl Group {
+    fn observe_report(&mut self, report: LoadReport, now_ms: u64) {
+        for id in &report.settled {
+            let request_key = RequestKey { node: report.node, id: *id };
+            let tracked = self.requests.get_mut(&request_key);
+            if let Some(RequestState::Decided { unsettled, .. }) = tracked.map(|t| &mut t.state)
+                && let Some(assignment) = unsettled.take()
+            {
+                self.scheduler.release_assignment(&assignment);
+            }
+        }
+        self.scheduler.observe_node_load(report.node, report.sequence, report.upstreams, now_ms);
+    }
+
+    fn dispatch(&mut self, key: GroupKey, now_ms: u64) -> Vec<Addressed> {
+        if self.queue.is_empty() {
+            return Vec::new();
+        }
+        let requests = &self.requests;
+        let is_abandoned = |request_key: &RequestKey| {
+            let renewed_ms = requests.get(request_key).map(|tracked| tracked.renewed_ms);
+            renewed_ms.is_none_or(|at_ms| now_ms.saturating_sub(at_ms) >= RENEWAL_LIMIT_MS)
+        };
+        let decided = self.queue.dispatch(&mut self.scheduler, now_ms, is_abandoned);
+        self.record_decisions(key, decided, now_ms)
+    }
+
+    fn record_decisions(
+        &mut self,
+        group: GroupKey,
+        decided: Vec<(RequestKey, Choice)>,
+        now_ms: u64,
+    ) -> Vec<Addressed> {
+        let mut responses = Vec::new();
+        for (request_key, choice) in decided {
+            let (decision, unsettled) = match choice {
+                Choice::Send(assignment) => {
+                    (Decision::Assigned(Grant::from(&*assignment)), Some(assignment))
+                }
+                Choice::Wait => (Decision::NoCapacity, None),
+                Choice::Refuse { cause: RefusalCause::NoUpstream, .. } => {
+                    (Decision::NoUpstream, None)
+                }
+                Choice::Refuse { retry_after_ms, .. } => {
+                    (Decision::Refused { retry_after_ms }, None)
+                }
+            };
+            let Some(tracked) = self.requests.get_mut(&request_key) else {
+                if let Some(assignment) = unsettled {
+                    self.scheduler.release_assignment(&assignment);
+                }
+                continue;
+            };
+            let response =
+                AssignmentResponse { id: request_key.id, group, decision: decision.clone() };
+            responses.push((tracked.reply_to, response));
+            tracked.state = RequestState::Decided { decision, at_ms: now_ms, unsettled };
+        }
+        responses
+    }
+
+    fn expire(&mut self, now_ms: u64) {
+        self.scheduler.expire_node_loads(now_ms);
+        let mut expired = Vec::new();
+        self.requests.retain(|_, tracked| match &mut tracked.state {
+            RequestState::Waiting => now_ms.saturating_sub(tracked.renewed_ms) < RENEWAL_LIMIT_MS,
+            RequestState::Decided { at_ms, unsettled, .. } => {
+                let age_ms = now_ms.saturating_sub(*at_ms);
+                if age_ms >= UNSETTLED_LIMIT_MS {
+                    expired.extend(unsettled.take());
+                }
+                age_ms < DECISION_MEMORY_MS
+            }
+        });
+        for assignment in expired {
+            self.scheduler.release_assignment(&assignment);
+        }
+    }
+
+    fn release(&mut self, tracked: TrackedRequest) {
+        if let RequestState::Decided { unsettled: Some(assignment), .. } = tracked.state {
+            self.scheduler.release_assignment(&assignment);
+        }
+    }
+}
--- a/crates/scheduling/src/fleet/digest.rs
+++ b/crates/scheduling/src/fleet/digest.rs
@@ -62,7 +62,7 @@
 }
 
 /// The load of one node's requests.
-#[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Debug, Default, Serialize, Deserialize)]
 pub struct LoadDigest {
     /// The identifier of the node.
     pub node: u64,
@@ -108,6 +108,21 @@
         self.recompute_totals(now_ms);
     }
 
+    /// Returns the loads without what else the digests contain.
+    pub(crate) fn loads_only(&self) -> Self {
+        let by_node = self.by_node.iter().map(|(node, (digest, at_ms))| {
+            let LoadDigest { node: id, sequence, ref upstreams, .. } = *digest;
+            let loads = LoadDigest {
+                node: id,
+                sequence,
+                upstreams: upstreams.clone(),
+                ..Default::default()
+            };
+            (*node, (loads, *at_ms))
+        });
+        Self { by_node: by_node.collect(), by_upstream: self.by_upstream.clone() }
+    }
+
     /// Removes expired digests. Returns whether any was removed.
     pub fn expire(&mut self, now_ms: u64) -> bool {
         let before = self.by_node.len();
--- a/crates/scheduling/src/fleet/table.rs
+++ b/crates/scheduling/src/fleet/table.rs
@@ -138,6 +138,15 @@
         self.reserved_tokens + u64::from(self.peer_load.reserved_tokens)
     }
 
+    /// Returns the load of this node's requests.
+    pub fn own_load(&self) -> NodeLoad {
+        NodeLoad {
+            pending_prefill_tokens: u32::try_from(self.pending_prefill_tokens).unwrap_or(u32::MAX),
+            in_flight: self.in_flight,
+            reserved_tokens: u32::try_from(self.reserved_tokens).unwrap_or(u32::MAX),
+        }
+    }
+
     /// Records that a request was sent.
     pub fn record_sent(&mut self, pending_prefill_tokens: u64, reserved_tokens: u64) {
         self.in_flight += 1;
@@ -300,6 +309,22 @@
         self.entries.iter().map(|(index, entry)| (*index, entry))
     }
 
+    /// Takes over what another table of this node knows of the same starts, except their load.
+    pub(crate) fn follow(&mut self, node: &Fleet) {
+        self.set_loading(node.loading.clone());
+        for entry in self.entries.values_mut() {
+            let known =
+                node.by_id.get(&entry.upstream.id).and_then(|index| node.entries.get(index));
+            let Some(known) = known.filter(|known| known.start_tag == entry.start_tag) else {
+                continue;
+            };
+            entry.speed = known.speed;
+            for (model, version) in &known.reported_versions {
+                entry.record_version(model, *version);
+            }
+        }
+    }
+
     /// Checks the invariants of the table.
     ///
     /// # Errors
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -1,5 +1,6 @@
 //! Scheduling decisions of a node about requests and upstreams, without I/O.
 //!
+//! - [`coordination`] lets one node assign each group of engines to the prompts of all nodes.
 //! - [`engine_model`] learns how long the upstreams of a service take.
 //! - [`fleet`] holds the upstreams with their reported load and health.
 //! - [`placement`] ranks engines for a prompt and tracks which parts are cached where.
@@ -13,6 +14,7 @@
 //!
 //! Callers pass in the time as milliseconds of a monotonic clock, and random seeds.
 
+pub mod coordination;
 pub mod engine_model;
 pub mod fleet;
 pub mod placement;
--- a/crates/scheduling/src/placement/cache_index.rs
+++ b/crates/scheduling/src/placement/cache_index.rs
@@ -68,6 +68,12 @@
 }
 
 impl CacheIndex {
+    /// Returns an index for the scheduler of a group of engines. The engines have other indexes
+    /// there, so only the index of the cache store is taken over.
+    pub(crate) fn for_group(&self) -> Self {
+        Self { stored: self.stored.clone(), ..Self::default() }
+    }
+
     /// Records that this node sent a prefix to an engine.
     pub fn record_sent(&mut self, tag: PrefixTag, engine: UpstreamIndex, now_ms: u64) {
         self.sent.push((tag, engine), now_ms);
--- a/crates/scheduling/src/scheduler/choose.rs
+++ b/crates/scheduling/src/scheduler/choose.rs
@@ -330,7 +330,7 @@
             if self.has_capacity(request, context, index, entry, now_ms) {
                 let base_cost_ms = self.base_cost_ms(request, context, index, entry, now_ms);
                 let prompt_cost_ms = self.prompt_cost_ms(request, context, index, entry, now_ms);
-                let load_cost_ms = self.load_cost_ms(context, entry, now_ms);
+                let load_cost_ms = self.load_cost_ms(request, context, entry, now_ms);
                 candidates.push(Candidate {
                     index,
                     slots: entry.slots(),
@@ -461,6 +461,7 @@
             queued_tokens,
             sent_ms: now_ms,
             stall_timeout_ms: 0,
+            coordinator: None,
             fetch_from: None,
             save_to: None,
         };
--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -23,7 +23,6 @@
 use crate::fleet::ArrivalCounter;
 use crate::fleet::Fleet;
 use crate::fleet::LoadDigest;
-use crate::fleet::NodeLoad;
 use crate::fleet::PeerLoads;
 use crate::fleet::UpstreamIndex;
 use crate::fleet::UpstreamTag;
@@ -88,7 +87,7 @@
     pub(super) peers: PeerLoads,
     short_arrivals: ArrivalCounter,
     long_arrivals: ArrivalCounter,
-    sequence: u64,
+    pub(super) sequence: u64,
     budgets: HashMap<String, RetryBudget>,
     connection_limits: HashMap<String, u32>,
     cache_tokens: HashMap<String, u64>,
@@ -212,13 +211,7 @@
         self.sequence += 1;
         self.live_prefixes = self.cache_index.live_prefixes(now_ms);
         let busy = self.fleet.iter().filter(|(_, entry)| entry.in_flight > 0);
-        let upstreams = busy.map(|(_, entry)| {
-            let pending_prefill_tokens =
-                u32::try_from(entry.pending_prefill_tokens).unwrap_or(u32::MAX);
-            let reserved_tokens = u32::try_from(entry.reserved_tokens).unwrap_or(u32::MAX);
-            let in_flight = entry.in_flight;
-            (entry.tag, NodeLoad { pending_prefill_tokens, in_flight, reserved_tokens })
-        });
+        let upstreams = busy.map(|(_, entry)| (entry.tag, entry.own_load()));
         let prefixes = self
             .cache_index
             .recently_sent(now_ms)
@@ -361,6 +354,12 @@
         NodeShare::fraction_of(own_per_s, all_per_s, self.members())
     }
 
+    /// Takes over the settings and the learned model of another scheduler of this node.
+    pub(super) fn copy_settings(&mut self, other: &Scheduler) {
+        self.models.clone_from(&other.models);
+        self.cache_tokens.clone_from(&other.cache_tokens);
+    }
+
     /// Replaces the identities of the engines that are loading new weights.
     pub fn set_loading(&mut self, loading: HashSet<String>) {
         self.fleet.set_loading(loading);
--- a/crates/scheduling/src/scheduler/cost.rs
+++ b/crates/scheduling/src/scheduler/cost.rs
@@ -118,12 +118,14 @@
     /// Returns the cost of an upstream's load, failure domain and health.
     pub(super) fn load_cost_ms(
         &self,
+        request: &ScheduleRequest,
         context: &RequestContext,
         entry: &FleetEntry,
         now_ms: u64,
     ) -> f64 {
         let mut cost_ms = estimated_wait_ms(context, entry, now_ms);
-        if entry.upstream.failure_domain != self.options.failure_domain {
+        let origin = request.origin_domain.as_ref().unwrap_or(&self.options.failure_domain);
+        if entry.upstream.failure_domain != *origin {
             cost_ms += DOMAIN_COST_MS;
         }
         cost_ms + entry.health.failure_share() * FAILURE_COST * context.times.urgent_target_ms
--- a/crates/scheduling/src/scheduler/mod.rs
+++ b/crates/scheduling/src/scheduler/mod.rs
@@ -3,7 +3,7 @@
 mod choose;
 mod core;
 mod cost;
-
+mod delegation;
 mod outcome;
 mod pacing;
 mod request;
--- a/crates/scheduling/src/scheduler/request.rs
+++ b/crates/scheduling/src/scheduler/request.rs
@@ -33,6 +33,8 @@
     pub leaves_ms: u64,
     /// The longest pause between events that the route allows, in milliseconds.
     pub pause_target_ms: Option<u64>,
+    /// The failure domain of the node that sends the request, if it is not the deciding one.
+    pub origin_domain: Option<String>,
     /// Upstreams to which the request was already sent.
     pub tried: Vec<UpstreamIndex>,
 }
@@ -78,6 +80,8 @@
     pub sent_ms: u64,
     /// The pause after which a stream of this request is stalled, in milliseconds.
     pub stall_timeout_ms: u64,
+    /// The node that made the assignment, if it is another's or its own coordinator.
+    pub coordinator: Option<SocketAddr>,
     /// Where the upstream fetches parts that it does not hold.
     pub fetch_from: Option<SocketAddr>,
     /// Where the upstream saves parts after prefill.
--- a/crates/scheduling/src/scheduler/wait_queue.rs
+++ b/crates/scheduling/src/scheduler/wait_queue.rs
@@ -93,6 +93,13 @@
         self.waiting.is_empty()
     }
 
+    /// Returns whether requests wait for the same capacity as this one.
+    pub fn has_rivals(&self, scheduler: &mut Scheduler, request: &ScheduleRequest) -> bool {
+        let is_long = scheduler.is_long(request);
+        let mut waiting = self.waiting.iter().map(|waiting| &waiting.class);
+        waiting.any(|class| class.is_long == is_long && class.service == request.service)
+    }
+
     /// Adds a request. Returns all decisions that can be made now, which may include the one on
     /// this request.
     pub fn enqueue(
@@ -164,11 +171,7 @@
     /// Refuses all queued requests, for example when the node stops.
     pub fn refuse_all(&mut self, scheduler: &mut Scheduler) -> Vec<(T, Choice)> {
         let waiting = std::mem::take(&mut self.waiting).into_iter();
-        let refused = waiting.map(|entry| {
-            let retry_after_ms = scheduler.random_between(0, STOPPING_RETRY_AFTER_LIMIT_MS);
-            let choice = Choice::Refuse { cause: RefusalCause::Stopping, retry_after_ms };
-            (entry.responder, choice)
-        });
+        let refused = waiting.map(|entry| (entry.responder, scheduler.refuse_stopping()));
         refused.collect()
     }
 
@@ -208,6 +211,12 @@
 }
 
 impl Scheduler {
+    /// Refuses a request because the node stops.
+    pub fn refuse_stopping(&mut self) -> Choice {
+        let retry_after_ms = self.random_between(0, STOPPING_RETRY_AFTER_LIMIT_MS);
+        Choice::Refuse { cause: RefusalCause::Stopping, retry_after_ms }
+    }
+
     /// Refuses a request because of overload. The retry delay is randomized, so that requests
     /// refused together do not return together.
     fn refuse_overloaded(&mut self, request: &ScheduleRequest, now_ms: u64) -> Choice {
--- /dev/null
+++ b/crates/scheduling/tests/burst_at_capacity.rs
@@ -0,0 +1,784 @@
+//! Replay of a fleet at its capacity: a burst of long prompts while some engines are dark, and new
+//! weights whose roll-out empties the caches.
+//!
+//! Nodes that choose engines by themselves see the same free engine at the same moment and fill it
+//! together, although they hear of each other within 200 ms. The reference is one scheduler that
+//! receives all requests and therefore knows everything. Engines follow the data sheet of a large
+//! deployment; a short prompt holds one of its 12 slots for 0.4 s.
+
+mod support;
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use support::MODEL;
+use support::SERVICE;
+use support::VERSION_LIMIT_MS;
+use support::batching::Engine;
+use support::batching::EngineEvent;
+use support::batching::EngineSheet;
+use support::batching::Run;
+use support::count_prompt;
+use support::engine;
+use support::prompt;
+use support::scheduler;
+
+use redwingrill_routing::DeclaredPrompt;
+use redwingrill_routing::ReportedLoad;
+use redwingrill_routing::Upstream;
+use redwingrill_routing::WeightsVersion;
+use redwingrill_scheduling::coordination::Coordination;
+use redwingrill_scheduling::coordination::CoordinationMessage;
+use redwingrill_scheduling::coordination::GroupNode;
+use redwingrill_scheduling::coordination::Resolution;
+use redwingrill_scheduling::fleet::NODES_PER_DIGEST_PERIOD;
+use redwingrill_scheduling::fleet::UpstreamTag;
+use redwingrill_scheduling::fleet::Verdict;
+use redwingrill_scheduling::rollout::CommandResult;
+use redwingrill_scheduling::rollout::EngineWeights;
+use redwingrill_scheduling::rollout::LoadPlan;
+use redwingrill_scheduling::scheduler::Assignment;
+use redwingrill_scheduling::scheduler::AttemptOutcome;
+use redwingrill_scheduling::scheduler::Choice;
+use redwingrill_scheduling::scheduler::ScheduleRequest;
+use redwingrill_scheduling::scheduler::Scheduler;
+use redwingrill_scheduling::scheduler::WaitQueue;
+
+const SHEET: EngineSheet = EngineSheet {
+    slots: 12,
+    queue_limit: 36,
+    memory_tokens: 158_796,
+    step_ms: 6.45,
+    step_ms_per_slot: 0.0967,
+    prefill_tokens_per_ms: 56.1,
+    chunk_tokens: 4_096,
+    setup_ms: 75.0,
+    fetch_ms_per_1k_tokens: 1.5,
+    load_weights_ms: 2_500.0,
+    tokens_per_event: 4,
+};
+
+const ENGINES: usize = 10;
+const DARK_ENGINES: usize = 3;
+const DOMAINS: usize = 5;
+const DOCUMENTS: u64 = 42;
+const LONG_PER_S: f64 = 18.9;
+const SHORT_PER_S: f64 = 106.0;
+const LONG_BURST: Burst = Burst { begin_ms: 2_000, end_ms: 8_900, factor: 2.6 };
+const SHORT_BURST: Burst = Burst { begin_ms: 13_000, end_ms: 16_100, factor: 1.7 };
+const DARK_MS: u64 = 2_500;
+const DARK_REMOVED_MS: u64 = 4_500;
+const NEW_VERSION_MS: u64 = 3_000;
+const RUN_MS: u64 = 26_000;
+const DIGEST_MS: u64 = 100;
+const POLL_MS: u64 = 20;
+const MESSAGE_MS: u64 = 1;
+/// A short prompt without an event moves to another engine after this time.
+const MOVE_MS: u64 = 300;
+
+struct Burst {
+    begin_ms: u64,
+    end_ms: u64,
+    factor: f64,
+}
+
+impl Burst {
+    fn factor_at(&self, now_ms: u64) -> f64 {
+        if (self.begin_ms..self.end_ms).contains(&now_ms) { self.factor } else { 1.0 }
+    }
+}
+
+/// What happens to a node from `begin_ms` to `end_ms`.
+#[derive(Clone, Copy)]
+struct Fault {
+    node: usize,
+    kind: FaultKind,
+    begin_ms: u64,
+    end_ms: u64,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum FaultKind {
+    /// Its datagrams are lost.
+    Cut,
+    /// It does nothing, and then finds what was sent to it meanwhile.
+    Frozen,
+}
+
+#[derive(Clone)]
+struct Setup {
+    nodes: usize,
+    is_coordinated: bool,
+    faults: Vec<Fault>,
+    loss: f64,
+    seed: u64,
+}
+
+const PERFECT: Setup =
+    Setup { nodes: 1, is_coordinated: false, faults: Vec::new(), loss: 0.0, seed: 0 };
+const COORDINATED: Setup =
+    Setup { nodes: 20, is_coordinated: true, faults: Vec::new(), loss: 0.0, seed: 0 };
+
+#[derive(Clone)]
+struct Job {
+    caller: usize,
+    run: Run,
+}
+
+struct Caller {
+    is_long: bool,
+    arrived_ms: u64,
+    deadline_ms: u64,
+    first_event_ms: Option<u64>,
+    is_served: bool,
+    has_returned: bool,
+    prompt: Arc<DeclaredPrompt>,
+    run: Run,
+}
+
+struct Sent {
+    node: usize,
+    engine: usize,
+    assignment: Assignment,
+    job: Job,
+    request: ScheduleRequest,
+    sent_ms: u64,
+    is_prefilled: bool,
+    may_move: bool,
+}
+
+struct Node {
+    scheduler: Scheduler,
+    queue: WaitQueue<(Job, ScheduleRequest)>,
+    coordination: Option<Coordination<Job>>,
+}
+
+struct Mail {
+    at_ms: u64,
+    to: usize,
+    from: usize,
+    message: CoordinationMessage,
+}
+
+#[derive(Default)]
+struct Counts {
+    rejected: u64,
+    undecided: u64,
+}
+
+struct Simulation {
+    setup: Setup,
+    rng: SmallRng,
+    nodes: Vec<Node>,
+    engines: Vec<Engine>,
+    is_listed: Vec<bool>,
+    listed_versions: Vec<u64>,
+    callers: Vec<Caller>,
+    sent: HashMap<u64, Sent>,
+    next_run: u64,
+    returns: Vec<(u64, usize)>,
+    plan: LoadPlan,
+    mail: Vec<Mail>,
+    counts: Counts,
+}
+
+fn engine_name(index: usize) -> String {
+    format!("engine-{index}")
+}
+
+fn domain(index: usize) -> String {
+    format!("domain-{}", index % DOMAINS)
+}
+
+fn node_address(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 9, 0, index as u8], 1))
+}
+
+fn last_octet(address: SocketAddr) -> usize {
+    match address.ip() {
+        IpAddr::V4(address) => usize::from(address.octets()[3]),
+        IpAddr::V6(address) => panic!("unexpected address {address}"),
+    }
+}
+
+/// Draws from a lognormal distribution, up to a limit.
+fn lognormal(rng: &mut SmallRng, mean: f64, sigma: f64, limit: f64) -> u64 {
+    let (u, v): (f64, f64) = (rng.random_range(1e-9..1.0), rng.random());
+    let normal = (-2.0 * u.ln()).sqrt() * (std::f64::consts::TAU * v).cos();
+    (mean * (sigma * normal - sigma * sigma / 2.0).exp()).clamp(1.0, limit) as u64
+}
+
+impl Simulation {
+    fn new(setup: Setup) -> Self {
+        let members: Vec<GroupNode> = (0..setup.nodes)
+            .map(|index| GroupNode {
+                name: format!("node-{index}"),
+                failure_domain: domain(index),
+                link_mbps: 20,
+                address: node_address(index),
+            })
+            .collect();
+        let nodes = (0..setup.nodes).map(|index| {
+            let mut scheduler = scheduler(index as u64);
+            scheduler.observe_target_version(MODEL, WeightsVersion(1), 0);
+            scheduler.set_members(setup.nodes);
+            scheduler.set_cache_tokens(vec![(SERVICE.to_owned(), SHEET.memory_tokens)]);
+            let coordination = setup.is_coordinated.then(|| {
+                let mut coordination = Coordination::new(index as u64, domain(index), index as u64);
+                coordination.set_nodes(members.clone(), Some(node_address(index)));
+                coordination
+            });
+            Node { scheduler, queue: WaitQueue::default(), coordination }
+        });
+        let seed = setup.seed;
+        let mut simulation = Self {
+            nodes: nodes.collect(),
+            setup,
+            rng: SmallRng::seed_from_u64(seed),
+            engines: vec![Engine::new(SHEET); ENGINES],
+            is_listed: vec![true; ENGINES],
+            listed_versions: vec![1; ENGINES],
+            callers: Vec::new(),
+            sent: HashMap::new(),
+            next_run: 0,
+            returns: Vec::new(),
+            plan: LoadPlan::default(),
+            mail: Vec::new(),
+            counts: Counts::default(),
+        };
+        simulation.publish(0);
+        simulation
+    }
+
+    fn run(mut self) -> Self {
+        for now_ms in 0..RUN_MS {
+            self.arrivals(now_ms);
+            self.change_fleet(now_ms);
+            self.advance_engines(now_ms);
+            self.deliver(now_ms);
+            if now_ms.is_multiple_of(DIGEST_MS) {
+                self.exchange_digests(now_ms);
+            }
+            if now_ms.is_multiple_of(POLL_MS) {
+                self.poll_nodes(now_ms);
+                self.end_waits(now_ms);
+            }
+        }
+        self
+    }
+
+    fn fault_of(&self, node: usize, now_ms: u64) -> Option<Fault> {
+        let mut faults = self.setup.faults.iter().copied();
+        faults.find(|f| f.node == node && (f.begin_ms..f.end_ms).contains(&now_ms))
+    }
+
+    fn is_frozen(&self, node: usize, now_ms: u64) -> bool {
+        self.fault_of(node, now_ms).is_some_and(|fault| fault.kind == FaultKind::Frozen)
+    }
+
+    fn publish(&mut self, now_ms: u64) {
+        let listed = (0..ENGINES).filter(|&index| self.is_listed[index]).map(|index| {
+            let upstream = engine(&engine_name(index), self.listed_versions[index]);
+            Arc::new(Upstream {
+                slots: SHEET.slots as u32,
+                address: SocketAddr::from(([10, 0, 1, index as u8], 80)),
+                failure_domain: domain(index),
+                ..Upstream::clone(&upstream)
+            })
+        });
+        let listed: Vec<_> = listed.collect();
+        let loading = (0..ENGINES).filter(|&index| self.engines[index].is_loading());
+        let loading: HashSet<String> = loading.map(engine_name).collect();
+        for node in &mut self.nodes {
+            node.scheduler.set_upstreams(listed.clone(), now_ms);
+            node.scheduler.set_loading(loading.clone());
+            if let Some(coordination) = &mut node.coordination {
+                coordination.follow(&node.scheduler, now_ms);
+            }
+        }
+    }
+
+    fn change_fleet(&mut self, now_ms: u64) {
+        match now_ms {
+            DARK_MS => self.engines[..DARK_ENGINES].iter_mut().for_each(|e| e.is_dark = true),
+            DARK_REMOVED_MS => {
+                self.is_listed = self.engines.iter().map(|engine| !engine.is_dark).collect();
+                self.publish(now_ms);
+            }
+            NEW_VERSION_MS => {
+                for node in &mut self.nodes {
+                    node.scheduler.observe_target_version(MODEL, WeightsVersion(2), now_ms);
+                }
+            }
+            _ => {}
+        }
+        if now_ms > NEW_VERSION_MS && now_ms.is_multiple_of(DIGEST_MS) {
+            self.roll_out(now_ms);
+        }
+    }
+
+    fn roll_out(&mut self, now_ms: u64) {
+        let usable_ms = (NEW_VERSION_MS + VERSION_LIMIT_MS).saturating_sub(now_ms);
+        let live = (0..ENGINES).filter(|&index| self.is_listed[index]);
+        let known = live.map(|index| EngineWeights {
+            upstream_id: engine_name(index),
+            loaded_version: WeightsVersion(self.engines[index].version),
+            load: self.engines[index].load() as u32,
+            usable_ms: (self.engines[index].version < 2).then_some(usable_ms),
+        });
+        let known: Vec<_> = known.collect();
+        let (next, _) = self.plan.next(&known, WeightsVersion(2), now_ms);
+        for index in (0..ENGINES).filter(|&index| next.contains(&engine_name(index))) {
+            let result = match self.engines[index].is_dark {
+                true => CommandResult::RetryLater,
+                false => CommandResult::InProgress,
+            };
+            self.engines[index].load_weights(2);
+            self.plan.record_result(&engine_name(index), WeightsVersion(2), result, now_ms);
+        }
+        self.listed_versions = self.engines.iter().map(|engine| engine.version).collect();
+        self.publish(now_ms);
+    }
+
+    fn arrivals(&mut self, now_ms: u64) {
+        let rates = [(true, LONG_PER_S, LONG_BURST), (false, SHORT_PER_S, SHORT_BURST)];
+        for (is_long, per_s, burst) in rates {
+            if self.rng.random_bool(per_s * burst.factor_at(now_ms) / 1_000.0) {
+                self.caller_arrives(is_long, now_ms);
+            }
+        }
+        let is_due = |(at_ms, _): &(u64, usize)| *at_ms <= now_ms;
+        let due: Vec<usize> = self.returns.iter().filter(|r| is_due(r)).map(|r| r.1).collect();
+        self.returns.retain(|r| !is_due(r));
+        for caller in due {
+            self.request(caller, now_ms);
+        }
+    }
+
+    fn caller_arrives(&mut self, is_long: bool, now_ms: u64) {
+        let rng = &mut self.rng;
+        let document = rng.random_range(0..DOCUMENTS);
+        // A fifth of the prompts are of isolated accounts, which share no document with others.
+        let scope = if rng.random_bool(0.2) { 1 + rng.random_range(0..4) } else { 0 };
+        let document = document + DOCUMENTS * scope;
+        let own_part = 1_000_000 + self.callers.len() as u64;
+        let (prompt, run, wait_ms) = if is_long {
+            let own = lognormal(rng, 3_720.0, 0.9, 53_200.0);
+            let output = 4 * lognormal(rng, 29.9, 1.1, 120.0);
+            let prompt = prompt(&[(document, 13_300), (own_part, own as u32)]);
+            (prompt, Run::new(2, Some(document), [13_300, own, output]), 10_000)
+        } else {
+            let own = lognormal(rng, 291.0, 1.1, 1_830.0);
+            let output = 4 * lognormal(rng, 11.3, 1.1, 45.0);
+            let prompt = prompt(&[(900_000, 92), (own_part, own as u32)]);
+            (prompt, Run::new(0, None, [0, 92 + own, output]), 5_000)
+        };
+        self.callers.push(Caller {
+            is_long,
+            arrived_ms: now_ms,
+            deadline_ms: now_ms + wait_ms,
+            first_event_ms: None,
+            is_served: false,
+            has_returned: false,
+            prompt: Arc::new(prompt),
+            run,
+        });
+        self.request(self.callers.len() - 1, now_ms);
+    }
+
+    /// Sends a caller's request to a node that is not frozen.
+    fn request(&mut self, caller: usize, now_ms: u64) {
+        let known = &self.callers[caller];
+        let (target_ms, patience_ms) = if known.is_long { (1_500, 6_000) } else { (500, 4_000) };
+        let request = ScheduleRequest {
+            urgency: if known.is_long { 2 } else { 0 },
+            deadline_ms: known.deadline_ms,
+            target_ms,
+            leaves_ms: (now_ms + patience_ms).min(known.deadline_ms),
+            pause_target_ms: Some(500),
+            prompt: Some(known.prompt.clone()),
+            ..support::request(None, now_ms)
+        };
+        let job = Job { caller, run: known.run.clone() };
+        let mut node = self.rng.random_range(0..self.nodes.len());
+        while self.is_frozen(node, now_ms) {
+            node = (node + 1) % self.nodes.len();
+        }
+        let scheduler = &mut self.nodes[node].scheduler;
+        count_prompt(scheduler, &request, now_ms);
+        scheduler.count_request(SERVICE, now_ms);
+        self.place(node, job, request, true, now_ms);
+    }
+
+    fn place(
+        &mut self,
+        node: usize,
+        job: Job,
+        request: ScheduleRequest,
+        is_first: bool,
+        now_ms: u64,
+    ) {
+        let Node { scheduler, coordination, .. } = &mut self.nodes[node];
+        match coordination {
+            Some(coordination) => {
+                coordination.begin(scheduler, request, job, (true, is_first), now_ms);
+                self.finish_coordination(node, now_ms);
+            }
+            None => self.enqueue(node, job, request, now_ms),
+        }
+    }
+
+    fn enqueue(&mut self, node: usize, job: Job, request: ScheduleRequest, now_ms: u64) {
+        let Node { scheduler, queue, .. } = &mut self.nodes[node];
+        let decisions = queue.enqueue(scheduler, request.clone(), (job, request), now_ms);
+        self.apply(node, decisions, now_ms);
+    }
+
+    fn apply(
+        &mut self,
+        node: usize,
+        decisions: Vec<((Job, ScheduleRequest), Choice)>,
+        now_ms: u64,
+    ) {
+        for ((job, request), choice) in decisions {
+            match choice {
+                Choice::Send(assignment) => self.send(node, job, request, *assignment, now_ms),
+                Choice::Refuse { retry_after_ms, .. } => {
+                    self.refuse(job.caller, retry_after_ms, now_ms);
+                }
+                Choice::Wait => unreachable!("a waiting request has no decision"),
+            }
+        }
+    }
+
+    fn finish_coordination(&mut self, node: usize, now_ms: u64) {
+        let Some(coordination) = &mut self.nodes[node].coordination else { return };
+        let outgoing = coordination.take_outgoing();
+        let resolved = coordination.take_resolved();
+        for (to, message) in outgoing {
+            let to = last_octet(to);
+            let ends = [self.fault_of(node, now_ms), self.fault_of(to, now_ms)];
+            let is_cut = ends.into_iter().flatten().any(|fault| fault.kind == FaultKind::Cut);
+            if is_cut || self.rng.random_bool(self.setup.loss) {
+                continue;
+            }
+            self.mail.push(Mail { at_ms: now_ms + MESSAGE_MS, to, from: node, message });
+        }
+        for resolved in resolved {
+            let (job, request) = (resolved.handle, resolved.request);
+            match resolved.resolution {
+                Resolution::Assigned(assignment) => {
+                    self.send(node, job, request, *assignment, now_ms);
+                }
+                Resolution::Refused { retry_after_ms, .. } => {
+                    self.refuse(job.caller, retry_after_ms, now_ms);
+                }
+                Resolution::NoCapacity => unreachable!("each request may wait"),
+                Resolution::Undecided => {
+                    self.counts.undecided += 1;
+                    self.enqueue(node, job, request, now_ms);
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self, now_ms: u64) {
+        let is_due = |mail: &Mail| mail.at_ms <= now_ms;
+        let (due, later) = std::mem::take(&mut self.mail).into_iter().partition(is_due);
+        self.mail = later;
+        let due: Vec<Mail> = due;
+        for mail in due {
+            if let Some(fault) = self.fault_of(mail.to, now_ms)
+                && fault.kind == FaultKind::Frozen
+            {
+                self.mail.push(Mail { at_ms: fault.end_ms, ..mail });
+                continue;
+            }
+            let Node { scheduler, coordination, .. } = &mut self.nodes[mail.to];
+            if let Some(coordination) = coordination {
+                coordination.receive(scheduler, node_address(mail.from), mail.message, now_ms);
+            }
+            self.finish_coordination(mail.to, now_ms);
+        }
+    }
+
+    fn poll_nodes(&mut self, now_ms: u64) {
+        for node in 0..self.nodes.len() {
+            if self.is_frozen(node, now_ms) {
+                continue;
+            }
+            let Node { scheduler, queue, coordination } = &mut self.nodes[node];
+            let decisions = queue.dispatch(scheduler, now_ms, |_| false);
+            if let Some(coordination) = coordination {
+                coordination.tick(scheduler, now_ms, |_| false);
+            }
+            self.apply(node, decisions, now_ms);
+            self.finish_coordination(node, now_ms);
+        }
+    }
+
+    fn refuse(&mut self, caller: usize, retry_after_ms: u64, now_ms: u64) {
+        let caller_state = &mut self.callers[caller];
+        if std::mem::replace(&mut caller_state.has_returned, true) {
+            return;
+        }
+        let remaining_ms = caller_state.deadline_ms.saturating_sub(now_ms);
+        self.returns.push((now_ms + retry_after_ms.min(remaining_ms / 3), caller));
+    }
+
+    fn send(
+        &mut self,
+        node: usize,
+        job: Job,
+        request: ScheduleRequest,
+        assignment: Assignment,
+        now_ms: u64,
+    ) {
+        let index = (0..ENGINES).find(|&index| engine_name(index) == assignment.upstream.id);
+        let index = index.expect("engine is listed");
+        self.next_run += 1;
+        let mut run = Run { id: self.next_run, ..job.run.clone() };
+        if let (Some(prefix), Some(source)) = (run.prefix, assignment.fetch_from) {
+            let source = &self.engines[last_octet(source)];
+            if source.holds(prefix) && source.version == self.engines[index].version {
+                let fetch_ms = run.prefix_tokens as f64 / 1e3 * SHEET.fetch_ms_per_1k_tokens;
+                run.fetched_ms = Some(now_ms as f64 + fetch_ms);
+            }
+        }
+        let engine = &mut self.engines[index];
+        let has_version = assignment.version == Some(WeightsVersion(engine.version));
+        let is_accepted = engine.is_dark || (has_version && engine.offer(run, now_ms as f64));
+        let sent = Sent {
+            node,
+            engine: index,
+            assignment,
+            may_move: !self.callers[job.caller].is_long && request.tried.is_empty(),
+            job,
+            request,
+            sent_ms: now_ms,
+            is_prefilled: false,
+        };
+        self.sent.insert(self.next_run, sent);
+        if !is_accepted {
+            self.reject(self.next_run, now_ms);
+        }
+    }
+
+    fn reject(&mut self, run: u64, now_ms: u64) {
+        self.counts.rejected += 1;
+        let Some(sent) = self.end_attempt(run, Verdict::Refused, now_ms) else { return };
+        let mut request = sent.request;
+        request.tried.push(sent.assignment.index);
+        if self.nodes[sent.node].scheduler.try_retry(SERVICE, now_ms) {
+            self.place(sent.node, sent.job, request, false, now_ms);
+        } else {
+            self.refuse(sent.job.caller, 500, now_ms);
+        }
+    }
+
+    fn end_attempt(&mut self, run: u64, verdict: Verdict, now_ms: u64) -> Option<Sent> {
+        let sent = self.sent.remove(&run)?;
+        let outcome = AttemptOutcome { verdict, is_misdirected: false };
+        let assignment = &sent.assignment;
+        let pending = if sent.is_prefilled { 0 } else { assignment.pending_prefill_tokens };
+        let (index, reserved) = (assignment.index, assignment.reserved_tokens);
+        let scheduler = &mut self.nodes[sent.node].scheduler;
+        scheduler.record_attempt_end(index, pending, reserved, &outcome, now_ms);
+        self.record_change(sent.node, sent.engine);
+        Some(sent)
+    }
+
+    fn record_change(&mut self, node: usize, engine: usize) {
+        if let Some(coordination) = &mut self.nodes[node].coordination {
+            coordination.record_change(UpstreamTag::of(&engine_name(engine)));
+        }
+    }
+
+    fn advance_engines(&mut self, now_ms: u64) {
+        let mut events = Vec::new();
+        for index in 0..ENGINES {
+            self.engines[index].advance(now_ms as f64, &mut events);
+            for event in events.drain(..) {
+                match event {
+                    EngineEvent::FirstEvent(run) => self.first_event(run, now_ms),
+                    EngineEvent::Ended(run) => {
+                        if let Some(sent) = self.end_attempt(run, Verdict::Served, now_ms) {
+                            self.callers[sent.job.caller].is_served = true;
+                        }
+                    }
+                    EngineEvent::Rejected(run) => self.reject(run, now_ms),
+                }
+            }
+        }
+    }
+
+    fn first_event(&mut self, run: u64, now_ms: u64) {
+        let Some(sent) = self.sent.get_mut(&run) else { return };
+        self.callers[sent.job.caller].first_event_ms.get_or_insert(now_ms);
+        if std::mem::replace(&mut sent.is_prefilled, true) {
+            return;
+        }
+        let engine = &self.engines[sent.engine];
+        let load = ReportedLoad {
+            running: engine.running.len() as u32,
+            waiting: engine.waiting.len() as u32,
+            slots: SHEET.slots as u32,
+            slowdown_percent: None,
+        };
+        let version = Some(WeightsVersion(engine.version));
+        let (node, index) = (sent.node, sent.engine);
+        let scheduler = &mut self.nodes[node].scheduler;
+        let entry = sent.assignment.index;
+        scheduler.observe_response_head(entry, Some(MODEL), Some(load), version, now_ms);
+        scheduler.record_prefill_done(&sent.assignment, now_ms);
+        self.record_change(node, index);
+    }
+
+    /// Callers leave without a first event, and short prompts move from slow engines.
+    fn end_waits(&mut self, now_ms: u64) {
+        let waiting = self.sent.iter().filter(|(_, sent)| !sent.is_prefilled);
+        let mut waiting: Vec<u64> = waiting.map(|(run, _)| *run).collect();
+        waiting.sort_unstable();
+        for run in waiting {
+            let Some(sent) = self.sent.get_mut(&run) else { continue };
+            let (node, engine) = (sent.node, sent.engine);
+            if now_ms >= sent.request.leaves_ms {
+                self.engines[engine].cancel(run);
+                self.end_attempt(run, Verdict::Unknown, now_ms);
+                continue;
+            }
+            let is_slow = now_ms >= sent.sent_ms + MOVE_MS;
+            if !is_slow || !std::mem::take(&mut sent.may_move) {
+                continue;
+            }
+            let mut request = sent.request.clone();
+            request.tried.push(sent.assignment.index);
+            let scheduler = &mut self.nodes[node].scheduler;
+            if scheduler.has_capacity_now(&request, now_ms)
+                && scheduler.try_retry(SERVICE, now_ms)
+                && let Choice::Send(assignment) = scheduler.choose(&request, now_ms)
+            {
+                self.engines[engine].cancel(run);
+                let sent = self.end_attempt(run, Verdict::Unknown, now_ms);
+                let sent = sent.expect("attempt was listed above");
+                self.send(node, sent.job, request, *assignment, now_ms);
+            }
+        }
+    }
+
+    fn exchange_digests(&mut self, now_ms: u64) {
+        let count = self.nodes.len();
+        let digests: Vec<_> = self
+            .nodes
+            .iter_mut()
+            .enumerate()
+            .map(|(index, node)| node.scheduler.digest(index as u64, now_ms))
+            .collect();
+        let peers = NODES_PER_DIGEST_PERIOD.min(count - 1);
+        let offset = (now_ms / DIGEST_MS) as usize * peers;
+        for (sender, digest) in digests.into_iter().enumerate() {
+            for step in 0..peers {
+                let begin = sender * 7 + offset + step;
+                let receiver = (sender + 1 + begin % (count - 1)) % count;
+                self.nodes[receiver].scheduler.observe_peer(digest.clone(), now_ms);
+            }
+        }
+        for Node { scheduler, coordination, .. } in &mut self.nodes {
+            if let Some(coordination) = coordination {
+                coordination.follow(scheduler, now_ms);
+            }
+        }
+    }
+
+    /// Returns the share of the worth of all prompts that was served: a long prompt is worth 3.2 in
+    /// time and 1.5 late, a short one 2.8 and 0.34.
+    fn served(&self) -> f64 {
+        let (mut earned, mut owed) = (0.0, 0.0);
+        for caller in self.callers.iter().filter(|caller| caller.deadline_ms <= RUN_MS) {
+            let (worth, late_worth, target_ms) =
+                if caller.is_long { (3.2, 1.5, 1_500) } else { (2.8, 0.34, 500) };
+            owed += worth;
+            let first_ms = caller.first_event_ms.filter(|_| caller.is_served);
+            earned += match first_ms {
+                Some(at_ms) if at_ms - caller.arrived_ms <= target_ms => worth,
+                Some(_) => late_worth,
+                None => 0.0,
+            };
+        }
+        earned / owed
+    }
+
+    fn preempted(&self) -> u64 {
+        self.engines.iter().map(|engine| engine.preempted).sum()
+    }
+}
+
+/// Returns the mean share that is served on days with unlike arrivals.
+fn mean_served(setup: &Setup) -> f64 {
+    const SEEDS: u64 = 3;
+    let days = (0..SEEDS).map(|seed| Simulation::new(Setup { seed, ..setup.clone() }));
+    days.map(|day| day.run().served()).sum::<f64>() / SEEDS as f64
+}
+
+#[test]
+fn nodes_that_see_the_same_free_engine_fill_it_together() {
+    let (served, perfect) = (mean_served(&COORDINATED), mean_served(&PERFECT));
+    assert!(served > 0.9 * perfect, "{served:.3} served; {perfect:.3} with perfect knowledge");
+    // Each preemption loses what an engine has prefilled.
+    let coordinated = Simulation::new(COORDINATED).run();
+    let (preempted, rejected) = (coordinated.preempted(), coordinated.counts.rejected);
+    let sent = coordinated.next_run;
+    assert!(preempted * 100 < sent, "{preempted} of {sent} requests were preempted");
+    assert!(rejected * 100 < sent, "{rejected} of {sent} requests were rejected by engines");
+}
+
+struct FaultCase {
+    name: &'static str,
+    faults: Vec<Fault>,
+    loss: f64,
+}
+
+#[test]
+fn failed_coordinators_cost_little_at_capacity() {
+    let all_nodes = |kind, begin_ms, end_ms| {
+        let faults = (0..COORDINATED.nodes).map(move |node| Fault { node, kind, begin_ms, end_ms });
+        faults.collect::<Vec<_>>()
+    };
+    // Any node may be the coordinator, so each fails for a while, one after the other.
+    let one_by_one = |kind| {
+        let faults = (0..COORDINATED.nodes).map(move |node| {
+            let begin_ms = 2_000 + 1_000 * node as u64;
+            Fault { node, kind, begin_ms, end_ms: begin_ms + 1_500 }
+        });
+        faults.collect::<Vec<_>>()
+    };
+    let cases = [
+        FaultCase { name: "each cut off", faults: one_by_one(FaultKind::Cut), loss: 0.0 },
+        FaultCase { name: "each frozen", faults: one_by_one(FaultKind::Frozen), loss: 0.0 },
+        FaultCase {
+            name: "all cut off",
+            faults: all_nodes(FaultKind::Cut, 9_000, 11_000),
+            loss: 0.0,
+        },
+        FaultCase { name: "datagrams are lost", faults: Vec::new(), loss: 0.05 },
+    ];
+    let without = mean_served(&COORDINATED);
+    for FaultCase { name, faults, loss } in cases {
+        let served = mean_served(&Setup { faults, loss, ..COORDINATED });
+        // A tenth of the nodes is affected at any time: for their own callers, and for the others.
+        assert!(served > 0.8 * without, "{name}: {served:.3} served; {without:.3} without faults");
+    }
+}
+
+#[test]
+fn one_node_serves_as_much_with_a_coordinator_as_without() {
+    let perfect = mean_served(&PERFECT);
+    let served = mean_served(&Setup { nodes: 1, ..COORDINATED });
+    assert!(served > 0.95 * perfect, "{served:.3} served; {perfect:.3} without a coordinator");
+}
--- /dev/null
+++ b/crates/scheduling/tests/coordination.rs
@@ -0,0 +1,270 @@
+//! Tests of the coordination: groups of engines, lost and repeated messages, unused assignments.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use support::MODEL;
+use support::SERVICE;
+use support::engines;
+use support::long_prompt;
+use support::request;
+use support::scheduler;
+use support::short_prompt;
+
+use redwingrill_routing::WeightsVersion;
+use redwingrill_scheduling::coordination::Coordination;
+use redwingrill_scheduling::coordination::CoordinationMessage;
+use redwingrill_scheduling::coordination::Decision;
+use redwingrill_scheduling::coordination::GroupNode;
+use redwingrill_scheduling::coordination::Resolution;
+use redwingrill_scheduling::coordination::divide;
+use redwingrill_scheduling::fleet::UpstreamTag;
+use redwingrill_scheduling::scheduler::Assignment;
+use redwingrill_scheduling::scheduler::Scheduler;
+
+struct Node {
+    address: SocketAddr,
+    scheduler: Scheduler,
+    coordination: Coordination<u32>,
+}
+
+impl Node {
+    fn receive(&mut self, from: SocketAddr, message: &CoordinationMessage, now_ms: u64) {
+        self.coordination.receive(&mut self.scheduler, from, message.clone(), now_ms);
+    }
+
+    fn begin(&mut self, prompt: u64, now_ms: u64) {
+        let request = request(Some(long_prompt(prompt, prompt)), now_ms);
+        self.coordination.begin(&mut self.scheduler, request, prompt as u32, (true, true), now_ms);
+    }
+
+    fn tick(&mut self, now_ms: u64) {
+        self.coordination.tick(&mut self.scheduler, now_ms, |_| false);
+    }
+
+    fn sent(&mut self) -> Vec<(SocketAddr, CoordinationMessage)> {
+        self.coordination.take_outgoing()
+    }
+
+    /// Returns the only message that the node wants to send.
+    fn only_sent(&mut self) -> (SocketAddr, CoordinationMessage) {
+        let mut sent = self.sent();
+        assert_eq!(sent.len(), 1, "{sent:?}");
+        sent.remove(0)
+    }
+
+    fn assigned(&mut self) -> Vec<Assignment> {
+        let resolved = self.coordination.take_resolved().into_iter();
+        let assigned = resolved.filter_map(|resolved| match resolved.resolution {
+            Resolution::Assigned(assignment) => Some(*assignment),
+            _ => None,
+        });
+        assigned.collect()
+    }
+}
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 9, 0, index as u8], 1))
+}
+
+/// Returns nodes with `engine_count` engines of 32 slots; the first one coordinates them.
+fn nodes(count: usize, engine_count: usize) -> Vec<Node> {
+    let members = (0..count).map(|index| GroupNode {
+        name: format!("node-{index}"),
+        failure_domain: "a".to_owned(),
+        // The fastest link comes first, and so on.
+        link_mbps: 1_000 - index as u64,
+        address: address(index),
+    });
+    let members: Vec<GroupNode> = members.collect();
+    let nodes = (0..count).map(|index| {
+        let mut scheduler = scheduler(index as u64);
+        scheduler.set_upstreams(engines(engine_count, 1), 0);
+        scheduler.observe_target_version(MODEL, WeightsVersion(1), 0);
+        scheduler.set_members(count);
+        let mut coordination = Coordination::new(index as u64, "a".to_owned(), index as u64);
+        coordination.set_nodes(members.clone(), Some(address(index)));
+        coordination.follow(&scheduler, 0);
+        Node { address: address(index), scheduler, coordination }
+    });
+    nodes.collect()
+}
+
+struct DivisionCase {
+    name: &'static str,
+    /// The number of engines in each failure domain.
+    engines: &'static [usize],
+    /// The number of groups, and the largest one at most.
+    groups: usize,
+    largest: usize,
+}
+
+#[test]
+fn engines_are_divided_by_failure_domain_in_large_services_only() {
+    let cases = [
+        DivisionCase { name: "none", engines: &[], groups: 0, largest: 0 },
+        DivisionCase { name: "small", engines: &[6, 6, 6], groups: 1, largest: 18 },
+        DivisionCase {
+            name: "five domains",
+            engines: &[16, 16, 16, 16, 15],
+            groups: 5,
+            largest: 16,
+        },
+        DivisionCase { name: "large domains", engines: &[142; 6], groups: 30, largest: 45 },
+    ];
+    for DivisionCase { name, engines, groups, largest } in cases {
+        let listed = engines.iter().enumerate().flat_map(|(domain, count)| {
+            (0..*count).map(move |n| (format!("engine-{domain}-{n}"), format!("domain-{domain}")))
+        });
+        let listed: Vec<(String, String)> = listed.collect();
+        let divided =
+            divide(SERVICE, listed.iter().map(|(id, domain)| (id.as_str(), domain.as_str())));
+        assert_eq!(divided.len(), groups, "{name}");
+        let sizes: Vec<usize> = divided.iter().map(|group| group.engines.len()).collect();
+        assert_eq!(sizes.iter().sum::<usize>(), listed.len(), "{name}");
+        assert!(sizes.iter().max().copied().unwrap_or(0) <= largest, "{name}: {sizes:?}");
+    }
+}
+
+#[test]
+fn repeated_request_gets_the_same_assignment() {
+    let mut nodes = nodes(2, 4);
+    nodes[1].begin(1, 10);
+    let (to, message) = nodes[1].only_sent();
+    assert_eq!(to, nodes[0].address);
+    let from = nodes[1].address;
+    nodes[0].receive(from, &message, 11);
+    let (_, first) = nodes[0].only_sent();
+    // The response is lost, and the request comes again.
+    nodes[0].receive(from, &message, 15);
+    let (_, second) = nodes[0].only_sent();
+    assert_eq!(first, second);
+    nodes[1].receive(to, &first, 16);
+    nodes[1].receive(to, &second, 17);
+    assert_eq!(nodes[1].assigned().len(), 1);
+}
+
+#[test]
+fn silent_coordinator_is_replaced_and_its_late_assignment_is_not_used() {
+    let mut nodes = nodes(3, 4);
+    nodes[2].begin(1, 10);
+    let (first, message) = nodes[2].only_sent();
+    (20..110).step_by(20).for_each(|now_ms| nodes[2].tick(now_ms));
+    let (second, repeated) = nodes[2].only_sent();
+    assert_eq!([first, second], [address(0), address(1)]);
+    nodes[1].receive(address(2), &repeated, 111);
+    let (_, response) = nodes[1].only_sent();
+    nodes[2].receive(second, &response, 112);
+    assert_eq!(nodes[2].assigned().len(), 1);
+    nodes[0].receive(address(2), &message, 113);
+    let (_, late) = nodes[0].only_sent();
+    nodes[2].receive(first, &late, 114);
+    assert!(nodes[2].assigned().is_empty());
+}
+
+#[test]
+fn node_decides_by_itself_when_no_coordinator_responds() {
+    let mut nodes = nodes(4, 4);
+    nodes[3].begin(1, 0);
+    let mut resolved = Vec::new();
+    for now_ms in (0..400).step_by(20) {
+        nodes[3].tick(now_ms);
+        resolved.extend(nodes[3].coordination.take_resolved());
+    }
+    assert!(matches!(resolved[..], [ref only] if matches!(only.resolution, Resolution::Undecided)));
+}
+
+#[test]
+fn suspended_node_does_not_suspect_its_coordinator() {
+    let mut nodes = nodes(3, 4);
+    nodes[2].begin(1, 0);
+    let (to, message) = nodes[2].only_sent();
+    nodes[2].tick(20);
+    // The node does nothing for five seconds, while the response waits.
+    nodes[0].receive(address(2), &message, 21);
+    let (_, response) = nodes[0].only_sent();
+    nodes[2].tick(5_020);
+    assert!(nodes[2].sent().is_empty());
+    nodes[2].receive(to, &response, 5_021);
+    assert_eq!(nodes[2].assigned().len(), 1);
+}
+
+#[test]
+fn suspended_coordinator_ignores_what_was_sent_to_it_meanwhile() {
+    let mut nodes = nodes(2, 4);
+    let Node { scheduler, coordination, .. } = &mut nodes[0];
+    coordination.follow(scheduler, 100);
+    nodes[1].begin(1, 110);
+    let (_, message) = nodes[1].only_sent();
+    nodes[0].receive(address(1), &message, 5_000);
+    assert!(nodes[0].sent().is_empty());
+}
+
+#[test]
+fn unused_assignments_do_not_fill_an_engine() {
+    let mut nodes = nodes(2, 1);
+    let mut now_ms = 0;
+    // Far more than the engine has slots for; each is given up before its assignment arrives.
+    for number in 0..200 {
+        now_ms += 20;
+        let prompt = short_prompt(number);
+        let request = request(Some(prompt), now_ms);
+        let Node { scheduler, coordination, .. } = &mut nodes[1];
+        coordination.begin(scheduler, request, number as u32, (true, true), now_ms);
+        let (_, message) = nodes[1].only_sent();
+        let Node { scheduler, coordination, .. } = &mut nodes[1];
+        coordination.tick(scheduler, now_ms, |_| true);
+        nodes[0].receive(address(1), &message, now_ms + 1);
+        for (_, response) in nodes[0].sent() {
+            if let CoordinationMessage::Response(response) = &response {
+                let is_assigned = matches!(response.decision, Decision::Assigned(_));
+                assert!(is_assigned, "request {number}: {:?}", response.decision);
+            }
+            nodes[1].receive(address(0), &response, now_ms + 2);
+        }
+        for (_, message) in nodes[1].sent() {
+            nodes[0].receive(address(1), &message, now_ms + 3);
+        }
+    }
+}
+
+#[test]
+fn waiting_request_is_assigned_when_another_node_reports_the_end_of_one() {
+    let mut nodes = nodes(3, 1);
+    // The engine takes 32 short prompts of the second node.
+    let mut assigned = Vec::new();
+    for number in 0..32 {
+        let request = request(Some(short_prompt(number)), 0);
+        let Node { scheduler, coordination, .. } = &mut nodes[1];
+        coordination.begin(scheduler, request, 0, (true, true), 0);
+        let (_, message) = nodes[1].only_sent();
+        nodes[0].receive(address(1), &message, 1);
+        for (_, response) in nodes[0].sent() {
+            nodes[1].receive(address(0), &response, 2);
+        }
+        assigned.extend(nodes[1].assigned());
+    }
+    assert!(!assigned.is_empty());
+    let request = request(Some(short_prompt(99)), 3);
+    let Node { scheduler, coordination, .. } = &mut nodes[2];
+    coordination.begin(scheduler, request, 0, (true, true), 3);
+    let (_, message) = nodes[2].only_sent();
+    nodes[0].receive(address(2), &message, 4);
+    let (_, response) = nodes[0].only_sent();
+    let CoordinationMessage::Response(response) = response else { panic!("no response") };
+    assert_eq!(response.decision, Decision::Queued);
+    // Their prefill is complete, and they end.
+    for assignment in &assigned {
+        let tag = UpstreamTag::of(&assignment.upstream.id);
+        nodes[1].scheduler.release_assignment(assignment);
+        nodes[1].coordination.record_change(tag);
+    }
+    nodes[1].tick(20);
+    for (_, report) in nodes[1].sent() {
+        nodes[0].receive(address(1), &report, 21);
+    }
+    let responses = nodes[0].sent();
+    let is_assigned = |message: &CoordinationMessage| matches!(message, CoordinationMessage::Response(r) if matches!(r.decision, Decision::Assigned(_)));
+    assert!(responses.iter().any(|(to, m)| *to == address(2) && is_assigned(m)), "{responses:?}");
+}
--- a/crates/scheduling/tests/support/mod.rs
+++ b/crates/scheduling/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Fixtures of the scheduler tests.
 #![allow(dead_code, reason = "each test file uses some of the fixtures")]
 
+pub mod batching;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -86,6 +88,7 @@
         target_ms: if is_long { 1_500 } else { 500 },
         leaves_ms: arrived_ms + if is_long { 12_000 } else { 5_000 },
         pause_target_ms: None,
+        origin_domain: None,
         tried: Vec::new(),
     }
 }
