Ask a coordinator again before it becomes suspect

What callers would see: on links that lose packets, nodes ask several coordinators for the same engines, which then know only a part of the load.

Cause: one lost datagram made a coordinator suspect for 600 ms.

Change: a request without a response is sent again every 20 ms for 90 ms, with the same identifier, which the coordinator answers with the same decision. The test lost_request_makes_its_coordinator_suspect fails before.

--- a/crates/scheduling/src/coordination/requester.rs
+++ b/crates/scheduling/src/coordination/requester.rs
@@ -32,8 +32,10 @@
 use crate::scheduler::ScheduleRequest;
 use crate::scheduler::Scheduler;
 
-/// How long a coordinator may take to respond.
-const RESPONSE_TIMEOUT_MS: u64 = 80;
+/// How long a coordinator may take to respond, and how often it is asked again meanwhile: one lost
+/// datagram does not make it suspect.
+const RESPONSE_TIMEOUT_MS: u64 = 90;
+const REPEAT_PERIOD_MS: u64 = 20;
 
 /// How often a waiting request is renewed, and after how many periods without a response its
 /// coordinator counts as failed.
@@ -94,6 +96,8 @@
     id: u64,
     group: GroupKey,
     coordinator: SocketAddr,
+    begun_ms: u64,
+    // When the request was sent last.
     sent_ms: u64,
     // The last response, while the request waits there.
     responded_ms: Option<u64>,
@@ -103,7 +107,7 @@
 struct PendingRequest<T> {
     request: ScheduleRequest,
     handle: T,
-    may_wait: bool,
+    options: BeginOptions,
     main: Inquiry,
     // The inquiry at another group while the request waits.
     probe: Option<Inquiry>,
@@ -230,7 +234,7 @@
         let pending = PendingRequest {
             request,
             handle,
-            may_wait: options.may_wait,
+            options,
             main,
             probe: None,
             has_probed: !options.may_wait,
@@ -320,6 +324,7 @@
         }
         for pending in self.pending.values_mut() {
             for inquiry in [Some(&mut pending.main), pending.probe.as_mut()].into_iter().flatten() {
+                inquiry.begun_ms = (inquiry.begun_ms + pause_ms).min(now_ms);
                 inquiry.sent_ms = (inquiry.sent_ms + pause_ms).min(now_ms);
                 inquiry.responded_ms = inquiry.responded_ms.map(|t| (t + pause_ms).min(now_ms));
             }
@@ -341,26 +346,28 @@
     fn check_pending(&mut self, scheduler: &mut Scheduler, key: u64, now_ms: u64) {
         let Some(pending) = self.pending.get_mut(&key) else { return };
         if let Some(probe) = pending.probe
-            && now_ms.saturating_sub(probe.sent_ms) >= RESPONSE_TIMEOUT_MS
+            && now_ms.saturating_sub(probe.begun_ms) >= RESPONSE_TIMEOUT_MS
         {
             pending.probe = None;
             self.by_inquiry.remove(&probe.id);
-            self.suspect(probe.coordinator, now_ms);
         }
         let Some(pending) = self.pending.get_mut(&key) else { return };
         let main = pending.main;
         let has_failed = match main.responded_ms {
-            None => now_ms.saturating_sub(main.sent_ms) >= RESPONSE_TIMEOUT_MS,
+            None => now_ms.saturating_sub(main.begun_ms) >= RESPONSE_TIMEOUT_MS,
             Some(at_ms) => now_ms.saturating_sub(at_ms) >= RENEWAL_PERIOD_MS * RENEWALS_LIMIT,
         };
+        let period_ms = match main.responded_ms {
+            None => REPEAT_PERIOD_MS,
+            Some(_) => RENEWAL_PERIOD_MS,
+        };
         if has_failed {
             self.suspect(main.coordinator, now_ms);
             self.ask_next_coordinator(scheduler, key, now_ms);
-        } else if main.responded_ms.is_some()
-            && now_ms.saturating_sub(main.sent_ms) >= RENEWAL_PERIOD_MS
-        {
+        } else if now_ms.saturating_sub(main.sent_ms) >= period_ms {
             pending.main.sent_ms = now_ms;
-            let (request, options) = (pending.request.clone(), BeginOptions::renewal());
+            let options = pending.options;
+            let request = pending.request.clone();
             self.send_request(scheduler, &request, &main, options, now_ms);
         }
     }
@@ -371,7 +378,8 @@
         pending.failures += 1;
         let (failed, failures) = (pending.main, pending.failures);
         let request = pending.request.clone();
-        let options = BeginOptions { may_wait: pending.may_wait, is_first: false };
+        pending.options.is_first = false;
+        let options = pending.options;
         let mut groups = vec![failed.group];
         groups.extend(self.preferred_groups(&request));
         let next = self.first_available(groups, now_ms);
@@ -516,7 +524,8 @@
 
     fn new_inquiry(&mut self, group: GroupKey, coordinator: SocketAddr, now_ms: u64) -> Inquiry {
         self.next_id += 1;
-        Inquiry { id: self.next_id, group, coordinator, sent_ms: now_ms, responded_ms: None }
+        let (begun_ms, sent_ms) = (now_ms, now_ms);
+        Inquiry { id: self.next_id, group, coordinator, begun_ms, sent_ms, responded_ms: None }
     }
 
     fn send_request(
@@ -598,9 +607,3 @@
     /// Whether it is the first one for its prompt.
     pub is_first: bool,
 }
-
-impl BeginOptions {
-    fn renewal() -> Self {
-        Self { may_wait: true, is_first: false }
-    }
-}
