Answer what is still open at the end of a stop, and refuse what comes late

What callers would see (reported by another operator): requests that come late in the grace of a planned stop are passed on and cut with no answer at its end, among them requests that may not be repeated.

Cause: a connection on which a request had begun to arrive stays open when the node stops to take connections, and what it completes later was passed on as at any time. At the end all connections were closed, also those whose requests had no response.

Change: a request that is read after that moment is refused with 503 and Retry-After, and no upstream sees it. 250 ms before the end, what has no response yet gets a 504, which promises nothing; its attempt ends.

--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -50,6 +50,9 @@
 /// The retry-after of refusals while the node has no configuration.
 const NOT_READY_RETRY_AFTER_MS: u64 = 500;
 
+/// The retry-after of refusals late in a stop; it is short because other nodes have capacity.
+const DRAINING_RETRY_AFTER_MS: u64 = 100;
+
 /// A request with less time before its deadline fails instead of being sent.
 const MIN_REMAINING_TIME: Duration = Duration::from_millis(5);
 
@@ -109,6 +112,26 @@
         view.configuration.as_ref().map_or_else(CallerLimits::default, |known| *known.limits())
     }
 
+    /// Returns the identifier of a request, for its log line and its refusal; empty if it has none.
+    pub fn request_id(&self, request: &Request<Incoming>) -> String {
+        let metadata = self.context.head_codec.decode_request(request.headers());
+        metadata.map_or_else(|_| String::new(), |metadata| metadata.id)
+    }
+
+    /// Refuses a request that came too late in a stop.
+    pub fn refuse_draining(&self, request: &Request<Incoming>) -> Response<Body> {
+        let id = self.request_id(request);
+        info!("event=request_refused_in_stop request_id={id}");
+        let refusal = Refusal::new(ResultCode::Draining).retry_after(DRAINING_RETRY_AFTER_MS);
+        refusal_response(&refusal, &id)
+    }
+
+    /// Fails a request that has no response at the end of a stop. An upstream may have run it.
+    pub fn fail_unanswered(&self, id: &str) -> Response<Body> {
+        info!("event=request_unanswered_at_end_of_stop request_id={id}");
+        refusal_response(&Refusal::new(ResultCode::UpstreamSilent), id)
+    }
+
     /// Handles one request.
     pub async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
         let arrived_ms = now_ms();
--- a/crates/gateway/src/front/listener.rs
+++ b/crates/gateway/src/front/listener.rs
@@ -7,6 +7,9 @@
 //! While the node drains, each response asks the caller to close its connection. In `closing`, idle
 //! connections are closed and requests in progress end normally.
 //!
+//! A request that is read in `closing` is refused and not sent to any upstream. What has no response
+//! at the end of the stop gets one that promises nothing.
+//!
 //! A response that is cut short never ends in order: its last chunk is missing, or, for a caller
 //! that knows no chunks, its connection is reset.
 
@@ -47,6 +50,8 @@
     pub draining: CancellationToken,
     /// Cancelled to accept no more connections and close idle ones.
     pub closing: CancellationToken,
+    /// Cancelled to end the requests that have no answer yet with a failure.
+    pub ending: CancellationToken,
     /// Cancelled to close all connections immediately.
     pub aborting: CancellationToken,
     /// Tracks the accept loop and the connection tasks.
@@ -71,14 +76,25 @@
         let limits = self.gateway.limits();
         let gateway = Arc::new(self.gateway.clone());
         let draining = self.draining.clone();
+        let (closing, ending) = (self.closing.clone(), self.ending.clone());
         let knows_chunks = Arc::new(AtomicBool::new(true));
         let caller_knows_chunks = knows_chunks.clone();
         let service = service_fn(move |request: Request<Incoming>| {
             let gateway = gateway.clone();
             let draining = draining.clone();
+            let (closing, ending) = (closing.clone(), ending.clone());
             knows_chunks.store(request.version() >= Version::HTTP_11, Ordering::Relaxed);
             async move {
-                let mut response = gateway.handle(request).await;
+                let mut response = if closing.is_cancelled() {
+                    gateway.refuse_draining(&request)
+                } else {
+                    let id = gateway.request_id(&request);
+                    tokio::select! {
+                        biased;
+                        response = gateway.handle(request) => response,
+                        () = ending.cancelled() => gateway.fail_unanswered(&id),
+                    }
+                };
                 if draining.is_cancelled() {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(header::CONNECTION, close);
--- a/crates/gateway/src/node/lifecycle.rs
+++ b/crates/gateway/src/node/lifecycle.rs
@@ -49,6 +49,9 @@
 /// second and takes a node out after two failed checks.
 const DRAIN_NOTICE: Duration = Duration::from_millis(2_600);
 
+/// How long before the end of a stop the requests without a response get one.
+const LAST_RESPONSES: Duration = Duration::from_millis(250);
+
 /// The part of the stop timeout that is reserved for the exit of the process.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
 
@@ -230,6 +233,7 @@
             gateway,
             draining: CancellationToken::new(),
             closing: CancellationToken::new(),
+            ending: CancellationToken::new(),
             aborting: CancellationToken::new(),
             tasks: TaskTracker::new(),
             metrics: metrics.clone(),
@@ -271,7 +275,12 @@
             components.listener.tasks.wait().await;
             components.relays.wait().await;
         };
-        let is_complete = timeout_at(deadline, open_work).await.is_ok();
+        tokio::pin!(open_work);
+        let mut is_complete = timeout_at(deadline - LAST_RESPONSES, &mut open_work).await.is_ok();
+        if !is_complete {
+            components.listener.ending.cancel();
+            is_complete = timeout_at(deadline, &mut open_work).await.is_ok();
+        }
         if !is_complete {
             warn!("event=work_cut connections={}", components.listener.tasks.len());
         }
--- a/crates/lab/tests/on_platform/stops.rs
+++ b/crates/lab/tests/on_platform/stops.rs
@@ -3,8 +3,13 @@
 use std::time::Duration;
 
 use http::StatusCode;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 use crate::site::Call;
+use crate::site::HOST;
+use crate::site::KEY;
 use crate::site::Site;
 use redwingrill_lab::site_upstream::Behaviour;
 
@@ -84,3 +89,51 @@
     assert_eq!(site.engines[0].seen().len(), 8, "it was not run");
     site.stop(Vec::new()).await;
 }
+
+/// A request whose head is complete only late in a stop. There may be no time left to answer it, so
+/// it is refused and not passed on. On a silent connection it is not even read.
+#[tokio::test]
+async fn request_that_comes_late_in_a_stop_is_passed_on_and_cut() {
+    for written_before in [0, 20] {
+        let site = Site::start(0, 1).await;
+        let node = site.node("n1").await;
+        let mut caller = TcpStream::connect(node.callers).await.expect("the node listens");
+        let request = format!(
+            "POST /order/ HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: r2\r\n\
+             authorization: Token {KEY}\r\ncontent-length: 4\r\n\r\nbody",
+        );
+        let (before, after) = request.as_bytes().split_at(written_before);
+        caller.write_all(before).await.expect("the node reads");
+        // The node has read it before it stops.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let draining = node.node.drain().await;
+        // The node may close a silent connection, so both may fail.
+        let written = caller.write_all(after).await;
+        let mut answer = Vec::new();
+        let read = caller.read_to_end(&mut answer).await;
+        let answer = String::from_utf8_lossy(&answer).into_owned();
+        let is_refused = answer.starts_with("HTTP/1.1 503") && answer.contains("retry-after");
+        let is_closed = written_before == 0 && answer.is_empty();
+        assert!(is_refused || is_closed, "{written:?} {read:?} {answer}");
+        assert!(site.shops[0].seen().is_empty(), "the late request is not passed on");
+        draining.finish().await;
+        site.stop(Vec::new()).await;
+    }
+}
+
+/// A request that no upstream answers before the end of the stop still gets an answer.
+#[tokio::test]
+async fn open_request_is_cut_without_an_answer_at_the_end_of_a_stop() {
+    let site = Site::start(1, 0).await;
+    let node = site.node("n1").await;
+    site.engines[0].set(Behaviour::IsMute);
+    let (pool, callers) = (site.pool.clone(), node.callers);
+    let open =
+        tokio::spawn(async move { Site::ask_at(&pool, callers, &Call::new("slow", "r1")).await });
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    node.node.drain().await.finish().await;
+    let answer = open.await.expect("the call ends").expect("the node answers");
+    // It may have run, so no status that promises otherwise.
+    assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT);
+    site.stop(Vec::new()).await;
+}
