Do not use expired weights because a coordinator missed the newer ones

A coordinator without the store hears late that newer weights were named, and assigned engines whose weights the node that sends knows to have expired.

Found by reading the new path for what each rule asks of the node that sends. The new test fails before in both cases: an assignment that arrives too late, and a request that begins too late.

Change: a node excludes engines whose weights have expired for it when it asks a coordinator, and checks the assignment again when it arrives. Otherwise it decides by itself, as without an answer.

--- a/crates/scheduling/src/scheduler/choose.rs
+++ b/crates/scheduling/src/scheduler/choose.rs
@@ -43,7 +43,7 @@
 /// Older weights are not used during this time before they expire, because another node or the
 /// upstream may have received the newer version earlier; the time that a request waits at an engine
 /// before it starts is added.
-const OLD_WEIGHTS_MARGIN_MS: u64 = 1_000;
+pub(super) const OLD_WEIGHTS_MARGIN_MS: u64 = 1_000;
 
 /// The multiple of the expected serving time that a request may wait at an engine before it starts.
 const START_DELAY_FACTOR: u64 = 2;
--- a/crates/scheduling/src/scheduler/delegation.rs
+++ b/crates/scheduling/src/scheduler/delegation.rs
@@ -8,6 +8,7 @@
 use super::ScheduleRequest;
 use super::Scheduler;
 use super::SchedulerOptions;
+use super::choose::OLD_WEIGHTS_MARGIN_MS;
 use crate::coordination::Grant;
 use crate::fleet::LoadDigest;
 use crate::fleet::NodeLoad;
@@ -88,12 +89,14 @@
         now_ms: u64,
     ) -> Vec<UpstreamTag> {
         let connections = self.own_connection_limit(&request.service);
+        let model = request.prompt.as_ref().map_or("", |prompt| prompt.model.as_str());
         let excluded = self.fleet.of_service(&request.service).filter(|(index, entry)| {
             let health = &entry.health;
             request.tried.contains(index)
                 || !entry.accepts_requests(now_ms)
                 || !entry.signals.gate.allows(now_ms)
                 || entry.in_flight >= connections
+                || !self.may_begin_on(request, entry.version_of(model), now_ms)
                 || health.is_ejected(now_ms)
                 || (health.is_on_probation() && entry.in_flight > 0)
         });
@@ -116,6 +119,10 @@
         now_ms: u64,
     ) -> Option<Assignment> {
         let index = self.index_of_start(grant.upstream)?;
+        // The coordinator may not have heard of newer weights, or later than this node.
+        if !self.may_begin_on(request, grant.version.map(WeightsVersion), now_ms) {
+            return None;
+        }
         let stall_timeout_ms = {
             let pauses = self.model_mut(&request.service).pauses();
             pauses.stall_timeout_ms(request.pause_target_ms)
@@ -151,6 +158,18 @@
         Some(assignment)
     }
 
+    /// Returns whether this node may still send a request to engines with this version.
+    fn may_begin_on(
+        &self,
+        request: &ScheduleRequest,
+        version: Option<WeightsVersion>,
+        now_ms: u64,
+    ) -> bool {
+        let (Some(prompt), Some(version)) = (&request.prompt, version) else { return false };
+        let usable_ms = self.usable_ms(&prompt.model, version, now_ms);
+        usable_ms.is_none_or(|usable_ms| usable_ms > OLD_WEIGHTS_MARGIN_MS)
+    }
+
     fn index_of_start(&self, start: UpstreamTag) -> Option<UpstreamIndex> {
         let mut entries = self.fleet.iter();
         entries.find(|(_, entry)| entry.start_tag == start).map(|(index, _)| index)
--- a/crates/scheduling/tests/coordination.rs
+++ b/crates/scheduling/tests/coordination.rs
@@ -282,3 +282,44 @@
     let is_assigned = |message: &CoordinationMessage| matches!(message, CoordinationMessage::Response(r) if matches!(r.decision, Decision::Assigned(_)));
     assert!(responses.iter().any(|(to, m)| *to == address(2) && is_assigned(m)), "{responses:?}");
 }
+
+struct ExpiryCase {
+    name: &'static str,
+    /// When the request begins and when its assignment arrives.
+    begun_ms: u64,
+    assigned_ms: u64,
+    is_used: bool,
+}
+
+#[test]
+fn coordinator_that_missed_new_weights_assigns_expired_ones() {
+    let published_ms = 1_000;
+    let expired_ms = published_ms + support::VERSION_LIMIT_MS;
+    let cases = [
+        ExpiryCase { name: "in time", begun_ms: 2_000, assigned_ms: 2_002, is_used: true },
+        ExpiryCase {
+            name: "assigned too late",
+            begun_ms: expired_ms - 2_000,
+            assigned_ms: expired_ms - 500,
+            is_used: false,
+        },
+        ExpiryCase {
+            name: "begun too late",
+            begun_ms: expired_ms - 500,
+            assigned_ms: expired_ms - 498,
+            is_used: false,
+        },
+    ];
+    for ExpiryCase { name, begun_ms, assigned_ms, is_used } in cases {
+        let mut nodes = nodes(2, 4);
+        nodes[1].scheduler.observe_target_version(MODEL, WeightsVersion(2), published_ms);
+        let Node { scheduler, coordination, .. } = &mut nodes[0];
+        coordination.follow(scheduler, begun_ms - 100);
+        nodes[1].begin(1, begun_ms);
+        let (to, message) = nodes[1].only_sent();
+        nodes[0].receive(address(1), &message, begun_ms + 1);
+        let (_, response) = nodes[0].only_sent();
+        nodes[1].receive(to, &response, assigned_ms);
+        assert_eq!(nodes[1].assigned().len(), usize::from(is_used), "{name}");
+    }
+}
