Let as many prompts wait as the engines can run at once

What callers saw: prompts were refused while 96 of their class waited, although the engines of a group could have started them within a fraction of a second. The bound was that of one node of many; a coordinator has the prompts of all.

Evidence: the new test fails before: 364 of 960 prompts of one moment were refused before 20 engines with 32 slots each.

--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -437,6 +437,11 @@
         }
     }
 
+    /// Returns the number of requests that the upstreams of a service run at once.
+    pub(super) fn slots_of(&self, service: &str) -> usize {
+        self.fleet.of_service(service).map(|(_, entry)| entry.slots() as usize).sum()
+    }
+
     /// Returns the number of nodes.
     pub(super) fn members(&self) -> usize {
         self.members.max(1)
--- a/crates/scheduling/src/scheduler/wait_queue.rs
+++ b/crates/scheduling/src/scheduler/wait_queue.rs
@@ -22,7 +22,8 @@
 /// it, that a request may wait. A caller that is refused can return; one that leaves cannot.
 const PATIENCE_WAIT_PERCENT: u64 = 50;
 
-/// The maximum number of queued requests of a class at a node.
+/// The number of requests of a class that may wait in any case; beyond it, as many as the upstreams
+/// run at once.
 const QUEUE_LIMIT: usize = 96;
 
 /// The maximum retry delay for callers.
@@ -112,7 +113,7 @@
         let is_long = scheduler.is_long(&request);
         let class = RequestClass { service: request.service.clone(), is_long };
         let queued_before = self.waiting.iter().filter(|waiting| waiting.class == class).count();
-        if queued_before >= QUEUE_LIMIT {
+        if queued_before >= QUEUE_LIMIT.max(scheduler.slots_of(&request.service)) {
             return vec![(responder, scheduler.refuse_overloaded(&request, now_ms))];
         }
         let is_first = queued_before == 0;
--- a/crates/scheduling/tests/coordination.rs
+++ b/crates/scheduling/tests/coordination.rs
@@ -323,3 +323,19 @@
         assert_eq!(nodes[1].assigned().len(), usize::from(is_used), "{name}");
     }
 }
+
+#[test]
+fn prompts_that_the_engines_could_run_soon_are_refused() {
+    const ENGINES: usize = 20;
+    let mut nodes = nodes(1, ENGINES);
+    // Half as many again as the engines run at once.
+    let count = ENGINES as u64 * u64::from(support::SLOTS) * 3 / 2;
+    let Node { scheduler, coordination, .. } = &mut nodes[0];
+    for number in 0..count {
+        let request = request(Some(short_prompt(number)), 10);
+        coordination.begin(scheduler, request, 0, (true, true), 10);
+    }
+    let resolved = coordination.take_resolved().into_iter();
+    let refused = resolved.filter(|r| matches!(r.resolution, Resolution::Refused { .. })).count();
+    assert_eq!(refused, 0, "of {count}");
+}
