--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -565,8 +565,17 @@
         loads.collect()
     }
 
-    /// Logs the learned times of each service and sets their metrics.
+    /// Logs the learned times of each service and sets their metrics, and logs the coordination.
     fn report_models(&self) {
+        let (requester, coordinator) =
+            (self.coordination.requester(), self.coordination.coordinator());
+        info!(
+            "event=coordination requested={} suspects={} groups={} waiting={}",
+            requester.pending(),
+            requester.suspects(),
+            coordinator.group_count(),
+            coordinator.waiting(),
+        );
         for (service, model) in self.scheduler.models() {
             let (curve, times) = (model.curve(), model.times());
             info!(
--- a/crates/scheduling/src/coordination/requester.rs
+++ b/crates/scheduling/src/coordination/requester.rs
@@ -174,6 +174,11 @@
         self.pending.len()
     }
 
+    /// Returns the number of nodes that did not respond lately.
+    pub fn suspects(&self) -> usize {
+        self.suspects_until_ms.len()
+    }
+
     /// Returns whether anything is due with time.
     pub fn is_idle(&self) -> bool {
         self.pending.is_empty()
