Name the options of requests for assignments

Two booleans in a tuple told a reader nothing at the call; a struct names them. A function that nothing uses is gone. No change of behaviour.

--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -28,6 +28,7 @@
 use redwingrill_scheduling::coordination::Coordination;
 use redwingrill_scheduling::coordination::CoordinationMessage;
 use redwingrill_scheduling::coordination::GroupNode;
+use redwingrill_scheduling::coordination::RequestOptions;
 use redwingrill_scheduling::coordination::Resolution;
 use redwingrill_scheduling::coordination::Resolved;
 use redwingrill_scheduling::fleet::UpstreamIndex;
@@ -502,9 +503,11 @@
             return;
         }
         let waiter = Waiter { responder, purpose };
-        let (may_wait, is_first) = (purpose != Purpose::Move, purpose == Purpose::First);
-        let scheduler = &mut self.scheduler;
-        self.coordination.begin(scheduler, request, waiter, (may_wait, is_first), now_ms);
+        let options = RequestOptions {
+            may_wait: purpose != Purpose::Move,
+            is_first: purpose == Purpose::First,
+        };
+        self.coordination.begin(&mut self.scheduler, request, waiter, options, now_ms);
     }
 
     /// Chooses an upstream without a coordinator.
--- a/crates/scheduling/src/coordination/mod.rs
+++ b/crates/scheduling/src/coordination/mod.rs
@@ -37,6 +37,7 @@
 pub use messages::LoadReport;
 pub use messages::Requirements;
 pub use node::Coordination;
+pub use requester::RequestOptions;
 pub use requester::Requester;
 pub use requester::Resolution;
 pub use requester::Resolved;
--- a/crates/scheduling/src/coordination/node.rs
+++ b/crates/scheduling/src/coordination/node.rs
@@ -7,11 +7,11 @@
 use super::Coordinator;
 use super::EngineGroup;
 use super::GroupNode;
+use super::RequestOptions;
 use super::Requester;
 use super::Resolved;
 use super::coordinator::Addressed;
 use super::divide;
-use super::requester::BeginOptions;
 use super::requester::Outgoing;
 use crate::fleet::UpstreamTag;
 use crate::placement::CacheStoreDigest;
@@ -98,17 +98,15 @@
         self.coordinator.merge_cache_store(stored, now_ms);
     }
 
-    /// Requests an assignment for a prompt. `is_first` states that no other request was made for
-    /// it.
+    /// Requests an assignment for a prompt.
     pub fn begin(
         &mut self,
         scheduler: &mut Scheduler,
         request: ScheduleRequest,
         handle: T,
-        (may_wait, is_first): (bool, bool),
+        options: RequestOptions,
         now_ms: u64,
     ) {
-        let options = BeginOptions { may_wait, is_first };
         self.requester.begin(scheduler, request, handle, options, now_ms);
         self.deliver(scheduler, now_ms);
     }
--- a/crates/scheduling/src/coordination/requester.rs
+++ b/crates/scheduling/src/coordination/requester.rs
@@ -61,6 +61,15 @@
 /// A message and the address that it is for.
 pub(super) type Outgoing = (SocketAddr, CoordinationMessage);
 
+/// How a request for an assignment is made.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct RequestOptions {
+    /// Whether the request may wait for capacity.
+    pub may_wait: bool,
+    /// Whether no other request was made for the prompt.
+    pub is_first: bool,
+}
+
 /// The outcome of a request for an assignment.
 #[derive(Debug)]
 pub enum Resolution {
@@ -107,7 +116,7 @@
 struct PendingRequest<T> {
     request: ScheduleRequest,
     handle: T,
-    options: BeginOptions,
+    options: RequestOptions,
     main: Inquiry,
     // The inquiry at another group while the request waits.
     probe: Option<Inquiry>,
@@ -221,7 +230,7 @@
         scheduler: &mut Scheduler,
         request: ScheduleRequest,
         handle: T,
-        options: BeginOptions,
+        options: RequestOptions,
         now_ms: u64,
     ) {
         let groups = match scheduler.has_limited_upstream(&request.service) {
@@ -421,7 +430,7 @@
             pending.probe = Some(probe);
             pending.has_probed = true;
         }
-        let options = BeginOptions { may_wait: false, is_first: false };
+        let options = RequestOptions { may_wait: false, is_first: false };
         self.send_request(scheduler, &request, &probe, options, now_ms);
     }
 
@@ -538,7 +547,7 @@
         scheduler: &mut Scheduler,
         request: &ScheduleRequest,
         inquiry: &Inquiry,
-        options: BeginOptions,
+        options: RequestOptions,
         now_ms: u64,
     ) {
         let excluded = scheduler.excluded_engines(request, now_ms);
@@ -603,12 +612,3 @@
         }
     }
 }
-
-/// How a request for an assignment is made.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub(super) struct BeginOptions {
-    /// Whether the request may wait for capacity.
-    pub may_wait: bool,
-    /// Whether it is the first one for its prompt.
-    pub is_first: bool,
-}
--- a/crates/scheduling/src/scheduler/delegation.rs
+++ b/crates/scheduling/src/scheduler/delegation.rs
@@ -123,10 +123,8 @@
         if !self.may_begin_on(request, grant.version.map(WeightsVersion), now_ms) {
             return None;
         }
-        let stall_timeout_ms = {
-            let pauses = self.model_mut(&request.service).pauses();
-            pauses.stall_timeout_ms(request.pause_target_ms)
-        };
+        let pauses = self.model_mut(&request.service).pauses();
+        let stall_timeout_ms = pauses.stall_timeout_ms(request.pause_target_ms);
         let entry = self.fleet.get_mut(index)?;
         if !entry.accepts_requests(now_ms) || !entry.signals.gate.allows(now_ms) {
             return None;
@@ -174,9 +172,4 @@
         let mut entries = self.fleet.iter();
         entries.find(|(_, entry)| entry.start_tag == start).map(|(index, _)| index)
     }
-
-    /// Returns the address of the cache store.
-    pub fn cache_store_address(&self) -> Option<SocketAddr> {
-        self.cache_store
-    }
 }
--- a/crates/scheduling/src/scheduler/request.rs
+++ b/crates/scheduling/src/scheduler/request.rs
@@ -80,7 +80,7 @@
     pub sent_ms: u64,
     /// The pause after which a stream of this request is stalled, in milliseconds.
     pub stall_timeout_ms: u64,
-    /// The node that made the assignment, if it is another's or its own coordinator.
+    /// The coordinator that made the assignment; `None` if the node decided by itself.
     pub coordinator: Option<SocketAddr>,
     /// Where the upstream fetches parts that it does not hold.
     pub fetch_from: Option<SocketAddr>,
--- a/crates/scheduling/tests/burst_at_capacity.rs
+++ b/crates/scheduling/tests/burst_at_capacity.rs
@@ -36,6 +36,7 @@
 use redwingrill_scheduling::coordination::Coordination;
 use redwingrill_scheduling::coordination::CoordinationMessage;
 use redwingrill_scheduling::coordination::GroupNode;
+use redwingrill_scheduling::coordination::RequestOptions;
 use redwingrill_scheduling::coordination::Resolution;
 use redwingrill_scheduling::fleet::NODES_PER_DIGEST_PERIOD;
 use redwingrill_scheduling::fleet::UpstreamTag;
@@ -427,7 +428,8 @@
         let Node { scheduler, coordination, .. } = &mut self.nodes[node];
         match coordination {
             Some(coordination) => {
-                coordination.begin(scheduler, request, job, (true, is_first), now_ms);
+                let options = RequestOptions { may_wait: true, is_first };
+                coordination.begin(scheduler, request, job, options, now_ms);
                 self.finish_coordination(node, now_ms);
             }
             None => self.enqueue(node, job, request, now_ms),
--- a/crates/scheduling/tests/coordination.rs
+++ b/crates/scheduling/tests/coordination.rs
@@ -17,12 +17,15 @@
 use redwingrill_scheduling::coordination::CoordinationMessage;
 use redwingrill_scheduling::coordination::Decision;
 use redwingrill_scheduling::coordination::GroupNode;
+use redwingrill_scheduling::coordination::RequestOptions;
 use redwingrill_scheduling::coordination::Resolution;
 use redwingrill_scheduling::coordination::divide;
 use redwingrill_scheduling::fleet::UpstreamTag;
 use redwingrill_scheduling::scheduler::Assignment;
 use redwingrill_scheduling::scheduler::Scheduler;
 
+const FIRST: RequestOptions = RequestOptions { may_wait: true, is_first: true };
+
 struct Node {
     address: SocketAddr,
     scheduler: Scheduler,
@@ -36,7 +39,7 @@
 
     fn begin(&mut self, prompt: u64, now_ms: u64) {
         let request = request(Some(long_prompt(prompt, prompt)), now_ms);
-        self.coordination.begin(&mut self.scheduler, request, prompt as u32, (true, true), now_ms);
+        self.coordination.begin(&mut self.scheduler, request, prompt as u32, FIRST, now_ms);
     }
 
     fn tick(&mut self, now_ms: u64) {
@@ -225,7 +228,7 @@
         let prompt = short_prompt(number);
         let request = request(Some(prompt), now_ms);
         let Node { scheduler, coordination, .. } = &mut nodes[1];
-        coordination.begin(scheduler, request, number as u32, (true, true), now_ms);
+        coordination.begin(scheduler, request, number as u32, FIRST, now_ms);
         let (_, message) = nodes[1].only_sent();
         let Node { scheduler, coordination, .. } = &mut nodes[1];
         coordination.tick(scheduler, now_ms, |_| true);
@@ -251,7 +254,7 @@
     for number in 0..32 {
         let request = request(Some(short_prompt(number)), 0);
         let Node { scheduler, coordination, .. } = &mut nodes[1];
-        coordination.begin(scheduler, request, 0, (true, true), 0);
+        coordination.begin(scheduler, request, 0, FIRST, 0);
         let (_, message) = nodes[1].only_sent();
         nodes[0].receive(address(1), &message, 1);
         for (_, response) in nodes[0].sent() {
@@ -262,7 +265,7 @@
     assert!(!assigned.is_empty());
     let request = request(Some(short_prompt(99)), 3);
     let Node { scheduler, coordination, .. } = &mut nodes[2];
-    coordination.begin(scheduler, request, 0, (true, true), 3);
+    coordination.begin(scheduler, request, 0, FIRST, 3);
     let (_, message) = nodes[2].only_sent();
     nodes[0].receive(address(2), &message, 4);
     let (_, response) = nodes[0].only_sent();
@@ -333,7 +336,7 @@
     let Node { scheduler, coordination, .. } = &mut nodes[0];
     for number in 0..count {
         let request = request(Some(short_prompt(number)), 10);
-        coordination.begin(scheduler, request, 0, (true, true), 10);
+        coordination.begin(scheduler, request, 0, FIRST, 10);
     }
     let resolved = coordination.take_resolved().into_iter();
     let refused = resolved.filter(|r| matches!(r.resolution, Resolution::Refused { .. })).count();
