Do not ask a coordinator about prompts that do not fit into a datagram

What would have been seen: a caller that declares thousands of parts, or a very long model, makes the coordinators of a service suspect at its node, and the prompts of others there are chosen without them.

Found by reading the new path for input from outside: a request longer than the 8 KB that a node receives is never decoded, so it has no response.

Change: such prompts are decided by the node itself at once. Excluded engines are only those of the group, and settled assignments are bounded, so that every message fits: by arithmetic 6.5 KB at most.

--- a/crates/scheduling/src/coordination/requester.rs
+++ b/crates/scheduling/src/coordination/requester.rs
@@ -58,6 +58,12 @@
 const REPORT_PERIOD_MS: u64 = 250;
 const SETTLED_MEMORY_MS: u64 = 1_000;
 
+/// The maximum number of parts of a prompt, of bytes in its names, and of settled assignments in a
+/// message, so that it fits into a datagram. A coordinator would seem not to respond to a longer one.
+const PARTS_LIMIT: usize = 256;
+const NAMES_LIMIT_BYTES: usize = 1_024;
+const SETTLED_LIMIT: usize = 256;
+
 /// A message and the address that it is for.
 pub(super) type Outgoing = (SocketAddr, CoordinationMessage);
 
@@ -233,7 +239,9 @@
         options: RequestOptions,
         now_ms: u64,
     ) {
-        let groups = match scheduler.has_limited_upstream(&request.service) {
+        let must_decide_alone =
+            scheduler.has_limited_upstream(&request.service) || !fits_into_datagram(&request);
+        let groups = match must_decide_alone {
             true => Vec::new(),
             false => self.preferred_groups(&request),
         };
@@ -550,7 +558,9 @@
         options: RequestOptions,
         now_ms: u64,
     ) {
-        let excluded = scheduler.excluded_engines(request, now_ms);
+        let Some(group) = self.groups.get(&inquiry.group) else { return };
+        let is_included = |engine| group.engines.contains(&engine);
+        let excluded = scheduler.excluded_engines(request, is_included, now_ms);
         let domain = &self.failure_domain;
         let Some(requirements) = Requirements::new(request, domain, excluded, now_ms) else {
             return;
@@ -581,7 +591,8 @@
         };
         let (sequence, upstreams) = scheduler.load_at(|tag| state.engines.contains(&tag));
         while let Some((_, at_ms)) = state.settled.front()
-            && now_ms.saturating_sub(*at_ms) >= SETTLED_MEMORY_MS
+            && (now_ms.saturating_sub(*at_ms) >= SETTLED_MEMORY_MS
+                || state.settled.len() > SETTLED_LIMIT)
         {
             state.settled.pop_front();
         }
@@ -612,3 +623,10 @@
         }
     }
 }
+
+fn fits_into_datagram(request: &ScheduleRequest) -> bool {
+    let Some(prompt) = request.prompt.as_deref() else { return true };
+    let account_bytes = request.isolated_account.as_ref().map_or(0, String::len);
+    let names_bytes = prompt.model.len() + request.service.len() + account_bytes;
+    prompt.parts.len() <= PARTS_LIMIT && names_bytes <= NAMES_LIMIT_BYTES
+}
--- a/crates/scheduling/src/scheduler/delegation.rs
+++ b/crates/scheduling/src/scheduler/delegation.rs
@@ -82,15 +82,18 @@
         (self.sequence, included.map(|(_, entry)| (entry.tag, entry.own_load())).collect())
     }
 
-    /// Returns the starts of the engines that this node must not use for a request.
+    /// Returns the starts of those of some engines that this node must not use for a request.
     pub(crate) fn excluded_engines(
         &self,
         request: &ScheduleRequest,
+        is_included: impl Fn(UpstreamTag) -> bool,
         now_ms: u64,
     ) -> Vec<UpstreamTag> {
         let connections = self.own_connection_limit(&request.service);
         let model = request.prompt.as_ref().map_or("", |prompt| prompt.model.as_str());
-        let excluded = self.fleet.of_service(&request.service).filter(|(index, entry)| {
+        let engines = self.fleet.of_service(&request.service);
+        let engines = engines.filter(|(_, entry)| is_included(entry.tag));
+        let excluded = engines.filter(|(index, entry)| {
             let health = &entry.health;
             request.tried.contains(index)
                 || !entry.accepts_requests(now_ms)
--- a/crates/scheduling/tests/coordination.rs
+++ b/crates/scheduling/tests/coordination.rs
@@ -180,6 +180,35 @@
     assert_eq!(nodes[2].assigned().len(), 1);
 }
 
+struct LongPromptCase {
+    name: &'static str,
+    parts: u64,
+    model_bytes: usize,
+}
+
+/// Such a prompt does not fit into a datagram, so its request would never arrive.
+#[test]
+fn long_prompt_names_make_a_coordinator_suspect() {
+    let cases = [
+        LongPromptCase { name: "many parts", parts: 5_000, model_bytes: 1 },
+        LongPromptCase { name: "a long model name", parts: 2, model_bytes: 9_000 },
+    ];
+    for LongPromptCase { name, parts, model_bytes } in cases {
+        let mut nodes = nodes(2, 4);
+        let parts: Vec<(u64, u32)> = (0..parts).map(|id| (id, 16)).collect();
+        let mut prompt = support::prompt(&parts);
+        prompt.model = "m".repeat(model_bytes);
+        let request = request(Some(prompt), 0);
+        let Node { scheduler, coordination, .. } = &mut nodes[1];
+        coordination.begin(scheduler, request, 0, FIRST, 0);
+        assert!(nodes[1].sent().is_empty(), "{name}");
+        let resolved = nodes[1].coordination.take_resolved();
+        let is_undecided = |resolution: &Resolution| matches!(resolution, Resolution::Undecided);
+        assert!(resolved.iter().all(|r| is_undecided(&r.resolution)), "{name}");
+        assert_eq!(resolved.len(), 1, "{name}");
+    }
+}
+
 #[test]
 fn node_decides_by_itself_when_no_coordinator_responds() {
     let mut nodes = nodes(4, 4);
