--- a/review/stand_ins/src/case_left_engine.rs
+++ b/review/stand_ins/src/case_left_engine.rs
@@ -26,7 +26,7 @@
 
 const LEAVE_PERIOD: Duration = Duration::from_millis(2_300);
 const CUT_PERIOD: Duration = Duration::from_millis(1_000);
-const CLIENTS: usize = 8;
+const CLIENTS: usize = 16;
 
 fn spec(n: usize) -> Spec {
     Spec { id: format!("i-{n}"), service: "shop".to_owned(), slots: 6, is_plain: true }
