--- a/review/stand_ins/src/case_misrouted.rs
+++ b/review/stand_ins/src/case_misrouted.rs
@@ -20,7 +20,7 @@
 const ROUTERS: u8 = 7;
 
 /// How long after it was killed the router starts again.
-const RESTART: Duration = Duration::from_millis(200);
+const RESTART: Duration = Duration::from_millis(500);
 
 fn ask(id: String, route: &str, events: u64, gap_ms: u64) -> Ask {
     let part = if route == "board" { 0x5c1e_07a2 } else { 0x91bd_3f06 };
@@ -55,8 +55,8 @@
     let mut open = Vec::new();
     for (route, _) in SERVICES {
         for n in 0..ENGINES * SLOTS {
-            // Those of the first service end one after the other, 60 ms apart.
-            let gap_ms = if route == "board" { 125 + 3 * n as u64 } else { 300 };
+            // Those of the first service end one after the other, some 25 ms apart.
+            let gap_ms = if route == "board" { 125 + n as u64 } else { 300 };
             let sent = ask(format!("full-{route}-{n}"), route, 20, gap_ms);
             open.push(client::send(site.routers[other].front, sent, &record));
             thread::sleep(Duration::from_millis(5));
@@ -65,12 +65,12 @@
     thread::sleep(Duration::from_millis(1_600));
 
     // Requests for the first service wait.
-    for n in 0..12 {
+    for n in 0..24 {
         let sent = ask(format!("board-{n}"), "board", 3, 50);
         open.push(client::send(site.routers[victim].front, sent, &record));
-        thread::sleep(Duration::from_millis(5));
+        thread::sleep(Duration::from_millis(8));
     }
-    thread::sleep(Duration::from_millis(500));
+    thread::sleep(Duration::from_millis(100));
     if has_trouble {
         site.routers[victim].kill().map_err(|e| e.to_string())?;
         thread::sleep(RESTART);
