--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,7 @@
-#!/usr/bin/env bash
-# Builds the stand-ins that the cases start. The project's own program comes from the deploy file's build.
-set -euo pipefail
-cd "$(dirname "$0")/rig"
-cargo build --release --offline --locked
+#!/bin/sh
+# Builds the stand-ins of all scripts, into the project's target folder.
+set -e
+cd "$(dirname "$0")/.."
+for crate in stand_ins rig; do
+    cargo build --release --offline --locked --manifest-path review/$crate/Cargo.toml --target-dir target/review
+done
