--- a/review/rig/src/cases/left_stream.rs
+++ b/review/rig/src/cases/left_stream.rs
@@ -123,7 +123,7 @@
     let id = site.next_id();
     let mut headers = headers(&id, 12_000);
     headers.push(("X-Model".to_owned(), MODEL.to_owned()));
-    headers.push(("X-Token-Count".to_owned(), "17020,80".to_owned()));
+    headers.push(("X-Token-Count".to_owned(), "17020,60".to_owned()));
     let prefix = format!("5c1e{number:04x}:13300,91bd{number:04x}:3720");
     headers.push(("X-Prompt-Prefix".to_owned(), prefix));
     let leaves = Arc::new(AtomicBool::new(false));
--- a/review/rig/src/site.rs
+++ b/review/rig/src/site.rs
@@ -81,7 +81,8 @@
             route("look", "safe", 800, 150, "shop", 2),
             route("board", "stream", 12_000, 1_500, "llm", 2),
             route("check", "stream", 5_000, 500, "llm", 2),
-            // As the operator may shorten it.
+            // As the operator may lengthen and shorten them.
+            route("book", "stream", 60_000, 1_500, "llm", 2),
             route("draft", "stream", 5_000, 1_500, "llm", 2),
         ],
         "services": [
@@ -129,7 +130,7 @@
                     slots: if is_model { 32 } else { 6 },
                     work: Duration::from_millis(30),
                     model: is_model.then(|| MODEL.to_owned()),
-                    events: 60,
+                    events: 400,
                     gap: Duration::from_millis(150),
                     // That of the site file's engines, or less than half of it where the case says so.
                     tokens_per_ms: if slow_engines { 25.0 } else { 56.1 },
@@ -234,7 +235,8 @@
         patience: Duration,
     ) -> String {
         let id = self.next_id();
-        let mut headers = headers_with(key, &id, 12_000);
+        let deadline_ms = if prompt.route == "book" { 60_000 } else { 12_000 };
+        let mut headers = headers_with(key, &id, deadline_ms);
         headers.push(("X-Model".to_owned(), MODEL.to_owned()));
         let (shared, own, out) = (prompt.shared, prompt.own, prompt.out);
         headers.push(("X-Token-Count".to_owned(), format!("{},{out}", shared + own)));
@@ -269,6 +271,12 @@
         }
     }
 
+    /// Ends the nodes' processes, and with them what their clients still read.
+    pub fn kill_nodes(&mut self) {
+        self.record.say("the case is over: the nodes are killed");
+        self.nodes.iter_mut().for_each(Node::kill);
+    }
+
     /// Waits for the clients, and writes what was sent and run.
     pub fn finish(&mut self) {
         self.clients.drain(..).for_each(|client| {
