--- a/review/rig/src/cases.rs
+++ b/review/rig/src/cases.rs
@@ -26,7 +26,7 @@
     match case {
         "frozen-waiter" => frozen_waiter::run(start(&[("llm", 6)], 5)?, has_trouble),
         "left-stream" => left_stream::run(start(&[("llm", 6)], 2)?, has_trouble),
-        "stale-entry" => stale_entry::run(start(&[("shop", 3)], 2)?, has_trouble),
+        "stale-entry" => stale_entry::run(start(&[("shop", 5)], 2)?, has_trouble),
         "watch-cut" => watch_cut::run(start(&[("shop", 3)], 2)?, has_trouble),
         _ => Err(format!("no case {case}")),
     }
--- a/review/rig/src/engine.rs
+++ b/review/rig/src/engine.rs
@@ -18,6 +18,9 @@
 use crate::net::Server;
 use crate::record::Record;
 
+/// The version of all weights.
+const VERSION: &str = "1";
+
 /// What an engine is.
 #[derive(Clone, Debug)]
 pub struct Spec {
@@ -67,7 +70,9 @@
     spec: Arc<Spec>,
     runs: Arc<Mutex<Vec<Run>>>,
     record: Record,
+    // All requests, and those that have a slot.
     active: AtomicU64,
+    running: AtomicU64,
     stamp: AtomicU64,
     // Cached parts by salt, with the requests that made them. Prompts are read one after the other.
     prefill: Mutex<HashMap<(String, String), String>>,
@@ -81,6 +86,7 @@
             runs,
             record,
             active: AtomicU64::new(0),
+            running: AtomicU64::new(0),
             stamp: AtomicU64::new(0),
             prefill: Mutex::default(),
         });
@@ -118,8 +124,12 @@
 impl State {
     fn handle(&self, request: &Message, caller: &mut Caller) -> bool {
         let spec = &self.spec;
-        if request.header("x-expect-instance").is_some_and(|id| id != spec.id) {
-            return caller.answer("421 Misdirected Request", &[("x-instance-id", &spec.id)], b"");
+        let is_other = request.header("x-expect-instance").is_some_and(|id| id != spec.id)
+            || request.header("x-expect-version").is_some_and(|version| version != VERSION);
+        if is_other {
+            let id = request.header("x-request-id").unwrap_or("");
+            let headers = [("x-request-id", id), ("x-instance-id", spec.id.as_str())];
+            return caller.answer("421 Misdirected Request", &headers, b"");
         }
         match request.target() {
             "/health" => return caller.answer("200 OK", &[("x-instance-id", &spec.id)], b""),
@@ -132,8 +142,7 @@
         let Some(id) = request.header("x-request-id").map(str::to_owned) else {
             return caller.answer("400 Bad Request", &[("x-not-executed", "1")], b"");
         };
-        let running = self.active.fetch_add(1, Ordering::SeqCst);
-        if running >= spec.slots * 4 {
+        if self.active.fetch_add(1, Ordering::SeqCst) >= spec.slots * 4 {
             self.active.fetch_sub(1, Ordering::SeqCst);
             let headers = [("x-request-id", id.as_str()), ("x-not-executed", "1")];
             return caller.answer("503 Service Unavailable", &headers, b"");
@@ -157,9 +166,16 @@
         };
         let ends =
             Instant::now() + Duration::from_millis(number("x-deadline-ms").unwrap_or(30_000));
-        let outcome = match spec.model {
-            None => self.work(&id, caller, ends),
-            Some(_) => self.stream(&id, request, caller, ends, index),
+        let outcome = match self.take_slot(caller, ends) {
+            Err(outcome) => outcome,
+            Ok(()) => {
+                let outcome = match spec.model {
+                    None => self.work(&id, caller, ends),
+                    Some(_) => self.stream(&id, request, caller, ends, index),
+                };
+                self.running.fetch_sub(1, Ordering::SeqCst);
+                outcome
+            }
         };
         self.active.fetch_sub(1, Ordering::SeqCst);
         let mut runs = self.runs.lock().unwrap();
@@ -168,6 +184,18 @@
         outcome == "whole"
     }
 
+    /// Waits for a slot while the caller waits. Returns how the request ended otherwise.
+    fn take_slot(&self, caller: &mut Caller, ends: Instant) -> Result<(), &'static str> {
+        loop {
+            let free = |running| (running < self.spec.slots).then_some(running + 1);
+            let taken = self.running.fetch_update(Ordering::SeqCst, Ordering::SeqCst, free);
+            if taken.is_ok() {
+                return Ok(());
+            }
+            self.pass(Duration::from_millis(5), caller, ends)?;
+        }
+    }
+
     fn report(&self, caller: &mut Caller) -> bool {
         let name = self.spec.model.clone().unwrap_or_default();
         let report = json!({
--- a/review/stand_ins/src/case_abandoned.rs
+++ b/review/stand_ins/src/case_abandoned.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use crate::client;
 use crate::client::Ask;
@@ -21,6 +22,9 @@
 const LEFT_MS: u64 = 500;
 const FEW: usize = 5;
 
+/// Three silent heartbeats, after which the entry of an engine goes.
+const LAPSE: Duration = Duration::from_millis(3_600);
+
 pub fn run(folder: &Path, has_trouble: bool) -> Result<Verdict, String> {
     let routes = [Route { name: "check", service: "llm", kind: Kind::Resumable, max_attempts: 2 }];
     let engines = (1..=ENGINES).map(|n| Spec { id: format!("i-{n}"), service: "llm".to_owned(), slots: SLOTS, is_plain: false, endless_one_in: None, unframed_one_in: None });
@@ -45,9 +49,13 @@
     if has_trouble {
         site.engines[0].crash();
     }
+    let crashed = Instant::now();
     let outcomes = open.into_iter().map(|sent| sent.join().map_err(|_| "a client ended".to_owned()));
     let outcomes = outcomes.collect::<Result<Vec<_>, _>>()?;
-    site.engines[0].unlist();
+    if has_trouble {
+        thread::sleep(LAPSE.saturating_sub(crashed.elapsed()));
+        site.engines[0].unlist();
+    }
     thread::sleep(Duration::from_millis(2_500));
 
     let seen = site.sightings.all();
--- a/review/stand_ins/src/client.rs
+++ b/review/stand_ins/src/client.rs
@@ -74,7 +74,7 @@
     let text = format!(
         "POST /{}/2f?events={}&gap={} HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: {}\r\n\
          x-model: {MODEL}\r\nx-token-count: 1460,80\r\n\
-         x-prompt-prefix: {:08x}:250,{:08x}:50\r\nx-deadline-ms: {}\r\n\
+         x-prompt-prefix: {:08x}:1210,{:08x}:250\r\nx-deadline-ms: {}\r\n\
          authorization: Token {KEY}\r\ncontent-length: {}\r\n\r\n{body}",
         ask.route, ask.events, ask.gap_ms, ask.id, ask.part, 0x4000_0000 + number_of(&ask.id),
         ask.deadline_ms, body.len(),
--- a/review/stand_ins/src/engine.rs
+++ b/review/stand_ins/src/engine.rs
@@ -138,8 +138,8 @@
         Ok(Self { shared })
     }
 
-    /// Ends like a killed process: its connections are reset and nothing listens any more. Its entry
-    /// stays in the store until its lease would have run out.
+    /// Ends like a killed process: its connections end in order and nothing listens any more. Its entry
+    /// stays in the store until it is unlisted.
     pub fn crash(&self) {
         self.shared.is_down.store(true, Ordering::SeqCst);
         // The listener wakes up by this connection and ends.
