Take an answer without a marked end as whole only if its upstream outlives it

Cause: an orderly end of the connection was taken for the end of the answer. The system closes the connections of a killed process in order.

Evidence: stream_ended outcome=complete framing=connection in the node's log. Ruled out: a break that is lost in the node; no stream_part_broken is logged.

Change: a caller's answer ends as complete only by a WholeAnswer. It comes from the mark of the framing or, where only the connection ended, from the upstream, which has to answer a call that names its start. Else the stream is resumed at another engine where its kind allows that, or broken off.

Red before, with the check taken out: stream_of_an_engine_that_crashed_between_events_looks_complete, and two new rows of answer_cut_inside_an_event_looks_complete. The stand-in upstream of these tests now answers reports while it runs, as engines do.

--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -19,13 +19,15 @@
 use super::call::Call;
 use super::relay::Relay;
 use super::response::Body;
-use super::response::full_body;
 use super::response::refusal_response;
+use super::response::relayed_body;
 use super::response::relayed_head;
 use super::send::RESPONSE_LIMIT_BYTES;
 use super::send::SendOutcome;
 use super::send::UpstreamResponse;
 use super::send::send_attempt;
+use super::whole_answer::Unconfirmed;
+use super::whole_answer::WholeAnswer;
 use crate::clock::now_ms;
 use crate::cluster_view::ClusterView;
 use crate::dispatch::Attempt;
@@ -37,13 +39,19 @@
 use redwingrill_routing::CallerLimits;
 use redwingrill_routing::Configuration;
 use redwingrill_routing::HeadCodec;
+use redwingrill_routing::LivenessCheck;
 use redwingrill_routing::RequestMetadata;
 use redwingrill_routing::Route;
+use redwingrill_routing::Upstream;
 use redwingrill_scheduling::fleet::Verdict;
 use redwingrill_scheduling::scheduler::RefusalCause;
+use redwingrill_transport::Framing;
 use redwingrill_transport::Pool;
 use redwingrill_transport::TransportError;
 
+/// The path of health checks of services that are not configured any more.
+const DEFAULT_HEALTH_PATH: &str = "/";
+
 /// The timeout of a request that carries no deadline.
 const DEFAULT_TIMEOUT_MS: u64 = 30_000;
 
@@ -71,12 +79,34 @@
     pub dispatcher: Dispatcher,
     /// The pool of connections to upstreams.
     pub pool: Pool,
+    /// Asks upstreams whether they still run.
+    pub liveness: Arc<dyn LivenessCheck>,
     /// Tracks the tasks that relay streams.
     pub relays: TaskTracker,
     /// The metrics of the node.
     pub metrics: Metrics,
 }
 
+impl GatewayContext {
+    /// Returns the evidence that an upstream's answer, which was received to its last byte, is whole.
+    ///
+    /// # Errors
+    ///
+    /// See [`WholeAnswer::confirm`].
+    pub(super) async fn confirm_whole(
+        &self,
+        framing: Framing,
+        upstream: &Upstream,
+        wait: Duration,
+    ) -> Result<WholeAnswer, Unconfirmed> {
+        let view = self.view.borrow().clone();
+        let service =
+            view.configuration.as_ref().and_then(|known| known.service(&upstream.service));
+        let health_path = service.map_or(DEFAULT_HEALTH_PATH, |service| &service.health_path);
+        WholeAnswer::confirm(framing, upstream, health_path, self.liveness.as_ref(), wait).await
+    }
+}
+
 /// Handles requests from callers. Clones share all state.
 #[derive(Clone)]
 pub struct Gateway {
@@ -339,8 +369,8 @@
         }
         let UpstreamResponse { parts, body, mut attempt, wants_pause } = upstream_response;
         let framing = body.framing();
-        let whole = match body.read_all(RESPONSE_LIMIT_BYTES, call.remaining()).await {
-            Ok(whole) => whole,
+        let body = match body.read_all(RESPONSE_LIMIT_BYTES, call.remaining()).await {
+            Ok(body) => body,
             Err(e) => {
                 self.record_failure(call, "lost", &e.to_string());
                 match e {
@@ -351,6 +381,17 @@
                 return Ok(None);
             }
         };
+        let upstream = &attempt.assignment().upstream;
+        let whole_answer = self.context.confirm_whole(framing, upstream, call.remaining()).await;
+        let whole_answer = match whole_answer {
+            Ok(whole_answer) => whole_answer,
+            Err(unconfirmed) => {
+                self.record_failure(call, "lost", &unconfirmed.to_string());
+                attempt.end_broken();
+                ensure_retryable(call, ResultCode::UpstreamFailed, unconfirmed.to_string())?;
+                return Ok(None);
+            }
+        };
         attempt.report_prefilled();
         self.context.metrics.response_ended(&call.service, framing);
         if !framing.marks_end() {
@@ -359,7 +400,7 @@
                 call.metadata.id,
                 attempt.assignment().upstream.id,
                 parts.status.as_str(),
-                whole.len(),
+                body.len(),
             );
         }
         if !framing.marks_end() || !parts.status.is_success() {
@@ -385,7 +426,7 @@
         }
         self.context.metrics.attempt_ended(&call.service, parts.status.as_str());
         let head = relayed_head(parts, self.context.head_codec.as_ref());
-        let response = Response::from_parts(head, full_body(whole));
+        let response = Response::from_parts(head, relayed_body(body, whole_answer));
         Ok(Some(Completion { response, code: ResultCode::Ok }))
     }
 
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -3,7 +3,7 @@
 //! Invariants:
 //! - Only complete events are forwarded, each once and in order.
 //! - The caller's stream ends normally only if an upstream's stream is complete, see
-//!   [`EventSplitter::finish`].
+//!   [`EventSplitter::finish`] and [`WholeAnswer`].
 //! - A stream continues at another upstream only if it may be resumed, after the last event that
 //!   was forwarded.
 //! - A silent upstream is left only if another one takes over; else its stream goes on.
@@ -30,8 +30,10 @@
 use super::send::send_attempt;
 use super::stream_body::StreamSender;
 use super::stream_body::stream_body;
+use super::whole_answer::WholeAnswer;
 use crate::dispatch::Attempt;
 use crate::dispatch::Purpose;
+use redwingrill_routing::Upstream;
 use redwingrill_scheduling::fleet::Verdict;
 use redwingrill_transport::Framing;
 use redwingrill_transport::ResponseBody;
@@ -43,9 +45,9 @@
     head: Parts,
     // `None` while the stream moves from one upstream to another.
     body: Option<ResponseBody>,
-    // Of the current segment, and the identity of its upstream.
+    // Of the current segment.
     framing: Framing,
-    upstream_id: String,
+    upstream: Arc<Upstream>,
     attempt: Option<Attempt>,
     splitter: EventSplitter,
     first_events: Bytes,
@@ -60,7 +62,7 @@
 
 /// How the segment of a stream from one upstream ended.
 enum SegmentEnd {
-    Complete,
+    Complete(WholeAnswer),
     CallerDisconnected,
     DeadlineExceeded,
     /// No event came for the stall timeout; the upstream may still be at work.
@@ -80,13 +82,13 @@
             attempt.mark_inconclusive();
         }
         let stall_timeout = Duration::from_millis(attempt.assignment().stall_timeout_ms);
-        let upstream_id = attempt.assignment().upstream.id.clone();
+        let upstream = attempt.assignment().upstream.clone();
         Self {
             context,
             head,
             body: Some(body),
             framing,
-            upstream_id,
+            upstream,
             attempt: Some(attempt),
             splitter: EventSplitter::after(last_event_id),
             first_events: Bytes::new(),
@@ -159,14 +161,14 @@
         }
         loop {
             match self.forward_events(&call, &sender).await {
-                SegmentEnd::Complete => {
+                SegmentEnd::Complete(whole_answer) => {
                     if let Some(attempt) = &self.attempt {
                         attempt.report_longest_pause(self.longest_pause.as_millis() as u64);
                     }
                     self.end_attempt(Verdict::Served);
                     self.context.metrics.response_ended(&call.service, self.framing);
                     self.log_end(&call, "complete");
-                    sender.complete();
+                    sender.complete(whole_answer);
                     return;
                 }
                 SegmentEnd::CallerDisconnected => {
@@ -183,7 +185,7 @@
                          upstream={} framing={}",
                         call.metadata.id,
                         self.splitter.last_id(),
-                        self.upstream_id,
+                        self.upstream.id,
                         self.framing,
                     );
                     self.end_attempt(Verdict::Failed);
@@ -210,7 +212,7 @@
 
     async fn forward_events(&mut self, call: &Call, sender: &StreamSender) -> SegmentEnd {
         if self.is_ended {
-            return SegmentEnd::Complete;
+            return self.end_segment(call).await;
         }
         loop {
             let remaining = call.remaining();
@@ -243,7 +245,7 @@
                     if !rest.is_empty() && sender.send(rest).await.is_err() {
                         return SegmentEnd::CallerDisconnected;
                     }
-                    return SegmentEnd::Complete;
+                    return self.end_segment(call).await;
                 }
                 Err(_) if call.remaining().is_zero() => return SegmentEnd::DeadlineExceeded,
                 Err(e) => {
@@ -265,6 +267,19 @@
         }
     }
 
+    /// Ends a segment whose last byte was received.
+    async fn end_segment(&mut self, call: &Call) -> SegmentEnd {
+        let (framing, upstream) = (self.framing, &self.upstream);
+        match self.context.confirm_whole(framing, upstream, call.remaining()).await {
+            Ok(whole_answer) => SegmentEnd::Complete(whole_answer),
+            Err(unconfirmed) => {
+                self.is_broken = true;
+                self.is_ended = false;
+                SegmentEnd::Failed(unconfirmed.to_string())
+            }
+        }
+    }
+
     /// Returns an attempt at another upstream that can take over a stalled stream now. `None` if
     /// there is none: then a slow upstream is better than a broken stream.
     async fn take_over(&self, call: &Call) -> Option<Attempt> {
@@ -324,7 +339,7 @@
                 }
                 attempt.report_prefilled();
                 self.framing = body.framing();
-                self.upstream_id.clone_from(&attempt.assignment().upstream.id);
+                self.upstream = attempt.assignment().upstream.clone();
                 if !self.framing.marks_end() {
                     attempt.mark_inconclusive();
                 }
@@ -362,7 +377,7 @@
             self.splitter.last_id(),
             call.possible_runs,
             self.longest_pause.as_millis(),
-            self.upstream_id,
+            self.upstream.id,
             self.framing,
         );
     }
--- a/crates/gateway/src/forward/response.rs
+++ b/crates/gateway/src/forward/response.rs
@@ -12,6 +12,7 @@
 use http_body_util::combinators::BoxBody;
 use snafu::Snafu;
 
+use super::whole_answer::WholeAnswer;
 use redwingrill_codes::ErrorBody;
 use redwingrill_codes::Refusal;
 use redwingrill_routing::HeadCodec;
@@ -29,6 +30,11 @@
     Full::new(data.into()).map_err(|never| match never {}).boxed()
 }
 
+/// Returns the body of an upstream's answer that was buffered to its end.
+pub(super) fn relayed_body(data: Bytes, _evidence: WholeAnswer) -> Body {
+    full_body(data)
+}
+
 /// Turns the head of an upstream's response into the head for the caller. What concerns only the
 /// connection to the upstream goes, its version and framing too: they would decide how the
 /// response to the caller ends.
--- a/crates/gateway/src/forward/stream_body.rs
+++ b/crates/gateway/src/forward/stream_body.rs
@@ -1,7 +1,8 @@
 //! The body of a stream that a task feeds.
 //!
-//! Invariant: the body ends normally only after [`StreamSender::complete`]. A task that ends
-//! otherwise, by an abort, a panic or a cancellation, breaks the stream off.
+//! Invariant: the body ends normally only after [`StreamSender::complete`], which takes the evidence
+//! that the upstream's stream is whole. A task that ends otherwise, by an abort, a panic or a
+//! cancellation, breaks the stream off.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -16,6 +17,7 @@
 
 use super::response::Body;
 use super::response::StreamAborted;
+use super::whole_answer::WholeAnswer;
 
 /// The pieces queued for a slow caller; while the queue is full, the task waits.
 const QUEUE_LEN: usize = 8;
@@ -48,7 +50,7 @@
     }
 
     /// Ends the stream as complete once the caller has read the queued pieces.
-    pub fn complete(self) {
+    pub fn complete(self, _evidence: WholeAnswer) {
         self.is_complete.store(true, Ordering::Release);
     }
 }
--- a/crates/gateway/src/node/lifecycle.rs
+++ b/crates/gateway/src/node/lifecycle.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::StatusCode;
@@ -40,6 +41,7 @@
 use crate::store_sync::StoreSyncOptions;
 use crate::telemetry::Metrics;
 use redwingrill_routing::ItemCodec;
+use redwingrill_routing::LivenessCheck;
 use redwingrill_routing::SharedStore;
 use redwingrill_routing::UpstreamControl;
 use redwingrill_scheduling::scheduler::SchedulerOptions;
@@ -122,7 +124,7 @@
     ) -> Result<Node<Serving>, StartError>
     where
         S: SharedStore,
-        C: UpstreamControl,
+        C: UpstreamControl + LivenessCheck,
         D: ItemCodec,
     {
         let options = self.options;
@@ -192,6 +194,7 @@
         let (node, control) = (options.name.clone(), ports.control.clone());
         let cache_watch = CacheWatch::new(node, control, view.clone(), dispatcher.clone());
         services.spawn(cache_watch.run(stopping.clone()));
+        let liveness = Arc::new(ports.control.clone());
         let inquiry = WeightsInquiry::new(
             ports.control.clone(),
             view.clone(),
@@ -226,6 +229,7 @@
             view,
             dispatcher: dispatcher.clone(),
             pool: pool.clone(),
+            liveness,
             relays: relays.clone(),
             metrics: metrics.clone(),
         });
--- a/crates/gateway/tests/stream_body.rs
+++ b/crates/gateway/tests/stream_body.rs
@@ -4,7 +4,9 @@
 use http_body_util::BodyExt;
 
 use redwingrill_gateway::forward::StreamSender;
+use redwingrill_gateway::forward::WholeAnswer;
 use redwingrill_gateway::forward::stream_body;
+use redwingrill_transport::Framing;
 
 async fn send_event(sender: &StreamSender) {
     sender.send(Bytes::from_static(b"data: a\n\n")).await.expect("the body is read");
@@ -14,7 +16,7 @@
 async fn completed_stream_ends_normally() {
     let (sender, body) = stream_body();
     send_event(&sender).await;
-    sender.complete();
+    sender.complete(WholeAnswer::of_framing(Framing::Chunked).expect("a marked end"));
     let body = body.collect().await.expect("the stream is complete");
     assert_eq!(body.to_bytes(), "data: a\n\n");
 }
--- a/crates/lab/src/site_upstream/http.rs
+++ b/crates/lab/src/site_upstream/http.rs
@@ -233,6 +233,12 @@
                 "sequence": orders});
             return Ok(json_reply(StatusCode::OK, &report));
         }
+        if path == "/health" {
+            let mut reply = json_reply(StatusCode::OK, &json!({}));
+            let id = HeaderValue::from_str(&self.id()).expect("plain text");
+            reply.headers_mut().insert("x-instance-id", id);
+            return Ok(reply);
+        }
         if path == "/-/order" {
             return Ok(self.order(request).await);
         }
--- a/crates/lab/tests/on_platform/close_delimited.rs
+++ b/crates/lab/tests/on_platform/close_delimited.rs
@@ -9,17 +9,29 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
 
 use crate::site::Call;
 use crate::site::HOST;
 use crate::site::KEY;
 use crate::site::Site;
 
+/// How the connection of an answer ends.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Close {
+    /// In order, by an upstream that goes on.
+    Orderly,
+    /// In order, by the system: the upstream has crashed.
+    Crash,
+    /// By a reset.
+    Reset,
+}
+
 /// What an upstream writes after the head, and how its connection ends.
 #[derive(Clone, Copy)]
 struct Ending {
     body: &'static str,
-    is_reset: bool,
+    close: Close,
 }
 
 const ENDS_AFTER: Duration = Duration::from_millis(300);
@@ -34,25 +46,42 @@
     async fn start(ending: Ending) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("a bound socket");
+        let (crashing, crashed) = (CancellationToken::new(), CancellationToken::new());
         let task = tokio::spawn(async move {
-            while let Ok((socket, _)) = listener.accept().await {
-                tokio::spawn(answer(socket, ending));
+            loop {
+                let accepted = tokio::select! {
+                    () = crashing.cancelled() => break,
+                    accepted = listener.accept() => accepted,
+                };
+                let Ok((socket, _)) = accepted else { break };
+                tokio::spawn(answer(socket, ending, crashing.clone(), crashed.clone()));
             }
+            drop(listener);
+            crashed.cancel();
         });
         Self { address, task }
     }
 
     fn list(&self, site: &Site, id: &str, service: &str) {
+        let models = match service {
+            "llm" => json!([{"name": "m", "version": 1, "adapters": []}]),
+            _ => json!([]),
+        };
         let entry = json!({
             "service": service, "address": self.address.to_string(), "zone": "a",
             "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
-            "models": [{"name": "m", "version": 1, "adapters": []}], "sequence": 1,
+            "models": models, "sequence": 1,
         });
         site.store.state.put(&format!("servers/{id}"), entry.to_string());
     }
 }
 
-async fn answer(mut socket: TcpStream, ending: Ending) {
+async fn answer(
+    mut socket: TcpStream,
+    ending: Ending,
+    crashing: CancellationToken,
+    crashed: CancellationToken,
+) {
     let mut request = Vec::new();
     let mut piece = [0; 4_096];
     // The body of the tests' requests is `body`.
@@ -61,6 +90,12 @@
             Ok(len) if len > 0 => request.extend_from_slice(&piece[..len]),
             _ => return,
         }
+        if request.starts_with(b"GET ") && request.ends_with(b"\r\n\r\n") {
+            let report = r#"{"sequence":0,"busy":false,"models":[]}"#;
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", report.len());
+            let _ = socket.write_all(format!("{head}{report}").as_bytes()).await;
+            request.clear();
+        }
     }
     let request = String::from_utf8_lossy(&request).into_owned();
     let id = request.lines().find_map(|line| line.strip_prefix("x-request-id: "));
@@ -71,8 +106,13 @@
     let _ = socket.write_all(format!("{head}{}", ending.body).as_bytes()).await;
     // The node has read what was written before the connection ends.
     tokio::time::sleep(ENDS_AFTER).await;
-    if ending.is_reset {
-        socket.set_zero_linger().expect("an open socket");
+    match ending.close {
+        Close::Orderly => {}
+        Close::Crash => {
+            crashing.cancel();
+            crashed.cancelled().await;
+        }
+        Close::Reset => socket.set_zero_linger().expect("an open socket"),
     }
 }
 
@@ -87,46 +127,58 @@
 const EVENT_AND_PART: &str = "id: 1\ndata: a\n\nid: 2\nda";
 const PART: &str = "id: 1\nda";
 
-const CASES: [EndingCase; 6] = [
+const CASES: [EndingCase; 8] = [
     EndingCase {
         name: "a stream that ends between events",
         route: "draft",
-        ending: Ending { body: EVENT, is_reset: false },
+        ending: Ending { body: EVENT, close: Close::Orderly },
         is_whole: true,
     },
     EndingCase {
         name: "a stream that ends inside an event",
         route: "draft",
-        ending: Ending { body: EVENT_AND_PART, is_reset: false },
+        ending: Ending { body: EVENT_AND_PART, close: Close::Orderly },
         is_whole: false,
     },
     EndingCase {
         name: "a stream that ends inside its first event",
         route: "draft",
-        ending: Ending { body: PART, is_reset: false },
+        ending: Ending { body: PART, close: Close::Orderly },
         is_whole: false,
     },
     EndingCase {
         name: "a stream that is reset between events",
         route: "draft",
-        ending: Ending { body: EVENT, is_reset: true },
+        ending: Ending { body: EVENT, close: Close::Reset },
+        is_whole: false,
+    },
+    EndingCase {
+        name: "a stream whose engine crashes between events",
+        route: "draft",
+        ending: Ending { body: EVENT, close: Close::Crash },
+        is_whole: false,
+    },
+    EndingCase {
+        name: "a body whose upstream crashes",
+        route: "order",
+        ending: Ending { body: "who", close: Close::Crash },
         is_whole: false,
     },
     EndingCase {
         name: "a body",
         route: "look",
-        ending: Ending { body: "whole", is_reset: false },
+        ending: Ending { body: "whole", close: Close::Orderly },
         is_whole: true,
     },
     EndingCase {
         name: "a body that is reset",
         route: "order",
-        ending: Ending { body: "who", is_reset: true },
+        ending: Ending { body: "who", close: Close::Reset },
         is_whole: false,
     },
 ];
 
-/// A stream that its connection ends inside an event must not look complete to the caller.
+/// An answer that is cut inside an event, or by the crash of its upstream, must not look complete.
 #[tokio::test]
 async fn answer_cut_inside_an_event_looks_complete() {
     for case in CASES {
@@ -144,14 +196,32 @@
     }
 }
 
+/// The system closes the connections of an engine that crashed in order. The rest of a resumable
+/// stream comes from another engine.
+#[tokio::test]
+async fn stream_of_an_engine_that_crashed_between_events_looks_complete() {
+    let site = Site::start(0, 0).await;
+    let crashing = ClosingUpstream::start(Ending { body: EVENT, close: Close::Crash }).await;
+    crashing.list(&site, "u0", "llm");
+    let rest = Ending { body: "id: 2\ndata: b\n\n", close: Close::Orderly };
+    let sound = ClosingUpstream::start(rest).await;
+    let node = site.node("n1").await;
+    let answer = site.send(&node, &Call::new("check", "r1")).await;
+    sound.list(&site, "u1", "llm");
+    let body = answer.into_body().read_all(1 << 20, Duration::from_secs(3)).await;
+    assert_eq!(body.expect("the stream is resumed"), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    sound.task.abort();
+    site.stop(vec![node]).await;
+}
+
 /// The rest of a resumable stream comes from another engine.
 #[tokio::test]
 async fn stream_cut_inside_an_event_is_not_resumed() {
     let site = Site::start(0, 0).await;
-    let ending = Ending { body: EVENT_AND_PART, is_reset: false };
+    let ending = Ending { body: EVENT_AND_PART, close: Close::Orderly };
     let cut = ClosingUpstream::start(ending).await;
     cut.list(&site, "u0", "llm");
-    let rest = Ending { body: "id: 2\ndata: b\n\n", is_reset: false };
+    let rest = Ending { body: "id: 2\ndata: b\n\n", close: Close::Orderly };
     let sound = ClosingUpstream::start(rest).await;
     let node = site.node("n1").await;
     let answer = site.send(&node, &Call::new("check", "r1")).await;
@@ -168,7 +238,7 @@
 #[tokio::test]
 async fn stream_cut_before_its_first_event_looks_complete() {
     let site = Site::start(0, 0).await;
-    let upstream = ClosingUpstream::start(Ending { body: "", is_reset: false }).await;
+    let upstream = ClosingUpstream::start(Ending { body: "", close: Close::Orderly }).await;
     upstream.list(&site, "u0", "llm");
     let node = site.node("n1").await;
     let answer = site.ask(&node, &Call::new("draft", "r1")).await;
@@ -181,9 +251,9 @@
 #[tokio::test]
 async fn resumed_stream_cut_before_its_first_event_looks_complete() {
     let site = Site::start(0, 0).await;
-    let cut = ClosingUpstream::start(Ending { body: EVENT_AND_PART, is_reset: false }).await;
+    let cut = ClosingUpstream::start(Ending { body: EVENT_AND_PART, close: Close::Orderly }).await;
     cut.list(&site, "u0", "llm");
-    let empty = ClosingUpstream::start(Ending { body: "", is_reset: false }).await;
+    let empty = ClosingUpstream::start(Ending { body: "", close: Close::Orderly }).await;
     let node = site.node("n1").await;
     let answer = site.send(&node, &Call::new("check", "r1")).await;
     empty.list(&site, "u1", "llm");
@@ -198,7 +268,7 @@
 #[tokio::test]
 async fn stream_that_breaks_looks_complete_to_an_http_1_0_caller() {
     let site = Site::start(0, 0).await;
-    let cut = ClosingUpstream::start(Ending { body: EVENT_AND_PART, is_reset: false }).await;
+    let cut = ClosingUpstream::start(Ending { body: EVENT_AND_PART, close: Close::Orderly }).await;
     cut.list(&site, "u0", "llm");
     let node = site.node("n1").await;
     let mut caller = TcpStream::connect(node.callers).await.expect("the node listens");
--- a/crates/routing/src/control.rs
+++ b/crates/routing/src/control.rs
@@ -2,6 +2,7 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 
 use snafu::Snafu;
 
@@ -127,3 +128,20 @@
         command: &WeightsCommand,
     ) -> impl Future<Output = Result<WeightsOutcome, ControlError>> + Send;
 }
+
+/// The future of a [`LivenessCheck`].
+pub type LivenessFuture<'a> = Pin<Box<dyn Future<Output = Result<(), ControlError>> + Send + 'a>>;
+
+/// Asks upstreams whether they still run.
+pub trait LivenessCheck: Send + Sync + 'static {
+    /// Waits for an upstream's answer to a call that begins now. An upstream without a model is
+    /// called at `health_path`. The answer may state any health: only an upstream that runs gives
+    /// one.
+    ///
+    /// The future ends with [`ControlError`] if there is no answer, or if another upstream gives it.
+    fn confirm_running<'a>(
+        &'a self,
+        upstream: &'a Upstream,
+        health_path: &'a str,
+    ) -> LivenessFuture<'a>;
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -5,8 +5,8 @@
 //! - [`Upstream`] is one live server of a [`Service`].
 //! - [`RequestMetadata`] and [`ResponseMetadata`] are decoded from heads; [`AttemptMetadata`] is
 //!   encoded into the head of a request to an upstream.
-//! - [`HeadCodec`], [`ItemCodec`], [`SharedStore`] and [`UpstreamControl`] are the ports to the
-//!   platform.
+//! - [`HeadCodec`], [`ItemCodec`], [`SharedStore`], [`UpstreamControl`] and [`LivenessCheck`] are
+//!   the ports to the platform.
 //!
 //! This crate performs no I/O.
 
@@ -37,6 +37,8 @@
 pub use control::CacheChanges;
 pub use control::ControlError;
 pub use control::EngineReport;
+pub use control::LivenessCheck;
+pub use control::LivenessFuture;
 pub use control::UpstreamControl;
 pub use control::WeightsCommand;
 pub use control::WeightsOutcome;
--- a/crates/routing/src/services.rs
+++ b/crates/routing/src/services.rs
@@ -31,6 +31,8 @@
 pub struct Service {
     /// The name, unique in a configuration.
     pub name: String,
+    /// The path at which an upstream answers health checks.
+    pub health_path: String,
     /// Connections that one upstream accepts from all nodes together.
     pub connections_limit: u32,
     /// Set if the upstreams are model engines.
