Match an assignment by the run of the node, and by the service of the request

Cause: a coordinator's response was looked up by a number that begins again with each run of a node, and sent to an address that stays. The engine was then looked up among those of all services.

Evidence: event=assigned names a route with an upstream of the other service; the new tests need nothing but a response for an earlier run. Ruled out: a wrong route in the configuration of the new run.

Change: InquiryId carries run and number through requests, responses and withdrawals. A response counts only from the coordinator and for the group that were asked; an assignment for an earlier run is returned at once. use_grant looks only among the engines of the request's service.

Red before: assignment_for_an_earlier_run_is_used_for_another_service, assignment_names_an_engine_of_another_service, response_of_another_node_is_taken_for_the_coordinators.

--- a/crates/scheduling/src/coordination/coordinator.rs
+++ b/crates/scheduling/src/coordination/coordinator.rs
@@ -9,6 +9,7 @@
 use super::EngineGroup;
 use super::Grant;
 use super::GroupKey;
+use super::InquiryId;
 use super::LoadReport;
 use crate::fleet::UpstreamTag;
 use crate::placement::CacheStoreDigest;
@@ -34,13 +35,6 @@
 /// A response and the node that it is for.
 pub(super) type Addressed = (SocketAddr, AssignmentResponse);
 
-/// A request of a node.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
-struct RequestKey {
-    node: u64,
-    id: u64,
-}
-
 #[derive(Debug)]
 enum RequestState {
     Waiting,
@@ -62,8 +56,8 @@
 #[derive(Debug)]
 struct Group {
     scheduler: Scheduler,
-    queue: WaitQueue<RequestKey>,
-    requests: HashMap<RequestKey, TrackedRequest>,
+    queue: WaitQueue<InquiryId>,
+    requests: HashMap<InquiryId, TrackedRequest>,
     used_ms: u64,
 }
 
@@ -124,7 +118,7 @@
         request: AssignmentRequest,
         now_ms: u64,
     ) -> Vec<Addressed> {
-        let AssignmentRequest { id, group: key, may_wait, is_first, requirements, report } =
+        let AssignmentRequest { inquiry, group: key, may_wait, is_first, requirements, report } =
             request;
         let group = self.groups.entry(key).or_insert_with(|| {
             let known = groups.iter().find(|group| group.key == key);
@@ -136,15 +130,14 @@
             }
         });
         group.used_ms = now_ms;
-        let request_key = RequestKey { node: report.node, id };
         group.observe_report(report, now_ms);
-        if let Some(tracked) = group.requests.get_mut(&request_key) {
+        if let Some(tracked) = group.requests.get_mut(&inquiry) {
             tracked.renewed_ms = now_ms;
             let decision = match &tracked.state {
                 RequestState::Waiting => Decision::Queued,
                 RequestState::Decided { decision, .. } => decision.clone(),
             };
-            return vec![(from, AssignmentResponse { id, group: key, decision })];
+            return vec![(from, AssignmentResponse { inquiry, group: key, decision })];
         }
         let fleet = group.scheduler.fleet();
         let index_of = |tag: UpstreamTag| {
@@ -157,20 +150,20 @@
         }
         let tracked =
             TrackedRequest { reply_to: from, renewed_ms: now_ms, state: RequestState::Waiting };
-        group.requests.insert(request_key, tracked);
+        group.requests.insert(inquiry, tracked);
         let decided = match may_wait {
-            true => group.queue.enqueue(&mut group.scheduler, request, request_key, now_ms),
+            true => group.queue.enqueue(&mut group.scheduler, request, inquiry, now_ms),
             false if group.queue.has_rivals(&mut group.scheduler, &request) => {
-                vec![(request_key, Choice::Wait)]
+                vec![(inquiry, Choice::Wait)]
             }
-            false => vec![(request_key, group.scheduler.choose(&request, now_ms))],
+            false => vec![(inquiry, group.scheduler.choose(&request, now_ms))],
         };
         let mut responses = group.record_decisions(key, decided, now_ms);
-        if let Some(tracked) = group.requests.get(&request_key)
+        if let Some(tracked) = group.requests.get(&inquiry)
             && matches!(tracked.state, RequestState::Waiting)
         {
             let decision = Decision::Queued;
-            responses.push((from, AssignmentResponse { id, group: key, decision }));
+            responses.push((from, AssignmentResponse { inquiry, group: key, decision }));
         }
         responses
     }
@@ -188,9 +181,9 @@
     }
 
     /// Forgets a request that its node no longer needs.
-    pub(super) fn withdraw(&mut self, key: GroupKey, node: u64, id: u64) {
+    pub(super) fn withdraw(&mut self, key: GroupKey, inquiry: InquiryId) {
         let Some(group) = self.groups.get_mut(&key) else { return };
-        if let Some(tracked) = group.requests.remove(&RequestKey { node, id }) {
+        if let Some(tracked) = group.requests.remove(&inquiry) {
             group.release(tracked);
         }
     }
@@ -208,9 +201,9 @@
 
 impl Group {
     fn observe_report(&mut self, report: LoadReport, now_ms: u64) {
-        for id in &report.settled {
-            let request_key = RequestKey { node: report.node, id: *id };
-            let tracked = self.requests.get_mut(&request_key);
+        for number in &report.settled {
+            let inquiry = InquiryId { run: report.node, number: *number };
+            let tracked = self.requests.get_mut(&inquiry);
             if let Some(RequestState::Decided { unsettled, .. }) = tracked.map(|t| &mut t.state)
                 && let Some(assignment) = unsettled.take()
             {
@@ -225,8 +218,8 @@
             return Vec::new();
         }
         let requests = &self.requests;
-        let is_abandoned = |request_key: &RequestKey| {
-            let renewed_ms = requests.get(request_key).map(|tracked| tracked.renewed_ms);
+        let is_abandoned = |inquiry: &InquiryId| {
+            let renewed_ms = requests.get(inquiry).map(|tracked| tracked.renewed_ms);
             renewed_ms.is_none_or(|at_ms| now_ms.saturating_sub(at_ms) >= RENEWAL_LIMIT_MS)
         };
         let decided = self.queue.dispatch(&mut self.scheduler, now_ms, is_abandoned);
@@ -236,11 +229,11 @@
     fn record_decisions(
         &mut self,
         group: GroupKey,
-        decided: Vec<(RequestKey, Choice)>,
+        decided: Vec<(InquiryId, Choice)>,
         now_ms: u64,
     ) -> Vec<Addressed> {
         let mut responses = Vec::new();
-        for (request_key, choice) in decided {
+        for (inquiry, choice) in decided {
             let (decision, unsettled) = match choice {
                 Choice::Send(assignment) => {
                     (Decision::Assigned(Grant::from(&*assignment)), Some(assignment))
@@ -253,14 +246,13 @@
                     (Decision::Refused { retry_after_ms }, None)
                 }
             };
-            let Some(tracked) = self.requests.get_mut(&request_key) else {
+            let Some(tracked) = self.requests.get_mut(&inquiry) else {
                 if let Some(assignment) = unsettled {
                     self.scheduler.release_assignment(&assignment);
                 }
                 continue;
             };
-            let response =
-                AssignmentResponse { id: request_key.id, group, decision: decision.clone() };
+            let response = AssignmentResponse { inquiry, group, decision: decision.clone() };
             responses.push((tracked.reply_to, response));
             tracked.state = RequestState::Decided { decision, at_ms: now_ms, unsettled };
         }
--- a/crates/scheduling/src/coordination/messages.rs
+++ b/crates/scheduling/src/coordination/messages.rs
@@ -16,6 +16,16 @@
 use redwingrill_routing::PartId;
 use redwingrill_routing::PromptPart;
 
+/// Identifies a node's inquiry for an assignment. Numbers begin again with each run of a node, and
+/// its address stays, so a response for an earlier run is told apart only by the run.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Serialize, Deserialize)]
+pub struct InquiryId {
+    /// Identifies the run of the node.
+    pub run: u64,
+    /// Counts the inquiries of the run.
+    pub number: u64,
+}
+
 /// A message between nodes.
 #[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
 pub enum CoordinationMessage {
@@ -34,18 +44,16 @@
     Withdrawal {
         /// The group.
         group: GroupKey,
-        /// Identifies the run of the node.
-        node: u64,
-        /// Identifies the request at the node.
-        id: u64,
+        /// The inquiry.
+        inquiry: InquiryId,
     },
 }
 
 /// A request for an assignment.
 #[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
 pub struct AssignmentRequest {
-    /// Identifies the request at the node.
-    pub id: u64,
+    /// The inquiry.
+    pub inquiry: InquiryId,
     /// The group of engines.
     pub group: GroupKey,
     /// Whether the request may wait for capacity.
@@ -143,16 +151,16 @@
     pub sequence: u64,
     /// The load at each engine where the node has requests in flight.
     pub upstreams: Vec<(UpstreamTag, NodeLoad)>,
-    /// The requests whose assignments arrived recently: those in use are part of the load, the
-    /// others were not used.
+    /// The numbers of the run's inquiries whose assignments arrived recently: those in use are part
+    /// of the load, the others were not used.
     pub settled: Vec<u64>,
 }
 
 /// The decision on a request for an assignment.
 #[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
 pub struct AssignmentResponse {
-    /// Identifies the request at the node.
-    pub id: u64,
+    /// The inquiry that it responds to.
+    pub inquiry: InquiryId,
     /// The group of engines.
     pub group: GroupKey,
     /// The decision.
--- a/crates/scheduling/src/coordination/mod.rs
+++ b/crates/scheduling/src/coordination/mod.rs
@@ -16,6 +16,8 @@
 //! - An assignment permits a node to send; it promises nothing. Engines enforce their own limits.
 //! - Every message may be lost, late or repeated. A node reports absolute loads, and a coordinator
 //!   counts an assignment itself until a report includes it.
+//! - A decision is used only for the inquiry that it responds to, of the same run of the node, and
+//!   only if its engine belongs to the service of the request.
 //! - Without an answer the node asks the next coordinator, and in the end decides by itself.
 
 mod coordinator;
@@ -34,6 +36,7 @@
 pub use messages::CoordinationMessage;
 pub use messages::Decision;
 pub use messages::Grant;
+pub use messages::InquiryId;
 pub use messages::LoadReport;
 pub use messages::Requirements;
 pub use node::Coordination;
--- a/crates/scheduling/src/coordination/node.rs
+++ b/crates/scheduling/src/coordination/node.rs
@@ -197,14 +197,14 @@
                 self.respond(responses);
             }
             CoordinationMessage::Response(response) => {
-                self.requester.handle_response(scheduler, response, now_ms);
+                self.requester.handle_response(scheduler, from, response, now_ms);
             }
             CoordinationMessage::Report { group, report } => {
                 let responses = self.coordinator.handle_report(group, report, now_ms);
                 self.respond(responses);
             }
-            CoordinationMessage::Withdrawal { group, node, id } => {
-                self.coordinator.withdraw(group, node, id);
+            CoordinationMessage::Withdrawal { group, inquiry } => {
+                self.coordinator.withdraw(group, inquiry);
             }
         }
     }
--- a/crates/scheduling/src/coordination/requester.rs
+++ b/crates/scheduling/src/coordination/requester.rs
@@ -22,6 +22,7 @@
 use super::Grant;
 use super::GroupKey;
 use super::GroupNode;
+use super::InquiryId;
 use super::LoadReport;
 use super::Requirements;
 use super::groups::coordinators;
@@ -269,10 +270,20 @@
     pub(super) fn handle_response(
         &mut self,
         scheduler: &mut Scheduler,
+        from: SocketAddr,
         response: AssignmentResponse,
         now_ms: u64,
     ) {
-        let AssignmentResponse { id, group, decision } = response;
+        let AssignmentResponse { inquiry, group, decision } = response;
+        if inquiry.run != self.node {
+            // An earlier run of this node asked. Its assignment is free for others.
+            if matches!(decision, Decision::Assigned(_)) {
+                let message = CoordinationMessage::Withdrawal { group, inquiry };
+                self.outgoing.push((from, message));
+            }
+            return;
+        }
+        let id = inquiry.number;
         let Some(key) = self.by_inquiry.get(&id).copied() else {
             // The request was resolved or given up meanwhile.
             if matches!(decision, Decision::Assigned(_)) {
@@ -282,11 +293,11 @@
         };
         let Some(pending) = self.pending.get_mut(&key) else { return };
         let is_main = pending.main.id == id;
-        let inquiry = if is_main { Some(&mut pending.main) } else { pending.probe.as_mut() };
-        if let Some(inquiry) = inquiry {
-            inquiry.responded_ms = Some(now_ms);
-            self.suspects_until_ms.remove(&inquiry.coordinator);
-        }
+        let asked = if is_main { Some(&mut pending.main) } else { pending.probe.as_mut() };
+        let asked = asked.filter(|asked| (asked.group, asked.coordinator) == (group, from));
+        let Some(asked) = asked else { return };
+        asked.responded_ms = Some(now_ms);
+        self.suspects_until_ms.remove(&asked.coordinator);
         match decision {
             Decision::Assigned(grant) => {
                 self.settle(group, id, now_ms);
@@ -485,11 +496,15 @@
     }
 
     fn withdraw(&mut self, inquiry: &Inquiry) {
-        let (group, node, id) = (inquiry.group, self.node, inquiry.id);
-        let message = CoordinationMessage::Withdrawal { group, node, id };
+        let (group, inquiry_id) = (inquiry.group, self.inquiry_id(inquiry));
+        let message = CoordinationMessage::Withdrawal { group, inquiry: inquiry_id };
         self.outgoing.push((inquiry.coordinator, message));
     }
 
+    fn inquiry_id(&self, inquiry: &Inquiry) -> InquiryId {
+        InquiryId { run: self.node, number: inquiry.id }
+    }
+
     fn settle(&mut self, group: GroupKey, id: u64, now_ms: u64) {
         if let Some(state) = self.groups.get_mut(&group) {
             state.settled.push_back((id, now_ms));
@@ -567,7 +582,7 @@
         };
         let report = self.report(scheduler, inquiry.group, inquiry.coordinator, now_ms);
         let message = AssignmentRequest {
-            id: inquiry.id,
+            inquiry: self.inquiry_id(inquiry),
             group: inquiry.group,
             may_wait: options.may_wait,
             is_first: options.is_first,
--- a/crates/scheduling/src/scheduler/delegation.rs
+++ b/crates/scheduling/src/scheduler/delegation.rs
@@ -12,7 +12,6 @@
 use crate::coordination::Grant;
 use crate::fleet::LoadDigest;
 use crate::fleet::NodeLoad;
-use crate::fleet::UpstreamIndex;
 use crate::fleet::UpstreamTag;
 use crate::placement::AffinityKey;
 use crate::placement::CacheStoreDigest;
@@ -112,8 +111,8 @@
         self.fleet.of_service(service).any(|(_, entry)| entry.signals.gate.limit().is_some())
     }
 
-    /// Uses the assignment of a coordinator for a request. `None` if the engine is not available to
-    /// this node any more.
+    /// Uses the assignment of a coordinator for a request. `None` if no engine of its service is the
+    /// assigned one, or if that is not available to this node any more.
     pub(crate) fn use_grant(
         &mut self,
         request: &ScheduleRequest,
@@ -121,7 +120,10 @@
         coordinator: SocketAddr,
         now_ms: u64,
     ) -> Option<Assignment> {
-        let index = self.index_of_start(grant.upstream)?;
+        let index = {
+            let mut engines = self.fleet.of_service(&request.service);
+            engines.find(|(_, entry)| entry.start_tag == grant.upstream)?.0
+        };
         // The coordinator may not have heard of newer weights, or later than this node.
         if !self.may_begin_on(request, grant.version.map(WeightsVersion), now_ms) {
             return None;
@@ -170,9 +172,4 @@
         let usable_ms = self.usable_ms(&prompt.model, version, now_ms);
         usable_ms.is_none_or(|usable_ms| usable_ms > OLD_WEIGHTS_MARGIN_MS)
     }
-
-    fn index_of_start(&self, start: UpstreamTag) -> Option<UpstreamIndex> {
-        let mut entries = self.fleet.iter();
-        entries.find(|(_, entry)| entry.start_tag == start).map(|(index, _)| index)
-    }
 }
--- a/crates/scheduling/tests/coordination.rs
+++ b/crates/scheduling/tests/coordination.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use support::MODEL;
 use support::SERVICE;
@@ -12,6 +13,7 @@
 use support::scheduler;
 use support::short_prompt;
 
+use redwingrill_routing::Upstream;
 use redwingrill_routing::WeightsVersion;
 use redwingrill_scheduling::coordination::Coordination;
 use redwingrill_scheduling::coordination::CoordinationMessage;
@@ -22,8 +24,11 @@
 use redwingrill_scheduling::coordination::divide;
 use redwingrill_scheduling::fleet::UpstreamTag;
 use redwingrill_scheduling::scheduler::Assignment;
+use redwingrill_scheduling::scheduler::ScheduleRequest;
 use redwingrill_scheduling::scheduler::Scheduler;
 
+const OTHER_SERVICE: &str = "other";
+
 const FIRST: RequestOptions = RequestOptions { may_wait: true, is_first: true };
 
 struct Node {
@@ -38,7 +43,12 @@
     }
 
     fn begin(&mut self, prompt: u64, now_ms: u64) {
+        self.begin_for(SERVICE, prompt, now_ms);
+    }
+
+    fn begin_for(&mut self, service: &str, prompt: u64, now_ms: u64) {
         let request = request(Some(long_prompt(prompt, prompt)), now_ms);
+        let request = ScheduleRequest { service: service.to_owned(), ..request };
         self.coordination.begin(&mut self.scheduler, request, prompt as u32, FIRST, now_ms);
     }
 
@@ -71,8 +81,7 @@
     SocketAddr::from(([10, 9, 0, index as u8], 1))
 }
 
-/// Returns nodes with `engine_count` engines of 32 slots; the first one coordinates them.
-fn nodes(count: usize, engine_count: usize) -> Vec<Node> {
+fn members(count: usize) -> Vec<GroupNode> {
     let members = (0..count).map(|index| GroupNode {
         name: format!("node-{index}"),
         failure_domain: "a".to_owned(),
@@ -80,7 +89,12 @@
         link_mbps: 1_000 - index as u64,
         address: address(index),
     });
-    let members: Vec<GroupNode> = members.collect();
+    members.collect()
+}
+
+/// Returns nodes with `engine_count` engines of 32 slots; the first one coordinates them.
+fn nodes(count: usize, engine_count: usize) -> Vec<Node> {
+    let members = members(count);
     let nodes = (0..count).map(|index| {
         let mut scheduler = scheduler(index as u64);
         scheduler.set_upstreams(engines(engine_count, 1), 0);
@@ -166,6 +180,81 @@
     assert!(nodes[2].assigned().is_empty());
 }
 
+/// The nodes know the engines of two services.
+fn nodes_of_two_services(count: usize) -> Vec<Node> {
+    let mut nodes = nodes(count, 4);
+    let others = engines(4, 1).into_iter().enumerate().map(|(n, engine)| {
+        let (id, service) = (format!("other-{n}"), OTHER_SERVICE.to_owned());
+        Arc::new(Upstream { id, service, ..Upstream::clone(&engine) })
+    });
+    let all: Vec<Arc<Upstream>> = engines(4, 1).into_iter().chain(others).collect();
+    for node in &mut nodes {
+        node.scheduler.set_upstreams(all.clone(), 0);
+        node.coordination.follow(&node.scheduler, 0);
+    }
+    nodes
+}
+
+/// A node's new run has the address of the one before, and its inquiries are numbered from one, too.
+#[test]
+fn assignment_for_an_earlier_run_is_used_for_another_service() {
+    let mut nodes = nodes_of_two_services(3);
+    nodes[2].begin(1, 10);
+    let (coordinator, message) = nodes[2].only_sent();
+    nodes[0].receive(address(2), &message, 11);
+    let (_, late) = nodes[0].only_sent();
+
+    let mut restarted = nodes_of_two_services(3).remove(2);
+    restarted.coordination = Coordination::new(77, "a".to_owned(), 77);
+    restarted.coordination.set_nodes(members(3), Some(address(2)));
+    restarted.coordination.follow(&restarted.scheduler, 20);
+    restarted.begin_for(OTHER_SERVICE, 2, 20);
+    let (_, own_message) = restarted.only_sent();
+    restarted.receive(coordinator, &late, 21);
+    let used = restarted.assigned();
+    assert!(used.is_empty(), "{:?}", used.first().map(|used| &used.upstream));
+    // The coordinator learns at once that the engine is free.
+    let (to, returned) = restarted.only_sent();
+    assert_eq!(to, coordinator);
+    assert!(matches!(returned, CoordinationMessage::Withdrawal { .. }), "{returned:?}");
+    nodes[0].receive(address(2), &own_message, 22);
+    let (_, response) = nodes[0].only_sent();
+    restarted.receive(coordinator, &response, 23);
+    assert_eq!(restarted.assigned().len(), 1);
+}
+
+/// Whatever a coordinator responds, a request is not sent to an engine of another service.
+#[test]
+fn assignment_names_an_engine_of_another_service() {
+    let mut nodes = nodes_of_two_services(2);
+    nodes[1].begin_for(OTHER_SERVICE, 1, 10);
+    let (_, message) = nodes[1].only_sent();
+    nodes[0].receive(address(1), &message, 11);
+    let (from, mut response) = nodes[0].only_sent();
+    let CoordinationMessage::Response(response_of_other) = &mut response else {
+        panic!("no response to {from}")
+    };
+    let Decision::Assigned(grant) = &mut response_of_other.decision else { panic!("no engine") };
+    grant.upstream = UpstreamTag::of_start(&engines(4, 1)[0]);
+    nodes[1].receive(address(0), &response, 12);
+    let resolved = nodes[1].coordination.take_resolved();
+    assert!(matches!(resolved[..], [ref only] if matches!(only.resolution, Resolution::Undecided)));
+}
+
+/// Only the node that was asked may respond.
+#[test]
+fn response_of_another_node_is_taken_for_the_coordinators() {
+    let mut nodes = nodes(3, 4);
+    nodes[2].begin(1, 10);
+    let (coordinator, message) = nodes[2].only_sent();
+    nodes[0].receive(address(2), &message, 11);
+    let (_, response) = nodes[0].only_sent();
+    nodes[2].receive(address(1), &response, 12);
+    assert!(nodes[2].assigned().is_empty());
+    nodes[2].receive(coordinator, &response, 13);
+    assert_eq!(nodes[2].assigned().len(), 1);
+}
+
 #[test]
 fn lost_request_makes_its_coordinator_suspect() {
     let mut nodes = nodes(3, 4);
