Tell a peer which removals an update may lack

Cause: a node that had been cut off from the store took "complete up to N" from a peer that had started after the removal. The peer had listed the store and has no trace of keys that were gone by then. Nothing lists again later.

Evidence: news_from_peer raises the revision past the removal, and no store_listed follows; two mirrors alone show it. Ruled out: an entry kept because its lease may have run out, no upstream_unlisted is logged.

Change: a mirror knows from which revision on it has every removal (history_start). An update for a request from before it names all keys that exist, and the receiver removes the others. An update that begins after the receiver's revision is refused, and a change up to the complete revision of an unknown key is ignored.

Red before: removal_that_a_restarted_peer_did_not_see_is_lost, removals_that_a_peer_has_evicted_are_lost, update_that_begins_after_the_known_revision_is_taken_for_complete, nodes_that_started_at_any_time_have_the_items_of_the_store.

--- a/crates/gateway/src/peers/server.rs
+++ b/crates/gateway/src/peers/server.rs
@@ -43,7 +43,11 @@
         None
     }
 
-    async fn changes_after(
+    async fn changes_after(self, _: Context, _: u64, _: u64) -> Option<StoreUpdateResponse> {
+        None
+    }
+
+    async fn history_after(
         self,
         _: Context,
         revision: u64,
--- a/crates/gateway/src/peers/service.rs
+++ b/crates/gateway/src/peers/service.rs
@@ -38,8 +38,12 @@
     /// take a revision with an era for one that the store has not reached.
     async fn update_after(revision: u64, wait_ms: u64) -> Option<StoreUpdateResponse>;
 
-    /// Returns the changes after a revision, and waits up to `wait_ms` for one.
+    /// The call of builds whose updates do not tell how they list removals. It is answered with
+    /// nothing, as they would take any update for one that lists all.
     async fn changes_after(revision: u64, wait_ms: u64) -> Option<StoreUpdateResponse>;
+
+    /// Returns the changes after a revision, and waits up to `wait_ms` for one.
+    async fn history_after(revision: u64, wait_ms: u64) -> Option<StoreUpdateResponse>;
 }
 
 /// Returns the frame codec of a connection.
--- a/crates/gateway/src/store_sync/mirror.rs
+++ b/crates/gateway/src/store_sync/mirror.rs
@@ -1,6 +1,7 @@
 //! The mirror of the store: items by key, each with its revision.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 
 use bytes::Bytes;
 use serde::Deserialize;
@@ -26,10 +27,24 @@
 /// The changes after a revision, as sent to a peer.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct MirrorUpdate {
+    /// The requested revision.
+    pub after: u64,
     /// A receiver that was complete up to the requested revision is complete up to this one.
     pub complete_to: u64,
     /// Keys with the revision of their last change, and the value unless the key was removed.
     pub entries: Vec<(String, u64, Option<Vec<u8>>)>,
+    /// How the update tells of removed keys.
+    pub removals: Removals,
+}
+
+/// How an update tells of the keys that were removed after the requested revision.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub enum Removals {
+    /// They are among the entries.
+    InEntries,
+    /// The sender may not have seen them: it learned of the store's items by a listing later than
+    /// the requested revision. Only the keys of the entries and these exist.
+    AllBut(Vec<String>),
 }
 
 /// The items of the store.
@@ -37,11 +52,16 @@
 /// Invariants:
 /// - Neither the revision of a key nor `complete_to` decreases. A later era is always higher.
 /// - All existing items are of the era of `complete_to`: what an era has lost goes as a whole.
+/// - The existing items up to `complete_to` are those of the store. So a change up to it of an unknown
+///   key has been superseded by the removal of the key.
+/// - Every removal after `history_start` is among the entries. Nothing is concluded from the absence
+///   of an older one.
 #[derive(Clone, Debug, Default)]
 pub struct StoreMirror {
     entries: HashMap<String, MirrorEntry>,
     removed: usize,
     complete_to: Revision,
+    history_start: Revision,
 }
 
 impl StoreMirror {
@@ -84,14 +104,24 @@
     pub fn apply_listing(&mut self, listing: Listing) -> bool {
         let complete_to = listing.complete_to;
         let mut has_changed = false;
-        let mut listed = std::collections::HashSet::with_capacity(listing.items.len());
+        let mut listed = HashSet::with_capacity(listing.items.len());
         for item in listing.items {
             listed.insert(item.key.clone());
             has_changed |= self.set(item.key, item.revision, Some(item.value));
         }
-        has_changed |= self.remove_all(complete_to, |key, entry| {
+        has_changed | self.retain_listed(complete_to, &listed)
+    }
+
+    /// Advances to a revision up to which only the listed keys exist. Keys that changed after it are
+    /// retained. Returns whether an item was removed.
+    fn retain_listed(&mut self, complete_to: Revision, listed: &HashSet<String>) -> bool {
+        let has_changed = self.remove_all(complete_to, |key, entry| {
             entry.revision <= complete_to && !listed.contains(key)
         });
+        if complete_to > self.complete_to {
+            // Keys may have come and gone since the last known revision.
+            self.history_start = complete_to;
+        }
         has_changed | self.advance(complete_to)
     }
 
@@ -102,18 +132,45 @@
             let value = entry.value.as_ref().map(|value| value.to_vec());
             (key.clone(), entry.revision.as_u64(), value)
         });
-        MirrorUpdate { complete_to: self.complete_to.as_u64(), entries: entries.collect() }
+        let removals = match after >= self.history_start {
+            true => Removals::InEntries,
+            false => {
+                let unchanged = self.items().filter(|(_, revision, _)| *revision <= after);
+                Removals::AllBut(unchanged.map(|(key, ..)| key.to_owned()).collect())
+            }
+        };
+        MirrorUpdate {
+            after: after.as_u64(),
+            complete_to: self.complete_to.as_u64(),
+            entries: entries.collect(),
+            removals,
+        }
     }
 
     /// Applies an update from a peer. Returns whether the mirror changed. An update of a later era
     /// has all items, since each of them is newer than any revision that was asked for.
     pub fn apply_update(&mut self, update: MirrorUpdate) -> bool {
+        // An update that begins later lacks the changes before it.
+        if Revision::from_u64(update.after) > self.complete_to {
+            return false;
+        }
+        let complete_to = Revision::from_u64(update.complete_to);
+        let mut existing = match update.removals {
+            Removals::InEntries => None,
+            Removals::AllBut(keys) => Some(HashSet::from_iter(keys)),
+        };
         let mut has_changed = false;
         for (key, revision, value) in update.entries {
+            if let Some(existing) = existing.as_mut().filter(|_| value.is_some()) {
+                existing.insert(key.clone());
+            }
             let revision = Revision::from_u64(revision);
             has_changed |= self.set(key, revision, value.map(Bytes::from));
         }
-        has_changed | self.advance(Revision::from_u64(update.complete_to))
+        match existing {
+            Some(existing) => has_changed | self.retain_listed(complete_to, &existing),
+            None => has_changed | self.advance(complete_to),
+        }
     }
 
     /// Raises `complete_to`, and removes what a later era has lost. Returns whether an item was
@@ -122,6 +179,10 @@
         if complete_to <= self.complete_to {
             return false;
         }
+        if self.complete_to.era() < complete_to.era() {
+            // What a later era lacks is not known as removals.
+            self.history_start = complete_to;
+        }
         self.complete_to = complete_to;
         self.remove_all(complete_to, |_, entry| entry.revision.era() < complete_to.era())
     }
@@ -147,6 +208,9 @@
         if known.is_some_and(|known| known.revision >= revision) {
             return false;
         }
+        if known.is_none() && value.is_some() && revision <= self.complete_to {
+            return false;
+        }
         if known.is_some_and(|known| known.value.is_none()) {
             self.removed -= 1;
         }
@@ -167,6 +231,7 @@
         let mut revisions: Vec<Revision> = removed.map(|entry| entry.revision).collect();
         revisions.sort_unstable();
         let oldest_kept = revisions[revisions.len() / 2];
+        self.history_start = self.history_start.max(oldest_kept);
         self.entries.retain(|_, entry| entry.value.is_some() || entry.revision >= oldest_kept);
         self.removed = self.entries.values().filter(|entry| entry.value.is_none()).count();
     }
@@ -181,6 +246,10 @@
         if removed != self.removed {
             return Err(format!("{removed} removed keys, counted {}", self.removed));
         }
+        if self.history_start > self.complete_to {
+            let (start, complete_to) = (self.history_start, self.complete_to);
+            return Err(format!("history from {start}, complete to {complete_to}"));
+        }
         let era = self.complete_to.era();
         match self.items().find(|(_, revision, _)| revision.era() != era) {
             Some((key, revision, _)) => Err(format!("{key} at {revision} in era {era}")),
--- a/crates/gateway/src/store_sync/mod.rs
+++ b/crates/gateway/src/store_sync/mod.rs
@@ -12,6 +12,7 @@
 pub use continuity::Continuity;
 pub use mirror::MirrorEntry;
 pub use mirror::MirrorUpdate;
+pub use mirror::Removals;
 pub use mirror::StoreMirror;
 pub use source::Source;
 pub use source::SourceSelector;
--- a/crates/gateway/tests/store_mirror.rs
+++ b/crates/gateway/tests/store_mirror.rs
@@ -87,6 +87,66 @@
     assert_eq!(second.complete_to(), revision(4));
 }
 
+fn listing(items: &[(&str, u64)], complete_to: u64) -> Listing {
+    let items = items.iter().map(|(key, number)| Item {
+        key: (*key).to_owned(),
+        value: Bytes::from(format!("{key}@{number}")),
+        revision: revision(*number),
+    });
+    Listing { items: items.collect(), complete_to: revision(complete_to) }
+}
+
+/// A peer that started after a removal lists the store without the key, and cannot name it.
+#[test]
+fn removal_that_a_restarted_peer_did_not_see_is_lost() {
+    let mut mirror = StoreMirror::default();
+    mirror.apply_listing(listing(&[("a", 3), ("b", 4), ("c", 5)], 10));
+    let mut restarted = StoreMirror::default();
+    restarted.apply_listing(listing(&[("b", 4), ("c", 15)], 20));
+    let update = restarted.update_after(mirror.complete_to());
+    // Values that the mirror has are not sent again.
+    assert!(update.entries.iter().all(|(key, ..)| key != "b"), "{update:?}");
+    assert!(mirror.apply_update(update));
+    assert_eq!(keys(&mirror), [("b".to_owned(), 4), ("c".to_owned(), 15)]);
+    assert_eq!(mirror.complete_to(), revision(20));
+    mirror.verify().expect("the invariants hold");
+    // An older change of the key that is on its way does not bring it back.
+    assert!(!mirror.apply(put("a", 3)));
+
+    // Nor does a third node miss it that learns from this one.
+    let mut third = StoreMirror::default();
+    third.apply_listing(listing(&[("a", 3), ("b", 4), ("c", 5)], 12));
+    assert!(third.apply_update(mirror.update_after(third.complete_to())));
+    assert_eq!(keys(&third), keys(&mirror));
+}
+
+/// Only some removed keys are kept for peers.
+#[test]
+fn removals_that_a_peer_has_evicted_are_lost() {
+    let keys_count = 5_000;
+    let names: Vec<String> = (0..keys_count).map(|n| format!("k{n}")).collect();
+    let items: Vec<(&str, u64)> = names.iter().map(|name| (name.as_str(), 1)).collect();
+    let (mut mirror, mut peer) = (StoreMirror::default(), StoreMirror::default());
+    mirror.apply_listing(listing(&items, 1));
+    peer.apply_listing(listing(&items, 1));
+    let removals = (2..).zip(&names).map(|(number, name)| removed(name, number));
+    peer.apply_batch(removals.collect(), revision(1 + keys_count));
+    mirror.apply_update(peer.update_after(mirror.complete_to()));
+    assert_eq!(keys(&mirror), []);
+    peer.verify().expect("the invariants hold");
+}
+
+/// An update for another node, which knew more, lacks changes.
+#[test]
+fn update_that_begins_after_the_known_revision_is_taken_for_complete() {
+    let mut peer = StoreMirror::default();
+    peer.apply_batch(vec![put("a", 1), removed("a", 2), put("b", 3)], revision(3));
+    let mut mirror = StoreMirror::default();
+    mirror.apply_batch(vec![put("a", 1)], revision(1));
+    assert!(!mirror.apply_update(peer.update_after(revision(2))));
+    assert_eq!(mirror.complete_to(), revision(1));
+}
+
 /// The store came back from a copy at revision 5, and gives out the revisions after it again.
 fn listing_of_next_era() -> Listing {
     let of_next_era = |number| Revision::new(Era(1), number).expect("a small revision");
@@ -153,7 +213,41 @@
     items
 }
 
+/// Returns a mirror that listed the store after some changes, and then saw others.
+fn restarted_mirror(changes: &[Change], listed: usize, seen: usize) -> StoreMirror {
+    let items = expected_items(&changes[..listed]);
+    let items: Vec<(&str, u64)> = items.iter().map(|(key, n)| (key.as_str(), *n)).collect();
+    let mut mirror = StoreMirror::default();
+    mirror.apply_listing(listing(&items, listed as u64));
+    mirror.apply_batch(changes[listed..seen].to_vec(), revision(seen as u64));
+    mirror
+}
+
 quickcheck! {
+    /// Three nodes started at any time and learn from each other in a chain. Each has the items of
+    /// the store at the latest revision that it has heard of.
+    fn nodes_that_started_at_any_time_have_the_items_of_the_store(
+        steps: Vec<u8>,
+        cuts: (usize, usize, usize, usize, usize, usize)
+    ) -> bool {
+        let changes = history(&steps);
+        let seen_of = |listed: usize, seen: usize| {
+            let listed = listed % (changes.len() + 1);
+            (listed, listed + seen % (changes.len() + 1 - listed))
+        };
+        let nodes = [(cuts.0, cuts.1), (cuts.2, cuts.3), (cuts.4, cuts.5)];
+        let nodes = nodes.map(|(listed, seen)| seen_of(listed, seen));
+        let mut known = 0;
+        let mut previous = StoreMirror::default();
+        nodes.into_iter().all(|(listed, seen)| {
+            let mut mirror = restarted_mirror(&changes, listed, seen);
+            mirror.apply_update(previous.update_after(mirror.complete_to()));
+            known = known.max(seen);
+            previous = mirror;
+            keys(&previous) == expected_items(&changes[..known]) && previous.verify().is_ok()
+        })
+    }
+
     /// A mirror that gets the history from a peer and by changes, with some changes repeated, ends
     /// in the state of the store, and a late update from the peer does not change it.
     fn mirrors_converge_to_the_store(steps: Vec<u8>, cut: usize, repeated: Vec<usize>) -> bool {
