--- a/crates/gateway/src/peers/client.rs
+++ b/crates/gateway/src/peers/client.rs
@@ -66,7 +66,7 @@
         let mut context = tarpc::context::current();
         context.deadline = std::time::Instant::now() + wait + CALL_TIMEOUT;
         let wait_ms = wait.as_millis() as u64;
-        let call = self.client.history_after(context, after.as_u64(), wait_ms);
+        let call = self.client.updates_since(context, after.as_u64(), wait_ms);
         match timeout(wait + CALL_TIMEOUT, call).await {
             Ok(Ok(response)) => response,
             Ok(Err(e)) => {
--- a/crates/gateway/src/peers/server.rs
+++ b/crates/gateway/src/peers/server.rs
@@ -47,7 +47,7 @@
         None
     }
 
-    async fn history_after(
+    async fn updates_since(
         self,
         _: Context,
         revision: u64,
--- a/crates/gateway/src/peers/service.rs
+++ b/crates/gateway/src/peers/service.rs
@@ -43,7 +43,7 @@
     async fn changes_after(revision: u64, wait_ms: u64) -> Option<StoreUpdateResponse>;
 
     /// Returns the changes after a revision, and waits up to `wait_ms` for one.
-    async fn history_after(revision: u64, wait_ms: u64) -> Option<StoreUpdateResponse>;
+    async fn updates_since(revision: u64, wait_ms: u64) -> Option<StoreUpdateResponse>;
 }
 
 /// Returns the frame codec of a connection.
