End everything that a relay waits for as its caller leaves

Callers saw: engines held slots for requests of callers that had gone.

Cause: the relay watched for the caller's leave only while it forwarded events, not while it waited for a place or for the head of an answer.

Evidence: stream_ended outcome=caller_left is logged for streams that are forwarded at that moment, and for none that moves. Ruled out: a close that the node does not notice.

Change: the whole relay is one scope that ends as the caller leaves. It covers events, places, heads and the evidence that an answer is whole.

Red before: engine_that_takes_over_works_for_a_caller_that_left.

--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -7,6 +7,8 @@
 //! - A stream continues at another upstream only if it may be resumed, after the last event that
 //!   was forwarded.
 //! - A silent upstream is left only if another one takes over; else its stream goes on.
+//! - Everything that a relay waits for ends as its caller leaves: events, a place at another upstream,
+//!   the head of its answer, the evidence that an answer is whole.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -63,13 +65,20 @@
 /// How the segment of a stream from one upstream ended.
 enum SegmentEnd {
     Complete(WholeAnswer),
-    CallerDisconnected,
     DeadlineExceeded,
     /// No event came for the stall timeout; the upstream may still be at work.
     Stalled,
     Failed(String),
 }
 
+/// How a relay ended.
+enum RelayEnd {
+    Complete(WholeAnswer),
+    CallerLeft,
+    DeadlineExceeded,
+    Broken,
+}
+
 impl Relay {
     pub fn new(
         context: Arc<GatewayContext>,
@@ -154,31 +163,37 @@
     }
 
     async fn run(mut self, mut call: Call, sender: StreamSender) {
+        let end = tokio::select! {
+            biased;
+            () = sender.closed() => RelayEnd::CallerLeft,
+            end = self.relay(&mut call, &sender) => end,
+        };
+        match end {
+            RelayEnd::Complete(whole_answer) => {
+                if let Some(attempt) = &self.attempt {
+                    attempt.report_longest_pause(self.longest_pause.as_millis() as u64);
+                }
+                self.end_attempt(Verdict::Served);
+                self.context.metrics.response_ended(&call.service, self.framing);
+                self.log_end(&call, "complete");
+                sender.complete(whole_answer);
+            }
+            RelayEnd::CallerLeft => self.log_end(&call, "caller_left"),
+            RelayEnd::DeadlineExceeded => self.log_end(&call, "time_over"),
+            RelayEnd::Broken => self.log_end(&call, "broken"),
+        }
+    }
+
+    /// Forwards events, from one upstream after the other.
+    async fn relay(&mut self, call: &mut Call, sender: &StreamSender) -> RelayEnd {
         let first_events = std::mem::take(&mut self.first_events);
-        if !first_events.is_empty() && sender.send(first_events).await.is_err() {
-            self.log_end(&call, "caller_left");
-            return;
+        if !first_events.is_empty() {
+            send_while_caller_reads(sender, first_events).await;
         }
         loop {
-            match self.forward_events(&call, &sender).await {
-                SegmentEnd::Complete(whole_answer) => {
-                    if let Some(attempt) = &self.attempt {
-                        attempt.report_longest_pause(self.longest_pause.as_millis() as u64);
-                    }
-                    self.end_attempt(Verdict::Served);
-                    self.context.metrics.response_ended(&call.service, self.framing);
-                    self.log_end(&call, "complete");
-                    sender.complete(whole_answer);
-                    return;
-                }
-                SegmentEnd::CallerDisconnected => {
-                    self.log_end(&call, "caller_left");
-                    return;
-                }
-                SegmentEnd::DeadlineExceeded => {
-                    self.log_end(&call, "time_over");
-                    return;
-                }
+            match self.forward_events(call, sender).await {
+                SegmentEnd::Complete(whole_answer) => return RelayEnd::Complete(whole_answer),
+                SegmentEnd::DeadlineExceeded => return RelayEnd::DeadlineExceeded,
                 SegmentEnd::Failed(reason) => {
                     info!(
                         "event=stream_part_broken request_id={} reason={reason:?} last_event={:?} \
@@ -192,20 +207,19 @@
                     self.body = None;
                 }
                 SegmentEnd::Stalled => {
-                    let Some(next) = self.take_over(&call).await else {
+                    let Some(next) = self.take_over(call).await else {
                         self.stall_timeout *= 2;
                         continue;
                     };
                     self.end_attempt(Verdict::Failed);
                     self.body = None;
-                    if self.resume_at(&mut call, next).await {
+                    if self.resume_at(call, next).await {
                         continue;
                     }
                 }
             }
-            if !self.resume(&mut call).await {
-                self.log_end(&call, "broken");
-                return;
+            if !self.resume(call).await {
+                return RelayEnd::Broken;
             }
         }
     }
@@ -225,7 +239,6 @@
             let Some(body) = &mut self.body else { return SegmentEnd::Stalled };
             let piece = tokio::select! {
                 biased;
-                () = sender.closed() => return SegmentEnd::CallerDisconnected,
                 piece = body.next(remaining) => piece,
                 () = sleep(until_stalled), if may_resume => return SegmentEnd::Stalled,
             };
@@ -242,8 +255,8 @@
                             return SegmentEnd::Failed(reason.to_owned());
                         }
                     };
-                    if !rest.is_empty() && sender.send(rest).await.is_err() {
-                        return SegmentEnd::CallerDisconnected;
+                    if !rest.is_empty() {
+                        send_while_caller_reads(sender, rest).await;
                     }
                     return self.end_segment(call).await;
                 }
@@ -257,11 +270,9 @@
                 continue;
             }
             self.longest_pause = self.longest_pause.max(self.last_event.elapsed());
-            let sent = tokio::time::timeout(remaining, sender.send(events)).await;
-            match sent {
-                Ok(Ok(())) => {}
-                Ok(Err(_)) => return SegmentEnd::CallerDisconnected,
-                Err(_) => return SegmentEnd::DeadlineExceeded,
+            let sent = send_while_caller_reads(sender, events);
+            if tokio::time::timeout(remaining, sent).await.is_err() {
+                return SegmentEnd::DeadlineExceeded;
             }
             self.last_event = Instant::now();
         }
@@ -383,6 +394,13 @@
     }
 }
 
+/// Sends events to the caller. Never returns if the caller has left, which ends the relay.
+async fn send_while_caller_reads(sender: &StreamSender, events: Bytes) {
+    if sender.send(events).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
 /// Moves the bulky parts of a call to the relay; what the handler still logs stays behind.
 fn detach_call(call: &mut Call) -> Call {
     Call {
--- a/crates/lab/src/site_upstream/http.rs
+++ b/crates/lab/src/site_upstream/http.rs
@@ -73,6 +73,7 @@
     load: Mutex<Duration>,
     is_loading: AtomicBool,
     open_streams: Arc<AtomicUsize>,
+    open_requests: Arc<AtomicUsize>,
     // What it says of itself in the heads of its answers.
     signals: Mutex<Vec<(HeaderName, HeaderValue)>>,
 }
@@ -99,6 +100,7 @@
             load: Mutex::new(LOAD),
             is_loading: AtomicBool::new(false),
             open_streams: Arc::default(),
+            open_requests: Arc::default(),
             signals: Mutex::default(),
         });
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -190,6 +192,11 @@
         self.shared.open_streams.load(Ordering::SeqCst)
     }
 
+    /// Returns how many requests it has whose answers did not begin.
+    pub fn open_requests(&self) -> usize {
+        self.shared.open_requests.load(Ordering::SeqCst)
+    }
+
     /// Returns its address.
     pub fn address(&self) -> SocketAddr {
         self.server.address()
@@ -201,17 +208,17 @@
     }
 }
 
-/// Counts a stream while it is worked on.
-struct OpenStream(Arc<AtomicUsize>);
+/// Counts a stream or a request while it is open.
+struct OpenCount(Arc<AtomicUsize>);
 
-impl OpenStream {
+impl OpenCount {
     fn new(count: &Arc<AtomicUsize>) -> Self {
         count.fetch_add(1, Ordering::SeqCst);
         Self(count.clone())
     }
 }
 
-impl Drop for OpenStream {
+impl Drop for OpenCount {
     fn drop(&mut self) {
         self.0.fetch_sub(1, Ordering::SeqCst);
     }
@@ -245,6 +252,7 @@
         if self.crashes_on(&request) {
             return Err(self.crash(request).await);
         }
+        let _open = OpenCount::new(&self.open_requests);
         self.answer(request).await
     }
 }
@@ -438,7 +446,7 @@
             }
         });
         // The counter lives as long as the stream.
-        let guard = OpenStream::new(&self.open_streams);
+        let guard = OpenCount::new(&self.open_streams);
         let counted = pieces.flat_map(futures::stream::iter).map(move |piece| {
             let _guard = &guard;
             piece
--- a/crates/lab/tests/on_platform/main.rs
+++ b/crates/lab/tests/on_platform/main.rs
@@ -2,6 +2,7 @@
 
 mod close_delimited;
 mod failures;
+mod left_callers;
 mod news;
 mod quarantine;
 mod requests;
