Give back an assignment that is on its way to a caller that left

What was seen: a place at an engine stays taken in the counters of the node, and in its reports to coordinators, for each caller that leaves between the choice of an engine and the moment at which its request runs again.

Cause: the dispatch task sent the bare assignment through a channel. A value that was sent and is never received is dropped with the channel, which gave nothing back.

Change: the task hands over an Attempt, which reports its end wherever it is dropped. It is made with a handle that does not keep the task running.

--- a/crates/gateway/src/dispatch/dispatcher.rs
+++ b/crates/gateway/src/dispatch/dispatcher.rs
@@ -57,13 +57,44 @@
     pub sent_ms: u64,
 }
 
+/// A refusal: its cause, and the delay in milliseconds after which the caller should retry.
+pub(super) type ChoiceRefusal = (RefusalCause, u64);
+
+/// Returns the choice to a request. An assignment is handed over as an [`Attempt`]: if the request
+/// ends before it takes the attempt, the place is given back.
+#[derive(Debug)]
+pub(super) struct Responder {
+    sender: oneshot::Sender<Result<Attempt, ChoiceRefusal>>,
+    prompt: Option<Arc<DeclaredPrompt>>,
+}
+
+impl Responder {
+    /// Returns whether the request has ended.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
+    /// Responds with a choice.
+    pub fn respond(self, dispatcher: &Dispatcher, choice: Choice) {
+        let response = match choice {
+            Choice::Send(assignment) => {
+                Ok(Attempt::new(dispatcher.clone(), *assignment, self.prompt))
+            }
+            Choice::Refuse { cause, retry_after_ms } => Err((cause, retry_after_ms)),
+            // It is never a response; the request ends as if the task had ended.
+            Choice::Wait => return,
+        };
+        let _disconnected = self.sender.send(response).is_err();
+    }
+}
+
 /// A message to the dispatch task.
 #[derive(Debug)]
 pub(super) enum Message {
     /// A request for a service arrived.
     CountRequest { service: String, prompt: Option<Arc<DeclaredPrompt>>, target_ms: u64 },
     /// A request needs an upstream.
-    Choose { request: Box<ScheduleRequest>, purpose: Purpose, responder: oneshot::Sender<Choice> },
+    Choose { request: Box<ScheduleRequest>, purpose: Purpose, responder: Responder },
     /// A response head arrived.
     ResponseHead {
         index: UpstreamIndex,
@@ -153,15 +184,16 @@
         request: ScheduleRequest,
         purpose: Purpose,
     ) -> Result<Attempt, (RefusalCause, u64)> {
-        let (responder, response) = oneshot::channel();
-        let prompt = request.prompt.clone();
+        let (sender, response) = oneshot::channel();
+        let responder = Responder { sender, prompt: request.prompt.clone() };
         self.send(Message::Choose { request: Box::new(request), purpose, responder });
-        match response.await {
-            Ok(Choice::Send(assignment)) => Ok(Attempt::new(self.clone(), *assignment, prompt)),
-            Ok(Choice::Refuse { cause, retry_after_ms }) => Err((cause, retry_after_ms)),
-            // `Wait` is never sent as a response; a closed channel means that the task has ended.
-            Ok(Choice::Wait) | Err(_) => Err((RefusalCause::NoUpstream, STOPPING_RETRY_AFTER_MS)),
-        }
+        // A closed channel means that the task has ended.
+        response.await.unwrap_or(Err((RefusalCause::NoUpstream, STOPPING_RETRY_AFTER_MS)))
+    }
+
+    /// Returns a handle that does not keep the task running.
+    pub(super) fn downgrade(&self) -> WeakDispatcher {
+        WeakDispatcher { messages: self.messages.downgrade() }
     }
 
     /// Reports the weights that an engine says it has.
@@ -221,3 +253,16 @@
         let _disconnected = self.messages.send(message).is_err();
     }
 }
+
+/// A handle of the dispatch task that does not keep it running.
+#[derive(Clone, Debug)]
+pub(super) struct WeakDispatcher {
+    messages: mpsc::WeakUnboundedSender<Message>,
+}
+
+impl WeakDispatcher {
+    /// Returns the handle; `None` once no other is left.
+    pub fn upgrade(&self) -> Option<Dispatcher> {
+        self.messages.upgrade().map(Dispatcher::new)
+    }
+}
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -8,7 +8,6 @@
 use log::info;
 use serde_json::json;
 use tokio::sync::mpsc;
-use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 use tokio_util::sync::CancellationToken;
@@ -18,6 +17,8 @@
 use super::UpstreamLoad;
 use super::dispatcher::AttemptEvidence;
 use super::dispatcher::Message;
+use super::dispatcher::Responder;
+use super::dispatcher::WeakDispatcher;
 use crate::clock::now_ms;
 use crate::cluster_view::ClusterView;
 use crate::quarantine::log_event;
@@ -65,7 +66,7 @@
 /// A request that waits for the assignment of a coordinator.
 #[derive(Debug)]
 struct Waiter {
-    responder: oneshot::Sender<Choice>,
+    responder: Responder,
     purpose: Purpose,
 }
 
@@ -73,11 +74,13 @@
 #[derive(Debug)]
 pub struct DispatchTask {
     messages: mpsc::UnboundedReceiver<Message>,
+    // Of this task, for the attempts that it hands over.
+    dispatcher: WeakDispatcher,
     view: watch::Receiver<Arc<ClusterView>>,
     scheduler: Scheduler,
     metrics: Metrics,
     // Requests that wait for capacity by this node's own choice.
-    queue: WaitQueue<oneshot::Sender<Choice>>,
+    queue: WaitQueue<Responder>,
     coordination: Coordination<Waiter>,
     followed_ms: u64,
     // To the other nodes, with the address of this one, if it takes part in the coordination.
@@ -105,8 +108,10 @@
         let coordination =
             Coordination::new(node_incarnation, options.failure_domain.clone(), rand::random());
         let scheduler = Scheduler::new(options);
+        let dispatcher = Dispatcher::new(sender);
         let task = Self {
             messages,
+            dispatcher: dispatcher.downgrade(),
             view,
             scheduler,
             metrics,
@@ -119,7 +124,7 @@
             unlisted: watch::Sender::default(),
             misdirected,
         };
-        (Dispatcher::new(sender), task)
+        (dispatcher, task)
     }
 
     /// Returns the quarantined parts that the store does not list.
@@ -487,7 +492,7 @@
         &mut self,
         request: ScheduleRequest,
         purpose: Purpose,
-        responder: oneshot::Sender<Choice>,
+        responder: Responder,
         now_ms: u64,
     ) {
         if let Some(refusal) = self.scheduler.refuse_quarantined(&request, now_ms) {
@@ -515,7 +520,7 @@
         &mut self,
         request: ScheduleRequest,
         purpose: Purpose,
-        responder: oneshot::Sender<Choice>,
+        responder: Responder,
         now_ms: u64,
     ) {
         if purpose == Purpose::Move {
@@ -537,21 +542,21 @@
     /// Assigns free capacity to queued requests.
     fn serve_queue(&mut self) {
         let now_ms = now_ms();
-        let is_disconnected = |responder: &oneshot::Sender<Choice>| responder.is_closed();
+        let is_disconnected = |responder: &Responder| responder.is_closed();
         let choices = self.queue.dispatch(&mut self.scheduler, now_ms, is_disconnected);
         self.send_choices(choices);
     }
 
-    fn send_choices(&mut self, choices: Vec<(oneshot::Sender<Choice>, Choice)>) {
+    fn send_choices(&mut self, choices: Vec<(Responder, Choice)>) {
         for (responder, choice) in choices {
             self.send_choice(responder, choice);
         }
     }
 
-    fn send_choice(&mut self, responder: oneshot::Sender<Choice>, choice: Choice) {
-        if let Err(Choice::Send(assignment)) = responder.send(choice) {
-            // The request was cancelled before it received its assignment.
-            self.release(&assignment);
+    fn send_choice(&mut self, responder: Responder, choice: Choice) {
+        // Without another handle nobody waits for a response.
+        if let Some(dispatcher) = self.dispatcher.upgrade() {
+            responder.respond(&dispatcher, choice);
         }
     }
 
--- a/crates/gateway/tests/attempt_evidence.rs
+++ b/crates/gateway/tests/attempt_evidence.rs
@@ -1,75 +1,30 @@
 //! What the end of an attempt says about the parts of its prompt.
 
+mod support;
+
 use std::sync::Arc;
 use std::time::Duration;
 
+use support::options;
+use support::request;
+use support::view;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-use redwingrill_gateway::cluster_view::ClusterView;
 use redwingrill_gateway::dispatch::Attempt;
 use redwingrill_gateway::dispatch::DispatchTask;
 use redwingrill_gateway::dispatch::Dispatcher;
 use redwingrill_gateway::dispatch::Purpose;
 use redwingrill_gateway::telemetry::Metrics;
-use redwingrill_routing::DeclaredPrompt;
-use redwingrill_routing::PartId;
-use redwingrill_routing::PromptPart;
-use redwingrill_routing::Upstream;
-use redwingrill_routing::UpstreamState;
-use redwingrill_routing::WeightsVersion;
 use redwingrill_scheduling::fleet::UpstreamIndex;
 use redwingrill_scheduling::fleet::Verdict;
-use redwingrill_scheduling::retry_budget::RetryBudgetSpec;
 use redwingrill_scheduling::scheduler::RefusalCause;
-use redwingrill_scheduling::scheduler::ScheduleRequest;
-use redwingrill_scheduling::scheduler::SchedulerOptions;
 
 /// Longer than the gap between generations, and than the time in which other nodes may answer.
 const GENERATION: Duration = Duration::from_millis(300);
 const HEARING: Duration = Duration::from_millis(900);
 
-fn view(engines: u16) -> ClusterView {
-    let upstreams = (0..engines).map(|n| {
-        Arc::new(Upstream {
-            id: format!("e{n}"),
-            service: "llm".to_owned(),
-            address: ([127, 0, 0, 1], 1_000 + n).into(),
-            failure_domain: "a".to_owned(),
-            slots: 8,
-            state: UpstreamState::Ready,
-            warm_up_remaining: Duration::ZERO,
-            models: vec![("m".to_owned(), WeightsVersion(1))],
-            started_unix_ms: None,
-        })
-    });
-    ClusterView { upstreams: upstreams.collect(), ..ClusterView::default() }
-}
-
-fn request(own_part: u64, tried: Vec<UpstreamIndex>) -> ScheduleRequest {
-    let part = |id| PromptPart { id: PartId(id), tokens: 100 };
-    let now_ms = redwingrill_gateway::clock::now_ms();
-    ScheduleRequest {
-        service: "llm".to_owned(),
-        prompt: Some(Arc::new(DeclaredPrompt {
-            model: "m".to_owned(),
-            prompt_tokens: 200,
-            output_tokens_limit: 10,
-            parts: vec![part(7), part(own_part)],
-        })),
-        isolated_account: None,
-        urgency: 1,
-        arrived_ms: now_ms,
-        deadline_ms: now_ms + 5_000,
-        target_ms: 500,
-        leaves_ms: now_ms + 5_000,
-        pause_target_ms: None,
-        origin_domain: None,
-        tried,
-    }
-}
-
 struct Requests {
     dispatcher: Dispatcher,
     tried: Vec<UpstreamIndex>,
@@ -109,15 +64,8 @@
     ];
     for case in cases {
         let (_view, receiver) = watch::channel(Arc::new(view(8)));
-        let options = SchedulerOptions {
-            node: "n1".to_owned(),
-            failure_domain: "a".to_owned(),
-            budget: RetryBudgetSpec { ratio: 0.2, allowance: 54.0, window_ms: 10_000 },
-            version_limit_ms: 20_000,
-            seed: 1,
-        };
         let (dispatcher, task) =
-            DispatchTask::new(options, receiver, Metrics::new(), mpsc::channel(1).0);
+            DispatchTask::new(options(), receiver, Metrics::new(), mpsc::channel(1).0);
         let stopping = CancellationToken::new();
         let task = tokio::spawn(task.run(stopping.clone()));
         let mut requests = Requests { dispatcher, tried: Vec::new(), sent: 0 };
