Limit the time for a whole body, not only for each piece

Callers saw: no answer 0.5 s after their route's timeout while an upstream's answer went on, a byte every 300 ms (27 of some 1,390 requests).

Cause: ResponseBody::read_all limited the wait for each piece.

Change: read_all takes the time for the whole body.

--- a/crates/redwingrill/src/operator/admin.rs
+++ b/crates/redwingrill/src/operator/admin.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 use serde_json::Value;
 
+use redwingrill_transport::BodyTimeouts;
 use redwingrill_transport::Freshness;
 use redwingrill_transport::Pool;
 use redwingrill_transport::Timeouts;
@@ -19,8 +20,9 @@
 const TIMEOUTS: Timeouts =
     Timeouts { connect: Duration::from_millis(500), head: Duration::from_secs(2) };
 
-/// Maximum time between two parts of a response body.
-const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
+/// The time limits for a response body.
+const BODY_TIMEOUTS: BodyTimeouts =
+    BodyTimeouts { piece: Duration::from_secs(2), whole: Duration::from_secs(20) };
 
 /// Maximum size of a state dump.
 const DUMP_LIMIT_BYTES: usize = 256 << 20;
@@ -71,11 +73,8 @@
         let response =
             self.pool.send(node, request, Freshness::Any, &TIMEOUTS).await.map_err(text)?;
         let status = response.status();
-        let body = response
-            .into_body()
-            .read_all(DUMP_LIMIT_BYTES, BODY_IDLE_TIMEOUT)
-            .await
-            .map_err(text)?;
+        let body =
+            response.into_body().read_all(DUMP_LIMIT_BYTES, BODY_TIMEOUTS).await.map_err(text)?;
         if status.is_success() { Ok(body) } else { Err(format!("the node answered {status}")) }
     }
 }
--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -6,12 +6,28 @@
 use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use tokio::time::Instant;
 use tokio::time::timeout;
 
 use crate::Framing;
 use crate::TransportError;
 use crate::pool::ConnectionGuard;
 
+/// How long reading a whole body may take. A single duration limits the whole.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct BodyTimeouts {
+    /// The wait for each piece.
+    pub piece: Duration,
+    /// The time until the end of the body: pieces may come without end.
+    pub whole: Duration,
+}
+
+impl From<Duration> for BodyTimeouts {
+    fn from(whole: Duration) -> Self {
+        Self { piece: whole, whole }
+    }
+}
+
 /// A response body. Dropping it before its end closes the connection.
 #[derive(Debug)]
 pub struct ResponseBody {
@@ -63,7 +79,7 @@
         }
     }
 
-    /// Reads the whole body.
+    /// Reads the whole body within `timeouts`.
     ///
     /// # Errors
     ///
@@ -71,10 +87,14 @@
     pub async fn read_all(
         mut self,
         limit_bytes: usize,
-        wait: Duration,
+        timeouts: impl Into<BodyTimeouts>,
     ) -> Result<Bytes, TransportError> {
+        let timeouts = timeouts.into();
+        let deadline = Instant::now() + timeouts.whole;
         let mut body = BytesMut::new();
-        while let Some(data) = self.next(wait).await? {
+        loop {
+            let remaining = deadline.saturating_duration_since(Instant::now());
+            let Some(data) = self.next(timeouts.piece.min(remaining)).await? else { break };
             if body.len() + data.len() > limit_bytes {
                 return Err(TransportError::TooLarge { limit_bytes });
             }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -15,6 +15,7 @@
 mod pool;
 mod postcard_codec;
 
+pub use body::BodyTimeouts;
 pub use body::ResponseBody;
 pub use dead_peer::enable_dead_peer_detection;
 pub use error::TransportError;
