Bound what a node buffers by one budget, a share for each buffer

Callers saw (operators of systems like ours): an engine sent bytes that were no answer, without end; the node that had called it kept them all and was killed, and the requests of other clients on it ended with it.

Cause: each buffer had a limit (8 MB for an answer, 1 MB for an event, 417 KB for what a connection reads ahead, 8 pieces for a caller), so their number decided how much was kept. An event without end was also searched from its beginning with each piece, which left little processor time to others.

A buffer may hold as much as stays free, so those that grow without end are refused first, and others go on. Past it the connection is closed and the upstream blamed; a caller whose body does not fit gets 503 before anything is sent. Connections to upstreams read 16 KB ahead at most. Ends of events are searched for in new bytes only.

--- a/crates/codes/src/code.rs
+++ b/crates/codes/src/code.rs
@@ -102,6 +102,7 @@
     NoUpstream = 205, "no_upstream", 503, No, "No live upstream can serve the request.";
     RetryBudgetSpent = 206, "retry_budget_spent", 503, No, "The request could not be sent and the retry budget is spent.";
     Quarantined = 207, "quarantined", 503, No, "A part of the prompt is quarantined because it ended several engines.";
+    BuffersFull = 208, "buffers_full", 503, No, "The body does not fit into what the node may buffer now.";
     UpstreamUnreachable = 300, "upstream_unreachable", 502, No, "No connection to an upstream could be made.";
     UpstreamFailed = 301, "upstream_failed", 502, Unknown, "The upstream failed while it ran the request.";
     UpstreamSilent = 302, "upstream_silent", 504, Unknown, "The upstream stopped answering.";
--- a/crates/gateway/src/forward/events.rs
+++ b/crates/gateway/src/forward/events.rs
@@ -8,47 +8,55 @@
 //!   connections too.
 
 use bytes::Bytes;
-use bytes::BytesMut;
+use memchr::memmem;
 
+use redwingrill_transport::BudgetedBuffer;
+use redwingrill_transport::ByteBudget;
 use redwingrill_transport::Framing;
 
 /// The size limit of one event.
 const EVENT_LIMIT_BYTES: usize = 1 << 20;
 
 /// Buffers the pieces of a stream and returns complete events.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct EventSplitter {
-    pending: BytesMut,
+    pending: BudgetedBuffer,
     last_id: Option<u64>,
     has_data: bool,
 }
 
 impl EventSplitter {
-    /// Creates a splitter for a stream that continues after the event `last_id`.
-    pub fn after(last_id: Option<u64>) -> Self {
-        Self { pending: BytesMut::new(), last_id, has_data: false }
+    /// Creates a splitter for a stream that continues after the event `last_id`. What it buffers
+    /// draws on `budget`.
+    pub fn after(last_id: Option<u64>, budget: &ByteBudget) -> Self {
+        Self { pending: BudgetedBuffer::new(budget), last_id, has_data: false }
     }
 
     /// Adds a piece and returns the events that it completes, or no bytes if it completes none.
     ///
     /// # Errors
     ///
-    /// The reason if an event is too long, if what stands between two blank lines is no event, or if
+    /// The reason if an event is too long or does not fit into the budget, if what stands between two blank lines is no event, or if
     /// an event id is not text or does not increase.
     pub fn push(&mut self, piece: Bytes) -> Result<Bytes, &'static str> {
         if self.pending.is_empty() && last_event_end(&piece) == piece.len() {
             self.check_lines(&piece)?;
             return Ok(piece);
         }
-        self.pending.extend_from_slice(&piece);
-        let end = last_event_end(&self.pending);
+        // What was pending has no event end, but the first bytes of one may be its last.
+        let searched = self.pending.len().saturating_sub(LONGEST_EVENT_END - 1);
+        self.pending.extend(&piece).map_err(|_| "an event does not fit into the buffers")?;
+        let end = match last_event_end(&self.pending.as_slice()[searched..]) {
+            0 => 0,
+            end => searched + end,
+        };
         if end == 0 {
             return match self.pending.len() > EVENT_LIMIT_BYTES {
                 true => Err("an event is too long"),
                 false => Ok(Bytes::new()),
             };
         }
-        let complete = self.pending.split_to(end).freeze();
+        let complete = self.pending.split_to(end);
         self.check_lines(&complete)?;
         Ok(complete)
     }
@@ -74,7 +82,7 @@
 
     /// Takes the buffered bytes of the incomplete last event.
     pub fn take_incomplete(&mut self) -> Bytes {
-        self.pending.split().freeze()
+        self.pending.split_to(self.pending.len())
     }
 
     /// Returns the id of the last complete event.
@@ -134,12 +142,10 @@
 /// The ends of an event whose lines end with LF or with CRLF. An event whose lines end with CR alone
 /// shows its end only at the next line, so it is held until the stream ends.
 const EVENT_ENDS: [&[u8]; 2] = [b"\n\n", b"\n\r\n"];
+const LONGEST_EVENT_END: usize = 3;
 
 /// Returns the position after the last blank line, or zero if there is none.
 fn last_event_end(bytes: &[u8]) -> usize {
-    let last = |end: &[u8]| {
-        let position = bytes.windows(end.len()).rposition(|window| window == end);
-        position.map_or(0, |position| position + end.len())
-    };
+    let last = |end: &[u8]| memmem::rfind(bytes, end).map_or(0, |position| position + end.len());
     EVENT_ENDS.into_iter().map(last).max().unwrap_or(0)
 }
--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use http::Request;
 use http::Response;
 use http::StatusCode;
@@ -45,6 +44,8 @@
 use redwingrill_routing::Upstream;
 use redwingrill_scheduling::fleet::Verdict;
 use redwingrill_scheduling::scheduler::RefusalCause;
+use redwingrill_transport::BudgetedBuffer;
+use redwingrill_transport::ByteBudget;
 use redwingrill_transport::Framing;
 use redwingrill_transport::Pool;
 use redwingrill_transport::TransportError;
@@ -58,6 +59,9 @@
 /// The retry-after of refusals while the node has no configuration.
 const NOT_READY_RETRY_AFTER_MS: u64 = 500;
 
+/// The retry-after of requests whose body does not fit into the buffers of the node.
+const BUFFERS_FULL_RETRY_AFTER_MS: u64 = 500;
+
 /// The retry-after of refusals late in a stop; it is short because other nodes have capacity.
 const DRAINING_RETRY_AFTER_MS: u64 = 100;
 
@@ -223,8 +227,9 @@
             metadata.deadline.map_or(DEFAULT_TIMEOUT_MS, |wait| wait.as_millis() as u64);
         let timeout_ms = timeout_ms.min(route.timeout.as_millis() as u64);
         let deadline_ms = arrived_ms + timeout_ms;
+        let timeout = Duration::from_millis(timeout_ms);
         let body =
-            read_body(body, configuration.limits(), Duration::from_millis(timeout_ms)).await?;
+            read_body(body, configuration.limits(), self.context.pool.budget(), timeout).await?;
         self.context.head_codec.sanitize_request(&mut head.headers);
         head.headers.remove(header::CONTENT_LENGTH);
         let service = route.choose_service(rand::rng().random()).to_owned();
@@ -569,6 +574,7 @@
 async fn read_body(
     mut body: Incoming,
     limits: &CallerLimits,
+    budget: &ByteBudget,
     wait: Duration,
 ) -> Result<Bytes, Refusal> {
     use hyper::body::Body as _;
@@ -580,7 +586,7 @@
         return Ok(Bytes::new());
     }
     let read_frames = async {
-        let mut whole = BytesMut::with_capacity(known_bytes);
+        let mut whole = BudgetedBuffer::new(budget);
         while let Some(frame) = body.frame().await {
             let ended_early =
                 |_| Refusal::with_detail(ResultCode::BadRequest, "the body ended early");
@@ -588,7 +594,9 @@
             if whole.len() + data.len() > limits.body_bytes {
                 return Err(Refusal::new(ResultCode::BodyTooLarge));
             }
-            whole.extend_from_slice(&data);
+            whole.extend(&data).map_err(|_| {
+                Refusal::new(ResultCode::BuffersFull).retry_after(BUFFERS_FULL_RETRY_AFTER_MS)
+            })?;
         }
         Ok(whole.freeze())
     };
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -92,6 +92,7 @@
         }
         let stall_timeout = Duration::from_millis(attempt.assignment().stall_timeout_ms);
         let upstream = attempt.assignment().upstream.clone();
+        let splitter = EventSplitter::after(last_event_id, context.pool.budget());
         Self {
             context,
             head,
@@ -99,7 +100,7 @@
             framing,
             upstream,
             attempt: Some(attempt),
-            splitter: EventSplitter::after(last_event_id),
+            splitter,
             first_events: Bytes::new(),
             is_ended: false,
             is_broken: false,
@@ -154,7 +155,7 @@
 
     /// Spawns the relay task and returns the response whose body it feeds.
     pub fn start(mut self, call: &mut Call, tasks: &TaskTracker) -> Response<Body> {
-        let (sender, body) = stream_body();
+        let (sender, body) = stream_body(self.context.pool.budget());
         let head = relayed_head(self.head.clone(), self.context.head_codec.as_ref());
         let call = detach_call(call);
         self.last_event = Instant::now();
@@ -359,7 +360,7 @@
                 self.body = Some(body);
                 self.is_broken = false;
                 self.attempt = Some(attempt);
-                self.splitter = EventSplitter::after(Some(last_id));
+                self.splitter = EventSplitter::after(Some(last_id), self.context.pool.budget());
                 true
             }
             SendOutcome::NotSent { .. } | SendOutcome::NotRun { .. } => false,
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -140,7 +140,7 @@
             attempt.end_broken();
             SendOutcome::Lost { reason }
         }
-        TransportError::TooLarge { .. } => {
+        TransportError::TooLarge { .. } | TransportError::BuffersFull => {
             attempt.end(Verdict::Failed, false);
             SendOutcome::Lost { reason }
         }
--- a/crates/gateway/src/forward/stream_body.rs
+++ b/crates/gateway/src/forward/stream_body.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body::Frame;
@@ -18,6 +19,8 @@
 use super::response::Body;
 use super::response::StreamAborted;
 use super::whole_answer::WholeAnswer;
+use redwingrill_transport::ByteBudget;
+use redwingrill_transport::ByteReservation;
 
 /// The pieces queued for a slow caller; while the queue is full, the task waits.
 const QUEUE_LEN: usize = 8;
@@ -27,21 +30,41 @@
 #[snafu(display("the caller left"))]
 pub struct CallerLeft;
 
+/// How long a piece waits before it tries again to get room in the buffers.
+const ROOM_POLL_PERIOD: Duration = Duration::from_millis(20);
+
+/// A piece that waits for its caller.
+#[derive(Debug)]
+struct QueuedPiece {
+    data: Bytes,
+    _reservation: ByteReservation,
+}
+
 /// Feeds the body of a stream. Dropping it breaks the stream off.
 #[derive(Debug)]
 pub struct StreamSender {
-    pieces: mpsc::Sender<Bytes>,
+    pieces: mpsc::Sender<QueuedPiece>,
+    budget: ByteBudget,
     is_complete: Arc<AtomicBool>,
 }
 
 impl StreamSender {
-    /// Sends a piece; waits while the queue is full.
+    /// Sends a piece; waits while the queue or the budget is full.
     ///
     /// # Errors
     ///
     /// [`CallerLeft`] if nobody reads the body any more.
     pub async fn send(&self, piece: Bytes) -> Result<(), CallerLeft> {
-        self.pieces.send(piece).await.map_err(|_| CallerLeft)
+        let place = self.pieces.reserve().await.map_err(|_| CallerLeft)?;
+        let mut reservation = self.budget.reservation();
+        while reservation.grow(piece.len()).is_err() {
+            tokio::select! {
+                () = self.pieces.closed() => return Err(CallerLeft),
+                () = tokio::time::sleep(ROOM_POLL_PERIOD) => {}
+            }
+        }
+        place.send(QueuedPiece { data: piece, _reservation: reservation });
+        Ok(())
     }
 
     /// Waits until the caller leaves.
@@ -55,17 +78,17 @@
     }
 }
 
-/// Creates the body of a stream and its sender.
-pub fn stream_body() -> (StreamSender, Body) {
+/// Creates the body of a stream and its sender. The queued pieces draw on `budget`.
+pub fn stream_body(budget: &ByteBudget) -> (StreamSender, Body) {
     let (pieces, receiver) = mpsc::channel(QUEUE_LEN);
     let is_complete = Arc::new(AtomicBool::new(false));
-    let sender = StreamSender { pieces, is_complete: is_complete.clone() };
+    let sender = StreamSender { pieces, budget: budget.clone(), is_complete: is_complete.clone() };
     let frames = futures::stream::unfold(Some(receiver), move |receiver| {
         let is_complete = is_complete.clone();
         async move {
             let mut receiver = receiver?;
             match receiver.recv().await {
-                Some(piece) => Some((Ok(Frame::data(piece)), Some(receiver))),
+                Some(piece) => Some((Ok(Frame::data(piece.data)), Some(receiver))),
                 None if is_complete.load(Ordering::Acquire) => None,
                 None => Some((Err(StreamAborted), None)),
             }
--- a/crates/gateway/src/node/lifecycle.rs
+++ b/crates/gateway/src/node/lifecycle.rs
@@ -45,6 +45,7 @@
 use redwingrill_routing::SharedStore;
 use redwingrill_routing::UpstreamControl;
 use redwingrill_scheduling::scheduler::SchedulerOptions;
+use redwingrill_transport::ByteBudget;
 use redwingrill_transport::Pool;
 
 /// How long a draining node still accepts connections: the load balancer checks readiness every
@@ -244,7 +245,8 @@
         };
         serve_readiness(readiness_socket, &listener, &services, &stopping);
         if let Some(socket) = metrics_socket {
-            serve_metrics(socket, metrics, dispatcher.clone(), &services, &stopping);
+            let buffers = pool.budget().clone();
+            serve_metrics(socket, metrics, buffers, dispatcher.clone(), &services, &stopping);
         }
         listener.tasks.spawn(listener.clone().run(caller_socket));
         info!("event=serving node={} callers={}", options.name, options.caller_address);
@@ -333,12 +335,14 @@
 fn serve_metrics(
     socket: TcpListener,
     metrics: Metrics,
+    buffers: ByteBudget,
     dispatcher: Dispatcher,
     services: &TaskTracker,
     stopping: &CancellationToken,
 ) {
     let handler = move |path: String| {
         let (metrics, dispatcher) = (metrics.clone(), dispatcher.clone());
+        metrics.buffered_bytes(buffers.used_bytes());
         async move {
             match path.as_str() {
                 "/metrics" => (StatusCode::OK, metrics.to_text()),
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -48,6 +48,7 @@
     view_revision: IntGauge,
     store_era: IntGauge,
     open_connections: IntGauge,
+    buffered_bytes: IntGauge,
     engine_model: GaugeVec,
     outdated_engines: IntGaugeVec,
 }
@@ -109,6 +110,7 @@
             view_revision: gauge("redwingrill_beliefs_revision", "Revision of the beliefs"),
             store_era: gauge("redwingrill_store_era", "Era of the store in the beliefs"),
             open_connections: gauge("redwingrill_open_connections", "Connections of callers"),
+            buffered_bytes: gauge("redwingrill_buffered_bytes", "Bytes that draw on the budget"),
             engine_model: GaugeVec::new(
                 Opts::new("redwingrill_engine_model", "Learned times of a service's upstreams"),
                 &["service", "parameter"],
@@ -193,6 +195,11 @@
         self.inner.open_connections.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 
+    /// Sets the bytes that are buffered for callers and of upstreams.
+    pub fn buffered_bytes(&self, bytes: usize) {
+        self.inner.buffered_bytes.set(i64::try_from(bytes).unwrap_or(i64::MAX));
+    }
+
     /// Sets the learned times of a service's upstreams.
     pub fn engine_model(&self, service: &str, curve: &PrefillCurve) {
         for (parameter, value) in [
@@ -222,7 +229,7 @@
 
 impl Inner {
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 15] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 16] = [
             Box::new(self.requests.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.first_event.clone()),
@@ -236,6 +243,7 @@
             Box::new(self.view_revision.clone()),
             Box::new(self.store_era.clone()),
             Box::new(self.open_connections.clone()),
+            Box::new(self.buffered_bytes.clone()),
             Box::new(self.engine_model.clone()),
             Box::new(self.outdated_engines.clone()),
         ];
--- a/crates/gateway/tests/event_splitter.rs
+++ b/crates/gateway/tests/event_splitter.rs
@@ -4,6 +4,7 @@
 use quickcheck::quickcheck;
 
 use redwingrill_gateway::forward::EventSplitter;
+use redwingrill_transport::ByteBudget;
 use redwingrill_transport::Framing;
 
 fn stream(events: u64) -> String {
@@ -17,7 +18,7 @@
         let mut cuts: Vec<usize> = cuts.iter().map(|cut| cut % (whole.len() + 1)).collect();
         cuts.extend([0, whole.len()]);
         cuts.sort_unstable();
-        let mut splitter = EventSplitter::after(None);
+        let mut splitter = EventSplitter::after(None, &ByteBudget::unlimited());
         let mut output = String::new();
         for pair in cuts.windows(2) {
             let piece = Bytes::copy_from_slice(&whole.as_bytes()[pair[0]..pair[1]]);
@@ -32,7 +33,7 @@
 
 #[test]
 fn incomplete_event_is_not_emitted() {
-    let mut splitter = EventSplitter::after(Some(4));
+    let mut splitter = EventSplitter::after(Some(4), &ByteBudget::unlimited());
     let events =
         splitter.push(Bytes::from("id: 5\ndata: a\n\nid: 6\nda")).expect("the ids increase");
     assert_eq!(events, "id: 5\ndata: a\n\n");
@@ -42,7 +43,7 @@
 
 #[test]
 fn events_with_crlf_are_held_until_the_stream_ends() {
-    let mut splitter = EventSplitter::after(None);
+    let mut splitter = EventSplitter::after(None, &ByteBudget::unlimited());
     let events = splitter.push(Bytes::from("id: 1\r\ndata: a\r\n\r\n")).expect("ids increase");
     assert_eq!(events, "id: 1\r\ndata: a\r\n\r\n");
     let cut = ["id: 2\r\ndata: b\r", "\n\r", "\nid: 3\r\nda", "ta: c\r\n\r\n"];
@@ -81,7 +82,7 @@
         end("id: 1\r\ndata: a\r\n", Framing::Connection, false),
     ];
     for case in cases {
-        let mut splitter = EventSplitter::after(None);
+        let mut splitter = EventSplitter::after(None, &ByteBudget::unlimited());
         splitter.push(Bytes::from(case.stream)).expect("the ids increase");
         let is_whole = splitter.finish(case.framing).is_ok();
         assert_eq!(is_whole, case.is_whole, "{:?} by {}", case.stream, case.framing);
@@ -99,7 +100,7 @@
         (": comment\r\n\r\nevent: e\r\nid: 5\r\n\r\n", true),
         ("\n\n\nretry: 5\n\n", true),
     ] {
-        let mut splitter = EventSplitter::after(Some(4));
+        let mut splitter = EventSplitter::after(Some(4), &ByteBudget::unlimited());
         assert_eq!(splitter.push(Bytes::from(text)).is_ok(), is_event, "{text:?}");
     }
 }
@@ -107,7 +108,26 @@
 #[test]
 fn non_increasing_event_id_is_an_error() {
     for ids in ["id: 4\n\n", "id: 5\n\nid: 5\n\n", "id: 6\n\nid: 5\n\n"] {
-        let mut splitter = EventSplitter::after(Some(4));
+        let mut splitter = EventSplitter::after(Some(4), &ByteBudget::unlimited());
         assert!(splitter.push(Bytes::from(ids)).is_err(), "{ids:?}");
     }
 }
+
+/// An upstream that sends bytes without an end of an event fills the buffers of the node.
+#[test]
+fn event_without_end_takes_the_room_of_other_streams() {
+    let budget = ByteBudget::new(1 << 20);
+    let piece = Bytes::from(vec![b'x'; 16 << 10]);
+    let endless = (0..200).map(|_| EventSplitter::after(None, &budget));
+    let mut endless: Vec<EventSplitter> = endless.collect();
+    for _ in 0..64 {
+        // One that is refused closes its connection, which gives its room back.
+        endless.retain_mut(|splitter| splitter.push(piece.clone()).is_ok());
+        let mut sound = EventSplitter::after(None, &budget);
+        assert_eq!(sound.push(Bytes::from("id: 1\nda")), Ok(Bytes::new()));
+        assert_eq!(sound.push(Bytes::from("ta: a\n\n")), Ok(Bytes::from("id: 1\ndata: a\n\n")));
+        assert!(budget.used_bytes() <= budget.limit_bytes());
+    }
+    drop(endless);
+    assert_eq!(budget.used_bytes(), 0);
+}
--- a/crates/redwingrill/src/services/forward.rs
+++ b/crates/redwingrill/src/services/forward.rs
@@ -78,7 +78,9 @@
                 }
                 TransportError::Broken { .. } => ResultCode::UpstreamFailed,
                 TransportError::Silent { .. } => ResultCode::UpstreamSilent,
-                TransportError::TooLarge { .. } => ResultCode::UpstreamGarbage,
+                TransportError::TooLarge { .. } | TransportError::BuffersFull => {
+                    ResultCode::UpstreamGarbage
+                }
             },
         }
     }
--- a/crates/redwingrill/src/upstream/engine.rs
+++ b/crates/redwingrill/src/upstream/engine.rs
@@ -178,7 +178,7 @@
         TransportError::Unreachable { .. } | TransportError::NotSent => Fault::Unreachable,
         TransportError::Broken { .. } => Fault::Broken,
         TransportError::Silent { .. } => Fault::Silent,
-        TransportError::TooLarge { .. } => Fault::Garbage,
+        TransportError::TooLarge { .. } | TransportError::BuffersFull => Fault::Garbage,
     }
 }
 
--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -3,12 +3,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::Instant;
 use tokio::time::timeout;
 
+use crate::BudgetedBuffer;
+use crate::ByteBudget;
 use crate::Framing;
 use crate::TransportError;
 use crate::pool::ConnectionGuard;
@@ -33,12 +34,18 @@
 pub struct ResponseBody {
     incoming: Incoming,
     framing: Framing,
+    budget: ByteBudget,
     guard: Option<ConnectionGuard>,
 }
 
 impl ResponseBody {
-    pub(crate) fn new(incoming: Incoming, framing: Framing, guard: ConnectionGuard) -> Self {
-        Self { incoming, framing, guard: Some(guard) }
+    pub(crate) fn new(
+        incoming: Incoming,
+        framing: Framing,
+        budget: ByteBudget,
+        guard: ConnectionGuard,
+    ) -> Self {
+        Self { incoming, framing, budget, guard: Some(guard) }
     }
 
     /// Returns what determines the end of the body.
@@ -83,7 +90,8 @@
     ///
     /// # Errors
     ///
-    /// As for [`ResponseBody::next`], and [`TransportError::TooLarge`] beyond `limit_bytes`.
+    /// As for [`ResponseBody::next`], [`TransportError::TooLarge`] beyond `limit_bytes`, and
+    /// [`TransportError::BuffersFull`] beyond what the budget allows.
     pub async fn read_all(
         mut self,
         limit_bytes: usize,
@@ -91,14 +99,14 @@
     ) -> Result<Bytes, TransportError> {
         let timeouts = timeouts.into();
         let deadline = Instant::now() + timeouts.whole;
-        let mut body = BytesMut::new();
+        let mut body = BudgetedBuffer::new(&self.budget);
         loop {
             let remaining = deadline.saturating_duration_since(Instant::now());
             let Some(data) = self.next(timeouts.piece.min(remaining)).await? else { break };
             if body.len() + data.len() > limit_bytes {
                 return Err(TransportError::TooLarge { limit_bytes });
             }
-            body.extend_from_slice(&data);
+            body.extend(&data).map_err(|_| TransportError::BuffersFull)?;
         }
         Ok(body.freeze())
     }
--- a/crates/transport/src/error.rs
+++ b/crates/transport/src/error.rs
@@ -35,6 +35,9 @@
         /// The limit in bytes.
         limit_bytes: usize,
     },
+    /// The body is larger than the buffers of the process allow now.
+    #[snafu(display("the buffers of the process are full"))]
+    BuffersFull,
 }
 
 impl TransportError {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -6,9 +6,11 @@
 //! - a response timeout discards its connection and every idle connection to that address that is
 //!   at least as old, because a middlebox may have lost the state of all of them; a new connection
 //!   then shows whether the upstream itself is at fault;
+//! - what it buffers of responses draws on the [`ByteBudget`] of the process;
 //! - [`Pool::close`] joins all tasks that drive connections.
 
 mod body;
+mod byte_budget;
 mod dead_peer;
 mod error;
 mod framing;
@@ -17,6 +19,10 @@
 
 pub use body::BodyTimeouts;
 pub use body::ResponseBody;
+pub use byte_budget::BudgetExceeded;
+pub use byte_budget::BudgetedBuffer;
+pub use byte_budget::ByteBudget;
+pub use byte_budget::ByteReservation;
 pub use dead_peer::enable_dead_peer_detection;
 pub use error::TransportError;
 pub use framing::Framing;
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -21,8 +21,8 @@
 use http::Request;
 use http::Response;
 use http_body_util::Full;
+use hyper::client::conn::http1::Builder;
 use hyper::client::conn::http1::SendRequest;
-use hyper::client::conn::http1::handshake;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
@@ -30,6 +30,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::ByteBudget;
 use crate::Framing;
 use crate::ResponseBody;
 use crate::TransportError;
@@ -45,6 +46,9 @@
 /// before the server closes the connection.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(700);
 
+/// What a connection reads ahead at most: the size limit of a response head, and of a piece of a body.
+const READ_LIMIT_BYTES: usize = 16 << 10;
+
 /// The timeouts of the steps of a request.
 #[derive(Clone, Copy, Debug)]
 pub struct Timeouts {
@@ -78,6 +82,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     shared: Arc<Shared>,
+    budget: ByteBudget,
 }
 
 #[derive(Debug, Default)]
@@ -147,6 +152,16 @@
         Self::default()
     }
 
+    /// Returns a handle of the same pool; what it buffers of responses draws on `budget`.
+    pub fn with_budget(&self, budget: ByteBudget) -> Self {
+        Self { budget, ..self.clone() }
+    }
+
+    /// Returns the budget of what is buffered.
+    pub fn budget(&self) -> &ByteBudget {
+        &self.budget
+    }
+
     /// Sends a request and waits for the response head.
     ///
     /// If a reused connection turns out closed before the request was sent, sends the request over
@@ -176,7 +191,8 @@
                 Ok(Ok(response)) => {
                     guard.set_peer_idle_timeout(response.headers());
                     let framing = Framing::of(response.headers());
-                    return Ok(response.map(|body| ResponseBody::new(body, framing, guard)));
+                    let budget = self.budget.clone();
+                    return Ok(response.map(|body| ResponseBody::new(body, framing, budget, guard)));
                 }
                 Ok(Err(mut failure)) => match failure.take_message() {
                     Some(unsent) if reused => request = unsent,
@@ -239,8 +255,9 @@
             .map_err(|e| unreachable(e.to_string()))?;
         stream.set_nodelay(true).map_err(|e| unreachable(e.to_string()))?;
         enable_dead_peer_detection(&stream).map_err(|e| unreachable(e.to_string()))?;
-        let (sender, driver) =
-            handshake(TokioIo::new(stream)).await.map_err(|e| unreachable(e.to_string()))?;
+        let handshake =
+            Builder::new().max_buf_size(READ_LIMIT_BYTES).handshake(TokioIo::new(stream));
+        let (sender, driver) = handshake.await.map_err(|e| unreachable(e.to_string()))?;
         let closing = self.shared.closing.clone();
         self.shared.drivers.spawn(async move {
             tokio::select! {
