--- a/crates/gateway/src/forward/events.rs
+++ b/crates/gateway/src/forward/events.rs
@@ -36,8 +36,8 @@
     ///
     /// # Errors
     ///
-    /// The reason if an event is too long or does not fit into the budget, if what stands between two blank lines is no event, or if
-    /// an event id is not text or does not increase.
+    /// The reason if an event is too long or does not fit into the budget, if what stands between two
+    /// blank lines is no event, or if an event id is not text or does not increase.
     pub fn push(&mut self, piece: Bytes) -> Result<Bytes, &'static str> {
         if self.pending.is_empty() && last_event_end(&piece) == piece.len() {
             self.check_lines(&piece)?;
--- a/crates/scheduling/src/scheduler/delegation.rs
+++ b/crates/scheduling/src/scheduler/delegation.rs
@@ -111,8 +111,8 @@
         self.fleet.of_service(service).any(|(_, entry)| entry.signals.gate.limit().is_some())
     }
 
-    /// Uses the assignment of a coordinator for a request. `None` if no engine of its service is the
-    /// assigned one, or if that is not available to this node any more.
+    /// Uses the assignment of a coordinator for a request. `None` if the assigned engine is not of the
+    /// request's service, or is not available to this node any more.
     pub(crate) fn use_grant(
         &mut self,
         request: &ScheduleRequest,
