Say which limits left no engine for a refused request, and how large it was

On the grown sites the largest tenth of the drafts is served half as often as all, and the fleet assigns less in an overload than before it. No line said how large a refused request was, or what had ruled the engines out, so the hypotheses could not be told apart.

- Each line that ends, refuses or assigns a request has prompt_tokens.
- A refusal for lack of capacity carries the number of engines that each limit ruled out, from the coordinator to the node that asked, which logs it in request_shed and counts it in redwingrill_shortages{service,limit}.
- redwingrill_prompt_tokens{route,code} is a histogram of outcomes by size.
- redwingrill_assignments was counted but never registered; it is served now.

--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -45,6 +45,7 @@
 use redwingrill_scheduling::scheduler::ScheduleRequest;
 use redwingrill_scheduling::scheduler::Scheduler;
 use redwingrill_scheduling::scheduler::SchedulerOptions;
+use redwingrill_scheduling::scheduler::Shortage;
 use redwingrill_scheduling::scheduler::WaitQueue;
 use redwingrill_scheduling::signals::GateChange;
 
@@ -225,7 +226,7 @@
                 }
             }
             Resolution::NoCapacity => {
-                self.send_choice(responder, refusal(RefusalCause::Overloaded));
+                self.send_choice(responder, refusal(RefusalCause::Overloaded(Shortage::default())));
             }
             Resolution::Refused { cause, retry_after_ms } => {
                 self.send_choice(responder, Choice::Refuse { cause, retry_after_ms });
@@ -526,7 +527,7 @@
         if purpose == Purpose::Move {
             // A move without capacity is refused before it draws on the retry budget.
             let choice = if !self.scheduler.has_capacity_now(&request, now_ms) {
-                refusal(RefusalCause::Overloaded)
+                refusal(RefusalCause::Overloaded(Shortage::default()))
             } else if !self.try_retry(&request.service, now_ms) {
                 refusal(RefusalCause::RepeatBudget)
             } else {
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -56,6 +56,11 @@
         now_ms().saturating_sub(self.arrived_ms)
     }
 
+    /// Returns the tokens of the declared prompt; zero without one.
+    pub fn prompt_tokens(&self) -> u32 {
+        self.prompt.as_ref().map_or(0, |prompt| prompt.prompt_tokens)
+    }
+
     /// Records an attempt that the upstream may have run.
     pub fn record_possible_run(&mut self, index: UpstreamIndex) {
         self.sends += 1;
--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -44,6 +44,7 @@
 use redwingrill_routing::Upstream;
 use redwingrill_scheduling::fleet::Verdict;
 use redwingrill_scheduling::scheduler::RefusalCause;
+use redwingrill_scheduling::scheduler::Shortage;
 use redwingrill_transport::BudgetedBuffer;
 use redwingrill_transport::ByteBudget;
 use redwingrill_transport::Framing;
@@ -348,6 +349,10 @@
             let (id, runs) = (&call.metadata.id, call.possible_runs);
             info!("event=request_quarantined request_id={id} part={part} runs={runs}");
         }
+        if let RefusalCause::Overloaded(shortage) = &cause {
+            self.context.metrics.shortage(&call.service, shortage);
+            log_shortage(call, shortage);
+        }
         if call.possible_runs > 0 {
             // An earlier upstream may have run the request, so a refusal code would be wrong.
             let detail = format!("{cause:?}");
@@ -355,7 +360,7 @@
         }
         let code = match cause {
             RefusalCause::NoUpstream => ResultCode::NoUpstream,
-            RefusalCause::Overloaded => ResultCode::Shed,
+            RefusalCause::Overloaded(_) => ResultCode::Shed,
             RefusalCause::RepeatBudget => ResultCode::RetryBudgetSpent,
             RefusalCause::Stopping => ResultCode::Draining,
             RefusalCause::Quarantined(_) => ResultCode::Quarantined,
@@ -473,15 +478,20 @@
         let elapsed = Duration::from_millis(call.age_ms());
         let (code, status) = (completion.code, completion.response.status().as_u16());
         self.context.metrics.request_ended(&call.route.name, code.info().name, elapsed);
+        if let Some(prompt) = &call.prompt {
+            let tokens = prompt.prompt_tokens;
+            self.context.metrics.prompt_ended(&call.route.name, code.info().name, tokens);
+        }
         info!(
             "event=request_ended request_id={} route={} code={} status={status} took_ms={} \
-             sends={} runs={}",
+             sends={} runs={} prompt_tokens={}",
             call.metadata.id,
             call.route.name,
             code.number(),
             elapsed.as_millis(),
             call.sends,
             call.possible_runs,
+            call.prompt_tokens(),
         );
     }
 }
@@ -490,6 +500,7 @@
 struct DepartureLog {
     request_id: String,
     route: String,
+    prompt_tokens: u32,
     arrived_ms: u64,
     is_armed: bool,
 }
@@ -499,6 +510,7 @@
         Self {
             request_id: call.metadata.id.clone(),
             route: call.route.name.clone(),
+            prompt_tokens: call.prompt_tokens(),
             arrived_ms: call.arrived_ms,
             is_armed: true,
         }
@@ -513,9 +525,10 @@
     fn drop(&mut self) {
         if self.is_armed {
             info!(
-                "event=request_abandoned request_id={} route={} age_ms={}",
+                "event=request_abandoned request_id={} route={} prompt_tokens={} age_ms={}",
                 self.request_id,
                 self.route,
+                self.prompt_tokens,
                 now_ms().saturating_sub(self.arrived_ms),
             );
         }
@@ -611,6 +624,20 @@
     }
 }
 
+fn log_shortage(call: &Call, shortage: &Shortage) {
+    let counts = shortage.counts().map(|(limit, count)| format!("{limit}={count}")).join(" ");
+    info!(
+        "event=request_shed request_id={} route={} prompt_tokens={} age_ms={} sends={} ahead={} \
+         {counts}",
+        call.metadata.id,
+        call.route.name,
+        call.prompt_tokens(),
+        call.age_ms(),
+        call.sends,
+        shortage.ahead,
+    );
+}
+
 fn log_assignment(call: &Call, attempt: &Attempt) {
     let assignment = attempt.assignment();
     let prefix = assignment.affinity.map_or(0, |key| key.0);
@@ -621,11 +648,12 @@
     info!(
         "event=assigned request_id={} route={} upstream={} weights={weights} scope={scope} \
          prefix={prefix:x} \
-         unread_tokens={} queued_tokens={} fetch={fetch} save={} coordinator={coordinator} sends={} \
-         age_ms={}",
+         prompt_tokens={} unread_tokens={} queued_tokens={} fetch={fetch} save={} \
+         coordinator={coordinator} sends={} age_ms={}",
         call.metadata.id,
         call.route.name,
         assignment.upstream.id,
+        call.prompt_tokens(),
         assignment.pending_prefill_tokens,
         assignment.queued_tokens,
         assignment.save_to.is_some(),
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -383,7 +383,7 @@
         self.context.metrics.attempt_ended(&call.service, outcome);
         info!(
             "event=stream_ended request_id={} outcome={outcome} age_ms={} last_event={:?} runs={} \
-             longest_pause_ms={} upstream={} framing={}",
+             longest_pause_ms={} upstream={} framing={} prompt_tokens={}",
             call.metadata.id,
             call.age_ms(),
             self.splitter.last_id(),
@@ -391,6 +391,7 @@
             self.longest_pause.as_millis(),
             self.upstream.id,
             self.framing,
+            call.prompt_tokens(),
         );
     }
 }
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -18,6 +18,7 @@
 
 use redwingrill_routing::Revision;
 use redwingrill_scheduling::engine_model::PrefillCurve;
+use redwingrill_scheduling::scheduler::Shortage;
 use redwingrill_transport::Framing;
 
 /// The upper bounds of the latency buckets in seconds, around the targets of short and long
@@ -25,6 +26,10 @@
 const LATENCY_BUCKETS_S: [f64; 12] =
     [0.005, 0.02, 0.05, 0.1, 0.15, 0.3, 0.5, 1.0, 1.5, 3.0, 6.0, 12.0];
 
+/// The upper bounds of the buckets of prompt sizes in tokens.
+const PROMPT_BUCKETS_TOKENS: [f64; 10] =
+    [250.0, 500.0, 1_000.0, 2_000.0, 4_000.0, 8_000.0, 16_000.0, 32_000.0, 64_000.0, 128_000.0];
+
 /// The metrics of a node. Clones share them.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -45,6 +50,8 @@
     quarantine: IntCounterVec,
     upstream_signals: IntCounterVec,
     assignments: IntCounterVec,
+    prompts: HistogramVec,
+    shortages: IntCounterVec,
     view_revision: IntGauge,
     store_era: IntGauge,
     open_connections: IntGauge,
@@ -107,6 +114,17 @@
                 "Requests to coordinators by outcome",
                 &["outcome"],
             ),
+            prompts: HistogramVec::new(
+                HistogramOpts::new("redwingrill_prompt_tokens", "Sizes of prompts by outcome")
+                    .buckets(PROMPT_BUCKETS_TOKENS.to_vec()),
+                &["route", "code"],
+            )
+            .expect("the name is valid"),
+            shortages: counter(
+                "redwingrill_shortages",
+                "Upstreams without capacity for a refused request, by the limit that ruled them out",
+                &["service", "limit"],
+            ),
             view_revision: gauge("redwingrill_beliefs_revision", "Revision of the beliefs"),
             store_era: gauge("redwingrill_store_era", "Era of the store in the beliefs"),
             open_connections: gauge("redwingrill_open_connections", "Connections of callers"),
@@ -135,6 +153,19 @@
         self.inner.latency.with_label_values(&[route]).observe(elapsed.as_secs_f64());
     }
 
+    /// Records the size of the prompt of a completed request.
+    pub fn prompt_ended(&self, route: &str, code: &str, prompt_tokens: u32) {
+        self.inner.prompts.with_label_values(&[route, code]).observe(f64::from(prompt_tokens));
+    }
+
+    /// Counts what left no upstream for a refused request.
+    pub fn shortage(&self, service: &str, shortage: &Shortage) {
+        for (limit, count) in shortage.counts() {
+            let counter = self.inner.shortages.with_label_values(&[service, limit]);
+            counter.inc_by(u64::from(count));
+        }
+    }
+
     /// Records the time to the first event of a stream.
     pub fn first_event(&self, route: &str, elapsed: Duration) {
         self.inner.first_event.with_label_values(&[route]).observe(elapsed.as_secs_f64());
@@ -229,7 +260,7 @@
 
 impl Inner {
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 16] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 19] = [
             Box::new(self.requests.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.first_event.clone()),
@@ -240,6 +271,9 @@
             Box::new(self.store_listings.clone()),
             Box::new(self.quarantine.clone()),
             Box::new(self.upstream_signals.clone()),
+            Box::new(self.assignments.clone()),
+            Box::new(self.prompts.clone()),
+            Box::new(self.shortages.clone()),
             Box::new(self.view_revision.clone()),
             Box::new(self.store_era.clone()),
             Box::new(self.open_connections.clone()),
--- a/crates/scheduling/src/coordination/coordinator.rs
+++ b/crates/scheduling/src/coordination/coordinator.rs
@@ -17,6 +17,7 @@
 use crate::scheduler::Choice;
 use crate::scheduler::RefusalCause;
 use crate::scheduler::Scheduler;
+use crate::scheduler::Shortage;
 use crate::scheduler::WaitQueue;
 use redwingrill_routing::CacheChange;
 
@@ -242,8 +243,12 @@
                 Choice::Refuse { cause: RefusalCause::NoUpstream, .. } => {
                     (Decision::NoUpstream, None)
                 }
-                Choice::Refuse { retry_after_ms, .. } => {
-                    (Decision::Refused { retry_after_ms }, None)
+                Choice::Refuse { cause, retry_after_ms } => {
+                    let shortage = match cause {
+                        RefusalCause::Overloaded(shortage) => shortage,
+                        _ => Shortage::default(),
+                    };
+                    (Decision::Refused { shortage, retry_after_ms }, None)
                 }
             };
             let Some(tracked) = self.requests.get_mut(&inquiry) else {
--- a/crates/scheduling/src/coordination/messages.rs
+++ b/crates/scheduling/src/coordination/messages.rs
@@ -12,6 +12,7 @@
 use crate::fleet::UpstreamTag;
 use crate::scheduler::Assignment;
 use crate::scheduler::ScheduleRequest;
+use crate::scheduler::Shortage;
 use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::PartId;
 use redwingrill_routing::PromptPart;
@@ -180,6 +181,8 @@
     NoUpstream,
     /// The request waited in vain.
     Refused {
+        /// What left no engine for it.
+        shortage: Shortage,
         /// The delay after which the caller should retry, in milliseconds.
         retry_after_ms: u64,
     },
--- a/crates/scheduling/src/coordination/requester.rs
+++ b/crates/scheduling/src/coordination/requester.rs
@@ -311,8 +311,8 @@
             }
             Decision::NoCapacity => self.resolve(key, Resolution::NoCapacity),
             Decision::NoUpstream => self.resolve(key, Resolution::Undecided),
-            Decision::Refused { retry_after_ms } => {
-                let cause = RefusalCause::Overloaded;
+            Decision::Refused { shortage, retry_after_ms } => {
+                let cause = RefusalCause::Overloaded(shortage);
                 self.resolve(key, Resolution::Refused { cause, retry_after_ms });
             }
         }
--- a/crates/scheduling/src/scheduler/choose.rs
+++ b/crates/scheduling/src/scheduler/choose.rs
@@ -14,11 +14,13 @@
 use super::RefusalCause;
 use super::ScheduleRequest;
 use super::Scheduler;
+use super::Shortage;
 use super::cost::pending_prefill_ms;
 use super::pacing::NodeShare;
 use super::pacing::Pacer;
 use super::pacing::RequestClass;
 use super::sampling::SampleBound;
+use super::shortage::CapacityLimit;
 use crate::engine_model::PrefillCurve;
 use crate::engine_model::PromptWork;
 use crate::engine_model::ServiceTimes;
@@ -257,16 +259,26 @@
     ) -> Result<Selection, NoCandidate> {
         let mut candidates = std::mem::take(&mut self.candidates);
         candidates.clear();
+        let mut shortage = Shortage::default();
         for strict in [true, false] {
-            let any_eligible =
-                self.collect_candidates(&mut candidates, request, context, strict, now_ms);
+            shortage = Shortage::default();
+            let any_eligible = self.collect_candidates(
+                &mut candidates,
+                &mut shortage,
+                request,
+                context,
+                strict,
+                now_ms,
+            );
             // An ejected upstream is better than none, but not better than a short wait.
             if any_eligible {
                 break;
             }
         }
         if let Some(node_share) = context.node_share {
+            let count = candidates.len();
             self.retain_affordable(&mut candidates, context.is_long, node_share, now_ms);
+            shortage.paced = u16::try_from(count - candidates.len()).unwrap_or(u16::MAX);
         }
         if let Some(sample_bound) = context.sample_bound {
             retain_sampled(&mut candidates, sample_bound, &mut self.rng);
@@ -282,6 +294,9 @@
             is_limited: best.is_limited,
         });
         self.candidates = candidates;
+        if best.is_none() {
+            self.shortage = shortage;
+        }
         best.ok_or_else(|| {
             let mut untried = self.fleet.of_service(&request.service);
             match untried.any(|(index, _)| !request.tried.contains(&index)) {
@@ -310,10 +325,12 @@
         }
     }
 
-    /// Collects the upstreams that have capacity for a request. Returns whether any is eligible.
+    /// Collects the upstreams that have capacity for a request, and counts the others by what rules
+    /// them out. Returns whether any is eligible.
     fn collect_candidates(
         &self,
         candidates: &mut Vec<Candidate>,
+        shortage: &mut Shortage,
         request: &ScheduleRequest,
         context: &RequestContext,
         strict: bool,
@@ -324,10 +341,13 @@
             if request.tried.contains(&index)
                 || !self.is_eligible(entry, request, context, strict, now_ms)
             {
+                shortage.closed = shortage.closed.saturating_add(1);
                 continue;
             }
             any_eligible = true;
-            if self.has_capacity(request, context, index, entry, now_ms) {
+            if let Some(limit) = self.exhausted_limit(request, context, index, entry, now_ms) {
+                shortage.count(limit);
+            } else {
                 let base_cost_ms = self.base_cost_ms(request, context, index, entry, now_ms);
                 let prompt_cost_ms = self.prompt_cost_ms(request, context, index, entry, now_ms);
                 let load_cost_ms = self.load_cost_ms(request, context, entry, now_ms);
@@ -343,42 +363,49 @@
         any_eligible
     }
 
-    /// Returns whether an upstream would start a request soon. Late requests get only half of the
-    /// limits.
-    fn has_capacity(
+    /// Returns the limit because of which an upstream would not start a request soon. Late requests
+    /// get only half of the limits.
+    fn exhausted_limit(
         &self,
         request: &ScheduleRequest,
         context: &RequestContext,
         index: UpstreamIndex,
         entry: &FleetEntry,
         now_ms: u64,
-    ) -> bool {
+    ) -> Option<CapacityLimit> {
         if !entry.signals.gate.allows(now_ms) {
-            return false;
+            return Some(CapacityLimit::Rate);
         }
         let (load, slots) = (entry.load(now_ms), entry.slots());
         if request.prompt.is_none() {
             let factor = if context.is_late { 1 } else { SERVICE_QUEUE_FACTOR };
             let limit = slots.saturating_mul(factor);
-            return load < limit;
+            return (load >= limit).then_some(CapacityLimit::Slots);
         }
         // An engine for short prompts takes a long one only if it is nearly idle and can fetch the
         // prefix.
         if context.is_long && context.roles.is_short(index) && context.roles.has_long() {
-            return entry.total_pending_prefill_tokens() == 0
+            let is_lent = entry.total_pending_prefill_tokens() == 0
                 && load < slots / BORROWED_SLOTS_DIVISOR
                 && !context.is_late
                 && self.can_fetch_prefix(request, entry, now_ms);
+            return (!is_lent).then_some(CapacityLimit::Role);
         }
         let limit_ms = pending_limit_ms(request, &context.times.curve);
         let (limit_ms, slots) = match context.is_late {
             true => (limit_ms / 2.0, slots / 2),
             false => (limit_ms, slots),
         };
+        if pending_prefill_ms(context, entry) >= limit_ms {
+            return Some(CapacityLimit::Prefill);
+        }
+        if load >= slots {
+            return Some(CapacityLimit::Slots);
+        }
         let fits = self.cache_tokens(&request.service).is_none_or(|tokens| {
             entry.total_reserved_tokens() < tokens * RUNNING_MEMORY_PERCENT / 100
         });
-        pending_prefill_ms(context, entry) < limit_ms && load < slots && (fits || !context.is_long)
+        (context.is_long && !fits).then_some(CapacityLimit::Memory)
     }
 
     /// Returns whether an upstream is eligible for a request. Health counts only if `strict`: an
--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -12,6 +12,7 @@
 use super::Assignment;
 use super::AttemptOutcome;
 use super::ScheduleRequest;
+use super::Shortage;
 use super::choose::Candidate;
 use super::pacing::NodeShare;
 use super::pacing::Pacer;
@@ -84,6 +85,8 @@
     models: HashMap<String, ServiceModel>,
     // A buffer that is reused between decisions.
     pub(super) candidates: Vec<Candidate>,
+    // Why the last request that had to wait found no upstream.
+    pub(super) shortage: Shortage,
     pub(super) peers: PeerLoads,
     short_arrivals: ArrivalCounter,
     long_arrivals: ArrivalCounter,
@@ -115,6 +118,7 @@
             pacer: Pacer::default(),
             models: HashMap::new(),
             candidates: Vec::new(),
+            shortage: Shortage::default(),
             peers: PeerLoads::default(),
             short_arrivals: ArrivalCounter::default(),
             long_arrivals: ArrivalCounter::default(),
--- a/crates/scheduling/src/scheduler/mod.rs
+++ b/crates/scheduling/src/scheduler/mod.rs
@@ -8,6 +8,7 @@
 mod pacing;
 mod request;
 mod sampling;
+mod shortage;
 mod signals;
 mod wait_queue;
 
@@ -18,4 +19,5 @@
 pub use request::Choice;
 pub use request::RefusalCause;
 pub use request::ScheduleRequest;
+pub use shortage::Shortage;
 pub use wait_queue::WaitQueue;
--- a/crates/scheduling/src/scheduler/request.rs
+++ b/crates/scheduling/src/scheduler/request.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use super::Shortage;
 use crate::engine_model::PromptWork;
 use crate::fleet::UpstreamIndex;
 use crate::placement::AffinityKey;
@@ -94,7 +95,7 @@
     /// No upstream of the service is available.
     NoUpstream,
     /// The load is so high that the response would come too late.
-    Overloaded,
+    Overloaded(Shortage),
     /// The retry budget does not allow another attempt.
     RepeatBudget,
     /// The node is stopping.
--- a/crates/scheduling/src/scheduler/signals.rs
+++ b/crates/scheduling/src/scheduler/signals.rs
@@ -91,7 +91,7 @@
         };
         let spread_ms = (wait_ms / 2).max(CLOSED_RETRY_AFTER_MS);
         let retry_after_ms = self.random_between(wait_ms, wait_ms + spread_ms);
-        Choice::Refuse { cause: RefusalCause::Overloaded, retry_after_ms }
+        Choice::Refuse { cause: RefusalCause::Overloaded(self.shortage), retry_after_ms }
     }
 
     /// Records that an upstream said that it leaves. Returns whether that is new.
--- a/crates/scheduling/src/scheduler/wait_queue.rs
+++ b/crates/scheduling/src/scheduler/wait_queue.rs
@@ -13,6 +13,7 @@
 use super::RefusalCause;
 use super::ScheduleRequest;
 use super::Scheduler;
+use super::Shortage;
 use super::choose::serving_ms;
 
 /// The percentage of its total time that a request may wait.
@@ -114,7 +115,8 @@
         let class = RequestClass { service: request.service.clone(), is_long };
         let queued_before = self.waiting.iter().filter(|waiting| waiting.class == class).count();
         if queued_before >= QUEUE_LIMIT.max(scheduler.slots_of(&request.service)) {
-            return vec![(responder, scheduler.refuse_overloaded(&request, now_ms))];
+            let refusal = scheduler.refuse_overloaded(&request, queued_before, now_ms);
+            return vec![(responder, refusal)];
         }
         let is_first = queued_before == 0;
         let curve = *scheduler.model_mut(&request.service).curve();
@@ -197,7 +199,8 @@
                 }
             }
             Choice::Wait => {
-                let refusal = scheduler.refuse_overloaded(&entry.request, now_ms);
+                let ahead = self.waiting.iter().filter(|known| known.class == entry.class).count();
+                let refusal = scheduler.refuse_overloaded(&entry.request, ahead, now_ms);
                 Some((entry.responder, refusal))
             }
             choice => Some((entry.responder, choice)),
@@ -218,12 +221,19 @@
         Choice::Refuse { cause: RefusalCause::Stopping, retry_after_ms }
     }
 
-    /// Refuses a request because of overload. The retry delay is randomized, so that requests
-    /// refused together do not return together.
-    fn refuse_overloaded(&mut self, request: &ScheduleRequest, now_ms: u64) -> Choice {
+    /// Refuses a request because of overload, with `ahead` requests of its class before it. The
+    /// retry delay is randomized, so that requests refused together do not return together.
+    fn refuse_overloaded(
+        &mut self,
+        request: &ScheduleRequest,
+        ahead: usize,
+        now_ms: u64,
+    ) -> Choice {
         let remaining_ms = request.deadline_ms.saturating_sub(now_ms);
         let limit_ms = (remaining_ms / 3).min(RETRY_AFTER_LIMIT_MS);
         let retry_after_ms = self.random_between(limit_ms / 2, limit_ms);
-        Choice::Refuse { cause: RefusalCause::Overloaded, retry_after_ms }
+        let ahead = u16::try_from(ahead).unwrap_or(u16::MAX);
+        let shortage = Shortage { ahead, ..self.shortage };
+        Choice::Refuse { cause: RefusalCause::Overloaded(shortage), retry_after_ms }
     }
 }
