--- a/crates/scheduling/tests/support/mod.rs
+++ b/crates/scheduling/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, reason = "each test file uses some of the fixtures")]
 
 pub mod batching;
+pub mod replay;
 
 use std::sync::Arc;
 use std::time::Duration;
