Let the size of a prompt have no part in who waits and who is refused

Cause, three rules that read the size of a prompt: - A request counted as late as soon as its own cold prefill no longer fitted into its target, so a large one was late after 1 s, a small one after 1.6 s, and late ones go behind all others. - The time that it may wait was shortened by the same. - Prompts below a threshold of tokens were of the class of short prompts, with another queue, other engines and other limits, so one kind was cut in two.

As all now become late after the same time, most would wait for it; so a request is refused at arrival if it would be late before its turn, by the rate at which its class leaves the queue, with two standard deviations in its favour.

Ruled out: strict order of arrival.

--- a/crates/gateway/src/dispatch/dispatcher.rs
+++ b/crates/gateway/src/dispatch/dispatcher.rs
@@ -16,6 +16,7 @@
 use redwingrill_routing::UpstreamSignals;
 use redwingrill_routing::WeightsVersion;
 use redwingrill_scheduling::coordination::CoordinationMessage;
+use redwingrill_scheduling::engine_model::RouteTag;
 use redwingrill_scheduling::fleet::LoadDigest;
 use redwingrill_scheduling::fleet::UpstreamIndex;
 use redwingrill_scheduling::scheduler::Assignment;
@@ -92,7 +93,12 @@
 #[derive(Debug)]
 pub(super) enum Message {
     /// A request for a service arrived.
-    CountRequest { service: String, prompt: Option<Arc<DeclaredPrompt>>, target_ms: u64 },
+    CountRequest {
+        service: String,
+        route: RouteTag,
+        prompt: Option<Arc<DeclaredPrompt>>,
+        target_ms: u64,
+    },
     /// A request needs an upstream.
     Choose { request: Box<ScheduleRequest>, purpose: Purpose, responder: Responder },
     /// A response head arrived.
@@ -162,15 +168,16 @@
         Self { messages }
     }
 
-    /// Counts a request for a service with a latency target, and its prompt.
+    /// Counts a request for a service by a route with a latency target, and its prompt.
     pub fn count_request(
         &self,
         service: &str,
+        route: RouteTag,
         prompt: Option<Arc<DeclaredPrompt>>,
         target: Duration,
     ) {
         let target_ms = target.as_millis() as u64;
-        self.send(Message::CountRequest { service: service.to_owned(), prompt, target_ms });
+        self.send(Message::CountRequest { service: service.to_owned(), route, prompt, target_ms });
     }
 
     /// Chooses an upstream, and waits for capacity if the purpose allows it. Every attempt but the
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -318,10 +318,10 @@
     fn handle(&mut self, message: Message) {
         let now_ms = now_ms();
         match message {
-            Message::CountRequest { service, prompt, target_ms } => {
+            Message::CountRequest { service, route, prompt, target_ms } => {
                 self.scheduler.count_request(&service, now_ms);
                 if let Some(prompt) = prompt {
-                    self.scheduler.count_prompt(&service, &prompt, target_ms, now_ms);
+                    self.scheduler.count_prompt(&service, route, &prompt, target_ms, now_ms);
                 }
             }
             Message::Choose { request, purpose, responder } => {
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -14,6 +14,7 @@
 use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::RequestMetadata;
 use redwingrill_routing::Route;
+use redwingrill_scheduling::engine_model::RouteTag;
 use redwingrill_scheduling::fleet::UpstreamIndex;
 use redwingrill_scheduling::scheduler::Assignment;
 use redwingrill_scheduling::scheduler::ScheduleRequest;
@@ -79,6 +80,7 @@
         let isolated = self.account.as_ref().filter(|account| account.is_isolated);
         ScheduleRequest {
             service: self.service.clone(),
+            route: RouteTag::of(&self.route.name),
             prompt: self.prompt.clone(),
             isolated_account: isolated.map(|account| account.name.clone()),
             urgency: self.urgency(),
--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -42,6 +42,7 @@
 use redwingrill_routing::RequestMetadata;
 use redwingrill_routing::Route;
 use redwingrill_routing::Upstream;
+use redwingrill_scheduling::engine_model::RouteTag;
 use redwingrill_scheduling::fleet::Verdict;
 use redwingrill_scheduling::scheduler::RefusalCause;
 use redwingrill_scheduling::scheduler::Shortage;
@@ -235,7 +236,8 @@
         head.headers.remove(header::CONTENT_LENGTH);
         let service = route.choose_service(rand::rng().random()).to_owned();
         let prompt = metadata.prompt.take().map(Arc::new);
-        self.context.dispatcher.count_request(&service, prompt.clone(), route.target_latency);
+        let tag = RouteTag::of(&route.name);
+        self.context.dispatcher.count_request(&service, tag, prompt.clone(), route.target_latency);
         let uri = origin_form(&head.uri);
         Ok(Call {
             metadata,
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -10,6 +10,7 @@
 use redwingrill_routing::Upstream;
 use redwingrill_routing::UpstreamState;
 use redwingrill_routing::WeightsVersion;
+use redwingrill_scheduling::engine_model::RouteTag;
 use redwingrill_scheduling::fleet::UpstreamIndex;
 use redwingrill_scheduling::retry_budget::RetryBudgetSpec;
 use redwingrill_scheduling::scheduler::ScheduleRequest;
@@ -50,6 +51,7 @@
     let now_ms = redwingrill_gateway::clock::now_ms();
     ScheduleRequest {
         service: "llm".to_owned(),
+        route: RouteTag::of("chat"),
         prompt: Some(Arc::new(DeclaredPrompt {
             model: "m".to_owned(),
             prompt_tokens: 200,
--- a/crates/scheduling/examples/choice.rs
+++ b/crates/scheduling/examples/choice.rs
@@ -11,6 +11,7 @@
 use redwingrill_routing::Upstream;
 use redwingrill_routing::UpstreamState;
 use redwingrill_routing::WeightsVersion;
+use redwingrill_scheduling::engine_model::RouteTag;
 use redwingrill_scheduling::retry_budget::RetryBudgetSpec;
 use redwingrill_scheduling::scheduler::Choice;
 use redwingrill_scheduling::scheduler::ScheduleRequest;
@@ -52,6 +53,7 @@
     };
     ScheduleRequest {
         service: "llm".to_owned(),
+        route: RouteTag::of(if is_long { "long" } else { "short" }),
         prompt: Some(Arc::new(prompt)),
         isolated_account: None,
         urgency: if is_long { 2 } else { 0 },
@@ -82,7 +84,7 @@
             let now_ms = number as u64 * 5;
             let request = request(number, now_ms);
             if let Some(prompt) = &request.prompt {
-                scheduler.count_prompt("llm", prompt, request.target_ms, now_ms);
+                scheduler.count_prompt("llm", request.route, prompt, request.target_ms, now_ms);
             }
             let begin = Instant::now();
             let choice = scheduler.choose(&request, now_ms);
--- a/crates/scheduling/src/coordination/coordinator.rs
+++ b/crates/scheduling/src/coordination/coordinator.rs
@@ -147,7 +147,7 @@
         let request = requirements.into_request(now_ms, index_of);
         if is_first && let Some(prompt) = request.prompt.clone() {
             let (service, target_ms) = (request.service.clone(), request.target_ms);
-            group.scheduler.count_prompt(&service, &prompt, target_ms, now_ms);
+            group.scheduler.count_prompt(&service, request.route, &prompt, target_ms, now_ms);
         }
         let tracked =
             TrackedRequest { reply_to: from, renewed_ms: now_ms, state: RequestState::Waiting };
--- a/crates/scheduling/src/coordination/messages.rs
+++ b/crates/scheduling/src/coordination/messages.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use super::GroupKey;
+use crate::engine_model::RouteTag;
 use crate::fleet::NodeLoad;
 use crate::fleet::UpstreamIndex;
 use crate::fleet::UpstreamTag;
@@ -71,6 +72,7 @@
 #[derive(Clone, PartialEq, Debug, Serialize, Deserialize)]
 pub struct Requirements {
     service: String,
+    route: RouteTag,
     model: String,
     prompt_tokens: u32,
     output_tokens_limit: u32,
@@ -98,6 +100,7 @@
         let prompt = request.prompt.as_deref()?;
         Some(Self {
             service: request.service.clone(),
+            route: request.route,
             model: prompt.model.clone(),
             prompt_tokens: prompt.prompt_tokens,
             output_tokens_limit: prompt.output_tokens_limit,
@@ -129,6 +132,7 @@
         };
         ScheduleRequest {
             service: self.service,
+            route: self.route,
             prompt: Some(Arc::new(prompt)),
             isolated_account: self.isolated_account,
             urgency: self.urgency,
--- a/crates/scheduling/src/engine_model/digest.rs
+++ b/crates/scheduling/src/engine_model/digest.rs
@@ -18,6 +18,17 @@
     }
 }
 
+/// A hash that identifies a route; its prompts are of one kind.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Default, Serialize, Deserialize)]
+pub struct RouteTag(pub u32);
+
+impl RouteTag {
+    /// Returns the tag of a route.
+    pub fn of(route: &str) -> Self {
+        Self(xxh3_64(route.as_bytes()) as u32)
+    }
+}
+
 /// What a node learned about the upstreams from its own requests.
 #[derive(Clone, PartialEq, Debug, Default, Serialize, Deserialize)]
 pub struct ModelDigest {
--- a/crates/scheduling/src/engine_model/mod.rs
+++ b/crates/scheduling/src/engine_model/mod.rs
@@ -25,6 +25,7 @@
 pub use curve::PrefillCurve;
 pub use curve::PromptWork;
 pub use digest::ModelDigest;
+pub use digest::RouteTag;
 pub use digest::ServiceTag;
 pub use fit::CurveFit;
 pub use pauses::PauseEstimate;
--- a/crates/scheduling/src/engine_model/service.rs
+++ b/crates/scheduling/src/engine_model/service.rs
@@ -1,10 +1,13 @@
 //! The model of one service.
 
+use std::collections::HashMap;
+
 use super::CurveFit;
 use super::EngineSpeed;
 use super::PauseEstimate;
 use super::PrefillCurve;
 use super::PromptWork;
+use super::RouteTag;
 
 /// The weight of one request in the averages.
 const SAMPLE_WEIGHT: f64 = 0.02;
@@ -43,21 +46,41 @@
     pub observed_ms: f64,
 }
 
-/// The usual prompts of one class.
+/// The mean prompt of a class. The first samples weigh alike, so that one of unusual size does not
+/// stand for the others.
 #[derive(Clone, Copy, Debug, Default)]
 struct UsualPrompt {
     prompt_tokens: f64,
     own_tokens: f64,
-    is_known: bool,
+    samples: f64,
 }
 
 impl UsualPrompt {
     fn observe(&mut self, prompt_tokens: f64, own_tokens: f64) {
-        if !self.is_known {
-            *self = Self { prompt_tokens, own_tokens, is_known: true };
-        }
-        self.prompt_tokens += SAMPLE_WEIGHT * (prompt_tokens - self.prompt_tokens);
-        self.own_tokens += SAMPLE_WEIGHT * (own_tokens - self.own_tokens);
+        self.samples += 1.0;
+        let weight = SAMPLE_WEIGHT.max(1.0 / self.samples);
+        self.prompt_tokens += weight * (prompt_tokens - self.prompt_tokens);
+        self.own_tokens += weight * (own_tokens - self.own_tokens);
+    }
+}
+
+/// The prompts of one route, which are of one kind.
+#[derive(Clone, Copy, Debug, Default)]
+struct PromptKind {
+    usual: UsualPrompt,
+    // The mean tokens, counting only prompts that are long by themselves.
+    long_tokens: UsualPrompt,
+}
+
+impl PromptKind {
+    fn observe(&mut self, prompt_tokens: f64, own_tokens: f64, is_long: bool) {
+        self.usual.observe(prompt_tokens, own_tokens);
+        self.long_tokens.observe(if is_long { prompt_tokens } else { 0.0 }, 0.0);
+    }
+
+    /// Returns whether most of the tokens are of prompts that are long by themselves.
+    fn is_long(&self) -> bool {
+        2.0 * self.long_tokens.prompt_tokens > self.usual.prompt_tokens
     }
 }
 
@@ -87,6 +110,7 @@
     tightest_target_ms: f64,
     short_prompt: UsualPrompt,
     long_prompt: UsualPrompt,
+    kinds: HashMap<RouteTag, PromptKind>,
     pauses: PauseEstimate,
 }
 
@@ -98,6 +122,7 @@
             tightest_target_ms: PRIOR_TARGET_MS,
             short_prompt: UsualPrompt::default(),
             long_prompt: UsualPrompt::default(),
+            kinds: HashMap::new(),
             pauses: PauseEstimate::default(),
         }
     }
@@ -129,12 +154,21 @@
         self.pauses.observe(longest_pause_ms);
     }
 
-    /// Records the arrival of a prompt with `own_tokens` that no other request shares.
-    pub fn observe_prompt(&mut self, prompt_tokens: u64, own_tokens: u64, target_ms: u64) {
+    /// Records the arrival of a prompt of a route, with `own_tokens` that no other request shares.
+    pub fn observe_prompt(
+        &mut self,
+        route: RouteTag,
+        prompt_tokens: u64,
+        own_tokens: u64,
+        target_ms: u64,
+    ) {
         let target_ms = (target_ms as f64).max(1.0);
         let drift_ms = TARGET_DRIFT * (target_ms - self.tightest_target_ms);
         self.tightest_target_ms = (self.tightest_target_ms + drift_ms).min(target_ms);
-        let usual = match self.is_long(prompt_tokens) {
+        let is_long = self.is_long_prompt(prompt_tokens);
+        let kind = self.kinds.entry(route).or_default();
+        kind.observe(prompt_tokens as f64, own_tokens as f64, is_long);
+        let usual = match self.is_long(route, prompt_tokens) {
             true => &mut self.long_prompt,
             false => &mut self.short_prompt,
         };
@@ -172,12 +206,33 @@
         }
     }
 
-    /// Returns whether the prefill of a prompt delays urgent requests noticeably.
-    pub fn is_long(&self, prompt_tokens: u64) -> bool {
+    /// Returns whether most of the prefill of a route's prompts delays urgent requests noticeably. All
+    /// prompts of a route are of one class, whatever their size.
+    pub fn is_long(&self, route: RouteTag, prompt_tokens: u64) -> bool {
+        let kind = self.kinds.get(&route);
+        kind.map_or_else(|| self.is_long_prompt(prompt_tokens), PromptKind::is_long)
+    }
+
+    fn is_long_prompt(&self, prompt_tokens: u64) -> bool {
         let work = PromptWork { unread_tokens: prompt_tokens, prompt_tokens };
         self.curve().prefill_ms(work) > self.tightest_target_ms * LONG_TARGET_SHARE
     }
 
+    /// Returns the prefill of a route's usual prompt at an engine that holds nothing of it; that of
+    /// `prompt_tokens` if no prompt of the route was seen.
+    pub fn usual_work(&self, route: RouteTag, prompt_tokens: u64) -> PromptWork {
+        let kind = self.kinds.get(&route);
+        let prompt_tokens = kind.map_or(prompt_tokens, |kind| kind.usual.prompt_tokens as u64);
+        PromptWork { unread_tokens: prompt_tokens, prompt_tokens }
+    }
+
+    /// Takes over what another model learned of the upstreams; what requests usually are stays.
+    pub fn follow(&mut self, other: &Self) {
+        self.fit = other.fit.clone();
+        self.fetch_share = other.fetch_share;
+        self.pauses = other.pauses;
+    }
+
     /// Returns the engine time of a usual short prompt: its prefill and its share of the decode
     /// steps.
     pub fn short_cost_ms(&self) -> f64 {
--- a/crates/scheduling/src/scheduler/choose.rs
+++ b/crates/scheduling/src/scheduler/choose.rs
@@ -181,7 +181,7 @@
                 node_share: None,
             };
         };
-        let is_long = model.is_long(u64::from(prompt.prompt_tokens));
+        let is_long = model.is_long(request.route, u64::from(prompt.prompt_tokens));
         let usual_cost_ms = if is_long { model.long_cost_ms() } else { model.short_cost_ms() };
         let long_shared_tokens = model.long_shared_tokens();
         let mut costs = PromptCosts {
@@ -563,6 +563,18 @@
     }
 }
 
+impl Scheduler {
+    /// Returns the expected time from sending a usual request of the route to its first event. It is
+    /// the same for all sizes, so that size does not decide who waits and who is refused.
+    pub(super) fn usual_serving_ms(&mut self, request: &ScheduleRequest) -> u64 {
+        let work = request.cold_work();
+        let model = self.model_mut(&request.service);
+        let usual_work = model.usual_work(request.route, work.prompt_tokens);
+        let usual_ms = model.curve().first_event_ms(usual_work);
+        (usual_ms + pending_limit_ms(request, model.curve()) / 2.0) as u64
+    }
+}
+
 /// Returns the expected time from sending a request to its first event, with the prefill that an
 /// engine may have in front of it.
 pub(super) fn serving_ms(request: &ScheduleRequest, curve: &PrefillCurve) -> u64 {
--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -19,6 +19,7 @@
 use crate::engine_model::FirstEventSample;
 use crate::engine_model::ModelDigest;
 use crate::engine_model::PromptWork;
+use crate::engine_model::RouteTag;
 use crate::engine_model::ServiceModel;
 use crate::engine_model::ServiceTag;
 use crate::fleet::ArrivalCounter;
@@ -234,10 +235,11 @@
         }
     }
 
-    /// Counts the arrival of a request of a service with a prompt and a latency target.
+    /// Counts the arrival of a request of a service and a route with a prompt and a latency target.
     pub fn count_prompt(
         &mut self,
         service: &str,
+        route: RouteTag,
         prompt: &DeclaredPrompt,
         target_ms: u64,
         now_ms: u64,
@@ -245,8 +247,8 @@
         let prompt_tokens = u64::from(prompt.prompt_tokens);
         let own_tokens = prompt_tokens.saturating_sub(u64::from(prompt.shared_tokens()));
         let model = self.model_mut(service);
-        model.observe_prompt(prompt_tokens, own_tokens, target_ms);
-        match model.is_long(prompt_tokens) {
+        model.observe_prompt(route, prompt_tokens, own_tokens, target_ms);
+        match model.is_long(route, prompt_tokens) {
             true => self.long_arrivals.count(now_ms),
             false => self.short_arrivals.count(now_ms),
         }
@@ -288,7 +290,7 @@
         let Some(prompt_tokens) = request.prompt.as_ref().map(|prompt| prompt.prompt_tokens) else {
             return false;
         };
-        self.model_mut(&request.service).is_long(u64::from(prompt_tokens))
+        self.model_mut(&request.service).is_long(request.route, u64::from(prompt_tokens))
     }
 
     /// Records the longest pause of a stream that ended well.
@@ -358,9 +360,16 @@
         NodeShare::fraction_of(own_per_s, all_per_s, self.members())
     }
 
-    /// Takes over the settings and the learned model of another scheduler of this node.
+    /// Takes over the settings and what another scheduler of this node learned of the upstreams.
     pub(super) fn copy_settings(&mut self, other: &Scheduler) {
-        self.models.clone_from(&other.models);
+        for (service, known) in &other.models {
+            match self.models.get_mut(service) {
+                Some(model) => model.follow(known),
+                None => {
+                    self.models.insert(service.clone(), known.clone());
+                }
+            }
+        }
         self.cache_tokens.clone_from(&other.cache_tokens);
     }
 
--- a/crates/scheduling/src/scheduler/mod.rs
+++ b/crates/scheduling/src/scheduler/mod.rs
@@ -1,5 +1,6 @@
 //! The scheduler, which chooses an upstream for each request.
 
+mod backlog;
 mod choose;
 mod core;
 mod cost;
--- a/crates/scheduling/src/scheduler/request.rs
+++ b/crates/scheduling/src/scheduler/request.rs
@@ -5,6 +5,7 @@
 
 use super::Shortage;
 use crate::engine_model::PromptWork;
+use crate::engine_model::RouteTag;
 use crate::fleet::UpstreamIndex;
 use crate::placement::AffinityKey;
 use crate::placement::Scope;
@@ -18,6 +19,8 @@
 pub struct ScheduleRequest {
     /// The requested service.
     pub service: String,
+    /// The route.
+    pub route: RouteTag,
     /// The prompt, if one is declared.
     pub prompt: Option<Arc<DeclaredPrompt>>,
     /// The client account, if its cached parts are isolated.
--- a/crates/scheduling/src/scheduler/wait_queue.rs
+++ b/crates/scheduling/src/scheduler/wait_queue.rs
@@ -3,10 +3,15 @@
 //! During an overload of several seconds, queues at the engines would make every request late, and
 //! none would meet its target. The node therefore sends only what the engines can prefill soon.
 //! Requests that can still meet their target go first, late requests get the remaining capacity,
-//! and requests whose wait expires are refused with a retry delay.
+//! and requests whose wait expires are refused with a retry delay. A request that would be late
+//! before its turn is refused at arrival.
 //!
-//! Invariant: requests of one class (service, long or short) leave in queue order.
+//! Invariants:
+//! - Requests of one class (service, long or short) leave in queue order.
+//! - The size of a prompt has no influence on its class, on when it counts as late, or on how long
+//!   it may wait: all requests of a route are treated alike.
 
+use std::collections::HashMap;
 use std::collections::HashSet;
 
 use super::Choice;
@@ -14,7 +19,7 @@
 use super::ScheduleRequest;
 use super::Scheduler;
 use super::Shortage;
-use super::choose::serving_ms;
+use super::backlog::Backlog;
 
 /// The percentage of its total time that a request may wait.
 const WAIT_PERCENT: u64 = 30;
@@ -38,8 +43,8 @@
 struct QueuedRequest<T> {
     request: ScheduleRequest,
     class: RequestClass,
-    // The expected time from sending the request to its first event, including the prefill in
-    // front of it.
+    // The expected time from sending a usual request of the route to its first event, including the
+    // prefill in front of it.
     serving_ms: u64,
     since_ms: u64,
     responder: T,
@@ -76,11 +81,13 @@
 #[derive(Debug)]
 pub struct WaitQueue<T> {
     waiting: Vec<QueuedRequest<T>>,
+    // Of each class of which a request waits.
+    backlogs: HashMap<RequestClass, Backlog>,
 }
 
 impl<T> Default for WaitQueue<T> {
     fn default() -> Self {
-        Self { waiting: Vec::new() }
+        Self { waiting: Vec::new(), backlogs: HashMap::new() }
     }
 }
 
@@ -118,23 +125,36 @@
             let refusal = scheduler.refuse_overloaded(&request, queued_before, now_ms);
             return vec![(responder, refusal)];
         }
-        let is_first = queued_before == 0;
-        let curve = *scheduler.model_mut(&request.service).curve();
-        let serving_ms = serving_ms(&request, &curve);
-        self.waiting.push(QueuedRequest {
-            request,
-            class,
-            serving_ms,
-            since_ms: now_ms,
-            responder,
-        });
-        match is_first {
-            true => {
-                let entry = self.waiting.pop().expect("entry was pushed above");
-                self.decide(scheduler, entry, now_ms).into_iter().collect()
+        let serving_ms = scheduler.usual_serving_ms(&request);
+        let entry = QueuedRequest { request, class, serving_ms, since_ms: now_ms, responder };
+        if queued_before == 0 {
+            let class = entry.class.clone();
+            let decision = self.decide(scheduler, entry, now_ms);
+            if decision.is_none() {
+                self.backlogs.insert(class, Backlog::new(now_ms));
             }
-            false => self.dispatch(scheduler, now_ms, |_| false),
+            return decision.into_iter().collect();
         }
+        if self.is_hopeless(&entry, now_ms) {
+            let refusal = scheduler.refuse_overloaded(&entry.request, queued_before, now_ms);
+            return vec![(entry.responder, refusal)];
+        }
+        self.waiting.push(entry);
+        self.dispatch(scheduler, now_ms, |_| false)
+    }
+
+    /// Returns whether a request that arrives would be late before its turn, by the rate at which
+    /// those of its class before it leave.
+    fn is_hopeless(&mut self, entry: &QueuedRequest<T>, now_ms: u64) -> bool {
+        let ahead = self.waiting.iter().filter(|known| {
+            known.class == entry.class
+                && known.request.urgency <= entry.request.urgency
+                && !known.is_late(now_ms)
+        });
+        let ahead = ahead.count();
+        let backlog = self.backlogs.get_mut(&entry.class);
+        let wait_ms = backlog.map_or(0, |backlog| backlog.min_wait_ms(ahead, now_ms));
+        !entry.is_late(now_ms) && entry.is_late(now_ms + wait_ms)
     }
 
     /// Sends queued requests while there is capacity. Requests for which `is_abandoned` returns
@@ -168,6 +188,8 @@
                 }
             }
         }
+        let waiting = &self.waiting;
+        self.backlogs.retain(|class, _| waiting.iter().any(|entry| entry.class == *class));
         decisions
     }
 
@@ -203,7 +225,14 @@
                 let refusal = scheduler.refuse_overloaded(&entry.request, ahead, now_ms);
                 Some((entry.responder, refusal))
             }
-            choice => Some((entry.responder, choice)),
+            choice => {
+                if let Choice::Send(_) = choice
+                    && let Some(backlog) = self.backlogs.get_mut(&entry.class)
+                {
+                    backlog.record_departure(now_ms);
+                }
+                Some((entry.responder, choice))
+            }
         }
     }
 
--- a/crates/scheduling/tests/engine_model.rs
+++ b/crates/scheduling/tests/engine_model.rs
@@ -11,6 +11,7 @@
 use redwingrill_scheduling::engine_model::PauseEstimate;
 use redwingrill_scheduling::engine_model::PrefillCurve;
 use redwingrill_scheduling::engine_model::PromptWork;
+use redwingrill_scheduling::engine_model::RouteTag;
 use redwingrill_scheduling::engine_model::ServiceModel;
 
 const PROMPTS: [u64; 6] = [200, 900, 2_400, 6_000, 13_000, 40_000];
@@ -138,6 +139,11 @@
     }
 }
 
+/// Prompts of each size have a route of their own.
+fn route_of(tokens: u64) -> RouteTag {
+    RouteTag(tokens as u32)
+}
+
 #[test]
 fn long_is_a_matter_of_engine_time_against_the_urgent_target() {
     let mut slow = ServiceModel::default();
@@ -147,7 +153,7 @@
             [(&mut slow, curve(93.0, 17.8, 0.31)), (&mut fast, curve(8.0, 1.0, 0.01))]
         {
             let unread_tokens = PROMPTS[step % PROMPTS.len()];
-            model.observe_prompt(unread_tokens, unread_tokens, 500);
+            model.observe_prompt(route_of(unread_tokens), unread_tokens, unread_tokens, 500);
             let sample = FirstEventSample {
                 work: work(unread_tokens),
                 fetched_tokens: 0,
@@ -157,8 +163,9 @@
             model.observe_first_event(&sample, &mut EngineSpeed::default());
         }
     }
-    assert!(slow.is_long(13_000) && !slow.is_long(380));
-    assert!(!fast.is_long(13_000), "a thirteenth of the time");
+    let is_long = |model: &ServiceModel, tokens| model.is_long(route_of(tokens), tokens);
+    assert!(is_long(&slow, 13_000) && !is_long(&slow, 380));
+    assert!(!is_long(&fast, 13_000), "a thirteenth of the time");
 }
 
 #[test]
--- a/crates/scheduling/tests/engine_sheets.rs
+++ b/crates/scheduling/tests/engine_sheets.rs
@@ -31,6 +31,7 @@
 use redwingrill_scheduling::engine_model::FirstEventSample;
 use redwingrill_scheduling::engine_model::PrefillCurve;
 use redwingrill_scheduling::engine_model::PromptWork;
+use redwingrill_scheduling::engine_model::RouteTag;
 use redwingrill_scheduling::engine_model::ServiceModel;
 use redwingrill_scheduling::fleet::Verdict;
 use redwingrill_scheduling::scheduler::Assignment;
@@ -227,7 +228,7 @@
             let sample =
                 FirstEventSample { work, fetched_tokens: 0, queued_tokens: 0, observed_ms };
             model.observe_first_event(&sample, &mut EngineSpeed::default());
-            model.observe_prompt(tokens, tokens, self.sheet.short_target_ms);
+            model.observe_prompt(RouteTag::default(), tokens, tokens, self.sheet.short_target_ms);
         }
         for (scheduler, _) in &mut self.nodes {
             scheduler.set_model(SERVICE, model.clone());
@@ -278,6 +279,7 @@
         };
         let target_ms = if is_long { sheet.long_target_ms } else { sheet.short_target_ms };
         let request = ScheduleRequest {
+            route: support::route(is_long),
             urgency: u8::from(is_long),
             deadline_ms: now_ms + target_ms * 10,
             leaves_ms: now_ms + (target_ms * 4).max(2_000),
--- a/crates/scheduling/tests/support/mod.rs
+++ b/crates/scheduling/tests/support/mod.rs
@@ -13,6 +13,7 @@
 use redwingrill_routing::Upstream;
 use redwingrill_routing::UpstreamState;
 use redwingrill_routing::WeightsVersion;
+use redwingrill_scheduling::engine_model::RouteTag;
 use redwingrill_scheduling::retry_budget::RetryBudgetSpec;
 use redwingrill_scheduling::scheduler::Assignment;
 use redwingrill_scheduling::scheduler::Choice;
@@ -81,6 +82,7 @@
     let is_long = prompt.as_ref().is_some_and(|prompt| prompt.prompt_tokens > 2_048);
     ScheduleRequest {
         service: SERVICE.to_owned(),
+        route: route(is_long),
         prompt: prompt.map(Arc::new),
         isolated_account: None,
         urgency: if is_long { 2 } else { 0 },
@@ -94,6 +96,11 @@
     }
 }
 
+/// Returns the route of long or short prompts.
+pub fn route(is_long: bool) -> RouteTag {
+    RouteTag::of(if is_long { "long" } else { "short" })
+}
+
 pub fn expect_sent(choice: Choice) -> Assignment {
     match choice {
         Choice::Send(assignment) => *assignment,
@@ -104,5 +111,5 @@
 /// Counts the arrival of a request's prompt.
 pub fn count_prompt(scheduler: &mut Scheduler, request: &ScheduleRequest, now_ms: u64) {
     let prompt = request.prompt.as_deref().expect("request has a prompt");
-    scheduler.count_prompt(&request.service, prompt, request.target_ms, now_ms);
+    scheduler.count_prompt(&request.service, request.route, prompt, request.target_ms, now_ms);
 }
--- a/crates/scheduling/tests/support/replay.rs
+++ b/crates/scheduling/tests/support/replay.rs
@@ -20,6 +20,7 @@
 use super::count_prompt;
 use super::engine;
 use super::prompt;
+use super::route;
 use super::scheduler;
 use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::ReportedLoad;
@@ -416,6 +417,7 @@
             false => (500, 4_000),
         };
         let request = ScheduleRequest {
+            route: route(known.is_long),
             urgency: if known.is_long { 2 } else { 0 },
             deadline_ms: known.deadline_ms,
             target_ms,
