Tell coordinators and nodes which engines a rejection proves to be gone

Cause: an engine that crashes and starts again at once has another identity at the same address. The list tells 2.7 s later (median). A 421 made one node skip the engine for 400 ms; the coordinator, which assigns it to all nodes, was not told, and nothing told an end from other weights. Class: evidence that one node has is not used where the decision is made.

Change: a rejection is read as an end or as other weights. A start that has ended gets nothing from this node, is named in reports and digests for 2 s and forgotten after 10. Of two listed starts at one address only the later one is used. Logged as upstream_ended, counted in redwingrill_upstream_signals.

Why it works: a start never runs again, so evidence of its end cannot be overtaken, and reports reach the coordinator within a tick.

Red before: coordinator_assigns_an_engine_that_another_node_found_gone (15 of 60 assignments named it, with the old outcome type).

--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -8,6 +8,7 @@
 use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::ResponseMetadata;
 use redwingrill_routing::UpstreamSignals;
+use redwingrill_scheduling::fleet::Misdirection;
 use redwingrill_scheduling::fleet::Verdict;
 use redwingrill_scheduling::scheduler::Assignment;
 use redwingrill_scheduling::scheduler::AttemptOutcome;
@@ -95,7 +96,13 @@
         if let Some(evidence) = self.evidence() {
             self.dispatcher.send(Message::AttemptBroken { evidence });
         }
-        self.end(Verdict::Failed, false);
+        self.end(Verdict::Failed);
+    }
+
+    /// Ends an attempt that was rejected because it was for another upstream or other weights.
+    pub fn end_misdirected(mut self, misdirection: Misdirection) {
+        let (verdict, misdirection) = (Verdict::Unknown, Some(misdirection));
+        self.outcome = Some(AttemptOutcome { verdict, misdirection });
     }
 
     fn evidence(&self) -> Option<Box<AttemptEvidence>> {
@@ -105,20 +112,20 @@
     }
 
     /// Ends the attempt. A served one has received its whole answer.
-    pub fn end(mut self, verdict: Verdict, is_misdirected: bool) {
+    pub fn end(mut self, verdict: Verdict) {
         if verdict == Verdict::Served
             && self.is_conclusive
             && let Some(evidence) = self.evidence()
         {
             self.dispatcher.send(Message::AttemptCompleted { evidence });
         }
-        self.outcome = Some(AttemptOutcome { verdict, is_misdirected });
+        self.outcome = Some(AttemptOutcome { verdict, misdirection: None });
     }
 }
 
 impl Drop for Attempt {
     fn drop(&mut self) {
-        let unknown = AttemptOutcome { verdict: Verdict::Unknown, is_misdirected: false };
+        let unknown = AttemptOutcome { verdict: Verdict::Unknown, misdirection: None };
         let pending_prefill_tokens =
             if self.is_prefill_pending { self.assignment.pending_prefill_tokens } else { 0 };
         self.dispatcher.send(Message::AttemptEnded {
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -32,6 +32,7 @@
 use redwingrill_scheduling::coordination::RequestOptions;
 use redwingrill_scheduling::coordination::Resolution;
 use redwingrill_scheduling::coordination::Resolved;
+use redwingrill_scheduling::fleet::Misdirection;
 use redwingrill_scheduling::fleet::UpstreamIndex;
 use redwingrill_scheduling::fleet::UpstreamTag;
 use redwingrill_scheduling::quarantine::BrokenAttempt;
@@ -348,20 +349,21 @@
             }
             Message::AttemptEnded { index, pending_prefill_tokens, reserved_tokens, outcome } => {
                 self.record_change(index);
-                if outcome.is_misdirected
-                    && let Some(entry) = self.scheduler.fleet().get(index)
-                    && !entry.upstream.models.is_empty()
-                {
-                    // One of several reports is enough.
-                    let _full = self.misdirected.try_send(entry.upstream.clone()).is_err();
+                if outcome.misdirection.is_some_and(|known| known != Misdirection::Ended) {
+                    self.inquire_weights(index);
                 }
-                if self.scheduler.record_attempt_end(
+                let effect = self.scheduler.record_attempt_end(
                     index,
                     pending_prefill_tokens,
                     reserved_tokens,
                     &outcome,
                     now_ms,
-                ) && let Some(entry) = self.scheduler.fleet().get(index)
+                );
+                if effect.has_ended {
+                    self.report_ended(index, "own");
+                }
+                if effect.is_ejected
+                    && let Some(entry) = self.scheduler.fleet().get(index)
                 {
                     info!(
                         "event=upstream_rests upstream={} failure_share={:.2}",
@@ -379,7 +381,9 @@
                 if let Some(stored) = &digest.cache_store {
                     self.coordination.merge_cache_store(stored, now_ms);
                 }
-                self.scheduler.observe_peer(*digest, now_ms);
+                for index in self.scheduler.observe_peer(*digest, now_ms) {
+                    self.report_ended(index, "peer");
+                }
             }
             Message::Coordination { from, message } => {
                 self.coordination.receive(&mut self.scheduler, from, *message, now_ms);
@@ -418,6 +422,22 @@
         }
     }
 
+    fn report_ended(&self, index: UpstreamIndex, source: &str) {
+        let Some(entry) = self.scheduler.fleet().get(index) else { return };
+        self.metrics.upstream_signal("ended");
+        info!("event=upstream_ended upstream={} source={source}", entry.upstream.id);
+    }
+
+    /// Lets an engine be asked for its weights, since it rejected a request.
+    fn inquire_weights(&self, index: UpstreamIndex) {
+        if let Some(entry) = self.scheduler.fleet().get(index)
+            && !entry.upstream.models.is_empty()
+        {
+            // One of several reports is enough.
+            let _full = self.misdirected.try_send(entry.upstream.clone()).is_err();
+        }
+    }
+
     /// Takes what an upstream says of itself in an answer to a request that was sent at `sent_ms`.
     fn observe_signals(
         &mut self,
@@ -613,7 +633,7 @@
                 "in_flight": entry.in_flight,
                 "unread_tokens": entry.pending_prefill_tokens,
                 "load": entry.load(now_ms),
-                "is_open": entry.accepts_requests(now_ms),
+                "is_open": self.scheduler.fleet().accepts_requests(entry, now_ms),
                 "is_loading": entry.is_loading,
                 "is_leaving": entry.signals.leaving_since_ms.is_some(),
                 "paused_ms": entry.signals.paused_until_ms.saturating_sub(now_ms),
--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -387,7 +387,7 @@
                 self.record_failure(call, "lost", &e.to_string());
                 match e {
                     TransportError::Broken { .. } => attempt.end_broken(),
-                    _ => attempt.end(Verdict::Failed, false),
+                    _ => attempt.end(Verdict::Failed),
                 }
                 ensure_retryable(call, ResultCode::UpstreamFailed, e.to_string())?;
                 return Ok(None);
@@ -425,7 +425,7 @@
             true if wants_pause => Verdict::Refused,
             true => Verdict::Failed,
         };
-        attempt.end(verdict, false);
+        attempt.end(verdict);
         if is_failure && call.may_retry() && call.remaining() > MIN_REMAINING_TIME {
             self.record_failure(call, "failed", parts.status.as_str());
             return Ok(None);
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -346,7 +346,7 @@
                 let UpstreamResponse { parts, body, mut attempt, wants_pause } = *response;
                 if parts.status != StatusCode::OK {
                     let verdict = if wants_pause { Verdict::Refused } else { Verdict::Failed };
-                    attempt.end(verdict, false);
+                    attempt.end(verdict);
                     return false;
                 }
                 attempt.report_prefilled();
@@ -374,7 +374,7 @@
     fn end_attempt(&mut self, verdict: Verdict) {
         match self.attempt.take() {
             Some(attempt) if self.is_broken => attempt.end_broken(),
-            Some(attempt) => attempt.end(verdict, false),
+            Some(attempt) => attempt.end(verdict),
             None => {}
         }
     }
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -11,6 +11,8 @@
 use crate::dispatch::Attempt;
 use redwingrill_routing::HeadCodec;
 use redwingrill_routing::UpstreamSignals;
+use redwingrill_scheduling::fleet::Misdirection;
+use redwingrill_scheduling::fleet::StatedUpstream;
 use redwingrill_scheduling::fleet::Verdict;
 use redwingrill_transport::Freshness;
 use redwingrill_transport::Pool;
@@ -75,11 +77,18 @@
     let mut metadata = codec.decode_response(&parts.headers);
     // A refusal, too, may have been written for an earlier request on the connection.
     if metadata.request_id.as_deref() != Some(call.metadata.id.as_str()) {
-        attempt.end(Verdict::Failed, false);
+        attempt.end(Verdict::Failed);
         return SendOutcome::Lost { reason: "the response belongs to another request".to_owned() };
     }
     if parts.status == StatusCode::MISDIRECTED_REQUEST {
-        attempt.end(Verdict::Unknown, true);
+        let expected =
+            StatedUpstream { id: Some(&assignment.upstream.id), version: assignment.version };
+        let answered = StatedUpstream {
+            id: metadata.upstream_id.as_deref(),
+            version: metadata.weights_version,
+        };
+        let misdirection = Misdirection::of(expected, answered);
+        attempt.end_misdirected(misdirection);
         return drain_refusal(parts.status, body).await;
     }
     attempt.report_head(&metadata);
@@ -92,7 +101,7 @@
         attempt.report_signals(&metadata.signals);
     }
     if metadata.has_not_run {
-        attempt.end(Verdict::Refused, false);
+        attempt.end(Verdict::Refused);
         return drain_refusal(parts.status, body).await;
     }
     let mismatch = if !metadata.is_signed {
@@ -103,7 +112,7 @@
         None
     };
     if let Some(reason) = mismatch {
-        attempt.end(Verdict::Failed, false);
+        attempt.end(Verdict::Failed);
         return SendOutcome::Lost { reason: reason.to_owned() };
     }
     let wants_pause = metadata.signals.retry_after.is_some();
@@ -125,15 +134,15 @@
     let reason = error.to_string();
     match error {
         TransportError::Unreachable { .. } => {
-            attempt.end(Verdict::Unreachable, false);
+            attempt.end(Verdict::Unreachable);
             SendOutcome::NotSent { reason }
         }
         TransportError::NotSent => {
-            attempt.end(Verdict::Unknown, false);
+            attempt.end(Verdict::Unknown);
             SendOutcome::NotSent { reason }
         }
         TransportError::Silent { .. } => {
-            attempt.end(Verdict::Failed, false);
+            attempt.end(Verdict::Failed);
             SendOutcome::TimedOut
         }
         TransportError::Broken { .. } => {
@@ -141,7 +150,7 @@
             SendOutcome::Lost { reason }
         }
         TransportError::TooLarge { .. } | TransportError::BuffersFull => {
-            attempt.end(Verdict::Failed, false);
+            attempt.end(Verdict::Failed);
             SendOutcome::Lost { reason }
         }
     }
--- a/crates/gateway/tests/attempt_evidence.rs
+++ b/crates/gateway/tests/attempt_evidence.rs
@@ -75,7 +75,7 @@
         if !case.is_framed {
             answered.mark_inconclusive();
         }
-        answered.end(Verdict::Served, false);
+        answered.end(Verdict::Served);
         requests.send_and_break().await;
         tokio::time::sleep(HEARING).await;
         let next = requests.send().await;
--- a/crates/scheduling/src/coordination/coordinator.rs
+++ b/crates/scheduling/src/coordination/coordinator.rs
@@ -211,7 +211,8 @@
                 self.scheduler.release_assignment(&assignment);
             }
         }
-        self.scheduler.observe_node_load(report.node, report.sequence, report.upstreams, now_ms);
+        let LoadReport { node, sequence, upstreams, ended, .. } = report;
+        self.scheduler.observe_node_load(node, sequence, upstreams, &ended, now_ms);
     }
 
     fn dispatch(&mut self, key: GroupKey, now_ms: u64) -> Vec<Addressed> {
--- a/crates/scheduling/src/coordination/messages.rs
+++ b/crates/scheduling/src/coordination/messages.rs
@@ -8,6 +8,7 @@
 
 use super::GroupKey;
 use crate::engine_model::RouteTag;
+use crate::fleet::EndStatement;
 use crate::fleet::NodeLoad;
 use crate::fleet::UpstreamIndex;
 use crate::fleet::UpstreamTag;
@@ -159,6 +160,8 @@
     /// The numbers of the run's inquiries whose assignments arrived recently: those in use are part
     /// of the load, the others were not used.
     pub settled: Vec<u64>,
+    /// Starts of engines that the node found to have ended.
+    pub ended: Vec<EndStatement>,
 }
 
 /// The decision on a request for an assignment.
--- a/crates/scheduling/src/coordination/requester.rs
+++ b/crates/scheduling/src/coordination/requester.rs
@@ -616,7 +616,8 @@
         state.reported_ms = now_ms;
         state.reported_to = Some(to);
         let settled = state.settled.iter().map(|(id, _)| *id).collect();
-        LoadReport { node, sequence, upstreams, settled }
+        let ended = scheduler.fleet().end_statements(now_ms);
+        LoadReport { node, sequence, upstreams, settled, ended }
     }
 
     fn send_reports(&mut self, scheduler: &mut Scheduler, now_ms: u64) {
--- a/crates/scheduling/src/fleet/digest.rs
+++ b/crates/scheduling/src/fleet/digest.rs
@@ -11,6 +11,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::EndStatement;
 use crate::engine_model::ModelDigest;
 use crate::placement::CacheStoreDigest;
 use crate::placement::PrefixTag;
@@ -84,6 +85,8 @@
     pub quarantine: QuarantineDigest,
     /// What upstreams stated to the node recently about their rate limits.
     pub limits: Vec<LimitStatement>,
+    /// Starts that the node found to have ended.
+    pub ended: Vec<EndStatement>,
 }
 
 /// The latest digests of the other nodes.
--- a/crates/scheduling/src/fleet/mod.rs
+++ b/crates/scheduling/src/fleet/mod.rs
@@ -2,7 +2,9 @@
 
 mod arrivals;
 mod digest;
+mod ended;
 mod health;
+mod misdirection;
 mod table;
 
 pub use arrivals::ArrivalCounter;
@@ -13,8 +15,12 @@
 pub use digest::PeerLoads;
 pub use digest::UpstreamTag;
 pub use digest::digest_round_ms;
+pub use ended::EndStatement;
+pub use ended::EndedStarts;
 pub use health::Health;
 pub use health::Verdict;
+pub use misdirection::Misdirection;
+pub use misdirection::StatedUpstream;
 pub use table::Fleet;
 pub use table::FleetEntry;
 pub use table::UpstreamIndex;
--- a/crates/scheduling/src/fleet/table.rs
+++ b/crates/scheduling/src/fleet/table.rs
@@ -6,8 +6,11 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
+use super::EndStatement;
+use super::EndedStarts;
 use super::Health;
 use super::NodeLoad;
 use super::PeerLoads;
@@ -65,6 +68,8 @@
     reported_versions: HashMap<String, WeightsVersion>,
     skipped_until_ms: u64,
     warm_at_ms: u64,
+    // Whether another start is listed later at the address.
+    is_superseded: bool,
 }
 
 impl FleetEntry {
@@ -87,15 +92,16 @@
             reported_versions: HashMap::new(),
             skipped_until_ms: 0,
             warm_at_ms,
+            is_superseded: false,
         }
     }
 
-    /// Returns whether the upstream may receive new requests, regardless of its health.
-    pub fn accepts_requests(&self, now_ms: u64) -> bool {
+    fn accepts_requests(&self, now_ms: u64) -> bool {
         self.upstream.state == UpstreamState::Ready
             && !self.is_loading
             && !self.signals.is_closed(now_ms)
             && now_ms >= self.skipped_until_ms
+            && !self.is_superseded
     }
 
     /// Returns whether the upstream is still slow after its start.
@@ -203,6 +209,7 @@
     loading: HashSet<String>,
     // What starts that are no longer listed said of themselves, and when they were removed.
     unlisted_signals: HashMap<UpstreamTag, (SignalState, u64)>,
+    ended: EndedStarts,
     next_index: u64,
 }
 
@@ -229,9 +236,46 @@
         }
         self.by_id = kept;
         self.mark_loading();
+        self.mark_superseded();
         removed
     }
 
+    /// Marks the entries whose address a later start has. The list may lose them only later.
+    fn mark_superseded(&mut self) {
+        let mut latest: HashMap<SocketAddr, Option<u64>> = HashMap::new();
+        for entry in self.entries.values() {
+            let started = latest.entry(entry.upstream.address).or_default();
+            *started = (*started).max(entry.upstream.started_unix_ms);
+        }
+        for entry in self.entries.values_mut() {
+            let Upstream { address, started_unix_ms, .. } = *entry.upstream;
+            entry.is_superseded = latest.get(&address).is_some_and(|last| *last > started_unix_ms);
+        }
+    }
+
+    /// Returns whether an upstream may receive new requests, regardless of its health.
+    pub fn accepts_requests(&self, entry: &FleetEntry, now_ms: u64) -> bool {
+        entry.accepts_requests(now_ms) && !self.ended.contains(entry.start_tag, now_ms)
+    }
+
+    /// Records that another upstream answered in place of this one. Returns whether that is news.
+    pub fn record_ended(&mut self, index: UpstreamIndex, now_ms: u64) -> bool {
+        let start = self.entries.get(&index).map(|entry| entry.start_tag);
+        start.is_some_and(|start| self.ended.record(start, now_ms))
+    }
+
+    /// Takes the evidence of another node. Returns the listed upstreams of which it is news.
+    pub fn merge_ended(&mut self, statements: &[EndStatement], now_ms: u64) -> Vec<UpstreamIndex> {
+        let news = self.ended.merge(statements, now_ms);
+        let listed = self.entries.iter().filter(|(_, entry)| news.contains(&entry.start_tag));
+        listed.map(|(index, _)| *index).collect()
+    }
+
+    /// Returns the recent evidence of this node that starts have ended.
+    pub fn end_statements(&self, now_ms: u64) -> Vec<EndStatement> {
+        self.ended.statements(now_ms)
+    }
+
     fn upsert(&mut self, upstream: &Arc<Upstream>, now_ms: u64) -> UpstreamIndex {
         let known = self.by_id.get(&upstream.id).copied();
         if let Some(index) = known
@@ -312,6 +356,7 @@
     /// Takes over what another table of this node knows of the same starts, except their load.
     pub(crate) fn follow(&mut self, node: &Fleet) {
         self.set_loading(node.loading.clone());
+        self.ended.follow(&node.ended);
         for entry in self.entries.values_mut() {
             let known =
                 node.by_id.get(&entry.upstream.id).and_then(|index| node.entries.get(index));
--- a/crates/scheduling/src/scheduler/choose.rs
+++ b/crates/scheduling/src/scheduler/choose.rs
@@ -202,7 +202,8 @@
         let engines = engines.filter_map(|(index, entry)| {
             let version = entry.version_of(&prompt.model)?;
             let is_newest = version >= self.newest(&prompt.model);
-            let is_eligible = entry.accepts_requests(now_ms) && !entry.health.is_ejected(now_ms);
+            let is_eligible =
+                self.fleet.accepts_requests(entry, now_ms) && !entry.health.is_ejected(now_ms);
             let is_limited = entry.signals.gate.limit().is_some();
             is_eligible.then_some((index, entry.upstream.id.as_str(), is_newest, is_limited))
         });
@@ -418,7 +419,7 @@
         strict: bool,
         now_ms: u64,
     ) -> bool {
-        if !entry.accepts_requests(now_ms)
+        if !self.fleet.accepts_requests(entry, now_ms)
             || entry.in_flight >= self.own_connection_limit(&request.service)
         {
             return false;
--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -10,6 +10,7 @@
 use rand::rngs::SmallRng;
 
 use super::Assignment;
+use super::AttemptEffect;
 use super::AttemptOutcome;
 use super::ScheduleRequest;
 use super::Shortage;
@@ -25,6 +26,7 @@
 use crate::fleet::ArrivalCounter;
 use crate::fleet::Fleet;
 use crate::fleet::LoadDigest;
+use crate::fleet::Misdirection;
 use crate::fleet::PeerLoads;
 use crate::fleet::UpstreamIndex;
 use crate::fleet::UpstreamTag;
@@ -156,7 +158,10 @@
     }
 
     /// Merges the load digest of another node.
-    pub fn observe_peer(&mut self, mut digest: LoadDigest, now_ms: u64) {
+    ///
+    /// Returns the upstreams that have ended and of which it is news.
+    pub fn observe_peer(&mut self, mut digest: LoadDigest, now_ms: u64) -> Vec<UpstreamIndex> {
+        let ended = self.fleet.merge_ended(&digest.ended, now_ms);
         if let Some(stored) = digest.cache_store.take() {
             self.cache_index.cache_store_mut().merge_peer_digest(stored, now_ms);
         }
@@ -172,6 +177,7 @@
         self.quarantine.merge(digest.node, &digest.quarantine, now_ms);
         self.peers.observe(digest, now_ms);
         self.fleet.set_peer_loads(&self.peers);
+        ended
     }
 
     /// Merges what another node learned about the upstreams.
@@ -227,6 +233,7 @@
             model: self.model_digest(),
             quarantine: self.quarantine.digest(now_ms),
             limits: self.limit_statements(now_ms),
+            ended: self.fleet.end_statements(now_ms),
             node,
             sequence: self.sequence,
             upstreams: upstreams.collect(),
@@ -536,8 +543,7 @@
     }
 
     /// Records the end of one attempt; `pending_prefill_tokens` is zero if
-    /// [`Scheduler::record_prefill_done`] was called before. Returns whether the upstream is
-    /// ejected by it.
+    /// [`Scheduler::record_prefill_done`] was called before. Returns what it changes.
     pub fn record_attempt_end(
         &mut self,
         index: UpstreamIndex,
@@ -545,16 +551,19 @@
         reserved_tokens: u64,
         outcome: &AttemptOutcome,
         now_ms: u64,
-    ) -> bool {
-        let Some(entry) = self.fleet.get_mut(index) else { return false };
+    ) -> AttemptEffect {
+        let Some(entry) = self.fleet.get_mut(index) else { return AttemptEffect::default() };
         entry.record_end(reserved_tokens);
         entry.record_prefill(pending_prefill_tokens);
-        if outcome.is_misdirected {
-            entry.record_misdirected(now_ms);
-        } else if outcome.verdict == Verdict::Refused {
-            entry.skip_for(REFUSED_SKIP_MS, now_ms);
+        match outcome.misdirection {
+            Some(_) => entry.record_misdirected(now_ms),
+            None if outcome.verdict == Verdict::Refused => entry.skip_for(REFUSED_SKIP_MS, now_ms),
+            None => {}
         }
-        entry.health.observe(outcome.verdict, now_ms)
+        let is_ejected = entry.health.observe(outcome.verdict, now_ms);
+        let has_ended = outcome.misdirection == Some(Misdirection::Ended)
+            && self.fleet.record_ended(index, now_ms);
+        AttemptEffect { is_ejected, has_ended }
     }
 }
 
--- a/crates/scheduling/src/scheduler/delegation.rs
+++ b/crates/scheduling/src/scheduler/delegation.rs
@@ -10,6 +10,7 @@
 use super::SchedulerOptions;
 use super::choose::OLD_WEIGHTS_MARGIN_MS;
 use crate::coordination::Grant;
+use crate::fleet::EndStatement;
 use crate::fleet::LoadDigest;
 use crate::fleet::NodeLoad;
 use crate::fleet::UpstreamTag;
@@ -45,14 +46,16 @@
         self.live_prefixes = self.cache_index.live_prefixes(now_ms);
     }
 
-    /// Records the load of a node's requests.
+    /// Records the load of a node's requests, and the starts that it found to have ended.
     pub(crate) fn observe_node_load(
         &mut self,
         node: u64,
         sequence: u64,
         upstreams: Vec<(UpstreamTag, NodeLoad)>,
+        ended: &[EndStatement],
         now_ms: u64,
     ) {
+        self.fleet.merge_ended(ended, now_ms);
         let digest = LoadDigest { node, sequence, upstreams, ..LoadDigest::default() };
         self.peers.observe(digest, now_ms);
         self.fleet.set_peer_loads(&self.peers);
@@ -95,7 +98,7 @@
         let excluded = engines.filter(|(index, entry)| {
             let health = &entry.health;
             request.tried.contains(index)
-                || !entry.accepts_requests(now_ms)
+                || !self.fleet.accepts_requests(entry, now_ms)
                 || !entry.signals.gate.allows(now_ms)
                 || entry.in_flight >= connections
                 || !self.may_begin_on(request, entry.version_of(model), now_ms)
@@ -130,10 +133,11 @@
         }
         let pauses = self.model_mut(&request.service).pauses();
         let stall_timeout_ms = pauses.stall_timeout_ms(request.pause_target_ms);
-        let entry = self.fleet.get_mut(index)?;
-        if !entry.accepts_requests(now_ms) || !entry.signals.gate.allows(now_ms) {
+        let entry = self.fleet.get(index)?;
+        if !self.fleet.accepts_requests(entry, now_ms) || !entry.signals.gate.allows(now_ms) {
             return None;
         }
+        let entry = self.fleet.get_mut(index)?;
         entry.record_sent(grant.pending_prefill_tokens, grant.reserved_tokens);
         entry.signals.gate.spend(now_ms);
         let prompt = request.prompt.as_deref();
--- a/crates/scheduling/src/scheduler/mod.rs
+++ b/crates/scheduling/src/scheduler/mod.rs
@@ -15,6 +15,7 @@
 
 pub use self::core::Scheduler;
 pub use self::core::SchedulerOptions;
+pub use outcome::AttemptEffect;
 pub use outcome::AttemptOutcome;
 pub use request::Assignment;
 pub use request::Choice;
--- a/crates/scheduling/tests/coordination.rs
+++ b/crates/scheduling/tests/coordination.rs
@@ -22,8 +22,11 @@
 use redwingrill_scheduling::coordination::RequestOptions;
 use redwingrill_scheduling::coordination::Resolution;
 use redwingrill_scheduling::coordination::divide;
+use redwingrill_scheduling::fleet::Misdirection;
 use redwingrill_scheduling::fleet::UpstreamTag;
+use redwingrill_scheduling::fleet::Verdict;
 use redwingrill_scheduling::scheduler::Assignment;
+use redwingrill_scheduling::scheduler::AttemptOutcome;
 use redwingrill_scheduling::scheduler::ScheduleRequest;
 use redwingrill_scheduling::scheduler::Scheduler;
 
@@ -460,3 +463,63 @@
     let refused = resolved.filter(|r| matches!(r.resolution, Resolution::Refused { .. })).count();
     assert_eq!(refused, 0, "of {count}");
 }
+
+/// Returns what the engines of a group get when a node asks for `count` assignments, one every 50 ms.
+fn engines_assigned(nodes: &mut [Node], node: usize, begin_ms: u64, count: u64) -> Vec<String> {
+    let mut engines = Vec::new();
+    for number in 0..count {
+        let now_ms = begin_ms + 50 * number;
+        nodes[node].begin(number, now_ms);
+        deliver_all(nodes, now_ms);
+        for assignment in nodes[node].assigned() {
+            engines.push(assignment.upstream.id.clone());
+            let outcome = AttemptOutcome { verdict: Verdict::Served, misdirection: None };
+            let (index, pending) = (assignment.index, assignment.pending_prefill_tokens);
+            let reserved = assignment.reserved_tokens;
+            let scheduler = &mut nodes[node].scheduler;
+            scheduler.record_attempt_end(index, pending, reserved, &outcome, now_ms);
+            nodes[node].coordination.record_change(UpstreamTag::of(&assignment.upstream.id));
+        }
+        nodes.iter_mut().for_each(|node| node.tick(now_ms));
+        deliver_all(nodes, now_ms);
+    }
+    engines
+}
+
+fn deliver_all(nodes: &mut [Node], now_ms: u64) {
+    loop {
+        let sent = nodes.iter_mut().flat_map(|node| {
+            let from = node.address;
+            node.sent().into_iter().map(move |(to, message)| (from, to, message))
+        });
+        let sent: Vec<_> = sent.collect();
+        if sent.is_empty() {
+            return;
+        }
+        for (from, to, message) in sent {
+            if let Some(node) = nodes.iter_mut().find(|node| node.address == to) {
+                node.receive(from, &message, now_ms);
+            }
+        }
+    }
+}
+
+#[test]
+fn coordinator_assigns_an_engine_that_another_node_found_gone() {
+    let mut nodes = nodes(3, 4);
+    let gone = engines_assigned(&mut nodes, 1, 100, 1).remove(0);
+    let scheduler = &mut nodes[1].scheduler;
+    let index = scheduler.fleet().by_tag(UpstreamTag::of(&gone)).expect("engine is listed");
+    let misdirection = Some(Misdirection::Ended);
+    let outcome = AttemptOutcome { verdict: Verdict::Unknown, misdirection };
+    scheduler.record_attempt_end(index, 0, 0, &outcome, 110);
+    nodes[1].coordination.record_change(UpstreamTag::of(&gone));
+    nodes[1].tick(120);
+    deliver_all(&mut nodes, 121);
+    for node in [1, 2] {
+        let assigned = engines_assigned(&mut nodes, node, 130, 60);
+        assert!(assigned.len() >= 59, "{} of 60 were assigned", assigned.len());
+        let repeated = assigned.iter().filter(|id| **id == gone).count();
+        assert_eq!(repeated, 0, "node {node}: assignments of an engine that is gone");
+    }
+}
--- a/crates/scheduling/tests/engine_sheets.rs
+++ b/crates/scheduling/tests/engine_sheets.rs
@@ -349,8 +349,7 @@
                     self.count(job, at_ms);
                 }
                 Step::Ended(assignment) => {
-                    let outcome =
-                        AttemptOutcome { verdict: Verdict::Served, is_misdirected: false };
+                    let outcome = AttemptOutcome { verdict: Verdict::Served, misdirection: None };
                     let reserved_tokens = assignment.reserved_tokens;
                     let index = assignment.index;
                     scheduler.record_attempt_end(index, 0, reserved_tokens, &outcome, now_ms);
--- a/crates/scheduling/tests/fleet.rs
+++ b/crates/scheduling/tests/fleet.rs
@@ -111,6 +111,7 @@
         model,
         quarantine,
         limits: Vec::new(),
+        ended: Vec::new(),
     }
 }
 
--- a/crates/scheduling/tests/load_simulation.rs
+++ b/crates/scheduling/tests/load_simulation.rs
@@ -205,8 +205,7 @@
                     self.events.push((now_ms + ANSWER_MS, node, Step::Ended(assignment)));
                 }
                 Step::Ended(assignment) => {
-                    let outcome =
-                        AttemptOutcome { verdict: Verdict::Served, is_misdirected: false };
+                    let outcome = AttemptOutcome { verdict: Verdict::Served, misdirection: None };
                     let reserved_tokens = assignment.reserved_tokens;
                     scheduler.record_attempt_end(
                         assignment.index,
--- a/crates/scheduling/tests/rate_limits.rs
+++ b/crates/scheduling/tests/rate_limits.rs
@@ -147,7 +147,7 @@
             let limit = flight.named.and_then(RateLimit::new);
             scheduler.observe_limit(index, limit, sent_ms, now_ms);
             scheduler.record_prefill_done(&flight.assignment, now_ms);
-            let served = AttemptOutcome { verdict: Verdict::Served, is_misdirected: false };
+            let served = AttemptOutcome { verdict: Verdict::Served, misdirection: None };
             let reserved = flight.assignment.reserved_tokens;
             scheduler.record_attempt_end(index, 0, reserved, &served, now_ms);
             outcome.served += 1;
--- a/crates/scheduling/tests/support/replay.rs
+++ b/crates/scheduling/tests/support/replay.rs
@@ -611,7 +611,7 @@
 
     fn end_attempt(&mut self, run: u64, verdict: Verdict, now_ms: u64) -> Option<Sent> {
         let sent = self.sent.remove(&run)?;
-        let outcome = AttemptOutcome { verdict, is_misdirected: false };
+        let outcome = AttemptOutcome { verdict, misdirection: None };
         let assignment = &sent.assignment;
         let pending = if sent.is_prefilled { 0 } else { assignment.pending_prefill_tokens };
         let (index, reserved) = (assignment.index, assignment.reserved_tokens);
--- a/crates/scheduling/tests/thundering_herd.rs
+++ b/crates/scheduling/tests/thundering_herd.rs
@@ -158,7 +158,7 @@
                 sent.is_prefilled = true;
             }
             if now_ms >= sent.at_ms + RESPONSE_END_MS[class] {
-                let outcome = AttemptOutcome { verdict: Verdict::Served, is_misdirected: false };
+                let outcome = AttemptOutcome { verdict: Verdict::Served, misdirection: None };
                 let reserved_tokens = sent.assignment.reserved_tokens;
                 scheduler.record_attempt_end(
                     sent.assignment.index,
