Tell coordinators and nodes where nothing listens any more

Cause: a refused connection was kept by the node that met it, like every other failure to connect, so the coordinator assigned the engine to all nodes on.

Change: the transport tells a refused connection (NoListener) from one that times out or has no route, which a cut link causes, too. It is evidence that the start has ended, shared as that of an answer, for one second.

Red before: node_connects_to_an_engine_where_another_node_found_no_listener (red with the verdict Unreachable, as it was).

--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -137,6 +137,10 @@
             attempt.end(Verdict::Unreachable);
             SendOutcome::NotSent { reason }
         }
+        TransportError::NoListener { .. } => {
+            attempt.end(Verdict::NoListener);
+            SendOutcome::NotSent { reason }
+        }
         TransportError::NotSent => {
             attempt.end(Verdict::Unknown);
             SendOutcome::NotSent { reason }
--- a/crates/redwingrill/src/services/forward.rs
+++ b/crates/redwingrill/src/services/forward.rs
@@ -73,9 +73,9 @@
         match self {
             Self::Mismatched => ResultCode::ReplyCrossed,
             Self::Transport { source } => match source {
-                TransportError::Unreachable { .. } | TransportError::NotSent => {
-                    ResultCode::UpstreamUnreachable
-                }
+                TransportError::Unreachable { .. }
+                | TransportError::NoListener { .. }
+                | TransportError::NotSent => ResultCode::UpstreamUnreachable,
                 TransportError::Broken { .. } => ResultCode::UpstreamFailed,
                 TransportError::Silent { .. } => ResultCode::UpstreamSilent,
                 TransportError::TooLarge { .. } | TransportError::BuffersFull => {
--- a/crates/redwingrill/src/upstream/engine.rs
+++ b/crates/redwingrill/src/upstream/engine.rs
@@ -175,7 +175,9 @@
 /// Returns the fault that corresponds to a transport error.
 pub(super) fn fault_from_error(error: &TransportError) -> Fault {
     match error {
-        TransportError::Unreachable { .. } | TransportError::NotSent => Fault::Unreachable,
+        TransportError::Unreachable { .. }
+        | TransportError::NoListener { .. }
+        | TransportError::NotSent => Fault::Unreachable,
         TransportError::Broken { .. } => Fault::Broken,
         TransportError::Silent { .. } => Fault::Silent,
         TransportError::TooLarge { .. } | TransportError::BuffersFull => Fault::Garbage,
--- a/crates/scheduling/src/fleet/health.rs
+++ b/crates/scheduling/src/fleet/health.rs
@@ -27,6 +27,8 @@
     Failed,
     /// No connection could be made.
     Unreachable,
+    /// Nothing listens at its address.
+    NoListener,
     /// It ended for a reason unrelated to the upstream's health, such as a disconnected caller.
     Unknown,
 }
@@ -73,7 +75,9 @@
             Verdict::Failed => {
                 self.failure_share += (1.0 - self.failure_share) * OUTCOME_WEIGHT;
             }
-            Verdict::Unreachable => self.failure_share = self.failure_share.max(EJECTION_SHARE),
+            Verdict::Unreachable | Verdict::NoListener => {
+                self.failure_share = self.failure_share.max(EJECTION_SHARE)
+            }
         }
         if self.is_ejected(now_ms) || (self.failure_share < EJECTION_SHARE && !self.on_probation) {
             return false;
--- a/crates/scheduling/src/fleet/mod.rs
+++ b/crates/scheduling/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 pub use digest::PeerLoads;
 pub use digest::UpstreamTag;
 pub use digest::digest_round_ms;
+pub use ended::EndEvidence;
 pub use ended::EndStatement;
 pub use ended::EndedStarts;
 pub use health::Health;
--- a/crates/scheduling/src/fleet/table.rs
+++ b/crates/scheduling/src/fleet/table.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use super::EndEvidence;
 use super::EndStatement;
 use super::EndedStarts;
 use super::Health;
@@ -258,10 +259,15 @@
         entry.accepts_requests(now_ms) && !self.ended.contains(entry.start_tag, now_ms)
     }
 
-    /// Records that another upstream answered in place of this one. Returns whether that is news.
-    pub fn record_ended(&mut self, index: UpstreamIndex, now_ms: u64) -> bool {
+    /// Records that a start has ended. Returns whether that is news.
+    pub fn record_ended(
+        &mut self,
+        index: UpstreamIndex,
+        evidence: EndEvidence,
+        now_ms: u64,
+    ) -> bool {
         let start = self.entries.get(&index).map(|entry| entry.start_tag);
-        start.is_some_and(|start| self.ended.record(start, now_ms))
+        start.is_some_and(|start| self.ended.record(start, evidence, now_ms))
     }
 
     /// Takes the evidence of another node. Returns the listed upstreams of which it is news.
--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -24,6 +24,7 @@
 use crate::engine_model::ServiceModel;
 use crate::engine_model::ServiceTag;
 use crate::fleet::ArrivalCounter;
+use crate::fleet::EndEvidence;
 use crate::fleet::Fleet;
 use crate::fleet::LoadDigest;
 use crate::fleet::Misdirection;
@@ -561,8 +562,15 @@
             None => {}
         }
         let is_ejected = entry.health.observe(outcome.verdict, now_ms);
-        let has_ended = outcome.misdirection == Some(Misdirection::Ended)
-            && self.fleet.record_ended(index, now_ms);
+        let evidence = match outcome {
+            AttemptOutcome { misdirection: Some(Misdirection::Ended), .. } => {
+                Some(EndEvidence::OtherAnswered)
+            }
+            AttemptOutcome { verdict: Verdict::NoListener, .. } => Some(EndEvidence::NoListener),
+            _ => None,
+        };
+        let has_ended =
+            evidence.is_some_and(|evidence| self.fleet.record_ended(index, evidence, now_ms));
         AttemptEffect { is_ejected, has_ended }
     }
 }
--- a/crates/scheduling/tests/ended_starts.rs
+++ b/crates/scheduling/tests/ended_starts.rs
@@ -101,17 +101,21 @@
     matches!(choice, Choice::Send(_))
 }
 
-fn end(scheduler: &mut Scheduler, id: &str, misdirection: Misdirection, now_ms: u64) {
+const OTHER_ANSWERED: AttemptOutcome =
+    AttemptOutcome { verdict: Verdict::Unknown, misdirection: Some(Misdirection::Ended) };
+const NO_LISTENER: AttemptOutcome =
+    AttemptOutcome { verdict: Verdict::NoListener, misdirection: None };
+
+fn end(scheduler: &mut Scheduler, id: &str, outcome: &AttemptOutcome, now_ms: u64) {
     let index = scheduler.fleet().by_tag(UpstreamTag::of(id)).expect("engine is listed");
-    let outcome = AttemptOutcome { verdict: Verdict::Unknown, misdirection: Some(misdirection) };
-    scheduler.record_attempt_end(index, 0, 0, &outcome, now_ms);
+    scheduler.record_attempt_end(index, 0, 0, outcome, now_ms);
 }
 
 #[test]
 fn node_goes_on_with_an_engine_that_another_node_found_gone() {
     let listed = vec![engine("engine-1", 1)];
     let (mut one, mut other) = (node(1, listed.clone()), node(2, listed));
-    end(&mut one, "engine-1", Misdirection::Ended, 1_000);
+    end(&mut one, "engine-1", &OTHER_ANSWERED, 1_000);
     let digest: LoadDigest = one.digest(1, 1_100);
     assert_eq!(other.observe_peer(digest.clone(), 1_110).len(), 1, "it is news");
     assert!(other.observe_peer(digest, 1_120).is_empty(), "it is no news any more");
@@ -124,10 +128,23 @@
     assert!(is_used(&mut other, 9_001), "another start is another matter");
 }
 
+#[test]
+fn node_connects_to_an_engine_where_another_node_found_no_listener() {
+    let listed = vec![engine("engine-1", 1), engine("engine-2", 1)];
+    let (mut one, mut other) = (node(1, listed.clone()), node(2, listed));
+    end(&mut one, "engine-1", &NO_LISTENER, 1_000);
+    other.observe_peer(one.digest(1, 1_100), 1_110);
+    for now_ms in (1_120..2_000).step_by(20) {
+        let choice = other.choose(&request(Some(short_prompt(now_ms)), now_ms), now_ms);
+        let Choice::Send(assignment) = choice else { continue };
+        assert_eq!(assignment.upstream.id, "engine-2", "{now_ms}");
+    }
+}
+
 #[test]
 fn wrong_evidence_takes_an_engine_away_for_good() {
     let mut node = node(1, vec![engine("engine-1", 1)]);
-    end(&mut node, "engine-1", Misdirection::Ended, 1_000);
+    end(&mut node, "engine-1", &OTHER_ANSWERED, 1_000);
     assert!(!is_used(&mut node, 8_000));
     assert!(is_used(&mut node, 11_001));
 }
--- a/crates/transport/src/error.rs
+++ b/crates/transport/src/error.rs
@@ -14,6 +14,12 @@
         /// The cause, for logs.
         reason: String,
     },
+    /// Nothing listens at the address; the request was not sent.
+    #[snafu(display("cannot connect: {reason}"))]
+    NoListener {
+        /// The cause, for logs.
+        reason: String,
+    },
     /// The connection closed before the request was sent.
     #[snafu(display("connection closed before the request was sent"))]
     NotSent,
@@ -43,6 +49,6 @@
 impl TransportError {
     /// Returns whether the server may have received the request.
     pub fn may_have_been_received(&self) -> bool {
-        !matches!(self, Self::Unreachable { .. } | Self::NotSent)
+        !matches!(self, Self::Unreachable { .. } | Self::NoListener { .. } | Self::NotSent)
     }
 }
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -10,6 +10,7 @@
 //! list.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -252,7 +253,12 @@
         let stream = timeout(wait, TcpStream::connect(address))
             .await
             .map_err(|_| unreachable(format!("no connection within {} ms", wait.as_millis())))?
-            .map_err(|e| unreachable(e.to_string()))?;
+            .map_err(|e| match e.kind() {
+                ErrorKind::ConnectionRefused => {
+                    TransportError::NoListener { reason: e.to_string() }
+                }
+                _ => unreachable(e.to_string()),
+            })?;
         stream.set_nodelay(true).map_err(|e| unreachable(e.to_string()))?;
         enable_dead_peer_detection(&stream).map_err(|e| unreachable(e.to_string()))?;
         let handshake =
