Drop an abandoned request from the coordinator's list and queue together

Cause: a request that waits stands in the coordinator's queue and in its list. A report of another node made the queue drop what had not been renewed for 700 ms; the list lost it only with the next tick, and a coordinator at which nothing else waits does not tick. So the renewals that came afterwards found the request listed as waiting, and were answered "queued" for ever.

Change: the list loses abandoned requests first, and the queue keeps what is listed. A renewal that comes later is a request like any other.

--- a/crates/scheduling/src/coordination/coordinator.rs
+++ b/crates/scheduling/src/coordination/coordinator.rs
@@ -54,6 +54,14 @@
     state: RequestState,
 }
 
+impl TrackedRequest {
+    /// Returns whether the request waits and its node does not renew it any more.
+    fn is_abandoned(&self, now_ms: u64) -> bool {
+        matches!(self.state, RequestState::Waiting)
+            && now_ms.saturating_sub(self.renewed_ms) >= RENEWAL_LIMIT_MS
+    }
+}
+
 #[derive(Debug)]
 struct Group {
     scheduler: Scheduler,
@@ -219,11 +227,11 @@
         if self.queue.is_empty() {
             return Vec::new();
         }
+        // What leaves the queue must leave the list, too: a renewal of a request that is listed as
+        // waiting does not put it into the queue again.
+        self.requests.retain(|_, tracked| !tracked.is_abandoned(now_ms));
         let requests = &self.requests;
-        let is_abandoned = |inquiry: &InquiryId| {
-            let renewed_ms = requests.get(inquiry).map(|tracked| tracked.renewed_ms);
-            renewed_ms.is_none_or(|at_ms| now_ms.saturating_sub(at_ms) >= RENEWAL_LIMIT_MS)
-        };
+        let is_abandoned = |inquiry: &InquiryId| !requests.contains_key(inquiry);
         let decided = self.queue.dispatch(&mut self.scheduler, now_ms, is_abandoned);
         self.record_decisions(key, decided, now_ms)
     }
@@ -268,8 +276,9 @@
     fn expire(&mut self, now_ms: u64) {
         self.scheduler.expire_node_loads(now_ms);
         let mut expired = Vec::new();
+        self.requests.retain(|_, tracked| !tracked.is_abandoned(now_ms));
         self.requests.retain(|_, tracked| match &mut tracked.state {
-            RequestState::Waiting => now_ms.saturating_sub(tracked.renewed_ms) < RENEWAL_LIMIT_MS,
+            RequestState::Waiting => true,
             RequestState::Decided { at_ms, unsettled, .. } => {
                 let age_ms = now_ms.saturating_sub(*at_ms);
                 if age_ms >= UNSETTLED_LIMIT_MS {
--- a/crates/scheduling/tests/coordination.rs
+++ b/crates/scheduling/tests/coordination.rs
@@ -523,3 +523,56 @@
         assert_eq!(repeated, 0, "node {node}: assignments of an engine that is gone");
     }
 }
+
+#[test]
+fn waiting_requests_of_a_frozen_node_are_never_answered() {
+    const WAITING: u64 = 20;
+    let mut nodes = nodes(3, 1);
+    // Another node fills the only engine.
+    let mut filling = Vec::new();
+    for number in 0.. {
+        nodes[2].begin(number, 10);
+        deliver_all(&mut nodes, 10);
+        let assigned = nodes[2].assigned();
+        if assigned.is_empty() {
+            break;
+        }
+        filling.extend(assigned);
+    }
+    let Node { scheduler, coordination, .. } = &mut nodes[2];
+    coordination.tick(scheduler, 10, |_| true);
+    deliver_all(&mut nodes, 10);
+    for number in 0..WAITING {
+        nodes[1].begin(100 + number, 20);
+    }
+    deliver_all(&mut nodes, 20);
+    nodes[1].tick(40);
+    deliver_all(&mut nodes, 40);
+    // The node stands still for a second, while the other one reports.
+    for now_ms in (40..1_000).step_by(20) {
+        nodes[2].coordination.record_change(UpstreamTag::of("engine-0"));
+        nodes[2].tick(now_ms);
+        let sent = nodes[2].sent();
+        for (_, message) in sent {
+            nodes[0].receive(address(2), &message, now_ms);
+        }
+        nodes[0].sent();
+    }
+    let mut answered = 0;
+    for now_ms in (1_020..9_000).step_by(20) {
+        // The engine has room again.
+        for assignment in filling.drain(..) {
+            let outcome = AttemptOutcome { verdict: Verdict::Served, misdirection: None };
+            let (index, pending) = (assignment.index, assignment.pending_prefill_tokens);
+            let reserved = assignment.reserved_tokens;
+            let scheduler = &mut nodes[2].scheduler;
+            scheduler.record_attempt_end(index, pending, reserved, &outcome, now_ms);
+            nodes[2].coordination.record_change(UpstreamTag::of("engine-0"));
+        }
+        // A node does nothing with time while nothing waits.
+        nodes.iter_mut().filter(|node| !node.coordination.is_idle()).for_each(|n| n.tick(now_ms));
+        deliver_all(&mut nodes, now_ms);
+        answered += nodes[1].coordination.take_resolved().len() as u64;
+    }
+    assert_eq!(answered, WAITING, "of the requests that waited as the node stood still");
+}
