Let the soak cut and reset the links between nodes and upstreams

Each upstream is now listed at a loopback proxy, whose link is silent in both directions, silent on the way back, closed, or reset by the kernel (no time to linger), for 20 to 1,500 ms with requests on their way, up to eleven times a run. They come from a generator of their own, so the other faults of a seed stay the same. The checks are those of the soak: runs by identifier, untrue refusals, mixed answers.

--- a/crates/lab/src/site_upstream/http.rs
+++ b/crates/lab/src/site_upstream/http.rs
@@ -54,6 +54,7 @@
 pub struct SiteUpstream {
     shared: Arc<Shared>,
     server: Server,
+    listed: SocketAddr,
 }
 
 #[derive(Debug)]
@@ -106,14 +107,21 @@
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
         let connections = shared.connections.clone();
         let server = Server::start_with(address, shared.clone(), connections).await?;
-        let upstream = Self { shared, server };
+        let listed = server.address();
+        let upstream = Self { shared, server, listed };
         upstream.list("ready");
         Ok(upstream)
     }
 
     /// Writes its entry with a state.
     pub fn list(&self, state: &str) {
-        self.shared.list(self.server.address(), state);
+        self.shared.list(self.listed, state);
+    }
+
+    /// Lists it at the address of a proxy from now on.
+    pub fn list_at(&mut self, proxy: SocketAddr) {
+        self.listed = proxy;
+        self.list("ready");
     }
 
     /// Removes its entry.
--- a/crates/lab/src/soak/link.rs
+++ b/crates/lab/src/soak/link.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWrite;
@@ -33,6 +34,8 @@
     SilentBack,
     /// Connections are closed at once.
     Resets,
+    /// The kernel resets connections at once, whatever they still carry.
+    KernelResets,
 }
 
 /// The proxy. Dropping it ends its connections.
@@ -74,18 +77,25 @@
     }
 }
 
-async fn pass(caller: TcpStream, target: SocketAddr, mut state: watch::Receiver<LinkState>) {
-    let Ok(upstream) = TcpStream::connect(target).await else { return };
-    let (caller_in, caller_out) = caller.into_split();
-    let (upstream_in, upstream_out) = upstream.into_split();
+async fn pass(mut caller: TcpStream, target: SocketAddr, mut state: watch::Receiver<LinkState>) {
+    let Ok(mut upstream) = TcpStream::connect(target).await else { return };
+    let (caller_in, caller_out) = caller.split();
+    let (upstream_in, upstream_out) = upstream.split();
     let there = copy(caller_in, upstream_out, state.clone(), |state| state == LinkState::Silent);
     let back = copy(upstream_in, caller_out, state.clone(), |state| {
         matches!(state, LinkState::Silent | LinkState::SilentBack)
     });
-    tokio::select! {
-        () = there => {}
-        () = back => {}
-        _ = state.wait_for(|state| *state == LinkState::Resets) => {}
+    let ends = state.wait_for(|s| matches!(s, LinkState::Resets | LinkState::KernelResets));
+    let is_reset = tokio::select! {
+        () = there => false,
+        () = back => false,
+        state = ends => state.is_ok_and(|state| *state == LinkState::KernelResets),
+    };
+    if is_reset {
+        // Without time to linger, the end of a connection is a reset.
+        for connection in [&caller, &upstream] {
+            let _ended = SockRef::from(connection).set_linger(Some(Duration::ZERO)).is_err();
+        }
     }
 }
 
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -1,7 +1,8 @@
 //! Randomized faults against real daemons on the platform's protocol.
 //!
 //! A seed decides what strikes when: processes are stopped, paused and killed by signals, the links
-//! to the store are cut, delayed and silenced by a loopback proxy, the store fails in its ways, and
+//! to the store are cut, delayed and silenced by a loopback proxy, those to upstreams are silenced in
+//! both directions and reset by the kernel with requests on their way, the store fails in its ways, and
 //! upstreams misbehave, or say that they are limited, want a pause or leave. Callers go on all the
 //! while over open connections. At the end all faults are healed, and what callers and upstreams saw
 //! is checked against what the pages promise.
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -23,6 +23,11 @@
 /// The fewest and the most faults of a run.
 const FAULTS: std::ops::Range<usize> = 3..10;
 
+/// The fewest and the most failures of links to upstreams, and how long one lasts: also so briefly
+/// that only what is on its way is hit.
+const UPSTREAM_LINKS: std::ops::Range<usize> = 0..12;
+const LINK_LASTS_MS: std::ops::Range<u64> = 20..1_500;
+
 /// One fault: the place of the node or upstream that it strikes, and how long it lasts.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub enum Fault {
@@ -47,6 +52,8 @@
     },
     /// An upstream misbehaves.
     Upstream(usize, Behaviour, Duration),
+    /// The link to an upstream fails, with requests on their way.
+    UpstreamLink(usize, LinkState, Duration),
     /// An upstream is emptied and taken off the list, and comes back.
     Leaves(usize, Duration),
     /// An upstream says something of itself until the end of the faults.
@@ -75,11 +82,27 @@
         });
         let mut faults: Vec<_> = faults.collect();
         faults.extend(draw_signals(seed, upstreams));
+        faults.extend(draw_upstream_links(seed, upstreams));
         faults.sort_by_key(|(at, _)| *at);
         Self { faults }
     }
 }
 
+/// Draws the failures of links to upstreams, from a generator of their own, so that the other faults
+/// of a seed stay the same.
+fn draw_upstream_links(seed: u64, upstreams: usize) -> Vec<(Duration, Fault)> {
+    const LINKS: [LinkState; 4] =
+        [LinkState::Silent, LinkState::SilentBack, LinkState::Resets, LinkState::KernelResets];
+    let mut rng = SmallRng::seed_from_u64(seed ^ 0x4c49_4e4b);
+    let links = (0..rng.random_range(UPSTREAM_LINKS)).map(|_| {
+        let at = Duration::from_millis(rng.random_range(SPAN_MS));
+        let lasts = Duration::from_millis(rng.random_range(LINK_LASTS_MS));
+        let state = *LINKS.choose(&mut rng).expect("links can fail");
+        (at, Fault::UpstreamLink(rng.random_range(0..upstreams), state, lasts))
+    });
+    links.collect()
+}
+
 fn draw_fault(rng: &mut SmallRng, nodes: usize, upstreams: usize) -> Fault {
     const LINKS: [LinkState; 4] =
         [LinkState::Slow, LinkState::Silent, LinkState::SilentBack, LinkState::Resets];
--- a/crates/lab/src/soak/run.rs
+++ b/crates/lab/src/soak/run.rs
@@ -26,6 +26,7 @@
 use super::callers::keep_asking;
 use super::callers::knows_route;
 use super::check::check;
+use super::link::Link;
 use super::link::LinkState;
 use super::node::SoakNode;
 use super::signals::GivenSignal;
@@ -107,6 +108,8 @@
     store: MetadataStore,
     nodes: Vec<SoakNode>,
     upstreams: Vec<SiteUpstream>,
+    // The link to each upstream.
+    upstream_links: Vec<Link>,
     pool: Pool,
     version: u64,
     // The version of the last configuration.
@@ -159,9 +162,15 @@
         state.put("op/config", configuration_of(1));
         state.put("op/version/m", r#"{"model":"m","version":1}"#);
         let mut upstreams = Vec::new();
+        let mut upstream_links = Vec::new();
         for (name, service) in [("e", "llm"), ("s", "shop")] {
             for n in 0..options.upstreams {
-                upstreams.push(SiteUpstream::start(&format!("{name}{n}"), service, &state).await?);
+                let id = format!("{name}{n}");
+                let mut upstream = SiteUpstream::start(&id, service, &state).await?;
+                let link = Link::start(upstream.address()).await?;
+                upstream.list_at(link.address);
+                upstreams.push(upstream);
+                upstream_links.push(link);
             }
         }
         // Loopback addresses of this run's own, so that several may run side by side.
@@ -179,6 +188,7 @@
             store,
             nodes,
             upstreams,
+            upstream_links,
             pool: Pool::new(),
             version: 1,
             configured: 1,
@@ -282,6 +292,10 @@
                 self.upstreams[*upstream].set(*behaviour);
                 Some(*lasts)
             }
+            Fault::UpstreamLink(upstream, state, lasts) => {
+                self.upstream_links[*upstream].set(*state);
+                Some(*lasts)
+            }
             Fault::Leaves(upstream, lasts) => {
                 self.upstreams[*upstream].list("draining");
                 Some(*lasts)
@@ -336,6 +350,9 @@
                 self.store.state.set_fault(StoreFault::None);
             }
             Fault::Upstream(upstream, ..) => self.upstreams[*upstream].set(Behaviour::Serves),
+            Fault::UpstreamLink(upstream, ..) => {
+                self.upstream_links[*upstream].set(LinkState::Open);
+            }
             Fault::Leaves(upstream, _) => self.upstreams[*upstream].list("ready"),
             Fault::Signal(upstream, signal) => {
                 let now = Instant::now();
@@ -401,7 +418,9 @@
     fn check_signals(&mut self, plan: &Plan) {
         let told = |upstream: usize| {
             let others = plan.faults.iter().filter(|(_, fault)| match fault {
-                Fault::Upstream(other, ..) | Fault::Signal(other, _) => *other == upstream,
+                Fault::Upstream(other, ..)
+                | Fault::Signal(other, _)
+                | Fault::UpstreamLink(other, ..) => *other == upstream,
                 _ => false,
             });
             others.count() == 1
