Refuse at arrival only what would wait in vain

Cause: a request was refused at arrival if it would be late before its turn. A coordinator that has just taken over has no departures to judge by, and late requests still get what those on time leave, so many were refused that would have been served.

Change: refused at arrival is what would wait longer than it may.

--- a/crates/scheduling/src/scheduler/wait_queue.rs
+++ b/crates/scheduling/src/scheduler/wait_queue.rs
@@ -3,8 +3,8 @@
 //! During an overload of several seconds, queues at the engines would make every request late, and
 //! none would meet its target. The node therefore sends only what the engines can prefill soon.
 //! Requests that can still meet their target go first, late requests get the remaining capacity,
-//! and requests whose wait expires are refused with a retry delay. A request that would be late
-//! before its turn is refused at arrival.
+//! and requests whose wait expires are refused with a retry delay; a request that would wait in vain
+//! is refused at arrival.
 //!
 //! Invariants:
 //! - Requests of one class (service, long or short) leave in queue order.
@@ -143,8 +143,8 @@
         self.dispatch(scheduler, now_ms, |_| false)
     }
 
-    /// Returns whether a request that arrives would be late before its turn, by the rate at which
-    /// those of its class before it leave.
+    /// Returns whether a request that arrives would wait in vain, by the rate at which those of its
+    /// class before it leave.
     fn is_hopeless(&mut self, entry: &QueuedRequest<T>, now_ms: u64) -> bool {
         let ahead = self.waiting.iter().filter(|known| {
             known.class == entry.class
@@ -154,7 +154,7 @@
         let ahead = ahead.count();
         let backlog = self.backlogs.get_mut(&entry.class);
         let wait_ms = backlog.map_or(0, |backlog| backlog.min_wait_ms(ahead, now_ms));
-        !entry.is_late(now_ms) && entry.is_late(now_ms + wait_ms)
+        now_ms + wait_ms >= entry.wait_ends_ms()
     }
 
     /// Sends queued requests while there is capacity. Requests for which `is_abandoned` returns
