Let a false entry not take away the upstream at its address

Cause: made the later of two listed starts at an address supersede the other.

Change: a later start supersedes only until evidence shows that it has ended.

--- a/crates/scheduling/src/fleet/table.rs
+++ b/crates/scheduling/src/fleet/table.rs
@@ -69,8 +69,8 @@
     reported_versions: HashMap<String, WeightsVersion>,
     skipped_until_ms: u64,
     warm_at_ms: u64,
-    // Whether another start is listed later at the address.
-    is_superseded: bool,
+    // The start that is listed as the latest at the address, if it is another one.
+    superseded_by: Option<UpstreamTag>,
 }
 
 impl FleetEntry {
@@ -93,7 +93,7 @@
             reported_versions: HashMap::new(),
             skipped_until_ms: 0,
             warm_at_ms,
-            is_superseded: false,
+            superseded_by: None,
         }
     }
 
@@ -102,7 +102,6 @@
             && !self.is_loading
             && !self.signals.is_closed(now_ms)
             && now_ms >= self.skipped_until_ms
-            && !self.is_superseded
     }
 
     /// Returns whether the upstream is still slow after its start.
@@ -243,20 +242,26 @@
 
     /// Marks the entries whose address a later start has. The list may lose them only later.
     fn mark_superseded(&mut self) {
-        let mut latest: HashMap<SocketAddr, Option<u64>> = HashMap::new();
+        let mut latest: HashMap<SocketAddr, (Option<u64>, UpstreamTag)> = HashMap::new();
         for entry in self.entries.values() {
-            let started = latest.entry(entry.upstream.address).or_default();
-            *started = (*started).max(entry.upstream.started_unix_ms);
+            let start = (entry.upstream.started_unix_ms, entry.start_tag);
+            let known = latest.entry(entry.upstream.address).or_insert(start);
+            *known = (*known).max(start);
         }
         for entry in self.entries.values_mut() {
             let Upstream { address, started_unix_ms, .. } = *entry.upstream;
-            entry.is_superseded = latest.get(&address).is_some_and(|last| *last > started_unix_ms);
+            let later = latest.get(&address).filter(|(started, _)| *started > started_unix_ms);
+            entry.superseded_by = later.map(|(_, start)| *start);
         }
     }
 
     /// Returns whether an upstream may receive new requests, regardless of its health.
     pub fn accepts_requests(&self, entry: &FleetEntry, now_ms: u64) -> bool {
-        entry.accepts_requests(now_ms) && !self.ended.contains(entry.start_tag, now_ms)
+        let has_ended = |start| self.ended.contains(start, now_ms);
+        entry.accepts_requests(now_ms)
+            && !has_ended(entry.start_tag)
+            // An entry may be wrong about its start, so a later one counts until it proves wrong.
+            && entry.superseded_by.is_none_or(has_ended)
     }
 
     /// Records that a start has ended. Returns whether that is news.
--- a/crates/scheduling/tests/ended_starts.rs
+++ b/crates/scheduling/tests/ended_starts.rs
@@ -149,17 +149,33 @@
     assert!(is_used(&mut node, 11_001));
 }
 
-#[test]
-fn stale_entry_is_believed_over_a_newer_one_at_its_address() {
+/// Returns an engine that was listed earlier and one that was listed later at the same address.
+fn two_at_one_address() -> Vec<Arc<Upstream>> {
     let listed = [("engine-old", 1_000), ("engine-new", 2_000)].map(|(id, started_unix_ms)| {
         let started_unix_ms = Some(started_unix_ms);
         let address = std::net::SocketAddr::from(([10, 0, 0, 1], 80));
         Arc::new(Upstream { address, started_unix_ms, ..Upstream::clone(&engine(id, 1)) })
     });
-    let mut node = node(1, listed.to_vec());
-    for now_ms in 0..30 {
-        let choice = node.choose(&request(Some(short_prompt(now_ms)), now_ms), now_ms);
-        let Choice::Send(assignment) = choice else { continue };
-        assert_eq!(assignment.upstream.id, "engine-new");
+    listed.to_vec()
+}
+
+fn used_engine(scheduler: &mut Scheduler, now_ms: u64) -> String {
+    let choice = scheduler.choose(&request(Some(short_prompt(now_ms)), now_ms), now_ms);
+    support::expect_sent(choice).upstream.id.clone()
+}
+
+#[test]
+fn stale_entry_is_believed_over_a_newer_one_at_its_address() {
+    let mut node = node(1, two_at_one_address());
+    for now_ms in 0..20 {
+        assert_eq!(used_engine(&mut node, now_ms), "engine-new");
     }
 }
+
+#[test]
+fn false_entry_takes_the_engine_at_its_address_away() {
+    let mut node = node(1, two_at_one_address());
+    assert_eq!(used_engine(&mut node, 1_000), "engine-new");
+    end(&mut node, "engine-new", &OTHER_ANSWERED, 1_001);
+    assert_eq!(used_engine(&mut node, 1_002), "engine-old");
+}
