Judge lateness by what a route's prompts take now, not when each arrived

Cause: when a request becomes late follows from the mean prompt of its route. The mean was read once, when the request began to wait, and its own arrival had just been counted in it, so a prompt of 60,000 tokens counted as late some 15 ms before its neighbours. That is enough: in an overload the queue moves so that the request at its head is about to become late, and whoever is late 15 ms earlier is passed by all that came after.

Change: the time is read for all waiting requests of a route at each decision.

large_prompt_is_late_before_others_of_its_route: "small passes at 1230 ms" before, green now.

--- a/crates/scheduling/src/scheduler/wait_queue.rs
+++ b/crates/scheduling/src/scheduler/wait_queue.rs
@@ -9,7 +9,9 @@
 //! Invariants:
 //! - Requests of one class (service, long or short) leave in queue order.
 //! - The size of a prompt has no influence on its class, on when it counts as late, or on how long
-//!   it may wait: all requests of a route are treated alike.
+//!   it may wait: at any time the same holds for all requests of a route. The queue moves so that
+//!   those at its head are about to become late, and any request that became late earlier than its
+//!   neighbours would be passed by all of them.
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -157,6 +159,28 @@
         now_ms + wait_ms >= entry.wait_ends_ms()
     }
 
+    /// Updates the expected serving time of all waiting requests to what their route has now.
+    fn update_serving_times(&mut self, scheduler: &mut Scheduler) {
+        let mut known: Vec<(usize, u64)> = Vec::new();
+        for index in 0..self.waiting.len() {
+            let request = &self.waiting[index].request;
+            let is_alike = |other: usize| {
+                let other = &self.waiting[other].request;
+                other.route == request.route && other.service == request.service
+            };
+            let alike = known.iter().find(|(other, _)| is_alike(*other));
+            let serving_ms = match alike {
+                Some((_, serving_ms)) => *serving_ms,
+                None => {
+                    let serving_ms = scheduler.usual_serving_ms(request);
+                    known.push((index, serving_ms));
+                    serving_ms
+                }
+            };
+            self.waiting[index].serving_ms = serving_ms;
+        }
+    }
+
     /// Sends queued requests while there is capacity. Requests for which `is_abandoned` returns
     /// true are dropped.
     pub fn dispatch(
@@ -165,6 +189,7 @@
         now_ms: u64,
         is_abandoned: impl Fn(&T) -> bool,
     ) -> Vec<(T, Choice)> {
+        self.update_serving_times(scheduler);
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.retain(|waiting| !is_abandoned(&waiting.responder));
         // The sort is stable: requests of equal rank stay in the order of their arrival.
--- a/crates/scheduling/tests/sustained_overload.rs
+++ b/crates/scheduling/tests/sustained_overload.rs
@@ -48,7 +48,7 @@
 /// Long prompts per second, relative to those of [`DAY`], at which the engines are just full.
 const CAPACITY: f64 = 2.0;
 const OVERLOAD: f64 = 1.5 * CAPACITY;
-const SEEDS: std::ops::Range<u64> = 0..3;
+const SEEDS: std::ops::Range<u64> = 0..8;
 
 fn play(factor: f64, seed: u64) -> Simulation {
     let mut day = DAY.clone();
--- /dev/null
+++ b/crates/scheduling/tests/wait_queue.rs
@@ -0,0 +1,79 @@
+//! Who waits, and who is refused, in the queue of a scheduler without capacity.
+
+mod support;
+
+use redwingrill_routing::WeightsVersion;
+use redwingrill_scheduling::fleet::Verdict;
+use redwingrill_scheduling::scheduler::Assignment;
+use redwingrill_scheduling::scheduler::AttemptOutcome;
+use redwingrill_scheduling::scheduler::Choice;
+use redwingrill_scheduling::scheduler::ScheduleRequest;
+use redwingrill_scheduling::scheduler::Scheduler;
+use redwingrill_scheduling::scheduler::WaitQueue;
+use support::MODEL;
+use support::count_prompt;
+use support::engines;
+use support::prompt;
+use support::request;
+use support::scheduler;
+
+const TARGET_MS: u64 = 2_000;
+const DISPATCH_PERIOD_MS: u64 = 5;
+const USUAL_OWN_TOKENS: u32 = 3_720;
+
+/// Returns a long request of one route with an own part of this size.
+fn long_request(own_tokens: u32, arrived_ms: u64) -> ScheduleRequest {
+    let prompt = prompt(&[(1, 13_300), (1_000_000 + arrived_ms, own_tokens)]);
+    ScheduleRequest { target_ms: TARGET_MS, ..request(Some(prompt), arrived_ms) }
+}
+
+/// A scheduler that knows the route and has one engine, all of whose slots are taken.
+struct FullEngine {
+    scheduler: Scheduler,
+    running: Vec<Box<Assignment>>,
+}
+
+impl FullEngine {
+    fn new() -> Self {
+        let mut scheduler = scheduler(1);
+        scheduler.observe_target_version(MODEL, WeightsVersion(1), 0);
+        scheduler.set_upstreams(engines(1, 1), 0);
+        let request = long_request(USUAL_OWN_TOKENS, 0);
+        (0..200).for_each(|_| count_prompt(&mut scheduler, &request, 0));
+        let mut full = Self { scheduler, running: Vec::new() };
+        while let Choice::Send(assignment) = full.scheduler.choose(&request, 0) {
+            full.start(assignment, 0);
+        }
+        full
+    }
+
+    fn start(&mut self, assignment: Box<Assignment>, now_ms: u64) {
+        self.scheduler.record_prefill_done(&assignment, now_ms);
+        self.running.push(assignment);
+    }
+
+    fn free_slot(&mut self, now_ms: u64) {
+        let ended = self.running.pop().expect("a request runs");
+        let outcome = AttemptOutcome { verdict: Verdict::Served, misdirection: None };
+        let (index, reserved) = (ended.index, ended.reserved_tokens);
+        self.scheduler.record_attempt_end(index, 0, reserved, &outcome, now_ms);
+    }
+}
+
+#[test]
+fn large_prompt_is_late_before_others_of_its_route() {
+    for now_ms in (20..TARGET_MS).step_by(DISPATCH_PERIOD_MS as usize) {
+        let mut engine = FullEngine::new();
+        let mut queue: WaitQueue<&str> = WaitQueue::default();
+        for (name, own_tokens) in [("large", 120_000), ("small", 100)] {
+            let request = long_request(own_tokens, 10);
+            count_prompt(&mut engine.scheduler, &request, 10);
+            let decided = queue.enqueue(&mut engine.scheduler, request, name, 10);
+            assert!(decided.is_empty(), "{name} does not wait: {decided:?}");
+        }
+        engine.free_slot(now_ms);
+        let decided = queue.dispatch(&mut engine.scheduler, now_ms, |_| false);
+        let sent = decided.iter().find(|(_, choice)| matches!(choice, Choice::Send(_)));
+        assert!(sent.is_none_or(|(name, _)| *name == "large"), "small passes at {now_ms} ms");
+    }
+}
