Refuse late requests as soon as they would wait in vain

Cause: what arrives was compared with the requests on time before it only. In an overload that lasts, it becomes late, goes behind all that come after, and waits for its patience to end, though hardly any late request leaves the queue.

Change: a backlog also counts the late requests that get an upstream. A request that will be late before its turn, and one that has become late, is refused if at that rate the late ones before it would take longer than it may wait. While a backlog is younger than a second nobody is refused for that: a coordinator that has just taken over knows no rate, and most of its late requests waited at the one before.

--- a/crates/scheduling/src/scheduler/backlog.rs
+++ b/crates/scheduling/src/scheduler/backlog.rs
@@ -2,7 +2,8 @@
 //!
 //! The load pattern: more requests than the upstreams serve, for many seconds. A queue that takes
 //! them all makes each of them wait until it is late, and refuses those that waited in vain. The
-//! rate at which the queue moves tells at arrival which requests would wait in vain.
+//! rate at which the queue moves tells which requests would wait in vain: at arrival, and again when
+//! a request becomes late, since late requests get only what those on time leave.
 
 use crate::recent::Recent;
 
@@ -14,24 +15,50 @@
 pub(super) struct Backlog {
     since_ms: u64,
     departures: Recent<(), RATE_SPAN_MS>,
+    late_departures: Recent<(), RATE_SPAN_MS>,
 }
 
 impl Backlog {
     /// Creates the backlog of a class whose first request begins to wait.
     pub(super) fn new(now_ms: u64) -> Self {
-        Self { since_ms: now_ms, departures: Recent::default() }
+        Self { since_ms: now_ms, departures: Recent::default(), late_departures: Recent::default() }
     }
 
     /// Records that a request got an upstream.
-    pub(super) fn record_departure(&mut self, now_ms: u64) {
+    pub(super) fn record_departure(&mut self, is_late: bool, now_ms: u64) {
         self.departures.push((), now_ms);
+        if is_late {
+            self.late_departures.push((), now_ms);
+        }
     }
 
-    /// Returns how long a request waits at least with `ahead` requests before it, in milliseconds:
-    /// with two standard deviations more departures than were seen, since few say little of the rate.
+    /// Returns how long a request on time waits at least with `ahead` requests before it, in
+    /// milliseconds.
     pub(super) fn min_wait_ms(&mut self, ahead: usize, now_ms: u64) -> u64 {
-        let span_ms = now_ms.saturating_sub(self.since_ms).min(RATE_SPAN_MS + 1);
-        let seen = self.departures.count(now_ms) as f64;
-        (ahead as f64 * span_ms as f64 / (seen + 2.0 * (seen + 1.0).sqrt() + 1.0)) as u64
+        let departures = self.departures.count(now_ms);
+        min_wait_ms(ahead, departures, self.span_ms(now_ms))
     }
+
+    /// Returns how long a late request waits at least with `ahead` late ones before it, in
+    /// milliseconds; zero until the backlog has lasted for the whole span, because those on time go
+    /// first, and most of the late ones of a young backlog waited elsewhere before.
+    pub(super) fn min_late_wait_ms(&mut self, ahead: usize, now_ms: u64) -> u64 {
+        let span_ms = self.span_ms(now_ms);
+        if span_ms <= RATE_SPAN_MS {
+            return 0;
+        }
+        let departures = self.late_departures.count(now_ms);
+        min_wait_ms(ahead, departures, span_ms)
+    }
+
+    fn span_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.since_ms).min(RATE_SPAN_MS + 1)
+    }
+}
+
+/// Returns the wait with two standard deviations more departures than were seen in the span, since
+/// few say little of the rate.
+fn min_wait_ms(ahead: usize, departures: usize, span_ms: u64) -> u64 {
+    let seen = departures as f64;
+    (ahead as f64 * span_ms as f64 / (seen + 2.0 * (seen + 1.0).sqrt() + 1.0)) as u64
 }
--- a/crates/scheduling/src/scheduler/wait_queue.rs
+++ b/crates/scheduling/src/scheduler/wait_queue.rs
@@ -4,7 +4,7 @@
 //! none would meet its target. The node therefore sends only what the engines can prefill soon.
 //! Requests that can still meet their target go first, late requests get the remaining capacity,
 //! and requests whose wait expires are refused with a retry delay; a request that would wait in vain
-//! is refused at arrival.
+//! is refused as soon as that is known.
 //!
 //! Invariants:
 //! - Requests of one class (service, long or short) leave in queue order.
@@ -63,6 +63,7 @@
         now_ms + needed_ms >= self.request.arrived_ms + self.request.target_ms
     }
 
+    /// Returns when the wait expires.
     fn wait_ends_ms(&self) -> u64 {
         let arrived_ms = self.request.arrived_ms;
         let span_ms = self.request.deadline_ms.saturating_sub(arrived_ms);
@@ -148,15 +149,17 @@
     /// Returns whether a request that arrives would wait in vain, by the rate at which those of its
     /// class before it leave.
     fn is_hopeless(&mut self, entry: &QueuedRequest<T>, now_ms: u64) -> bool {
-        let ahead = self.waiting.iter().filter(|known| {
-            known.class == entry.class
-                && known.request.urgency <= entry.request.urgency
-                && !known.is_late(now_ms)
+        let Some(backlog) = self.backlogs.get_mut(&entry.class) else { return false };
+        let before = self.waiting.iter().filter(|known| {
+            known.class == entry.class && known.request.urgency <= entry.request.urgency
         });
-        let ahead = ahead.count();
-        let backlog = self.backlogs.get_mut(&entry.class);
-        let wait_ms = backlog.map_or(0, |backlog| backlog.min_wait_ms(ahead, now_ms));
-        now_ms + wait_ms >= entry.wait_ends_ms()
+        let (late, on_time): (Vec<_>, Vec<_>) = before.partition(|known| known.is_late(now_ms));
+        let turn_ms = now_ms + backlog.min_wait_ms(on_time.len(), now_ms);
+        let turn_ms = match entry.is_late(turn_ms) {
+            true => turn_ms.max(now_ms + backlog.min_late_wait_ms(late.len(), now_ms)),
+            false => turn_ms,
+        };
+        turn_ms >= entry.wait_ends_ms()
     }
 
     /// Updates the expected serving time of all waiting requests to what their route has now.
@@ -195,6 +198,7 @@
         // The sort is stable: requests of equal rank stay in the order of their arrival.
         waiting.sort_by_key(|waiting| (waiting.is_late(now_ms), waiting.request.urgency));
         let mut full: HashSet<RequestClass> = HashSet::new();
+        let mut late_ahead: HashMap<RequestClass, usize> = HashMap::new();
         let mut decisions = Vec::new();
         for entry in waiting {
             if let Some(refusal) = scheduler.refuse_quarantined(&entry.request, now_ms) {
@@ -203,6 +207,15 @@
             }
             let class = entry.class.clone();
             if full.contains(&class) && now_ms < entry.wait_ends_ms() {
+                let ahead = late_ahead.entry(class.clone()).or_default();
+                let backlog = self.backlogs.get_mut(&class).filter(|_| entry.is_late(now_ms));
+                let wait_ms = backlog.map_or(0, |known| known.min_late_wait_ms(*ahead, now_ms));
+                if now_ms + wait_ms >= entry.wait_ends_ms() {
+                    let refusal = scheduler.refuse_overloaded(&entry.request, *ahead, now_ms);
+                    decisions.push((entry.responder, refusal));
+                    continue;
+                }
+                *ahead += usize::from(entry.is_late(now_ms));
                 self.waiting.push(entry);
                 continue;
             }
@@ -254,7 +267,7 @@
                 if let Choice::Send(_) = choice
                     && let Some(backlog) = self.backlogs.get_mut(&entry.class)
                 {
-                    backlog.record_departure(now_ms);
+                    backlog.record_departure(is_late, now_ms);
                 }
                 Some((entry.responder, choice))
             }
--- a/crates/scheduling/tests/wait_queue.rs
+++ b/crates/scheduling/tests/wait_queue.rs
@@ -77,3 +77,34 @@
         assert!(sent.is_none_or(|(name, _)| *name == "large"), "small passes at {now_ms} ms");
     }
 }
+
+#[test]
+fn late_requests_wait_on_though_none_of_them_is_served() {
+    const FREE_SLOT_PERIOD_MS: u64 = 40;
+    const ARRIVALS_PER_SLOT: usize = 3;
+    let mut engine = FullEngine::new();
+    let mut queue: WaitQueue<u64> = WaitQueue::default();
+    let mut refused_after_ms = Vec::new();
+    for now_ms in (10..12_000).step_by(DISPATCH_PERIOD_MS as usize) {
+        let mut decided = Vec::new();
+        if now_ms % FREE_SLOT_PERIOD_MS < DISPATCH_PERIOD_MS {
+            engine.free_slot(now_ms);
+            for _ in 0..ARRIVALS_PER_SLOT {
+                let request = long_request(USUAL_OWN_TOKENS, now_ms);
+                count_prompt(&mut engine.scheduler, &request, now_ms);
+                decided.extend(queue.enqueue(&mut engine.scheduler, request, now_ms, now_ms));
+            }
+        }
+        decided.extend(queue.dispatch(&mut engine.scheduler, now_ms, |_| false));
+        for (arrived_ms, choice) in decided {
+            match choice {
+                Choice::Send(assignment) => engine.start(assignment, now_ms),
+                Choice::Refuse { .. } => refused_after_ms.push(now_ms - arrived_ms),
+                Choice::Wait => unreachable!("a waiting request has no decision"),
+            }
+        }
+    }
+    refused_after_ms.sort_unstable();
+    let most_ms = refused_after_ms[refused_after_ms.len() * 9 / 10];
+    assert!(most_ms < TARGET_MS, "nine in ten refusals come within {most_ms} ms of the arrival");
+}
