--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -44,6 +44,7 @@
 use redwingrill_routing::Upstream;
 use redwingrill_scheduling::engine_model::RouteTag;
 use redwingrill_scheduling::fleet::Verdict;
+use redwingrill_scheduling::placement::AffinityKey;
 use redwingrill_scheduling::scheduler::RefusalCause;
 use redwingrill_scheduling::scheduler::Shortage;
 use redwingrill_transport::BudgetedBuffer;
@@ -628,9 +629,10 @@
 
 fn log_shortage(call: &Call, shortage: &Shortage) {
     let counts = shortage.counts().map(|(limit, count)| format!("{limit}={count}")).join(" ");
+    let prefix = call.prompt.as_deref().and_then(AffinityKey::of).map_or(0, |key| key.0);
     info!(
-        "event=request_shed request_id={} route={} prompt_tokens={} age_ms={} sends={} ahead={} \
-         {counts}",
+        "event=request_shed request_id={} route={} prefix={prefix:x} prompt_tokens={} age_ms={} \
+         sends={} ahead={} {counts}",
         call.metadata.id,
         call.route.name,
         call.prompt_tokens(),
