--- a/crates/scheduling/tests/burst_at_capacity.rs
+++ b/crates/scheduling/tests/burst_at_capacity.rs
@@ -46,6 +46,7 @@
     dark_ms: 2_500,
     dark_removed_ms: 4_500,
     new_version_ms: Some(3_000),
+    restart_ms: None,
     run_ms: 26_000,
 };
 
--- /dev/null
+++ b/crates/scheduling/tests/restart_at_load.rs
@@ -0,0 +1,83 @@
+//! Replay of nodes that start, all at once, into the usual load.
+
+mod support;
+
+use support::batching::EngineSheet;
+use support::replay::Burst;
+use support::replay::Caller;
+use support::replay::Day;
+use support::replay::Setup;
+use support::replay::Simulation;
+use support::replay::Sizes;
+
+const SHEET: EngineSheet = EngineSheet {
+    slots: 16,
+    queue_limit: 48,
+    memory_tokens: 162_694,
+    step_ms: 6.45,
+    step_ms_per_slot: 0.0967,
+    prefill_tokens_per_ms: 56.1,
+    chunk_tokens: 4_096,
+    setup_ms: 75.0,
+    fetch_ms_per_1k_tokens: 1.5,
+    load_weights_ms: 2_500.0,
+    tokens_per_event: 5,
+};
+
+const RESTART_MS: u64 = 8_000;
+
+/// The callers that the restart cut off return, beside the usual ones.
+const RETURNS: Burst = Burst { begin_ms: RESTART_MS, end_ms: RESTART_MS + 1_500, factor: 2.0 };
+
+const DAY: Day = Day {
+    sheet: SHEET,
+    engines: 16,
+    domains: 3,
+    documents: 60,
+    document_tokens: Sizes { mean: 13_300.0, sigma: 0.63, limit: 39_900.0 },
+    long_per_s: 25.0,
+    short_per_s: 290.0,
+    long_burst: RETURNS,
+    short_burst: RETURNS,
+    long_target_ms: 2_000,
+    dark_engines: 0,
+    dark_ms: 0,
+    dark_removed_ms: 0,
+    new_version_ms: None,
+    restart_ms: Some(RESTART_MS),
+    run_ms: 12_000,
+};
+
+const SHORT_TARGET_MS: u64 = 500;
+const SEEDS: std::ops::Range<u64> = 0..4;
+
+/// The restart leaves the engines idle; they fill up within this time.
+const FILL_MS: u64 = 500;
+
+/// Returns the share of the short prompts of the load after the restart that are in time.
+fn short_in_time(restart_ms: Option<u64>) -> f64 {
+    let play = |seed| {
+        let day = Day { restart_ms, ..DAY };
+        let setup =
+            Setup { day, nodes: 12, is_coordinated: true, faults: Vec::new(), loss: 0.0, seed };
+        Simulation::new(setup).run()
+    };
+    let days: Vec<Simulation> = SEEDS.map(play).collect();
+    let is_counted = |caller: &&Caller| {
+        !caller.is_long && (RETURNS.begin_ms + FILL_MS..RETURNS.end_ms).contains(&caller.arrived_ms)
+    };
+    let is_in_time = |caller: &&&Caller| {
+        caller.first_event_ms.is_some_and(|at_ms| at_ms <= caller.arrived_ms + SHORT_TARGET_MS)
+    };
+    let short: Vec<&Caller> = days.iter().flat_map(|d| &d.callers).filter(is_counted).collect();
+    short.iter().filter(is_in_time).count() as f64 / short.len() as f64
+}
+
+#[test]
+fn nodes_that_start_into_the_load_take_it_for_small() {
+    let (restarted, others) = (short_in_time(Some(RESTART_MS)), short_in_time(None));
+    assert!(
+        restarted >= 0.95 * others,
+        "{restarted:.3} in time after a restart, {others:.3} without one"
+    );
+}
--- a/crates/scheduling/tests/support/replay.rs
+++ b/crates/scheduling/tests/support/replay.rs
@@ -64,6 +64,8 @@
     pub dark_ms: u64,
     pub dark_removed_ms: u64,
     pub new_version_ms: Option<u64>,
+    /// When all nodes lose what they know, and all requests in flight.
+    pub restart_ms: Option<u64>,
     pub run_ms: u64,
 }
 
@@ -225,33 +227,36 @@
     (mean * (sigma * normal - sigma * sigma / 2.0).exp()).clamp(1.0, limit) as u64
 }
 
+impl Node {
+    /// Starts the run of a node that begins at `now_ms` and knows nothing yet.
+    fn start(setup: &Setup, index: usize, now_ms: u64) -> Self {
+        let day = &setup.day;
+        let members = (0..setup.nodes).map(|index| GroupNode {
+            name: format!("node-{index}"),
+            failure_domain: domain(index, day.domains),
+            link_mbps: 20,
+            address: node_address(index),
+        });
+        let mut scheduler = scheduler(index as u64);
+        scheduler.observe_target_version(MODEL, WeightsVersion(1), now_ms);
+        scheduler.set_members(setup.nodes);
+        scheduler.set_cache_tokens(vec![(SERVICE.to_owned(), day.sheet.memory_tokens)]);
+        let coordination = setup.is_coordinated.then(|| {
+            let run = index as u64 + now_ms * setup.nodes as u64;
+            let mut coordination = Coordination::new(run, domain(index, day.domains), index as u64);
+            coordination.set_nodes(members.collect(), Some(node_address(index)));
+            coordination
+        });
+        Node { scheduler, queue: WaitQueue::default(), coordination }
+    }
+}
+
 impl Simulation {
     pub fn new(setup: Setup) -> Self {
         let day = setup.day.clone();
-        let members: Vec<GroupNode> = (0..setup.nodes)
-            .map(|index| GroupNode {
-                name: format!("node-{index}"),
-                failure_domain: domain(index, day.domains),
-                link_mbps: 20,
-                address: node_address(index),
-            })
-            .collect();
-        let nodes = (0..setup.nodes).map(|index| {
-            let mut scheduler = scheduler(index as u64);
-            scheduler.observe_target_version(MODEL, WeightsVersion(1), 0);
-            scheduler.set_members(setup.nodes);
-            scheduler.set_cache_tokens(vec![(SERVICE.to_owned(), day.sheet.memory_tokens)]);
-            let coordination = setup.is_coordinated.then(|| {
-                let mut coordination =
-                    Coordination::new(index as u64, domain(index, day.domains), index as u64);
-                coordination.set_nodes(members.clone(), Some(node_address(index)));
-                coordination
-            });
-            Node { scheduler, queue: WaitQueue::default(), coordination }
-        });
         let seed = setup.seed;
         let mut simulation = Self {
-            nodes: nodes.collect(),
+            nodes: (0..setup.nodes).map(|index| Node::start(&setup, index, 0)).collect(),
             setup,
             rng: SmallRng::seed_from_u64(seed),
             engines: vec![Engine::new(day.sheet); day.engines],
@@ -272,6 +277,9 @@
 
     pub fn run(mut self) -> Self {
         for now_ms in 0..self.setup.day.run_ms {
+            if self.setup.day.restart_ms == Some(now_ms) {
+                self.restart_nodes(now_ms);
+            }
             self.arrivals(now_ms);
             self.change_fleet(now_ms);
             self.advance_engines(now_ms);
@@ -287,6 +295,16 @@
         self
     }
 
+    fn restart_nodes(&mut self, now_ms: u64) {
+        for (run, sent) in self.sent.drain() {
+            self.engines[sent.engine].cancel(run);
+        }
+        self.mail.clear();
+        self.nodes =
+            (0..self.setup.nodes).map(|index| Node::start(&self.setup, index, now_ms)).collect();
+        self.publish(now_ms);
+    }
+
     fn fault_of(&self, node: usize, now_ms: u64) -> Option<Fault> {
         let mut faults = self.setup.faults.iter().copied();
         faults.find(|f| f.node == node && (f.begin_ms..f.end_ms).contains(&now_ms))
--- a/crates/scheduling/tests/sustained_overload.rs
+++ b/crates/scheduling/tests/sustained_overload.rs
@@ -42,6 +42,7 @@
     dark_ms: 0,
     dark_removed_ms: 0,
     new_version_ms: None,
+    restart_ms: None,
     run_ms: 30_000,
 };
 
--- a/crates/scheduling/tests/wait_queue.rs
+++ b/crates/scheduling/tests/wait_queue.rs
@@ -2,6 +2,13 @@
 
 mod support;
 
+use support::MODEL;
+use support::count_prompt;
+use support::engines;
+use support::prompt;
+use support::request;
+use support::scheduler;
+
 use redwingrill_routing::WeightsVersion;
 use redwingrill_scheduling::fleet::Verdict;
 use redwingrill_scheduling::scheduler::Assignment;
@@ -10,12 +17,6 @@
 use redwingrill_scheduling::scheduler::ScheduleRequest;
 use redwingrill_scheduling::scheduler::Scheduler;
 use redwingrill_scheduling::scheduler::WaitQueue;
-use support::MODEL;
-use support::count_prompt;
-use support::engines;
-use support::prompt;
-use support::request;
-use support::scheduler;
 
 const TARGET_MS: u64 = 2_000;
 const DISPATCH_PERIOD_MS: u64 = 5;
@@ -30,7 +31,7 @@
 /// A scheduler that knows the route and has one engine, all of whose slots are taken.
 struct FullEngine {
     scheduler: Scheduler,
-    running: Vec<Box<Assignment>>,
+    running: Vec<Assignment>,
 }
 
 impl FullEngine {
@@ -42,12 +43,12 @@
         (0..200).for_each(|_| count_prompt(&mut scheduler, &request, 0));
         let mut full = Self { scheduler, running: Vec::new() };
         while let Choice::Send(assignment) = full.scheduler.choose(&request, 0) {
-            full.start(assignment, 0);
+            full.start(*assignment, 0);
         }
         full
     }
 
-    fn start(&mut self, assignment: Box<Assignment>, now_ms: u64) {
+    fn start(&mut self, assignment: Assignment, now_ms: u64) {
         self.scheduler.record_prefill_done(&assignment, now_ms);
         self.running.push(assignment);
     }
@@ -98,7 +99,7 @@
         decided.extend(queue.dispatch(&mut engine.scheduler, now_ms, |_| false));
         for (arrived_ms, choice) in decided {
             match choice {
-                Choice::Send(assignment) => engine.start(assignment, now_ms),
+                Choice::Send(assignment) => engine.start(*assignment, now_ms),
                 Choice::Refuse { .. } => refused_after_ms.push(now_ms - arrived_ms),
                 Choice::Wait => unreachable!("a waiting request has no decision"),
             }
