Count the time of a request from its last byte when it waits for an engine

Cause: a request became late by the arrival of its head, and joined the queue when its body was complete. In an overload the queue moves so that the request at its head is about to become late, so who is 20 ms older than its place in the queue is passed by all that came after. Class of the fault: a rank by size, once more through what follows from size.

Change: the target of a request that waits is counted from its last byte. Its deadline and its caller's patience still end when they did. What it costs: a first event at the very end of the target may come later than the target by as long as the body took.

Evidence: request_whose_body_took_long_is_passed_by_later_ones, two requests of a route, the later one sent first before, the earlier one now.

--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -37,6 +37,8 @@
     pub headers: HeaderMap,
     pub body: Bytes,
     pub arrived_ms: u64,
+    // When its body was complete.
+    pub complete_ms: u64,
     // When the caller must have its complete response, on the node's clock.
     pub deadline_ms: u64,
     pub tried: Vec<UpstreamIndex>,
@@ -84,7 +86,9 @@
             prompt: self.prompt.clone(),
             isolated_account: isolated.map(|account| account.name.clone()),
             urgency: self.urgency(),
-            arrived_ms: self.arrived_ms,
+            // Bodies of large prompts take longer to arrive. Counted from their heads, such requests
+            // would become late before others that join the queue at the same time.
+            arrived_ms: self.complete_ms,
             deadline_ms: self.deadline_ms,
             target_ms: self.route.target_latency.as_millis() as u64,
             leaves_ms: self.leaves_ms(),
--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -251,6 +251,7 @@
             headers: head.headers,
             body,
             arrived_ms,
+            complete_ms: now_ms(),
             deadline_ms,
             tried: Vec::new(),
             possible_runs: 0,
--- a/crates/lab/tests/on_platform/main.rs
+++ b/crates/lab/tests/on_platform/main.rs
@@ -10,5 +10,6 @@
 mod rollout;
 mod signals;
 mod site;
+mod slow_bodies;
 mod stand_ins;
 mod stops;
