Take inherited commands of the roll-out for commands of any newer version

Callers saw: 2,447 checks refused at once or within 0.4 s from 40 to 46 s, while 17 to 18 of the 22 engines of each group were closed, as their weights had expired.

Cause: a new process asks the engines that the one before commanded whether they are busy, and notes those as loading the target of now. They load the version of then, so they never seem to finish, and hold their places until a command counts as missed, after nine seconds. Class: a state is taken over without the version that it belongs to.

Change: an inherited command ends with the next version that its engine reports.

--- a/crates/gateway/src/rollout/task.rs
+++ b/crates/gateway/src/rollout/task.rs
@@ -321,7 +321,9 @@
         }
     }
 
-    /// Adds the commands of an earlier process of this instance that engines still carry out.
+    /// Adds the commands of an earlier process of this instance that engines still carry out. They may
+    /// be for a version between the loaded one and the target, so each ends with the next version that
+    /// its engine reports.
     async fn inherit_commands(
         &mut self,
         upstreams: &[(Arc<Upstream>, WeightsVersion)],
@@ -331,14 +333,15 @@
         let inherited = upstreams
             .iter()
             .filter(|(upstream, loaded)| *loaded < target && self.inherited.contains(&upstream.id));
-        let states = inherited.map(async |(upstream, _)| {
+        let states = inherited.map(async |(upstream, loaded)| {
             let state = self.control.report(upstream).await;
-            state.is_ok_and(|state| state.is_busy).then(|| upstream.id.clone())
+            let next = WeightsVersion(loaded.0 + 1);
+            state.is_ok_and(|state| state.is_busy).then(|| (upstream.id.clone(), next))
         });
         let busy = join_all(states).await;
         let plan = self.plans.entry(model.to_owned()).or_default();
-        for id in busy.into_iter().flatten() {
-            plan.record_result(&id, target, CommandResult::InProgress, now_ms());
+        for (id, next) in busy.into_iter().flatten() {
+            plan.record_result(&id, next, CommandResult::InProgress, now_ms());
         }
         let of_model = |id: &String| upstreams.iter().any(|(upstream, _)| upstream.id == *id);
         self.inherited.retain(|id| !of_model(id));
--- a/crates/lab/tests/on_platform/rollout.rs
+++ b/crates/lab/tests/on_platform/rollout.rs
@@ -221,6 +221,27 @@
     node.node.drain().await.finish().await;
 }
 
+/// The engines load a version that is superseded before their leader restarts. The next one may be
+/// commanded as soon as they have it.
+#[tokio::test]
+async fn restarted_leader_takes_loads_of_an_older_version_for_loads_of_the_newest() {
+    const LOAD: Duration = Duration::from_secs(2);
+    const MARGIN: Duration = Duration::from_secs(4);
+    let site = Arc::new(Site::start(10, 0).await);
+    site.engines.iter().for_each(|engine| engine.set_load_time(LOAD));
+    let killed = KilledNode::start(&site);
+    site.name_version(2);
+    wait_for_orders(&site, 2).await;
+    site.engines.iter().for_each(|engine| engine.set_load_time(Duration::ZERO));
+    site.name_version(3);
+    let restarted = Instant::now();
+    let node = killed.restart().await;
+    site.wait_for_version(3).await;
+    let took = restarted.elapsed();
+    assert!(took < LOAD + MARGIN, "{took:?}");
+    node.node.drain().await.finish().await;
+}
+
 /// A suspended node learns late of a version, which is then no younger than it is to the others.
 #[tokio::test]
 async fn suspended_node_does_not_use_expired_weights() {
