--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -37,7 +37,7 @@
     pub headers: HeaderMap,
     pub body: Bytes,
     pub arrived_ms: u64,
-    // When its body was complete.
+    // When the body was complete, on the node's clock.
     pub complete_ms: u64,
     // When the caller must have its complete response, on the node's clock.
     pub deadline_ms: u64,
@@ -86,8 +86,7 @@
             prompt: self.prompt.clone(),
             isolated_account: isolated.map(|account| account.name.clone()),
             urgency: self.urgency(),
-            // Bodies of large prompts take longer to arrive. Counted from their heads, such requests
-            // would become late before others that join the queue at the same time.
+            // A request joins the queue once its body is complete, so its target is counted from then.
             arrived_ms: self.complete_ms,
             deadline_ms: self.deadline_ms,
             target_ms: self.route.target_latency.as_millis() as u64,
--- a/crates/gateway/src/rollout/task.rs
+++ b/crates/gateway/src/rollout/task.rs
@@ -321,9 +321,9 @@
         }
     }
 
-    /// Adds the commands of an earlier process of this instance that engines still carry out. They may
-    /// be for a version between the loaded one and the target, so each ends with the next version that
-    /// its engine reports.
+    /// Adds the commands of an earlier process of this instance that engines still carry out. Their
+    /// versions are unknown and may be older than the target, so a command is complete as soon as its
+    /// engine reports any newer version.
     async fn inherit_commands(
         &mut self,
         upstreams: &[(Arc<Upstream>, WeightsVersion)],
--- a/crates/lab/tests/on_platform/rollout.rs
+++ b/crates/lab/tests/on_platform/rollout.rs
@@ -221,10 +221,9 @@
     node.node.drain().await.finish().await;
 }
 
-/// The engines load a version that is superseded before their leader restarts. The next one may be
-/// commanded as soon as they have it.
+/// A version is published while engines load the one before, and then their leader restarts.
 #[tokio::test]
-async fn restarted_leader_takes_loads_of_an_older_version_for_loads_of_the_newest() {
+async fn restarted_leader_waits_for_completed_loads_of_a_superseded_version() {
     const LOAD: Duration = Duration::from_secs(2);
     const MARGIN: Duration = Duration::from_secs(4);
     let site = Arc::new(Site::start(10, 0).await);
--- a/crates/lab/tests/on_platform/slow_bodies.rs
+++ b/crates/lab/tests/on_platform/slow_bodies.rs
@@ -1,4 +1,4 @@
-//! Requests whose bodies take long to arrive.
+//! Requests with slow bodies.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,12 +20,13 @@
 /// The slots of an engine.
 const SLOTS: usize = 8;
 
-/// When the body of the first request is complete, when the second request comes, and when an
-/// engine has room. At that time neither has waited for long, but the first one's head is as old as
-/// a request of the route may be to be in time.
-const BODY_AT: Duration = Duration::from_millis(2_000);
-const SECOND_AT: Duration = Duration::from_millis(2_100);
-const ROOM_AT: Duration = Duration::from_millis(4_250);
+/// The time from the head of the first request to the end of its body.
+const FIRST_BODY: Duration = Duration::from_millis(2_000);
+/// The time from the head of the first request to the second request.
+const SECOND_REQUEST: Duration = Duration::from_millis(2_100);
+/// The time from the head of the first request to a free slot. A request that old is late, one as
+/// old as the first one's body is not.
+const FREE_SLOT: Duration = Duration::from_millis(4_250);
 
 async fn send_slowly(node: &SiteNode, began: Instant) -> TcpStream {
     let head = format!(
@@ -35,13 +36,13 @@
     );
     let mut caller = TcpStream::connect(node.callers).await.expect("the node listens");
     caller.write_all(head.as_bytes()).await.expect("the node reads");
-    sleep_until(began + BODY_AT).await;
+    sleep_until(began + FIRST_BODY).await;
     caller.write_all(b"body").await.expect("the node reads");
     caller
 }
 
 #[tokio::test]
-async fn request_whose_body_took_long_is_passed_by_later_ones() {
+async fn request_with_a_slow_body_is_overtaken_by_later_ones() {
     let site = Arc::new(Site::start(1, 0).await);
     let node = Arc::new(site.node("n1").await);
     site.engines[0].set(Behaviour::IsMute);
@@ -53,9 +54,9 @@
     site.wait("the engine is full", async || site.engines[0].seen().len() == SLOTS).await;
     let began = Instant::now();
     let _first = send_slowly(&node, began).await;
-    sleep_until(began + SECOND_AT).await;
+    sleep_until(began + SECOND_REQUEST).await;
     running.push(ask("second".to_owned()));
-    sleep_until(began + ROOM_AT).await;
+    sleep_until(began + FREE_SLOT).await;
     running[0].abort();
     let all_seen = async || site.engines[0].seen().len() > SLOTS;
     site.wait("the engine gets another request", all_seen).await;
--- a/crates/scheduling/src/fleet/arrivals.rs
+++ b/crates/scheduling/src/fleet/arrivals.rs
@@ -5,7 +5,7 @@
 /// The length of the window: one second, without its first millisecond.
 const WINDOW_MS: u64 = 999;
 
-/// The shortest span from which a rate is derived.
+/// The minimum span for a rate, so that the first arrival does not count as a thousand per second.
 const MIN_SPAN_MS: u64 = 100;
 
 /// Counts arrivals over the last second.
@@ -22,8 +22,8 @@
         self.first_ms.get_or_insert(now_ms);
     }
 
-    /// Returns the arrivals per second, from those of the last second. A counter that is younger
-    /// than that extrapolates: whoever starts amid the load must not take it for a small one.
+    /// Returns the arrivals per second over the last second, or since the first arrival if that is
+    /// more recent.
     pub fn per_s(&mut self, now_ms: u64) -> u32 {
         let age_ms = self.first_ms.map_or(0, |first_ms| now_ms.saturating_sub(first_ms));
         let span_ms = age_ms.clamp(MIN_SPAN_MS, WINDOW_MS + 1);
--- a/crates/scheduling/src/scheduler/backlog.rs
+++ b/crates/scheduling/src/scheduler/backlog.rs
@@ -32,16 +32,14 @@
         }
     }
 
-    /// Returns how long a request on time waits at least with `ahead` requests before it, in
-    /// milliseconds.
+    /// Returns the minimum wait behind `ahead` requests, in milliseconds.
     pub(super) fn min_wait_ms(&mut self, ahead: usize, now_ms: u64) -> u64 {
         let departures = self.departures.count(now_ms);
         min_wait_ms(ahead, departures, self.span_ms(now_ms))
     }
 
-    /// Returns how long a late request waits at least with `ahead` late ones before it, in
-    /// milliseconds; zero until the backlog has lasted for the whole span, because those on time go
-    /// first, and most of the late ones of a young backlog waited elsewhere before.
+    /// Returns the minimum wait of a late request behind `ahead` late ones, in milliseconds; zero
+    /// while the backlog is shorter than the span and the rate is unknown.
     pub(super) fn min_late_wait_ms(&mut self, ahead: usize, now_ms: u64) -> u64 {
         let span_ms = self.span_ms(now_ms);
         if span_ms <= RATE_SPAN_MS {
@@ -56,8 +54,7 @@
     }
 }
 
-/// Returns the wait with two standard deviations more departures than were seen in the span, since
-/// few say little of the rate.
+/// Returns the wait at an upper bound of the departure rate: two standard deviations above the count.
 fn min_wait_ms(ahead: usize, departures: usize, span_ms: u64) -> u64 {
     let seen = departures as f64;
     (ahead as f64 * span_ms as f64 / (seen + 2.0 * (seen + 1.0).sqrt() + 1.0)) as u64
--- a/crates/scheduling/src/scheduler/request.rs
+++ b/crates/scheduling/src/scheduler/request.rs
@@ -27,7 +27,7 @@
     pub isolated_account: Option<String>,
     /// The priority; zero is the most urgent.
     pub urgency: u8,
-    /// When the request was complete at the node, in milliseconds on the node's clock.
+    /// When the last byte of the request arrived, in milliseconds on the node's clock.
     pub arrived_ms: u64,
     /// The deadline of the response, in milliseconds on the node's clock.
     pub deadline_ms: u64,
--- a/crates/scheduling/src/scheduler/wait_queue.rs
+++ b/crates/scheduling/src/scheduler/wait_queue.rs
@@ -9,9 +9,8 @@
 //! Invariants:
 //! - Requests of one class (service, long or short) leave in queue order.
 //! - The size of a prompt has no influence on its class, on when it counts as late, or on how long
-//!   it may wait: at any time the same holds for all requests of a route. The queue moves so that
-//!   those at its head are about to become late, and any request that became late earlier than its
-//!   neighbours would be passed by all of them.
+//!   it may wait. Even a few milliseconds matter: in an overload the head of the queue is always
+//!   about to become late.
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -63,7 +62,7 @@
         now_ms + needed_ms >= self.request.arrived_ms + self.request.target_ms
     }
 
-    /// Returns when the wait expires.
+    /// Returns when the request is refused if it still waits, in milliseconds on the node's clock.
     fn wait_ends_ms(&self) -> u64 {
         let arrived_ms = self.request.arrived_ms;
         let span_ms = self.request.deadline_ms.saturating_sub(arrived_ms);
@@ -162,8 +161,8 @@
         turn_ms >= entry.wait_ends_ms()
     }
 
-    /// Updates the expected serving time of all waiting requests to what their route has now.
-    fn update_serving_times(&mut self, scheduler: &mut Scheduler) {
+    /// Refreshes the expected serving times, which follow the average prompt of each route.
+    fn refresh_serving_times(&mut self, scheduler: &mut Scheduler) {
         let mut known: Vec<(usize, u64)> = Vec::new();
         for index in 0..self.waiting.len() {
             let request = &self.waiting[index].request;
@@ -192,7 +191,7 @@
         now_ms: u64,
         is_abandoned: impl Fn(&T) -> bool,
     ) -> Vec<(T, Choice)> {
-        self.update_serving_times(scheduler);
+        self.refresh_serving_times(scheduler);
         let mut waiting = std::mem::take(&mut self.waiting);
         waiting.retain(|waiting| !is_abandoned(&waiting.responder));
         // The sort is stable: requests of equal rank stay in the order of their arrival.
--- a/crates/scheduling/tests/restart_at_load.rs
+++ b/crates/scheduling/tests/restart_at_load.rs
@@ -1,4 +1,4 @@
-//! Replay of nodes that start, all at once, into the usual load.
+//! Replay of a restart of all nodes under load.
 
 mod support;
 
@@ -26,8 +26,8 @@
 
 const RESTART_MS: u64 = 8_000;
 
-/// The callers that the restart cut off return, beside the usual ones.
-const RETURNS: Burst = Burst { begin_ms: RESTART_MS, end_ms: RESTART_MS + 1_500, factor: 2.0 };
+/// Callers retry after the restart.
+const RETRIES: Burst = Burst { begin_ms: RESTART_MS, end_ms: RESTART_MS + 1_500, factor: 2.0 };
 
 const DAY: Day = Day {
     sheet: SHEET,
@@ -37,8 +37,8 @@
     document_tokens: Sizes { mean: 13_300.0, sigma: 0.63, limit: 39_900.0 },
     long_per_s: 25.0,
     short_per_s: 290.0,
-    long_burst: RETURNS,
-    short_burst: RETURNS,
+    long_burst: RETRIES,
+    short_burst: RETRIES,
     long_target_ms: 2_000,
     dark_engines: 0,
     dark_ms: 0,
@@ -51,10 +51,10 @@
 const SHORT_TARGET_MS: u64 = 500;
 const SEEDS: std::ops::Range<u64> = 0..4;
 
-/// The restart leaves the engines idle; they fill up within this time.
+/// How long the engines, idle after the restart, take to fill up.
 const FILL_MS: u64 = 500;
 
-/// Returns the share of the short prompts of the load after the restart that are in time.
+/// Returns the share of short prompts served in time once the engines are full again.
 fn short_in_time(restart_ms: Option<u64>) -> f64 {
     let play = |seed| {
         let day = Day { restart_ms, ..DAY };
@@ -64,7 +64,7 @@
     };
     let days: Vec<Simulation> = SEEDS.map(play).collect();
     let is_counted = |caller: &&Caller| {
-        !caller.is_long && (RETURNS.begin_ms + FILL_MS..RETURNS.end_ms).contains(&caller.arrived_ms)
+        !caller.is_long && (RETRIES.begin_ms + FILL_MS..RETRIES.end_ms).contains(&caller.arrived_ms)
     };
     let is_in_time = |caller: &&&Caller| {
         caller.first_event_ms.is_some_and(|at_ms| at_ms <= caller.arrived_ms + SHORT_TARGET_MS)
@@ -74,7 +74,7 @@
 }
 
 #[test]
-fn nodes_that_start_into_the_load_take_it_for_small() {
+fn restarted_nodes_reserve_too_few_engines_for_short_prompts() {
     let (restarted, others) = (short_in_time(Some(RESTART_MS)), short_in_time(None));
     assert!(
         restarted >= 0.95 * others,
--- a/crates/scheduling/tests/wait_queue.rs
+++ b/crates/scheduling/tests/wait_queue.rs
@@ -1,4 +1,4 @@
-//! Who waits, and who is refused, in the queue of a scheduler without capacity.
+//! Tests of the wait queue while no engine has a free slot.
 
 mod support;
 
@@ -20,15 +20,15 @@
 
 const TARGET_MS: u64 = 2_000;
 const DISPATCH_PERIOD_MS: u64 = 5;
-const USUAL_OWN_TOKENS: u32 = 3_720;
+const AVERAGE_OWN_TOKENS: u32 = 3_720;
 
-/// Returns a long request of one route with an own part of this size.
+/// Returns a request with a shared document and `own_tokens` of its own.
 fn long_request(own_tokens: u32, arrived_ms: u64) -> ScheduleRequest {
     let prompt = prompt(&[(1, 13_300), (1_000_000 + arrived_ms, own_tokens)]);
     ScheduleRequest { target_ms: TARGET_MS, ..request(Some(prompt), arrived_ms) }
 }
 
-/// A scheduler that knows the route and has one engine, all of whose slots are taken.
+/// A scheduler with one fully occupied engine, which has seen prompts of the route before.
 struct FullEngine {
     scheduler: Scheduler,
     running: Vec<Assignment>,
@@ -39,7 +39,7 @@
         let mut scheduler = scheduler(1);
         scheduler.observe_target_version(MODEL, WeightsVersion(1), 0);
         scheduler.set_upstreams(engines(1, 1), 0);
-        let request = long_request(USUAL_OWN_TOKENS, 0);
+        let request = long_request(AVERAGE_OWN_TOKENS, 0);
         (0..200).for_each(|_| count_prompt(&mut scheduler, &request, 0));
         let mut full = Self { scheduler, running: Vec::new() };
         while let Choice::Send(assignment) = full.scheduler.choose(&request, 0) {
@@ -62,7 +62,7 @@
 }
 
 #[test]
-fn large_prompt_is_late_before_others_of_its_route() {
+fn large_prompt_is_overtaken_by_smaller_ones() {
     for now_ms in (20..TARGET_MS).step_by(DISPATCH_PERIOD_MS as usize) {
         let mut engine = FullEngine::new();
         let mut queue: WaitQueue<&str> = WaitQueue::default();
@@ -80,7 +80,7 @@
 }
 
 #[test]
-fn late_requests_wait_on_though_none_of_them_is_served() {
+fn late_requests_wait_in_vain_until_their_wait_expires() {
     const FREE_SLOT_PERIOD_MS: u64 = 40;
     const ARRIVALS_PER_SLOT: usize = 3;
     let mut engine = FullEngine::new();
@@ -91,7 +91,7 @@
         if now_ms % FREE_SLOT_PERIOD_MS < DISPATCH_PERIOD_MS {
             engine.free_slot(now_ms);
             for _ in 0..ARRIVALS_PER_SLOT {
-                let request = long_request(USUAL_OWN_TOKENS, now_ms);
+                let request = long_request(AVERAGE_OWN_TOKENS, now_ms);
                 count_prompt(&mut engine.scheduler, &request, now_ms);
                 decided.extend(queue.enqueue(&mut engine.scheduler, request, now_ms, now_ms));
             }
