--- a/crates/scheduling/tests/restart_at_load.rs
+++ b/crates/scheduling/tests/restart_at_load.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use support::batching::EngineSheet;
+use support::batching::GROWN_SITE_SHEET;
 use support::replay::Burst;
 use support::replay::Caller;
 use support::replay::Day;
@@ -10,27 +10,13 @@
 use support::replay::Simulation;
 use support::replay::Sizes;
 
-const SHEET: EngineSheet = EngineSheet {
-    slots: 16,
-    queue_limit: 48,
-    memory_tokens: 162_694,
-    step_ms: 6.45,
-    step_ms_per_slot: 0.0967,
-    prefill_tokens_per_ms: 56.1,
-    chunk_tokens: 4_096,
-    setup_ms: 75.0,
-    fetch_ms_per_1k_tokens: 1.5,
-    load_weights_ms: 2_500.0,
-    tokens_per_event: 5,
-};
-
 const RESTART_MS: u64 = 8_000;
 
 /// Callers retry after the restart.
 const RETRIES: Burst = Burst { begin_ms: RESTART_MS, end_ms: RESTART_MS + 1_500, factor: 2.0 };
 
 const DAY: Day = Day {
-    sheet: SHEET,
+    sheet: GROWN_SITE_SHEET,
     engines: 16,
     domains: 3,
     documents: 60,
--- a/crates/scheduling/tests/support/batching.rs
+++ b/crates/scheduling/tests/support/batching.rs
@@ -25,6 +25,21 @@
     pub tokens_per_event: u64,
 }
 
+/// The engines of a deployment with many engines of few slots.
+pub const GROWN_SITE_SHEET: EngineSheet = EngineSheet {
+    slots: 16,
+    queue_limit: 48,
+    memory_tokens: 162_694,
+    step_ms: 6.45,
+    step_ms_per_slot: 0.0967,
+    prefill_tokens_per_ms: 56.1,
+    chunk_tokens: 4_096,
+    setup_ms: 75.0,
+    fetch_ms_per_1k_tokens: 1.5,
+    load_weights_ms: 2_500.0,
+    tokens_per_event: 5,
+};
+
 /// A request at an engine.
 #[derive(Clone, Debug)]
 pub struct Run {
