Normalize an account's demand by the time for which it was observed

Callers of the own interface: each router gives an account the part of its limit and weight that follows from the router's share of the account's demand. A router that has just started divided the demand of its first second by the integral of a decay of four seconds' half-life, so it took its share for small, and refused callers that are within their limit.

Change: the rate divides by the decay over the time since the first request, at least a second.

restarted_node_underestimates_its_share_of_an_account: six nodes, one restarts; from one to four seconds after it its weight was 0.35 of another node's, now it is within 0.8 and 1.25. spreading_load_over_nodes_does_not_raise_the_limit stays green.

Looked at and left: DrainRate divides by observed time; the backlog of a wait queue by its age; load averages of engines by samples.

--- a/crates/admission/src/limits/demand.rs
+++ b/crates/admission/src/limits/demand.rs
@@ -9,6 +9,9 @@
 /// The half-life of recorded demand.
 const HALF_LIFE_MS: f64 = 4_000.0;
 
+/// The minimum span for a rate, so that the first request does not count as a high demand.
+const MIN_SPAN_MS: u64 = 1_000;
+
 /// The smallest share of an account that a node assumes for itself.
 const MIN_LOCAL_SHARE: f64 = 0.02;
 
@@ -24,25 +27,41 @@
     pub tokens_per_s: f64,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 struct DecayingCounter {
     tokens: f64,
+    first_ms: u64,
     updated_ms: u64,
 }
 
 impl DecayingCounter {
+    fn new(now_ms: u64) -> Self {
+        Self { tokens: 0.0, first_ms: now_ms, updated_ms: now_ms }
+    }
+
+    fn add(&mut self, tokens: u64, now_ms: u64) {
+        self.tokens = self.value_at(now_ms) + tokens as f64;
+        self.updated_ms = now_ms;
+    }
+
     fn value_at(self, now_ms: u64) -> f64 {
-        let age_ms = now_ms.saturating_sub(self.updated_ms) as f64;
-        self.tokens * (-age_ms / HALF_LIFE_MS).exp2()
+        self.tokens * decay_over(now_ms.saturating_sub(self.updated_ms))
     }
 
     fn rate_per_s(self, now_ms: u64) -> f64 {
-        // The integral of the exponential decay from zero to infinity.
-        let decay_integral_s = HALF_LIFE_MS / std::f64::consts::LN_2 / 1_000.0;
+        let span_ms = now_ms.saturating_sub(self.first_ms).max(MIN_SPAN_MS);
+        // The integral of the exponential decay over the span.
+        let decay_integral_s =
+            HALF_LIFE_MS / std::f64::consts::LN_2 / 1_000.0 * (1.0 - decay_over(span_ms));
         self.value_at(now_ms) / decay_integral_s
     }
 }
 
+/// Returns what remains of recorded demand after a time.
+fn decay_over(elapsed_ms: u64) -> f64 {
+    (-(elapsed_ms as f64) / HALF_LIFE_MS).exp2()
+}
+
 /// The demand of all accounts at this node, and the demand reported by other nodes.
 #[derive(Clone, Debug, Default)]
 pub struct DemandTracker {
@@ -53,9 +72,8 @@
 impl DemandTracker {
     /// Records the tokens that a request asks for.
     pub fn record(&mut self, account: AccountId, tokens: u64, now_ms: u64) {
-        let demand = self.local.get_or_insert_with(account, DecayingCounter::default);
-        *demand =
-            DecayingCounter { tokens: demand.value_at(now_ms) + tokens as f64, updated_ms: now_ms };
+        let demand = self.local.get_or_insert_with(account, || DecayingCounter::new(now_ms));
+        demand.add(tokens, now_ms);
     }
 
     /// Replaces the demand reported by the other nodes. Demands of the same account are summed.
--- a/crates/admission/tests/limits.rs
+++ b/crates/admission/tests/limits.rs
@@ -58,6 +58,36 @@
     assert!(spread as f64 >= 0.8 * single as f64);
 }
 
+#[test]
+fn restarted_node_underestimates_its_share_of_an_account() {
+    const NODES: usize = 6;
+    const INTERVAL_MS: u64 = 5;
+    const RESTART_MS: u64 = 20_000;
+    /// The time after the restart in which demand is compared.
+    const COMPARED_MS: std::ops::Range<u64> = RESTART_MS + 1_000..RESTART_MS + 4_000;
+    let spec = LimitSpec { tokens_per_s: 10_000, max_in_flight: 0 };
+    let mut limits = vec![AccountLimits::default(); NODES];
+    let mut weights = [0.0; NODES];
+    for now_ms in (0..COMPARED_MS.end).step_by(INTERVAL_MS as usize) {
+        if now_ms == RESTART_MS {
+            limits[0] = AccountLimits::default();
+        }
+        if now_ms % EXCHANGE_MS == 0 {
+            exchange(&mut limits, now_ms);
+        }
+        let node = (now_ms / INTERVAL_MS) as usize % NODES;
+        if limits[node].admit(account(), spec, 500, now_ms).is_ok() {
+            limits[node].finish(account(), 0);
+        }
+        if COMPARED_MS.contains(&now_ms) {
+            (0..NODES).for_each(|n| weights[n] += limits[n].local_weight(account(), 1, now_ms));
+        }
+    }
+    let (restarted, other) = (weights[0], weights[1]);
+    assert!(restarted >= 0.8 * other, "{:.2} of the weight at another node", restarted / other);
+    assert!(restarted <= 1.25 * other, "{:.2} of the weight at another node", restarted / other);
+}
+
 #[test]
 fn local_weight_follows_the_local_share_of_demand() {
     let mut limits = AccountLimits::default();
