Let the faults of a soak grow with its daemons

A run with 60 daemons drew as few faults as one with four, 3 to 9, so most daemons were never struck. The count is now for each four daemons; seeds with four daemons draw what they drew.

--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -20,8 +20,9 @@
 /// How old a copy is from which the store comes back.
 const COPY_AGE_MS: std::ops::Range<u64> = 0..6_000;
 
-/// The fewest and the most faults of a run.
+/// The fewest and the most faults of a run, for each group of so many nodes.
 const FAULTS: std::ops::Range<usize> = 3..10;
+const NODES_PER_GROUP: usize = 4;
 
 /// The fewest and the most failures of links to upstreams, and how long one lasts: also so briefly
 /// that only what is on its way is hit.
@@ -75,7 +76,7 @@
     /// Draws the faults of a seed for so many nodes and upstreams.
     pub fn draw(seed: u64, nodes: usize, upstreams: usize) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
-        let count = rng.random_range(FAULTS);
+        let count = rng.random_range(FAULTS) * nodes.div_ceil(NODES_PER_GROUP);
         let faults = (0..count).map(|_| {
             let at = Duration::from_millis(rng.random_range(SPAN_MS));
             (at, draw_fault(&mut rng, nodes, upstreams))
