Name the client account of a request in log lines and to the scheduler

During a flood of one account, the log could not show whose requests were assigned, refused or late, and neither the coordinators nor the wait queue knew the account of a prompt.

Change: lines about a request carry account=. ScheduleRequest and the messages of the coordination carry the account's tag (a hash of its name) and its configured weight.

No decision changes.

--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -9,6 +9,7 @@
 use http::Uri;
 
 use crate::clock::now_ms;
+use redwingrill_routing::AccountTag;
 use redwingrill_routing::AttemptMetadata;
 use redwingrill_routing::ClientAccount;
 use redwingrill_routing::DeclaredPrompt;
@@ -16,6 +17,7 @@
 use redwingrill_routing::Route;
 use redwingrill_scheduling::engine_model::RouteTag;
 use redwingrill_scheduling::fleet::UpstreamIndex;
+use redwingrill_scheduling::scheduler::AccountShare;
 use redwingrill_scheduling::scheduler::Assignment;
 use redwingrill_scheduling::scheduler::ScheduleRequest;
 
@@ -59,6 +61,11 @@
         now_ms().saturating_sub(self.arrived_ms)
     }
 
+    /// Returns the name of the client account for log lines; `-` without one.
+    pub fn account_name(&self) -> &str {
+        self.account.as_ref().map_or("-", |account| account.name.as_str())
+    }
+
     /// Returns the tokens of the declared prompt; zero without one.
     pub fn prompt_tokens(&self) -> u32 {
         self.prompt.as_ref().map_or(0, |prompt| prompt.prompt_tokens)
@@ -85,6 +92,10 @@
             route: RouteTag::of(&self.route.name),
             prompt: self.prompt.clone(),
             isolated_account: isolated.map(|account| account.name.clone()),
+            account: self.account.as_ref().map(|account| AccountShare {
+                tag: AccountTag::of(&account.name),
+                weight: account.quota.map(|quota| quota.rate_per_s),
+            }),
             urgency: self.urgency(),
             // A request joins the queue once its body is complete, so its target is counted from then.
             arrived_ms: self.complete_ms,
--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -351,7 +351,10 @@
         if let RefusalCause::Quarantined(part) = cause {
             self.context.metrics.quarantine("refused");
             let (id, runs) = (&call.metadata.id, call.possible_runs);
-            info!("event=request_quarantined request_id={id} part={part} runs={runs}");
+            let account = call.account_name();
+            info!(
+                "event=request_quarantined request_id={id} account={account} part={part} runs={runs}"
+            );
         }
         if let RefusalCause::Overloaded(shortage) = &cause {
             self.context.metrics.shortage(&call.service, shortage);
@@ -410,8 +413,9 @@
         self.context.metrics.response_ended(&call.service, framing);
         if !framing.marks_end() {
             info!(
-                "event=response_without_length request_id={} upstream={} status={} bytes={}",
+                "event=response_without_length request_id={} account={} upstream={} status={} bytes={}",
                 call.metadata.id,
+                call.account_name(),
                 attempt.assignment().upstream.id,
                 parts.status.as_str(),
                 body.len(),
@@ -471,8 +475,9 @@
     fn record_failure(&self, call: &Call, outcome: &str, reason: &str) {
         self.context.metrics.attempt_ended(&call.service, outcome);
         info!(
-            "event=leg_failed request_id={} outcome={outcome} reason={reason:?} age_ms={} runs={}",
+            "event=leg_failed request_id={} account={} outcome={outcome} reason={reason:?} age_ms={} runs={}",
             call.metadata.id,
+            call.account_name(),
             call.age_ms(),
             call.possible_runs,
         );
@@ -487,9 +492,10 @@
             self.context.metrics.prompt_ended(&call.route.name, code.info().name, tokens);
         }
         info!(
-            "event=request_ended request_id={} route={} code={} status={status} took_ms={} \
+            "event=request_ended request_id={} account={} route={} code={} status={status} took_ms={} \
              sends={} runs={} prompt_tokens={}",
             call.metadata.id,
+            call.account_name(),
             call.route.name,
             code.number(),
             elapsed.as_millis(),
@@ -503,6 +509,7 @@
 /// Logs a request whose caller left before there was a response: its handler is dropped.
 struct DepartureLog {
     request_id: String,
+    account: String,
     route: String,
     prompt_tokens: u32,
     arrived_ms: u64,
@@ -513,6 +520,7 @@
     fn new(call: &Call) -> Self {
         Self {
             request_id: call.metadata.id.clone(),
+            account: call.account_name().to_owned(),
             route: call.route.name.clone(),
             prompt_tokens: call.prompt_tokens(),
             arrived_ms: call.arrived_ms,
@@ -529,8 +537,10 @@
     fn drop(&mut self) {
         if self.is_armed {
             info!(
-                "event=request_abandoned request_id={} route={} prompt_tokens={} age_ms={}",
+                "event=request_abandoned request_id={} account={} route={} prompt_tokens={} \
+                 age_ms={}",
                 self.request_id,
+                self.account,
                 self.route,
                 self.prompt_tokens,
                 now_ms().saturating_sub(self.arrived_ms),
@@ -632,9 +642,10 @@
     let counts = shortage.counts().map(|(limit, count)| format!("{limit}={count}")).join(" ");
     let prefix = call.prompt.as_deref().and_then(AffinityKey::of).map_or(0, |key| key.0);
     info!(
-        "event=request_shed request_id={} route={} prefix={prefix:x} prompt_tokens={} age_ms={} \
+        "event=request_shed request_id={} account={} route={} prefix={prefix:x} prompt_tokens={} age_ms={} \
          sends={} ahead={} {counts}",
         call.metadata.id,
+        call.account_name(),
         call.route.name,
         call.prompt_tokens(),
         call.age_ms(),
@@ -651,11 +662,12 @@
     let coordinator = assignment.coordinator.map_or_else(|| "-".to_owned(), |at| at.to_string());
     let weights = assignment.version.map_or_else(|| "-".to_owned(), |known| known.0.to_string());
     info!(
-        "event=assigned request_id={} route={} upstream={} weights={weights} scope={scope} \
+        "event=assigned request_id={} account={} route={} upstream={} weights={weights} scope={scope} \
          prefix={prefix:x} \
          prompt_tokens={} unread_tokens={} queued_tokens={} fetch={fetch} save={} \
          coordinator={coordinator} sends={} age_ms={}",
         call.metadata.id,
+        call.account_name(),
         call.route.name,
         assignment.upstream.id,
         call.prompt_tokens(),
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -197,9 +197,10 @@
                 SegmentEnd::DeadlineExceeded => return RelayEnd::DeadlineExceeded,
                 SegmentEnd::Failed(reason) => {
                     info!(
-                        "event=stream_part_broken request_id={} reason={reason:?} last_event={:?} \
-                         upstream={} framing={}",
+                        "event=stream_part_broken request_id={} account={} reason={reason:?} \
+                         last_event={:?} upstream={} framing={}",
                         call.metadata.id,
+                        call.account_name(),
                         self.splitter.last_id(),
                         self.upstream.id,
                         self.framing,
@@ -299,8 +300,10 @@
             Ok(attempt) => Some(attempt),
             Err((cause, _)) => {
                 info!(
-                    "event=stall_kept request_id={} cause={cause:?} pause_ms={} last_event={:?}",
+                    "event=stall_kept request_id={} account={} cause={cause:?} pause_ms={} \
+                     last_event={:?}",
                     call.metadata.id,
+                    call.account_name(),
                     self.last_event.elapsed().as_millis(),
                     self.splitter.last_id(),
                 );
@@ -318,7 +321,8 @@
             let attempt = match choice {
                 Ok(attempt) => attempt,
                 Err((cause, _)) => {
-                    info!("event=resume_refused request_id={} cause={cause:?}", call.metadata.id);
+                    let (id, account) = (&call.metadata.id, call.account_name());
+                    info!("event=resume_refused request_id={id} account={account} cause={cause:?}");
                     return false;
                 }
             };
@@ -335,8 +339,9 @@
         call.tried.push(attempt.assignment().index);
         call.sends += 1;
         info!(
-            "event=resuming request_id={} upstream={} last_event={last_id}",
+            "event=resuming request_id={} account={} upstream={} last_event={last_id}",
             call.metadata.id,
+            call.account_name(),
             attempt.assignment().upstream.id,
         );
         let (codec, pool) = (self.context.head_codec.as_ref(), &self.context.pool);
@@ -382,9 +387,10 @@
     fn log_end(&self, call: &Call, outcome: &str) {
         self.context.metrics.attempt_ended(&call.service, outcome);
         info!(
-            "event=stream_ended request_id={} outcome={outcome} age_ms={} last_event={:?} runs={} \
-             longest_pause_ms={} upstream={} framing={} prompt_tokens={}",
+            "event=stream_ended request_id={} account={} outcome={outcome} age_ms={} last_event={:?} \
+             runs={} longest_pause_ms={} upstream={} framing={} prompt_tokens={}",
             call.metadata.id,
+            call.account_name(),
             call.age_ms(),
             self.splitter.last_id(),
             call.possible_runs,
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -59,6 +59,7 @@
             parts: vec![part(7), part(own_part)],
         })),
         isolated_account: None,
+        account: None,
         urgency: 1,
         arrived_ms: now_ms,
         deadline_ms: now_ms + 5_000,
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -25,7 +25,10 @@
 mod upstreams;
 
 pub use accounts::AccountIndex;
+pub use accounts::AccountQuota;
+pub use accounts::AccountTag;
 pub use accounts::ClientAccount;
+pub use accounts::QuotaUnit;
 pub use codec::DecodeError;
 pub use codec::HeadCodec;
 pub use codec::ItemCodec;
--- a/crates/scheduling/examples/choice.rs
+++ b/crates/scheduling/examples/choice.rs
@@ -56,6 +56,7 @@
         route: RouteTag::of(if is_long { "long" } else { "short" }),
         prompt: Some(Arc::new(prompt)),
         isolated_account: None,
+        account: None,
         urgency: if is_long { 2 } else { 0 },
         arrived_ms: now_ms,
         deadline_ms: now_ms + 10_000,
--- a/crates/scheduling/src/coordination/messages.rs
+++ b/crates/scheduling/src/coordination/messages.rs
@@ -12,6 +12,7 @@
 use crate::fleet::NodeLoad;
 use crate::fleet::UpstreamIndex;
 use crate::fleet::UpstreamTag;
+use crate::scheduler::AccountShare;
 use crate::scheduler::Assignment;
 use crate::scheduler::ScheduleRequest;
 use crate::scheduler::Shortage;
@@ -79,6 +80,7 @@
     output_tokens_limit: u32,
     parts: Vec<(u64, u32)>,
     isolated_account: Option<String>,
+    account: Option<AccountShare>,
     urgency: u8,
     age_ms: u64,
     deadline_in_ms: u64,
@@ -107,6 +109,7 @@
             output_tokens_limit: prompt.output_tokens_limit,
             parts: prompt.parts.iter().map(|part| (part.id.0, part.tokens)).collect(),
             isolated_account: request.isolated_account.clone(),
+            account: request.account,
             urgency: request.urgency,
             age_ms: now_ms.saturating_sub(request.arrived_ms),
             deadline_in_ms: request.deadline_ms.saturating_sub(now_ms),
@@ -136,6 +139,7 @@
             route: self.route,
             prompt: Some(Arc::new(prompt)),
             isolated_account: self.isolated_account,
+            account: self.account,
             urgency: self.urgency,
             arrived_ms: now_ms.saturating_sub(self.age_ms),
             deadline_ms: now_ms.saturating_add(self.deadline_in_ms),
--- a/crates/scheduling/src/scheduler/mod.rs
+++ b/crates/scheduling/src/scheduler/mod.rs
@@ -17,6 +17,7 @@
 pub use self::core::SchedulerOptions;
 pub use outcome::AttemptEffect;
 pub use outcome::AttemptOutcome;
+pub use request::AccountShare;
 pub use request::Assignment;
 pub use request::Choice;
 pub use request::RefusalCause;
--- a/crates/scheduling/src/scheduler/request.rs
+++ b/crates/scheduling/src/scheduler/request.rs
@@ -3,6 +3,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use super::Shortage;
 use crate::engine_model::PromptWork;
 use crate::engine_model::RouteTag;
@@ -10,10 +13,21 @@
 use crate::placement::AffinityKey;
 use crate::placement::Scope;
 use crate::quarantine::PartKey;
+use redwingrill_routing::AccountTag;
 use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::Upstream;
 use redwingrill_routing::WeightsVersion;
 
+/// The client account of a request, as far as its share of the capacity depends on it.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct AccountShare {
+    /// The account.
+    pub tag: AccountTag,
+    /// The configured weight relative to other accounts, for example the account's rate; `None` if
+    /// none is configured.
+    pub weight: Option<u64>,
+}
+
 /// The requirements of a request.
 #[derive(Clone, Debug)]
 pub struct ScheduleRequest {
@@ -25,6 +39,8 @@
     pub prompt: Option<Arc<DeclaredPrompt>>,
     /// The client account, if its cached parts are isolated.
     pub isolated_account: Option<String>,
+    /// The client account, if the request has one.
+    pub account: Option<AccountShare>,
     /// The priority; zero is the most urgent.
     pub urgency: u8,
     /// When the last byte of the request arrived, in milliseconds on the node's clock.
--- a/crates/scheduling/tests/support/mod.rs
+++ b/crates/scheduling/tests/support/mod.rs
@@ -85,6 +85,7 @@
         route: route(is_long),
         prompt: prompt.map(Arc::new),
         isolated_account: None,
+        account: None,
         urgency: if is_long { 2 } else { 0 },
         arrived_ms,
         deadline_ms: arrived_ms + if is_long { 12_000 } else { 5_000 },
