Add quotas of accounts over the fleet, without I/O

Change: each account has at most five owners, each with a bucket that holds an equal part of rate and burst. A node pays for a request from leased tokens and asks the owners one after the other for what is missing. Grants and returns take effect once; an owner that is not sure to be in the list of nodes grants nothing; a node that reaches no owner has a small allowance.

--- a/crates/admission/src/limits/accounts.rs
+++ b/crates/admission/src/limits/accounts.rs
@@ -7,7 +7,7 @@
 use redwingrill_entity::AccountId;
 use redwingrill_entity::EntityMap;
 
-/// The burst size of the token rate limit, in seconds of the rate.
+/// The default burst of the token rate limit, in seconds of the rate.
 const BURST_S: f64 = 2.0;
 
 /// Bounds of the retry delay returned when the token rate is exceeded.
@@ -22,6 +22,8 @@
 pub struct LimitSpec {
     /// Tokens per second over the fleet; zero for no limit.
     pub tokens_per_s: u64,
+    /// The tokens that may be used at once beyond the rate; zero for the default.
+    pub burst_tokens: u64,
     /// Requests in flight over the fleet; zero for no limit.
     pub max_in_flight: u32,
 }
@@ -93,7 +95,11 @@
         }
         if spec.tokens_per_s > 0 {
             let rate_per_ms = spec.tokens_per_s as f64 * share / 1_000.0;
-            usage.repay_debt(rate_per_ms, now_ms);
+            let burst_tokens = match spec.burst_tokens {
+                0 => rate_per_ms * 1_000.0 * BURST_S,
+                burst_tokens => burst_tokens as f64 * share,
+            };
+            usage.repay_debt(rate_per_ms, burst_tokens, now_ms);
             if usage.debt_tokens > 0.0 {
                 let wait_ms = usage.debt_tokens / rate_per_ms;
                 let retry_after_ms = wait_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS) as u64;
@@ -145,9 +151,8 @@
 }
 
 impl Usage {
-    fn repay_debt(&mut self, rate_per_ms: f64, now_ms: u64) {
+    fn repay_debt(&mut self, rate_per_ms: f64, burst_tokens: f64, now_ms: u64) {
         let elapsed_ms = now_ms.saturating_sub(self.updated_ms) as f64;
-        let burst_tokens = rate_per_ms * 1_000.0 * BURST_S;
         self.debt_tokens = (self.debt_tokens - elapsed_ms * rate_per_ms).max(-burst_tokens);
         self.updated_ms = self.updated_ms.max(now_ms);
     }
--- a/crates/admission/src/limits/mod.rs
+++ b/crates/admission/src/limits/mod.rs
@@ -1,6 +1,8 @@
 //! Fleet-wide limits of client accounts.
 //!
-//! A limit applies to the whole fleet. Each node enforces a share of it, equal to the share of the
+//! [`fleet`] holds quotas with a bound over all nodes: nodes lease tokens from their owners.
+//!
+//! [`AccountLimits`] needs no messages for a request. Each node enforces a share of it, equal to the share of the
 //! account's demand that arrives at the node. Only accounts with high demand matter, so nodes
 //! exchange the demand of their top accounts only. An account that no other node reports is assumed
 //! to send all its requests to this node.
@@ -9,11 +11,17 @@
 //! never goes below zero.
 
 mod accounts;
+mod bucket;
 mod demand;
+pub mod fleet;
+mod recent_use;
 
 pub use accounts::AccountLimits;
 pub use accounts::AccountState;
 pub use accounts::LimitRefusal;
 pub use accounts::LimitSpec;
+pub use bucket::BucketSpec;
+pub use bucket::TokenBucket;
 pub use demand::AccountDemand;
 pub use demand::DemandTracker;
+pub use recent_use::RecentUse;
--- /dev/null
+++ b/crates/admission/tests/fleet_quotas.rs
@@ -0,0 +1,291 @@
+//! Replays of fleets with quotas of accounts, under load and faults.
+
+mod support;
+
+use std::collections::BTreeMap;
+
+use crate::support::quota_fleet::Fleet;
+use crate::support::quota_fleet::Load;
+use crate::support::quota_fleet::Outcome;
+use crate::support::quota_fleet::member;
+use redwingrill_admission::limits::LimitSpec;
+use redwingrill_admission::limits::fleet::QuotaOptions;
+use redwingrill_admission::limits::fleet::owners_of;
+use redwingrill_routing::AccountTag;
+
+const LARGE: AccountTag = AccountTag(1);
+const SMALL: AccountTag = AccountTag(2);
+const LARGE_LIMIT: LimitSpec = limit(1_062_479);
+const SMALL_LIMIT: LimitSpec = limit(47_000);
+const LIMITS: [(AccountTag, LimitSpec); 2] = [(LARGE, LARGE_LIMIT), (SMALL, SMALL_LIMIT)];
+
+const OPTIONS: QuotaOptions =
+    QuotaOptions { window_ms: 8_000, overshoot: 0.1, slack_tokens: 190_000 };
+
+const fn limit(per_s: u64) -> LimitSpec {
+    LimitSpec { tokens_per_s: per_s, burst_tokens: per_s, max_in_flight: 0 }
+}
+
+/// The usual load, about 0.7 of the quotas, times a factor for the large account.
+fn loads(factor: f64) -> [Load; 4] {
+    [
+        Load { account: LARGE, tokens: 17_000, per_s: 40.0 * factor },
+        Load { account: LARGE, tokens: 383, per_s: 160.0 * factor },
+        Load { account: SMALL, tokens: 17_000, per_s: 1.0 },
+        Load { account: SMALL, tokens: 383, per_s: 8.0 },
+    ]
+}
+
+/// A replay of a fleet: a usual time, then a fault.
+struct Case {
+    name: &'static str,
+    nodes: usize,
+    factor: f64,
+    loss: f64,
+    duplication: f64,
+    /// Begins the fault.
+    fault: fn(&mut Fleet),
+    /// The least share of the large account's quota, or of its load if that is less, to be admitted.
+    min_admitted: f64,
+}
+
+const USUAL: Case = Case {
+    name: "usual load",
+    nodes: 79,
+    factor: 1.0,
+    loss: 0.0,
+    duplication: 0.0,
+    fault: |_| {},
+    min_admitted: 0.99,
+};
+
+fn owner_indexes(fleet: &Fleet) -> Vec<usize> {
+    let owners = owners_of(LARGE, &fleet.members);
+    (0..fleet.members.len()).filter(|index| owners.contains(&member(*index).address)).collect()
+}
+
+fn run(case: &Case) -> Fleet {
+    let mut fleet = Fleet::new(case.nodes, OPTIONS, &LIMITS, 7);
+    (fleet.loss, fleet.duplication) = (case.loss, case.duplication);
+    fleet.run(5_000, &loads(case.factor));
+    (case.fault)(&mut fleet);
+    fleet.run(25_000, &loads(case.factor));
+    fleet
+}
+
+#[test]
+fn bound_holds_and_quota_is_usable_under_faults() {
+    let cases = [
+        USUAL,
+        Case { name: "flood", factor: 9.0, min_admitted: 0.95, ..USUAL },
+        Case { name: "300 nodes", nodes: 300, factor: 9.0, min_admitted: 0.95, ..USUAL },
+        Case { name: "2 nodes", nodes: 2, factor: 9.0, min_admitted: 0.95, ..USUAL },
+        Case {
+            name: "an owner dead",
+            factor: 9.0,
+            fault: |fleet| {
+                let owner = owner_indexes(fleet)[0];
+                fleet.stop(owner);
+            },
+            min_admitted: 0.75,
+            ..USUAL
+        },
+        Case {
+            name: "all owners dead",
+            factor: 9.0,
+            fault: |fleet| owner_indexes(fleet).into_iter().for_each(|owner| fleet.stop(owner)),
+            min_admitted: 0.0,
+            ..USUAL
+        },
+        Case {
+            name: "owners isolated singly",
+            factor: 9.0,
+            fault: |fleet| {
+                let owners = owner_indexes(fleet).into_iter().enumerate();
+                owners.for_each(|(group, owner)| fleet.groups[owner] = group + 1);
+            },
+            min_admitted: 0.0,
+            ..USUAL
+        },
+        Case {
+            name: "two halves",
+            factor: 9.0,
+            fault: |fleet| (0..79).for_each(|index| fleet.groups[index] = index % 2),
+            min_admitted: 0.9,
+            ..USUAL
+        },
+        Case {
+            name: "a third without the store, removed from the list",
+            factor: 9.0,
+            fault: |fleet| {
+                for index in (0..79).filter(|index| index % 3 == 0) {
+                    fleet.groups[index] = 1;
+                    fleet.has_store[index] = false;
+                }
+                // The entries lapse after the lease.
+                fleet.run(20_000, &loads(9.0));
+                let rest: Vec<usize> = (0..79).filter(|index| index % 3 != 0).collect();
+                fleet.set_members(&rest, |index| index % 3 != 0);
+            },
+            min_admitted: 0.6,
+            ..USUAL
+        },
+        Case { name: "losses", loss: 0.1, factor: 9.0, min_admitted: 0.6, ..USUAL },
+        Case { name: "duplicates", duplication: 0.3, factor: 9.0, min_admitted: 0.5, ..USUAL },
+        Case {
+            name: "restart of all nodes",
+            factor: 9.0,
+            fault: |fleet| (0..79).for_each(|index| fleet.start(index)),
+            min_admitted: 0.9,
+            ..USUAL
+        },
+        Case {
+            name: "restart of an owner each second",
+            factor: 9.0,
+            fault: |fleet| {
+                for round in 0..15 {
+                    let owners = owner_indexes(fleet);
+                    fleet.start(owners[round % owners.len()]);
+                    fleet.run(1_000, &loads(9.0));
+                }
+            },
+            min_admitted: 0.8,
+            ..USUAL
+        },
+    ];
+    for case in &cases {
+        let fleet = run(case);
+        let large = fleet.largest_window(LARGE, LARGE_LIMIT, 0);
+        let small = fleet.largest_window(SMALL, SMALL_LIMIT, 0);
+        let period = fleet.now_ms - 20_000..fleet.now_ms;
+        let offered: u64 = fleet.requests_of(LARGE, period.clone()).map(|r| r.tokens).sum();
+        let usable = (offered as f64 / 20.0).min(LARGE_LIMIT.tokens_per_s as f64);
+        let admitted = fleet.admitted_per_s(LARGE, period) / usable;
+        let messages = fleet.messages as f64 / fleet.requests.len() as f64;
+        println!(
+            "{}: window {large:.3} and {small:.3} of the bound, admitted {admitted:.3}, \
+             {messages:.2} messages a request, outcomes {:?}",
+            case.name,
+            outcomes(&fleet),
+        );
+        assert!(large <= 1.0 && small <= 1.0, "{}: {large} {small}", case.name);
+        assert!(admitted >= case.min_admitted, "{}: {admitted}", case.name);
+        let pending = fleet.requests.iter().filter(|request| {
+            request.outcome == Outcome::Pending && request.at_ms + 500 < fleet.now_ms
+        });
+        assert_eq!(pending.count(), 0, "{}: a request has no decision", case.name);
+    }
+}
+
+fn outcomes(fleet: &Fleet) -> BTreeMap<&'static str, usize> {
+    let mut counts = BTreeMap::new();
+    for request in &fleet.requests {
+        let name = match request.outcome {
+            Outcome::Pending => "pending",
+            Outcome::Admitted { .. } => "admitted",
+            Outcome::Exceeded { .. } => "exceeded",
+            Outcome::Unreachable => "unreachable",
+        };
+        *counts.entry(name).or_default() += 1;
+    }
+    counts
+}
+
+/// Guards against refusals within the quota: tokens held in leases must not be missing elsewhere.
+#[test]
+fn account_at_its_usual_load_is_not_refused() {
+    let mut fleet = Fleet::new(79, OPTIONS, &LIMITS, 11);
+    // The buckets begin empty.
+    fleet.run(2_000, &[]);
+    fleet.run(30_000, &loads(1.0));
+    let outcomes = outcomes(&fleet);
+    println!("{outcomes:?}");
+    assert_eq!(outcomes.get("exceeded").or(outcomes.get("unreachable")), None);
+}
+
+#[test]
+fn lower_rate_takes_effect_at_once() {
+    let mut fleet = Fleet::new(79, OPTIONS, &LIMITS, 3);
+    fleet.run(5_000, &loads(2.0));
+    let lowered = limit(100_000);
+    fleet.set_limits(&[(LARGE, lowered), (SMALL, SMALL_LIMIT)]);
+    let changed_ms = fleet.now_ms;
+    fleet.run(20_000, &loads(2.0));
+    // Leases of the higher rate expire.
+    let window = fleet.largest_window(LARGE, lowered, changed_ms + 400);
+    println!("window {window:.3} of the bound");
+    assert!(window <= 1.0);
+}
+
+#[test]
+fn rare_and_large_requests_are_admitted() {
+    struct Case {
+        name: &'static str,
+        options: QuotaOptions,
+        limit: LimitSpec,
+        tokens: u64,
+        period_ms: u64,
+        is_admitted: bool,
+    }
+    let without_slack = QuotaOptions { slack_tokens: 0, ..OPTIONS };
+    let rare = Case {
+        name: "one request in ten seconds",
+        options: OPTIONS,
+        limit: SMALL_LIMIT,
+        tokens: 17_000,
+        period_ms: 10_000,
+        is_admitted: true,
+    };
+    let cases = [
+        Case { name: "larger than the burst", tokens: 93_000, ..rare },
+        Case { name: "larger, without slack", options: without_slack, tokens: 93_000, ..rare },
+        Case { name: "larger than burst and debt", tokens: 200_000, is_admitted: false, ..rare },
+        Case { name: "one request a second", limit: limit(1), tokens: 1, period_ms: 2_000, ..rare },
+        rare,
+    ];
+    for case in cases {
+        let mut fleet = Fleet::new(79, case.options, &[(SMALL, case.limit)], 5);
+        fleet.run(10_000, &[]);
+        for request in 0..6 {
+            let id = fleet.request(13 * request, SMALL, case.tokens);
+            fleet.run(case.period_ms, &[]);
+            let is_admitted = matches!(fleet.requests[id].outcome, Outcome::Admitted { .. });
+            assert_eq!(is_admitted, case.is_admitted, "{} {request}", case.name);
+        }
+        let window = fleet.largest_window(SMALL, case.limit, 0);
+        println!("{}: window {window:.3} of the bound", case.name);
+        assert!(window <= 1.0, "{}", case.name);
+    }
+}
+
+#[test]
+fn retry_after_the_stated_delay_succeeds() {
+    let mut fleet = Fleet::new(79, OPTIONS, &[(SMALL, SMALL_LIMIT)], 5);
+    for tokens in [9_000, 40_000, 93_000] {
+        fleet.run(5_000, &[]);
+        for _ in 0..10 {
+            fleet.request(1, SMALL, 20_000);
+        }
+        fleet.run(400, &[]);
+        let refused = fleet.request(2, SMALL, tokens);
+        fleet.run(100, &[]);
+        let Outcome::Exceeded { at_ms, retry_after_ms } = fleet.requests[refused].outcome else {
+            panic!("{tokens}: {:?}", fleet.requests[refused].outcome);
+        };
+        println!("{tokens}: {retry_after_ms} ms");
+        fleet.run((at_ms + retry_after_ms).saturating_sub(fleet.now_ms), &[]);
+        let repeated = fleet.request(3, SMALL, tokens);
+        fleet.run(100, &[]);
+        let outcome = fleet.requests[repeated].outcome;
+        assert!(matches!(outcome, Outcome::Admitted { .. }), "{tokens}: {outcome:?}");
+    }
+}
+
+/// Guards against traffic and refusals where nothing is configured.
+#[test]
+fn accounts_without_quota_are_admitted_without_messages() {
+    let mut fleet = Fleet::new(79, OPTIONS, &[], 1);
+    fleet.run(1_000, &loads(9.0));
+    assert!(fleet.requests.iter().all(|r| matches!(r.outcome, Outcome::Admitted { .. })));
+    assert_eq!(fleet.messages, 0);
+}
--- a/crates/admission/tests/limits.rs
+++ b/crates/admission/tests/limits.rs
@@ -50,7 +50,7 @@
 
 #[test]
 fn spreading_load_over_nodes_does_not_raise_the_limit() {
-    let spec = LimitSpec { tokens_per_s: 10_000, max_in_flight: 0 };
+    let spec = LimitSpec { tokens_per_s: 10_000, burst_tokens: 0, max_in_flight: 0 };
     let single = admitted_tokens_over(1, spec, 500, 5);
     let spread = admitted_tokens_over(6, spec, 500, 5);
     println!("admitted in 20 s: single node {single}, spread {spread}");
@@ -65,7 +65,7 @@
     const RESTART_MS: u64 = 20_000;
     /// The time after the restart in which demand is compared.
     const COMPARED_MS: std::ops::Range<u64> = RESTART_MS + 1_000..RESTART_MS + 4_000;
-    let spec = LimitSpec { tokens_per_s: 10_000, max_in_flight: 0 };
+    let spec = LimitSpec { tokens_per_s: 10_000, burst_tokens: 0, max_in_flight: 0 };
     let mut limits = vec![AccountLimits::default(); NODES];
     let mut weights = [0.0; NODES];
     for now_ms in (0..COMPARED_MS.end).step_by(INTERVAL_MS as usize) {
@@ -112,13 +112,13 @@
     let cases = [
         Case { spec: LimitSpec::default(), admitted_requests: 100, refusal: None },
         Case {
-            spec: LimitSpec { tokens_per_s: 0, max_in_flight: 3 },
+            spec: LimitSpec { tokens_per_s: 0, burst_tokens: 0, max_in_flight: 3 },
             admitted_requests: 3,
             refusal: Some(LimitRefusal::Concurrency { retry_after_ms: 1_000 }),
         },
         Case {
             // Two seconds of burst, and the request that exceeds it.
-            spec: LimitSpec { tokens_per_s: 1_000, max_in_flight: 0 },
+            spec: LimitSpec { tokens_per_s: 1_000, burst_tokens: 0, max_in_flight: 0 },
             admitted_requests: 21,
             refusal: Some(LimitRefusal::Rate { retry_after_ms: 100 }),
         },
--- /dev/null
+++ b/crates/admission/tests/support/mod.rs
@@ -0,0 +1,3 @@
+//! Support of the tests.
+
+pub mod quota_fleet;
--- a/crates/redwingrill/src/dispatch/core.rs
+++ b/crates/redwingrill/src/dispatch/core.rs
@@ -206,6 +206,7 @@
         let cost_tokens = self.request_cost_tokens(request);
         let spec = LimitSpec {
             tokens_per_s: account.tokens_per_s_limit,
+            burst_tokens: 0,
             max_in_flight: account.requests_limit,
         };
         self.limits.admit(request.account, spec, cost_tokens, now_ms).map_err(limit_refusal)?;
