Enforce the quotas of accounts on the platform

A request of an account with a quota is charged after its body is read and before it counts as demand or an engine is requested. The dispatch task exchanges the messages of quotas with other nodes, in a datagram kind of their own, and answers a request when the owners have. Tokens are refunded unless an engine may have run the request. A node that is no longer listed keeps its parts for 8 s, so an entry that lapsed while the store was unavailable changes no owner. Result code 209 tells that no owner can be reached.

--- a/crates/admission/src/limits/fleet/holder.rs
+++ b/crates/admission/src/limits/fleet/holder.rs
@@ -66,6 +66,11 @@
 }
 
 impl QuotaCharge {
+    /// Returns a charge of nothing, for an account without a quota.
+    pub fn free(account: AccountTag) -> Self {
+        Self { account, parts: Vec::new() }
+    }
+
     /// Returns the account.
     pub fn account(&self) -> AccountTag {
         self.account
@@ -268,7 +273,7 @@
             if !is_limited {
                 decided.extend(held.waiting.drain(..).map(|waiting| Decided {
                     handle: waiting.handle,
-                    decision: QuotaDecision::Admitted(QuotaCharge { account, parts: Vec::new() }),
+                    decision: QuotaDecision::Admitted(QuotaCharge::free(account)),
                 }));
             }
             is_limited
@@ -280,7 +285,7 @@
     /// Decides on a request, as soon as its tokens are there or known to be missing.
     pub fn request(&mut self, account: AccountTag, tokens: u64, handle: T, now_ms: u64) {
         let Some(held) = self.accounts.get_mut(&account).filter(|_| tokens > 0) else {
-            let charge = QuotaCharge { account, parts: Vec::new() };
+            let charge = QuotaCharge::free(account);
             self.decided.push(Decided { handle, decision: QuotaDecision::Admitted(charge) });
             return;
         };
@@ -370,6 +375,11 @@
         self.checked_ms = (!self.active.is_empty()).then_some(now_ms);
     }
 
+    /// Returns whether there are decisions.
+    pub fn has_decided(&self) -> bool {
+        !self.decided.is_empty()
+    }
+
     /// Returns the messages to send, with their addresses.
     pub fn take_outgoing(&mut self) -> Vec<(SocketAddr, QuotaMessage)> {
         std::mem::take(&mut self.outgoing)
--- a/crates/admission/src/limits/fleet/node.rs
+++ b/crates/admission/src/limits/fleet/node.rs
@@ -19,6 +19,11 @@
 /// lease of a node's entry in the list.
 const CONTACT_MS: u64 = 10_000;
 
+/// How long a node that is no longer listed keeps its parts. An entry that lapsed while the store was
+/// unavailable is written again with the next renewal, within 6 s, and a node that restarts is listed
+/// again; the owners do not change for either.
+const REMOVAL_DELAY_MS: u64 = 8_000;
+
 /// The share of the tolerance that the allowances of all nodes amount to in a window.
 const ALLOWANCE_SHARE: f64 = 0.25;
 
@@ -58,7 +63,11 @@
 pub struct FleetQuotas<T> {
     options: QuotaOptions,
     own_address: SocketAddr,
+    // The listed nodes and those in `removals`, by name.
     members: Vec<QuotaMember>,
+    listed: Vec<QuotaMember>,
+    // When the nodes that are no longer listed lose their parts.
+    removals: HashMap<String, u64>,
     limits: HashMap<AccountTag, LimitSpec>,
     owner: QuotaOwner,
     holder: LeaseHolder<T>,
@@ -75,6 +84,8 @@
             options,
             own_address,
             members: Vec::new(),
+            listed: Vec::new(),
+            removals: HashMap::new(),
             limits: HashMap::new(),
             owner: QuotaOwner::default(),
             holder: LeaseHolder::new(run, seed),
@@ -101,18 +112,29 @@
 
     /// Returns whether nothing is due with time.
     pub fn is_idle(&self) -> bool {
-        self.holder.is_idle()
+        self.holder.is_idle() && self.removals.is_empty()
     }
 
-    /// Replaces the list of nodes.
-    pub fn set_members(&mut self, members: Vec<QuotaMember>, now_ms: u64) {
-        if self.members == members {
+    /// Replaces the list of nodes. Those that are no longer listed keep their parts for a while.
+    pub fn set_members(&mut self, mut listed: Vec<QuotaMember>, now_ms: u64) {
+        listed.sort_by(|one, other| one.name.cmp(&other.name));
+        if self.listed == listed {
             return;
         }
-        let is_first = self.members.is_empty();
-        self.heard_ms.retain(|address, _| members.iter().any(|m| m.address == *address));
-        self.members = members;
-        self.assign(!is_first, now_ms);
+        let is_listed =
+            |name: &str| listed.binary_search_by(|member| member.name.as_str().cmp(name)).is_ok();
+        let mut removals = HashMap::new();
+        let mut members = listed.clone();
+        for member in &self.members {
+            if !is_listed(&member.name) {
+                let at_ms = self.removals.get(&member.name).copied();
+                removals.insert(member.name.clone(), at_ms.unwrap_or(now_ms + REMOVAL_DELAY_MS));
+                members.push(member.clone());
+            }
+        }
+        self.listed = listed;
+        self.removals = removals;
+        self.use_members(members, now_ms);
     }
 
     /// Replaces the quotas of all accounts.
@@ -158,10 +180,16 @@
 
     /// Does what is due.
     pub fn tick(&mut self, now_ms: u64) {
+        self.remove_unlisted(now_ms);
         self.holder.tick(now_ms);
         self.deliver(now_ms);
     }
 
+    /// Returns whether there are messages to send, or decisions.
+    pub fn has_output(&self) -> bool {
+        !self.outgoing.is_empty() || self.holder.has_decided()
+    }
+
     /// Returns the messages to send, with their addresses.
     pub fn take_outgoing(&mut self) -> Vec<(SocketAddr, QuotaMessage)> {
         std::mem::take(&mut self.outgoing)
@@ -172,6 +200,31 @@
         self.holder.take_decided()
     }
 
+    fn remove_unlisted(&mut self, now_ms: u64) {
+        if self.removals.values().all(|at_ms| *at_ms > now_ms) {
+            return;
+        }
+        self.removals.retain(|_, at_ms| *at_ms > now_ms);
+        let mut members = self.members.clone();
+        let (listed, removals) = (&self.listed, &self.removals);
+        members.retain(|member| {
+            removals.contains_key(&member.name)
+                || listed.binary_search_by(|known| known.name.cmp(&member.name)).is_ok()
+        });
+        self.use_members(members, now_ms);
+    }
+
+    fn use_members(&mut self, mut members: Vec<QuotaMember>, now_ms: u64) {
+        members.sort_by(|one, other| one.name.cmp(&other.name));
+        if self.members == members {
+            return;
+        }
+        let is_first = self.members.is_empty();
+        self.heard_ms.retain(|address, _| members.iter().any(|m| m.address == *address));
+        self.members = members;
+        self.assign(!is_first, now_ms);
+    }
+
     /// Assigns the parts of all quotas to owners.
     fn assign(&mut self, has_predecessor: bool, now_ms: u64) {
         let limits = &self.limits;
--- a/crates/codes/src/code.rs
+++ b/crates/codes/src/code.rs
@@ -103,6 +103,7 @@
     RetryBudgetSpent = 206, "retry_budget_spent", 503, No, "The request could not be sent and the retry budget is spent.";
     Quarantined = 207, "quarantined", 503, No, "A part of the prompt is quarantined because it ended several engines.";
     BuffersFull = 208, "buffers_full", 503, No, "The body does not fit into what the node may buffer now.";
+    QuotaUnreachable = 209, "quota_unreachable", 503, No, "No node that holds the client account's quota could be reached.";
     UpstreamUnreachable = 300, "upstream_unreachable", 502, No, "No connection to an upstream could be made.";
     UpstreamFailed = 301, "upstream_failed", 502, Unknown, "The upstream failed while it ran the request.";
     UpstreamSilent = 302, "upstream_silent", 504, Unknown, "The upstream stopped answering.";
--- a/crates/gateway/src/cluster_view/node_items.rs
+++ b/crates/gateway/src/cluster_view/node_items.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use redwingrill_admission::limits::fleet::QuotaMember;
 use redwingrill_routing::Era;
 use redwingrill_routing::WeightsVersion;
 use redwingrill_scheduling::coordination::GroupNode;
@@ -49,6 +50,17 @@
     }
 }
 
+impl From<&Member> for QuotaMember {
+    fn from(member: &Member) -> Self {
+        Self {
+            name: member.name.clone(),
+            failure_domain: member.failure_domain.clone(),
+            link_mbps: member.link_mbps,
+            address: member.gossip,
+        }
+    }
+}
+
 impl<'a> From<&'a Member> for Contender<'a> {
     fn from(member: &'a Member) -> Self {
         Self {
--- /dev/null
+++ b/crates/gateway/src/dispatch/account_quotas.rs
@@ -0,0 +1,79 @@
+//! The quotas of the accounts of the configuration in force.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use super::charge::ChargeResponder;
+use crate::cluster_view::ClusterView;
+use crate::store_sync::StoreReader;
+use redwingrill_admission::limits::LimitSpec;
+use redwingrill_admission::limits::fleet::FleetQuotas;
+use redwingrill_admission::limits::fleet::QuotaMember;
+use redwingrill_admission::limits::fleet::QuotaOptions;
+use redwingrill_routing::AccountTag;
+use redwingrill_routing::Configuration;
+
+/// The identity of a node among those that hold quotas.
+#[derive(Clone, Debug)]
+pub struct QuotaNode {
+    /// Its entry in the list of nodes.
+    pub member: QuotaMember,
+    /// Whether it exchanges datagrams with other nodes; otherwise it holds the whole quotas.
+    pub has_peers: bool,
+}
+
+/// The quotas of a node, which follow the cluster view.
+#[derive(Debug)]
+pub(super) struct AccountQuotas {
+    pub fleet: FleetQuotas<ChargeResponder>,
+    node: QuotaNode,
+    reader: StoreReader,
+    // The configuration of the current limits.
+    configuration: Option<Arc<Configuration>>,
+}
+
+impl AccountQuotas {
+    /// Creates the quotas of a run of a node.
+    pub fn new(options: QuotaOptions, node: QuotaNode, run: u64, reader: StoreReader) -> Self {
+        let fleet = FleetQuotas::new(options, node.member.address, run, rand::random());
+        Self { fleet, node, reader, configuration: None }
+    }
+
+    /// Takes over the configuration and the list of nodes.
+    pub fn apply_view(&mut self, view: &ClusterView, now_ms: u64) {
+        let Some(configuration) = &view.configuration else { return };
+        let is_known =
+            self.configuration.as_ref().is_some_and(|known| Arc::ptr_eq(known, configuration));
+        if !is_known {
+            self.configuration = Some(configuration.clone());
+            self.fleet.set_limits(limits_of(configuration), now_ms);
+        }
+        if !self.fleet.is_empty() {
+            let members = match self.node.has_peers {
+                true => view.members.iter().map(QuotaMember::from).collect(),
+                false => vec![self.node.member.clone()],
+            };
+            self.fleet.set_members(members, now_ms);
+        }
+    }
+
+    /// Takes over when the node last had contact with the store.
+    pub fn follow_store(&mut self) {
+        if let Some(at_ms) = self.reader.last_contact_ms() {
+            self.fleet.observe_store_contact(at_ms);
+        }
+    }
+}
+
+fn limits_of(configuration: &Configuration) -> HashMap<AccountTag, LimitSpec> {
+    let limited = configuration.accounts().iter().filter_map(|account| {
+        let quota = account.quota?;
+        let limit = LimitSpec {
+            tokens_per_s: quota.rate_per_s,
+            burst_tokens: quota.burst,
+            max_in_flight: 0,
+        };
+        Some((AccountTag::of(&account.name), limit))
+    });
+    limited.collect()
+}
--- a/crates/gateway/src/dispatch/dispatcher.rs
+++ b/crates/gateway/src/dispatch/dispatcher.rs
@@ -9,6 +9,12 @@
 use tokio::sync::oneshot;
 
 use super::Attempt;
+use super::Charge;
+use super::QuotaRefusal;
+use super::charge::ChargeResponder;
+use redwingrill_admission::limits::fleet::QuotaCharge;
+use redwingrill_admission::limits::fleet::QuotaMessage;
+use redwingrill_routing::AccountTag;
 use redwingrill_routing::CacheChange;
 use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::ReportedLoad;
@@ -133,9 +139,15 @@
     /// An engine reported its weights.
     Weights { upstream: Arc<Upstream>, versions: Vec<(String, WeightsVersion)> },
     /// A load digest arrived from another node.
-    PeerDigest { digest: Box<LoadDigest> },
+    PeerDigest { from: SocketAddr, digest: Box<LoadDigest> },
     /// A message of the coordination arrived from another node.
     Coordination { from: SocketAddr, message: Box<CoordinationMessage> },
+    /// A message of the quotas arrived from another node.
+    Quota { from: SocketAddr, message: QuotaMessage },
+    /// A request of an account with a quota needs tokens.
+    Charge { account: AccountTag, tokens: u64, responder: ChargeResponder },
+    /// A request that was charged did not run.
+    Refund { charge: QuotaCharge },
     /// Requests the load digest of this node.
     Digest { responder: oneshot::Sender<LoadDigest> },
     /// The cache store changed.
@@ -208,9 +220,28 @@
         self.send(Message::Weights { upstream, versions });
     }
 
+    /// Charges the quota of an account, and waits for the owners of the quota if necessary.
+    ///
+    /// # Errors
+    ///
+    /// Why the quota does not allow the request.
+    pub async fn charge(&self, account: AccountTag, tokens: u64) -> Result<Charge, QuotaRefusal> {
+        let (sender, response) = oneshot::channel();
+        let responder = ChargeResponder::new(sender);
+        self.send(Message::Charge { account, tokens, responder });
+        // A closed channel means that the task has ended.
+        let retry_after_ms = STOPPING_RETRY_AFTER_MS;
+        response.await.unwrap_or(Err(QuotaRefusal::Unreachable { retry_after_ms }))
+    }
+
     /// Applies the load digest of another node.
-    pub fn observe_peer(&self, digest: LoadDigest) {
-        self.send(Message::PeerDigest { digest: Box::new(digest) });
+    pub fn observe_peer(&self, from: SocketAddr, digest: LoadDigest) {
+        self.send(Message::PeerDigest { from, digest: Box::new(digest) });
+    }
+
+    /// Takes a message of the quotas from another node.
+    pub fn receive_quota(&self, from: SocketAddr, message: QuotaMessage) {
+        self.send(Message::Quota { from, message });
     }
 
     /// Takes a message of the coordination from another node.
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -13,8 +13,12 @@
 use tokio_util::sync::CancellationToken;
 
 use super::Dispatcher;
+use super::PeerMessage;
 use super::Purpose;
+use super::QuotaNode;
 use super::UpstreamLoad;
+use super::account_quotas::AccountQuotas;
+use super::charge::ChargeResponder;
 use super::dispatcher::AttemptEvidence;
 use super::dispatcher::Message;
 use super::dispatcher::Responder;
@@ -22,12 +26,17 @@
 use crate::clock::now_ms;
 use crate::cluster_view::ClusterView;
 use crate::quarantine::log_event;
+use crate::store_sync::StoreReader;
 use crate::telemetry::Metrics;
+use redwingrill_admission::limits::fleet::Decided;
+use redwingrill_admission::limits::fleet::QuotaCharge;
+use redwingrill_admission::limits::fleet::QuotaDecision;
+use redwingrill_admission::limits::fleet::QuotaOptions;
+use redwingrill_routing::AccountTag;
 use redwingrill_routing::Configuration;
 use redwingrill_routing::Upstream;
 use redwingrill_routing::UpstreamSignals;
 use redwingrill_scheduling::coordination::Coordination;
-use redwingrill_scheduling::coordination::CoordinationMessage;
 use redwingrill_scheduling::coordination::GroupNode;
 use redwingrill_scheduling::coordination::RequestOptions;
 use redwingrill_scheduling::coordination::Resolution;
@@ -85,8 +94,10 @@
     queue: WaitQueue<Responder>,
     coordination: Coordination<Waiter>,
     followed_ms: u64,
+    // The quotas of accounts, if the node can limit any.
+    quotas: Option<AccountQuotas>,
     // To the other nodes, with the address of this one, if it takes part in the coordination.
-    outgoing: Option<(SocketAddr, mpsc::Sender<(SocketAddr, CoordinationMessage)>)>,
+    outgoing: Option<(SocketAddr, mpsc::Sender<(SocketAddr, PeerMessage)>)>,
     // Identifies this run of the node in digests.
     node_incarnation: u64,
     model_logged_ms: u64,
@@ -120,6 +131,7 @@
             queue: WaitQueue::default(),
             coordination,
             followed_ms: 0,
+            quotas: None,
             outgoing: None,
             node_incarnation,
             model_logged_ms: now_ms(),
@@ -139,12 +151,17 @@
     pub fn coordinate(
         &mut self,
         own_address: SocketAddr,
-    ) -> mpsc::Receiver<(SocketAddr, CoordinationMessage)> {
+    ) -> mpsc::Receiver<(SocketAddr, PeerMessage)> {
         let (sender, receiver) = mpsc::channel(OUTGOING_LIMIT);
         self.outgoing = Some((own_address, sender));
         receiver
     }
 
+    /// Lets the task enforce the quotas of accounts; `reader` tells of the contact with the store.
+    pub fn limit_accounts(&mut self, options: QuotaOptions, node: QuotaNode, reader: StoreReader) {
+        self.quotas = Some(AccountQuotas::new(options, node, self.node_incarnation, reader));
+    }
+
     /// Runs until `stopping` is cancelled.
     pub async fn run(mut self, stopping: CancellationToken) {
         let mut is_view_open = true;
@@ -152,7 +169,9 @@
         poll.set_missed_tick_behavior(MissedTickBehavior::Delay);
         self.apply_view();
         loop {
-            let is_idle = self.queue.is_empty() && self.coordination.is_idle();
+            let is_idle = self.queue.is_empty()
+                && self.coordination.is_idle()
+                && self.quotas.as_ref().is_none_or(|quotas| quotas.fleet.is_idle());
             tokio::select! {
                 biased;
                 () = stopping.cancelled() => return,
@@ -177,9 +196,13 @@
                     if !self.queue.is_empty() {
                         self.serve_queue();
                     }
+                    if let Some(quotas) = &mut self.quotas {
+                        quotas.fleet.tick(now_ms());
+                    }
                 }
             }
             self.finish_coordination();
+            self.finish_quotas();
         }
     }
 
@@ -193,14 +216,55 @@
             self.resolve(resolved, now_ms);
         }
         let messages = self.coordination.take_outgoing();
+        let messages = messages.into_iter();
+        self.send_to_peers(messages.map(|(to, message)| (to, PeerMessage::Coordination(message))));
+    }
+
+    /// Sends the messages of the quotas, and returns their decisions.
+    fn finish_quotas(&mut self) {
+        let Some(quotas) = self.quotas.as_mut().filter(|quotas| quotas.fleet.has_output()) else {
+            return;
+        };
+        let decided = quotas.fleet.take_decided();
+        let messages = quotas.fleet.take_outgoing().into_iter();
+        self.send_to_peers(messages.map(|(to, message)| (to, PeerMessage::Quota(message))));
+        // Without another handle nobody waits for a decision.
+        let Some(dispatcher) = self.dispatcher.upgrade() else { return };
+        for Decided { handle, decision } in decided {
+            handle.respond(&dispatcher, decision);
+        }
+    }
+
+    fn send_to_peers(&self, messages: impl Iterator<Item = (SocketAddr, PeerMessage)>) {
         let Some((_, outgoing)) = &self.outgoing else { return };
-        let lost = messages.into_iter().filter_map(|message| outgoing.try_send(message).err());
-        let lost = lost.count();
+        let lost = messages.filter_map(|message| outgoing.try_send(message).err()).count();
         if lost > 0 {
             info!("event=coordination_messages_dropped count={lost}");
         }
     }
 
+    /// Charges a request, or admits it if no account is limited.
+    fn charge(
+        &mut self,
+        account: AccountTag,
+        tokens: u64,
+        responder: ChargeResponder,
+        now_ms: u64,
+    ) {
+        match &mut self.quotas {
+            Some(quotas) => {
+                quotas.follow_store();
+                quotas.fleet.request(account, tokens, responder, now_ms);
+            }
+            None => {
+                if let Some(dispatcher) = self.dispatcher.upgrade() {
+                    let decision = QuotaDecision::Admitted(QuotaCharge::free(account));
+                    responder.respond(&dispatcher, decision);
+                }
+            }
+        }
+    }
+
     fn follow_scheduler(&mut self, now_ms: u64) {
         self.followed_ms = now_ms;
         self.coordination.follow(&self.scheduler, now_ms);
@@ -285,6 +349,9 @@
             let nodes = view.members.iter().map(GroupNode::from).collect();
             self.coordination.set_nodes(nodes, Some(*own_address));
         }
+        if let Some(quotas) = &mut self.quotas {
+            quotas.apply_view(&view, now_ms);
+        }
         self.scheduler.quarantine_mut().set_lapsed(&view.lapsed_quarantines);
         self.scheduler.quarantine_mut().set_listed(&view.quarantined, now_ms);
         self.report_quarantine();
@@ -377,7 +444,10 @@
             }
             Message::AttemptBroken { evidence } => self.record_broken(&evidence, now_ms),
             Message::AttemptCompleted { evidence } => self.record_completed(&evidence, now_ms),
-            Message::PeerDigest { digest } => {
+            Message::PeerDigest { from, digest } => {
+                if let Some(quotas) = &mut self.quotas {
+                    quotas.fleet.observe_peer(from, now_ms);
+                }
                 if let Some(stored) = &digest.cache_store {
                     self.coordination.merge_cache_store(stored, now_ms);
                 }
@@ -388,6 +458,20 @@
             Message::Coordination { from, message } => {
                 self.coordination.receive(&mut self.scheduler, from, *message, now_ms);
             }
+            Message::Quota { from, message } => {
+                if let Some(quotas) = &mut self.quotas {
+                    quotas.follow_store();
+                    quotas.fleet.receive(from, message, now_ms);
+                }
+            }
+            Message::Charge { account, tokens, responder } => {
+                self.charge(account, tokens, responder, now_ms);
+            }
+            Message::Refund { charge } => {
+                if let Some(quotas) = &mut self.quotas {
+                    quotas.fleet.refund(&charge, now_ms);
+                }
+            }
             Message::Digest { responder } => {
                 let _disconnected =
                     responder.send(self.scheduler.digest(self.node_incarnation, now_ms)).is_err();
--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -30,11 +30,14 @@
 use crate::clock::now_ms;
 use crate::cluster_view::ClusterView;
 use crate::dispatch::Attempt;
+use crate::dispatch::Charge;
 use crate::dispatch::Dispatcher;
 use crate::dispatch::Purpose;
+use crate::dispatch::QuotaRefusal;
 use crate::telemetry::Metrics;
 use redwingrill_codes::Refusal;
 use redwingrill_codes::ResultCode;
+use redwingrill_routing::AccountTag;
 use redwingrill_routing::CallerLimits;
 use redwingrill_routing::Configuration;
 use redwingrill_routing::HeadCodec;
@@ -185,7 +188,7 @@
         let completion = match self.admit(request, metadata, &view, arrived_ms).await {
             Ok(mut call) => {
                 let mut departure = DepartureLog::new(&call);
-                let completion = self.forward(&mut call).await;
+                let completion = self.charge_and_forward(&mut call).await;
                 departure.disarm();
                 let completion =
                     completion.unwrap_or_else(|refusal| refusal_completion(&refusal, &id));
@@ -237,8 +240,6 @@
         head.headers.remove(header::CONTENT_LENGTH);
         let service = route.choose_service(rand::rng().random()).to_owned();
         let prompt = metadata.prompt.take().map(Arc::new);
-        let tag = RouteTag::of(&route.name);
-        self.context.dispatcher.count_request(&service, tag, prompt.clone(), route.target_latency);
         let uri = origin_form(&head.uri);
         Ok(Call {
             metadata,
@@ -259,10 +260,63 @@
         })
     }
 
+    /// Forwards a request if the quota of its account allows it. Only then does the request count as
+    /// demand for its service.
+    async fn charge_and_forward(&self, call: &mut Call) -> Result<Completion, Refusal> {
+        let mut charge = self.charge(call).await?;
+        let (service, target) = (&call.service, call.route.target_latency);
+        let tag = RouteTag::of(&call.route.name);
+        self.context.dispatcher.count_request(service, tag, call.prompt.clone(), target);
+        self.forward(call, &mut charge).await
+    }
+
+    /// Charges the quota of the request's account; `None` without a quota.
+    async fn charge(&self, call: &Call) -> Result<Option<Charge>, Refusal> {
+        let account = call.account.as_ref();
+        let Some((account, quota)) = account.and_then(|known| Some((known, known.quota?))) else {
+            return Ok(None);
+        };
+        let tokens = quota.cost(call.metadata.declared_tokens);
+        if tokens == 0 {
+            return Ok(None);
+        }
+        let charged = self.context.dispatcher.charge(AccountTag::of(&account.name), tokens);
+        let Ok(charged) = tokio::time::timeout(call.remaining(), charged).await else {
+            return Err(Refusal::new(ResultCode::QueueTimeout));
+        };
+        let (code, limit, used_per_s, retry_after_ms) = match charged {
+            Ok(charge) => {
+                let outcome = if charge.is_from_allowance() { "allowance" } else { "admitted" };
+                self.context.metrics.quota(outcome);
+                return Ok(Some(charge));
+            }
+            Err(QuotaRefusal::Exceeded { retry_after_ms, used_per_s }) => {
+                (ResultCode::RateLimited, "rate", used_per_s, retry_after_ms)
+            }
+            Err(QuotaRefusal::Unreachable { retry_after_ms }) => {
+                (ResultCode::QuotaUnreachable, "owners", 0, retry_after_ms)
+            }
+        };
+        self.context.metrics.quota(code.info().name);
+        info!(
+            "event=request_refused_by_quota request_id={} account={} limit={limit} rate_per_s={} \
+             used={used_per_s} asked_tokens={tokens} retry_after_ms={retry_after_ms}",
+            call.metadata.id, account.name, quota.rate_per_s,
+        );
+        Err(Refusal::new(code).retry_after(retry_after_ms))
+    }
+
     /// Sends a request, with retries, until there is a response or it fails.
-    async fn forward(&self, call: &mut Call) -> Result<Completion, Refusal> {
+    async fn forward(
+        &self,
+        call: &mut Call,
+        charge: &mut Option<Charge>,
+    ) -> Result<Completion, Refusal> {
         let mut attempt = self.assign(call).await?;
         loop {
+            if let Some(charge) = charge {
+                charge.set_may_have_run(true);
+            }
             let index = attempt.assignment().index;
             match self.attempt_or_move(call, attempt).await {
                 AttemptOrMove::Moved(next) => {
@@ -298,6 +352,9 @@
                     ensure_retryable(call, ResultCode::UpstreamSilent, "")?;
                 }
             }
+            if let Some(charge) = charge {
+                charge.set_may_have_run(call.possible_runs > 0);
+            }
             if call.remaining() < MIN_REMAINING_TIME {
                 return Err(deadline_refusal(call));
             }
--- a/crates/gateway/src/node/lifecycle.rs
+++ b/crates/gateway/src/node/lifecycle.rs
@@ -26,6 +26,7 @@
 use crate::cluster_view::Member;
 use crate::dispatch::DispatchTask;
 use crate::dispatch::Dispatcher;
+use crate::dispatch::QuotaNode;
 use crate::forward::Gateway;
 use crate::forward::GatewayContext;
 use crate::front::CallerListener;
@@ -40,6 +41,7 @@
 use crate::store_sync::StoreSync;
 use crate::store_sync::StoreSyncOptions;
 use crate::telemetry::Metrics;
+use redwingrill_admission::limits::fleet::QuotaMember;
 use redwingrill_routing::ItemCodec;
 use redwingrill_routing::LivenessCheck;
 use redwingrill_routing::SharedStore;
@@ -168,6 +170,7 @@
             dispatch_task.unlisted_parts(),
         );
         services.spawn(recorder.run(stopping.clone()));
+        dispatch_task.limit_accounts(options.quotas, quota_node(&options), reader.clone());
         if let (Some(address), Some(gossip)) = (options.peer_address, options.gossip_address) {
             let socket = UdpSocket::bind(gossip).await.context(BindSnafu { address: gossip })?;
             let (name, dispatcher) = (options.name.clone(), dispatcher.clone());
@@ -317,6 +320,19 @@
     }
 }
 
+fn quota_node(options: &NodeOptions) -> QuotaNode {
+    let has_peers = options.peer_address.is_some() && options.gossip_address.is_some();
+    QuotaNode {
+        member: QuotaMember {
+            name: options.name.clone(),
+            failure_domain: options.failure_domain.clone(),
+            link_mbps: options.link_mbps,
+            address: options.gossip_address.unwrap_or(options.caller_address),
+        },
+        has_peers,
+    }
+}
+
 fn serve_readiness(
     socket: TcpListener,
     listener: &CallerListener,
--- a/crates/gateway/src/node/options.rs
+++ b/crates/gateway/src/node/options.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use redwingrill_admission::limits::fleet::QuotaOptions;
 use redwingrill_routing::HeadCodec;
 use redwingrill_scheduling::retry_budget::RetryBudgetSpec;
 
@@ -36,6 +37,8 @@
     pub stale_version_limit: Duration,
     /// The duration of the lease of the roll-out's leader.
     pub rollout_lease: Duration,
+    /// The tolerances of the quotas of client accounts.
+    pub quotas: QuotaOptions,
     /// How long a stop may take, from the signal to the exit of the process.
     pub stop_timeout: Duration,
 }
--- a/crates/gateway/src/peers/gossip.rs
+++ b/crates/gateway/src/peers/gossip.rs
@@ -1,5 +1,5 @@
 //! Exchanges datagrams with the other nodes: load digests with the revision of the store that the
-//! sender has applied, and the messages of the coordination.
+//! sender has applied, and the messages of the coordination and of the quotas of accounts.
 //!
 //! The next datagram makes up for a lost one; nothing waits for a datagram.
 
@@ -19,7 +19,9 @@
 
 use crate::cluster_view::ClusterView;
 use crate::dispatch::Dispatcher;
+use crate::dispatch::PeerMessage;
 use crate::store_sync::StoreReader;
+use redwingrill_admission::limits::fleet::QuotaMessage;
 use redwingrill_routing::Revision;
 use redwingrill_scheduling::coordination::CoordinationMessage;
 use redwingrill_scheduling::fleet::DIGEST_PERIOD_MS;
@@ -41,6 +43,16 @@
         digest: Box<LoadDigest>,
     },
     Coordination(CoordinationMessage),
+    Quota(QuotaMessage),
+}
+
+impl From<PeerMessage> for Datagram {
+    fn from(message: PeerMessage) -> Self {
+        match message {
+            PeerMessage::Coordination(message) => Self::Coordination(message),
+            PeerMessage::Quota(message) => Self::Quota(message),
+        }
+    }
 }
 
 /// The gossip task.
@@ -51,8 +63,8 @@
     view: watch::Receiver<Arc<ClusterView>>,
     dispatcher: Dispatcher,
     reader: StoreReader,
-    // Messages of the coordination for other nodes.
-    outgoing: mpsc::Receiver<(SocketAddr, CoordinationMessage)>,
+    // Messages of the dispatch task for other nodes.
+    outgoing: mpsc::Receiver<(SocketAddr, PeerMessage)>,
     // The first recipient of the next period. It starts at random: if all nodes sent to the same
     // recipients at the same time, these would see free capacity together and fill it together.
     next_index: usize,
@@ -66,7 +78,7 @@
         view: watch::Receiver<Arc<ClusterView>>,
         dispatcher: Dispatcher,
         reader: StoreReader,
-        outgoing: mpsc::Receiver<(SocketAddr, CoordinationMessage)>,
+        outgoing: mpsc::Receiver<(SocketAddr, PeerMessage)>,
     ) -> Self {
         let next_index = usize::from(rand::random::<u16>());
         Self { node, socket, view, dispatcher, reader, outgoing, next_index }
@@ -84,7 +96,7 @@
                     Err(e) => debug!("event=gossip_receive_failed reason={:?}", e.to_string()),
                 },
                 Some((to, message)) = self.outgoing.recv() => {
-                    self.send(&Datagram::Coordination(message), &[to]).await;
+                    self.send(&Datagram::from(message), &[to]).await;
                 }
                 () = tokio::time::sleep_until(next_send) => {
                     self.send_digest().await;
@@ -99,8 +111,9 @@
             Ok(Datagram::Coordination(message)) => {
                 self.dispatcher.receive_coordination(from, message);
             }
+            Ok(Datagram::Quota(message)) => self.dispatcher.receive_quota(from, message),
             Ok(Datagram::Digest { revision, digest }) => {
-                self.dispatcher.observe_peer(*digest);
+                self.dispatcher.observe_peer(from, *digest);
                 let sender = {
                     let view = self.view.borrow();
                     view.members.iter().find(|m| m.gossip == from).map(|m| m.address)
--- a/crates/gateway/src/store_sync/task.rs
+++ b/crates/gateway/src/store_sync/task.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use log::info;
@@ -81,6 +83,7 @@
 pub struct StoreReader {
     requests: mpsc::Sender<UpdateRequest>,
     peer_revisions: mpsc::Sender<PeerRevision>,
+    last_contact_ms: Arc<AtomicU64>,
 }
 
 /// The revision that a peer has applied.
@@ -99,6 +102,12 @@
 }
 
 impl StoreReader {
+    /// Returns when the node last had contact with the store, directly or through a watcher.
+    pub fn last_contact_ms(&self) -> Option<u64> {
+        let at_ms = self.last_contact_ms.load(Ordering::Relaxed);
+        (at_ms > 0).then_some(at_ms)
+    }
+
     /// Reports the revision that a peer has applied. If it stays ahead of this node's, the source of
     /// this node's updates is silent, and the changes are fetched from the peer.
     pub fn observe_peer_revision(&self, peer: SocketAddr, revision: Revision) {
@@ -143,6 +152,8 @@
     continuity: Continuity,
     metrics: Metrics,
     contact: StoreContact,
+    // Zero before the first contact.
+    last_contact_ms: Arc<AtomicU64>,
 }
 
 type PeerRequest = Pin<Box<dyn Future<Output = Option<StoreUpdateResponse>> + Send>>;
@@ -165,6 +176,7 @@
     ) -> (Self, StoreReader, watch::Receiver<Arc<ClusterView>>) {
         let (sender, requests) = mpsc::channel(64);
         let (revisions_sender, peer_revisions) = mpsc::channel(PEER_REVISIONS_QUEUE_LEN);
+        let last_contact_ms: Arc<AtomicU64> = Arc::default();
         let (view, view_receiver) = watch::channel(Arc::default());
         let task = Self {
             store,
@@ -186,8 +198,10 @@
             continuity: Continuity::default(),
             metrics,
             contact: StoreContact::Never,
+            last_contact_ms: last_contact_ms.clone(),
         };
-        let reader = StoreReader { requests: sender, peer_revisions: revisions_sender };
+        let reader =
+            StoreReader { requests: sender, peer_revisions: revisions_sender, last_contact_ms };
         (task, reader, view_receiver)
     }
 
@@ -221,14 +235,14 @@
                     must_list = false;
                     was_listed = true;
                     self.contact_restored();
-                    let is_recent = self.continuity.record_contact(now_ms());
+                    let is_recent = self.record_contact();
                     self.apply_listing(listing);
                     self.publish(is_recent);
                 }
                 Ok(Fetched::Batch(batch)) => {
                     was_listed = false;
                     self.contact_restored();
-                    let is_recent = self.continuity.record_contact(now_ms());
+                    let is_recent = self.record_contact();
                     let changed = self.mirror.apply_batch(batch.changes, batch.complete_to);
                     if changed {
                         self.publish(is_recent);
@@ -277,7 +291,7 @@
         if let StoreStatus::Returning { remaining_ms } = response.store {
             self.set_returning(now_ms() + remaining_ms);
         }
-        let is_recent = self.continuity.record_contact(now_ms());
+        let is_recent = self.record_contact();
         if self.apply_update(response.update) {
             self.publish(is_recent);
             self.serve_while(sleep(BATCH_DELAY), stopping).await;
@@ -421,6 +435,14 @@
         }
     }
 
+    /// Records a contact with the store. Returns whether the changes since the last one happened just
+    /// now.
+    fn record_contact(&mut self) -> bool {
+        let now_ms = now_ms();
+        self.last_contact_ms.store(now_ms, Ordering::Relaxed);
+        self.continuity.record_contact(now_ms)
+    }
+
     fn contact_restored(&mut self) {
         match self.contact {
             StoreContact::Connected => return,
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -52,6 +52,7 @@
     assignments: IntCounterVec,
     prompts: HistogramVec,
     shortages: IntCounterVec,
+    quota: IntCounterVec,
     view_revision: IntGauge,
     store_era: IntGauge,
     open_connections: IntGauge,
@@ -125,6 +126,11 @@
                 "Upstreams without capacity for a refused request, by the limit that ruled them out",
                 &["service", "limit"],
             ),
+            quota: counter(
+                "redwingrill_quota",
+                "Requests of accounts with quotas by outcome",
+                &["outcome"],
+            ),
             view_revision: gauge("redwingrill_beliefs_revision", "Revision of the beliefs"),
             store_era: gauge("redwingrill_store_era", "Era of the store in the beliefs"),
             open_connections: gauge("redwingrill_open_connections", "Connections of callers"),
@@ -214,6 +220,11 @@
         self.inner.quarantine.with_label_values(&[event]).inc();
     }
 
+    /// Counts a decision on a request of an account with a quota.
+    pub fn quota(&self, outcome: &str) {
+        self.inner.quota.with_label_values(&[outcome]).inc();
+    }
+
     /// Sets the revision of the cluster view.
     pub fn view_revision(&self, revision: Revision) {
         let as_gauge = |number: u64| i64::try_from(number).unwrap_or(i64::MAX);
@@ -260,7 +271,7 @@
 
 impl Inner {
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 19] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 20] = [
             Box::new(self.requests.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.first_event.clone()),
@@ -274,6 +285,7 @@
             Box::new(self.assignments.clone()),
             Box::new(self.prompts.clone()),
             Box::new(self.shortages.clone()),
+            Box::new(self.quota.clone()),
             Box::new(self.view_revision.clone()),
             Box::new(self.store_era.clone()),
             Box::new(self.open_connections.clone()),
--- a/crates/lab/tests/on_platform/site.rs
+++ b/crates/lab/tests/on_platform/site.rs
@@ -14,6 +14,7 @@
 use serde_json::json;
 use tokio::time::Instant;
 
+use redwingrill_admission::limits::fleet::QuotaOptions;
 use redwingrill_gateway::node::Node;
 use redwingrill_gateway::node::NodeOptions;
 use redwingrill_gateway::node::NodePorts;
@@ -184,6 +185,7 @@
             stale_version_limit: self.stale_version_limit,
             rollout_lease: self.rollout_lease,
             stop_timeout: Duration::from_secs(4),
+            quotas: QuotaOptions::default(),
         };
         let pool = Pool::new();
         let ports = NodePorts {
--- a/crates/routing/src/accounts.rs
+++ b/crates/routing/src/accounts.rs
@@ -42,6 +42,16 @@
     pub unit: QuotaUnit,
 }
 
+impl AccountQuota {
+    /// Returns the units of a request that declares these tokens, if any.
+    pub fn cost(&self, declared_tokens: Option<u64>) -> u64 {
+        match self.unit {
+            QuotaUnit::Requests => 1,
+            QuotaUnit::Tokens { undeclared_tokens } => declared_tokens.unwrap_or(undeclared_tokens),
+        }
+    }
+}
+
 /// One client account.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct ClientAccount {
--- a/crates/routing/src/metadata.rs
+++ b/crates/routing/src/metadata.rs
@@ -20,6 +20,8 @@
     pub last_event_id: Option<u64>,
     /// The prompt, if one is declared.
     pub prompt: Option<DeclaredPrompt>,
+    /// The prompt tokens and the maximum of output tokens together, if they are declared.
+    pub declared_tokens: Option<u64>,
 }
 
 /// The load that an upstream reports.
