Read engines on while their callers read slowly

A relay queued 8 pieces for its caller and then waited for it, so a caller that paused stopped the relay from reading its engine. An engine cuts a response that stays unread for some seconds, and the stream was lost.

Change: what a caller has not read waits in a queue of its own, at most 256 KB. Beyond it the relay reads as fast as its caller, and a caller that reads nothing for 2 s then has its stream aborted. All queues draw on the ByteBudget of the process; when a piece does not fit, the queue that holds the most is aborted, with a log line (event=stream_aborted) and a counter, and its connection is closed. Bytes count until they are written to the socket; small pieces are copied, so that they do not keep the read buffers of engine connections in memory.

--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -13,9 +13,11 @@
 use log::info;
 use rand::Rng;
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use super::call::Call;
+use super::caller_queue::CallerQueues;
 use super::relay::Relay;
 use super::response::Body;
 use super::response::refusal_response;
@@ -88,6 +90,8 @@
     pub pool: Pool,
     /// Asks upstreams whether they still run.
     pub liveness: Arc<dyn LivenessCheck>,
+    /// What waits for callers that read slowly.
+    pub caller_queues: CallerQueues,
     /// Tracks the tasks that relay streams.
     pub relays: TaskTracker,
     /// The metrics of the node.
@@ -169,8 +173,13 @@
         refusal_response(&Refusal::new(ResultCode::UpstreamSilent), id)
     }
 
-    /// Handles one request.
-    pub async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+    /// Handles one request. `connection` is cancelled if the connection has to be closed because the
+    /// caller reads its stream too slowly.
+    pub async fn handle(
+        &self,
+        request: Request<Incoming>,
+        connection: &CancellationToken,
+    ) -> Response<Body> {
         let arrived_ms = now_ms();
         let metadata = match self.context.head_codec.decode_request(request.headers()) {
             Ok(metadata) => metadata,
@@ -185,7 +194,7 @@
         let completion = match self.admit(request, metadata, &view, arrived_ms).await {
             Ok(mut call) => {
                 let mut departure = DepartureLog::new(&call);
-                let completion = self.forward(&mut call).await;
+                let completion = self.forward(&mut call, connection).await;
                 departure.disarm();
                 let completion =
                     completion.unwrap_or_else(|refusal| refusal_completion(&refusal, &id));
@@ -260,7 +269,11 @@
     }
 
     /// Sends a request, with retries, until there is a response or it fails.
-    async fn forward(&self, call: &mut Call) -> Result<Completion, Refusal> {
+    async fn forward(
+        &self,
+        call: &mut Call,
+        connection: &CancellationToken,
+    ) -> Result<Completion, Refusal> {
         let mut attempt = self.assign(call).await?;
         loop {
             let index = attempt.assignment().index;
@@ -273,8 +286,8 @@
                 }
                 AttemptOrMove::Finished(SendOutcome::Responded(upstream_response)) => {
                     call.record_possible_run(index);
-                    if let Some(completion) = self.handle_response(call, *upstream_response).await?
-                    {
+                    let handled = self.handle_response(call, *upstream_response, connection);
+                    if let Some(completion) = handled.await? {
                         return Ok(completion);
                     }
                 }
@@ -380,9 +393,10 @@
         &self,
         call: &mut Call,
         upstream_response: UpstreamResponse,
+        connection: &CancellationToken,
     ) -> Result<Option<Completion>, Refusal> {
         if call.route.kind.is_stream() && upstream_response.parts.status == StatusCode::OK {
-            return self.handle_stream(call, upstream_response).await;
+            return self.handle_stream(call, upstream_response, connection).await;
         }
         let UpstreamResponse { parts, body, mut attempt, wants_pause } = upstream_response;
         let framing = body.framing();
@@ -453,6 +467,7 @@
         &self,
         call: &mut Call,
         upstream_response: UpstreamResponse,
+        connection: &CancellationToken,
     ) -> Result<Option<Completion>, Refusal> {
         let wait = call.remaining();
         let mut relay =
@@ -468,7 +483,7 @@
         }
         let elapsed = Duration::from_millis(call.age_ms());
         self.context.metrics.first_event(&call.route.name, elapsed);
-        let response = relay.start(call, &self.context.relays);
+        let response = relay.start(call, connection);
         Ok(Some(Completion { response, code: ResultCode::Ok }))
     }
 
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -17,6 +17,7 @@
 //!   completeness.
 
 mod call;
+mod caller_queue;
 mod events;
 mod gateway;
 mod relay;
@@ -25,12 +26,16 @@
 mod stream_body;
 mod whole_answer;
 
+pub use caller_queue::AbortCause;
+pub use caller_queue::CallerQueues;
+pub use caller_queue::QueueLabel;
 pub use events::EventSplitter;
 pub use gateway::Gateway;
 pub use gateway::GatewayContext;
 pub use response::Body;
 pub use response::StreamAborted;
 pub use response::full_body;
+pub use stream_body::CALLER_LIMIT_BYTES;
 pub use stream_body::CallerLeft;
 pub use stream_body::StreamSender;
 pub use stream_body::stream_body;
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -7,6 +7,7 @@
 //! - A stream continues at another upstream only if it may be resumed, after the last event that
 //!   was forwarded.
 //! - A silent upstream is left only if another one takes over; else its stream goes on.
+//! - The upstream is read on while the caller reads slowly, see [`StreamSender::send`].
 //! - Everything that a relay waits for ends as its caller leaves: events, a place at another upstream,
 //!   the head of its answer, the evidence that an answer is whole.
 
@@ -20,10 +21,11 @@
 use log::info;
 use tokio::time::Instant;
 use tokio::time::sleep;
-use tokio_util::task::TaskTracker;
+use tokio_util::sync::CancellationToken;
 
 use super::GatewayContext;
 use super::call::Call;
+use super::caller_queue::QueueLabel;
 use super::events::EventSplitter;
 use super::response::Body;
 use super::response::relayed_head;
@@ -75,6 +77,8 @@
 enum RelayEnd {
     Complete(WholeAnswer),
     CallerLeft,
+    /// The caller read too slowly.
+    Aborted,
     DeadlineExceeded,
     Broken,
 }
@@ -154,11 +158,16 @@
     }
 
     /// Spawns the relay task and returns the response whose body it feeds.
-    pub fn start(mut self, call: &mut Call, tasks: &TaskTracker) -> Response<Body> {
-        let (sender, body) = stream_body(self.context.pool.budget());
+    pub fn start(mut self, call: &mut Call, connection: &CancellationToken) -> Response<Body> {
+        let label = QueueLabel {
+            request_id: call.metadata.id.clone(),
+            account: call.account_name().to_owned(),
+        };
+        let (sender, body) = stream_body(&self.context.caller_queues, label, connection.clone());
         let head = relayed_head(self.head.clone(), self.context.head_codec.as_ref());
         let call = detach_call(call);
         self.last_event = Instant::now();
+        let tasks = self.context.relays.clone();
         tasks.spawn(self.run(call, sender));
         Response::from_parts(head, body)
     }
@@ -166,7 +175,10 @@
     async fn run(mut self, mut call: Call, sender: StreamSender) {
         let end = tokio::select! {
             biased;
-            () = sender.closed() => RelayEnd::CallerLeft,
+            () = sender.closed() => match sender.is_aborted() {
+                true => RelayEnd::Aborted,
+                false => RelayEnd::CallerLeft,
+            },
             end = self.relay(&mut call, &sender) => end,
         };
         match end {
@@ -180,6 +192,7 @@
                 sender.complete(whole_answer);
             }
             RelayEnd::CallerLeft => self.log_end(&call, "caller_left"),
+            RelayEnd::Aborted => self.log_end(&call, "aborted"),
             RelayEnd::DeadlineExceeded => self.log_end(&call, "time_over"),
             RelayEnd::Broken => self.log_end(&call, "broken"),
         }
@@ -402,7 +415,8 @@
     }
 }
 
-/// Sends events to the caller. Never returns if the caller has left, which ends the relay.
+/// Queues events for the caller. Never returns if the caller has left or its stream was aborted,
+/// which ends the relay.
 async fn send_while_caller_reads(sender: &StreamSender, events: Bytes) {
     if sender.send(events).await.is_err() {
         std::future::pending::<()>().await;
--- a/crates/gateway/src/front/listener.rs
+++ b/crates/gateway/src/front/listener.rs
@@ -10,6 +10,8 @@
 //! A request that is read in `closing` is refused and not sent to any upstream. What has no response
 //! at the end of the stop gets one that promises nothing.
 //!
+//! A stream whose caller reads too slowly ends with its connection: it may wait for the caller.
+//!
 //! A response that is cut short never ends in order: its last chunk is missing, or, for a caller
 //! that knows no chunks, its connection is reset.
 
@@ -77,11 +79,13 @@
         let gateway = Arc::new(self.gateway.clone());
         let draining = self.draining.clone();
         let (closing, ending) = (self.closing.clone(), self.ending.clone());
+        let aborted = CancellationToken::new();
+        let aborting_stream = aborted.clone();
         let knows_chunks = Arc::new(AtomicBool::new(true));
         let caller_knows_chunks = knows_chunks.clone();
         let service = service_fn(move |request: Request<Incoming>| {
             let gateway = gateway.clone();
-            let draining = draining.clone();
+            let (draining, aborting_stream) = (draining.clone(), aborting_stream.clone());
             let (closing, ending) = (closing.clone(), ending.clone());
             knows_chunks.store(request.version() >= Version::HTTP_11, Ordering::Relaxed);
             async move {
@@ -91,7 +95,7 @@
                     let id = gateway.request_id(&request);
                     tokio::select! {
                         biased;
-                        response = gateway.handle(request) => response,
+                        response = gateway.handle(request, &aborting_stream) => response,
                         () = ending.cancelled() => gateway.fail_unanswered(&id),
                     }
                 };
@@ -127,6 +131,7 @@
                         Pin::new(&mut connection).graceful_shutdown();
                     }
                     () = aborting.cancelled() => break true,
+                    () = aborted.cancelled() => break true,
                 }
             };
             if is_cut_short && !caller_knows_chunks.load(Ordering::Relaxed) {
--- a/crates/gateway/src/node/lifecycle.rs
+++ b/crates/gateway/src/node/lifecycle.rs
@@ -26,6 +26,7 @@
 use crate::cluster_view::Member;
 use crate::dispatch::DispatchTask;
 use crate::dispatch::Dispatcher;
+use crate::forward::CallerQueues;
 use crate::forward::Gateway;
 use crate::forward::GatewayContext;
 use crate::front::CallerListener;
@@ -225,12 +226,14 @@
         );
         services.spawn(rollout.run(stopping.clone()));
         let relays = TaskTracker::new();
+        let caller_queues = CallerQueues::new(pool.budget(), metrics.clone());
         let gateway = Gateway::new(GatewayContext {
             head_codec: ports.head_codec,
             view,
             dispatcher: dispatcher.clone(),
             pool: pool.clone(),
             liveness,
+            caller_queues: caller_queues.clone(),
             relays: relays.clone(),
             metrics: metrics.clone(),
         });
@@ -245,7 +248,7 @@
         };
         serve_readiness(readiness_socket, &listener, &services, &stopping);
         if let Some(socket) = metrics_socket {
-            let buffers = pool.budget().clone();
+            let buffers = Buffers { budget: pool.budget().clone(), caller_queues };
             serve_metrics(socket, metrics, buffers, dispatcher.clone(), &services, &stopping);
         }
         listener.tasks.spawn(listener.clone().run(caller_socket));
@@ -332,17 +335,25 @@
     services.spawn(StatusServer::new(socket).run(handler, stopping.clone()));
 }
 
+/// What a node buffers.
+struct Buffers {
+    budget: ByteBudget,
+    caller_queues: CallerQueues,
+}
+
 fn serve_metrics(
     socket: TcpListener,
     metrics: Metrics,
-    buffers: ByteBudget,
+    buffers: Buffers,
     dispatcher: Dispatcher,
     services: &TaskTracker,
     stopping: &CancellationToken,
 ) {
     let handler = move |path: String| {
         let (metrics, dispatcher) = (metrics.clone(), dispatcher.clone());
-        metrics.buffered_bytes(buffers.used_bytes());
+        metrics.buffered_bytes(buffers.budget.used_bytes());
+        let (slow_callers, unread_bytes) = buffers.caller_queues.usage();
+        metrics.slow_callers(slow_callers, unread_bytes);
         async move {
             match path.as_str() {
                 "/metrics" => (StatusCode::OK, metrics.to_text()),
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -56,6 +56,9 @@
     store_era: IntGauge,
     open_connections: IntGauge,
     buffered_bytes: IntGauge,
+    slow_callers: IntGauge,
+    unread_bytes: IntGauge,
+    aborted_streams: IntCounterVec,
     engine_model: GaugeVec,
     outdated_engines: IntGaugeVec,
 }
@@ -129,6 +132,16 @@
             store_era: gauge("redwingrill_store_era", "Era of the store in the beliefs"),
             open_connections: gauge("redwingrill_open_connections", "Connections of callers"),
             buffered_bytes: gauge("redwingrill_buffered_bytes", "Bytes that draw on the budget"),
+            slow_callers: gauge(
+                "redwingrill_slow_callers",
+                "Open streams whose caller was behind its engine",
+            ),
+            unread_bytes: gauge("redwingrill_unread_bytes", "Bytes that wait for slow callers"),
+            aborted_streams: counter(
+                "redwingrill_aborted_streams",
+                "Streams aborted because their caller reads too slowly",
+                &["cause"],
+            ),
             engine_model: GaugeVec::new(
                 Opts::new("redwingrill_engine_model", "Learned times of a service's upstreams"),
                 &["service", "parameter"],
@@ -231,6 +244,17 @@
         self.inner.buffered_bytes.set(i64::try_from(bytes).unwrap_or(i64::MAX));
     }
 
+    /// Sets the number of slow callers and the bytes that wait for them.
+    pub fn slow_callers(&self, count: usize, unread_bytes: usize) {
+        self.inner.slow_callers.set(i64::try_from(count).unwrap_or(i64::MAX));
+        self.inner.unread_bytes.set(i64::try_from(unread_bytes).unwrap_or(i64::MAX));
+    }
+
+    /// Counts a stream that was aborted because its caller reads too slowly.
+    pub fn stream_aborted(&self, cause: &str) {
+        self.inner.aborted_streams.with_label_values(&[cause]).inc();
+    }
+
     /// Sets the learned times of a service's upstreams.
     pub fn engine_model(&self, service: &str, curve: &PrefillCurve) {
         for (parameter, value) in [
@@ -260,7 +284,7 @@
 
 impl Inner {
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 19] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 22] = [
             Box::new(self.requests.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.first_event.clone()),
@@ -278,6 +302,9 @@
             Box::new(self.store_era.clone()),
             Box::new(self.open_connections.clone()),
             Box::new(self.buffered_bytes.clone()),
+            Box::new(self.slow_callers.clone()),
+            Box::new(self.unread_bytes.clone()),
+            Box::new(self.aborted_streams.clone()),
             Box::new(self.engine_model.clone()),
             Box::new(self.outdated_engines.clone()),
         ];
