Break off answers that end before their request is written

Where the connection is reset only, and where the status is 000, the caller got an error before, too.

Change: where only the end of the connection marks the end of an answer, it counts only once the request is written to the connection. Both interfaces use this transport.

--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -13,6 +13,7 @@
 use crate::Framing;
 use crate::TransportError;
 use crate::pool::ConnectionGuard;
+use crate::upload::UploadState;
 
 /// How long reading a whole body may take. A single duration limits the whole.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -32,22 +33,16 @@
 /// A response body. Dropping it before its end closes the connection.
 #[derive(Debug)]
 pub struct ResponseBody {
-    incoming: Incoming,
-    framing: Framing,
-    budget: ByteBudget,
-    guard: Option<ConnectionGuard>,
+    pub(crate) incoming: Incoming,
+    // Whether the status and the headers allow a body.
+    pub(crate) has_body: bool,
+    pub(crate) framing: Framing,
+    pub(crate) budget: ByteBudget,
+    pub(crate) upload: UploadState,
+    pub(crate) guard: Option<ConnectionGuard>,
 }
 
 impl ResponseBody {
-    pub(crate) fn new(
-        incoming: Incoming,
-        framing: Framing,
-        budget: ByteBudget,
-        guard: ConnectionGuard,
-    ) -> Self {
-        Self { incoming, framing, budget, guard: Some(guard) }
-    }
-
     /// Returns what determines the end of the body.
     pub fn framing(&self) -> Framing {
         self.framing
@@ -59,7 +54,8 @@
     ///
     /// [`TransportError::Silent`] if no data arrived within `wait`, which discards the connection
     /// and all older idle ones to the address, or [`TransportError::Broken`] if the connection
-    /// failed before the end.
+    /// failed before the end, or, where only its end marks that of the body, while the request was
+    /// still being written.
     pub async fn next(&mut self, wait: Duration) -> Result<Option<Bytes>, TransportError> {
         loop {
             let Ok(frame) = timeout(wait, self.incoming.frame()).await else {
@@ -70,6 +66,9 @@
             };
             match frame {
                 None => {
+                    if self.has_body && !self.framing.marks_end() {
+                        self.wait_request_written(wait).await?;
+                    }
                     self.release();
                     return Ok(None);
                 }
@@ -111,6 +110,15 @@
         Ok(body.freeze())
     }
 
+    async fn wait_request_written(&mut self, wait: Duration) -> Result<(), TransportError> {
+        if timeout(wait, self.upload.wait_written()).await == Ok(true) {
+            return Ok(());
+        }
+        self.guard = None;
+        let reason = "the connection ended while the request was being written".to_owned();
+        Err(TransportError::Broken { reason })
+    }
+
     fn release(&mut self) {
         if let Some(guard) = self.guard.take() {
             guard.release();
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -16,6 +16,7 @@
 mod framing;
 mod pool;
 mod postcard_codec;
+mod upload;
 
 pub use body::BodyTimeouts;
 pub use body::ResponseBody;
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -15,12 +15,15 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::HeaderMap;
 use http::Request;
 use http::Response;
+use http_body::Body;
 use http_body_util::Full;
 use hyper::client::conn::http1::Builder;
 use hyper::client::conn::http1::SendRequest;
@@ -36,6 +39,7 @@
 use crate::ResponseBody;
 use crate::TransportError;
 use crate::dead_peer::enable_dead_peer_detection;
+use crate::upload::UploadState;
 
 /// The limit of idle connections to an address.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
@@ -117,6 +121,8 @@
 struct Connection<S> {
     sender: SendRequest<Full<Bytes>>,
     opened_at: Instant,
+    // Set before what was not written is dropped.
+    has_ended: Arc<AtomicBool>,
     state: S,
 }
 
@@ -128,14 +134,16 @@
     }
 
     fn into_busy(self) -> Connection<Busy> {
-        Connection { sender: self.sender, opened_at: self.opened_at, state: Busy }
+        let Self { sender, opened_at, has_ended, .. } = self;
+        Connection { sender, opened_at, has_ended, state: Busy }
     }
 }
 
 impl Connection<Busy> {
     fn into_idle(self) -> Connection<Idle> {
         let state = Idle { since: Instant::now() };
-        Connection { sender: self.sender, opened_at: self.opened_at, state }
+        let Self { sender, opened_at, has_ended, .. } = self;
+        Connection { sender, opened_at, has_ended, state }
     }
 }
 
@@ -179,10 +187,12 @@
         freshness: Freshness,
         timeouts: &Timeouts,
     ) -> Result<Response<ResponseBody>, TransportError> {
-        let (parts, body) = request.into_parts();
-        let mut request = Request::from_parts(parts, Full::new(body));
+        let (mut parts, body) = request.into_parts();
         loop {
             let (mut guard, reused) = self.checkout(address, freshness, timeouts.connect).await?;
+            let has_ended = guard.connection.has_ended.clone();
+            let (tracked, upload) = UploadState::track(body.clone(), has_ended);
+            let request = Request::from_parts(parts, Full::new(tracked));
             let pending = guard.connection.sender.try_send_request(request);
             match timeout(timeouts.head, pending).await {
                 Err(_) => {
@@ -193,10 +203,17 @@
                     guard.set_peer_idle_timeout(response.headers());
                     let framing = Framing::of(response.headers());
                     let budget = self.budget.clone();
-                    return Ok(response.map(|body| ResponseBody::new(body, framing, budget, guard)));
+                    return Ok(response.map(|incoming| ResponseBody {
+                        has_body: !incoming.is_end_stream(),
+                        incoming,
+                        framing,
+                        budget,
+                        upload,
+                        guard: Some(guard),
+                    }));
                 }
                 Ok(Err(mut failure)) => match failure.take_message() {
-                    Some(unsent) if reused => request = unsent,
+                    Some(unsent) if reused => parts = unsent.into_parts().0,
                     Some(_) => return Err(TransportError::NotSent),
                     None => {
                         return Err(TransportError::Broken { reason: failure.error().to_string() });
@@ -265,14 +282,19 @@
             Builder::new().max_buf_size(READ_LIMIT_BYTES).handshake(TokioIo::new(stream));
         let (sender, driver) = handshake.await.map_err(|e| unreachable(e.to_string()))?;
         let closing = self.shared.closing.clone();
+        let has_ended = Arc::new(AtomicBool::new(false));
+        let ends = has_ended.clone();
         self.shared.drivers.spawn(async move {
+            let mut driver = driver;
             tokio::select! {
                 // The request receives a failure through its sender.
-                _ = driver => {}
+                _ = &mut driver => {}
                 () = closing.cancelled() => {}
             }
+            ends.store(true, Ordering::Release);
+            drop(driver);
         });
-        Ok(Connection { sender, opened_at: Instant::now(), state: Busy })
+        Ok(Connection { sender, opened_at: Instant::now(), has_ended, state: Busy })
     }
 }
 
