--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -13,9 +13,11 @@
 use log::info;
 use rand::Rng;
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use super::call::Call;
+use super::caller_queue::CallerQueues;
 use super::relay::Relay;
 use super::response::Body;
 use super::response::refusal_response;
@@ -91,6 +93,8 @@
     pub pool: Pool,
     /// Asks upstreams whether they still run.
     pub liveness: Arc<dyn LivenessCheck>,
+    /// What waits for callers that read slowly.
+    pub caller_queues: CallerQueues,
     /// Tracks the tasks that relay streams.
     pub relays: TaskTracker,
     /// The metrics of the node.
@@ -172,8 +176,13 @@
         refusal_response(&Refusal::new(ResultCode::UpstreamSilent), id)
     }
 
-    /// Handles one request.
-    pub async fn handle(&self, request: Request<Incoming>) -> Response<Body> {
+    /// Handles one request. `connection` is cancelled if the connection has to be closed because the
+    /// caller reads its stream too slowly.
+    pub async fn handle(
+        &self,
+        request: Request<Incoming>,
+        connection: &CancellationToken,
+    ) -> Response<Body> {
         let arrived_ms = now_ms();
         let metadata = match self.context.head_codec.decode_request(request.headers()) {
             Ok(metadata) => metadata,
@@ -188,7 +197,7 @@
         let completion = match self.admit(request, metadata, &view, arrived_ms).await {
             Ok(mut call) => {
                 let mut departure = DepartureLog::new(&call);
-                let completion = self.charge_and_forward(&mut call).await;
+                let completion = self.charge_and_forward(&mut call, connection).await;
                 departure.disarm();
                 let completion =
                     completion.unwrap_or_else(|refusal| refusal_completion(&refusal, &id));
@@ -262,12 +271,16 @@
 
     /// Forwards a request if the quota of its account allows it. Only then does the request count as
     /// demand for its service.
-    async fn charge_and_forward(&self, call: &mut Call) -> Result<Completion, Refusal> {
+    async fn charge_and_forward(
+        &self,
+        call: &mut Call,
+        connection: &CancellationToken,
+    ) -> Result<Completion, Refusal> {
         let mut charge = self.charge(call).await?;
         let (service, target) = (&call.service, call.route.target_latency);
         let tag = RouteTag::of(&call.route.name);
         self.context.dispatcher.count_request(service, tag, call.prompt.clone(), target);
-        self.forward(call, &mut charge).await
+        self.forward(call, &mut charge, connection).await
     }
 
     /// Charges the quota of the request's account; `None` without a quota.
@@ -311,6 +324,7 @@
         &self,
         call: &mut Call,
         charge: &mut Option<Charge>,
+        connection: &CancellationToken,
     ) -> Result<Completion, Refusal> {
         let mut attempt = self.assign(call).await?;
         loop {
@@ -327,8 +341,8 @@
                 }
                 AttemptOrMove::Finished(SendOutcome::Responded(upstream_response)) => {
                     call.record_possible_run(index);
-                    if let Some(completion) = self.handle_response(call, *upstream_response).await?
-                    {
+                    let handled = self.handle_response(call, *upstream_response, connection);
+                    if let Some(completion) = handled.await? {
                         return Ok(completion);
                     }
                 }
@@ -437,9 +451,10 @@
         &self,
         call: &mut Call,
         upstream_response: UpstreamResponse,
+        connection: &CancellationToken,
     ) -> Result<Option<Completion>, Refusal> {
         if call.route.kind.is_stream() && upstream_response.parts.status == StatusCode::OK {
-            return self.handle_stream(call, upstream_response).await;
+            return self.handle_stream(call, upstream_response, connection).await;
         }
         let UpstreamResponse { parts, body, mut attempt, wants_pause } = upstream_response;
         let framing = body.framing();
@@ -510,6 +525,7 @@
         &self,
         call: &mut Call,
         upstream_response: UpstreamResponse,
+        connection: &CancellationToken,
     ) -> Result<Option<Completion>, Refusal> {
         let wait = call.remaining();
         let mut relay =
@@ -525,7 +541,7 @@
         }
         let elapsed = Duration::from_millis(call.age_ms());
         self.context.metrics.first_event(&call.route.name, elapsed);
-        let response = relay.start(call, &self.context.relays);
+        let response = relay.start(call, connection);
         Ok(Some(Completion { response, code: ResultCode::Ok }))
     }
 
