Test the quotas of accounts over nodes on the platform

Change: three nodes against stand-ins of the store and the engines. An account with 10 requests per second and at once gets 49 to 77 of 600 in 6 s, every refused request has not run, and only requests that did not run are refunded.

--- a/crates/lab/tests/on_platform/main.rs
+++ b/crates/lab/tests/on_platform/main.rs
@@ -5,6 +5,7 @@
 mod left_callers;
 mod news;
 mod quarantine;
+mod quotas;
 mod requests;
 mod restored;
 mod rollout;
