Replay refunds and changes of the list of nodes with quotas

Change: refunds with lost and duplicated datagrams, a dead owner that leaves a list which reaches the nodes one after the other, an owner that joins and leaves again and again, and a list that is rebuilt after an outage of the store.

--- a/crates/admission/tests/fleet_quotas.rs
+++ b/crates/admission/tests/fleet_quotas.rs
@@ -43,6 +43,7 @@
     factor: f64,
     loss: f64,
     duplication: f64,
+    refunds: f64,
     /// Begins the fault.
     fault: fn(&mut Fleet),
     /// The least share of the large account's quota, or of its load if that is less, to be admitted.
@@ -55,6 +56,7 @@
     factor: 1.0,
     loss: 0.0,
     duplication: 0.0,
+    refunds: 0.0,
     fault: |_| {},
     min_admitted: 0.99,
 };
@@ -67,6 +69,7 @@
 fn run(case: &Case) -> Fleet {
     let mut fleet = Fleet::new(case.nodes, OPTIONS, &LIMITS, 7);
     (fleet.loss, fleet.duplication) = (case.loss, case.duplication);
+    fleet.refunds = case.refunds;
     fleet.run(5_000, &loads(case.factor));
     (case.fault)(&mut fleet);
     fleet.run(25_000, &loads(case.factor));
@@ -130,6 +133,49 @@
             min_admitted: 0.6,
             ..USUAL
         },
+        Case {
+            name: "a dead owner leaves the list",
+            factor: 9.0,
+            fault: |fleet| {
+                let owner = owner_indexes(fleet)[0];
+                fleet.stop(owner);
+                let rest: Vec<usize> = (0..79).filter(|index| *index != owner).collect();
+                // The list reaches the nodes one after the other.
+                for index in 0..79 {
+                    fleet.set_members(&rest, |seeing| seeing == index);
+                    fleet.run(10, &loads(9.0));
+                }
+            },
+            min_admitted: 0.9,
+            ..USUAL
+        },
+        Case {
+            name: "an owner joins and leaves again and again",
+            factor: 9.0,
+            fault: |fleet| {
+                let owner = owner_indexes(fleet)[0];
+                let rest: Vec<usize> = (0..79).filter(|index| *index != owner).collect();
+                for _ in 0..4 {
+                    fleet.stop(owner);
+                    fleet.set_members(&rest, |_| true);
+                    fleet.run(9_000, &loads(9.0));
+                    fleet.start(owner);
+                    fleet.set_members(&(0..79).collect::<Vec<_>>(), |_| true);
+                    fleet.run(1_500, &loads(9.0));
+                }
+            },
+            min_admitted: 0.9,
+            ..USUAL
+        },
+        Case {
+            name: "refunds, losses and duplicates",
+            factor: 9.0,
+            duplication: 0.1,
+            loss: 0.02,
+            refunds: 0.5,
+            min_admitted: 0.6,
+            ..USUAL
+        },
         Case { name: "losses", loss: 0.1, factor: 9.0, min_admitted: 0.6, ..USUAL },
         Case { name: "duplicates", duplication: 0.3, factor: 9.0, min_admitted: 0.5, ..USUAL },
         Case {
@@ -185,6 +231,7 @@
             Outcome::Admitted { .. } => "admitted",
             Outcome::Exceeded { .. } => "exceeded",
             Outcome::Unreachable => "unreachable",
+            Outcome::Refunded => "refunded",
         };
         *counts.entry(name).or_default() += 1;
     }
@@ -203,6 +250,23 @@
     assert_eq!(outcomes.get("exceeded").or(outcomes.get("unreachable")), None);
 }
 
+/// Guards against a change of all owners because the entries of nodes lapsed with the store.
+#[test]
+fn list_that_is_rebuilt_after_an_outage_changes_no_owner() {
+    let mut fleet = Fleet::new(79, OPTIONS, &LIMITS, 11);
+    fleet.run(2_000, &[]);
+    fleet.set_members(&[], |_| true);
+    for listed in (0..79).step_by(2) {
+        fleet.set_members(&(0..listed).collect::<Vec<_>>(), |_| true);
+        fleet.run(100, &loads(1.0));
+    }
+    fleet.set_members(&(0..79).collect::<Vec<_>>(), |_| true);
+    fleet.run(10_000, &loads(1.0));
+    let outcomes = outcomes(&fleet);
+    println!("{outcomes:?}");
+    assert_eq!(outcomes.get("exceeded").or(outcomes.get("unreachable")), None);
+}
+
 #[test]
 fn lower_rate_takes_effect_at_once() {
     let mut fleet = Fleet::new(79, OPTIONS, &LIMITS, 3);
--- a/crates/admission/tests/support/quota_fleet.rs
+++ b/crates/admission/tests/support/quota_fleet.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 
 use rand::Rng;
@@ -10,6 +11,7 @@
 
 use redwingrill_admission::limits::LimitSpec;
 use redwingrill_admission::limits::fleet::FleetQuotas;
+use redwingrill_admission::limits::fleet::QuotaCharge;
 use redwingrill_admission::limits::fleet::QuotaDecision;
 use redwingrill_admission::limits::fleet::QuotaMember;
 use redwingrill_admission::limits::fleet::QuotaMessage;
@@ -23,11 +25,21 @@
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Outcome {
     Pending,
-    Admitted { at_ms: u64 },
-    Exceeded { at_ms: u64, retry_after_ms: u64 },
+    Admitted {
+        at_ms: u64,
+    },
+    Exceeded {
+        at_ms: u64,
+        retry_after_ms: u64,
+    },
     Unreachable,
+    /// Admitted, but not run, and refunded.
+    Refunded,
 }
 
+/// How long after its admission a request that does not run is refunded.
+const REFUND_DELAY_MS: u64 = 50;
+
 /// A request that was made.
 #[derive(Clone, Copy, Debug)]
 pub struct Request {
@@ -54,6 +66,8 @@
     /// The share of datagrams that are lost, and that arrive twice.
     pub loss: f64,
     pub duplication: f64,
+    /// The share of admitted requests that do not run.
+    pub refunds: f64,
     /// Nodes with different numbers do not reach each other.
     pub groups: Vec<usize>,
     pub has_store: Vec<bool>,
@@ -62,6 +76,8 @@
     limits: HashMap<AccountTag, LimitSpec>,
     nodes: Vec<Option<FleetQuotas<usize>>>,
     in_transit: BTreeMap<(u64, u64), (usize, SocketAddr, QuotaMessage)>,
+    // With the node and the time.
+    due_refunds: VecDeque<(u64, usize, QuotaCharge)>,
     sequence: u64,
     rng: SmallRng,
 }
@@ -89,6 +105,7 @@
             messages: 0,
             loss: 0.0,
             duplication: 0.0,
+            refunds: 0.0,
             groups: vec![0; nodes],
             has_store: vec![true; nodes],
             members: (0..nodes).map(member).collect(),
@@ -96,6 +113,7 @@
             limits: limits.iter().copied().collect(),
             nodes: (0..nodes).map(|_| None).collect(),
             in_transit: BTreeMap::new(),
+            due_refunds: VecDeque::new(),
             sequence: 0,
             rng: SmallRng::seed_from_u64(seed),
         };
@@ -189,6 +207,13 @@
                 self.pass_on(to);
             }
         }
+        while self.due_refunds.front().is_some_and(|(at_ms, ..)| *at_ms <= now_ms) {
+            let Some((_, index, charge)) = self.due_refunds.pop_front() else { break };
+            if let Some(node) = &mut self.nodes[index] {
+                node.refund(&charge, now_ms);
+                self.pass_on(index);
+            }
+        }
         for index in 0..self.nodes.len() {
             let Some(node) = &mut self.nodes[index] else { continue };
             let phase_ms = now_ms + 7 * index as u64;
@@ -217,7 +242,12 @@
                 QuotaDecision::Admitted(charge) => {
                     let is_paid = charge.tokens() == self.requests[decided.handle].tokens;
                     assert!(is_paid || !self.limits.contains_key(&charge.account()));
-                    Outcome::Admitted { at_ms }
+                    if self.rng.random::<f64>() < self.refunds {
+                        self.due_refunds.push_back((at_ms + REFUND_DELAY_MS, index, charge));
+                        Outcome::Refunded
+                    } else {
+                        Outcome::Admitted { at_ms }
+                    }
                 }
                 QuotaDecision::Exceeded { retry_after_ms, .. } => {
                     Outcome::Exceeded { at_ms, retry_after_ms }
