Count the decisions on quotas, and show their state

Change: redwingrill_quota{outcome}, redwingrill_quota_tokens{account,outcome} for the 32 accounts with the largest quotas, a line event=quotas every 5 s, and quotas in the dump.

--- a/crates/admission/src/limits/fleet/node.rs
+++ b/crates/admission/src/limits/fleet/node.rs
@@ -105,6 +105,11 @@
         &self.holder
     }
 
+    /// Returns the number of accounts with quotas.
+    pub fn len(&self) -> usize {
+        self.limits.len()
+    }
+
     /// Returns whether no account has a quota.
     pub fn is_empty(&self) -> bool {
         self.limits.is_empty()
@@ -248,7 +253,7 @@
 
     /// Returns whether the node can know that it still is in the list. Contact with a minority of
     /// the nodes is not enough: the others may be with the store and have replaced this node.
-    fn is_connected(&self, now_ms: u64) -> bool {
+    pub fn is_connected(&self, now_ms: u64) -> bool {
         let is_recent = |at_ms: u64| now_ms.saturating_sub(at_ms) < CONTACT_MS;
         let others = self.members.len().saturating_sub(1);
         if others == 0 || self.store_contact_ms.is_some_and(is_recent) {
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -159,7 +159,9 @@
 
     /// Lets the task enforce the quotas of accounts; `reader` tells of the contact with the store.
     pub fn limit_accounts(&mut self, options: QuotaOptions, node: QuotaNode, reader: StoreReader) {
-        self.quotas = Some(AccountQuotas::new(options, node, self.node_incarnation, reader));
+        let metrics = self.metrics.clone();
+        let run = self.node_incarnation;
+        self.quotas = Some(AccountQuotas::new(options, node, run, reader, metrics));
     }
 
     /// Runs until `stopping` is cancelled.
@@ -468,6 +470,7 @@
                 self.charge(account, tokens, responder, now_ms);
             }
             Message::Refund { charge } => {
+                self.metrics.quota_refunded();
                 if let Some(quotas) = &mut self.quotas {
                     quotas.fleet.refund(&charge, now_ms);
                 }
@@ -478,6 +481,9 @@
                 if now_ms.saturating_sub(self.model_logged_ms) >= MODEL_LOG_PERIOD_MS {
                     self.model_logged_ms = now_ms;
                     self.report_models();
+                    if let Some(quotas) = &self.quotas {
+                        quotas.log_state(now_ms);
+                    }
                 }
             }
             Message::CacheStoreChanged { changes } => {
@@ -745,6 +751,7 @@
                 "groups": coordinator.group_count(),
                 "waiting": coordinator.waiting(),
             },
+            "quotas": self.quotas.as_ref().map(|quotas| quotas.dump(now_ms)),
             "waiting": self.queue.len(), "longest_wait_ms": self.queue.longest_wait_ms(now_ms),
             "upstreams": entries.collect::<Vec<_>>(), "fault": verified.err() })
     }
--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -287,7 +287,7 @@
         let (code, limit, used_per_s, retry_after_ms) = match charged {
             Ok(charge) => {
                 let outcome = if charge.is_from_allowance() { "allowance" } else { "admitted" };
-                self.context.metrics.quota(outcome);
+                self.context.metrics.quota(&account.name, outcome, tokens);
                 return Ok(Some(charge));
             }
             Err(QuotaRefusal::Exceeded { retry_after_ms, used_per_s }) => {
@@ -297,7 +297,7 @@
                 (ResultCode::QuotaUnreachable, "owners", 0, retry_after_ms)
             }
         };
-        self.context.metrics.quota(code.info().name);
+        self.context.metrics.quota(&account.name, code.info().name, tokens);
         info!(
             "event=request_refused_by_quota request_id={} account={} limit={limit} rate_per_s={} \
              used={used_per_s} asked_tokens={tokens} retry_after_ms={retry_after_ms}",
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -1,6 +1,9 @@
 //! Counters and latency histograms, served as text on the metrics address.
 
+use std::collections::HashSet;
 use std::sync::Arc;
+use std::sync::PoisonError;
+use std::sync::RwLock;
 use std::time::Duration;
 
 use log::error;
@@ -53,6 +56,9 @@
     prompts: HistogramVec,
     shortages: IntCounterVec,
     quota: IntCounterVec,
+    quota_tokens: IntCounterVec,
+    // The accounts that have metrics of their own.
+    metered_accounts: RwLock<HashSet<String>>,
     view_revision: IntGauge,
     store_era: IntGauge,
     open_connections: IntGauge,
@@ -131,6 +137,12 @@
                 "Requests of accounts with quotas by outcome",
                 &["outcome"],
             ),
+            quota_tokens: counter(
+                "redwingrill_quota_tokens",
+                "Tokens of requests of the accounts with the largest quotas by outcome",
+                &["account", "outcome"],
+            ),
+            metered_accounts: RwLock::default(),
             view_revision: gauge("redwingrill_beliefs_revision", "Revision of the beliefs"),
             store_era: gauge("redwingrill_store_era", "Era of the store in the beliefs"),
             open_connections: gauge("redwingrill_open_connections", "Connections of callers"),
@@ -220,9 +232,28 @@
         self.inner.quarantine.with_label_values(&[event]).inc();
     }
 
-    /// Counts a decision on a request of an account with a quota.
-    pub fn quota(&self, outcome: &str) {
+    /// Counts a decision on a request of an account with a quota, and its tokens.
+    pub fn quota(&self, account: &str, outcome: &str, tokens: u64) {
         self.inner.quota.with_label_values(&[outcome]).inc();
+        let metered = self.inner.metered_accounts.read().unwrap_or_else(PoisonError::into_inner);
+        if metered.contains(account) {
+            self.inner.quota_tokens.with_label_values(&[account, outcome]).inc_by(tokens);
+        }
+    }
+
+    /// Counts a request of an account with a quota that did not run and was refunded.
+    pub fn quota_refunded(&self) {
+        self.inner.quota.with_label_values(&["refunded"]).inc();
+    }
+
+    /// Sets the accounts with quotas that have metrics of their own; their number bounds the labels.
+    pub fn set_metered_accounts(&self, accounts: HashSet<String>) {
+        let metered = &self.inner.metered_accounts;
+        let mut metered = metered.write().unwrap_or_else(PoisonError::into_inner);
+        if *metered != accounts {
+            self.inner.quota_tokens.reset();
+            *metered = accounts;
+        }
     }
 
     /// Sets the revision of the cluster view.
@@ -271,7 +302,7 @@
 
 impl Inner {
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 20] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 21] = [
             Box::new(self.requests.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.first_event.clone()),
@@ -286,6 +317,7 @@
             Box::new(self.prompts.clone()),
             Box::new(self.shortages.clone()),
             Box::new(self.quota.clone()),
+            Box::new(self.quota_tokens.clone()),
             Box::new(self.view_revision.clone()),
             Box::new(self.store_era.clone()),
             Box::new(self.open_connections.clone()),
