Share the wait queue among client accounts

The wait queue knew no accounts, so one that sends nine times its usual load took the capacity of all others.

Change: requests of accounts within their share of the recent engine time of their class come first, then the others; within each the order is as before. The weight of an account is its configured rate, or else its usual demand: an average of a minute's half-life that a surge does not raise, and that is the present demand in the first three seconds of an account. UsageShares is generic over its key and used by both interfaces. A few requests are always within the share, and an account that is served less than 0.28 times as often as all is too. What an account sends beyond its share counts neither for the roles of engines, nor may it take more than half of the limits of an engine while the other class waits: short prompts of a flood otherwise took the engines of long ones.

--- a/crates/admission/src/queue/mod.rs
+++ b/crates/admission/src/queue/mod.rs
@@ -24,3 +24,5 @@
 pub use scheduler::QueueRefusal;
 pub use scheduler::Scheduler;
 pub use scheduler::SchedulerState;
+pub use usage_shares::FAIR_SHARE_TOLERANCE;
+pub use usage_shares::UsageShares;
--- a/crates/admission/src/queue/scheduler.rs
+++ b/crates/admission/src/queue/scheduler.rs
@@ -97,7 +97,7 @@
 pub struct Scheduler {
     // In order of urgency.
     classes: Vec<PriorityClass>,
-    usage_shares: UsageShares,
+    usage_shares: UsageShares<AccountId>,
     headroom: Headroom,
 }
 
@@ -195,7 +195,8 @@
         class.drain_rate.record_started(request.cost_tokens, now_ms);
         class.in_flight += 1;
         let priority = class.spec.priority;
-        self.usage_shares.record_started(request.account, request.cost_tokens, now_ms);
+        let cost = request.cost_tokens as f64;
+        self.usage_shares.record_started(request.account, cost, now_ms);
         Some((priority, request))
     }
 
--- a/crates/scheduling/src/coordination/coordinator.rs
+++ b/crates/scheduling/src/coordination/coordinator.rs
@@ -155,17 +155,25 @@
         let request = requirements.into_request(now_ms, index_of);
         if is_first && let Some(prompt) = request.prompt.clone() {
             let (service, target_ms) = (request.service.clone(), request.target_ms);
-            group.scheduler.count_prompt(&service, request.route, &prompt, target_ms, now_ms);
+            let scheduler = &mut group.scheduler;
+            // Engines keep their roles in a flood of one account.
+            match group.queue.is_beyond_share(scheduler, &request) {
+                true => {
+                    scheduler.observe_prompt(&service, request.route, &prompt, target_ms);
+                }
+                false => {
+                    scheduler.count_prompt(&service, request.route, &prompt, target_ms, now_ms);
+                }
+            }
         }
         let tracked =
             TrackedRequest { reply_to: from, renewed_ms: now_ms, state: RequestState::Waiting };
         group.requests.insert(inquiry, tracked);
         let decided = match may_wait {
             true => group.queue.enqueue(&mut group.scheduler, request, inquiry, now_ms),
-            false if group.queue.has_rivals(&mut group.scheduler, &request) => {
-                vec![(inquiry, Choice::Wait)]
+            false => {
+                vec![(inquiry, group.queue.choose_now(&mut group.scheduler, &request, now_ms))]
             }
-            false => vec![(inquiry, group.scheduler.choose(&request, now_ms))],
         };
         let mut responses = group.record_decisions(key, decided, now_ms);
         if let Some(tracked) = group.requests.get(&inquiry)
--- a/crates/scheduling/src/engine_model/service.rs
+++ b/crates/scheduling/src/engine_model/service.rs
@@ -233,17 +233,20 @@
         self.pauses = other.pauses;
     }
 
+    /// Returns the share of the decode steps of a request, as engine time.
+    pub fn decode_cost_ms(&self) -> f64 {
+        self.curve().base_ms * DECODE_SHARE
+    }
+
     /// Returns the engine time of a usual short prompt: its prefill and its share of the decode
     /// steps.
     pub fn short_cost_ms(&self) -> f64 {
-        self.curve().queue_ms(self.short_prompt.prompt_tokens as u64)
-            + self.curve().base_ms * DECODE_SHARE
+        self.curve().queue_ms(self.short_prompt.prompt_tokens as u64) + self.decode_cost_ms()
     }
 
     /// Returns the engine time of a usual long prompt whose shared prefix is cached.
     pub fn long_cost_ms(&self) -> f64 {
-        self.curve().queue_ms(self.long_prompt.own_tokens as u64)
-            + self.curve().base_ms * DECODE_SHARE
+        self.curve().queue_ms(self.long_prompt.own_tokens as u64) + self.decode_cost_ms()
     }
 
     /// Returns the shared tokens of a usual long prompt.
--- a/crates/scheduling/src/scheduler/backlog.rs
+++ b/crates/scheduling/src/scheduler/backlog.rs
@@ -3,8 +3,10 @@
 //! The load pattern: more requests than the upstreams serve, for many seconds. A queue that takes
 //! them all makes each of them wait until it is late, and refuses those that waited in vain. The
 //! rate at which the queue moves tells which requests would wait in vain: at arrival, and again when
-//! a request becomes late, since late requests get only what those on time leave.
+//! a request becomes late or its account is beyond its share, since such requests get only what the
+//! others leave.
 
+use super::Rank;
 use crate::recent::Recent;
 
 /// The span over which the rate of a queue is measured: one second, without its first millisecond.
@@ -14,38 +16,38 @@
 #[derive(Clone, Debug)]
 pub(super) struct Backlog {
     since_ms: u64,
-    departures: Recent<(), RATE_SPAN_MS>,
-    late_departures: Recent<(), RATE_SPAN_MS>,
+    // The departures of each rank and those after it.
+    departures: [Recent<(), RATE_SPAN_MS>; Rank::COUNT],
 }
 
 impl Backlog {
     /// Creates the backlog of a class whose first request begins to wait.
     pub(super) fn new(now_ms: u64) -> Self {
-        Self { since_ms: now_ms, departures: Recent::default(), late_departures: Recent::default() }
+        Self { since_ms: now_ms, departures: Default::default() }
     }
 
     /// Records that a request got an upstream.
-    pub(super) fn record_departure(&mut self, is_late: bool, now_ms: u64) {
-        self.departures.push((), now_ms);
-        if is_late {
-            self.late_departures.push((), now_ms);
+    pub(super) fn record_departure(&mut self, rank: Rank, now_ms: u64) {
+        for departures in &mut self.departures[..=rank.index()] {
+            departures.push((), now_ms);
         }
     }
 
     /// Returns the minimum wait behind `ahead` requests, in milliseconds.
     pub(super) fn min_wait_ms(&mut self, ahead: usize, now_ms: u64) -> u64 {
-        let departures = self.departures.count(now_ms);
+        let departures = self.departures[0].count(now_ms);
         min_wait_ms(ahead, departures, self.span_ms(now_ms))
     }
 
-    /// Returns the minimum wait of a late request behind `ahead` late ones, in milliseconds; zero
-    /// while the backlog is shorter than the span and the rate is unknown.
-    pub(super) fn min_late_wait_ms(&mut self, ahead: usize, now_ms: u64) -> u64 {
+    /// Returns the minimum wait of a request behind `ahead` of its rank, in milliseconds, by what
+    /// the ranks before it leave; zero while the backlog is shorter than the span and the rate is
+    /// unknown.
+    pub(super) fn min_rank_wait_ms(&mut self, rank: Rank, ahead: usize, now_ms: u64) -> u64 {
         let span_ms = self.span_ms(now_ms);
         if span_ms <= RATE_SPAN_MS {
             return 0;
         }
-        let departures = self.late_departures.count(now_ms);
+        let departures = self.departures[rank.index()].count(now_ms);
         min_wait_ms(ahead, departures, span_ms)
     }
 
--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -252,14 +252,26 @@
         target_ms: u64,
         now_ms: u64,
     ) {
+        match self.observe_prompt(service, route, prompt, target_ms) {
+            true => self.long_arrivals.count(now_ms),
+            false => self.short_arrivals.count(now_ms),
+        }
+    }
+
+    /// Records what prompts of a route usually are, without the arrival, on which the roles of
+    /// engines depend. Returns whether the prompt is long.
+    pub(crate) fn observe_prompt(
+        &mut self,
+        service: &str,
+        route: RouteTag,
+        prompt: &DeclaredPrompt,
+        target_ms: u64,
+    ) -> bool {
         let prompt_tokens = u64::from(prompt.prompt_tokens);
         let own_tokens = prompt_tokens.saturating_sub(u64::from(prompt.shared_tokens()));
         let model = self.model_mut(service);
         model.observe_prompt(route, prompt_tokens, own_tokens, target_ms);
-        match model.is_long(route, prompt_tokens) {
-            true => self.long_arrivals.count(now_ms),
-            false => self.short_arrivals.count(now_ms),
-        }
+        model.is_long(route, prompt_tokens)
     }
 
     /// Returns the model of a service's upstreams, if any of its requests was seen.
--- a/crates/scheduling/src/scheduler/mod.rs
+++ b/crates/scheduling/src/scheduler/mod.rs
@@ -1,5 +1,6 @@
 //! The scheduler, which chooses an upstream for each request.
 
+mod account_shares;
 mod backlog;
 mod choose;
 mod core;
@@ -7,16 +8,19 @@
 mod delegation;
 mod outcome;
 mod pacing;
+mod rank;
 mod request;
 mod sampling;
 mod shortage;
 mod signals;
+mod usual_demand;
 mod wait_queue;
 
 pub use self::core::Scheduler;
 pub use self::core::SchedulerOptions;
 pub use outcome::AttemptEffect;
 pub use outcome::AttemptOutcome;
+use rank::Rank;
 pub use request::AccountShare;
 pub use request::Assignment;
 pub use request::Choice;
--- a/crates/scheduling/src/scheduler/wait_queue.rs
+++ b/crates/scheduling/src/scheduler/wait_queue.rs
@@ -2,12 +2,13 @@
 //!
 //! During an overload of several seconds, queues at the engines would make every request late, and
 //! none would meet its target. The node therefore sends only what the engines can prefill soon.
-//! Requests that can still meet their target go first, late requests get the remaining capacity,
-//! and requests whose wait expires are refused with a retry delay; a request that would wait in vain
-//! is refused as soon as that is known.
+//! Requests of accounts within their share go first, and among them those that can still meet their
+//! target; late requests get the remaining capacity, and requests whose wait expires are refused
+//! with a retry delay; a request that would wait in vain is refused as soon as that is known.
 //!
 //! Invariants:
 //! - Requests of one class (service, long or short) leave in queue order.
+//! - An account beyond its share gets what the others leave, as long as there is any.
 //! - The size of a prompt has no influence on its class, on when it counts as late, or on how long
 //!   it may wait. Even a few milliseconds matter: in an overload the head of the queue is always
 //!   about to become late.
@@ -15,12 +16,18 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 
+use super::AccountShare;
+use super::Assignment;
 use super::Choice;
+use super::Rank;
 use super::RefusalCause;
 use super::ScheduleRequest;
 use super::Scheduler;
 use super::Shortage;
+use super::account_shares::AccountShares;
 use super::backlog::Backlog;
+use crate::engine_model::PromptWork;
+use redwingrill_routing::AccountTag;
 
 /// The percentage of its total time that a request may wait.
 const WAIT_PERCENT: u64 = 30;
@@ -39,6 +46,9 @@
 /// The maximum retry delay of a stopping node; it is short because other nodes have capacity.
 const STOPPING_RETRY_AFTER_LIMIT_MS: u64 = 200;
 
+/// The cost of a request without a prompt; its service has no other cost to compare it with.
+const PLAIN_COST_MS: f64 = 100.0;
+
 /// A queued request, with the handle that delivers the decision on it.
 #[derive(Debug)]
 struct QueuedRequest<T> {
@@ -48,6 +58,9 @@
     // prefill in front of it.
     serving_ms: u64,
     since_ms: u64,
+    // The engine time that it is expected to use.
+    cost_ms: f64,
+    is_beyond_share: bool,
     responder: T,
 }
 
@@ -62,6 +75,10 @@
         now_ms + needed_ms >= self.request.arrived_ms + self.request.target_ms
     }
 
+    fn rank(&self, now_ms: u64) -> Rank {
+        Rank { is_beyond_share: self.is_beyond_share, is_late: self.is_late(now_ms) }
+    }
+
     /// Returns when the request is refused if it still waits, in milliseconds on the node's clock.
     fn wait_ends_ms(&self) -> u64 {
         let arrived_ms = self.request.arrived_ms;
@@ -79,17 +96,25 @@
     is_long: bool,
 }
 
+impl RequestClass {
+    fn of(scheduler: &mut Scheduler, request: &ScheduleRequest) -> Self {
+        Self { service: request.service.clone(), is_long: scheduler.is_long(request) }
+    }
+}
+
 /// The queue of requests that wait for an upstream.
 #[derive(Debug)]
 pub struct WaitQueue<T> {
     waiting: Vec<QueuedRequest<T>>,
     // Of each class of which a request waits.
     backlogs: HashMap<RequestClass, Backlog>,
+    // Of each class of which a request arrived.
+    shares: HashMap<RequestClass, AccountShares>,
 }
 
 impl<T> Default for WaitQueue<T> {
     fn default() -> Self {
-        Self { waiting: Vec::new(), backlogs: HashMap::new() }
+        Self { waiting: Vec::new(), backlogs: HashMap::new(), shares: HashMap::new() }
     }
 }
 
@@ -104,8 +129,28 @@
         self.waiting.is_empty()
     }
 
+    /// Decides on a request that may not wait. It gets no capacity for which others wait.
+    pub fn choose_now(
+        &mut self,
+        scheduler: &mut Scheduler,
+        request: &ScheduleRequest,
+        now_ms: u64,
+    ) -> Choice {
+        if self.has_rivals(scheduler, request) {
+            return Choice::Wait;
+        }
+        let choice = scheduler.choose(request, now_ms);
+        if let Choice::Send(assignment) = &choice {
+            // The group that was asked first counts the demand of requests that are not sent.
+            let class = RequestClass::of(scheduler, request);
+            self.record_arrival(scheduler, &class, request, now_ms);
+            self.record_assigned(scheduler, &class, request, assignment, now_ms);
+        }
+        choice
+    }
+
     /// Returns whether requests wait for the same capacity as this one.
-    pub fn has_rivals(&self, scheduler: &mut Scheduler, request: &ScheduleRequest) -> bool {
+    fn has_rivals(&self, scheduler: &mut Scheduler, request: &ScheduleRequest) -> bool {
         let is_long = scheduler.is_long(request);
         let mut waiting = self.waiting.iter().map(|waiting| &waiting.class);
         waiting.any(|class| class.is_long == is_long && class.service == request.service)
@@ -120,15 +165,27 @@
         responder: T,
         now_ms: u64,
     ) -> Vec<(T, Choice)> {
-        let is_long = scheduler.is_long(&request);
-        let class = RequestClass { service: request.service.clone(), is_long };
+        let class = RequestClass::of(scheduler, &request);
+        let cold_ms = self.record_arrival(scheduler, &class, &request, now_ms);
+        let shares = &self.shares[&class];
+        let cost_ms = shares.expected_ms(request.account, cold_ms);
+        let waiting_ms = self.waiting_ms(&class, request.account);
+        let is_beyond_share = shares.is_beyond(request.account, waiting_ms);
         let queued_before = self.waiting.iter().filter(|waiting| waiting.class == class).count();
         if queued_before >= QUEUE_LIMIT.max(scheduler.slots_of(&request.service)) {
             let refusal = scheduler.refuse_overloaded(&request, queued_before, now_ms);
             return vec![(responder, refusal)];
         }
         let serving_ms = scheduler.usual_serving_ms(&request);
-        let entry = QueuedRequest { request, class, serving_ms, since_ms: now_ms, responder };
+        let entry = QueuedRequest {
+            request,
+            class,
+            serving_ms,
+            since_ms: now_ms,
+            cost_ms,
+            is_beyond_share,
+            responder,
+        };
         if queued_before == 0 {
             let class = entry.class.clone();
             let decision = self.decide(scheduler, entry, now_ms);
@@ -150,17 +207,85 @@
     fn is_hopeless(&mut self, entry: &QueuedRequest<T>, now_ms: u64) -> bool {
         let Some(backlog) = self.backlogs.get_mut(&entry.class) else { return false };
         let before = self.waiting.iter().filter(|known| {
-            known.class == entry.class && known.request.urgency <= entry.request.urgency
+            known.class == entry.class
+                && known.is_beyond_share <= entry.is_beyond_share
+                && known.request.urgency <= entry.request.urgency
         });
-        let (late, on_time): (Vec<_>, Vec<_>) = before.partition(|known| known.is_late(now_ms));
-        let turn_ms = now_ms + backlog.min_wait_ms(on_time.len(), now_ms);
-        let turn_ms = match entry.is_late(turn_ms) {
-            true => turn_ms.max(now_ms + backlog.min_late_wait_ms(late.len(), now_ms)),
-            false => turn_ms,
-        };
+        let mut ahead = [0; Rank::COUNT];
+        before.for_each(|known| ahead[known.rank(now_ms).index()] += 1);
+        let in_time = Rank { is_late: false, ..entry.rank(now_ms) };
+        let late = Rank { is_late: true, ..in_time };
+        let ahead_in_time = ahead[..=in_time.index()].iter().sum();
+        let mut turn_ms = now_ms + backlog.min_wait_ms(ahead_in_time, now_ms);
+        let mut wait_behind =
+            |rank: Rank| now_ms + backlog.min_rank_wait_ms(rank, ahead[rank.index()], now_ms);
+        if entry.is_beyond_share {
+            turn_ms = turn_ms.max(wait_behind(in_time));
+        }
+        if entry.is_late(turn_ms) {
+            turn_ms = turn_ms.max(wait_behind(late));
+        }
         turn_ms >= entry.wait_ends_ms()
     }
 
+    /// Counts the demand of a request. Returns its engine time if nothing of it is cached.
+    fn record_arrival(
+        &mut self,
+        scheduler: &mut Scheduler,
+        class: &RequestClass,
+        request: &ScheduleRequest,
+        now_ms: u64,
+    ) -> f64 {
+        let cold_ms = scheduler.engine_time_ms(request, u64::MAX);
+        let shares = self.shares.entry(class.clone()).or_default();
+        shares.record_arrival(request.account, cold_ms, now_ms);
+        cold_ms
+    }
+
+    fn record_assigned(
+        &mut self,
+        scheduler: &mut Scheduler,
+        class: &RequestClass,
+        request: &ScheduleRequest,
+        assignment: &Assignment,
+        now_ms: u64,
+    ) {
+        let cold_ms = scheduler.engine_time_ms(request, u64::MAX);
+        let used_ms = scheduler.engine_time_ms(request, assignment.pending_prefill_tokens);
+        let shares = self.shares.entry(class.clone()).or_default();
+        shares.record_assigned(request.account, cold_ms, used_ms, now_ms);
+    }
+
+    /// Returns whether the account of a request is beyond its share of the capacity of its class.
+    pub fn is_beyond_share(&self, scheduler: &mut Scheduler, request: &ScheduleRequest) -> bool {
+        let class = RequestClass::of(scheduler, request);
+        let Some(shares) = self.shares.get(&class) else { return false };
+        shares.is_beyond(request.account, self.waiting_ms(&class, request.account))
+    }
+
+    /// Returns the engine time of the waiting requests of an account.
+    fn waiting_ms(&self, class: &RequestClass, account: Option<AccountShare>) -> f64 {
+        let known = self.waiting.iter().filter(|known| known.class == *class);
+        let known = known.filter(|known| tag_of(known.request.account) == tag_of(account));
+        known.map(|known| known.cost_ms).sum()
+    }
+
+    /// Sorts the requests by rank. The first ones of an account are within its share, as far as it
+    /// goes.
+    fn sort(&mut self, now_ms: u64) {
+        self.waiting
+            .sort_by_key(|known| (known.is_late(now_ms), known.request.urgency, known.since_ms));
+        let mut before: HashMap<(&RequestClass, Option<AccountTag>), f64> = HashMap::new();
+        for known in &mut self.waiting {
+            let Some(shares) = self.shares.get(&known.class) else { continue };
+            let account = known.request.account;
+            let before_ms = before.entry((&known.class, tag_of(account))).or_default();
+            known.is_beyond_share = shares.is_beyond(account, *before_ms);
+            *before_ms += known.cost_ms;
+        }
+        self.waiting.sort_by_key(|known| (known.rank(now_ms), known.request.urgency));
+    }
+
     /// Refreshes the expected serving times, which follow the average prompt of each route.
     fn refresh_serving_times(&mut self, scheduler: &mut Scheduler) {
         let mut known: Vec<(usize, u64)> = Vec::new();
@@ -192,12 +317,11 @@
         is_abandoned: impl Fn(&T) -> bool,
     ) -> Vec<(T, Choice)> {
         self.refresh_serving_times(scheduler);
-        let mut waiting = std::mem::take(&mut self.waiting);
-        waiting.retain(|waiting| !is_abandoned(&waiting.responder));
-        // The sort is stable: requests of equal rank stay in the order of their arrival.
-        waiting.sort_by_key(|waiting| (waiting.is_late(now_ms), waiting.request.urgency));
+        self.waiting.retain(|waiting| !is_abandoned(&waiting.responder));
+        self.sort(now_ms);
+        let waiting = std::mem::take(&mut self.waiting);
         let mut full: HashSet<RequestClass> = HashSet::new();
-        let mut late_ahead: HashMap<RequestClass, usize> = HashMap::new();
+        let mut ahead_of: HashMap<(RequestClass, usize), usize> = HashMap::new();
         let mut decisions = Vec::new();
         for entry in waiting {
             if let Some(refusal) = scheduler.refuse_quarantined(&entry.request, now_ms) {
@@ -206,15 +330,17 @@
             }
             let class = entry.class.clone();
             if full.contains(&class) && now_ms < entry.wait_ends_ms() {
-                let ahead = late_ahead.entry(class.clone()).or_default();
-                let backlog = self.backlogs.get_mut(&class).filter(|_| entry.is_late(now_ms));
-                let wait_ms = backlog.map_or(0, |known| known.min_late_wait_ms(*ahead, now_ms));
+                let rank = entry.rank(now_ms);
+                let ahead = ahead_of.entry((class.clone(), rank.index())).or_default();
+                let backlog = self.backlogs.get_mut(&class).filter(|_| rank != Rank::FIRST);
+                let wait_ms =
+                    backlog.map_or(0, |known| known.min_rank_wait_ms(rank, *ahead, now_ms));
                 if now_ms + wait_ms >= entry.wait_ends_ms() {
                     let refusal = scheduler.refuse_overloaded(&entry.request, *ahead, now_ms);
                     decisions.push((entry.responder, refusal));
                     continue;
                 }
-                *ahead += usize::from(entry.is_late(now_ms));
+                *ahead += usize::from(rank != Rank::FIRST);
                 self.waiting.push(entry);
                 continue;
             }
@@ -243,8 +369,16 @@
         entry: QueuedRequest<T>,
         now_ms: u64,
     ) -> Option<(T, Choice)> {
-        let is_late = entry.is_late(now_ms);
-        match scheduler.choose_with_lateness(&entry.request, is_late, now_ms) {
+        let rank = entry.rank(now_ms);
+        // Long and short prompts share engines: what one account sends beyond its share in one class
+        // leaves room for the other class while that waits.
+        let mut waiting_classes = self.backlogs.keys();
+        let leaves_room = rank.is_late
+            || rank.is_beyond_share
+                && waiting_classes.any(|other| {
+                    other.service == entry.class.service && other.is_long != entry.class.is_long
+                });
+        match scheduler.choose_with_lateness(&entry.request, leaves_room, now_ms) {
             Choice::Wait if now_ms < entry.wait_ends_ms() => {
                 let ahead = self.waiting.iter().filter(|known| known.class == entry.class).count();
                 match scheduler.opens_ms(&entry.request, ahead, now_ms) {
@@ -263,10 +397,17 @@
                 Some((entry.responder, refusal))
             }
             choice => {
-                if let Choice::Send(_) = choice
-                    && let Some(backlog) = self.backlogs.get_mut(&entry.class)
-                {
-                    backlog.record_departure(is_late, now_ms);
+                if let Choice::Send(assignment) = &choice {
+                    self.record_assigned(
+                        scheduler,
+                        &entry.class,
+                        &entry.request,
+                        assignment,
+                        now_ms,
+                    );
+                    if let Some(backlog) = self.backlogs.get_mut(&entry.class) {
+                        backlog.record_departure(rank, now_ms);
+                    }
                 }
                 Some((entry.responder, choice))
             }
@@ -280,6 +421,10 @@
     }
 }
 
+fn tag_of(account: Option<AccountShare>) -> Option<AccountTag> {
+    account.map(|account| account.tag)
+}
+
 impl Scheduler {
     /// Refuses a request because the node stops.
     pub fn refuse_stopping(&mut self) -> Choice {
@@ -287,6 +432,17 @@
         Choice::Refuse { cause: RefusalCause::Stopping, retry_after_ms }
     }
 
+    /// Returns the engine time of a request of which `unread_tokens` at most are to be prefilled.
+    fn engine_time_ms(&mut self, request: &ScheduleRequest, unread_tokens: u64) -> f64 {
+        let PromptWork { prompt_tokens, .. } = request.cold_work();
+        if prompt_tokens == 0 {
+            return PLAIN_COST_MS;
+        }
+        let work = PromptWork { unread_tokens: unread_tokens.min(prompt_tokens), prompt_tokens };
+        let model = self.model_mut(&request.service);
+        model.curve().prefill_ms(work) + model.decode_cost_ms()
+    }
+
     /// Refuses a request because of overload, with `ahead` requests of its class before it. The
     /// retry delay is randomized, so that requests refused together do not return together.
     fn refuse_overloaded(
--- a/crates/scheduling/tests/burst_at_capacity.rs
+++ b/crates/scheduling/tests/burst_at_capacity.rs
@@ -16,6 +16,7 @@
 use support::replay::Setup;
 use support::replay::Simulation;
 use support::replay::Sizes;
+use support::replay::Variant;
 
 const SHEET: EngineSheet = EngineSheet {
     slots: 12,
@@ -48,6 +49,7 @@
     new_version_ms: Some(3_000),
     restart_ms: None,
     run_ms: 26_000,
+    variant: Variant::NONE,
 };
 
 const PERFECT: Setup =
--- a/crates/scheduling/tests/restart_at_load.rs
+++ b/crates/scheduling/tests/restart_at_load.rs
@@ -9,6 +9,7 @@
 use support::replay::Setup;
 use support::replay::Simulation;
 use support::replay::Sizes;
+use support::replay::Variant;
 
 const RESTART_MS: u64 = 8_000;
 
@@ -32,6 +33,7 @@
     new_version_ms: None,
     restart_ms: Some(RESTART_MS),
     run_ms: 12_000,
+    variant: Variant::NONE,
 };
 
 const SHORT_TARGET_MS: u64 = 500;
--- a/crates/scheduling/tests/support/replay.rs
+++ b/crates/scheduling/tests/support/replay.rs
@@ -22,6 +22,7 @@
 use super::prompt;
 use super::route;
 use super::scheduler;
+use redwingrill_routing::AccountTag;
 use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::ReportedLoad;
 use redwingrill_routing::Upstream;
@@ -37,6 +38,7 @@
 use redwingrill_scheduling::rollout::CommandResult;
 use redwingrill_scheduling::rollout::EngineWeights;
 use redwingrill_scheduling::rollout::LoadPlan;
+use redwingrill_scheduling::scheduler::AccountShare;
 use redwingrill_scheduling::scheduler::Assignment;
 use redwingrill_scheduling::scheduler::AttemptOutcome;
 use redwingrill_scheduling::scheduler::Choice;
@@ -67,6 +69,48 @@
     /// When all nodes lose what they know, and all requests in flight.
     pub restart_ms: Option<u64>,
     pub run_ms: u64,
+    pub variant: Variant,
+}
+
+/// In what a day differs from the usual ones.
+#[derive(Clone, Copy, Debug)]
+pub struct Variant {
+    /// The speeds of engines, in turn; all are of speed one if it is empty.
+    pub speeds: &'static [f64],
+    /// How long callers wait for the first event of a long prompt.
+    pub long_patience_ms: u64,
+    pub long_deadline_ms: u64,
+    /// The number of client accounts; zero if requests have none.
+    pub accounts: usize,
+    /// Each account sends in proportion to a power of its rank.
+    pub rank_exponent: f64,
+    pub flood: Option<Flood>,
+}
+
+impl Variant {
+    pub const NONE: Self = Self {
+        speeds: &[],
+        long_patience_ms: 6_000,
+        long_deadline_ms: 10_000,
+        accounts: 0,
+        rank_exponent: 0.0,
+        flood: None,
+    };
+
+    /// Returns the part of the load that each account usually sends.
+    pub fn account_parts(&self) -> Vec<f64> {
+        let parts = (1..=self.accounts).map(|rank| (rank as f64).powf(-self.rank_exponent));
+        let parts: Vec<f64> = parts.collect();
+        let total: f64 = parts.iter().sum();
+        parts.into_iter().map(|part| part / total).collect()
+    }
+}
+
+/// An account that sends a multiple of its usual load.
+#[derive(Clone, Copy, Debug)]
+pub struct Flood {
+    pub account: usize,
+    pub burst: Burst,
 }
 
 /// A lognormal distribution of sizes.
@@ -137,6 +181,11 @@
 
 pub struct Caller {
     pub is_long: bool,
+    pub account: Option<usize>,
+    pub document: u64,
+    /// Age of the request at each of its refusals.
+    pub refused_after_ms: Vec<u64>,
+    requested_ms: u64,
     pub arrived_ms: u64,
     pub deadline_ms: u64,
     pub first_event_ms: Option<u64>,
@@ -198,12 +247,27 @@
     mail: Vec<Mail>,
     pub counts: Counts,
     pub long_assignments: Vec<LongAssignment>,
+    account_parts: Vec<f64>,
+    // Draws that the usual days do not make.
+    variant_rng: SmallRng,
 }
 
 fn engine_name(index: usize) -> String {
     format!("engine-{index}")
 }
 
+/// Returns the data sheet of an engine with its speed.
+fn sheet_of(day: &Day, index: usize) -> EngineSheet {
+    let speeds = day.variant.speeds;
+    let speed = if speeds.is_empty() { 1.0 } else { speeds[index % speeds.len()] };
+    EngineSheet {
+        step_ms: day.sheet.step_ms / speed,
+        step_ms_per_slot: day.sheet.step_ms_per_slot / speed,
+        prefill_tokens_per_ms: day.sheet.prefill_tokens_per_ms * speed,
+        ..day.sheet
+    }
+}
+
 fn domain(index: usize, domains: usize) -> String {
     format!("domain-{}", index % domains)
 }
@@ -259,7 +323,7 @@
             nodes: (0..setup.nodes).map(|index| Node::start(&setup, index, 0)).collect(),
             setup,
             rng: SmallRng::seed_from_u64(seed),
-            engines: vec![Engine::new(day.sheet); day.engines],
+            engines: (0..day.engines).map(|index| Engine::new(sheet_of(&day, index))).collect(),
             is_listed: vec![true; day.engines],
             listed_versions: vec![1; day.engines],
             callers: Vec::new(),
@@ -270,6 +334,8 @@
             mail: Vec::new(),
             counts: Counts::default(),
             long_assignments: Vec::new(),
+            account_parts: day.variant.account_parts(),
+            variant_rng: SmallRng::seed_from_u64(seed + 1_000_003),
         };
         simulation.publish(0);
         simulation
@@ -384,7 +450,18 @@
         let rates = [(true, long_per_s, long_burst), (false, short_per_s, short_burst)];
         for (is_long, per_s, burst) in rates {
             if self.rng.random_bool(per_s * burst.factor_at(now_ms) / 1_000.0) {
-                self.caller_arrives(is_long, now_ms);
+                let account = self.draw_account();
+                self.caller_arrives(is_long, account, now_ms);
+            }
+            if let Some(Flood { account, burst: flood }) = self.setup.day.variant.flood {
+                let added = self.account_parts[account] * (flood.factor_at(now_ms) - 1.0);
+                let expected = added * per_s * burst.factor_at(now_ms) / 1_000.0;
+                let whole = expected as usize;
+                let rest = usize::from(self.variant_rng.random_bool(expected - whole as f64));
+                // A flood does not change the draws of the usual load.
+                std::mem::swap(&mut self.rng, &mut self.variant_rng);
+                (0..whole + rest).for_each(|_| self.caller_arrives(is_long, Some(account), now_ms));
+                std::mem::swap(&mut self.rng, &mut self.variant_rng);
             }
         }
         let is_due = |(at_ms, _): &(u64, usize)| *at_ms <= now_ms;
@@ -395,7 +472,17 @@
         }
     }
 
-    fn caller_arrives(&mut self, is_long: bool, now_ms: u64) {
+    fn draw_account(&mut self) -> Option<usize> {
+        let mut rest: f64 = self.variant_rng.random();
+        let parts = self.account_parts.iter();
+        let found = parts.enumerate().find(|(_, part)| {
+            rest -= *part;
+            rest < 0.0
+        });
+        found.map(|(account, _)| account)
+    }
+
+    fn caller_arrives(&mut self, is_long: bool, account: Option<usize>, now_ms: u64) {
         let (rng, day) = (&mut self.rng, &self.setup.day);
         let document = rng.random_range(0..day.documents);
         // A fifth of the prompts are of isolated accounts, which share no document with others.
@@ -407,7 +494,8 @@
             let own = lognormal(rng, OWN_TOKENS);
             let output = 4 * lognormal(rng, LONG_OUTPUT_EVENTS);
             let prompt = prompt(&[(document, shared as u32), (own_part, own as u32)]);
-            (prompt, Run::new(2, Some(document), [shared, own, output]), 10_000)
+            let wait_ms = day.variant.long_deadline_ms;
+            (prompt, Run::new(2, Some(document), [shared, own, output]), wait_ms)
         } else {
             let own = lognormal(rng, SHORT_TOKENS);
             let output = 4 * lognormal(rng, SHORT_OUTPUT_EVENTS);
@@ -416,6 +504,10 @@
         };
         self.callers.push(Caller {
             is_long,
+            account,
+            document,
+            refused_after_ms: Vec::new(),
+            requested_ms: now_ms,
             arrived_ms: now_ms,
             deadline_ms: now_ms + wait_ms,
             first_event_ms: None,
@@ -429,13 +521,19 @@
 
     /// Sends a caller's request to a node that is not frozen.
     fn request(&mut self, caller: usize, now_ms: u64) {
+        self.callers[caller].requested_ms = now_ms;
         let known = &self.callers[caller];
+        let account = known.account.map(|account| AccountShare {
+            tag: AccountTag::of(&format!("account-{account}")),
+            weight: None,
+        });
         let (target_ms, patience_ms) = match known.is_long {
-            true => (self.setup.day.long_target_ms, 6_000),
+            true => (self.setup.day.long_target_ms, self.setup.day.variant.long_patience_ms),
             false => (500, 4_000),
         };
         let request = ScheduleRequest {
             route: route(known.is_long),
+            account,
             urgency: if known.is_long { 2 } else { 0 },
             deadline_ms: known.deadline_ms,
             target_ms,
@@ -565,6 +663,7 @@
 
     fn refuse(&mut self, caller: usize, retry_after_ms: u64, now_ms: u64) {
         let caller_state = &mut self.callers[caller];
+        caller_state.refused_after_ms.push(now_ms - caller_state.requested_ms);
         if std::mem::replace(&mut caller_state.has_returned, true) {
             return;
         }
--- a/crates/scheduling/tests/sustained_overload.rs
+++ b/crates/scheduling/tests/sustained_overload.rs
@@ -12,6 +12,7 @@
 use support::replay::Setup;
 use support::replay::Simulation;
 use support::replay::Sizes;
+use support::replay::Variant;
 
 const DAY: Day = Day {
     sheet: GROWN_SITE_SHEET,
@@ -30,6 +31,7 @@
     new_version_ms: None,
     restart_ms: None,
     run_ms: 30_000,
+    variant: Variant::NONE,
 };
 
 /// Long prompts per second, relative to those of [`DAY`], at which the engines are just full.
