Let a full queue drop what is furthest beyond its share

A full queue refused the request that arrived, so the callers of small accounts paid for the flood of a large one.

Change: a full queue drops the newest request of the account whose use and waiting requests are furthest beyond its share; a request that would wait in vain is refused before. request_shed lines name the use of the account as share= in percent of its share, and the metric redwingrill_shed{service,share} counts refused requests of accounts within and beyond it.

full_queue_refuses_an_account_within_its_share guards it.

--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -643,7 +643,7 @@
     let prefix = call.prompt.as_deref().and_then(AffinityKey::of).map_or(0, |key| key.0);
     info!(
         "event=request_shed request_id={} account={} route={} prefix={prefix:x} prompt_tokens={} age_ms={} \
-         sends={} ahead={} {counts}",
+         sends={} ahead={} share={} {counts}",
         call.metadata.id,
         call.account_name(),
         call.route.name,
@@ -651,6 +651,7 @@
         call.age_ms(),
         call.sends,
         shortage.ahead,
+        shortage.share_percent,
     );
 }
 
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -52,6 +52,7 @@
     assignments: IntCounterVec,
     prompts: HistogramVec,
     shortages: IntCounterVec,
+    shed: IntCounterVec,
     view_revision: IntGauge,
     store_era: IntGauge,
     open_connections: IntGauge,
@@ -125,6 +126,11 @@
                 "Upstreams without capacity for a refused request, by the limit that ruled them out",
                 &["service", "limit"],
             ),
+            shed: counter(
+                "redwingrill_shed",
+                "Refused requests by whether their account had used its share of the capacity",
+                &["service", "share"],
+            ),
             view_revision: gauge("redwingrill_beliefs_revision", "Revision of the beliefs"),
             store_era: gauge("redwingrill_store_era", "Era of the store in the beliefs"),
             open_connections: gauge("redwingrill_open_connections", "Connections of callers"),
@@ -164,6 +170,8 @@
             let counter = self.inner.shortages.with_label_values(&[service, limit]);
             counter.inc_by(u64::from(count));
         }
+        let share = if shortage.share_percent > 100 { "beyond" } else { "within" };
+        self.inner.shed.with_label_values(&[service, share]).inc();
     }
 
     /// Records the time to the first event of a stream.
@@ -260,7 +268,7 @@
 
 impl Inner {
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 19] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 20] = [
             Box::new(self.requests.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.first_event.clone()),
@@ -274,6 +282,7 @@
             Box::new(self.assignments.clone()),
             Box::new(self.prompts.clone()),
             Box::new(self.shortages.clone()),
+            Box::new(self.shed.clone()),
             Box::new(self.view_revision.clone()),
             Box::new(self.store_era.clone()),
             Box::new(self.open_connections.clone()),
--- a/crates/scheduling/src/scheduler/account_shares.rs
+++ b/crates/scheduling/src/scheduler/account_shares.rs
@@ -161,6 +161,11 @@
         cold_ms * account.map_or(1.0, |account| self.used_part(account))
     }
 
+    /// Returns the use of an account and `waiting_ms` of its waiting requests, relative to its share.
+    pub(super) fn usage_ratio(&self, share: Option<AccountShare>, waiting_ms: f64) -> f64 {
+        self.used.usage_ratio(share.map(|share| share.tag), waiting_ms)
+    }
+
     /// Recomputes the weights, which follow the usual demand.
     fn refresh(&mut self, now_ms: u64) {
         let elapsed_ms = now_ms.saturating_sub(self.refreshed_ms) as f64;
--- a/crates/scheduling/src/scheduler/shortage.rs
+++ b/crates/scheduling/src/scheduler/shortage.rs
@@ -23,6 +23,9 @@
 pub struct Shortage {
     /// Requests of its class that waited before it.
     pub ahead: u16,
+    /// What its account used recently of the capacity of its class, in percent of its share; zero if
+    /// it used nothing.
+    pub share_percent: u16,
     /// Upstreams that accept no requests: they leave, load weights, pause, are ejected, hold
     /// expired weights, or were tried before.
     pub closed: u16,
--- a/crates/scheduling/src/scheduler/wait_queue.rs
+++ b/crates/scheduling/src/scheduler/wait_queue.rs
@@ -13,6 +13,7 @@
 //!   it may wait. Even a few milliseconds matter: in an overload the head of the queue is always
 //!   about to become late.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
 
@@ -172,10 +173,6 @@
         let waiting_ms = self.waiting_ms(&class, request.account);
         let is_beyond_share = shares.is_beyond(request.account, waiting_ms);
         let queued_before = self.waiting.iter().filter(|waiting| waiting.class == class).count();
-        if queued_before >= QUEUE_LIMIT.max(scheduler.slots_of(&request.service)) {
-            let refusal = scheduler.refuse_overloaded(&request, queued_before, now_ms);
-            return vec![(responder, refusal)];
-        }
         let serving_ms = scheduler.usual_serving_ms(&request);
         let entry = QueuedRequest {
             request,
@@ -195,11 +192,58 @@
             return decision.into_iter().collect();
         }
         if self.is_hopeless(&entry, now_ms) {
-            let refusal = scheduler.refuse_overloaded(&entry.request, queued_before, now_ms);
-            return vec![(entry.responder, refusal)];
+            return vec![self.refuse(scheduler, entry, queued_before, now_ms)];
         }
+        let is_full = queued_before >= QUEUE_LIMIT.max(scheduler.slots_of(&entry.request.service));
+        let class = entry.class.clone();
         self.waiting.push(entry);
-        self.dispatch(scheduler, now_ms, |_| false)
+        let dropped = if is_full { self.take_furthest_beyond_share(&class) } else { None };
+        let refused = dropped.map(|entry| self.refuse(scheduler, entry, queued_before, now_ms));
+        let mut decisions: Vec<_> = refused.into_iter().collect();
+        decisions.extend(self.dispatch(scheduler, now_ms, |_| false));
+        decisions
+    }
+
+    /// Removes the newest request of the account that is furthest beyond its share, counting what
+    /// it uses and what it has waiting.
+    fn take_furthest_beyond_share(&mut self, class: &RequestClass) -> Option<QueuedRequest<T>> {
+        let shares = self.shares.get(class)?;
+        let mut waiting_ms: BTreeMap<Option<AccountTag>, (f64, Option<AccountShare>)> =
+            BTreeMap::new();
+        for known in self.waiting.iter().filter(|known| known.class == *class) {
+            let account = known.request.account;
+            waiting_ms.entry(tag_of(account)).or_insert((0.0, account)).0 += known.cost_ms;
+        }
+        let ratios = waiting_ms
+            .into_iter()
+            .map(|(tag, (waiting_ms, account))| (tag, shares.usage_ratio(account, waiting_ms)));
+        let (tag, _) = ratios.max_by(|(_, one), (_, other)| one.total_cmp(other))?;
+        let mut candidates = self
+            .waiting
+            .iter()
+            .enumerate()
+            .filter(|(_, known)| known.class == *class && tag_of(known.request.account) == tag);
+        // The last of several that arrived in the same millisecond.
+        let first = candidates.next()?;
+        let newest = candidates.fold(first, |newest, known| {
+            if known.1.since_ms >= newest.1.since_ms { known } else { newest }
+        });
+        let index = newest.0;
+        Some(self.waiting.remove(index))
+    }
+
+    fn refuse(
+        &self,
+        scheduler: &mut Scheduler,
+        entry: QueuedRequest<T>,
+        ahead: usize,
+        now_ms: u64,
+    ) -> (T, Choice) {
+        let shares = self.shares.get(&entry.class);
+        let ratio = shares.map_or(0.0, |shares| shares.usage_ratio(entry.request.account, 0.0));
+        let share_percent = (ratio * 100.0) as u16;
+        let refusal = scheduler.refuse_overloaded(&entry.request, ahead, share_percent, now_ms);
+        (entry.responder, refusal)
     }
 
     /// Returns whether a request that arrives would wait in vain, by the rate at which those of its
@@ -336,8 +380,8 @@
                 let wait_ms =
                     backlog.map_or(0, |known| known.min_rank_wait_ms(rank, *ahead, now_ms));
                 if now_ms + wait_ms >= entry.wait_ends_ms() {
-                    let refusal = scheduler.refuse_overloaded(&entry.request, *ahead, now_ms);
-                    decisions.push((entry.responder, refusal));
+                    let ahead = *ahead;
+                    decisions.push(self.refuse(scheduler, entry, ahead, now_ms));
                     continue;
                 }
                 *ahead += usize::from(rank != Rank::FIRST);
@@ -393,8 +437,7 @@
             }
             Choice::Wait => {
                 let ahead = self.waiting.iter().filter(|known| known.class == entry.class).count();
-                let refusal = scheduler.refuse_overloaded(&entry.request, ahead, now_ms);
-                Some((entry.responder, refusal))
+                Some(self.refuse(scheduler, entry, ahead, now_ms))
             }
             choice => {
                 if let Choice::Send(assignment) = &choice {
@@ -449,13 +492,14 @@
         &mut self,
         request: &ScheduleRequest,
         ahead: usize,
+        share_percent: u16,
         now_ms: u64,
     ) -> Choice {
         let remaining_ms = request.deadline_ms.saturating_sub(now_ms);
         let limit_ms = (remaining_ms / 3).min(RETRY_AFTER_LIMIT_MS);
         let retry_after_ms = self.random_between(limit_ms / 2, limit_ms);
         let ahead = u16::try_from(ahead).unwrap_or(u16::MAX);
-        let shortage = Shortage { ahead, ..self.shortage };
+        let shortage = Shortage { ahead, share_percent, ..self.shortage };
         Choice::Refuse { cause: RefusalCause::Overloaded(shortage), retry_after_ms }
     }
 }
--- a/crates/scheduling/tests/wait_queue.rs
+++ b/crates/scheduling/tests/wait_queue.rs
@@ -9,8 +9,10 @@
 use support::request;
 use support::scheduler;
 
+use redwingrill_routing::AccountTag;
 use redwingrill_routing::WeightsVersion;
 use redwingrill_scheduling::fleet::Verdict;
+use redwingrill_scheduling::scheduler::AccountShare;
 use redwingrill_scheduling::scheduler::Assignment;
 use redwingrill_scheduling::scheduler::AttemptOutcome;
 use redwingrill_scheduling::scheduler::Choice;
@@ -109,3 +111,31 @@
     let most_ms = refused_after_ms[refused_after_ms.len() * 9 / 10];
     assert!(most_ms < TARGET_MS, "nine in ten refusals come within {most_ms} ms of the arrival");
 }
+
+#[test]
+fn full_queue_refuses_an_account_within_its_share() {
+    const FLOOD: usize = 130;
+    let mut engine = FullEngine::new();
+    let mut queue: WaitQueue<(&str, usize)> = WaitQueue::default();
+    let mut enqueue = |name: &'static str, number: usize| {
+        let account = AccountShare { tag: AccountTag::of(name), weight: Some(1) };
+        let request = long_request(AVERAGE_OWN_TOKENS, 10);
+        let request = ScheduleRequest { account: Some(account), ..request };
+        queue.enqueue(&mut engine.scheduler, request, (name, number), 10)
+    };
+    let refused = |decided: &[((&'static str, usize), Choice)]| -> Vec<(&'static str, usize)> {
+        decided.iter().map(|(handle, _)| *handle).collect()
+    };
+    let first = enqueue("small", 0);
+    assert!(first.is_empty(), "the queue is empty before: {first:?}");
+    let dropped: Vec<_> =
+        (0..FLOOD).flat_map(|number| refused(&enqueue("large", number))).collect();
+    assert!(!dropped.is_empty(), "the queue is not full");
+    assert!(dropped.iter().all(|(name, _)| *name == "large"), "dropped: {dropped:?}");
+    // The newest of the large account gives way.
+    let (_, newest) = dropped.iter().max_by_key(|(_, number)| number).expect("some are dropped");
+    assert_eq!(*newest, FLOOD - 1, "older requests of the account are dropped");
+    let second = refused(&enqueue("small", 1));
+    assert!(second.iter().all(|(name, _)| *name == "large"), "dropped: {second:?}");
+    assert_eq!(second.len(), 1, "a request of the large account gives way");
+}
