--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -59,6 +59,7 @@
     quota_tokens: IntCounterVec,
     // The accounts that have metrics of their own.
     metered_accounts: RwLock<HashSet<String>>,
+    shed: IntCounterVec,
     view_revision: IntGauge,
     store_era: IntGauge,
     open_connections: IntGauge,
@@ -146,6 +147,11 @@
                 &["account", "outcome"],
             ),
             metered_accounts: RwLock::default(),
+            shed: counter(
+                "redwingrill_shed",
+                "Refused requests by whether their account had used its share of the capacity",
+                &["service", "share"],
+            ),
             view_revision: gauge("redwingrill_beliefs_revision", "Revision of the beliefs"),
             store_era: gauge("redwingrill_store_era", "Era of the store in the beliefs"),
             open_connections: gauge("redwingrill_open_connections", "Connections of callers"),
@@ -195,6 +201,8 @@
             let counter = self.inner.shortages.with_label_values(&[service, limit]);
             counter.inc_by(u64::from(count));
         }
+        let share = if shortage.share_percent > 100 { "beyond" } else { "within" };
+        self.inner.shed.with_label_values(&[service, share]).inc();
     }
 
     /// Records the time to the first event of a stream.
@@ -342,6 +350,7 @@
             Box::new(self.shortages.clone()),
             Box::new(self.quota.clone()),
             Box::new(self.quota_tokens.clone()),
+            Box::new(self.shed.clone()),
             Box::new(self.view_revision.clone()),
             Box::new(self.store_era.clone()),
             Box::new(self.open_connections.clone()),
