Match prompts to engines by their learned speed

Cause: engines were reserved for short prompts by weights and a hash, and prefixes were placed by a hash, whatever the speed of the engine. A cold prefix had no cost at its preferred engine. The curve of a service took the difference between fast and slow engines for one between short and long prompts. The time of pending tokens left out the pairs of tokens, by which the fit explains most of the time of long prompts, so that the limit of pending prefill had no effect.

Change: each engine has a coarse class of speed relative to the median engine of its service, with hysteresis. The slowest engines are reserved for short prompts first and count with their capacity. Prefix owners come from weighted rendezvous hashing, with weights by class. The cost of a prompt includes the cold prefill of its prefix by class. A request that is not late yet waits instead of going to an engine that is too slow for its target while a faster one could meet it; a late one takes any engine. Samples are divided by the factor of the engine's class before they teach the curve. The time of pending tokens includes pairs. With engines of one class, only the last change has an effect.

--- a/crates/scheduling/src/engine_model/curve.rs
+++ b/crates/scheduling/src/engine_model/curve.rs
@@ -3,6 +3,9 @@
 /// The parameters of the time to the first event.
 pub(super) const PARAMETERS: usize = 3;
 
+/// The size above which pending tokens count as several prompts.
+const QUEUED_PROMPT_TOKENS: f64 = 16_000.0;
+
 /// The prefill of one prompt.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
 pub struct PromptWork {
@@ -72,8 +75,12 @@
         self.base_ms + self.prefill_ms(work)
     }
 
-    /// Returns the time to prefill tokens of several prompts, in milliseconds.
+    /// Returns the time to prefill tokens of several prompts, in milliseconds. Their pairs count,
+    /// because a fit may explain most of the time of long prompts by them: without, 35,000 pending
+    /// tokens took no time in a replay on engines of three speeds.
     pub fn queue_ms(&self, tokens: u64) -> f64 {
-        self.ms_per_1k_tokens * tokens as f64 / 1_000.0
+        let tokens = tokens as f64;
+        let pairs_m = tokens * tokens.min(QUEUED_PROMPT_TOKENS) / 2.0 / 1e6;
+        self.ms_per_1k_tokens * tokens / 1_000.0 + self.ms_per_1m_pairs * pairs_m
     }
 }
--- a/crates/scheduling/src/engine_model/mod.rs
+++ b/crates/scheduling/src/engine_model/mod.rs
@@ -10,6 +10,7 @@
 //!   responses, robustly, starting from a prior that serves before anything is learned.
 //! - [`EngineSpeed`] is the factor of one start of an engine relative to its service, corrected for
 //!   the slowdown that the engine reported when it responded.
+//! - [`SpeedClass`] is a coarse, stable class of that factor, for roles and preferred engines.
 //! - [`ServiceModel`] joins these with the usual prompts, fetches and pauses of a service.
 //! - [`ModelDigest`] shares the result between nodes as a few numbers.
 //!
@@ -21,6 +22,7 @@
 mod pauses;
 mod service;
 mod speed;
+mod speed_class;
 
 pub use curve::PrefillCurve;
 pub use curve::PromptWork;
@@ -33,3 +35,4 @@
 pub use service::ServiceModel;
 pub use service::ServiceTimes;
 pub use speed::EngineSpeed;
+pub use speed_class::SpeedClass;
--- a/crates/scheduling/src/engine_model/service.rs
+++ b/crates/scheduling/src/engine_model/service.rs
@@ -181,14 +181,16 @@
         if self.curve().queue_ms(sample.queued_tokens) * QUEUE_DIVISOR > own_ms {
             return;
         }
-        // The time at a machine of the service's usual speed without other work.
+        // The time at the engine without other work on its machine.
         let usual_ms = sample.observed_ms / speed.latest_slowdown();
         if sample.fetched_tokens > 0 {
             self.observe_fetch(sample.fetched_tokens, usual_ms / speed.factor() - own_ms);
             return;
         }
         speed.observe_ratio(usual_ms / own_ms);
-        self.fit.observe(sample.work, usual_ms);
+        // Short and long prompts go to engines of unlike speed. Without the division the curve would
+        // take the difference for one between short and long prompts.
+        self.fit.observe(sample.work, usual_ms / speed.class().time_factor());
     }
 
     fn observe_fetch(&mut self, fetched_tokens: u64, fetch_ms: f64) {
--- a/crates/scheduling/src/engine_model/speed.rs
+++ b/crates/scheduling/src/engine_model/speed.rs
@@ -1,5 +1,7 @@
 //! The speed of one engine relative to its service.
 
+use super::SpeedClass;
+
 /// The weight of one response in the moving averages.
 const SAMPLE_WEIGHT: f64 = 0.08;
 
@@ -23,11 +25,18 @@
     slowdown: f64,
     latest_slowdown: f64,
     samples: f64,
+    class: SpeedClass,
 }
 
 impl Default for EngineSpeed {
     fn default() -> Self {
-        Self { log_factor: 0.0, slowdown: 1.0, latest_slowdown: 1.0, samples: 0.0 }
+        Self {
+            log_factor: 0.0,
+            slowdown: 1.0,
+            latest_slowdown: 1.0,
+            samples: 0.0,
+            class: SpeedClass::default(),
+        }
     }
 }
 
@@ -52,6 +61,16 @@
         self.latest_slowdown
     }
 
+    /// Returns the class of the speed among the engines of the service.
+    pub fn class(&self) -> SpeedClass {
+        self.class
+    }
+
+    /// Updates the class from the factor of the median engine of the service.
+    pub fn compare(&mut self, median_factor: f64) {
+        self.class = self.class.updated(self.factor() / median_factor);
+    }
+
     /// Records the slowdown that the engine reported: one without other work on its machine.
     pub fn observe_slowdown(&mut self, slowdown: f64) {
         if slowdown.is_finite() && slowdown > 0.0 {
--- a/crates/scheduling/src/fleet/table.rs
+++ b/crates/scheduling/src/fleet/table.rs
@@ -30,6 +30,9 @@
 /// that leaves still serves, and than copies of the store are old.
 const UNLISTED_SIGNALS_AGE_MS: u64 = 600_000;
 
+/// The minimum time between comparisons of the speeds. Factors need many responses to change.
+const COMPARE_SPEEDS_PERIOD_MS: u64 = 200;
+
 /// How long a load report is valid.
 const REPORT_AGE_LIMIT_MS: u64 = 3_000;
 
@@ -211,6 +214,7 @@
     unlisted_signals: HashMap<UpstreamTag, (SignalState, u64)>,
     ended: EndedStarts,
     next_index: u64,
+    speeds_compared_ms: Option<u64>,
 }
 
 impl Fleet {
@@ -354,6 +358,30 @@
         }
     }
 
+    /// Compares the speeds of the upstreams within each service, if the last comparison is old.
+    pub fn compare_speeds(&mut self, now_ms: u64) {
+        let is_recent = |at_ms| now_ms.saturating_sub(at_ms) < COMPARE_SPEEDS_PERIOD_MS;
+        if self.speeds_compared_ms.is_some_and(is_recent) {
+            return;
+        }
+        self.speeds_compared_ms = Some(now_ms);
+        for indexes in self.by_service.values() {
+            let entries = indexes.iter().filter_map(|index| self.entries.get(index));
+            let mut factors: Vec<f64> = entries.map(|entry| entry.speed.factor()).collect();
+            if factors.is_empty() {
+                continue;
+            }
+            let middle = (factors.len() - 1) / 2;
+            let (_, median, _) = factors.select_nth_unstable_by(middle, f64::total_cmp);
+            let median = *median;
+            for index in indexes {
+                if let Some(entry) = self.entries.get_mut(index) {
+                    entry.speed.compare(median);
+                }
+            }
+        }
+    }
+
     /// Returns all upstreams for modification.
     pub fn iter_mut(&mut self) -> impl Iterator<Item = (UpstreamIndex, &mut FleetEntry)> {
         self.entries.iter_mut().map(|(index, entry)| (*index, entry))
--- a/crates/scheduling/src/placement/affinity.rs
+++ b/crates/scheduling/src/placement/affinity.rs
@@ -4,7 +4,9 @@
 //! The expected load has about a hundred long parts, each shared by many requests that arrive at
 //! all nodes. Every node ranks the engines by rendezvous hashing of the shared parts, so one engine
 //! prefills a part and the requests of the other nodes find it there. The loss of an engine moves
-//! only its own parts.
+//! only its own parts. Faster engines have higher weights and hold more prefixes.
+
+use std::cmp::Ordering;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -35,6 +37,38 @@
     xxh3_64_with_seed(upstream_id.as_bytes(), key.0)
 }
 
+/// The rendezvous score of an engine that holds prefixes in proportion to a weight. Scores of equal
+/// weights have the order of the unweighted scores.
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub struct WeightedScore {
+    weighted: f64,
+    score: u64,
+}
+
+impl WeightedScore {
+    /// Returns the score of an engine for a prefix; the highest score wins.
+    pub fn new(key: AffinityKey, upstream_id: &str, weight: f64) -> Self {
+        let score = rendezvous_score(key, upstream_id);
+        // A number between zero and one, exclusively.
+        let uniform = ((score >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
+        Self { weighted: weight / -uniform.ln(), score }
+    }
+}
+
+impl Eq for WeightedScore {}
+
+impl PartialOrd for WeightedScore {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for WeightedScore {
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.weighted.total_cmp(&other.weighted).then(self.score.cmp(&other.score))
+    }
+}
+
 /// The scope within which cached parts match: the version of the weights and, for an isolated
 /// client account, the account.
 #[derive(Clone, PartialEq, Eq, Hash, Debug)]
--- a/crates/scheduling/src/placement/mod.rs
+++ b/crates/scheduling/src/placement/mod.rs
@@ -7,6 +7,7 @@
 
 pub use affinity::AffinityKey;
 pub use affinity::Scope;
+pub use affinity::WeightedScore;
 pub use affinity::rendezvous_score;
 pub use cache_index::CacheIndex;
 pub use cache_index::CacheLocation;
@@ -17,3 +18,4 @@
 pub use roles::ArrivalRates;
 pub use roles::EngineRoles;
 pub use roles::PromptCosts;
+pub use roles::RoleEngine;
--- a/crates/scheduling/src/scheduler/choose.rs
+++ b/crates/scheduling/src/scheduler/choose.rs
@@ -24,14 +24,16 @@
 use crate::engine_model::PrefillCurve;
 use crate::engine_model::PromptWork;
 use crate::engine_model::ServiceTimes;
+use crate::engine_model::SpeedClass;
 use crate::fleet::FleetEntry;
 use crate::fleet::UpstreamIndex;
 use crate::placement::AffinityKey;
 use crate::placement::EngineRoles;
 use crate::placement::PrefixTag;
 use crate::placement::PromptCosts;
+use crate::placement::RoleEngine;
 use crate::placement::Scope;
-use crate::placement::rendezvous_score;
+use crate::placement::WeightedScore;
 use crate::weights::VersionHistory;
 use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::WeightsVersion;
@@ -97,6 +99,8 @@
     preferred: [Option<UpstreamIndex>; 2],
     pub(super) roles: EngineRoles,
     pub(super) is_long: bool,
+    // The class of the fastest engine that may serve the model.
+    fastest_class: SpeedClass,
     // Whether the request belongs to the share that the engines with the newest weights can serve.
     pub(super) prefers_newest: bool,
     // Whether the request can no longer meet its target.
@@ -174,6 +178,7 @@
                 preferred: [None; 2],
                 roles: EngineRoles::default(),
                 is_long: false,
+                fastest_class: SpeedClass::default(),
                 prefers_newest: false,
                 is_late,
                 sample_bound: None,
@@ -205,25 +210,32 @@
             let is_eligible =
                 self.fleet.accepts_requests(entry, now_ms) && !entry.health.is_ejected(now_ms);
             let is_limited = entry.signals.gate.limit().is_some();
-            is_eligible.then_some((index, entry.upstream.id.as_str(), is_newest, is_limited))
+            let id = entry.upstream.id.as_str();
+            let engine = RoleEngine { index, id, is_newest, speed_class: entry.speed.class() };
+            is_eligible.then_some((engine, is_limited))
         });
         let mut engines: Vec<_> = engines.collect();
         // Prefixes and short prompts move away from limited engines while there are others.
-        if engines.iter().any(|(_, _, _, is_limited)| !is_limited) {
-            engines.retain(|(_, _, _, is_limited)| !is_limited);
+        if engines.iter().any(|(_, is_limited)| !is_limited) {
+            engines.retain(|(_, is_limited)| !is_limited);
         }
-        let engines: Vec<_> = engines.into_iter().map(|(i, id, new, _)| (i, id, new)).collect();
+        let engines: Vec<RoleEngine> = engines.into_iter().map(|(engine, _)| engine).collect();
         let roles = EngineRoles::choose(engines.iter().copied(), rates, costs);
         let affinity = AffinityKey::of(prompt);
         let preferred_of = |wants_newest: bool| {
             let key = affinity?;
-            let long = engines.iter().filter(|(index, _, is_newest)| {
-                *is_newest == wants_newest && !roles.is_short(*index)
+            let long = engines
+                .iter()
+                .filter(|engine| engine.is_newest == wants_newest && !roles.is_short(engine.index));
+            let scored = long.map(|engine| {
+                let weight = engine.speed_class.capacity();
+                (WeightedScore::new(key, engine.id, weight), engine.index)
             });
-            let scored = long.map(|(index, id, _)| (rendezvous_score(key, id), *index));
             scored.max().map(|(_, index)| index)
         };
         let preferred = [preferred_of(true), preferred_of(false)];
+        let fastest_class = engines.iter().map(|engine| engine.speed_class).min();
+        let fastest_class = fastest_class.unwrap_or_default();
         let newest_share = roles.newest_share(is_long);
         let prefers_newest = newest_share >= 1.0 || self.rng.random_bool(newest_share);
         // Only short prompts are sampled; long prompts go where their prefix is cached.
@@ -240,6 +252,7 @@
             preferred,
             roles,
             is_long,
+            fastest_class,
             prefers_newest,
             is_late,
             sample_bound,
@@ -392,6 +405,9 @@
                 && self.can_fetch_prefix(request, entry, now_ms);
             return (!is_lent).then_some(CapacityLimit::Role);
         }
+        if !context.is_late && self.is_too_slow(request, context, index, entry, now_ms) {
+            return Some(CapacityLimit::Speed);
+        }
         let limit_ms = pending_limit_ms(request, &context.times.curve);
         let (limit_ms, slots) = match context.is_late {
             true => (limit_ms / 2.0, slots / 2),
@@ -409,6 +425,30 @@
         (context.is_long && !fits).then_some(CapacityLimit::Memory)
     }
 
+    /// Returns whether a prompt would miss its target at an idle engine only because the engine is
+    /// slow: a faster one would still meet it. The answer depends on classes of speed, so that it is
+    /// never true among engines of like speed.
+    fn is_too_slow(
+        &self,
+        request: &ScheduleRequest,
+        context: &RequestContext,
+        index: UpstreamIndex,
+        entry: &FleetEntry,
+        now_ms: u64,
+    ) -> bool {
+        if request.target_ms == 0 || entry.speed.class() <= context.fastest_class {
+            return false;
+        }
+        let Some(time) = self.prompt_time(request, context, index, entry, now_ms) else {
+            return false;
+        };
+        let remaining_ms = (request.arrived_ms + request.target_ms).saturating_sub(now_ms) as f64;
+        let meets = |class: SpeedClass| {
+            time.engine_ms() * class.time_factor() + time.fetch_ms <= remaining_ms
+        };
+        !meets(entry.speed.class()) && meets(context.fastest_class)
+    }
+
     /// Returns whether an upstream is eligible for a request. Health counts only if `strict`: an
     /// ejected upstream is better than none.
     fn is_eligible(
--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -174,6 +174,7 @@
             }
         }
         self.merge_model(&digest.model);
+        self.fleet.compare_speeds(now_ms);
         self.merge_limits(&digest.limits, now_ms);
         self.quarantine.merge(digest.node, &digest.quarantine, now_ms);
         self.peers.observe(digest, now_ms);
@@ -538,6 +539,7 @@
                 model.observe_first_event(&sample, &mut entry.speed);
             }
         }
+        self.fleet.compare_speeds(now_ms);
         if let (Some(key), Some(scope)) = (assignment.affinity, &assignment.scope) {
             self.cache_index.record_prefill(PrefixTag::new(key, scope), assignment.index, now_ms);
         }
--- a/crates/scheduling/src/scheduler/cost.rs
+++ b/crates/scheduling/src/scheduler/cost.rs
@@ -43,6 +43,26 @@
 /// The delay by fully occupied slots, relative to the same time; scaled by the occupied share.
 const BUSY_DELAY: f64 = 0.4;
 
+/// The time of a prompt at an idle upstream of usual speed, by what it consists of.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct PromptTime {
+    /// Its own tokens, until the first event.
+    own_ms: f64,
+    /// The prefill of a shared prefix that no upstream is known to hold.
+    prefix_ms: f64,
+    /// The fetch of a shared prefix, which does not depend on the engine's speed.
+    pub(super) fetch_ms: f64,
+    /// What it costs all to prefill the prefix here and not at the preferred upstream.
+    detour_ms: f64,
+}
+
+impl PromptTime {
+    /// Returns the time that depends on the engine's speed.
+    pub(super) fn engine_ms(&self) -> f64 {
+        self.own_ms + self.prefix_ms
+    }
+}
+
 impl Scheduler {
     /// Returns the cost of an upstream's role and weights.
     pub(super) fn base_cost_ms(
@@ -86,7 +106,26 @@
         entry: &FleetEntry,
         now_ms: u64,
     ) -> f64 {
-        let Some(prompt) = &request.prompt else { return 0.0 };
+        let Some(time) = self.prompt_time(request, context, index, entry, now_ms) else {
+            return 0.0;
+        };
+        let speed_factor = entry.speed.time_factor();
+        // The prefill of a prefix that no engine holds is the same work everywhere: only the
+        // difference by speed counts.
+        let prefix_ms = time.prefix_ms * (entry.speed.class().time_factor() - 1.0);
+        time.own_ms * speed_factor + time.fetch_ms + prefix_ms + time.detour_ms
+    }
+
+    /// Returns the time of the prompt itself at an upstream; `None` for a request without prompt.
+    pub(super) fn prompt_time(
+        &self,
+        request: &ScheduleRequest,
+        context: &RequestContext,
+        index: UpstreamIndex,
+        entry: &FleetEntry,
+        now_ms: u64,
+    ) -> Option<PromptTime> {
+        let prompt = request.prompt.as_deref()?;
         let times = &context.times;
         let shared_tokens = u64::from(prompt.shared_tokens());
         let prompt_tokens = u64::from(prompt.prompt_tokens);
@@ -94,25 +133,33 @@
             unread_tokens: prompt_tokens.saturating_sub(shared_tokens),
             prompt_tokens,
         };
-        let own_ms = times.curve.first_event_ms(own) * entry.speed.time_factor();
-        let Some(key) = context.affinity else { return own_ms };
+        let own_ms = times.curve.first_event_ms(own);
+        let own = PromptTime { own_ms, ..PromptTime::default() };
+        let Some(key) = context.affinity else { return Some(own) };
         let scope = request.scope(entry.version_of(&prompt.model).unwrap_or_default());
         let tag = PrefixTag::new(key, &scope);
         if self.cache_index.has(tag, index, now_ms) {
-            return own_ms;
+            return Some(own);
         }
         let fetch_ms = times.fetch_ms(shared_tokens);
         if self.stored_tokens(&scope, prompt, now_ms) >= prompt.shared_tokens() {
-            return own_ms + fetch_ms;
+            return Some(PromptTime { fetch_ms, ..own });
         }
-        own_ms
-            + match self.cache_index.location(tag, now_ms) {
-                CacheLocation::Cached => fetch_ms,
-                // A concurrent second prefill of the prefix costs time at both engines.
-                CacheLocation::Prefilling => 2.0 * times.curve.queue_ms(shared_tokens),
-                CacheLocation::Unknown if context.is_preferred(index) => 0.0,
-                CacheLocation::Unknown => fetch_ms,
+        let prefix_ms = times.curve.first_event_ms(request.cold_work()) - own_ms;
+        let time = match self.cache_index.location(tag, now_ms) {
+            CacheLocation::Cached => PromptTime { fetch_ms, ..own },
+            // A concurrent second prefill of the prefix costs time at both engines.
+            CacheLocation::Prefilling => PromptTime {
+                prefix_ms,
+                detour_ms: 2.0 * times.curve.queue_ms(shared_tokens),
+                ..own
+            },
+            CacheLocation::Unknown if context.is_preferred(index) => {
+                PromptTime { prefix_ms, ..own }
             }
+            CacheLocation::Unknown => PromptTime { prefix_ms, detour_ms: fetch_ms, ..own },
+        };
+        Some(time)
     }
 
     /// Returns the cost of an upstream's load, failure domain and health.
--- a/crates/scheduling/src/scheduler/shortage.rs
+++ b/crates/scheduling/src/scheduler/shortage.rs
@@ -16,6 +16,8 @@
     Slots,
     /// Its memory.
     Memory,
+    /// Its speed: a faster engine would meet the target, and the request can wait for one.
+    Speed,
 }
 
 /// The number of upstreams of a service that each limit ruled out for a request that had to wait.
@@ -38,11 +40,13 @@
     pub memory: u16,
     /// Upstreams with capacity of which this node has used its share.
     pub paced: u16,
+    /// Upstreams too slow for the target.
+    pub slow: u16,
 }
 
 impl Shortage {
     /// Returns the numbers with their names.
-    pub fn counts(&self) -> [(&'static str, u16); 7] {
+    pub fn counts(&self) -> [(&'static str, u16); 8] {
         [
             ("closed", self.closed),
             ("rate", self.rate),
@@ -51,6 +55,7 @@
             ("slots", self.slots),
             ("memory", self.memory),
             ("paced", self.paced),
+            ("slow", self.slow),
         ]
     }
 
@@ -61,6 +66,7 @@
             CapacityLimit::Prefill => &mut self.prefill,
             CapacityLimit::Slots => &mut self.slots,
             CapacityLimit::Memory => &mut self.memory,
+            CapacityLimit::Speed => &mut self.slow,
         };
         *count = count.saturating_add(1);
     }
--- a/crates/scheduling/tests/burst_at_capacity.rs
+++ b/crates/scheduling/tests/burst_at_capacity.rs
@@ -34,6 +34,7 @@
 const DAY: Day = Day {
     sheet: SHEET,
     engines: 10,
+    time_factors: &[1.0],
     domains: 5,
     documents: 42,
     document_tokens: Sizes { mean: 13_300.0, sigma: 0.0, limit: 13_300.0 },
--- a/crates/scheduling/tests/engine_roles.rs
+++ b/crates/scheduling/tests/engine_roles.rs
@@ -1,9 +1,11 @@
 //! Tests of the assignment of engines to short and long prompts.
 
+use redwingrill_scheduling::engine_model::SpeedClass;
 use redwingrill_scheduling::fleet::UpstreamIndex;
 use redwingrill_scheduling::placement::ArrivalRates;
 use redwingrill_scheduling::placement::EngineRoles;
 use redwingrill_scheduling::placement::PromptCosts;
+use redwingrill_scheduling::placement::RoleEngine;
 
 struct Case {
     name: &'static str,
@@ -71,10 +73,52 @@
     for case in cases {
         let ids: Vec<String> = (0..case.engines).map(|n| format!("e{n}")).collect();
         let engines = ids.iter().enumerate();
-        let engines = engines.map(|(n, id)| (UpstreamIndex(n as u64), id.as_str(), true));
+        let engines = engines.map(|(n, id)| RoleEngine {
+            index: UpstreamIndex(n as u64),
+            id: id.as_str(),
+            is_newest: true,
+            speed_class: SpeedClass::default(),
+        });
         let roles = EngineRoles::choose(engines, case.rates, case.costs);
         let short = (0..case.engines).filter(|n| roles.is_short(UpstreamIndex(*n))).count();
         assert!(case.short.contains(&short), "{}: {short} of {}", case.name, case.engines);
         assert!(roles.has_long(), "{}", case.name);
     }
 }
+
+/// Guards against long prompts that are left to the slowest engines, and against roles that move
+/// while speeds drift.
+#[test]
+fn slow_engines_serve_short_prompts_with_their_lower_capacity() {
+    let rates = ArrivalRates { short_per_s: 200, long_per_s: 1 };
+    let costs =
+        PromptCosts { short_ms: 20.0, long_ms: 10.0, prefix_engines: 12.0, cold_long_ms: 10.0 };
+    // Short prompts need six usual engines, or eight of which six take 1.5 times as long.
+    for (slow_from, expected) in [(18, 6), (12, 8)] {
+        let ids: Vec<String> = (0..18).map(|n| format!("e{n}")).collect();
+        let engines = ids.iter().enumerate().map(|(n, id)| RoleEngine {
+            index: UpstreamIndex(n as u64),
+            id: id.as_str(),
+            is_newest: true,
+            speed_class: SpeedClass::default().updated(if n < slow_from { 1.0 } else { 1.5 }),
+        });
+        let roles = EngineRoles::choose(engines, rates, costs);
+        let short: Vec<u64> = (0..18).filter(|n| roles.is_short(UpstreamIndex(*n))).collect();
+        assert_eq!(short.len(), expected, "{short:?}");
+        assert!((slow_from..18).all(|n| short.contains(&(n as u64))), "{short:?}");
+    }
+}
+
+#[test]
+fn speed_class_does_not_flap_as_the_factor_drifts() {
+    let mut class = SpeedClass::default();
+    // Up to a class, drift around its limit, and back.
+    let ratios = [1.0, 1.25, 1.3, 1.4, 1.3, 1.2, 1.15, 1.25, 1.1, 1.2, 0.8, 1.2, f64::NAN];
+    let is_slow = ratios.map(|ratio| {
+        class = class.updated(ratio);
+        class > SpeedClass::default()
+    });
+    let expected =
+        [false, false, false, true, true, true, true, true, false, false, false, false, false];
+    assert_eq!(is_slow, expected);
+}
--- a/crates/scheduling/tests/restart_at_load.rs
+++ b/crates/scheduling/tests/restart_at_load.rs
@@ -18,6 +18,7 @@
 const DAY: Day = Day {
     sheet: GROWN_SITE_SHEET,
     engines: 16,
+    time_factors: &[1.0],
     domains: 3,
     documents: 60,
     document_tokens: Sizes { mean: 13_300.0, sigma: 0.63, limit: 39_900.0 },
--- a/crates/scheduling/tests/support/batching.rs
+++ b/crates/scheduling/tests/support/batching.rs
@@ -113,6 +113,8 @@
 #[derive(Clone, Debug)]
 pub struct Engine {
     pub sheet: EngineSheet,
+    /// How long its steps and prefill take, relative to the sheet of the deployment.
+    pub time_factor: f64,
     pub version: u64,
     /// Whether it does not respond at all.
     pub is_dark: bool,
@@ -130,6 +132,7 @@
     pub fn new(sheet: EngineSheet) -> Self {
         Self {
             sheet,
+            time_factor: 1.0,
             version: 1,
             is_dark: false,
             running: Vec::new(),
@@ -142,6 +145,18 @@
         }
     }
 
+    /// Creates an engine whose steps and prefill take `time_factor` times as long as on the sheet.
+    pub fn with_time_factor(sheet: EngineSheet, time_factor: f64) -> Self {
+        let sheet = EngineSheet {
+            step_ms: sheet.step_ms * time_factor,
+            step_ms_per_slot: sheet.step_ms_per_slot * time_factor,
+            prefill_tokens_per_ms: sheet.prefill_tokens_per_ms / time_factor,
+            setup_ms: sheet.setup_ms * time_factor,
+            ..sheet
+        };
+        Self { time_factor, ..Self::new(sheet) }
+    }
+
     pub fn load(&self) -> usize {
         self.running.len() + self.waiting.len()
     }
--- a/crates/scheduling/tests/support/replay.rs
+++ b/crates/scheduling/tests/support/replay.rs
@@ -49,6 +49,10 @@
 pub struct Day {
     pub sheet: EngineSheet,
     pub engines: usize,
+    /// The times of engines relative to the sheet, repeated over the list of engines; the first
+    /// engine has the one at the position of the seed, so that days differ in what the hashes of
+    /// fast and slow engines are.
+    pub time_factors: &'static [f64],
     pub domains: usize,
     /// Documents that long prompts share, in each scope.
     pub documents: u64,
@@ -141,6 +145,8 @@
     pub deadline_ms: u64,
     pub first_event_ms: Option<u64>,
     pub is_served: bool,
+    /// The time factor of the engine that sent the first event.
+    pub time_factor: Option<f64>,
     has_returned: bool,
     pub prompt: Arc<DeclaredPrompt>,
     run: Run,
@@ -255,11 +261,14 @@
     pub fn new(setup: Setup) -> Self {
         let day = setup.day.clone();
         let seed = setup.seed;
+        let factors = day.time_factors.iter().cycle().skip(seed as usize % day.time_factors.len());
+        let factors = factors.take(day.engines);
+        let engines = factors.map(|factor| Engine::with_time_factor(day.sheet, *factor));
         let mut simulation = Self {
             nodes: (0..setup.nodes).map(|index| Node::start(&setup, index, 0)).collect(),
             setup,
             rng: SmallRng::seed_from_u64(seed),
-            engines: vec![Engine::new(day.sheet); day.engines],
+            engines: engines.collect(),
             is_listed: vec![true; day.engines],
             listed_versions: vec![1; day.engines],
             callers: Vec::new(),
@@ -420,6 +429,7 @@
             deadline_ms: now_ms + wait_ms,
             first_event_ms: None,
             is_served: false,
+            time_factor: None,
             has_returned: false,
             prompt: Arc::new(prompt),
             run,
@@ -665,7 +675,9 @@
 
     fn first_event(&mut self, run: u64, now_ms: u64) {
         let Some(sent) = self.sent.get_mut(&run) else { return };
-        self.callers[sent.job.caller].first_event_ms.get_or_insert(now_ms);
+        let caller = &mut self.callers[sent.job.caller];
+        caller.first_event_ms.get_or_insert(now_ms);
+        caller.time_factor.get_or_insert(self.engines[sent.engine].time_factor);
         if std::mem::replace(&mut sent.is_prefilled, true) {
             return;
         }
--- a/crates/scheduling/tests/sustained_overload.rs
+++ b/crates/scheduling/tests/sustained_overload.rs
@@ -16,6 +16,7 @@
 const DAY: Day = Day {
     sheet: GROWN_SITE_SHEET,
     engines: 12,
+    time_factors: &[1.0],
     domains: 3,
     documents: 60,
     document_tokens: Sizes { mean: 13_300.0, sigma: 0.63, limit: 39_900.0 },
