--- a/crates/scheduling/tests/account_shares.rs
+++ b/crates/scheduling/tests/account_shares.rs
@@ -18,6 +18,7 @@
 const DAY: Day = Day {
     sheet: GROWN_SITE_SHEET,
     engines: 12,
+    time_factors: &[1.0],
     domains: 3,
     documents: 60,
     document_tokens: Sizes { mean: 13_300.0, sigma: 0.63, limit: 39_900.0 },
