Report first events and slowdowns to the coordinators of engines

Cause: roles, preferred engines and costs by speed had no effect there. After 40 s the learned factors of all 64 engines were between 0.8 and 1.2, although the slowest third needs 36 ms for 1,000 tokens and the fastest 15: the engines report their speed as a slowdown, each node sees about one response of an engine in ten seconds, and the digests told no slowdowns. Factors that rest on few responses are near one, and merged from 80 nodes they outweighed the others.

Change: a load report carries the first events of recent responses with the slowdown that the engine reported, so the coordinator of a group learns from all responses of its engines. Classes of speed follow the factor with the usual slowdown, an average over 50 reports. Digests tell only speeds that rest on eight responses or more, with their slowdown, and nodes merge only what rests on more responses than their own.

--- a/crates/scheduling/src/coordination/messages.rs
+++ b/crates/scheduling/src/coordination/messages.rs
@@ -10,6 +10,7 @@
 use crate::engine_model::RouteTag;
 use crate::fleet::EndStatement;
 use crate::fleet::NodeLoad;
+use crate::fleet::ResponseSample;
 use crate::fleet::UpstreamIndex;
 use crate::fleet::UpstreamTag;
 use crate::scheduler::AccountShare;
@@ -153,7 +154,7 @@
 }
 
 /// The load of a node's requests, and the assignments that it includes.
-#[derive(Clone, PartialEq, Eq, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Debug, Default, Serialize, Deserialize)]
 pub struct LoadReport {
     /// Identifies the run of the node.
     pub node: u64,
@@ -166,6 +167,8 @@
     pub settled: Vec<u64>,
     /// Starts of engines that the node found to have ended.
     pub ended: Vec<EndStatement>,
+    /// The first events of recent responses, each in one report only.
+    pub samples: Vec<ResponseSample>,
 }
 
 /// The decision on a request for an assignment.
--- a/crates/scheduling/src/coordination/node.rs
+++ b/crates/scheduling/src/coordination/node.rs
@@ -7,6 +7,7 @@
 use super::Coordinator;
 use super::EngineGroup;
 use super::GroupNode;
+use super::LoadReport;
 use super::RequestOptions;
 use super::Requester;
 use super::Resolved;
@@ -187,6 +188,7 @@
     ) {
         match message {
             CoordinationMessage::Request(request) => {
+                self.learn(scheduler, from, &request.report, now_ms);
                 let service = self
                     .groups
                     .values()
@@ -200,6 +202,7 @@
                 self.requester.handle_response(scheduler, from, response, now_ms);
             }
             CoordinationMessage::Report { group, report } => {
+                self.learn(scheduler, from, &report, now_ms);
                 let responses = self.coordinator.handle_report(group, report, now_ms);
                 self.respond(responses);
             }
@@ -209,6 +212,17 @@
         }
     }
 
+    /// Learns from the responses of another node. Each engine answers few requests of one node, so
+    /// only the coordinator of its group sees enough of them to know its speed within seconds.
+    fn learn(&self, scheduler: &mut Scheduler, from: SocketAddr, report: &LoadReport, now_ms: u64) {
+        if self.own_address == Some(from) {
+            return;
+        }
+        for sample in &report.samples {
+            scheduler.observe_peer_response(sample, now_ms);
+        }
+    }
+
     fn respond(&mut self, responses: Vec<Addressed>) {
         let messages = responses.into_iter();
         self.outgoing.extend(messages.map(|(to, r)| (to, CoordinationMessage::Response(r))));
--- a/crates/scheduling/src/coordination/requester.rs
+++ b/crates/scheduling/src/coordination/requester.rs
@@ -617,7 +617,8 @@
         state.reported_to = Some(to);
         let settled = state.settled.iter().map(|(id, _)| *id).collect();
         let ended = scheduler.fleet().end_statements(now_ms);
-        LoadReport { node, sequence, upstreams, settled, ended }
+        let samples = scheduler.take_unreported_samples(|tag| state.engines.contains(&tag));
+        LoadReport { node, sequence, upstreams, settled, ended, samples }
     }
 
     fn send_reports(&mut self, scheduler: &mut Scheduler, now_ms: u64) {
--- a/crates/scheduling/src/engine_model/digest.rs
+++ b/crates/scheduling/src/engine_model/digest.rs
@@ -35,8 +35,8 @@
     /// The curve of each service, as base, milliseconds per thousand tokens and per million pairs,
     /// with the number of samples.
     pub curves: Vec<(ServiceTag, [f32; 3], f32)>,
-    /// The factor of some engines, with the number of samples.
-    pub speeds: Vec<(UpstreamTag, f32, f32)>,
+    /// The factor of some engines, their average slowdown, and the number of samples.
+    pub speeds: Vec<(UpstreamTag, f32, f32, f32)>,
 }
 
 impl From<&PrefillCurve> for [f32; 3] {
--- a/crates/scheduling/src/engine_model/service.rs
+++ b/crates/scheduling/src/engine_model/service.rs
@@ -190,7 +190,7 @@
         speed.observe_ratio(usual_ms / own_ms);
         // Short and long prompts go to engines of unlike speed. Without the division the curve would
         // take the difference for one between short and long prompts.
-        self.fit.observe(sample.work, usual_ms / speed.class().time_factor());
+        self.fit.observe(sample.work, usual_ms / speed.own_class().time_factor());
     }
 
     fn observe_fetch(&mut self, fetched_tokens: u64, fetch_ms: f64) {
--- a/crates/scheduling/src/engine_model/speed.rs
+++ b/crates/scheduling/src/engine_model/speed.rs
@@ -14,6 +14,10 @@
 /// The range of a reported slowdown.
 const SLOWDOWN_RANGE: f64 = 10.0;
 
+/// The number of reports over which the usual slowdown is averaged: some seconds at the coordinator
+/// of an engine's group.
+const USUAL_REPORTS: f64 = 50.0;
+
 /// The number of own responses after which the factor of other nodes counts as little as one.
 const OWN_SAMPLES_LIMIT: f64 = 50.0;
 
@@ -24,8 +28,13 @@
     // The moving average of the reported slowdown, one without other work on the machine.
     slowdown: f64,
     latest_slowdown: f64,
+    // An average over more reports, for decisions that must not follow each disturbance.
+    usual_slowdown: f64,
+    reports: f64,
     samples: f64,
     class: SpeedClass,
+    // Without the slowdown.
+    own_class: SpeedClass,
 }
 
 impl Default for EngineSpeed {
@@ -34,8 +43,11 @@
             log_factor: 0.0,
             slowdown: 1.0,
             latest_slowdown: 1.0,
+            usual_slowdown: 1.0,
+            reports: 0.0,
             samples: 0.0,
             class: SpeedClass::default(),
+            own_class: SpeedClass::default(),
         }
     }
 }
@@ -66,9 +78,26 @@
         self.class
     }
 
-    /// Updates the class from the factor of the median engine of the service.
-    pub fn compare(&mut self, median_factor: f64) {
-        self.class = self.class.updated(self.factor() / median_factor);
+    /// Returns the class of the speed without other work on the engine's machine.
+    pub fn own_class(&self) -> SpeedClass {
+        self.own_class
+    }
+
+    /// Returns the usual slowdown by other work on the engine's machine.
+    pub fn usual_slowdown(&self) -> f64 {
+        self.usual_slowdown
+    }
+
+    /// Returns the factor including the usual slowdown.
+    pub fn usual_time_factor(&self) -> f64 {
+        self.factor() * self.usual_slowdown
+    }
+
+    /// Updates the classes from the factors of the median engine of the service, without and with
+    /// the slowdown.
+    pub fn compare(&mut self, median_factor: f64, median_time_factor: f64) {
+        self.own_class = self.own_class.updated(self.factor() / median_factor);
+        self.class = self.class.updated(self.usual_time_factor() / median_time_factor);
     }
 
     /// Records the slowdown that the engine reported: one without other work on its machine.
@@ -76,6 +105,8 @@
         if slowdown.is_finite() && slowdown > 0.0 {
             self.latest_slowdown = slowdown.clamp(1.0 / SLOWDOWN_RANGE, SLOWDOWN_RANGE);
             self.slowdown += SAMPLE_WEIGHT * (self.latest_slowdown - self.slowdown);
+            self.reports = (self.reports + 1.0).min(USUAL_REPORTS);
+            self.usual_slowdown += (self.latest_slowdown - self.usual_slowdown) / self.reports;
         }
     }
 
@@ -90,15 +121,24 @@
         self.samples = (self.samples + 1.0).min(OWN_SAMPLES_LIMIT);
     }
 
-    /// Merges the factor that another node learned from `samples` responses.
-    pub fn merge(&mut self, factor: f64, samples: f64) {
+    /// Merges the factor and the slowdown that another node learned from `samples` responses.
+    pub fn merge(&mut self, factor: f64, slowdown: f64, samples: f64) {
         if !factor.is_finite() || factor <= 0.0 || !samples.is_finite() || samples <= 0.0 {
             return;
         }
         let samples = samples.min(OWN_SAMPLES_LIMIT);
+        // A factor that rests on fewer responses than this one only blurs it.
+        if samples <= self.samples {
+            return;
+        }
         let weight = samples / (samples + self.samples + 1.0) / 4.0;
         self.log_factor += weight * (factor.ln() - self.log_factor);
         self.limit();
+        if slowdown.is_finite() && slowdown > 0.0 {
+            let slowdown = slowdown.clamp(1.0 / SLOWDOWN_RANGE, SLOWDOWN_RANGE);
+            self.slowdown += weight * (slowdown - self.slowdown);
+            self.usual_slowdown += weight * (slowdown - self.usual_slowdown);
+        }
     }
 
     fn limit(&mut self) {
--- a/crates/scheduling/src/fleet/mod.rs
+++ b/crates/scheduling/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 mod ended;
 mod health;
 mod misdirection;
+mod response_sample;
 mod table;
 
 pub use arrivals::ArrivalCounter;
@@ -22,6 +23,7 @@
 pub use health::Verdict;
 pub use misdirection::Misdirection;
 pub use misdirection::StatedUpstream;
+pub use response_sample::ResponseSample;
 pub use table::Fleet;
 pub use table::FleetEntry;
 pub use table::UpstreamIndex;
--- a/crates/scheduling/src/fleet/table.rs
+++ b/crates/scheduling/src/fleet/table.rs
@@ -366,17 +366,21 @@
         }
         self.speeds_compared_ms = Some(now_ms);
         for indexes in self.by_service.values() {
-            let entries = indexes.iter().filter_map(|index| self.entries.get(index));
-            let mut factors: Vec<f64> = entries.map(|entry| entry.speed.factor()).collect();
-            if factors.is_empty() {
+            let speeds = indexes.iter().filter_map(|index| self.entries.get(index));
+            let speeds: Vec<EngineSpeed> = speeds.map(|entry| entry.speed).collect();
+            let median = |factor_of: fn(&EngineSpeed) -> f64| {
+                let mut factors: Vec<f64> = speeds.iter().map(factor_of).collect();
+                let middle = factors.len().checked_sub(1)? / 2;
+                Some(*factors.select_nth_unstable_by(middle, f64::total_cmp).1)
+            };
+            let (Some(factor), Some(time_factor)) =
+                (median(EngineSpeed::factor), median(EngineSpeed::usual_time_factor))
+            else {
                 continue;
-            }
-            let middle = (factors.len() - 1) / 2;
-            let (_, median, _) = factors.select_nth_unstable_by(middle, f64::total_cmp);
-            let median = *median;
+            };
             for index in indexes {
                 if let Some(entry) = self.entries.get_mut(index) {
-                    entry.speed.compare(median);
+                    entry.speed.compare(factor, time_factor);
                 }
             }
         }
--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -17,18 +18,18 @@
 use super::choose::Candidate;
 use super::pacing::NodeShare;
 use super::pacing::Pacer;
-use crate::engine_model::FirstEventSample;
 use crate::engine_model::ModelDigest;
-use crate::engine_model::PromptWork;
 use crate::engine_model::RouteTag;
 use crate::engine_model::ServiceModel;
 use crate::engine_model::ServiceTag;
 use crate::fleet::ArrivalCounter;
 use crate::fleet::EndEvidence;
 use crate::fleet::Fleet;
+use crate::fleet::FleetEntry;
 use crate::fleet::LoadDigest;
 use crate::fleet::Misdirection;
 use crate::fleet::PeerLoads;
+use crate::fleet::ResponseSample;
 use crate::fleet::UpstreamIndex;
 use crate::fleet::UpstreamTag;
 use crate::fleet::Verdict;
@@ -76,6 +77,13 @@
 /// The maximum number of engine speeds in a digest.
 const SPEEDS_LIMIT: usize = 24;
 
+/// The number of responses that a speed must rest on to be told to other nodes. Speeds that rest on
+/// few are near one: merged from all nodes, they outweighed those that coordinators learned.
+const FOUNDED_SPEED_SAMPLES: f64 = 8.0;
+
+/// The number of samples that wait for a report, so that a report fits into a datagram.
+const UNREPORTED_SAMPLES_LIMIT: usize = 32;
+
 /// All state that scheduling decisions depend on.
 #[derive(Clone, Debug)]
 pub struct Scheduler {
@@ -106,6 +114,8 @@
     // The long prefixes in use; counted with each digest.
     pub(super) live_prefixes: usize,
     quarantine: Quarantine,
+    // Samples of this node's responses that are not reported to a coordinator yet.
+    unreported_samples: VecDeque<ResponseSample>,
 }
 
 impl Scheduler {
@@ -135,6 +145,7 @@
             members_listed_ms: HashMap::new(),
             live_prefixes: 0,
             quarantine: Quarantine::default(),
+            unreported_samples: VecDeque::new(),
         }
     }
 
@@ -190,28 +201,36 @@
                 model.fit_mut().merge_prior((*curve).into(), f64::from(*samples));
             }
         }
-        for (tag, factor, samples) in &digest.speeds {
+        for (tag, factor, slowdown, samples) in &digest.speeds {
             if let Some(index) = self.fleet.by_tag(*tag)
                 && let Some(entry) = self.fleet.get_mut(index)
             {
-                entry.speed.merge(f64::from(*factor), f64::from(*samples));
+                let (factor, slowdown) = (f64::from(*factor), f64::from(*slowdown));
+                entry.speed.merge(factor, slowdown, f64::from(*samples));
             }
         }
     }
 
-    /// Returns what this node learned about the upstreams: all services, and the engines that it
-    /// uses at this moment, at most [`SPEEDS_LIMIT`].
+    /// Returns what this node learned about the upstreams: all services, and the engines whose speed
+    /// it knows well, at most [`SPEEDS_LIMIT`], in turn.
     fn model_digest(&self) -> ModelDigest {
         let curves = self.models.iter().filter(|(_, model)| model.fit().samples() > 0.0);
         let curves = curves.map(|(service, model)| {
             (ServiceTag::of(service), model.curve().into(), model.fit().samples() as f32)
         });
-        let used = self
-            .fleet
-            .iter()
-            .filter(|(_, entry)| entry.in_flight > 0 && entry.speed.samples() > 0.0);
-        let speeds = used.take(SPEEDS_LIMIT).map(|(_, entry)| {
-            (entry.tag, entry.speed.factor() as f32, entry.speed.samples() as f32)
+        let is_founded = |entry: &FleetEntry| entry.speed.samples() >= FOUNDED_SPEED_SAMPLES;
+        let known = self.fleet.iter().filter(|(_, entry)| is_founded(entry));
+        let known: Vec<&FleetEntry> = known.map(|(_, entry)| entry).collect();
+        let first = self.sequence as usize * SPEEDS_LIMIT % known.len().max(1);
+        let told = known.iter().cycle().skip(first).take(known.len().min(SPEEDS_LIMIT));
+        let speeds = told.map(|entry| {
+            let speed = &entry.speed;
+            (
+                entry.tag,
+                speed.factor() as f32,
+                speed.usual_slowdown() as f32,
+                speed.samples() as f32,
+            )
         });
         ModelDigest { curves: curves.collect(), speeds: speeds.collect() }
     }
@@ -534,29 +553,63 @@
     pub fn record_prefill_done(&mut self, assignment: &Assignment, now_ms: u64) {
         if let Some(entry) = self.fleet.get_mut(assignment.index) {
             entry.record_prefill(assignment.pending_prefill_tokens);
-            let sample = FirstEventSample {
-                work: PromptWork {
-                    unread_tokens: assignment.pending_prefill_tokens,
-                    prompt_tokens: assignment.prompt_tokens,
-                },
+            let sample = ResponseSample {
+                engine: entry.tag,
+                unread_tokens: assignment.pending_prefill_tokens,
+                prompt_tokens: assignment.prompt_tokens,
                 fetched_tokens: assignment.fetched_tokens,
                 queued_tokens: assignment.queued_tokens,
-                observed_ms: now_ms.saturating_sub(assignment.sent_ms) as f64,
+                observed_ms: now_ms.saturating_sub(assignment.sent_ms) as f32,
+                slowdown: entry.speed.latest_slowdown() as f32,
             };
-            let service = &entry.upstream.service;
-            if !self.models.contains_key(service) {
-                self.models.insert(service.clone(), ServiceModel::default());
-            }
-            if let Some(model) = self.models.get_mut(service) {
-                model.observe_first_event(&sample, &mut entry.speed);
+            self.learn(&sample, now_ms);
+            if assignment.coordinator.is_some() {
+                self.unreported_samples.push_back(sample);
+                if self.unreported_samples.len() > UNREPORTED_SAMPLES_LIMIT {
+                    self.unreported_samples.pop_front();
+                }
             }
         }
-        self.fleet.compare_speeds(now_ms);
         if let (Some(key), Some(scope)) = (assignment.affinity, &assignment.scope) {
             self.cache_index.record_prefill(PrefixTag::new(key, scope), assignment.index, now_ms);
         }
     }
 
+    /// Learns from the first event of a response of another node.
+    pub(crate) fn observe_peer_response(&mut self, sample: &ResponseSample, now_ms: u64) {
+        let index = self.fleet.by_tag(sample.engine);
+        if let Some(entry) = index.and_then(|index| self.fleet.get_mut(index)) {
+            entry.speed.observe_slowdown(f64::from(sample.slowdown));
+        }
+        self.learn(sample, now_ms);
+    }
+
+    fn learn(&mut self, sample: &ResponseSample, now_ms: u64) {
+        let Some(index) = self.fleet.by_tag(sample.engine) else { return };
+        let Some(entry) = self.fleet.get_mut(index) else { return };
+        let service = &entry.upstream.service;
+        if !self.models.contains_key(service) {
+            self.models.insert(service.clone(), ServiceModel::default());
+        }
+        if let Some(model) = self.models.get_mut(service) {
+            model.observe_first_event(&sample.into(), &mut entry.speed);
+        }
+        self.fleet.compare_speeds(now_ms);
+    }
+
+    /// Takes the samples of this node's responses that no coordinator knows yet, of the engines for
+    /// which `is_included` returns true.
+    pub(crate) fn take_unreported_samples(
+        &mut self,
+        is_included: impl Fn(UpstreamTag) -> bool,
+    ) -> Vec<ResponseSample> {
+        let samples = std::mem::take(&mut self.unreported_samples);
+        let (taken, kept): (Vec<_>, Vec<_>) =
+            samples.into_iter().partition(|sample| is_included(sample.engine));
+        self.unreported_samples = kept.into();
+        taken
+    }
+
     /// Records the end of one attempt; `pending_prefill_tokens` is zero if
     /// [`Scheduler::record_prefill_done`] was called before. Returns what it changes.
     pub fn record_attempt_end(
--- a/crates/scheduling/tests/coordination.rs
+++ b/crates/scheduling/tests/coordination.rs
@@ -13,6 +13,7 @@
 use support::scheduler;
 use support::short_prompt;
 
+use redwingrill_routing::ReportedLoad;
 use redwingrill_routing::Upstream;
 use redwingrill_routing::WeightsVersion;
 use redwingrill_scheduling::coordination::Coordination;
@@ -576,3 +577,44 @@
     }
     assert_eq!(answered, WAITING, "of the requests that waited as the node stood still");
 }
+
+/// Advances the time without a gap that would count as a suspension.
+fn advance(nodes: &mut [Node], now_ms: &mut u64, elapsed_ms: u64) {
+    for _ in 0..elapsed_ms / 100 {
+        *now_ms += 100;
+        for node in nodes.iter_mut() {
+            node.coordination.follow(&node.scheduler, *now_ms);
+            node.tick(*now_ms);
+        }
+        deliver_all(nodes, *now_ms);
+    }
+}
+
+/// Each node sees so few responses that it knows little of the slowdown of an engine.
+#[test]
+fn coordinator_takes_a_slow_engine_for_a_usual_one() {
+    let mut nodes = nodes(9, 1);
+    let mut now_ms = 0;
+    for prompt in 0..64 {
+        let node = 1 + prompt as usize % 8;
+        nodes[node].begin(prompt, now_ms);
+        deliver_all(&mut nodes, now_ms);
+        for assignment in nodes[node].assigned() {
+            advance(&mut nodes, &mut now_ms, 1_500);
+            let Node { scheduler, coordination, .. } = &mut nodes[node];
+            let slowdown_percent = Some(300);
+            let load = ReportedLoad { running: 1, waiting: 0, slots: 32, slowdown_percent };
+            scheduler.observe_response_head(assignment.index, None, Some(load), None, now_ms);
+            scheduler.record_prefill_done(&assignment, now_ms);
+            let served = AttemptOutcome { verdict: Verdict::Served, misdirection: None };
+            let (index, reserved_tokens) = (assignment.index, assignment.reserved_tokens);
+            scheduler.record_attempt_end(index, 0, reserved_tokens, &served, now_ms);
+            coordination.record_change(UpstreamTag::of(&assignment.upstream.id));
+        }
+        advance(&mut nodes, &mut now_ms, 300);
+    }
+    let speed = |node: &Node| node.scheduler.fleet().iter().map(|(_, entry)| entry.speed).next();
+    let speed = speed(&nodes[0]).expect("an engine is listed");
+    assert!(speed.samples() >= 40.0, "{} samples", speed.samples());
+    assert!(speed.usual_slowdown() > 2.5, "slowdown of {:.2}", speed.usual_slowdown());
+}
--- a/crates/scheduling/tests/engine_model.rs
+++ b/crates/scheduling/tests/engine_model.rs
@@ -120,7 +120,7 @@
     for _ in 0..10_000 {
         speed.observe_slowdown(1e9);
         speed.observe_ratio(1e-9);
-        speed.merge(1e-9, 1e9);
+        speed.merge(1e-9, 1e9, 1e9);
     }
     assert!(speed.factor() >= 0.25, "{}", speed.factor());
     assert!(speed.time_factor() <= 10.0, "{}", speed.time_factor());
@@ -203,7 +203,7 @@
         for (ratio, slowdown, samples) in samples {
             speed.observe_slowdown(slowdown);
             speed.observe_ratio(ratio);
-            speed.merge(ratio, samples);
+            speed.merge(ratio, slowdown, samples);
         }
         (0.24..4.1).contains(&speed.factor()) && speed.time_factor().is_finite()
     }
