Let responses of other nodes teach a coordinator the speed only

Change: a response of another node teaches the factor and the slowdown of its engine. A class needs eight responses of one node.

--- a/crates/scheduling/src/engine_model/service.rs
+++ b/crates/scheduling/src/engine_model/service.rs
@@ -193,6 +193,16 @@
         self.fit.observe(sample.work, usual_ms / speed.own_class().time_factor());
     }
 
+    /// Records the first event of a response of another node. It teaches the speed of the engine
+    /// only: that node teaches its curve, and tells it.
+    pub fn observe_peer_first_event(&self, sample: &FirstEventSample, speed: &mut EngineSpeed) {
+        let own_ms = self.curve().first_event_ms(sample.work);
+        let is_delayed = self.curve().queue_ms(sample.queued_tokens) * QUEUE_DIVISOR > own_ms;
+        if sample.fetched_tokens == 0 && !is_delayed {
+            speed.observe_ratio(sample.observed_ms / speed.latest_slowdown() / own_ms);
+        }
+    }
+
     fn observe_fetch(&mut self, fetched_tokens: u64, fetch_ms: f64) {
         let prefill_ms = self.curve().queue_ms(fetched_tokens).max(1e-3);
         let share = (fetch_ms / prefill_ms).clamp(0.0, 2.0);
--- a/crates/scheduling/src/engine_model/speed.rs
+++ b/crates/scheduling/src/engine_model/speed.rs
@@ -14,6 +14,10 @@
 /// The range of a reported slowdown.
 const SLOWDOWN_RANGE: f64 = 10.0;
 
+/// The number of responses that a factor must rest on to count. Factors that rest on few are near
+/// one: merged from all nodes, they outweighed those that coordinators learned.
+const FOUNDED_SAMPLES: f64 = 8.0;
+
 /// The number of reports over which the usual slowdown is averaged: some seconds at the coordinator
 /// of an engine's group.
 const USUAL_REPORTS: f64 = 50.0;
@@ -32,6 +36,8 @@
     usual_slowdown: f64,
     reports: f64,
     samples: f64,
+    // The most responses that the factor rests on, at this node or another one.
+    evidence: f64,
     class: SpeedClass,
     // Without the slowdown.
     own_class: SpeedClass,
@@ -45,6 +51,7 @@
             latest_slowdown: 1.0,
             usual_slowdown: 1.0,
             reports: 0.0,
+            evidence: 0.0,
             samples: 0.0,
             class: SpeedClass::default(),
             own_class: SpeedClass::default(),
@@ -93,9 +100,18 @@
         self.factor() * self.usual_slowdown
     }
 
+    /// Returns whether the factor rests on enough responses of one node to be told to others.
+    pub fn is_founded(&self) -> bool {
+        self.samples >= FOUNDED_SAMPLES
+    }
+
     /// Updates the classes from the factors of the median engine of the service, without and with
     /// the slowdown.
     pub fn compare(&mut self, median_factor: f64, median_time_factor: f64) {
+        // A few responses are no evidence: restarted nodes took engines of like speed for slow.
+        if self.evidence < FOUNDED_SAMPLES {
+            return;
+        }
         self.own_class = self.own_class.updated(self.factor() / median_factor);
         self.class = self.class.updated(self.usual_time_factor() / median_time_factor);
     }
@@ -119,6 +135,7 @@
         self.log_factor += SAMPLE_WEIGHT.max(1.0 / (self.samples + 4.0)) * step;
         self.limit();
         self.samples = (self.samples + 1.0).min(OWN_SAMPLES_LIMIT);
+        self.evidence = self.evidence.max(self.samples);
     }
 
     /// Merges the factor and the slowdown that another node learned from `samples` responses.
@@ -128,9 +145,10 @@
         }
         let samples = samples.min(OWN_SAMPLES_LIMIT);
         // A factor that rests on fewer responses than this one only blurs it.
-        if samples <= self.samples {
+        if self.is_founded() && samples <= self.samples {
             return;
         }
+        self.evidence = self.evidence.max(samples);
         let weight = samples / (samples + self.samples + 1.0) / 4.0;
         self.log_factor += weight * (factor.ln() - self.log_factor);
         self.limit();
--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -77,10 +77,6 @@
 /// The maximum number of engine speeds in a digest.
 const SPEEDS_LIMIT: usize = 24;
 
-/// The number of responses that a speed must rest on to be told to other nodes. Speeds that rest on
-/// few are near one: merged from all nodes, they outweighed those that coordinators learned.
-const FOUNDED_SPEED_SAMPLES: f64 = 8.0;
-
 /// The number of samples that wait for a report, so that a report fits into a datagram.
 const UNREPORTED_SAMPLES_LIMIT: usize = 32;
 
@@ -218,8 +214,7 @@
         let curves = curves.map(|(service, model)| {
             (ServiceTag::of(service), model.curve().into(), model.fit().samples() as f32)
         });
-        let is_founded = |entry: &FleetEntry| entry.speed.samples() >= FOUNDED_SPEED_SAMPLES;
-        let known = self.fleet.iter().filter(|(_, entry)| is_founded(entry));
+        let known = self.fleet.iter().filter(|(_, entry)| entry.speed.is_founded());
         let known: Vec<&FleetEntry> = known.map(|(_, entry)| entry).collect();
         let first = self.sequence as usize * SPEEDS_LIMIT % known.len().max(1);
         let told = known.iter().cycle().skip(first).take(known.len().min(SPEEDS_LIMIT));
@@ -562,7 +557,13 @@
                 observed_ms: now_ms.saturating_sub(assignment.sent_ms) as f32,
                 slowdown: entry.speed.latest_slowdown() as f32,
             };
-            self.learn(&sample, now_ms);
+            let service = &entry.upstream.service;
+            if !self.models.contains_key(service) {
+                self.models.insert(service.clone(), ServiceModel::default());
+            }
+            if let Some(model) = self.models.get_mut(service) {
+                model.observe_first_event(&(&sample).into(), &mut entry.speed);
+            }
             if assignment.coordinator.is_some() {
                 self.unreported_samples.push_back(sample);
                 if self.unreported_samples.len() > UNREPORTED_SAMPLES_LIMIT {
@@ -570,6 +571,7 @@
                 }
             }
         }
+        self.fleet.compare_speeds(now_ms);
         if let (Some(key), Some(scope)) = (assignment.affinity, &assignment.scope) {
             self.cache_index.record_prefill(PrefixTag::new(key, scope), assignment.index, now_ms);
         }
@@ -577,23 +579,12 @@
 
     /// Learns from the first event of a response of another node.
     pub(crate) fn observe_peer_response(&mut self, sample: &ResponseSample, now_ms: u64) {
-        let index = self.fleet.by_tag(sample.engine);
-        if let Some(entry) = index.and_then(|index| self.fleet.get_mut(index)) {
-            entry.speed.observe_slowdown(f64::from(sample.slowdown));
-        }
-        self.learn(sample, now_ms);
-    }
-
-    fn learn(&mut self, sample: &ResponseSample, now_ms: u64) {
         let Some(index) = self.fleet.by_tag(sample.engine) else { return };
         let Some(entry) = self.fleet.get_mut(index) else { return };
-        let service = &entry.upstream.service;
-        if !self.models.contains_key(service) {
-            self.models.insert(service.clone(), ServiceModel::default());
-        }
-        if let Some(model) = self.models.get_mut(service) {
-            model.observe_first_event(&sample.into(), &mut entry.speed);
-        }
+        entry.speed.observe_slowdown(f64::from(sample.slowdown));
+        let unknown = ServiceModel::default();
+        let model = self.models.get(&entry.upstream.service).unwrap_or(&unknown);
+        model.observe_peer_first_event(&sample.into(), &mut entry.speed);
         self.fleet.compare_speeds(now_ms);
     }
 
