Answer malformed input with the cause

Where the head of an upstream's answer could not be read, the caller's 502 did not say why.

New tests: 19 malformed or too large requests, and 5 malformed or too large answers, on the platform's path. The product's own interface has such a test for requests (front_end).

--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -303,7 +303,7 @@
                 AttemptOrMove::Finished(SendOutcome::Lost { reason }) => {
                     self.record_failure(call, "lost", &reason);
                     call.record_possible_run(index);
-                    ensure_retryable(call, ResultCode::UpstreamFailed, "")?;
+                    ensure_retryable(call, ResultCode::UpstreamFailed, reason)?;
                 }
                 AttemptOrMove::Finished(SendOutcome::TimedOut) => {
                     self.record_failure(call, "silent", "");
--- a/crates/lab/tests/on_platform/main.rs
+++ b/crates/lab/tests/on_platform/main.rs
@@ -4,6 +4,7 @@
 mod early_answers;
 mod failures;
 mod left_callers;
+mod malformed;
 mod news;
 mod quarantine;
 mod requests;
