Bound the time for which a request waits for owners of its quota

Cause: requests of an account wait behind each other. The replays also depended on the order of a hash map.

Change: after 300 ms a request is decided as if no owner were reached. Limits are sorted.

--- a/crates/admission/src/limits/fleet/holder.rs
+++ b/crates/admission/src/limits/fleet/holder.rs
@@ -30,6 +30,10 @@
 const ANSWER_TIMEOUT_MS: u64 = 60;
 const SILENT_MS: u64 = 500;
 
+/// How long a request waits for owners. Without a limit, requests behind others whose owners do not
+/// answer would wait for all of them.
+const WAIT_LIMIT_MS: u64 = 300;
+
 /// A check of the asks that comes this late tells that the node itself was suspended or starved, so
 /// answers may be waiting for it.
 const LATE_CHECK_MS: u64 = 60;
@@ -126,6 +130,7 @@
 struct Waiting<T> {
     handle: T,
     tokens: u64,
+    begun_ms: u64,
 }
 
 /// An ask without an answer.
@@ -289,7 +294,7 @@
             self.decided.push(Decided { handle, decision: QuotaDecision::Admitted(charge) });
             return;
         };
-        held.waiting.push_back(Waiting { handle, tokens });
+        held.waiting.push_back(Waiting { handle, tokens, begun_ms: now_ms });
         held.waiting_tokens += tokens;
         if held.round.is_none() {
             self.advance(account, now_ms);
@@ -392,6 +397,9 @@
 
     fn check_ask(&mut self, account: AccountTag, excused_ms: u64, now_ms: u64) {
         let Some(held) = self.accounts.get_mut(&account) else { return };
+        for waiting in held.waiting.iter_mut().filter(|_| excused_ms > 0) {
+            waiting.begun_ms = (waiting.begun_ms + excused_ms).min(now_ms);
+        }
         let Some(round) = held.round.as_mut() else { return };
         let Some(ask) = round.ask.as_mut() else { return };
         ask.begun_ms = (ask.begun_ms + excused_ms).min(now_ms);
@@ -414,7 +422,9 @@
         let mut was_denied = false;
         loop {
             let Some(held) = self.accounts.get_mut(&account) else { return };
-            let Some(tokens) = held.waiting.front().map(|waiting| waiting.tokens) else { break };
+            let Some(first) = held.waiting.front() else { break };
+            let tokens = first.tokens;
+            let is_overdue = now_ms.saturating_sub(first.begun_ms) >= WAIT_LIMIT_MS;
             if held.leased_tokens >= tokens {
                 let charge = held.pay(account, tokens, now_ms);
                 self.decide(account, QuotaDecision::Admitted(charge));
@@ -435,6 +445,10 @@
             if held.round.as_ref().is_some_and(|round| round.ask.is_some()) {
                 break;
             }
+            if is_overdue {
+                self.conclude_unreachable(account, tokens, now_ms);
+                continue;
+            }
             match held.next_owner(tokens, &self.silent_until_ms, now_ms) {
                 Some(owner) => {
                     self.ask(account, owner, tokens, now_ms);
@@ -474,6 +488,13 @@
             self.decide(account, QuotaDecision::Exceeded { retry_after_ms, used_per_s });
             return true;
         }
+        self.conclude_unreachable(account, tokens, now_ms);
+        false
+    }
+
+    /// Decides on the first waiting request without owners.
+    fn conclude_unreachable(&mut self, account: AccountTag, tokens: u64, now_ms: u64) {
+        let Some(held) = self.accounts.get_mut(&account) else { return };
         if held.allowance.level(now_ms) >= tokens as f64 {
             held.allowance.take_up_to(tokens, 0.0, now_ms);
             held.used.add(tokens, now_ms);
@@ -483,7 +504,6 @@
             let retry_after_ms = self.rng.random_range(UNREACHABLE_RETRY_AFTER_MS);
             self.decide(account, QuotaDecision::Unreachable { retry_after_ms });
         }
-        false
     }
 
     fn ask(&mut self, account: AccountTag, owner: SocketAddr, tokens: u64, now_ms: u64) {
--- a/crates/admission/src/limits/fleet/node.rs
+++ b/crates/admission/src/limits/fleet/node.rs
@@ -1,5 +1,6 @@
 //! Both sides of a node: its own requests, and the parts of quotas that it owns.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
@@ -68,7 +69,8 @@
     listed: Vec<QuotaMember>,
     // When the nodes that are no longer listed lose their parts.
     removals: HashMap<String, u64>,
-    limits: HashMap<AccountTag, LimitSpec>,
+    // Sorted, so that a replay does not depend on the order of a hash map.
+    limits: BTreeMap<AccountTag, LimitSpec>,
     owner: QuotaOwner,
     holder: LeaseHolder<T>,
     store_contact_ms: Option<u64>,
@@ -86,7 +88,7 @@
             members: Vec::new(),
             listed: Vec::new(),
             removals: HashMap::new(),
-            limits: HashMap::new(),
+            limits: BTreeMap::new(),
             owner: QuotaOwner::default(),
             holder: LeaseHolder::new(run, seed),
             store_contact_ms: None,
@@ -143,7 +145,7 @@
     }
 
     /// Replaces the quotas of all accounts.
-    pub fn set_limits(&mut self, limits: HashMap<AccountTag, LimitSpec>, now_ms: u64) {
+    pub fn set_limits(&mut self, limits: BTreeMap<AccountTag, LimitSpec>, now_ms: u64) {
         if self.limits == limits {
             return;
         }
@@ -246,7 +248,6 @@
             let allowance = self.options.allowance(limit, self.members.len());
             self.holder.set_account(account, part, owners, allowance, now_ms);
         }
-        owned.sort_unstable();
         self.owner.retain(|account| owned.binary_search(&account).is_ok());
         self.deliver(now_ms);
     }
--- a/crates/admission/tests/support/quota_fleet.rs
+++ b/crates/admission/tests/support/quota_fleet.rs
@@ -1,7 +1,6 @@
 //! A fleet of nodes with quotas on a simulated network.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
@@ -73,7 +72,7 @@
     pub has_store: Vec<bool>,
     pub members: Vec<QuotaMember>,
     options: QuotaOptions,
-    limits: HashMap<AccountTag, LimitSpec>,
+    limits: BTreeMap<AccountTag, LimitSpec>,
     nodes: Vec<Option<FleetQuotas<usize>>>,
     in_transit: BTreeMap<(u64, u64), (usize, SocketAddr, QuotaMessage)>,
     // With the node and the time.
--- a/crates/gateway/src/dispatch/account_quotas.rs
+++ b/crates/gateway/src/dispatch/account_quotas.rs
@@ -1,6 +1,6 @@
 //! The quotas of the accounts of the configuration in force.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::collections::HashSet;
 use std::sync::Arc;
 
@@ -118,7 +118,7 @@
     largest.map(|(_, name)| name.clone()).collect()
 }
 
-fn limits_of(configuration: &Configuration) -> HashMap<AccountTag, LimitSpec> {
+fn limits_of(configuration: &Configuration) -> BTreeMap<AccountTag, LimitSpec> {
     let limited = configuration.accounts().iter().filter_map(|account| {
         let quota = account.quota?;
         let limit = LimitSpec {
