Share the token bucket and LimitSpec with the product's own interface

Change: LimitSpec has a file of its own and yields the parameters of a bucket for a share of the limit; the limits of the own interface and the owners of quotas use them. The debt of an account without a rate is not counted any more.

--- a/crates/admission/src/limits/accounts.rs
+++ b/crates/admission/src/limits/accounts.rs
@@ -2,32 +2,20 @@
 
 use serde::Serialize;
 
+use super::LimitSpec;
+use super::TokenBucket;
 use super::demand::AccountDemand;
 use super::demand::DemandTracker;
 use redwingrill_entity::AccountId;
 use redwingrill_entity::EntityMap;
 
-/// The default burst of the token rate limit, in seconds of the rate.
-const BURST_S: f64 = 2.0;
-
 /// Bounds of the retry delay returned when the token rate is exceeded.
-const MIN_RETRY_AFTER_MS: f64 = 100.0;
-const MAX_RETRY_AFTER_MS: f64 = 60_000.0;
+const MIN_RETRY_AFTER_MS: u64 = 100;
+const MAX_RETRY_AFTER_MS: u64 = 60_000;
 
 /// The retry delay returned when an account has too many requests in flight.
 const CONCURRENCY_RETRY_AFTER_MS: u64 = 1_000;
 
-/// The configured limits of an account.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
-pub struct LimitSpec {
-    /// Tokens per second over the fleet; zero for no limit.
-    pub tokens_per_s: u64,
-    /// The tokens that may be used at once beyond the rate; zero for the default.
-    pub burst_tokens: u64,
-    /// Requests in flight over the fleet; zero for no limit.
-    pub max_in_flight: u32,
-}
-
 /// Why an account's request is refused. A refused request was not run.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum LimitRefusal {
@@ -46,8 +34,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Usage {
     in_flight: u32,
-    // Tokens used in excess of the rate; negative for unused burst.
-    debt_tokens: f64,
+    // `None` before the first request under a token rate.
+    bucket: Option<TokenBucket>,
     updated_ms: u64,
 }
 
@@ -94,19 +82,19 @@
             }
         }
         if spec.tokens_per_s > 0 {
-            let rate_per_ms = spec.tokens_per_s as f64 * share / 1_000.0;
-            let burst_tokens = match spec.burst_tokens {
-                0 => rate_per_ms * 1_000.0 * BURST_S,
-                burst_tokens => burst_tokens as f64 * share,
-            };
-            usage.repay_debt(rate_per_ms, burst_tokens, now_ms);
-            if usage.debt_tokens > 0.0 {
-                let wait_ms = usage.debt_tokens / rate_per_ms;
-                let retry_after_ms = wait_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS) as u64;
+            // A request is admitted while the level is not negative, whatever it takes.
+            let bucket_spec = spec.bucket_spec(share, f64::INFINITY);
+            let new_bucket = || TokenBucket::full(bucket_spec, now_ms);
+            let bucket = usage.bucket.get_or_insert_with(new_bucket);
+            bucket.set_spec(bucket_spec, now_ms);
+            let wait_ms = bucket.wait_ms(0, 0.0, now_ms);
+            if wait_ms > 0 {
+                let retry_after_ms = wait_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS);
                 return Err(LimitRefusal::Rate { retry_after_ms });
             }
-            usage.debt_tokens += tokens as f64;
+            bucket.take_up_to(tokens, f64::NEG_INFINITY, now_ms);
         }
+        usage.updated_ms = now_ms;
         usage.in_flight += 1;
         Ok(())
     }
@@ -116,7 +104,15 @@
     pub fn finish(&mut self, account: AccountId, excess_tokens: i64) {
         if let Some(usage) = self.usage.get_mut(account) {
             usage.in_flight = usage.in_flight.saturating_sub(1);
-            usage.debt_tokens += excess_tokens as f64;
+            if let Some(bucket) = &mut usage.bucket {
+                let (tokens, now_ms) = (excess_tokens.unsigned_abs(), usage.updated_ms);
+                match excess_tokens < 0 {
+                    true => bucket.put_back(tokens, now_ms),
+                    false => {
+                        bucket.take_up_to(tokens, f64::NEG_INFINITY, now_ms);
+                    }
+                }
+            }
         }
     }
 
@@ -149,11 +145,3 @@
         state.collect()
     }
 }
-
-impl Usage {
-    fn repay_debt(&mut self, rate_per_ms: f64, burst_tokens: f64, now_ms: u64) {
-        let elapsed_ms = now_ms.saturating_sub(self.updated_ms) as f64;
-        self.debt_tokens = (self.debt_tokens - elapsed_ms * rate_per_ms).max(-burst_tokens);
-        self.updated_ms = self.updated_ms.max(now_ms);
-    }
-}
--- a/crates/admission/src/limits/fleet/owner.rs
+++ b/crates/admission/src/limits/fleet/owner.rs
@@ -46,14 +46,11 @@
     /// Returns the parameters of the bucket. Its debt makes requests possible that are larger than
     /// the part of the burst; it stays within half of the tolerance over all owners.
     pub fn bucket_spec(&self) -> BucketSpec {
-        let owners = self.owners.max(1) as f64;
-        let burst_tokens = self.limit.burst_tokens as f64 / owners;
-        let slack_tokens = self.slack_tokens as f64 / (2.0 * owners);
-        BucketSpec {
-            rate_per_ms: self.limit.tokens_per_s as f64 / 1_000.0 / owners,
-            burst_tokens,
-            debt_limit_tokens: if self.slack_tokens > 0 { slack_tokens } else { burst_tokens },
-        }
+        let share = 1.0 / self.owners.max(1) as f64;
+        let spec = self.limit.bucket_spec(share, self.slack_tokens as f64 * share / 2.0);
+        let debt_limit_tokens =
+            if self.slack_tokens > 0 { spec.debt_limit_tokens } else { spec.burst_tokens };
+        BucketSpec { debt_limit_tokens, ..spec }
     }
 }
 
--- a/crates/admission/src/limits/mod.rs
+++ b/crates/admission/src/limits/mod.rs
@@ -14,14 +14,15 @@
 mod bucket;
 mod demand;
 pub mod fleet;
+mod limit_spec;
 mod recent_use;
 
 pub use accounts::AccountLimits;
 pub use accounts::AccountState;
 pub use accounts::LimitRefusal;
-pub use accounts::LimitSpec;
 pub use bucket::BucketSpec;
 pub use bucket::TokenBucket;
 pub use demand::AccountDemand;
 pub use demand::DemandTracker;
+pub use limit_spec::LimitSpec;
 pub use recent_use::RecentUse;
