Shorten the replays of quotas

Change: cases are built from the flood; figures and bounds are the same. The contact with the store is taken over before the line is written.

--- a/crates/admission/tests/fleet_quotas.rs
+++ b/crates/admission/tests/fleet_quotas.rs
@@ -6,6 +6,7 @@
 
 use crate::support::quota_fleet::Fleet;
 use crate::support::quota_fleet::Load;
+use crate::support::quota_fleet::Network;
 use crate::support::quota_fleet::Outcome;
 use crate::support::quota_fleet::member;
 use redwingrill_admission::limits::LimitSpec;
@@ -41,8 +42,7 @@
     name: &'static str,
     nodes: usize,
     factor: f64,
-    loss: f64,
-    duplication: f64,
+    network: Network,
     refunds: f64,
     /// Begins the fault.
     fault: fn(&mut Fleet),
@@ -54,22 +54,25 @@
     name: "usual load",
     nodes: 79,
     factor: 1.0,
-    loss: 0.0,
-    duplication: 0.0,
+    network: Network { loss: 0.0, duplication: 0.0 },
     refunds: 0.0,
     fault: |_| {},
     min_admitted: 0.99,
 };
 
-fn owner_indexes(fleet: &Fleet) -> Vec<usize> {
+/// Nine times the usual load of the large account, with a fault.
+fn flood(name: &'static str, min_admitted: f64, fault: fn(&mut Fleet)) -> Case {
+    Case { name, factor: 9.0, fault, min_admitted, ..USUAL }
+}
+
+fn owners(fleet: &Fleet) -> Vec<usize> {
     let owners = owners_of(LARGE, &fleet.members);
     (0..fleet.members.len()).filter(|index| owners.contains(&member(*index).address)).collect()
 }
 
 fn run(case: &Case) -> Fleet {
     let mut fleet = Fleet::new(case.nodes, OPTIONS, &LIMITS, 7);
-    (fleet.loss, fleet.duplication) = (case.loss, case.duplication);
-    fleet.refunds = case.refunds;
+    (fleet.network, fleet.refunds) = (case.network, case.refunds);
     fleet.run(5_000, &loads(case.factor));
     (case.fault)(&mut fleet);
     fleet.run(25_000, &loads(case.factor));
@@ -80,133 +83,72 @@
 fn bound_holds_and_quota_is_usable_under_faults() {
     let cases = [
         USUAL,
-        Case { name: "flood", factor: 9.0, min_admitted: 0.95, ..USUAL },
-        Case { name: "300 nodes", nodes: 300, factor: 9.0, min_admitted: 0.95, ..USUAL },
-        Case { name: "2 nodes", nodes: 2, factor: 9.0, min_admitted: 0.95, ..USUAL },
-        Case {
-            name: "an owner dead",
-            factor: 9.0,
-            fault: |fleet| {
-                let owner = owner_indexes(fleet)[0];
-                fleet.stop(owner);
-            },
-            min_admitted: 0.75,
-            ..USUAL
-        },
-        Case {
-            name: "all owners dead",
-            factor: 9.0,
-            fault: |fleet| owner_indexes(fleet).into_iter().for_each(|owner| fleet.stop(owner)),
-            min_admitted: 0.0,
-            ..USUAL
-        },
-        Case {
-            name: "owners isolated singly",
-            factor: 9.0,
-            fault: |fleet| {
-                let owners = owner_indexes(fleet).into_iter().enumerate();
-                owners.for_each(|(group, owner)| fleet.groups[owner] = group + 1);
-            },
-            min_admitted: 0.0,
-            ..USUAL
-        },
-        Case {
-            name: "two halves",
-            factor: 9.0,
-            fault: |fleet| (0..79).for_each(|index| fleet.groups[index] = index % 2),
-            min_admitted: 0.9,
-            ..USUAL
-        },
-        Case {
-            name: "a third without the store, removed from the list",
-            factor: 9.0,
-            fault: |fleet| {
-                for index in (0..79).filter(|index| index % 3 == 0) {
-                    fleet.groups[index] = 1;
-                    fleet.has_store[index] = false;
-                }
-                // The entries lapse after the lease.
-                fleet.run(20_000, &loads(9.0));
-                let rest: Vec<usize> = (0..79).filter(|index| index % 3 != 0).collect();
-                fleet.set_members(&rest, |index| index % 3 != 0);
-            },
-            min_admitted: 0.6,
-            ..USUAL
-        },
-        Case {
-            name: "a dead owner leaves the list",
-            factor: 9.0,
-            fault: |fleet| {
-                let owner = owner_indexes(fleet)[0];
+        flood("flood", 0.95, |_| {}),
+        Case { nodes: 300, ..flood("300 nodes", 0.95, |_| {}) },
+        Case { nodes: 2, ..flood("2 nodes", 0.95, |_| {}) },
+        flood("an owner dead", 0.75, |fleet| fleet.stop(owners(fleet)[0])),
+        flood("all owners dead", 0.0, |fleet| {
+            owners(fleet).into_iter().for_each(|owner| fleet.stop(owner));
+        }),
+        flood("owners isolated singly", 0.0, |fleet| {
+            let owners = owners(fleet).into_iter().enumerate();
+            owners.for_each(|(group, owner)| fleet.groups[owner] = group + 1);
+        }),
+        flood("two halves", 0.9, |fleet| {
+            (0..79).for_each(|index| fleet.groups[index] = index % 2);
+        }),
+        flood("a third without the store, removed from the list", 0.6, |fleet| {
+            for index in (0..79).step_by(3) {
+                fleet.groups[index] = 1;
+                fleet.has_store[index] = false;
+            }
+            // The entries lapse after the lease.
+            fleet.run(20_000, &loads(9.0));
+            fleet.set_members(|index| index % 3 != 0, |index| index % 3 != 0);
+        }),
+        flood("a dead owner leaves the list", 0.9, |fleet| {
+            let owner = owners(fleet)[0];
+            fleet.stop(owner);
+            // The list reaches the nodes one after the other.
+            for index in 0..79 {
+                fleet.set_members(|listed| listed != owner, |seeing| seeing == index);
+                fleet.run(10, &loads(9.0));
+            }
+        }),
+        flood("an owner joins and leaves again and again", 0.9, |fleet| {
+            let owner = owners(fleet)[0];
+            for _ in 0..4 {
                 fleet.stop(owner);
-                let rest: Vec<usize> = (0..79).filter(|index| *index != owner).collect();
-                // The list reaches the nodes one after the other.
-                for index in 0..79 {
-                    fleet.set_members(&rest, |seeing| seeing == index);
-                    fleet.run(10, &loads(9.0));
-                }
-            },
-            min_admitted: 0.9,
-            ..USUAL
-        },
+                fleet.set_members(|listed| listed != owner, |_| true);
+                fleet.run(9_000, &loads(9.0));
+                fleet.start(owner);
+                fleet.set_members(|_| true, |_| true);
+                fleet.run(1_500, &loads(9.0));
+            }
+        }),
         Case {
-            name: "an owner joins and leaves again and again",
-            factor: 9.0,
-            fault: |fleet| {
-                let owner = owner_indexes(fleet)[0];
-                let rest: Vec<usize> = (0..79).filter(|index| *index != owner).collect();
-                for _ in 0..4 {
-                    fleet.stop(owner);
-                    fleet.set_members(&rest, |_| true);
-                    fleet.run(9_000, &loads(9.0));
-                    fleet.start(owner);
-                    fleet.set_members(&(0..79).collect::<Vec<_>>(), |_| true);
-                    fleet.run(1_500, &loads(9.0));
-                }
-            },
-            min_admitted: 0.9,
-            ..USUAL
-        },
-        Case {
-            name: "refunds, losses and duplicates",
-            factor: 9.0,
-            duplication: 0.1,
-            loss: 0.02,
+            network: Network { loss: 0.02, duplication: 0.1 },
             refunds: 0.5,
-            min_admitted: 0.6,
-            ..USUAL
+            ..flood("refunds, losses and duplicates", 0.6, |_| {})
         },
-        Case { name: "losses", loss: 0.1, factor: 9.0, min_admitted: 0.6, ..USUAL },
-        Case { name: "duplicates", duplication: 0.3, factor: 9.0, min_admitted: 0.5, ..USUAL },
+        Case { network: Network { loss: 0.1, duplication: 0.0 }, ..flood("losses", 0.6, |_| {}) },
         Case {
-            name: "restart of all nodes",
-            factor: 9.0,
-            fault: |fleet| (0..79).for_each(|index| fleet.start(index)),
-            min_admitted: 0.9,
-            ..USUAL
-        },
-        Case {
-            name: "restart of an owner each second",
-            factor: 9.0,
-            fault: |fleet| {
-                for round in 0..15 {
-                    let owners = owner_indexes(fleet);
-                    fleet.start(owners[round % owners.len()]);
-                    fleet.run(1_000, &loads(9.0));
-                }
-            },
-            min_admitted: 0.8,
-            ..USUAL
+            network: Network { loss: 0.0, duplication: 0.3 },
+            ..flood("duplicates", 0.5, |_| {})
         },
+        flood("restart of all nodes", 0.9, |fleet| (0..79).for_each(|index| fleet.start(index))),
+        flood("restart of an owner each second", 0.8, |fleet| {
+            for round in 0..15 {
+                fleet.start(owners(fleet)[round % 5]);
+                fleet.run(1_000, &loads(9.0));
+            }
+        }),
     ];
     for case in &cases {
         let fleet = run(case);
         let large = fleet.largest_window(LARGE, LARGE_LIMIT, 0);
         let small = fleet.largest_window(SMALL, SMALL_LIMIT, 0);
-        let period = fleet.now_ms - 20_000..fleet.now_ms;
-        let offered: u64 = fleet.requests_of(LARGE, period.clone()).map(|r| r.tokens).sum();
-        let usable = (offered as f64 / 20.0).min(LARGE_LIMIT.tokens_per_s as f64);
-        let admitted = fleet.admitted_per_s(LARGE, period) / usable;
+        let admitted = fleet.admitted_share(LARGE, LARGE_LIMIT, fleet.now_ms - 20_000);
         let messages = fleet.messages as f64 / fleet.requests.len() as f64;
         println!(
             "{}: window {large:.3} and {small:.3} of the bound, admitted {admitted:.3}, \
@@ -223,17 +165,11 @@
     }
 }
 
+/// Counts the requests by outcome.
 fn outcomes(fleet: &Fleet) -> BTreeMap<&'static str, usize> {
     let mut counts = BTreeMap::new();
     for request in &fleet.requests {
-        let name = match request.outcome {
-            Outcome::Pending => "pending",
-            Outcome::Admitted { .. } => "admitted",
-            Outcome::Exceeded { .. } => "exceeded",
-            Outcome::Unreachable => "unreachable",
-            Outcome::Refunded => "refunded",
-        };
-        *counts.entry(name).or_default() += 1;
+        *counts.entry(request.outcome.name()).or_default() += 1;
     }
     counts
 }
@@ -255,12 +191,11 @@
 fn list_that_is_rebuilt_after_an_outage_changes_no_owner() {
     let mut fleet = Fleet::new(79, OPTIONS, &LIMITS, 11);
     fleet.run(2_000, &[]);
-    fleet.set_members(&[], |_| true);
-    for listed in (0..79).step_by(2) {
-        fleet.set_members(&(0..listed).collect::<Vec<_>>(), |_| true);
+    for listed in (0..80).step_by(2) {
+        fleet.set_members(|index| index < listed, |_| true);
         fleet.run(100, &loads(1.0));
     }
-    fleet.set_members(&(0..79).collect::<Vec<_>>(), |_| true);
+    fleet.set_members(|_| true, |_| true);
     fleet.run(10_000, &loads(1.0));
     let outcomes = outcomes(&fleet);
     println!("{outcomes:?}");
--- a/crates/admission/tests/support/quota_fleet.rs
+++ b/crates/admission/tests/support/quota_fleet.rs
@@ -36,6 +36,25 @@
     Refunded,
 }
 
+impl Outcome {
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Pending => "pending",
+            Self::Admitted { .. } => "admitted",
+            Self::Exceeded { .. } => "exceeded",
+            Self::Unreachable => "unreachable",
+            Self::Refunded => "refunded",
+        }
+    }
+}
+
+/// The share of datagrams that are lost, and that arrive twice.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Network {
+    pub loss: f64,
+    pub duplication: f64,
+}
+
 /// How long after its admission a request that does not run is refunded.
 const REFUND_DELAY_MS: u64 = 50;
 
@@ -62,9 +81,7 @@
     pub now_ms: u64,
     pub requests: Vec<Request>,
     pub messages: usize,
-    /// The share of datagrams that are lost, and that arrive twice.
-    pub loss: f64,
-    pub duplication: f64,
+    pub network: Network,
     /// The share of admitted requests that do not run.
     pub refunds: f64,
     /// Nodes with different numbers do not reach each other.
@@ -102,8 +119,7 @@
             now_ms: 1_000,
             requests: Vec::new(),
             messages: 0,
-            loss: 0.0,
-            duplication: 0.0,
+            network: Network::default(),
             refunds: 0.0,
             groups: vec![0; nodes],
             has_store: vec![true; nodes],
@@ -142,8 +158,9 @@
     }
 
     /// Gives a list of nodes to those for which `sees` returns true.
-    pub fn set_members(&mut self, members: &[usize], sees: impl Fn(usize) -> bool) {
-        let members: Vec<QuotaMember> = members.iter().map(|index| member(*index)).collect();
+    pub fn set_members(&mut self, is_listed: impl Fn(usize) -> bool, sees: impl Fn(usize) -> bool) {
+        let listed = (0..self.nodes.len()).filter(|index| is_listed(*index));
+        let members: Vec<QuotaMember> = listed.map(member).collect();
         for index in (0..self.nodes.len()).filter(|index| sees(*index)) {
             if let Some(node) = &mut self.nodes[index] {
                 node.set_members(members.clone(), self.now_ms);
@@ -258,9 +275,9 @@
         for (address, message) in node.take_outgoing() {
             self.messages += 1;
             let to = usize::from(address.port() - 1_000);
-            let copies = 1 + usize::from(self.rng.random::<f64>() < self.duplication);
+            let copies = 1 + usize::from(self.rng.random::<f64>() < self.network.duplication);
             for _ in 0..copies {
-                let is_lost = self.rng.random::<f64>() < self.loss;
+                let is_lost = self.rng.random::<f64>() < self.network.loss;
                 if self.groups[to] == self.groups[index] && !is_lost {
                     self.sequence += 1;
                     // A duplicate may come much later than the original.
@@ -273,38 +290,33 @@
         }
     }
 
-    /// Returns the requests of an account that were made in a period.
-    pub fn requests_of(
-        &self,
-        account: AccountTag,
-        period: std::ops::Range<u64>,
-    ) -> impl Iterator<Item = &Request> {
-        self.requests.iter().filter(move |r| r.account == account && period.contains(&r.at_ms))
+    /// Returns the times and tokens of the admitted requests of an account, in order.
+    fn admitted(&self, account: AccountTag) -> Vec<(u64, u64)> {
+        let requests = self.requests.iter().filter(|request| request.account == account);
+        let admitted = requests.filter_map(|request| match request.outcome {
+            Outcome::Admitted { at_ms } => Some((at_ms, request.tokens)),
+            _ => None,
+        });
+        let mut admitted: Vec<_> = admitted.collect();
+        admitted.sort_unstable();
+        admitted
     }
 
-    /// Returns the tokens per second that were admitted in a period.
-    pub fn admitted_per_s(&self, account: AccountTag, period: std::ops::Range<u64>) -> f64 {
-        let admitted = self.requests.iter().filter(|request| {
-            let Outcome::Admitted { at_ms } = request.outcome else { return false };
-            request.account == account && period.contains(&at_ms)
-        });
-        let tokens: u64 = admitted.map(|request| request.tokens).sum();
-        tokens as f64 * 1_000.0 / (period.end - period.start) as f64
+    /// Returns the tokens of an account that were admitted from a time on, as a share of those that
+    /// were offered and the quota allows.
+    pub fn admitted_share(&self, account: AccountTag, limit: LimitSpec, from_ms: u64) -> f64 {
+        let admitted = self.admitted(account).into_iter().filter(|(at_ms, _)| *at_ms >= from_ms);
+        let offered = self.requests.iter().filter(|r| r.account == account && r.at_ms >= from_ms);
+        let allowed = limit.tokens_per_s as f64 * (self.now_ms - from_ms) as f64 / 1_000.0;
+        let offered = offered.map(|request| request.tokens).sum::<u64>() as f64;
+        admitted.map(|(_, tokens)| tokens).sum::<u64>() as f64 / offered.min(allowed)
     }
 
     /// Returns the largest sum of admitted tokens of an account in any window from a time on, as a
     /// share of the bound.
     pub fn largest_window(&self, account: AccountTag, limit: LimitSpec, from_ms: u64) -> f64 {
-        let mut admitted: Vec<(u64, u64)> = self
-            .requests
-            .iter()
-            .filter(|request| request.account == account)
-            .filter_map(|request| match request.outcome {
-                Outcome::Admitted { at_ms } if at_ms >= from_ms => Some((at_ms, request.tokens)),
-                _ => None,
-            })
-            .collect();
-        admitted.sort_unstable();
+        let mut admitted = self.admitted(account);
+        admitted.retain(|(at_ms, _)| *at_ms >= from_ms);
         let (mut start, mut sum, mut largest) = (0, 0, 0);
         for &(at_ms, tokens) in &admitted {
             sum += tokens;
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -481,7 +481,8 @@
                 if now_ms.saturating_sub(self.model_logged_ms) >= MODEL_LOG_PERIOD_MS {
                     self.model_logged_ms = now_ms;
                     self.report_models();
-                    if let Some(quotas) = &self.quotas {
+                    if let Some(quotas) = &mut self.quotas {
+                        quotas.follow_store();
                         quotas.log_state(now_ms);
                     }
                 }
