Divide small quotas among fewer owners

Cause: a quota of few requests was divided into parts that hold less than one request.

Change: a part holds at least two units of the burst.

--- a/crates/admission/src/limits/fleet/mod.rs
+++ b/crates/admission/src/limits/fleet/mod.rs
@@ -34,4 +34,5 @@
 pub use owner::QuotaPart;
 pub use owners::OWNERS_LIMIT;
 pub use owners::QuotaMember;
+pub use owners::owners_limit;
 pub use owners::owners_of;
--- a/crates/admission/src/limits/fleet/node.rs
+++ b/crates/admission/src/limits/fleet/node.rs
@@ -11,6 +11,7 @@
 use super::owner::QuotaOwner;
 use super::owner::QuotaPart;
 use super::owners::QuotaMember;
+use super::owners::owners_limit;
 use super::owners::owners_of;
 use crate::limits::BucketSpec;
 use crate::limits::LimitSpec;
@@ -238,7 +239,7 @@
         self.holder.retain(|account| limits.contains_key(&account));
         let mut owned = Vec::new();
         for (&account, &limit) in &self.limits {
-            let owners = owners_of(account, &self.members);
+            let owners = owners_of(account, &self.members, owners_limit(limit.burst_tokens));
             let slack_tokens = self.options.slack_tokens;
             let part = QuotaPart { limit, owners: owners.len(), slack_tokens };
             if owners.contains(&self.own_address) {
--- a/crates/admission/src/limits/fleet/owners.rs
+++ b/crates/admission/src/limits/fleet/owners.rs
@@ -11,6 +11,9 @@
 /// request is denied after at most five answers.
 pub const OWNERS_LIMIT: usize = 5;
 
+/// The smallest burst of one part. A part that holds less than one request would never admit one.
+const MIN_PART_TOKENS: u64 = 2;
+
 /// How many nodes of one failure domain come before a node of another one.
 const OWNERS_PER_DOMAIN: usize = 2;
 
@@ -27,9 +30,14 @@
     pub address: SocketAddr,
 }
 
-/// Returns the owners of an account: the nodes with the fastest links first, among equal ones two of
+/// Returns how many owners a quota with this burst has at most.
+pub fn owners_limit(burst_tokens: u64) -> usize {
+    (burst_tokens / MIN_PART_TOKENS).clamp(1, OWNERS_LIMIT as u64) as usize
+}
+
+/// Returns at most `limit` owners of an account: the nodes with the fastest links first, among equal ones two of
 /// each failure domain before more of any, then by a hash of account and node.
-pub fn owners_of(account: AccountTag, members: &[QuotaMember]) -> Vec<SocketAddr> {
+pub fn owners_of(account: AccountTag, members: &[QuotaMember], limit: usize) -> Vec<SocketAddr> {
     let mut ranked: Vec<(Reverse<u64>, Reverse<u64>, usize)> = members
         .iter()
         .enumerate()
@@ -39,21 +47,18 @@
         })
         .collect();
     ranked.sort_unstable();
-    let mut owners = Vec::with_capacity(OWNERS_LIMIT);
+    let mut owners = Vec::with_capacity(limit);
     for class in ranked.chunk_by(|one, other| one.0 == other.0) {
         let mut is_taken = vec![false; class.len()];
         let mut domain_limit = OWNERS_PER_DOMAIN;
-        while owners.len() < OWNERS_LIMIT && is_taken.contains(&false) {
+        while owners.len() < limit && is_taken.contains(&false) {
             for position in 0..class.len() {
                 let member = &members[class[position].2];
                 let is_same_domain =
                     |other: usize| members[class[other].2].failure_domain == member.failure_domain;
                 let of_domain =
                     (0..class.len()).filter(|&other| is_taken[other] && is_same_domain(other));
-                if owners.len() < OWNERS_LIMIT
-                    && !is_taken[position]
-                    && of_domain.count() < domain_limit
-                {
+                if owners.len() < limit && !is_taken[position] && of_domain.count() < domain_limit {
                     is_taken[position] = true;
                     owners.push(member.address);
                 }
--- a/crates/admission/tests/fleet_quotas.rs
+++ b/crates/admission/tests/fleet_quotas.rs
@@ -10,6 +10,7 @@
 use crate::support::quota_fleet::Outcome;
 use crate::support::quota_fleet::member;
 use redwingrill_admission::limits::LimitSpec;
+use redwingrill_admission::limits::fleet::OWNERS_LIMIT;
 use redwingrill_admission::limits::fleet::QuotaOptions;
 use redwingrill_admission::limits::fleet::owners_of;
 use redwingrill_routing::AccountTag;
@@ -66,7 +67,7 @@
 }
 
 fn owners(fleet: &Fleet) -> Vec<usize> {
-    let owners = owners_of(LARGE, &fleet.members);
+    let owners = owners_of(LARGE, &fleet.members, OWNERS_LIMIT);
     (0..fleet.members.len()).filter(|index| owners.contains(&member(*index).address)).collect()
 }
 
@@ -218,6 +219,7 @@
 
 #[test]
 fn rare_and_large_requests_are_admitted() {
+    #[derive(Clone, Copy)]
     struct Case {
         name: &'static str,
         options: QuotaOptions,
@@ -235,11 +237,14 @@
         period_ms: 10_000,
         is_admitted: true,
     };
+    // The parts of so small a burst would hold less than one request each.
+    let few = Case { options: without_slack, tokens: 1, period_ms: 2_000, ..rare };
     let cases = [
         Case { name: "larger than the burst", tokens: 93_000, ..rare },
         Case { name: "larger, without slack", options: without_slack, tokens: 93_000, ..rare },
         Case { name: "larger than burst and debt", tokens: 200_000, is_admitted: false, ..rare },
-        Case { name: "one request a second", limit: limit(1), tokens: 1, period_ms: 2_000, ..rare },
+        Case { name: "one request a second", limit: limit(1), ..few },
+        Case { name: "four requests a second", limit: limit(4), ..few },
         rare,
     ];
     for case in cases {
