--- a/crates/admission/src/limits/fleet/node.rs
+++ b/crates/admission/src/limits/fleet/node.rs
@@ -1,5 +1,6 @@
 //! Both sides of a node: its own requests, and the parts of quotas that it owns.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
@@ -10,6 +11,7 @@
 use super::owner::QuotaOwner;
 use super::owner::QuotaPart;
 use super::owners::QuotaMember;
+use super::owners::owners_limit;
 use super::owners::owners_of;
 use crate::limits::BucketSpec;
 use crate::limits::LimitSpec;
@@ -68,7 +70,8 @@
     listed: Vec<QuotaMember>,
     // When the nodes that are no longer listed lose their parts.
     removals: HashMap<String, u64>,
-    limits: HashMap<AccountTag, LimitSpec>,
+    // Sorted, so that a replay does not depend on the order of a hash map.
+    limits: BTreeMap<AccountTag, LimitSpec>,
     owner: QuotaOwner,
     holder: LeaseHolder<T>,
     store_contact_ms: Option<u64>,
@@ -86,7 +89,7 @@
             members: Vec::new(),
             listed: Vec::new(),
             removals: HashMap::new(),
-            limits: HashMap::new(),
+            limits: BTreeMap::new(),
             owner: QuotaOwner::default(),
             holder: LeaseHolder::new(run, seed),
             store_contact_ms: None,
@@ -143,7 +146,7 @@
     }
 
     /// Replaces the quotas of all accounts.
-    pub fn set_limits(&mut self, limits: HashMap<AccountTag, LimitSpec>, now_ms: u64) {
+    pub fn set_limits(&mut self, limits: BTreeMap<AccountTag, LimitSpec>, now_ms: u64) {
         if self.limits == limits {
             return;
         }
@@ -236,7 +239,7 @@
         self.holder.retain(|account| limits.contains_key(&account));
         let mut owned = Vec::new();
         for (&account, &limit) in &self.limits {
-            let owners = owners_of(account, &self.members);
+            let owners = owners_of(account, &self.members, owners_limit(limit.burst_tokens));
             let slack_tokens = self.options.slack_tokens;
             let part = QuotaPart { limit, owners: owners.len(), slack_tokens };
             if owners.contains(&self.own_address) {
@@ -246,7 +249,6 @@
             let allowance = self.options.allowance(limit, self.members.len());
             self.holder.set_account(account, part, owners, allowance, now_ms);
         }
-        owned.sort_unstable();
         self.owner.retain(|account| owned.binary_search(&account).is_ok());
         self.deliver(now_ms);
     }
