Lend engines for short prompts to long ones that wait

In an overload of long prompts on engines of three speeds, engines spent 0.56 of their time on prefill while prompts were refused at an age of 0.3 s. In a trial of the replay (20 engines, 60 short prompts/s), five of the 20 spent 0.85 to 0.99 of the time on steps without prefill: they are reserved for short prompts, and were lent only for prefixes that the cache store holds. The others prefilled for 0.69 to 0.78 of it, and spent 0.12 to 0.23 on steps without prefill.

Change: where a coordinator decides, such an engine also takes a long prompt that has waited for 20 ms, if it is nearly idle and the prefill of a usual prompt takes there no longer than the target of short ones.

--- a/crates/scheduling/src/scheduler/choose.rs
+++ b/crates/scheduling/src/scheduler/choose.rs
@@ -61,6 +61,10 @@
 /// taken.
 const BORROWED_SLOTS_DIVISOR: u32 = 3;
 
+/// How long a long prompt waits before an engine for short prompts prefills all of it. In an overload
+/// of long prompts without cached prefixes, a quarter of the engines otherwise prefills nothing.
+const COLD_LOAN_WAIT_MS: u64 = 20;
+
 /// Requests per slot that an upstream of a plain service may have before others wait at the node.
 const SERVICE_QUEUE_FACTOR: u32 = 2;
 
@@ -101,6 +105,9 @@
     pub(super) prefers_newest: bool,
     // Whether the request can no longer meet its target.
     is_late: bool,
+    // The prefill of a usual prompt of the route; it is the same for all sizes, so that size does not
+    // decide who gets an engine.
+    usual_prefill_ms: f64,
     sample_bound: Option<SampleBound>,
     // How long before the expiry of older weights the request must not be sent there.
     old_weights_margin_ms: u64,
@@ -176,12 +183,15 @@
                 is_long: false,
                 prefers_newest: false,
                 is_late,
+                usual_prefill_ms: 0.0,
                 sample_bound: None,
                 old_weights_margin_ms: 0,
                 node_share: None,
             };
         };
         let is_long = model.is_long(request.route, u64::from(prompt.prompt_tokens));
+        let usual_work = model.usual_work(request.route, u64::from(prompt.prompt_tokens));
+        let usual_prefill_ms = model.curve().prefill_ms(usual_work);
         let usual_cost_ms = if is_long { model.long_cost_ms() } else { model.short_cost_ms() };
         let long_shared_tokens = model.long_shared_tokens();
         let mut costs = PromptCosts {
@@ -242,6 +252,7 @@
             is_long,
             prefers_newest,
             is_late,
+            usual_prefill_ms,
             sample_bound,
             old_weights_margin_ms,
             node_share,
@@ -383,13 +394,18 @@
             let limit = slots.saturating_mul(factor);
             return (load >= limit).then_some(CapacityLimit::Slots);
         }
-        // An engine for short prompts takes a long one only if it is nearly idle and can fetch the
-        // prefix.
+        // An engine for short prompts takes a long one only if it is nearly idle, and if it can fetch
+        // the prefix or the prompt waits and short ones behind it would still be in time. Nodes that
+        // know of each other late would all lend the same engine.
         if context.is_long && context.roles.is_short(index) && context.roles.has_long() {
+            let may_prefill = context.node_share.is_none()
+                && now_ms >= request.arrived_ms + COLD_LOAN_WAIT_MS
+                && context.usual_prefill_ms * entry.speed.time_factor()
+                    <= context.times.urgent_target_ms;
             let is_lent = entry.total_pending_prefill_tokens() == 0
                 && load < slots / BORROWED_SLOTS_DIVISOR
                 && !context.is_late
-                && self.can_fetch_prefix(request, entry, now_ms);
+                && (may_prefill || self.can_fetch_prefix(request, entry, now_ms));
             return (!is_lent).then_some(CapacityLimit::Role);
         }
         let limit_ms = pending_limit_ms(request, &context.times.curve);
--- a/crates/scheduling/tests/support/batching.rs
+++ b/crates/scheduling/tests/support/batching.rs
@@ -109,9 +109,19 @@
     Rejected(u64),
 }
 
+/// A step of an engine.
+#[derive(Clone, Copy, Debug)]
+pub struct Step {
+    pub begin_ms: f64,
+    pub step_ms: f64,
+    /// The part of it that is prefill.
+    pub prefill_ms: f64,
+}
+
 /// A simulated engine.
 #[derive(Clone, Debug)]
 pub struct Engine {
+    pub steps: Vec<Step>,
     pub sheet: EngineSheet,
     pub version: u64,
     /// Whether it does not respond at all.
@@ -129,6 +139,7 @@
 impl Engine {
     pub fn new(sheet: EngineSheet) -> Self {
         Self {
+            steps: Vec::new(),
             sheet,
             version: 1,
             is_dark: false,
@@ -265,6 +276,7 @@
             unread.min(self.sheet.chunk_tokens) as f64 / self.sheet.prefill_tokens_per_ms;
         let slots_ms = self.sheet.step_ms_per_slot * self.running.len() as f64;
         let step_ms = self.sheet.step_ms + slots_ms + prefill_ms;
+        self.steps.push(Step { begin_ms: now_ms, step_ms, prefill_ms });
         self.step_ends_ms = Some(now_ms + step_ms);
     }
 
--- a/crates/scheduling/tests/support/replay.rs
+++ b/crates/scheduling/tests/support/replay.rs
@@ -236,7 +236,7 @@
     setup: Setup,
     rng: SmallRng,
     nodes: Vec<Node>,
-    engines: Vec<Engine>,
+    pub engines: Vec<Engine>,
     is_listed: Vec<bool>,
     listed_versions: Vec<u64>,
     pub callers: Vec<Caller>,
