Put no account beyond its share in the first seconds

Change: in the first three seconds of a class no account is beyond its share, and accounts that arrive in them are observed from the beginning.

--- a/crates/scheduling/src/coordination/coordinator.rs
+++ b/crates/scheduling/src/coordination/coordinator.rs
@@ -157,7 +157,7 @@
             let (service, target_ms) = (request.service.clone(), request.target_ms);
             let scheduler = &mut group.scheduler;
             // Engines keep their roles in a flood of one account.
-            match group.queue.is_beyond_share(scheduler, &request) {
+            match group.queue.is_beyond_share(scheduler, &request, now_ms) {
                 true => {
                     scheduler.observe_prompt(&service, request.route, &prompt, target_ms);
                 }
--- a/crates/scheduling/src/scheduler/account_shares.rs
+++ b/crates/scheduling/src/scheduler/account_shares.rs
@@ -9,6 +9,7 @@
 
 use super::AccountShare;
 use super::usual_demand::UsualDemand;
+use super::usual_demand::WARM_UP_MS;
 use redwingrill_admission::queue::FAIR_SHARE_TOLERANCE;
 use redwingrill_admission::queue::UsageShares;
 use redwingrill_routing::AccountTag;
@@ -57,6 +58,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct AccountShares {
     accounts: BTreeMap<AccountKey, Account>,
+    // When the first request arrived.
+    since_ms: Option<u64>,
     used: UsageShares<AccountKey>,
     asked: UsageShares<AccountKey>,
     usual_cost_ms: f64,
@@ -73,6 +76,7 @@
     fn default() -> Self {
         Self {
             accounts: BTreeMap::new(),
+            since_ms: None,
             used: UsageShares::with_limit(ACCOUNTS_LIMIT),
             asked: UsageShares::with_limit(ACCOUNTS_LIMIT),
             usual_cost_ms: 0.0,
@@ -96,12 +100,16 @@
         let is_first = self.usual_cost_ms == 0.0;
         let weight = if is_first { 1.0 } else { COST_WEIGHT };
         self.usual_cost_ms += weight * (cost_ms - self.usual_cost_ms);
+        // An account that sends seldom would otherwise be observed only since its first request, and
+        // weigh too much against the others in the first seconds.
+        let since_ms = *self.since_ms.get_or_insert(now_ms);
+        let first_ms = if now_ms < since_ms + WARM_UP_MS { since_ms } else { now_ms };
         let is_new = !self.accounts.contains_key(&key);
         if is_new && self.accounts.len() >= ACCOUNTS_LIMIT {
             self.remove_lightest(now_ms);
         }
         let account = self.accounts.entry(key).or_insert_with(|| Account {
-            demand: UsualDemand::new(now_ms),
+            demand: UsualDemand::new(first_ms),
             configured_weight: None,
             cold_ms: 0.0,
             used_ms: 0.0,
@@ -138,8 +146,15 @@
 
     /// Returns whether a request is beyond the share of its account, if it leaves after `before_ms`
     /// of engine time of other requests of the account.
-    pub(super) fn is_beyond(&self, share: Option<AccountShare>, before_ms: f64) -> bool {
-        if self.used.len() < 2 {
+    pub(super) fn is_beyond(
+        &self,
+        share: Option<AccountShare>,
+        before_ms: f64,
+        now_ms: u64,
+    ) -> bool {
+        // No usual demand is known in the first seconds.
+        let is_warm = self.since_ms.is_some_and(|since_ms| now_ms >= since_ms + WARM_UP_MS);
+        if !is_warm || self.used.len() < 2 {
             return false;
         }
         let key = share.map(|share| share.tag);
--- a/crates/scheduling/src/scheduler/usual_demand.rs
+++ b/crates/scheduling/src/scheduler/usual_demand.rs
@@ -8,7 +8,7 @@
 
 /// The time after the first request during which all arrivals count, since no usual demand is known
 /// yet.
-const WARM_UP_MS: u64 = 3_000;
+pub(super) const WARM_UP_MS: u64 = 3_000;
 
 /// The demand in a window, relative to the usual demand, beyond which it counts as a surge; a few
 /// requests more are usual for an account that sends seldom.
@@ -31,11 +31,11 @@
 }
 
 impl UsualDemand {
-    /// Creates the demand of an account whose first request arrives.
-    pub(super) fn new(now_ms: u64) -> Self {
+    /// Creates the demand of an account that is observed since `first_ms`.
+    pub(super) fn new(first_ms: u64) -> Self {
         Self {
-            first_ms: now_ms,
-            window_since_ms: now_ms,
+            first_ms,
+            window_since_ms: first_ms,
             window_work_ms: 0.0,
             work_ms: 0.0,
             observed_ms: 0.0,
--- a/crates/scheduling/src/scheduler/wait_queue.rs
+++ b/crates/scheduling/src/scheduler/wait_queue.rs
@@ -171,7 +171,7 @@
         let shares = &self.shares[&class];
         let cost_ms = shares.expected_ms(request.account, cold_ms);
         let waiting_ms = self.waiting_ms(&class, request.account);
-        let is_beyond_share = shares.is_beyond(request.account, waiting_ms);
+        let is_beyond_share = shares.is_beyond(request.account, waiting_ms, now_ms);
         let queued_before = self.waiting.iter().filter(|waiting| waiting.class == class).count();
         let serving_ms = scheduler.usual_serving_ms(&request);
         let entry = QueuedRequest {
@@ -301,10 +301,15 @@
     }
 
     /// Returns whether the account of a request is beyond its share of the capacity of its class.
-    pub fn is_beyond_share(&self, scheduler: &mut Scheduler, request: &ScheduleRequest) -> bool {
+    pub fn is_beyond_share(
+        &self,
+        scheduler: &mut Scheduler,
+        request: &ScheduleRequest,
+        now_ms: u64,
+    ) -> bool {
         let class = RequestClass::of(scheduler, request);
         let Some(shares) = self.shares.get(&class) else { return false };
-        shares.is_beyond(request.account, self.waiting_ms(&class, request.account))
+        shares.is_beyond(request.account, self.waiting_ms(&class, request.account), now_ms)
     }
 
     /// Returns the engine time of the waiting requests of an account.
@@ -324,7 +329,7 @@
             let Some(shares) = self.shares.get(&known.class) else { continue };
             let account = known.request.account;
             let before_ms = before.entry((&known.class, tag_of(account))).or_default();
-            known.is_beyond_share = shares.is_beyond(account, *before_ms);
+            known.is_beyond_share = shares.is_beyond(account, *before_ms, now_ms);
             *before_ms += known.cost_ms;
         }
         self.waiting.sort_by_key(|known| (known.rank(now_ms), known.request.urgency));
--- a/crates/scheduling/tests/sustained_overload.rs
+++ b/crates/scheduling/tests/sustained_overload.rs
@@ -5,6 +5,8 @@
 
 mod support;
 
+use std::collections::BTreeMap;
+
 use support::batching::GROWN_SITE_SHEET;
 use support::replay::Burst;
 use support::replay::Caller;
@@ -84,3 +86,23 @@
     let kept = over / full;
     assert!(kept >= 0.95, "{kept:.2} of the tokens that are assigned at capacity");
 }
+
+#[test]
+fn overload_starves_a_document() {
+    const MIN_CALLERS: usize = 30;
+    let days: Vec<Simulation> = SEEDS.map(|seed| play(OVERLOAD, seed)).collect();
+    let long = days.iter().flat_map(|day| &day.callers).filter(is_counted);
+    let mut documents: BTreeMap<u64, (usize, usize)> = BTreeMap::new();
+    for caller in long {
+        let (callers, served) = documents.entry(caller.document).or_default();
+        *callers += 1;
+        *served += usize::from(caller.is_served);
+    }
+    let total = |part: fn(&(usize, usize)) -> usize| documents.values().map(part).sum::<usize>();
+    let all = total(|(_, served)| *served) as f64 / total(|(callers, _)| *callers) as f64;
+    let known = documents.values().filter(|(callers, _)| *callers >= MIN_CALLERS);
+    let shares = known.map(|(callers, served)| *served as f64 / *callers as f64);
+    let least = shares.fold(f64::INFINITY, f64::min);
+    println!("least {least:.3} of a document's prompts are served, {all:.3} of all");
+    assert!(least >= 0.25 * all, "{least:.3} of a document's prompts are served, {all:.3} of all");
+}
