Keep what an engine holds within its memory

Cause: an engine crashes if the requests that it holds exceed its memory. Short prompts were not counted, and a long one went to any engine that held less than a share of its memory. A request larger than an engine waited, or was sent.

Change: no assignment brings the reserved tokens that are known of an engine, with those of the new request, above its memory.

--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -356,6 +356,13 @@
                 "event=request_quarantined request_id={id} account={account} part={part} runs={runs}"
             );
         }
+        if let RefusalCause::TooLarge { tokens, engine_tokens } = cause {
+            let (id, service, account) = (&call.metadata.id, &call.service, call.account_name());
+            info!(
+                "event=request_too_large request_id={id} service={service} account={account} \
+                 tokens={tokens} engine_tokens={engine_tokens}"
+            );
+        }
         if let RefusalCause::Overloaded(shortage) = &cause {
             self.context.metrics.shortage(&call.service, shortage);
             log_shortage(call, shortage);
@@ -371,6 +378,14 @@
             RefusalCause::RepeatBudget => ResultCode::RetryBudgetSpent,
             RefusalCause::Stopping => ResultCode::Draining,
             RefusalCause::Quarantined(_) => ResultCode::Quarantined,
+            RefusalCause::TooLarge { tokens, engine_tokens } => {
+                // No engine can ever run it, so there is no use in a retry.
+                let detail = format!(
+                    "the prompt and its response need {tokens} tokens, an engine holds \
+                     {engine_tokens}"
+                );
+                return Err(Refusal::with_detail(ResultCode::RequestTooLarge, detail));
+            }
         };
         Err(Refusal::new(code).retry_after(retry_after_ms))
     }
--- a/crates/scheduling/src/scheduler/choose.rs
+++ b/crates/scheduling/src/scheduler/choose.rs
@@ -140,6 +140,14 @@
         Some(Choice::Refuse { cause, retry_after_ms: block.remaining_ms })
     }
 
+    /// Refuses a request that does not fit into the memory of an engine of its service.
+    pub fn refuse_too_large(&self, request: &ScheduleRequest) -> Option<Choice> {
+        let engine_tokens = self.cache_tokens(&request.service)?;
+        let tokens = request.reserved_tokens();
+        let cause = RefusalCause::TooLarge { tokens, engine_tokens };
+        (tokens > engine_tokens).then_some(Choice::Refuse { cause, retry_after_ms: 0 })
+    }
+
     /// Chooses an upstream; `is_late` states whether the request can no longer meet its target.
     pub(super) fn choose_with_lateness(
         &mut self,
@@ -150,6 +158,9 @@
         if let Some(refusal) = self.refuse_quarantined(request, now_ms) {
             return refusal;
         }
+        if let Some(refusal) = self.refuse_too_large(request) {
+            return refusal;
+        }
         let context = self.context(request, is_late, now_ms);
         match self.select(request, &context, now_ms) {
             Ok(best) => Choice::Send(Box::new(self.assign(request, &context, best, now_ms))),
@@ -396,6 +407,12 @@
             let limit = slots.saturating_mul(factor);
             return (load >= limit).then_some(CapacityLimit::Slots);
         }
+        let memory = self.cache_tokens(&request.service);
+        let held_tokens = entry.total_reserved_tokens();
+        if memory.is_some_and(|tokens| held_tokens + request.reserved_tokens() > tokens) {
+            // An engine that holds more than its memory crashes.
+            return Some(CapacityLimit::Memory);
+        }
         // An engine for short prompts takes a long one only if it is nearly idle and can fetch the
         // prefix.
         if context.is_long && context.roles.is_short(index) && context.roles.has_long() {
@@ -419,10 +436,9 @@
         if load >= slots {
             return Some(CapacityLimit::Slots);
         }
-        let fits = self.cache_tokens(&request.service).is_none_or(|tokens| {
-            entry.total_reserved_tokens() < tokens * RUNNING_MEMORY_PERCENT / 100
-        });
-        (context.is_long && !fits).then_some(CapacityLimit::Memory)
+        let leaves_prefixes =
+            memory.is_none_or(|tokens| held_tokens < tokens * RUNNING_MEMORY_PERCENT / 100);
+        (context.is_long && !leaves_prefixes).then_some(CapacityLimit::Memory)
     }
 
     /// Returns whether a prompt would miss its target at an idle engine only because the engine is
@@ -521,9 +537,7 @@
             scope,
             affinity: context.affinity,
             pending_prefill_tokens: prompt.map_or(0, |prompt| u64::from(prompt.prompt_tokens)),
-            reserved_tokens: prompt.map_or(0, |prompt| {
-                u64::from(prompt.prompt_tokens) + u64::from(prompt.output_tokens_limit)
-            }),
+            reserved_tokens: request.reserved_tokens(),
             prompt_tokens: prompt.map_or(0, |prompt| u64::from(prompt.prompt_tokens)),
             fetched_tokens: 0,
             queued_tokens,
--- a/crates/scheduling/src/scheduler/request.rs
+++ b/crates/scheduling/src/scheduler/request.rs
@@ -67,6 +67,14 @@
         PromptWork { unread_tokens: prompt_tokens, prompt_tokens }
     }
 
+    /// Returns the tokens that the request reserves in an engine's memory: its prompt and the most of
+    /// its response.
+    pub fn reserved_tokens(&self) -> u64 {
+        self.prompt.as_ref().map_or(0, |prompt| {
+            u64::from(prompt.prompt_tokens) + u64::from(prompt.output_tokens_limit)
+        })
+    }
+
     /// Returns the scope of the request's cached parts for a version of the weights.
     pub fn scope(&self, version: WeightsVersion) -> Scope {
         Scope::new(version, self.isolated_account.as_deref())
@@ -121,6 +129,13 @@
     Stopping,
     /// This part of the prompt is quarantined.
     Quarantined(PartKey),
+    /// The prompt and its response do not fit into the memory of an engine.
+    TooLarge {
+        /// The tokens of the prompt and the most of its response.
+        tokens: u64,
+        /// The tokens for which an engine has memory.
+        engine_tokens: u64,
+    },
 }
 
 /// The decision on a request.
