Learn how much concurrent work an upstream handles well

Cause: a node sends up to the slots of an upstream, although steps may grow with the batch, or an instance may slow down long before its slots are taken.

Change: each start of an upstream has a learned limit, at most its slots, where work takes twice as long as on an idle upstream. For engines it follows from a weighted line of the mean pause between events over the load; for plain services from the ratio of the mean time of requests to the least mean of the last 15 to 30 s. Nodes share sums of samples in their digests, at most 16 upstreams each, so all find the same limit; samples are forgotten within seconds, and without any the limit stays. Nothing is sent in excess of a limit to probe it. The limit is used by the choice of an upstream where `bounds.adaptive_limits` is true, and is in the dump, in `event=engine_limit` and `redwingrill_engine_limit`. The benchmark of choices has 10,000 accounts.

A fitted line over loads of plain calls gave limits of 1 to 6 without relation to the instance, because the known load is older than the calls.

--- a/crates/gateway/src/dispatch/attempt.rs
+++ b/crates/gateway/src/dispatch/attempt.rs
@@ -78,10 +78,17 @@
         }
     }
 
-    /// Reports the longest pause between the events of a stream that ended well.
-    pub fn report_longest_pause(&self, longest_pause_ms: u64) {
+    /// Reports the longest pause between the events of a stream that ended well, and the mean one if
+    /// there were several events.
+    pub fn report_pauses(&self, longest_pause_ms: u64, mean_pause_ms: Option<f64>) {
         let service = self.assignment.upstream.service.clone();
-        self.dispatcher.send(Message::StreamEnded { service, longest_pause_ms });
+        let index = self.assignment.index;
+        self.dispatcher.send(Message::StreamEnded {
+            index,
+            service,
+            longest_pause_ms,
+            mean_pause_ms,
+        });
     }
 
     /// Records that the answer says nothing in favour of the parts of the prompt: it is a failure, or
--- a/crates/gateway/src/dispatch/dispatcher.rs
+++ b/crates/gateway/src/dispatch/dispatcher.rs
@@ -118,7 +118,12 @@
     /// The upstream has prefilled the prompt.
     Prefilled { assignment: Box<Assignment> },
     /// A stream of the service ended well.
-    StreamEnded { service: String, longest_pause_ms: u64 },
+    StreamEnded {
+        index: UpstreamIndex,
+        service: String,
+        longest_pause_ms: u64,
+        mean_pause_ms: Option<f64>,
+    },
     /// An attempt ended.
     AttemptEnded {
         index: UpstreamIndex,
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -56,6 +56,9 @@
 /// How often the learned model is logged.
 const MODEL_LOG_PERIOD_MS: u64 = 5_000;
 
+/// The number of upstreams whose concurrency limit is logged and measured, the lowest first.
+const LIMITS_REPORTED: usize = 32;
+
 /// The number of messages to other nodes that wait to be sent; others are dropped, as if lost.
 const OUTGOING_LIMIT: usize = 4_096;
 
@@ -340,8 +343,11 @@
             Message::Signals { index, signals, sent_ms } => {
                 self.observe_signals(index, &signals, sent_ms, now_ms);
             }
-            Message::StreamEnded { service, longest_pause_ms } => {
-                self.scheduler.observe_pause(&service, longest_pause_ms)
+            Message::StreamEnded { index, service, longest_pause_ms, mean_pause_ms } => {
+                self.scheduler.observe_pause(&service, longest_pause_ms);
+                if let Some(mean_pause_ms) = mean_pause_ms {
+                    self.scheduler.observe_mean_pause(index, mean_pause_ms, now_ms);
+                }
             }
             Message::Prefilled { assignment } => {
                 self.scheduler.record_prefill_done(&assignment, now_ms);
@@ -625,6 +631,25 @@
             );
             self.metrics.engine_model(service, curve);
         }
+        self.report_limits();
+    }
+
+    /// Logs the upstreams that handle less at once than they have slots.
+    fn report_limits(&self) {
+        let entries = self.scheduler.fleet().iter().map(|(_, entry)| entry);
+        let limits = entries.map(|entry| (entry, self.scheduler.concurrency_limit(entry)));
+        let mut limited: Vec<_> = limits.filter(|(entry, limit)| *limit < entry.slots()).collect();
+        limited.sort_by_key(|(entry, limit)| (*limit, entry.upstream.id.clone()));
+        limited.truncate(LIMITS_REPORTED);
+        self.metrics.engine_limits(limited.iter().map(|(e, l)| (e.upstream.id.as_str(), *l)));
+        for (entry, limit) in limited {
+            info!(
+                "event=engine_limit upstream={} service={} limit={limit} slots={}",
+                entry.upstream.id,
+                entry.upstream.service,
+                entry.slots(),
+            );
+        }
     }
 
     fn dump(&self, now_ms: u64) -> serde_json::Value {
@@ -644,6 +669,10 @@
                 "limit_share_per_s": self.scheduler.limit_share_per_s(index),
                 "health": entry.health,
                 "time_factor": entry.speed.time_factor(),
+                "speed_class_factor": entry.speed.class().time_factor(),
+                "slots": entry.slots(),
+                "concurrency_limit": self.scheduler.concurrency_limit(entry),
+                "reserved_tokens": entry.total_reserved_tokens(),
             })
         });
         let verified = self.scheduler.fleet().verify();
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -60,6 +60,9 @@
     stall_timeout: Duration,
     last_event: Instant,
     longest_pause: Duration,
+    // The pauses between the reads of events, and their number.
+    all_pauses: Duration,
+    pauses: u32,
 }
 
 /// How the segment of a stream from one upstream ended.
@@ -107,6 +110,8 @@
             stall_timeout,
             last_event: Instant::now(),
             longest_pause: Duration::ZERO,
+            all_pauses: Duration::ZERO,
+            pauses: 0,
         }
     }
 
@@ -172,7 +177,9 @@
         match end {
             RelayEnd::Complete(whole_answer) => {
                 if let Some(attempt) = &self.attempt {
-                    attempt.report_longest_pause(self.longest_pause.as_millis() as u64);
+                    let mean_pause = self.all_pauses.checked_div(self.pauses);
+                    let mean_pause_ms = mean_pause.map(|pause| pause.as_secs_f64() * 1_000.0);
+                    attempt.report_pauses(self.longest_pause.as_millis() as u64, mean_pause_ms);
                 }
                 self.end_attempt(Verdict::Served);
                 self.context.metrics.response_ended(&call.service, self.framing);
@@ -271,7 +278,10 @@
             if events.is_empty() {
                 continue;
             }
-            self.longest_pause = self.longest_pause.max(self.last_event.elapsed());
+            let pause = self.last_event.elapsed();
+            self.longest_pause = self.longest_pause.max(pause);
+            self.all_pauses += pause;
+            self.pauses += 1;
             let sent = send_while_caller_reads(sender, events);
             if tokio::time::timeout(remaining, sent).await.is_err() {
                 return SegmentEnd::DeadlineExceeded;
--- a/crates/gateway/src/node/lifecycle.rs
+++ b/crates/gateway/src/node/lifecycle.rs
@@ -313,6 +313,7 @@
         failure_domain: options.failure_domain.clone(),
         budget: options.retry_budget,
         version_limit_ms: options.stale_version_limit.as_millis() as u64,
+        limits_concurrency: options.limits_concurrency,
         seed: rand::random(),
     }
 }
--- a/crates/gateway/src/node/options.rs
+++ b/crates/gateway/src/node/options.rs
@@ -34,6 +34,8 @@
     pub retry_budget: RetryBudgetSpec,
     /// How long after a target version is set requests may still be served with older weights.
     pub stale_version_limit: Duration,
+    /// Whether upstreams get no more requests at once than they are found to handle well.
+    pub limits_concurrency: bool,
     /// The duration of the lease of the roll-out's leader.
     pub rollout_lease: Duration,
     /// How long a stop may take, from the signal to the exit of the process.
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -57,6 +57,7 @@
     open_connections: IntGauge,
     buffered_bytes: IntGauge,
     engine_model: GaugeVec,
+    engine_limit: IntGaugeVec,
     outdated_engines: IntGaugeVec,
 }
 
@@ -129,6 +130,11 @@
             store_era: gauge("redwingrill_store_era", "Era of the store in the beliefs"),
             open_connections: gauge("redwingrill_open_connections", "Connections of callers"),
             buffered_bytes: gauge("redwingrill_buffered_bytes", "Bytes that draw on the budget"),
+            engine_limit: IntGaugeVec::new(
+                Opts::new("redwingrill_engine_limit", "Requests that an upstream gets at once"),
+                &["upstream"],
+            )
+            .expect("the name is valid"),
             engine_model: GaugeVec::new(
                 Opts::new("redwingrill_engine_model", "Learned times of a service's upstreams"),
                 &["service", "parameter"],
@@ -242,6 +248,14 @@
         }
     }
 
+    /// Replaces the concurrency limits of the upstreams that have one below their slots.
+    pub fn engine_limits<'a>(&self, limits: impl Iterator<Item = (&'a str, u32)>) {
+        self.inner.engine_limit.reset();
+        for (upstream, limit) in limits {
+            self.inner.engine_limit.with_label_values(&[upstream]).set(i64::from(limit));
+        }
+    }
+
     /// Sets the number of ready engines whose weights are older than the model's target version.
     pub fn outdated_engines(&self, model: &str, count: usize) {
         let count = i64::try_from(count).unwrap_or(i64::MAX);
@@ -260,7 +274,7 @@
 
 impl Inner {
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 19] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 20] = [
             Box::new(self.requests.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.first_event.clone()),
@@ -279,6 +293,7 @@
             Box::new(self.open_connections.clone()),
             Box::new(self.buffered_bytes.clone()),
             Box::new(self.engine_model.clone()),
+            Box::new(self.engine_limit.clone()),
             Box::new(self.outdated_engines.clone()),
         ];
         for collector in collectors {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -23,6 +23,7 @@
         failure_domain: "a".to_owned(),
         budget: RetryBudgetSpec { ratio: 0.2, allowance: 54.0, window_ms: 10_000 },
         version_limit_ms: 20_000,
+        limits_concurrency: false,
         seed: 1,
     }
 }
--- a/crates/lab/tests/on_platform/site.rs
+++ b/crates/lab/tests/on_platform/site.rs
@@ -182,6 +182,7 @@
             upstream_lapse: UPSTREAM_LAPSE,
             retry_budget: RetryBudgetSpec { ratio: 0.2, allowance: 54.0, window_ms: 10_000 },
             stale_version_limit: self.stale_version_limit,
+            limits_concurrency: false,
             rollout_lease: self.rollout_lease,
             stop_timeout: Duration::from_secs(4),
         };
--- a/crates/scheduling/examples/choice.rs
+++ b/crates/scheduling/examples/choice.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use redwingrill_routing::AccountTag;
 use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::PartId;
 use redwingrill_routing::PromptPart;
@@ -13,12 +14,14 @@
 use redwingrill_routing::WeightsVersion;
 use redwingrill_scheduling::engine_model::RouteTag;
 use redwingrill_scheduling::retry_budget::RetryBudgetSpec;
+use redwingrill_scheduling::scheduler::AccountShare;
 use redwingrill_scheduling::scheduler::Choice;
 use redwingrill_scheduling::scheduler::ScheduleRequest;
 use redwingrill_scheduling::scheduler::Scheduler;
 use redwingrill_scheduling::scheduler::SchedulerOptions;
 
 const CHOICES: usize = 20_000;
+const ACCOUNTS: usize = 10_000;
 
 fn engines(count: usize) -> Vec<Arc<Upstream>> {
     let listed = (0..count).map(|index| {
@@ -56,7 +59,7 @@
         route: RouteTag::of(if is_long { "long" } else { "short" }),
         prompt: Some(Arc::new(prompt)),
         isolated_account: None,
-        account: None,
+        account: Some(AccountShare { tag: AccountTag((number % ACCOUNTS) as u64), weight: None }),
         urgency: if is_long { 2 } else { 0 },
         arrived_ms: now_ms,
         deadline_ms: now_ms + 10_000,
@@ -75,6 +78,7 @@
             failure_domain: "domain-0".to_owned(),
             budget: RetryBudgetSpec { ratio: 0.2, allowance: 54.0, window_ms: 10_000 },
             version_limit_ms: 20_000,
+            limits_concurrency: true,
             seed: 1,
         };
         let mut scheduler = Scheduler::new(options);
--- a/crates/scheduling/src/engine_model/digest.rs
+++ b/crates/scheduling/src/engine_model/digest.rs
@@ -37,6 +37,9 @@
     pub curves: Vec<(ServiceTag, [f32; 3], f32)>,
     /// The factor of some engines, with the number of samples.
     pub speeds: Vec<(UpstreamTag, f32, f32)>,
+    /// The times of work at different loads at some starts of upstreams, as the sums
+    /// of [`StepStatistics`](super::StepStatistics).
+    pub steps: Vec<(UpstreamTag, [f32; 6])>,
 }
 
 impl From<&PrefillCurve> for [f32; 3] {
--- a/crates/scheduling/src/engine_model/mod.rs
+++ b/crates/scheduling/src/engine_model/mod.rs
@@ -11,19 +11,25 @@
 //! - [`EngineSpeed`] is the factor of one start of an engine relative to its service, corrected for
 //!   the slowdown that the engine reported when it responded.
 //! - [`SpeedClass`] is a coarse, stable class of that factor, for roles and preferred engines.
+//! - [`ConcurrencyLimit`] is the concurrent work that an upstream handles well, from the
+//!   [`StepStatistics`] of all nodes.
 //! - [`ServiceModel`] joins these with the usual prompts, fetches and pauses of a service.
 //! - [`ModelDigest`] shares the result between nodes as a few numbers.
 //!
 //! Invariant: all estimates are finite and positive, whatever the samples are.
 
+mod concurrency_limit;
 mod curve;
 mod digest;
 mod fit;
+mod idle_time;
 mod pauses;
 mod service;
 mod speed;
 mod speed_class;
+mod step_statistics;
 
+pub use concurrency_limit::ConcurrencyLimit;
 pub use curve::PrefillCurve;
 pub use curve::PromptWork;
 pub use digest::ModelDigest;
@@ -36,3 +42,5 @@
 pub use service::ServiceTimes;
 pub use speed::EngineSpeed;
 pub use speed_class::SpeedClass;
+pub use step_statistics::StepFit;
+pub use step_statistics::StepStatistics;
--- a/crates/scheduling/src/fleet/digest.rs
+++ b/crates/scheduling/src/fleet/digest.rs
@@ -13,6 +13,7 @@
 
 use super::EndStatement;
 use crate::engine_model::ModelDigest;
+use crate::engine_model::StepStatistics;
 use crate::placement::CacheStoreDigest;
 use crate::placement::PrefixTag;
 use crate::quarantine::QuarantineDigest;
@@ -94,6 +95,7 @@
 pub struct PeerLoads {
     by_node: HashMap<u64, (LoadDigest, u64)>,
     by_upstream: HashMap<UpstreamTag, NodeLoad>,
+    steps_by_start: HashMap<UpstreamTag, StepStatistics>,
 }
 
 impl PeerLoads {
@@ -123,7 +125,8 @@
             };
             (*node, (loads, *at_ms))
         });
-        Self { by_node: by_node.collect(), by_upstream: self.by_upstream.clone() }
+        let by_upstream = self.by_upstream.clone();
+        Self { by_node: by_node.collect(), by_upstream, steps_by_start: HashMap::new() }
     }
 
     /// Removes expired digests. Returns whether any was removed.
@@ -139,6 +142,7 @@
 
     fn recompute_totals(&mut self, now_ms: u64) {
         self.by_upstream.clear();
+        self.steps_by_start.clear();
         for (digest, at_ms) in self.by_node.values() {
             if now_ms.saturating_sub(*at_ms) >= DIGEST_AGE_LIMIT_MS {
                 continue;
@@ -150,6 +154,10 @@
                 total.in_flight = total.in_flight.saturating_add(load.in_flight);
                 total.reserved_tokens = total.reserved_tokens.saturating_add(load.reserved_tokens);
             }
+            for (start, sums) in &digest.model.steps {
+                let total = self.steps_by_start.entry(*start).or_default();
+                *total = total.plus(&(*sums).into());
+            }
         }
     }
 
@@ -158,6 +166,11 @@
         self.by_upstream.get(&tag).copied().unwrap_or_default()
     }
 
+    /// Returns the times of the other nodes' work at one start of an upstream.
+    pub fn steps_at(&self, start: UpstreamTag) -> StepStatistics {
+        self.steps_by_start.get(&start).copied().unwrap_or_default()
+    }
+
     /// Returns the number of nodes with a digest.
     pub fn node_count(&self) -> usize {
         self.by_node.len()
--- a/crates/scheduling/src/fleet/table.rs
+++ b/crates/scheduling/src/fleet/table.rs
@@ -16,6 +16,7 @@
 use super::NodeLoad;
 use super::PeerLoads;
 use super::UpstreamTag;
+use crate::engine_model::ConcurrencyLimit;
 use crate::engine_model::EngineSpeed;
 use crate::signals::SignalState;
 use redwingrill_routing::ReportedLoad;
@@ -63,6 +64,8 @@
     pub is_loading: bool,
     /// The speed relative to the service.
     pub speed: EngineSpeed,
+    /// The concurrent work that it handles well.
+    pub limit: ConcurrencyLimit,
     /// What the upstream said of itself.
     pub signals: SignalState,
     reported: Option<(ReportedLoad, u64)>,
@@ -90,6 +93,7 @@
             health: Health::default(),
             is_loading: false,
             speed: EngineSpeed::default(),
+            limit: ConcurrencyLimit::default(),
             signals: SignalState::default(),
             reported: None,
             unknown_at_report: 0,
@@ -355,6 +359,7 @@
     pub fn set_peer_loads(&mut self, peers: &PeerLoads) {
         for entry in self.entries.values_mut() {
             entry.peer_load = peers.load_at(entry.tag);
+            entry.limit.set_peers(peers.steps_at(entry.start_tag));
         }
     }
 
@@ -365,6 +370,9 @@
             return;
         }
         self.speeds_compared_ms = Some(now_ms);
+        for entry in self.entries.values_mut() {
+            entry.limit.update(entry.slots(), now_ms);
+        }
         for indexes in self.by_service.values() {
             let entries = indexes.iter().filter_map(|index| self.entries.get(index));
             let mut factors: Vec<f64> = entries.map(|entry| entry.speed.factor()).collect();
@@ -403,6 +411,7 @@
                 continue;
             };
             entry.speed = known.speed;
+            entry.limit = known.limit;
             for (model, version) in &known.reported_versions {
                 entry.record_version(model, *version);
             }
--- a/crates/scheduling/src/scheduler/choose.rs
+++ b/crates/scheduling/src/scheduler/choose.rs
@@ -401,9 +401,12 @@
         if !entry.signals.gate.allows(now_ms) {
             return Some(CapacityLimit::Rate);
         }
-        let (load, slots) = (entry.load(now_ms), entry.slots());
+        let (load, slots) = (entry.load(now_ms), self.concurrency_limit(entry));
         if request.prompt.is_none() {
-            let factor = if context.is_late { 1 } else { SERVICE_QUEUE_FACTOR };
+            // Requests may queue at an upstream whose slots are full, but not beyond what it handles
+            // well.
+            let is_limited = slots < entry.slots();
+            let factor = if context.is_late || is_limited { 1 } else { SERVICE_QUEUE_FACTOR };
             let limit = slots.saturating_mul(factor);
             return (load >= limit).then_some(CapacityLimit::Slots);
         }
@@ -427,7 +430,7 @@
         }
         let limit_ms = pending_limit_ms(request, &context.times.curve);
         let (limit_ms, slots) = match context.is_late {
-            true => (limit_ms / 2.0, slots / 2),
+            true => (limit_ms / 2.0, (slots / 2).max(1)),
             false => (limit_ms, slots),
         };
         if pending_prefill_ms(context, entry) >= limit_ms {
--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -26,6 +26,7 @@
 use crate::fleet::ArrivalCounter;
 use crate::fleet::EndEvidence;
 use crate::fleet::Fleet;
+use crate::fleet::FleetEntry;
 use crate::fleet::LoadDigest;
 use crate::fleet::Misdirection;
 use crate::fleet::PeerLoads;
@@ -69,6 +70,8 @@
     pub budget: RetryBudgetSpec,
     /// How long older weights may still be used after a new target version is published.
     pub version_limit_ms: u64,
+    /// Whether upstreams get no more requests at once than they handle well.
+    pub limits_concurrency: bool,
     /// The seed of random choices.
     pub seed: u64,
 }
@@ -76,6 +79,12 @@
 /// The maximum number of engine speeds in a digest.
 const SPEEDS_LIMIT: usize = 24;
 
+/// The maximum number of upstreams whose times of work are in a digest.
+const STEPS_LIMIT: usize = 16;
+
+/// Times of work with less weight are not worth a place in a digest.
+const MIN_STEPS_WEIGHT: f64 = 0.5;
+
 /// All state that scheduling decisions depend on.
 #[derive(Clone, Debug)]
 pub struct Scheduler {
@@ -201,7 +210,7 @@
 
     /// Returns what this node learned about the upstreams: all services, and the engines that it
     /// uses at this moment, at most [`SPEEDS_LIMIT`].
-    fn model_digest(&self) -> ModelDigest {
+    fn model_digest(&self, now_ms: u64) -> ModelDigest {
         let curves = self.models.iter().filter(|(_, model)| model.fit().samples() > 0.0);
         let curves = curves.map(|(service, model)| {
             (ServiceTag::of(service), model.curve().into(), model.fit().samples() as f32)
@@ -213,7 +222,36 @@
         let speeds = used.take(SPEEDS_LIMIT).map(|(_, entry)| {
             (entry.tag, entry.speed.factor() as f32, entry.speed.samples() as f32)
         });
-        ModelDigest { curves: curves.collect(), speeds: speeds.collect() }
+        ModelDigest {
+            curves: curves.collect(),
+            speeds: speeds.collect(),
+            steps: self.steps_digest(now_ms),
+        }
+    }
+
+    /// Returns the times of work at the upstreams of which this node knows most.
+    fn steps_digest(&self, now_ms: u64) -> Vec<(UpstreamTag, [f32; 6])> {
+        if !self.options.limits_concurrency {
+            return Vec::new();
+        }
+        let known = self.fleet.iter().map(|(_, entry)| (entry.start_tag, entry.limit.own(now_ms)));
+        let mut known: Vec<_> =
+            known.filter(|(_, steps)| steps.weight() >= MIN_STEPS_WEIGHT).collect();
+        known.sort_by(|(_, one), (_, other)| other.weight().total_cmp(&one.weight()));
+        known.iter().take(STEPS_LIMIT).map(|(start, steps)| (*start, steps.into())).collect()
+    }
+
+    /// Returns how many requests an upstream gets at once, at most its slots.
+    pub fn concurrency_limit(&self, entry: &FleetEntry) -> u32 {
+        let slots = entry.slots();
+        if self.options.limits_concurrency { entry.limit.get(slots) } else { slots }
+    }
+
+    /// Records the mean pause between the events of a stream that ended well.
+    pub fn observe_mean_pause(&mut self, index: UpstreamIndex, mean_pause_ms: f64, now_ms: u64) {
+        if let Some(entry) = self.fleet.get_mut(index) {
+            entry.limit.observe_stream(entry.load(now_ms), mean_pause_ms, now_ms);
+        }
     }
 
     /// Returns the digest of this node's requests for the other nodes.
@@ -232,7 +270,7 @@
         LoadDigest {
             prefixes: prefixes.collect(),
             cache_store: self.cache_index.cache_store().digest(now_ms),
-            model: self.model_digest(),
+            model: self.model_digest(now_ms),
             quarantine: self.quarantine.digest(now_ms),
             limits: self.limit_statements(now_ms),
             ended: self.fleet.end_statements(now_ms),
@@ -522,6 +560,11 @@
     pub fn record_prefill_done(&mut self, assignment: &Assignment, now_ms: u64) {
         if let Some(entry) = self.fleet.get_mut(assignment.index) {
             entry.record_prefill(assignment.pending_prefill_tokens);
+            if assignment.prompt_tokens == 0 {
+                // A plain request is complete; its time is that of the whole work.
+                let took_ms = now_ms.saturating_sub(assignment.sent_ms) as f64;
+                entry.limit.observe_request(took_ms, now_ms);
+            }
             let sample = FirstEventSample {
                 work: PromptWork {
                     unread_tokens: assignment.pending_prefill_tokens,
--- a/crates/scheduling/tests/support/mod.rs
+++ b/crates/scheduling/tests/support/mod.rs
@@ -32,6 +32,7 @@
         failure_domain: "a".to_owned(),
         budget: RetryBudgetSpec { ratio: 0.2, allowance: 54.0, window_ms: 10_000 },
         version_limit_ms: VERSION_LIMIT_MS,
+        limits_concurrency: false,
         seed,
     };
     Scheduler::new(options)
