Leave errors of plain services out of their times

Cause: an answer with an error status is often quick, and would lower the time from which the limit of a plain service is derived.

Change: the end of such an answer is not reported as complete work.

--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -424,7 +424,10 @@
                 return Ok(None);
             }
         };
-        attempt.report_prefilled();
+        // The time of a plain answer that is an error says nothing of the time of the work.
+        if parts.status.is_success() || attempt.assignment().prompt_tokens > 0 {
+            attempt.report_prefilled();
+        }
         self.context.metrics.response_ended(&call.service, framing);
         if !framing.marks_end() {
             info!(
--- a/crates/scheduling/tests/engine_roles.rs
+++ b/crates/scheduling/tests/engine_roles.rs
@@ -86,8 +86,8 @@
     }
 }
 
-/// Guards against long prompts that are left to the slowest engines, and against roles that move
-/// while speeds drift.
+/// Guards against long prompts that are left to the slowest engines, and against too few engines for
+/// short ones.
 #[test]
 fn slow_engines_serve_short_prompts_with_their_lower_capacity() {
     let rates = ArrivalRates { short_per_s: 200, long_per_s: 1 };
@@ -109,6 +109,7 @@
     }
 }
 
+/// Guards against roles and prefix owners that move while speed factors drift.
 #[test]
 fn speed_class_does_not_flap_as_the_factor_drifts() {
     let mut class = SpeedClass::default();
