--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -427,6 +427,13 @@
                 "event=request_quarantined request_id={id} account={account} part={part} runs={runs}"
             );
         }
+        if let RefusalCause::TooLarge { tokens, engine_tokens } = cause {
+            let (id, service, account) = (&call.metadata.id, &call.service, call.account_name());
+            info!(
+                "event=request_too_large request_id={id} service={service} account={account} \
+                 tokens={tokens} engine_tokens={engine_tokens}"
+            );
+        }
         if let RefusalCause::Overloaded(shortage) = &cause {
             self.context.metrics.shortage(&call.service, shortage);
             log_shortage(call, shortage);
@@ -442,6 +449,14 @@
             RefusalCause::RepeatBudget => ResultCode::RetryBudgetSpent,
             RefusalCause::Stopping => ResultCode::Draining,
             RefusalCause::Quarantined(_) => ResultCode::Quarantined,
+            RefusalCause::TooLarge { tokens, engine_tokens } => {
+                // No engine can ever run it, so there is no use in a retry.
+                let detail = format!(
+                    "the prompt and its response need {tokens} tokens, an engine holds \
+                     {engine_tokens}"
+                );
+                return Err(Refusal::with_detail(ResultCode::RequestTooLarge, detail));
+            }
         };
         Err(Refusal::new(code).retry_after(retry_after_ms))
     }
@@ -481,7 +496,10 @@
                 return Ok(None);
             }
         };
-        attempt.report_prefilled();
+        // The time of a plain answer that is an error says nothing of the time of the work.
+        if parts.status.is_success() || attempt.assignment().prompt_tokens > 0 {
+            attempt.report_prefilled();
+        }
         self.context.metrics.response_ended(&call.service, framing);
         if !framing.marks_end() {
             info!(
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -68,6 +68,7 @@
     unread_bytes: IntGauge,
     aborted_streams: IntCounterVec,
     engine_model: GaugeVec,
+    engine_limit: IntGaugeVec,
     outdated_engines: IntGaugeVec,
 }
 
@@ -166,6 +167,11 @@
                 "Streams aborted because their caller reads too slowly",
                 &["cause"],
             ),
+            engine_limit: IntGaugeVec::new(
+                Opts::new("redwingrill_engine_limit", "Requests that an upstream gets at once"),
+                &["upstream"],
+            )
+            .expect("the name is valid"),
             engine_model: GaugeVec::new(
                 Opts::new("redwingrill_engine_model", "Learned times of a service's upstreams"),
                 &["service", "parameter"],
@@ -316,6 +322,14 @@
         }
     }
 
+    /// Replaces the concurrency limits of the upstreams that have one below their slots.
+    pub fn engine_limits<'a>(&self, limits: impl Iterator<Item = (&'a str, u32)>) {
+        self.inner.engine_limit.reset();
+        for (upstream, limit) in limits {
+            self.inner.engine_limit.with_label_values(&[upstream]).set(i64::from(limit));
+        }
+    }
+
     /// Sets the number of ready engines whose weights are older than the model's target version.
     pub fn outdated_engines(&self, model: &str, count: usize) {
         let count = i64::try_from(count).unwrap_or(i64::MAX);
@@ -359,6 +373,7 @@
             Box::new(self.unread_bytes.clone()),
             Box::new(self.aborted_streams.clone()),
             Box::new(self.engine_model.clone()),
+            Box::new(self.engine_limit.clone()),
             Box::new(self.outdated_engines.clone()),
         ];
         for collector in collectors {
--- a/crates/scheduling/tests/queueing_time.rs
+++ b/crates/scheduling/tests/queueing_time.rs
@@ -33,6 +33,7 @@
 const DAY: Day = Day {
     sheet: SHEET,
     engines: 20,
+    time_factors: &[1.0],
     domains: 3,
     documents: 300,
     document_tokens: Sizes { mean: 13_300.0, sigma: 0.63, limit: 39_900.0 },
