Explain the choice of an upstream without making it

Cause: an operator cannot see why a request goes to an engine, or waits, and a second implementation of the choice would drift from the first. Change: eligibility returns its reason, the cost of an upstream is one function with its components, and the turn of a waiting request is a function of its own. Scheduler::explain and WaitQueue::explain use them, and the choice itself, on a copy of the scheduler, so no state changes and no random number is drawn from it.

--- a/crates/scheduling/src/fleet/mod.rs
+++ b/crates/scheduling/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! The available upstreams with their reported load and health.
 
 mod arrivals;
+mod closure;
 mod digest;
 mod ended;
 mod health;
@@ -8,6 +9,7 @@
 mod table;
 
 pub use arrivals::ArrivalCounter;
+pub use closure::Closure;
 pub use digest::DIGEST_PERIOD_MS;
 pub use digest::LoadDigest;
 pub use digest::NODES_PER_DIGEST_PERIOD;
--- a/crates/scheduling/src/fleet/table.rs
+++ b/crates/scheduling/src/fleet/table.rs
@@ -9,6 +9,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use super::Closure;
 use super::EndEvidence;
 use super::EndStatement;
 use super::EndedStarts;
@@ -97,11 +98,18 @@
         }
     }
 
-    fn accepts_requests(&self, now_ms: u64) -> bool {
-        self.upstream.state == UpstreamState::Ready
-            && !self.is_loading
-            && !self.signals.is_closed(now_ms)
-            && now_ms >= self.skipped_until_ms
+    fn closure(&self, now_ms: u64) -> Option<Closure> {
+        if self.upstream.state != UpstreamState::Ready {
+            Some(Closure::NotReady)
+        } else if self.is_loading {
+            Some(Closure::LoadsWeights)
+        } else if self.signals.is_closed(now_ms) {
+            Some(Closure::Paused)
+        } else if now_ms < self.skipped_until_ms {
+            Some(Closure::Skipped)
+        } else {
+            None
+        }
     }
 
     /// Returns whether the upstream is still slow after its start.
@@ -257,11 +265,21 @@
 
     /// Returns whether an upstream may receive new requests, regardless of its health.
     pub fn accepts_requests(&self, entry: &FleetEntry, now_ms: u64) -> bool {
+        self.closure(entry, now_ms).is_none()
+    }
+
+    /// Returns why an upstream may not receive new requests, regardless of its health; `None` if it
+    /// may.
+    pub fn closure(&self, entry: &FleetEntry, now_ms: u64) -> Option<Closure> {
         let has_ended = |start| self.ended.contains(start, now_ms);
-        entry.accepts_requests(now_ms)
-            && !has_ended(entry.start_tag)
+        entry.closure(now_ms).or_else(|| {
+            if has_ended(entry.start_tag) {
+                return Some(Closure::Ended);
+            }
             // An entry may be wrong about its start, so a later one counts until it proves wrong.
-            && entry.superseded_by.is_none_or(has_ended)
+            let is_superseded = entry.superseded_by.is_some_and(|start| !has_ended(start));
+            is_superseded.then_some(Closure::Superseded)
+        })
     }
 
     /// Records that a start has ended. Returns whether that is news.
--- a/crates/scheduling/src/scheduler/choose.rs
+++ b/crates/scheduling/src/scheduler/choose.rs
@@ -16,6 +16,7 @@
 use super::Scheduler;
 use super::Shortage;
 use super::cost::pending_prefill_ms;
+use super::eligibility::Ineligibility;
 use super::pacing::NodeShare;
 use super::pacing::Pacer;
 use super::pacing::RequestClass;
@@ -147,8 +148,18 @@
             return refusal;
         }
         let context = self.context(request, is_late, now_ms);
-        match self.select(request, &context, now_ms) {
-            Ok(best) => Choice::Send(Box::new(self.assign(request, &context, best, now_ms))),
+        self.choose_in_context(request, &context, now_ms)
+    }
+
+    /// Chooses an upstream for a request that has no quarantined part.
+    pub(super) fn choose_in_context(
+        &mut self,
+        request: &ScheduleRequest,
+        context: &RequestContext,
+        now_ms: u64,
+    ) -> Choice {
+        match self.select(request, context, now_ms) {
+            Ok(best) => Choice::Send(Box::new(self.assign(request, context, best, now_ms))),
             Err(NoCandidate::AllBusy) => Choice::Wait,
             Err(NoCandidate::NoUpstream) => {
                 let remaining_ms = request.deadline_ms.saturating_sub(now_ms);
@@ -164,7 +175,12 @@
         self.select(request, &context, now_ms).is_ok()
     }
 
-    fn context(&mut self, request: &ScheduleRequest, is_late: bool, now_ms: u64) -> RequestContext {
+    pub(super) fn context(
+        &mut self,
+        request: &ScheduleRequest,
+        is_late: bool,
+        now_ms: u64,
+    ) -> RequestContext {
         let model = self.model_mut(&request.service);
         let times = model.times();
         let Some(prompt) = request.prompt.as_deref() else {
@@ -284,7 +300,7 @@
         if let Some(sample_bound) = context.sample_bound {
             retain_sampled(&mut candidates, sample_bound, &mut self.rng);
         }
-        let noise_ms = (self.members() as f64 * NOISE_MS_PER_NODE).min(NOISE_LIMIT_MS);
+        let noise_ms = self.noise_ms();
         for candidate in &mut candidates {
             candidate.cost_ms += self.rng.random_range(0.0..noise_ms);
         }
@@ -307,6 +323,17 @@
         })
     }
 
+    /// Returns the range of the random cost of a candidate.
+    pub(super) fn noise_ms(&self) -> f64 {
+        (self.members() as f64 * NOISE_MS_PER_NODE).min(NOISE_LIMIT_MS)
+    }
+
+    /// Returns whether the last decision compared an upstream: it was neither full, nor paced, nor
+    /// left out of the sample.
+    pub(super) fn has_compared(&self, index: UpstreamIndex) -> bool {
+        self.candidates.iter().any(|candidate| candidate.index == index)
+    }
+
     /// Removes the candidates for which this node's share of the capacity is used up.
     fn retain_affordable(
         &mut self,
@@ -339,9 +366,8 @@
     ) -> bool {
         let mut any_eligible = false;
         for (index, entry) in self.fleet.of_service(&request.service) {
-            if request.tried.contains(&index)
-                || !self.is_eligible(entry, request, context, strict, now_ms)
-            {
+            let ineligibility = self.ineligibility(index, entry, request, context, strict, now_ms);
+            if ineligibility.is_some() {
                 shortage.closed = shortage.closed.saturating_add(1);
                 continue;
             }
@@ -349,15 +375,13 @@
             if let Some(limit) = self.exhausted_limit(request, context, index, entry, now_ms) {
                 shortage.count(limit);
             } else {
-                let base_cost_ms = self.base_cost_ms(request, context, index, entry, now_ms);
-                let prompt_cost_ms = self.prompt_cost_ms(request, context, index, entry, now_ms);
-                let load_cost_ms = self.load_cost_ms(request, context, entry, now_ms);
+                let cost = self.upstream_cost(request, context, index, entry, now_ms);
                 candidates.push(Candidate {
                     index,
                     slots: entry.slots(),
-                    base_cost_ms: base_cost_ms as i32,
+                    base_cost_ms: cost.base_ms as i32,
                     is_limited: entry.signals.gate.limit().is_some(),
-                    cost_ms: base_cost_ms + prompt_cost_ms + load_cost_ms,
+                    cost_ms: cost.total_ms(),
                 });
             }
         }
@@ -366,7 +390,7 @@
 
     /// Returns the limit because of which an upstream would not start a request soon. Late requests
     /// get only half of the limits.
-    fn exhausted_limit(
+    pub(super) fn exhausted_limit(
         &self,
         request: &ScheduleRequest,
         context: &RequestContext,
@@ -409,29 +433,35 @@
         (context.is_long && !fits).then_some(CapacityLimit::Memory)
     }
 
-    /// Returns whether an upstream is eligible for a request. Health counts only if `strict`: an
+    /// Returns why an upstream is not eligible for a request. Health counts only if `strict`: an
     /// ejected upstream is better than none.
-    fn is_eligible(
+    pub(super) fn ineligibility(
         &self,
+        index: UpstreamIndex,
         entry: &FleetEntry,
         request: &ScheduleRequest,
         context: &RequestContext,
         strict: bool,
         now_ms: u64,
-    ) -> bool {
-        if !self.fleet.accepts_requests(entry, now_ms)
-            || entry.in_flight >= self.own_connection_limit(&request.service)
-        {
-            return false;
+    ) -> Option<Ineligibility> {
+        if request.tried.contains(&index) {
+            return Some(Ineligibility::Tried);
+        }
+        if let Some(closure) = self.fleet.closure(entry, now_ms) {
+            return Some(Ineligibility::Closed(closure));
+        }
+        if entry.in_flight >= self.own_connection_limit(&request.service) {
+            return Some(Ineligibility::Connections);
         }
         if let Some(prompt) = &request.prompt
             && !self.has_accepted_version(entry, prompt, context, now_ms)
         {
-            return false;
+            return Some(Ineligibility::Weights);
         }
         let health = &entry.health;
         let may_probe = !health.is_on_probation() || entry.in_flight == 0;
-        !strict || (!health.is_ejected(now_ms) && may_probe)
+        let is_healthy = !strict || (!health.is_ejected(now_ms) && may_probe);
+        (!is_healthy).then_some(Ineligibility::Health)
     }
 
     /// Returns whether an engine holds weights that may still serve requests.
--- a/crates/scheduling/src/scheduler/cost.rs
+++ b/crates/scheduling/src/scheduler/cost.rs
@@ -43,9 +43,43 @@
 /// The delay by fully occupied slots, relative to the same time; scaled by the occupied share.
 const BUSY_DELAY: f64 = 0.4;
 
+/// The cost of a request at an upstream by components, in milliseconds.
+#[derive(Clone, Copy, PartialEq, Debug, Default)]
+pub struct UpstreamCost {
+    /// Its role and weights.
+    pub base_ms: f64,
+    /// The prompt itself, with a shared prefix that it may lack.
+    pub prompt_ms: f64,
+    /// Its load, failure domain and health.
+    pub load_ms: f64,
+}
+
+impl UpstreamCost {
+    /// Returns the sum of the components.
+    pub fn total_ms(&self) -> f64 {
+        self.base_ms + self.prompt_ms + self.load_ms
+    }
+}
+
 impl Scheduler {
+    /// Returns the cost of a request at an upstream.
+    pub(super) fn upstream_cost(
+        &self,
+        request: &ScheduleRequest,
+        context: &RequestContext,
+        index: UpstreamIndex,
+        entry: &FleetEntry,
+        now_ms: u64,
+    ) -> UpstreamCost {
+        UpstreamCost {
+            base_ms: self.base_cost_ms(request, context, index, entry, now_ms),
+            prompt_ms: self.prompt_cost_ms(request, context, index, entry, now_ms),
+            load_ms: self.load_cost_ms(request, context, entry, now_ms),
+        }
+    }
+
     /// Returns the cost of an upstream's role and weights.
-    pub(super) fn base_cost_ms(
+    fn base_cost_ms(
         &self,
         request: &ScheduleRequest,
         context: &RequestContext,
@@ -78,7 +112,7 @@
 
     /// Returns the cost of the prompt itself at an upstream: the prefill of its own tokens, and the
     /// fetch or prefill of a shared prefix that the upstream may lack.
-    pub(super) fn prompt_cost_ms(
+    fn prompt_cost_ms(
         &self,
         request: &ScheduleRequest,
         context: &RequestContext,
@@ -116,7 +150,7 @@
     }
 
     /// Returns the cost of an upstream's load, failure domain and health.
-    pub(super) fn load_cost_ms(
+    fn load_cost_ms(
         &self,
         request: &ScheduleRequest,
         context: &RequestContext,
--- a/crates/scheduling/src/scheduler/shortage.rs
+++ b/crates/scheduling/src/scheduler/shortage.rs
@@ -5,7 +5,7 @@
 
 /// A limit that rules an upstream out for a request.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub(super) enum CapacityLimit {
+pub enum CapacityLimit {
     /// Its rate limit.
     Rate,
     /// It is reserved for short prompts.
--- a/crates/scheduling/src/scheduler/wait_queue.rs
+++ b/crates/scheduling/src/scheduler/wait_queue.rs
@@ -16,6 +16,8 @@
 use std::collections::HashSet;
 
 use super::Choice;
+use super::Explanation;
+use super::QueueExplanation;
 use super::RefusalCause;
 use super::ScheduleRequest;
 use super::Scheduler;
@@ -123,7 +125,7 @@
         let is_long = scheduler.is_long(&request);
         let class = RequestClass { service: request.service.clone(), is_long };
         let queued_before = self.waiting.iter().filter(|waiting| waiting.class == class).count();
-        if queued_before >= QUEUE_LIMIT.max(scheduler.slots_of(&request.service)) {
+        if queued_before >= queue_limit(scheduler, &request) {
             let refusal = scheduler.refuse_overloaded(&request, queued_before, now_ms);
             return vec![(responder, refusal)];
         }
@@ -149,16 +151,26 @@
     /// class before it leave.
     fn is_hopeless(&mut self, entry: &QueuedRequest<T>, now_ms: u64) -> bool {
         let Some(backlog) = self.backlogs.get_mut(&entry.class) else { return false };
-        let before = self.waiting.iter().filter(|known| {
+        Self::turn_ms(&self.waiting, backlog, entry, now_ms) >= entry.wait_ends_ms()
+    }
+
+    /// Returns when the turn of a request comes at the earliest, by the rate at which those of its
+    /// class before it leave, in milliseconds on the node's clock.
+    fn turn_ms<U>(
+        waiting: &[QueuedRequest<T>],
+        backlog: &mut Backlog,
+        entry: &QueuedRequest<U>,
+        now_ms: u64,
+    ) -> u64 {
+        let before = waiting.iter().filter(|known| {
             known.class == entry.class && known.request.urgency <= entry.request.urgency
         });
         let (late, on_time): (Vec<_>, Vec<_>) = before.partition(|known| known.is_late(now_ms));
         let turn_ms = now_ms + backlog.min_wait_ms(on_time.len(), now_ms);
-        let turn_ms = match entry.is_late(turn_ms) {
+        match entry.is_late(turn_ms) {
             true => turn_ms.max(now_ms + backlog.min_late_wait_ms(late.len(), now_ms)),
             false => turn_ms,
-        };
-        turn_ms >= entry.wait_ends_ms()
+        }
     }
 
     /// Refreshes the expected serving times, which follow the average prompt of each route.
@@ -280,6 +292,66 @@
     }
 }
 
+/// Returns how many requests of a class may wait.
+fn queue_limit(scheduler: &Scheduler, request: &ScheduleRequest) -> usize {
+    QUEUE_LIMIT.max(scheduler.slots_of(&request.service))
+}
+
+impl<T> WaitQueue<T> {
+    /// Explains the decision on a request that would arrive now.
+    pub fn explain(
+        &self,
+        scheduler: &Scheduler,
+        request: &ScheduleRequest,
+        now_ms: u64,
+    ) -> Explanation {
+        let mut copy = scheduler.clone();
+        let class =
+            RequestClass { service: request.service.clone(), is_long: copy.is_long(request) };
+        let serving_ms = copy.usual_serving_ms(request);
+        let request = request.clone();
+        let entry = QueuedRequest { request, class, serving_ms, since_ms: now_ms, responder: () };
+        let same_class = || self.waiting.iter().filter(|known| known.class == entry.class);
+        let waiting = same_class().count();
+        let backlog = self.backlogs.get(&entry.class).cloned();
+        let turn_ms =
+            backlog.map(|mut backlog| Self::turn_ms(&self.waiting, &mut backlog, &entry, now_ms));
+        let is_late = entry.is_late(now_ms);
+        let rank = (is_late, entry.request.urgency);
+        let is_first =
+            same_class().all(|known| rank < (known.is_late(now_ms), known.request.urgency));
+        let limit = queue_limit(scheduler, &entry.request);
+        let wait_ends_ms = entry.wait_ends_ms();
+        let mut explanation = scheduler.explain(&entry.request, is_late, now_ms);
+        explanation.queue = Some(QueueExplanation {
+            waiting,
+            limit,
+            expected_wait_ms: turn_ms.map(|turn_ms| turn_ms.saturating_sub(now_ms)),
+            wait_limit_ms: wait_ends_ms.saturating_sub(now_ms),
+        });
+        let is_quarantined = matches!(
+            explanation.choice,
+            Choice::Refuse { cause: RefusalCause::Quarantined(_), .. }
+        );
+        if is_quarantined {
+            return explanation;
+        }
+        if waiting >= limit || turn_ms.is_some_and(|turn_ms| turn_ms >= wait_ends_ms) {
+            explanation.choice = copy.refuse_overloaded(&entry.request, waiting, now_ms);
+        } else if !is_first {
+            explanation.choice = Choice::Wait;
+        } else if let Choice::Wait = explanation.choice {
+            let opens_ms = copy.opens_ms(&entry.request, waiting, now_ms);
+            if let Some(opens_ms) = opens_ms.filter(|opens_ms| *opens_ms > wait_ends_ms) {
+                explanation.choice = copy.refuse_closed(opens_ms, now_ms);
+            } else if now_ms >= wait_ends_ms {
+                explanation.choice = copy.refuse_overloaded(&entry.request, waiting, now_ms);
+            }
+        }
+        explanation
+    }
+}
+
 impl Scheduler {
     /// Refuses a request because the node stops.
     pub fn refuse_stopping(&mut self) -> Choice {
