Answer /explain on the metrics address of a node

Cause: where a request would go depends on the coordinator of a group of engines, its queue and its scheduler, which a dump does not show. Change: /explain?... takes a request by route or host and path, account, prompt, parts and model. The coordinator of the group answers with its own scheduler and queue; another node names the coordinator with its address and gives its own view. Plain services are explained by the node's own queue. Nothing is sent or counted.

--- a/crates/codes/src/code.rs
+++ b/crates/codes/src/code.rs
@@ -94,6 +94,7 @@
     TooManyConnections = 112, "too_many_connections", 429, No, "The client account has too many open connections.";
     NotReady = 113, "not_ready", 503, No, "The node has no configuration yet.";
     Draining = 114, "draining", 503, No, "The node is stopping and accepts no new work.";
+    AccountUnknown = 115, "account_unknown", 404, No, "No client account of this name is configured.";
     RateLimited = 200, "rate_limited", 429, No, "The client account is over its token rate.";
     ConcurrencyLimited = 201, "concurrency_limited", 429, No, "The client account has too many requests in flight.";
     QueueFull = 202, "queue_full", 503, No, "The queue of this priority is full.";
--- a/crates/gateway/src/dispatch/dispatcher.rs
+++ b/crates/gateway/src/dispatch/dispatcher.rs
@@ -16,12 +16,14 @@
 use redwingrill_routing::UpstreamSignals;
 use redwingrill_routing::WeightsVersion;
 use redwingrill_scheduling::coordination::CoordinationMessage;
+use redwingrill_scheduling::coordination::PlannedInquiry;
 use redwingrill_scheduling::engine_model::RouteTag;
 use redwingrill_scheduling::fleet::LoadDigest;
 use redwingrill_scheduling::fleet::UpstreamIndex;
 use redwingrill_scheduling::scheduler::Assignment;
 use redwingrill_scheduling::scheduler::AttemptOutcome;
 use redwingrill_scheduling::scheduler::Choice;
+use redwingrill_scheduling::scheduler::Explanation;
 use redwingrill_scheduling::scheduler::RefusalCause;
 use redwingrill_scheduling::scheduler::ScheduleRequest;
 
@@ -49,6 +51,17 @@
     pub usable_ms: HashMap<String, u64>,
 }
 
+/// The decision on a request in the view of this node.
+#[derive(Clone, Debug)]
+pub struct DecisionView {
+    /// The node that would be asked, and its group; `None` if this node decides by itself.
+    pub inquiry: Option<PlannedInquiry>,
+    /// Whether this node is the coordinator, so that the explanation is that of the decision itself.
+    pub is_coordinator: bool,
+    /// The explanation.
+    pub explanation: Explanation,
+}
+
 /// An attempt as evidence for or against the parts of its prompt.
 #[derive(Debug)]
 pub(super) struct AttemptEvidence {
@@ -146,6 +159,8 @@
     RefuseQueued,
     /// Requests a dump of the state.
     Dump { responder: oneshot::Sender<serde_json::Value> },
+    /// Requests the explanation of the decision on a request.
+    Explain { request: Box<ScheduleRequest>, responder: oneshot::Sender<DecisionView> },
     /// Requests the load of each upstream.
     Loads { responder: oneshot::Sender<HashMap<String, UpstreamLoad>> },
 }
@@ -248,6 +263,13 @@
         response.await.ok()
     }
 
+    /// Explains the decision on a request that is not sent; `None` once the task has ended.
+    pub async fn explain(&self, request: ScheduleRequest) -> Option<DecisionView> {
+        let (responder, response) = oneshot::channel();
+        self.send(Message::Explain { request: Box::new(request), responder });
+        response.await.ok()
+    }
+
     /// Returns the load of each upstream by its identity.
     pub async fn loads(&self) -> HashMap<String, UpstreamLoad> {
         let (responder, response) = oneshot::channel();
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -9,6 +9,7 @@
 mod task;
 
 pub use attempt::Attempt;
+pub use dispatcher::DecisionView;
 pub use dispatcher::Dispatcher;
 pub use dispatcher::Purpose;
 pub use dispatcher::UpstreamLoad;
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -12,6 +12,7 @@
 use tokio::time::MissedTickBehavior;
 use tokio_util::sync::CancellationToken;
 
+use super::DecisionView;
 use super::Dispatcher;
 use super::Purpose;
 use super::UpstreamLoad;
@@ -416,6 +417,9 @@
             Message::Dump { responder } => {
                 let _disconnected = responder.send(self.dump(now_ms)).is_err();
             }
+            Message::Explain { request, responder } => {
+                let _disconnected = responder.send(self.explain(&request, now_ms)).is_err();
+            }
             Message::Loads { responder } => {
                 let _disconnected = responder.send(self.loads(now_ms)).is_err();
             }
@@ -624,6 +628,21 @@
         }
     }
 
+    /// Explains the decision on a request. A node that is not the coordinator tells what it would
+    /// decide by itself.
+    fn explain(&self, request: &ScheduleRequest, now_ms: u64) -> DecisionView {
+        let planned = match request.prompt {
+            Some(_) => self.coordination.explain(&self.scheduler, request, now_ms),
+            None => None,
+        };
+        let (inquiry, explanation) =
+            planned.map_or((None, None), |(inquiry, explanation)| (Some(inquiry), explanation));
+        let is_coordinator = explanation.is_some();
+        let explanation =
+            explanation.unwrap_or_else(|| self.queue.explain(&self.scheduler, request, now_ms));
+        DecisionView { inquiry, is_coordinator, explanation }
+    }
+
     fn dump(&self, now_ms: u64) -> serde_json::Value {
         let entries = self.scheduler.fleet().iter().map(|(index, entry)| {
             json!({
--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -57,7 +57,7 @@
 const DEFAULT_HEALTH_PATH: &str = "/";
 
 /// The timeout of a request that carries no deadline.
-const DEFAULT_TIMEOUT_MS: u64 = 30_000;
+pub(super) const DEFAULT_TIMEOUT_MS: u64 = 30_000;
 
 /// The retry-after of refusals while the node has no configuration.
 const NOT_READY_RETRY_AFTER_MS: u64 = 500;
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -19,6 +19,7 @@
 mod call;
 mod events;
 mod gateway;
+mod planned;
 mod relay;
 mod response;
 mod send;
@@ -28,6 +29,7 @@
 pub use events::EventSplitter;
 pub use gateway::Gateway;
 pub use gateway::GatewayContext;
+pub use planned::PlannedCall;
 pub use response::Body;
 pub use response::StreamAborted;
 pub use response::full_body;
--- /dev/null
+++ b/crates/gateway/src/forward/planned.rs
@@ -0,0 +1,56 @@
+//! A request that is described but not sent.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Method;
+use http::Uri;
+
+use super::call::Call;
+use super::gateway::DEFAULT_TIMEOUT_MS;
+use crate::clock::now_ms;
+use redwingrill_routing::ClientAccount;
+use redwingrill_routing::DeclaredPrompt;
+use redwingrill_routing::RequestMetadata;
+use redwingrill_routing::Route;
+use redwingrill_scheduling::scheduler::ScheduleRequest;
+
+/// A request that would arrive now.
+#[derive(Clone, Debug)]
+pub struct PlannedCall {
+    /// The route.
+    pub route: Arc<Route>,
+    /// The service of the route.
+    pub service: String,
+    /// The client account.
+    pub account: Option<ClientAccount>,
+    /// The prompt, if one is declared.
+    pub prompt: Option<Arc<DeclaredPrompt>>,
+}
+
+impl PlannedCall {
+    /// Returns the requirements for the scheduler, as for a request that is sent.
+    pub fn schedule_request(self) -> ScheduleRequest {
+        let now_ms = now_ms();
+        let timeout_ms = DEFAULT_TIMEOUT_MS.min(self.route.timeout.as_millis() as u64);
+        let call = Call {
+            metadata: RequestMetadata::default(),
+            prompt: self.prompt,
+            route: self.route,
+            service: self.service,
+            account: self.account,
+            method: Method::POST,
+            uri: Uri::default(),
+            headers: HeaderMap::new(),
+            body: Bytes::new(),
+            arrived_ms: now_ms,
+            complete_ms: now_ms,
+            deadline_ms: now_ms + timeout_ms,
+            tried: Vec::new(),
+            possible_runs: 0,
+            sends: 0,
+        };
+        call.schedule_request()
+    }
+}
--- a/crates/gateway/src/front/status.rs
+++ b/crates/gateway/src/front/status.rs
@@ -8,6 +8,7 @@
 use http::Request;
 use http::Response;
 use http::StatusCode;
+use http::Uri;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -25,7 +26,7 @@
 /// How long a connection may be idle between requests.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// A minimal HTTP server that responds by path.
+/// A minimal HTTP server that responds by URI.
 #[derive(Debug)]
 pub struct StatusServer {
     socket: TcpListener,
@@ -38,11 +39,11 @@
         Self { socket, tasks: TaskTracker::new() }
     }
 
-    /// Responds to each path with `handler` until `stopping` is cancelled, then joins the
+    /// Responds to each URI with `handler` until `stopping` is cancelled, then joins the
     /// connections.
     pub async fn run<H, F>(self, handler: H, stopping: CancellationToken)
     where
-        H: Fn(String) -> F + Clone + Send + Sync + 'static,
+        H: Fn(Uri) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = (StatusCode, Vec<u8>)> + Send + 'static,
     {
         while let Some(stream) = accept(&self.socket, &stopping, "status_accept_failed").await {
@@ -54,11 +55,11 @@
 
     fn serve<H, F>(&self, stream: TcpStream, handler: H, stopping: CancellationToken)
     where
-        H: Fn(String) -> F + Clone + Send + Sync + 'static,
+        H: Fn(Uri) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = (StatusCode, Vec<u8>)> + Send + 'static,
     {
         let service = service_fn(move |request: Request<Incoming>| {
-            let handled = handler(request.uri().path().to_owned());
+            let handled = handler(request.uri().clone());
             async move {
                 let (status, text) = handled.await;
                 let mut response = Response::new(Full::new(Bytes::from(text)));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,7 +1,7 @@
 //! The gateway: an HTTP proxy that routes callers' requests to live upstreams.
 //!
 //! [`front`] accepts connections and [`forward`] handles requests; [`dispatch`] schedules each
-//! request to an upstream. [`store_sync`] mirrors the platform's store, by way of [`peers`] while
+//! request to an upstream, and [`explain`] tells where a request would go. [`store_sync`] mirrors the platform's store, by way of [`peers`] while
 //! the store is unavailable, and [`cluster_view`] decodes the mirror into a typed view.
 //! [`cache_watch`] follows the change events of the KV cache store. [`rollout`] loads new weights
 //! onto engines. [`node`] assembles these parts.
@@ -11,6 +11,7 @@
 pub mod clock;
 pub mod cluster_view;
 pub mod dispatch;
+pub mod explain;
 pub mod forward;
 pub mod front;
 pub mod node;
--- a/crates/gateway/src/node/lifecycle.rs
+++ b/crates/gateway/src/node/lifecycle.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use http::StatusCode;
+use http::Uri;
 use log::info;
 use log::warn;
 use snafu::ResultExt;
@@ -26,6 +27,7 @@
 use crate::cluster_view::Member;
 use crate::dispatch::DispatchTask;
 use crate::dispatch::Dispatcher;
+use crate::explain::Explainer;
 use crate::forward::Gateway;
 use crate::forward::GatewayContext;
 use crate::front::CallerListener;
@@ -225,6 +227,11 @@
         );
         services.spawn(rollout.run(stopping.clone()));
         let relays = TaskTracker::new();
+        let explainer = Explainer {
+            node: options.name.clone(),
+            view: view.clone(),
+            dispatcher: dispatcher.clone(),
+        };
         let gateway = Gateway::new(GatewayContext {
             head_codec: ports.head_codec,
             view,
@@ -246,7 +253,7 @@
         serve_readiness(readiness_socket, &listener, &services, &stopping);
         if let Some(socket) = metrics_socket {
             let buffers = pool.budget().clone();
-            serve_metrics(socket, metrics, buffers, dispatcher.clone(), &services, &stopping);
+            serve_metrics(socket, metrics, buffers, explainer, &services, &stopping);
         }
         listener.tasks.spawn(listener.clone().run(caller_socket));
         info!("event=serving node={} callers={}", options.name, options.caller_address);
@@ -324,7 +331,7 @@
     stopping: &CancellationToken,
 ) {
     let (gateway, draining) = (listener.gateway.clone(), listener.draining.clone());
-    let handler = move |_path: String| {
+    let handler = move |_uri: Uri| {
         let is_ready = gateway.is_configured() && !draining.is_cancelled();
         let status = if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         std::future::ready((status, Vec::new()))
@@ -336,20 +343,22 @@
     socket: TcpListener,
     metrics: Metrics,
     buffers: ByteBudget,
-    dispatcher: Dispatcher,
+    explainer: Explainer,
     services: &TaskTracker,
     stopping: &CancellationToken,
 ) {
-    let handler = move |path: String| {
-        let (metrics, dispatcher) = (metrics.clone(), dispatcher.clone());
+    let handler = move |uri: Uri| {
+        let (metrics, dispatcher) = (metrics.clone(), explainer.dispatcher.clone());
+        let explainer = explainer.clone();
         metrics.buffered_bytes(buffers.used_bytes());
         async move {
-            match path.as_str() {
+            match uri.path() {
                 "/metrics" => (StatusCode::OK, metrics.to_text()),
                 "/dump" => match dispatcher.dump().await {
                     Some(dump) => (StatusCode::OK, dump.to_string().into_bytes()),
                     None => (StatusCode::SERVICE_UNAVAILABLE, Vec::new()),
                 },
+                "/explain" => explainer.answer(uri.query().unwrap_or_default()).await,
                 _ => (StatusCode::NOT_FOUND, Vec::new()),
             }
         }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -1,4 +1,5 @@
 //! What the tests of the dispatch task share.
+#![allow(dead_code, reason = "each test file uses some of the fixtures")]
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -137,6 +137,11 @@
         Some(&self.routes[*found])
     }
 
+    /// Returns the route of this name.
+    pub fn route_named(&self, name: &str) -> Option<&Arc<Route>> {
+        self.routes.iter().find(|route| route.name == name)
+    }
+
     /// Returns the service of this name.
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
         self.services.get(name)
--- a/crates/scheduling/src/coordination/coordinator.rs
+++ b/crates/scheduling/src/coordination/coordinator.rs
@@ -11,11 +11,14 @@
 use super::GroupKey;
 use super::InquiryId;
 use super::LoadReport;
+use super::Requirements;
 use crate::fleet::UpstreamTag;
 use crate::placement::CacheStoreDigest;
 use crate::scheduler::Assignment;
 use crate::scheduler::Choice;
+use crate::scheduler::Explanation;
 use crate::scheduler::RefusalCause;
+use crate::scheduler::ScheduleRequest;
 use crate::scheduler::Scheduler;
 use crate::scheduler::Shortage;
 use crate::scheduler::WaitQueue;
@@ -148,14 +151,9 @@
             };
             return vec![(from, AssignmentResponse { inquiry, group: key, decision })];
         }
-        let fleet = group.scheduler.fleet();
-        let index_of = |tag: UpstreamTag| {
-            fleet.iter().find(|(_, entry)| entry.start_tag == tag).map(|(index, _)| index)
-        };
-        let request = requirements.into_request(now_ms, index_of);
-        if is_first && let Some(prompt) = request.prompt.clone() {
-            let (service, target_ms) = (request.service.clone(), request.target_ms);
-            group.scheduler.count_prompt(&service, request.route, &prompt, target_ms, now_ms);
+        let request = into_request(requirements, &group.scheduler, now_ms);
+        if is_first {
+            count_prompt(&mut group.scheduler, &request, now_ms);
         }
         let tracked =
             TrackedRequest { reply_to: from, renewed_ms: now_ms, state: RequestState::Waiting };
@@ -177,6 +175,31 @@
         responses
     }
 
+    /// Explains the decision that a request for an assignment would get here.
+    pub(super) fn explain(
+        &self,
+        node: &Scheduler,
+        groups: &[EngineGroup],
+        key: GroupKey,
+        requirements: Requirements,
+        now_ms: u64,
+    ) -> Explanation {
+        let state = self.groups.get(&key);
+        let mut scheduler = match state {
+            Some(state) => state.scheduler.clone(),
+            None => {
+                let known = groups.iter().find(|group| group.key == key);
+                node.for_group(known.map_or(&[], |group| &group.engines), now_ms)
+            }
+        };
+        let request = into_request(requirements, &scheduler, now_ms);
+        count_prompt(&mut scheduler, &request, now_ms);
+        match state {
+            Some(state) => state.queue.explain(&scheduler, &request, now_ms),
+            None => WaitQueue::<InquiryId>::default().explain(&scheduler, &request, now_ms),
+        }
+    }
+
     /// Takes the load report of a node; returns the decisions that it allows.
     pub(super) fn handle_report(
         &mut self,
@@ -208,6 +231,22 @@
     }
 }
 
+/// Returns the request as the scheduler of a group knows its engines.
+fn into_request(requirements: Requirements, scheduler: &Scheduler, now_ms: u64) -> ScheduleRequest {
+    let fleet = scheduler.fleet();
+    let index_of = |tag: UpstreamTag| {
+        fleet.iter().find(|(_, entry)| entry.start_tag == tag).map(|(index, _)| index)
+    };
+    requirements.into_request(now_ms, index_of)
+}
+
+fn count_prompt(scheduler: &mut Scheduler, request: &ScheduleRequest, now_ms: u64) {
+    if let Some(prompt) = &request.prompt {
+        let (service, target_ms) = (&request.service, request.target_ms);
+        scheduler.count_prompt(service, request.route, prompt, target_ms, now_ms);
+    }
+}
+
 impl Group {
     fn observe_report(&mut self, report: LoadReport, now_ms: u64) {
         for number in &report.settled {
--- a/crates/scheduling/src/coordination/mod.rs
+++ b/crates/scheduling/src/coordination/mod.rs
@@ -40,6 +40,7 @@
 pub use messages::LoadReport;
 pub use messages::Requirements;
 pub use node::Coordination;
+pub use requester::PlannedInquiry;
 pub use requester::RequestOptions;
 pub use requester::Requester;
 pub use requester::Resolution;
--- a/crates/scheduling/src/coordination/node.rs
+++ b/crates/scheduling/src/coordination/node.rs
@@ -7,6 +7,7 @@
 use super::Coordinator;
 use super::EngineGroup;
 use super::GroupNode;
+use super::PlannedInquiry;
 use super::RequestOptions;
 use super::Requester;
 use super::Resolved;
@@ -15,6 +16,7 @@
 use super::requester::Outgoing;
 use crate::fleet::UpstreamTag;
 use crate::placement::CacheStoreDigest;
+use crate::scheduler::Explanation;
 use crate::scheduler::ScheduleRequest;
 use crate::scheduler::Scheduler;
 use redwingrill_routing::CacheChange;
@@ -111,6 +113,24 @@
         self.deliver(scheduler, now_ms);
     }
 
+    /// Returns the inquiry that would be made for a request, and if this node is the coordinator,
+    /// the explanation of its decision; `None` if the node would decide by itself.
+    pub fn explain(
+        &self,
+        scheduler: &Scheduler,
+        request: &ScheduleRequest,
+        now_ms: u64,
+    ) -> Option<(PlannedInquiry, Option<Explanation>)> {
+        let planned = self.requester.explain(scheduler, request, now_ms)?;
+        let is_own = self.own_address == Some(planned.coordinator);
+        let explanation = is_own.then(|| {
+            let groups = self.groups.get(&request.service).map_or(&[][..], Vec::as_slice);
+            let requirements = planned.requirements.clone();
+            self.coordinator.explain(scheduler, groups, planned.group, requirements, now_ms)
+        });
+        Some((planned, explanation))
+    }
+
     /// Takes a message of another node.
     pub fn receive(
         &mut self,
--- a/crates/scheduling/src/coordination/requester.rs
+++ b/crates/scheduling/src/coordination/requester.rs
@@ -145,6 +145,25 @@
     has_load: bool,
 }
 
+/// The inquiry that would be made for a request.
+#[derive(Clone, PartialEq, Debug)]
+pub struct PlannedInquiry {
+    /// The group of engines.
+    pub group: GroupKey,
+    /// The address of the node that would be asked.
+    pub coordinator: SocketAddr,
+    /// Its name.
+    pub coordinator_name: Option<String>,
+    /// The number of groups of the service.
+    pub groups: usize,
+    /// The failure domain of the group's engines; `None` if they are of several.
+    pub failure_domain: Option<String>,
+    /// The number of engines in the group.
+    pub engines: usize,
+    /// What the coordinator would be told.
+    pub(super) requirements: Requirements,
+}
+
 /// The pending requests of a node.
 #[derive(Debug)]
 pub struct Requester<T> {
@@ -240,9 +259,7 @@
         options: RequestOptions,
         now_ms: u64,
     ) {
-        let must_decide_alone =
-            scheduler.has_limited_upstream(&request.service) || !fits_into_datagram(&request);
-        let groups = match must_decide_alone {
+        let groups = match must_decide_alone(scheduler, &request) {
             true => Vec::new(),
             false => self.preferred_groups(&request),
         };
@@ -536,10 +553,17 @@
 
     /// Returns the groups of a request's service, the preferred first.
     fn preferred_groups(&mut self, request: &ScheduleRequest) -> Vec<GroupKey> {
+        let mut rng = self.rng.clone();
+        let groups = self.ranked_groups(request, &mut rng);
+        self.rng = rng;
+        groups
+    }
+
+    fn ranked_groups(&self, request: &ScheduleRequest, rng: &mut SmallRng) -> Vec<GroupKey> {
         let Some(prompt) = request.prompt.as_deref() else { return Vec::new() };
         let keys = self.by_service.get(&request.service).map_or(&[][..], Vec::as_slice);
         let affinity = AffinityKey::of(prompt);
-        let (groups, rng, own_domain) = (&self.groups, &mut self.rng, &self.failure_domain);
+        let (groups, own_domain) = (&self.groups, &self.failure_domain);
         let scored = keys.iter().filter_map(|key| {
             let group = groups.get(key)?;
             // A group is preferred in proportion to its engines.
@@ -559,6 +583,35 @@
         scored.into_iter().map(|(_, _, key)| key).collect()
     }
 
+    /// Returns the group from which a request would be asked now, its coordinator, and what the
+    /// coordinator would be told; `None` if the node would decide by itself.
+    pub(super) fn explain(
+        &self,
+        scheduler: &Scheduler,
+        request: &ScheduleRequest,
+        now_ms: u64,
+    ) -> Option<PlannedInquiry> {
+        if must_decide_alone(scheduler, request) {
+            return None;
+        }
+        let groups = self.ranked_groups(request, &mut self.rng.clone());
+        let groups_count = groups.len();
+        let (group, coordinator) = self.first_available(groups, now_ms)?;
+        let state = self.groups.get(&group)?;
+        let is_included = |engine| state.engines.contains(&engine);
+        let excluded = scheduler.excluded_engines(request, is_included, now_ms);
+        let node = self.nodes.iter().find(|node| node.address == coordinator);
+        Some(PlannedInquiry {
+            group,
+            coordinator,
+            coordinator_name: node.map(|node| node.name.clone()),
+            groups: groups_count,
+            failure_domain: state.failure_domain.clone(),
+            engines: state.engines.len(),
+            requirements: Requirements::new(request, &self.failure_domain, excluded, now_ms)?,
+        })
+    }
+
     fn new_inquiry(&mut self, group: GroupKey, coordinator: SocketAddr, now_ms: u64) -> Inquiry {
         self.next_id += 1;
         let (begun_ms, sent_ms) = (now_ms, now_ms);
@@ -640,6 +693,12 @@
     }
 }
 
+/// Returns whether a node decides on a request without a coordinator: shares of a rate limit belong
+/// to nodes, and longer prompts cannot be sent.
+fn must_decide_alone(scheduler: &Scheduler, request: &ScheduleRequest) -> bool {
+    scheduler.has_limited_upstream(&request.service) || !fits_into_datagram(request)
+}
+
 fn fits_into_datagram(request: &ScheduleRequest) -> bool {
     let Some(prompt) = request.prompt.as_deref() else { return true };
     let account_bytes = request.isolated_account.as_ref().map_or(0, String::len);
--- a/crates/scheduling/src/scheduler/explain.rs
+++ b/crates/scheduling/src/scheduler/explain.rs
@@ -95,7 +95,7 @@
     pub limit: usize,
     /// The minimum wait by the rate at which they leave, in milliseconds; `None` without any.
     pub expected_wait_ms: Option<u64>,
-    /// How long the request may wait, in milliseconds.
+    /// How long the request may wait from its arrival, in milliseconds.
     pub wait_limit_ms: u64,
 }
 
--- a/crates/scheduling/src/scheduler/wait_queue.rs
+++ b/crates/scheduling/src/scheduler/wait_queue.rs
@@ -327,7 +327,7 @@
             waiting,
             limit,
             expected_wait_ms: turn_ms.map(|turn_ms| turn_ms.saturating_sub(now_ms)),
-            wait_limit_ms: wait_ends_ms.saturating_sub(now_ms),
+            wait_limit_ms: wait_ends_ms.saturating_sub(entry.request.arrived_ms),
         });
         let is_quarantined = matches!(
             explanation.choice,
--- a/crates/scheduling/tests/coordination.rs
+++ b/crates/scheduling/tests/coordination.rs
@@ -27,6 +27,7 @@
 use redwingrill_scheduling::fleet::Verdict;
 use redwingrill_scheduling::scheduler::Assignment;
 use redwingrill_scheduling::scheduler::AttemptOutcome;
+use redwingrill_scheduling::scheduler::Choice;
 use redwingrill_scheduling::scheduler::ScheduleRequest;
 use redwingrill_scheduling::scheduler::Scheduler;
 
@@ -576,3 +577,30 @@
     }
     assert_eq!(answered, WAITING, "of the requests that waited as the node stood still");
 }
+
+/// Guards against an explanation by another node, queue or random number than the decision, and
+/// against one that changes the decision.
+#[test]
+fn explanation_is_the_decision_of_the_coordinator() {
+    let mut nodes = nodes(2, 4);
+    for number in 0..40 {
+        let now_ms = 10 + number;
+        let request = request(Some(long_prompt(number % 5, number)), now_ms);
+        let (planned, explanation) =
+            nodes[1].coordination.explain(&nodes[1].scheduler, &request, now_ms).expect("grouped");
+        assert_eq!(planned.coordinator, nodes[0].address);
+        assert_eq!(planned.coordinator_name.as_deref(), Some("node-0"));
+        assert!(explanation.is_none(), "another node decides");
+        let node = &mut nodes[0];
+        let (_, explanation) =
+            node.coordination.explain(&node.scheduler, &request, now_ms).expect("grouped");
+        let explanation = explanation.expect("this node decides");
+        let expected = match explanation.choice {
+            Choice::Send(assignment) => Some(assignment.upstream.id.clone()),
+            _ => None,
+        };
+        node.coordination.begin(&mut node.scheduler, request, number as u32, FIRST, now_ms);
+        let assigned = node.assigned().pop().map(|assignment| assignment.upstream.id.clone());
+        assert_eq!(assigned, expected, "request {number}");
+    }
+}
