Add the command redwingrill explain

Cause: operators had to read a dump to see why a request waits or goes where it goes. It fails after 2 s without an answer; an unknown route, account or model, and a node that does not answer, are named in the error.

--- a/crates/explain/src/query.rs
+++ b/crates/explain/src/query.rs
@@ -1,5 +1,7 @@
 //! The description of a request that is not sent.
 
+use std::str::FromStr;
+
 use snafu::Snafu;
 
 /// The maximum number of parts of a prompt in a query.
@@ -85,7 +87,10 @@
                 "model" => decoded.model = Some(value.into_owned()),
                 "prompt_tokens" => decoded.prompt_tokens = Some(number()?),
                 "output_tokens" => decoded.output_tokens = Some(number()?),
-                "parts" => decoded.parts = decode_parts(&value)?,
+                "parts" => {
+                    decoded.parts =
+                        value.split(',').map(PartQuery::from_str).collect::<Result<_, _>>()?
+                }
                 _ => return Err(QueryError::Name { name: name.into_owned() }),
             }
         }
@@ -151,13 +156,14 @@
     }
 }
 
-fn decode_parts(text: &str) -> Result<Vec<PartQuery>, QueryError> {
-    let part = |part: &str| {
+impl FromStr for PartQuery {
+    type Err = QueryError;
+
+    fn from_str(part: &str) -> Result<Self, QueryError> {
         let invalid = || QueryError::Value { name: "parts".to_owned(), value: part.to_owned() };
         let (id, tokens) = part.split_once(':').ok_or_else(invalid)?;
         let id = id.parse().map_err(|_| invalid())?;
         let tokens = tokens.parse().map_err(|_| invalid())?;
-        Ok(PartQuery { id, tokens })
-    };
-    text.split(',').map(part).collect()
+        Ok(Self { id, tokens })
+    }
 }
--- a/crates/redwingrill/src/operator/args.rs
+++ b/crates/redwingrill/src/operator/args.rs
@@ -3,20 +3,26 @@
 use std::ffi::OsString;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::str::FromStr;
 use std::time::Duration;
 
 use clap::Arg;
 use clap::ArgAction;
+use clap::ArgGroup;
 use clap::ArgMatches;
+use clap::error::ErrorKind;
 use clap::value_parser;
 use clap_complete::Shell;
 
 use super::command::ApplyArgs;
 use super::command::Command;
+use super::command::ExplainArgs;
 use super::command::KeysArgs;
 use super::command::NodeSelection;
 use super::command::PlatformArgs;
 use redwingrill_config::Generation;
+use redwingrill_explain::ExplainQuery;
+use redwingrill_explain::PartQuery;
 
 const WAIT_DEFAULT_S: &str = "30";
 
@@ -38,6 +44,7 @@
         "show" => Command::Show { platform: platform(sub) },
         "status" => Command::Status { platform: platform(sub), nodes: nodes(sub) },
         "dump" => Command::Dump { node: required(sub, "node") },
+        "explain" => Command::Explain(explain_args(sub)?),
         "drain" => Command::Drain { node: required(sub, "node") },
         "hash-key" => Command::HashKey,
         "keys" => Command::Keys(KeysArgs {
@@ -71,6 +78,7 @@
             false,
         )))
         .subcommand(sub("dump", "Print the whole state of a node as JSON").arg(node_arg()))
+        .subcommand(explain_command())
         .subcommand(sub("drain", "Start the graceful shutdown of a node").arg(node_arg()))
         .subcommand(sub("hash-key", "Print the hash of the API key on standard input"))
         .subcommand(keys_command())
@@ -107,6 +115,30 @@
         )
 }
 
+fn explain_command() -> clap::Command {
+    let text = |name: &'static str, value: &'static str, help: &'static str| {
+        Arg::new(name).long(name).value_name(value).help(help)
+    };
+    let tokens = |name: &'static str, help: &'static str| {
+        text(name, "TOKENS", help).value_parser(value_parser!(u32))
+    };
+    sub("explain", "Print where a node would send a request, and why, without sending it")
+        .arg(node_arg().help("The address of the node: of its administration, or of its metrics"))
+        .arg(text("route", "NAME", "The route, the model or the service"))
+        .arg(text("host", "HOST", "The host of the request").requires("path"))
+        .arg(text("path", "PATH", "The path of the request").conflicts_with("route"))
+        .arg(text("account", "NAME", "The client account"))
+        .arg(text("model", "NAME", "The model; without it, the only one of the service"))
+        .arg(tokens("prompt-tokens", "The tokens of the prompt; without it, those of --parts"))
+        .arg(tokens("output-tokens", "The maximum number of output tokens"))
+        .arg(
+            text("parts", "ID:TOKENS", "The parts of the prompt in order, the last one private")
+                .value_delimiter(',')
+                .value_parser(PartQuery::from_str),
+        )
+        .group(ArgGroup::new("target").args(["route", "path"]).required(true))
+}
+
 fn keys_command() -> clap::Command {
     sub("keys", "Create keys and certificates for the connections between nodes")
         .arg(
@@ -194,6 +226,22 @@
     }
 }
 
+fn explain_args(matches: &ArgMatches) -> Result<ExplainArgs, clap::Error> {
+    let text = |name: &str| matches.get_one::<String>(name).cloned();
+    let query = ExplainQuery {
+        route: text("route"),
+        host: text("host"),
+        path: text("path"),
+        account: text("account"),
+        model: text("model"),
+        prompt_tokens: matches.get_one("prompt-tokens").copied(),
+        output_tokens: matches.get_one("output-tokens").copied(),
+        parts: many(matches, "parts"),
+    };
+    query.check().map_err(|error| cli().error(ErrorKind::ValueValidation, error))?;
+    Ok(ExplainArgs { node: required(matches, "node"), query })
+}
+
 fn platform(matches: &ArgMatches) -> PlatformArgs {
     PlatformArgs {
         endpoints: many(matches, "platform"),
--- a/crates/redwingrill/src/operator/command.rs
+++ b/crates/redwingrill/src/operator/command.rs
@@ -7,6 +7,7 @@
 use clap_complete::Shell;
 
 use redwingrill_config::Generation;
+use redwingrill_explain::ExplainQuery;
 
 /// The addresses of the platform.
 #[derive(Clone, PartialEq, Eq, Debug, Default)]
@@ -52,6 +53,15 @@
     pub nodes: Vec<String>,
 }
 
+/// The arguments of `explain`.
+#[derive(Clone, PartialEq, Eq, Debug)]
+pub struct ExplainArgs {
+    /// The address of the node: of its administration, or on the platform of its metrics.
+    pub node: SocketAddr,
+    /// The request.
+    pub query: ExplainQuery,
+}
+
 /// One command.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub enum Command {
@@ -79,6 +89,8 @@
         /// Its administration address.
         node: SocketAddr,
     },
+    /// Print where a node would send a request, and why.
+    Explain(ExplainArgs),
     /// Start the graceful shutdown of a node.
     Drain {
         /// Its administration address.
--- a/crates/redwingrill/src/operator/error.rs
+++ b/crates/redwingrill/src/operator/error.rs
@@ -12,6 +12,7 @@
 use redwingrill_config::ApplyError;
 use redwingrill_config::Faults;
 use redwingrill_config::StorageError;
+use redwingrill_explain::ExplainFault;
 
 /// Why a command failed.
 #[derive(Debug, Snafu)]
@@ -51,6 +52,14 @@
         /// The cause.
         reason: String,
     },
+    /// A node does not explain the request.
+    #[snafu(display("node {node}: {}", fault.message))]
+    NotExplained {
+        /// The address.
+        node: SocketAddr,
+        /// The answer.
+        fault: ExplainFault,
+    },
     /// Some nodes did not respond.
     #[snafu(display("some nodes did not answer\n{}", lines(reports)))]
     Unreachable {
@@ -93,6 +102,7 @@
             Self::Read { .. } | Self::InstanceList { .. } => ResultCode::StoreUnavailable,
             Self::NoNodes | Self::Input { .. } | Self::Keys { .. } => ResultCode::Usage,
             Self::Node { .. } | Self::Unreachable { .. } => ResultCode::NodeUnreachable,
+            Self::NotExplained { fault, .. } => fault.code(),
             Self::NotInForce { .. } => ResultCode::ConfigNotInForce,
         }
     }
@@ -114,6 +124,7 @@
             Self::Node { .. } | Self::Unreachable { .. } => {
                 "check that the nodes run and that the addresses are their administration addresses"
             }
+            Self::NotExplained { fault, .. } => explain_hint(fault.code()),
             Self::NotInForce { .. } => {
                 "nodes apply it as soon as they can; see `redwingrill status` and the logs of the nodes that lag"
             }
@@ -170,6 +181,13 @@
     }
 }
 
+fn explain_hint(code: ResultCode) -> &'static str {
+    match code {
+        ResultCode::NotReady | ResultCode::Draining => "ask another node",
+        _ => "compare the names with the configuration that the node has in force",
+    }
+}
+
 fn changes(error: &ApplyError) -> String {
     let ApplyError::Conflict { differences, .. } = error else { return String::new() };
     differences.iter().map(|difference| format!("\n{difference}")).collect()
--- a/crates/redwingrill/src/operator/execute.rs
+++ b/crates/redwingrill/src/operator/execute.rs
@@ -6,8 +6,10 @@
 use serde_json::json;
 
 use super::OperatorError;
+use super::admin::ExplainError;
 use super::admin::NodeAdmin;
 use super::command::Command;
+use super::command::ExplainArgs;
 use super::command::NodeSelection;
 use super::keys::keys;
 use super::local::completion;
@@ -82,6 +84,7 @@
                 self.status(nodes, !platform.endpoints.is_empty()).await
             }
             Command::Dump { node } => self.dump(*node).await,
+            Command::Explain(args) => self.explain(args).await,
             Command::Drain { node } => self.drain(*node).await,
             Command::Keys(args) => keys(args),
             Command::HashKey => unreachable!("execute handles HashKey"),
@@ -144,6 +147,15 @@
         Ok(CommandOutput { text: format!("{json:#}\n"), json })
     }
 
+    async fn explain(&self, args: &ExplainArgs) -> Result<CommandOutput, OperatorError> {
+        let node = args.node;
+        let answer = self.nodes.explain(node, &args.query).await.map_err(|error| match error {
+            ExplainError::Call(reason) => OperatorError::Node { node, reason },
+            ExplainError::Fault(fault) => OperatorError::NotExplained { node, fault },
+        })?;
+        Ok(CommandOutput { text: answer.to_string(), json: json!(answer) })
+    }
+
     async fn drain(&self, node: SocketAddr) -> Result<CommandOutput, OperatorError> {
         let drained = self.nodes.drain(node).await;
         drained.map_err(|reason| OperatorError::Node { node, reason })?;
--- a/crates/redwingrill/src/operator/mod.rs
+++ b/crates/redwingrill/src/operator/mod.rs
@@ -14,12 +14,14 @@
 mod main;
 mod nodes;
 
+pub use admin::ExplainError;
 pub use admin::HttpNodes;
 pub use admin::NodeAdmin;
 pub use admin::NodeStatus;
 pub use args::parse;
 pub use command::ApplyArgs;
 pub use command::Command;
+pub use command::ExplainArgs;
 pub use command::KeysArgs;
 pub use command::NodeSelection;
 pub use command::PlatformArgs;
--- a/crates/redwingrill/tests/operator/main.rs
+++ b/crates/redwingrill/tests/operator/main.rs
@@ -4,8 +4,16 @@
 mod session;
 
 use std::path::PathBuf;
+use std::time::Duration;
+use std::time::Instant;
+
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 
 use crate::session::Session;
+use redwingrill::operator::ExplainError;
+use redwingrill::operator::HttpNodes;
+use redwingrill::operator::NodeAdmin;
 use redwingrill::operator::parse;
 use redwingrill_codes::ResultCode;
 use redwingrill_config::DesiredState;
@@ -13,6 +21,8 @@
 use redwingrill_config::UpstreamKind;
 use redwingrill_config::read_files;
 use redwingrill_entity::Names;
+use redwingrill_explain::ExplainQuery;
+use redwingrill_transport::Pool;
 
 #[test]
 fn operator_sessions_match_golden_files() {
@@ -101,6 +111,10 @@
         &["redwingrill", "apply", "--platform", "store.example:1", "site.ini"],
         &["redwingrill", "check"],
         &["redwingrill", "dump"],
+        &["redwingrill", "explain", "--node", "10.0.0.1:9001"],
+        &["redwingrill", "explain", "--route", "chat"],
+        &["redwingrill", "explain", "--node", "10.0.0.1:9001", "--route", "a", "--path", "/b"],
+        &["redwingrill", "explain", "--node", "10.0.0.1:9001", "--route", "a", "--parts", "7"],
         &["redwingrill", "status", "--admin-port", "0"],
         &["redwingrill", "completion", "tcl"],
         &["redwingrill", "reload"],
@@ -135,3 +149,28 @@
     assert_eq!(again.code, ResultCode::Usage, "{again:?}");
     std::fs::remove_dir_all(&directory).expect("directory is removed");
 }
+
+/// Guards against a command that hangs on a node that accepts connections but does not answer, or
+/// stops in the middle of its answer.
+#[tokio::test]
+async fn explanation_of_a_silent_node_ends_after_two_seconds() {
+    let heads = ["", "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n{"];
+    let nodes = HttpNodes::new(Pool::new());
+    let query = ExplainQuery { route: Some("chat".to_owned()), ..ExplainQuery::default() };
+    for head in heads {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("port is free");
+        let address = listener.local_addr().expect("socket is bound");
+        let node = tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("client connects");
+            stream.write_all(head.as_bytes()).await.expect("client reads");
+            std::future::pending::<()>().await;
+        });
+        let begin = Instant::now();
+        let answer = nodes.explain(address, &query).await;
+        assert!(matches!(answer, Err(ExplainError::Call(_))), "{answer:?}");
+        let took = begin.elapsed();
+        assert!(took > Duration::from_millis(1_800), "{took:?}");
+        assert!(took < Duration::from_millis(3_500), "{took:?}");
+        node.abort();
+    }
+}
--- a/crates/redwingrill/tests/operator/session.rs
+++ b/crates/redwingrill/tests/operator/session.rs
@@ -5,6 +5,7 @@
 //! $ COMMAND LINE         runs the operator command
 //! store FAULT            none, down, lose-answers or lose-calls
 //! node ADDRESS NAME G    adds a node with generation G in force, or `follows`, or `silent`
+//! answer ADDRESS FILE    lets a node answer `explain` with a file
 //! instance NAME ADDRESS  adds an entry to the platform's instance list
 //! concurrent-apply NAME  applies a file just before the next swap
 //! save | restore         saves a copy of the store, and restores it
@@ -24,12 +25,15 @@
 
 use crate::racing::RacingStore;
 use redwingrill::operator::Command;
+use redwingrill::operator::ExplainError;
 use redwingrill::operator::NodeAdmin;
 use redwingrill::operator::NodeStatus;
 use redwingrill::operator::Operator;
 use redwingrill::operator::Output;
 use redwingrill::operator::parse;
 use redwingrill_config::read_manifest;
+use redwingrill_explain::Answer;
+use redwingrill_explain::ExplainQuery;
 use redwingrill_fakes::Faults;
 use redwingrill_fakes::MemoryInstances;
 use redwingrill_fakes::MemoryStore;
@@ -51,6 +55,7 @@
 struct FakeNodes {
     store: MemoryStore,
     nodes: Arc<Mutex<BTreeMap<SocketAddr, (String, Behaviour)>>>,
+    answers: Arc<Mutex<BTreeMap<SocketAddr, String>>>,
 }
 
 impl NodeAdmin for FakeNodes {
@@ -74,6 +79,21 @@
         Ok(json!({ "status": status }))
     }
 
+    async fn explain(
+        &self,
+        node: SocketAddr,
+        query: &ExplainQuery,
+    ) -> Result<Answer, ExplainError> {
+        self.status(node).await.map_err(ExplainError::Call)?;
+        let decoded = ExplainQuery::decode(&query.encode()).expect("query is encoded validly");
+        assert_eq!(decoded, *query);
+        let answers = self.answers.lock().expect("no thread panics while holding the lock");
+        let answer = answers.get(&node).expect("the session sets the answer");
+        serde_json::from_str(answer).map_err(|_| {
+            ExplainError::Fault(serde_json::from_str(answer).expect("answer or fault"))
+        })
+    }
+
     async fn drain(&self, node: SocketAddr) -> Result<(), String> {
         self.status(node).await.map(|_| ())
     }
@@ -155,6 +175,16 @@
                     .expect("no thread panics while holding the lock");
                 nodes.insert(address, ((*name).to_owned(), behaviour));
             }
+            ["answer", address, name] => {
+                let text = fs::read_to_string(self.directory.join(name)).expect("file is readable");
+                let mut answers = self
+                    .operator
+                    .nodes
+                    .answers
+                    .lock()
+                    .expect("no thread panics while holding the lock");
+                answers.insert(address.parse().expect("valid address"), text);
+            }
             ["instance", name, address] => {
                 self.instances.push(Instance {
                     name: (*name).to_owned(),
