Explain requests on the product's own interface

Cause: the product's own interface decides by other code than the platform's, so redwingrill explain had no answer there. Change: GET /explain on the administration address runs admission, queue and placement on copies of the state with a copy of the random generator. The cost of a placement has named components, the closure of an engine has its reason, and the charge of a request is a function that admission and the explanation share. Plain services show which upstreams are tried first, last and never. Formulas and the order of additions are unchanged; a test compares decisions with and without explanations between them.

--- a/crates/admission/src/queue/mod.rs
+++ b/crates/admission/src/queue/mod.rs
@@ -21,6 +21,7 @@
 pub use fair_queue::QueuedRequest;
 pub use fair_queue::QueuedRequestId;
 pub use scheduler::PrioritySpec;
+pub use scheduler::QueueOutlook;
 pub use scheduler::QueueRefusal;
 pub use scheduler::Scheduler;
 pub use scheduler::SchedulerState;
--- a/crates/admission/src/queue/scheduler.rs
+++ b/crates/admission/src/queue/scheduler.rs
@@ -79,6 +79,17 @@
         by_concurrency.max(by_drain_rate)
     }
 
+    /// Estimates the wait of a request that is queued now, in milliseconds.
+    fn expected_wait_ms(&self, request: &QueuedRequest, weight: f64, is_within_share: bool) -> f64 {
+        // An account within its fair share waits only for its own requests.
+        let cost_ahead = match is_within_share {
+            true => self.queue.account_cost(request.account),
+            false => self.queue.cost_ahead(request.account, weight),
+        };
+        let cost_tokens = cost_ahead + request.cost_tokens as f64;
+        self.wait_ms(cost_tokens, request.cost_tokens)
+    }
+
     fn floor(&self, slots: u32) -> f64 {
         f64::from(slots) * f64::from(self.spec.floor_percent) / 100.0
     }
@@ -112,6 +123,19 @@
     pub in_flight: u32,
 }
 
+/// What a request would meet in the queue of its priority.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub struct QueueOutlook {
+    /// Requests of the priority that wait.
+    pub waiting: usize,
+    /// How many may wait.
+    pub limit: usize,
+    /// Whether the account is within its fair share, and passes those that are not.
+    pub is_within_share: bool,
+    /// The expected wait in milliseconds.
+    pub expected_wait_ms: u64,
+}
+
 impl Scheduler {
     /// Applies a configuration. Waiting and started requests are kept.
     pub fn configure(&mut self, specs: impl IntoIterator<Item = PrioritySpec>) {
@@ -153,13 +177,7 @@
             true => class.drain_rate.skip_idle(now_ms),
             false => class.drain_rate.advance(now_ms),
         }
-        // An account within its fair share waits only for its own requests.
-        let cost_ahead = match is_within_share {
-            true => class.queue.account_cost(request.account),
-            false => class.queue.cost_ahead(request.account, weight),
-        };
-        let cost_tokens = cost_ahead + request.cost_tokens as f64;
-        let wait_ms = class.wait_ms(cost_tokens, request.cost_tokens);
+        let wait_ms = class.expected_wait_ms(&request, weight, is_within_share);
         let is_waiting = !class.queue.is_empty();
         // A longer queue does not raise throughput and only delays all requests in it.
         let max_wait_ms = request.overload_deadline_ms.saturating_sub(now_ms);
@@ -181,6 +199,29 @@
         }
     }
 
+    /// Returns what a request would meet that is queued now.
+    pub fn outlook(
+        &self,
+        priority: PriorityId,
+        request: &QueuedRequest,
+        weight: f64,
+        now_ms: u64,
+    ) -> Option<QueueOutlook> {
+        let mut copy = self.clone();
+        copy.usage_shares.record_waiting(request.account, weight, now_ms);
+        let is_within_share = copy.usage_shares.is_within_share(request.account);
+        let class = copy.class_mut(priority)?;
+        if !class.queue.is_empty() {
+            class.drain_rate.advance(now_ms);
+        }
+        Some(QueueOutlook {
+            waiting: class.queue.len(),
+            limit: MAX_WAITING,
+            is_within_share,
+            expected_wait_ms: class.expected_wait_ms(request, weight, is_within_share) as u64,
+        })
+    }
+
     /// Removes and returns the next request to start, if one of the `slots` is free for it.
     pub fn pop(&mut self, slots: u32, now_ms: u64) -> Option<(PriorityId, QueuedRequest)> {
         // Accounts within their fair share first, then all others.
--- a/crates/explain/src/answer.rs
+++ b/crates/explain/src/answer.rs
@@ -37,8 +37,9 @@
 pub struct QuotaAnswer {
     /// The units per second.
     pub rate_per_s: u64,
-    /// The units that may be used at once beyond the rate.
-    pub burst: u64,
+    /// The units that may be used at once beyond the rate, if it is configured.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub burst: Option<u64>,
     /// What is counted: `requests` or `tokens`.
     pub unit: String,
     /// What the request would use.
@@ -111,7 +112,7 @@
 pub struct DecisionAnswer {
     /// What would be done.
     pub outcome: Outcome,
-    /// The chosen upstream.
+    /// The chosen upstream; none if one of those that are compared is chosen at random.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub upstream: Option<String>,
     /// Why it would be refused.
@@ -169,19 +170,24 @@
     /// The sum of the components.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub cost_ms: Option<f64>,
-    /// Running and queued requests.
-    pub load: u32,
-    /// Requests that it runs at once.
-    pub slots: u32,
-    /// The time that it needs to prefill the prompts that it has.
-    pub pending_prefill_ms: f64,
-    /// The tokens that its requests reserve.
-    pub reserved_tokens: u64,
+    /// Running and queued requests, if they are known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub load: Option<u32>,
+    /// Requests that it runs at once, or that the node may have there.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub slots: Option<u32>,
+    /// The time that it needs to prefill the prompts that it has, if it is known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub pending_prefill_ms: Option<f64>,
+    /// The tokens that its requests reserve, if they are known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub reserved_tokens: Option<u64>,
     /// The version of the weights.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub weights_version: Option<u64>,
-    /// How much slower than the usual engine it is.
-    pub time_factor: f64,
+    /// How much slower than the usual engine it is, if it is known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub time_factor: Option<f64>,
     /// What else is known, such as `prefix` or `preferred`.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub marks: Vec<String>,
--- a/crates/explain/src/text.rs
+++ b/crates/explain/src/text.rs
@@ -28,8 +28,11 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "account {}", self.name)?;
         if let Some(quota) = &self.quota {
-            let (rate, burst, unit) = (quota.rate_per_s, quota.burst, &quota.unit);
-            write!(f, "quota: {rate} {unit} per second, burst {burst}; costs {}", quota.cost)?;
+            write!(f, "quota: {} {} per second", quota.rate_per_s, quota.unit)?;
+            if let Some(burst) = quota.burst {
+                write!(f, ", burst {burst}")?;
+            }
+            write!(f, "; costs {}", quota.cost)?;
             match quota.available {
                 Some(available) => writeln!(f, ", available {available}")?,
                 None => writeln!(f)?,
@@ -76,7 +79,9 @@
         let decision = &self.decision;
         match decision.outcome {
             Outcome::Send => {
-                writeln!(f, "decision: send to {}", decision.upstream.as_deref().unwrap_or("-"))?;
+                let upstream = decision.upstream.as_deref();
+                let upstream = upstream.unwrap_or("one of those compared, at random");
+                writeln!(f, "decision: send to {upstream}")?;
             }
             Outcome::Wait => writeln!(f, "decision: wait")?,
             Outcome::Refuse => {
@@ -128,9 +133,9 @@
             upstream.id.clone(),
             standing(upstream),
             cost(upstream),
-            format!("{}/{}", upstream.load, upstream.slots),
-            format!("{:.1}", upstream.pending_prefill_ms),
-            upstream.reserved_tokens.to_string(),
+            format!("{}/{}", or_dash(upstream.load), or_dash(upstream.slots)),
+            or_dash(upstream.pending_prefill_ms.map(|ms| format!("{ms:.1}"))),
+            or_dash(upstream.reserved_tokens),
             upstream.failure_domain.clone(),
         ]
     }));
@@ -149,6 +154,10 @@
     Ok(())
 }
 
+fn or_dash(value: Option<impl ToString>) -> String {
+    value.map_or("-".to_owned(), |value| value.to_string())
+}
+
 fn rank(standing: Standing) -> u8 {
     match standing {
         Standing::Compared => 0,
--- a/crates/gateway/src/explain/wire.rs
+++ b/crates/gateway/src/explain/wire.rs
@@ -61,7 +61,7 @@
     };
     QuotaAnswer {
         rate_per_s: quota.rate_per_s,
-        burst: quota.burst,
+        burst: Some(quota.burst),
         unit: unit.to_owned(),
         cost,
         available: None,
@@ -143,12 +143,12 @@
         reason: reason.map(str::to_owned),
         costs: cost.map(cost_components).unwrap_or_default(),
         cost_ms: cost.map(|cost| rounded(cost.total_ms())),
-        load: upstream.load,
-        slots: upstream.slots,
-        pending_prefill_ms: rounded(upstream.pending_prefill_ms),
-        reserved_tokens: upstream.reserved_tokens,
+        load: Some(upstream.load),
+        slots: Some(upstream.slots),
+        pending_prefill_ms: Some(rounded(upstream.pending_prefill_ms)),
+        reserved_tokens: Some(upstream.reserved_tokens),
         weights_version: upstream.version.map(|version| version.0),
-        time_factor: rounded(upstream.time_factor),
+        time_factor: Some(rounded(upstream.time_factor)),
         marks: marks.map(|(name, _)| name.to_owned()).collect(),
     }
 }
--- a/crates/placement/src/placer/cost.rs
+++ b/crates/placement/src/placer/cost.rs
@@ -49,10 +49,30 @@
     }
 }
 
+/// The cost of starting a prompt on an engine by components, in milliseconds.
+#[derive(Clone, Copy, PartialEq, Debug, Default)]
+pub struct PlacementCost {
+    /// The prefill, weighted.
+    pub prefill_ms: f64,
+    /// The wait for the prompts that the engine has.
+    pub wait_ms: f64,
+    /// The requests at the engine.
+    pub requests_ms: f64,
+    /// Requests beyond the engine's limit.
+    pub overload_ms: f64,
+}
+
+impl PlacementCost {
+    /// Returns the sum of the components.
+    pub fn total_ms(&self) -> f64 {
+        self.prefill_ms + self.wait_ms + self.requests_ms + self.overload_ms
+    }
+}
+
 /// A candidate with its cost.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PricedCandidate {
-    pub(super) cost_ms: f64,
+    pub(super) cost: PlacementCost,
     pub(super) placement: Placement,
 }
 
@@ -126,9 +146,13 @@
             import_tokens,
             sent_ms: self.now_ms,
         };
-        let cost_ms =
-            prefill_ms * PREFILL_WEIGHT + wait_ms + requests_ms + overload * OVERLOAD_COST_MS;
-        PricedCandidate { cost_ms, placement }
+        let cost = PlacementCost {
+            prefill_ms: prefill_ms * PREFILL_WEIGHT,
+            wait_ms,
+            requests_ms,
+            overload_ms: overload * OVERLOAD_COST_MS,
+        };
+        PricedCandidate { cost, placement }
     }
 
     fn cache_estimate(
--- a/crates/placement/src/placer/decision.rs
+++ b/crates/placement/src/placer/decision.rs
@@ -5,6 +5,8 @@
 use super::cost::CostModel;
 use super::cost::LevelInfo;
 use super::cost::PricedCandidate;
+use super::explanation::PlacementExplanation;
+use super::explanation::PlacementOption;
 use super::policy::Policy;
 use super::types::Availability;
 use super::types::CacheEvent;
@@ -147,7 +149,9 @@
             Policy::Random => self.place_random(request, availability, rng),
             Policy::LeastLoaded => self.place_least_loaded(request, availability, rng),
             Policy::Affinity => self.place_by_affinity(request, availability),
-            Policy::Redwingrill => self.place_at_least_cost(request, availability, now_ms, rng),
+            Policy::Redwingrill => {
+                self.place_at_least_cost(request, availability, now_ms, rng, |_| {})
+            }
         }?;
         placement.sent_ms = now_ms;
         self.record_popularity(request, now_ms);
@@ -257,12 +261,47 @@
         }
     }
 
+    /// Explains the decision on a prompt that is not sent. `rng` must be a copy of the generator
+    /// that the decision would use.
+    pub fn explain(
+        &self,
+        request: &PlacementRequest<'_>,
+        availability: &impl Availability,
+        now_ms: u64,
+        rng: &mut impl Rng,
+    ) -> PlacementExplanation {
+        let mut copy = self.clone();
+        let mut considered = Vec::new();
+        let placement = match copy.policy {
+            Policy::Redwingrill => {
+                let observe = |priced: &PricedCandidate| {
+                    considered.push((priced.placement.upstream, priced.cost));
+                };
+                copy.place_at_least_cost(request, availability, now_ms, rng, observe)
+            }
+            _ => copy.place(request, availability, now_ms, rng),
+        };
+        let engines = self.fleet.of_model(request.model).iter();
+        let engines = engines.map(|engine| {
+            let upstream = engine.upstream;
+            let cost = considered.iter().find(|(known, _)| *known == upstream);
+            PlacementOption {
+                upstream,
+                is_excluded: request.excluded.contains(&upstream),
+                is_available: availability.overload(upstream).is_some(),
+                cost: cost.map(|(_, cost)| *cost),
+            }
+        });
+        PlacementExplanation { placement, engines: engines.collect() }
+    }
+
     fn place_at_least_cost(
         &mut self,
         request: &PlacementRequest<'_>,
         availability: &impl Availability,
         now_ms: u64,
         rng: &mut impl Rng,
+        observe: impl FnMut(&PricedCandidate),
     ) -> Option<Placement> {
         self.popularity.get_or_insert_with(request.model, PrefixPopularity::default);
         let popularity =
@@ -273,7 +312,8 @@
         let levels = LevelInfo::of(request.prompt, popularity, &self.cached_prefixes);
         let has_cache_store = self.has_cache_store;
         let cost_model = CostModel { request, rates, levels, has_cache_store, now_ms };
-        let mut selection = Selection { cost_model, loads: &self.loads, availability, best: None };
+        let mut selection =
+            Selection { cost_model, loads: &self.loads, availability, observe, best: None };
         for (position, engine) in self.order.engines().take(RANKED_ENGINES).enumerate() {
             // The first width is that of the whole order, which is not a prefix level.
             selection.consider(engine.upstream, self.order.set_count_at(position) - 1);
@@ -293,14 +333,16 @@
 }
 
 /// The selection of the cheapest candidate.
-struct Selection<'a, G> {
+struct Selection<'a, G, O> {
     cost_model: CostModel<'a>,
     loads: &'a EntityMap<UpstreamId, EngineLoad>,
     availability: &'a G,
+    // Is called with each candidate that has a cost.
+    observe: O,
     best: Option<PricedCandidate>,
 }
 
-impl<G: Availability> Selection<'_, G> {
+impl<G: Availability, O: FnMut(&PricedCandidate)> Selection<'_, G, O> {
     /// Considers an engine that is in the candidate sets of the first `matching_levels` levels.
     fn consider(&mut self, upstream: UpstreamId, matching_levels: usize) {
         if self.cost_model.request.excluded.contains(&upstream) {
@@ -309,7 +351,8 @@
         let Some(overload) = self.availability.overload(upstream) else { return };
         let priced =
             self.cost_model.price(upstream, self.loads.get(upstream), matching_levels, overload);
-        if self.best.is_none_or(|best| priced.cost_ms < best.cost_ms) {
+        (self.observe)(&priced);
+        if self.best.is_none_or(|best| priced.cost.total_ms() < best.cost.total_ms()) {
             self.best = Some(priced);
         }
     }
--- a/crates/placement/src/placer/mod.rs
+++ b/crates/placement/src/placer/mod.rs
@@ -13,11 +13,15 @@
 mod baselines;
 mod cost;
 mod decision;
+mod explanation;
 mod policy;
 mod state;
 mod types;
 
+pub use cost::PlacementCost;
 pub use decision::Placer;
+pub use explanation::PlacementExplanation;
+pub use explanation::PlacementOption;
 pub use policy::Policy;
 pub use policy::UnknownPolicy;
 pub use state::EngineState;
--- a/crates/redwingrill/src/admin/routes.rs
+++ b/crates/redwingrill/src/admin/routes.rs
@@ -42,6 +42,7 @@
             (&Method::GET, "/dump") => {
                 json_response(StatusCode::OK, self.inspector.dump().await.to_string())
             }
+            (&Method::GET, "/explain") => self.explain(request.uri().query()).await,
             (&Method::POST, "/drain") => {
                 self.inspector.drain();
                 json_response(StatusCode::ACCEPTED, "{}")
@@ -52,6 +53,17 @@
 }
 
 impl AdminRoutes {
+    async fn explain(&self, query: Option<&str>) -> Response<Body> {
+        match self.inspector.explain(query.unwrap_or_default()).await {
+            Ok(answer) => json_response(StatusCode::OK, json!(answer).to_string()),
+            Err(fault) => {
+                let status = StatusCode::from_u16(fault.code().info().http_status);
+                let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+                json_response(status, fault.to_json())
+            }
+        }
+    }
+
     fn ready(&self) -> Response<Body> {
         let ready = self.inspector.phase() == Phase::Serving && self.inspector.is_configured();
         let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
--- a/crates/redwingrill/src/completions/mod.rs
+++ b/crates/redwingrill/src/completions/mod.rs
@@ -17,3 +17,4 @@
 pub use handler::Caller;
 pub use handler::Completions;
 pub use request::CompletionRequest;
+pub(crate) use request::DEFAULT_MAX_TOKENS;
--- a/crates/redwingrill/src/completions/request.rs
+++ b/crates/redwingrill/src/completions/request.rs
@@ -10,7 +10,7 @@
 use redwingrill_codes::ResultCode;
 
 /// The assumed number of generated tokens of a request without a limit.
-const DEFAULT_MAX_TOKENS: u64 = 512;
+pub(crate) const DEFAULT_MAX_TOKENS: u64 = 512;
 
 /// The fields that the router adds to the request of an attempt.
 #[derive(Clone, Copy, Debug)]
--- a/crates/redwingrill/src/dispatch/attempts.rs
+++ b/crates/redwingrill/src/dispatch/attempts.rs
@@ -196,7 +196,7 @@
     }
 }
 
-fn placement_request<'a>(
+pub(super) fn placement_request<'a>(
     request: &'a OwnedScheduleRequest,
     excluded: &'a [UpstreamId],
 ) -> PlacementRequest<'a> {
--- a/crates/redwingrill/src/dispatch/core.rs
+++ b/crates/redwingrill/src/dispatch/core.rs
@@ -200,37 +200,12 @@
         if !self.engines.serves(request.model) {
             return Err(ResultCode::NoUpstream.into());
         }
-        let state = &request.snapshot.state;
-        let account = state.accounts.get(request.account).ok_or(ResultCode::KeyUnknown)?;
-        let priority = state.priorities.get(request.priority).ok_or(ResultCode::PriorityUnknown)?;
-        let cost_tokens = self.request_cost_tokens(request);
-        let spec = LimitSpec {
-            tokens_per_s: account.tokens_per_s_limit,
-            max_in_flight: account.requests_limit,
-        };
-        self.limits.admit(request.account, spec, cost_tokens, now_ms).map_err(limit_refusal)?;
-        let weight = self.limits.local_weight(request.account, account.weight, now_ms);
-        let queued = QueuedRequest {
-            id: QueuedRequestId(ticket.0),
-            account: request.account,
-            cost_tokens,
-            deadline_ms: now_ms + u64::from(priority.queue_deadline_ms),
-            overload_deadline_ms: now_ms
-                + u64::from(priority.queue_deadline_ms) * OVERLOAD_DEADLINE_PERCENT / 100,
-        };
         let queue =
-            self.queues.get_mut(request.model).expect("request_cost_tokens created the queue");
-        match queue.scheduler.push(request.priority, queued, weight, now_ms) {
-            Ok(None) => Ok(()),
-            Ok(Some(dropped)) => {
-                self.refuse_waiting(dropped, ResultCode::QueueFull);
-                Ok(())
-            }
-            Err(refusal) => {
-                self.limits.finish(request.account, -(cost_tokens as i64));
-                Err(queue_refusal(refusal))
-            }
+            self.queues.get_or_insert_with(request.model, || ModelQueue::new(&request.snapshot));
+        if let Some(dropped) = enqueue(&mut self.limits, queue, ticket, request, now_ms)? {
+            self.refuse_waiting(dropped, ResultCode::QueueFull);
         }
+        Ok(())
     }
 
     /// Starts queued requests of a model while its engines have capacity.
@@ -332,6 +307,49 @@
     }
 }
 
+/// Charges a request to its account and queues it. Returns a request that a full queue drops.
+pub(super) fn enqueue(
+    limits: &mut AccountLimits,
+    queue: &mut ModelQueue,
+    ticket: TicketId,
+    request: &OwnedScheduleRequest,
+    now_ms: u64,
+) -> Result<Option<QueuedRequest>, Refusal> {
+    let state = &request.snapshot.state;
+    let account = state.accounts.get(request.account).ok_or(ResultCode::KeyUnknown)?;
+    let cost_tokens = queue.cost_tokens(request.prompt.tokens, request.max_tokens);
+    let queued = queued_request(ticket, request, cost_tokens, now_ms)?;
+    let spec = LimitSpec {
+        tokens_per_s: account.tokens_per_s_limit,
+        max_in_flight: account.requests_limit,
+    };
+    limits.admit(request.account, spec, cost_tokens, now_ms).map_err(limit_refusal)?;
+    let weight = limits.local_weight(request.account, account.weight, now_ms);
+    queue.scheduler.push(request.priority, queued, weight, now_ms).map_err(|refusal| {
+        limits.finish(request.account, -(cost_tokens as i64));
+        queue_refusal(refusal)
+    })
+}
+
+/// Returns a request as its queue has it.
+pub(super) fn queued_request(
+    ticket: TicketId,
+    request: &OwnedScheduleRequest,
+    cost_tokens: u64,
+    now_ms: u64,
+) -> Result<QueuedRequest, Refusal> {
+    let priorities = &request.snapshot.state.priorities;
+    let priority = priorities.get(request.priority).ok_or(ResultCode::PriorityUnknown)?;
+    let queue_deadline_ms = u64::from(priority.queue_deadline_ms);
+    Ok(QueuedRequest {
+        id: QueuedRequestId(ticket.0),
+        account: request.account,
+        cost_tokens,
+        deadline_ms: now_ms + queue_deadline_ms,
+        overload_deadline_ms: now_ms + queue_deadline_ms * OVERLOAD_DEADLINE_PERCENT / 100,
+    })
+}
+
 fn limit_refusal(refusal: LimitRefusal) -> Refusal {
     match refusal {
         LimitRefusal::Rate { retry_after_ms } => {
--- a/crates/redwingrill/src/dispatch/engines.rs
+++ b/crates/redwingrill/src/dispatch/engines.rs
@@ -41,6 +41,19 @@
     }
 }
 
+/// Why an engine gets no requests.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum EngineClosure {
+    /// It leaves.
+    Leaving,
+    /// It failed too often.
+    Health,
+    /// It refused a request a moment ago.
+    Refused,
+    /// It reports as many requests as it may have.
+    Full,
+}
+
 /// The state of one engine at this node.
 #[derive(Clone, Debug)]
 pub(super) struct EngineSlot {
@@ -56,19 +69,33 @@
     refused_until_ms: u64,
     // The limit in force until the next refresh; zero closes the engine.
     open_limit: f64,
+    closure: Option<EngineClosure>,
 }
 
 impl EngineSlot {
+    /// Returns why the engine gets no requests, as of the last refresh; `None` if it may.
+    pub(super) fn closure(&self) -> Option<EngineClosure> {
+        self.closure
+    }
+
     fn refresh(&mut self, now_ms: u64) {
         let share = self.health.limit_share(now_ms);
-        let is_full = self.fixed_limit > 0 && self.reported >= self.fixed_limit;
-        let is_paused = now_ms < self.refused_until_ms;
-        let is_closed = self.leaving.any() || share <= 0.0 || is_paused || is_full;
+        self.closure = if self.leaving.any() {
+            Some(EngineClosure::Leaving)
+        } else if share <= 0.0 {
+            Some(EngineClosure::Health)
+        } else if now_ms < self.refused_until_ms {
+            Some(EngineClosure::Refused)
+        } else if self.fixed_limit > 0 && self.reported >= self.fixed_limit {
+            Some(EngineClosure::Full)
+        } else {
+            None
+        };
         let mut limit = self.limit.get() * share;
         if self.fixed_limit > 0 {
             limit = limit.min(f64::from(self.fixed_limit));
         }
-        self.open_limit = if is_closed { 0.0 } else { limit };
+        self.open_limit = if self.closure.is_some() { 0.0 } else { limit };
     }
 
     /// Returns the limit in force; zero while the engine is closed.
@@ -245,6 +272,7 @@
             reported: 0,
             fixed_limit: 0,
             refused_until_ms: 0,
+            closure: None,
         }
     }
 }
--- a/crates/redwingrill/src/dispatch/messages.rs
+++ b/crates/redwingrill/src/dispatch/messages.rs
@@ -9,8 +9,10 @@
 use tokio::sync::oneshot;
 
 use super::DispatchState;
+use super::explain::DispatchExplanation;
 use super::observations::EngineLoadReport;
 use super::schedule_request::OwnedScheduleRequest;
+use super::schedule_request::PlannedRequest;
 use super::schedule_request::ScheduleRequest;
 use super::ticket::EngineTarget;
 use super::ticket::Ticket;
@@ -50,6 +52,8 @@
     RemoteDemand { demands: Vec<AccountDemand> },
     /// Return the accounts with the most demand at this node.
     TopAccounts { limit: usize, response: oneshot::Sender<Vec<AccountDemand>> },
+    /// Explain what would be done with a request.
+    Explain { request: Box<OwnedScheduleRequest>, response: oneshot::Sender<DispatchExplanation> },
     /// Return the state of the task.
     Dump { response: oneshot::Sender<DispatchState> },
 }
@@ -119,6 +123,14 @@
         receiver.await.unwrap_or_default()
     }
 
+    /// Explains what would be done with a request that is not sent; `None` once the task has ended.
+    pub async fn explain(&self, request: &PlannedRequest<'_>) -> Option<DispatchExplanation> {
+        let (response, receiver) = oneshot::channel();
+        let request = Box::new(OwnedScheduleRequest::planned(request));
+        self.send(Message::Explain { request, response });
+        receiver.await.ok()
+    }
+
     /// Returns the state of the task; `None` once it has ended.
     pub async fn dump(&self) -> Option<DispatchState> {
         let (response, receiver) = oneshot::channel();
--- a/crates/redwingrill/src/dispatch/mod.rs
+++ b/crates/redwingrill/src/dispatch/mod.rs
@@ -17,6 +17,7 @@
 mod attempts;
 mod core;
 mod engines;
+mod explain;
 mod load_poll;
 mod messages;
 mod model_queue;
@@ -27,10 +28,14 @@
 mod task;
 mod ticket;
 
+pub use engines::EngineClosure;
+pub use explain::DispatchExplanation;
+pub use explain::EngineOption;
 pub use load_poll::LoadPoll;
 pub(crate) use load_poll::fetch_load;
 pub use messages::Dispatcher;
 pub use observations::EngineLoadReport;
+pub use schedule_request::PlannedRequest;
 pub use schedule_request::PromptMessage;
 pub use schedule_request::ScheduleRequest;
 pub use state::DispatchState;
--- a/crates/redwingrill/src/dispatch/schedule_request.rs
+++ b/crates/redwingrill/src/dispatch/schedule_request.rs
@@ -6,9 +6,11 @@
 use redwingrill_entity::AccountId;
 use redwingrill_entity::ModelId;
 use redwingrill_entity::PriorityId;
+use redwingrill_placement::blocks::BLOCK_BYTES;
 use redwingrill_placement::blocks::ChainRoot;
 use redwingrill_placement::blocks::PromptBlocks;
 use redwingrill_placement::blocks::PromptSummary;
+use redwingrill_placement::blocks::TOKEN_BYTES;
 use redwingrill_placement::fleet::WeightsTag;
 
 /// One message of a prompt.
@@ -37,6 +39,23 @@
     pub max_tokens: u64,
 }
 
+/// A request that is described but not sent.
+#[derive(Clone, Copy, Debug)]
+pub struct PlannedRequest<'a> {
+    /// The configuration in force.
+    pub snapshot: &'a Arc<Snapshot>,
+    /// The client account.
+    pub account: AccountId,
+    /// The priority.
+    pub priority: PriorityId,
+    /// The model.
+    pub model: ModelId,
+    /// The length of the prompt, which no engine has cached.
+    pub prompt_tokens: u32,
+    /// The limit of generated tokens.
+    pub max_tokens: u64,
+}
+
 /// An owned [`ScheduleRequest`] with the hashed prompt, as sent to the dispatch task.
 #[derive(Clone, Debug)]
 pub(super) struct OwnedScheduleRequest {
@@ -50,6 +69,26 @@
 }
 
 impl OwnedScheduleRequest {
+    /// Describes a request whose prompt has no block in common with any other.
+    pub(super) fn planned(request: &PlannedRequest<'_>) -> Self {
+        // Prompts in JSON hold no NUL unescaped, so no other prompt has these blocks. The line ends
+        // of the message count as one token.
+        let filler = "\0".repeat(BLOCK_BYTES);
+        let bytes = request.prompt_tokens.saturating_sub(1) as usize * TOKEN_BYTES;
+        let mut texts = vec![filler.as_str(); bytes / BLOCK_BYTES];
+        texts.push(&filler[..bytes % BLOCK_BYTES]);
+        let prompt = [PromptMessage { role: "", texts }];
+        let request = ScheduleRequest {
+            snapshot: request.snapshot,
+            account: request.account,
+            priority: request.priority,
+            model: request.model,
+            prompt: &prompt,
+            max_tokens: request.max_tokens,
+        };
+        Self::new(&request, &mut PromptBlocks::default())
+    }
+
     /// Hashes the prompt of a request; `blocks` is reused memory.
     pub(super) fn new(request: &ScheduleRequest<'_>, blocks: &mut PromptBlocks) -> Self {
         let state = &request.snapshot.state;
--- a/crates/redwingrill/src/dispatch/task.rs
+++ b/crates/redwingrill/src/dispatch/task.rs
@@ -117,6 +117,9 @@
                 let _disconnected =
                     response.send(self.core.limits.top_accounts(limit, now_ms)).is_err();
             }
+            Message::Explain { request, response } => {
+                let _disconnected = response.send(self.core.explain(&request, now_ms)).is_err();
+            }
             Message::Dump { response } => {
                 let _disconnected = response.send(self.core.state(now_ms)).is_err();
             }
--- a/crates/redwingrill/src/http/mod.rs
+++ b/crates/redwingrill/src/http/mod.rs
@@ -25,4 +25,6 @@
 pub use response::REQUEST_ID_HEADER;
 pub use response::error_response;
 pub use response::json_response;
+pub(crate) use routes::COMPLETIONS;
 pub use routes::Routes;
+pub(crate) use routes::SERVICES;
--- a/crates/redwingrill/src/http/routes.rs
+++ b/crates/redwingrill/src/http/routes.rs
@@ -39,9 +39,9 @@
 use redwingrill_entity::AccountId;
 use redwingrill_settings::LimitSettings;
 
-const COMPLETIONS: &str = "/v1/chat/completions";
+pub(crate) const COMPLETIONS: &str = "/v1/chat/completions";
 const MODELS: &str = "/v1/models";
-const SERVICES: &str = "/services/";
+pub(crate) const SERVICES: &str = "/services/";
 
 /// Serves callers' requests.
 #[derive(Clone, Debug)]
--- a/crates/redwingrill/src/node/components.rs
+++ b/crates/redwingrill/src/node/components.rs
@@ -69,6 +69,12 @@
         let connections = AccountConnections::default();
         let open = OpenRequests::default();
         let (phase, phase_reader) = watch::channel(Phase::Serving);
+        let service_calls = Services::new(
+            wiring.pool.clone(),
+            control.dispatcher.leaving(),
+            ledger.clone(),
+            requests.clone(),
+        );
         let routes = Routes {
             configuration: control.configuration.clone(),
             phase: phase_reader.clone(),
@@ -79,12 +85,7 @@
                 tasks: requests.clone(),
                 metrics: metrics.clone(),
             },
-            services: Services::new(
-                wiring.pool.clone(),
-                control.dispatcher.leaving(),
-                ledger.clone(),
-                requests.clone(),
-            ),
+            services: service_calls.clone(),
             open: open.clone(),
             metrics,
         };
@@ -96,6 +97,7 @@
             cluster: control.cluster,
             rollout: control.rollout,
             dispatcher: control.dispatcher,
+            services: service_calls,
             connections: connections.clone(),
             open,
             pool: wiring.pool.clone(),
--- a/crates/redwingrill/src/node/inspector.rs
+++ b/crates/redwingrill/src/node/inspector.rs
@@ -14,6 +14,7 @@
 use crate::dispatch::Dispatcher;
 use crate::http::AccountConnections;
 use crate::http::OpenRequests;
+use crate::services::Services;
 use redwingrill_config::Snapshot;
 use redwingrill_ledger::task::Ledger;
 use redwingrill_transport::Pool;
@@ -31,6 +32,7 @@
     // None with a fixed configuration.
     pub(super) rollout: Option<Rollout>,
     pub(super) dispatcher: Dispatcher,
+    pub(super) services: Services,
     pub(super) connections: AccountConnections,
     pub(super) open: OpenRequests,
     pub(super) pool: Pool,
--- a/crates/redwingrill/src/node/mod.rs
+++ b/crates/redwingrill/src/node/mod.rs
@@ -10,6 +10,7 @@
 
 mod components;
 mod control;
+mod explain;
 mod inspector;
 mod lifecycle;
 mod wiring;
--- a/crates/redwingrill/src/services/handler.rs
+++ b/crates/redwingrill/src/services/handler.rs
@@ -11,6 +11,7 @@
 use super::forward::OutgoingCall;
 use super::orders::Orders;
 use super::responses::response_from_upstream;
+use super::targets::TargetStanding;
 use super::targets::Targets;
 use crate::Refusal;
 use crate::completions::Caller;
@@ -18,6 +19,9 @@
 use crate::upstream::LeavingUpstreams;
 use redwingrill_codes::Ran;
 use redwingrill_codes::ResultCode;
+use redwingrill_config::Service;
+use redwingrill_config::Snapshot;
+use redwingrill_entity::UpstreamId;
 use redwingrill_ledger::task::Ledger;
 use redwingrill_transport::Freshness;
 use redwingrill_transport::Pool;
@@ -53,6 +57,15 @@
         Self { pool, targets, orders }
     }
 
+    /// Returns when each upstream of a service is tried for a call that may be repeated.
+    pub fn standings(
+        &self,
+        snapshot: &Snapshot,
+        service: &Service,
+    ) -> Vec<(UpstreamId, TargetStanding)> {
+        self.targets.standings(snapshot, service)
+    }
+
     /// Serves one call.
     ///
     /// # Errors
--- a/crates/redwingrill/src/services/mod.rs
+++ b/crates/redwingrill/src/services/mod.rs
@@ -17,3 +17,4 @@
 pub use headers::IDEMPOTENCY_KEY_HEADER;
 pub use headers::REPLAYED_HEADER;
 pub use headers::WINDOW_HEADER;
+pub use targets::TargetStanding;
--- a/crates/redwingrill/src/services/targets.rs
+++ b/crates/redwingrill/src/services/targets.rs
@@ -26,6 +26,17 @@
     pub upstream: Upstream,
 }
 
+/// When an upstream is tried.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum TargetStanding {
+    /// Before those that failed recently.
+    First,
+    /// After the others, as it failed recently.
+    Last,
+    /// Never: it is drained or leaves.
+    Closed,
+}
+
 /// Selects upstreams of services. Clones share the recorded failures.
 #[derive(Clone, Debug)]
 pub(super) struct Targets {
@@ -60,14 +71,31 @@
         targets
     }
 
+    /// Returns the upstreams of a service and whether each of them is tried first, last or never.
+    pub(super) fn standings(
+        &self,
+        snapshot: &Snapshot,
+        service: &Service,
+    ) -> Vec<(UpstreamId, TargetStanding)> {
+        let open = self.candidates(snapshot, service, 0);
+        let standing = |id: UpstreamId| match open.iter().find(|target| target.id == id) {
+            None => TargetStanding::Closed,
+            Some(_) if self.has_failed(id) => TargetStanding::Last,
+            Some(_) => TargetStanding::First,
+        };
+        service.upstreams.iter().map(|&id| (id, standing(id))).collect()
+    }
+
+    fn has_failed(&self, upstream: UpstreamId) -> bool {
+        let failed_at = self.failed_at.lock().expect("no thread panics while holding the lock");
+        is_failed(&failed_at, upstream)
+    }
+
     /// Moves upstreams that failed recently to the end.
     pub(super) fn healthy_first(&self, targets: &mut [Target]) {
         let failed_at = self.failed_at.lock().expect("no thread panics while holding the lock");
-        let is_failed = |target: &Target| {
-            failed_at.get(target.id).is_some_and(|failed| failed.elapsed() < FAILURE_PENALTY)
-        };
         // The sort is stable, which keeps the rotation among healthy upstreams.
-        targets.sort_by_key(is_failed);
+        targets.sort_by_key(|target| is_failed(&failed_at, target.id));
     }
 
     /// Records that a call to an upstream failed.
@@ -78,3 +106,7 @@
             .insert(upstream, Instant::now());
     }
 }
+
+fn is_failed(failed_at: &EntityMap<UpstreamId, Instant>, upstream: UpstreamId) -> bool {
+    failed_at.get(upstream).is_some_and(|failed| failed.elapsed() < FAILURE_PENALTY)
+}
