--- a/crates/explain/src/answer.rs
+++ b/crates/explain/src/answer.rs
@@ -199,8 +199,8 @@
 pub enum Standing {
     /// The decision compares it.
     Compared,
-    /// It has capacity, but is left out of the comparison: by the random sample, or because the node
-    /// has used its share.
+    /// It may take the request, but is not compared: it is left out of the random sample, the node has
+    /// used its share of it, or it is tried last.
     Passed,
     /// A limit is exhausted.
     Full,
@@ -216,3 +216,8 @@
     /// Its value.
     pub ms: f64,
 }
+
+/// Rounds to microseconds; costs are not known better.
+pub fn rounded_ms(ms: f64) -> f64 {
+    (ms * 1_000.0).round() / 1_000.0
+}
--- a/crates/explain/src/lib.rs
+++ b/crates/explain/src/lib.rs
@@ -20,6 +20,7 @@
 pub use answer::ShareAnswer;
 pub use answer::Standing;
 pub use answer::UpstreamAnswer;
+pub use answer::rounded_ms;
 pub use fault::ExplainFault;
 pub use query::ExplainQuery;
 pub use query::PartQuery;
--- a/crates/gateway/src/explain/wire.rs
+++ b/crates/gateway/src/explain/wire.rs
@@ -11,6 +11,7 @@
 use redwingrill_explain::ServiceAnswer;
 use redwingrill_explain::Standing as AnswerStanding;
 use redwingrill_explain::UpstreamAnswer;
+use redwingrill_explain::rounded_ms;
 use redwingrill_routing::AccountQuota;
 use redwingrill_routing::QuotaUnit;
 use redwingrill_scheduling::coordination::PlannedInquiry;
@@ -43,7 +44,7 @@
             .map(|known| coordinator_answer(known, view.is_coordinator)),
         decision: decision_answer(&explanation.choice),
         queue: explanation.queue.map(queue_answer),
-        noise_ms: rounded(explanation.noise_ms),
+        noise_ms: rounded_ms(explanation.noise_ms),
         upstreams: explanation.upstreams.iter().map(upstream_answer).collect(),
     }
 }
@@ -142,13 +143,13 @@
         standing,
         reason: reason.map(str::to_owned),
         costs: cost.map(cost_components).unwrap_or_default(),
-        cost_ms: cost.map(|cost| rounded(cost.total_ms())),
+        cost_ms: cost.map(|cost| rounded_ms(cost.total_ms())),
         load: Some(upstream.load),
         slots: Some(upstream.slots),
-        pending_prefill_ms: Some(rounded(upstream.pending_prefill_ms)),
+        pending_prefill_ms: Some(rounded_ms(upstream.pending_prefill_ms)),
         reserved_tokens: Some(upstream.reserved_tokens),
         weights_version: upstream.version.map(|version| version.0),
-        time_factor: Some(rounded(upstream.time_factor)),
+        time_factor: Some(rounded_ms(upstream.time_factor)),
         marks: marks.map(|(name, _)| name.to_owned()).collect(),
     }
 }
@@ -157,15 +158,10 @@
     let components = [("base", cost.base_ms), ("prompt", cost.prompt_ms), ("load", cost.load_ms)];
     let components = components
         .into_iter()
-        .map(|(name, ms)| CostComponent { name: name.to_owned(), ms: rounded(ms) });
+        .map(|(name, ms)| CostComponent { name: name.to_owned(), ms: rounded_ms(ms) });
     components.collect()
 }
 
-/// Rounds to microseconds; costs are not known better.
-fn rounded(ms: f64) -> f64 {
-    (ms * 1_000.0).round() / 1_000.0
-}
-
 fn ineligibility_name(reason: Ineligibility) -> &'static str {
     match reason {
         Ineligibility::Tried => "tried before",
--- a/crates/redwingrill/src/node/explain.rs
+++ b/crates/redwingrill/src/node/explain.rs
@@ -32,6 +32,7 @@
 use redwingrill_explain::ShareAnswer;
 use redwingrill_explain::Standing;
 use redwingrill_explain::UpstreamAnswer;
+use redwingrill_explain::rounded_ms;
 
 /// The maximum length of a described prompt, which is hashed: 4 MiB of text.
 const PROMPT_TOKENS_LIMIT: u32 = 1 << 20;
@@ -222,12 +223,12 @@
             ("overload", cost.overload_ms),
         ];
         let component =
-            |(name, ms): (&str, f64)| CostComponent { name: name.to_owned(), ms: rounded(ms) };
+            |(name, ms): (&str, f64)| CostComponent { name: name.to_owned(), ms: rounded_ms(ms) };
         components.into_iter().map(component).collect()
     });
     UpstreamAnswer {
         costs,
-        cost_ms: engine.cost.map(|cost| rounded(cost.total_ms())),
+        cost_ms: engine.cost.map(|cost| rounded_ms(cost.total_ms())),
         load: Some(engine.in_flight),
         slots: Some(engine.limit as u32),
         ..upstream_answer(upstream, standing, reason)
@@ -294,8 +295,3 @@
 fn upstream_name(snapshot: &Snapshot, id: UpstreamId) -> Option<String> {
     snapshot.state.upstreams.get(id).map(|upstream| upstream.name.clone())
 }
-
-/// Rounds to microseconds; costs are not known better.
-fn rounded(ms: f64) -> f64 {
-    (ms * 1_000.0).round() / 1_000.0
-}
--- a/crates/redwingrill/tests/operator/main.rs
+++ b/crates/redwingrill/tests/operator/main.rs
@@ -125,6 +125,21 @@
     }
 }
 
+/// Guards against commands and options that completion scripts leave out.
+#[test]
+fn completion_scripts_offer_explain_with_its_options() {
+    let runtime = tokio::runtime::Builder::new_current_thread().build().expect("runtime starts");
+    let session = Session::new();
+    for shell in ["bash", "zsh", "fish"] {
+        let line = ["redwingrill", "completion", shell].map(str::to_owned);
+        let (command, _) = parse(line).expect("valid command line");
+        let script = runtime.block_on(session.execute(&command)).stdout;
+        for word in ["explain", "route", "account", "prompt-tokens", "output-tokens", "parts"] {
+            assert!(script.contains(word), "{shell}: {word}");
+        }
+    }
+}
+
 #[test]
 fn key_files_are_not_overwritten_and_private_keys_are_owner_only() {
     use std::os::unix::fs::PermissionsExt;
