Test redwingrill explain against nodes on the platform

Change: nodes of the site tests serve metrics; a test asks two nodes through the client of the command and checks that they name one coordinator, that the answer comes from it, and that no upstream gets a request.

--- a/crates/lab/tests/on_platform/main.rs
+++ b/crates/lab/tests/on_platform/main.rs
@@ -1,6 +1,7 @@
 //! Nodes on the platform's adapter against stand-ins that speak the platform's protocol.
 
 mod close_delimited;
+mod explain;
 mod failures;
 mod left_callers;
 mod news;
--- a/crates/lab/tests/on_platform/site.rs
+++ b/crates/lab/tests/on_platform/site.rs
@@ -79,6 +79,8 @@
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
     pub peers: SocketAddr,
+    pub gossip: SocketAddr,
+    pub metrics: SocketAddr,
 }
 
 /// A store, upstreams of both services, and what reaches a node.
@@ -100,12 +102,14 @@
     pub readiness: SocketAddr,
     pub peers: SocketAddr,
     pub gossip: SocketAddr,
+    pub metrics: SocketAddr,
 }
 
 impl NodeAddresses {
     pub fn new() -> Self {
         let (callers, readiness) = (free_address(), free_address());
-        Self { callers, readiness, peers: free_address(), gossip: free_address() }
+        let (gossip, metrics) = (free_address(), free_address());
+        Self { callers, readiness, peers: free_address(), gossip, metrics }
     }
 }
 
@@ -168,7 +172,7 @@
         store: SocketAddr,
         seeds: Vec<SocketAddr>,
     ) -> Result<SiteNode, StartError> {
-        let NodeAddresses { callers, readiness, peers, gossip } = addresses;
+        let NodeAddresses { callers, readiness, peers, gossip, metrics } = addresses;
         let options = NodeOptions {
             name: name.to_owned(),
             failure_domain: failure_domain_of(name).to_owned(),
@@ -177,7 +181,7 @@
             readiness_address: readiness,
             peer_address: Some(peers),
             gossip_address: Some(gossip),
-            metrics_address: None,
+            metrics_address: Some(metrics),
             seeds,
             upstream_lapse: UPSTREAM_LAPSE,
             retry_budget: RetryBudgetSpec { ratio: 0.2, allowance: 54.0, window_ms: 10_000 },
@@ -193,7 +197,7 @@
             head_codec: Arc::new(PlatformHeadCodec),
         };
         let node = Node::new(options).serve(ports, pool).await?;
-        Ok(SiteNode { node, callers, readiness, peers })
+        Ok(SiteNode { node, callers, readiness, peers, gossip, metrics })
     }
 
     pub async fn is_ready(&self, node: &SiteNode) -> bool {
