--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -16,6 +16,7 @@
 pub use attempt::Attempt;
 pub use charge::Charge;
 pub use charge::QuotaRefusal;
+pub use dispatcher::DecisionView;
 pub use dispatcher::Dispatcher;
 pub use dispatcher::Purpose;
 pub use dispatcher::UpstreamLoad;
--- a/crates/lab/tests/on_platform/main.rs
+++ b/crates/lab/tests/on_platform/main.rs
@@ -2,6 +2,7 @@
 
 mod close_delimited;
 mod early_answers;
+mod explain;
 mod failures;
 mod left_callers;
 mod malformed;
--- a/crates/scheduling/src/scheduler/wait_queue.rs
+++ b/crates/scheduling/src/scheduler/wait_queue.rs
@@ -20,6 +20,8 @@
 use super::AccountShare;
 use super::Assignment;
 use super::Choice;
+use super::Explanation;
+use super::QueueExplanation;
 use super::Rank;
 use super::RefusalCause;
 use super::ScheduleRequest;
@@ -194,7 +196,7 @@
         if self.is_hopeless(&entry, now_ms) {
             return vec![self.refuse(scheduler, entry, queued_before, now_ms)];
         }
-        let is_full = queued_before >= QUEUE_LIMIT.max(scheduler.slots_of(&entry.request.service));
+        let is_full = queued_before >= queue_limit(scheduler, &entry.request);
         let class = entry.class.clone();
         self.waiting.push(entry);
         let dropped = if is_full { self.take_furthest_beyond_share(&class) } else { None };
@@ -232,6 +234,13 @@
         Some(self.waiting.remove(index))
     }
 
+    /// Returns what an account used of its share of the capacity of a class, in percent.
+    fn share_percent(&self, class: &RequestClass, account: Option<AccountShare>) -> u16 {
+        let shares = self.shares.get(class);
+        let ratio = shares.map_or(0.0, |shares| shares.usage_ratio(account, 0.0));
+        (ratio * 100.0) as u16
+    }
+
     fn refuse(
         &self,
         scheduler: &mut Scheduler,
@@ -239,9 +248,7 @@
         ahead: usize,
         now_ms: u64,
     ) -> (T, Choice) {
-        let shares = self.shares.get(&entry.class);
-        let ratio = shares.map_or(0.0, |shares| shares.usage_ratio(entry.request.account, 0.0));
-        let share_percent = (ratio * 100.0) as u16;
+        let share_percent = self.share_percent(&entry.class, entry.request.account);
         let refusal = scheduler.refuse_overloaded(&entry.request, ahead, share_percent, now_ms);
         (entry.responder, refusal)
     }
@@ -250,7 +257,18 @@
     /// class before it leave.
     fn is_hopeless(&mut self, entry: &QueuedRequest<T>, now_ms: u64) -> bool {
         let Some(backlog) = self.backlogs.get_mut(&entry.class) else { return false };
-        let before = self.waiting.iter().filter(|known| {
+        Self::turn_ms(&self.waiting, backlog, entry, now_ms) >= entry.wait_ends_ms()
+    }
+
+    /// Returns when the turn of a request comes at the earliest, by the rate at which those of its
+    /// class before it leave, in milliseconds on the node's clock.
+    fn turn_ms<U>(
+        waiting: &[QueuedRequest<T>],
+        backlog: &mut Backlog,
+        entry: &QueuedRequest<U>,
+        now_ms: u64,
+    ) -> u64 {
+        let before = waiting.iter().filter(|known| {
             known.class == entry.class
                 && known.is_beyond_share <= entry.is_beyond_share
                 && known.request.urgency <= entry.request.urgency
@@ -269,7 +287,7 @@
         if entry.is_late(turn_ms) {
             turn_ms = turn_ms.max(wait_behind(late));
         }
-        turn_ms >= entry.wait_ends_ms()
+        turn_ms
     }
 
     /// Counts the demand of a request. Returns its engine time if nothing of it is cached.
@@ -473,6 +491,79 @@
     account.map(|account| account.tag)
 }
 
+/// Returns how many requests of a class may wait.
+fn queue_limit(scheduler: &Scheduler, request: &ScheduleRequest) -> usize {
+    QUEUE_LIMIT.max(scheduler.slots_of(&request.service))
+}
+
+impl<T> WaitQueue<T> {
+    /// Explains the decision on a request that would arrive now.
+    pub fn explain(
+        &self,
+        scheduler: &Scheduler,
+        request: &ScheduleRequest,
+        now_ms: u64,
+    ) -> Explanation {
+        let mut copy = scheduler.clone();
+        let class = RequestClass::of(&mut copy, request);
+        let cold_ms = copy.engine_time_ms(request, u64::MAX);
+        let shares = self.shares.get(&class);
+        let waiting_ms = self.waiting_ms(&class, request.account);
+        let is_beyond_share =
+            shares.is_some_and(|known| known.is_beyond(request.account, waiting_ms, now_ms));
+        let entry = QueuedRequest {
+            serving_ms: copy.usual_serving_ms(request),
+            since_ms: now_ms,
+            cost_ms: shares.map_or(cold_ms, |known| known.expected_ms(request.account, cold_ms)),
+            request: request.clone(),
+            class,
+            is_beyond_share,
+            responder: (),
+        };
+        let same_class = || self.waiting.iter().filter(|known| known.class == entry.class);
+        let waiting = same_class().count();
+        let backlog = self.backlogs.get(&entry.class).cloned();
+        let turn_ms =
+            backlog.map(|mut backlog| Self::turn_ms(&self.waiting, &mut backlog, &entry, now_ms));
+        let is_late = entry.is_late(now_ms);
+        let rank = (entry.rank(now_ms), entry.request.urgency);
+        let is_first = same_class().all(|known| rank < (known.rank(now_ms), known.request.urgency));
+        let limit = queue_limit(scheduler, &entry.request);
+        let wait_ends_ms = entry.wait_ends_ms();
+        let mut explanation = scheduler.explain(&entry.request, is_late, now_ms);
+        explanation.queue = Some(QueueExplanation {
+            waiting,
+            limit,
+            expected_wait_ms: turn_ms.map(|turn_ms| turn_ms.saturating_sub(now_ms)),
+            wait_limit_ms: wait_ends_ms.saturating_sub(entry.request.arrived_ms),
+        });
+        let is_quarantined = matches!(
+            explanation.choice,
+            Choice::Refuse { cause: RefusalCause::Quarantined(_), .. }
+        );
+        if is_quarantined {
+            return explanation;
+        }
+        let share_percent = self.share_percent(&entry.class, entry.request.account);
+        let is_dropped = waiting >= limit && is_beyond_share;
+        if is_dropped || turn_ms.is_some_and(|turn_ms| turn_ms >= wait_ends_ms) {
+            explanation.choice =
+                copy.refuse_overloaded(&entry.request, waiting, share_percent, now_ms);
+        } else if !is_first {
+            explanation.choice = Choice::Wait;
+        } else if let Choice::Wait = explanation.choice {
+            let opens_ms = copy.opens_ms(&entry.request, waiting, now_ms);
+            if let Some(opens_ms) = opens_ms.filter(|opens_ms| *opens_ms > wait_ends_ms) {
+                explanation.choice = copy.refuse_closed(opens_ms, now_ms);
+            } else if now_ms >= wait_ends_ms {
+                explanation.choice =
+                    copy.refuse_overloaded(&entry.request, waiting, share_percent, now_ms);
+            }
+        }
+        explanation
+    }
+}
+
 impl Scheduler {
     /// Refuses a request because the node stops.
     pub fn refuse_stopping(&mut self) -> Choice {
