--- a/crates/redwingrill/tests/explain.rs
+++ b/crates/redwingrill/tests/explain.rs
@@ -90,9 +90,14 @@
     let model = snapshot.model("assistant").expect("model is configured");
     let (mut tickets, mut seen) = (Vec::new(), Vec::new());
     for number in 0..24 {
-        // Every fourth prompt is too short for a block, so the choice is random.
-        let prompt_tokens = if number % 4 == 0 { 20 } else { 2_000 };
         let account = if number % 3 == 2 { limited } else { unlimited };
+        // Every fourth prompt is too short for a block, so the choice is random. Two prompts of the
+        // limited account exceed its burst.
+        let prompt_tokens = match account {
+            _ if number % 4 == 0 => 20,
+            account if account == limited => 100_000,
+            _ => 2_000,
+        };
         let planned = PlannedRequest {
             snapshot: &snapshot,
             account,
