Let all requests of an account use the tolerance of its quota

Cause: only requests larger than an owner's part of the burst could take a bucket into debt. Long prompts did, and short ones of the same account were refused until the debt was paid, although the account was within its quota.

Change: where a tolerance is set, the debt is open to requests of any size. The bound does not change: the debt was part of it. fleet_quotas passes; its test of the Retry-After drains the bucket in small pieces, as the tolerance is now drained, too.

--- a/crates/admission/src/limits/fleet/owner.rs
+++ b/crates/admission/src/limits/fleet/owner.rs
@@ -59,6 +59,7 @@
     bucket: TokenBucket,
     // What may be refunded: as much as the bucket itself gives.
     refunds: TokenBucket,
+    has_tolerance: bool,
     grants_from_ms: u64,
     granted: RecentUse,
 }
@@ -107,11 +108,13 @@
         let owned = self.parts.entry(account).or_insert_with(|| OwnedPart {
             bucket: TokenBucket::empty(spec, now_ms),
             refunds: TokenBucket::full(spec, now_ms),
+            has_tolerance: false,
             grants_from_ms: now_ms + handover_ms,
             granted: RecentUse::new(USE_PERIOD_MS),
         });
         owned.bucket.set_spec(spec, now_ms);
         owned.refunds.set_spec(spec, now_ms);
+        owned.has_tolerance = part.slack_tokens > 0;
     }
 
     /// Gives up the parts of all accounts but those for which `is_owned` returns true.
@@ -146,7 +149,10 @@
         let owned = self.parts.get_mut(&ask.account)?;
         let burst_tokens = owned.bucket.spec().burst_tokens;
         let is_large = ask.request_tokens as f64 > burst_tokens;
-        let floor_tokens = if is_large { -owned.bucket.spec().debt_limit_tokens } else { 0.0 };
+        // With a tolerance every request may use it: after a large request took it, small ones would
+        // otherwise be refused until the debt is paid, although the account is within its quota.
+        let may_borrow = is_large || owned.has_tolerance;
+        let floor_tokens = if may_borrow { -owned.bucket.spec().debt_limit_tokens } else { 0.0 };
         let mut tokens = owned.bucket.take_up_to(ask.missing_tokens, floor_tokens, now_ms);
         let wait_ms = match ask.missing_tokens - tokens {
             0 => {
