Show requests at a draining engine after a late beat

Cause: the number of an engine's beats, `sequence`, is not read, so a beat that the store does late takes back the `draining` that the engine reported since (rule DRAIN).

Nothing is fixed.

--- a/review/second-harness/src/cases/mod.rs
+++ b/review/second-harness/src/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases, and what they share.
 
+pub mod beats;
 pub mod crash;
 pub mod drain;
 pub mod turns;
--- a/review/second-harness/src/engine.rs
+++ b/review/second-harness/src/engine.rs
@@ -138,6 +138,30 @@
         self.store.put(&format!("servers/{}", self.id), &entry);
     }
 
+    /// Returns the next beat: its number and the entry.
+    pub fn beat(&self, state: &str) -> (u64, Value) {
+        let mut known = self.state.lock().expect("no holder panics");
+        known.beat += 1;
+        let version = self.is_model.then_some(known.version);
+        let mut entry = entry_json(&self.service, self.address, version, known.beat, self.born_ms);
+        entry["state"] = state.into();
+        (known.beat, entry)
+    }
+
+    /// Lets the store do a beat. The entry changes when more than `sequence` changes.
+    pub fn write(&self, (_, entry): &(u64, Value)) {
+        let plain = |entry: &Value| {
+            let mut entry = entry.clone();
+            entry["sequence"] = 0.into();
+            entry
+        };
+        let key = format!("servers/{}", self.id);
+        let known = self.store.get(&key);
+        if known.is_none_or(|known| plain(&known) != plain(entry)) {
+            self.store.put(&key, entry);
+        }
+    }
+
     /// Takes the engine off the list without `draining`, as the platform does for engines that
     /// never report it. It goes on serving.
     pub fn unlist(&self) {
--- a/review/second-harness/src/main.rs
+++ b/review/second-harness/src/main.rs
@@ -46,6 +46,7 @@
             "turns" => cases::turns::play(&stage),
             "crash" => cases::crash::play(&stage),
             "drain" => cases::drain::play(&stage),
+            "beats" => cases::beats::play(&stage),
             _ => Err(format!("no case {case}")),
         };
         match &verdict {
--- a/review/second-harness/src/store.rs
+++ b/review/second-harness/src/store.rs
@@ -90,6 +90,12 @@
         self.inner.1.notify_all();
     }
 
+    /// Returns the value of a key.
+    pub fn get(&self, key: &str) -> Option<Value> {
+        let inner = self.inner.0.lock().expect("no holder panics");
+        inner.items.get(key).and_then(|item| serde_json::from_slice(&item.value).ok())
+    }
+
     /// Returns the keys that begin with a prefix.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         let inner = self.inner.0.lock().expect("no holder panics");
