--- a/review/second-harness/src/cases/mod.rs
+++ b/review/second-harness/src/cases/mod.rs
@@ -3,6 +3,7 @@
 pub mod beats;
 pub mod crash;
 pub mod early;
+pub mod foreign;
 pub mod turns;
 pub mod wall;
 
--- a/review/second-harness/src/main.rs
+++ b/review/second-harness/src/main.rs
@@ -45,6 +45,7 @@
             "wall" => cases::wall::play(&stage),
             "turns" => cases::turns::play(&stage),
             "crash" => cases::crash::play(&stage),
+            "foreign" => cases::foreign::play(&stage),
             "early" => cases::early::play(&stage),
             "beats" => cases::beats::play(&stage),
             _ => Err(format!("no case {case}")),
