--- a/review/second-harness/src/cases/crash.rs
+++ b/review/second-harness/src/cases/crash.rs
@@ -181,7 +181,9 @@
 ) -> Result<Child, String> {
     let socket: OwnedFd = listener.as_fd().try_clone_to_owned().map_err(|e| e.to_string())?;
     let program = std::env::current_exe().map_err(|e| e.to_string())?;
-    let mut child = Command::new(program)
+    let mut command = Command::new(program);
+    children::end_with_parent(&mut command);
+    let mut child = command
         .args(["worker", id, if is_model { "model" } else { "plain" }])
         .stdin(Stdio::from(socket))
         .stdout(Stdio::piped())
--- a/review/second-harness/src/children.rs
+++ b/review/second-harness/src/children.rs
@@ -1,6 +1,7 @@
 //! The processes that a run started, so that none is left when it ends early.
 
 use std::collections::BTreeSet;
+use std::os::unix::process::CommandExt;
 use std::process::Command;
 use std::sync::Mutex;
 
@@ -22,3 +23,22 @@
         let _ = Command::new("sh").arg("-c").arg(format!("kill -KILL {id}")).status();
     }
 }
+
+unsafe extern "C" {
+    fn prctl(option: i32, argument: u64) -> i32;
+}
+
+/// `PR_SET_PDEATHSIG` and `SIGKILL`.
+const SET_PARENT_DEATH_SIGNAL: i32 = 1;
+const KILL: u64 = 9;
+
+/// Lets a process end with this one, however this one ends. To be started from the main thread.
+pub fn end_with_parent(command: &mut Command) -> &mut Command {
+    // SAFETY: prctl is called between fork and exec and touches no memory of the program.
+    unsafe {
+        command.pre_exec(|| match prctl(SET_PARENT_DEATH_SIGNAL, KILL) {
+            0 => Ok(()),
+            _ => Err(std::io::Error::last_os_error()),
+        })
+    }
+}
--- a/review/second-harness/src/router.rs
+++ b/review/second-harness/src/router.rs
@@ -84,7 +84,9 @@
         fs::write(&file, settings).map_err(|e| e.to_string())?;
         let log = File::create(folder.join(format!("{name}.log"))).map_err(|e| e.to_string())?;
         let errors = log.try_clone().map_err(|e| e.to_string())?;
-        let child = Command::new(PROGRAM)
+        let mut command = Command::new(PROGRAM);
+        children::end_with_parent(&mut command);
+        let child = command
             .arg("--platform")
             .env_clear()
             .env("REDWINGRILL_NODE_FILE", &file)
