--- a/review/second-harness/src/cases/crash.rs
+++ b/review/second-harness/src/cases/crash.rs
@@ -53,42 +53,61 @@
 /// How long an engine that crashed is down.
 const DOWN: Duration = Duration::from_millis(400);
 
-/// The requests of each kind. Every second one meets a crash.
-const REQUESTS: u64 = 10;
+/// The engines of each service, of which one crashes: a share of 0.25.
+const ENGINES: usize = 4;
+
+/// The requests of each kind at most, and the crashes of each kind.
+const REQUESTS: u64 = 60;
+const CRASHES: usize = 5;
 
 pub fn play(stage: &Stage) -> Verdict {
     let (store, record) = (&stage.store, &stage.record);
-    let mut shop = Supervisor::start("i-shop-1", false, store)?;
-    let mut model = Supervisor::start("i-llm-1", true, store)?;
+    let (said, lines) = mpsc::channel();
+    let start = |is_model: bool| -> Result<Vec<Supervisor>, String> {
+        let name = if is_model { "llm" } else { "shop" };
+        let ids = (1..=ENGINES).map(|number| format!("i-{name}-{number}"));
+        ids.map(|id| Supervisor::start(&id, is_model, &said, store)).collect()
+    };
+    let (mut shop, mut model) = (start(false)?, start(true)?);
     let routes = [route("order", "unsafe", "shop", 1), route("draft", "stream", "llm", 1)];
     store.put("op/config", &configuration(7, &routes, &[("cafe", "key-cafe", false)]));
     store.put("op/version/m0", &json!({"model": MODEL, "version": 1}));
     let routers = stage.start_routers(&["front-a", "front-b"], KRITA)?;
     let mut breaches = Vec::new();
+    let mut crashes = [0; 2];
     thread::scope(|scope| -> Result<(), String> {
         for number in 1..=REQUESTS {
             for is_stream in [false, true] {
-                let (engine, answer) = match is_stream {
+                let (engines, answer) = match is_stream {
                     true => (&mut model, STREAM_ANSWER),
                     false => (&mut shop, ORDER_ANSWER),
                 };
+                let crashes = &mut crashes[usize::from(is_stream)];
+                if *crashes == CRASHES {
+                    continue;
+                }
                 let front = routers[number as usize % 2].front;
                 let id = format!("{}-{number}", if is_stream { "draft" } else { "order" });
-                let is_crash = number % 2 == 0 && stage.has_trouble;
+                // Each prompt begins with a part of its own, so that all engines get some.
+                let part = format!("{:x}", 0x5c1e_0000 + number);
                 let client = {
                     let id = id.clone();
                     scope.spawn(move || match is_stream {
-                        true => generate(stage, front, "draft", &id, "key-cafe", &[("5c1e", 160)]),
+                        true => generate(stage, front, "draft", &id, "key-cafe", &[(&part, 160)]),
                         false => order(stage, front, &id),
                     })
                 };
-                let half_sent = engine.lines.recv_timeout(Duration::from_secs(3));
-                half_sent.map_err(|_| format!("the engine did not get {id}"))?;
-                record.line(format!("engine {}: has sent half of the answer to {id}", engine.id));
+                let engine = lines.recv_timeout(Duration::from_secs(3));
+                let engine: String = engine.map_err(|_| format!("no engine got {id}"))?;
+                record.line(format!("engine {engine}: has sent half of the answer to {id}"));
                 thread::sleep(Duration::from_millis(30));
+                let crashing = &mut engines[0];
+                let is_met = engine == crashing.id;
+                let is_crash = is_met && stage.has_trouble;
+                *crashes += usize::from(is_met);
                 if is_crash {
-                    engine.crash(store)?;
-                    record.line(format!("engine {}: crashed, and has started again", engine.id));
+                    crashing.crash(store)?;
+                    record.line(format!("engine {engine}: crashed, and has started again"));
                 }
                 let seen = client.join().map_err(|_| "the client failed")?;
                 let whole = answer.concat();
@@ -100,13 +119,19 @@
                 if !is_crash && (seen.status != 200 || body != whole) {
                     return Err(format!("{id} failed without a crash: {}", seen.status));
                 }
-                thread::sleep(Duration::from_millis(250));
+                thread::sleep(Duration::from_millis(100));
             }
         }
         Ok(())
     })?;
+    let [of_orders, of_streams] = crashes;
     Ok((!breaches.is_empty()).then(|| {
-        format!("{} answers that end early look complete: {}", breaches.len(), breaches.join(", "))
+        format!(
+            "{} answers that end early look complete, of {of_orders} orders and {of_streams} \
+             streams that met a crash: {}",
+            breaches.len(),
+            breaches.join(", ")
+        )
     }))
 }
 
@@ -127,18 +152,21 @@
     is_model: bool,
     listener: TcpListener,
     worker: Child,
+    // Gets the engine's id each time it has sent half of an answer.
     said: mpsc::Sender<String>,
-    // A line each time half of an answer was sent.
-    lines: mpsc::Receiver<String>,
 }
 
 impl Supervisor {
-    fn start(id: &str, is_model: bool, store: &Store) -> Result<Self, String> {
+    fn start(
+        id: &str,
+        is_model: bool,
+        said: &mpsc::Sender<String>,
+        store: &Store,
+    ) -> Result<Self, String> {
         let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
-        let (said, lines) = mpsc::channel();
-        let worker = start_worker(id, is_model, &listener, &said)?;
-        let id = id.to_owned();
-        let supervisor = Self { id, is_model, listener, worker, said, lines };
+        let worker = start_worker(id, is_model, &listener, said)?;
+        let (id, said) = (id.to_owned(), said.clone());
+        let supervisor = Self { id, is_model, listener, worker, said };
         supervisor.list(store)?;
         Ok(supervisor)
     }
@@ -250,7 +278,7 @@
              X-Server-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\nConnection: close\r\n\r\n"
         );
         let _ = writer.write_all(format!("{head}{}", answer[0]).as_bytes());
-        println!("half-sent {id}");
+        println!("{own_id}");
         thread::sleep(Duration::from_millis(150));
         let _ = writer.write_all(answer[1].as_bytes());
         return;
