Let what an upstream wrote last count, not what the store did last

Cause: the store does a write whose response was lost up to seconds later. The mirror ordered entries by revision alone, which is the order in which writes were done. A beat of before `draining` that was done after it took the state back, until the engine wrote again. The class: the order in which writes were done is taken for the order in which they were said.

Ruled out: that routers learn of `draining` late; none of the requests came before the late write.

Change: a WriteOrder is the start of a writer and the number of the write since. The mirror, through which each change passes, keeps the newest write of a key by that order; a later one with a lower order stays in the mirror as the store has it, and does not count. Updates for peers begin with what late writes would hide, in the form of before. Entries that state no order are ordered by the store, as before. The log could not tell a late write from a new one: `write_done_late` and `late_write_counts` can.

--- /dev/null
+++ b/crates/gateway/src/store_sync/late_writes.rs
@@ -0,0 +1,224 @@
+//! Writes that the store did late, after newer ones of the same writer.
+//!
+//! The load pattern: a store that loses responses, and does such a write seconds later if its
+//! condition still holds. Upstreams write their entries without conditions, so an entry goes back to
+//! what its upstream said before.
+//!
+//! Invariants, for keys whose writers number their writes:
+//! - The item that counts is the newest one by the writer's order. An older one that is done later
+//!   does not count.
+//! - That does not hold for longer than the lapse, within which the entry of an upstream that is gone is
+//!   removed and one that is alive writes again. So a writer whose clock or count went back is heard in
+//!   the end.
+
+use std::collections::HashMap;
+
+use bytes::Bytes;
+use log::info;
+
+use redwingrill_routing::Era;
+use redwingrill_routing::Revision;
+use redwingrill_routing::WriteOrder;
+
+/// A write by its place among those of its writer.
+#[derive(Clone, Debug)]
+struct Numbered {
+    order: WriteOrder,
+    revision: Revision,
+    value: Bytes,
+}
+
+/// A write that is in the store and does not count.
+#[derive(Clone, Debug)]
+struct LateWrite {
+    write: Numbered,
+    // Since when the node has known it while the store answers; `None` until it is first judged.
+    since_ms: Option<u64>,
+}
+
+/// The writes of a key.
+#[derive(Clone, Debug)]
+struct KeyHistory {
+    // The newest write by the writer's order.
+    newest: Numbered,
+    // The removal of the key after `newest`.
+    removed_at: Option<Revision>,
+    late: Option<LateWrite>,
+}
+
+/// What counts for a key whose item in the store does not.
+pub(super) type Standing<'a> = Option<(Revision, &'a Bytes)>;
+
+/// An entry of an update for a peer.
+type UpdateEntry = (String, u64, Option<Vec<u8>>);
+
+/// The keys whose writers number their writes.
+#[derive(Clone, Debug, Default)]
+pub(super) struct LateWrites {
+    by_key: HashMap<String, KeyHistory>,
+    era: Era,
+    lapse_ms: u64,
+}
+
+impl KeyHistory {
+    fn new(newest: Numbered) -> Self {
+        Self { newest, removed_at: None, late: None }
+    }
+
+    /// Takes account of a write. Returns whether what counts may have changed.
+    fn observe(&mut self, key: &str, write: Numbered) -> bool {
+        if write.revision <= self.newest.revision {
+            return self.observe_earlier(write);
+        }
+        if self.removed_at.is_some_and(|removed_at| write.revision <= removed_at) {
+            return false;
+        }
+        if write.order < self.newest.order {
+            let is_known =
+                self.late.as_ref().is_some_and(|late| late.write.revision >= write.revision);
+            if !is_known {
+                info!(
+                    "event=write_done_late key={key} revision={} order={} newest_revision={} \
+                     newest_order={} is_removed={}",
+                    write.revision,
+                    write.order,
+                    self.newest.revision,
+                    self.newest.order,
+                    self.removed_at.is_some(),
+                );
+                self.late = Some(LateWrite { write, since_ms: None });
+            }
+            return !is_known;
+        }
+        *self = Self::new(write);
+        true
+    }
+
+    /// Takes account of a write that was done before `newest`, of which a peer tells afterwards. If
+    /// it is newer by the writer's order, what was taken for the newest write was done late.
+    fn observe_earlier(&mut self, write: Numbered) -> bool {
+        if write.order <= self.newest.order {
+            return false;
+        }
+        let late = std::mem::replace(&mut self.newest, write);
+        if self.removed_at.is_none() && self.late.is_none() {
+            self.late = Some(LateWrite { write: late, since_ms: None });
+        }
+        true
+    }
+
+    /// Takes account of the removal of the key.
+    fn observe_removal(&mut self, revision: Revision) -> bool {
+        if revision <= self.newest.revision || self.removed_at.is_some_and(|at| at >= revision) {
+            return false;
+        }
+        self.removed_at = Some(revision);
+        self.late = self.late.take().filter(|late| late.write.revision > revision);
+        true
+    }
+
+    fn standing(&self) -> Standing<'_> {
+        match self.removed_at {
+            Some(_) => None,
+            None => Some((self.newest.revision, &self.newest.value)),
+        }
+    }
+
+    /// Lets a late write count if its time has come. Returns whether it does.
+    fn settle(&mut self, now_ms: u64, lapse_ms: u64, is_returning: bool) -> bool {
+        let Some(late) = &mut self.late else { return false };
+        if is_returning {
+            late.since_ms = Some(now_ms);
+        }
+        let is_due = now_ms.saturating_sub(*late.since_ms.get_or_insert(now_ms)) >= lapse_ms;
+        if is_due && let Some(late) = self.late.take() {
+            *self = Self::new(late.write);
+        }
+        is_due
+    }
+}
+
+impl LateWrites {
+    /// Creates an empty record; a late write does not count for up to `lapse_ms`.
+    pub fn new(lapse_ms: u64) -> Self {
+        Self { lapse_ms, ..Self::default() }
+    }
+
+    /// Takes account of a change of a key, whatever its source and order; `order` is that of the
+    /// value, if its writer numbers its writes. Returns whether what counts may have changed.
+    pub fn observe(
+        &mut self,
+        key: &str,
+        revision: Revision,
+        value: Option<&Bytes>,
+        order: Option<WriteOrder>,
+    ) -> bool {
+        if self.era < revision.era() {
+            // The copy's numbers are older ones of the same writers.
+            self.by_key.clear();
+            self.era = revision.era();
+        }
+        let history = self.by_key.get_mut(key);
+        match (value, order) {
+            (None, _) => history.is_some_and(|history| history.observe_removal(revision)),
+            (Some(value), Some(order)) => {
+                let write = Numbered { order, revision, value: value.clone() };
+                match history {
+                    Some(history) => history.observe(key, write),
+                    None => {
+                        self.by_key.insert(key.to_owned(), KeyHistory::new(write));
+                        true
+                    }
+                }
+            }
+            (Some(_), None) => {
+                let superseded = history.and_then(|history| {
+                    let late = history.late.as_ref();
+                    let is_superseded = late.is_some_and(|late| late.write.revision < revision);
+                    is_superseded.then(|| history.late.take())
+                });
+                superseded.is_some()
+            }
+        }
+    }
+
+    /// Returns what counts for a key whose item in the store does not.
+    pub fn standing(&self, key: &str) -> Option<Standing<'_>> {
+        let history = self.by_key.get(key).filter(|history| history.late.is_some())?;
+        Some(history.standing())
+    }
+
+    /// Returns the earlier changes from which a peer learns that items of the store do not count.
+    pub fn earlier_changes(&self) -> impl Iterator<Item = UpdateEntry> {
+        let judged = self.by_key.iter().filter(|(_, history)| history.late.is_some());
+        judged.flat_map(|(key, KeyHistory { newest, removed_at, .. })| {
+            let write = (key.clone(), newest.revision.as_u64(), Some(newest.value.to_vec()));
+            let removal = removed_at.map(|at| (key.clone(), at.as_u64(), None));
+            std::iter::once(write).chain(removal)
+        })
+    }
+
+    /// Lets late writes count whose time has come; `is_returning` states whether entries may have
+    /// lapsed because the store is, or has just been, unavailable. Returns whether one does.
+    pub fn settle(&mut self, now_ms: u64, is_returning: bool) -> bool {
+        let mut has_settled = false;
+        for (key, history) in &mut self.by_key {
+            if history.settle(now_ms, self.lapse_ms, is_returning) {
+                info!("event=late_write_counts key={key} order={}", history.newest.order);
+                has_settled = true;
+            }
+        }
+        has_settled
+    }
+
+    /// Returns when a late write counts, unless the store becomes unavailable.
+    pub fn next_due_ms(&self) -> Option<u64> {
+        let late = self.by_key.values().filter_map(|history| history.late.as_ref());
+        late.filter_map(|late| late.since_ms).min().map(|since_ms| since_ms + self.lapse_ms)
+    }
+
+    /// Forgets the keys for which `is_known` is false.
+    pub fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
+        self.by_key.retain(|key, _| is_known(key));
+    }
+}
--- a/crates/gateway/src/store_sync/mirror.rs
+++ b/crates/gateway/src/store_sync/mirror.rs
@@ -2,15 +2,21 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::late_writes::LateWrites;
 use redwingrill_routing::Change;
 use redwingrill_routing::Item;
+use redwingrill_routing::ItemCodec;
 use redwingrill_routing::Listing;
 use redwingrill_routing::Revision;
+use redwingrill_routing::WriteOrder;
 
 /// The limit of removed keys that are kept for peers; the oldest are evicted first.
 const REMOVED_KEYS_LIMIT: usize = 2_048;
@@ -54,6 +60,7 @@
 /// - All existing items are of the era of `complete_to`: what an era has lost goes as a whole.
 /// - The existing items up to `complete_to` are those of the store. So a change up to it of an unknown
 ///   key has been superseded by the removal of the key.
+/// - What counts of the items is decided by their writers' order; see `late_writes`.
 /// - Every removal after `history_start` is among the entries. Nothing is concluded from the absence
 ///   of an older one.
 #[derive(Clone, Debug, Default)]
@@ -62,16 +69,65 @@
     removed: usize,
     complete_to: Revision,
     history_start: Revision,
+    late_writes: LateWrites,
+    orders: WriteOrders,
+}
+
+/// Reads the order of writes from their values; a default one reads none.
+#[derive(Clone, Default)]
+struct WriteOrders(Option<Arc<dyn ItemCodec>>);
+
+impl WriteOrders {
+    fn read(&self, key: &str, value: Option<&Bytes>) -> Option<WriteOrder> {
+        self.0.as_ref()?.write_order(key, value?)
+    }
+}
+
+impl fmt::Debug for WriteOrders {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("WriteOrders").finish_non_exhaustive()
+    }
 }
 
 impl StoreMirror {
+    /// Creates an empty mirror. A write that the store did late does not count for up to `lapse`.
+    pub fn new(codec: Arc<dyn ItemCodec>, lapse: Duration) -> Self {
+        Self {
+            late_writes: LateWrites::new(lapse.as_millis() as u64),
+            orders: WriteOrders(Some(codec)),
+            ..Self::default()
+        }
+    }
+
     /// Returns the revision up to which every change is known.
     pub fn complete_to(&self) -> Revision {
         self.complete_to
     }
 
-    /// Returns the existing items.
+    /// Returns the items that count: those of the store but for writes that it did late, in whose
+    /// place the newest item of the writer counts, if there is one.
     pub fn items(&self) -> impl Iterator<Item = (&str, Revision, &Bytes)> {
+        self.stored_items().filter_map(|(key, revision, value)| {
+            match self.late_writes.standing(key) {
+                None => Some((key, revision, value)),
+                Some(standing) => standing.map(|(revision, value)| (key, revision, value)),
+            }
+        })
+    }
+
+    /// Lets late writes count that nothing newer has replaced in time; `is_returning` states whether
+    /// items may have lapsed because the store is, or has just been, unavailable.
+    pub fn settle(&mut self, now_ms: u64, is_returning: bool) {
+        self.late_writes.settle(now_ms, is_returning);
+    }
+
+    /// Returns when to settle again although nothing changes, in milliseconds on the node's clock.
+    pub fn next_settle_ms(&self) -> Option<u64> {
+        self.late_writes.next_due_ms()
+    }
+
+    /// Returns the existing items of the store.
+    fn stored_items(&self) -> impl Iterator<Item = (&str, Revision, &Bytes)> {
         self.entries.iter().filter_map(|(key, entry)| {
             entry.value.as_ref().map(|value| (key.as_str(), entry.revision, value))
         })
@@ -135,14 +191,14 @@
         let removals = match after >= self.history_start {
             true => Removals::InEntries,
             false => {
-                let unchanged = self.items().filter(|(_, revision, _)| *revision <= after);
+                let unchanged = self.stored_items().filter(|(_, revision, _)| *revision <= after);
                 Removals::AllBut(unchanged.map(|(key, ..)| key.to_owned()).collect())
             }
         };
         MirrorUpdate {
             after: after.as_u64(),
             complete_to: self.complete_to.as_u64(),
-            entries: entries.collect(),
+            entries: self.late_writes.earlier_changes().chain(entries).collect(),
             removals,
         }
     }
@@ -161,10 +217,11 @@
         };
         let mut has_changed = false;
         for (key, revision, value) in update.entries {
-            if let Some(existing) = existing.as_mut().filter(|_| value.is_some()) {
+            let revision = Revision::from_u64(revision);
+            let is_item = value.is_some() && revision > Revision::from_u64(update.after);
+            if let Some(existing) = existing.as_mut().filter(|_| is_item) {
                 existing.insert(key.clone());
             }
-            let revision = Revision::from_u64(revision);
             has_changed |= self.set(key, revision, value.map(Bytes::from));
         }
         match existing {
@@ -202,6 +259,12 @@
         if revision.era() < self.complete_to.era() {
             return false;
         }
+        let order = self.orders.read(&key, value.as_ref());
+        let is_judged_anew = self.late_writes.observe(&key, revision, value.as_ref(), order);
+        is_judged_anew | self.store(key, revision, value)
+    }
+
+    fn store(&mut self, key: String, revision: Revision, value: Option<Bytes>) -> bool {
         let known = self.entries.get(&key);
         // A removal found by a listing has the revision of the listing, so an equal revision is not
         // a change.
@@ -234,6 +297,7 @@
         self.history_start = self.history_start.max(oldest_kept);
         self.entries.retain(|_, entry| entry.value.is_some() || entry.revision >= oldest_kept);
         self.removed = self.entries.values().filter(|entry| entry.value.is_none()).count();
+        self.late_writes.retain(|key| self.entries.contains_key(key));
     }
 
     /// Checks the invariants.
@@ -251,7 +315,7 @@
             return Err(format!("history from {start}, complete to {complete_to}"));
         }
         let era = self.complete_to.era();
-        match self.items().find(|(_, revision, _)| revision.era() != era) {
+        match self.stored_items().find(|(_, revision, _)| revision.era() != era) {
             Some((key, revision, _)) => Err(format!("{key} at {revision} in era {era}")),
             None => Ok(()),
         }
--- a/crates/gateway/src/store_sync/mod.rs
+++ b/crates/gateway/src/store_sync/mod.rs
@@ -2,9 +2,12 @@
 //!
 //! One watch covers all items. In a large fleet a few nodes of each failure domain watch the store
 //! and the others poll these watchers. While the store is unavailable, a node polls its peers.
-//! Invariant: an item never goes back to an older revision, whatever the source of an update.
+//! Invariants:
+//! - An item never goes back to an older revision, whatever the source of an update.
+//! - Nor does it go back to what its writer said before, if the writer numbers what it writes.
 
 mod continuity;
+mod late_writes;
 mod mirror;
 mod source;
 mod task;
--- a/crates/gateway/src/store_sync/task.rs
+++ b/crates/gateway/src/store_sync/task.rs
@@ -180,7 +180,7 @@
         let (view, view_receiver) = watch::channel(Arc::default());
         let task = Self {
             store,
-            mirror: StoreMirror::default(),
+            mirror: StoreMirror::new(codec.clone(), options.upstream_lapse),
             builder: ClusterViewBuilder::new(codec, options.upstream_lapse.as_millis() as u64),
             view,
             requests,
@@ -309,7 +309,8 @@
         tokio::pin!(operation);
         loop {
             self.continuity.record_run(now_ms());
-            let next_build_ms = self.builder.next_build_ms();
+            let next_build_ms =
+                self.builder.next_build_ms().into_iter().chain(self.mirror.next_settle_ms()).min();
             let build_in_ms = next_build_ms.map(|at_ms| at_ms.saturating_sub(now_ms()).max(1));
             let mut peer_request = self.next_peer_request();
             let deadline = self.waiting_requests.iter().map(|request| request.deadline).min();
@@ -505,7 +506,11 @@
 
     /// Publishes the view; `is_recent` states whether its changes happened just now.
     fn publish(&mut self, is_recent: bool) {
-        let view = Arc::new(self.builder.build(&self.mirror, is_recent, now_ms()));
+        let now_ms = now_ms();
+        let is_returning =
+            self.contact != StoreContact::Connected || now_ms < self.returning_until_ms;
+        self.mirror.settle(now_ms, is_returning);
+        let view = Arc::new(self.builder.build(&self.mirror, is_recent, now_ms));
         self.metrics.view_revision(view.complete_to);
         self.view.send_replace(view);
         self.respond_all();
--- a/crates/routing/src/codec.rs
+++ b/crates/routing/src/codec.rs
@@ -9,6 +9,7 @@
 use crate::ResponseMetadata;
 use crate::Upstream;
 use crate::WeightsVersion;
+use crate::WriteOrder;
 
 /// Why external data could not be decoded.
 #[derive(Clone, PartialEq, Eq, Debug, Snafu)]
@@ -80,6 +81,10 @@
     /// [`DecodeError`] if the entry does not describe a usable upstream.
     fn decode_upstream(&self, id: &str, value: &[u8]) -> Result<Upstream, DecodeError>;
 
+    /// Returns the place of a write among those of its writer; `None` if the value does not state
+    /// one, so that only the order of the store is known.
+    fn write_order(&self, key: &str, value: &[u8]) -> Option<WriteOrder>;
+
     /// Decodes the target version of a model's weights.
     ///
     /// # Errors
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -23,6 +23,7 @@
 mod signals;
 mod store;
 mod upstreams;
+mod write_order;
 
 pub use accounts::AccountIndex;
 pub use accounts::AccountQuota;
@@ -77,3 +78,4 @@
 pub use upstreams::Upstream;
 pub use upstreams::UpstreamState;
 pub use upstreams::WeightsVersion;
+pub use write_order::WriteOrder;
