Keep an upstream that left gone when an earlier write of it is done late

An upstream that leaves without `draining` has its entry removed and serves on for drain_ms. Its write from before, done late, puts the entry back, and requests reach it again until the entry lapses.

The order of the writes does not tell here: between two changes of an entry its upstream writes without changing it, so a late write may have a higher number than the newest one that was seen.

Ruled out: to guess from the numbers how late a write is; writes come at about one a heartbeat, and the error grows with the time since the last change of the entry.

Change: after the removal of an entry, one of the same start does not count until it has stood for three heartbeats, when that of an upstream that is gone has lapsed. While the store is away, and 2.1 s after, removed entries may only have lapsed and count at once, as before. What it costs: a live upstream whose entry lapsed though the store answers is used 3.6 s later at a heartbeat of 1.2 s.

--- a/crates/gateway/src/store_sync/late_writes.rs
+++ b/crates/gateway/src/store_sync/late_writes.rs
@@ -2,14 +2,15 @@
 //!
 //! The load pattern: a store that loses responses, and does such a write seconds later if its
 //! condition still holds. Upstreams write their entries without conditions, so an entry goes back to
-//! what its upstream said before.
+//! what its upstream said before, or comes back after its removal.
 //!
 //! Invariants, for keys whose writers number their writes:
 //! - The item that counts is the newest one by the writer's order. An older one that is done later
 //!   does not count.
-//! - That does not hold for longer than the lapse, within which the entry of an upstream that is gone is
-//!   removed and one that is alive writes again. So a writer whose clock or count went back is heard in
-//!   the end.
+//! - After the removal of a key, an item of the same start of its writer does not count.
+//! - Neither holds for longer than the lapse, within which the entry of an upstream that is gone is
+//!   removed and one that is alive writes again. So a writer whose clock or count went back, and one
+//!   whose entry had lapsed by mistake, is heard in the end.
 
 use std::collections::HashMap;
 
@@ -65,6 +66,11 @@
         Self { newest, removed_at: None, late: None }
     }
 
+    /// Returns whether the key was removed after an item of the same start.
+    fn is_removed_start(&self, order: WriteOrder) -> bool {
+        self.removed_at.is_some() && self.newest.order.started_unix_ms == order.started_unix_ms
+    }
+
     /// Takes account of a write. Returns whether what counts may have changed.
     fn observe(&mut self, key: &str, write: Numbered) -> bool {
         if write.revision <= self.newest.revision {
@@ -73,7 +79,7 @@
         if self.removed_at.is_some_and(|removed_at| write.revision <= removed_at) {
             return false;
         }
-        if write.order < self.newest.order {
+        if write.order < self.newest.order || self.is_removed_start(write.order) {
             let is_known =
                 self.late.as_ref().is_some_and(|late| late.write.revision >= write.revision);
             if !is_known {
@@ -127,10 +133,13 @@
     /// Lets a late write count if its time has come. Returns whether it does.
     fn settle(&mut self, now_ms: u64, lapse_ms: u64, is_returning: bool) -> bool {
         let Some(late) = &mut self.late else { return false };
-        if is_returning {
+        let is_due = if is_returning {
             late.since_ms = Some(now_ms);
-        }
-        let is_due = now_ms.saturating_sub(*late.since_ms.get_or_insert(now_ms)) >= lapse_ms;
+            // The entries of live upstreams may have lapsed; they are written again.
+            late.write.order >= self.newest.order
+        } else {
+            now_ms.saturating_sub(*late.since_ms.get_or_insert(now_ms)) >= lapse_ms
+        };
         if is_due && let Some(late) = self.late.take() {
             *self = Self::new(late.write);
         }
--- a/crates/gateway/tests/late_writes.rs
+++ b/crates/gateway/tests/late_writes.rs
@@ -151,6 +151,11 @@
         steps: &[Write(7, 5), Remove, Write(7, 2)],
         counts: None,
     },
+    Case {
+        name: "newer, after the removal",
+        steps: &[Write(7, 1), Remove, Write(7, 4)],
+        counts: None,
+    },
     Case { name: "late one is removed", steps: &[Write(7, 5), Write(7, 2), Remove], counts: None },
     Case {
         name: "next start after the removal",
@@ -223,11 +228,15 @@
     started.verify().expect("the invariants hold");
 }
 
-/// Guards against an upstream that is shut out for good because its clock or its count went
-/// back.
+/// Guards against an upstream that is shut out for good because its clock or its count went back, or
+/// because its entry had been removed by mistake.
 #[test]
 fn live_upstream_whose_count_went_back_stays_unheard() {
-    for steps in [&[Write(7, 5), Write(7, 2)][..], &[Write(7, 5), Write(6, 1)]] {
+    for steps in [
+        &[Write(7, 5), Write(7, 2)][..],
+        &[Write(7, 5), Write(6, 1)],
+        &[Write(7, 5), Remove, Write(7, 6)],
+    ] {
         let mut mirror = mirror_of(steps);
         let due_ms = mirror.next_settle_ms().expect("a late write");
         mirror.settle(due_ms - 1, false);
@@ -248,6 +257,14 @@
     assert_eq!(counted(&mirror), value_of(Write(7, 5)));
 }
 
+/// Guards against an upstream staying unused whose entry lapsed while the store was away.
+#[test]
+fn entry_that_lapsed_while_the_store_was_away_stays_removed() {
+    let mut mirror = mirror_of(&[Write(7, 5), Remove, Write(7, 6)]);
+    mirror.settle(1, true);
+    assert_eq!(counted(&mirror), value_of(Write(7, 6)));
+}
+
 /// Guards against numbers of before the store came back from a copy counting after it.
 #[test]
 fn order_of_a_lost_history_counts_in_the_next() {
--- a/crates/lab/tests/on_platform/late_writes.rs
+++ b/crates/lab/tests/on_platform/late_writes.rs
@@ -70,10 +70,11 @@
     site.stop(vec![node]).await;
 }
 
-/// Guards against requests to an upstream that left, after the store did an earlier write of it late.
+/// Guards against requests to an upstream that left, after the store did an earlier write of it late,
+/// be it newer than the last one that changed the entry.
 #[tokio::test]
 async fn late_write_brings_back_an_upstream_that_left() {
-    for late in [2] {
+    for late in [4, 2] {
         let site = Site::start(0, 2).await;
         let node = site.node("n1").await;
         let entry = Entry::of(&site, 0);
@@ -90,7 +91,7 @@
 /// Guards against a live upstream staying unused: its entry had lapsed, or its count began again.
 #[tokio::test]
 async fn live_upstream_with_an_older_write_stays_unused() {
-    for (is_removed, sequence) in [(false, 2)] {
+    for (is_removed, sequence) in [(true, 9), (false, 2)] {
         let site = Site::start(0, 1).await;
         let node = site.node("n1").await;
         let entry = Entry::of(&site, 0);
