Name the common cache scope by the accounts that it leaves out

Cause: the scope of accounts that are not isolated was named by the weights alone, so it stayed the same as an account left it. The class: a name says nothing of who may use what is under it.

Ruled out: a late configuration (it was in force within 0.2 s), and the indexes of nodes; the engine found the part under the request's own scope.

Change: a CacheAudience is an isolated account alone, or all accounts but the isolated ones, as a hash of their names. Who writes in the common scope is outside that set by its own configuration, so who reads there never meets an account that is isolated. This needs no history and no order. It is drawn as a request is assigned and again as it is sent, by the configuration in force, as the request may have waited over a change.

--- a/crates/gateway/src/explain/explainer.rs
+++ b/crates/gateway/src/explain/explainer.rs
@@ -64,6 +64,7 @@
         let route = find_route(configuration, &query)?;
         let account = find_account(configuration, &query)?;
         let total: u64 = route.shares.iter().map(|share| u64::from(share.weight)).sum();
+        let name = account.map(|account| account.name.as_str());
         let mut services = Vec::new();
         for share in &route.shares {
             let call = PlannedCall {
@@ -71,6 +72,7 @@
                 service: share.service.clone(),
                 account: account.cloned(),
                 prompt: prompt_of(configuration, &share.service, &query)?.map(Arc::new),
+                audience: configuration.cache_audience(name),
             };
             let has_prompt = call.prompt.is_some();
             let view = self.dispatcher.explain(call.schedule_request()).await;
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -11,12 +11,14 @@
 use crate::clock::now_ms;
 use redwingrill_routing::AccountTag;
 use redwingrill_routing::AttemptMetadata;
+use redwingrill_routing::CacheAudience;
 use redwingrill_routing::ClientAccount;
 use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::RequestMetadata;
 use redwingrill_routing::Route;
 use redwingrill_scheduling::engine_model::RouteTag;
 use redwingrill_scheduling::fleet::UpstreamIndex;
+use redwingrill_scheduling::placement::Scope;
 use redwingrill_scheduling::scheduler::AccountShare;
 use redwingrill_scheduling::scheduler::Assignment;
 use redwingrill_scheduling::scheduler::ScheduleRequest;
@@ -85,13 +87,12 @@
     }
 
     /// Returns the requirements of the request for the scheduler.
-    pub fn schedule_request(&self) -> ScheduleRequest {
-        let isolated = self.account.as_ref().filter(|account| account.is_isolated);
+    pub fn schedule_request(&self, audience: CacheAudience) -> ScheduleRequest {
         ScheduleRequest {
             service: self.service.clone(),
             route: RouteTag::of(&self.route.name),
             prompt: self.prompt.clone(),
-            isolated_account: isolated.map(|account| account.name.clone()),
+            audience,
             account: self.account.as_ref().map(|account| AccountShare {
                 tag: AccountTag::of(&account.name),
                 weight: account.quota.map(|quota| quota.rate_per_s),
@@ -115,23 +116,29 @@
         leaves_ms.unwrap_or(self.deadline_ms).min(self.deadline_ms)
     }
 
-    /// Returns the metadata of one attempt, for the head of the upstream request.
+    /// Returns the metadata of one attempt, for the head of the upstream request. `audience` is that
+    /// of the configuration in force now. The request may have waited since its assignment, whose
+    /// transfers are for another scope then.
     pub fn attempt_metadata(
         &self,
         assignment: &Assignment,
+        audience: &CacheAudience,
         last_event_id: Option<u64>,
     ) -> AttemptMetadata {
         let account = self.account.as_ref();
         let is_engine = self.prompt.is_some();
+        let version = assignment.version.unwrap_or_default();
+        let scope = is_engine.then(|| Scope::new(version, audience));
+        let is_assigned = scope == assignment.scope;
         AttemptMetadata {
             deadline: self.remaining(),
             account: account.map(|account| account.name.clone()),
             upstream_id: assignment.upstream.id.clone(),
             weights_version: assignment.version,
             urgency: is_engine.then(|| self.urgency()),
-            cache_scope: assignment.scope.as_ref().map(|scope| scope.0.clone()),
-            fetch_from: assignment.fetch_from,
-            save_to: assignment.save_to,
+            cache_scope: scope.map(|scope| scope.0),
+            fetch_from: assignment.fetch_from.filter(|_| is_assigned),
+            save_to: assignment.save_to.filter(|_| is_assigned),
             last_event_id,
         }
     }
--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -40,6 +40,7 @@
 use redwingrill_codes::Refusal;
 use redwingrill_codes::ResultCode;
 use redwingrill_routing::AccountTag;
+use redwingrill_routing::CacheAudience;
 use redwingrill_routing::CallerLimits;
 use redwingrill_routing::Configuration;
 use redwingrill_routing::HeadCodec;
@@ -51,6 +52,7 @@
 use redwingrill_scheduling::fleet::Verdict;
 use redwingrill_scheduling::placement::AffinityKey;
 use redwingrill_scheduling::scheduler::RefusalCause;
+use redwingrill_scheduling::scheduler::ScheduleRequest;
 use redwingrill_scheduling::scheduler::Shortage;
 use redwingrill_transport::BudgetedBuffer;
 use redwingrill_transport::ByteBudget;
@@ -102,6 +104,21 @@
 }
 
 impl GatewayContext {
+    /// Returns the accounts that share cached prompt parts with a request, by the configuration in
+    /// force now.
+    pub(super) fn cache_audience(&self, call: &Call) -> CacheAudience {
+        let account = call.account.as_ref().map(|account| account.name.as_str());
+        match &self.view.borrow().configuration {
+            Some(configuration) => configuration.cache_audience(account),
+            None => account.map_or_else(CacheAudience::default, CacheAudience::only),
+        }
+    }
+
+    /// Returns the requirements of a request for the scheduler.
+    pub(super) fn schedule_request(&self, call: &Call) -> ScheduleRequest {
+        call.schedule_request(self.cache_audience(call))
+    }
+
     /// Returns the evidence that an upstream's answer, which was received to its last byte, is whole.
     ///
     /// # Errors
@@ -382,14 +399,13 @@
     async fn attempt_or_move(&self, call: &Call, attempt: Attempt) -> AttemptOrMove {
         let move_delay = self.move_delay(call);
         let index = attempt.assignment().index;
-        let (codec, pool) = (self.context.head_codec.as_ref(), &self.context.pool);
-        let outcome = send_attempt(call, attempt, call.metadata.last_event_id, codec, pool);
+        let outcome = send_attempt(&self.context, call, attempt, call.metadata.last_event_id);
         tokio::pin!(outcome);
         if let Some(move_delay) = move_delay {
             if let Ok(outcome) = tokio::time::timeout(move_delay, outcome.as_mut()).await {
                 return AttemptOrMove::Finished(outcome);
             }
-            let mut request = call.schedule_request();
+            let mut request = self.context.schedule_request(call);
             request.tried.push(index);
             if let Ok(next) = self.context.dispatcher.choose(request, Purpose::Move).await {
                 log_assignment(call, &next);
@@ -411,7 +427,8 @@
 
     async fn assign(&self, call: &Call) -> Result<Attempt, Refusal> {
         let purpose = if call.sends > 0 { Purpose::Retry } else { Purpose::First };
-        let chosen = self.context.dispatcher.choose(call.schedule_request(), purpose).await;
+        let request = self.context.schedule_request(call);
+        let chosen = self.context.dispatcher.choose(request, purpose).await;
         let (cause, retry_after_ms) = match chosen {
             Ok(attempt) => {
                 log_assignment(call, &attempt);
--- a/crates/gateway/src/forward/planned.rs
+++ b/crates/gateway/src/forward/planned.rs
@@ -10,6 +10,7 @@
 use super::call::Call;
 use super::gateway::DEFAULT_TIMEOUT_MS;
 use crate::clock::now_ms;
+use redwingrill_routing::CacheAudience;
 use redwingrill_routing::ClientAccount;
 use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::RequestMetadata;
@@ -27,6 +28,8 @@
     pub account: Option<ClientAccount>,
     /// The prompt, if one is declared.
     pub prompt: Option<Arc<DeclaredPrompt>>,
+    /// The accounts that share cached prompt parts with it.
+    pub audience: CacheAudience,
 }
 
 impl PlannedCall {
@@ -51,6 +54,6 @@
             possible_runs: 0,
             sends: 0,
         };
-        call.schedule_request()
+        call.schedule_request(self.audience)
     }
 }
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -319,7 +319,8 @@
     /// Returns an attempt at another upstream that can take over a stalled stream now. `None` if
     /// there is none: then a slow upstream is better than a broken stream.
     async fn take_over(&self, call: &Call) -> Option<Attempt> {
-        match self.context.dispatcher.choose(call.schedule_request(), Purpose::Move).await {
+        let request = self.context.schedule_request(call);
+        match self.context.dispatcher.choose(request, Purpose::Move).await {
             Ok(attempt) => Some(attempt),
             Err((cause, _)) => {
                 info!(
@@ -339,8 +340,8 @@
     /// whether an upstream took over.
     async fn resume(&mut self, call: &mut Call) -> bool {
         while self.splitter.last_id().is_some() && call.may_retry() && !call.remaining().is_zero() {
-            let choice =
-                self.context.dispatcher.choose(call.schedule_request(), Purpose::Retry).await;
+            let request = self.context.schedule_request(call);
+            let choice = self.context.dispatcher.choose(request, Purpose::Retry).await;
             let attempt = match choice {
                 Ok(attempt) => attempt,
                 Err((cause, _)) => {
@@ -367,8 +368,7 @@
             call.account_name(),
             attempt.assignment().upstream.id,
         );
-        let (codec, pool) = (self.context.head_codec.as_ref(), &self.context.pool);
-        match send_attempt(call, attempt, Some(last_id), codec, pool).await {
+        match send_attempt(&self.context, call, attempt, Some(last_id)).await {
             SendOutcome::Responded(response) => {
                 call.possible_runs += 1;
                 let UpstreamResponse { parts, body, mut attempt, wants_pause } = *response;
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -8,14 +8,13 @@
 use log::debug;
 
 use super::call::Call;
+use super::gateway::GatewayContext;
 use crate::dispatch::Attempt;
-use redwingrill_routing::HeadCodec;
 use redwingrill_routing::UpstreamSignals;
 use redwingrill_scheduling::fleet::Misdirection;
 use redwingrill_scheduling::fleet::StatedUpstream;
 use redwingrill_scheduling::fleet::Verdict;
 use redwingrill_transport::Freshness;
-use redwingrill_transport::Pool;
 use redwingrill_transport::ResponseBody;
 use redwingrill_transport::Timeouts;
 use redwingrill_transport::TransportError;
@@ -54,12 +53,12 @@
 /// Sends a request to the upstream of `attempt` and waits for the response head, up to the
 /// request's deadline.
 pub(super) async fn send_attempt(
+    context: &GatewayContext,
     call: &Call,
     attempt: Attempt,
     last_event_id: Option<u64>,
-    codec: &dyn HeadCodec,
-    pool: &Pool,
 ) -> SendOutcome {
+    let codec = context.head_codec.as_ref();
     let remaining = call.remaining();
     let assignment = attempt.assignment();
     let address = assignment.upstream.address;
@@ -67,9 +66,11 @@
     *request.method_mut() = call.method.clone();
     *request.uri_mut() = call.uri.clone();
     *request.headers_mut() = call.headers.clone();
-    codec.encode_attempt(request.headers_mut(), &call.attempt_metadata(assignment, last_event_id));
+    let audience = context.cache_audience(call);
+    let metadata = call.attempt_metadata(assignment, &audience, last_event_id);
+    codec.encode_attempt(request.headers_mut(), &metadata);
     let timeouts = Timeouts { connect: CONNECT_TIMEOUT.min(remaining), head: remaining };
-    let response = match pool.send(address, request, Freshness::Any, &timeouts).await {
+    let response = match context.pool.send(address, request, Freshness::Any, &timeouts).await {
         Ok(response) => response,
         Err(e) => return failed_send(attempt, &e),
     };
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use redwingrill_gateway::cluster_view::ClusterView;
+use redwingrill_routing::CacheAudience;
 use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::PartId;
 use redwingrill_routing::PromptPart;
@@ -60,7 +61,7 @@
             output_tokens_limit: 10,
             parts: vec![part(7), part(own_part)],
         })),
-        isolated_account: None,
+        audience: CacheAudience::default(),
         account: None,
         urgency: 1,
         arrived_ms: now_ms,
--- a/crates/lab/tests/on_platform/main.rs
+++ b/crates/lab/tests/on_platform/main.rs
@@ -4,6 +4,7 @@
 mod early_answers;
 mod explain;
 mod failures;
+mod isolation;
 mod late_writes;
 mod left_callers;
 mod malformed;
--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -6,6 +6,7 @@
 use snafu::Snafu;
 
 use crate::AccountIndex;
+use crate::CacheAudience;
 use crate::CacheStore;
 use crate::CallerLimits;
 use crate::ClientAccount;
@@ -60,6 +61,8 @@
     limits: CallerLimits,
     routes_by_host: HashMap<String, Vec<usize>>,
     accounts_by_key: HashMap<String, AccountIndex>,
+    accounts_by_name: HashMap<String, AccountIndex>,
+    common_audience: CacheAudience,
 }
 
 impl TryFrom<ConfigurationParts> for Configuration {
@@ -79,11 +82,15 @@
         let needs_key = parts.accounts.is_some();
         let accounts = parts.accounts.unwrap_or_default();
         let mut accounts_by_key = HashMap::new();
+        let mut accounts_by_name = HashMap::with_capacity(accounts.len());
         for (index, account) in accounts.iter().enumerate() {
+            accounts_by_name.insert(account.name.clone(), AccountIndex(index));
             for key in &account.keys {
                 accounts_by_key.insert(key.clone(), AccountIndex(index));
             }
         }
+        let isolated = accounts.iter().filter(|account| account.is_isolated);
+        let common_audience = CacheAudience::all_but(isolated.map(|account| account.name.as_str()));
         let services = parts.services.into_iter();
         Ok(Self {
             version: parts.version,
@@ -94,6 +101,8 @@
             limits: parts.limits,
             routes_by_host,
             accounts_by_key,
+            accounts_by_name,
+            common_audience,
         })
     }
 }
@@ -167,6 +176,17 @@
         self.accounts_by_key.get(key).map(|index| &self.accounts[index.0])
     }
 
+    /// Returns the accounts that share cached prompt parts with an account, or with requests without
+    /// one. An account that the configuration does not name any more shares nothing.
+    pub fn cache_audience(&self, account: Option<&str>) -> CacheAudience {
+        let Some(name) = account else { return self.common_audience.clone() };
+        let known = self.accounts_by_name.get(name).map(|index| &self.accounts[index.0]);
+        match known.is_some_and(|account| !account.is_isolated) {
+            true => self.common_audience.clone(),
+            false => CacheAudience::only(name),
+        }
+    }
+
     /// Returns the client accounts.
     pub fn accounts(&self) -> &[ClientAccount] {
         &self.accounts
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -11,6 +11,7 @@
 //! This crate performs no I/O.
 
 mod accounts;
+mod cache_audience;
 mod codec;
 mod configuration;
 mod control;
@@ -30,6 +31,7 @@
 pub use accounts::AccountTag;
 pub use accounts::ClientAccount;
 pub use accounts::QuotaUnit;
+pub use cache_audience::CacheAudience;
 pub use codec::DecodeError;
 pub use codec::HeadCodec;
 pub use codec::ItemCodec;
--- a/crates/scheduling/examples/choice.rs
+++ b/crates/scheduling/examples/choice.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use redwingrill_routing::AccountTag;
+use redwingrill_routing::CacheAudience;
 use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::PartId;
 use redwingrill_routing::PromptPart;
@@ -58,7 +59,7 @@
         service: "llm".to_owned(),
         route: RouteTag::of(if is_long { "long" } else { "short" }),
         prompt: Some(Arc::new(prompt)),
-        isolated_account: None,
+        audience: CacheAudience::default(),
         account: Some(AccountShare { tag: AccountTag((number % ACCOUNTS) as u64), weight: None }),
         urgency: if is_long { 2 } else { 0 },
         arrived_ms: now_ms,
--- a/crates/scheduling/src/coordination/messages.rs
+++ b/crates/scheduling/src/coordination/messages.rs
@@ -17,6 +17,7 @@
 use crate::scheduler::Assignment;
 use crate::scheduler::ScheduleRequest;
 use crate::scheduler::Shortage;
+use redwingrill_routing::CacheAudience;
 use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::PartId;
 use redwingrill_routing::PromptPart;
@@ -80,7 +81,7 @@
     prompt_tokens: u32,
     output_tokens_limit: u32,
     parts: Vec<(u64, u32)>,
-    isolated_account: Option<String>,
+    audience: CacheAudience,
     account: Option<AccountShare>,
     urgency: u8,
     age_ms: u64,
@@ -109,7 +110,7 @@
             prompt_tokens: prompt.prompt_tokens,
             output_tokens_limit: prompt.output_tokens_limit,
             parts: prompt.parts.iter().map(|part| (part.id.0, part.tokens)).collect(),
-            isolated_account: request.isolated_account.clone(),
+            audience: request.audience.clone(),
             account: request.account,
             urgency: request.urgency,
             age_ms: now_ms.saturating_sub(request.arrived_ms),
@@ -139,7 +140,7 @@
             service: self.service,
             route: self.route,
             prompt: Some(Arc::new(prompt)),
-            isolated_account: self.isolated_account,
+            audience: self.audience,
             account: self.account,
             urgency: self.urgency,
             arrived_ms: now_ms.saturating_sub(self.age_ms),
--- a/crates/scheduling/src/coordination/requester.rs
+++ b/crates/scheduling/src/coordination/requester.rs
@@ -702,7 +702,7 @@
 
 fn fits_into_datagram(request: &ScheduleRequest) -> bool {
     let Some(prompt) = request.prompt.as_deref() else { return true };
-    let account_bytes = request.isolated_account.as_ref().map_or(0, String::len);
-    let names_bytes = prompt.model.len() + request.service.len() + account_bytes;
+    let audience_bytes = request.audience.as_str().len();
+    let names_bytes = prompt.model.len() + request.service.len() + audience_bytes;
     prompt.parts.len() <= PARTS_LIMIT && names_bytes <= NAMES_LIMIT_BYTES
 }
--- a/crates/scheduling/src/placement/affinity.rs
+++ b/crates/scheduling/src/placement/affinity.rs
@@ -10,6 +10,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use redwingrill_routing::CacheAudience;
 use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::WeightsVersion;
 
@@ -69,17 +70,14 @@
     }
 }
 
-/// The scope within which cached parts match: the version of the weights and, for an isolated
-/// client account, the account.
+/// The scope within which cached parts match: the version of the weights, and the client accounts
+/// that share them.
 #[derive(Clone, PartialEq, Eq, Hash, Debug)]
 pub struct Scope(pub String);
 
 impl Scope {
     /// Returns the scope of a request.
-    pub fn new(version: WeightsVersion, isolated_account: Option<&str>) -> Self {
-        match isolated_account {
-            None => Self(format!("w{}", version.0)),
-            Some(account) => Self(format!("w{}/{account}", version.0)),
-        }
+    pub fn new(version: WeightsVersion, audience: &CacheAudience) -> Self {
+        Self(format!("w{}{}", version.0, audience.as_str()))
     }
 }
--- a/crates/scheduling/src/scheduler/request.rs
+++ b/crates/scheduling/src/scheduler/request.rs
@@ -14,6 +14,7 @@
 use crate::placement::Scope;
 use crate::quarantine::PartKey;
 use redwingrill_routing::AccountTag;
+use redwingrill_routing::CacheAudience;
 use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::Upstream;
 use redwingrill_routing::WeightsVersion;
@@ -37,8 +38,8 @@
     pub route: RouteTag,
     /// The prompt, if one is declared.
     pub prompt: Option<Arc<DeclaredPrompt>>,
-    /// The client account, if its cached parts are isolated.
-    pub isolated_account: Option<String>,
+    /// The client accounts that share cached prompt parts with the request.
+    pub audience: CacheAudience,
     /// The client account, if the request has one.
     pub account: Option<AccountShare>,
     /// The priority; zero is the most urgent.
@@ -82,7 +83,7 @@
 
     /// Returns the scope of the request's cached parts for a version of the weights.
     pub fn scope(&self, version: WeightsVersion) -> Scope {
-        Scope::new(version, self.isolated_account.as_deref())
+        Scope::new(version, &self.audience)
     }
 }
 
--- a/crates/scheduling/tests/prefix_placement.rs
+++ b/crates/scheduling/tests/prefix_placement.rs
@@ -8,6 +8,7 @@
 use support::request;
 use support::scheduler;
 
+use redwingrill_routing::CacheAudience;
 use redwingrill_routing::CacheChange;
 use redwingrill_routing::PartId;
 use redwingrill_scheduling::scheduler::Choice;
@@ -74,7 +75,7 @@
     let change = CacheChange { scope: "w1".to_owned(), part: PartId(5), tokens: 13_300 };
     node.apply_cache_store_changes(vec![change], 0);
     let mut request = request(Some(long_prompt(5, 0)), 0);
-    request.isolated_account = Some("account".to_owned());
+    request.audience = CacheAudience::only("account");
     let assignment = expect_sent(node.choose(&request, 0));
     assert_ne!(assignment.scope.map(|scope| scope.0), Some("w1".to_owned()));
     assert_eq!(assignment.fetch_from, None);
--- a/crates/scheduling/tests/support/mod.rs
+++ b/crates/scheduling/tests/support/mod.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use redwingrill_routing::CacheAudience;
 use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::PartId;
 use redwingrill_routing::PromptPart;
@@ -85,7 +86,7 @@
         service: SERVICE.to_owned(),
         route: route(is_long),
         prompt: prompt.map(Arc::new),
-        isolated_account: None,
+        audience: CacheAudience::default(),
         account: None,
         urgency: if is_long { 2 } else { 0 },
         arrived_ms,
