Watch a connection that ended in order for the reset that follows

Callers saw: half of an answer as a whole one.

Cause: a request counted as written once the send buffer had taken it, and the socket was dropped at the end of the connection, so nobody saw the reset.

Ruled out: WholeAnswer::confirm, whose upstream is alive; and evidence from acknowledged bytes, as the peer's system acknowledges what nobody reads.

Change: the I/O object of a connection hands its socket over as the connection ends, and does not shut its sending side down, which would hide a later reset. ResponseBody::next, which each reader of an answer uses, ends a body that only its connection ends after 50 ms without a reset. A refusal without a length is not waited for, as its connection cannot be reused.

--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -123,9 +123,12 @@
 /// The timeout for reading the short body of a refusal; after it the connection is closed.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// Reads the body of a refusal, so that the connection can be reused.
+/// Reads the body of a refusal, so that the connection can be reused. One that ends with its
+/// connection is not waited for.
 async fn drain_refusal(status: StatusCode, body: ResponseBody) -> SendOutcome {
-    if let Err(e) = body.read_all(64 << 10, DRAIN_TIMEOUT).await {
+    if body.framing().marks_end()
+        && let Err(e) = body.read_all(64 << 10, DRAIN_TIMEOUT).await
+    {
         debug!("event=refusal_body_read_failed reason={:?}", e.to_string());
     }
     SendOutcome::NotRun { status }
--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -48,14 +48,15 @@
         self.framing
     }
 
-    /// Waits for the next data. Returns `None` at the end of the body.
+    /// Waits for the next data. Returns `None` at the end of the body; where only the end of the
+    /// connection marks it, some 50 ms after that.
     ///
     /// # Errors
     ///
     /// [`TransportError::Silent`] if no data arrived within `wait`, which discards the connection
     /// and all older idle ones to the address, or [`TransportError::Broken`] if the connection
-    /// failed before the end, or, where only its end marks that of the body, while the request was
-    /// still being written.
+    /// failed before the end or, where only its end marks that of the body, while the request was
+    /// still being written or just after it had ended in order.
     pub async fn next(&mut self, wait: Duration) -> Result<Option<Bytes>, TransportError> {
         loop {
             let Ok(frame) = timeout(wait, self.incoming.frame()).await else {
@@ -67,7 +68,7 @@
             match frame {
                 None => {
                     if self.has_body && !self.framing.marks_end() {
-                        self.wait_request_written(wait).await?;
+                        self.confirm_end(wait).await?;
                     }
                     self.release();
                     return Ok(None);
@@ -110,12 +111,21 @@
         Ok(body.freeze())
     }
 
-    async fn wait_request_written(&mut self, wait: Duration) -> Result<(), TransportError> {
-        if timeout(wait, self.upload.wait_written()).await == Ok(true) {
-            return Ok(());
-        }
+    /// Waits for what shows that the end of the connection is that of the answer: the request was
+    /// written, and the server did not reset the connection after its end.
+    async fn confirm_end(&mut self, wait: Duration) -> Result<(), TransportError> {
+        let is_written = timeout(wait, self.upload.wait_written()).await == Ok(true);
+        let guard = self.guard.as_ref();
+        let reset = match guard.filter(|_| is_written) {
+            Some(guard) => guard.watch_reset().await,
+            None => Ok(()),
+        };
+        let reason = match reset {
+            Ok(()) if is_written => return Ok(()),
+            Ok(()) => "the connection ended while the request was being written".to_owned(),
+            Err(e) => format!("the connection was reset after its end: {e}"),
+        };
         self.guard = None;
-        let reason = "the connection ended while the request was being written".to_owned();
         Err(TransportError::Broken { reason })
     }
 
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -14,6 +14,7 @@
 mod dead_peer;
 mod error;
 mod framing;
+mod kept_socket;
 mod pool;
 mod postcard_codec;
 mod upload;
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -10,6 +10,7 @@
 //! list.
 
 use std::collections::HashMap;
+use std::io;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -39,6 +40,7 @@
 use crate::ResponseBody;
 use crate::TransportError;
 use crate::dead_peer::enable_dead_peer_detection;
+use crate::kept_socket::SocketKeeper;
 use crate::upload::UploadState;
 
 /// The limit of idle connections to an address.
@@ -123,6 +125,7 @@
     opened_at: Instant,
     // Set before what was not written is dropped.
     has_ended: Arc<AtomicBool>,
+    socket: SocketKeeper,
     state: S,
 }
 
@@ -134,16 +137,18 @@
     }
 
     fn into_busy(self) -> Connection<Busy> {
-        let Self { sender, opened_at, has_ended, .. } = self;
-        Connection { sender, opened_at, has_ended, state: Busy }
+        let Self { sender, opened_at, has_ended, socket, .. } = self;
+        socket.set_wanted(true);
+        Connection { sender, opened_at, has_ended, socket, state: Busy }
     }
 }
 
 impl Connection<Busy> {
     fn into_idle(self) -> Connection<Idle> {
         let state = Idle { since: Instant::now() };
-        let Self { sender, opened_at, has_ended, .. } = self;
-        Connection { sender, opened_at, has_ended, state }
+        let Self { sender, opened_at, has_ended, socket, .. } = self;
+        socket.set_wanted(false);
+        Connection { sender, opened_at, has_ended, socket, state }
     }
 }
 
@@ -278,8 +283,8 @@
             })?;
         stream.set_nodelay(true).map_err(|e| unreachable(e.to_string()))?;
         enable_dead_peer_detection(&stream).map_err(|e| unreachable(e.to_string()))?;
-        let handshake =
-            Builder::new().max_buf_size(READ_LIMIT_BYTES).handshake(TokioIo::new(stream));
+        let (io, socket) = SocketKeeper::new(stream);
+        let handshake = Builder::new().max_buf_size(READ_LIMIT_BYTES).handshake(TokioIo::new(io));
         let (sender, driver) = handshake.await.map_err(|e| unreachable(e.to_string()))?;
         let closing = self.shared.closing.clone();
         let has_ended = Arc::new(AtomicBool::new(false));
@@ -294,7 +299,7 @@
             ends.store(true, Ordering::Release);
             drop(driver);
         });
-        Ok(Connection { sender, opened_at: Instant::now(), has_ended, state: Busy })
+        Ok(Connection { sender, opened_at: Instant::now(), has_ended, socket, state: Busy })
     }
 }
 
@@ -330,6 +335,15 @@
         }
     }
 
+    /// Watches the connection, which ended in order, for a reset that follows.
+    ///
+    /// # Errors
+    ///
+    /// The error of the socket.
+    pub(crate) async fn watch_reset(&self) -> io::Result<()> {
+        self.connection.socket.watch_reset().await
+    }
+
     /// Stores the idle timeout from the `Keep-Alive` header, if there is one.
     fn set_peer_idle_timeout(&self, headers: &HeaderMap) {
         let Some(peer_idle_timeout) = keep_alive_timeout(headers) else { return };
