--- a/crates/lab/src/metadata_store/http.rs
+++ b/crates/lab/src/metadata_store/http.rs
@@ -60,6 +60,12 @@
         Ok(Self { state, server: Server::start(address, calls).await? })
     }
 
+    /// Does the write that was held by [`StoreState::hold_next_write`], if its conditions still hold.
+    pub fn do_held_write(&self) {
+        let held = self.state.lock().held_write.take();
+        held.into_iter().for_each(|txn| drop(apply(&self.state, txn)));
+    }
+
     /// Returns its address.
     pub fn address(&self) -> SocketAddr {
         self.server.address()
@@ -76,20 +82,20 @@
     state: StoreState,
 }
 
-#[derive(Deserialize)]
-struct Txn {
+#[derive(Debug, Deserialize)]
+pub(super) struct Txn {
     expect: Vec<Expect>,
     set_keys: Vec<SetKey>,
     remove: Vec<String>,
 }
 
-#[derive(Deserialize)]
+#[derive(Debug, Deserialize)]
 struct Expect {
     key: String,
     rev: u64,
 }
 
-#[derive(Deserialize)]
+#[derive(Debug, Deserialize)]
 struct SetKey {
     key: String,
     value: String,
@@ -119,7 +125,7 @@
             }
             StoreFault::None | StoreFault::LosesAnswers | StoreFault::KeepsNoHistory => {}
         }
-        let mut reply = self.answer(request).await;
+        let mut reply = self.answer(request).await?;
         let era = self.state.lock().era;
         reply.headers_mut().insert(ERA_HEADER, HeaderValue::from(era));
         match fault {
@@ -130,17 +136,20 @@
 }
 
 impl Calls {
-    async fn answer(&self, request: Request<Incoming>) -> Response<Body> {
+    async fn answer(&self, request: Request<Incoming>) -> Result<Response<Body>, Cut> {
         let query = request.uri().query().unwrap_or_default().to_owned();
         let query: HashMap<String, String> = parse(query.as_bytes()).into_owned().collect();
         let path = request.uri().path().to_owned();
         let id = path.rsplit('/').next().and_then(|id| id.parse().ok()).unwrap_or(0);
-        match (request.method(), path.as_str()) {
+        Ok(match (request.method(), path.as_str()) {
             (&Method::GET, "/-/kv-key") => self.key(&query),
             (&Method::GET, "/-/kv-range") => self.range(&query),
             (&Method::GET, "/-/kv-watch") => self.watch(&query).await,
             (&Method::POST, "/-/kv-txn") => match read_json(request.into_body()).await {
-                Ok(txn) => self.txn(txn),
+                Ok(txn) => match self.hold(txn) {
+                    Some(txn) => apply(&self.state, txn),
+                    None => return Err(Cut),
+                },
                 Err(reply) => *reply,
             },
             (&Method::POST, "/-/kv-lease") => match read_json(request.into_body()).await {
@@ -154,7 +163,19 @@
                 status_reply(if ended { StatusCode::OK } else { StatusCode::NOT_FOUND })
             }
             _ => status_reply(StatusCode::NOT_FOUND),
+        })
+    }
+
+    /// Holds a write that is to be done late; returns any other one.
+    fn hold(&self, txn: Txn) -> Option<Txn> {
+        let mut inner = self.state.lock();
+        let key = inner.held_key.as_deref();
+        if !txn.set_keys.iter().any(|set| Some(set.key.as_str()) == key) {
+            return Some(txn);
         }
+        inner.held_key = None;
+        inner.held_write = Some(txn);
+        None
     }
 
     fn key(&self, query: &HashMap<String, String>) -> Response<Body> {
@@ -210,35 +231,6 @@
         }
     }
 
-    fn txn(&self, txn: Txn) -> Response<Body> {
-        let mut inner = self.state.lock();
-        let holds = txn.expect.iter().all(|expect| {
-            inner.items.get(&expect.key).map_or(0, |stored| stored.rev) == expect.rev
-        });
-        if !holds {
-            let items = txn.expect.iter().filter_map(|expect| {
-                inner.items.get(&expect.key).map(|stored| item(&expect.key, stored))
-            });
-            let items: Vec<Value> = items.collect();
-            return json_reply(StatusCode::PRECONDITION_FAILED, &json!({ "items": items }));
-        }
-        let leases = txn.set_keys.iter().map(|set| set.lease).filter(|lease| *lease > 0);
-        if leases.into_iter().any(|lease| !inner.leases.contains_key(&lease)) {
-            return status_reply(StatusCode::NOT_FOUND);
-        }
-        for set in txn.set_keys {
-            let Ok(value) = STANDARD.decode(&set.value) else {
-                return status_reply(StatusCode::BAD_REQUEST);
-            };
-            inner.put(&set.key, value, set.lease);
-        }
-        txn.remove.iter().for_each(|key| inner.remove(key));
-        let rev = inner.rev;
-        drop(inner);
-        self.state.changed.notify_waiters();
-        json_reply(StatusCode::OK, &json!({ "rev": rev }))
-    }
-
     fn grant(&self, ttl_ms: u64) -> Response<Body> {
         let mut inner = self.state.lock();
         let ttl = Duration::from_millis(ttl_ms.max(TTL_MIN_MS));
@@ -260,6 +252,37 @@
     }
 }
 
+/// Applies a transaction if its conditions hold.
+fn apply(state: &StoreState, txn: Txn) -> Response<Body> {
+    let mut inner = state.lock();
+    let holds = txn
+        .expect
+        .iter()
+        .all(|expect| inner.items.get(&expect.key).map_or(0, |stored| stored.rev) == expect.rev);
+    if !holds {
+        let items = txn.expect.iter().filter_map(|expect| {
+            inner.items.get(&expect.key).map(|stored| item(&expect.key, stored))
+        });
+        let items: Vec<Value> = items.collect();
+        return json_reply(StatusCode::PRECONDITION_FAILED, &json!({ "items": items }));
+    }
+    let leases = txn.set_keys.iter().map(|set| set.lease).filter(|lease| *lease > 0);
+    if leases.into_iter().any(|lease| !inner.leases.contains_key(&lease)) {
+        return status_reply(StatusCode::NOT_FOUND);
+    }
+    for set in txn.set_keys {
+        let Ok(value) = STANDARD.decode(&set.value) else {
+            return status_reply(StatusCode::BAD_REQUEST);
+        };
+        inner.put(&set.key, value, set.lease);
+    }
+    txn.remove.iter().for_each(|key| inner.remove(key));
+    let rev = inner.rev;
+    drop(inner);
+    state.changed.notify_waiters();
+    json_reply(StatusCode::OK, &json!({ "rev": rev }))
+}
+
 fn changes(inner: &Inner, after: u64) -> Option<Value> {
     let newer = inner.history.iter().filter(|event| event.rev > after);
     let events: Vec<Value> = newer.map(event).collect();
--- a/crates/lab/src/metadata_store/state.rs
+++ b/crates/lab/src/metadata_store/state.rs
@@ -9,6 +9,8 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use super::http::Txn;
+
 /// How the store fails its callers.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
 pub enum StoreFault {
@@ -51,6 +53,9 @@
     pub era: u64,
     pub fault: StoreFault,
     pub calls: u64,
+    /// The key whose next write is held.
+    pub held_key: Option<String>,
+    pub held_write: Option<Txn>,
     // The last writes of the operator and the engines; `None` for a removal.
     outside: BTreeMap<String, Option<Vec<u8>>>,
 }
@@ -149,6 +154,16 @@
         self.changed.notify_waiters();
     }
 
+    /// Gives no answer to the next write of a key by a node, and holds it.
+    pub fn hold_next_write(&self, key: &str) {
+        self.lock().held_key = Some(key.to_owned());
+    }
+
+    /// Returns whether a write is held.
+    pub fn has_held_write(&self) -> bool {
+        self.lock().held_write.is_some()
+    }
+
     /// Returns the calls so far.
     pub fn calls(&self) -> u64 {
         self.lock().calls
--- a/crates/lab/tests/on_platform/late_writes.rs
+++ b/crates/lab/tests/on_platform/late_writes.rs
@@ -122,3 +122,21 @@
     assert!(received_by(&site, &node, 0, SEEN).await > 0);
     site.stop(vec![node]).await;
 }
+
+/// Guards against a node that stays unlisted, as its entry was replaced by an earlier write of it whose
+/// lease nobody renews.
+#[tokio::test]
+async fn late_write_ends_the_entry_of_a_live_member() {
+    /// The lease of members, and a renewal after it.
+    const LEASE: Duration = Duration::from_secs(22);
+    let site = Site::start(0, 1).await;
+    let key = "redwingrill/members/n1";
+    site.store.state.hold_next_write(key);
+    let node = site.node("n1").await;
+    site.wait("a write is held", async || site.store.state.has_held_write()).await;
+    site.wait("the member is listed", async || site.store.state.get(key).is_some()).await;
+    site.store.do_held_write();
+    sleep(LEASE).await;
+    assert!(site.store.state.get(key).is_some());
+    site.stop(vec![node]).await;
+}
