Name the cases of what counts for a key in the mirror

A reader had to tell two nested options apart; an enum names the item in the store, an earlier one, and nothing.

--- a/crates/gateway/src/store_sync/late_writes.rs
+++ b/crates/gateway/src/store_sync/late_writes.rs
@@ -47,8 +47,16 @@
     late: Option<LateWrite>,
 }
 
-/// What counts for a key whose item in the store does not.
-pub(super) type Standing<'a> = Option<(Revision, &'a Bytes)>;
+/// What counts for a key that has an item in the store.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(super) enum Counted<'a> {
+    /// The item in the store.
+    Stored,
+    /// An item that the store had before.
+    Earlier(Revision, &'a Bytes),
+    /// Nothing: the key was removed.
+    Nothing,
+}
 
 /// An entry of an update for a peer.
 type UpdateEntry = (String, u64, Option<Vec<u8>>);
@@ -123,11 +131,10 @@
         true
     }
 
-    fn standing(&self) -> Standing<'_> {
-        match self.removed_at {
-            Some(_) => None,
-            None => Some((self.newest.revision, &self.newest.value)),
-        }
+    /// Takes account of a write that is not numbered, which the store's order puts after a late one.
+    fn observe_unnumbered(&mut self, revision: Revision) -> bool {
+        let late = self.late.take_if(|late| late.write.revision < revision);
+        late.is_some()
     }
 
     /// Lets a late write count if its time has come. Returns whether it does.
@@ -180,21 +187,17 @@
                     }
                 }
             }
-            (Some(_), None) => {
-                let superseded = history.and_then(|history| {
-                    let late = history.late.as_ref();
-                    let is_superseded = late.is_some_and(|late| late.write.revision < revision);
-                    is_superseded.then(|| history.late.take())
-                });
-                superseded.is_some()
-            }
+            (Some(_), None) => history.is_some_and(|history| history.observe_unnumbered(revision)),
         }
     }
 
-    /// Returns what counts for a key whose item in the store does not.
-    pub fn standing(&self, key: &str) -> Option<Standing<'_>> {
-        let history = self.by_key.get(key).filter(|history| history.late.is_some())?;
-        Some(history.standing())
+    /// Returns what counts for a key that has an item in the store.
+    pub fn counted(&self, key: &str) -> Counted<'_> {
+        match self.by_key.get(key) {
+            None | Some(KeyHistory { late: None, .. }) => Counted::Stored,
+            Some(KeyHistory { removed_at: Some(_), .. }) => Counted::Nothing,
+            Some(KeyHistory { newest, .. }) => Counted::Earlier(newest.revision, &newest.value),
+        }
     }
 
     /// Returns the earlier changes from which a peer learns that items of the store do not count.
@@ -208,16 +211,13 @@
     }
 
     /// Lets late writes count whose time has come; `is_returning` states whether entries may have
-    /// lapsed because the store is, or has just been, unavailable. Returns whether one does.
-    pub fn settle(&mut self, now_ms: u64, is_returning: bool) -> bool {
-        let mut has_settled = false;
+    /// lapsed because the store is, or has just been, unavailable.
+    pub fn settle(&mut self, now_ms: u64, is_returning: bool) {
         for (key, history) in &mut self.by_key {
             if history.settle(now_ms, self.lapse_ms, is_returning) {
                 info!("event=late_write_counts key={key} order={}", history.newest.order);
-                has_settled = true;
             }
         }
-        has_settled
     }
 
     /// Returns when a late write counts, unless the store becomes unavailable.
--- a/crates/gateway/src/store_sync/mirror.rs
+++ b/crates/gateway/src/store_sync/mirror.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::late_writes::Counted;
 use super::late_writes::LateWrites;
 use redwingrill_routing::Change;
 use redwingrill_routing::Item;
@@ -108,9 +109,10 @@
     /// place the newest item of the writer counts, if there is one.
     pub fn items(&self) -> impl Iterator<Item = (&str, Revision, &Bytes)> {
         self.stored_items().filter_map(|(key, revision, value)| {
-            match self.late_writes.standing(key) {
-                None => Some((key, revision, value)),
-                Some(standing) => standing.map(|(revision, value)| (key, revision, value)),
+            match self.late_writes.counted(key) {
+                Counted::Stored => Some((key, revision, value)),
+                Counted::Earlier(revision, value) => Some((key, revision, value)),
+                Counted::Nothing => None,
             }
         })
     }
@@ -260,8 +262,8 @@
             return false;
         }
         let order = self.orders.read(&key, value.as_ref());
-        let is_judged_anew = self.late_writes.observe(&key, revision, value.as_ref(), order);
-        is_judged_anew | self.store(key, revision, value)
+        let counts_anew = self.late_writes.observe(&key, revision, value.as_ref(), order);
+        counts_anew | self.store(key, revision, value)
     }
 
     fn store(&mut self, key: String, revision: Revision, value: Option<Bytes>) -> bool {
