--- a/crates/gateway/src/node/membership.rs
+++ b/crates/gateway/src/node/membership.rs
@@ -1,8 +1,9 @@
 //! Maintains the node's member entry in the store, under a lease.
 //!
 //! A store that comes back from an older copy may have lost the entry, or its lease, so the entry
-//! is written again as soon as the node follows the new era. The store may also do a write late whose
-//! response was lost. So all tries are under one lease, and each replaces what it knows only.
+//! is written again as soon as the node follows the new era. The store may also apply a
+//! write late whose response was lost, so all attempts use one lease, and each replaces only the
+//! revision that it knows.
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/gateway/src/store_sync/late_writes.rs
+++ b/crates/gateway/src/store_sync/late_writes.rs
@@ -1,16 +1,16 @@
-//! Writes that the store did late, after newer ones of the same writer.
+//! Writes that the store applied late, after newer ones of the same writer.
 //!
-//! The load pattern: a store that loses responses, and does such a write seconds later if its
-//! condition still holds. Upstreams write their entries without conditions, so an entry goes back to
-//! what its upstream said before, or comes back after its removal.
+//! The load pattern: a store that loses responses, and applies such a write seconds later if its
+//! condition still holds. Upstreams write their entries without conditions, so a late one reverts an
+//! entry to an earlier state, or restores it after its removal.
 //!
 //! Invariants, for keys whose writers number their writes:
-//! - The item that counts is the newest one by the writer's order. An older one that is done later
-//!   does not count.
+//! - The item that counts is the newest one by the writer's order, even if an older one is applied
+//!   after it.
 //! - After the removal of a key, an item of the same start of its writer does not count.
 //! - Neither holds for longer than the lapse, within which the entry of an upstream that is gone is
-//!   removed and one that is alive writes again. So a writer whose clock or count went back, and one
-//!   whose entry had lapsed by mistake, is heard in the end.
+//!   removed and one that is alive writes again. This bounds how long a live upstream is ignored whose
+//!   clock or sequence number went back, or whose entry had expired.
 
 use std::collections::HashMap;
 
@@ -79,7 +79,7 @@
         self.removed_at.is_some() && self.newest.order.started_unix_ms == order.started_unix_ms
     }
 
-    /// Takes account of a write. Returns whether what counts may have changed.
+    /// Records a write. Returns whether what counts may have changed.
     fn observe(&mut self, key: &str, write: Numbered) -> bool {
         if write.revision <= self.newest.revision {
             return self.observe_earlier(write);
@@ -108,8 +108,8 @@
         true
     }
 
-    /// Takes account of a write that was done before `newest`, of which a peer tells afterwards. If
-    /// it is newer by the writer's order, what was taken for the newest write was done late.
+    /// Records a write that was applied before `newest` and that a peer reports afterwards. If it is
+    /// newer by the writer's order, `newest` was applied late.
     fn observe_earlier(&mut self, write: Numbered) -> bool {
         if write.order <= self.newest.order {
             return false;
@@ -121,7 +121,7 @@
         true
     }
 
-    /// Takes account of the removal of the key.
+    /// Records the removal of the key.
     fn observe_removal(&mut self, revision: Revision) -> bool {
         if revision <= self.newest.revision || self.removed_at.is_some_and(|at| at >= revision) {
             return false;
@@ -131,18 +131,18 @@
         true
     }
 
-    /// Takes account of a write that is not numbered, which the store's order puts after a late one.
+    /// Records a write without a number, which supersedes a late one before it.
     fn observe_unnumbered(&mut self, revision: Revision) -> bool {
         let late = self.late.take_if(|late| late.write.revision < revision);
         late.is_some()
     }
 
-    /// Lets a late write count if its time has come. Returns whether it does.
+    /// Lets a late write count if it has stood for the lapse. Returns whether it does.
     fn settle(&mut self, now_ms: u64, lapse_ms: u64, is_returning: bool) -> bool {
         let Some(late) = &mut self.late else { return false };
         let is_due = if is_returning {
             late.since_ms = Some(now_ms);
-            // The entries of live upstreams may have lapsed; they are written again.
+            // Entries of live upstreams may have expired, and are written again.
             late.write.order >= self.newest.order
         } else {
             now_ms.saturating_sub(*late.since_ms.get_or_insert(now_ms)) >= lapse_ms
@@ -160,8 +160,8 @@
         Self { lapse_ms, ..Self::default() }
     }
 
-    /// Takes account of a change of a key, whatever its source and order; `order` is that of the
-    /// value, if its writer numbers its writes. Returns whether what counts may have changed.
+    /// Records a change of a key, from any source and in any order; `order` is that of the value, if
+    /// its writer numbers its writes. Returns whether what counts may have changed.
     pub fn observe(
         &mut self,
         key: &str,
@@ -170,7 +170,7 @@
         order: Option<WriteOrder>,
     ) -> bool {
         if self.era < revision.era() {
-            // The copy's numbers are older ones of the same writers.
+            // The copy has earlier numbers of the same writers.
             self.by_key.clear();
             self.era = revision.era();
         }
@@ -210,8 +210,8 @@
         })
     }
 
-    /// Lets late writes count whose time has come; `is_returning` states whether entries may have
-    /// lapsed because the store is, or has just been, unavailable.
+    /// Lets late writes count that have stood for the lapse; `is_returning` states whether entries may
+    /// have expired because the store is, or has just been, unavailable.
     pub fn settle(&mut self, now_ms: u64, is_returning: bool) {
         for (key, history) in &mut self.by_key {
             if history.settle(now_ms, self.lapse_ms, is_returning) {
--- a/crates/gateway/src/store_sync/mirror.rs
+++ b/crates/gateway/src/store_sync/mirror.rs
@@ -91,7 +91,7 @@
 }
 
 impl StoreMirror {
-    /// Creates an empty mirror. A write that the store did late does not count for up to `lapse`.
+    /// Creates an empty mirror. A write that the store applied late does not count for up to `lapse`.
     pub fn new(codec: Arc<dyn ItemCodec>, lapse: Duration) -> Self {
         Self {
             late_writes: LateWrites::new(lapse.as_millis() as u64),
@@ -105,8 +105,8 @@
         self.complete_to
     }
 
-    /// Returns the items that count: those of the store but for writes that it did late, in whose
-    /// place the newest item of the writer counts, if there is one.
+    /// Returns the items that count: those of the store, except that the newest item of its writer, if
+    /// any, replaces one that was applied late.
     pub fn items(&self) -> impl Iterator<Item = (&str, Revision, &Bytes)> {
         self.stored_items().filter_map(|(key, revision, value)| {
             match self.late_writes.counted(key) {
@@ -117,8 +117,8 @@
         })
     }
 
-    /// Lets late writes count that nothing newer has replaced in time; `is_returning` states whether
-    /// items may have lapsed because the store is, or has just been, unavailable.
+    /// Lets late writes count that have stood for the lapse; `is_returning` states whether items may
+    /// have expired because the store is, or has just been, unavailable.
     pub fn settle(&mut self, now_ms: u64, is_returning: bool) {
         self.late_writes.settle(now_ms, is_returning);
     }
--- a/crates/routing/src/cache_audience.rs
+++ b/crates/routing/src/cache_audience.rs
@@ -8,14 +8,13 @@
 
 /// The accounts that share cached prompt parts with a request.
 ///
-/// Invariant: what is shared within an audience was made by an account that is isolated neither in
-/// the configuration of the request that reads it nor in that of the request that made it, or by the
-/// reading account itself. This follows from the text alone: an account that is isolated has an
-/// audience of its own, and the common one names the accounts that it leaves out. So nodes need no
-/// history, and the order of configurations does not matter.
+/// Invariant: a part that is found within an audience was made by the reading account itself, or by
+/// one that is isolated neither in the configuration of the reader nor in that of the writer. This
+/// follows from the text alone: an isolated account has an audience of its own, and the common one
+/// names the accounts that it excludes. So nodes need no history, and the order of configurations does
+/// not matter.
 ///
-/// The form of the value is that of an optional account name, which builds of before send to each other in
-/// its place.
+/// Serialized like the optional account name that earlier builds send in its place.
 #[derive(Clone, PartialEq, Eq, Hash, Debug, Default, Serialize, Deserialize)]
 pub struct CacheAudience(Option<String>);
 
--- a/crates/routing/src/write_order.rs
+++ b/crates/routing/src/write_order.rs
@@ -1,12 +1,12 @@
-//! The order in which a writer said what it wrote.
+//! The order of a writer's own writes.
 
 use std::fmt;
 
 /// The place of a write among all that its writer wrote under a key.
 ///
-/// The store does a write whose response was lost up to some seconds later. Its revision then tells
-/// when the write was done, and this order when it was said. The order counts within a writer that
-/// starts anew with a later time of start.
+/// The store may apply a write whose response was lost some seconds later. The revision orders writes
+/// as they were applied, this order as they were sent. A writer that restarts has a later time of start
+/// and counts anew.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
 pub struct WriteOrder {
     /// Unix time of the writer's start in milliseconds.
--- a/crates/transport/src/kept_socket.rs
+++ b/crates/transport/src/kept_socket.rs
@@ -1,9 +1,8 @@
 //! The socket of a connection, kept past the end of the connection while a request is on it.
 //!
-//! A server that closes a connection with unread bytes of the request resets it, after it may have
-//! ended its answer in order. The reset is seen on a socket that is still open: after a shutdown of
-//! its sending side a later reset changes nothing any more. So the HTTP connection, which gives up
-//! its socket with the answer's end, hands it over here.
+//! A server that closes a connection with unread bytes of the request resets it, possibly after an
+//! orderly end of its answer. Only a socket whose sending side is still open reports that reset. The
+//! HTTP connection drops its socket at the end of the answer, so its I/O object hands it over here.
 //!
 //! Invariants:
 //! - The sending side is shut down by closing the socket only.
