Free the future of a request with its head, and box rare changes

What was seen: slow_callers_lose_streams_or_take_all_memory fails now and then. 300 callers that read nothing for 4 s before a node with 120 MB take it to 44 MB; the bound is less. No caller saw a fault.

Cause: a future takes the space of its largest branch as long as it lives. Half of a relay's future is for the change to another upstream, and hyper keeps the space of a request's future for the lifetime of its connection, though it is done once the head is sent.

Evidence: sizes that the compiler prints. Both are held for each stream.

Why it works: listeners box the future, so that it is freed with the head, those of the own interface too; the relay boxes the futures of a change. Relay::run takes 3,768 bytes.

The bound stays; the margin is small.

--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -119,6 +119,15 @@
         call.schedule_request(self.cache_audience(call))
     }
 
+    /// Asks the dispatch task for an attempt of a request.
+    pub(super) fn choose(
+        &self,
+        call: &Call,
+        purpose: Purpose,
+    ) -> impl Future<Output = Result<Attempt, (RefusalCause, u64)>> {
+        self.dispatcher.choose(self.schedule_request(call), purpose)
+    }
+
     /// Returns the evidence that an upstream's answer, which was received to its last byte, is whole.
     ///
     /// # Errors
@@ -427,8 +436,7 @@
 
     async fn assign(&self, call: &Call) -> Result<Attempt, Refusal> {
         let purpose = if call.sends > 0 { Purpose::Retry } else { Purpose::First };
-        let request = self.context.schedule_request(call);
-        let chosen = self.context.dispatcher.choose(request, purpose).await;
+        let chosen = self.context.choose(call, purpose).await;
         let (cause, retry_after_ms) = match chosen {
             Ok(attempt) => {
                 log_assignment(call, &attempt);
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -205,7 +205,8 @@
         }
     }
 
-    /// Forwards events, from one upstream after the other.
+    /// Forwards events, from one upstream after the other. The futures of a change of the upstream
+    /// are boxed: they are several times as large as that of a stream that needs none.
     async fn relay(&mut self, call: &mut Call, sender: &StreamSender) -> RelayEnd {
         let first_events = std::mem::take(&mut self.first_events);
         if !first_events.is_empty() {
@@ -229,18 +230,18 @@
                     self.body = None;
                 }
                 SegmentEnd::Stalled => {
-                    let Some(next) = self.take_over(call).await else {
+                    let Some(next) = Box::pin(self.take_over(call)).await else {
                         self.stall_timeout *= 2;
                         continue;
                     };
                     self.end_attempt(Verdict::Failed);
                     self.body = None;
-                    if self.resume_at(call, next).await {
+                    if Box::pin(self.resume_at(call, next)).await {
                         continue;
                     }
                 }
             }
-            if !self.resume(call).await {
+            if !Box::pin(self.resume(call)).await {
                 return RelayEnd::Broken;
             }
         }
@@ -319,8 +320,7 @@
     /// Returns an attempt at another upstream that can take over a stalled stream now. `None` if
     /// there is none: then a slow upstream is better than a broken stream.
     async fn take_over(&self, call: &Call) -> Option<Attempt> {
-        let request = self.context.schedule_request(call);
-        match self.context.dispatcher.choose(request, Purpose::Move).await {
+        match self.context.choose(call, Purpose::Move).await {
             Ok(attempt) => Some(attempt),
             Err((cause, _)) => {
                 info!(
@@ -340,8 +340,7 @@
     /// whether an upstream took over.
     async fn resume(&mut self, call: &mut Call) -> bool {
         while self.splitter.last_id().is_some() && call.may_retry() && !call.remaining().is_zero() {
-            let request = self.context.schedule_request(call);
-            let choice = self.context.dispatcher.choose(request, Purpose::Retry).await;
+            let choice = self.context.choose(call, Purpose::Retry).await;
             let attempt = match choice {
                 Ok(attempt) => attempt,
                 Err((cause, _)) => {
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::Request;
 use http::StatusCode;
 use http::response::Parts;
@@ -14,6 +15,7 @@
 use redwingrill_scheduling::fleet::Misdirection;
 use redwingrill_scheduling::fleet::StatedUpstream;
 use redwingrill_scheduling::fleet::Verdict;
+use redwingrill_scheduling::scheduler::Assignment;
 use redwingrill_transport::Freshness;
 use redwingrill_transport::ResponseBody;
 use redwingrill_transport::Timeouts;
@@ -58,24 +60,17 @@
     attempt: Attempt,
     last_event_id: Option<u64>,
 ) -> SendOutcome {
-    let codec = context.head_codec.as_ref();
     let remaining = call.remaining();
     let assignment = attempt.assignment();
     let address = assignment.upstream.address;
-    let mut request = Request::new(call.body.clone());
-    *request.method_mut() = call.method.clone();
-    *request.uri_mut() = call.uri.clone();
-    *request.headers_mut() = call.headers.clone();
-    let audience = context.cache_audience(call);
-    let metadata = call.attempt_metadata(assignment, &audience, last_event_id);
-    codec.encode_attempt(request.headers_mut(), &metadata);
+    let request = upstream_request(context, call, assignment, last_event_id);
     let timeouts = Timeouts { connect: CONNECT_TIMEOUT.min(remaining), head: remaining };
     let response = match context.pool.send(address, request, Freshness::Any, &timeouts).await {
         Ok(response) => response,
         Err(e) => return failed_send(attempt, &e),
     };
     let (parts, body) = response.into_parts();
-    let mut metadata = codec.decode_response(&parts.headers);
+    let mut metadata = context.head_codec.decode_response(&parts.headers);
     // A refusal, too, may have been written for an earlier request on the connection.
     if metadata.request_id.as_deref() != Some(call.metadata.id.as_str()) {
         attempt.end(Verdict::Failed);
@@ -120,6 +115,23 @@
     SendOutcome::Responded(Box::new(UpstreamResponse { parts, body, attempt, wants_pause }))
 }
 
+/// Returns the request of one attempt, under the scope of the configuration in force now.
+fn upstream_request(
+    context: &GatewayContext,
+    call: &Call,
+    assignment: &Assignment,
+    last_event_id: Option<u64>,
+) -> Request<Bytes> {
+    let mut request = Request::new(call.body.clone());
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.uri.clone();
+    *request.headers_mut() = call.headers.clone();
+    let audience = context.cache_audience(call);
+    let metadata = call.attempt_metadata(assignment, &audience, last_event_id);
+    context.head_codec.encode_attempt(request.headers_mut(), &metadata);
+    request
+}
+
 /// The timeout for reading the short body of a refusal; after it the connection is closed.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(50);
 
--- a/crates/gateway/src/front/listener.rs
+++ b/crates/gateway/src/front/listener.rs
@@ -88,7 +88,8 @@
             let (draining, aborting_stream) = (draining.clone(), aborting_stream.clone());
             let (closing, ending) = (closing.clone(), ending.clone());
             knows_chunks.store(request.version() >= Version::HTTP_11, Ordering::Relaxed);
-            async move {
+            // Boxed, because hyper keeps the space of the future for the lifetime of the connection.
+            Box::pin(async move {
                 let mut response = if closing.is_cancelled() {
                     gateway.refuse_draining(&request)
                 } else {
@@ -104,7 +105,7 @@
                     response.headers_mut().insert(header::CONNECTION, close);
                 }
                 Ok::<_, Infallible>(response)
-            }
+            })
         });
         let mut connection = http1::Builder::new()
             .timer(TokioTimer::new())
--- a/crates/redwingrill/src/http/listener.rs
+++ b/crates/redwingrill/src/http/listener.rs
@@ -182,7 +182,8 @@
         let service = service_fn(move |request| {
             let handler = handler.clone();
             let owner = owner.clone();
-            async move { Ok::<_, Infallible>(handler.handle(request, owner).await) }
+            // Boxed, because hyper keeps the space of the future for the lifetime of the connection.
+            Box::pin(async move { Ok::<_, Infallible>(handler.handle(request, owner).await) })
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
