Log the software versions of engines and the resumptions of callers

Upstreams now carry the version of their software, if they state one; the lines upstream_listed, assigned and resuming name it, and resumption_asked tells which attempt a caller says began its stream. Nothing is decided by either yet.

--- a/crates/gateway/src/cluster_view/builder.rs
+++ b/crates/gateway/src/cluster_view/builder.rs
@@ -277,8 +277,13 @@
             Ok(upstream) => {
                 info!(
                     "event=upstream_listed upstream={id} revision={} service={} address={} \
-                     state={:?} models={:?}",
-                    revision, upstream.service, upstream.address, upstream.state, upstream.models,
+                     state={:?} software={} models={:?}",
+                    revision,
+                    upstream.service,
+                    upstream.address,
+                    upstream.state,
+                    upstream.software.as_ref().map_or("-", |software| software.0.as_str()),
+                    upstream.models,
                 );
                 Some(Arc::new(upstream))
             }
--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -274,6 +274,12 @@
         self.context.head_codec.sanitize_request(&mut head.headers);
         head.headers.remove(header::CONTENT_LENGTH);
         let service = route.choose_service(rand::rng().random()).to_owned();
+        if let Some(last_event_id) = metadata.last_event_id {
+            info!(
+                "event=resumption_asked request_id={} route={} resumes={:?} last_event={last_event_id}",
+                metadata.id, route.name, metadata.resumes,
+            );
+        }
         let prompt = metadata.prompt.take().map(Arc::new);
         let uri = origin_form(&head.uri);
         Ok(Call {
@@ -771,6 +777,11 @@
     );
 }
 
+/// Returns the version of an upstream's software for log lines; `-` without one.
+pub(super) fn software_name(upstream: &Upstream) -> &str {
+    upstream.software.as_ref().map_or("-", |software| software.0.as_str())
+}
+
 fn log_assignment(call: &Call, attempt: &Attempt) {
     let assignment = attempt.assignment();
     let prefix = assignment.affinity.map_or(0, |key| key.0);
@@ -778,8 +789,10 @@
     let fetch = assignment.fetch_from.map_or_else(|| "-".to_owned(), |from| from.to_string());
     let coordinator = assignment.coordinator.map_or_else(|| "-".to_owned(), |at| at.to_string());
     let weights = assignment.version.map_or_else(|| "-".to_owned(), |known| known.0.to_string());
+    let software = software_name(&assignment.upstream);
     info!(
-        "event=assigned request_id={} account={} route={} upstream={} weights={weights} scope={scope} \
+        "event=assigned request_id={} account={} route={} upstream={} software={software} \
+         weights={weights} scope={scope} \
          prefix={prefix:x} \
          prompt_tokens={} unread_tokens={} queued_tokens={} fetch={fetch} save={} \
          coordinator={coordinator} sends={} age_ms={}",
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -27,6 +27,7 @@
 use super::call::Call;
 use super::caller_queue::QueueLabel;
 use super::events::EventSplitter;
+use super::gateway::software_name;
 use super::response::Body;
 use super::response::relayed_head;
 use super::send::SendOutcome;
@@ -362,10 +363,13 @@
         call.tried.push(attempt.assignment().index);
         call.sends += 1;
         info!(
-            "event=resuming request_id={} account={} upstream={} last_event={last_id}",
+            "event=resuming request_id={} account={} upstream={} software={} was={} \
+             last_event={last_id}",
             call.metadata.id,
             call.account_name(),
             attempt.assignment().upstream.id,
+            software_name(&attempt.assignment().upstream),
+            software_name(&self.upstream),
         );
         match send_attempt(&self.context, call, attempt, Some(last_id)).await {
             SendOutcome::Responded(response) => {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -43,6 +43,7 @@
             warm_up_remaining: Duration::ZERO,
             models: vec![("m".to_owned(), WeightsVersion(1))],
             started_unix_ms: None,
+            software: None,
         })
     });
     ClusterView { upstreams: upstreams.collect(), ..ClusterView::default() }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -77,6 +77,7 @@
 pub use store::SharedStoreError;
 pub use store::Write;
 pub use store::WriteOutcome;
+pub use upstreams::SoftwareVersion;
 pub use upstreams::Upstream;
 pub use upstreams::UpstreamState;
 pub use upstreams::WeightsVersion;
--- a/crates/routing/src/metadata.rs
+++ b/crates/routing/src/metadata.rs
@@ -18,6 +18,8 @@
     pub key: Option<String>,
     /// The last event that the caller received of an interrupted stream.
     pub last_event_id: Option<u64>,
+    /// The caller's identifier of the attempt that brought the first event of that stream.
+    pub resumes: Option<String>,
     /// The prompt, if one is declared.
     pub prompt: Option<DeclaredPrompt>,
     /// The prompt tokens and the maximum of output tokens together, if they are declared.
--- a/crates/routing/src/upstreams.rs
+++ b/crates/routing/src/upstreams.rs
@@ -1,12 +1,27 @@
 //! Live upstreams as listed by the platform.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 /// A version of a model's weights.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Default)]
 pub struct WeightsVersion(pub u64);
 
+/// A version of an upstream's software, which is distinct from those of the weights. Versions have no
+/// order: equal ones write streams that fit together, and nothing is known of others.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Serialize, Deserialize)]
+pub struct SoftwareVersion(pub String);
+
+impl fmt::Display for SoftwareVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
 /// Whether an upstream accepts new requests.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum UpstreamState {
@@ -33,6 +48,8 @@
     pub state: UpstreamState,
     /// The remaining time during which it is slow after its start.
     pub warm_up_remaining: Duration,
+    /// The version of its software, if it states one.
+    pub software: Option<SoftwareVersion>,
     /// The versions of the weights that it holds, by model.
     pub models: Vec<(String, WeightsVersion)>,
     /// Unix time of its start in milliseconds; distinguishes restarts under the same identity.
--- a/crates/scheduling/examples/choice.rs
+++ b/crates/scheduling/examples/choice.rs
@@ -36,6 +36,7 @@
             warm_up_remaining: Duration::ZERO,
             models: vec![("m".to_owned(), WeightsVersion(1))],
             started_unix_ms: None,
+            software: None,
         })
     });
     listed.collect()
--- a/crates/scheduling/tests/engine_limits.rs
+++ b/crates/scheduling/tests/engine_limits.rs
@@ -160,6 +160,7 @@
                 warm_up_remaining: Duration::ZERO,
                 models: Vec::new(),
                 started_unix_ms: None,
+                software: None,
             })
         });
         let listed: Vec<_> = listed.collect();
--- a/crates/scheduling/tests/support/mod.rs
+++ b/crates/scheduling/tests/support/mod.rs
@@ -51,6 +51,7 @@
         warm_up_remaining: Duration::ZERO,
         models: vec![(MODEL.to_owned(), WeightsVersion(version))],
         started_unix_ms: None,
+        software: None,
     })
 }
 
