Record the software versions that services have in use

Callers took up streams after all nodes had been killed, with two versions of the engines in service or the old one just gone, and got the rest from another version: a node that has just started knows nothing of the stream, and its list of engines does not tell which version began it.

The versions at which open streams can have begun now lie in the store, one record a service, written a few times in a release: a version is added before any node begins a stream at it, and leaves once no engine has listed it for longer than a stream can last. A certain record with one version, read after the request of the caller arrived, names the version that began the stream. A record of an earlier era of the store, or none, is not certain; the first one of a fleet that starts for the first time is.

Until it is recorded, an engine of a new version gets no requests.

--- a/crates/gateway/src/cluster_view/builder.rs
+++ b/crates/gateway/src/cluster_view/builder.rs
@@ -19,6 +19,8 @@
 use super::QUARANTINE_PREFIX;
 use super::ROLLOUT_LEADER_KEY;
 use super::RolloutLeader;
+use super::SOFTWARE_PREFIX;
+use super::SoftwareItem;
 use super::TargetVersion;
 use super::departures::Departures;
 use crate::store_sync::StoreMirror;
@@ -336,6 +338,10 @@
         && Era(item.era) == view.complete_to.era()
     {
         view.grace_records.entry(item.model.clone()).or_default().push((&item).into());
+    } else if let Some(service) = node_key.strip_prefix(SOFTWARE_PREFIX) {
+        let item = decode::<SoftwareItem>(node_key, value);
+        let record = item.and_then(|item| item.into_record(view.complete_to.era()));
+        view.software_records.extend(record.map(|record| (service.to_owned(), record)));
     } else if let Some(part) = node_key.strip_prefix(QUARANTINE_PREFIX) {
         // The value is for operators.
         match part.parse() {
--- a/crates/gateway/src/cluster_view/mod.rs
+++ b/crates/gateway/src/cluster_view/mod.rs
@@ -14,6 +14,8 @@
 use redwingrill_routing::UpstreamState;
 use redwingrill_routing::WeightsVersion;
 use redwingrill_scheduling::quarantine::PartKey;
+use redwingrill_scheduling::software_versions::ServiceSoftware;
+use redwingrill_scheduling::software_versions::SoftwareRecord;
 use redwingrill_scheduling::turns::Contender;
 use redwingrill_scheduling::turns::rank;
 use redwingrill_scheduling::weights::GraceRecord;
@@ -26,6 +28,8 @@
 pub use node_items::QUARANTINE_PREFIX;
 pub use node_items::ROLLOUT_LEADER_KEY;
 pub use node_items::RolloutLeader;
+pub use node_items::SOFTWARE_PREFIX;
+pub use node_items::SoftwareItem;
 
 /// The target version of a model's weights.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
@@ -52,6 +56,8 @@
     pub target_versions: HashMap<String, TargetVersion>,
     /// The grace records of each model's target versions.
     pub grace_records: HashMap<String, Vec<GraceRecord>>,
+    /// The records of software versions of this era of the store, by service.
+    pub software_records: HashMap<String, SoftwareRecord>,
     /// The nodes, sorted by name.
     pub members: Vec<Member>,
     /// The node that leads the roll-out.
@@ -88,6 +94,46 @@
         versions.filter(|version| *version < target.version).count()
     }
 
+    /// Returns what is seen of the software of each service that serves streams.
+    pub fn software(&self) -> HashMap<String, ServiceSoftware> {
+        let Some(configuration) = &self.configuration else { return HashMap::new() };
+        let mut services: HashMap<String, ServiceSoftware> = HashMap::new();
+        for service in configuration.stream_services() {
+            let record = self.software_records.get(service).cloned();
+            let seen = ServiceSoftware { record, ..ServiceSoftware::default() };
+            services.insert(service.to_owned(), seen);
+        }
+        for upstream in &self.upstreams {
+            if let Some(seen) = services.get_mut(&upstream.service) {
+                seen.listed.extend(upstream.software.clone());
+            }
+        }
+        services
+    }
+
+    /// Returns the upstreams that may get requests: a version that the record of its service lacks
+    /// is not used yet, so that other nodes can rely on the record.
+    pub fn recorded_upstreams(&self) -> Vec<Arc<Upstream>> {
+        let recorded = self.upstreams.iter().filter(|upstream| self.is_recorded(upstream));
+        recorded.cloned().collect()
+    }
+
+    fn is_recorded(&self, upstream: &Upstream) -> bool {
+        match (self.software_records.get(&upstream.service), &upstream.software) {
+            (None, _) => true,
+            (Some(record), Some(software)) => record.versions.contains(software),
+            (Some(_), None) => false,
+        }
+    }
+
+    /// Returns whether open streams of a service can have begun at several versions.
+    pub fn has_several_software_versions(&self) -> bool {
+        self.software().values().any(|seen| {
+            seen.record.as_ref().is_none_or(|record| record.only_version().is_none())
+                || seen.listed.len() > 1
+        })
+    }
+
     /// Returns whether an engine has older weights than the target version.
     pub fn needs_target_version(&self, upstream: &Upstream) -> bool {
         upstream.models.iter().any(|(model, version)| {
--- a/crates/gateway/src/cluster_view/node_items.rs
+++ b/crates/gateway/src/cluster_view/node_items.rs
@@ -1,5 +1,6 @@
 //! The items that nodes write to the store.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use serde::Deserialize;
@@ -7,8 +8,10 @@
 
 use redwingrill_admission::limits::fleet::QuotaMember;
 use redwingrill_routing::Era;
+use redwingrill_routing::SoftwareVersion;
 use redwingrill_routing::WeightsVersion;
 use redwingrill_scheduling::coordination::GroupNode;
+use redwingrill_scheduling::software_versions::SoftwareRecord;
 use redwingrill_scheduling::turns::Contender;
 use redwingrill_scheduling::weights::GraceRecord;
 
@@ -24,6 +27,9 @@
 /// The key prefix of quarantined parts, followed by the part.
 pub const QUARANTINE_PREFIX: &str = "quarantine/";
 
+/// The key prefix of the records of software versions, followed by the service.
+pub const SOFTWARE_PREFIX: &str = "software/";
+
 /// A live node.
 #[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
 pub struct Member {
@@ -121,3 +127,29 @@
         Self { previous: WeightsVersion(item.previous), version: WeightsVersion(item.version) }
     }
 }
+
+/// The record of a service's software versions as it lies in the store.
+#[derive(Clone, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub struct SoftwareItem {
+    /// The era of the store in which the record was written. One of an earlier era comes from a copy,
+    /// which may lack versions.
+    pub era: u64,
+    /// The versions at which open streams can have begun.
+    pub versions: BTreeSet<SoftwareVersion>,
+    /// Whether open streams may have begun at other versions, too.
+    pub may_lack_versions: bool,
+}
+
+impl SoftwareItem {
+    /// Creates the item of a record.
+    pub fn new(record: SoftwareRecord, era: Era) -> Self {
+        let SoftwareRecord { versions, may_lack_versions } = record;
+        Self { era: era.0, versions, may_lack_versions }
+    }
+
+    /// Returns the record; `None` if it is of another era of the store than `era`.
+    pub fn into_record(self, era: Era) -> Option<SoftwareRecord> {
+        let Self { era: written_era, versions, may_lack_versions } = self;
+        (Era(written_era) == era).then_some(SoftwareRecord { versions, may_lack_versions })
+    }
+}
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -347,7 +347,7 @@
     fn apply_view(&mut self) {
         let view = self.view.borrow_and_update().clone();
         let now_ms = now_ms();
-        self.scheduler.set_upstreams(view.upstreams.clone(), now_ms);
+        self.scheduler.set_upstreams(view.recorded_upstreams(), now_ms);
         self.scheduler.set_loading(view.loading());
         let names = view.members.iter().map(|member| member.name.clone()).collect();
         self.scheduler.set_member_names(names, now_ms);
--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -36,6 +36,7 @@
 use crate::dispatch::Dispatcher;
 use crate::dispatch::Purpose;
 use crate::dispatch::QuotaRefusal;
+use crate::software::SoftwareReader;
 use crate::telemetry::Metrics;
 use redwingrill_codes::Refusal;
 use redwingrill_codes::ResultCode;
@@ -91,6 +92,8 @@
     pub view: watch::Receiver<Arc<ClusterView>>,
     /// The handle of the dispatch task.
     pub dispatcher: Dispatcher,
+    /// Reads the records of software versions.
+    pub software: SoftwareReader,
     /// The pool of connections to upstreams.
     pub pool: Pool,
     /// Asks upstreams whether they still run.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,7 +4,8 @@
 //! request to an upstream, and [`explain`] tells where a request would go. [`store_sync`] mirrors the platform's store, by way of [`peers`] while
 //! the store is unavailable, and [`cluster_view`] decodes the mirror into a typed view.
 //! [`cache_watch`] follows the change events of the KV cache store. [`rollout`] loads new weights
-//! onto engines. [`node`] assembles these parts.
+//! onto engines. [`software`] keeps and
+//! reads the records of the engines' software versions. [`node`] assembles these parts.
 
 mod accept;
 pub mod cache_watch;
@@ -18,5 +19,6 @@
 pub mod peers;
 pub mod quarantine;
 pub mod rollout;
+pub mod software;
 pub mod store_sync;
 pub mod telemetry;
--- a/crates/gateway/src/node/lifecycle.rs
+++ b/crates/gateway/src/node/lifecycle.rs
@@ -41,6 +41,8 @@
 use crate::rollout::RolloutOptions;
 use crate::rollout::RolloutTask;
 use crate::rollout::WeightsInquiry;
+use crate::software::SoftwareReaderTask;
+use crate::software::SoftwareRecorder;
 use crate::store_sync::StoreSync;
 use crate::store_sync::StoreSyncOptions;
 use crate::telemetry::Metrics;
@@ -217,6 +219,17 @@
             view.clone(),
         );
         services.spawn(grace.run(stopping.clone()));
+        let recorder = SoftwareRecorder::new(
+            options.name.clone(),
+            options.is_first_start,
+            ports.store.clone(),
+            ports.item_codec.as_ref(),
+            view.clone(),
+        );
+        services.spawn(recorder.run(stopping.clone()));
+        let (software, reader_task) =
+            SoftwareReaderTask::new(ports.store.clone(), ports.item_codec.as_ref());
+        services.spawn(reader_task.run(stopping.clone()));
         let rollout = RolloutTask::new(
             RolloutOptions {
                 node: options.name.clone(),
@@ -241,6 +254,7 @@
             head_codec: ports.head_codec,
             view,
             dispatcher: dispatcher.clone(),
+            software,
             pool: pool.clone(),
             liveness,
             caller_queues: caller_queues.clone(),
--- a/crates/gateway/src/node/options.rs
+++ b/crates/gateway/src/node/options.rs
@@ -31,6 +31,8 @@
     pub seeds: Vec<SocketAddr>,
     /// How long the store keeps the entry of an upstream that is gone.
     pub upstream_lapse: Duration,
+    /// Whether the whole fleet starts for the first time, so that no stream is open.
+    pub is_first_start: bool,
     /// The retry budget.
     pub retry_budget: RetryBudgetSpec,
     /// How long after a target version is set requests may still be served with older weights.
--- a/crates/lab/tests/on_platform/site.rs
+++ b/crates/lab/tests/on_platform/site.rs
@@ -185,6 +185,7 @@
             metrics_address: Some(metrics),
             seeds,
             upstream_lapse: UPSTREAM_LAPSE,
+            is_first_start: true,
             retry_budget: RetryBudgetSpec { ratio: 0.2, allowance: 54.0, window_ms: 10_000 },
             stale_version_limit: self.stale_version_limit,
             limits_concurrency: false,
--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use snafu::Snafu;
 
@@ -151,6 +152,18 @@
         self.routes.iter().find(|route| route.name == name)
     }
 
+    /// Returns the services that serve streams; one of several routes more than once.
+    pub fn stream_services(&self) -> impl Iterator<Item = &str> {
+        let streams = self.routes.iter().filter(|route| route.kind.is_stream());
+        streams.flat_map(|route| &route.shares).map(|share| share.service.as_str())
+    }
+
+    /// Returns the longest time that a route allows a stream; `None` without routes of streams.
+    pub fn longest_stream(&self) -> Option<Duration> {
+        let streams = self.routes.iter().filter(|route| route.kind.is_stream());
+        streams.map(|route| route.timeout).max()
+    }
+
     /// Returns the service of this name.
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
         self.services.get(name)
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`rollout`] decides which engines load new weights, and when.
 //! - [`scheduler`] combines these: it chooses an upstream for a request, or refuses the request.
 //! - [`signals`] holds what upstreams say of themselves, and limits requests accordingly.
+//! - [`software_versions`] tells at which versions of their software open streams can have begun.
 //! - [`turns`] orders the nodes for duties that one node does for all.
 //! - [`weights`] decides how long older weights may be used.
 //!
@@ -24,5 +25,6 @@
 pub mod rollout;
 pub mod scheduler;
 pub mod signals;
+pub mod software_versions;
 pub mod turns;
 pub mod weights;
