Tell which connection a failed send used, and what shows that it was not run

Callers saw refusals that promise that nothing was run for requests that an upstream had run, and no line of the log could tell why: none names the connection of a send, what it had carried before, the number of the send, or on what a statement "not run" rests.

Lines of failed sends name them now, and a failed resumption has a line. The pool records each connection of a request in RequestConnections, also for a send that fails or whose future is dropped, so the variants of TransportError stay as they are. Plain served answers log nothing more.

--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -8,6 +8,7 @@
 use http::Method;
 use http::Uri;
 
+use super::send_log::SendLog;
 use crate::clock::now_ms;
 use redwingrill_routing::AccountTag;
 use redwingrill_routing::AttemptMetadata;
@@ -50,6 +51,7 @@
     pub possible_runs: u32,
     // Attempts that reached an upstream, whether or not it ran the request.
     pub sends: u32,
+    pub send_log: SendLog,
 }
 
 impl Call {
--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -27,6 +27,7 @@
 use super::send::SendOutcome;
 use super::send::UpstreamResponse;
 use super::send::send_attempt;
+use super::send_log::SendLog;
 use super::whole_answer::Unconfirmed;
 use super::whole_answer::WholeAnswer;
 use crate::clock::now_ms;
@@ -292,6 +293,7 @@
             tried: Vec::new(),
             possible_runs: 0,
             sends: 0,
+            send_log: SendLog::default(),
         })
     }
 
@@ -591,11 +593,13 @@
     fn record_failure(&self, call: &Call, outcome: &str, reason: &str) {
         self.context.metrics.attempt_ended(&call.service, outcome);
         info!(
-            "event=leg_failed request_id={} account={} outcome={outcome} reason={reason:?} age_ms={} runs={}",
+            "event=leg_failed request_id={} account={} outcome={outcome} reason={reason:?} age_ms={} runs={} \
+             {}",
             call.metadata.id,
             call.account_name(),
             call.age_ms(),
             call.possible_runs,
+            call.send_log.last(),
         );
     }
 
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -24,6 +24,7 @@
 mod relay;
 mod response;
 mod send;
+mod send_log;
 mod stream_body;
 mod whole_answer;
 
--- a/crates/gateway/src/forward/planned.rs
+++ b/crates/gateway/src/forward/planned.rs
@@ -9,6 +9,7 @@
 
 use super::call::Call;
 use super::gateway::DEFAULT_TIMEOUT_MS;
+use super::send_log::SendLog;
 use crate::clock::now_ms;
 use redwingrill_routing::CacheAudience;
 use redwingrill_routing::ClientAccount;
@@ -53,6 +54,7 @@
             tried: Vec::new(),
             possible_runs: 0,
             sends: 0,
+            send_log: SendLog::default(),
         };
         call.schedule_request(self.audience)
     }
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -219,12 +219,12 @@
                 SegmentEnd::Failed(reason) => {
                     info!(
                         "event=stream_part_broken request_id={} account={} reason={reason:?} \
-                         last_event={:?} upstream={} framing={}",
+                         last_event={:?} framing={} {}",
                         call.metadata.id,
                         call.account_name(),
                         self.splitter.last_id(),
-                        self.upstream.id,
                         self.framing,
+                        call.send_log.last(),
                     );
                     self.end_attempt(Verdict::Failed);
                     self.body = None;
@@ -390,8 +390,12 @@
                 self.splitter = EventSplitter::after(Some(last_id), self.context.pool.budget());
                 true
             }
-            SendOutcome::NotSent { .. } | SendOutcome::NotRun { .. } => false,
+            SendOutcome::NotSent { .. } | SendOutcome::NotRun { .. } => {
+                log_failed_resume(call);
+                false
+            }
             SendOutcome::Lost { .. } | SendOutcome::TimedOut => {
+                log_failed_resume(call);
                 call.possible_runs += 1;
                 false
             }
@@ -432,6 +436,11 @@
     }
 }
 
+fn log_failed_resume(call: &Call) {
+    let (id, account, send) = (&call.metadata.id, call.account_name(), call.send_log.last());
+    info!("event=resume_failed request_id={id} account={account} {send}");
+}
+
 /// Moves the bulky parts of a call to the relay; what the handler still logs stays behind.
 fn detach_call(call: &mut Call) -> Call {
     Call {
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -10,6 +10,8 @@
 
 use super::call::Call;
 use super::gateway::GatewayContext;
+use super::send_log::Evidence;
+use super::send_log::SendLog;
 use crate::dispatch::Attempt;
 use redwingrill_routing::UpstreamSignals;
 use redwingrill_scheduling::fleet::Misdirection;
@@ -65,9 +67,12 @@
     let address = assignment.upstream.address;
     let request = upstream_request(context, call, assignment, last_event_id);
     let timeouts = Timeouts { connect: CONNECT_TIMEOUT.min(remaining), head: remaining };
-    let response = match context.pool.send(address, request, Freshness::Any, &timeouts).await {
+    call.send_log.begin(&assignment.upstream.id);
+    let connections = call.send_log.connections();
+    let sent = context.pool.send_recorded(address, request, Freshness::Any, &timeouts, connections);
+    let response = match sent.await {
         Ok(response) => response,
-        Err(e) => return failed_send(attempt, &e),
+        Err(e) => return failed_send(attempt, &call.send_log, &e),
     };
     let (parts, body) = response.into_parts();
     let mut metadata = context.head_codec.decode_response(&parts.headers);
@@ -85,6 +90,7 @@
         };
         let misdirection = Misdirection::of(expected, answered);
         attempt.end_misdirected(misdirection);
+        call.send_log.record_evidence(Evidence::Misdirected);
         return drain_refusal(parts.status, body).await;
     }
     attempt.report_head(&metadata);
@@ -98,6 +104,7 @@
     }
     if metadata.has_not_run {
         attempt.end(Verdict::Refused);
+        call.send_log.record_evidence(Evidence::Stated);
         return drain_refusal(parts.status, body).await;
     }
     let mismatch = if !metadata.is_signed {
@@ -146,19 +153,22 @@
     SendOutcome::NotRun { status }
 }
 
-fn failed_send(attempt: Attempt, error: &TransportError) -> SendOutcome {
+fn failed_send(attempt: Attempt, send_log: &SendLog, error: &TransportError) -> SendOutcome {
     let reason = error.to_string();
     match error {
         TransportError::Unreachable { .. } => {
             attempt.end(Verdict::Unreachable);
+            send_log.record_evidence(Evidence::NotConnected);
             SendOutcome::NotSent { reason }
         }
         TransportError::NoListener { .. } => {
             attempt.end(Verdict::NoListener);
+            send_log.record_evidence(Evidence::NotConnected);
             SendOutcome::NotSent { reason }
         }
         TransportError::NotSent => {
             attempt.end(Verdict::Unknown);
+            send_log.record_evidence(Evidence::NotWritten);
             SendOutcome::NotSent { reason }
         }
         TransportError::Silent { .. } => {
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -17,6 +17,7 @@
 mod kept_socket;
 mod pool;
 mod postcard_codec;
+mod request_connections;
 mod upload;
 
 pub use body::BodyTimeouts;
@@ -34,3 +35,5 @@
 pub use pool::PoolState;
 pub use pool::Timeouts;
 pub use postcard_codec::Postcard;
+pub use request_connections::ConnectionUse;
+pub use request_connections::RequestConnections;
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -36,7 +36,9 @@
 use tokio_util::task::TaskTracker;
 
 use crate::ByteBudget;
+use crate::ConnectionUse;
 use crate::Framing;
+use crate::RequestConnections;
 use crate::ResponseBody;
 use crate::TransportError;
 use crate::dead_peer::enable_dead_peer_detection;
@@ -123,12 +125,22 @@
 struct Connection<S> {
     sender: SendRequest<Full<Bytes>>,
     opened_at: Instant,
+    local_port: u16,
+    // The requests that it was used for, without the present one.
+    carried: u64,
     // Set before what was not written is dropped.
     has_ended: Arc<AtomicBool>,
     socket: SocketKeeper,
     state: S,
 }
 
+impl<S> Connection<S> {
+    fn into_state<T>(self, state: T) -> Connection<T> {
+        let Self { sender, opened_at, local_port, carried, has_ended, socket, .. } = self;
+        Connection { sender, opened_at, local_port, carried, has_ended, socket, state }
+    }
+}
+
 impl Connection<Idle> {
     fn is_usable(&self, peer_idle_timeout: Option<Duration>) -> bool {
         let limit = peer_idle_timeout
@@ -137,18 +149,20 @@
     }
 
     fn into_busy(self) -> Connection<Busy> {
-        let Self { sender, opened_at, has_ended, socket, .. } = self;
-        socket.set_wanted(true);
-        Connection { sender, opened_at, has_ended, socket, state: Busy }
+        self.socket.set_wanted(true);
+        self.into_state(Busy)
     }
 }
 
 impl Connection<Busy> {
+    fn usage(&self) -> ConnectionUse {
+        ConnectionUse { local_port: self.local_port, requests_before: self.carried }
+    }
+
     fn into_idle(self) -> Connection<Idle> {
-        let state = Idle { since: Instant::now() };
-        let Self { sender, opened_at, has_ended, socket, .. } = self;
-        socket.set_wanted(false);
-        Connection { sender, opened_at, has_ended, socket, state }
+        self.socket.set_wanted(false);
+        let carried = self.carried + 1;
+        Connection { carried, ..self.into_state(Idle { since: Instant::now() }) }
     }
 }
 
@@ -191,10 +205,28 @@
         request: Request<Bytes>,
         freshness: Freshness,
         timeouts: &Timeouts,
+    ) -> Result<Response<ResponseBody>, TransportError> {
+        let connections = RequestConnections::default();
+        self.send_recorded(address, request, freshness, timeouts, &connections).await
+    }
+
+    /// Like [`Pool::send`], and adds each connection that it uses to `connections`.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Pool::send`].
+    pub async fn send_recorded(
+        &self,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        freshness: Freshness,
+        timeouts: &Timeouts,
+        connections: &RequestConnections,
     ) -> Result<Response<ResponseBody>, TransportError> {
         let (mut parts, body) = request.into_parts();
         loop {
             let (mut guard, reused) = self.checkout(address, freshness, timeouts.connect).await?;
+            connections.record(guard.connection.usage());
             let has_ended = guard.connection.has_ended.clone();
             let (tracked, upload) = UploadState::track(body.clone(), has_ended);
             let request = Request::from_parts(parts, Full::new(tracked));
@@ -283,6 +315,7 @@
             })?;
         stream.set_nodelay(true).map_err(|e| unreachable(e.to_string()))?;
         enable_dead_peer_detection(&stream).map_err(|e| unreachable(e.to_string()))?;
+        let local_port = stream.local_addr().map_err(|e| unreachable(e.to_string()))?.port();
         let (io, socket) = SocketKeeper::new(stream);
         let handshake = Builder::new().max_buf_size(READ_LIMIT_BYTES).handshake(TokioIo::new(io));
         let (sender, driver) = handshake.await.map_err(|e| unreachable(e.to_string()))?;
@@ -299,7 +332,15 @@
             ends.store(true, Ordering::Release);
             drop(driver);
         });
-        Ok(Connection { sender, opened_at: Instant::now(), has_ended, socket, state: Busy })
+        Ok(Connection {
+            sender,
+            opened_at: Instant::now(),
+            local_port,
+            carried: 0,
+            has_ended,
+            socket,
+            state: Busy,
+        })
     }
 }
 
