Give the lab's upstreams a version of their software

Callers of the stand-in see in each event of a stream which version wrote it ("data: token3 v1"), so that a joined text shows the versions that it holds. An upstream is started with a version, "v1" unless said otherwise, which its entry names, and takes another one when it starts again under its identity or under a new one; its connections end with the old one.

on_platform reads a stream up to a number of events, sends what a caller says as it takes one up (Last-Event-Id and Resumes), and joins what a caller's attempts brought.

The one test that compared the text of an event (stops.rs) now expects the version as well; it is as strict as before. The other tests compare numbers of events.

--- a/crates/lab/src/on_platform/mod.rs
+++ b/crates/lab/src/on_platform/mod.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod requests;
+mod streams;
 
 pub use configuration::HOST;
 pub use configuration::KEY;
@@ -9,3 +10,7 @@
 pub use configuration::configuration;
 pub use requests::is_ready;
 pub use requests::request;
+pub use streams::Resumption;
+pub use streams::StreamPart;
+pub use streams::StreamText;
+pub use streams::read_stream;
--- a/crates/lab/src/site_upstream/http.rs
+++ b/crates/lab/src/site_upstream/http.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::SystemTime;
 
 use bytes::Bytes;
 use futures::StreamExt;
@@ -42,6 +43,9 @@
 const EVENT_PAUSE: Duration = Duration::from_millis(10);
 const LONG_PAUSE: Duration = Duration::from_secs(5);
 
+/// The version of its software unless it is started with another one.
+const SOFTWARE: &str = "v1";
+
 /// How long new weights take unless it is changed.
 const LOAD: Duration = Duration::from_millis(300);
 
@@ -62,6 +66,10 @@
     name: String,
     // The crashes so far; each start after one has an identity of its own.
     crashes: AtomicUsize,
+    // The version of its software, as its entry has it.
+    software: Mutex<String>,
+    // The Unix time of its last start in milliseconds, once it started again under its identity.
+    born: Mutex<Option<u64>>,
     is_down: AtomicBool,
     crash_part: Mutex<Option<String>>,
     connections: Connections,
@@ -86,9 +94,26 @@
     ///
     /// The cause if no port can be bound.
     pub async fn start(id: &str, service: &str, store: &StoreState) -> io::Result<Self> {
+        Self::start_with_software(id, service, store, SOFTWARE).await
+    }
+
+    /// Like [`SiteUpstream::start`] with a version of its software, which its entry and each event of
+    /// its streams name.
+    ///
+    /// # Errors
+    ///
+    /// The cause if no port can be bound.
+    pub async fn start_with_software(
+        id: &str,
+        service: &str,
+        store: &StoreState,
+        software: &str,
+    ) -> io::Result<Self> {
         let shared = Arc::new(Shared {
             name: id.to_owned(),
             crashes: AtomicUsize::default(),
+            software: Mutex::new(software.to_owned()),
+            born: Mutex::default(),
             is_down: AtomicBool::default(),
             crash_part: Mutex::default(),
             connections: Connections::default(),
@@ -145,6 +170,34 @@
         self.list("ready");
     }
 
+    /// Starts again under an identity of its own with another version of its software.
+    pub fn replace(&self, software: &str) {
+        self.unlist();
+        self.shared.crashes.fetch_add(1, Ordering::SeqCst);
+        self.install(software);
+        self.list("ready");
+    }
+
+    /// Starts again under its identity with another version of its software.
+    pub fn restart(&self, software: &str) {
+        let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        let now_ms = since_epoch.expect("after the epoch").as_millis() as u64;
+        *self.shared.born.lock().expect("no holder panics") = Some(now_ms);
+        self.install(software);
+        self.list("ready");
+    }
+
+    /// Ends all connections; what follows is of this version.
+    fn install(&self, software: &str) {
+        self.shared.connections.close_all();
+        *self.shared.software.lock().expect("no holder panics") = software.to_owned();
+    }
+
+    /// Returns the version of its software.
+    pub fn software(&self) -> String {
+        self.shared.software()
+    }
+
     /// Switches how it answers.
     pub fn set(&self, behaviour: Behaviour) {
         *self.shared.behaviour.lock().expect("no holder panics") = behaviour;
@@ -282,6 +335,10 @@
         }
     }
 
+    fn software(&self) -> String {
+        self.software.lock().expect("no holder panics").clone()
+    }
+
     fn crashes_on(&self, request: &Request<Incoming>) -> bool {
         let crash_part = self.crash_part.lock().expect("no holder panics");
         let prefix = request.headers().get("x-prompt-prefix");
@@ -330,11 +387,15 @@
 
     fn entry(&self, address: SocketAddr, state: &str) -> serde_json::Value {
         let version = *self.version.lock().expect("no holder panics");
-        json!({
+        let mut entry = json!({
             "service": self.service, "address": address.to_string(), "zone": "a",
-            "version": "v1", "slots": 8, "state": state, "cold_left_ms": 0,
+            "version": self.software(), "slots": 8, "state": state, "cold_left_ms": 0,
             "models": [{"name": "m", "version": version, "adapters": []}], "sequence": 1,
-        })
+        });
+        if let Some(born) = *self.born.lock().expect("no holder panics") {
+            entry["born"] = json!(born);
+        }
+        entry
     }
 
     async fn order(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
@@ -454,8 +515,9 @@
             Behaviour::EndsUnframed => last,
             _ => EVENTS,
         };
-        let ids = futures::stream::iter(last + 1..=until);
-        let pieces = ids.then(move |id| async move {
+        let software: Arc<str> = self.software().into();
+        let ids = futures::stream::iter(last + 1..=until).zip(futures::stream::repeat(software));
+        let pieces = ids.then(move |(id, software)| async move {
             let is_second = id == last + 2;
             let pauses = is_second && behaviour == Behaviour::IsSlow;
             tokio::time::sleep(if pauses { LONG_PAUSE } else { EVENT_PAUSE }).await;
@@ -463,7 +525,7 @@
             match behaviour {
                 Behaviour::BreaksOff if is_second => vec![part, Err(Cut)],
                 Behaviour::CutsUnframed if is_second => vec![part],
-                _ => vec![Ok(Bytes::from(format!("id: {id}\ndata: token{id}\n\n")))],
+                _ => vec![Ok(Bytes::from(format!("id: {id}\ndata: token{id} {software}\n\n")))],
             }
         });
         // The counter lives as long as the stream.
--- a/crates/lab/tests/on_platform/stops.rs
+++ b/crates/lab/tests/on_platform/stops.rs
@@ -38,7 +38,7 @@
     let refused = ask(callers).await.expect("it still accepts");
     assert_eq!(refused.headers().get("connection").map(|v| v.as_bytes()), Some(&b"close"[..]));
     let body = open.into_body().read_all(1 << 20, Duration::from_secs(3)).await;
-    assert!(body.is_ok_and(|body| body.ends_with(b"data: token6\n\n")));
+    assert!(body.is_ok_and(|body| body.ends_with(b"data: token6 v1\n\n")));
     assert!(draining.await.expect("the drain ends"), "no work was cut");
     assert!(ask(callers).await.is_err(), "it has ended");
     assert!(tokio::net::TcpStream::connect(peers).await.is_err());
