Add tests of streams that join two software versions

Callers see a stream whose beginning was written by engines of one software version and its rest by those of another one. Nothing in the product knows the versions, so each second send of a stream may do it. The tests take each path to a second send; each accepts a refusal as well as the same version, and fails on joined versions, on fewer than half of the streams going on where both versions have two engines, or on a resumption without hope that is not refused at once.

Nodes that are killed run in a runtime of their own, which ends without a stop.

--- a/crates/lab/tests/on_platform/main.rs
+++ b/crates/lab/tests/on_platform/main.rs
@@ -17,5 +17,6 @@
 mod signals;
 mod site;
 mod slow_bodies;
+mod software_versions;
 mod stand_ins;
 mod stops;
--- a/crates/lab/tests/on_platform/site.rs
+++ b/crates/lab/tests/on_platform/site.rs
@@ -12,6 +12,8 @@
 use http::Request;
 use http::StatusCode;
 use serde_json::json;
+use tokio::runtime::Builder;
+use tokio::runtime::Runtime;
 use tokio::time::Instant;
 
 use redwingrill_admission::limits::fleet::QuotaOptions;
@@ -25,7 +27,10 @@
 use redwingrill_lab::on_platform;
 pub use redwingrill_lab::on_platform::HOST;
 pub use redwingrill_lab::on_platform::KEY;
+use redwingrill_lab::on_platform::Resumption;
 use redwingrill_lab::on_platform::RouteEntry;
+use redwingrill_lab::on_platform::StreamPart;
+use redwingrill_lab::on_platform::read_stream;
 use redwingrill_lab::site_upstream::SiteUpstream;
 use redwingrill_platform::PlatformControl;
 use redwingrill_platform::PlatformHeadCodec;
@@ -119,6 +124,37 @@
     name.split_once('-').map_or("a", |(domain, _)| domain)
 }
 
+/// A node in a runtime of its own. Dropping it ends it as abruptly as a kill ends a process.
+pub struct KillableNode {
+    pub node: SiteNode,
+    runtime: Option<Runtime>,
+}
+
+impl Drop for KillableNode {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+async fn serve(
+    options: NodeOptions,
+    addresses: NodeAddresses,
+    store: SocketAddr,
+) -> Result<SiteNode, StartError> {
+    let pool = Pool::new();
+    let ports = NodePorts {
+        store: PlatformStore::new(store, pool.clone()),
+        control: PlatformControl::new(pool.clone()),
+        item_codec: Arc::new(PlatformItemCodec),
+        head_codec: Arc::new(PlatformHeadCodec),
+    };
+    let node = Node::new(options).serve(ports, pool).await?;
+    let NodeAddresses { callers, readiness, peers, gossip, metrics } = addresses;
+    Ok(SiteNode { node, callers, readiness, peers, gossip, metrics })
+}
+
 impl Site {
     pub async fn start(engines: usize, shops: usize) -> Self {
         let state = StoreState::default();
@@ -173,16 +209,47 @@
         store: SocketAddr,
         seeds: Vec<SocketAddr>,
     ) -> Result<SiteNode, StartError> {
-        let NodeAddresses { callers, readiness, peers, gossip, metrics } = addresses;
-        let options = NodeOptions {
+        serve(self.node_options(name, addresses, seeds), addresses, store).await
+    }
+
+    /// Starts a node that can be killed.
+    pub async fn start_killable_node(
+        &self,
+        name: &str,
+        store: SocketAddr,
+        seeds: Vec<SocketAddr>,
+    ) -> KillableNode {
+        let runtime = Builder::new_multi_thread().worker_threads(1).enable_all().build();
+        let runtime = runtime.expect("threads");
+        let addresses = NodeAddresses::new();
+        let options = self.node_options(name, addresses, seeds);
+        let node = runtime.spawn(serve(options, addresses, store)).await;
+        let node = node.expect("the start does not panic").expect("free ports");
+        KillableNode { node, runtime: Some(runtime) }
+    }
+
+    /// Starts a node that can be killed and waits until it is ready.
+    pub async fn killable_node(&self, name: &str) -> KillableNode {
+        let killable = self.start_killable_node(name, self.store.address(), Vec::new()).await;
+        self.wait("the node is ready", async || self.is_ready(&killable.node).await).await;
+        killable
+    }
+
+    fn node_options(
+        &self,
+        name: &str,
+        addresses: NodeAddresses,
+        seeds: Vec<SocketAddr>,
+    ) -> NodeOptions {
+        NodeOptions {
             name: name.to_owned(),
             failure_domain: failure_domain_of(name).to_owned(),
             link_mbps: 1_000,
-            caller_address: callers,
-            readiness_address: readiness,
-            peer_address: Some(peers),
-            gossip_address: Some(gossip),
-            metrics_address: Some(metrics),
+            caller_address: addresses.callers,
+            readiness_address: addresses.readiness,
+            peer_address: Some(addresses.peers),
+            gossip_address: Some(addresses.gossip),
+            metrics_address: Some(addresses.metrics),
             seeds,
             upstream_lapse: UPSTREAM_LAPSE,
             retry_budget: RetryBudgetSpec { ratio: 0.2, allowance: 54.0, window_ms: 10_000 },
@@ -191,16 +258,17 @@
             rollout_lease: self.rollout_lease,
             stop_timeout: Duration::from_secs(4),
             quotas: QuotaOptions::default(),
-        };
-        let pool = Pool::new();
-        let ports = NodePorts {
-            store: PlatformStore::new(store, pool.clone()),
-            control: PlatformControl::new(pool.clone()),
-            item_codec: Arc::new(PlatformItemCodec),
-            head_codec: Arc::new(PlatformHeadCodec),
-        };
-        let node = Node::new(options).serve(ports, pool).await?;
-        Ok(SiteNode { node, callers, readiness, peers, gossip, metrics })
+        }
+    }
+
+    /// Starts engines of a version of their software.
+    pub async fn add_engines(&mut self, software: &str, count: usize) {
+        for _ in 0..count {
+            let id = format!("e{}", self.engines.len());
+            let state = &self.store.state;
+            let engine = SiteUpstream::start_with_software(&id, "llm", state, software).await;
+            self.engines.push(engine.expect("a free port"));
+        }
     }
 
     pub async fn is_ready(&self, node: &SiteNode) -> bool {
@@ -253,6 +321,17 @@
         Some(Answer { status: parts.status, headers: parts.headers, body })
     }
 
+    /// Sends a request and reads its answer up to a number of events; `None` if there was none.
+    pub async fn read(
+        &self,
+        callers: SocketAddr,
+        call: &Call,
+        events: usize,
+    ) -> Option<StreamPart> {
+        let timeouts = Timeouts { connect: CALL_LIMIT, head: CALL_LIMIT };
+        read_stream(&self.pool, callers, call.request(), events, &timeouts).await
+    }
+
     pub async fn stop(self, nodes: Vec<SiteNode>) {
         for node in nodes {
             node.node.drain().await.finish().await;
@@ -293,13 +372,22 @@
     pub headers: Vec<(&'static str, &'static str)>,
     /// The parts of the prompt, if they aren't those of every request.
     pub parts: Option<String>,
+    /// The stream that the request takes up.
+    pub resumption: Option<Resumption>,
     pub body: Bytes,
 }
 
 impl Call {
     pub fn new(route: &'static str, id: &str) -> Self {
-        let (headers, body) = (Vec::new(), Bytes::from_static(b"body"));
-        Self { id: id.to_owned(), route, key: Some(KEY), headers, parts: None, body }
+        Self {
+            id: id.to_owned(),
+            route,
+            key: Some(KEY),
+            headers: Vec::new(),
+            parts: None,
+            resumption: None,
+            body: Bytes::from_static(b"body"),
+        }
     }
 
     fn request(&self) -> Request<Bytes> {
@@ -318,6 +406,9 @@
             let parts = HeaderValue::from_str(parts).expect("plain text");
             request.headers_mut().insert("x-prompt-prefix", parts);
         }
+        if let Some(resumption) = &self.resumption {
+            resumption.add_to(request.headers_mut());
+        }
         request
     }
 }
