--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -106,6 +106,7 @@
             pause_target_ms: self.route.pause_target.map(|pause| pause.as_millis() as u64),
             origin_domain: None,
             tried: self.tried.clone(),
+            software: None,
         }
     }
 
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -72,5 +72,6 @@
         pause_target_ms: None,
         origin_domain: None,
         tried,
+        software: None,
     }
 }
--- a/crates/scheduling/examples/choice.rs
+++ b/crates/scheduling/examples/choice.rs
@@ -70,6 +70,7 @@
         pause_target_ms: Some(500),
         origin_domain: None,
         tried: Vec::new(),
+        software: None,
     }
 }
 
--- a/crates/scheduling/src/coordination/messages.rs
+++ b/crates/scheduling/src/coordination/messages.rs
@@ -150,6 +150,7 @@
             pause_target_ms: self.pause_target_ms,
             origin_domain: Some(self.failure_domain),
             tried: self.excluded.into_iter().filter_map(index_of).collect(),
+            software: None,
         }
     }
 }
--- a/crates/scheduling/src/scheduler/request.rs
+++ b/crates/scheduling/src/scheduler/request.rs
@@ -16,6 +16,7 @@
 use redwingrill_routing::AccountTag;
 use redwingrill_routing::CacheAudience;
 use redwingrill_routing::DeclaredPrompt;
+use redwingrill_routing::SoftwareVersion;
 use redwingrill_routing::Upstream;
 use redwingrill_routing::WeightsVersion;
 
@@ -58,6 +59,8 @@
     pub origin_domain: Option<String>,
     /// Upstreams to which the request was already sent.
     pub tried: Vec<UpstreamIndex>,
+    /// The version of the software that the upstream must run, if the request continues a stream.
+    pub software: Option<SoftwareVersion>,
 }
 
 impl ScheduleRequest {
--- a/crates/scheduling/tests/support/mod.rs
+++ b/crates/scheduling/tests/support/mod.rs
@@ -97,6 +97,7 @@
         pause_target_ms: None,
         origin_domain: None,
         tried: Vec::new(),
+        software: None,
     }
 }
 
