Add a directory of the versions that began streams

Callers that took a stream up again while a release went on got its rest from another software version than the one that began it: a node that did not begin a stream cannot know its version, and any node may be asked.

The directory is state without I/O in `stream_origins`. A node remembers the service and version of the streams that it begins, and while several versions serve it tells three owners of each, which all nodes derive from the identifier by rendezvous hashing, one of each failure domain first. A lookup takes what the node itself remembers, else asks the owners for at most 90 ms. An owner that was started again says that it does not know; different origins of one identifier count as unknown. When telling begins, the recent streams of before are told too.

Rendezvous scores were written out in three places and are one function now.

--- a/crates/scheduling/src/coordination/groups.rs
+++ b/crates/scheduling/src/coordination/groups.rs
@@ -9,6 +9,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::rendezvous;
+
 /// The maximum number of engines in a group. A coordinator decides on all prompts for its group, so
 /// this bounds its work in large fleets; smaller groups leave less choice.
 const GROUP_LIMIT: usize = 32;
@@ -89,7 +91,7 @@
         .iter()
         .enumerate()
         .map(|(index, node)| {
-            let score = xxh3_64_with_seed(node.name.as_bytes(), group.key.0);
+            let score = rendezvous::score(group.key.0, &node.name);
             (is_remote(node), Reverse(node.link_mbps), Reverse(score), index)
         })
         .collect();
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`rollout`] decides which engines load new weights, and when.
 //! - [`scheduler`] combines these: it chooses an upstream for a request, or refuses the request.
 //! - [`signals`] holds what upstreams say of themselves, and limits requests accordingly.
+//! - [`stream_origins`] remembers over all nodes which version of the software began a stream.
 //! - [`turns`] orders the nodes for duties that one node does for all.
 //! - [`weights`] decides how long older weights may be used.
 //!
@@ -20,9 +21,11 @@
 pub mod placement;
 pub mod quarantine;
 mod recent;
+mod rendezvous;
 pub mod retry_budget;
 pub mod rollout;
 pub mod scheduler;
 pub mod signals;
+pub mod stream_origins;
 pub mod turns;
 pub mod weights;
--- a/crates/scheduling/src/placement/affinity.rs
+++ b/crates/scheduling/src/placement/affinity.rs
@@ -10,6 +10,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::rendezvous;
 use redwingrill_routing::CacheAudience;
 use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::WeightsVersion;
@@ -35,7 +36,7 @@
 
 /// Returns the rendezvous score of an engine for a prefix; the highest score wins.
 pub fn rendezvous_score(key: AffinityKey, upstream_id: &str) -> u64 {
-    xxh3_64_with_seed(upstream_id.as_bytes(), key.0)
+    rendezvous::score(key.0, upstream_id)
 }
 
 /// The rendezvous score of an engine that holds prefixes in proportion to a weight. Scores of equal
--- a/crates/scheduling/src/signals/share.rs
+++ b/crates/scheduling/src/signals/share.rs
@@ -3,9 +3,8 @@
 //! All nodes derive the same shares from the list of nodes, without messages. The nodes that send
 //! to a limited upstream also keep its cached prefixes in use.
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
 use crate::fleet::UpstreamTag;
+use crate::rendezvous;
 use redwingrill_routing::RateLimit;
 
 /// The minimum rate at which all nodes together send to a limited upstream. Without any answer, they
@@ -23,7 +22,7 @@
 ) -> f64 {
     let per_s = limit.per_s().max(PROBES_PER_S);
     let selected = (per_s as usize).clamp(1, nodes.len().max(1));
-    let score = |name: &str| xxh3_64_with_seed(name.as_bytes(), u64::from(upstream.0));
+    let score = |name: &str| rendezvous::score(u64::from(upstream.0), name);
     let own = (score(node), node);
     let ahead = nodes.iter().filter(|name| (score(name), name.as_str()) > own).count();
     if ahead < selected { per_s / selected as f64 } else { 0.0 }
