Bind streams that callers take up again to the version that began them

A request with `Last-Event-Id` went to any engine of a random service of its route, so while a release went on its caller got the rest of a stream from another software version than the beginning.

Each node now records the service and version of a stream as its first events are forwarded, and takes part in the directory of stream origins through its dispatch task; the messages travel as the last kind of datagram, which nodes of earlier builds drop. A request that takes a stream up looks up the attempt that it names in `Resumes`, or else its own identifier, and takes over service and version. If nobody knows them, and the upstreams of the route have more than one version, it is refused with the new code 210, a version without a ready engine with 211, both before anything is charged or sent, and without Retry-After, since the answer would be the same.

`Call::software` is the version that later attempts need; the choice of the upstream does not ask for it yet.

Datagrams that cannot be decoded are logged as a warning once a minute for each sender, the others at debug: a node of a later build sends many of them.

--- a/crates/codes/src/code.rs
+++ b/crates/codes/src/code.rs
@@ -106,6 +106,8 @@
     Quarantined = 207, "quarantined", 503, No, "A part of the prompt is quarantined because it ended several engines.";
     BuffersFull = 208, "buffers_full", 503, No, "The body does not fit into what the node may buffer now.";
     QuotaUnreachable = 209, "quota_unreachable", 503, No, "No node that holds the client account's quota could be reached.";
+    StreamOriginUnknown = 210, "stream_origin_unknown", 503, No, "Which software version began the stream is not known; it can only begin anew.";
+    StreamVersionGone = 211, "stream_version_gone", 503, No, "No upstream has the software version that began the stream; it can only begin anew.";
     UpstreamUnreachable = 300, "upstream_unreachable", 502, No, "No connection to an upstream could be made.";
     UpstreamFailed = 301, "upstream_failed", 502, Unknown, "The upstream failed while it ran the request.";
     UpstreamSilent = 302, "upstream_silent", 504, Unknown, "The upstream stopped answering.";
--- a/crates/gateway/src/cluster_view/mod.rs
+++ b/crates/gateway/src/cluster_view/mod.rs
@@ -80,6 +80,13 @@
         outdated.map(|upstream| upstream.id.clone()).collect()
     }
 
+    /// Returns whether the listed engines have more than one version of their software.
+    pub fn has_several_software_versions(&self) -> bool {
+        let engines = self.upstreams.iter().filter(|upstream| !upstream.models.is_empty());
+        let mut versions = engines.map(|engine| &engine.software);
+        versions.next().is_some_and(|first| versions.any(|other| other != first))
+    }
+
     /// Returns the number of ready engines with older weights of a model than its target version.
     pub fn outdated_engines(&self, model: &str) -> usize {
         let Some(target) = self.target_versions.get(model) else { return 0 };
--- a/crates/gateway/src/dispatch/dispatcher.rs
+++ b/crates/gateway/src/dispatch/dispatcher.rs
@@ -32,6 +32,10 @@
 use redwingrill_scheduling::scheduler::Explanation;
 use redwingrill_scheduling::scheduler::RefusalCause;
 use redwingrill_scheduling::scheduler::ScheduleRequest;
+use redwingrill_scheduling::stream_origins::OriginMessage;
+use redwingrill_scheduling::stream_origins::OriginResolution;
+use redwingrill_scheduling::stream_origins::StreamKey;
+use redwingrill_scheduling::stream_origins::StreamOrigin;
 
 /// The retry-after of refusals while the node stops.
 const STOPPING_RETRY_AFTER_MS: u64 = 300;
@@ -166,6 +170,12 @@
     Charge { account: AccountTag, tokens: u64, responder: ChargeResponder },
     /// A request that was charged did not run.
     Refund { charge: QuotaCharge },
+    /// The first events of a stream are about to be forwarded.
+    StreamBegan { key: StreamKey, origin: StreamOrigin },
+    /// Requests the origin of a stream.
+    FindStream { key: StreamKey, responder: oneshot::Sender<OriginResolution> },
+    /// A message of the directory of stream origins arrived from another node.
+    Origin { from: SocketAddr, message: OriginMessage },
     /// Requests the load digest of this node.
     Digest { responder: oneshot::Sender<LoadDigest> },
     /// The cache store changed.
@@ -269,6 +279,25 @@
         self.send(Message::Coordination { from, message: Box::new(message) });
     }
 
+    /// Takes a message of the directory of stream origins from another node.
+    pub fn receive_origin(&self, from: SocketAddr, message: OriginMessage) {
+        self.send(Message::Origin { from, message });
+    }
+
+    /// Records the origin of a stream whose first events are about to be forwarded. `id` is that of the
+    /// attempt that brought the stream's first event.
+    pub fn record_stream(&self, id: &str, origin: StreamOrigin) {
+        self.send(Message::StreamBegan { key: StreamKey::of(id), origin });
+    }
+
+    /// Looks up the origin of a stream by the identifier of the attempt that brought its first event:
+    /// in this node's memory, else at the nodes that own it, which takes about 100 ms at most.
+    pub async fn find_stream(&self, id: &str) -> OriginResolution {
+        let (responder, response) = oneshot::channel();
+        self.send(Message::FindStream { key: StreamKey::of(id), responder });
+        response.await.unwrap_or(OriginResolution::Unknown { is_contradicted: false })
+    }
+
     /// Returns the load digest of this node; `None` once the task has ended.
     pub async fn digest(&self) -> Option<LoadDigest> {
         let (responder, response) = oneshot::channel();
--- a/crates/gateway/src/dispatch/mod.rs
+++ b/crates/gateway/src/dispatch/mod.rs
@@ -10,6 +10,7 @@
 mod charge;
 mod dispatcher;
 mod peer_message;
+mod stream_origins;
 mod task;
 
 pub use account_quotas::QuotaNode;
--- a/crates/gateway/src/dispatch/peer_message.rs
+++ b/crates/gateway/src/dispatch/peer_message.rs
@@ -2,6 +2,7 @@
 
 use redwingrill_admission::limits::fleet::QuotaMessage;
 use redwingrill_scheduling::coordination::CoordinationMessage;
+use redwingrill_scheduling::stream_origins::OriginMessage;
 
 /// A message to the dispatch task of another node.
 #[derive(Clone, PartialEq, Debug)]
@@ -10,4 +11,6 @@
     Coordination(CoordinationMessage),
     /// Of the quotas of accounts.
     Quota(QuotaMessage),
+    /// Of the directory of stream origins.
+    Origin(OriginMessage),
 }
--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -24,6 +24,7 @@
 use super::dispatcher::Message;
 use super::dispatcher::Responder;
 use super::dispatcher::WeakDispatcher;
+use super::stream_origins::StreamOrigins;
 use crate::clock::now_ms;
 use crate::cluster_view::ClusterView;
 use crate::quarantine::log_event;
@@ -59,6 +60,7 @@
 use redwingrill_scheduling::scheduler::Shortage;
 use redwingrill_scheduling::scheduler::WaitQueue;
 use redwingrill_scheduling::signals::GateChange;
+use redwingrill_scheduling::stream_origins::ResolvedOrigin;
 
 /// The retry-after of a request that is refused because its retry or move is not possible.
 const BUDGET_RETRY_AFTER_MS: u64 = 500;
@@ -100,6 +102,7 @@
     followed_ms: u64,
     // The quotas of accounts, if the node can limit any.
     quotas: Option<AccountQuotas>,
+    origins: StreamOrigins,
     // To the other nodes, with the address of this one, if it takes part in the coordination.
     outgoing: Option<(SocketAddr, mpsc::Sender<(SocketAddr, PeerMessage)>)>,
     // Identifies this run of the node in digests.
@@ -136,6 +139,7 @@
             coordination,
             followed_ms: 0,
             quotas: None,
+            origins: StreamOrigins::default(),
             outgoing: None,
             node_incarnation,
             model_logged_ms: now_ms(),
@@ -177,6 +181,7 @@
         loop {
             let is_idle = self.queue.is_empty()
                 && self.coordination.is_idle()
+                && self.origins.directory.is_idle()
                 && self.quotas.as_ref().is_none_or(|quotas| quotas.fleet.is_idle());
             tokio::select! {
                 biased;
@@ -205,10 +210,12 @@
                     if let Some(quotas) = &mut self.quotas {
                         quotas.fleet.tick(now_ms());
                     }
+                    self.origins.directory.tick(now_ms());
                 }
             }
             self.finish_coordination();
             self.finish_quotas();
+            self.finish_origins();
         }
     }
 
@@ -241,6 +248,15 @@
         }
     }
 
+    /// Sends the messages of the directory of stream origins, and returns what it found.
+    fn finish_origins(&mut self) {
+        let messages = self.origins.directory.take_outgoing().into_iter();
+        self.send_to_peers(messages.map(|(to, message)| (to, PeerMessage::Origin(message))));
+        for ResolvedOrigin { handle, resolution } in self.origins.directory.take_resolved() {
+            let _disconnected = handle.send(resolution).is_err();
+        }
+    }
+
     fn send_to_peers(&self, messages: impl Iterator<Item = (SocketAddr, PeerMessage)>) {
         let Some((_, outgoing)) = &self.outgoing else { return };
         let lost = messages.filter_map(|message| outgoing.try_send(message).err()).count();
@@ -358,6 +374,7 @@
         if let Some(quotas) = &mut self.quotas {
             quotas.apply_view(&view, now_ms);
         }
+        self.origins.apply_view(&view, self.outgoing.as_ref().map(|(own_address, _)| *own_address));
         self.scheduler.quarantine_mut().set_lapsed(&view.lapsed_quarantines);
         self.scheduler.quarantine_mut().set_listed(&view.quarantined, now_ms);
         self.report_quarantine();
@@ -419,6 +436,15 @@
                     self.scheduler.observe_mean_pause(index, mean_pause_ms, now_ms);
                 }
             }
+            Message::StreamBegan { key, origin } => {
+                self.origins.directory.record(key, &origin, now_ms);
+            }
+            Message::FindStream { key, responder } => {
+                self.origins.directory.begin(key, responder, now_ms);
+            }
+            Message::Origin { from, message } => {
+                self.origins.directory.receive(from, message, now_ms);
+            }
             Message::Prefilled { assignment } => {
                 self.scheduler.record_prefill_done(&assignment, now_ms);
                 self.record_change(assignment.index);
@@ -803,6 +829,7 @@
                 "groups": coordinator.group_count(),
                 "waiting": coordinator.waiting(),
             },
+            "stream_origins": self.origins.dump(),
             "quotas": self.quotas.as_ref().map(|quotas| quotas.dump(now_ms)),
             "waiting": self.queue.len(), "longest_wait_ms": self.queue.longest_wait_ms(now_ms),
             "upstreams": entries.collect::<Vec<_>>(), "fault": verified.err() })
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -16,6 +16,7 @@
 use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::RequestMetadata;
 use redwingrill_routing::Route;
+use redwingrill_routing::SoftwareVersion;
 use redwingrill_scheduling::engine_model::RouteTag;
 use redwingrill_scheduling::fleet::UpstreamIndex;
 use redwingrill_scheduling::placement::Scope;
@@ -50,6 +51,9 @@
     pub possible_runs: u32,
     // Attempts that reached an upstream, whether or not it ran the request.
     pub sends: u32,
+    // The version of the software that began the stream which the request resumes; the request may run at
+    // no other one.
+    pub software: Option<SoftwareVersion>,
 }
 
 impl Call {
--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -23,6 +23,8 @@
 use super::response::refusal_response;
 use super::response::relayed_body;
 use super::response::relayed_head;
+use super::resumption::bind_to_origin;
+use super::resumption::is_resumption;
 use super::send::RESPONSE_LIMIT_BYTES;
 use super::send::SendOutcome;
 use super::send::UpstreamResponse;
@@ -298,6 +300,7 @@
             tried: Vec::new(),
             possible_runs: 0,
             sends: 0,
+            software: None,
         })
     }
 
@@ -308,6 +311,9 @@
         call: &mut Call,
         connection: &CancellationToken,
     ) -> Result<Completion, Refusal> {
+        if is_resumption(call) {
+            Box::pin(bind_to_origin(&self.context, call)).await?;
+        }
         let mut charge = self.charge(call).await?;
         let (service, target) = (&call.service, call.route.target_latency);
         let tag = RouteTag::of(&call.route.name);
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -23,6 +23,7 @@
 mod planned;
 mod relay;
 mod response;
+mod resumption;
 mod send;
 mod stream_body;
 mod whole_answer;
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -30,6 +30,7 @@
 use super::gateway::software_name;
 use super::response::Body;
 use super::response::relayed_head;
+use super::resumption::record_origin;
 use super::send::SendOutcome;
 use super::send::UpstreamResponse;
 use super::send::send_attempt;
@@ -171,6 +172,7 @@
         };
         let (sender, body) = stream_body(&self.context.caller_queues, label, connection.clone());
         let head = relayed_head(self.head.clone(), self.context.head_codec.as_ref());
+        record_origin(&self.context, call, &self.upstream);
         let call = detach_call(call);
         self.last_event = Instant::now();
         let tasks = self.context.relays.clone();
--- a/crates/gateway/src/peers/gossip.rs
+++ b/crates/gateway/src/peers/gossip.rs
@@ -1,5 +1,6 @@
 //! Exchanges datagrams with the other nodes: load digests with the revision of the store that the
-//! sender has applied, and the messages of the coordination and of the quotas of accounts.
+//! sender has applied, and the messages of the coordination, of the quotas of accounts and of the
+//! directory of stream origins.
 //!
 //! The next datagram makes up for a lost one; nothing waits for a datagram.
 
@@ -17,6 +18,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use super::decode_failures::DecodeFailures;
 use crate::cluster_view::ClusterView;
 use crate::dispatch::Dispatcher;
 use crate::dispatch::PeerMessage;
@@ -27,6 +29,7 @@
 use redwingrill_scheduling::fleet::DIGEST_PERIOD_MS;
 use redwingrill_scheduling::fleet::LoadDigest;
 use redwingrill_scheduling::fleet::NODES_PER_DIGEST_PERIOD;
+use redwingrill_scheduling::stream_origins::OriginMessage;
 
 /// The period between datagrams to one node in a small fleet.
 const SEND_PERIOD: Duration = Duration::from_millis(DIGEST_PERIOD_MS);
@@ -34,7 +37,7 @@
 /// The size limit of a received datagram.
 const DATAGRAM_LIMIT_BYTES: usize = 8 << 10;
 
-/// A datagram.
+/// A datagram. Nodes of earlier builds drop the kinds that they do not know, so new ones come last.
 #[derive(Debug, Serialize, Deserialize)]
 enum Datagram {
     Digest {
@@ -44,6 +47,7 @@
     },
     Coordination(CoordinationMessage),
     Quota(QuotaMessage),
+    Origin(OriginMessage),
 }
 
 impl From<PeerMessage> for Datagram {
@@ -51,6 +55,7 @@
         match message {
             PeerMessage::Coordination(message) => Self::Coordination(message),
             PeerMessage::Quota(message) => Self::Quota(message),
+            PeerMessage::Origin(message) => Self::Origin(message),
         }
     }
 }
@@ -68,6 +73,7 @@
     // The first recipient of the next period. It starts at random: if all nodes sent to the same
     // recipients at the same time, these would see free capacity together and fill it together.
     next_index: usize,
+    decode_failures: DecodeFailures,
 }
 
 impl Gossip {
@@ -81,7 +87,8 @@
         outgoing: mpsc::Receiver<(SocketAddr, PeerMessage)>,
     ) -> Self {
         let next_index = usize::from(rand::random::<u16>());
-        Self { node, socket, view, dispatcher, reader, outgoing, next_index }
+        let decode_failures = DecodeFailures::default();
+        Self { node, socket, view, dispatcher, reader, outgoing, next_index, decode_failures }
     }
 
     /// Runs until `stopping` is cancelled.
@@ -106,12 +113,13 @@
         }
     }
 
-    fn receive(&self, datagram: &[u8], from: SocketAddr) {
+    fn receive(&mut self, datagram: &[u8], from: SocketAddr) {
         match postcard::from_bytes(datagram) {
             Ok(Datagram::Coordination(message)) => {
                 self.dispatcher.receive_coordination(from, message);
             }
             Ok(Datagram::Quota(message)) => self.dispatcher.receive_quota(from, message),
+            Ok(Datagram::Origin(message)) => self.dispatcher.receive_origin(from, message),
             Ok(Datagram::Digest { revision, digest }) => {
                 self.dispatcher.observe_peer(from, *digest);
                 let sender = {
@@ -122,7 +130,7 @@
                     self.reader.observe_peer_revision(peer, Revision::from_u64(revision));
                 }
             }
-            Err(e) => warn!("event=gossip_decode_failed from={from} reason={:?}", e.to_string()),
+            Err(e) => self.decode_failures.log(from.ip(), &e),
         }
     }
 
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -1,6 +1,7 @@
 //! Communication between nodes: store updates, by calls over TCP, and load digests, by datagrams.
 
 mod client;
+mod decode_failures;
 mod gossip;
 mod server;
 mod service;
--- a/crates/gateway/src/telemetry/metrics.rs
+++ b/crates/gateway/src/telemetry/metrics.rs
@@ -51,6 +51,7 @@
     store_calls: IntCounterVec,
     store_listings: IntCounter,
     quarantine: IntCounterVec,
+    resumptions: IntCounterVec,
     upstream_signals: IntCounterVec,
     assignments: IntCounterVec,
     prompts: HistogramVec,
@@ -116,6 +117,11 @@
                 "Changes of suspect and quarantined parts",
                 &["event"],
             ),
+            resumptions: counter(
+                "redwingrill_resumptions",
+                "Streams that callers took up again, by who knew their origin and by outcome",
+                &["origin", "outcome"],
+            ),
             upstream_signals: counter(
                 "redwingrill_upstream_signals",
                 "Changes of what upstreams say of themselves",
@@ -259,6 +265,11 @@
         self.inner.quarantine.with_label_values(&[event]).inc();
     }
 
+    /// Counts a stream that a caller takes up again.
+    pub fn resumption(&self, origin: &str, outcome: &str) {
+        self.inner.resumptions.with_label_values(&[origin, outcome]).inc();
+    }
+
     /// Counts a decision on a request of an account with a quota, and its tokens.
     pub fn quota(&self, account: &str, outcome: &str, tokens: u64) {
         self.inner.quota.with_label_values(&[outcome]).inc();
@@ -358,6 +369,7 @@
             Box::new(self.store_calls.clone()),
             Box::new(self.store_listings.clone()),
             Box::new(self.quarantine.clone()),
+            Box::new(self.resumptions.clone()),
             Box::new(self.upstream_signals.clone()),
             Box::new(self.assignments.clone()),
             Box::new(self.prompts.clone()),
