Bind resumptions by callers to the record and the directory

A node asks the store's record first where its own view of it names one version, then the nodes; without contact with the store it tells the owners of its streams, as no other node can learn then that one version serves.

--- a/crates/gateway/src/forward/planned.rs
+++ b/crates/gateway/src/forward/planned.rs
@@ -55,6 +55,7 @@
             possible_runs: 0,
             sends: 0,
             send_log: SendLog::default(),
+            software: None,
         };
         call.schedule_request(self.audience)
     }
--- a/crates/gateway/src/node/lifecycle.rs
+++ b/crates/gateway/src/node/lifecycle.rs
@@ -176,11 +176,13 @@
         );
         services.spawn(recorder.run(stopping.clone()));
         dispatch_task.limit_accounts(options.quotas, quota_node(&options), reader.clone());
+        dispatch_task.follow_store(reader.clone());
         if let (Some(address), Some(gossip)) = (options.peer_address, options.gossip_address) {
             let socket = UdpSocket::bind(gossip).await.context(BindSnafu { address: gossip })?;
             let (name, dispatcher) = (options.name.clone(), dispatcher.clone());
             let outgoing = dispatch_task.coordinate(gossip);
-            let task = Gossip::new(name, socket, view.clone(), dispatcher, reader, outgoing);
+            let task =
+                Gossip::new(name, socket, view.clone(), dispatcher, reader.clone(), outgoing);
             services.spawn(task.run(stopping.clone()));
             let key = ports.item_codec.own_key(&format!("{MEMBER_PREFIX}{}", options.name));
             let member = Member {
@@ -228,7 +230,7 @@
         );
         services.spawn(recorder.run(stopping.clone()));
         let (software, reader_task) =
-            SoftwareReaderTask::new(ports.store.clone(), ports.item_codec.as_ref());
+            SoftwareReaderTask::new(ports.store.clone(), ports.item_codec.as_ref(), reader.clone());
         services.spawn(reader_task.run(stopping.clone()));
         let rollout = RolloutTask::new(
             RolloutOptions {
--- a/crates/gateway/src/software/reader.rs
+++ b/crates/gateway/src/software/reader.rs
@@ -12,8 +12,11 @@
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
+use super::has_store_contact;
+use crate::clock::now_ms;
 use crate::cluster_view::SOFTWARE_PREFIX;
 use crate::cluster_view::SoftwareItem;
+use crate::store_sync::StoreReader;
 use redwingrill_routing::ItemCodec;
 use redwingrill_routing::SharedStore;
 use redwingrill_routing::SoftwareVersion;
@@ -31,12 +34,16 @@
 #[derive(Clone, Debug)]
 pub struct SoftwareReader {
     requests: mpsc::Sender<(String, Responder)>,
+    contact: StoreReader,
 }
 
 impl SoftwareReader {
     /// Returns the version at which every stream of a service began that is open now; `None` if there
     /// may be several, or the store does not answer.
     pub async fn only_version(&self, service: &str) -> Option<SoftwareVersion> {
+        if !has_store_contact(self.contact.last_contact_ms(), now_ms()) {
+            return None;
+        }
         let (responder, response) = oneshot::channel();
         self.requests.send((service.to_owned(), responder)).await.ok()?;
         response.await.ok().flatten()
@@ -52,11 +59,12 @@
 }
 
 impl<S: SharedStore> SoftwareReaderTask<S> {
-    /// Creates the task and its handle.
-    pub fn new<D: ItemCodec>(store: S, codec: &D) -> (SoftwareReader, Self) {
+    /// Creates the task and its handle; `contact` tells of the contact with the store.
+    pub fn new<D: ItemCodec>(store: S, codec: &D, contact: StoreReader) -> (SoftwareReader, Self) {
         let (sender, requests) = mpsc::channel(QUEUE_LEN);
         let key_prefix = codec.own_key(SOFTWARE_PREFIX);
-        (SoftwareReader { requests: sender }, Self { store, key_prefix, requests })
+        let reader = SoftwareReader { requests: sender, contact };
+        (reader, Self { store, key_prefix, requests })
     }
 
     /// Runs until `stopping` is cancelled.
--- a/crates/gateway/src/software/recorder.rs
+++ b/crates/gateway/src/software/recorder.rs
@@ -14,8 +14,8 @@
 use crate::cluster_view::ClusterView;
 use crate::cluster_view::SOFTWARE_PREFIX;
 use crate::cluster_view::SoftwareItem;
+use crate::software::stream_retention_ms;
 use redwingrill_routing::Condition;
-use redwingrill_routing::Configuration;
 use redwingrill_routing::Era;
 use redwingrill_routing::ItemCodec;
 use redwingrill_routing::Revision;
@@ -30,19 +30,6 @@
 /// How often the turns are checked while a record is to be changed.
 const STEP_PERIOD: Duration = Duration::from_millis(100);
 
-/// How long an upstream that has left may go on with a stream that it has begun.
-const LEAVING_TIME: Duration = Duration::from_secs(10);
-
-/// The longest that a stream lasts without a configuration.
-const DEFAULT_STREAM_TIME: Duration = Duration::from_secs(30);
-
-/// Returns how long after its beginning a stream can still be continued, in milliseconds: its caller
-/// may take it up until its own deadline, and each answer lasts up to the timeout of the route.
-pub fn stream_retention_ms(configuration: Option<&Configuration>) -> u64 {
-    let longest = configuration.and_then(Configuration::longest_stream);
-    (longest.unwrap_or(DEFAULT_STREAM_TIME) * 2 + LEAVING_TIME).as_millis() as u64
-}
-
 /// The task that writes the records.
 #[derive(Debug)]
 pub struct SoftwareRecorder<S> {
--- a/crates/scheduling/src/lib.rs
+++ b/crates/scheduling/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`scheduler`] combines these: it chooses an upstream for a request, or refuses the request.
 //! - [`signals`] holds what upstreams say of themselves, and limits requests accordingly.
 //! - [`software_versions`] tells at which versions of their software open streams can have begun.
+//! - [`stream_origins`] remembers over all nodes which version of the software began a stream.
 //! - [`turns`] orders the nodes for duties that one node does for all.
 //! - [`weights`] decides how long older weights may be used.
 //!
@@ -21,10 +22,12 @@
 pub mod placement;
 pub mod quarantine;
 mod recent;
+mod rendezvous;
 pub mod retry_budget;
 pub mod rollout;
 pub mod scheduler;
 pub mod signals;
 pub mod software_versions;
+pub mod stream_origins;
 pub mod turns;
 pub mod weights;
