Rest each refusal that promises no run on evidence of its own sends

Callers got 503 with "ran":"no" for an order that ran, the whole answer of a request hid behind a copy of an earlier failure, and a stream that could be resumed broke off.

Cause: an answer is matched by the identifier of its request, which all sends of the request share. Entries that were tried are excluded, but not their addresses, and connections are kept by address. So a request whose upstream is back under another entry goes out twice over one connection, where a copy of the first answer is taken for the second.

Pool::send_over_unused sends over no connection that an earlier send of the request used, so an answer under its identifier is of this send. Other requests use these connections as before: only a second send to an address may open a connection. The alternative, that each connection remembers the identifiers it carried, grows without bound or closes connections early.

forward/send_ledger.rs makes the rest a matter of types. A send counts as a possible run from its begin until its own NotRun is recorded, so a dropped future or an early return promises nothing. NotRun comes from no connection, a request that was handed back, or a statement on such a connection, and from nowhere else. A refusal after sends needs a NoneRan, which exists if each send has its NotRun, or is 502 or 504 by type.

--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -8,7 +8,7 @@
 use http::Method;
 use http::Uri;
 
-use super::send_log::SendLog;
+use super::send_ledger::SendLedger;
 use crate::clock::now_ms;
 use redwingrill_routing::AccountTag;
 use redwingrill_routing::AttemptMetadata;
@@ -47,11 +47,9 @@
     // When the caller must have its complete response, on the node's clock.
     pub deadline_ms: u64,
     pub tried: Vec<UpstreamIndex>,
-    // Attempts that an upstream may have run.
-    pub possible_runs: u32,
     // Attempts that reached an upstream, whether or not it ran the request.
     pub sends: u32,
-    pub send_log: SendLog,
+    pub ledger: SendLedger,
 }
 
 impl Call {
@@ -75,17 +73,22 @@
         self.prompt.as_ref().map_or(0, |prompt| prompt.prompt_tokens)
     }
 
-    /// Records an attempt that the upstream may have run.
-    pub fn record_possible_run(&mut self, index: UpstreamIndex) {
+    /// Returns the number of sends that an upstream may have run.
+    pub fn possible_runs(&self) -> u32 {
+        self.ledger.possible_runs()
+    }
+
+    /// Records an attempt that reached its upstream.
+    pub fn record_send(&mut self, index: UpstreamIndex) {
         self.sends += 1;
-        self.possible_runs += 1;
         self.tried.push(index);
     }
 
     /// Returns whether the request may be sent to another upstream now.
     pub fn may_retry(&self) -> bool {
-        let may_run_twice = self.possible_runs == 0 || self.route.kind.allows_retry();
-        may_run_twice && self.possible_runs < self.route.attempts_limit
+        let possible_runs = self.possible_runs();
+        let may_run_twice = possible_runs == 0 || self.route.kind.allows_retry();
+        may_run_twice && possible_runs < self.route.attempts_limit
     }
 
     /// Returns the requirements of the request for the scheduler.
--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -27,7 +27,9 @@
 use super::send::SendOutcome;
 use super::send::UpstreamResponse;
 use super::send::send_attempt;
-use super::send_log::SendLog;
+use super::send_ledger::SendLedger;
+use super::send_ledger::SendRefusal;
+use super::send_ledger::UnknownOutcome;
 use super::whole_answer::Unconfirmed;
 use super::whole_answer::WholeAnswer;
 use crate::clock::now_ms;
@@ -277,6 +279,7 @@
         let service = route.choose_service(rand::rng().random()).to_owned();
         let prompt = metadata.prompt.take().map(Arc::new);
         let uri = origin_form(&head.uri);
+        let ledger = SendLedger::new(&metadata.id);
         Ok(Call {
             metadata,
             prompt,
@@ -291,9 +294,8 @@
             complete_ms: now_ms(),
             deadline_ms,
             tried: Vec::new(),
-            possible_runs: 0,
             sends: 0,
-            send_log: SendLog::default(),
+            ledger,
         })
     }
 
@@ -308,7 +310,7 @@
         let (service, target) = (&call.service, call.route.target_latency);
         let tag = RouteTag::of(&call.route.name);
         self.context.dispatcher.count_request(service, tag, call.prompt.clone(), target);
-        self.forward(call, &mut charge, connection).await
+        Ok(self.forward(call, &mut charge, connection).await?)
     }
 
     /// Charges the quota of the request's account; `None` without a quota.
@@ -353,7 +355,7 @@
         call: &mut Call,
         charge: &mut Option<Charge>,
         connection: &CancellationToken,
-    ) -> Result<Completion, Refusal> {
+    ) -> Result<Completion, SendRefusal> {
         let mut attempt = self.assign(call).await?;
         loop {
             if let Some(charge) = charge {
@@ -363,39 +365,40 @@
             match self.attempt_or_move(call, attempt).await {
                 AttemptOrMove::Moved(next) => {
                     self.record_failure(call, "moved", "");
-                    call.record_possible_run(index);
+                    call.record_send(index);
                     attempt = *next;
                     continue;
                 }
                 AttemptOrMove::Finished(SendOutcome::Responded(upstream_response)) => {
-                    call.record_possible_run(index);
+                    call.record_send(index);
                     let handled = self.handle_response(call, *upstream_response, connection);
                     if let Some(completion) = handled.await? {
                         return Ok(completion);
                     }
                 }
-                AttemptOrMove::Finished(SendOutcome::NotSent { reason }) => {
+                AttemptOrMove::Finished(SendOutcome::NotSent { reason, not_run }) => {
+                    not_run.record();
                     self.record_failure(call, "not_sent", &reason);
                     call.tried.push(index);
                 }
-                AttemptOrMove::Finished(SendOutcome::NotRun { status }) => {
+                AttemptOrMove::Finished(SendOutcome::NotRun { status, not_run }) => {
+                    not_run.record();
                     self.record_failure(call, "not_run", status.as_str());
-                    call.sends += 1;
-                    call.tried.push(index);
+                    call.record_send(index);
                 }
                 AttemptOrMove::Finished(SendOutcome::Lost { reason }) => {
                     self.record_failure(call, "lost", &reason);
-                    call.record_possible_run(index);
-                    ensure_retryable(call, ResultCode::UpstreamFailed, reason)?;
+                    call.record_send(index);
+                    ensure_retryable(call, UnknownOutcome::Failed, reason)?;
                 }
                 AttemptOrMove::Finished(SendOutcome::TimedOut) => {
                     self.record_failure(call, "silent", "");
-                    call.record_possible_run(index);
-                    ensure_retryable(call, ResultCode::UpstreamSilent, "")?;
+                    call.record_send(index);
+                    ensure_retryable(call, UnknownOutcome::Silent, "")?;
                 }
             }
             if let Some(charge) = charge {
-                charge.set_may_have_run(call.possible_runs > 0);
+                charge.set_may_have_run(call.possible_runs() > 0);
             }
             if call.remaining() < MIN_REMAINING_TIME {
                 return Err(deadline_refusal(call));
@@ -431,12 +434,12 @@
     /// the request.
     fn move_delay(&self, call: &Call) -> Option<Duration> {
         let may_move =
-            call.route.kind.allows_retry() && call.possible_runs + 1 < call.route.attempts_limit;
+            call.route.kind.allows_retry() && call.possible_runs() + 1 < call.route.attempts_limit;
         let first_wait = call.route.target_latency * MOVE_AFTER_TARGET_PERCENT / 100;
         may_move.then(|| first_wait.min(call.remaining()))
     }
 
-    async fn assign(&self, call: &Call) -> Result<Attempt, Refusal> {
+    async fn assign(&self, call: &Call) -> Result<Attempt, SendRefusal> {
         let purpose = if call.sends > 0 { Purpose::Retry } else { Purpose::First };
         let chosen = self.context.choose(call, purpose).await;
         let (cause, retry_after_ms) = match chosen {
@@ -448,7 +451,7 @@
         };
         if let RefusalCause::Quarantined(part) = cause {
             self.context.metrics.quarantine("refused");
-            let (id, runs) = (&call.metadata.id, call.possible_runs);
+            let (id, runs) = (&call.metadata.id, call.possible_runs());
             let account = call.account_name();
             info!(
                 "event=request_quarantined request_id={id} account={account} part={part} runs={runs}"
@@ -465,11 +468,9 @@
             self.context.metrics.shortage(&call.service, shortage);
             log_shortage(call, shortage);
         }
-        if call.possible_runs > 0 {
-            // An earlier upstream may have run the request, so a refusal code would be wrong.
-            let detail = format!("{cause:?}");
-            return Err(Refusal::with_detail(ResultCode::UpstreamFailed, detail));
-        }
+        let Some(none_ran) = call.ledger.none_ran() else {
+            return Err(SendRefusal::unknown(UnknownOutcome::Failed, format!("{cause:?}")));
+        };
         let code = match cause {
             RefusalCause::NoUpstream => ResultCode::NoUpstream,
             RefusalCause::Overloaded(_) => ResultCode::Shed,
@@ -482,10 +483,12 @@
                     "the prompt and its response need {tokens} tokens, an engine holds \
                      {engine_tokens}"
                 );
-                return Err(Refusal::with_detail(ResultCode::RequestTooLarge, detail));
+                let refusal = Refusal::with_detail(ResultCode::RequestTooLarge, detail);
+                return Err(SendRefusal::not_run(none_ran, refusal));
             }
         };
-        Err(Refusal::new(code).retry_after(retry_after_ms))
+        let refusal = Refusal::new(code).retry_after(retry_after_ms);
+        Err(SendRefusal::not_run(none_ran, refusal))
     }
 
     /// Forwards an upstream's response. Returns `None` if another upstream is to be tried.
@@ -494,7 +497,7 @@
         call: &mut Call,
         upstream_response: UpstreamResponse,
         connection: &CancellationToken,
-    ) -> Result<Option<Completion>, Refusal> {
+    ) -> Result<Option<Completion>, SendRefusal> {
         if call.route.kind.is_stream() && upstream_response.parts.status == StatusCode::OK {
             return self.handle_stream(call, upstream_response, connection).await;
         }
@@ -508,7 +511,7 @@
                     TransportError::Broken { .. } => attempt.end_broken(),
                     _ => attempt.end(Verdict::Failed),
                 }
-                ensure_retryable(call, ResultCode::UpstreamFailed, e.to_string())?;
+                ensure_retryable(call, UnknownOutcome::Failed, e.to_string())?;
                 return Ok(None);
             }
         };
@@ -519,7 +522,7 @@
             Err(unconfirmed) => {
                 self.record_failure(call, "lost", &unconfirmed.to_string());
                 attempt.end_broken();
-                ensure_retryable(call, ResultCode::UpstreamFailed, unconfirmed.to_string())?;
+                ensure_retryable(call, UnknownOutcome::Failed, unconfirmed.to_string())?;
                 return Ok(None);
             }
         };
@@ -557,7 +560,7 @@
             // These statuses tell the caller that the request did not run. They are forwarded only
             // if the upstream states so.
             let status = parts.status.as_str();
-            return Err(Refusal::with_detail(ResultCode::UpstreamFailed, status));
+            return Err(SendRefusal::unknown(UnknownOutcome::Failed, status));
         }
         self.context.metrics.attempt_ended(&call.service, parts.status.as_str());
         let head = relayed_head(parts, self.context.head_codec.as_ref());
@@ -571,7 +574,7 @@
         call: &mut Call,
         upstream_response: UpstreamResponse,
         connection: &CancellationToken,
-    ) -> Result<Option<Completion>, Refusal> {
+    ) -> Result<Option<Completion>, SendRefusal> {
         let wait = call.remaining();
         let mut relay =
             Relay::new(self.context.clone(), upstream_response, call.metadata.last_event_id);
@@ -580,7 +583,7 @@
             Err(reason) => {
                 self.record_failure(call, "lost", &reason);
                 relay.fail();
-                ensure_retryable(call, ResultCode::UpstreamFailed, reason)?;
+                ensure_retryable(call, UnknownOutcome::Failed, reason)?;
                 return Ok(None);
             }
         }
@@ -598,8 +601,8 @@
             call.metadata.id,
             call.account_name(),
             call.age_ms(),
-            call.possible_runs,
-            call.send_log.last(),
+            call.possible_runs(),
+            call.ledger.last(),
         );
     }
 
@@ -620,7 +623,7 @@
             code.number(),
             elapsed.as_millis(),
             call.sends,
-            call.possible_runs,
+            call.possible_runs(),
             call.prompt_tokens(),
         );
     }
@@ -676,19 +679,19 @@
 /// Returns an error unless another upstream may run the request.
 fn ensure_retryable(
     call: &Call,
-    code: ResultCode,
+    outcome: UnknownOutcome,
     detail: impl Into<String>,
-) -> Result<(), Refusal> {
+) -> Result<(), SendRefusal> {
     match call.may_retry() {
         true => Ok(()),
-        false => Err(Refusal::with_detail(code, detail)),
+        false => Err(SendRefusal::unknown(outcome, detail)),
     }
 }
 
-fn deadline_refusal(call: &Call) -> Refusal {
-    match call.possible_runs {
-        0 => Refusal::new(ResultCode::QueueTimeout),
-        _ => Refusal::new(ResultCode::UpstreamSilent),
+fn deadline_refusal(call: &Call) -> SendRefusal {
+    match call.ledger.none_ran() {
+        Some(none_ran) => SendRefusal::not_run(none_ran, ResultCode::QueueTimeout.into()),
+        None => SendRefusal::unknown(UnknownOutcome::Silent, ""),
     }
 }
 
--- a/crates/gateway/src/forward/mod.rs
+++ b/crates/gateway/src/forward/mod.rs
@@ -9,7 +9,7 @@
 //!
 //! Invariants:
 //! - A refusal (408, 421, 429, 503) is returned only if no upstream can have run the request or can
-//!   run it later.
+//!   run it later. `NoneRan` is the evidence, from the `NotRun` of each send.
 //! - A request that must not run twice is retried only if it was never sent, or if the upstream
 //!   stated that it did not run it.
 //! - A response is either the complete response of one upstream, matched to the request by the
@@ -24,7 +24,7 @@
 mod relay;
 mod response;
 mod send;
-mod send_log;
+mod send_ledger;
 mod stream_body;
 mod whole_answer;
 
--- a/crates/gateway/src/forward/planned.rs
+++ b/crates/gateway/src/forward/planned.rs
@@ -9,7 +9,7 @@
 
 use super::call::Call;
 use super::gateway::DEFAULT_TIMEOUT_MS;
-use super::send_log::SendLog;
+use super::send_ledger::SendLedger;
 use crate::clock::now_ms;
 use redwingrill_routing::CacheAudience;
 use redwingrill_routing::ClientAccount;
@@ -52,9 +52,8 @@
             complete_ms: now_ms,
             deadline_ms: now_ms + timeout_ms,
             tried: Vec::new(),
-            possible_runs: 0,
             sends: 0,
-            send_log: SendLog::default(),
+            ledger: SendLedger::default(),
         };
         call.schedule_request(self.audience)
     }
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -224,7 +224,7 @@
                         call.account_name(),
                         self.splitter.last_id(),
                         self.framing,
-                        call.send_log.last(),
+                        call.ledger.last(),
                     );
                     self.end_attempt(Verdict::Failed);
                     self.body = None;
@@ -369,7 +369,6 @@
         );
         match send_attempt(&self.context, call, attempt, Some(last_id)).await {
             SendOutcome::Responded(response) => {
-                call.possible_runs += 1;
                 let UpstreamResponse { parts, body, mut attempt, wants_pause } = *response;
                 if parts.status != StatusCode::OK {
                     let verdict = if wants_pause { Verdict::Refused } else { Verdict::Failed };
@@ -390,13 +389,13 @@
                 self.splitter = EventSplitter::after(Some(last_id), self.context.pool.budget());
                 true
             }
-            SendOutcome::NotSent { .. } | SendOutcome::NotRun { .. } => {
+            SendOutcome::NotSent { not_run, .. } | SendOutcome::NotRun { not_run, .. } => {
+                not_run.record();
                 log_failed_resume(call);
                 false
             }
             SendOutcome::Lost { .. } | SendOutcome::TimedOut => {
                 log_failed_resume(call);
-                call.possible_runs += 1;
                 false
             }
         }
@@ -419,7 +418,7 @@
             call.account_name(),
             call.age_ms(),
             self.splitter.last_id(),
-            call.possible_runs,
+            call.possible_runs(),
             self.longest_pause.as_millis(),
             self.upstream.id,
             self.framing,
@@ -437,7 +436,7 @@
 }
 
 fn log_failed_resume(call: &Call) {
-    let (id, account, send) = (&call.metadata.id, call.account_name(), call.send_log.last());
+    let (id, account, send) = (&call.metadata.id, call.account_name(), call.ledger.last());
     info!("event=resume_failed request_id={id} account={account} {send}");
 }
 
--- a/crates/gateway/src/forward/send.rs
+++ b/crates/gateway/src/forward/send.rs
@@ -10,15 +10,15 @@
 
 use super::call::Call;
 use super::gateway::GatewayContext;
-use super::send_log::Evidence;
-use super::send_log::SendLog;
+use super::send_ledger::FailedSend;
+use super::send_ledger::NotRun;
 use crate::dispatch::Attempt;
+use redwingrill_routing::ResponseMetadata;
 use redwingrill_routing::UpstreamSignals;
 use redwingrill_scheduling::fleet::Misdirection;
 use redwingrill_scheduling::fleet::StatedUpstream;
 use redwingrill_scheduling::fleet::Verdict;
 use redwingrill_scheduling::scheduler::Assignment;
-use redwingrill_transport::Freshness;
 use redwingrill_transport::ResponseBody;
 use redwingrill_transport::Timeouts;
 use redwingrill_transport::TransportError;
@@ -35,9 +35,9 @@
     /// The upstream returned a response head that belongs to this request.
     Responded(Box<UpstreamResponse>),
     /// The request did not reach the upstream.
-    NotSent { reason: String },
+    NotSent { reason: String, not_run: NotRun },
     /// The upstream states that it did not run the request.
-    NotRun { status: StatusCode },
+    NotRun { status: StatusCode, not_run: NotRun },
     /// The upstream may have run the request.
     Lost { reason: String },
     /// No response arrived in time; the upstream may have run the request.
@@ -67,45 +67,38 @@
     let address = assignment.upstream.address;
     let request = upstream_request(context, call, assignment, last_event_id);
     let timeouts = Timeouts { connect: CONNECT_TIMEOUT.min(remaining), head: remaining };
-    call.send_log.begin(&assignment.upstream.id);
-    let connections = call.send_log.connections();
-    let sent = context.pool.send_recorded(address, request, Freshness::Any, &timeouts, connections);
-    let response = match sent.await {
-        Ok(response) => response,
-        Err(e) => return failed_send(attempt, &call.send_log, &e),
+    let send = call.ledger.open(&assignment.upstream.id);
+    let answered = match send.transmit(&context.pool, address, request, &timeouts).await {
+        Ok(answered) => answered,
+        Err(failed) => return failed_send(attempt, failed),
     };
-    let (parts, body) = response.into_parts();
-    let mut metadata = context.head_codec.decode_response(&parts.headers);
+    let mut metadata = context.head_codec.decode_response(&answered.parts.headers);
     // A refusal, too, may have been written for an earlier request on the connection.
-    if metadata.request_id.as_deref() != Some(call.metadata.id.as_str()) {
+    if !answered.is_of_request(&metadata) {
         attempt.end(Verdict::Failed);
         return SendOutcome::Lost { reason: "the response belongs to another request".to_owned() };
     }
-    if parts.status == StatusCode::MISDIRECTED_REQUEST {
-        let expected =
-            StatedUpstream { id: Some(&assignment.upstream.id), version: assignment.version };
-        let answered = StatedUpstream {
-            id: metadata.upstream_id.as_deref(),
-            version: metadata.weights_version,
-        };
-        let misdirection = Misdirection::of(expected, answered);
-        attempt.end_misdirected(misdirection);
-        call.send_log.record_evidence(Evidence::Misdirected);
-        return drain_refusal(parts.status, body).await;
-    }
-    attempt.report_head(&metadata);
-    // Only with this status does the header ask for a pause.
-    if parts.status != StatusCode::SERVICE_UNAVAILABLE {
-        metadata.signals.retry_after = None;
-    }
-    // An unsigned answer may name a limit, but not end one by its silence.
-    if metadata.is_signed || metadata.signals != UpstreamSignals::default() {
-        attempt.report_signals(&metadata.signals);
+    let (parts, body, not_run) = answered.into_not_run(&metadata);
+    let is_misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
+    if !is_misdirected {
+        attempt.report_head(&metadata);
+        // Only with this status does the header ask for a pause.
+        if parts.status != StatusCode::SERVICE_UNAVAILABLE {
+            metadata.signals.retry_after = None;
+        }
+        // An unsigned answer may name a limit, but not end one by its silence.
+        if metadata.is_signed || metadata.signals != UpstreamSignals::default() {
+            attempt.report_signals(&metadata.signals);
+        }
     }
-    if metadata.has_not_run {
-        attempt.end(Verdict::Refused);
-        call.send_log.record_evidence(Evidence::Stated);
-        return drain_refusal(parts.status, body).await;
+    if let Some(not_run) = not_run {
+        if is_misdirected {
+            let misdirection = misdirection(assignment, &metadata);
+            attempt.end_misdirected(misdirection);
+        } else {
+            attempt.end(Verdict::Refused);
+        }
+        return drain_refusal(parts.status, body, not_run).await;
     }
     let mismatch = if !metadata.is_signed {
         Some("the response is not signed")
@@ -122,6 +115,14 @@
     SendOutcome::Responded(Box::new(UpstreamResponse { parts, body, attempt, wants_pause }))
 }
 
+fn misdirection(assignment: &Assignment, metadata: &ResponseMetadata) -> Misdirection {
+    let expected =
+        StatedUpstream { id: Some(&assignment.upstream.id), version: assignment.version };
+    let answered =
+        StatedUpstream { id: metadata.upstream_id.as_deref(), version: metadata.weights_version };
+    Misdirection::of(expected, answered)
+}
+
 /// Returns the request of one attempt, under the scope of the configuration in force now.
 fn upstream_request(
     context: &GatewayContext,
@@ -144,44 +145,30 @@
 
 /// Reads the body of a refusal, so that the connection can be reused. One that ends with its
 /// connection is not waited for.
-async fn drain_refusal(status: StatusCode, body: ResponseBody) -> SendOutcome {
+async fn drain_refusal(status: StatusCode, body: ResponseBody, not_run: NotRun) -> SendOutcome {
     if body.framing().marks_end()
         && let Err(e) = body.read_all(64 << 10, DRAIN_TIMEOUT).await
     {
         debug!("event=refusal_body_read_failed reason={:?}", e.to_string());
     }
-    SendOutcome::NotRun { status }
+    SendOutcome::NotRun { status, not_run }
 }
 
-fn failed_send(attempt: Attempt, send_log: &SendLog, error: &TransportError) -> SendOutcome {
+fn failed_send(attempt: Attempt, failed: FailedSend) -> SendOutcome {
+    let FailedSend { error, not_run } = failed;
     let reason = error.to_string();
     match error {
-        TransportError::Unreachable { .. } => {
-            attempt.end(Verdict::Unreachable);
-            send_log.record_evidence(Evidence::NotConnected);
-            SendOutcome::NotSent { reason }
-        }
-        TransportError::NoListener { .. } => {
-            attempt.end(Verdict::NoListener);
-            send_log.record_evidence(Evidence::NotConnected);
-            SendOutcome::NotSent { reason }
-        }
-        TransportError::NotSent => {
-            attempt.end(Verdict::Unknown);
-            send_log.record_evidence(Evidence::NotWritten);
-            SendOutcome::NotSent { reason }
-        }
-        TransportError::Silent { .. } => {
-            attempt.end(Verdict::Failed);
-            SendOutcome::TimedOut
-        }
-        TransportError::Broken { .. } => {
-            attempt.end_broken();
-            SendOutcome::Lost { reason }
-        }
-        TransportError::TooLarge { .. } | TransportError::BuffersFull => {
-            attempt.end(Verdict::Failed);
-            SendOutcome::Lost { reason }
-        }
+        TransportError::Unreachable { .. } => attempt.end(Verdict::Unreachable),
+        TransportError::NoListener { .. } => attempt.end(Verdict::NoListener),
+        TransportError::NotSent => attempt.end(Verdict::Unknown),
+        TransportError::Broken { .. } => attempt.end_broken(),
+        TransportError::Silent { .. }
+        | TransportError::TooLarge { .. }
+        | TransportError::BuffersFull => attempt.end(Verdict::Failed),
+    }
+    match not_run {
+        Some(not_run) => SendOutcome::NotSent { reason, not_run },
+        None if matches!(error, TransportError::Silent { .. }) => SendOutcome::TimedOut,
+        None => SendOutcome::Lost { reason },
     }
 }
--- a/crates/transport/src/pool.rs
+++ b/crates/transport/src/pool.rs
@@ -43,6 +43,7 @@
 use crate::TransportError;
 use crate::dead_peer::enable_dead_peer_detection;
 use crate::kept_socket::SocketKeeper;
+use crate::request_connections::ConnectionNumber;
 use crate::upload::UploadState;
 
 /// The limit of idle connections to an address.
@@ -125,6 +126,7 @@
 struct Connection<S> {
     sender: SendRequest<Full<Bytes>>,
     opened_at: Instant,
+    number: ConnectionNumber,
     local_port: u16,
     // The requests that it was used for, without the present one.
     carried: u64,
@@ -136,8 +138,8 @@
 
 impl<S> Connection<S> {
     fn into_state<T>(self, state: T) -> Connection<T> {
-        let Self { sender, opened_at, local_port, carried, has_ended, socket, .. } = self;
-        Connection { sender, opened_at, local_port, carried, has_ended, socket, state }
+        let Self { sender, opened_at, number, local_port, carried, has_ended, socket, .. } = self;
+        Connection { sender, opened_at, number, local_port, carried, has_ended, socket, state }
     }
 }
 
@@ -207,15 +209,27 @@
         timeouts: &Timeouts,
     ) -> Result<Response<ResponseBody>, TransportError> {
         let connections = RequestConnections::default();
-        self.send_recorded(address, request, freshness, timeouts, &connections).await
+        self.send_over(address, request, freshness, timeouts, &connections).await
     }
 
-    /// Like [`Pool::send`], and adds each connection that it uses to `connections`.
+    /// Sends one of the sends of a request, as [`Pool::send`] does, but over none of `connections`,
+    /// to which it adds each connection that it uses. So an answer on it that carries the identifier
+    /// of the request is no copy of one to an earlier send of it.
     ///
     /// # Errors
     ///
     /// As for [`Pool::send`].
-    pub async fn send_recorded(
+    pub async fn send_over_unused(
+        &self,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        timeouts: &Timeouts,
+        connections: &RequestConnections,
+    ) -> Result<Response<ResponseBody>, TransportError> {
+        self.send_over(address, request, Freshness::Any, timeouts, connections).await
+    }
+
+    async fn send_over(
         &self,
         address: SocketAddr,
         request: Request<Bytes>,
@@ -225,8 +239,9 @@
     ) -> Result<Response<ResponseBody>, TransportError> {
         let (mut parts, body) = request.into_parts();
         loop {
-            let (mut guard, reused) = self.checkout(address, freshness, timeouts.connect).await?;
-            connections.record(guard.connection.usage());
+            let checkout = self.checkout(address, freshness, timeouts.connect, connections);
+            let (mut guard, reused) = checkout.await?;
+            connections.record(guard.connection.number, guard.connection.usage());
             let has_ended = guard.connection.has_ended.clone();
             let (tracked, upload) = UploadState::track(body.clone(), has_ended);
             let request = Request::from_parts(parts, Full::new(tracked));
@@ -284,9 +299,10 @@
         address: SocketAddr,
         freshness: Freshness,
         connect: Duration,
+        excluded: &RequestConnections,
     ) -> Result<(ConnectionGuard, bool), TransportError> {
         if freshness == Freshness::Any
-            && let Some(connection) = self.shared.take_idle(address)
+            && let Some(connection) = self.shared.take_idle(address, excluded)
         {
             return Ok((self.guard(address, connection), true));
         }
@@ -335,6 +351,7 @@
         Ok(Connection {
             sender,
             opened_at: Instant::now(),
+            number: ConnectionNumber::next(),
             local_port,
             carried: 0,
             has_ended,
@@ -349,10 +366,16 @@
         self.by_address.lock().expect("lock is not poisoned")
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection<Busy>> {
+    fn take_idle(
+        &self,
+        address: SocketAddr,
+        excluded: &RequestConnections,
+    ) -> Option<Connection<Busy>> {
         let mut by_address = self.lock();
         let connections = by_address.get_mut(&address)?;
-        while let Some(connection) = connections.idle.pop() {
+        let is_allowed = |idle: &Connection<Idle>| !excluded.contains(idle.number);
+        while let Some(position) = connections.idle.iter().rposition(is_allowed) {
+            let connection = connections.idle.remove(position);
             if connection.is_usable(connections.peer_idle_timeout) {
                 return Some(connection.into_busy());
             }
