--- a/crates/gateway/src/dispatch/task.rs
+++ b/crates/gateway/src/dispatch/task.rs
@@ -620,6 +620,8 @@
         let refusal_at_once = self.scheduler.refuse_too_large(&request);
         let refusal_at_once =
             refusal_at_once.or_else(|| self.scheduler.refuse_quarantined(&request, now_ms));
+        let refusal_at_once =
+            refusal_at_once.or_else(|| self.scheduler.refuse_without_software(&request, now_ms));
         if let Some(refusal) = refusal_at_once {
             self.send_choice(responder, refusal);
             return;
--- a/crates/gateway/src/explain/wire.rs
+++ b/crates/gateway/src/explain/wire.rs
@@ -168,6 +168,7 @@
 fn ineligibility_name(reason: Ineligibility) -> &'static str {
     match reason {
         Ineligibility::Tried => "tried before",
+        Ineligibility::Software => "software",
         Ineligibility::Closed(Closure::NotReady) => "not ready",
         Ineligibility::Closed(Closure::LoadsWeights) => "loads weights",
         Ineligibility::Closed(Closure::Paused) => "paused or leaving",
--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -16,6 +16,8 @@
 use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::RequestMetadata;
 use redwingrill_routing::Route;
+use redwingrill_routing::SoftwareVersion;
+use redwingrill_routing::Upstream;
 use redwingrill_scheduling::engine_model::RouteTag;
 use redwingrill_scheduling::fleet::UpstreamIndex;
 use redwingrill_scheduling::placement::Scope;
@@ -50,6 +52,9 @@
     pub possible_runs: u32,
     // Attempts that reached an upstream, whether or not it ran the request.
     pub sends: u32,
+    // The version of the software that began the stream which the request continues; every upstream
+    // from now on must run it.
+    pub software: Option<SoftwareVersion>,
 }
 
 impl Call {
@@ -86,6 +91,11 @@
         may_run_twice && self.possible_runs < self.route.attempts_limit
     }
 
+    /// Returns whether an upstream runs the software that the request needs, if it needs any.
+    pub fn accepts_software(&self, upstream: &Upstream) -> bool {
+        self.software.is_none() || self.software == upstream.software
+    }
+
     /// Returns the requirements of the request for the scheduler.
     pub fn schedule_request(&self, audience: CacheAudience) -> ScheduleRequest {
         ScheduleRequest {
@@ -106,7 +116,7 @@
             pause_target_ms: self.route.pause_target.map(|pause| pause.as_millis() as u64),
             origin_domain: None,
             tried: self.tried.clone(),
-            software: None,
+            software: self.software.clone(),
         }
     }
 
--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -11,6 +11,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use log::info;
+use log::warn;
 use rand::Rng;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -47,6 +48,7 @@
 use redwingrill_routing::LivenessCheck;
 use redwingrill_routing::RequestMetadata;
 use redwingrill_routing::Route;
+use redwingrill_routing::SoftwareVersion;
 use redwingrill_routing::Upstream;
 use redwingrill_scheduling::engine_model::RouteTag;
 use redwingrill_scheduling::fleet::Verdict;
@@ -75,6 +77,9 @@
 /// The retry-after of refusals late in a stop; it is short because other nodes have capacity.
 const DRAINING_RETRY_AFTER_MS: u64 = 100;
 
+/// The retry-after of a request that was assigned an upstream with other software.
+const MISMATCH_RETRY_AFTER_MS: u64 = 500;
+
 /// A request with less time before its deadline fails instead of being sent.
 const MIN_REMAINING_TIME: Duration = Duration::from_millis(5);
 
@@ -120,12 +125,36 @@
     }
 
     /// Asks the dispatch task for an attempt of a request.
-    pub(super) fn choose(
+    pub(super) async fn choose(
+        &self,
+        call: &Call,
+        purpose: Purpose,
+    ) -> Result<Attempt, (RefusalCause, u64)> {
+        self.choose_for(call, self.schedule_request(call), purpose).await
+    }
+
+    /// Asks the dispatch task for an attempt of a request with these requirements. One at an upstream
+    /// with other software than the stream needs is given back: engines do not check it.
+    async fn choose_for(
         &self,
         call: &Call,
+        request: ScheduleRequest,
         purpose: Purpose,
-    ) -> impl Future<Output = Result<Attempt, (RefusalCause, u64)>> {
-        self.dispatcher.choose(self.schedule_request(call), purpose)
+    ) -> Result<Attempt, (RefusalCause, u64)> {
+        let attempt = self.dispatcher.choose(request, purpose).await?;
+        let upstream = &attempt.assignment().upstream;
+        if call.accepts_software(upstream) {
+            return Ok(attempt);
+        }
+        warn!(
+            "event=software_mismatch request_id={} account={} upstream={} software={} needed={}",
+            call.metadata.id,
+            call.account_name(),
+            upstream.id,
+            software_name(upstream.software.as_ref()),
+            software_name(call.software.as_ref()),
+        );
+        Err((RefusalCause::NoUpstream, MISMATCH_RETRY_AFTER_MS))
     }
 
     /// Returns the evidence that an upstream's answer, which was received to its last byte, is whole.
@@ -298,6 +327,7 @@
             tried: Vec::new(),
             possible_runs: 0,
             sends: 0,
+            software: None,
         })
     }
 
@@ -422,7 +452,7 @@
             }
             let mut request = self.context.schedule_request(call);
             request.tried.push(index);
-            if let Ok(next) = self.context.dispatcher.choose(request, Purpose::Move).await {
+            if let Ok(next) = self.context.choose_for(call, request, Purpose::Move).await {
                 log_assignment(call, &next);
                 return AttemptOrMove::Moved(Box::new(next));
             }
@@ -778,8 +808,8 @@
 }
 
 /// Returns the version of an upstream's software for log lines; `-` without one.
-pub(super) fn software_name(upstream: &Upstream) -> &str {
-    upstream.software.as_ref().map_or("-", |software| software.0.as_str())
+pub(super) fn software_name(software: Option<&SoftwareVersion>) -> &str {
+    software.map_or("-", |software| software.0.as_str())
 }
 
 fn log_assignment(call: &Call, attempt: &Attempt) {
@@ -789,7 +819,7 @@
     let fetch = assignment.fetch_from.map_or_else(|| "-".to_owned(), |from| from.to_string());
     let coordinator = assignment.coordinator.map_or_else(|| "-".to_owned(), |at| at.to_string());
     let weights = assignment.version.map_or_else(|| "-".to_owned(), |known| known.0.to_string());
-    let software = software_name(&assignment.upstream);
+    let software = software_name(assignment.upstream.software.as_ref());
     info!(
         "event=assigned request_id={} account={} route={} upstream={} software={software} \
          weights={weights} scope={scope} \
--- a/crates/gateway/src/forward/planned.rs
+++ b/crates/gateway/src/forward/planned.rs
@@ -53,6 +53,7 @@
             tried: Vec::new(),
             possible_runs: 0,
             sends: 0,
+            software: None,
         };
         call.schedule_request(self.audience)
     }
--- a/crates/gateway/src/forward/relay.rs
+++ b/crates/gateway/src/forward/relay.rs
@@ -5,7 +5,7 @@
 //! - The caller's stream ends normally only if an upstream's stream is complete, see
 //!   [`EventSplitter::finish`] and [`WholeAnswer`].
 //! - A stream continues at another upstream only if it may be resumed, after the last event that
-//!   was forwarded.
+//!   was forwarded, and only at one with the version of the software that brought its first events.
 //! - A silent upstream is left only if another one takes over; else its stream goes on.
 //! - The upstream is read on while the caller reads slowly, see [`StreamSender::send`].
 //! - Everything that a relay waits for ends as its caller leaves: events, a place at another upstream,
@@ -171,7 +171,10 @@
         };
         let (sender, body) = stream_body(&self.context.caller_queues, label, connection.clone());
         let head = relayed_head(self.head.clone(), self.context.head_codec.as_ref());
-        let call = detach_call(call);
+        let mut call = detach_call(call);
+        if call.software.is_none() {
+            call.software.clone_from(&self.upstream.software);
+        }
         self.last_event = Instant::now();
         let tasks = self.context.relays.clone();
         tasks.spawn(self.run(call, sender));
@@ -258,7 +261,7 @@
                 return SegmentEnd::DeadlineExceeded;
             }
             // Bytes that complete no event do not end a pause.
-            let may_resume = call.may_retry() && self.splitter.last_id().is_some();
+            let may_resume = call.may_retry() && self.is_resumable(call);
             let until_stalled = self.stall_timeout.saturating_sub(self.last_event.elapsed());
             let Some(body) = &mut self.body else { return SegmentEnd::Stalled };
             let piece = tokio::select! {
@@ -337,10 +340,16 @@
         }
     }
 
+    /// Returns whether the stream can be continued at another upstream. Without a known version of the
+    /// software that began it, none is known to fit.
+    fn is_resumable(&self, call: &Call) -> bool {
+        self.splitter.last_id().is_some() && call.software.is_some()
+    }
+
     /// Resumes the stream at another upstream after the last event that was forwarded. Returns
     /// whether an upstream took over.
     async fn resume(&mut self, call: &mut Call) -> bool {
-        while self.splitter.last_id().is_some() && call.may_retry() && !call.remaining().is_zero() {
+        while self.is_resumable(call) && call.may_retry() && !call.remaining().is_zero() {
             let choice = self.context.choose(call, Purpose::Retry).await;
             let attempt = match choice {
                 Ok(attempt) => attempt,
@@ -368,8 +377,8 @@
             call.metadata.id,
             call.account_name(),
             attempt.assignment().upstream.id,
-            software_name(&attempt.assignment().upstream),
-            software_name(&self.upstream),
+            software_name(attempt.assignment().upstream.software.as_ref()),
+            software_name(self.upstream.software.as_ref()),
         );
         match send_attempt(&self.context, call, attempt, Some(last_id)).await {
             SendOutcome::Responded(response) => {
--- a/crates/gateway/tests/coordination_wire.rs
+++ b/crates/gateway/tests/coordination_wire.rs
@@ -4,10 +4,18 @@
 
 use std::net::SocketAddr;
 
+use serde::Deserialize;
+
 use redwingrill_gateway::cluster_view::ClusterView;
+use redwingrill_routing::SoftwareVersion;
+use redwingrill_scheduling::coordination::AssignmentRequest;
+use redwingrill_scheduling::coordination::AssignmentResponse;
 use redwingrill_scheduling::coordination::Coordination;
 use redwingrill_scheduling::coordination::CoordinationMessage;
+use redwingrill_scheduling::coordination::GroupKey;
 use redwingrill_scheduling::coordination::GroupNode;
+use redwingrill_scheduling::coordination::InquiryId;
+use redwingrill_scheduling::coordination::LoadReport;
 use redwingrill_scheduling::coordination::RequestOptions;
 use redwingrill_scheduling::scheduler::ScheduleRequest;
 use redwingrill_scheduling::scheduler::Scheduler;
@@ -16,6 +24,16 @@
 const ORDINARY_REQUEST: &str = "00010189d1d5add5dfdabd0e0101036c6c6dd8cbccb40d016dc8010a020764096400000100\
     8827f403882700016100010100000000";
 
+/// The messages as the build before knows them.
+#[derive(Debug, Deserialize)]
+#[expect(dead_code, reason = "it is only decoded")]
+enum EarlierMessage {
+    Request(Box<AssignmentRequest>),
+    Response(AssignmentResponse),
+    Report { group: GroupKey, report: LoadReport },
+    Withdrawal { group: GroupKey, inquiry: InquiryId },
+}
+
 fn address(last: u8) -> SocketAddr {
     SocketAddr::from(([10, 9, 0, last], 1))
 }
@@ -62,3 +80,17 @@
     let decoded: CoordinationMessage = postcard::from_bytes(&bytes).expect("it is a message");
     assert_eq!(decoded, message);
 }
+
+/// It would assign an engine of any version.
+#[test]
+fn coordinator_of_the_build_before_understands_a_continuation() {
+    let software = Some(SoftwareVersion("v1".to_owned()));
+    let message = message_for(ScheduleRequest { software, ..request() });
+    let bytes = postcard::to_allocvec(&message).expect("a message always serializes");
+    let earlier: Result<EarlierMessage, _> = postcard::from_bytes(&bytes);
+    assert!(earlier.is_err(), "{earlier:?}");
+    let decoded: CoordinationMessage = postcard::from_bytes(&bytes).expect("it is a message");
+    assert_eq!(decoded, message);
+    let ordinary = postcard::to_allocvec(&message_for(request())).expect("it serializes");
+    postcard::from_bytes::<EarlierMessage>(&ordinary).expect("the build before knows it");
+}
--- a/crates/scheduling/src/coordination/coordinator.rs
+++ b/crates/scheduling/src/coordination/coordinator.rs
@@ -11,6 +11,7 @@
 use super::GroupKey;
 use super::InquiryId;
 use super::LoadReport;
+use super::PlannedInquiry;
 use super::Requirements;
 use crate::fleet::UpstreamTag;
 use crate::placement::CacheStoreDigest;
@@ -23,6 +24,7 @@
 use crate::scheduler::Shortage;
 use crate::scheduler::WaitQueue;
 use redwingrill_routing::CacheChange;
+use redwingrill_routing::SoftwareVersion;
 
 /// How long a waiting request is kept without being renewed.
 const RENEWAL_LIMIT_MS: u64 = 700;
@@ -120,14 +122,15 @@
         }
     }
 
-    /// Decides on a request for an assignment; returns the responses, of which some may be for
-    /// other nodes.
+    /// Decides on a request for an assignment, of an engine with `software` if that is given; returns
+    /// the responses, of which some may be for other nodes.
     pub(super) fn handle_request(
         &mut self,
         node: &Scheduler,
         groups: &[EngineGroup],
         from: SocketAddr,
         request: AssignmentRequest,
+        software: Option<SoftwareVersion>,
         now_ms: u64,
     ) -> Vec<Addressed> {
         let AssignmentRequest { inquiry, group: key, may_wait, is_first, requirements, report } =
@@ -151,7 +154,7 @@
             };
             return vec![(from, AssignmentResponse { inquiry, group: key, decision })];
         }
-        let request = into_request(requirements, &group.scheduler, now_ms);
+        let request = into_request(requirements, software, &group.scheduler, now_ms);
         if is_first {
             // Engines keep their roles in a flood of one account, unless its quota bounds the flood:
             // then the account may have what it asks for.
@@ -182,10 +185,10 @@
         &self,
         node: &Scheduler,
         groups: &[EngineGroup],
-        key: GroupKey,
-        requirements: Requirements,
+        planned: &PlannedInquiry,
         now_ms: u64,
     ) -> Explanation {
+        let key = planned.group;
         let state = self.groups.get(&key);
         let mut scheduler = match state {
             Some(state) => state.scheduler.clone(),
@@ -194,7 +197,8 @@
                 node.for_group(known.map_or(&[], |group| &group.engines), now_ms)
             }
         };
-        let request = into_request(requirements, &scheduler, now_ms);
+        let (requirements, software) = (planned.requirements.clone(), planned.software.clone());
+        let request = into_request(requirements, software, &scheduler, now_ms);
         let is_flood = state
             .is_some_and(|state| state.queue.is_beyond_share(&mut scheduler, &request, now_ms));
         count_prompt(&mut scheduler, &request, is_flood, now_ms);
@@ -236,12 +240,17 @@
 }
 
 /// Returns the request as the scheduler of a group knows its engines.
-fn into_request(requirements: Requirements, scheduler: &Scheduler, now_ms: u64) -> ScheduleRequest {
+fn into_request(
+    requirements: Requirements,
+    software: Option<SoftwareVersion>,
+    scheduler: &Scheduler,
+    now_ms: u64,
+) -> ScheduleRequest {
     let fleet = scheduler.fleet();
     let index_of = |tag: UpstreamTag| {
         fleet.iter().find(|(_, entry)| entry.start_tag == tag).map(|(index, _)| index)
     };
-    requirements.into_request(now_ms, index_of)
+    requirements.into_request(software, now_ms, index_of)
 }
 
 fn count_prompt(scheduler: &mut Scheduler, request: &ScheduleRequest, is_flood: bool, now_ms: u64) {
--- a/crates/scheduling/src/coordination/messages.rs
+++ b/crates/scheduling/src/coordination/messages.rs
@@ -21,6 +21,7 @@
 use redwingrill_routing::DeclaredPrompt;
 use redwingrill_routing::PartId;
 use redwingrill_routing::PromptPart;
+use redwingrill_routing::SoftwareVersion;
 
 /// Identifies a node's inquiry for an assignment. Numbers begin again with each run of a node, and
 /// its address stays, so a response for an earlier run is told apart only by the run.
@@ -53,6 +54,14 @@
         /// The inquiry.
         inquiry: InquiryId,
     },
+    /// A node requests an assignment for a request that continues a stream, or renews it. Earlier
+    /// builds cannot decode it, so that they do not assign an engine of another version.
+    Continuation {
+        /// The request.
+        request: Box<AssignmentRequest>,
+        /// The version of the software that the engine must run.
+        software: SoftwareVersion,
+    },
 }
 
 /// A request for an assignment.
@@ -124,8 +133,10 @@
     }
 
     /// Returns the request on the clock of this node; `index_of` finds the start of an engine.
+    /// `software` is the version that the engine must run, if it must run a certain one.
     pub(super) fn into_request(
         self,
+        software: Option<SoftwareVersion>,
         now_ms: u64,
         index_of: impl Fn(UpstreamTag) -> Option<UpstreamIndex>,
     ) -> ScheduleRequest {
@@ -150,7 +161,7 @@
             pause_target_ms: self.pause_target_ms,
             origin_domain: Some(self.failure_domain),
             tried: self.excluded.into_iter().filter_map(index_of).collect(),
-            software: None,
+            software,
         }
     }
 }
--- a/crates/scheduling/src/coordination/mod.rs
+++ b/crates/scheduling/src/coordination/mod.rs
@@ -17,7 +17,8 @@
 //! - Every message may be lost, late or repeated. A node reports absolute loads, and a coordinator
 //!   counts an assignment itself until a report includes it.
 //! - A decision is used only for the inquiry that it responds to, of the same run of the node, and
-//!   only if its engine belongs to the service of the request.
+//!   only if its engine belongs to the service of the request, and runs the version of the software
+//!   that the request needs, whatever the coordinator knows of versions.
 //! - Without an answer the node asks the next coordinator, and in the end decides by itself.
 
 mod coordinator;
--- a/crates/scheduling/src/coordination/node.rs
+++ b/crates/scheduling/src/coordination/node.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+use super::AssignmentRequest;
 use super::CoordinationMessage;
 use super::Coordinator;
 use super::EngineGroup;
@@ -21,6 +22,7 @@
 use crate::scheduler::ScheduleRequest;
 use crate::scheduler::Scheduler;
 use redwingrill_routing::CacheChange;
+use redwingrill_routing::SoftwareVersion;
 
 /// A gap in the activity of a node that tells that it was suspended.
 const SUSPENSION_MS: u64 = 400;
@@ -126,8 +128,7 @@
         let is_own = self.own_address == Some(planned.coordinator);
         let explanation = is_own.then(|| {
             let groups = self.groups.get(&request.service).map_or(&[][..], Vec::as_slice);
-            let requirements = planned.requirements.clone();
-            self.coordinator.explain(scheduler, groups, planned.group, requirements, now_ms)
+            self.coordinator.explain(scheduler, groups, &planned, now_ms)
         });
         Some((planned, explanation))
     }
@@ -208,15 +209,10 @@
     ) {
         match message {
             CoordinationMessage::Request(request) => {
-                self.learn(scheduler, from, &request.report, now_ms);
-                let service = self
-                    .groups
-                    .values()
-                    .find(|groups| groups.iter().any(|group| group.key == request.group));
-                let groups = service.map_or(&[][..], Vec::as_slice);
-                let responses =
-                    self.coordinator.handle_request(scheduler, groups, from, *request, now_ms);
-                self.respond(responses);
+                self.accept_request(scheduler, from, *request, None, now_ms);
+            }
+            CoordinationMessage::Continuation { request, software } => {
+                self.accept_request(scheduler, from, *request, Some(software), now_ms);
             }
             CoordinationMessage::Response(response) => {
                 self.requester.handle_response(scheduler, from, response, now_ms);
@@ -232,6 +228,25 @@
         }
     }
 
+    fn accept_request(
+        &mut self,
+        scheduler: &mut Scheduler,
+        from: SocketAddr,
+        request: AssignmentRequest,
+        software: Option<SoftwareVersion>,
+        now_ms: u64,
+    ) {
+        self.learn(scheduler, from, &request.report, now_ms);
+        let service = self
+            .groups
+            .values()
+            .find(|groups| groups.iter().any(|group| group.key == request.group));
+        let groups = service.map_or(&[][..], Vec::as_slice);
+        let responses =
+            self.coordinator.handle_request(scheduler, groups, from, request, software, now_ms);
+        self.respond(responses);
+    }
+
     /// Learns from the responses of another node. Each engine answers few requests of one node, so
     /// only the coordinator of its group sees enough of them to know its speed within seconds.
     fn learn(&self, scheduler: &mut Scheduler, from: SocketAddr, report: &LoadReport, now_ms: u64) {
--- a/crates/scheduling/src/coordination/requester.rs
+++ b/crates/scheduling/src/coordination/requester.rs
@@ -32,6 +32,7 @@
 use crate::scheduler::RefusalCause;
 use crate::scheduler::ScheduleRequest;
 use crate::scheduler::Scheduler;
+use redwingrill_routing::SoftwareVersion;
 
 /// How long a coordinator may take to respond, and how often it is asked again meanwhile: one lost
 /// datagram does not make it suspect.
@@ -162,6 +163,7 @@
     pub engines: usize,
     /// What the coordinator would be told.
     pub(super) requirements: Requirements,
+    pub(super) software: Option<SoftwareVersion>,
 }
 
 /// The pending requests of a node.
@@ -411,7 +413,10 @@
             None => REPEAT_PERIOD_MS,
             Some(_) => RENEWAL_PERIOD_MS,
         };
-        if has_failed {
+        if has_failed && pending.request.software.is_some() {
+            // A coordinator of an earlier build drops such a request and responds to all others.
+            self.resolve(key, Resolution::Undecided);
+        } else if has_failed {
             self.suspect(main.coordinator, now_ms);
             self.ask_next_coordinator(scheduler, key, now_ms);
         } else if now_ms.saturating_sub(main.sent_ms) >= period_ms {
@@ -609,6 +614,7 @@
             failure_domain: state.failure_domain.clone(),
             engines: state.engines.len(),
             requirements: Requirements::new(request, &self.failure_domain, excluded, now_ms)?,
+            software: request.software.clone(),
         })
     }
 
@@ -642,7 +648,13 @@
             requirements,
             report,
         };
-        let message = CoordinationMessage::Request(Box::new(message));
+        let message = Box::new(message);
+        let message = match &request.software {
+            None => CoordinationMessage::Request(message),
+            Some(software) => {
+                CoordinationMessage::Continuation { request: message, software: software.clone() }
+            }
+        };
         self.outgoing.push((inquiry.coordinator, message));
     }
 
@@ -703,6 +715,7 @@
 fn fits_into_datagram(request: &ScheduleRequest) -> bool {
     let Some(prompt) = request.prompt.as_deref() else { return true };
     let audience_bytes = request.audience.as_str().len();
-    let names_bytes = prompt.model.len() + request.service.len() + audience_bytes;
+    let software_bytes = request.software.as_ref().map_or(0, |software| software.0.len());
+    let names_bytes = prompt.model.len() + request.service.len() + audience_bytes + software_bytes;
     prompt.parts.len() <= PARTS_LIMIT && names_bytes <= NAMES_LIMIT_BYTES
 }
--- a/crates/scheduling/src/fleet/table.rs
+++ b/crates/scheduling/src/fleet/table.rs
@@ -290,6 +290,16 @@
         })
     }
 
+    /// Returns whether an upstream takes no request any more: it leaves, its process has ended, or a
+    /// later start has its address.
+    pub fn has_gone(&self, entry: &FleetEntry, now_ms: u64) -> bool {
+        let has_ended = |start| self.ended.contains(start, now_ms);
+        entry.upstream.state == UpstreamState::Leaving
+            || entry.signals.leaving_since_ms.is_some()
+            || has_ended(entry.start_tag)
+            || entry.superseded_by.is_some_and(|start| !has_ended(start))
+    }
+
     /// Records that a start has ended. Returns whether that is news.
     pub fn record_ended(
         &mut self,
--- a/crates/scheduling/src/scheduler/choose.rs
+++ b/crates/scheduling/src/scheduler/choose.rs
@@ -103,8 +103,10 @@
     // among the others.
     preferred: [Option<UpstreamIndex>; 2],
     pub(super) roles: EngineRoles,
+    // Whether an engine for long prompts may serve the request.
+    has_long: bool,
     pub(super) is_long: bool,
-    // The class of the fastest engine that may serve the model.
+    // The class of the fastest engine that may serve the request.
     fastest_class: SpeedClass,
     // Whether the request belongs to the share that the engines with the newest weights can serve.
     pub(super) prefers_newest: bool,
@@ -183,14 +185,20 @@
         match self.select(request, context, now_ms) {
             Ok(best) => Choice::Send(Box::new(self.assign(request, context, best, now_ms))),
             Err(NoCandidate::AllBusy) => Choice::Wait,
-            Err(NoCandidate::NoUpstream) => {
-                let remaining_ms = request.deadline_ms.saturating_sub(now_ms);
-                let retry_after_ms = NO_UPSTREAM_RETRY_AFTER_MS.min(remaining_ms / 3);
-                Choice::Refuse { cause: RefusalCause::NoUpstream, retry_after_ms }
-            }
+            Err(NoCandidate::NoUpstream) => refuse_without_upstream(request, now_ms),
         }
     }
 
+    /// Refuses a request that continues a stream if no upstream can serve it, now or later.
+    pub fn refuse_without_software(
+        &self,
+        request: &ScheduleRequest,
+        now_ms: u64,
+    ) -> Option<Choice> {
+        let is_stranded = request.software.is_some() && !self.may_find_upstream(request, now_ms);
+        is_stranded.then(|| refuse_without_upstream(request, now_ms))
+    }
+
     /// Returns whether an upstream has capacity for a request now.
     pub fn has_capacity_now(&mut self, request: &ScheduleRequest, now_ms: u64) -> bool {
         let context = self.context(request, true, now_ms);
@@ -211,6 +219,7 @@
                 affinity: None,
                 preferred: [None; 2],
                 roles: EngineRoles::default(),
+                has_long: false,
                 is_long: false,
                 fastest_class: SpeedClass::default(),
                 prefers_newest: false,
@@ -252,12 +261,24 @@
             is_eligible.then_some((engine, is_limited))
         });
         let mut engines: Vec<_> = engines.collect();
+        // Roles divide the whole service, whatever the software of its engines; a request that is
+        // bound to one version compares only engines of it.
+        let mut usable = request.software.is_some().then(|| engines.clone());
         // Prefixes and short prompts move away from limited engines while there are others.
-        if engines.iter().any(|(_, is_limited)| !is_limited) {
-            engines.retain(|(_, is_limited)| !is_limited);
+        remove_limited(&mut engines);
+        let of_service = engines.iter().map(|(engine, _)| *engine);
+        let roles = EngineRoles::choose(of_service, rates, costs);
+        if let Some(usable) = &mut usable {
+            let runs_software = |index| {
+                let entry = self.fleet.get(index);
+                entry.is_some_and(|entry| request.accepts_software(&entry.upstream))
+            };
+            usable.retain(|(engine, _)| runs_software(engine.index));
+            remove_limited(usable);
         }
+        let engines = usable.unwrap_or(engines);
         let engines: Vec<RoleEngine> = engines.into_iter().map(|(engine, _)| engine).collect();
-        let roles = EngineRoles::choose(engines.iter().copied(), rates, costs);
+        let has_long = engines.iter().any(|engine| !roles.is_short(engine.index));
         let affinity = AffinityKey::of(prompt);
         let preferred_of = |wants_newest: bool| {
             let key = affinity?;
@@ -288,6 +309,7 @@
             affinity,
             preferred,
             roles,
+            has_long,
             is_long,
             fastest_class,
             prefers_newest,
@@ -329,7 +351,7 @@
         }
         if let Some(node_share) = context.node_share {
             let count = candidates.len();
-            self.retain_affordable(&mut candidates, context.is_long, node_share, now_ms);
+            self.retain_affordable(&mut candidates, request, context, node_share, now_ms);
             shortage.paced = u16::try_from(count - candidates.len()).unwrap_or(u16::MAX);
         }
         if let Some(sample_bound) = context.sample_bound {
@@ -349,15 +371,25 @@
         if best.is_none() {
             self.shortage = shortage;
         }
-        best.ok_or_else(|| {
-            let mut untried = self.fleet.of_service(&request.service);
-            match untried.any(|(index, _)| !request.tried.contains(&index)) {
-                true => NoCandidate::AllBusy,
-                false => NoCandidate::NoUpstream,
-            }
+        best.ok_or_else(|| match self.may_find_upstream(request, now_ms) {
+            true => NoCandidate::AllBusy,
+            false => NoCandidate::NoUpstream,
         })
     }
 
+    /// Returns whether an upstream could serve a request, now or later. Upstreams of its service come
+    /// and go, but those of one version of the software that have gone are not waited for.
+    pub(super) fn may_find_upstream(&self, request: &ScheduleRequest, now_ms: u64) -> bool {
+        let untried = self.fleet.of_service(&request.service);
+        let mut untried = untried.filter(|(index, _)| !request.tried.contains(index));
+        match request.software {
+            None => untried.next().is_some(),
+            Some(_) => untried.any(|(_, entry)| {
+                request.accepts_software(&entry.upstream) && !self.fleet.has_gone(entry, now_ms)
+            }),
+        }
+    }
+
     /// Returns the range of the random cost of a candidate.
     pub(super) fn noise_ms(&self) -> f64 {
         (self.members() as f64 * NOISE_MS_PER_NODE).min(NOISE_LIMIT_MS)
@@ -373,7 +405,8 @@
     fn retain_affordable(
         &mut self,
         candidates: &mut Vec<Candidate>,
-        is_long: bool,
+        request: &ScheduleRequest,
+        context: &RequestContext,
         node_share: NodeShare,
         now_ms: u64,
     ) {
@@ -381,8 +414,12 @@
         let mut base_costs_ms: Vec<i32> = paced.map(|candidate| candidate.base_cost_ms).collect();
         base_costs_ms.sort_unstable();
         for equal in base_costs_ms.chunk_by(|one, other| one == other) {
-            let class = RequestClass { is_long, base_cost_ms: equal[0] };
-            if !self.pacer.affords(class, equal.len(), node_share, now_ms, &mut self.rng) {
+            let class = RequestClass {
+                is_long: context.is_long,
+                base_cost_ms: equal[0],
+                software: request.software.clone(),
+            };
+            if !self.pacer.affords(&class, equal.len(), node_share, now_ms, &mut self.rng) {
                 candidates.retain(|c| c.is_limited || c.base_cost_ms != equal[0]);
             }
         }
@@ -454,7 +491,7 @@
         // An engine for short prompts takes a long one only if it is nearly idle, and if it can fetch
         // the prefix or the prompt waits and short ones behind it would still be in time. Nodes that
         // know of each other late would all lend the same engine.
-        if context.is_long && context.roles.is_short(index) && context.roles.has_long() {
+        if context.is_long && context.roles.is_short(index) && context.has_long {
             let may_prefill = context.node_share.is_none()
                 && now_ms >= request.arrived_ms + COLD_LOAN_WAIT_MS
                 && context.usual_prefill_ms * entry.speed.time_factor()
@@ -522,6 +559,9 @@
         if request.tried.contains(&index) {
             return Some(Ineligibility::Tried);
         }
+        if !request.accepts_software(&entry.upstream) {
+            return Some(Ineligibility::Software);
+        }
         if let Some(closure) = self.fleet.closure(entry, now_ms) {
             return Some(Ineligibility::Closed(closure));
         }
@@ -602,7 +642,11 @@
             self.plan_cache_transfer(&mut assignment, prompt, key, context, now_ms);
         }
         if let Some(node_share) = context.node_share.filter(|_| !best.is_limited) {
-            let class = RequestClass { is_long: context.is_long, base_cost_ms: best.base_cost_ms };
+            let class = RequestClass {
+                is_long: context.is_long,
+                base_cost_ms: best.base_cost_ms,
+                software: request.software.clone(),
+            };
             let prefill_ms = context.times.curve.prefill_ms(PromptWork {
                 unread_tokens: assignment.pending_prefill_tokens,
                 prompt_tokens: assignment.prompt_tokens,
@@ -679,6 +723,19 @@
     }
 }
 
+fn refuse_without_upstream(request: &ScheduleRequest, now_ms: u64) -> Choice {
+    let remaining_ms = request.deadline_ms.saturating_sub(now_ms);
+    let retry_after_ms = NO_UPSTREAM_RETRY_AFTER_MS.min(remaining_ms / 3);
+    Choice::Refuse { cause: RefusalCause::NoUpstream, retry_after_ms }
+}
+
+/// Removes the limited engines if there are others.
+fn remove_limited(engines: &mut Vec<(RoleEngine<'_>, bool)>) {
+    if engines.iter().any(|(_, is_limited)| !is_limited) {
+        engines.retain(|(_, is_limited)| !is_limited);
+    }
+}
+
 /// Returns the expected time from sending a request to its first event, with the prefill that an
 /// engine may have in front of it.
 pub(super) fn serving_ms(request: &ScheduleRequest, curve: &PrefillCurve) -> u64 {
--- a/crates/scheduling/src/scheduler/core.rs
+++ b/crates/scheduling/src/scheduler/core.rs
@@ -522,9 +522,12 @@
         }
     }
 
-    /// Returns the number of requests that the upstreams of a service run at once.
-    pub(super) fn slots_of(&self, service: &str) -> usize {
-        self.fleet.of_service(service).map(|(_, entry)| entry.slots() as usize).sum()
+    /// Returns the number of requests that the upstreams of a request's service and software run at
+    /// once.
+    pub(super) fn slots_for(&self, request: &ScheduleRequest) -> usize {
+        let entries = self.fleet.of_service(&request.service).map(|(_, entry)| entry);
+        let usable = entries.filter(|entry| request.accepts_software(&entry.upstream));
+        usable.map(|entry| entry.slots() as usize).sum()
     }
 
     /// Returns the number of nodes.
--- a/crates/scheduling/src/scheduler/delegation.rs
+++ b/crates/scheduling/src/scheduler/delegation.rs
@@ -115,7 +115,7 @@
     }
 
     /// Uses the assignment of a coordinator for a request. `None` if the assigned engine is not of the
-    /// request's service, or is not available to this node any more.
+    /// request's service or software, or is not available to this node any more.
     pub(crate) fn use_grant(
         &mut self,
         request: &ScheduleRequest,
@@ -134,6 +134,10 @@
         let pauses = self.model_mut(&request.service).pauses();
         let stall_timeout_ms = pauses.stall_timeout_ms(request.pause_target_ms);
         let entry = self.fleet.get(index)?;
+        // The coordinator may know another version of the software, and one of an earlier build none.
+        if !request.accepts_software(&entry.upstream) {
+            return None;
+        }
         if !self.fleet.accepts_requests(entry, now_ms) || !entry.signals.gate.allows(now_ms) {
             return None;
         }
--- a/crates/scheduling/src/scheduler/eligibility.rs
+++ b/crates/scheduling/src/scheduler/eligibility.rs
@@ -7,6 +7,9 @@
 pub enum Ineligibility {
     /// The request was sent to it before.
     Tried,
+    /// It runs another version of the software than the stream that the request continues, or states
+    /// none.
+    Software,
     /// It accepts no requests.
     Closed(Closure),
     /// This node uses its share of the connections to it.
--- a/crates/scheduling/src/scheduler/pacing.rs
+++ b/crates/scheduling/src/scheduler/pacing.rs
@@ -13,6 +13,8 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
+use redwingrill_routing::SoftwareVersion;
+
 /// Digests no older than this describe the engines' load well enough.
 const FRESH_DIGEST_MS: u64 = 150;
 
@@ -33,11 +35,13 @@
 }
 
 /// The engines and prompts that share a credit: engines of equal base cost (role and weights), and
-/// long or short prompts.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+/// long or short prompts. Prompts that are bound to a version of the software see fewer engines, and
+/// have a credit for these besides.
+#[derive(Clone, PartialEq, Eq, Hash, Debug)]
 pub(super) struct RequestClass {
     pub is_long: bool,
     pub base_cost_ms: i32,
+    pub software: Option<SoftwareVersion>,
 }
 
 /// A node's share of the engines' capacity.
@@ -79,7 +83,7 @@
     /// Returns whether a request may be sent to one of `engines` with capacity.
     pub(super) fn affords(
         &mut self,
-        class: RequestClass,
+        class: &RequestClass,
         engines: usize,
         node_share: NodeShare,
         now_ms: u64,
@@ -87,12 +91,12 @@
     ) -> bool {
         let capacity = node_share.fraction * engines as f64;
         let limit_ms = capacity * node_share.burst_ms;
-        let credit = self.credits.entry(class).or_insert_with(|| Credit {
-            engine_ms: limit_ms,
-            at_ms: now_ms,
-            threshold: rng.random(),
-            drawn_ms: now_ms,
-        });
+        if !self.credits.contains_key(class) {
+            let threshold = rng.random();
+            let credit = Credit { engine_ms: limit_ms, at_ms: now_ms, threshold, drawn_ms: now_ms };
+            self.credits.insert(class.clone(), credit);
+        }
+        let credit = self.credits.get_mut(class).expect("credit was inserted above");
         let passed_ms = now_ms.saturating_sub(credit.at_ms) as f64;
         credit.engine_ms = (credit.engine_ms + passed_ms * capacity).min(limit_ms);
         credit.at_ms = now_ms;
@@ -102,7 +106,8 @@
         credit.engine_ms >= node_share.cost_ms * credit.threshold
     }
 
-    /// Spends the engine time of a request that is sent.
+    /// Spends the engine time of a request that is sent. One that is bound to a version of the
+    /// software uses engines that the others see, too.
     pub(super) fn spend(
         &mut self,
         class: RequestClass,
@@ -114,6 +119,11 @@
             credit.engine_ms -= cost_ms;
             credit.redraw(now_ms, rng);
         }
+        if class.software.is_some()
+            && let Some(credit) = self.credits.get_mut(&RequestClass { software: None, ..class })
+        {
+            credit.engine_ms -= cost_ms;
+        }
     }
 }
 
--- a/crates/scheduling/src/scheduler/request.rs
+++ b/crates/scheduling/src/scheduler/request.rs
@@ -64,6 +64,12 @@
 }
 
 impl ScheduleRequest {
+    /// Returns whether an upstream runs the software that the request needs. One that states no
+    /// version does not.
+    pub fn accepts_software(&self, upstream: &Upstream) -> bool {
+        self.software.is_none() || self.software == upstream.software
+    }
+
     /// Returns whether the request's account has a configured rate, which bounds its floods.
     pub fn has_bounded_account(&self) -> bool {
         self.account.is_some_and(|account| account.weight.is_some())
--- a/crates/scheduling/src/scheduler/shortage.rs
+++ b/crates/scheduling/src/scheduler/shortage.rs
@@ -29,7 +29,7 @@
     /// it used nothing.
     pub share_percent: u16,
     /// Upstreams that accept no requests: they leave, load weights, pause, are ejected, hold
-    /// expired weights, or were tried before.
+    /// expired weights, run another version of the software, or were tried before.
     pub closed: u16,
     /// Upstreams at their rate limit.
     pub rate: u16,
--- a/crates/scheduling/src/scheduler/signals.rs
+++ b/crates/scheduling/src/scheduler/signals.rs
@@ -47,7 +47,7 @@
     }
 
     /// Returns when a request may be sent, with `ahead` others in front of it, if all upstreams that
-    /// it was not sent to yet are closed or limited by what they say of themselves. `None` if one is
+    /// may serve it and that it was not sent to yet are closed or limited by what they say of themselves. `None` if one is
     /// not; `u64::MAX` if none opens again.
     pub(super) fn opens_ms(
         &self,
@@ -59,7 +59,9 @@
         let (mut share_per_s, mut is_any_closed) = (0.0, false);
         for (index, entry) in self.fleet.of_service(&request.service) {
             let is_ready = entry.upstream.state == UpstreamState::Ready;
-            if !is_ready || request.tried.contains(&index) {
+            let is_usable =
+                !request.tried.contains(&index) && request.accepts_software(&entry.upstream);
+            if !is_ready || !is_usable {
                 continue;
             }
             let signals = &entry.signals;
--- a/crates/scheduling/src/scheduler/wait_queue.rs
+++ b/crates/scheduling/src/scheduler/wait_queue.rs
@@ -7,7 +7,8 @@
 //! with a retry delay; a request that would wait in vain is refused as soon as that is known.
 //!
 //! Invariants:
-//! - Requests of one class (service, long or short) leave in queue order.
+//! - Requests of one class (service, long or short) leave in queue order. One that continues a stream
+//!   and finds no room at the upstreams of its software holds up only those that need the same.
 //! - An account beyond its share gets what the others leave, as long as there is any.
 //! - The size of a prompt has no influence on its class, on when it counts as late, or on how long
 //!   it may wait. Even a few milliseconds matter: in an overload the head of the queue is always
@@ -31,6 +32,7 @@
 use super::backlog::Backlog;
 use crate::engine_model::PromptWork;
 use redwingrill_routing::AccountTag;
+use redwingrill_routing::SoftwareVersion;
 
 /// The percentage of its total time that a request may wait.
 const WAIT_PERCENT: u64 = 30;
@@ -39,7 +41,7 @@
 /// it, that a request may wait. A caller that is refused can return; one that leaves cannot.
 const PATIENCE_WAIT_PERCENT: u64 = 50;
 
-/// The number of requests of a class that may wait in any case; beyond it, as many as the upstreams
+/// The number of requests of a line that may wait in any case; beyond it, as many as the upstreams
 /// run at once.
 const QUEUE_LIMIT: usize = 96;
 
@@ -56,7 +58,7 @@
 #[derive(Debug)]
 struct QueuedRequest<T> {
     request: ScheduleRequest,
-    class: RequestClass,
+    line: Line,
     // The expected time from sending a usual request of the route to its first event, including the
     // prefill in front of it.
     serving_ms: u64,
@@ -92,25 +94,49 @@
     }
 }
 
-/// The requests that wait for the same capacity.
+/// The requests that share capacity.
 #[derive(Clone, PartialEq, Eq, Hash, Debug)]
 struct RequestClass {
     service: String,
     is_long: bool,
 }
 
+/// The requests of a class that wait for the same upstreams: those of one version of the software,
+/// or any.
+#[derive(Clone, PartialEq, Eq, Hash, Debug)]
+struct Line {
+    class: RequestClass,
+    software: Option<SoftwareVersion>,
+}
+
 impl RequestClass {
     fn of(scheduler: &mut Scheduler, request: &ScheduleRequest) -> Self {
         Self { service: request.service.clone(), is_long: scheduler.is_long(request) }
     }
 }
 
+impl Line {
+    fn of(scheduler: &mut Scheduler, request: &ScheduleRequest) -> Self {
+        Self { class: RequestClass::of(scheduler, request), software: request.software.clone() }
+    }
+
+    /// Returns whether an upstream may serve requests of both lines.
+    fn overlaps(&self, other: &Self) -> bool {
+        self.covers(other) || other.covers(self)
+    }
+
+    /// Returns whether its requests could go wherever those of another line can.
+    fn covers(&self, other: &Self) -> bool {
+        self.class == other.class && (self.software.is_none() || self.software == other.software)
+    }
+}
+
 /// The queue of requests that wait for an upstream.
 #[derive(Debug)]
 pub struct WaitQueue<T> {
     waiting: Vec<QueuedRequest<T>>,
-    // Of each class of which a request waits.
-    backlogs: HashMap<RequestClass, Backlog>,
+    // Of each line in which a request waits.
+    backlogs: HashMap<Line, Backlog>,
     // Of each class of which a request arrived.
     shares: HashMap<RequestClass, AccountShares>,
 }
@@ -139,26 +165,22 @@
         request: &ScheduleRequest,
         now_ms: u64,
     ) -> Choice {
-        if self.has_rivals(scheduler, request) {
+        if let Some(refusal) = scheduler.refuse_without_software(request, now_ms) {
+            return refusal;
+        }
+        let line = Line::of(scheduler, request);
+        if self.waiting.iter().any(|waiting| waiting.line.covers(&line)) {
             return Choice::Wait;
         }
         let choice = scheduler.choose(request, now_ms);
         if let Choice::Send(assignment) = &choice {
             // The group that was asked first counts the demand of requests that are not sent.
-            let class = RequestClass::of(scheduler, request);
-            self.record_arrival(scheduler, &class, request, now_ms);
-            self.record_assigned(scheduler, &class, request, assignment, now_ms);
+            self.record_arrival(scheduler, &line.class, request, now_ms);
+            self.record_assigned(scheduler, &line.class, request, assignment, now_ms);
         }
         choice
     }
 
-    /// Returns whether requests wait for the same capacity as this one.
-    fn has_rivals(&self, scheduler: &mut Scheduler, request: &ScheduleRequest) -> bool {
-        let is_long = scheduler.is_long(request);
-        let mut waiting = self.waiting.iter().map(|waiting| &waiting.class);
-        waiting.any(|class| class.is_long == is_long && class.service == request.service)
-    }
-
     /// Adds a request. Returns all decisions that can be made now, which may include the one on
     /// this request.
     pub fn enqueue(
@@ -168,28 +190,29 @@
         responder: T,
         now_ms: u64,
     ) -> Vec<(T, Choice)> {
-        let class = RequestClass::of(scheduler, &request);
-        let cold_ms = self.record_arrival(scheduler, &class, &request, now_ms);
-        let shares = &self.shares[&class];
+        let line = Line::of(scheduler, &request);
+        let cold_ms = self.record_arrival(scheduler, &line.class, &request, now_ms);
+        let shares = &self.shares[&line.class];
         let cost_ms = shares.expected_ms(request.account, cold_ms);
-        let waiting_ms = self.waiting_ms(&class, request.account);
+        let waiting_ms = self.waiting_ms(&line.class, request.account);
         let is_beyond_share = shares.is_beyond(request.account, waiting_ms, now_ms);
-        let queued_before = self.waiting.iter().filter(|waiting| waiting.class == class).count();
+        let has_rivals = self.waiting.iter().any(|waiting| waiting.line.overlaps(&line));
+        let queued_before = self.waiting.iter().filter(|waiting| waiting.line == line).count();
         let serving_ms = scheduler.usual_serving_ms(&request);
         let entry = QueuedRequest {
             request,
-            class,
+            line,
             serving_ms,
             since_ms: now_ms,
             cost_ms,
             is_beyond_share,
             responder,
         };
-        if queued_before == 0 {
-            let class = entry.class.clone();
+        let line = entry.line.clone();
+        if !has_rivals {
             let decision = self.decide(scheduler, entry, now_ms);
             if decision.is_none() {
-                self.backlogs.insert(class, Backlog::new(now_ms));
+                self.backlogs.insert(line, Backlog::new(now_ms));
             }
             return decision.into_iter().collect();
         }
@@ -197,9 +220,9 @@
             return vec![self.refuse(scheduler, entry, queued_before, now_ms)];
         }
         let is_full = queued_before >= queue_limit(scheduler, &entry.request);
-        let class = entry.class.clone();
         self.waiting.push(entry);
-        let dropped = if is_full { self.take_furthest_beyond_share(&class) } else { None };
+        let dropped = if is_full { self.take_furthest_beyond_share(&line) } else { None };
+        self.backlogs.entry(line).or_insert_with(|| Backlog::new(now_ms));
         let refused = dropped.map(|entry| self.refuse(scheduler, entry, queued_before, now_ms));
         let mut decisions: Vec<_> = refused.into_iter().collect();
         decisions.extend(self.dispatch(scheduler, now_ms, |_| false));
@@ -208,11 +231,11 @@
 
     /// Removes the newest request of the account that is furthest beyond its share, counting what
     /// it uses and what it has waiting.
-    fn take_furthest_beyond_share(&mut self, class: &RequestClass) -> Option<QueuedRequest<T>> {
-        let shares = self.shares.get(class)?;
+    fn take_furthest_beyond_share(&mut self, line: &Line) -> Option<QueuedRequest<T>> {
+        let shares = self.shares.get(&line.class)?;
         let mut waiting_ms: BTreeMap<Option<AccountTag>, (f64, Option<AccountShare>)> =
             BTreeMap::new();
-        for known in self.waiting.iter().filter(|known| known.class == *class) {
+        for known in self.waiting.iter().filter(|known| known.line == *line) {
             let account = known.request.account;
             waiting_ms.entry(tag_of(account)).or_insert((0.0, account)).0 += known.cost_ms;
         }
@@ -224,7 +247,7 @@
             .waiting
             .iter()
             .enumerate()
-            .filter(|(_, known)| known.class == *class && tag_of(known.request.account) == tag);
+            .filter(|(_, known)| known.line == *line && tag_of(known.request.account) == tag);
         // The last of several that arrived in the same millisecond.
         let first = candidates.next()?;
         let newest = candidates.fold(first, |newest, known| {
@@ -248,20 +271,20 @@
         ahead: usize,
         now_ms: u64,
     ) -> (T, Choice) {
-        let share_percent = self.share_percent(&entry.class, entry.request.account);
+        let share_percent = self.share_percent(&entry.line.class, entry.request.account);
         let refusal = scheduler.refuse_overloaded(&entry.request, ahead, share_percent, now_ms);
         (entry.responder, refusal)
     }
 
     /// Returns whether a request that arrives would wait in vain, by the rate at which those of its
-    /// class before it leave.
+    /// line before it leave.
     fn is_hopeless(&mut self, entry: &QueuedRequest<T>, now_ms: u64) -> bool {
-        let Some(backlog) = self.backlogs.get_mut(&entry.class) else { return false };
+        let Some(backlog) = self.backlogs.get_mut(&entry.line) else { return false };
         Self::turn_ms(&self.waiting, backlog, entry, now_ms) >= entry.wait_ends_ms()
     }
 
     /// Returns when the turn of a request comes at the earliest, by the rate at which those of its
-    /// class before it leave, in milliseconds on the node's clock.
+    /// line before it leave, in milliseconds on the node's clock.
     fn turn_ms<U>(
         waiting: &[QueuedRequest<T>],
         backlog: &mut Backlog,
@@ -269,7 +292,7 @@
         now_ms: u64,
     ) -> u64 {
         let before = waiting.iter().filter(|known| {
-            known.class == entry.class
+            known.line == entry.line
                 && known.is_beyond_share <= entry.is_beyond_share
                 && known.request.urgency <= entry.request.urgency
         });
@@ -332,7 +355,7 @@
 
     /// Returns the engine time of the waiting requests of an account.
     fn waiting_ms(&self, class: &RequestClass, account: Option<AccountShare>) -> f64 {
-        let known = self.waiting.iter().filter(|known| known.class == *class);
+        let known = self.waiting.iter().filter(|known| known.line.class == *class);
         let known = known.filter(|known| tag_of(known.request.account) == tag_of(account));
         known.map(|known| known.cost_ms).sum()
     }
@@ -344,9 +367,9 @@
             .sort_by_key(|known| (known.is_late(now_ms), known.request.urgency, known.since_ms));
         let mut before: HashMap<(&RequestClass, Option<AccountTag>), f64> = HashMap::new();
         for known in &mut self.waiting {
-            let Some(shares) = self.shares.get(&known.class) else { continue };
+            let Some(shares) = self.shares.get(&known.line.class) else { continue };
             let account = known.request.account;
-            let before_ms = before.entry((&known.class, tag_of(account))).or_default();
+            let before_ms = before.entry((&known.line.class, tag_of(account))).or_default();
             known.is_beyond_share = shares.is_beyond(account, *before_ms, now_ms);
             *before_ms += known.cost_ms;
         }
@@ -387,19 +410,22 @@
         self.waiting.retain(|waiting| !is_abandoned(&waiting.responder));
         self.sort(now_ms);
         let waiting = std::mem::take(&mut self.waiting);
-        let mut full: HashSet<RequestClass> = HashSet::new();
-        let mut ahead_of: HashMap<(RequestClass, usize), usize> = HashMap::new();
+        let mut full: HashSet<Line> = HashSet::new();
+        let mut ahead_of: HashMap<(Line, usize), usize> = HashMap::new();
         let mut decisions = Vec::new();
         for entry in waiting {
-            if let Some(refusal) = scheduler.refuse_quarantined(&entry.request, now_ms) {
+            let refusal = scheduler
+                .refuse_quarantined(&entry.request, now_ms)
+                .or_else(|| scheduler.refuse_without_software(&entry.request, now_ms));
+            if let Some(refusal) = refusal {
                 decisions.push((entry.responder, refusal));
                 continue;
             }
-            let class = entry.class.clone();
-            if full.contains(&class) && now_ms < entry.wait_ends_ms() {
+            let line = entry.line.clone();
+            if full.contains(&line) && now_ms < entry.wait_ends_ms() {
                 let rank = entry.rank(now_ms);
-                let ahead = ahead_of.entry((class.clone(), rank.index())).or_default();
-                let backlog = self.backlogs.get_mut(&class).filter(|_| rank != Rank::FIRST);
+                let ahead = ahead_of.entry((line.clone(), rank.index())).or_default();
+                let backlog = self.backlogs.get_mut(&line).filter(|_| rank != Rank::FIRST);
                 let wait_ms =
                     backlog.map_or(0, |known| known.min_rank_wait_ms(rank, *ahead, now_ms));
                 if now_ms + wait_ms >= entry.wait_ends_ms() {
@@ -414,12 +440,12 @@
             match self.decide(scheduler, entry, now_ms) {
                 Some(decision) => decisions.push(decision),
                 None => {
-                    full.insert(class);
+                    full.insert(line);
                 }
             }
         }
         let waiting = &self.waiting;
-        self.backlogs.retain(|class, _| waiting.iter().any(|entry| entry.class == *class));
+        self.backlogs.retain(|line, _| waiting.iter().any(|entry| entry.line == *line));
         decisions
     }
 
@@ -439,16 +465,16 @@
         let rank = entry.rank(now_ms);
         // Long and short prompts share engines: what one account sends beyond its share in one class
         // leaves room for the other class while that waits, unless a quota bounds it.
-        let mut waiting_classes = self.backlogs.keys();
+        let mut waiting_classes = self.backlogs.keys().map(|line| &line.class);
+        let class = &entry.line.class;
         let leaves_room = rank.is_late
             || rank.is_beyond_share
                 && !entry.request.has_bounded_account()
-                && waiting_classes.any(|other| {
-                    other.service == entry.class.service && other.is_long != entry.class.is_long
-                });
+                && waiting_classes
+                    .any(|other| other.service == class.service && other.is_long != class.is_long);
         match scheduler.choose_with_lateness(&entry.request, leaves_room, now_ms) {
             Choice::Wait if now_ms < entry.wait_ends_ms() => {
-                let ahead = self.waiting.iter().filter(|known| known.class == entry.class).count();
+                let ahead = self.waiting.iter().filter(|known| known.line == entry.line).count();
                 match scheduler.opens_ms(&entry.request, ahead, now_ms) {
                     Some(opens_ms) if opens_ms > entry.wait_ends_ms() => {
                         Some((entry.responder, scheduler.refuse_closed(opens_ms, now_ms)))
@@ -460,19 +486,19 @@
                 }
             }
             Choice::Wait => {
-                let ahead = self.waiting.iter().filter(|known| known.class == entry.class).count();
+                let ahead = self.waiting.iter().filter(|known| known.line == entry.line).count();
                 Some(self.refuse(scheduler, entry, ahead, now_ms))
             }
             choice => {
                 if let Choice::Send(assignment) = &choice {
                     self.record_assigned(
                         scheduler,
-                        &entry.class,
+                        &entry.line.class,
                         &entry.request,
                         assignment,
                         now_ms,
                     );
-                    if let Some(backlog) = self.backlogs.get_mut(&entry.class) {
+                    if let Some(backlog) = self.backlogs.get_mut(&entry.line) {
                         backlog.record_departure(rank, now_ms);
                     }
                 }
@@ -492,9 +518,9 @@
     account.map(|account| account.tag)
 }
 
-/// Returns how many requests of a class may wait.
+/// Returns how many requests of a line may wait.
 fn queue_limit(scheduler: &Scheduler, request: &ScheduleRequest) -> usize {
-    QUEUE_LIMIT.max(scheduler.slots_of(&request.service))
+    QUEUE_LIMIT.max(scheduler.slots_for(request))
 }
 
 impl<T> WaitQueue<T> {
@@ -506,10 +532,10 @@
         now_ms: u64,
     ) -> Explanation {
         let mut copy = scheduler.clone();
-        let class = RequestClass::of(&mut copy, request);
+        let line = Line::of(&mut copy, request);
         let cold_ms = copy.engine_time_ms(request, u64::MAX);
-        let shares = self.shares.get(&class);
-        let waiting_ms = self.waiting_ms(&class, request.account);
+        let shares = self.shares.get(&line.class);
+        let waiting_ms = self.waiting_ms(&line.class, request.account);
         let is_beyond_share =
             shares.is_some_and(|known| known.is_beyond(request.account, waiting_ms, now_ms));
         let entry = QueuedRequest {
@@ -517,18 +543,18 @@
             since_ms: now_ms,
             cost_ms: shares.map_or(cold_ms, |known| known.expected_ms(request.account, cold_ms)),
             request: request.clone(),
-            class,
+            line,
             is_beyond_share,
             responder: (),
         };
-        let same_class = || self.waiting.iter().filter(|known| known.class == entry.class);
-        let waiting = same_class().count();
-        let backlog = self.backlogs.get(&entry.class).cloned();
+        let waiting = self.waiting.iter().filter(|known| known.line == entry.line).count();
+        let mut rivals = self.waiting.iter().filter(|known| known.line.covers(&entry.line));
+        let backlog = self.backlogs.get(&entry.line).cloned();
         let turn_ms =
             backlog.map(|mut backlog| Self::turn_ms(&self.waiting, &mut backlog, &entry, now_ms));
         let is_late = entry.is_late(now_ms);
         let rank = (entry.rank(now_ms), entry.request.urgency);
-        let is_first = same_class().all(|known| rank < (known.rank(now_ms), known.request.urgency));
+        let is_first = rivals.all(|known| rank < (known.rank(now_ms), known.request.urgency));
         let limit = queue_limit(scheduler, &entry.request);
         let wait_ends_ms = entry.wait_ends_ms();
         let mut explanation = scheduler.explain(&entry.request, is_late, now_ms);
@@ -538,14 +564,14 @@
             expected_wait_ms: turn_ms.map(|turn_ms| turn_ms.saturating_sub(now_ms)),
             wait_limit_ms: wait_ends_ms.saturating_sub(entry.request.arrived_ms),
         });
-        let is_quarantined = matches!(
-            explanation.choice,
-            Choice::Refuse { cause: RefusalCause::Quarantined(_), .. }
-        );
-        if is_quarantined {
+        let is_refused_at_once = match &explanation.choice {
+            Choice::Refuse { cause: RefusalCause::Quarantined(_), .. } => true,
+            _ => scheduler.refuse_without_software(&entry.request, now_ms).is_some(),
+        };
+        if is_refused_at_once {
             return explanation;
         }
-        let share_percent = self.share_percent(&entry.class, entry.request.account);
+        let share_percent = self.share_percent(&entry.line.class, entry.request.account);
         let is_dropped = waiting >= limit && is_beyond_share;
         if is_dropped || turn_ms.is_some_and(|turn_ms| turn_ms >= wait_ends_ms) {
             explanation.choice =
--- a/crates/scheduling/tests/software_versions.rs
+++ b/crates/scheduling/tests/software_versions.rs
@@ -211,7 +211,7 @@
             Choice::Refuse { cause, .. } => panic!("request {number} is refused: {cause:?}"),
         }
     }
-    assert!(VERSIONS.iter().all(|name| sent.get(name).is_some()), "{sent:?}");
+    assert!(VERSIONS.iter().all(|name| sent.contains_key(name)), "{sent:?}");
 }
 
 struct GoneCase {
