--- a/crates/scheduling/tests/software_versions.rs
+++ b/crates/scheduling/tests/software_versions.rs
@@ -214,6 +214,42 @@
     assert!(VERSIONS.iter().all(|name| sent.contains_key(name)), "{sent:?}");
 }
 
+/// Returns how many of a node's prompts are sent while its digests are old, beside continuations of
+/// a version with one engine or of none.
+fn sent_beside_continuations(has_continuations: bool) -> usize {
+    let listed = (0..60).map(|n| engine_of(n, Some(if n == 0 { "v1" } else { "v2" })));
+    let mut scheduler = fleet_of(listed.collect());
+    scheduler.set_members(20);
+    for node in 1..20 {
+        let digest = LoadDigest { node, sequence: 1, short_per_s: 20, ..LoadDigest::default() };
+        scheduler.observe_peer(digest, 0);
+    }
+    let mut sent = 0;
+    for number in 0..400 {
+        let now_ms = 500 + number;
+        if has_continuations {
+            let request = continuation(Some(short_prompt(number)), "v1", now_ms);
+            if let Choice::Send(assignment) = scheduler.choose(&request, now_ms) {
+                release(&mut scheduler, &assignment);
+            }
+        }
+        let request = request(Some(short_prompt(1_000 + number)), now_ms);
+        if let Choice::Send(assignment) = scheduler.choose(&request, now_ms) {
+            release(&mut scheduler, &assignment);
+            sent += 1;
+        }
+    }
+    sent
+}
+
+/// A continuation sees the engines of its version only; what these allow is no bound for the others.
+#[test]
+fn continuations_cap_the_share_of_other_requests() {
+    let (alone, beside) = (sent_beside_continuations(false), sent_beside_continuations(true));
+    assert!(alone < 400, "the node is not paced");
+    assert!(beside * 10 >= alone * 8, "{beside} sent beside continuations, {alone} without");
+}
+
 struct GoneCase {
     name: &'static str,
     change: fn(&mut Scheduler),
