--- a/crates/gateway/src/forward/planned.rs
+++ b/crates/gateway/src/forward/planned.rs
@@ -54,6 +54,7 @@
             tried: Vec::new(),
             sends: 0,
             ledger: SendLedger::default(),
+            software: None,
         };
         call.schedule_request(self.audience)
     }
