--- a/crates/gateway/src/forward/call.rs
+++ b/crates/gateway/src/forward/call.rs
@@ -8,7 +8,7 @@
 use http::Method;
 use http::Uri;
 
-use super::send_log::SendLog;
+use super::send_ledger::SendLedger;
 use crate::clock::now_ms;
 use redwingrill_routing::AccountTag;
 use redwingrill_routing::AttemptMetadata;
@@ -18,6 +18,7 @@
 use redwingrill_routing::RequestMetadata;
 use redwingrill_routing::Route;
 use redwingrill_routing::SoftwareVersion;
+use redwingrill_routing::Upstream;
 use redwingrill_scheduling::engine_model::RouteTag;
 use redwingrill_scheduling::fleet::UpstreamIndex;
 use redwingrill_scheduling::placement::Scope;
@@ -48,13 +49,11 @@
     // When the caller must have its complete response, on the node's clock.
     pub deadline_ms: u64,
     pub tried: Vec<UpstreamIndex>,
-    // Attempts that an upstream may have run.
-    pub possible_runs: u32,
     // Attempts that reached an upstream, whether or not it ran the request.
     pub sends: u32,
-    pub send_log: SendLog,
-    // The version of the software that began the stream which the request resumes; the request may run at
-    // no other one.
+    pub ledger: SendLedger,
+    // The version of the software that began the stream which the request continues; every upstream
+    // from now on must run it.
     pub software: Option<SoftwareVersion>,
 }
 
@@ -79,17 +78,27 @@
         self.prompt.as_ref().map_or(0, |prompt| prompt.prompt_tokens)
     }
 
-    /// Records an attempt that the upstream may have run.
-    pub fn record_possible_run(&mut self, index: UpstreamIndex) {
+    /// Returns the number of sends that an upstream may have run.
+    pub fn possible_runs(&self) -> u32 {
+        self.ledger.possible_runs()
+    }
+
+    /// Records an attempt that reached its upstream.
+    pub fn record_send(&mut self, index: UpstreamIndex) {
         self.sends += 1;
-        self.possible_runs += 1;
         self.tried.push(index);
     }
 
     /// Returns whether the request may be sent to another upstream now.
     pub fn may_retry(&self) -> bool {
-        let may_run_twice = self.possible_runs == 0 || self.route.kind.allows_retry();
-        may_run_twice && self.possible_runs < self.route.attempts_limit
+        let possible_runs = self.possible_runs();
+        let may_run_twice = possible_runs == 0 || self.route.kind.allows_retry();
+        may_run_twice && possible_runs < self.route.attempts_limit
+    }
+
+    /// Returns whether an upstream runs the software that the request needs, if it needs any.
+    pub fn accepts_software(&self, upstream: &Upstream) -> bool {
+        self.software.is_none() || self.software == upstream.software
     }
 
     /// Returns the requirements of the request for the scheduler.
@@ -112,7 +121,7 @@
             pause_target_ms: self.route.pause_target.map(|pause| pause.as_millis() as u64),
             origin_domain: None,
             tried: self.tried.clone(),
-            software: None,
+            software: self.software.clone(),
         }
     }
 
--- a/crates/gateway/src/forward/gateway.rs
+++ b/crates/gateway/src/forward/gateway.rs
@@ -11,6 +11,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use log::info;
+use log::warn;
 use rand::Rng;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -29,7 +30,9 @@
 use super::send::SendOutcome;
 use super::send::UpstreamResponse;
 use super::send::send_attempt;
-use super::send_log::SendLog;
+use super::send_ledger::SendLedger;
+use super::send_ledger::SendRefusal;
+use super::send_ledger::UnknownOutcome;
 use super::whole_answer::Unconfirmed;
 use super::whole_answer::WholeAnswer;
 use crate::clock::now_ms;
@@ -51,6 +54,7 @@
 use redwingrill_routing::LivenessCheck;
 use redwingrill_routing::RequestMetadata;
 use redwingrill_routing::Route;
+use redwingrill_routing::SoftwareVersion;
 use redwingrill_routing::Upstream;
 use redwingrill_scheduling::engine_model::RouteTag;
 use redwingrill_scheduling::fleet::Verdict;
@@ -79,6 +83,9 @@
 /// The retry-after of refusals late in a stop; it is short because other nodes have capacity.
 const DRAINING_RETRY_AFTER_MS: u64 = 100;
 
+/// The retry-after of a request that was assigned an upstream with other software.
+const MISMATCH_RETRY_AFTER_MS: u64 = 500;
+
 /// A request with less time before its deadline fails instead of being sent.
 const MIN_REMAINING_TIME: Duration = Duration::from_millis(5);
 
@@ -126,12 +133,36 @@
     }
 
     /// Asks the dispatch task for an attempt of a request.
-    pub(super) fn choose(
+    pub(super) async fn choose(
         &self,
         call: &Call,
         purpose: Purpose,
-    ) -> impl Future<Output = Result<Attempt, (RefusalCause, u64)>> {
-        self.dispatcher.choose(self.schedule_request(call), purpose)
+    ) -> Result<Attempt, (RefusalCause, u64)> {
+        self.choose_for(call, self.schedule_request(call), purpose).await
+    }
+
+    /// Asks the dispatch task for an attempt of a request with these requirements. One at an upstream
+    /// with other software than the stream needs is given back: engines do not check it.
+    async fn choose_for(
+        &self,
+        call: &Call,
+        request: ScheduleRequest,
+        purpose: Purpose,
+    ) -> Result<Attempt, (RefusalCause, u64)> {
+        let attempt = self.dispatcher.choose(request, purpose).await?;
+        let upstream = &attempt.assignment().upstream;
+        if call.accepts_software(upstream) {
+            return Ok(attempt);
+        }
+        warn!(
+            "event=software_mismatch request_id={} account={} upstream={} software={} needed={}",
+            call.metadata.id,
+            call.account_name(),
+            upstream.id,
+            software_name(upstream.software.as_ref()),
+            software_name(call.software.as_ref()),
+        );
+        Err((RefusalCause::NoUpstream, MISMATCH_RETRY_AFTER_MS))
     }
 
     /// Returns the evidence that an upstream's answer, which was received to its last byte, is whole.
@@ -288,6 +319,7 @@
         }
         let prompt = metadata.prompt.take().map(Arc::new);
         let uri = origin_form(&head.uri);
+        let ledger = SendLedger::new(&metadata.id);
         Ok(Call {
             metadata,
             prompt,
@@ -302,9 +334,8 @@
             complete_ms: now_ms(),
             deadline_ms,
             tried: Vec::new(),
-            possible_runs: 0,
             sends: 0,
-            send_log: SendLog::default(),
+            ledger,
             software: None,
         })
     }
@@ -323,7 +354,7 @@
         let (service, target) = (&call.service, call.route.target_latency);
         let tag = RouteTag::of(&call.route.name);
         self.context.dispatcher.count_request(service, tag, call.prompt.clone(), target);
-        self.forward(call, &mut charge, connection).await
+        Ok(self.forward(call, &mut charge, connection).await?)
     }
 
     /// Charges the quota of the request's account; `None` without a quota.
@@ -368,7 +399,7 @@
         call: &mut Call,
         charge: &mut Option<Charge>,
         connection: &CancellationToken,
-    ) -> Result<Completion, Refusal> {
+    ) -> Result<Completion, SendRefusal> {
         let mut attempt = self.assign(call).await?;
         loop {
             if let Some(charge) = charge {
@@ -378,39 +409,40 @@
             match self.attempt_or_move(call, attempt).await {
                 AttemptOrMove::Moved(next) => {
                     self.record_failure(call, "moved", "");
-                    call.record_possible_run(index);
+                    call.record_send(index);
                     attempt = *next;
                     continue;
                 }
                 AttemptOrMove::Finished(SendOutcome::Responded(upstream_response)) => {
-                    call.record_possible_run(index);
+                    call.record_send(index);
                     let handled = self.handle_response(call, *upstream_response, connection);
                     if let Some(completion) = handled.await? {
                         return Ok(completion);
                     }
                 }
-                AttemptOrMove::Finished(SendOutcome::NotSent { reason }) => {
+                AttemptOrMove::Finished(SendOutcome::NotSent { reason, not_run }) => {
+                    not_run.record();
                     self.record_failure(call, "not_sent", &reason);
                     call.tried.push(index);
                 }
-                AttemptOrMove::Finished(SendOutcome::NotRun { status }) => {
+                AttemptOrMove::Finished(SendOutcome::NotRun { status, not_run }) => {
+                    not_run.record();
                     self.record_failure(call, "not_run", status.as_str());
-                    call.sends += 1;
-                    call.tried.push(index);
+                    call.record_send(index);
                 }
                 AttemptOrMove::Finished(SendOutcome::Lost { reason }) => {
                     self.record_failure(call, "lost", &reason);
-                    call.record_possible_run(index);
-                    ensure_retryable(call, ResultCode::UpstreamFailed, reason)?;
+                    call.record_send(index);
+                    ensure_retryable(call, UnknownOutcome::Failed, reason)?;
                 }
                 AttemptOrMove::Finished(SendOutcome::TimedOut) => {
                     self.record_failure(call, "silent", "");
-                    call.record_possible_run(index);
-                    ensure_retryable(call, ResultCode::UpstreamSilent, "")?;
+                    call.record_send(index);
+                    ensure_retryable(call, UnknownOutcome::Silent, "")?;
                 }
             }
             if let Some(charge) = charge {
-                charge.set_may_have_run(call.possible_runs > 0);
+                charge.set_may_have_run(call.possible_runs() > 0);
             }
             if call.remaining() < MIN_REMAINING_TIME {
                 return Err(deadline_refusal(call));
@@ -433,7 +465,7 @@
             }
             let mut request = self.context.schedule_request(call);
             request.tried.push(index);
-            if let Ok(next) = self.context.dispatcher.choose(request, Purpose::Move).await {
+            if let Ok(next) = self.context.choose_for(call, request, Purpose::Move).await {
                 log_assignment(call, &next);
                 return AttemptOrMove::Moved(Box::new(next));
             }
@@ -446,12 +478,12 @@
     /// the request.
     fn move_delay(&self, call: &Call) -> Option<Duration> {
         let may_move =
-            call.route.kind.allows_retry() && call.possible_runs + 1 < call.route.attempts_limit;
+            call.route.kind.allows_retry() && call.possible_runs() + 1 < call.route.attempts_limit;
         let first_wait = call.route.target_latency * MOVE_AFTER_TARGET_PERCENT / 100;
         may_move.then(|| first_wait.min(call.remaining()))
     }
 
-    async fn assign(&self, call: &Call) -> Result<Attempt, Refusal> {
+    async fn assign(&self, call: &Call) -> Result<Attempt, SendRefusal> {
         let purpose = if call.sends > 0 { Purpose::Retry } else { Purpose::First };
         let chosen = self.context.choose(call, purpose).await;
         let (cause, retry_after_ms) = match chosen {
@@ -463,7 +495,7 @@
         };
         if let RefusalCause::Quarantined(part) = cause {
             self.context.metrics.quarantine("refused");
-            let (id, runs) = (&call.metadata.id, call.possible_runs);
+            let (id, runs) = (&call.metadata.id, call.possible_runs());
             let account = call.account_name();
             info!(
                 "event=request_quarantined request_id={id} account={account} part={part} runs={runs}"
@@ -480,11 +512,9 @@
             self.context.metrics.shortage(&call.service, shortage);
             log_shortage(call, shortage);
         }
-        if call.possible_runs > 0 {
-            // An earlier upstream may have run the request, so a refusal code would be wrong.
-            let detail = format!("{cause:?}");
-            return Err(Refusal::with_detail(ResultCode::UpstreamFailed, detail));
-        }
+        let Some(none_ran) = call.ledger.none_ran() else {
+            return Err(SendRefusal::unknown(UnknownOutcome::Failed, format!("{cause:?}")));
+        };
         let code = match cause {
             RefusalCause::NoUpstream => ResultCode::NoUpstream,
             RefusalCause::Overloaded(_) => ResultCode::Shed,
@@ -497,10 +527,12 @@
                     "the prompt and its response need {tokens} tokens, an engine holds \
                      {engine_tokens}"
                 );
-                return Err(Refusal::with_detail(ResultCode::RequestTooLarge, detail));
+                let refusal = Refusal::with_detail(ResultCode::RequestTooLarge, detail);
+                return Err(SendRefusal::not_run(none_ran, refusal));
             }
         };
-        Err(Refusal::new(code).retry_after(retry_after_ms))
+        let refusal = Refusal::new(code).retry_after(retry_after_ms);
+        Err(SendRefusal::not_run(none_ran, refusal))
     }
 
     /// Forwards an upstream's response. Returns `None` if another upstream is to be tried.
@@ -509,7 +541,7 @@
         call: &mut Call,
         upstream_response: UpstreamResponse,
         connection: &CancellationToken,
-    ) -> Result<Option<Completion>, Refusal> {
+    ) -> Result<Option<Completion>, SendRefusal> {
         if call.route.kind.is_stream() && upstream_response.parts.status == StatusCode::OK {
             return self.handle_stream(call, upstream_response, connection).await;
         }
@@ -523,7 +555,7 @@
                     TransportError::Broken { .. } => attempt.end_broken(),
                     _ => attempt.end(Verdict::Failed),
                 }
-                ensure_retryable(call, ResultCode::UpstreamFailed, e.to_string())?;
+                ensure_retryable(call, UnknownOutcome::Failed, e.to_string())?;
                 return Ok(None);
             }
         };
@@ -534,7 +566,7 @@
             Err(unconfirmed) => {
                 self.record_failure(call, "lost", &unconfirmed.to_string());
                 attempt.end_broken();
-                ensure_retryable(call, ResultCode::UpstreamFailed, unconfirmed.to_string())?;
+                ensure_retryable(call, UnknownOutcome::Failed, unconfirmed.to_string())?;
                 return Ok(None);
             }
         };
@@ -572,7 +604,7 @@
             // These statuses tell the caller that the request did not run. They are forwarded only
             // if the upstream states so.
             let status = parts.status.as_str();
-            return Err(Refusal::with_detail(ResultCode::UpstreamFailed, status));
+            return Err(SendRefusal::unknown(UnknownOutcome::Failed, status));
         }
         self.context.metrics.attempt_ended(&call.service, parts.status.as_str());
         let head = relayed_head(parts, self.context.head_codec.as_ref());
@@ -586,7 +618,7 @@
         call: &mut Call,
         upstream_response: UpstreamResponse,
         connection: &CancellationToken,
-    ) -> Result<Option<Completion>, Refusal> {
+    ) -> Result<Option<Completion>, SendRefusal> {
         let wait = call.remaining();
         let mut relay =
             Relay::new(self.context.clone(), upstream_response, call.metadata.last_event_id);
@@ -595,7 +627,7 @@
             Err(reason) => {
                 self.record_failure(call, "lost", &reason);
                 relay.fail();
-                ensure_retryable(call, ResultCode::UpstreamFailed, reason)?;
+                ensure_retryable(call, UnknownOutcome::Failed, reason)?;
                 return Ok(None);
             }
         }
@@ -613,8 +645,8 @@
             call.metadata.id,
             call.account_name(),
             call.age_ms(),
-            call.possible_runs,
-            call.send_log.last(),
+            call.possible_runs(),
+            call.ledger.last(),
         );
     }
 
@@ -635,7 +667,7 @@
             code.number(),
             elapsed.as_millis(),
             call.sends,
-            call.possible_runs,
+            call.possible_runs(),
             call.prompt_tokens(),
         );
     }
@@ -691,19 +723,19 @@
 /// Returns an error unless another upstream may run the request.
 fn ensure_retryable(
     call: &Call,
-    code: ResultCode,
+    outcome: UnknownOutcome,
     detail: impl Into<String>,
-) -> Result<(), Refusal> {
+) -> Result<(), SendRefusal> {
     match call.may_retry() {
         true => Ok(()),
-        false => Err(Refusal::with_detail(code, detail)),
+        false => Err(SendRefusal::unknown(outcome, detail)),
     }
 }
 
-fn deadline_refusal(call: &Call) -> Refusal {
-    match call.possible_runs {
-        0 => Refusal::new(ResultCode::QueueTimeout),
-        _ => Refusal::new(ResultCode::UpstreamSilent),
+fn deadline_refusal(call: &Call) -> SendRefusal {
+    match call.ledger.none_ran() {
+        Some(none_ran) => SendRefusal::not_run(none_ran, ResultCode::QueueTimeout.into()),
+        None => SendRefusal::unknown(UnknownOutcome::Silent, ""),
     }
 }
 
@@ -791,8 +823,8 @@
 }
 
 /// Returns the version of an upstream's software for log lines; `-` without one.
-pub(super) fn software_name(upstream: &Upstream) -> &str {
-    upstream.software.as_ref().map_or("-", |software| software.0.as_str())
+pub(super) fn software_name(software: Option<&SoftwareVersion>) -> &str {
+    software.map_or("-", |software| software.0.as_str())
 }
 
 fn log_assignment(call: &Call, attempt: &Attempt) {
@@ -802,7 +834,7 @@
     let fetch = assignment.fetch_from.map_or_else(|| "-".to_owned(), |from| from.to_string());
     let coordinator = assignment.coordinator.map_or_else(|| "-".to_owned(), |at| at.to_string());
     let weights = assignment.version.map_or_else(|| "-".to_owned(), |known| known.0.to_string());
-    let software = software_name(&assignment.upstream);
+    let software = software_name(assignment.upstream.software.as_ref());
     info!(
         "event=assigned request_id={} account={} route={} upstream={} software={software} \
          weights={weights} scope={scope} \
