--- a/crates/lab/tests/on_platform/late_copies.rs
+++ b/crates/lab/tests/on_platform/late_copies.rs
@@ -20,6 +20,7 @@
 
 // What follows a bar is held until the entry of the upstream is replaced.
 const REFUSAL: &str = "|503 Service Unavailable\r\nx-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+const MISDIRECTION: &str = "|421 Misdirected Request\r\ncontent-length: 0\r\n\r\n";
 const FAILURE: &str = "500 Internal Server Error\r\ncontent-length: 6\r\n\r\nfail|ed";
 const ANSWER: &str = "200 OK\r\ncontent-length: 5\r\n\r\nwhole";
 const CUT_STREAM: &str = "200 OK\r\ncontent-length: 23\r\n\r\nid: 1\ndata: a\n\n|id: 2\nda";
@@ -183,12 +184,14 @@
 /// The order runs, but a copy of its refusal is taken for the answer of the second send.
 #[tokio::test]
 async fn copy_of_a_refusal_answers_the_next_send_of_its_request() {
-    let script = Script { first: REFUSAL, later: ANSWER };
-    for replacement in REPLACEMENTS {
-        let (status, body, seen) = ask_over_replacement("order", script, replacement).await;
-        assert_eq!(seen, 2, "{replacement:?}: sent again");
-        let got = (status, body.as_deref());
-        assert_eq!(got, (StatusCode::OK, Some("whole")), "{replacement:?}: it ran");
+    for first in [REFUSAL, MISDIRECTION] {
+        let script = Script { first, later: ANSWER };
+        for replacement in REPLACEMENTS {
+            let (status, body, seen) = ask_over_replacement("order", script, replacement).await;
+            assert_eq!(seen, 2, "{first} {replacement:?}: sent again");
+            let got = (status, body.as_deref());
+            assert_eq!(got, (StatusCode::OK, Some("whole")), "{first} {replacement:?}: it ran");
+        }
     }
 }
 
