Test resumptions while two software versions serve

Nodes and engines on the platform's protocol: a caller that takes up a stream of an unknown version, or of one that has left, got 200 from any engine; it is refused now, with no run and without Retry-After. Without the binding both tests fail. A stream that another node began, and one of the only version, go on with and without it.

--- a/crates/lab/tests/on_platform/main.rs
+++ b/crates/lab/tests/on_platform/main.rs
@@ -13,6 +13,7 @@
 mod quotas;
 mod requests;
 mod restored;
+mod resumptions;
 mod rollout;
 mod signals;
 mod site;
