--- a/crates/scheduling/src/stream_origins/mod.rs
+++ b/crates/scheduling/src/stream_origins/mod.rs
@@ -11,7 +11,7 @@
 //! while one version serves.
 //!
 //! Invariants:
-//! - An origin is only ever learned from the node that began the stream, so one that is found is true.
+//! - Only a node that relays a stream tells its origin, so one that is found is true.
 //! - Whoever does not know says so; a node that has just started knows nothing.
 //! - Different origins of one identifier are as bad as none: the stream is not known.
 //! - What a node remembers and sends is bounded.
