--- a/crates/lab/tests/on_platform/main.rs
+++ b/crates/lab/tests/on_platform/main.rs
@@ -14,6 +14,7 @@
 mod quotas;
 mod requests;
 mod restored;
+mod resumptions;
 mod rollout;
 mod signals;
 mod site;
