--- a/crates/gateway/src/cluster_view/mod.rs
+++ b/crates/gateway/src/cluster_view/mod.rs
@@ -10,6 +10,7 @@
 
 use redwingrill_routing::Configuration;
 use redwingrill_routing::Revision;
+use redwingrill_routing::SoftwareVersion;
 use redwingrill_routing::Upstream;
 use redwingrill_routing::UpstreamState;
 use redwingrill_routing::WeightsVersion;
@@ -128,10 +129,16 @@
 
     /// Returns whether open streams of a service can have begun at several versions.
     pub fn has_several_software_versions(&self) -> bool {
-        self.software().values().any(|seen| {
-            seen.record.as_ref().is_none_or(|record| record.only_version().is_none())
-                || seen.listed.len() > 1
-        })
+        let mut listed: HashMap<&str, &Option<SoftwareVersion>> = HashMap::new();
+        let is_mixed = self.upstreams.iter().any(|upstream| {
+            let first = listed.entry(&upstream.service).or_insert(&upstream.software);
+            **first != upstream.software
+        });
+        let mut records = self.software_records.values();
+        let mut seen = self.software().into_values();
+        is_mixed
+            || records.any(|record| record.only_version().is_none())
+            || seen.any(|seen| seen.record.is_none() && !seen.listed.is_empty())
     }
 
     /// Returns whether an engine has older weights than the target version.
