Test which request the HTTP library's own answers are for

The statuses 408, 421, 429 and 503 promise that a request was not run and never will be. It was not known which statuses the server library writes without the gateway's handler, nor on which request of a kept connection they land.

A table of 25 exchanges of raw bytes with a whole node: heads that are too long, malformed, of another protocol, incomplete or late; broken chunks; bodies that are asked for by 100 Continue; answers that are given while the upload is under way, with requests behind or inside the late body; and requests in one piece, some of them refused.

What the library writes by itself is 400 and 431, always after the answers of all earlier requests and as the last of the connection; it closes without an answer on a late or missing head, on an idle connection and on the preface of HTTP/2. Every 408 and 503 came from the handler, named its own request, and that one reached no upstream. After an answer that was given before the body was read, the connection ended: nothing behind or inside the late body was run. A target of 70,000 bytes gets 431, not 414.

--- a/crates/lab/tests/on_platform/main.rs
+++ b/crates/lab/tests/on_platform/main.rs
@@ -5,6 +5,7 @@
 mod explain;
 mod failures;
 mod isolation;
+mod kept_connections;
 mod late_writes;
 mod left_callers;
 mod malformed;
