Take no refusal of another attempt for that of this one

`EngineClient::start` took each 503 and 429 for the engine's word that the attempt was not run, whatever request the answer named; only the head of a stream was compared. A refusal of an earlier attempt that arrives late on a kept connection was then reported as `Refused`, which says "not run" (result code 306, or 206 once the retry budget is spent), while the attempt ran, and the engine was not told to cancel it. A late 400 was reported as a rejection.

An answer that names another attempt is a crossed reply now, as the head of a stream is. The test brings a late 503, 429 and 400 about on a kept connection; before the change it failed with `Fault(Refused)` for the first of them.

Answers without an identifier are still believed: the protocol does not say that refusals carry one, and the stand-in's do not.

--- a/crates/redwingrill/src/upstream/engine.rs
+++ b/crates/redwingrill/src/upstream/engine.rs
@@ -107,6 +107,10 @@
         let request = request.expect("attempt identifiers are valid header values");
         let head = self.timeouts.first_token;
         let response = self.send(call, request, Freshness::Any, head).await?;
+        // A refusal, too, may have been written for an earlier attempt on the connection.
+        if header_text(response.headers(), REQUEST_ID).is_some_and(|id| id != call.attempt_id) {
+            return Err(Fault::Crossed.into());
+        }
         match response.status() {
             StatusCode::OK => Ok(attempt_stream(call, response)?),
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
