Say of no completion that ran before its rejection that it did not run

A completion whose first engine broke off without an event moves to another engine. If that one answered 4xx, the caller got `bad_request`, whose `ran` is "no", though the first engine may have run it; the same in a stream that had begun. Refusals by 503 and 429 took the earlier attempts into account already.

The rejection now ends with the code that the recovery gives, `stream_broken`, whose `ran` is "unknown", with the engine's message as detail. A completion of which no earlier attempt may have run keeps `bad_request`.

--- a/crates/redwingrill/src/completions/relay/lifecycle.rs
+++ b/crates/redwingrill/src/completions/relay/lifecycle.rs
@@ -125,11 +125,23 @@
             Ok(stream) => Ok(Relay { completion: self.completion, state: Streaming { stream } }),
             Err(StartError::Fault(fault)) => Err(self.stopped(fault.into())),
             Err(StartError::Rejected { status, message }) => {
-                Err(Transition::Ended(self.completion, Outcome::Rejected { status, message }))
+                let outcome = self.rejected(status, message);
+                Err(Transition::Ended(self.completion, outcome))
             }
         }
     }
 
+    /// Returns the outcome if the engine rejected this attempt. The code of a rejection says that the
+    /// request was not run, which an earlier attempt may contradict.
+    fn rejected(&self, status: StatusCode, message: String) -> Outcome {
+        let recovery = &self.completion.recovery;
+        if !recovery.may_have_run() {
+            return Outcome::Rejected { status, message };
+        }
+        let detail = format!("another engine rejected the request with status {status}: {message}");
+        Outcome::Failed(Refusal::with_detail(recovery.final_code(Fault::Refused), detail))
+    }
+
     async fn open_attempt(&self) -> Result<AttemptStream, StartError> {
         let completion = &self.completion;
         let attempt_id = completion.attempt_id();
