--- a/crates/lab/tests/on_platform/main.rs
+++ b/crates/lab/tests/on_platform/main.rs
@@ -6,6 +6,7 @@
 mod failures;
 mod isolation;
 mod late_copies;
+mod kept_connections;
 mod late_writes;
 mod left_callers;
 mod malformed;
