Add a test of engines that start again with another version

Callers see the rest of a stream from an engine that has started again with another version of its software, under its identity or under a new one, well after the nodes could know it. No engine of the stream's version is left, so each stream is refused, or joined.

--- a/crates/lab/tests/on_platform/software_versions.rs
+++ b/crates/lab/tests/on_platform/software_versions.rs
@@ -358,6 +358,31 @@
     site.stop(Vec::new()).await;
 }
 
+/// The engines of a stream start again with another version of their software.
+#[tokio::test]
+async fn engine_that_started_again_with_another_version_takes_up_its_streams() {
+    let mut outcomes = Vec::new();
+    for (case, is_same) in [("under its identity", true), ("under a new identity", false)] {
+        let site = site_of(&[("v1", 2)]).await;
+        let node = site.killable_node("n1").await;
+        sleep(KNOWN).await;
+        let mut callers = begin(&site, node.node.callers, "r", 8, READ_EVENTS).await;
+        for engine in &site.engines {
+            if is_same {
+                engine.restart("v2");
+            } else {
+                engine.replace("v2");
+            }
+        }
+        sleep(KNOWN).await;
+        resume(&site, node.node.callers, &mut callers).await;
+        outcomes.push((case, Outcome::of(&callers)));
+        drop(node);
+        site.stop(Vec::new()).await;
+    }
+    assert_not_joined(&outcomes);
+}
+
 /// A node without the store does not hear from it of the version that began a stream elsewhere.
 #[tokio::test]
 async fn node_cut_off_from_the_store_joins_a_newer_version() {
