Let the soak release software and write extra copies of answers

A stream that holds two versions over the attempts of its caller is a finding, within an answer or over attempts; the report counts the streams taken up and those that went on.

A whole stream is judged by its whole events and must end with one; the check is at least as strict as before.

--- a/crates/lab/src/cli/soak.rs
+++ b/crates/lab/src/cli/soak.rs
@@ -49,7 +49,10 @@
             callers: count("callers"),
         };
         let report = run_soak(&options).await?;
-        println!("seed {seed}: {} asked, {} served", report.asked, report.served);
+        println!(
+            "seed {seed}: {} asked, {} served; {} streams taken up, {} went on",
+            report.asked, report.served, report.taken_up, report.went_on
+        );
         for (at, fault) in &report.plan.faults {
             println!("  {:.1} s {fault:?}", at.as_secs_f64());
         }
--- a/crates/lab/src/net/connection.rs
+++ b/crates/lab/src/net/connection.rs
@@ -4,10 +4,13 @@
 use std::sync::Mutex;
 use std::sync::Weak;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
 use tokio_util::sync::CancellationToken;
 
+static NEXT_NUMBER: AtomicU64 = AtomicU64::new(1);
+
 /// One open connection. Handlers find it in the extensions of a request.
 #[derive(Clone, Debug, Default)]
 pub struct Connection {
@@ -16,11 +19,17 @@
 
 #[derive(Debug, Default)]
 struct Inner {
+    number: u64,
     silent: AtomicBool,
     closed: CancellationToken,
 }
 
 impl Connection {
+    /// Returns its number, which no other connection of the process has.
+    pub fn number(&self) -> u64 {
+        self.inner.number
+    }
+
     /// Makes the connection silent for good: it stays open, takes bytes and gives none.
     pub fn silence(&self) {
         self.inner.silent.store(true, Ordering::Release);
@@ -51,7 +60,8 @@
 impl Connections {
     /// Adds a connection.
     pub fn open(&self) -> Connection {
-        let connection = Connection::default();
+        let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
+        let connection = Connection { inner: Arc::new(Inner { number, ..Inner::default() }) };
         let mut open = self.open.lock().expect("no holder panics");
         open.retain(|inner| inner.strong_count() > 0);
         open.push(Arc::downgrade(&connection.inner));
--- a/crates/lab/src/on_platform/streams.rs
+++ b/crates/lab/src/on_platform/streams.rs
@@ -88,22 +88,24 @@
     pub head_after: Duration,
 }
 
-/// Sends a request, reads its answer up to a number of events and drops the connection. `None` if
-/// there was no answer.
+/// Sends a request and reads its answer to its end, or up to a number of events, which drops the
+/// connection. `None` if there was no answer. The body may take as long as the head.
 pub async fn read_stream(
     pool: &Pool,
     node: SocketAddr,
     request: Request<Bytes>,
+    freshness: Freshness,
     events: usize,
     timeouts: &Timeouts,
 ) -> Option<StreamPart> {
     let asked = Instant::now();
-    let reply = pool.send(node, request, Freshness::New, timeouts).await.ok()?;
+    let reply = pool.send(node, request, freshness, timeouts).await.ok()?;
     let head_after = asked.elapsed();
     let (parts, mut reply) = reply.into_parts();
     let (mut body, mut is_complete) = (String::new(), false);
+    let ends = Instant::now() + timeouts.head;
     while body.matches("\n\n").count() < events && !is_complete {
-        match reply.next(timeouts.head).await {
+        match reply.next(ends.saturating_duration_since(Instant::now())).await {
             Ok(Some(piece)) => body.push_str(&String::from_utf8_lossy(&piece)),
             Ok(None) => is_complete = true,
             Err(_) => break,
--- a/crates/lab/src/site_upstream/behaviour.rs
+++ b/crates/lab/src/site_upstream/behaviour.rs
@@ -27,6 +27,11 @@
     RepeatsRefusal,
     /// The same, with its word that another upstream was meant.
     RepeatsMisdirection,
+    /// It says that it did not run the first request of a connection, and writes that once more as
+    /// the next one arrives, which it runs.
+    CopiesRefusals,
+    /// It writes each answer once more as the next request of the connection arrives, which it runs.
+    CopiesAnswers,
     /// Its answer has no signature.
     DoesNotSign,
     /// Its answer is in a coding that nobody asked for.
--- a/crates/lab/src/site_upstream/http.rs
+++ b/crates/lab/src/site_upstream/http.rs
@@ -25,9 +25,12 @@
 
 use super::Behaviour;
 use super::SeenRequest;
+use super::copies::Copies;
+use super::copies::Written;
 use crate::metadata_store::StoreState;
 use crate::net::Accept;
 use crate::net::Body;
+use crate::net::Connection;
 use crate::net::Connections;
 use crate::net::Cut;
 use crate::net::Handler;
@@ -85,6 +88,7 @@
     open_requests: Arc<AtomicUsize>,
     // What it says of itself in the heads of its answers.
     signals: Mutex<Vec<(HeaderName, HeaderValue)>>,
+    copies: Copies,
 }
 
 impl SiteUpstream {
@@ -108,6 +112,22 @@
         service: &str,
         store: &StoreState,
         software: &str,
+    ) -> io::Result<Self> {
+        let upstream = Self::start_unlisted(id, service, store, software).await?;
+        upstream.list("ready");
+        Ok(upstream)
+    }
+
+    /// Like [`SiteUpstream::start_with_software`], but without an entry.
+    ///
+    /// # Errors
+    ///
+    /// The cause if no port can be bound.
+    pub async fn start_unlisted(
+        id: &str,
+        service: &str,
+        store: &StoreState,
+        software: &str,
     ) -> io::Result<Self> {
         let shared = Arc::new(Shared {
             name: id.to_owned(),
@@ -128,14 +148,13 @@
             open_streams: Arc::default(),
             open_requests: Arc::default(),
             signals: Mutex::default(),
+            copies: Copies::default(),
         });
         let address = SocketAddr::from(([127, 0, 0, 1], 0));
         let connections = shared.connections.clone();
         let server = Server::start_with(address, shared.clone(), connections).await?;
         let listed = server.address();
-        let upstream = Self { shared, server, listed };
-        upstream.list("ready");
-        Ok(upstream)
+        Ok(Self { shared, server, listed })
     }
 
     /// Writes its entry with a state.
@@ -278,6 +297,16 @@
     }
 }
 
+/// Returns the event after which a stream begins.
+fn last_event(seen: &SeenRequest) -> u64 {
+    seen.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0)
+}
+
+/// Returns the text of an event.
+fn event(id: u64, software: &str) -> String {
+    format!("id: {id}\ndata: token{id} {software}\n\n")
+}
+
 /// Counts a stream or a request while it is open.
 struct OpenCount(Arc<AtomicUsize>);
 
@@ -439,7 +468,13 @@
         let version = self.version.lock().expect("no holder panics").to_string();
         let is_meant = parts.headers.get("x-expect-instance").is_none_or(|id| id == &self.id())
             && parts.headers.get("x-expect-version").is_none_or(|known| known == &version);
-        let has_run = is_meant && !matches!(behaviour, Behaviour::Sheds | Behaviour::IsAnother);
+        let connection = parts.extensions.get::<Connection>().map_or(0, Connection::number);
+        let runs = match behaviour {
+            Behaviour::Sheds | Behaviour::IsAnother => false,
+            Behaviour::CopiesRefusals => self.copies.is_due(connection),
+            _ => true,
+        };
+        let has_run = is_meant && runs;
         let seen = SeenRequest {
             method: parts.method,
             target: parts.uri.to_string(),
@@ -475,6 +510,10 @@
                 headers.insert("x-request-id", HeaderValue::from_static("earlier"));
                 return Ok(reply);
             }
+            Behaviour::CopiesRefusals | Behaviour::CopiesAnswers => {
+                let written = self.whole_answer(&seen);
+                return Ok(self.copies.exchange(connection, written).into());
+            }
             Behaviour::Fails => {
                 let body = full_body("failed");
                 return Ok(self.signed(StatusCode::INTERNAL_SERVER_ERROR, &seen, body));
@@ -508,8 +547,27 @@
         Ok(reply)
     }
 
+    /// Returns a whole answer, or the refusal of a request that was not run.
+    fn whole_answer(&self, seen: &SeenRequest) -> Written {
+        let (status, body) = match seen.header("x-model") {
+            _ if !seen.has_run => (StatusCode::SERVICE_UNAVAILABLE, String::new()),
+            Some(_) => {
+                let (after, software) = (last_event(seen), self.software());
+                let events = (after + 1..=EVENTS).map(|id| event(id, &software));
+                (StatusCode::OK, events.collect())
+            }
+            None => (StatusCode::OK, format!("answer of {}", self.id())),
+        };
+        let mut headers = self.signed(status, seen, full_body("")).into_parts().0.headers;
+        if !seen.has_run {
+            headers.remove("x-server-stamp");
+            headers.insert("x-not-executed", HeaderValue::from_static("1"));
+        }
+        Written { status, headers, body: body.into() }
+    }
+
     fn events(&self, seen: &SeenRequest, behaviour: Behaviour) -> Body {
-        let last = seen.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+        let last = last_event(seen);
         let until = match behaviour {
             Behaviour::CutsUnframed => last + 2,
             Behaviour::EndsUnframed => last,
@@ -525,7 +583,7 @@
             match behaviour {
                 Behaviour::BreaksOff if is_second => vec![part, Err(Cut)],
                 Behaviour::CutsUnframed if is_second => vec![part],
-                _ => vec![Ok(Bytes::from(format!("id: {id}\ndata: token{id} {software}\n\n")))],
+                _ => vec![Ok(Bytes::from(event(id, &software)))],
             }
         });
         // The counter lives as long as the stream.
--- a/crates/lab/src/site_upstream/mod.rs
+++ b/crates/lab/src/site_upstream/mod.rs
@@ -1,6 +1,7 @@
 //! A stand-in of the users' engines and plain services, as they answer on the platform.
 
 mod behaviour;
+mod copies;
 mod http;
 
 pub use behaviour::Behaviour;
--- a/crates/lab/src/soak/check.rs
+++ b/crates/lab/src/soak/check.rs
@@ -1,5 +1,6 @@
 //! What callers and upstreams saw against what the pages promise.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::fmt;
 
@@ -7,6 +8,7 @@
 use super::callers::body;
 use super::callers::target;
 use super::site::Kind;
+use crate::on_platform::StreamText;
 use crate::site_upstream::EVENTS;
 use crate::site_upstream::SeenRequest;
 
@@ -47,9 +49,61 @@
         findings.extend(untrue_refusal(one, runs));
         findings.extend(mixed(one));
     }
+    findings.extend(join_attempts(asked).values().filter_map(joined));
     findings
 }
 
+/// A stream as its caller received it, over all attempts.
+#[derive(Clone, Debug)]
+pub(super) struct JoinedStream<'a> {
+    attempts: Vec<&'a Asked>,
+    text: StreamText,
+}
+
+impl JoinedStream<'_> {
+    /// Returns whether the caller took it up after an interruption.
+    pub fn is_taken_up(&self) -> bool {
+        self.attempts.len() > 1
+    }
+
+    /// Returns whether all of its events came once, in order.
+    pub fn is_whole(&self) -> bool {
+        self.text.ids().eq(1..=EVENTS)
+    }
+}
+
+/// Joins the attempts of each stream, by the one that began it.
+pub(super) fn join_attempts(asked: &[Asked]) -> BTreeMap<&str, JoinedStream<'_>> {
+    let mut streams: BTreeMap<&str, JoinedStream<'_>> = BTreeMap::new();
+    for one in asked.iter().filter(|one| one.kind.is_stream()) {
+        let first = one.resumes.as_ref().unwrap_or(&one.id);
+        let empty = JoinedStream { attempts: Vec::new(), text: StreamText::default() };
+        let stream = streams.entry(first).or_insert(empty);
+        stream.attempts.push(one);
+        if let Some(answer) = &one.answer {
+            stream.text.append(answer.events.clone());
+        }
+    }
+    streams
+}
+
+/// What two versions of the software wrote does not fit together.
+fn joined(stream: &JoinedStream<'_>) -> Option<Finding> {
+    let software = stream.text.software();
+    if software.len() < 2 {
+        return None;
+    }
+    let within = stream
+        .attempts
+        .iter()
+        .find(|one| one.answer.as_ref().is_some_and(|answer| answer.events.software().len() > 1));
+    let (one, place) = match within {
+        Some(one) => (one, "within an answer"),
+        None => (stream.attempts.last()?, "over attempts"),
+    };
+    Some(finding("joined versions", one, format!("{software:?} {place}")))
+}
+
 fn finding(rule: &'static str, asked: &Asked, seen: impl fmt::Display) -> Finding {
     Finding { rule, seen: format!("{} {}: {seen}", asked.kind.route(), asked.id) }
 }
@@ -89,9 +143,7 @@
     let is_whole = match asked.kind {
         Kind::Safe | Kind::Unsafe => Some(body.as_str()) == whole_body(stamp).as_deref(),
         Kind::Stream | Kind::Resumable => {
-            let ids =
-                body.lines().filter_map(|line| line.strip_prefix("id: ")?.parse::<u64>().ok());
-            ids.eq(1..=EVENTS)
+            body.ends_with("\n\n") && answer.events.ids().eq(asked.after + 1..=EVENTS)
         }
     };
     (!is_whole).then(|| finding("mixed", asked, format!("{body:?} signed {stamp}")))
--- a/crates/lab/src/soak/late_writes.rs
+++ b/crates/lab/src/soak/late_writes.rs
@@ -62,13 +62,16 @@
 fn disturbs(fault: &Fault, upstream: usize) -> bool {
     match fault {
         Fault::Kill(_)
+        | Fault::KillAll
         | Fault::Stop(_)
         | Fault::Pause(..)
         | Fault::Link(..)
         | Fault::Store(..)
         | Fault::Forgets
         | Fault::Restored { .. } => true,
-        Fault::Leaves(other, _) => *other == upstream,
+        Fault::Leaves(other, _) | Fault::Lapses(other, _) | Fault::Retires(other, _) => {
+            *other == upstream
+        }
         _ => false,
     }
 }
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -3,9 +3,10 @@
 //! A seed decides what strikes when: processes are stopped, paused and killed by signals, the links
 //! to the store are cut, delayed and silenced by a loopback proxy, those to upstreams are silenced in
 //! both directions and reset by the kernel with requests on their way, the store fails in its ways, and
-//! upstreams misbehave, or say that they are limited, want a pause or leave. Callers go on all the
-//! while over open connections. At the end all faults are healed, and what callers and upstreams saw
-//! is checked against what the pages promise.
+//! upstreams misbehave, or say that they are limited, want a pause or leave. Engines of a new software
+//! version replace others, and all processes are killed then. Callers go on all the while over open
+//! connections, and take up streams that were interrupted. At the end all faults are healed, and what
+//! callers and upstreams saw is checked against what the pages promise.
 
 mod callers;
 mod check;
@@ -13,6 +14,7 @@
 mod link;
 mod node;
 mod plan;
+mod release;
 mod run;
 mod signals;
 mod site;
--- a/crates/lab/src/soak/plan.rs
+++ b/crates/lab/src/soak/plan.rs
@@ -8,6 +8,7 @@
 use rand::seq::IndexedRandom;
 
 use super::link::LinkState;
+use super::release::draw_releases;
 use super::signals::Signal;
 use super::signals::draw_signals;
 use crate::metadata_store::StoreFault;
@@ -33,6 +34,13 @@
 const UPSTREAM_LINKS: std::ops::Range<usize> = 0..12;
 const LINK_LASTS_MS: std::ops::Range<u64> = 20..1_500;
 
+/// The fewest and the most upstreams that write extra copies, for how long, how often the entry of one
+/// lapses meanwhile, and how long it is away.
+const COPYING: std::ops::Range<usize> = 0..3;
+const COPIES_MS: std::ops::Range<u64> = 500..3_000;
+const LAPSES: std::ops::Range<usize> = 2..8;
+const LAPSE_MS: std::ops::Range<u64> = 10..300;
+
 /// One fault: the place of the node or upstream that it strikes, and how long it lasts.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub enum Fault {
@@ -61,6 +69,14 @@
     UpstreamLink(usize, LinkState, Duration),
     /// An upstream is emptied and taken off the list, and comes back.
     Leaves(usize, Duration),
+    /// The entry of an upstream lapses and comes back; its connections stay.
+    Lapses(usize, Duration),
+    /// An engine with this version of its software starts, after all other upstreams.
+    Starts(u32),
+    /// An engine drains and leaves for good.
+    Retires(usize, Duration),
+    /// All processes are killed at once and started again.
+    KillAll,
     /// An upstream says that it drains, and the store does an earlier write of it so much later.
     LateWrite(usize, Duration),
     /// An upstream says something of itself until the end of the faults.
@@ -91,6 +107,8 @@
         faults.extend(draw_signals(seed, upstreams));
         faults.extend(draw_upstream_links(seed, upstreams));
         faults.extend(draw_late_write(seed, upstreams));
+        faults.extend(draw_copies(seed, upstreams));
+        faults.extend(draw_releases(seed, upstreams / 2));
         faults.sort_by_key(|(at, _)| *at);
         Self { faults }
     }
@@ -111,6 +129,28 @@
     links.collect()
 }
 
+/// Draws upstreams that write extra copies while their entries lapse, from a generator of their own.
+fn draw_copies(seed: u64, upstreams: usize) -> Vec<(Duration, Fault)> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ 0x434f_5059);
+    let mut faults = Vec::new();
+    for _ in 0..rng.random_range(COPYING) {
+        let upstream = rng.random_range(0..upstreams);
+        let copies = [Behaviour::CopiesRefusals, Behaviour::CopiesAnswers];
+        let behaviour = *copies.choose(&mut rng).expect("copies are written");
+        let at_ms = rng.random_range(SPAN_MS);
+        let lasts_ms = rng.random_range(COPIES_MS);
+        let lasts = Duration::from_millis(lasts_ms);
+        let begins = Duration::from_millis(at_ms);
+        faults.push((begins, Fault::Upstream(upstream, behaviour, lasts)));
+        for _ in 0..rng.random_range(LAPSES) {
+            let at = begins + Duration::from_millis(rng.random_range(0..lasts_ms));
+            let away = Duration::from_millis(rng.random_range(LAPSE_MS));
+            faults.push((at, Fault::Lapses(upstream, away)));
+        }
+    }
+    faults
+}
+
 /// Draws a late write for every other seed, from a generator of its own.
 fn draw_late_write(seed: u64, upstreams: usize) -> Option<(Duration, Fault)> {
     let mut rng = SmallRng::seed_from_u64(seed ^ 0x4c41_5445);
--- a/crates/lab/src/soak/run.rs
+++ b/crates/lab/src/soak/run.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::future::try_join_all;
 use rand::RngCore;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -22,10 +23,12 @@
 use super::Finding;
 use super::Plan;
 use super::callers::Asked;
+use super::callers::Call;
 use super::callers::ask;
 use super::callers::keep_asking;
 use super::callers::knows_route;
 use super::check::check;
+use super::check::join_attempts;
 use super::late_writes::check_late_writes;
 use super::late_writes::drain;
 use super::late_writes::write_late;
@@ -67,6 +70,9 @@
 const COPY_PERIOD: Duration = Duration::from_millis(500);
 const WRITTEN_AGAIN_AFTER: Duration = Duration::from_millis(300);
 
+/// The version of the software of all upstreams at the start.
+const FIRST_VERSION: u32 = 1;
+
 /// How often processes that ended are looked for.
 const WATCH: Duration = Duration::from_millis(50);
 
@@ -96,6 +102,10 @@
     pub asked: usize,
     /// Those that were answered with a success.
     pub served: usize,
+    /// Streams that callers took up again after they had been interrupted.
+    pub taken_up: usize,
+    /// Those of them that went on to their end.
+    pub went_on: usize,
     /// Promises that did not hold.
     pub findings: Vec<Finding>,
 }
@@ -152,9 +162,13 @@
     asked.extend(soak.recover(&addresses).await);
     let is_served = |one: &&Asked| one.answer.as_ref().is_some_and(|answer| answer.status == 200);
     let served = asked.iter().filter(is_served).count();
+    let streams = join_attempts(&asked);
+    let taken_up: Vec<_> = streams.values().filter(|stream| stream.is_taken_up()).collect();
+    let went_on = taken_up.iter().filter(|stream| stream.is_whole()).count();
+    let (asked_count, taken_up) = (asked.len(), taken_up.len());
     soak.check_signals(&plan);
     let findings = soak.finish(&asked).await;
-    Ok(SoakReport { plan, asked: asked.len(), served, findings })
+    Ok(SoakReport { plan, asked: asked_count, served, taken_up, went_on, findings })
 }
 
 impl Soak {
@@ -164,34 +178,11 @@
         let store = MetadataStore::start(state.clone()).await?;
         state.put("op/config", configuration_of(1));
         state.put("op/version/m", r#"{"model":"m","version":1}"#);
-        let mut upstreams = Vec::new();
-        let mut upstream_links = Vec::new();
-        for (name, service) in [("e", "llm"), ("s", "shop")] {
-            for n in 0..options.upstreams {
-                let id = format!("{name}{n}");
-                let mut upstream = SiteUpstream::start(&id, service, &state).await?;
-                let link = Link::start(upstream.address()).await?;
-                upstream.list_at(link.address);
-                upstreams.push(upstream);
-                upstream_links.push(link);
-            }
-        }
-        // Loopback addresses of this run's own, so that several may run side by side.
-        let process = std::process::id();
-        let ip = |n: usize| {
-            Ipv4Addr::new(127, 1 + (process % 250) as u8, options.seed as u8, 1 + n as u8)
-        };
-        let mut nodes = Vec::new();
-        for n in 0..options.nodes {
-            let (program, folder, name) = (&options.program, &options.folder, format!("n{n}"));
-            let node = SoakNode::start(program, folder, ip(n), &name, store.address(), ip(0));
-            nodes.push(node.await?);
-        }
-        let soak = Self {
+        let mut soak = Self {
             store,
-            nodes,
-            upstreams,
-            upstream_links,
+            nodes: Vec::new(),
+            upstreams: Vec::new(),
+            upstream_links: Vec::new(),
             pool: Pool::new(),
             version: 1,
             configured: 1,
@@ -202,10 +193,37 @@
             signals: Vec::new(),
             excused: Vec::new(),
         };
+        for (service, name) in [("llm", "e"), ("shop", "s")] {
+            for _ in 0..options.upstreams {
+                soak.start_upstream(service, name, FIRST_VERSION).await?;
+            }
+        }
+        // Loopback addresses of this run's own, so that several may run side by side.
+        let process = std::process::id();
+        let ip = |n: usize| {
+            Ipv4Addr::new(127, 1 + (process % 250) as u8, options.seed as u8, 1 + n as u8)
+        };
+        for n in 0..options.nodes {
+            let (program, folder, name) = (&options.program, &options.folder, format!("n{n}"));
+            let node = SoakNode::start(program, folder, ip(n), &name, soak.store.address(), ip(0));
+            soak.nodes.push(node.await?);
+        }
         soak.wait_ready().await?;
         Ok(soak)
     }
 
+    /// Starts an upstream with a version of its software behind a link of its own.
+    async fn start_upstream(&mut self, service: &str, name: &str, version: u32) -> io::Result<()> {
+        let (id, software) = (format!("{name}{}", self.upstreams.len()), format!("v{version}"));
+        let state = &self.store.state;
+        let mut upstream = SiteUpstream::start_unlisted(&id, service, state, &software).await?;
+        let link = Link::start(upstream.address()).await?;
+        upstream.list_at(link.address);
+        self.upstreams.push(upstream);
+        self.upstream_links.push(link);
+        Ok(())
+    }
+
     async fn wait_ready(&self) -> io::Result<()> {
         let ends = Instant::now() + START_LIMIT;
         for node in &self.nodes {
@@ -274,6 +292,22 @@
                 self.nodes[*node].kill().await?;
                 None
             }
+            Fault::KillAll => {
+                try_join_all(self.nodes.iter_mut().map(SoakNode::kill)).await?;
+                None
+            }
+            Fault::Starts(version) => {
+                self.start_upstream("llm", "e", *version).await?;
+                None
+            }
+            Fault::Lapses(upstream, away) => {
+                self.upstreams[*upstream].unlist();
+                Some(*away)
+            }
+            Fault::Retires(upstream, drains) => {
+                self.upstreams[*upstream].list("draining");
+                Some(*drains)
+            }
             Fault::Stop(node) => {
                 self.stop(*node).await?;
                 None
@@ -367,7 +401,10 @@
             Fault::UpstreamLink(upstream, ..) => {
                 self.upstream_links[*upstream].set(LinkState::Open);
             }
-            Fault::Leaves(upstream, _) => self.upstreams[*upstream].list("ready"),
+            Fault::Leaves(upstream, _) | Fault::Lapses(upstream, _) => {
+                self.upstreams[*upstream].list("ready");
+            }
+            Fault::Retires(upstream, _) => self.upstreams[*upstream].unlist(),
             Fault::LateWrite(upstream, _) => write_late(&self.upstreams[*upstream]),
             Fault::Signal(upstream, signal) => {
                 let now = Instant::now();
@@ -416,12 +453,13 @@
             for kind in Kind::ALL {
                 for turn in 0..LAST_REQUESTS {
                     let id = format!("last-{n}-{}-{turn}", kind.route());
-                    let answer = ask(&self.pool, *node, kind, &id, Freshness::New).await;
-                    if answer.as_ref().is_none_or(|answer| answer.status != 200) {
-                        let seen = format!("{} {id}: {answer:?}", kind.route());
+                    let call = Call::new(kind, id);
+                    let one = ask(&self.pool, *node, call, Freshness::New).await;
+                    if one.answer.as_ref().is_none_or(|answer| answer.status != 200) {
+                        let seen = format!("{} {}: {:?}", kind.route(), one.id, one.answer);
                         self.findings.push(Finding { rule: "recovery", seen });
                     }
-                    asked.push(Asked { id, kind, answer });
+                    asked.push(one);
                 }
             }
         }
--- a/crates/lab/src/soak/signals.rs
+++ b/crates/lab/src/soak/signals.rs
@@ -94,7 +94,7 @@
 
 /// Returns whether a fault excuses a node from keeping to signals.
 pub(super) fn excuses(fault: &Fault) -> bool {
-    matches!(fault, Fault::Kill(_) | Fault::Stop(_) | Fault::Pause(..))
+    matches!(fault, Fault::Kill(_) | Fault::KillAll | Fault::Stop(_) | Fault::Pause(..))
 }
 
 /// Checks that `nodes` nodes kept to a signal. `excused` holds the times of the faults that excuse
--- a/crates/lab/tests/on_platform/site.rs
+++ b/crates/lab/tests/on_platform/site.rs
@@ -329,7 +329,8 @@
         events: usize,
     ) -> Option<StreamPart> {
         let timeouts = Timeouts { connect: CALL_LIMIT, head: CALL_LIMIT };
-        read_stream(&self.pool, callers, call.request(), events, &timeouts).await
+        let (pool, request) = (&self.pool, call.request());
+        read_stream(pool, callers, request, Freshness::New, events, &timeouts).await
     }
 
     pub async fn stop(self, nodes: Vec<SiteNode>) {
