Test that retries of orders that ran do not deny the run

Callers got 502 or 503 with "ran":"no" for an order that had run: the first call was answered 409 outcome_unknown after one run, its retry with the same key took the order over, could not be sent, and was answered as if the request had never run. docs/OPERATING.md calls "no" a promise about the request.

Two tests, each with both layouts. In the first the order is taken over: nothing listens at the upstream, or the permit is too old to send. In the second the node refuses before it has seen the record: the store is down or frozen, the account's window is full, the only upstream is leaving. The node of the tests lets a test set the leaving upstreams.

--- a/crates/redwingrill/tests/orders/main.rs
+++ b/crates/redwingrill/tests/orders/main.rs
@@ -2,6 +2,7 @@
 
 mod fault_matrix;
 mod node;
+mod order_that_ran;
 mod sessions;
 mod test_driver;
 
--- a/crates/redwingrill/tests/orders/node.rs
+++ b/crates/redwingrill/tests/orders/node.rs
@@ -104,6 +104,8 @@
 
 /// A running node.
 pub struct Node {
+    /// The upstreams that take no new calls.
+    pub leaving: LeavingUpstreams,
     handle: Handle,
     services: Services,
     ledger: Ledger,
@@ -157,12 +159,9 @@
                 ledger
             }
         };
-        let services = Services::new(
-            Pool::new(),
-            LeavingUpstreams::default(),
-            ledger.clone(),
-            TaskTracker::new(),
-        );
+        let leaving = LeavingUpstreams::default();
+        let services =
+            Services::new(Pool::new(), leaving.clone(), ledger.clone(), TaskTracker::new());
         let (stop, stopped) = oneshot::channel();
         std::thread::spawn(move || {
             // Dropping the sender also stops the node.
@@ -170,7 +169,7 @@
             runtime.shutdown_background();
         });
         drop(_entered);
-        Self { handle, services, ledger, snapshot, stop: Some(stop) }
+        Self { leaving, handle, services, ledger, snapshot, stop: Some(stop) }
     }
 
     /// Kills the node: its tasks and connections end immediately.
