Do not deny the run of an order that was taken over

Callers whose order had run and whose answer was lost got 502 upstream_unreachable or 503 ledger_outcome_unknown with "ran":"no" for a retry with the same key, once the retry had taken the order over and could not send it.

Cause: refusals after the record judge the sends of their own call. The record knows that an earlier attempt may have sent (taken_over), but the permit did not carry it to the node that answers.

Permit::earlier_run says so as a type. All refusals after the record leave through one place, where one that says "not run" becomes outcome_unknown (409, "ran":"unknown") with Retry-After and the reason in its text if an earlier run is possible. A refusal of an order that was new or void stays as it was: no attempt of it has sent. The field comes from the record as it is stored, so no format changes, in the store or between nodes.

A true answer takes other statuses and "unknown" also for first calls, which the test orders_are_refused_and_prompts_go_on_while_the_platform_is_away forbids.

records.rs expects the new field in each permit and has one case more.

--- a/crates/ledger/src/order/mod.rs
+++ b/crates/ledger/src/order/mod.rs
@@ -30,6 +30,7 @@
 use crate::order::guard::OrderGuard;
 use crate::record::Action;
 use crate::record::Claim;
+use crate::record::EarlierRun;
 use crate::record::Operation;
 use crate::record::Permit;
 use crate::record::Verdict;
@@ -173,6 +174,12 @@
         self.state.permit.bound_to.as_deref()
     }
 
+    /// Returns whether an earlier attempt may have run the order. If so, no refusal may say "not
+    /// run", even if this attempt sends nothing.
+    pub fn earlier_run(&self) -> EarlierRun {
+        self.state.permit.earlier_run
+    }
+
     /// Starts sending the order.
     ///
     /// # Errors
--- a/crates/ledger/src/record.rs
+++ b/crates/ledger/src/record.rs
@@ -100,6 +100,15 @@
     pub action: Action,
 }
 
+/// Whether an earlier attempt may have run an order.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum EarlierRun {
+    /// No earlier attempt has sent the order.
+    None,
+    /// The order was taken over from an attempt whose outcome is unknown.
+    Possible,
+}
+
 /// The permission of an attempt to send its order.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct Permit {
@@ -107,6 +116,8 @@
     pub fencing: FencingNumber,
     /// The only upstream to send to; none if any is allowed.
     pub bound_to: Option<Arc<str>>,
+    /// Whether the order may have run before.
+    pub earlier_run: EarlierRun,
 }
 
 /// The result of an operation on a record.
@@ -211,7 +222,8 @@
 }
 
 fn permit(record: &Record) -> Permit {
-    Permit { fencing: record.fencing, bound_to: record.bound_to.clone() }
+    let earlier_run = if record.taken_over { EarlierRun::Possible } else { EarlierRun::None };
+    Permit { fencing: record.fencing, bound_to: record.bound_to.clone(), earlier_run }
 }
 
 fn new_claim(
--- a/crates/ledger/tests/records.rs
+++ b/crates/ledger/tests/records.rs
@@ -18,6 +18,7 @@
 use redwingrill_ledger::OutcomeBody;
 use redwingrill_ledger::record::Action;
 use redwingrill_ledger::record::Claim;
+use redwingrill_ledger::record::EarlierRun;
 use redwingrill_ledger::record::Operation;
 use redwingrill_ledger::record::Permit;
 use redwingrill_ledger::record::Record;
@@ -56,8 +57,12 @@
 }
 
 fn claimed(fencing: u64, bound_to: Option<&str>) -> Verdict {
+    claimed_after(EarlierRun::None, fencing, bound_to)
+}
+
+fn claimed_after(earlier_run: EarlierRun, fencing: u64, bound_to: Option<&str>) -> Verdict {
     let bound_to = bound_to.map(Arc::from);
-    Verdict::Claimed(Permit { fencing: FencingNumber(fencing), bound_to })
+    Verdict::Claimed(Permit { fencing: FencingNumber(fencing), bound_to, earlier_run })
 }
 
 struct ApplyCase {
@@ -149,7 +154,13 @@
             "unfinished, taken over with the same upstream",
             Some(record(Recorded)),
             (2, claim("pens", Some(5_000))),
-            (claimed(4, Some("shop-1")), true),
+            (claimed_after(EarlierRun::Possible, 4, Some("shop-1")), true),
+        ),
+        case(
+            "repeated claim by the attempt that took the order over",
+            Some(Record { taken_over: true, ..record(Recorded) }),
+            (1, claim("pens", Some(5_000))),
+            (claimed_after(EarlierRun::Possible, 3, Some("shop-1")), false),
         ),
         case(
             "unfinished, not bound to an upstream",
--- a/crates/redwingrill/src/services/orders.rs
+++ b/crates/redwingrill/src/services/orders.rs
@@ -28,6 +28,7 @@
 use crate::Refusal;
 use crate::completions::Caller;
 use crate::http::Body;
+use redwingrill_codes::Ran;
 use redwingrill_codes::ResultCode;
 use redwingrill_config::Fencing;
 use redwingrill_config::Service;
@@ -44,6 +45,7 @@
 use redwingrill_ledger::order::Received;
 use redwingrill_ledger::order::RecordError;
 use redwingrill_ledger::order::Recorded;
+use redwingrill_ledger::record::EarlierRun;
 use redwingrill_ledger::record::TakeOver;
 use redwingrill_ledger::task::Ledger;
 use redwingrill_transport::Freshness;
@@ -159,7 +161,9 @@
                 return Err(code.into());
             }
         };
-        send(recorded, &mut outgoing_call, &targets, pool, &log).await
+        let earlier_run = recorded.earlier_run();
+        let sent = send(recorded, &mut outgoing_call, &targets, pool, &log).await;
+        sent.map_err(|refusal| account_for_earlier_run(refusal, earlier_run))
     }
 }
 
@@ -270,6 +274,21 @@
     Refusal::with_detail(ResultCode::OutcomeUnknown, detail).retry_after(WINDOW_RETRY_AFTER_MS)
 }
 
+/// Replaces a refusal that says "not run" if an earlier call with the key may have run.
+fn account_for_earlier_run(refusal: Refusal, earlier_run: EarlierRun) -> Refusal {
+    match (earlier_run, refusal.ran()) {
+        (EarlierRun::None, _) | (EarlierRun::Possible, Ran::Unknown) => refusal,
+        (EarlierRun::Possible, Ran::No) => {
+            let detail = format!(
+                "an earlier call with this key may have run, and this one was not sent \
+                 ({refusal}); ask again with the same key"
+            );
+            Refusal::with_detail(ResultCode::OutcomeUnknown, detail)
+                .retry_after(WINDOW_RETRY_AFTER_MS)
+        }
+    }
+}
+
 fn unknown_outcome(error: &ForwardError) -> Refusal {
     let info = ResultCode::OutcomeUnknown.info();
     Refusal::with_detail(ResultCode::OutcomeUnknown, format!("{} ({error})", info.summary))
