--- a/crates/routing/src/configuration.rs
+++ b/crates/routing/src/configuration.rs
@@ -131,11 +131,6 @@
         &self.limits
     }
 
-    /// Returns all routes.
-    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
-        self.routes.iter()
-    }
-
     /// Returns the number of routes.
     pub fn routes_len(&self) -> usize {
         self.routes.len()
