--- a/crates/scheduling/src/scheduler/signals.rs
+++ b/crates/scheduling/src/scheduler/signals.rs
@@ -47,8 +47,8 @@
     }
 
     /// Returns when a request may be sent, with `ahead` others in front of it, if all upstreams that
-    /// may serve it and that it was not sent to yet are closed or limited by what they say of themselves. `None` if one is
-    /// not; `u64::MAX` if none opens again.
+    /// may serve it and that it was not sent to yet are closed or limited by what they say of
+    /// themselves. `None` if one is not; `u64::MAX` if none opens again.
     pub(super) fn opens_ms(
         &self,
         request: &ScheduleRequest,
--- a/crates/scheduling/src/stream_origins/directory.rs
+++ b/crates/scheduling/src/stream_origins/directory.rs
@@ -17,7 +17,8 @@
 use super::owners;
 use crate::coordination::GroupNode;
 
-/// The number of streams of its own, and of others, that a node remembers. Each takes less than 100 bytes.
+/// The number of streams of its own, and of others, that a node remembers. Each takes less than 100
+/// bytes.
 const MEMORY_LIMIT: usize = 1 << 17;
 
 /// How long a stream is remembered without a configuration, in milliseconds.
